--- /dev/null
+++ b/crates/wisteriahitch-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of wisteriahitch for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/mod.rs
@@ -0,0 +1,1 @@
+//! Daemons among each other: membership, configuration, leases, orders and draining.
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/mod.rs
@@ -0,0 +1,1 @@
+//! Requests that may not be repeated: tickets, claims and kept answers.
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Where a request runs: candidates, load, cost, admission and retries.
--- /dev/null
+++ b/crates/wisteriahitch-peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between the daemons of wisteriahitch, over gRPC.
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, engines, services and stores, for development only.
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the tool.
+
+fn main() {}
--- /dev/null
+++ b/crates/wisteriahitch-types/src/key.rs
@@ -0,0 +1,100 @@
+//! Hashes that serve as keys.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+const KEY_LEN: usize = 16;
+const HEX_LEN: usize = KEY_LEN * 2;
+
+/// Reports a text that isn't 32 hexadecimal digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a key has 32 hexadecimal digits")]
+pub struct ParseKeyError;
+
+macro_rules! key_type {
+    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name([u8; KEY_LEN]);
+
+        impl $name {
+            /// Wraps the bytes of a key.
+            pub const fn from_bytes(bytes: [u8; KEY_LEN]) -> Self {
+                Self(bytes)
+            }
+
+            /// Returns the bytes of the key.
+            pub const fn as_bytes(&self) -> &[u8; KEY_LEN] {
+                &self.0
+            }
+
+            /// Derives a key from `material` under a `context` that no other use shares.
+            ///
+            /// The parts are hashed with their lengths, so that two different lists of parts
+            /// never give the same key by running together.
+            pub fn derive(context: &str, material: &[&[u8]]) -> Self {
+                let mut hasher = blake3::Hasher::new_derive_key(context);
+                for part in material {
+                    hasher.update(&(part.len() as u64).to_le_bytes());
+                    hasher.update(part);
+                }
+                let mut bytes = [0; KEY_LEN];
+                hasher.finalize_xof().fill(&mut bytes);
+                Self(bytes)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseKeyError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                if text.len() != HEX_LEN || !text.is_ascii() {
+                    return Err(ParseKeyError);
+                }
+                let mut bytes = [0; KEY_LEN];
+                for (i, byte) in bytes.iter_mut().enumerate() {
+                    let digits = &text[2 * i..2 * i + 2];
+                    *byte = u8::from_str_radix(digits, 16).map_err(|_| ParseKeyError)?;
+                }
+                Ok(Self(bytes))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = ParseKeyError;
+
+            fn try_from(text: String) -> Result<Self, Self::Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(key: $name) -> Self {
+                key.to_string()
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}({self})", stringify!($name))
+            }
+        }
+    )+};
+}
+
+key_type! {
+    /// Names one cache block; it binds workspace, model, adapter, weight version and the whole
+    /// chain of pieces up to and including this one (`docs/design/blocks.md`).
+    BlockKey,
+    /// Stands for a caller's secret or idempotency key, which itself is never kept.
+    KeyHash,
+}
--- /dev/null
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers, units and numbered result codes of wisteriahitch.
+//!
+//! Every other crate speaks in these types, so that an identifier is never mistaken for another
+//! one and a number never loses its unit. The words are explained in `docs/GLOSSARY.md`.
+
+mod code;
+mod id;
+mod key;
+mod unit;
+
+pub use code::{Code, Meaning};
+pub use id::{
+    AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
+    Generation, Incarnation, LinkName, ModelName, ParseIdError, RequestId, RuleName, ServiceName,
+    StoreId, StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
+};
+pub use key::{BlockKey, KeyHash, ParseKeyError};
+pub use unit::{
+    ByteCount, ByteRate, DurationUs, ParseUnitError, Share, TimeUs, TokenCount, TokenRate,
+};
--- /dev/null
+++ b/crates/wisteriahitch-types/src/unit.rs
@@ -0,0 +1,259 @@
+//! Newtypes for sizes, rates, times and shares.
+
+use std::fmt;
+use std::iter::Sum;
+use std::ops::{Add, AddAssign, Sub};
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Reports a text that isn't a number with the expected unit.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("expected {expected}, such as {example}")]
+pub struct ParseUnitError {
+    expected: &'static str,
+    example: &'static str,
+}
+
+macro_rules! unit_type {
+    ($($(#[$doc:meta])* $name:ident, $suffix:literal, $expected:literal, $example:literal;)+) => {$(
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Holds nothing.
+            pub const ZERO: Self = Self(0);
+            /// Holds the largest value.
+            pub const MAX: Self = Self(u64::MAX);
+
+            /// Wraps a plain number in this type's unit.
+            pub const fn new(number: u64) -> Self {
+                Self(number)
+            }
+
+            /// Returns the plain number in this type's unit.
+            pub const fn get(self) -> u64 {
+                self.0
+            }
+
+            /// Returns the number as a float, for estimates.
+            pub const fn as_f64(self) -> f64 {
+                self.0 as f64
+            }
+
+            /// Subtracts, stopping at zero.
+            pub const fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+
+            /// Adds, stopping at the largest value.
+            pub const fn saturating_add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseUnitError;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                let error = ParseUnitError { expected: $expected, example: $example };
+                let digits = text.trim_end_matches($suffix).trim_end();
+                digits.parse().map(Self).map_err(|_| error)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{} {}", self.0, $suffix)
+            }
+        }
+    )+};
+}
+
+unit_type! {
+    /// Counts tokens.
+    TokenCount, "tokens", "a whole number of tokens", "2000 tokens";
+    /// Counts bytes.
+    ByteCount, "B", "a whole number of bytes", "4096 B";
+    /// Gives a flow of data, in bytes a second.
+    ByteRate, "B/s", "a whole number of bytes a second", "1000000 B/s";
+    /// Gives a flow of tokens, in tokens a second.
+    TokenRate, "tokens/s", "a whole number of tokens a second", "8000 tokens/s";
+    /// Gives a span of time in microseconds.
+    DurationUs, "us", "a whole number of microseconds", "1500 us";
+    /// Gives a point on a process's own monotonic clock, in microseconds since it started.
+    ///
+    /// Two processes' values can't be compared.
+    TimeUs, "us", "a whole number of microseconds", "1500 us";
+}
+
+macro_rules! additive {
+    ($($name:ident),+) => {$(
+        impl Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                self.saturating_add(other)
+            }
+        }
+
+        impl AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl Sub for $name {
+            type Output = Self;
+
+            fn sub(self, other: Self) -> Self {
+                self.saturating_sub(other)
+            }
+        }
+
+        impl Sum for $name {
+            fn sum<I: Iterator<Item = Self>>(items: I) -> Self {
+                items.fold(Self::ZERO, Add::add)
+            }
+        }
+    )+};
+}
+
+additive!(TokenCount, ByteCount, DurationUs);
+
+const US_PER_MS: u64 = 1_000;
+const US_PER_S: f64 = 1_000_000.0;
+
+impl DurationUs {
+    /// Builds a span from milliseconds.
+    pub const fn from_ms(ms: u64) -> Self {
+        Self::new(ms.saturating_mul(US_PER_MS))
+    }
+
+    /// Builds a span from seconds; a negative or undefined value counts as zero.
+    pub fn from_secs_f64(secs: f64) -> Self {
+        Self::new((secs.max(0.0) * US_PER_S) as u64)
+    }
+
+    /// Returns whole milliseconds, rounded down.
+    pub const fn as_ms(self) -> u64 {
+        self.get() / US_PER_MS
+    }
+
+    /// Returns seconds.
+    pub fn as_secs_f64(self) -> f64 {
+        self.as_f64() / US_PER_S
+    }
+}
+
+impl From<DurationUs> for Duration {
+    fn from(span: DurationUs) -> Self {
+        Self::from_micros(span.get())
+    }
+}
+
+impl From<Duration> for DurationUs {
+    fn from(span: Duration) -> Self {
+        Self::new(u64::try_from(span.as_micros()).unwrap_or(u64::MAX))
+    }
+}
+
+impl TimeUs {
+    /// Returns the span from `earlier` to this point, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> DurationUs {
+        DurationUs::new(self.get().saturating_sub(earlier.get()))
+    }
+}
+
+impl Add<DurationUs> for TimeUs {
+    type Output = Self;
+
+    fn add(self, span: DurationUs) -> Self {
+        Self::new(self.get().saturating_add(span.get()))
+    }
+}
+
+impl ByteRate {
+    /// Returns how long `bytes` take at this rate; a rate of zero never ends.
+    pub fn time_for(self, bytes: ByteCount) -> DurationUs {
+        span_at_rate(bytes.get(), self.get())
+    }
+}
+
+impl TokenRate {
+    /// Returns how long `tokens` take at this rate; a rate of zero never ends.
+    pub fn time_for(self, tokens: TokenCount) -> DurationUs {
+        span_at_rate(tokens.get(), self.get())
+    }
+}
+
+fn span_at_rate(amount: u64, rate_per_s: u64) -> DurationUs {
+    if amount == 0 {
+        return DurationUs::ZERO;
+    }
+    if rate_per_s == 0 {
+        return DurationUs::MAX;
+    }
+    DurationUs::from_secs_f64(amount as f64 / rate_per_s as f64)
+}
+
+/// Gives a part of a whole, from 0 to 1.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "f64", into = "f64")]
+pub struct Share(f64);
+
+impl Share {
+    /// Stands for nothing of the whole.
+    pub const ZERO: Self = Self(0.0);
+    /// Stands for the whole.
+    pub const ONE: Self = Self(1.0);
+
+    /// Returns the share as a plain number from 0 to 1.
+    pub const fn get(self) -> f64 {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Share {
+    type Error = ParseUnitError;
+
+    fn try_from(number: f64) -> Result<Self, Self::Error> {
+        if (0.0..=1.0).contains(&number) {
+            return Ok(Self(number));
+        }
+        Err(ParseUnitError {
+            expected: "a share from 0 to 1",
+            example: "0.25",
+        })
+    }
+}
+
+impl From<Share> for f64 {
+    fn from(share: Share) -> Self {
+        share.0
+    }
+}
+
+impl FromStr for Share {
+    type Err = ParseUnitError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let number: f64 = text.parse().map_err(|_| ParseUnitError {
+            expected: "a share from 0 to 1",
+            example: "0.25",
+        })?;
+        Self::try_from(number)
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -0,0 +1,1 @@
+//! HTTP client shared by the outside protocols.
--- /dev/null
+++ b/crates/wisteriahitchd/src/main.rs
@@ -0,0 +1,3 @@
+//! Daemon of wisteriahitch.
+
+fn main() {}
