test(types): hold the page of codes to the source

Cause: the table of codes would drift from the enum. Change: docs/ERRORS.md is rendered from the enum and compared by a test; tables of cases for names, keys and units.

--- /dev/null
+++ b/crates/wisteriahitch-types/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of identifiers, units and codes.
+
+mod code;
+mod id;
+mod unit;
