feat(wire): add the engine and store clients

Cause: daemons need completions, cache calls, KV transfer, orders and block calls over HTTP, with failures told apart by what they prove. Ruled out: a client that judges request id, attempt or position (only the one who asked can), and taking a bare 503 as 'not run' (a proxy or a dying engine sends it too; only not_run in the body counts). Change: HttpEngine and HttpStore on the shared HttpClient; an event parser with bounded lines and events; a stream without its last token is Lost, one with malformed or surplus events Nonsense.

--- a/crates/wisteriahitch-wire/src/engine/mod.rs
+++ b/crates/wisteriahitch-wire/src/engine/mod.rs
@@ -1,14 +1,24 @@
 //! The model engine: completions, cache events, KV transfer, load and orders.
 
+mod body;
 mod error;
+mod http_engine;
 mod message;
+mod sse;
+mod token_stream;
 
+pub use body::{
+    CompletionBody, CompletionExtension, DONE, HEADER_ATTEMPT, HEADER_CACHED_TOKENS,
+    HEADER_REQUEST_ID, HEADER_WEIGHT_VERSION, OrderBody, RefusalBody,
+};
 pub use error::{EngineError, EngineErrorKind};
+pub use http_engine::HttpEngine;
 pub use message::{
     BlockRef, CacheEvent, CacheEventKind, CacheEvents, CacheListing, CompletionHead,
     CompletionRequest, ExportRequest, ExportResult, ImportRequest, LoadReport, ModelReport, Order,
     Token,
 };
+pub use sse::{SseError, SseParser};
 
 use async_trait::async_trait;
 use futures_util::stream::BoxStream;
--- a/crates/wisteriahitch-wire/src/store/mod.rs
+++ b/crates/wisteriahitch-wire/src/store/mod.rs
@@ -1,9 +1,13 @@
 //! Store VMs: blocks in memory and on disk behind limited links.
 
+mod body;
 mod error;
+mod http_store;
 mod message;
 
+pub use body::{MoveBody, PinBody, ReservedBody};
 pub use error::{StoreError, StoreErrorKind};
+pub use http_store::HttpStore;
 pub use message::{
     BlockListing, BlockState, LinkReport, Pin, ReserveRequest, Reserved, StoreReport, StoredBlock,
     Tier, TierReport,
