feat(cli): add the operators' command line

Change: xflags commands check, submit, show, history, explain, locate, dump, status and drain over the operators' HTTP address; server shell, refusals, metrics and logs of the daemon's library. Not compiled into a product yet: the daemon has no operators' listener so far.

--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command/config.rs
@@ -0,0 +1,88 @@
+//! Checks, submits and shows configuration.
+
+use std::path::Path;
+
+use anyhow::Context;
+use http::Method;
+use serde_json::{Value, json};
+use wisteriahitch::config::Configuration;
+
+use crate::client::Client;
+use crate::flags::{Config, ConfigCmd, Submit, Wisteriahitch};
+use crate::output::{field, print_answer, render_failure};
+
+/// Runs `wisteriahitch config …`.
+pub(crate) async fn run(flags: &Wisteriahitch, config: &Config) -> anyhow::Result<bool> {
+    match &config.subcommand {
+        ConfigCmd::Check(check) => run_check(flags, &check.path),
+        ConfigCmd::Submit(submit) => run_submit(flags, submit).await,
+        ConfigCmd::Show(_) => run_show(flags).await,
+        ConfigCmd::History(_) => run_history(flags).await,
+    }
+}
+
+fn read(path: &Path) -> anyhow::Result<String> {
+    std::fs::read_to_string(path).with_context(|| format!("{} can't be read", path.display()))
+}
+
+fn run_check(flags: &Wisteriahitch, path: &Path) -> anyhow::Result<bool> {
+    let text = read(path)?;
+    let report = match Configuration::check(&text) {
+        Ok(_) => {
+            println!("{}", if flags.json { r#"{"problems":[]}"# } else { "no problems" });
+            return Ok(true);
+        }
+        Err(report) => report,
+    };
+    if flags.json {
+        println!("{}", json!({ "problems": report.problems() }));
+    } else {
+        eprint!("{}", report.render(&path.display().to_string()));
+    }
+    Ok(false)
+}
+
+async fn run_submit(flags: &Wisteriahitch, submit: &Submit) -> anyhow::Result<bool> {
+    let text = read(&submit.path)?;
+    let client = Client::from_flags(flags)?;
+    let mut path = "/v1/config?".to_owned();
+    if let Some(id) = &submit.submission {
+        path += &format!("submission={id}&");
+    }
+    if let Some(base) = submit.base {
+        path += &format!("base={base}");
+    }
+    let answer = client.call(Method::POST, &path, text).await?;
+    print_answer(&answer, flags.json, render_accepted)
+}
+
+fn render_accepted(value: &Value) -> String {
+    format!(
+        "accepted as version {} (submission {}), held by {} peers in {} availability zones\n",
+        field(value, "version"),
+        field(value, "submission"),
+        field(value, "held_by_peers"),
+        field(value, "held_in_availability_zones"),
+    )
+}
+
+async fn run_show(flags: &Wisteriahitch) -> anyhow::Result<bool> {
+    let answer = Client::from_flags(flags)?.call(Method::GET, "/v1/config", "").await?;
+    let text = String::from_utf8_lossy(&answer.body);
+    if answer.status.is_success() {
+        print!("{text}");
+        return Ok(true);
+    }
+    eprint!("{}", render_failure(answer.status, &answer.json()?));
+    Ok(false)
+}
+
+async fn run_history(flags: &Wisteriahitch) -> anyhow::Result<bool> {
+    let answer = Client::from_flags(flags)?.call(Method::GET, "/v1/config/history", "").await?;
+    print_answer(&answer, flags.json, |value| {
+        let entries = value["history"].as_array().into_iter().flatten();
+        entries
+            .map(|entry| format!("{} {}\n", field(entry, "version"), field(entry, "submission")))
+            .collect()
+    })
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command/dump.rs
@@ -0,0 +1,14 @@
+//! Prints a daemon's whole state.
+
+use http::Method;
+
+use crate::client::Client;
+use crate::flags::Wisteriahitch;
+use crate::output::{print_answer, render_pretty};
+
+/// Runs `wisteriahitch dump`.
+pub(crate) async fn run(flags: &Wisteriahitch) -> anyhow::Result<bool> {
+    let client = Client::from_flags(flags)?;
+    let answer = client.call(Method::GET, "/debug/state", "").await?;
+    print_answer(&answer, flags.json, render_pretty)
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command/explain.rs
@@ -0,0 +1,71 @@
+//! Tells which rule decides for a request, and which endpoint, and why.
+
+use std::collections::BTreeMap;
+
+use anyhow::Context;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::client::Client;
+use crate::flags::{Explain, Wisteriahitch};
+use crate::output::{field, print_answer};
+
+/// Runs `wisteriahitch explain`.
+pub(crate) async fn run(flags: &Wisteriahitch, explain: &Explain) -> anyhow::Result<bool> {
+    let question = build_question(explain)?;
+    let client = Client::from_flags(flags)?;
+    let answer = client.call(Method::POST, "/v1/explain", question.to_string()).await?;
+    print_answer(&answer, flags.json, render)
+}
+
+fn build_question(explain: &Explain) -> anyhow::Result<Value> {
+    let prompt = match &explain.prompt_file {
+        Some(path) => Some(
+            std::fs::read_to_string(path)
+                .with_context(|| format!("the prompt file {} can't be read", path.display()))?,
+        ),
+        None => None,
+    };
+    let labels = parse_labels(&explain.label)?;
+    Ok(json!({
+        "workspace": explain.workspace,
+        "method": explain.method.as_deref().unwrap_or("POST"),
+        "path": explain.path.as_deref().unwrap_or("/v1/completions"),
+        "model": explain.model,
+        "prompt": prompt,
+        "labels": labels,
+    }))
+}
+
+fn parse_labels(labels: &[String]) -> anyhow::Result<BTreeMap<&str, &str>> {
+    labels
+        .iter()
+        .map(|label| label.split_once('=').with_context(|| format!("{label:?} isn't NAME=VALUE")))
+        .collect()
+}
+
+fn render(value: &Value) -> String {
+    let mut lines = format!("rule {} decides\n", field(value, "rule"));
+    for tried in value["tried"].as_array().into_iter().flatten() {
+        lines += &format!("  {}: {}\n", field(tried, "rule"), field(tried, "outcome"));
+    }
+    lines += &format!("action {}\n", value["action"]);
+    if !value["refusal"].is_null() {
+        lines += &format!("refused: {}\n", value["refusal"]);
+    }
+    if !value["endpoint"].is_null() {
+        lines += &format!("endpoint {}\n", field(value, "endpoint"));
+    }
+    for weighed in value["weighed"].as_array().into_iter().flatten() {
+        lines += &format!(
+            "  {}: cost {}, first token {} us (queue {}, transfer {}, prefill {})\n",
+            field(weighed, "endpoint"),
+            field(weighed, "cost"),
+            field(weighed, "first_token_us"),
+            field(weighed, "queue_us"),
+            field(weighed, "transfer_us"),
+            field(weighed, "prefill_us"),
+        );
+    }
+    lines
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command/locate.rs
@@ -0,0 +1,36 @@
+//! Tells where the cache blocks of a prompt are.
+
+use anyhow::Context;
+use http::Method;
+use serde_json::{Value, json};
+
+use crate::client::Client;
+use crate::flags::{Locate, Wisteriahitch};
+use crate::output::{field, print_answer};
+
+/// Runs `wisteriahitch locate`.
+pub(crate) async fn run(flags: &Wisteriahitch, locate: &Locate) -> anyhow::Result<bool> {
+    let path = &locate.prompt_file;
+    let prompt = std::fs::read_to_string(path)
+        .with_context(|| format!("the prompt file {} can't be read", path.display()))?;
+    let question =
+        json!({"workspace": locate.workspace, "model": locate.model, "prompt": prompt});
+    let client = Client::from_flags(flags)?;
+    let answer = client.call(Method::POST, "/v1/locate", question.to_string()).await?;
+    print_answer(&answer, flags.json, render)
+}
+
+fn render(value: &Value) -> String {
+    let blocks = value["blocks"].as_array().into_iter().flatten();
+    blocks
+        .map(|block| {
+            format!(
+                "{} {} tokens: endpoints {}, stores {}\n",
+                field(block, "key"),
+                field(block, "tokens"),
+                block["endpoints"],
+                block["stores"]
+            )
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command/mod.rs
@@ -0,0 +1,8 @@
+//! One module for each command.
+
+pub(crate) mod config;
+pub(crate) mod drain;
+pub(crate) mod dump;
+pub(crate) mod explain;
+pub(crate) mod locate;
+pub(crate) mod status;
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -0,0 +1,73 @@
+//! Command line of the operators' tool.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Operates a wisteriahitch site: configuration, explanations and state.
+    cmd wisteriahitch {
+        /// Operators' address of a daemon, IP:PORT; may be given several times. Without it the
+        /// environment variable WISTERIAHITCH_OPERATORS is used, with commas between addresses.
+        repeated --daemon address: SocketAddr
+        /// File with the operators' key. Without it the environment variable
+        /// WISTERIAHITCH_OPERATOR_KEY is used.
+        optional --key-file path: PathBuf
+        /// Print JSON for scripts.
+        optional --json
+
+        /// Works with the configuration.
+        cmd config {
+            /// Checks a configuration file without asking any daemon.
+            cmd check {
+                /// File to check.
+                required path: PathBuf
+            }
+            /// Submits a configuration file, or one workspace's part of it.
+            cmd submit {
+                /// File to submit.
+                required path: PathBuf
+                /// Name of this submission; ask again with the same one after an unknown outcome.
+                optional --submission id: String
+                /// Version that the submission is based on; another one in force is a conflict.
+                optional --base version: u64
+            }
+            /// Prints the configuration in force at a daemon.
+            cmd show {}
+            /// Prints the accepted versions.
+            cmd history {}
+        }
+        /// Tells which rule decides for a described request, and which endpoint, and why.
+        cmd explain {
+            /// Workspace of the request.
+            required --workspace id: String
+            /// Method of the request; POST by default.
+            optional --method method: String
+            /// Path of the request; /v1/completions by default.
+            optional --path path: String
+            /// Model that the request names.
+            optional --model name: String
+            /// File with the prompt.
+            optional --prompt-file path: PathBuf
+            /// Label of the request, NAME=VALUE; may be given several times.
+            repeated --label label: String
+        }
+        /// Tells where the cache blocks of a prompt are.
+        cmd locate {
+            /// Workspace of the prompt.
+            required --workspace id: String
+            /// Model of the prompt.
+            required --model name: String
+            /// File with the prompt.
+            required --prompt-file path: PathBuf
+        }
+        /// Prints a daemon's whole state as JSON.
+        cmd dump {}
+        /// Prints the version in force on every daemon, the endpoints, the stores and rollouts.
+        cmd status {
+            /// Print again until the rollout has ended.
+            optional --watch
+        }
+        /// Drains a daemon: it leaves the entries, ends what it has accepted, and exits.
+        cmd drain {}
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/refusal.rs
@@ -0,0 +1,130 @@
+//! Refusals as callers see them.
+
+use bytes::Bytes;
+use http::{Response, StatusCode};
+use serde::Serialize;
+use wisteriahitch_types::{Code, DurationUs, Meaning, RequestId};
+
+use super::body::{ResponseBody, full_body};
+
+const MS_PER_S: u64 = 1_000;
+
+/// Ends a request with a numbered code, what it means, and when to come back.
+///
+/// A refusal is sent as soon as it is decided; a request that was given up on is never held until
+/// its deadline (`docs/ERRORS.md`).
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    code: Code,
+    meaning: Meaning,
+    message: String,
+    retry_after_us: Option<DurationUs>,
+}
+
+#[derive(Serialize)]
+struct RefusalBody<'a> {
+    error: RefusalFields<'a>,
+}
+
+#[derive(Serialize)]
+struct RefusalFields<'a> {
+    code: Code,
+    name: &'a str,
+    meaning: Meaning,
+    message: &'a str,
+    request_id: &'a RequestId,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Builds a refusal with the code's own sentence and meaning.
+    pub(crate) fn new(code: Code) -> Self {
+        Self {
+            code,
+            meaning: code.meaning(),
+            message: code.summary().to_owned(),
+            retry_after_us: None,
+        }
+    }
+
+    /// Replaces the sentence; it must not name anything of another workspace.
+    pub(crate) fn with_message(mut self, message: impl Into<String>) -> Self {
+        self.message = message.into();
+        self
+    }
+
+    /// Adds when to come back.
+    pub(crate) fn with_retry_after_us(mut self, retry_after_us: DurationUs) -> Self {
+        self.retry_after_us = Some(retry_after_us);
+        self
+    }
+
+    /// Takes `not run` back where this daemon isn't the one that decides.
+    ///
+    /// While another copy of a keyed request may still be on its way to another daemon, only the
+    /// decider knows that the request was not run (`docs/design/at-most-once.md`).
+    pub(crate) fn with_outcome_unknown(mut self) -> Self {
+        self.meaning = Meaning::OutcomeUnknown;
+        self
+    }
+
+    /// Returns the numbered code.
+    pub(crate) fn code(&self) -> Code {
+        self.code
+    }
+
+    /// Returns what the refusal says of the request.
+    pub(crate) fn meaning(&self) -> Meaning {
+        self.meaning
+    }
+
+    /// Returns when to come back, if that was said.
+    pub(crate) fn retry_after_us(&self) -> Option<DurationUs> {
+        self.retry_after_us
+    }
+
+    /// Renders the JSON form that stands in bodies and in the last event of a broken stream.
+    pub(crate) fn to_json(&self, request_id: &RequestId) -> Bytes {
+        let body = RefusalBody {
+            error: RefusalFields {
+                code: self.code,
+                name: self.code.name(),
+                meaning: self.meaning,
+                message: &self.message,
+                request_id,
+                retry_after_ms: self.retry_after_us.map(DurationUs::as_ms),
+            },
+        };
+        Bytes::from(serde_json::to_vec(&body).unwrap_or_default())
+    }
+
+    /// Renders the whole HTTP response.
+    pub(crate) fn to_response(&self, request_id: &RequestId) -> Response<ResponseBody> {
+        let status = StatusCode::from_u16(self.code.http_status())
+            .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let mut builder = Response::builder()
+            .status(status)
+            .header("content-type", "application/json")
+            .header("x-request-id", request_id.as_str())
+            .header("x-wisteriahitch-code", self.code.to_string())
+            .header("x-wisteriahitch-meaning", meaning_token(self.meaning));
+        if let Some(wait_us) = self.retry_after_us {
+            builder = builder
+                .header("retry-after", wait_us.as_ms().div_ceil(MS_PER_S))
+                .header("x-retry-after-ms", wait_us.as_ms());
+        }
+        builder
+            .body(full_body(self.to_json(request_id)))
+            .unwrap_or_else(|_| Response::new(full_body(Bytes::new())))
+    }
+}
+
+/// Returns the meaning as it stands in the header `x-wisteriahitch-meaning`.
+pub(crate) fn meaning_token(meaning: Meaning) -> &'static str {
+    match meaning {
+        Meaning::NotRun => "not_run",
+        Meaning::OutcomeUnknown => "outcome_unknown",
+        Meaning::Notice => "notice",
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/clock.rs
@@ -0,0 +1,29 @@
+//! The process's monotonic clock.
+
+use std::time::Instant;
+
+use wisteriahitch_types::{DurationUs, TimeUs};
+
+/// Tells the time since the process started, which is the only time the decisions see.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Clock {
+    /// Starts a clock at zero.
+    pub fn new() -> Self {
+        Self { started: Instant::now() }
+    }
+
+    /// Returns the time now.
+    pub fn now(&self) -> TimeUs {
+        TimeUs::new(DurationUs::from(self.started.elapsed()).get())
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/observe/logging.rs
@@ -0,0 +1,54 @@
+//! Logs as JSON lines.
+
+use std::path::PathBuf;
+
+use anyhow::Context;
+use log::LevelFilter;
+use log4rs::append::Append;
+use log4rs::append::console::{ConsoleAppender, Target};
+use log4rs::append::file::FileAppender;
+use log4rs::config::{Appender, Config, Root};
+use log4rs::encode::json::JsonEncoder;
+
+const APPENDER: &str = "main";
+
+/// Says where logs go and which are kept.
+#[derive(Clone, Debug)]
+pub struct LogOptions {
+    /// Least severe level that is written.
+    pub level: LevelFilter,
+    /// File to append to; standard error where none is given, since entry VMs have no disks.
+    pub file: Option<PathBuf>,
+}
+
+/// Starts logging for the whole process.
+///
+/// # Errors
+///
+/// Fails when the file can't be opened or logging was started before.
+pub fn start_logging(options: &LogOptions) -> anyhow::Result<()> {
+    let appender = build_appender(options)?;
+    let root = Root::builder().appender(APPENDER).build(options.level);
+    let config = Config::builder()
+        .appender(Appender::builder().build(APPENDER, appender))
+        .build(root)
+        .context("the log configuration is inconsistent")?;
+    log4rs::init_config(config).context("logging was started twice")?;
+    Ok(())
+}
+
+fn build_appender(options: &LogOptions) -> anyhow::Result<Box<dyn Append>> {
+    let encoder = Box::new(JsonEncoder::new());
+    match &options.file {
+        Some(path) => {
+            let appender = FileAppender::builder()
+                .encoder(encoder)
+                .build(path)
+                .with_context(|| format!("the log file {} can't be opened", path.display()))?;
+            Ok(Box::new(appender))
+        }
+        None => Ok(Box::new(
+            ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build(),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/observe/metrics.rs
@@ -0,0 +1,138 @@
+//! Counters and histograms in the form that `prometheus` scrapes.
+//!
+//! No label carries a workspace, so that one customer's traffic can't be read from a shared page.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder,
+};
+use wisteriahitch_types::{Code, DurationUs};
+
+const FIRST_TOKEN_BUCKETS_S: [f64; 12] =
+    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 3.0, 6.0, 12.0];
+
+/// Holds every metric of a daemon.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by how they came in.
+    pub(crate) requests: IntCounterVec,
+    /// Refusals by code.
+    pub(crate) refusals: IntCounterVec,
+    /// Attempts at endpoints by outcome.
+    pub(crate) attempts: IntCounterVec,
+    /// Tokens of answers that were dropped, by reason.
+    pub(crate) dropped_tokens: IntCounterVec,
+    /// Prompt tokens that were asked for.
+    pub(crate) prompt_tokens: IntCounter,
+    /// Prompt tokens that an endpoint did not compute again.
+    pub(crate) cached_tokens: IntCounter,
+    /// Blocks by what became of their transfer.
+    pub(crate) transfers: IntCounterVec,
+    /// Calls to the platform by kind and outcome.
+    pub(crate) platform_calls: IntCounterVec,
+    /// Streams that run now.
+    pub(crate) streams: IntGauge,
+    /// Configuration that is in force.
+    pub(crate) config_version: IntGauge,
+    /// Time to the first token, from the arrival of the request.
+    pub(crate) first_token_s: Histogram,
+}
+
+impl Metrics {
+    /// Registers every metric.
+    ///
+    /// # Errors
+    ///
+    /// Fails when two metrics have the same name.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let metrics = Self {
+            requests: counters(&registry, "requests_total", "Requests by path.", "path")?,
+            refusals: counters(&registry, "refusals_total", "Refusals by code.", "code")?,
+            attempts: counters(&registry, "attempts_total", "Attempts by outcome.", "outcome")?,
+            dropped_tokens: counters(
+                &registry,
+                "dropped_tokens_total",
+                "Tokens that were not passed on, by reason.",
+                "reason",
+            )?,
+            prompt_tokens: counter(&registry, "prompt_tokens_total", "Prompt tokens asked for.")?,
+            cached_tokens: counter(
+                &registry,
+                "cached_tokens_total",
+                "Prompt tokens that were not computed again.",
+            )?,
+            transfers: counters(
+                &registry,
+                "transfers_total",
+                "Block transfers by outcome.",
+                "outcome",
+            )?,
+            platform_calls: counters(
+                &registry,
+                "platform_calls_total",
+                "Platform calls by kind.",
+                "kind",
+            )?,
+            streams: gauge(&registry, "streams", "Answers that run now.")?,
+            config_version: gauge(&registry, "config_version", "Configuration in force.")?,
+            first_token_s: first_token_histogram(&registry)?,
+            registry,
+        };
+        Ok(metrics)
+    }
+
+    /// Counts a refusal.
+    pub(crate) fn count_refusal(&self, code: Code) {
+        self.refusals.with_label_values(&[&code.to_string()]).inc();
+    }
+
+    /// Records a time to the first token.
+    pub(crate) fn observe_first_token(&self, span_us: DurationUs) {
+        self.first_token_s.observe(span_us.as_secs_f64());
+    }
+
+    /// Renders the page that is scraped.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        let mut page = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut page) {
+            log::warn!("the metrics can't be rendered: {error}");
+        }
+        page
+    }
+}
+
+fn full_name(name: &str) -> String {
+    format!("wisteriahitch_{name}")
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+    let counter = IntCounter::new(full_name(name), help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntCounterVec> {
+    let counters = IntCounterVec::new(Opts::new(full_name(name), help), &[label])?;
+    registry.register(Box::new(counters.clone()))?;
+    Ok(counters)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+    let gauge = IntGauge::new(full_name(name), help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn first_token_histogram(registry: &Registry) -> prometheus::Result<Histogram> {
+    let options = HistogramOpts::new(full_name("first_token_seconds"), "Time to the first token.")
+        .buckets(FIRST_TOKEN_BUCKETS_S.to_vec());
+    let histogram = Histogram::with_opts(options)?;
+    registry.register(Box::new(histogram.clone()))?;
+    Ok(histogram)
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/server/connection.rs
@@ -0,0 +1,123 @@
+//! Accepting connections and answering requests on them.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::CancellationToken;
+use wisteriahitch_types::ByteCount;
+
+use super::stall_guard::StallGuard;
+use crate::caller::body::ResponseBody;
+
+/// How long the listener rests after an accept fails, such as for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Smallest header buffer that the HTTP library takes.
+const MIN_HEADER_BYTES: u64 = 8_192;
+
+/// Bounds what one connection and all of them together may hold.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ConnectionLimits {
+    /// Connections at once; further ones wait in the kernel's queue.
+    pub(crate) connections: usize,
+    /// Size of a request's head.
+    pub(crate) header_bytes: ByteCount,
+    /// Time in which a request's head must arrive; it bounds idle connections too.
+    pub(crate) header_timeout: Duration,
+    /// Time for which a reader may take nothing.
+    pub(crate) reader_stall: Duration,
+}
+
+/// Answers requests; every failure is an answer too.
+#[async_trait]
+pub(crate) trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody>;
+}
+
+/// Serves connections until `stop` is cancelled, then lets each finish the request it is at.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    limits: ConnectionLimits,
+    handler: Arc<dyn Handler>,
+    stop: CancellationToken,
+) {
+    let permits = Arc::new(Semaphore::new(limits.connections));
+    loop {
+        let permit = tokio::select! {
+            () = stop.cancelled() => break,
+            permit = Arc::clone(&permits).acquire_owned() => permit,
+        };
+        let Ok(permit) = permit else { break };
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let handler = Arc::clone(&handler);
+                let connection = serve_connection(stream, peer, limits, handler, stop.clone());
+                tokio::spawn(hold_permit(permit, connection));
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    wait_for_all(&permits, limits.connections).await;
+}
+
+async fn hold_permit(permit: OwnedSemaphorePermit, connection: impl Future<Output = ()>) {
+    connection.await;
+    drop(permit);
+}
+
+async fn wait_for_all(permits: &Semaphore, connections: usize) {
+    let all = u32::try_from(connections).unwrap_or(u32::MAX);
+    let _all_ended = permits.acquire_many(all).await;
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    peer: SocketAddr,
+    limits: ConnectionLimits,
+    handler: Arc<dyn Handler>,
+    stop: CancellationToken,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("no-delay for {peer} failed: {error}");
+    }
+    let io = TokioIo::new(StallGuard::new(stream, limits.reader_stall));
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.get().max(MIN_HEADER_BYTES) as usize)
+        .serve_connection(io, service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("connection from {peer} ended: {error}");
+    }
+}
