feat(standin): add stand-ins of the platform and of a plain service

Cause: the decisions need an object API with versions, outages and lost answers and a service that counts its runs, on loopback. Ruled out: one port for control and refused connections (a refused port can't be told to open again), so a second address takes control. Change: a server scaffold that all stand-ins share, the platform's object API with watches, rate limits and the lagging VM list, and the plain service with its faults; a token bucket in the wire crate that both sides use.

--- a/crates/wisteriahitch-standin/src/main.rs
+++ b/crates/wisteriahitch-standin/src/main.rs
@@ -1,3 +1,21 @@
-//! Entry point of the tool.
+//! Entry point of the stand-ins.
 
-fn main() {}
+// The command line's macro makes its types public although nothing outside can reach them.
+#[allow(unreachable_pub)]
+mod flags;
+
+use flags::{WisteriahitchStandin, WisteriahitchStandinCmd};
+use wisteriahitch_standin::{platform, service};
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    let flags = WisteriahitchStandin::from_env_or_exit();
+    match flags.subcommand {
+        WisteriahitchStandinCmd::Platform(command) => {
+            platform::run(command.into_options(flags.listen)).await
+        }
+        WisteriahitchStandinCmd::Service(command) => {
+            service::run(command.into_options(flags.listen)).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/platform/call.rs
@@ -0,0 +1,102 @@
+//! Calls of the object API as they stand in a request's head.
+
+use std::collections::BTreeMap;
+
+use http::{Method, Uri};
+use serde::Serialize;
+
+use super::object_table::get_kind;
+
+const API_ROOT: &str = "/apis/wisteriahitch.example/v1/";
+const NAME_SELECTOR: &str = "metadata.name=";
+
+/// What a call does, as it is counted.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum CallMethod {
+    Get,
+    List,
+    Watch,
+    Create,
+    Update,
+    Delete,
+}
+
+impl CallMethod {
+    /// Returns whether the call may change an object.
+    pub(crate) fn is_write(self) -> bool {
+        matches!(self, Self::Create | Self::Update | Self::Delete)
+    }
+}
+
+/// One call of the object API.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) method: CallMethod,
+    /// Kind by its name in a path.
+    pub(crate) kind: &'static str,
+    /// Name of the object; empty for a listing and a creation.
+    pub(crate) name: String,
+    query: BTreeMap<String, String>,
+}
+
+impl Call {
+    /// Reads a call, or returns nothing where the API has no such call.
+    pub(crate) fn try_parse(method: &Method, uri: &Uri) -> Option<Self> {
+        let rest = uri.path().strip_prefix(API_ROOT)?;
+        let (kind, name) = rest.split_once('/').unwrap_or((rest, ""));
+        let kind = get_kind(kind)?;
+        let query = parse_query(uri.query().unwrap_or(""));
+        let has_name = !name.is_empty();
+        let is_watch = query.contains_key("watch");
+        let (method, name) = match (method, has_name) {
+            (&Method::GET, true) => (CallMethod::Get, decode(name)),
+            (&Method::GET, false) if is_watch => (CallMethod::Watch, selected_name(&query)?),
+            (&Method::GET, false) => (CallMethod::List, String::new()),
+            (&Method::POST, false) => (CallMethod::Create, String::new()),
+            (&Method::PUT, true) => (CallMethod::Update, decode(name)),
+            (&Method::DELETE, true) => (CallMethod::Delete, decode(name)),
+            _ => return None,
+        };
+        Some(Self {
+            method,
+            kind,
+            name,
+            query,
+        })
+    }
+
+    /// Returns a number from the query.
+    pub(crate) fn get_number(&self, key: &str) -> Option<u64> {
+        self.query.get(key)?.parse().ok()
+    }
+}
+
+fn selected_name(query: &BTreeMap<String, String>) -> Option<String> {
+    let selector = query.get("fieldSelector")?;
+    selector.strip_prefix(NAME_SELECTOR).map(str::to_owned)
+}
+
+fn parse_query(query: &str) -> BTreeMap<String, String> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(key, value)| (decode(key), decode(value)))
+        .collect()
+}
+
+/// Decodes `%41` forms; what isn't one stays as it is.
+fn decode(text: &str) -> String {
+    let bytes = text.as_bytes();
+    let mut decoded = Vec::with_capacity(bytes.len());
+    let mut at = 0;
+    while at < bytes.len() {
+        let escaped = bytes.get(at + 1..at + 3).filter(|_| bytes[at] == b'%');
+        let code = escaped
+            .and_then(|digits| std::str::from_utf8(digits).ok())
+            .and_then(|digits| u8::from_str_radix(digits, 16).ok());
+        decoded.push(code.unwrap_or(bytes[at]));
+        at += if code.is_some() { 3 } else { 1 };
+    }
+    String::from_utf8_lossy(&decoded).into_owned()
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/platform/control.rs
@@ -0,0 +1,112 @@
+//! Faults that a test asks for, and what the platform's stand-in counts.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::AvailabilityZone;
+use wisteriahitch_wire::platform::{VirtualMachine, VmPhase};
+
+use super::call::{Call, CallMethod};
+
+/// How the stand-in treats calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PlatformMode {
+    /// Calls are answered.
+    #[default]
+    Up,
+    /// Calls have no effect and their connections are closed.
+    Down,
+    /// Connections are refused, also for `/control` on the same port.
+    Refuse,
+    /// Calls have no effect and are answered with 503.
+    Unavailable,
+    /// Calls have no effect and are never answered.
+    Hang,
+}
+
+/// A change of the faults; what isn't named stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct PlatformControl {
+    /// How calls are treated from now on.
+    pub mode: Option<PlatformMode>,
+    /// Delay before each call takes effect, in milliseconds.
+    pub slow_ms: Option<u64>,
+    /// How many of the next writes take effect and lose their answer.
+    pub lose_answers: Option<u64>,
+    /// Kinds whose answers may be lost; an empty list stands for all.
+    pub lose_answer_kinds: Option<Vec<String>>,
+}
+
+/// One VM of the lagging list.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Name of the VM.
+    pub name: String,
+    /// IP address.
+    pub address: String,
+    /// Availability zone it is in.
+    pub availability_zone: AvailabilityZone,
+    /// Whether it stays.
+    pub phase: VmPhase,
+}
+
+impl VmEntry {
+    /// Returns the content of the VM's object.
+    pub(crate) fn into_spec(self) -> VirtualMachine {
+        VirtualMachine {
+            address: self.address,
+            availability_zone: self.availability_zone,
+            phase: self.phase,
+        }
+    }
+}
+
+/// The whole list of VMs that shows up after the lag.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct VmList {
+    /// VMs; one that isn't named is gone.
+    pub vms: Vec<VmEntry>,
+}
+
+/// Faults in force, and counts of what happened.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct ControlState {
+    pub(crate) mode: PlatformMode,
+    pub(crate) slow_ms: u64,
+    pub(crate) lose_answers: u64,
+    pub(crate) lose_answer_kinds: Vec<String>,
+    pub(crate) calls: BTreeMap<CallMethod, BTreeMap<&'static str, u64>>,
+    pub(crate) rate_limited: u64,
+    pub(crate) answers_lost: u64,
+}
+
+impl ControlState {
+    pub(crate) fn apply(&mut self, change: PlatformControl) {
+        self.mode = change.mode.unwrap_or(self.mode);
+        self.slow_ms = change.slow_ms.unwrap_or(self.slow_ms);
+        self.lose_answers = change.lose_answers.unwrap_or(self.lose_answers);
+        if let Some(kinds) = change.lose_answer_kinds {
+            self.lose_answer_kinds = kinds;
+        }
+    }
+
+    pub(crate) fn count(&mut self, call: &Call) {
+        let by_kind = self.calls.entry(call.method).or_default();
+        *by_kind.entry(call.kind).or_default() += 1;
+    }
+
+    /// Returns whether the answer to a write that took effect is to be lost, and counts it.
+    pub(crate) fn take_lost_answer(&mut self, call: &Call) -> bool {
+        let kinds = &self.lose_answer_kinds;
+        let is_kind = kinds.is_empty() || kinds.iter().any(|kind| kind == call.kind);
+        if !call.method.is_write() || self.lose_answers == 0 || !is_kind {
+            return false;
+        }
+        self.lose_answers -= 1;
+        self.answers_lost += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/platform/mod.rs
@@ -0,0 +1,66 @@
+//! Stand-in of the platform: objects with versions, watches and the lagging list of VMs.
+
+mod call;
+mod control;
+mod handler;
+mod object_table;
+mod options;
+
+pub use control::{PlatformControl, PlatformMode, VmEntry, VmList};
+pub use options::PlatformOptions;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Serialize;
+
+use crate::util::{Gate, Server, run_until_told_to_end};
+use handler::{PlatformHandler, SharedPlatformHandler};
+
+/// Serves the platform's object API until it is dropped.
+#[derive(Debug)]
+pub struct PlatformStandin {
+    objects: Server,
+    control: Server,
+}
+
+#[derive(Serialize)]
+struct Announcement {
+    listening: SocketAddr,
+    control: SocketAddr,
+}
+
+impl PlatformStandin {
+    /// Starts with no objects.
+    ///
+    /// A second address serves the same and stays reachable while the first refuses connections.
+    pub async fn start(options: &PlatformOptions) -> anyhow::Result<Self> {
+        let gate = Gate::new();
+        let handler = PlatformHandler::new(options, gate.clone());
+        let handler = Arc::new(SharedPlatformHandler(Arc::new(handler)));
+        let control_listen = SocketAddr::new(options.listen.ip(), 0);
+        let control = Server::start(control_listen, handler.clone(), Gate::new()).await?;
+        let objects = Server::start(options.listen, handler, gate).await?;
+        Ok(Self { objects, control })
+    }
+
+    /// Returns the address of the object API.
+    pub fn address(&self) -> SocketAddr {
+        self.objects.address()
+    }
+
+    /// Returns the address that takes `/control` also while connections are refused.
+    pub fn control_address(&self) -> SocketAddr {
+        self.control.address()
+    }
+}
+
+/// Serves the platform's stand-in until the process is told to end.
+pub async fn run(options: PlatformOptions) -> anyhow::Result<()> {
+    let standin = PlatformStandin::start(&options).await?;
+    let announcement = Announcement {
+        listening: standin.address(),
+        control: standin.control_address(),
+    };
+    run_until_told_to_end(&announcement).await
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/platform/object_table.rs
@@ -0,0 +1,220 @@
+//! The platform's objects and their versions.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+const API_VERSION: &str = "wisteriahitch.example/v1";
+
+/// Kinds by the name in a path, with the name in an object.
+const KINDS: [(&str, &str); 6] = [
+    ("claims", "Claim"),
+    ("configheads", "ConfigHead"),
+    ("configsections", "ConfigSection"),
+    ("daemonstatuses", "DaemonStatus"),
+    ("leases", "Lease"),
+    ("virtualmachines", "VirtualMachine"),
+];
+
+/// Returns the kind's name in an object, if there is such a kind.
+pub(crate) fn get_type_name(kind: &str) -> Option<&'static str> {
+    let found = KINDS.iter().find(|(path_name, _)| *path_name == kind);
+    found.map(|(_, type_name)| *type_name)
+}
+
+/// Returns the kind's name in a path, if there is such a kind.
+pub(crate) fn get_kind(text: &str) -> Option<&'static str> {
+    let found = KINDS.iter().find(|(path_name, _)| *path_name == text);
+    found.map(|(path_name, _)| *path_name)
+}
+
+/// One object on the wire.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct ObjectDocument {
+    pub(crate) api_version: String,
+    pub(crate) kind: String,
+    pub(crate) metadata: Metadata,
+    pub(crate) spec: Value,
+}
+
+/// Name and version of an object on the wire.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct Metadata {
+    pub(crate) name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) resource_version: Option<String>,
+}
+
+/// Says why a write had no effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum WriteRefusal {
+    AlreadyExists,
+    Conflict,
+    NotFound,
+}
+
+/// What a watch reports about one object.
+#[derive(Clone, Debug)]
+pub(crate) struct ObjectEvent {
+    pub(crate) type_name: &'static str,
+    pub(crate) object: ObjectDocument,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    created: u64,
+    version: u64,
+    spec: Value,
+    is_deleted: bool,
+}
+
+/// Holds every object by kind and name; deleted ones stay so that late watches hear of it.
+#[derive(Debug, Default)]
+pub(crate) struct ObjectTable {
+    version: u64,
+    entries: BTreeMap<(&'static str, String), Entry>,
+}
+
+impl ObjectTable {
+    /// Returns the version of the last write.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    pub(crate) fn get(&self, kind: &'static str, name: &str) -> Option<ObjectDocument> {
+        let entry = self.get_live(kind, name)?;
+        Some(document(kind, name, entry))
+    }
+
+    pub(crate) fn list(&self, kind: &'static str) -> Vec<ObjectDocument> {
+        self.entries
+            .iter()
+            .filter(|((entry_kind, _), entry)| *entry_kind == kind && !entry.is_deleted)
+            .map(|((_, name), entry)| document(kind, name, entry))
+            .collect()
+    }
+
+    pub(crate) fn create(
+        &mut self,
+        kind: &'static str,
+        name: &str,
+        spec: Value,
+    ) -> Result<ObjectDocument, WriteRefusal> {
+        if self.get_live(kind, name).is_some() {
+            return Err(WriteRefusal::AlreadyExists);
+        }
+        self.version += 1;
+        Ok(self.put(kind, name, spec, self.version))
+    }
+
+    pub(crate) fn update(
+        &mut self,
+        kind: &'static str,
+        name: &str,
+        spec: Value,
+        expected: u64,
+    ) -> Result<ObjectDocument, WriteRefusal> {
+        let created = self.check_expected(kind, name, expected)?.created;
+        self.version += 1;
+        Ok(self.put(kind, name, spec, created))
+    }
+
+    pub(crate) fn delete(
+        &mut self,
+        kind: &'static str,
+        name: &str,
+        expected: u64,
+    ) -> Result<(), WriteRefusal> {
+        self.check_expected(kind, name, expected)?;
+        self.delete_now(kind, name);
+        Ok(())
+    }
+
+    /// Deletes an object whatever its version, as the platform does with its own.
+    pub(crate) fn delete_now(&mut self, kind: &'static str, name: &str) {
+        self.version += 1;
+        if let Some(entry) = self.entries.get_mut(&(kind, name.to_owned())) {
+            entry.version = self.version;
+            entry.is_deleted = true;
+        }
+    }
+
+    /// Writes an object whatever its version, as the platform does with its own.
+    pub(crate) fn put_now(&mut self, kind: &'static str, name: &str, spec: Value) {
+        self.version += 1;
+        let created = self
+            .get_live(kind, name)
+            .map_or(self.version, |entry| entry.created);
+        self.put(kind, name, spec, created);
+    }
+
+    /// Returns what happened to an object since the version `after`.
+    pub(crate) fn get_event(
+        &self,
+        kind: &'static str,
+        name: &str,
+        after: u64,
+    ) -> Option<ObjectEvent> {
+        let entry = self.entries.get(&(kind, name.to_owned()))?;
+        if entry.version <= after {
+            return None;
+        }
+        let type_name = match entry {
+            Entry {
+                is_deleted: true, ..
+            } => "DELETED",
+            entry if entry.created > after => "ADDED",
+            _ => "MODIFIED",
+        };
+        Some(ObjectEvent {
+            type_name,
+            object: document(kind, name, entry),
+        })
+    }
+
+    fn get_live(&self, kind: &'static str, name: &str) -> Option<&Entry> {
+        let entry = self.entries.get(&(kind, name.to_owned()))?;
+        (!entry.is_deleted).then_some(entry)
+    }
+
+    fn check_expected(
+        &self,
+        kind: &'static str,
+        name: &str,
+        expected: u64,
+    ) -> Result<&Entry, WriteRefusal> {
+        let entry = self.get_live(kind, name).ok_or(WriteRefusal::NotFound)?;
+        if entry.version == expected {
+            Ok(entry)
+        } else {
+            Err(WriteRefusal::Conflict)
+        }
+    }
+
+    fn put(&mut self, kind: &'static str, name: &str, spec: Value, created: u64) -> ObjectDocument {
+        let entry = Entry {
+            created,
+            version: self.version,
+            spec,
+            is_deleted: false,
+        };
+        let written = document(kind, name, &entry);
+        self.entries.insert((kind, name.to_owned()), entry);
+        written
+    }
+}
+
+fn document(kind: &'static str, name: &str, entry: &Entry) -> ObjectDocument {
+    ObjectDocument {
+        api_version: API_VERSION.to_owned(),
+        kind: get_type_name(kind).unwrap_or(kind).to_owned(),
+        metadata: Metadata {
+            name: name.to_owned(),
+            resource_version: Some(entry.version.to_string()),
+        },
+        spec: entry.spec.clone(),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/service/control.rs
@@ -0,0 +1,82 @@
+//! Faults that a test asks for, and the count of runs.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// How the stand-in treats requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceMode {
+    /// Requests run and are answered.
+    #[default]
+    Normal,
+    /// Requests run and are never answered.
+    Freeze,
+    /// Requests run and their connections are closed without an answer.
+    CloseBeforeAnswer,
+    /// Requests run and their connections are closed after half of the answer.
+    CloseMidway,
+    /// Requests run and are answered under another request's id.
+    WrongId,
+    /// Requests don't run, and the answer says so.
+    RefuseNotRun,
+}
+
+/// A change of the faults; what isn't named stays as it is.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceControl {
+    /// How requests are treated from now on.
+    pub mode: Option<ServiceMode>,
+    /// How many requests `mode` is for; without it, all until the next change.
+    pub count: Option<u64>,
+    /// Time that each run takes in addition, in milliseconds.
+    pub slow_ms: Option<u64>,
+    /// Whether load reports say that the endpoint leaves.
+    pub leaving: Option<bool>,
+}
+
+/// Faults in force, and counts of what happened.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct ControlState {
+    pub(crate) mode: ServiceMode,
+    /// Requests that the mode is still for; nothing stands for all.
+    pub(crate) count: Option<u64>,
+    pub(crate) slow_ms: u64,
+    pub(crate) leaving: bool,
+    pub(crate) running: u64,
+    pub(crate) queued: u64,
+    pub(crate) sequence: u64,
+    pub(crate) runs: BTreeMap<String, u64>,
+}
+
+impl ControlState {
+    pub(crate) fn apply(&mut self, change: ServiceControl) {
+        if let Some(mode) = change.mode {
+            self.mode = mode;
+            self.count = change.count;
+        }
+        self.slow_ms = change.slow_ms.unwrap_or(self.slow_ms);
+        self.leaving = change.leaving.unwrap_or(self.leaving);
+    }
+
+    /// Returns how to treat one more request.
+    pub(crate) fn take_mode(&mut self) -> ServiceMode {
+        match &mut self.count {
+            None => self.mode,
+            Some(0) => ServiceMode::Normal,
+            Some(left) => {
+                *left -= 1;
+                self.mode
+            }
+        }
+    }
+
+    /// Counts a run and returns its place among all runs.
+    pub(crate) fn count_run(&mut self, key: &str) -> u64 {
+        *self.runs.entry(key.to_owned()).or_default() += 1;
+        self.sequence += 1;
+        self.sequence
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/util/server.rs
@@ -0,0 +1,181 @@
+//! Small HTTP/1.1 server on a loopback address.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+use super::Answer;
+
+/// Wait before an address that is still taken is tried again.
+const REBIND_WAIT: Duration = Duration::from_millis(10);
+
+/// Makes the server close the connection without an answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Abort;
+
+impl fmt::Display for Abort {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the connection is closed on purpose")
+    }
+}
+
+impl std::error::Error for Abort {}
+
+impl From<Infallible> for Abort {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// Answers the requests of one server.
+///
+/// The future is dropped when the caller closes its connection.
+#[async_trait]
+pub trait Handler: Send + Sync + 'static {
+    /// Answers a request, or has its connection closed.
+    async fn handle(&self, request: Request<Incoming>) -> Result<Answer, Abort>;
+}
+
+/// Opens and shuts a server's address.
+///
+/// While it is shut, connections are refused and the existing ones are gone.
+#[derive(Clone, Debug)]
+pub struct Gate(watch::Sender<bool>);
+
+impl Gate {
+    /// Builds an open gate.
+    pub fn new() -> Self {
+        Self(watch::Sender::new(true))
+    }
+
+    /// Opens or shuts the address.
+    pub fn set_open(&self, is_open: bool) {
+        self.0.send_replace(is_open);
+    }
+
+    async fn wait_until(&self, is_open: bool) {
+        let mut receiver = self.0.subscribe();
+        // The sender lives in this gate, so the wait can't fail.
+        let _ = receiver.wait_for(|now| *now == is_open).await;
+    }
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Serves one address until it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Starts to serve `listen`, which must be a loopback address.
+    pub async fn start(
+        listen: SocketAddr,
+        handler: Arc<dyn Handler>,
+        gate: Gate,
+    ) -> io::Result<Self> {
+        if !listen.ip().is_loopback() {
+            let message = "a stand-in listens on loopback only";
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, message));
+        }
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(serve(listener, address, handler, gate));
+        Ok(Self { address, task })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(
+    mut listener: TcpListener,
+    address: SocketAddr,
+    handler: Arc<dyn Handler>,
+    gate: Gate,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = gate.wait_until(false) => {
+                drop(listener);
+                connections.shutdown().await;
+                gate.wait_until(true).await;
+                listener = rebind(address).await;
+            }
+            accepted = listener.accept() => {
+                if let Ok((stream, _)) = accepted {
+                    connections.spawn(serve_connection(stream, Arc::clone(&handler)));
+                }
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn rebind(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(REBIND_WAIT).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, handler: Arc<dyn Handler>) {
+    // Without it, answers in two parts wait for the client's delayed acknowledgement.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = Arc::clone(&handler);
+        async move { handler.handle(request).await }
+    });
+    // An error here is a connection that either side closed, which the stand-ins do on purpose.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Reads a request's body, or gives up the connection when it is larger than `limit_bytes`.
+pub async fn read_whole(body: Incoming, limit_bytes: usize) -> Result<Bytes, Abort> {
+    let whole = Limited::new(body, limit_bytes).collect().await;
+    whole.map(|body| body.to_bytes()).map_err(|_| Abort)
+}
+
+/// Reads a request's body as JSON, or says why it isn't.
+pub async fn read_json<T: DeserializeOwned>(
+    body: Incoming,
+    limit_bytes: usize,
+) -> Result<Result<T, serde_json::Error>, Abort> {
+    let whole = read_whole(body, limit_bytes).await?;
+    Ok(serde_json::from_slice(&whole))
+}
--- a/crates/wisteriahitch-wire/src/platform/mod.rs
+++ b/crates/wisteriahitch-wire/src/platform/mod.rs
@@ -2,9 +2,11 @@
 
 mod error;
 mod object;
+mod token_bucket;
 
 pub use error::{PlatformError, PlatformErrorKind};
 pub use object::{Object, ObjectKind, ObjectList, ObjectVersion, VirtualMachine, VmPhase};
+pub use token_bucket::{CallRate, ParseCallRateError, TokenBucket};
 
 use async_trait::async_trait;
 use serde_json::Value;
