feat(once): add tickets and the table of keyed requests

Requests that may not be repeated need one gate that lets each key start at most one dispatch, and refusals that are true. A ticket carries two codes, one for its issuer and one for the workspace, so that a foreign ticket is told from a forged one without remembering every ticket issued.

Two traps met on the way and held by tests: `not run` is not said while the claim is undecided, and neither is `key reused`, since the other request may be the one that wins the claim elsewhere. A daemon tells its own forgotten claims apart by a nonce, so that forgetting an entry never makes a key fresh.

--- a/crates/wisteriahitch-core/src/lib.rs
+++ b/crates/wisteriahitch-core/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod fleet;
 pub mod once;
 pub mod route;
+pub mod stream;
 pub mod tier;
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/entry.rs
@@ -0,0 +1,184 @@
+//! One key in the table.
+
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+use wisteriahitch_types::{ByteCount, Code};
+
+use super::answer::ENTRY_OVERHEAD_BYTES;
+use super::life::{Event, KeyLife, KeyState, UnknownCause};
+use super::{ClaimNonce, Decision, Delivery, Fingerprint, OnceKey, WaiterId};
+
+/// Holds what a process knows of one key.
+pub(crate) struct Entry {
+    life: StateMachine<KeyLife>,
+    fingerprint: Fingerprint,
+    nonce: ClaimNonce,
+    waiters: Vec<WaiterId>,
+    /// Whether the claim was decided when nobody waited any more, so that the next copy runs.
+    is_parked: bool,
+    /// Names the entry's place among the kept ones; an older place is void.
+    pub(crate) settlement: Option<u64>,
+}
+
+impl Entry {
+    pub(crate) fn new(key: &OnceKey, fingerprint: Fingerprint, nonce: ClaimNonce) -> Self {
+        let is_ticket = matches!(key, OnceKey::Ticket { .. });
+        Self {
+            life: KeyLife::new(is_ticket).state_machine(),
+            fingerprint,
+            nonce,
+            waiters: Vec::new(),
+            is_parked: false,
+            settlement: None,
+        }
+    }
+
+    pub(crate) fn submit(&mut self, waiter: WaiterId) -> Decision {
+        self.life.handle(&Event::Submit);
+        self.waiters.push(waiter);
+        match self.life.state() {
+            KeyState::Deciding {} => Decision::Claim(self.nonce),
+            _ => Decision::Run,
+        }
+    }
+
+    pub(crate) fn repeat(
+        &mut self,
+        fingerprint: Fingerprint,
+        waiter: WaiterId,
+        max_waiters: usize,
+    ) -> Decision {
+        if fingerprint != self.fingerprint {
+            return Decision::Refuse(self.mismatch_code());
+        }
+        let was_unknown = matches!(self.life.state(), KeyState::Unknown { .. });
+        self.life.handle(&Event::Repeat);
+        match self.life.state() {
+            KeyState::Deciding {} if was_unknown => {
+                self.settlement = None;
+                self.waiters.push(waiter);
+                Decision::Claim(self.nonce)
+            }
+            KeyState::Claimed {} if self.is_parked => {
+                self.is_parked = false;
+                self.waiters.push(waiter);
+                Decision::Run
+            }
+            _ if self.is_settled() => self.outcome(),
+            _ => self.wait(waiter, max_waiters),
+        }
+    }
+
+    /// Passes an event to the life cycle and says whether it changed the state.
+    pub(crate) fn handle(&mut self, event: &Event) -> bool {
+        let before = self.state_name();
+        self.life.handle(event);
+        self.state_name() != before
+    }
+
+    /// Names the caller that is to start the run, once the claim stands.
+    pub(crate) fn start(&mut self) -> Option<WaiterId> {
+        let runner = self.waiters.first().copied();
+        self.is_parked = runner.is_none();
+        runner
+    }
+
+    /// Hands the outcome to everyone who waited for it.
+    pub(crate) fn deliver(&mut self) -> Delivery {
+        let decision = self.outcome();
+        self.deliver_as(decision)
+    }
+
+    pub(crate) fn deliver_as(&mut self, decision: Decision) -> Delivery {
+        Delivery {
+            waiters: std::mem::take(&mut self.waiters),
+            decision,
+        }
+    }
+
+    pub(crate) fn remove_waiter(&mut self, waiter: WaiterId) {
+        self.waiters.retain(|other| *other != waiter);
+    }
+
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+
+    pub(crate) fn nonce(&self) -> ClaimNonce {
+        self.nonce
+    }
+
+    pub(crate) fn waiters(&self) -> usize {
+        self.waiters.len()
+    }
+
+    pub(crate) fn is_settled(&self) -> bool {
+        matches!(
+            self.life.state(),
+            KeyState::Finished { .. } | KeyState::Refused { .. } | KeyState::Unknown { .. }
+        )
+    }
+
+    pub(crate) fn cost_bytes(&self) -> ByteCount {
+        match self.life.state() {
+            KeyState::Finished {
+                answer: Some(answer),
+            } => answer.cost_bytes(),
+            _ => ByteCount::new(ENTRY_OVERHEAD_BYTES),
+        }
+    }
+
+    pub(crate) fn state_name(&self) -> &'static str {
+        match self.life.state() {
+            KeyState::Fresh {} => "Fresh",
+            KeyState::Deciding {} => "Deciding",
+            KeyState::Claimed {} => "Claimed",
+            KeyState::Dispatched {} => "Dispatched",
+            KeyState::Finished { .. } => "Finished",
+            KeyState::Refused { .. } => "Refused",
+            KeyState::Unknown { .. } => "Unknown",
+        }
+    }
+
+    /// Returns the code for a request that came with this key but isn't the one that it stands for.
+    ///
+    /// Before the claim is decided the other request may just be the one that wins it at another
+    /// daemon and runs there. `not run` would then be untrue, so it is said only once the key is
+    /// known to stand for this entry's request.
+    fn mismatch_code(&self) -> Code {
+        match self.life.state() {
+            KeyState::Fresh {} | KeyState::Deciding {} => Code::ClaimUndecided,
+            KeyState::Unknown {
+                cause: UnknownCause::Undecided | UnknownCause::HeldElsewhere,
+            } => Code::ClaimUndecided,
+            _ => Code::KeyReused,
+        }
+    }
+
+    fn wait(&mut self, waiter: WaiterId, max_waiters: usize) -> Decision {
+        if self.waiters.len() >= max_waiters {
+            return Decision::Refuse(Code::ClaimUndecided);
+        }
+        self.waiters.push(waiter);
+        Decision::Wait
+    }
+
+    fn outcome(&self) -> Decision {
+        match self.life.state() {
+            KeyState::Finished {
+                answer: Some(answer),
+            } => Decision::Answer(answer.clone()),
+            KeyState::Finished { answer: None } => Decision::Refuse(Code::AnswerGone),
+            KeyState::Refused { code } => Decision::Refuse(*code),
+            KeyState::Unknown { cause } => Decision::Refuse(unknown_code(*cause)),
+            _ => Decision::Wait,
+        }
+    }
+}
+
+fn unknown_code(cause: UnknownCause) -> Code {
+    match cause {
+        UnknownCause::Undecided => Code::ClaimUndecided,
+        UnknownCause::HeldElsewhere => Code::ClaimHeldElsewhere,
+        UnknownCause::Lost(code) => code,
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/issuer.rs
@@ -0,0 +1,210 @@
+//! Issuing and checking tickets.
+
+use std::collections::{BTreeMap, HashMap};
+
+use wisteriahitch_types::{Code, DurationUs, Incarnation, TimeUs, WorkspaceId};
+
+use super::ticket::MAC_LEN;
+use super::{OnceKey, Ticket, TicketSerial};
+
+/// Most unused tickets of one workspace, so that one that hoards can't keep out the others.
+const MAX_LIVE_PER_WORKSPACE: usize = 1_024;
+
+/// Most unused tickets of all workspaces, which bounds the issuer's memory.
+const MAX_LIVE: usize = 65_536;
+
+const ISSUER_LABEL: &[u8] = b"wt1 issuer";
+const WORKSPACE_LABEL: &[u8] = b"wt1 workspace";
+
+/// Holds the secret that a process draws at its start and never shows.
+pub struct TicketSecret([u8; 32]);
+
+impl TicketSecret {
+    /// Wraps 32 random bytes.
+    pub const fn new(bytes: [u8; 32]) -> Self {
+        Self(bytes)
+    }
+}
+
+/// Issues tickets that only this process may redeem.
+///
+/// Nothing of it outlives the process: when it dies its tickets are dead for ever, which is what
+/// makes them safe without a store, a lease or a clock (`docs/design/at-most-once.md`).
+pub struct TicketIssuer {
+    incarnation: Incarnation,
+    secret: TicketSecret,
+    next_serial: u64,
+    is_stopped: bool,
+    unused: BTreeMap<(TimeUs, TicketSerial), WorkspaceId>,
+    unused_of_workspace: HashMap<WorkspaceId, usize>,
+}
+
+impl TicketIssuer {
+    /// Builds an issuer for one life of a process.
+    pub fn new(incarnation: Incarnation, secret: TicketSecret) -> Self {
+        Self {
+            incarnation,
+            secret,
+            next_serial: 0,
+            is_stopped: false,
+            unused: BTreeMap::new(),
+            unused_of_workspace: HashMap::new(),
+        }
+    }
+
+    /// Issues up to `count` tickets; fewer, or none, when the workspace or the process holds as
+    /// many unused ones as it may, or when the issuer is stopped.
+    pub fn issue(
+        &mut self,
+        workspace: &WorkspaceId,
+        count: usize,
+        now: TimeUs,
+        lifetime: DurationUs,
+    ) -> Vec<Ticket> {
+        self.tick(now);
+        let expires_us = now + lifetime;
+        let room = self.room_for(workspace).min(count);
+        (0..room)
+            .map(|_| self.issue_one(workspace, expires_us))
+            .collect()
+    }
+
+    /// Checks who made the ticket and for whom, and returns the key for the table.
+    ///
+    /// Expiry is left to the table, which alone knows whether the key was used before.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::TicketHolderLost`] if another life of a process issued it, [`Code::BadKey`] if
+    /// nobody did, [`Code::ForeignTicket`] if it was issued to another workspace.
+    pub fn verify(&self, ticket: &Ticket, workspace: &WorkspaceId) -> Result<OnceKey, Code> {
+        if ticket.incarnation != self.incarnation {
+            return Err(Code::TicketHolderLost);
+        }
+        if !is_equal(&self.issuer_mac(ticket), &ticket.issuer_mac) {
+            return Err(Code::BadKey);
+        }
+        if !is_equal(
+            &self.workspace_mac(ticket, workspace),
+            &ticket.workspace_mac,
+        ) {
+            return Err(Code::ForeignTicket);
+        }
+        Ok(OnceKey::Ticket {
+            workspace: workspace.clone(),
+            incarnation: ticket.incarnation,
+            serial: ticket.serial,
+            expires_us: ticket.expires_us,
+        })
+    }
+
+    /// Notes that a ticket has been used, so that draining no longer waits for it.
+    pub fn note_used(&mut self, key: &OnceKey) {
+        if let OnceKey::Ticket {
+            serial, expires_us, ..
+        } = key
+        {
+            let removed = self.unused.remove(&(*expires_us, *serial));
+            self.forget(removed);
+        }
+    }
+
+    /// Returns whether a ticket may still come for the first time; a draining daemon stays for it.
+    pub fn has_live_tickets(&self, now: TimeUs) -> bool {
+        let newest = self.unused.last_key_value();
+        newest.is_some_and(|((expires_us, _), _)| *expires_us > now)
+    }
+
+    /// Ends issuing; tickets already issued stay good until they expire.
+    pub fn stop(&mut self) {
+        self.is_stopped = true;
+    }
+
+    /// Returns the life of the process that the tickets name.
+    pub const fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Forgets tickets that expired without being used.
+    pub fn tick(&mut self, now: TimeUs) {
+        while let Some(oldest) = self.unused.first_entry() {
+            if oldest.key().0 > now {
+                break;
+            }
+            let workspace = oldest.remove();
+            self.forget(Some(workspace));
+        }
+    }
+
+    fn room_for(&self, workspace: &WorkspaceId) -> usize {
+        if self.is_stopped {
+            return 0;
+        }
+        let held = self
+            .unused_of_workspace
+            .get(workspace)
+            .copied()
+            .unwrap_or(0);
+        let own_room = MAX_LIVE_PER_WORKSPACE.saturating_sub(held);
+        own_room.min(MAX_LIVE.saturating_sub(self.unused.len()))
+    }
+
+    fn issue_one(&mut self, workspace: &WorkspaceId, expires_us: TimeUs) -> Ticket {
+        let serial = TicketSerial(self.next_serial);
+        self.next_serial += 1;
+        let mut ticket = Ticket {
+            incarnation: self.incarnation,
+            serial,
+            expires_us,
+            issuer_mac: [0; MAC_LEN],
+            workspace_mac: [0; MAC_LEN],
+        };
+        ticket.issuer_mac = self.issuer_mac(&ticket);
+        ticket.workspace_mac = self.workspace_mac(&ticket, workspace);
+        self.unused.insert((expires_us, serial), workspace.clone());
+        *self
+            .unused_of_workspace
+            .entry(workspace.clone())
+            .or_default() += 1;
+        ticket
+    }
+
+    fn forget(&mut self, workspace: Option<WorkspaceId>) {
+        let Some(workspace) = workspace else { return };
+        if let Some(held) = self.unused_of_workspace.get_mut(&workspace) {
+            *held -= 1;
+            if *held == 0 {
+                self.unused_of_workspace.remove(&workspace);
+            }
+        }
+    }
+
+    fn issuer_mac(&self, ticket: &Ticket) -> [u8; MAC_LEN] {
+        self.mac(ISSUER_LABEL, ticket, &[])
+    }
+
+    fn workspace_mac(&self, ticket: &Ticket, workspace: &WorkspaceId) -> [u8; MAC_LEN] {
+        self.mac(WORKSPACE_LABEL, ticket, workspace.as_str().as_bytes())
+    }
+
+    fn mac(&self, label: &[u8], ticket: &Ticket, workspace: &[u8]) -> [u8; MAC_LEN] {
+        let mut hasher = blake3::Hasher::new_keyed(&self.secret.0);
+        hasher.update(label);
+        hasher.update(&ticket.incarnation.get().to_le_bytes());
+        hasher.update(&ticket.serial.0.to_le_bytes());
+        hasher.update(&ticket.expires_us.get().to_le_bytes());
+        hasher.update(workspace);
+        let mut mac = [0; MAC_LEN];
+        hasher.finalize_xof().fill(&mut mac);
+        mac
+    }
+}
+
+/// Compares without stopping at the first difference.
+///
+/// A comparison that stops early lets a caller find a valid code byte by byte from the time that
+/// refusals take.
+fn is_equal(left: &[u8; MAC_LEN], right: &[u8; MAC_LEN]) -> bool {
+    let difference = left.iter().zip(right).fold(0, |all, (l, r)| all | (l ^ r));
+    difference == 0
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/stream/mod.rs
@@ -0,0 +1,1 @@
+//! What passes to the caller of a token stream.
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/once_table.rs
@@ -0,0 +1,484 @@
+//! The table of keys: one dispatch a key, truthful refusals, kept answers.
+
+use std::sync::Arc;
+
+use wisteriahitch_core::once::{
+    ClaimHolder, ClaimNonce, ClaimOutcome, Decision, Delivery, Fingerprint, KeptAnswer, KeyedTable,
+    OnceKey, StandingClaim, TableLimits, TicketIssuer, TicketSecret, WaiterId, undecided_code,
+};
+use wisteriahitch_types::{ByteCount, Code, DurationUs, Incarnation, Meaning, TimeUs, WorkspaceId};
+
+const START: TimeUs = TimeUs::new(1_000);
+const LIFETIME: DurationUs = DurationUs::from_ms(60_000);
+const OWN: Incarnation = Incarnation::new(5);
+
+fn kandy() -> WorkspaceId {
+    "kandy".parse().unwrap()
+}
+
+fn print(body: &str) -> Fingerprint {
+    Fingerprint::new(&kandy(), "POST", "/bookings", body.as_bytes())
+}
+
+fn waiter(number: u64) -> WaiterId {
+    WaiterId::new(number)
+}
+
+fn answer(len: usize) -> Arc<KeptAnswer> {
+    Arc::new(KeptAnswer {
+        status: 201,
+        content_type: None,
+        body: vec![b'x'; len],
+    })
+}
+
+fn ticket_key() -> OnceKey {
+    let mut issuer = TicketIssuer::new(OWN, TicketSecret::new([9; 32]));
+    let tickets = issuer.issue(&kandy(), 1, START, LIFETIME);
+    issuer.verify(&tickets[0], &kandy()).unwrap()
+}
+
+fn claimed_key(text: &str) -> OnceKey {
+    OnceKey::try_claimed(&kandy(), text).unwrap()
+}
+
+fn table() -> KeyedTable {
+    KeyedTable::new(OWN, TableLimits::default())
+}
+
+fn submit(table: &mut KeyedTable, key: &OnceKey, number: u64) -> Decision {
+    table.submit(key, print("bay 3"), waiter(number), START)
+}
+
+fn standing(incarnation: u64, body: &str, outcome: ClaimOutcome) -> StandingClaim {
+    StandingClaim {
+        holder: ClaimHolder {
+            owner: "entry-2".parse().unwrap(),
+            incarnation: Incarnation::new(incarnation),
+            address: "127.0.0.1:7000".parse().unwrap(),
+        },
+        fingerprint: print(body),
+        outcome,
+    }
+}
+
+/// Steps that a shell takes with one key.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Submit,
+    ClaimWritten,
+    Undecided,
+    Dispatch,
+    Finish,
+    Lose(Code),
+    Refuse(Code),
+    EndpointRefuses,
+}
+
+fn apply(table: &mut KeyedTable, key: &OnceKey, step: Step) {
+    match step {
+        Step::Submit => drop(submit(table, key, 1)),
+        Step::ClaimWritten => drop(table.claim_written(key)),
+        Step::Undecided => drop(table.claim_undecided(key, START)),
+        Step::Dispatch => drop(table.dispatched(key)),
+        Step::Finish => drop(table.finished(key, answer(1), START)),
+        Step::Lose(code) => drop(table.lost(key, code, START)),
+        Step::Refuse(code) => drop(table.refused(key, code, START)),
+        Step::EndpointRefuses => drop(table.endpoint_refused(key, START)),
+    }
+}
+
+/// A repeat that comes after some steps with the first copy.
+struct Case {
+    name: &'static str,
+    steps: &'static [Step],
+    repeat: Decision,
+    may_dispatch: bool,
+}
+
+fn check_repeat(case: &Case, key: &OnceKey) {
+    let mut table = table();
+    case.steps
+        .iter()
+        .for_each(|step| apply(&mut table, key, *step));
+    assert_eq!(submit(&mut table, key, 2), case.repeat, "{}", case.name);
+    assert_eq!(table.dispatched(key), case.may_dispatch, "{}", case.name);
+    assert!(!table.dispatched(key), "{}: second dispatch", case.name);
+}
+
+#[test]
+fn a_repeat_of_a_ticket_meets_its_outcome() {
+    use Step::*;
+    let cases = [
+        Case {
+            name: "ticket under way",
+            steps: &[Submit],
+            repeat: Decision::Wait,
+            may_dispatch: true,
+        },
+        Case {
+            name: "ticket dispatched",
+            steps: &[Submit, Dispatch],
+            repeat: Decision::Wait,
+            may_dispatch: false,
+        },
+        Case {
+            name: "ticket finished",
+            steps: &[Submit, Dispatch, Finish],
+            repeat: Decision::Answer(answer(1)),
+            may_dispatch: false,
+        },
+        Case {
+            name: "refused by the decider",
+            steps: &[Submit, Refuse(Code::QueueFull)],
+            repeat: Decision::Refuse(Code::KeyRefused),
+            may_dispatch: false,
+        },
+        Case {
+            name: "refused by the endpoint",
+            steps: &[Submit, Dispatch, EndpointRefuses],
+            repeat: Decision::Refuse(Code::KeyRefused),
+            may_dispatch: false,
+        },
+    ];
+    cases
+        .iter()
+        .for_each(|case| check_repeat(case, &ticket_key()));
+}
+
+#[test]
+fn a_repeat_after_dispatch_never_hears_not_run_from_the_daemon() {
+    use Step::*;
+    let cases = [
+        Case {
+            name: "refused by the daemon after dispatch",
+            steps: &[Submit, Dispatch, Refuse(Code::QueueFull)],
+            repeat: Decision::Refuse(Code::Internal),
+            may_dispatch: false,
+        },
+        Case {
+            name: "endpoint's word claimed by the daemon",
+            steps: &[Submit, Dispatch, Refuse(Code::EndpointRefused)],
+            repeat: Decision::Refuse(Code::Internal),
+            may_dispatch: false,
+        },
+        Case {
+            name: "lost",
+            steps: &[Submit, Dispatch, Lose(Code::EndpointLost)],
+            repeat: Decision::Refuse(Code::EndpointLost),
+            may_dispatch: false,
+        },
+        Case {
+            name: "lost stays lost when the answer comes late",
+            steps: &[Submit, Dispatch, Lose(Code::EndpointTimeout), Finish],
+            repeat: Decision::Refuse(Code::EndpointTimeout),
+            may_dispatch: false,
+        },
+        Case {
+            name: "lost with a code that promises too much",
+            steps: &[Submit, Dispatch, Lose(Code::NoEndpoint)],
+            repeat: Decision::Refuse(Code::Internal),
+            may_dispatch: false,
+        },
+    ];
+    cases
+        .iter()
+        .for_each(|case| check_repeat(case, &ticket_key()));
+}
+
+#[test]
+fn a_repeat_of_a_claimed_key_meets_its_outcome() {
+    use Step::*;
+    let cases = [
+        Case {
+            name: "claim being decided",
+            steps: &[Submit],
+            repeat: Decision::Wait,
+            may_dispatch: false,
+        },
+        Case {
+            name: "claim stands",
+            steps: &[Submit, ClaimWritten],
+            repeat: Decision::Wait,
+            may_dispatch: true,
+        },
+        Case {
+            name: "late word on a claim that was given up",
+            steps: &[Submit, Undecided, ClaimWritten, Dispatch],
+            repeat: Decision::Claim(ClaimNonce::new(1)),
+            may_dispatch: false,
+        },
+        Case {
+            name: "given up, then asked again",
+            steps: &[Submit, Undecided, Submit, ClaimWritten],
+            repeat: Decision::Wait,
+            may_dispatch: true,
+        },
+    ];
+    cases
+        .iter()
+        .for_each(|case| check_repeat(case, &claimed_key("k")));
+}
+
+/// Symptom: a caller hears `not run`, and the request runs. Sequence: the daemon is still deciding
+/// when it has to turn the copy away; another copy wins the claim elsewhere. Cause: only the one
+/// who decides for a key knows that it will not run.
+#[test]
+fn not_run_is_not_said_before_the_key_is_decided() {
+    let mut table = table();
+    let key = claimed_key("k");
+    submit(&mut table, &key, 1);
+    let delivery = table.refused(&key, Code::QueueFull, START);
+    let expected = Delivery {
+        waiters: vec![waiter(1)],
+        decision: Decision::Refuse(Code::ClaimUndecided),
+    };
+    assert_eq!(delivery, expected);
+    for code in Code::ALL {
+        assert_ne!(undecided_code(*code).meaning(), Meaning::NotRun, "{code}");
+    }
+}
+
+/// Symptom: a caller hears `key reused, not run`, and its request runs. Sequence: copies of two
+/// requests with one key reach two daemons; here the first is still being decided, there the
+/// second wins. Cause: a key stands for a request only once the claim says which.
+#[test]
+fn reuse_is_refused_once_the_key_is_decided() {
+    struct Case {
+        name: &'static str,
+        is_ticket: bool,
+        is_decided: bool,
+        expected: Code,
+    }
+    let cases = [
+        Case {
+            name: "ticket",
+            is_ticket: true,
+            is_decided: true,
+            expected: Code::KeyReused,
+        },
+        Case {
+            name: "claimed",
+            is_ticket: false,
+            is_decided: true,
+            expected: Code::KeyReused,
+        },
+        Case {
+            name: "being decided",
+            is_ticket: false,
+            is_decided: false,
+            expected: Code::ClaimUndecided,
+        },
+    ];
+    for case in cases {
+        let key = if case.is_ticket {
+            ticket_key()
+        } else {
+            claimed_key("k")
+        };
+        let mut table = table();
+        submit(&mut table, &key, 1);
+        if case.is_decided {
+            table.claim_written(&key);
+        }
+        let other = table.submit(&key, print("bay 4"), waiter(2), START);
+        assert_eq!(other, Decision::Refuse(case.expected), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_lost_claim_tells_what_the_standing_one_says() {
+    struct Case {
+        name: &'static str,
+        claim: StandingClaim,
+        expected: Decision,
+    }
+    let open = standing(6, "bay 3", ClaimOutcome::Open);
+    let cases = [
+        Case {
+            name: "open elsewhere",
+            expected: Decision::Forward(open.holder.clone()),
+            claim: open,
+        },
+        Case {
+            name: "own forgotten one",
+            claim: standing(5, "bay 3", ClaimOutcome::Open),
+            expected: Decision::Refuse(Code::AnswerGone),
+        },
+        Case {
+            name: "finished with answer",
+            claim: standing(6, "bay 3", ClaimOutcome::Finished(Some(answer(2)))),
+            expected: Decision::Answer(answer(2)),
+        },
+        Case {
+            name: "refused",
+            claim: standing(6, "bay 3", ClaimOutcome::Refused),
+            expected: Decision::Refuse(Code::KeyRefused),
+        },
+        Case {
+            name: "another request",
+            claim: standing(6, "bay 4", ClaimOutcome::Open),
+            expected: Decision::Refuse(Code::KeyReused),
+        },
+    ];
+    for case in cases {
+        let mut table = table();
+        let key = claimed_key("k");
+        submit(&mut table, &key, 1);
+        let delivery = table.claim_lost(&key, &case.claim).unwrap();
+        assert_eq!(delivery.decision, case.expected, "{}", case.name);
+        assert_eq!(delivery.waiters, [waiter(1)], "{}", case.name);
+        assert!(!table.dispatched(&key), "{}", case.name);
+        let again = submit(&mut table, &key, 2);
+        assert!(matches!(again, Decision::Claim(_)), "{}", case.name);
+    }
+}
+
+/// Symptom: a booking is made twice. Sequence: the ticket is used, the outcome's time or room runs
+/// out, a late copy comes. Cause: a forgotten key looks like a fresh one.
+#[test]
+fn a_used_ticket_never_becomes_fresh() {
+    struct Case {
+        name: &'static str,
+        limits: TableLimits,
+        later: TimeUs,
+        expected: Code,
+    }
+    let base = TableLimits::default();
+    let cases = [
+        Case {
+            name: "time ran out first",
+            limits: TableLimits {
+                kept_us: DurationUs::from_ms(1),
+                ..base
+            },
+            later: START + DurationUs::from_ms(2),
+            expected: Code::AnswerGone,
+        },
+        Case {
+            name: "room ran out",
+            limits: TableLimits {
+                kept_bytes: ByteCount::ZERO,
+                ..base
+            },
+            later: START,
+            expected: Code::AnswerGone,
+        },
+        Case {
+            name: "ticket expired too",
+            limits: TableLimits {
+                kept_us: DurationUs::from_ms(1),
+                ..base
+            },
+            later: START + LIFETIME,
+            expected: Code::TicketExpired,
+        },
+    ];
+    for case in cases {
+        let mut table = KeyedTable::new(OWN, case.limits);
+        let key = ticket_key();
+        submit(&mut table, &key, 1);
+        assert!(table.dispatched(&key));
+        table.finished(&key, answer(9), START);
+        table.tick(case.later);
+        let late = table.submit(&key, print("bay 3"), waiter(2), case.later);
+        assert_eq!(late, Decision::Refuse(case.expected), "{}", case.name);
+        assert_eq!(case.expected.meaning(), Meaning::OutcomeUnknown);
+        assert!(!table.dispatched(&key), "{}", case.name);
+    }
+}
+
+#[test]
+fn a_ticket_that_expired_unused_is_not_taken() {
+    let expiry = START + LIFETIME;
+    let late = table().submit(&ticket_key(), print("bay 3"), waiter(1), expiry);
+    assert_eq!(late, Decision::Refuse(Code::TicketExpired));
+}
+
+#[test]
+fn a_kept_answer_outlives_its_ticket() {
+    let mut table = table();
+    let key = ticket_key();
+    submit(&mut table, &key, 1);
+    assert!(table.dispatched(&key));
+    table.finished(&key, answer(9), START);
+    let later = START + LIFETIME + LIFETIME;
+    table.tick(later);
+    let repeat = table.submit(&key, print("bay 3"), waiter(2), later);
+    assert_eq!(repeat, Decision::Answer(answer(9)));
+}
+
+/// Symptom: repeats of small customers get `answer gone`. Sequence: one workspace's calls give
+/// large answers. Cause: room was taken from the oldest answer, whoever it belonged to.
+#[test]
+fn a_workspace_with_large_answers_gives_up_its_own() {
+    let limits = TableLimits {
+        kept_bytes: ByteCount::new(10_000),
+        ..TableLimits::default()
+    };
+    let mut table = KeyedTable::new(OWN, limits);
+    let mut finish = |workspace: &str, text: &str, len: usize| {
+        let workspace = workspace.parse().unwrap();
+        let key = OnceKey::try_claimed(&workspace, text).unwrap();
+        submit(&mut table, &key, 1);
+        table.claim_written(&key);
+        assert!(table.dispatched(&key));
+        table.finished(&key, answer(len), START);
+        key
+    };
+    let small = finish("galle", "k", 10);
+    let large: Vec<_> = ["a", "b", "c"]
+        .map(|text| finish("kandy", text, 4_000))
+        .into();
+    assert_eq!(submit(&mut table, &small, 2), Decision::Answer(answer(10)));
+    assert_eq!(
+        submit(&mut table, &large[2], 2),
+        Decision::Answer(answer(4_000))
+    );
+    assert!(matches!(
+        submit(&mut table, &large[0], 2),
+        Decision::Claim(_)
+    ));
+}
+
+#[test]
+fn a_claim_that_nobody_waits_for_runs_for_the_next_copy() {
+    let mut table = table();
+    let key = claimed_key("k");
+    submit(&mut table, &key, 1);
+    table.remove_waiter(&key, waiter(1));
+    let delivery = table.claim_written(&key).unwrap();
+    assert!(delivery.waiters.is_empty());
+    assert_eq!(submit(&mut table, &key, 2), Decision::Run);
+    assert_eq!(submit(&mut table, &key, 3), Decision::Wait);
+}
+
+#[test]
+fn waiters_of_one_key_are_bounded() {
+    let limits = TableLimits {
+        max_waiters: 2,
+        ..TableLimits::default()
+    };
+    let mut table = KeyedTable::new(OWN, limits);
+    let key = ticket_key();
+    let decisions = [1, 2, 3].map(|number| submit(&mut table, &key, number));
+    let full = Decision::Refuse(Code::ClaimUndecided);
+    assert_eq!(decisions, [Decision::Run, Decision::Wait, full]);
+}
+
+#[test]
+fn the_dump_counts_keys_by_state_and_shows_no_answer() {
+    let mut table = table();
+    let (done, open) = (ticket_key(), claimed_key("k"));
+    submit(&mut table, &done, 1);
+    assert!(table.dispatched(&done));
+    table.finished(&done, answer(3), START);
+    submit(&mut table, &open, 2);
+    assert_eq!(table.under_way(), 1);
+    let shown = serde_json::to_string(&table.snapshot()).unwrap();
+    assert!(
+        shown.contains(r#""keys_by_state":{"Deciding":1,"Finished":1}"#),
+        "{shown}"
+    );
+    assert!(!shown.contains("xxx"), "{shown}");
+}
