feat(peer): call peers over gRPC with committed generated code

Cause: daemons need probes, configuration, keyed requests and directory hints from each other. Change: the protocol file, code generated from it by protox and tonic-prost-build (a test makes it again and compares), a client with a bounded connection cache and error kinds that say whether the peer may have seen a call, and a server that checks every message before the handler sees it. Ruled out: taking a status of the transport for a refusal of the peer, because the two look alike.

--- /dev/null
+++ b/crates/wisteriahitch-peer/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the peer protocol.
+
+mod calls;
+mod decoding;
+mod generated;
