--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/keyed.rs
@@ -0,0 +1,174 @@
+//! Requests that may not be repeated, told apart by their key.
+
+use std::sync::Arc;
+
+use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use wisteriahitch_core::once::{Decision, Fingerprint, KeptAnswer, OnceKey, Ticket};
+use wisteriahitch_types::{Code, DurationUs, Meaning, RequestId};
+use wisteriahitch_wire::service::ServiceResponse;
+
+use super::Refusal;
+use super::body::{ResponseBody, full_body};
+use super::plain::set_request_id;
+use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
+use crate::shared::Shared;
+use crate::state::once::WaitedDecision;
+
+/// When a caller may ask again about a key that nobody can decide now.
+const ASK_AGAIN_US: DurationUs = DurationUs::from_ms(1_000);
+
+/// Holds a call with the key that its caller gave it.
+pub(crate) struct KeyedCall {
+    /// The call.
+    pub(crate) call: PlainCall,
+    /// Ticket, or the caller's own idempotency key.
+    pub(crate) key: String,
+}
+
+/// What a copy of a keyed request ends with.
+pub(crate) type Outcome = Result<Arc<KeptAnswer>, Refusal>;
+
+/// Answers a keyed call.
+///
+/// The work goes on in a task of its own: a caller that goes away must not leave a key half
+/// decided, since its repeat is to get the answer.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    keyed: KeyedCall,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let request_id = keyed.call.request_id.clone();
+    let task = tokio::spawn(decide_key(Arc::clone(shared), keyed));
+    let outcome = task.await.unwrap_or_else(|_| Err(Refusal::new(Code::Internal)));
+    Ok(render(&*outcome?, &request_id))
+}
+
+async fn decide_key(shared: Arc<Shared>, keyed: KeyedCall) -> Outcome {
+    let KeyedCall { call, key } = keyed;
+    if !Ticket::is_ticket_text(&key) {
+        let key =
+            OnceKey::try_claimed(&call.identity.workspace, &key).map_err(Refusal::new)?;
+        return submit(&shared, call, key, ForwardPolicy::Allowed).await;
+    }
+    let ticket: Ticket = key.parse().map_err(|_| Refusal::new(Code::BadKey))?;
+    if ticket.incarnation() == shared.incarnation {
+        return submit_ticket(&shared, call, &ticket).await;
+    }
+    // Only the life of a process that issued the ticket may dispatch it. Where that one can't be
+    // found this daemon knows nothing of the request, and says just that.
+    match shared.find_peer(ticket.incarnation()) {
+        Some(address) => shared.forward_ticket(&call, &key, address, ticket.incarnation()).await,
+        None => Err(ask_again(Code::TicketHolderLost)),
+    }
+}
+
+/// Redeems a ticket of this incarnation.
+pub(crate) async fn submit_ticket(
+    shared: &Arc<Shared>,
+    call: PlainCall,
+    ticket: &Ticket,
+) -> Outcome {
+    let verified = shared.once.lock().issuer.verify(ticket, &call.identity.workspace);
+    let key = verified.map_err(Refusal::new)?;
+    submit(shared, call, key, ForwardPolicy::Forbidden).await
+}
+
+/// Says whether a copy may be passed on to the daemon that holds the claim.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ForwardPolicy {
+    /// The copy came from a caller.
+    Allowed,
+    /// The copy came from a peer already; passing it on again could go round for ever.
+    Forbidden,
+}
+
+/// Brings a copy of a request to the table of keys and does what that one decides.
+pub(crate) async fn submit(
+    shared: &Arc<Shared>,
+    call: PlainCall,
+    key: OnceKey,
+    forwarding: ForwardPolicy,
+) -> Outcome {
+    let fingerprint = Fingerprint::new(
+        &call.identity.workspace,
+        call.method.as_str(),
+        &call.path_and_query,
+        &call.body,
+    );
+    let waited = shared.submit_key(&key, fingerprint);
+    match get_decision(waited).await {
+        Decision::Run => run(shared, call, key).await,
+        Decision::Answer(answer) => Ok(answer),
+        Decision::Refuse(code) => Err(refuse(code)),
+        Decision::Forward(holder) if forwarding == ForwardPolicy::Allowed => {
+            shared.forward_claim(&call, &key, &holder).await
+        }
+        Decision::Forward(_) => Err(ask_again(Code::ClaimHeldElsewhere)),
+        Decision::Wait | Decision::Claim(_) => Err(Refusal::new(Code::Internal)),
+    }
+}
+
+/// Waits until the key's decision concerns this copy.
+async fn get_decision(waited: WaitedDecision) -> Decision {
+    match waited {
+        WaitedDecision::Now(decision) => decision,
+        WaitedDecision::Later(receiver) => {
+            receiver.await.unwrap_or(Decision::Refuse(Code::Internal))
+        }
+    }
+}
+
+/// Runs the request, which the table lets happen once, and tells every copy of the outcome.
+async fn run(shared: &Arc<Shared>, call: PlainCall, key: OnceKey) -> Outcome {
+    let settlement = shared.open_settlement(key.clone());
+    let may_send = || shared.once.lock().table.dispatched(&key);
+    match run_plain(shared, &call, RunMode::Once, may_send).await {
+        Ok(response) => {
+            let answer = Arc::new(keep(&response));
+            settlement.finish(Arc::clone(&answer));
+            Ok(answer)
+        }
+        Err(refusal) if refusal.meaning() == Meaning::NotRun => {
+            settlement.refuse(refusal.code());
+            Err(refusal)
+        }
+        Err(refusal) => {
+            settlement.lose(refusal.code());
+            Err(refusal)
+        }
+    }
+}
+
+fn keep(response: &ServiceResponse) -> KeptAnswer {
+    let content_type = response.headers.get(header::CONTENT_TYPE);
+    KeptAnswer {
+        status: response.status.as_u16(),
+        content_type: content_type.and_then(|value| value.to_str().ok()).map(str::to_owned),
+        body: response.body.to_vec(),
+    }
+}
+
+fn refuse(code: Code) -> Refusal {
+    match code.meaning() {
+        Meaning::OutcomeUnknown => ask_again(code),
+        Meaning::NotRun | Meaning::Notice => Refusal::new(code),
+    }
+}
+
+/// Builds the refusal of a daemon that doesn't know what became of a key.
+pub(crate) fn ask_again(code: Code) -> Refusal {
+    Refusal::new(code).with_outcome_unknown().with_retry_after_us(ASK_AGAIN_US)
+}
+
+/// Renders a kept answer, the same for the first copy and for each repeat.
+fn render(answer: &KeptAnswer, request_id: &RequestId) -> Response<ResponseBody> {
+    const KEPT: HeaderName = HeaderName::from_static("x-wisteriahitch-keyed");
+    let mut response = Response::new(full_body(answer.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK);
+    let content_type = answer.content_type.as_deref();
+    if let Some(Ok(value)) = content_type.map(HeaderValue::from_str) {
+        response.headers_mut().insert(header::CONTENT_TYPE, value);
+    }
+    response.headers_mut().insert(KEPT, HeaderValue::from_static("1"));
+    set_request_id(&mut response, request_id);
+    response
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -0,0 +1,124 @@
+//! Calls to plain services, passed through with their method and path.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Response};
+use wisteriahitch_config::{RequestFacts, Route, Service};
+use wisteriahitch_types::{Code, RequestId, TokenCount};
+use wisteriahitch_wire::service::ServiceResponse;
+
+use super::body::{ResponseBody, full_body};
+use super::gate::{Ruling, decide, labels};
+use super::identity::Identity;
+use super::keyed::{self, KeyedCall};
+use super::Refusal;
+use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
+use crate::shared::Shared;
+
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Answers a call to a plain service.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    identity: Identity,
+    request_id: &RequestId,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let facts = facts(shared, &identity, parts);
+    let ruling = decide(&identity, &facts)?;
+    let call = build_call(shared, &identity, &ruling, request_id, parts, body);
+    match parts.headers.get(KEY_HEADER) {
+        Some(key) => {
+            let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
+            let keyed = KeyedCall { call, key: key.to_owned() };
+            keyed::answer(shared, keyed).await
+        }
+        None => run_unkeyed(shared, call).await,
+    }
+}
+
+fn facts(shared: &Shared, identity: &Identity, parts: &Parts) -> RequestFacts {
+    RequestFacts {
+        workspace: Some(identity.workspace.clone()),
+        method: parts.method.as_str().to_owned(),
+        path: parts.uri.path().to_owned(),
+        labels: labels(&parts.headers),
+        availability_zone: Some(shared.settings.availability_zone.clone()),
+        ..RequestFacts::default()
+    }
+}
+
+fn build_call(
+    shared: &Shared,
+    identity: &Identity,
+    ruling: &Ruling,
+    request_id: &RequestId,
+    parts: &Parts,
+    body: Bytes,
+) -> PlainCall {
+    let path_and_query =
+        parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+    PlainCall {
+        identity: identity.clone(),
+        route: ruling.route.clone(),
+        request_id: request_id.clone(),
+        method: parts.method.clone(),
+        path_and_query,
+        headers: parts.headers.clone(),
+        body,
+        answer_limit_bytes: shared.settings.limits.answer_bytes,
+        prompt_tokens: TokenCount::ZERO,
+    }
+}
+
+/// Runs a call that carries no key: once, or again where it may be repeated.
+///
+/// Without a key every arrival is a request of its own. One that may not be repeated is sent once
+/// and never again by the system.
+async fn run_unkeyed(
+    shared: &Arc<Shared>,
+    call: PlainCall,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let mode = if may_repeat(&call) { RunMode::Repeatable } else { RunMode::Once };
+    let request_id = call.request_id.clone();
+    let response = run_plain(shared, &call, mode, || true).await?;
+    Ok(to_response(response, &request_id))
+}
+
+fn may_repeat(call: &PlainCall) -> bool {
+    let configuration = &call.identity.in_force.configuration;
+    let service = configuration.services.get(&call.route.service);
+    service.is_some_and(|service| is_repeatable(&call.route, service, call))
+}
+
+/// Returns whether a call may be repeated; one that nothing speaks of may not.
+fn is_repeatable(route: &Route, service: &Service, call: &PlainCall) -> bool {
+    if let Some(may_repeat) = route.may_repeat {
+        return may_repeat;
+    }
+    let path = call.path_and_query.split('?').next().unwrap_or_default();
+    service.repeatable.iter().any(|pattern| pattern.is_match(call.method.as_str(), path))
+}
+
+/// Turns a service's answer into the caller's.
+pub(crate) fn to_response(
+    answer: ServiceResponse,
+    request_id: &RequestId,
+) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    set_request_id(&mut response, request_id);
+    response
+}
+
+/// Names the request in an answer.
+pub(crate) fn set_request_id(response: &mut Response<ResponseBody>, request_id: &RequestId) {
+    const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+    if let Ok(value) = HeaderValue::from_str(request_id.as_str()) {
+        response.headers_mut().insert(REQUEST_ID, value);
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -0,0 +1,161 @@
+//! Running a call at an endpoint of a plain service.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use wisteriahitch_config::Route;
+use wisteriahitch_core::route::{FlightFailure, PieceChain, RouteRequest};
+use wisteriahitch_types::{ByteCount, Code, DurationUs, EndpointId, RequestId, TokenCount};
+use wisteriahitch_wire::service::{ServiceError, ServiceErrorKind, ServiceRequest, ServiceResponse};
+
+use crate::caller::Refusal;
+use crate::caller::Identity;
+use crate::shared::Shared;
+
+/// Holds one caller's call to a plain service.
+#[derive(Clone)]
+pub(crate) struct PlainCall {
+    /// Whose call it is.
+    pub(crate) identity: Identity,
+    /// What the rules decided.
+    pub(crate) route: Route,
+    /// Name of the request.
+    pub(crate) request_id: RequestId,
+    /// Method as sent.
+    pub(crate) method: Method,
+    /// Path and query as sent.
+    pub(crate) path_and_query: String,
+    /// Headers as sent.
+    pub(crate) headers: HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+    /// Largest answer that is taken.
+    pub(crate) answer_limit_bytes: ByteCount,
+    /// Always zero: a plain call has no prompt that counts against a quota.
+    pub(crate) prompt_tokens: TokenCount,
+}
+
+/// Says whether a call may be sent again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunMode {
+    /// Again after any failure, within the retry budget.
+    Repeatable,
+    /// Again only while no byte has left for any endpoint.
+    Once,
+}
+
+/// When a caller may come back after an endpoint failed.
+const RETRY_AFTER_US: DurationUs = DurationUs::from_ms(500);
+
+/// Most endpoints that one call tries.
+const MAX_ATTEMPTS: usize = 3;
+
+/// Runs a call and returns the whole answer, or why there is none.
+///
+/// `may_send` is asked right before the first byte may leave; without its word nothing is sent.
+pub(crate) async fn run_plain(
+    shared: &Arc<Shared>,
+    call: &PlainCall,
+    mode: RunMode,
+    may_send: impl Fn() -> bool,
+) -> Result<ServiceResponse, Refusal> {
+    let _permit = shared
+        .enter(&call.identity, &call.route, call.prompt_tokens)
+        .await?;
+    let mut tried: Vec<EndpointId> = Vec::new();
+    loop {
+        let endpoint = choose(shared, call, &tried)?;
+        if !may_send() {
+            return Err(Refusal::new(Code::KeyRefused));
+        }
+        let error = match attempt(shared, call, &endpoint).await {
+            Ok(response) => return Ok(response),
+            Err(error) => error,
+        };
+        tried.push(endpoint);
+        // A call that may run once goes on to another endpoint only where the connection to this
+        // one never opened, so that no byte of it can have arrived.
+        let may_try_again = match mode {
+            RunMode::Repeatable => shared.try_retry(),
+            RunMode::Once => error.kind() == ServiceErrorKind::NotSent,
+        };
+        if !may_try_again || tried.len() >= MAX_ATTEMPTS {
+            return Err(Refusal::new(error.code()).with_retry_after_us(RETRY_AFTER_US));
+        }
+    }
+}
+
+fn choose(
+    shared: &Shared,
+    call: &PlainCall,
+    tried: &[EndpointId],
+) -> Result<EndpointId, Refusal> {
+    let request = RouteRequest {
+        service: call.route.service.clone(),
+        model: None,
+        adapter: None,
+        weight_version: None,
+        chain: PieceChain::default(),
+        max_tokens: TokenCount::ZERO,
+        first_token_weight: call.route.first_token_weight,
+        priority: call.route.priority,
+        deadline_us: call.route.deadline_us,
+        availability_zone: shared.settings.availability_zone.clone(),
+        exclude: tried.to_vec(),
+        explain: false,
+        bytes_per_token: ByteCount::ZERO,
+    };
+    let choice = shared.choose(&request)?;
+    Ok(choice.endpoint)
+}
+
+async fn attempt(
+    shared: &Shared,
+    call: &PlainCall,
+    endpoint: &EndpointId,
+) -> Result<ServiceResponse, ServiceError> {
+    let (flight, address) = shared
+        .take_off(endpoint, TokenCount::ZERO, TokenCount::ZERO)
+        .ok_or_else(|| ServiceError::new(ServiceErrorKind::NotSent, "the endpoint is gone"))?;
+    let request = ServiceRequest {
+        request_id: call.request_id.clone(),
+        workspace: call.identity.workspace.clone(),
+        method: call.method.clone(),
+        path_and_query: call.path_and_query.clone(),
+        headers: call.headers.clone(),
+        body: call.body.clone(),
+        timeout_us: call.route.deadline_us,
+        answer_limit_bytes: call.answer_limit_bytes,
+    };
+    let result = shared.outside.service.call(address, request).await;
+    let outcome = match &result {
+        Ok(_) => "answered",
+        Err(error) => plain_outcome(error.kind()),
+    };
+    shared.metrics.attempts.with_label_values(&[outcome]).inc();
+    match &result {
+        Ok(_) => flight.finished(),
+        Err(error) => flight.failed(flight_failure(error.kind())),
+    }
+    result
+}
+
+fn plain_outcome(kind: ServiceErrorKind) -> &'static str {
+    match kind {
+        ServiceErrorKind::NotSent => "not_sent",
+        ServiceErrorKind::NotRun => "not_run",
+        ServiceErrorKind::Lost => "lost",
+        ServiceErrorKind::Timeout => "timeout",
+        ServiceErrorKind::Nonsense => "nonsense",
+        ServiceErrorKind::TooLarge => "too_large",
+    }
+}
+
+fn flight_failure(kind: ServiceErrorKind) -> FlightFailure {
+    match kind {
+        ServiceErrorKind::NotRun | ServiceErrorKind::TooLarge => FlightFailure::Refused,
+        ServiceErrorKind::Timeout => FlightFailure::Timeout,
+        _ => FlightFailure::Broken,
+    }
+}
