feat(config): read, check and split configurations and settings

Cause: nothing could be submitted or started yet; other parts need the checked data, the rule decision and the sections.

Change: a reader that walks the spanned TOML by hand, so that every fault is reported at once with code, line, column and path; names, addresses, contradictions, shadowed rules and the default are checked over the whole; sections named by content, merged and checked with the submission; the settings file likewise. Path prefixes end at a segment, and a path that a service may read as another one never counts as repeatable.

Ruled out: deserializing with serde, which stops at the first fault.

--- /dev/null
+++ b/crates/wisteriahitch-config/src/check/contradictions.rs
@@ -0,0 +1,90 @@
+//! Checks that values which are right one by one don't contradict each other.
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_types::{Code, ModelName, ServiceName};
+
+use crate::draft::{Draft, DraftRule};
+use crate::read::ProblemLog;
+use crate::{Action, Condition, Model, Route, Service, ServiceKind};
+
+pub(super) fn check(draft: &Draft, log: &ProblemLog<'_>) {
+    let services = draft.services.iter().map(|s| (&s.name, s));
+    let models = draft.models.iter().map(|model| (&model.name, model));
+    let known = Known {
+        services: services.collect(),
+        models: models.collect(),
+    };
+    for rule in &draft.rules {
+        known.check_rule(rule, log);
+    }
+}
+
+struct Known<'d> {
+    services: BTreeMap<&'d ServiceName, &'d Service>,
+    models: BTreeMap<&'d ModelName, &'d Model>,
+}
+
+impl Known<'_> {
+    fn check_rule(&self, draft: &DraftRule, log: &ProblemLog<'_>) {
+        let Some(rule) = &draft.rule else {
+            return;
+        };
+        if let Some(message) = self.too_long_prompts(&rule.when) {
+            log.add(Code::ConfigContradiction, &draft.when, message);
+        }
+        let Action::Route(route) = &rule.then else {
+            return;
+        };
+        let Some(service) = self.services.get(&route.service) else {
+            return;
+        };
+        let fault = match service.kind {
+            ServiceKind::Plain => plain_fault(&rule.when, route),
+            ServiceKind::Engine => self.engine_fault(&rule.when, route, service),
+        };
+        if let Some(message) = fault {
+            log.add(Code::ConfigContradiction, &draft.then, message);
+        }
+    }
+
+    /// A rule for prompts that its models all refuse can never match a request that runs.
+    fn too_long_prompts(&self, when: &Condition) -> Option<String> {
+        let shortest = when.min_prompt_tokens?;
+        let limits = when.models.iter().map(|name| self.models.get(name));
+        let limits: Option<Vec<_>> = limits
+            .map(|model| model.map(|model| model.max_prompt_tokens))
+            .collect();
+        let longest = limits?.into_iter().max()?;
+        (shortest > longest).then(|| {
+            format!("`min_prompt_tokens` is {shortest}, but the models take at most {longest}")
+        })
+    }
+
+    fn engine_fault(&self, when: &Condition, route: &Route, service: &Service) -> Option<String> {
+        let name = &service.name;
+        if let Some(model) = when.models.iter().find(|m| !service.models.contains(m)) {
+            return Some(format!(
+                "the service {name} does not hold the model {model}"
+            ));
+        }
+        let adapter = route.adapter.as_ref()?;
+        let mut models = service.models.iter().filter_map(|m| self.models.get(m));
+        let is_held = models.any(|model| model.adapters.contains(adapter));
+        (!is_held).then(|| format!("no model of the service {name} has the adapter {adapter}"))
+    }
+}
+
+fn plain_fault(when: &Condition, route: &Route) -> Option<String> {
+    let name = &route.service;
+    if when.is_for_completions() {
+        let parts = "models, adapters or prompt tokens";
+        return Some(format!(
+            "the rule asks for {parts}, but the service {name} is a plain one"
+        ));
+    }
+    route
+        .adapter
+        .as_ref()
+        .map(|adapter| format!("the service {name} is a plain one and has no adapter {adapter}"))
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/check/mod.rs
@@ -0,0 +1,23 @@
+//! Checks what was read as a whole: names, addresses, contradictions and rules that never match.
+
+mod contradictions;
+mod finish;
+mod names;
+mod rules;
+mod shadow;
+
+use crate::Configuration;
+use crate::draft::Draft;
+use crate::read::ProblemLog;
+
+/// Checks a draft and turns it into a configuration; nothing comes back where the log has problems.
+pub(crate) fn check(draft: Draft, log: &ProblemLog<'_>) -> Option<Configuration> {
+    // With one text unread its names are unknown, and each use of them would be reported.
+    if draft.has_gap {
+        return None;
+    }
+    names::check(&draft, log);
+    contradictions::check(&draft, log);
+    rules::check(&draft, log);
+    log.is_empty().then(|| finish::finish(draft))
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/check/rules.rs
@@ -0,0 +1,37 @@
+//! Checks the rules as a list: a default at the end and none that can never match.
+
+use wisteriahitch_types::Code;
+
+use super::shadow;
+use crate::draft::{Draft, DraftRule};
+use crate::read::{Place, ProblemLog};
+
+pub(super) fn check(draft: &Draft, log: &ProblemLog<'_>) {
+    check_default(&draft.rules, log);
+    for (later, earlier) in shadow::unreachable(&draft.rules) {
+        let (Some(rule), Some(before)) = (&later.rule, &earlier.rule) else {
+            continue;
+        };
+        let (line, _) = log.position(&earlier.place);
+        let (name, first) = (&rule.name, &before.name);
+        let message = format!(
+            "the rule {name} can never match, because {first} in line {line} matches first"
+        );
+        log.add(Code::ConfigUnreachableRule, &later.place, message);
+    }
+}
+
+fn check_default(rules: &[DraftRule], log: &ProblemLog<'_>) {
+    let Some(last) = rules.last() else {
+        let message = "there is no rule; the last one is to be a default without `when`";
+        log.add(Code::ConfigNoDefault, &Place::default(), message);
+        return;
+    };
+    let Some(rule) = &last.rule else {
+        return;
+    };
+    if !rule.when.is_default() {
+        let message = "the last rule has conditions; add a default without `when` after it";
+        log.add(Code::ConfigNoDefault, &last.when, message);
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/decide/configuration.rs
@@ -0,0 +1,152 @@
+//! Checking, deciding and looking up in a whole configuration.
+
+use std::sync::LazyLock;
+
+use wisteriahitch_types::{DurationUs, EndpointId, KeyHash, ModelName, WorkspaceId};
+
+use super::RuleTrace;
+use crate::check::check;
+use crate::draft::Draft;
+use crate::read::{ProblemLog, Source};
+use crate::{
+    Action, Condition, Configuration, Endpoint, Refusal, Report, RequestFacts, Rule, Service,
+    Workspace,
+};
+
+/// Context that separates callers' secrets from every other use of the hash.
+const KEY_CONTEXT: &str = "wisteriahitch 2026-01 caller key";
+
+/// Decides where a configuration that was built by hand has no rule that matches; a checked one
+/// always has.
+static NO_RULE: LazyLock<Rule> = LazyLock::new(|| Rule {
+    name: "no-rule".parse().expect("the literal is a valid name"),
+    when: Condition::default(),
+    then: Action::Refuse(Refusal {
+        reason: "No rule of the configuration matches the request.".to_owned(),
+        retry_after_us: DurationUs::from_ms(1_000),
+    }),
+});
+
+/// Returns the hash under which the configuration keeps a caller's secret.
+///
+/// ```
+/// use wisteriahitch_config::key_hash;
+///
+/// let hash = key_hash("the-secret");
+/// assert_eq!(hash.to_string().len(), 32);
+/// assert_ne!(hash, key_hash("another-secret"));
+/// ```
+pub fn key_hash(secret: &str) -> KeyHash {
+    KeyHash::derive(KEY_CONTEXT, &[secret.as_bytes()])
+}
+
+impl Configuration {
+    /// Reads and checks a whole configuration.
+    ///
+    /// # Errors
+    ///
+    /// Every fault of the text at once, each with its code (4001 to 4008, 4011 and 4013), line and
+    /// column; `docs/RULES.md` has the format.
+    ///
+    /// ```
+    /// use wisteriahitch_config::Configuration;
+    ///
+    /// let text = r#"
+    ///     [[rules]]
+    ///     name = "closed"
+    ///     then.refuse = { reason = "The site is being set up.", retry_after_s = 60 }
+    /// "#;
+    /// let configuration = Configuration::check(text).expect("the text is right");
+    /// assert_eq!(configuration.rules.len(), 1);
+    ///
+    /// let report = Configuration::check("rulez = []").expect_err("the text is wrong");
+    /// assert!(report.in_file("site.toml").to_string().starts_with("site.toml:1:1: W"));
+    /// ```
+    pub fn check(text: &str) -> Result<Self, Report> {
+        let log = ProblemLog::new(vec![Source::submitted(text)]);
+        let draft = Draft::read(&log);
+        let checked = check(draft, &log);
+        log.finish(checked)
+    }
+
+    /// Returns the first rule whose condition holds.
+    ///
+    /// Only the rules that name the request's workspace and those that name none are tried, so
+    /// that the time doesn't grow with the number of workspaces.
+    pub fn decide(&self, facts: &RequestFacts) -> &Rule {
+        let tables = self.lookup.tables(self);
+        let own = facts.workspace.as_ref();
+        let own = own.and_then(|workspace| tables.rules_of.get(workspace));
+        let own = own.map_or(&[][..], Vec::as_slice);
+        merged(own, &tables.general_rules)
+            .filter_map(|position| self.rules.get(position))
+            .find(|rule| rule.when.is_match(facts))
+            .unwrap_or(&NO_RULE)
+    }
+
+    /// Returns how every rule up to the one that decides takes the request.
+    pub fn explain(&self, facts: &RequestFacts) -> Vec<RuleTrace> {
+        let mut traces = Vec::new();
+        for (position, rule) in self.rules.iter().enumerate() {
+            let trace = RuleTrace {
+                position: position + 1,
+                rule: rule.name.clone(),
+                failed: rule.when.mismatches(facts).collect(),
+            };
+            let is_decisive = trace.is_decisive();
+            traces.push(trace);
+            if is_decisive {
+                break;
+            }
+        }
+        traces
+    }
+
+    /// Returns the workspace that a caller's key belongs to.
+    pub fn workspace_by_key(&self, key: &KeyHash) -> Option<&Workspace> {
+        let id: &WorkspaceId = self.lookup.tables(self).workspaces.get(key)?;
+        self.workspaces.get(id)
+    }
+
+    /// Returns an endpoint by its name.
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.service_of(id)
+            .and_then(|(service, position)| service.endpoints.get(position))
+    }
+
+    /// Returns the service that an endpoint belongs to.
+    pub fn service_by_endpoint(&self, id: &EndpointId) -> Option<&Service> {
+        self.service_of(id).map(|(service, _)| service)
+    }
+
+    /// Returns the services whose endpoints hold a model.
+    pub fn services_with_model<'a>(
+        &'a self,
+        model: &'a ModelName,
+    ) -> impl Iterator<Item = &'a Service> {
+        let services = self.services.values();
+        services.filter(move |service| service.models.contains(model))
+    }
+
+    /// Returns every endpoint with its service.
+    pub fn endpoints(&self) -> impl Iterator<Item = (&Service, &Endpoint)> {
+        let services = self.services.values();
+        services.flat_map(|service| service.endpoints.iter().map(move |e| (service, e)))
+    }
+
+    fn service_of(&self, id: &EndpointId) -> Option<(&Service, usize)> {
+        let (name, position) = self.lookup.tables(self).endpoints.get(id)?;
+        Some((self.services.get(name)?, *position))
+    }
+}
+
+/// Returns the positions of two ascending lists in one ascending order.
+fn merged<'a>(left: &'a [usize], right: &'a [usize]) -> impl Iterator<Item = usize> + 'a {
+    let mut left = left.iter().copied().peekable();
+    let mut right = right.iter().copied().peekable();
+    std::iter::from_fn(move || match (left.peek(), right.peek()) {
+        (Some(l), Some(r)) if l < r => left.next(),
+        (Some(_), None) => left.next(),
+        _ => right.next(),
+    })
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/decide/mod.rs
@@ -0,0 +1,8 @@
+//! Which rule decides a request, and why the others don't.
+
+mod condition;
+mod configuration;
+mod rule_trace;
+
+pub use configuration::key_hash;
+pub use rule_trace::{ConditionPart, RuleTrace};
--- /dev/null
+++ b/crates/wisteriahitch-config/src/draft/call.rs
@@ -0,0 +1,66 @@
+//! Methods and path prefixes as operators write them.
+
+use toml::de::DeValue;
+
+use crate::model::is_plain_path;
+use crate::read::FromValue;
+
+/// Methods that a rule or a repeatable call may name.
+const METHODS: [&str; 7] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+/// Stands for every method in a repeatable call.
+const ANY_METHOD: &str = "*";
+
+/// A method in capitals.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Method(pub(super) String);
+
+impl FromValue for Method {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        let text = String::from_value(value)?;
+        if METHODS.contains(&text.as_str()) {
+            return Ok(Self(text));
+        }
+        Err(format!("{text:?} is not one of {}", METHODS.join(", ")))
+    }
+}
+
+/// A method in capitals, or a star for every one.
+pub(super) struct MethodOrAny(pub(super) String);
+
+impl FromValue for MethodOrAny {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        if value.as_str() == Some(ANY_METHOD) {
+            return Ok(Self(ANY_METHOD.to_owned()));
+        }
+        match Method::from_value(value) {
+            Ok(Method(text)) => Ok(Self(text)),
+            Err(message) => Err(format!("{message} or {ANY_METHOD}")),
+        }
+    }
+}
+
+/// Start of a path.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct PathPrefix(pub(super) String);
+
+impl FromValue for PathPrefix {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        let text = String::from_value(value)?;
+        if !text.starts_with('/') {
+            return Err(format!("{text:?} does not start with /"));
+        }
+        if text.contains(['?', '#']) {
+            return Err(format!(
+                "{text:?} holds a query, and rules see the path alone"
+            ));
+        }
+        if !is_plain_path(&text) {
+            return Err(format!(
+                "{text:?} can't match: paths with empty or dot segments, \
+                 escapes or blanks are never served"
+            ));
+        }
+        Ok(Self(text))
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/draft/limits.rs
@@ -0,0 +1,44 @@
+//! Reads `[limits]`.
+
+use wisteriahitch_types::{Code, Share};
+
+use super::Draft;
+use crate::Limits;
+use crate::read::{TableReader, duration_keys};
+
+/// Shortest and longest spans that are taken, in milliseconds.
+const ANSWER_KEPT_MS: (u64, u64) = (1_000, 30 * 24 * 3_600_000);
+const TICKET_LIFETIME_MS: (u64, u64) = (1_000, 3_600_000);
+const ENTRIES_TTL_MS: (u64, u64) = (100, 600_000);
+const MAX_ROLLOUT_PARALLEL: u32 = 64;
+
+pub(super) fn read(top: &TableReader<'_, '_>, draft: &mut Draft) {
+    let Some(table) = top.table("limits") else {
+        return;
+    };
+    let default = Limits::default();
+    let span = |keys, (low, high): (u64, u64)| table.duration(keys, low..=high);
+    let limits = Limits {
+        rollout_parallel: table
+            .small("rollout_parallel", 1..=MAX_ROLLOUT_PARALLEL)
+            .unwrap_or(default.rollout_parallel),
+        answer_kept_us: span(duration_keys!("answer_kept"), ANSWER_KEPT_MS)
+            .unwrap_or(default.answer_kept_us),
+        ticket_lifetime_us: span(duration_keys!("ticket_lifetime"), TICKET_LIFETIME_MS)
+            .unwrap_or(default.ticket_lifetime_us),
+        entries_ttl_us: span(duration_keys!("entries_ttl"), ENTRIES_TTL_MS)
+            .unwrap_or(default.entries_ttl_us),
+        retry_share: table
+            .optional::<Share>("retry_share")
+            .map_or(default.retry_share, Share::get),
+    };
+    // A caller that repeats a request with a ticket that still holds would find its answer gone.
+    if limits.answer_kept_us < limits.ticket_lifetime_us {
+        let message = "answers are kept for less time than a ticket may be used";
+        table
+            .log()
+            .add(Code::ConfigContradiction, table.place(), message);
+    }
+    draft.limits = limits;
+    table.finish();
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/draft/mod.rs
@@ -0,0 +1,17 @@
+//! Reads the texts of a configuration into plain data with places, before names are resolved.
+
+mod call;
+mod condition;
+#[expect(clippy::module_inception, reason = "the file is named after its type")]
+mod draft;
+mod limits;
+mod model;
+mod names;
+mod rule;
+mod service;
+mod store;
+mod workspace;
+
+pub(crate) use draft::{Draft, WORKSPACES_KEY};
+pub(crate) use names::Names;
+pub(crate) use rule::DraftRule;
--- a/crates/wisteriahitch-config/src/lib.rs
+++ b/crates/wisteriahitch-config/src/lib.rs
@@ -1,10 +1,25 @@
 //! Operators' configuration and daemon settings: parsing, checking and rule matching.
 //!
-//! `docs/RULES.md` explains the configuration and `docs/SETTINGS.md` the settings.
+//! `docs/RULES.md` explains the configuration, `docs/SETTINGS.md` the settings, and
+//! `docs/design/configuration.md` why the format and the checks are as they are.
 
+mod check;
+mod decide;
+mod draft;
 mod model;
+mod read;
+mod report;
+mod sections;
+mod settings;
 
+pub use decide::{ConditionPart, RuleTrace, key_hash};
 pub use model::{
-    Action, CallPattern, Condition, Configuration, Endpoint, Limits, Model, Refusal, RequestFacts,
-    Route, Rule, SavePolicy, Service, ServiceKind, Store, Workspace,
+    Action, CallPattern, Condition, Configuration, Endpoint, Limits, Lookup, Model, Refusal,
+    RequestFacts, Route, Rule, SavePolicy, Service, ServiceKind, Store, Workspace, is_plain_path,
+};
+pub use report::{Problem, Report, ReportInFile};
+pub use sections::{Section, SectionHash, SectionMismatch, SectionName, Sections};
+pub use settings::{
+    ListenSettings, LogLevel, LogSettings, OperatorSettings, PeerSettings, PlatformSettings,
+    RequestLimits, RunSettings, Settings,
 };
--- a/crates/wisteriahitch-config/src/model/configuration.rs
+++ b/crates/wisteriahitch-config/src/model/configuration.rs
@@ -9,11 +9,13 @@
     StoreId, TokenCount, WeightVersion, WorkspaceId,
 };
 
-use super::{Rule, Service, Workspace};
+use super::{Lookup, Rule, Service, Workspace};
 
 /// Holds a configuration that has passed every check.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Configuration {
+    /// Availability zones that the site declares; empty where it declares none.
+    pub availability_zones: Vec<AvailabilityZone>,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Service>,
     /// Models by name.
@@ -26,6 +28,9 @@
     pub rules: Vec<Rule>,
     /// Bounds for the whole site.
     pub limits: Limits,
+    /// Tables for quick look-ups, built from the other fields at first use.
+    #[serde(skip)]
+    pub lookup: Lookup,
 }
 
 /// Holds a model that the site serves.
--- a/crates/wisteriahitch-config/src/model/service.rs
+++ b/crates/wisteriahitch-config/src/model/service.rs
@@ -5,6 +5,8 @@
 use serde::Serialize;
 use wisteriahitch_types::{AvailabilityZone, EndpointId, ModelName, ServiceName, StoreId};
 
+use super::path::{has_prefix, is_plain_path};
+
 /// Says what protocol the endpoints of a service speak.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -42,9 +44,13 @@
 }
 
 impl CallPattern {
-    /// Returns whether a call matches.
+    /// Returns whether a call matches; the prefix ends where a segment of the path ends.
+    ///
+    /// A path that a service may read as another one, such as `/stock/../pull`, never matches:
+    /// it would declare a call repeatable that runs as one that is not.
     pub fn is_match(&self, method: &str, path: &str) -> bool {
-        (self.method == "*" || self.method == method) && path.starts_with(&self.path_prefix)
+        let is_method = self.method == "*" || self.method == method;
+        is_method && is_plain_path(path) && has_prefix(path, &self.path_prefix)
     }
 }
 
--- /dev/null
+++ b/crates/wisteriahitch-config/src/read/mod.rs
@@ -0,0 +1,15 @@
+//! Reading TOML by hand, so that every fault is found at once and each with its place.
+
+mod name_hint;
+mod place;
+mod problem_log;
+mod source;
+mod table_reader;
+mod value;
+
+pub(crate) use name_hint::nearest;
+pub(crate) use place::{Place, Placed};
+pub(crate) use problem_log::ProblemLog;
+pub(crate) use source::Source;
+pub(crate) use table_reader::{DurationKeys, TableReader, duration_keys};
+pub(crate) use value::FromValue;
--- /dev/null
+++ b/crates/wisteriahitch-config/src/read/name_hint.rs
@@ -0,0 +1,43 @@
+//! Finds the name that was probably meant.
+
+/// Most edits between a name and what was probably meant.
+const MAX_EDITS: usize = 2;
+
+/// Returns the known name that is nearest to `found`, or that it is a part of.
+pub(crate) fn nearest<'k>(
+    found: &str,
+    known: impl IntoIterator<Item = &'k str>,
+) -> Option<&'k str> {
+    known
+        .into_iter()
+        .filter_map(|name| Some((distance(found, name)?, name)))
+        .min()
+        .map(|(_, name)| name)
+}
+
+fn distance(found: &str, known: &str) -> Option<usize> {
+    let edits = edit_distance(found, known);
+    if edits <= MAX_EDITS && edits < found.len() {
+        return Some(edits);
+    }
+    // A forgotten or mistaken unit, such as `deadline` or `deadline_us` for `deadline_ms`.
+    let stem = |name: &str| name.rsplit_once('_').map(|(stem, _)| stem.to_owned());
+    let known_stem = stem(known)?;
+    let is_same = found == known_stem || stem(found).is_some_and(|stem| stem == known_stem);
+    is_same.then_some(MAX_EDITS + 1)
+}
+
+fn edit_distance(left: &str, right: &str) -> usize {
+    let right: Vec<char> = right.chars().collect();
+    let mut row: Vec<usize> = (0..=right.len()).collect();
+    for (i, l) in left.chars().enumerate() {
+        let mut diagonal = row[0];
+        row[0] = i + 1;
+        for (j, r) in right.iter().enumerate() {
+            let replaced = diagonal + usize::from(l != *r);
+            diagonal = row[j + 1];
+            row[j + 1] = replaced.min(row[j] + 1).min(diagonal + 1);
+        }
+    }
+    row[right.len()]
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/read/problem_log.rs
@@ -0,0 +1,105 @@
+//! Collects problems while several readers walk the same texts.
+
+use std::cell::RefCell;
+
+use toml::de::DeTable;
+use wisteriahitch_types::Code;
+
+use super::{Place, Source};
+use crate::{Problem, Report};
+
+/// Most problems that a report lists, so that a hostile text makes no endless one.
+const MAX_PROBLEMS: usize = 200;
+
+/// Collects problems and turns their places into lines and columns.
+#[derive(Debug)]
+pub(crate) struct ProblemLog<'a> {
+    sources: Vec<Source<'a>>,
+    problems: RefCell<Vec<Problem>>,
+}
+
+impl<'a> ProblemLog<'a> {
+    /// Opens an empty log for the texts that are checked together.
+    pub(crate) fn new(sources: Vec<Source<'a>>) -> Self {
+        Self {
+            sources,
+            problems: RefCell::default(),
+        }
+    }
+
+    /// Returns the texts, in the order that places count them in.
+    pub(crate) fn sources(&self) -> &[Source<'a>] {
+        &self.sources
+    }
+
+    /// Adds a problem at a place.
+    pub(crate) fn add(&self, code: Code, place: &Place, message: impl Into<String>) {
+        let mut problems = self.problems.borrow_mut();
+        if problems.len() >= MAX_PROBLEMS {
+            return;
+        }
+        let Some(source) = self.sources.get(place.source) else {
+            return;
+        };
+        let (line, column) = source.position(place.offset);
+        problems.push(Problem {
+            code,
+            section: source.section.clone(),
+            line,
+            column,
+            path: place.path.clone(),
+            message: message.into(),
+        });
+    }
+
+    /// Returns line and column of a place.
+    pub(crate) fn position(&self, place: &Place) -> (u32, u32) {
+        let source = self.sources.get(place.source);
+        source.map_or((1, 1), |source| source.position(place.offset))
+    }
+
+    /// Returns how many problems were added so far.
+    pub(crate) fn len(&self) -> usize {
+        self.problems.borrow().len()
+    }
+
+    /// Returns whether no problem was added so far.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Parses one of the texts; a text that is not TOML gives nothing, since what a recovering
+    /// parser guesses would only add misleading problems.
+    pub(crate) fn parse(&self, source: usize) -> Option<DeTable<'a>> {
+        let text = self.sources.get(source)?.text;
+        let (table, errors) = DeTable::parse_recoverable(text);
+        if errors.is_empty() {
+            return Some(table.into_inner());
+        }
+        let mut last_line = 0;
+        for error in errors {
+            let offset = error.span().map_or(0, |span| span.start);
+            let (line, _) = self.sources[source].position(offset);
+            // A parser that recovers trips again over the rest of a broken line.
+            if line == last_line {
+                continue;
+            }
+            last_line = line;
+            let place = Place {
+                source,
+                offset,
+                path: String::new(),
+            };
+            self.add(Code::ConfigSyntax, &place, error.message());
+        }
+        None
+    }
+
+    /// Ends the log: `value` where no problem was added, else the report.
+    pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, Report> {
+        match value {
+            Some(value) if self.is_empty() => Ok(value),
+            _ => Err(Report::new(self.problems.into_inner())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/read/table_reader.rs
@@ -0,0 +1,316 @@
+//! Reads one TOML table and reports what is wrong with it.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+
+use serde_spanned::Spanned;
+use toml::de::{DeString, DeTable, DeValue};
+use wisteriahitch_types::{Code, DurationUs};
+
+use super::name_hint::nearest;
+use super::value::{whole_number, wrong_type};
+use super::{FromValue, Place, Placed, ProblemLog};
+
+const MS_PER_S: u64 = 1_000;
+
+/// Reads the keys of one table; each fault goes to the log, and [`TableReader::finish`] reports
+/// the keys that nobody asked for.
+pub(crate) struct TableReader<'r, 'i> {
+    log: &'r ProblemLog<'i>,
+    table: &'r DeTable<'i>,
+    place: Place,
+    asked: RefCell<Vec<&'static str>>,
+}
+
+impl<'r, 'i> TableReader<'r, 'i> {
+    /// Opens a table at a place; an empty path is the top of the text.
+    pub(crate) fn new(log: &'r ProblemLog<'i>, table: &'r DeTable<'i>, place: Place) -> Self {
+        Self {
+            log,
+            table,
+            place,
+            asked: RefCell::default(),
+        }
+    }
+
+    /// Returns where the table stands.
+    pub(crate) fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Returns the log that problems go to.
+    pub(crate) fn log(&self) -> &'r ProblemLog<'i> {
+        self.log
+    }
+
+    /// Returns whether the table holds a key.
+    pub(crate) fn has(&self, key: &str) -> bool {
+        self.table.contains_key(key)
+    }
+
+    /// Returns whether a key holds a list without elements.
+    pub(crate) fn list_is_empty(&self, key: &str) -> bool {
+        let array = self.table.get(key).and_then(|v| v.get_ref().as_array());
+        array.is_some_and(|array| array.is_empty())
+    }
+
+    /// Returns where a key's value stands, or the table where the key is missing.
+    pub(crate) fn place_of(&self, key: &str) -> Place {
+        match self.table.get(key) {
+            Some(value) => self.child_place(key, value),
+            None => self.place.clone(),
+        }
+    }
+
+    /// Adds a problem at a key.
+    pub(crate) fn fault(&self, code: Code, key: &str, message: impl Into<String>) {
+        self.log.add(code, &self.place_of(key), message);
+    }
+
+    /// Reads a key that may be missing.
+    pub(crate) fn optional<T: FromValue>(&self, key: &'static str) -> Option<T> {
+        self.optional_placed(key).map(|placed| placed.value)
+    }
+
+    /// Reads a key that may be missing, with its place.
+    pub(crate) fn optional_placed<T: FromValue>(&self, key: &'static str) -> Option<Placed<T>> {
+        let value = self.get(key)?;
+        self.convert(value, self.child_place(key, value))
+    }
+
+    /// Reads a key that must be there.
+    pub(crate) fn required<T: FromValue>(&self, key: &'static str) -> Option<T> {
+        self.required_placed(key).map(|placed| placed.value)
+    }
+
+    /// Reads a key that must be there, with its place.
+    pub(crate) fn required_placed<T: FromValue>(&self, key: &'static str) -> Option<Placed<T>> {
+        self.expect(key);
+        self.optional_placed(key)
+    }
+
+    /// Reads a list of values; a missing one is empty.
+    pub(crate) fn list<T: FromValue + Ord + Clone>(&self, key: &'static str) -> Vec<Placed<T>> {
+        let mut seen = BTreeSet::new();
+        let mut values = Vec::new();
+        for (value, place) in self.elements(key) {
+            let Some(placed) = self.convert::<T>(value, place) else {
+                continue;
+            };
+            if seen.insert(placed.value.clone()) {
+                values.push(placed);
+                continue;
+            }
+            let message = "the same value stands in the list twice";
+            self.log
+                .add(Code::ConfigDuplicateName, &placed.place, message);
+        }
+        values
+    }
+
+    /// Reads a list of values that must be there and hold at least one.
+    pub(crate) fn required_list<T>(&self, key: &'static str) -> Vec<Placed<T>>
+    where
+        T: FromValue + Ord + Clone,
+    {
+        if self.expect(key) && self.list_is_empty(key) {
+            self.fault(Code::ConfigMissingKey, key, "the list is empty");
+        }
+        self.list(key)
+    }
+
+    /// Reads a whole number that may be missing.
+    pub(crate) fn number(&self, key: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        let value = self.get(key)?;
+        let found = match whole_number(value.get_ref()) {
+            Ok(found) => found,
+            Err(message) => {
+                self.fault(Code::ConfigBadValue, key, message);
+                return None;
+            }
+        };
+        match u64::try_from(found) {
+            Ok(number) if range.contains(&number) => Some(number),
+            _ => {
+                let (low, high) = (range.start(), range.end());
+                let message = format!("must be from {low} to {high}, found {found}");
+                self.fault(Code::ConfigBadValue, key, message);
+                None
+            }
+        }
+    }
+
+    /// Reads a whole number that must be there.
+    pub(crate) fn required_number(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        self.expect(key);
+        self.number(key, range)
+    }
+
+    /// Reads a small whole number that may be missing.
+    pub(crate) fn small(&self, key: &'static str, range: RangeInclusive<u32>) -> Option<u32> {
+        let range = u64::from(*range.start())..=u64::from(*range.end());
+        self.number(key, range)
+            .and_then(|number| u32::try_from(number).ok())
+    }
+
+    /// Reads a span that is given in milliseconds or in seconds, under a key with that unit.
+    pub(crate) fn duration(
+        &self,
+        keys: DurationKeys,
+        range_ms: RangeInclusive<u64>,
+    ) -> Option<DurationUs> {
+        let (low, high) = (*range_ms.start(), *range_ms.end());
+        if self.has(keys.ms) && self.has(keys.s) {
+            let message = format!("`{}` and `{}` are both given", keys.ms, keys.s);
+            self.fault(Code::ConfigContradiction, keys.s, message);
+        }
+        let in_ms = self.number(keys.ms, range_ms);
+        let range_s = low.div_ceil(MS_PER_S)..=high / MS_PER_S;
+        let in_s = self.number(keys.s, range_s).map(|s| s * MS_PER_S);
+        in_ms.or(in_s).map(DurationUs::from_ms)
+    }
+
+    /// Opens a table that may be missing.
+    pub(crate) fn table(&self, key: &'static str) -> Option<TableReader<'r, 'i>> {
+        let value = self.get(key)?;
+        self.open(value, self.child_place(key, value))
+    }
+
+    /// Opens every table of a list; a missing list is empty.
+    pub(crate) fn tables(&self, key: &'static str) -> Vec<TableReader<'r, 'i>> {
+        self.elements(key)
+            .into_iter()
+            .filter_map(|(value, place)| self.open(value, place))
+            .collect()
+    }
+
+    /// Reads every key of the table, where its names are the operator's to choose.
+    pub(crate) fn entries<T: FromValue>(&self) -> Vec<(String, Placed<T>)> {
+        let entry = |key: &Spanned<DeString<'i>>, value: &Spanned<DeValue<'i>>| {
+            let name = key.get_ref().as_ref().to_owned();
+            let placed = self.convert(value, self.child_place(&name, value))?;
+            Some((name, placed))
+        };
+        self.table
+            .iter()
+            .filter_map(|(key, value)| entry(key, value))
+            .collect()
+    }
+
+    /// Reports a missing key and returns whether it is there.
+    pub(crate) fn expect(&self, key: &'static str) -> bool {
+        let is_there = self.has(key);
+        if !is_there {
+            let message = format!("`{key}` is missing");
+            self.log.add(Code::ConfigMissingKey, &self.place, message);
+        }
+        is_there
+    }
+
+    /// Reports every key of the table that nobody asked for.
+    pub(crate) fn finish(self) {
+        let asked = self.asked.borrow();
+        for key in self.table.keys() {
+            let name = key.get_ref().as_ref();
+            if asked.contains(&name) {
+                continue;
+            }
+            let hint = nearest(name, asked.iter().copied())
+                .map_or_else(String::new, |known| format!("; did you mean `{known}`?"));
+            let place = self.at(name, key.span().start);
+            let message = format!("no key is named `{name}`{hint}");
+            self.log.add(Code::ConfigUnknownKey, &place, message);
+        }
+    }
+
+    fn get(&self, key: &'static str) -> Option<&'r Spanned<DeValue<'i>>> {
+        self.asked.borrow_mut().push(key);
+        self.table.get(key)
+    }
+
+    fn elements(&self, key: &'static str) -> Vec<(&'r Spanned<DeValue<'i>>, Place)> {
+        let Some(value) = self.get(key) else {
+            return Vec::new();
+        };
+        let DeValue::Array(array) = value.get_ref() else {
+            let message = wrong_type("a list", value.get_ref());
+            self.fault(Code::ConfigBadValue, key, message);
+            return Vec::new();
+        };
+        let place = |position: usize, element: &Spanned<DeValue<'_>>| {
+            self.at(&format!("{key}[{position}]"), element.span().start)
+        };
+        array
+            .iter()
+            .enumerate()
+            .map(|(position, element)| (element, place(position, element)))
+            .collect()
+    }
+
+    fn convert<T: FromValue>(
+        &self,
+        value: &Spanned<DeValue<'i>>,
+        place: Place,
+    ) -> Option<Placed<T>> {
+        match T::from_value(value.get_ref()) {
+            Ok(value) => Some(Placed { value, place }),
+            Err(message) => {
+                self.log.add(Code::ConfigBadValue, &place, message);
+                None
+            }
+        }
+    }
+
+    fn open(&self, value: &'r Spanned<DeValue<'i>>, place: Place) -> Option<TableReader<'r, 'i>> {
+        if let DeValue::Table(table) = value.get_ref() {
+            return Some(TableReader::new(self.log, table, place));
+        }
+        let message = wrong_type("a table", value.get_ref());
+        self.log.add(Code::ConfigBadValue, &place, message);
+        None
+    }
+
+    fn child_place(&self, key: &str, value: &Spanned<DeValue<'_>>) -> Place {
+        self.at(key, value.span().start)
+    }
+
+    fn at(&self, key: &str, offset: usize) -> Place {
+        let parent = &self.place.path;
+        let path = if parent.is_empty() {
+            key.to_owned()
+        } else {
+            format!("{parent}.{key}")
+        };
+        Place {
+            source: self.place.source,
+            offset,
+            path,
+        }
+    }
+}
+
+/// Names the two keys that one span may be given under.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DurationKeys {
+    /// Key with the unit milliseconds.
+    pub(crate) ms: &'static str,
+    /// Key with the unit seconds.
+    pub(crate) s: &'static str,
+}
+
+/// Builds [`DurationKeys`] from the name without its unit.
+macro_rules! duration_keys {
+    ($name:literal) => {
+        $crate::read::DurationKeys {
+            ms: concat!($name, "_ms"),
+            s: concat!($name, "_s"),
+        }
+    };
+}
+
+pub(crate) use duration_keys;
--- /dev/null
+++ b/crates/wisteriahitch-config/src/read/value.rs
@@ -0,0 +1,117 @@
+//! Typed values from TOML values.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+
+use toml::de::DeValue;
+use wisteriahitch_types::{
+    AdapterName, AvailabilityZone, DaemonId, EndpointId, KeyHash, ModelName, RuleName, ServiceName,
+    Share, StoreId, WeightVersion, WorkspaceId,
+};
+
+/// Reads itself from a TOML value; the error is a sentence for the operator.
+pub(crate) trait FromValue: Sized {
+    /// Reads the value, or says what was expected and what was found.
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String>;
+}
+
+/// Returns the sentence for a value of the wrong type.
+pub(crate) fn wrong_type(expected: &str, value: &DeValue<'_>) -> String {
+    format!("expected {expected}, found {}", describe(value))
+}
+
+fn describe(value: &DeValue<'_>) -> &'static str {
+    match value {
+        DeValue::String(_) => "a string",
+        DeValue::Integer(_) => "a whole number",
+        DeValue::Float(_) => "a fraction",
+        DeValue::Boolean(_) => "true or false",
+        DeValue::Datetime(_) => "a date",
+        DeValue::Array(_) => "a list",
+        DeValue::Table(_) => "a table",
+    }
+}
+
+/// Returns a whole number, or says what was found in its place.
+pub(crate) fn whole_number(value: &DeValue<'_>) -> Result<i128, String> {
+    let DeValue::Integer(integer) = value else {
+        return Err(wrong_type("a whole number", value));
+    };
+    i128::from_str_radix(integer.as_str(), integer.radix())
+        .map_err(|_| "the number is too large".to_owned())
+}
+
+fn text<'v>(value: &'v DeValue<'_>) -> Result<&'v str, String> {
+    value.as_str().ok_or_else(|| wrong_type("a string", value))
+}
+
+impl FromValue for bool {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        let found = value.as_bool();
+        found.ok_or_else(|| wrong_type("true or false", value))
+    }
+}
+
+impl FromValue for String {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        text(value).map(str::to_owned)
+    }
+}
+
+impl FromValue for SocketAddr {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        let text = text(value)?;
+        text.parse().map_err(|_| {
+            format!("{text:?} is not an IP number with a port, such as \"127.0.0.1:8080\"")
+        })
+    }
+}
+
+impl FromValue for Share {
+    fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+        let text = match value {
+            DeValue::Float(float) => float.as_str(),
+            DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str(),
+            _ => return Err(wrong_type("a share from 0 to 1", value)),
+        };
+        let share = text.parse::<f64>().ok().map(Self::try_from);
+        match share {
+            Some(Ok(share)) => Ok(share),
+            _ => Err(format!("must be a share from 0 to 1, found {text}")),
+        }
+    }
+}
+
+fn parse_text<T>(value: &DeValue<'_>) -> Result<T, String>
+where
+    T: FromStr,
+    T::Err: ToString,
+{
+    text(value)?
+        .parse()
+        .map_err(|error: T::Err| error.to_string())
+}
+
+macro_rules! from_text {
+    ($($name:ident),+ $(,)?) => {$(
+        impl FromValue for $name {
+            fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
+                parse_text(value)
+            }
+        }
+    )+};
+}
+
+from_text!(
+    AdapterName,
+    AvailabilityZone,
+    DaemonId,
+    EndpointId,
+    KeyHash,
+    ModelName,
+    RuleName,
+    ServiceName,
+    StoreId,
+    WeightVersion,
+    WorkspaceId,
+);
--- /dev/null
+++ b/crates/wisteriahitch-config/src/sections/mod.rs
@@ -0,0 +1,13 @@
+//! A configuration in the parts that are stored and passed on by themselves.
+
+mod canonical;
+mod section;
+mod section_hash;
+mod section_name;
+#[expect(clippy::module_inception, reason = "the file is named after its type")]
+mod sections;
+
+pub use section::{Section, SectionMismatch};
+pub use section_hash::SectionHash;
+pub use section_name::SectionName;
+pub use sections::Sections;
--- /dev/null
+++ b/crates/wisteriahitch-config/src/sections/section_hash.rs
@@ -0,0 +1,57 @@
+//! Names of sections' contents.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::ParseKeyError;
+
+/// Names a section's text by its content, in 64 hexadecimal digits.
+///
+/// Two texts share a name only if they are equal, so a section once fetched never has to be
+/// fetched again and can't be changed under its name.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct SectionHash([u8; blake3::OUT_LEN]);
+
+impl SectionHash {
+    /// Returns the name of a text.
+    pub fn of(text: &str) -> Self {
+        Self(blake3::hash(text.as_bytes()).into())
+    }
+}
+
+impl fmt::Display for SectionHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        blake3::Hash::from_bytes(self.0).to_hex().fmt(f)
+    }
+}
+
+impl fmt::Debug for SectionHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "SectionHash({self})")
+    }
+}
+
+impl FromStr for SectionHash {
+    type Err = ParseKeyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let hash = blake3::Hash::from_hex(text).map_err(|_| ParseKeyError)?;
+        Ok(Self(hash.into()))
+    }
+}
+
+impl TryFrom<String> for SectionHash {
+    type Error = ParseKeyError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<SectionHash> for String {
+    fn from(hash: SectionHash) -> Self {
+        hash.to_string()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-config/src/settings/mod.rs
@@ -0,0 +1,12 @@
+//! The daemon's own settings file.
+
+mod log_level;
+mod read;
+#[expect(clippy::module_inception, reason = "the file is named after its type")]
+mod settings;
+
+pub use log_level::LogLevel;
+pub use settings::{
+    ListenSettings, LogSettings, OperatorSettings, PeerSettings, PlatformSettings, RequestLimits,
+    RunSettings, Settings,
+};
