feat(wire): reach the platform and plain services over HTTP

Cause: daemons need the platform's objects and plain services behind their traits, with each failure sorted by what may be concluded from it. Ruled out: taking 500 and gateway answers for 'nothing was written'; going on to another address with a write whose answer was lost. Change: HttpPlatform (several addresses, budget, call counts), HttpService (headers that pass, check of the echoed id, the service's own 'not run').

--- /dev/null
+++ b/crates/wisteriahitch-wire/src/platform/answer.rs
@@ -0,0 +1,87 @@
+//! Reading of the platform's answers.
+
+use bytes::Bytes;
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use wisteriahitch_types::DurationUs;
+
+use super::document::{ObjectDocument, StatusDocument};
+use super::{Object, ObjectKind, PlatformError, PlatformErrorKind};
+use crate::http_client::{HttpError, HttpErrorKind};
+
+/// Sorts a call that got no whole answer.
+pub(crate) fn sort_failure(error: &HttpError) -> PlatformError {
+    let kind = match error.kind() {
+        HttpErrorKind::NotSent => PlatformErrorKind::Unavailable,
+        HttpErrorKind::Timeout | HttpErrorKind::Lost => PlatformErrorKind::AnswerLost,
+        HttpErrorKind::Malformed | HttpErrorKind::TooLarge => PlatformErrorKind::Malformed,
+    };
+    PlatformError::new(kind, error.to_string())
+}
+
+/// Sorts an answer that is no success.
+///
+/// Only answers that the platform gives before it writes may count as "nothing was written";
+/// whatever else comes, such as 500 or a gateway's 504, leaves a write's outcome open.
+pub(crate) fn sort_refusal(response: &Response<Bytes>) -> PlatformError {
+    let status = response.status();
+    let reason = parse_reason(response.body());
+    let kind = match status {
+        StatusCode::CONFLICT if reason == "AlreadyExists" => PlatformErrorKind::AlreadyExists,
+        StatusCode::CONFLICT => PlatformErrorKind::Conflict,
+        StatusCode::NOT_FOUND => PlatformErrorKind::NotFound,
+        StatusCode::PAYLOAD_TOO_LARGE => PlatformErrorKind::TooLarge,
+        StatusCode::TOO_MANY_REQUESTS => PlatformErrorKind::RateLimited,
+        StatusCode::SERVICE_UNAVAILABLE
+        | StatusCode::BAD_REQUEST
+        | StatusCode::UNAUTHORIZED
+        | StatusCode::FORBIDDEN
+        | StatusCode::METHOD_NOT_ALLOWED
+        | StatusCode::UNPROCESSABLE_ENTITY => PlatformErrorKind::Unavailable,
+        _ => PlatformErrorKind::Malformed,
+    };
+    let error = PlatformError::new(kind, format!("the answer is {status} {reason}"));
+    match get_retry_after(response.headers()) {
+        Some(retry_after_us) => error.with_retry_after_us(retry_after_us),
+        None => error,
+    }
+}
+
+/// Reads a JSON body.
+pub(crate) fn parse_body<T: DeserializeOwned>(body: &Bytes) -> Result<T, PlatformError> {
+    serde_json::from_slice(body).map_err(|error| malformed(error.to_string()))
+}
+
+/// Reads an object, which must be the one that was asked for.
+///
+/// An answer to another call, crossed on its way, would otherwise pass for this object; a claim
+/// read back wrongly could let a request run twice.
+pub(crate) fn parse_object(
+    document: ObjectDocument,
+    kind: ObjectKind,
+    name: &str,
+) -> Result<Object, PlatformError> {
+    let object = document.try_into_object(kind).map_err(malformed)?;
+    if object.name == name {
+        Ok(object)
+    } else {
+        Err(malformed(format!("the object is {:?}", object.name)))
+    }
+}
+
+pub(crate) fn malformed(detail: impl Into<String>) -> PlatformError {
+    PlatformError::new(PlatformErrorKind::Malformed, detail)
+}
+
+fn parse_reason(body: &Bytes) -> String {
+    let status: StatusDocument = serde_json::from_slice(body).unwrap_or_default();
+    status.reason
+}
+
+/// Reads the form of the header that gives whole seconds.
+fn get_retry_after(headers: &HeaderMap) -> Option<DurationUs> {
+    let text = headers.get(RETRY_AFTER)?.to_str().ok()?;
+    let seconds: u64 = text.trim().parse().ok()?;
+    Some(DurationUs::from_ms(seconds.saturating_mul(1_000)))
+}
--- a/crates/wisteriahitch-wire/src/platform/mod.rs
+++ b/crates/wisteriahitch-wire/src/platform/mod.rs
@@ -1,10 +1,17 @@
 //! The platform's object API: versions, conditional updates and waiting watches.
 
+mod answer;
+mod call;
+mod call_counts;
+mod document;
 mod error;
+mod http_platform;
 mod object;
 mod token_bucket;
 
+pub use call_counts::CallCounts;
 pub use error::{PlatformError, PlatformErrorKind};
+pub use http_platform::{HttpPlatform, HttpPlatformOptions};
 pub use object::{Object, ObjectKind, ObjectList, ObjectVersion, VirtualMachine, VmPhase};
 pub use token_bucket::{CallRate, ParseCallRateError, TokenBucket};
 
--- a/crates/wisteriahitch-wire/src/service/mod.rs
+++ b/crates/wisteriahitch-wire/src/service/mod.rs
@@ -1,8 +1,11 @@
 //! Plain services: the caller's method and path, passed through.
 
 mod error;
+mod headers;
+mod http_service;
 
 pub use error::{ServiceError, ServiceErrorKind};
+pub use http_service::{HttpService, HttpServiceOptions};
 
 use std::net::SocketAddr;
 
