feat(route): choose endpoints by time to first token and recomputed work

Cause: the daemon shell needs a decision of where a request runs. Ruled out: one flat hash table for the directory (a growth step moves every entry at once) and scanning every endpoint for each decision. Change: piece chains, the endpoint table with its life cycle, load correction and outlier ejection, the directory of block holders, the cost policy, three baseline policies and the Router over them.

--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/directory/chain_holders.rs
@@ -0,0 +1,92 @@
+//! The holders of one prompt's pieces, read once for a decision.
+
+use wisteriahitch_types::{EndpointId, StoreId};
+
+use super::{Holder, Holders, PlaceId, Places, Spill, Tier};
+
+/// Holds who has which piece of one prompt.
+#[derive(Debug)]
+pub(crate) struct ChainHolders<'a> {
+    pieces: Vec<Option<&'a Holders>>,
+    spill: &'a Spill,
+    places: &'a Places,
+}
+
+impl<'a> ChainHolders<'a> {
+    /// Combines the holders of each piece.
+    pub(crate) fn new(
+        pieces: Vec<Option<&'a Holders>>,
+        spill: &'a Spill,
+        places: &'a Places,
+    ) -> Self {
+        Self {
+            pieces,
+            spill,
+            places,
+        }
+    }
+
+    /// Returns how many pieces from the first on a place holds without a hole.
+    pub(crate) fn resident_pieces(&self, place: PlaceId) -> usize {
+        if !self.places.is_trusted(place) {
+            return 0;
+        }
+        let is_held = |holders: &&Option<&Holders>| {
+            holders.is_some_and(|holders| holders.contains(place, self.spill))
+        };
+        self.pieces.iter().take_while(is_held).count()
+    }
+
+    /// Iterates over the tiers that hold a piece.
+    pub(crate) fn stores(&self, piece: usize) -> impl Iterator<Item = (&'a StoreId, Tier)> + '_ {
+        self.trusted(piece).filter_map(|holder| match holder {
+            Holder::Store(store, tier) => Some((store, *tier)),
+            Holder::Endpoint(_) => None,
+        })
+    }
+
+    /// Returns up to `most` endpoints that hold late pieces, those of the latest piece first.
+    ///
+    /// `skip` rotates the holders of each piece, so that many holders of a popular prefix all get
+    /// their turn. At most twice `most` holders of a piece are looked at, so that a prefix which
+    /// every endpoint holds costs no more than one that a few hold.
+    pub(crate) fn endpoints(&self, most: usize, skip: usize) -> Vec<&'a EndpointId> {
+        let mut found: Vec<&EndpointId> = Vec::new();
+        for holders in self.pieces.iter().rev().flatten() {
+            let looked_at = holders.len(self.spill).min(2 * most);
+            for step in 0..looked_at {
+                let Some(endpoint) = self.endpoint_at(holders, skip.wrapping_add(step)) else {
+                    continue;
+                };
+                if found.len() >= most {
+                    return found;
+                }
+                if !found.contains(&endpoint) {
+                    found.push(endpoint);
+                }
+            }
+        }
+        found
+    }
+
+    fn endpoint_at(&self, holders: &Holders, index: usize) -> Option<&'a EndpointId> {
+        let place = holders.get_round(index, self.spill)?;
+        if !self.places.is_trusted(place) {
+            return None;
+        }
+        match self.places.holder(place) {
+            Holder::Endpoint(endpoint) => Some(endpoint),
+            Holder::Store(..) => None,
+        }
+    }
+
+    fn trusted(&self, piece: usize) -> impl Iterator<Item = &'a Holder> + '_ {
+        let holders = self.pieces.get(piece).copied().flatten();
+        let (spill, places) = (self.spill, self.places);
+        holders
+            .into_iter()
+            .flat_map(move |holders| holders.iter(spill))
+            .filter(move |place| places.is_trusted(*place))
+            .map(move |place| places.holder(place))
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/directory/mod.rs
@@ -0,0 +1,17 @@
+//! Hints of where blocks lie.
+
+mod chain_holders;
+mod holders;
+mod place;
+mod segment;
+mod shard;
+mod table;
+
+pub use place::Tier;
+pub use shard::shard_owner;
+pub use table::{Directory, DirectorySnapshot};
+
+pub(crate) use chain_holders::ChainHolders;
+pub(crate) use holders::{Holders, Spill};
+pub(crate) use place::{Holder, PlaceId, Places};
+pub(crate) use shard::rendezvous_score;
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/endpoint/mod.rs
@@ -0,0 +1,30 @@
+//! Endpoints: their life, their load and the outliers among them.
+
+mod flight;
+mod leaving;
+mod life;
+mod load;
+mod options;
+mod outlier;
+mod pool;
+mod record;
+mod scan;
+mod sent_load;
+mod snapshot;
+mod table;
+
+pub use flight::{FlightFailure, FlightId};
+pub use leaving::LeavingSource;
+pub use life::LifeState;
+pub use load::{EndpointLoad, LoadedModel};
+pub use options::EndpointOptions;
+pub use snapshot::EndpointSnapshot;
+pub use table::{EndpointChange, EndpointTable, Served};
+
+pub(crate) use flight::Flight;
+pub(crate) use leaving::LeavingClaims;
+pub(crate) use life::{Life, LifeEvent};
+pub(crate) use outlier::Outlier;
+pub(crate) use pool::{Membership, Pool, PoolKey, Pools, Standing};
+pub(crate) use record::EndpointRecord;
+pub(crate) use sent_load::SentLoad;
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/endpoint/outlier.rs
@@ -0,0 +1,78 @@
+//! Counters that tell an endpoint which fails or is slow from the others of its service.
+
+use serde::Serialize;
+use wisteriahitch_types::{DurationUs, TimeUs};
+
+use super::EndpointOptions;
+
+/// Part of a new sample in the moving mean.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Doublings after which an ejection grows no more.
+const MAX_DOUBLINGS: u32 = 16;
+
+/// Holds the outlier counters of one endpoint.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(crate) struct Outlier {
+    /// Failures since the last success.
+    pub(crate) failures_in_row: u32,
+    /// Moving mean of (time to the first token / estimate), which compares long and short prompts.
+    pub(crate) slowness: f64,
+    /// First tokens seen since the last ejection.
+    pub(crate) samples: u32,
+    /// Ejections since the endpoint last proved good.
+    pub(crate) ejections_in_row: u32,
+    /// When the ejection ends.
+    pub(crate) ejected_until_us: Option<TimeUs>,
+    /// Whether one request at a time finds out if the endpoint is good again.
+    pub(crate) is_probing: bool,
+}
+
+impl Outlier {
+    /// Records a first token after `taken`, where `expected` had been estimated.
+    pub(crate) fn first_token(&mut self, taken: DurationUs, expected: DurationUs) {
+        let slowness = taken.as_f64() / expected.as_f64().max(1.0);
+        self.slowness = match self.samples {
+            0 => slowness,
+            _ => self.slowness + SAMPLE_WEIGHT * (slowness - self.slowness),
+        };
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Records an answer that ended well.
+    pub(crate) fn succeeded(&mut self) {
+        self.failures_in_row = 0;
+        if self.is_probing {
+            self.is_probing = false;
+            self.ejections_in_row = 0;
+        }
+    }
+
+    /// Records a failure and returns whether it is one too many.
+    pub(crate) fn failed(&mut self, options: &EndpointOptions) -> bool {
+        self.failures_in_row = self.failures_in_row.saturating_add(1);
+        self.is_probing || self.failures_in_row >= options.max_failures
+    }
+
+    /// Returns whether the endpoint is slow against the `median` of its service.
+    pub(crate) fn is_slow(&self, median: f64, options: &EndpointOptions) -> bool {
+        self.samples >= options.min_samples && self.slowness > median * options.slow_factor
+    }
+
+    /// Begins an ejection at `now`.
+    pub(crate) fn eject(&mut self, options: &EndpointOptions, now: TimeUs) {
+        let doublings = self.ejections_in_row.min(MAX_DOUBLINGS);
+        let span_us = options.ejection_us.get().saturating_mul(1 << doublings);
+        let span = DurationUs::new(span_us).min(options.max_ejection_us);
+        self.ejected_until_us = Some(now + span);
+        self.ejections_in_row = self.ejections_in_row.saturating_add(1);
+        self.samples = 0;
+        self.is_probing = false;
+    }
+
+    /// Ends an ejection: from now on one request at a time probes the endpoint.
+    pub(crate) fn begin_probing(&mut self) {
+        self.ejected_until_us = None;
+        self.failures_in_row = 0;
+        self.is_probing = true;
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/endpoint/snapshot.rs
@@ -0,0 +1,68 @@
+//! The endpoint table in a form for the dump.
+
+use serde::Serialize;
+use wisteriahitch_types::{AvailabilityZone, EndpointId, ServiceName, TimeUs, TokenCount};
+
+use super::{EndpointLoad, EndpointRecord, EndpointTable, LifeState};
+
+/// Shows what is known of one endpoint.
+#[derive(Clone, Debug, Serialize)]
+pub struct EndpointSnapshot {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Service.
+    pub service: ServiceName,
+    /// Availability zone.
+    pub availability_zone: AvailabilityZone,
+    /// Step of life.
+    pub state: LifeState,
+    /// Last report.
+    pub report: Option<EndpointLoad>,
+    /// When the last report came.
+    pub reported_at_us: Option<TimeUs>,
+    /// Requests that run or wait there, corrected.
+    pub requests: u64,
+    /// Prompt tokens that wait there, corrected.
+    pub queued_tokens: TokenCount,
+    /// Attempts of this daemon under way there.
+    pub in_flight: u64,
+    /// Failures since the last success.
+    pub failures_in_row: u32,
+    /// Moving mean of the time to the first token over its estimate.
+    pub slowness: f64,
+    /// When the ejection ends.
+    pub ejected_until_us: Option<TimeUs>,
+    /// Whether one request at a time probes it.
+    pub is_probing: bool,
+}
+
+impl EndpointTable {
+    /// Shows every endpoint in the order of the names.
+    pub fn snapshot(&self) -> Vec<EndpointSnapshot> {
+        let mut rows: Vec<EndpointSnapshot> = self
+            .by_id
+            .values()
+            .map(|row| show(&self.rows[*row]))
+            .collect();
+        rows.sort_by(|a, b| a.endpoint.cmp(&b.endpoint));
+        rows
+    }
+}
+
+fn show(record: &EndpointRecord) -> EndpointSnapshot {
+    EndpointSnapshot {
+        endpoint: record.id.clone(),
+        service: record.service.clone(),
+        availability_zone: record.availability_zone.clone(),
+        state: record.state(),
+        report: record.report.as_ref().map(|held| held.load.clone()),
+        reported_at_us: record.report.as_ref().map(|held| held.received_at_us),
+        requests: record.requests(),
+        queued_tokens: record.queued_tokens(),
+        in_flight: record.in_flight,
+        failures_in_row: record.outlier.failures_in_row,
+        slowness: record.outlier.slowness,
+        ejected_until_us: record.outlier.ejected_until_us,
+        is_probing: record.outlier.is_probing,
+    }
+}
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -1,1 +1,22 @@
 //! Where a request runs: candidates, load, cost, admission and retries.
+//!
+//! `docs/design/routing.md` and `docs/design/admission.md` give the reasons.
+
+mod directory;
+mod draw;
+mod endpoint;
+mod pieces;
+mod policy;
+mod router;
+
+pub use directory::{Directory, DirectorySnapshot, Tier, shard_owner};
+pub use endpoint::{
+    EndpointChange, EndpointLoad, EndpointOptions, EndpointSnapshot, EndpointTable, FlightFailure,
+    FlightId, LeavingSource, LifeState, LoadedModel, Served,
+};
+pub use pieces::{ChainScope, Piece, PieceChain, piece_chain};
+pub use policy::{
+    Affinity, Choice, CostOptions, CostPolicy, Estimate, ImportStep, LeastLoaded, LinkView,
+    NoLinks, Plan, Policy, RoundRobin, RouteRefusal, RouteRequest, View, Weighed,
+};
+pub use router::{Router, RouterSnapshot};
