--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/block_life.rs
@@ -0,0 +1,156 @@
+//! The life cycle of one block as a state machine.
+
+use std::fmt;
+
+use serde::Serialize;
+use statig::prelude::*;
+
+use super::BlockState;
+
+/// Names what may happen to a block, by the names of the model in `specs/`.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LifeEvent {
+    /// Content starts to arrive.
+    Write,
+    /// Length and checksum are fixed.
+    Seal,
+    /// Readers are let in.
+    Publish,
+    /// A reader starts.
+    Pin,
+    /// A reader ends.
+    Unpin,
+    /// No new reader is let in.
+    Drain,
+    /// The room is given back.
+    Free,
+    /// The store's incarnation has ended.
+    StoreDied,
+}
+
+/// Holds what a block remembers beside its state.
+#[derive(Debug, Default)]
+pub(crate) struct BlockLife {
+    pins: u32,
+}
+
+impl BlockLife {
+    fn unpin(&mut self) -> Outcome<State> {
+        self.pins = self.pins.saturating_sub(1);
+        Handled
+    }
+}
+
+#[state_machine(
+    initial = "State::reserved()",
+    state(derive(Clone, Copy, Debug, Eq, PartialEq))
+)]
+impl BlockLife {
+    #[state]
+    fn reserved(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Write => Transition(State::writing()),
+            LifeEvent::Free | LifeEvent::StoreDied => Transition(State::freed()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn writing(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Seal => Transition(State::sealed()),
+            LifeEvent::Free | LifeEvent::StoreDied => Transition(State::freed()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn sealed(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Publish => Transition(State::readable()),
+            LifeEvent::Free | LifeEvent::StoreDied => Transition(State::freed()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn readable(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Pin => {
+                self.pins += 1;
+                Handled
+            }
+            LifeEvent::Unpin => self.unpin(),
+            LifeEvent::Drain => Transition(State::draining()),
+            LifeEvent::StoreDied => Transition(State::freed()),
+            _ => Handled,
+        }
+    }
+
+    // Without this state a block would be freed under a reader: the engine would read another
+    // block's bytes, seen as checksum failures. The free waits for the last pin instead.
+    #[state]
+    fn draining(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Unpin => self.unpin(),
+            LifeEvent::Free if self.pins == 0 => Transition(State::freed()),
+            LifeEvent::StoreDied => Transition(State::freed()),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn freed(&mut self, event: &LifeEvent) -> Outcome<State> {
+        match event {
+            LifeEvent::Unpin => self.unpin(),
+            _ => Handled,
+        }
+    }
+}
+
+/// Runs one block through its life and says which events it took.
+pub(crate) struct LifeCycle {
+    machine: StateMachine<BlockLife>,
+}
+
+impl LifeCycle {
+    pub(crate) fn new() -> Self {
+        Self {
+            machine: BlockLife::default().state_machine(),
+        }
+    }
+
+    /// Applies `event` and returns whether the state allows it.
+    pub(crate) fn apply(&mut self, event: LifeEvent) -> bool {
+        // Every event that a state allows changes the state or the pins.
+        let before = self.pins_and_state();
+        self.machine.handle(&event);
+        before != self.pins_and_state()
+    }
+
+    fn pins_and_state(&self) -> (u32, BlockState) {
+        (self.pins(), self.state())
+    }
+
+    pub(crate) fn pins(&self) -> u32 {
+        self.machine.pins
+    }
+
+    pub(crate) fn state(&self) -> BlockState {
+        match self.machine.state() {
+            State::Reserved {} => BlockState::Reserved,
+            State::Writing {} => BlockState::Writing,
+            State::Sealed {} => BlockState::Sealed,
+            State::Readable {} => BlockState::Readable,
+            State::Draining {} => BlockState::Draining,
+            State::Freed {} => BlockState::Freed,
+        }
+    }
+}
+
+impl fmt::Debug for LifeCycle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} with {} pins", self.state(), self.pins())
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the deterministic decisions, by feature.
+
+mod tier;
+mod tier_import;
