--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -1,9 +1,6 @@
-//! Tests of the deterministic core, one module a feature.
-
-#![allow(
-    clippy::unwrap_used,
-    reason = "a helper of a test fails that test by panicking"
-)]
+//! Tests of the decisions, one module a feature.
 
 mod once_table;
 mod once_ticket;
+mod tier;
+mod tier_import;
