--- a/crates/wisteriahitch-peer/tests/all/main.rs
+++ b/crates/wisteriahitch-peer/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the peer protocol.
 
+#![allow(clippy::unwrap_used)]
+
 mod calls;
 mod decoding;
 mod generated;
