--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -0,0 +1,227 @@
+//! Completions: streamed token by token, or whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{HeaderValue, Response, header};
+use tokio::sync::mpsc;
+use wisteriahitch_config::{Model, RequestFacts};
+use wisteriahitch_types::{Code, RequestId, TokenCount};
+use wisteriahitch_wire::engine::{CompletionHead, Token};
+
+use super::Refusal;
+use super::body::{ResponseBody, full_body};
+use super::completion_body::{AnswerName, CompletionBody, Usage, render};
+use super::gate::{decide, labels};
+use super::identity::Identity;
+use super::plain::set_request_id;
+use super::stream_body::{data_event, done_event, error_event, open_stream};
+use crate::dispatch::completion_call::{CompletionCall, Piece};
+use crate::dispatch::completion_run;
+use crate::shared::Shared;
+
+/// Tokens that wait for their caller before the attempt's reading waits too.
+const PIECE_BUFFER: usize = 64;
+
+/// Answers `POST /v1/completions`.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    identity: Identity,
+    request_id: &RequestId,
+    parts: &Parts,
+    body: Bytes,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let body = CompletionBody::try_parse(&body)?;
+    let is_stream = body.stream;
+    let call = build_call(shared, identity, request_id, parts, body)?;
+    run(shared, call, is_stream).await
+}
+
+/// Starts a completion and answers with its tokens.
+pub(crate) async fn run(
+    shared: &Arc<Shared>,
+    call: CompletionCall,
+    is_stream: bool,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let request_id = call.request_id.clone();
+    let model = call.model.name.clone();
+    let prompt_tokens = call.prompt_tokens;
+    let (sender, mut pieces) = mpsc::channel(PIECE_BUFFER);
+    let task_shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        task_shared.metrics.streams.inc();
+        completion_run::run(&task_shared, &call, &sender).await;
+        task_shared.metrics.streams.dec();
+    });
+    let head = get_head(&mut pieces).await?;
+    let name = AnswerName {
+        request_id: request_id.clone(),
+        model,
+        weight_version: head.weight_version.clone(),
+    };
+    let usage = Usage {
+        prompt_tokens,
+        cached_tokens: head.cached_tokens,
+        completion_tokens: TokenCount::ZERO,
+    };
+    let answer = Answer { name, usage, pieces };
+    let mut response = match is_stream {
+        true => answer.stream(shared),
+        false => answer.whole().await?,
+    };
+    set_request_id(&mut response, &request_id);
+    set_head(&mut response, &head);
+    Ok(response)
+}
+
+async fn get_head(pieces: &mut mpsc::Receiver<Piece>) -> Result<CompletionHead, Refusal> {
+    match pieces.recv().await {
+        Some(Piece::Head(head)) => Ok(head),
+        Some(Piece::Refused(refusal)) => Err(refusal),
+        Some(Piece::Token(_)) | None => Err(Refusal::new(Code::Internal)),
+    }
+}
+
+fn set_head(response: &mut Response<ResponseBody>, head: &CompletionHead) {
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(head.weight_version.as_str()) {
+        headers.insert("x-weight-version", value);
+    }
+    headers.insert("x-cached-tokens", HeaderValue::from(head.cached_tokens.get()));
+}
+
+fn build_call(
+    shared: &Shared,
+    identity: Identity,
+    request_id: &RequestId,
+    parts: &Parts,
+    body: CompletionBody,
+) -> Result<CompletionCall, Refusal> {
+    let arrived_us = shared.clock.now();
+    let prompt_tokens = TokenCount::new(body.prompt.split_whitespace().count() as u64);
+    let facts = RequestFacts {
+        workspace: Some(identity.workspace.clone()),
+        method: parts.method.as_str().to_owned(),
+        path: parts.uri.path().to_owned(),
+        model: Some(body.model.clone()),
+        adapter: body.adapter.clone(),
+        prompt_tokens: Some(prompt_tokens),
+        stream: body.stream,
+        labels: labels(&parts.headers),
+        availability_zone: Some(shared.settings.availability_zone.clone()),
+    };
+    let ruling = decide(&identity, &facts)?;
+    let model = find_model(&identity, &body, prompt_tokens)?;
+    let adapter = ruling.route.adapter.clone().or(body.adapter);
+    Ok(CompletionCall {
+        identity,
+        route: ruling.route,
+        request_id: request_id.clone(),
+        arrived_us,
+        model,
+        adapter,
+        prompt: body.prompt,
+        prompt_tokens,
+        max_tokens: body.max_tokens,
+        first_position: 0,
+        pinned_version: None,
+    })
+}
+
+fn find_model(
+    identity: &Identity,
+    body: &CompletionBody,
+    prompt_tokens: TokenCount,
+) -> Result<Model, Refusal> {
+    let models = &identity.in_force.configuration.models;
+    let model = models.get(&body.model).ok_or_else(|| Refusal::new(Code::UnknownModel))?;
+    if prompt_tokens > model.max_prompt_tokens {
+        let message =
+            format!("the prompt has {prompt_tokens}, the model takes {}", model.max_prompt_tokens);
+        return Err(Refusal::new(Code::PromptTooLong).with_message(message));
+    }
+    Ok(model.clone())
+}
+
+/// Carries the tokens of one answer to its caller.
+struct Answer {
+    name: AnswerName,
+    usage: Usage,
+    pieces: mpsc::Receiver<Piece>,
+}
+
+impl Answer {
+    fn stream(self, shared: &Arc<Shared>) -> Response<ResponseBody> {
+        let (sender, body) = open_stream();
+        let shared = Arc::clone(shared);
+        tokio::spawn(self.pump(shared, sender));
+        let mut response = Response::new(body);
+        let event_stream = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(header::CONTENT_TYPE, event_stream);
+        response
+    }
+
+    /// Sends each token as an event; a broken answer ends with an `error` event, never silently.
+    async fn pump(mut self, shared: Arc<Shared>, sender: mpsc::Sender<Bytes>) {
+        let mut is_whole = false;
+        while let Some(piece) = self.pieces.recv().await {
+            let event = match piece {
+                Piece::Head(_) => continue,
+                Piece::Token(token) => {
+                    is_whole = token.finish_reason.is_some();
+                    data_event(&self.render_token(&token))
+                }
+                Piece::Refused(refusal) => {
+                    shared.metrics.count_refusal(refusal.code());
+                    let event = error_event(&refusal.to_json(&self.name.request_id));
+                    // The caller may have gone; then nobody is left to tell.
+                    let _ = sender.send(event).await;
+                    return;
+                }
+            };
+            if sender.send(event).await.is_err() {
+                return;
+            }
+        }
+        let event = match is_whole {
+            true => done_event(),
+            false => {
+                let refusal = Refusal::new(Code::StreamIncomplete);
+                error_event(&refusal.to_json(&self.name.request_id))
+            }
+        };
+        let _ = sender.send(event).await;
+    }
+
+    fn render_token(&mut self, token: &Token) -> Bytes {
+        self.usage.completion_tokens += TokenCount::new(1);
+        let usage = token.finish_reason.is_some().then_some(self.usage);
+        let reason = token.finish_reason.as_deref();
+        render(&self.name, token.position, &token.text, reason, usage)
+    }
+
+    async fn whole(mut self) -> Result<Response<ResponseBody>, Refusal> {
+        let mut text = String::new();
+        let mut finish_reason = None;
+        while let Some(piece) = self.pieces.recv().await {
+            match piece {
+                Piece::Head(_) => {}
+                Piece::Token(token) => {
+                    self.usage.completion_tokens += TokenCount::new(1);
+                    text.push_str(&token.text);
+                    finish_reason = token.finish_reason;
+                }
+                Piece::Refused(refusal) => return Err(refusal),
+            }
+        }
+        let Some(reason) = finish_reason else {
+            return Err(Refusal::new(Code::StreamIncomplete));
+        };
+        let json = render(&self.name, 0, &text, Some(&reason), Some(self.usage));
+        let mut response = Response::new(full_body(json));
+        let json_type = HeaderValue::from_static("application/json");
+        response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/handler.rs
@@ -0,0 +1,84 @@
+//! Which part answers which path.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use http::{Method, Request, Response};
+use hyper::body::Incoming;
+use wisteriahitch_types::{Code, RequestId};
+
+use super::body::{ResponseBody, read_body};
+use super::identity::{identify, new_request_id};
+use super::{Refusal, completion, entries, plain, resume, tickets};
+use crate::server::Handler;
+use crate::shared::Shared;
+
+const ENTRIES_PATH: &str = "/v1/entries";
+const TICKETS_PATH: &str = "/v1/tickets";
+const COMPLETIONS_PATH: &str = "/v1/completions";
+const REQUESTS_PREFIX: &str = "/v1/requests/";
+/// Paths below this are the system's own and never reach a plain service.
+const OWN_PREFIX: &str = "/v1/";
+
+/// Answers callers.
+pub(crate) struct CallerHandler {
+    shared: Arc<Shared>,
+}
+
+impl CallerHandler {
+    /// Builds the handler over a daemon's tables.
+    pub(crate) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+
+    async fn answer(
+        &self,
+        request_id: &RequestId,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, Refusal> {
+        let _accepted = self.shared.accept();
+        let (parts, body) = request.into_parts();
+        let identity = identify(&self.shared, &parts.headers)?;
+        let limits = &self.shared.settings.limits;
+        let body = read_body(body, limits.body_bytes, limits.body_timeout_us.into())
+            .await
+            .map_err(Refusal::new)?;
+        let path = parts.uri.path().to_owned();
+        self.count(&path);
+        match (&parts.method, path.as_str()) {
+            (&Method::GET, ENTRIES_PATH) => Ok(entries::answer(&self.shared, &identity)),
+            (&Method::POST, TICKETS_PATH) => tickets::answer(&self.shared, &identity, &body),
+            (&Method::POST, COMPLETIONS_PATH) => {
+                completion::answer(&self.shared, identity, request_id, &parts, body).await
+            }
+            (&Method::GET, path) if path.starts_with(REQUESTS_PREFIX) => {
+                resume::answer(&self.shared, &identity, &parts).await
+            }
+            (_, path) if path.starts_with(OWN_PREFIX) => Err(Refusal::new(Code::UnknownPath)),
+            _ => plain::answer(&self.shared, identity, request_id, &parts, body).await,
+        }
+    }
+
+    fn count(&self, path: &str) {
+        let label = match path {
+            ENTRIES_PATH => "entries",
+            TICKETS_PATH => "tickets",
+            COMPLETIONS_PATH => "completions",
+            path if path.starts_with(REQUESTS_PREFIX) => "requests",
+            _ => "plain",
+        };
+        self.shared.metrics.requests.with_label_values(&[label]).inc();
+    }
+}
+
+#[async_trait]
+impl Handler for CallerHandler {
+    async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
+        let request_id = new_request_id(&self.shared);
+        let answered = self.answer(&request_id, request).await;
+        answered.unwrap_or_else(|refusal| {
+            self.shared.metrics.count_refusal(refusal.code());
+            refusal.to_response(&request_id)
+        })
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/resume.rs
@@ -0,0 +1,42 @@
+//! Going on with a stream whose connection broke.
+
+use std::sync::Arc;
+
+use http::Response;
+use http::request::Parts;
+use wisteriahitch_types::{Code, RequestId};
+
+use super::body::ResponseBody;
+use super::identity::Identity;
+use super::{Refusal, completion};
+use crate::shared::Shared;
+
+const PREFIX: &str = "/v1/requests/";
+const SUFFIX: &str = "/stream";
+const POSITION_PARAMETER: &str = "position=";
+
+/// Answers `GET /v1/requests/{id}/stream?position=N`.
+///
+/// The rest comes from the same endpoint and weight version, which alone can go on with the same
+/// answer; where they are gone the caller is told that its answer stays incomplete.
+pub(crate) async fn answer(
+    shared: &Arc<Shared>,
+    identity: &Identity,
+    parts: &Parts,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let unknown = || Refusal::new(Code::UnknownRequest);
+    let id = parts.uri.path().strip_prefix(PREFIX).and_then(|rest| rest.strip_suffix(SUFFIX));
+    let id: RequestId = id.and_then(|id| id.parse().ok()).ok_or_else(unknown)?;
+    let position = parse_position(parts.uri.query().unwrap_or_default())?;
+    // A request of another workspace is as unknown as one that never was.
+    let call = shared
+        .resumable(&id, &identity.workspace, position)
+        .ok_or_else(unknown)?;
+    completion::run(shared, call, true).await
+}
+
+fn parse_position(query: &str) -> Result<u64, Refusal> {
+    let value = query.split('&').find_map(|part| part.strip_prefix(POSITION_PARAMETER));
+    let position = value.unwrap_or("0").parse();
+    position.map_err(|_| Refusal::new(Code::BadHttp).with_message("position is not a number"))
+}
--- a/crates/wisteriahitch-node/src/dispatch/plain_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -7,12 +7,19 @@
 use wisteriahitch_config::Route;
 use wisteriahitch_core::route::{FlightFailure, PieceChain, RouteRequest};
 use wisteriahitch_types::{ByteCount, Code, DurationUs, EndpointId, RequestId, TokenCount};
-use wisteriahitch_wire::service::{ServiceError, ServiceErrorKind, ServiceRequest, ServiceResponse};
+use wisteriahitch_wire::service::{
+    ServiceError, ServiceErrorKind, ServiceRequest, ServiceResponse,
+};
 
-use crate::caller::Refusal;
-use crate::caller::Identity;
+use crate::caller::{Identity, Refusal};
 use crate::shared::Shared;
 
+/// When a caller may come back after an endpoint failed.
+const RETRY_AFTER_US: DurationUs = DurationUs::from_ms(500);
+
+/// Most endpoints that one call tries.
+const MAX_ATTEMPTS: usize = 3;
+
 /// Holds one caller's call to a plain service.
 #[derive(Clone)]
 pub(crate) struct PlainCall {
@@ -30,10 +37,6 @@
     pub(crate) headers: HeaderMap,
     /// Whole body.
     pub(crate) body: Bytes,
-    /// Largest answer that is taken.
-    pub(crate) answer_limit_bytes: ByteCount,
-    /// Always zero: a plain call has no prompt that counts against a quota.
-    pub(crate) prompt_tokens: TokenCount,
 }
 
 /// Says whether a call may be sent again.
@@ -45,28 +48,22 @@
     Once,
 }
 
-/// When a caller may come back after an endpoint failed.
-const RETRY_AFTER_US: DurationUs = DurationUs::from_ms(500);
-
-/// Most endpoints that one call tries.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Runs a call and returns the whole answer, or why there is none.
 ///
-/// `may_send` is asked right before the first byte may leave; without its word nothing is sent.
+/// `may_send` is asked once, right before the first byte may leave; without its word nothing is
+/// sent.
 pub(crate) async fn run_plain(
     shared: &Arc<Shared>,
     call: &PlainCall,
     mode: RunMode,
-    may_send: impl Fn() -> bool,
+    may_send: impl FnOnce() -> bool,
 ) -> Result<ServiceResponse, Refusal> {
-    let _permit = shared
-        .enter(&call.identity, &call.route, call.prompt_tokens)
-        .await?;
+    let _permit = shared.enter(&call.identity, &call.route, TokenCount::ZERO).await?;
+    let mut permission = Some(may_send);
     let mut tried: Vec<EndpointId> = Vec::new();
     loop {
         let endpoint = choose(shared, call, &tried)?;
-        if !may_send() {
+        if permission.take().is_some_and(|may_send| !may_send()) {
             return Err(Refusal::new(Code::KeyRefused));
         }
         let error = match attempt(shared, call, &endpoint).await {
@@ -74,18 +71,24 @@
             Err(error) => error,
         };
         tried.push(endpoint);
-        // A call that may run once goes on to another endpoint only where the connection to this
-        // one never opened, so that no byte of it can have arrived.
-        let may_try_again = match mode {
-            RunMode::Repeatable => shared.try_retry(),
-            RunMode::Once => error.kind() == ServiceErrorKind::NotSent,
-        };
-        if !may_try_again || tried.len() >= MAX_ATTEMPTS {
+        let is_last = tried.len() >= MAX_ATTEMPTS;
+        if is_last || !may_try_again(shared, mode, &error) {
             return Err(Refusal::new(error.code()).with_retry_after_us(RETRY_AFTER_US));
         }
     }
 }
 
+/// Returns whether another endpoint may be tried.
+///
+/// A call that may run once goes on only where the connection never opened, so that no byte of it
+/// can have arrived. Sending it again after anything else could book a bay twice.
+fn may_try_again(shared: &Shared, mode: RunMode, error: &ServiceError) -> bool {
+    match mode {
+        RunMode::Repeatable => shared.try_retry(),
+        RunMode::Once => error.kind() == ServiceErrorKind::NotSent,
+    }
+}
+
 fn choose(
     shared: &Shared,
     call: &PlainCall,
@@ -106,17 +109,16 @@
         explain: false,
         bytes_per_token: ByteCount::ZERO,
     };
-    let choice = shared.choose(&request)?;
-    Ok(choice.endpoint)
+    Ok(shared.choose(&request)?.endpoint)
 }
 
 async fn attempt(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     call: &PlainCall,
     endpoint: &EndpointId,
 ) -> Result<ServiceResponse, ServiceError> {
-    let (flight, address) = shared
-        .take_off(endpoint, TokenCount::ZERO, TokenCount::ZERO)
+    let flight = shared
+        .take_off(endpoint, TokenCount::ZERO, DurationUs::ZERO)
         .ok_or_else(|| ServiceError::new(ServiceErrorKind::NotSent, "the endpoint is gone"))?;
     let request = ServiceRequest {
         request_id: call.request_id.clone(),
@@ -126,22 +128,19 @@
         headers: call.headers.clone(),
         body: call.body.clone(),
         timeout_us: call.route.deadline_us,
-        answer_limit_bytes: call.answer_limit_bytes,
-    };
-    let result = shared.outside.service.call(address, request).await;
-    let outcome = match &result {
-        Ok(_) => "answered",
-        Err(error) => plain_outcome(error.kind()),
+        answer_limit_bytes: shared.settings.limits.answer_bytes,
     };
+    let result = shared.outside.service.call(flight.address(), request).await;
+    let outcome = result.as_ref().map_or_else(|error| outcome(error.kind()), |_| "answered");
     shared.metrics.attempts.with_label_values(&[outcome]).inc();
     match &result {
         Ok(_) => flight.finished(),
-        Err(error) => flight.failed(flight_failure(error.kind())),
+        Err(error) => flight.failed(failure(error.kind())),
     }
     result
 }
 
-fn plain_outcome(kind: ServiceErrorKind) -> &'static str {
+fn outcome(kind: ServiceErrorKind) -> &'static str {
     match kind {
         ServiceErrorKind::NotSent => "not_sent",
         ServiceErrorKind::NotRun => "not_run",
@@ -152,10 +151,9 @@
     }
 }
 
-fn flight_failure(kind: ServiceErrorKind) -> FlightFailure {
+fn failure(kind: ServiceErrorKind) -> FlightFailure {
     match kind {
         ServiceErrorKind::NotRun | ServiceErrorKind::TooLarge => FlightFailure::Refused,
-        ServiceErrorKind::Timeout => FlightFailure::Timeout,
         _ => FlightFailure::Broken,
     }
 }
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -4,17 +4,19 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_config::{Configuration, Sections, Settings};
+use wisteriahitch_core::route::Router;
+use wisteriahitch_peer::PeerClient;
 use wisteriahitch_types::{ConfigVersion, Incarnation};
 use wisteriahitch_wire::engine::Engine;
-use wisteriahitch_wire::platform::Platform;
+use wisteriahitch_wire::platform::HttpPlatform;
 use wisteriahitch_wire::service::Service;
 use wisteriahitch_wire::store::Store;
 
 use crate::clock::Clock;
 use crate::observe::Metrics;
+use crate::state::{AdmissionState, FleetState, OnceState, TierState};
 
 /// Holds the configuration that is in force.
 #[derive(Debug)]
@@ -30,11 +32,44 @@
 /// Holds the outside systems behind their traits.
 pub(crate) struct Outside {
     /// Object API.
-    pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) platform: Arc<HttpPlatform>,
     /// Model engines.
     pub(crate) engine: Arc<dyn Engine>,
     /// Plain services.
     pub(crate) service: Arc<dyn Service>,
     /// Store VMs.
     pub(crate) store: Arc<dyn Store>,
+    /// Other daemons.
+    pub(crate) peers: PeerClient,
+}
+
+/// Holds a daemon's tables, each behind its own lock.
+///
+/// Locks are held only for a step of a table, never across a wait. Where two are needed, `router`
+/// is taken before `tiers`; no other pair is held at once.
+pub(crate) struct Shared {
+    /// Settings of this daemon.
+    pub(crate) settings: Settings,
+    /// Life of this process.
+    pub(crate) incarnation: Incarnation,
+    /// Time since the process started.
+    pub(crate) clock: Clock,
+    /// Configuration in force, if there is one yet.
+    pub(crate) in_force: ArcSwapOption<InForce>,
+    /// Outside systems.
+    pub(crate) outside: Outside,
+    /// Endpoints and hints of where blocks lie.
+    pub(crate) router: Mutex<Router>,
+    /// Blocks, links, imports and saves.
+    pub(crate) tiers: TierState,
+    /// Keys of requests that may not be repeated.
+    pub(crate) once: Mutex<OnceState>,
+    /// Who waits for its turn.
+    pub(crate) admission: AdmissionState,
+    /// Other daemons, configuration versions, leases and draining.
+    pub(crate) fleet: FleetState,
+    /// Counters.
+    pub(crate) metrics: Metrics,
+    /// Ends the process's tasks.
+    pub(crate) stop: CancellationToken,
 }
--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/route.rs
@@ -0,0 +1,102 @@
+//! Choosing endpoints and following what is sent to them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use wisteriahitch_core::route::{
+    Choice, FlightFailure, FlightId, LinkView, RouteRequest, Tier,
+};
+use wisteriahitch_types::{
+    ByteCount, DurationUs, EndpointId, StoreId, TimeUs, TokenCount,
+};
+
+use crate::caller::Refusal;
+use crate::shared::Shared;
+
+impl LinkView for Shared {
+    fn transfer_time(
+        &self,
+        store: &StoreId,
+        _tier: Tier,
+        bytes: ByteCount,
+        now: TimeUs,
+    ) -> DurationUs {
+        self.tiers.transfer_time(store, bytes, now)
+    }
+}
+
+impl Shared {
+    /// Chooses where a request runs.
+    pub(crate) fn choose(&self, request: &RouteRequest) -> Result<Choice, Refusal> {
+        let now = self.clock.now();
+        let choice = self.router.lock().choose(request, self, now);
+        choice.map_err(|refusal| {
+            Refusal::new(refusal.code).with_retry_after_us(refusal.retry_after_us)
+        })
+    }
+
+    /// Notes an attempt that is sent now; nothing where the endpoint is gone.
+    pub(crate) fn take_off(
+        self: &Arc<Self>,
+        endpoint: &EndpointId,
+        prefill_tokens: TokenCount,
+        expected_us: DurationUs,
+    ) -> Option<Flight> {
+        let now = self.clock.now();
+        let mut router = self.router.lock();
+        let address = router.endpoints.get_address(endpoint)?;
+        let id = router.endpoints.sent(endpoint, prefill_tokens, expected_us, now)?;
+        Some(Flight { shared: Arc::clone(self), id, address, has_landed: false })
+    }
+}
+
+/// Follows one attempt at an endpoint.
+///
+/// One that is dropped without an end counts as cancelled: an attempt that stayed in the table
+/// would make its endpoint look busier for ever, and it would slowly get no work.
+pub(crate) struct Flight {
+    shared: Arc<Shared>,
+    id: FlightId,
+    address: SocketAddr,
+    has_landed: bool,
+}
+
+impl Flight {
+    /// Returns the endpoint's address.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Notes the first token.
+    pub(crate) fn first_token(&self) {
+        let now = self.shared.clock.now();
+        self.shared.router.lock().endpoints.first_token(self.id, now);
+    }
+
+    /// Notes a whole answer.
+    pub(crate) fn finished(mut self) {
+        let now = self.shared.clock.now();
+        self.shared.router.lock().endpoints.finished(self.id, now);
+        self.has_landed = true;
+    }
+
+    /// Notes that there is no whole answer.
+    pub(crate) fn failed(mut self, failure: FlightFailure) {
+        self.land(failure);
+    }
+
+    fn land(&mut self, failure: FlightFailure) {
+        if self.has_landed {
+            return;
+        }
+        let now = self.shared.clock.now();
+        self.shared.router.lock().endpoints.failed(self.id, failure, now);
+        self.has_landed = true;
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.land(FlightFailure::Cancelled);
+    }
+}
