feat(standin): add stand-ins of the model engine and of the store VM

Cause: the clients and everything above them need an engine with batching, a prefix cache and KV transfer, and a store with a block life and a limited link. Ruled out: answers from a random source (a caller could not tell its own from another's), holding the link while a reader stalls (one frozen engine would stop every import), and a sleep for each piece of work (timer lateness would add up; work is booked on a clock instead). Change: 'engine' and 'store' commands; priorities, resume, cancel, late events with gaps, lagging load, orders with fencing numbers, version swap; reserved to freed blocks with generations and pins; faults and counters at /control.

--- /dev/null
+++ b/crates/wisteriahitch-standin/src/engine/mod.rs
@@ -0,0 +1,109 @@
+//! Stand-in for a model engine: continuous batching, a prefix cache and KV transfer.
+//!
+//! Prompts are read by one server, piece by piece, in the order of priority and then of arrival;
+//! tokens come at a set rate while a request holds a place in the batch. Answers follow from what
+//! was asked alone, see [`AnswerSource`].
+//!
+//! `POST /control` takes [`EngineControl`]: `{"fault":F,"count":N}` with F one of `"none"`,
+//! `"freeze"`, `{"late_ms":N}`, `"wrong_request_id"`, `"repeat_position"`, `"skip_position"`,
+//! `"close_midway"`, `"nonsense"`, `"refuse_not_run"`, `"corrupt_export"` and `"short_export"`, or
+//! `{"leaving":bool}`; `GET /control` gives [`EngineCounters`].
+
+mod answer;
+mod cache;
+mod completion;
+mod control;
+mod handler;
+mod kv_block;
+mod line;
+mod models;
+mod options;
+mod order;
+mod registry;
+mod run;
+mod state;
+mod transfer;
+
+pub use answer::{AnswerSource, answer_token, count_tokens};
+pub use control::{EngineControl, EngineCounters, EngineFault};
+pub use kv_block::{
+    HEADER_LEN, KvBlockError, KvBlockHeader, block_bytes, build_block, check_block,
+};
+pub use options::{EngineOptions, LoadedModel};
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Serialize;
+use tokio::task::JoinHandle;
+use tokio::time::{MissedTickBehavior, interval};
+use wisteriahitch_types::{DurationUs, EndpointId};
+
+use crate::util::{Gate, Server, run_until_told_to_end};
+use handler::EngineHandler;
+use state::EngineState;
+
+/// Serves one engine until it is dropped.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: Server,
+    reporter: Option<JoinHandle<()>>,
+}
+
+impl EngineStandin {
+    /// Starts an engine with an empty cache.
+    pub async fn start(options: EngineOptions) -> io::Result<Self> {
+        let listen = options.listen;
+        let load_lag_us = options.load_lag_us;
+        let state = Arc::new(EngineState::new(options));
+        let handler = Arc::new(EngineHandler {
+            state: Arc::clone(&state),
+        });
+        let server = Server::start(listen, handler, Gate::new()).await?;
+        let is_lagging = load_lag_us > DurationUs::ZERO;
+        let reporter = is_lagging.then(|| tokio::spawn(report_load(state, load_lag_us.into())));
+        Ok(Self { server, reporter })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+impl Drop for EngineStandin {
+    fn drop(&mut self) {
+        if let Some(reporter) = &self.reporter {
+            reporter.abort();
+        }
+    }
+}
+
+async fn report_load(state: Arc<EngineState>, lag: Duration) {
+    let mut ticks = interval(lag);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        state.refresh_load_report();
+    }
+}
+
+#[derive(Serialize)]
+struct Announcement {
+    listening: SocketAddr,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    id: Option<EndpointId>,
+}
+
+/// Serves an engine until the process is told to end.
+pub async fn run(options: EngineOptions) -> anyhow::Result<()> {
+    let id = options.id.clone();
+    let engine = EngineStandin::start(options).await?;
+    let announcement = Announcement {
+        listening: engine.address(),
+        id,
+    };
+    run_until_told_to_end(&announcement).await
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/engine/models.rs
@@ -0,0 +1,142 @@
+//! Models, versions and adapters that a stand-in engine has loaded.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use http::StatusCode;
+use wisteriahitch_types::{AdapterName, ModelName, WeightVersion};
+use wisteriahitch_wire::engine::ModelReport;
+
+/// Says why a request isn't run.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct NotRun {
+    pub(super) status: StatusCode,
+    pub(super) reason: &'static str,
+}
+
+impl NotRun {
+    pub(super) const fn new(status: StatusCode, reason: &'static str) -> Self {
+        Self { status, reason }
+    }
+}
+
+struct Model {
+    weight_version: WeightVersion,
+    adapters: BTreeSet<AdapterName>,
+    is_ready: bool,
+    /// Number of the load that will be in force when it ends; a later one replaces it.
+    load_number: u64,
+}
+
+/// Holds every model of an engine.
+#[derive(Default)]
+pub(super) struct ModelTable {
+    models: BTreeMap<ModelName, Model>,
+    next_load: u64,
+}
+
+impl ModelTable {
+    /// Puts a model in place at once.
+    pub(super) fn insert(&mut self, model: ModelName, weight_version: WeightVersion) {
+        let loaded = Model {
+            weight_version,
+            adapters: BTreeSet::new(),
+            is_ready: true,
+            load_number: 0,
+        };
+        self.models.insert(model, loaded);
+    }
+
+    /// Returns whether a request may run now.
+    pub(super) fn check(
+        &self,
+        model: &ModelName,
+        adapter: Option<&AdapterName>,
+        version: &WeightVersion,
+    ) -> Result<(), NotRun> {
+        let loaded = self.models.get(model);
+        let loaded = loaded.ok_or(NotRun::new(StatusCode::NOT_FOUND, "model not loaded"))?;
+        if !loaded.is_ready {
+            return Err(NotRun::new(StatusCode::SERVICE_UNAVAILABLE, "loading"));
+        }
+        if loaded.weight_version != *version {
+            return Err(NotRun::new(StatusCode::CONFLICT, "another weight version"));
+        }
+        if adapter.is_some_and(|name| !loaded.adapters.contains(name)) {
+            return Err(NotRun::new(StatusCode::NOT_FOUND, "adapter not loaded"));
+        }
+        Ok(())
+    }
+
+    /// Returns whether new requests of any model run on `version`.
+    pub(super) fn has_version(&self, version: &WeightVersion) -> bool {
+        self.models
+            .values()
+            .any(|model| model.is_ready && model.weight_version == *version)
+    }
+
+    /// Begins to load a version; nothing is to be done where it is in force already.
+    pub(super) fn begin_load(&mut self, model: &ModelName, version: &WeightVersion) -> Option<u64> {
+        self.next_load += 1;
+        let number = self.next_load;
+        let entry = self.models.entry(model.clone()).or_insert_with(|| Model {
+            weight_version: version.clone(),
+            adapters: BTreeSet::new(),
+            is_ready: false,
+            load_number: 0,
+        });
+        if entry.is_ready && entry.weight_version == *version {
+            return None;
+        }
+        entry.is_ready = false;
+        entry.load_number = number;
+        Some(number)
+    }
+
+    /// Ends a load, and returns the version that it took the place of.
+    ///
+    /// Nothing happens where a later order has replaced the load.
+    pub(super) fn end_load(
+        &mut self,
+        model: &ModelName,
+        version: WeightVersion,
+        number: u64,
+    ) -> Option<WeightVersion> {
+        let entry = self.models.get_mut(model)?;
+        if entry.load_number != number || entry.is_ready {
+            return None;
+        }
+        entry.is_ready = true;
+        let old = std::mem::replace(&mut entry.weight_version, version);
+        (old != entry.weight_version).then_some(old)
+    }
+
+    /// Drops a model, and returns the version that it had.
+    pub(super) fn unload(&mut self, model: &ModelName) -> Option<WeightVersion> {
+        self.models.remove(model).map(|model| model.weight_version)
+    }
+
+    /// Adds an adapter; returns whether the model is there.
+    pub(super) fn add_adapter(&mut self, model: &ModelName, adapter: AdapterName) -> bool {
+        let Some(entry) = self.models.get_mut(model) else {
+            return false;
+        };
+        entry.adapters.insert(adapter);
+        true
+    }
+
+    pub(super) fn drop_adapter(&mut self, model: &ModelName, adapter: &AdapterName) {
+        if let Some(entry) = self.models.get_mut(model) {
+            entry.adapters.remove(adapter);
+        }
+    }
+
+    pub(super) fn report(&self) -> Vec<ModelReport> {
+        let to_report = |(name, model): (&ModelName, &Model)| ModelReport {
+            model: name.clone(),
+            weight_version: model.weight_version.clone(),
+            adapters: model.adapters.iter().cloned().collect(),
+            ready: model.is_ready,
+        };
+        self.models.iter().map(to_report).collect()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/engine/order.rs
@@ -0,0 +1,113 @@
+//! Orders to a stand-in engine.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::Deserialize;
+use tokio::time::sleep;
+use wisteriahitch_types::{FenceNumber, ModelName, WeightVersion};
+use wisteriahitch_wire::engine::Order;
+
+use super::completion::refuse;
+use super::state::EngineState;
+use crate::util::{Answer, answer_status};
+
+/// Part of a model's load time that an adapter takes.
+const ADAPTER_SHARE: u32 = 10;
+
+/// Body of an order, which may also be one that daemons don't give.
+#[derive(Deserialize)]
+pub(super) struct AnyOrderBody {
+    fence: FenceNumber,
+    order: AnyOrder,
+}
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum AnyOrder {
+    Known(Order),
+    Leave(Leave),
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+enum Leave {
+    Leave,
+}
+
+/// Carries out an order, and answers when it is done.
+///
+/// An order that was taken is carried out also when the one who gave it doesn't wait.
+pub(super) async fn carry_out(state: &Arc<EngineState>, body: AnyOrderBody) -> Answer {
+    if !is_in_force(state, body.fence) {
+        state.counters.lock().fenced_orders += 1;
+        return refuse(StatusCode::CONFLICT, false, "fenced");
+    }
+    state.counters.lock().taken_orders += 1;
+    let state = Arc::clone(state);
+    let work = tokio::spawn(async move {
+        match body.order {
+            AnyOrder::Known(order) => obey(&state, order).await,
+            AnyOrder::Leave(Leave::Leave) => {
+                state.set_leaving(true);
+                true
+            }
+        }
+    });
+    match work.await {
+        Ok(true) => answer_status(StatusCode::OK),
+        _ => refuse(
+            StatusCode::SERVICE_UNAVAILABLE,
+            true,
+            "the model is not loaded",
+        ),
+    }
+}
+
+/// Takes note of the fencing number; only an engine that checks it refuses an old one.
+fn is_in_force(state: &EngineState, fence: FenceNumber) -> bool {
+    let mut highest = state.highest_fence.lock();
+    let is_old = fence < *highest;
+    *highest = fence.max(*highest);
+    !is_old || !state.options.checks_fence
+}
+
+/// Returns whether the order could be carried out.
+async fn obey(state: &EngineState, order: Order) -> bool {
+    match order {
+        Order::LoadModel {
+            model,
+            weight_version,
+        } => load_model(state, model, weight_version).await,
+        Order::UnloadModel { model } => {
+            let mut models = state.models.lock();
+            if let Some(version) = models.unload(&model) {
+                state.cache.lock().drop_version(&model, &version);
+            }
+        }
+        Order::LoadAdapter { model, adapter } => {
+            sleep(Duration::from(state.options.load_model_us) / ADAPTER_SHARE).await;
+            return state.models.lock().add_adapter(&model, adapter);
+        }
+        Order::UnloadAdapter { model, adapter } => {
+            state.models.lock().drop_adapter(&model, &adapter);
+        }
+        Order::SetRole { role } => *state.role.lock() = role,
+    }
+    true
+}
+
+async fn load_model(state: &EngineState, model: ModelName, version: WeightVersion) {
+    let begun = state.models.lock().begin_load(&model, &version);
+    let Some(number) = begun else {
+        return;
+    };
+    sleep(state.options.load_model_us.into()).await;
+    // Both are changed under the lock of the models, so that no request of the new version finds
+    // a block of the old one.
+    let mut models = state.models.lock();
+    if let Some(old) = models.end_load(&model, version, number) {
+        state.cache.lock().drop_version(&model, &old);
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/engine/state.rs
@@ -0,0 +1,146 @@
+//! State of a stand-in engine.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+use wisteriahitch_types::{BlockKey, FenceNumber, TokenCount};
+use wisteriahitch_wire::engine::LoadReport;
+use wisteriahitch_wire::http_client::{HttpClient, HttpClientOptions};
+
+use super::EngineOptions;
+use super::cache::{CachedBlock, PrefixCache};
+use super::control::{EngineControl, EngineCounters, EngineFault, FaultSetting};
+use super::line::Line;
+use super::models::ModelTable;
+use super::registry::RunRegistry;
+use crate::shared::{Freeze, Pacer};
+
+/// Holds what the requests of one engine share.
+///
+/// Where two locks are held at once, `models` is taken before `cache`.
+pub(super) struct EngineState {
+    pub(super) options: EngineOptions,
+    pub(super) models: Mutex<ModelTable>,
+    pub(super) cache: Mutex<PrefixCache>,
+    pub(super) batch: Line,
+    pub(super) prefill: Line,
+    pub(super) prefill_pacer: Mutex<Pacer>,
+    pub(super) runs: RunRegistry,
+    pub(super) backlog_tokens: AtomicU64,
+    pub(super) fault: Mutex<FaultSetting>,
+    pub(super) freeze: Freeze,
+    pub(super) counters: Mutex<EngineCounters>,
+    pub(super) highest_fence: Mutex<FenceNumber>,
+    pub(super) role: Mutex<String>,
+    pub(super) load_report: Mutex<Option<LoadReport>>,
+    pub(super) store_client: HttpClient,
+    started_at: Instant,
+    is_leaving: AtomicBool,
+}
+
+impl EngineState {
+    pub(super) fn new(options: EngineOptions) -> Self {
+        let cache = PrefixCache::new(
+            options.kv_capacity_tokens,
+            draw_incarnation(options.seed),
+            options.event_lag_us.into(),
+            options.event_keep,
+        );
+        Self {
+            models: Mutex::new(load_first_models(&options)),
+            cache: Mutex::new(cache),
+            batch: Line::new(options.batch_slots),
+            prefill: Line::new(1),
+            prefill_pacer: Mutex::new(Pacer::new()),
+            runs: RunRegistry::default(),
+            backlog_tokens: AtomicU64::new(0),
+            fault: Mutex::new(FaultSetting::default()),
+            freeze: Freeze::default(),
+            counters: Mutex::new(EngineCounters::default()),
+            highest_fence: Mutex::new(FenceNumber::new(0)),
+            role: Mutex::new(options.role.clone()),
+            load_report: Mutex::new(None),
+            store_client: HttpClient::new(HttpClientOptions::default()),
+            started_at: Instant::now(),
+            is_leaving: AtomicBool::new(false),
+            options,
+        }
+    }
+
+    /// Stores a block, unless its weight version is no longer the one that new requests run on.
+    ///
+    /// Returns whether the block is held now.
+    pub(super) fn store_block(&self, key: BlockKey, block: CachedBlock) -> bool {
+        let models = self.models.lock();
+        let is_current = models.has_version(&block.weight_version);
+        is_current && self.cache.lock().store(key, block)
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.is_leaving.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn set_leaving(&self, is_leaving: bool) {
+        self.is_leaving.store(is_leaving, Ordering::Relaxed);
+    }
+
+    pub(super) fn control(&self, control: EngineControl) {
+        if let Some(is_leaving) = control.leaving {
+            self.set_leaving(is_leaving);
+        }
+        if let Some(fault) = control.fault {
+            self.fault.lock().set(fault, control.count);
+            self.freeze.set(fault == EngineFault::Freeze);
+        }
+    }
+
+    /// Returns the load report, which is as old as the engine's lag may make it.
+    pub(super) fn load_report(&self) -> LoadReport {
+        let lagging = self.load_report.lock().clone();
+        lagging.unwrap_or_else(|| self.measure_load())
+    }
+
+    /// Replaces the load report that is given out from now on.
+    pub(super) fn refresh_load_report(&self) {
+        let report = self.measure_load();
+        *self.load_report.lock() = Some(report);
+    }
+
+    fn measure_load(&self) -> LoadReport {
+        let models = self.models.lock().report();
+        let cache = self.cache.lock();
+        LoadReport {
+            made_at_ms: self.started_at.elapsed().as_millis() as u64,
+            running: self.batch.taken(),
+            batch_slots: self.options.batch_slots,
+            queued: self.batch.waiting(),
+            queued_tokens: TokenCount::new(self.backlog_tokens.load(Ordering::Relaxed)),
+            kv_used_tokens: cache.used_tokens(),
+            kv_capacity_tokens: cache.capacity_tokens(),
+            prefill_tokens_per_s: self.options.prefill_tokens_per_s,
+            decode_us_per_token: self.options.decode_us_per_token,
+            leaving: self.is_leaving(),
+            models,
+            role: self.role.lock().clone(),
+            checks_fence: self.options.checks_fence,
+        }
+    }
+}
+
+fn load_first_models(options: &EngineOptions) -> ModelTable {
+    let mut models = ModelTable::default();
+    for loaded in &options.models {
+        models.insert(loaded.model.clone(), loaded.weight_version.clone());
+        for adapter in &options.adapters {
+            models.add_adapter(&loaded.model, adapter.clone());
+        }
+    }
+    models
+}
+
+/// Names this life of the engine, so that event numbers of two lives are never compared.
+fn draw_incarnation(seed: u64) -> String {
+    let number = if seed == 0 { rand::random() } else { seed };
+    format!("e{number:016x}")
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/engine/transfer.rs
@@ -0,0 +1,179 @@
+//! Export and import of KV cache blocks to and from store VMs.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode, Uri};
+use wisteriahitch_types::{ByteCount, DurationUs};
+use wisteriahitch_wire::engine::{ExportRequest, ExportResult, ImportRequest};
+use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
+
+use super::cache::CachedBlock;
+use super::completion::refuse;
+use super::control::EngineFault;
+use super::kv_block::{KvBlockError, block_bytes, build_block, check_block};
+use super::state::EngineState;
+use crate::store::HEADER_TRANSFER_CLASS;
+use crate::util::{Answer, answer_json, answer_status};
+
+/// Longest wait for a block to cross a link that others wait for too.
+const TRANSFER_TIMEOUT: DurationUs = DurationUs::from_ms(60_000);
+
+/// Largest answer to a write.
+const ANSWER_LIMIT: ByteCount = ByteCount::new(64 * 1024);
+
+/// Status and reason of a refused transfer.
+type Refusal = (StatusCode, String);
+
+/// Writes a held block to a store.
+pub(super) async fn export(state: &Arc<EngineState>, request: ExportRequest) -> Answer {
+    match try_export(state, request).await {
+        Ok(result) => answer_json(StatusCode::OK, &result),
+        Err((status, reason)) => refuse(status, false, &reason),
+    }
+}
+
+/// Reads a block from a store, and takes it up once it has been checked.
+pub(super) async fn import(state: &Arc<EngineState>, request: ImportRequest) -> Answer {
+    match try_import(state, request).await {
+        Ok(()) => answer_status(StatusCode::OK),
+        Err((status, reason)) => refuse(status, false, &reason),
+    }
+}
+
+async fn try_export(state: &EngineState, request: ExportRequest) -> Result<ExportResult, Refusal> {
+    let held = state.cache.lock().get(request.key).cloned();
+    let held = held.ok_or_else(|| refusal(StatusCode::GONE, "the block is not held"))?;
+    if held.weight_version != request.weight_version {
+        return Err(refusal(StatusCode::CONFLICT, "another weight version"));
+    }
+    let bytes = block_bytes(held.tokens, state.options.kv_bytes_per_token);
+    let content = build_block(request.key, held.tokens, &held.weight_version, bytes);
+    let content = spoil(state, content);
+    let own = ExportResult {
+        bytes: ByteCount::new(content.len() as u64),
+        crc32c: crc32c::crc32c(&content),
+    };
+    let query = format!("generation={}", request.generation);
+    let call = call_store(state, Method::PUT, &request.to, &query, content);
+    let response = call.await?;
+    let sealed = serde_json::from_slice::<ExportResult>(response.body());
+    if sealed.ok().as_ref() != Some(&own) {
+        return Err(refusal(
+            StatusCode::BAD_GATEWAY,
+            "the store sealed another length",
+        ));
+    }
+    let mut counters = state.counters.lock();
+    counters.exported_blocks += 1;
+    counters.exported_bytes += own.bytes.get();
+    Ok(own)
+}
+
+async fn try_import(state: &EngineState, request: ImportRequest) -> Result<(), Refusal> {
+    let version = &request.weight_version;
+    let other_version = || refusal(StatusCode::CONFLICT, "another weight version");
+    if !state.models.lock().has_version(version) {
+        return Err(other_version());
+    }
+    let is_held = |block: &CachedBlock| block.weight_version == *version;
+    if state.cache.lock().get(request.key).is_some_and(is_held) {
+        return Ok(());
+    }
+    let query = format!("generation={}&pin={}", request.generation, request.pin);
+    let call = call_store(state, Method::GET, &request.from, &query, Bytes::new());
+    let response = call.await?;
+    let (bytes, crc32c) = (request.bytes, request.crc32c);
+    let checked = check_block(response.body(), request.key, version, bytes, crc32c);
+    let tokens = checked.map_err(|error| refuse_corrupt(state, error))?;
+    let block = CachedBlock {
+        tokens,
+        weight_version: version.clone(),
+        model: None,
+    };
+    if !state.store_block(request.key, block) {
+        return Err(other_version());
+    }
+    let mut counters = state.counters.lock();
+    counters.imported_blocks += 1;
+    counters.imported_tokens += tokens.get();
+    Ok(())
+}
+
+async fn call_store(
+    state: &EngineState,
+    method: Method,
+    url: &str,
+    query: &str,
+    content: Bytes,
+) -> Result<Response<Bytes>, Refusal> {
+    let (address, path) = parse_url(url)?;
+    let (class, limit_bytes) = match method {
+        Method::PUT => ("save", ANSWER_LIMIT),
+        _ => ("wait", ByteCount::MAX),
+    };
+    let request = Request::builder()
+        .method(method)
+        .uri(format!("{path}?{query}"))
+        .header(HEADER_TRANSFER_CLASS, class)
+        .body(content)
+        .map_err(|error| refusal(StatusCode::BAD_REQUEST, &error.to_string()))?;
+    let client = &state.store_client;
+    let answer = client.fetch(address, request, TRANSFER_TIMEOUT, limit_bytes);
+    let response = answer.await.map_err(|error| store_failure(&error))?;
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::GONE => Err(refusal(StatusCode::GONE, "the store has no such block")),
+        status => {
+            let reason = format!("the store answered {status}");
+            Err((StatusCode::BAD_GATEWAY, reason))
+        }
+    }
+}
+
+fn parse_url(url: &str) -> Result<(SocketAddr, String), Refusal> {
+    let bad = || refusal(StatusCode::BAD_REQUEST, "not the URL of a block");
+    let uri: Uri = url.parse().map_err(|_| bad())?;
+    let address = uri.authority().ok_or_else(bad)?;
+    let address = address.as_str().parse().map_err(|_| bad())?;
+    Ok((address, uri.path().to_owned()))
+}
+
+/// A body that breaks off is a broken link; one that is too long or malformed is corrupt.
+fn store_failure(error: &HttpError) -> Refusal {
+    let status = match error.kind() {
+        HttpErrorKind::TooLarge | HttpErrorKind::Malformed => StatusCode::UNPROCESSABLE_ENTITY,
+        HttpErrorKind::NotSent | HttpErrorKind::Timeout | HttpErrorKind::Lost => {
+            StatusCode::BAD_GATEWAY
+        }
+    };
+    (status, error.to_string())
+}
+
+fn refuse_corrupt(state: &EngineState, error: KvBlockError) -> Refusal {
+    state.counters.lock().corrupt_imports += 1;
+    let status = StatusCode::UNPROCESSABLE_ENTITY;
+    (status, format!("the block is corrupt: {error:?}"))
+}
+
+/// Applies the fault that is on to one export.
+fn spoil(state: &EngineState, content: Bytes) -> Bytes {
+    /// Place of the first byte of the key in the header.
+    const KEY_AT: usize = 4;
+
+    match state.fault.lock().take_for_export() {
+        // The checksum is of the changed content, so that only the header shows the change.
+        EngineFault::CorruptExport => {
+            let mut changed = content.to_vec();
+            changed[KEY_AT] ^= 1;
+            changed.into()
+        }
+        EngineFault::ShortExport => content.slice(..content.len() / 2),
+        _ => content,
+    }
+}
+
+fn refusal(status: StatusCode, reason: &str) -> Refusal {
+    (status, reason.to_owned())
+}
--- a/crates/wisteriahitch-standin/src/flags.rs
+++ b/crates/wisteriahitch-standin/src/flags.rs
@@ -2,9 +2,13 @@
 
 use std::net::SocketAddr;
 
+use wisteriahitch_standin::engine::{EngineOptions, LoadedModel};
 use wisteriahitch_standin::platform::PlatformOptions;
 use wisteriahitch_standin::service::ServiceOptions;
-use wisteriahitch_types::DurationUs;
+use wisteriahitch_standin::store::StoreOptions;
+use wisteriahitch_types::{
+    AdapterName, ByteCount, ByteRate, DurationUs, EndpointId, TokenCount, TokenRate,
+};
 use wisteriahitch_wire::platform::CallRate;
 
 xflags::xflags! {
@@ -30,6 +34,56 @@
             /// Requests that run at once.
             optional --slots count: usize
         }
+
+        /// Serves a model engine whose answers anybody can work out.
+        cmd engine {
+            /// Name of the endpoint, which the first line of output repeats.
+            optional --id id: EndpointId
+            /// Model that is loaded at the start, such as hist-7b@v1.
+            repeated --model model: LoadedModel
+            /// Adapter that is loaded for each of these models.
+            repeated --adapter adapter: AdapterName
+            /// Role at the start.
+            optional --role role: String
+            /// Prompt tokens read before a request of higher priority may go first.
+            optional --piece-tokens count: TokenCount
+            /// Length of the KV cache of one token.
+            optional --kv-bytes-per-token bytes: u64
+            /// Speed of reading prompts, over all requests.
+            optional --prefill-tokens-per-s rate: TokenRate
+            /// Time between two tokens of one answer, in microseconds.
+            optional --decode-us-per-token us: DurationUs
+            /// Requests that run at once.
+            optional --batch-slots count: u64
+            /// Tokens whose KV cache is held.
+            optional --kv-capacity-tokens count: TokenCount
+            /// Age of a load report, in milliseconds.
+            optional --load-lag-ms ms: u64
+            /// Age that a cache event must have before it is told, in milliseconds.
+            optional --event-lag-ms ms: u64
+            /// Cache events that are kept.
+            optional --event-keep count: usize
+            /// Refuses orders with an old fencing number.
+            optional --checks-fence
+            /// Time to load a version of a model, in milliseconds.
+            optional --load-model-ms ms: u64
+            /// Seed of the name of this life; without it, or zero, one is drawn.
+            optional --seed seed: u64
+        }
+
+        /// Serves a store VM with memory and disk behind one limited link.
+        cmd store {
+            /// Room in memory.
+            optional --memory-bytes bytes: ByteCount
+            /// Room on disk.
+            optional --disk-bytes bytes: ByteCount
+            /// Speed of the link.
+            optional --link-bytes-per-s rate: ByteRate
+            /// How long a pin keeps its block, in milliseconds.
+            optional --pin-timeout-ms ms: u64
+            /// How long reserved room waits for its content, in milliseconds.
+            optional --reserve-timeout-ms ms: u64
+        }
     }
 }
 
@@ -57,3 +111,52 @@
         }
     }
 }
+
+impl Engine {
+    pub(crate) fn into_options(self, listen: Option<SocketAddr>) -> EngineOptions {
+        let default = EngineOptions::default();
+        let from_ms = |ms: Option<u64>, default| ms.map_or(default, DurationUs::from_ms);
+        EngineOptions {
+            listen: listen.unwrap_or(default.listen),
+            id: self.id,
+            models: self.model,
+            adapters: self.adapter,
+            role: self.role.unwrap_or(default.role),
+            piece_tokens: self.piece_tokens.unwrap_or(default.piece_tokens),
+            kv_bytes_per_token: self
+                .kv_bytes_per_token
+                .unwrap_or(default.kv_bytes_per_token),
+            prefill_tokens_per_s: self
+                .prefill_tokens_per_s
+                .unwrap_or(default.prefill_tokens_per_s),
+            decode_us_per_token: self
+                .decode_us_per_token
+                .unwrap_or(default.decode_us_per_token),
+            batch_slots: self.batch_slots.unwrap_or(default.batch_slots),
+            kv_capacity_tokens: self
+                .kv_capacity_tokens
+                .unwrap_or(default.kv_capacity_tokens),
+            load_lag_us: from_ms(self.load_lag_ms, default.load_lag_us),
+            event_lag_us: from_ms(self.event_lag_ms, default.event_lag_us),
+            event_keep: self.event_keep.unwrap_or(default.event_keep),
+            checks_fence: self.checks_fence,
+            load_model_us: from_ms(self.load_model_ms, default.load_model_us),
+            seed: self.seed.unwrap_or(default.seed),
+        }
+    }
+}
+
+impl Store {
+    pub(crate) fn into_options(self, listen: Option<SocketAddr>) -> StoreOptions {
+        let default = StoreOptions::default();
+        let from_ms = |ms: Option<u64>, default| ms.map_or(default, DurationUs::from_ms);
+        StoreOptions {
+            listen: listen.unwrap_or(default.listen),
+            memory_bytes: self.memory_bytes.unwrap_or(default.memory_bytes),
+            disk_bytes: self.disk_bytes.unwrap_or(default.disk_bytes),
+            link_bytes_per_s: self.link_bytes_per_s.unwrap_or(default.link_bytes_per_s),
+            pin_timeout_us: from_ms(self.pin_timeout_ms, default.pin_timeout_us),
+            reserve_timeout_us: from_ms(self.reserve_timeout_ms, default.reserve_timeout_us),
+        }
+    }
+}
--- a/crates/wisteriahitch-standin/src/main.rs
+++ b/crates/wisteriahitch-standin/src/main.rs
@@ -5,7 +5,7 @@
 mod flags;
 
 use flags::{WisteriahitchStandin, WisteriahitchStandinCmd};
-use wisteriahitch_standin::{platform, service};
+use wisteriahitch_standin::{engine, platform, service, store};
 
 #[tokio::main]
 async fn main() -> anyhow::Result<()> {
@@ -17,5 +17,11 @@
         WisteriahitchStandinCmd::Service(command) => {
             service::run(command.into_options(flags.listen)).await
         }
+        WisteriahitchStandinCmd::Engine(command) => {
+            engine::run(command.into_options(flags.listen)).await
+        }
+        WisteriahitchStandinCmd::Store(command) => {
+            store::run(command.into_options(flags.listen)).await
+        }
     }
 }
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/shared/pacer.rs
@@ -0,0 +1,38 @@
+//! Work that takes its time one piece after the other.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Longest lateness that the next piece makes up for.
+///
+/// The timer wakes up to a millisecond late; without this, short pieces would run far under rate.
+const MAX_LATENESS: Duration = Duration::from_millis(5);
+
+/// Gives the times at which the pieces of one server's work are done.
+#[derive(Debug)]
+pub(crate) struct Pacer {
+    free_at: Instant,
+}
+
+impl Pacer {
+    /// Builds a pacer that is free now.
+    pub(crate) fn new() -> Self {
+        Self {
+            free_at: Instant::now(),
+        }
+    }
+
+    /// Takes on a piece that lasts `span` and returns when it is done.
+    pub(crate) fn book(&mut self, span: Duration) -> Instant {
+        let now = Instant::now();
+        let earliest = now.checked_sub(MAX_LATENESS).unwrap_or(now);
+        let start = if self.free_at < earliest {
+            now
+        } else {
+            self.free_at
+        };
+        self.free_at = start + span;
+        self.free_at
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/store/link.rs
@@ -0,0 +1,132 @@
+//! The one link of a store, which transfers cross in the order of their arrival.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::sleep_until;
+use wisteriahitch_types::{ByteCount, ByteRate};
+use wisteriahitch_wire::store::LinkReport;
+
+use crate::shared::{Freeze, Pacer};
+
+/// Bytes that cross the link before its rate is looked at again.
+const CHUNK_BYTES: usize = 64 * 1024;
+
+/// Paces transfers, one at a time.
+#[derive(Debug)]
+pub(super) struct Link {
+    rate_bytes_per_s: ByteRate,
+    slow_factor: AtomicU64,
+    queued_bytes: AtomicU64,
+    sent_bytes: AtomicU64,
+    /// Waiting transfers get the turn in the order in which they asked for it.
+    turn: Mutex<Pacer>,
+}
+
+impl Link {
+    pub(super) fn new(rate_bytes_per_s: ByteRate) -> Self {
+        Self {
+            rate_bytes_per_s,
+            slow_factor: AtomicU64::new(1),
+            queued_bytes: AtomicU64::new(0),
+            sent_bytes: AtomicU64::new(0),
+            turn: Mutex::new(Pacer::new()),
+        }
+    }
+
+    pub(super) fn set_slow_factor(&self, factor: u32) {
+        let factor = u64::from(factor.max(1));
+        self.slow_factor.store(factor, Ordering::Relaxed);
+    }
+
+    pub(super) fn report(&self) -> LinkReport {
+        LinkReport {
+            rate_bytes_per_s: self.rate_bytes_per_s,
+            queued_bytes: ByteCount::new(self.queued_bytes.load(Ordering::Relaxed)),
+            sent_bytes: ByteCount::new(self.sent_bytes.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Waits until `content` has crossed, passing on each part of it that has.
+    ///
+    /// It gives up when nobody takes the parts any more; dropping the future gives up too.
+    pub(super) async fn cross(
+        &self,
+        content: Bytes,
+        freeze: &Freeze,
+        arrived: Option<&UnboundedSender<Bytes>>,
+    ) {
+        let mut queued = Queued::new(self, content.len() as u64);
+        let mut turn = self.turn.lock().await;
+        let mut rest = content;
+        while !rest.is_empty() {
+            let chunk = rest.split_to(CHUNK_BYTES.min(rest.len()));
+            freeze.wait_until_thawed().await;
+            sleep_until(turn.book(self.time_for(&chunk))).await;
+            queued.take(chunk.len() as u64);
+            if arrived.is_some_and(|sender| sender.send(chunk).is_err()) {
+                return;
+            }
+        }
+    }
+
+    fn time_for(&self, chunk: &Bytes) -> Duration {
+        let at_full_rate = self
+            .rate_bytes_per_s
+            .time_for(ByteCount::new(chunk.len() as u64));
+        let factor = self.slow_factor.load(Ordering::Relaxed);
+        Duration::from_micros(at_full_rate.get().saturating_mul(factor))
+    }
+}
+
+/// Counts the bytes of one transfer that still have to cross.
+struct Queued<'a> {
+    link: &'a Link,
+    left_bytes: u64,
+}
+
+impl<'a> Queued<'a> {
+    fn new(link: &'a Link, bytes: u64) -> Self {
+        link.queued_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Self {
+            link,
+            left_bytes: bytes,
+        }
+    }
+
+    fn take(&mut self, bytes: u64) {
+        self.left_bytes -= bytes;
+        self.link.queued_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        self.link.sent_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+impl Drop for Queued<'_> {
+    fn drop(&mut self) {
+        let left = self.left_bytes;
+        self.link.queued_bytes.fetch_sub(left, Ordering::Relaxed);
+    }
+}
+
+/// Sends `content` over the link from a task of its own, so that a reader that stalls holds up no
+/// other transfer.
+pub(super) fn send_over(
+    link: Arc<Link>,
+    freeze: Arc<Freeze>,
+    content: Bytes,
+    arrived: UnboundedSender<Bytes>,
+    when_done: impl Send + 'static,
+) {
+    tokio::spawn(async move {
+        tokio::select! {
+            () = link.cross(content, &freeze, Some(&arrived)) => {}
+            () = arrived.closed() => {}
+        }
+        drop(when_done);
+    });
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/store/mod.rs
@@ -0,0 +1,86 @@
+//! Stand-in for a store VM: blocks in memory and on disk behind one limited link.
+//!
+//! `POST /control` takes `{"fault":F}` with F one of `"none"`, `"full"`, `"freeze"`,
+//! `{"slow_factor":N}`, `{"corrupt_reads":N}` and `{"short_reads":N}`, or `{"leaving":bool}`;
+//! `GET /control` gives [`StoreCounters`]. The header `x-transfer-class: wait|save` on reads and
+//! writes is recorded in the counters alone.
+
+mod control;
+mod handler;
+mod link;
+mod options;
+mod state;
+mod table;
+mod transfer;
+
+pub use control::{StoreControl, StoreCounters, StoreFault};
+pub use options::StoreOptions;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::Serialize;
+use wisteriahitch_types::StoreIncarnation;
+
+use crate::util::{Gate, Server, run_until_told_to_end};
+use handler::StoreHandler;
+use state::StoreState;
+
+/// Header that names the class of a transfer.
+pub(crate) const HEADER_TRANSFER_CLASS: &str = "x-transfer-class";
+
+/// Serves one store until it is dropped.
+#[derive(Debug)]
+pub struct StoreStandin {
+    server: Server,
+    incarnation: StoreIncarnation,
+}
+
+impl StoreStandin {
+    /// Starts an empty store under a new incarnation.
+    pub async fn start(options: StoreOptions) -> io::Result<Self> {
+        let listen = options.listen;
+        let incarnation = draw_incarnation()?;
+        let state = Arc::new(StoreState::new(options, incarnation.clone()));
+        let handler = Arc::new(StoreHandler { state });
+        let server = Server::start(listen, handler, Gate::new()).await?;
+        Ok(Self {
+            server,
+            incarnation,
+        })
+    }
+
+    /// Returns the address that is served.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the name of this life of the store.
+    pub fn incarnation(&self) -> &StoreIncarnation {
+        &self.incarnation
+    }
+}
+
+/// Draws a name that no other life of a store has.
+fn draw_incarnation() -> io::Result<StoreIncarnation> {
+    let number: u64 = rand::random();
+    let name = format!("s{number:016x}");
+    name.parse().map_err(io::Error::other)
+}
+
+#[derive(Serialize)]
+struct Announcement<'a> {
+    listening: SocketAddr,
+    incarnation: &'a StoreIncarnation,
+}
+
+/// Serves a store until the process is told to end.
+pub async fn run(options: StoreOptions) -> anyhow::Result<()> {
+    let store = StoreStandin::start(options).await?;
+    let announcement = Announcement {
+        listening: store.address(),
+        incarnation: store.incarnation(),
+    };
+    run_until_told_to_end(&announcement).await
+}
--- /dev/null
+++ b/crates/wisteriahitch-standin/src/store/table.rs
@@ -0,0 +1,320 @@
+//! Blocks of a store and the steps of their life, see `docs/design/blocks.md`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::time::Instant;
+use wisteriahitch_types::{BlockKey, ByteCount, Generation, TokenCount, WeightVersion};
+use wisteriahitch_wire::store::{
+    BlockState, MoveBody, Pin, ReserveRequest, ReservedBody, StoredBlock, Tier, TierReport,
+};
+
+/// Says why the table refuses something.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Refusal {
+    Gone,
+    Full,
+    WrongLength,
+}
+
+/// Identifies one use of a block's place.
+pub(super) type BlockId = (BlockKey, Generation);
+
+struct Block {
+    state: BlockState,
+    tier: Tier,
+    bytes: ByteCount,
+    tokens: TokenCount,
+    weight_version: WeightVersion,
+    content: Bytes,
+    crc32c: u32,
+    /// Pins by name, each with the time at which it lapses.
+    pins: HashMap<String, Instant>,
+    /// Reads under way; they keep the block like a pin that doesn't lapse.
+    readers: u32,
+    was_read: bool,
+    /// Time at which room that nobody writes to is given back.
+    reserved_until: Instant,
+}
+
+impl Block {
+    fn is_in_use(&self) -> bool {
+        !self.pins.is_empty() || self.readers > 0
+    }
+}
+
+/// Holds every block of a store.
+pub(super) struct BlockTable {
+    blocks: BTreeMap<BlockId, Block>,
+    memory: TierReport,
+    disk: TierReport,
+    next_generation: Generation,
+    next_pin: u64,
+    pin_timeout: Duration,
+    reserve_timeout: Duration,
+}
+
+impl BlockTable {
+    pub(super) fn new(options: &super::StoreOptions) -> Self {
+        let empty_tier = |capacity_bytes| TierReport {
+            capacity_bytes,
+            used_bytes: ByteCount::ZERO,
+        };
+        Self {
+            blocks: BTreeMap::new(),
+            memory: empty_tier(options.memory_bytes),
+            disk: empty_tier(options.disk_bytes),
+            next_generation: Generation::new(1),
+            next_pin: 1,
+            pin_timeout: options.pin_timeout_us.into(),
+            reserve_timeout: options.reserve_timeout_us.into(),
+        }
+    }
+
+    /// Takes room for a block, or tells in which state it is there already.
+    pub(super) fn reserve(
+        &mut self,
+        request: ReserveRequest,
+        now: Instant,
+    ) -> Result<ReservedBody, Refusal> {
+        self.expire(now);
+        if let Some((id, state)) = self.find_current(request.key) {
+            return Ok(ReservedBody {
+                generation: id.1,
+                state: Some(state),
+            });
+        }
+        self.take_room(request.tier, request.bytes)?;
+        let generation = self.next_generation;
+        self.next_generation = generation.next();
+        let block = Block {
+            state: BlockState::Reserved,
+            tier: request.tier,
+            bytes: request.bytes,
+            tokens: request.tokens,
+            weight_version: request.weight_version,
+            content: Bytes::new(),
+            crc32c: 0,
+            pins: HashMap::new(),
+            readers: 0,
+            was_read: false,
+            reserved_until: now + self.reserve_timeout,
+        };
+        self.blocks.insert((request.key, generation), block);
+        Ok(ReservedBody {
+            generation,
+            state: None,
+        })
+    }
+
+    /// Begins to write a reserved block and returns the length that it must have.
+    pub(super) fn begin_write(&mut self, id: BlockId) -> Result<ByteCount, Refusal> {
+        let block = self.get_in_state(id, BlockState::Reserved)?;
+        block.state = BlockState::Writing;
+        Ok(block.bytes)
+    }
+
+    /// Seals a block with its length and checksum, and then lets readers pin it.
+    pub(super) fn finish_write(&mut self, id: BlockId, content: Bytes) -> Result<u32, Refusal> {
+        let block = self.get_in_state(id, BlockState::Writing)?;
+        if content.len() as u64 != block.bytes.get() {
+            return Err(Refusal::WrongLength);
+        }
+        block.crc32c = crc32c::crc32c(&content);
+        block.content = content;
+        // Length and checksum are fixed before anyone may pin the block. In the other order a
+        // reader could take a block that is only partly written, which it would notice only by
+        // wrong tokens.
+        block.state = BlockState::Sealed;
+        block.state = BlockState::Readable;
+        Ok(block.crc32c)
+    }
+
+    /// Gives back the room of a block whose writing broke off.
+    pub(super) fn abandon_write(&mut self, id: BlockId) {
+        if self.get_in_state(id, BlockState::Writing).is_ok() {
+            self.remove(id);
+        }
+    }
+
+    /// Keeps a readable block for one reader.
+    pub(super) fn pin(&mut self, key: BlockKey, now: Instant) -> Result<Pin, Refusal> {
+        let (id, _) = self.find_current(key).ok_or(Refusal::Gone)?;
+        let lapses_at = now + self.pin_timeout;
+        let name = format!("p{}", self.next_pin);
+        let block = self.get_in_state(id, BlockState::Readable)?;
+        block.pins.insert(name.clone(), lapses_at);
+        let pin = Pin {
+            pin: name,
+            generation: id.1,
+            bytes: block.bytes,
+            crc32c: block.crc32c,
+            weight_version: block.weight_version.clone(),
+            tier: block.tier,
+        };
+        self.next_pin += 1;
+        Ok(pin)
+    }
+
+    /// Gives up a pin; one that has lapsed counts as given up.
+    pub(super) fn unpin(&mut self, key: BlockKey, pin: &str) {
+        let range = block_range(key);
+        let holder = self
+            .blocks
+            .range_mut(range)
+            .find_map(|(id, block)| block.pins.remove(pin).map(|_| *id));
+        if let Some(id) = holder {
+            self.remove_if_drained(id);
+        }
+    }
+
+    /// Begins a read under a pin; the block stays until [`BlockTable::end_read`].
+    ///
+    /// The second value tells whether this is the first read of the block.
+    pub(super) fn begin_read(
+        &mut self,
+        id: BlockId,
+        pin: &str,
+        now: Instant,
+    ) -> Result<(Bytes, bool), Refusal> {
+        self.expire(now);
+        let block = self.blocks.get_mut(&id).ok_or(Refusal::Gone)?;
+        let is_written = matches!(block.state, BlockState::Readable | BlockState::Draining);
+        if !is_written || !block.pins.contains_key(pin) {
+            return Err(Refusal::Gone);
+        }
+        block.readers += 1;
+        let is_first = !block.was_read;
+        block.was_read = true;
+        Ok((block.content.clone(), is_first))
+    }
+
+    /// Ends a read.
+    pub(super) fn end_read(&mut self, id: BlockId) {
+        if let Some(block) = self.blocks.get_mut(&id) {
+            block.readers -= 1;
+        }
+        self.remove_if_drained(id);
+    }
+
+    /// Lets a block drain, and removes it when nobody uses it.
+    ///
+    /// A writer of the block is told that it has gone when it ends.
+    pub(super) fn free(&mut self, id: BlockId, now: Instant) -> Result<(), Refusal> {
+        self.expire(now);
+        let block = self.blocks.get_mut(&id).ok_or(Refusal::Gone)?;
+        block.state = BlockState::Draining;
+        self.remove_if_drained(id);
+        Ok(())
+    }
+
+    /// Moves a readable block to another tier.
+    pub(super) fn move_to(&mut self, key: BlockKey, body: MoveBody) -> Result<(), Refusal> {
+        let id = (key, body.generation);
+        let block = self.get_in_state(id, BlockState::Readable)?;
+        let (from, bytes) = (block.tier, block.bytes);
+        if from == body.tier {
+            return Ok(());
+        }
+        self.take_room(body.tier, bytes)?;
+        self.give_room(from, bytes);
+        self.get_in_state(id, BlockState::Readable)?.tier = body.tier;
+        Ok(())
+    }
+
+    /// Returns every block.
+    pub(super) fn list(&mut self, now: Instant) -> Vec<StoredBlock> {
+        self.expire(now);
+        let to_listed = |(id, block): (&BlockId, &Block)| StoredBlock {
+            key: id.0,
+            generation: id.1,
+            bytes: block.bytes,
+            tokens: block.tokens,
+            weight_version: block.weight_version.clone(),
+            tier: block.tier,
+            state: block.state,
+        };
+        self.blocks.iter().map(to_listed).collect()
+    }
+
+    /// Returns the room of memory and disk.
+    pub(super) fn report(&mut self, now: Instant) -> (TierReport, TierReport) {
+        self.expire(now);
+        (self.memory, self.disk)
+    }
+
+    /// Drops lapsed pins and reservations, and what they kept.
+    fn expire(&mut self, now: Instant) {
+        let mut to_check = Vec::new();
+        for (id, block) in &mut self.blocks {
+            block.pins.retain(|_, lapses_at| *lapses_at > now);
+            match block.state {
+                BlockState::Reserved if block.reserved_until <= now => {
+                    block.state = BlockState::Draining;
+                    to_check.push(*id);
+                }
+                BlockState::Draining => to_check.push(*id),
+                _ => {}
+            }
+        }
+        for id in to_check {
+            self.remove_if_drained(id);
+        }
+    }
+
+    fn find_current(&self, key: BlockKey) -> Option<(BlockId, BlockState)> {
+        let (id, block) = self.blocks.range(block_range(key)).next_back()?;
+        (block.state != BlockState::Draining).then_some((*id, block.state))
+    }
+
+    fn get_in_state(&mut self, id: BlockId, state: BlockState) -> Result<&mut Block, Refusal> {
+        let block = self.blocks.get_mut(&id).ok_or(Refusal::Gone)?;
+        if block.state != state {
+            return Err(Refusal::Gone);
+        }
+        Ok(block)
+    }
+
+    fn remove_if_drained(&mut self, id: BlockId) {
+        let is_drained = self
+            .blocks
+            .get(&id)
+            .is_some_and(|block| block.state == BlockState::Draining && !block.is_in_use());
+        if is_drained {
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: BlockId) {
+        if let Some(block) = self.blocks.remove(&id) {
+            self.give_room(block.tier, block.bytes);
+        }
+    }
+
+    fn take_room(&mut self, tier: Tier, bytes: ByteCount) -> Result<(), Refusal> {
+        let room = self.tier_mut(tier);
+        let used_bytes = room.used_bytes + bytes;
+        if used_bytes > room.capacity_bytes {
+            return Err(Refusal::Full);
+        }
+        room.used_bytes = used_bytes;
+        Ok(())
+    }
+
+    fn give_room(&mut self, tier: Tier, bytes: ByteCount) {
+        let room = self.tier_mut(tier);
+        room.used_bytes = room.used_bytes - bytes;
+    }
+
+    fn tier_mut(&mut self, tier: Tier) -> &mut TierReport {
+        match tier {
+            Tier::Memory => &mut self.memory,
+            Tier::Disk => &mut self.disk,
+        }
+    }
+}
+
+fn block_range(key: BlockKey) -> std::ops::RangeInclusive<BlockId> {
+    (key, Generation::new(0))..=(key, Generation::new(u64::MAX))
+}
