feat(once): claim callers' keys in the object store by groups

Claims of many requests go into one of 64 objects with one conditional write. A request waits until some version of the object shows whose claim stands; a successful write and a read end in the same step, so that conflicts and lost answers need no path of their own. A claim is known again by incarnation and nonce, not by incarnation alone.

An object has a bound, and one workspace may take a quarter of it: otherwise one that claims without end would keep out all others for the retention. Full means undecided, not `not run`, since nothing was written that uses the key up.

--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/claim/mod.rs
@@ -0,0 +1,19 @@
+//! Claims on callers' idempotency keys, kept in the platform's object store.
+//!
+//! Claims of many requests are written as one group by a conditional update, so that the store's
+//! budget of calls is spent by the group (`docs/design/at-most-once.md`).
+
+mod batcher;
+mod command;
+mod limits;
+mod object;
+mod request;
+mod shard;
+mod work;
+
+pub use batcher::ClaimBatcher;
+pub use command::{ClaimCommand, ReadResult, UndecidedCause, WriteResult};
+pub use limits::ClaimLimits;
+pub use object::{ClaimEntry, ClaimObject, ClaimState};
+pub use request::{ClaimTime, ClaimVersion};
+pub use shard::ClaimShard;
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/claim/object.rs
@@ -0,0 +1,169 @@
+//! What the platform keeps of claims.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::{ByteCount, DaemonId, Incarnation, KeyHash, WorkspaceId};
+
+use crate::once::{ClaimHolder, ClaimNonce, ClaimOutcome, Fingerprint, KeptAnswer, StandingClaim};
+
+/// Bytes of an entry's JSON besides its texts, at most: names of fields, hashes and numbers.
+const ENTRY_FIXED_BYTES: usize = 420;
+
+/// Says what became of a claimed request, as far as its holder wrote it down.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimState {
+    /// The request may run or have run.
+    Claimed,
+    /// The request ran.
+    Finished {
+        /// HTTP status of the answer.
+        status: u16,
+        /// Content type of the answer.
+        content_type: Option<String>,
+        /// Body, where it is text and small; otherwise the holder alone keeps the answer.
+        body: Option<String>,
+    },
+    /// The request was refused and will not run.
+    Refused,
+}
+
+impl ClaimState {
+    /// Builds the state for a request that ran; the body is left out when it is longer than
+    /// `answer_bytes` or isn't text.
+    pub fn finished(answer: &KeptAnswer, answer_bytes: ByteCount) -> Self {
+        let text = str::from_utf8(&answer.body).ok();
+        let is_small = |text: &&str| escaped_len(text) as u64 <= answer_bytes.get();
+        Self::Finished {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: text.filter(is_small).map(str::to_owned),
+        }
+    }
+
+    /// Returns what the state tells a caller.
+    pub fn outcome(&self) -> ClaimOutcome {
+        match self {
+            ClaimState::Claimed => ClaimOutcome::Open,
+            ClaimState::Refused => ClaimOutcome::Refused,
+            ClaimState::Finished { body: None, .. } => ClaimOutcome::Finished(None),
+            ClaimState::Finished {
+                status,
+                content_type,
+                body: Some(body),
+            } => ClaimOutcome::Finished(Some(Arc::new(KeptAnswer {
+                status: *status,
+                content_type: content_type.clone(),
+                body: body.clone().into_bytes(),
+            }))),
+        }
+    }
+
+    fn text_len(&self) -> usize {
+        match self {
+            ClaimState::Claimed | ClaimState::Refused => 0,
+            ClaimState::Finished {
+                content_type, body, ..
+            } => [content_type, body]
+                .into_iter()
+                .flatten()
+                .map(|text| escaped_len(text))
+                .sum(),
+        }
+    }
+}
+
+/// Holds the claim on one key.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ClaimEntry {
+    /// Workspace of the caller.
+    pub workspace: WorkspaceId,
+    /// Request that the key stands for.
+    pub fingerprint: Fingerprint,
+    /// Daemon that decides for the key.
+    pub owner: DaemonId,
+    /// Life of that daemon's process.
+    pub incarnation: Incarnation,
+    /// Tells the claims of that life apart.
+    pub nonce: ClaimNonce,
+    /// Address of the daemon's peer server.
+    pub address: SocketAddr,
+    /// Wall clock of the daemon when it made the claim.
+    pub claimed_at_ms: u64,
+    /// What became of the request.
+    pub state: ClaimState,
+}
+
+impl ClaimEntry {
+    /// Returns whether this is the very claim that a life of a process made under `nonce`.
+    pub fn is_own(&self, incarnation: Incarnation, nonce: ClaimNonce) -> bool {
+        self.incarnation == incarnation && self.nonce == nonce
+    }
+
+    /// Returns whether the claim is younger than `span_ms`; one from the future is.
+    pub fn is_younger_than(&self, span_ms: u64, wall_ms: u64) -> bool {
+        wall_ms.saturating_sub(self.claimed_at_ms) < span_ms
+    }
+
+    /// Returns the length of the entry's JSON, at most.
+    pub fn size_bytes(&self) -> ByteCount {
+        let names = self.workspace.as_str().len() + self.owner.as_str().len();
+        ByteCount::new((ENTRY_FIXED_BYTES + names + self.state.text_len()) as u64)
+    }
+
+    /// Returns what a caller at another daemon is told of the claim.
+    pub(crate) fn standing(&self) -> StandingClaim {
+        StandingClaim {
+            holder: ClaimHolder {
+                owner: self.owner.clone(),
+                incarnation: self.incarnation,
+                address: self.address,
+            },
+            fingerprint: self.fingerprint,
+            outcome: self.state.outcome(),
+        }
+    }
+}
+
+/// Holds the claims of one shard.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ClaimObject {
+    /// Claims by the hash of workspace and key.
+    pub entries: BTreeMap<KeyHash, ClaimEntry>,
+}
+
+impl ClaimObject {
+    /// Returns the length of the object's JSON, at most.
+    pub fn size_bytes(&self) -> ByteCount {
+        self.entries.values().map(ClaimEntry::size_bytes).sum()
+    }
+
+    /// Returns the part of the length that one workspace's claims take.
+    pub fn workspace_bytes(&self, workspace: &WorkspaceId) -> ByteCount {
+        let entries = self.entries.values();
+        let own = entries.filter(|entry| entry.workspace == *workspace);
+        own.map(ClaimEntry::size_bytes).sum()
+    }
+
+    /// Drops claims that are as old as `retention_ms`.
+    pub fn drop_old(&mut self, retention_ms: u64, wall_ms: u64) {
+        self.entries
+            .retain(|_, entry| entry.is_younger_than(retention_ms, wall_ms));
+    }
+}
+
+/// Returns how long a text becomes in JSON.
+fn escaped_len(text: &str) -> usize {
+    text.chars().map(escaped_char_len).sum()
+}
+
+fn escaped_char_len(c: char) -> usize {
+    match c {
+        '"' | '\\' | '\n' | '\r' | '\t' => 2,
+        c if c.is_control() => 6,
+        c => c.len_utf8(),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/claim/shard.rs
@@ -0,0 +1,36 @@
+//! Which object of the store holds a key's claim.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::KeyHash;
+
+/// Names one of the objects that claims are spread over.
+///
+/// The number of shards is fixed: two daemons that spread keys differently would claim the same
+/// key in two objects, and both would win.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ClaimShard(u8);
+
+impl ClaimShard {
+    /// Number of shards of every site.
+    pub const COUNT: u8 = 64;
+
+    /// Returns the shard that a key belongs to.
+    pub fn of(hash: &KeyHash) -> Self {
+        Self(hash.as_bytes()[0] % Self::COUNT)
+    }
+
+    /// Lists all shards.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..Self::COUNT).map(Self)
+    }
+}
+
+/// Gives the name of the shard's object.
+impl fmt::Display for ClaimShard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "claims-{:02}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/once/claim/work.rs
@@ -0,0 +1,226 @@
+//! The claims of one shard that are under way.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use wisteriahitch_types::{ByteCount, Incarnation, KeyHash, TimeUs, WorkspaceId};
+
+use super::request::ClaimRequest;
+use super::{ClaimEntry, ClaimLimits, ClaimObject, ClaimState, ClaimTime};
+use crate::once::{ClaimHolder, ClaimNonce, StandingClaim};
+
+/// Says which platform call of the shard is under way.
+#[derive(Clone, Debug, Default)]
+pub(crate) enum Phase {
+    /// None.
+    #[default]
+    Idle,
+    /// A read.
+    Reading,
+    /// A conditional write of this content.
+    Writing(Arc<ClaimObject>),
+    /// None, until the shell has waited for a while.
+    BackingOff,
+}
+
+/// Holds an outcome that is to be written down with its claim.
+#[derive(Clone, Debug)]
+struct Outcome {
+    nonce: ClaimNonce,
+    state: ClaimState,
+}
+
+/// Says how a request's claim stands in a version of the object.
+pub(crate) enum Standing {
+    Ours,
+    Other(StandingClaim),
+    Absent,
+}
+
+/// Holds the requests that wait for the shard's object, and outcomes for it.
+///
+/// A request stays in the list until a version of the object shows whose claim stands. A write's
+/// success is one way to learn of such a version, a read another; both end in
+/// [`resolve`](Self::resolve), so that a lost answer needs no case of its own.
+#[derive(Debug, Default)]
+pub(crate) struct ShardWork {
+    pub(crate) phase: Phase,
+    pub(crate) conflicts: u32,
+    waiting: Vec<ClaimRequest>,
+    outcomes: BTreeMap<KeyHash, Outcome>,
+}
+
+impl ShardWork {
+    pub(crate) fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::Idle)
+    }
+
+    pub(crate) fn has_work(&self) -> bool {
+        !self.waiting.is_empty() || !self.outcomes.is_empty()
+    }
+
+    pub(crate) fn has_requests(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    pub(crate) fn push(&mut self, request: ClaimRequest) {
+        self.waiting.retain(|other| other.hash != request.hash);
+        self.waiting.push(request);
+    }
+
+    /// Takes in an outcome, unless as many as may are waiting.
+    pub(crate) fn push_outcome(
+        &mut self,
+        hash: KeyHash,
+        nonce: ClaimNonce,
+        state: ClaimState,
+        max_outcomes: usize,
+    ) {
+        if self.outcomes.len() < max_outcomes {
+            self.outcomes.insert(hash, Outcome { nonce, state });
+        }
+    }
+
+    pub(crate) fn take_all(&mut self) -> Vec<ClaimRequest> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    pub(crate) fn take_older_than(&mut self, limit: TimeUs) -> Vec<ClaimRequest> {
+        self.take_if(|request| request.since < limit)
+    }
+
+    /// Counts a failed write for each request, and takes out those that had enough.
+    pub(crate) fn take_tired(&mut self, max_tries: u32) -> Vec<ClaimRequest> {
+        for request in &mut self.waiting {
+            request.tries += 1;
+        }
+        self.take_if(|request| request.tries >= max_tries)
+    }
+
+    /// Takes out the requests whose claim a version of the object decides.
+    pub(crate) fn resolve(
+        &mut self,
+        object: &ClaimObject,
+        own: Incarnation,
+        limits: &ClaimLimits,
+        time: ClaimTime,
+    ) -> Vec<(ClaimRequest, Standing)> {
+        self.outcomes.retain(|hash, outcome| {
+            let entry = object.entries.get(hash);
+            entry.is_some_and(|e| e.is_own(own, outcome.nonce) && e.state == ClaimState::Claimed)
+        });
+        let (open, decided) = self
+            .take_all()
+            .into_iter()
+            .map(|request| {
+                let standing = find_standing(object, &request, own, limits, time);
+                (request, standing)
+            })
+            .partition(|(_, standing)| matches!(standing, Standing::Absent));
+        let open: Vec<(ClaimRequest, Standing)> = open;
+        self.waiting = open.into_iter().map(|(request, _)| request).collect();
+        decided
+    }
+
+    /// Builds the next content, and takes out the requests for which it has no room.
+    pub(crate) fn build(
+        &mut self,
+        base: &ClaimObject,
+        holder: &ClaimHolder,
+        limits: &ClaimLimits,
+        time: ClaimTime,
+    ) -> (ClaimObject, Vec<ClaimRequest>) {
+        let mut content = base.clone();
+        content.drop_old(limits.retention_ms, time.wall_ms);
+        let mut size_bytes = content.size_bytes();
+        let mut workspace_bytes: BTreeMap<WorkspaceId, ByteCount> = BTreeMap::new();
+        let mut too_many = Vec::new();
+        for request in &self.waiting {
+            let entry = new_entry(request, holder, time);
+            let entry_bytes = entry.size_bytes();
+            let workspace = request.key.workspace();
+            let own_bytes = workspace_bytes
+                .entry(workspace.clone())
+                .or_insert_with(|| content.workspace_bytes(workspace));
+            let is_full = size_bytes + entry_bytes > limits.object_bytes;
+            if is_full || *own_bytes + entry_bytes > limits.workspace_bytes {
+                too_many.push(request.hash);
+                continue;
+            }
+            size_bytes += entry_bytes;
+            *own_bytes += entry_bytes;
+            content.entries.insert(request.hash, entry);
+        }
+        self.write_outcomes(&mut content, limits);
+        let refused = self.take_if(|request| too_many.contains(&request.hash));
+        (content, refused)
+    }
+
+    fn write_outcomes(&self, content: &mut ClaimObject, limits: &ClaimLimits) {
+        let mut size_bytes = content.size_bytes();
+        for (hash, outcome) in &self.outcomes {
+            let Some(entry) = content.entries.get_mut(hash) else {
+                continue;
+            };
+            let before_bytes = entry.size_bytes();
+            entry.state = outcome.state.clone();
+            let grown_bytes = size_bytes - before_bytes + entry.size_bytes();
+            if grown_bytes > limits.object_bytes {
+                entry.state = without_body(&outcome.state);
+            }
+            size_bytes = size_bytes - before_bytes + entry.size_bytes();
+        }
+    }
+
+    fn take_if(&mut self, is_taken: impl Fn(&ClaimRequest) -> bool) -> Vec<ClaimRequest> {
+        let (taken, kept) = self.take_all().into_iter().partition(is_taken);
+        self.waiting = kept;
+        taken
+    }
+}
+
+fn find_standing(
+    object: &ClaimObject,
+    request: &ClaimRequest,
+    own: Incarnation,
+    limits: &ClaimLimits,
+    time: ClaimTime,
+) -> Standing {
+    let Some(entry) = object.entries.get(&request.hash) else {
+        return Standing::Absent;
+    };
+    let is_own = entry.is_own(own, request.nonce);
+    // Our own claim counts for the promised time alone: past it another daemon whose clock is
+    // ahead may drop it at any moment and claim the key for itself.
+    if is_own && entry.is_younger_than(limits.promised_ms, time.wall_ms) {
+        return Standing::Ours;
+    }
+    if is_own || entry.is_younger_than(limits.retention_ms, time.wall_ms) {
+        return Standing::Other(entry.standing());
+    }
+    Standing::Absent
+}
+
+fn new_entry(request: &ClaimRequest, holder: &ClaimHolder, time: ClaimTime) -> ClaimEntry {
+    ClaimEntry {
+        workspace: request.key.workspace().clone(),
+        fingerprint: request.fingerprint,
+        owner: holder.owner.clone(),
+        incarnation: holder.incarnation,
+        nonce: request.nonce,
+        address: holder.address,
+        claimed_at_ms: time.wall_ms,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn without_body(state: &ClaimState) -> ClaimState {
+    match state {
+        ClaimState::Finished { status, .. } => ClaimState::Finished {
+            status: *status,
+            content_type: None,
+            body: None,
+        },
+        other => other.clone(),
+    }
+}
--- a/crates/wisteriahitch-core/src/once/mod.rs
+++ b/crates/wisteriahitch-core/src/once/mod.rs
@@ -6,6 +6,7 @@
 //! gives the reasons.
 
 mod answer;
+mod claim;
 mod decision;
 mod entry;
 mod fingerprint;
@@ -19,6 +20,10 @@
 mod ticket;
 
 pub use answer::KeptAnswer;
+pub use claim::{
+    ClaimBatcher, ClaimCommand, ClaimEntry, ClaimLimits, ClaimObject, ClaimShard, ClaimState,
+    ClaimTime, ClaimVersion, ReadResult, UndecidedCause, WriteResult,
+};
 pub use decision::{ClaimHolder, ClaimNonce, Decision, Delivery, WaiterId, undecided_code};
 pub use fingerprint::Fingerprint;
 pub use issuer::{TicketIssuer, TicketSecret};
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -5,5 +5,6 @@
     reason = "a helper of a test fails that test by panicking"
 )]
 
+mod once_claim;
 mod once_table;
 mod once_ticket;
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/once_claim.rs
@@ -0,0 +1,449 @@
+//! Claims in the object store: groups, conflicts, lost answers, outages and bounds.
+
+use std::sync::Arc;
+
+use wisteriahitch_core::once::{
+    ClaimBatcher, ClaimCommand, ClaimEntry, ClaimHolder, ClaimLimits, ClaimNonce, ClaimObject,
+    ClaimOutcome, ClaimShard, ClaimState, ClaimTime, ClaimVersion, Fingerprint, KeptAnswer,
+    OnceKey, ReadResult, UndecidedCause, WriteResult,
+};
+use wisteriahitch_types::{ByteCount, DurationUs, Incarnation, KeyHash, TimeUs, WorkspaceId};
+
+const HOUR_MS: u64 = 3_600_000;
+const WALL_MS: u64 = 1_000 * HOUR_MS;
+const NONCE: ClaimNonce = ClaimNonce::new(1);
+
+fn at(ms: u64) -> ClaimTime {
+    ClaimTime {
+        now: TimeUs::ZERO + DurationUs::from_ms(ms),
+        wall_ms: WALL_MS + ms,
+    }
+}
+
+fn workspace() -> WorkspaceId {
+    "kandy".parse().unwrap()
+}
+
+fn holder(incarnation: u64) -> ClaimHolder {
+    ClaimHolder {
+        owner: "entry-1".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        address: "127.0.0.1:7000".parse().unwrap(),
+    }
+}
+
+fn batcher() -> ClaimBatcher {
+    ClaimBatcher::new(holder(5), ClaimLimits::default())
+}
+
+fn key(text: &str) -> OnceKey {
+    OnceKey::try_claimed(&workspace(), text).unwrap()
+}
+
+fn hash(key: &OnceKey) -> KeyHash {
+    match key {
+        OnceKey::Claimed { hash, .. } => *hash,
+        OnceKey::Ticket { .. } => panic!("a claimed key"),
+    }
+}
+
+fn shard(key: &OnceKey) -> ClaimShard {
+    ClaimShard::of(&hash(key))
+}
+
+/// Gives keys that all belong to one shard.
+fn keys_of_one_shard(count: usize) -> Vec<OnceKey> {
+    let wanted = shard(&key("order-0"));
+    let keys = (0..).map(|number| key(&format!("order-{number}")));
+    keys.filter(|key| shard(key) == wanted)
+        .take(count)
+        .collect()
+}
+
+fn print() -> Fingerprint {
+    Fingerprint::new(&workspace(), "POST", "/orders", b"12 kg")
+}
+
+fn entry(incarnation: u64, nonce: ClaimNonce, claimed_at_ms: u64) -> ClaimEntry {
+    ClaimEntry {
+        workspace: workspace(),
+        fingerprint: print(),
+        owner: "entry-1".parse().unwrap(),
+        incarnation: Incarnation::new(incarnation),
+        nonce,
+        address: "127.0.0.1:7000".parse().unwrap(),
+        claimed_at_ms,
+        state: ClaimState::Claimed,
+    }
+}
+
+fn object(key: &OnceKey, entry: ClaimEntry) -> ClaimObject {
+    ClaimObject {
+        entries: [(hash(key), entry)].into(),
+    }
+}
+
+fn found(version: u64, object: ClaimObject) -> ReadResult {
+    ReadResult::Found(ClaimVersion::new(version), object)
+}
+
+fn written(version: u64) -> WriteResult {
+    WriteResult::Written(ClaimVersion::new(version))
+}
+
+/// Returns the group that the only command writes.
+fn group(commands: &[ClaimCommand]) -> (Option<ClaimVersion>, Arc<ClaimObject>) {
+    match commands {
+        [
+            ClaimCommand::WriteGroup {
+                expected, content, ..
+            },
+        ] => (*expected, content.clone()),
+        other => panic!("one write, not {other:?}"),
+    }
+}
+
+#[test]
+fn requests_that_come_during_a_call_go_with_the_next_write() {
+    let mut batcher = batcher();
+    let keys = keys_of_one_shard(3);
+    let shard = shard(&keys[0]);
+    let first = batcher.claim(&keys[0], print(), NONCE, at(0));
+    assert_eq!(first, [ClaimCommand::Read(shard)]);
+    assert_eq!(batcher.claim(&keys[1], print(), NONCE, at(0)), []);
+    let (expected, content) = group(&batcher.on_read(shard, ReadResult::Missing, at(1)));
+    assert_eq!((expected, content.entries.len()), (None, 2));
+    assert_eq!(batcher.claim(&keys[2], print(), NONCE, at(1)), []);
+    let mut commands = batcher.on_write(shard, written(7), at(2));
+    let next = commands.split_off(2);
+    let decided = [&keys[0], &keys[1]].map(|key| ClaimCommand::Written(key.clone()));
+    assert!(
+        decided.iter().all(|command| commands.contains(command)),
+        "{commands:?}"
+    );
+    let (expected, content) = group(&next);
+    assert_eq!(
+        (expected, content.entries.len()),
+        (Some(ClaimVersion::new(7)), 3)
+    );
+}
+
+#[test]
+fn a_read_shows_whose_claim_stands() {
+    struct Case {
+        name: &'static str,
+        entry: ClaimEntry,
+        is_written: bool,
+        is_lost: bool,
+    }
+    let old = |hours: u64| WALL_MS - hours * HOUR_MS;
+    let cases = [
+        Case {
+            name: "own",
+            entry: entry(5, NONCE, old(1)),
+            is_written: true,
+            is_lost: false,
+        },
+        Case {
+            name: "own, under another nonce",
+            entry: entry(5, ClaimNonce::new(9), old(1)),
+            is_written: false,
+            is_lost: true,
+        },
+        Case {
+            name: "own, past the promised time",
+            entry: entry(5, NONCE, old(25)),
+            is_written: false,
+            is_lost: true,
+        },
+        Case {
+            name: "another daemon's",
+            entry: entry(6, NONCE, old(29)),
+            is_written: false,
+            is_lost: true,
+        },
+        Case {
+            name: "another daemon's, from the future",
+            entry: entry(6, NONCE, WALL_MS + HOUR_MS),
+            is_written: false,
+            is_lost: true,
+        },
+        Case {
+            name: "another daemon's, past retention",
+            entry: entry(6, NONCE, old(31)),
+            is_written: false,
+            is_lost: false,
+        },
+    ];
+    for case in cases {
+        let mut batcher = batcher();
+        let key = key("k");
+        batcher.claim(&key, print(), NONCE, at(0));
+        let commands = batcher.on_read(shard(&key), found(3, object(&key, case.entry)), at(0));
+        let is_written = commands == [ClaimCommand::Written(key.clone())];
+        let is_lost = matches!(commands[..], [ClaimCommand::Lost(..)]);
+        assert_eq!(is_written, case.is_written, "{}: {commands:?}", case.name);
+        assert_eq!(is_lost, case.is_lost, "{}: {commands:?}", case.name);
+        if !is_written && !is_lost {
+            assert_eq!(group(&commands).1.entries[&hash(&key)].incarnation.get(), 5);
+        }
+    }
+}
+
+/// Symptom: a claim that stands is taken for lost, or one that was lost for standing. Sequence:
+/// the platform writes, its answer gets lost. Cause: only the object itself shows what happened.
+#[test]
+fn a_lost_answer_is_settled_by_reading_back() {
+    struct Case {
+        name: &'static str,
+        shown: Option<ClaimEntry>,
+        expected: fn(&ClaimCommand) -> bool,
+    }
+    let cases = [
+        Case {
+            name: "it took effect",
+            shown: Some(entry(5, NONCE, WALL_MS)),
+            expected: |command| matches!(command, ClaimCommand::Written(_)),
+        },
+        Case {
+            name: "another daemon won",
+            shown: Some(entry(6, NONCE, WALL_MS)),
+            expected: |command| matches!(command, ClaimCommand::Lost(..)),
+        },
+        Case {
+            name: "it did not take effect",
+            shown: None,
+            expected: |command| matches!(command, ClaimCommand::WriteGroup { .. }),
+        },
+    ];
+    for case in cases {
+        let mut batcher = batcher();
+        let key = key("k");
+        let shard = shard(&key);
+        batcher.claim(&key, print(), NONCE, at(0));
+        batcher.on_read(shard, ReadResult::Missing, at(0));
+        let commands = batcher.on_write(shard, WriteResult::AnswerLost, at(0));
+        assert_eq!(commands, [ClaimCommand::Read(shard)], "{}", case.name);
+        let shown = case.shown.map(|entry| object(&key, entry));
+        let result = shown.map_or(ReadResult::Missing, |object| found(4, object));
+        let commands = batcher.on_read(shard, result, at(0));
+        assert!(
+            commands.iter().all(case.expected),
+            "{}: {commands:?}",
+            case.name
+        );
+        assert_eq!(commands.len(), 1, "{}", case.name);
+    }
+}
+
+#[test]
+fn tries_are_bounded() {
+    for result in [WriteResult::Conflict, WriteResult::AnswerLost] {
+        let mut batcher = batcher();
+        let key = key("k");
+        let shard = shard(&key);
+        let mut commands = batcher.claim(&key, print(), NONCE, at(0));
+        let mut writes = 0;
+        while let Some(command) = commands.pop() {
+            commands = match command {
+                ClaimCommand::Read(shard) => batcher.on_read(shard, ReadResult::Missing, at(0)),
+                ClaimCommand::WriteGroup { shard, .. } => {
+                    writes += 1;
+                    batcher.on_write(shard, result, at(0))
+                }
+                ClaimCommand::Retry { shard, .. } => {
+                    let mut next = batcher.retry(shard);
+                    next.splice(0..0, commands);
+                    next
+                }
+                ClaimCommand::Undecided(decided, UndecidedCause::Contended) => {
+                    assert_eq!(decided, key);
+                    break;
+                }
+                other => panic!("{other:?}"),
+            };
+        }
+        assert_eq!(writes, 6, "{result:?}");
+        assert_eq!(batcher.retry(shard), []);
+    }
+}
+
+/// Symptom: requests pile up while the platform is away. Sequence: each one waits for a call that
+/// can't succeed. Cause: nobody can decide, so the truthful answer is known at once.
+#[test]
+fn an_outage_is_answered_at_once() {
+    let mut batcher = batcher();
+    let (first, second) = (key("a"), key("b"));
+    batcher.claim(&first, print(), NONCE, at(0));
+    let away = |key: &OnceKey| {
+        [ClaimCommand::Undecided(
+            key.clone(),
+            UndecidedCause::PlatformAway,
+        )]
+    };
+    let commands = batcher.on_read(shard(&first), ReadResult::Unavailable, at(0));
+    assert_eq!(commands, away(&first));
+    assert_eq!(
+        batcher.claim(&second, print(), NONCE, at(499)),
+        away(&second)
+    );
+    let probe = batcher.claim(&second, print(), NONCE, at(500));
+    assert_eq!(probe, [ClaimCommand::Read(shard(&second))]);
+}
+
+#[test]
+fn a_slow_platform_holds_no_request_for_long() {
+    let mut batcher = batcher();
+    let key = key("k");
+    let shard = shard(&key);
+    batcher.claim(&key, print(), NONCE, at(0));
+    batcher.on_read(shard, ReadResult::Missing, at(0));
+    assert_eq!(batcher.tick(at(2_000)), []);
+    let late = ClaimCommand::Undecided(key.clone(), UndecidedCause::HeldTooLong);
+    assert_eq!(batcher.tick(at(2_001)), [late]);
+    // The write lands after all; whoever asks again meets that very claim.
+    assert_eq!(batcher.on_write(shard, written(4), at(2_500)), []);
+    batcher.claim(&key, print(), NONCE, at(3_000));
+    let shown = object(&key, entry(5, NONCE, WALL_MS));
+    let commands = batcher.on_read(shard, found(4, shown), at(3_000));
+    assert_eq!(commands, [ClaimCommand::Written(key)]);
+}
+
+/// Symptom: no workspace can claim keys any more. Sequence: one of them claims without end.
+/// Cause: an object has room for so many claims, and they stay for the whole retention.
+#[test]
+fn a_workspace_fills_its_own_part_of_an_object_alone() {
+    let entry_bytes = entry(5, NONCE, WALL_MS).size_bytes().get();
+    let limits = ClaimLimits {
+        object_bytes: ByteCount::new(entry_bytes * 3),
+        workspace_bytes: ByteCount::new(entry_bytes * 2),
+        ..ClaimLimits::default()
+    };
+    let mut batcher = ClaimBatcher::new(holder(5), limits);
+    let keys = keys_of_one_shard(3);
+    let shard = shard(&keys[0]);
+    for key in &keys {
+        batcher.claim(key, print(), NONCE, at(0));
+    }
+    let mut commands = batcher.on_read(shard, ReadResult::Missing, at(0));
+    let full = ClaimCommand::Undecided(keys[2].clone(), UndecidedCause::ShardFull);
+    assert_eq!(commands.remove(0), full);
+    assert_eq!(group(&commands).1.entries.len(), 2);
+}
+
+#[test]
+fn outcomes_are_written_with_their_claims() {
+    struct Case {
+        name: &'static str,
+        body: Vec<u8>,
+        shown: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            name: "small text",
+            body: b"booked".to_vec(),
+            shown: Some("booked"),
+        },
+        Case {
+            name: "large",
+            body: vec![b'x'; 8_193],
+            shown: None,
+        },
+        Case {
+            name: "not text",
+            body: vec![0xff],
+            shown: None,
+        },
+    ];
+    for case in cases {
+        let mut batcher = batcher();
+        let key = key("k");
+        let shard = shard(&key);
+        let answer = KeptAnswer {
+            status: 201,
+            content_type: None,
+            body: case.body,
+        };
+        let state = ClaimState::finished(&answer, ClaimLimits::default().answer_bytes);
+        let read = batcher.settle(&key, NONCE, state.clone(), at(0));
+        assert_eq!(read, [ClaimCommand::Read(shard)]);
+        let before = object(&key, entry(5, NONCE, WALL_MS));
+        let (_, content) = group(&batcher.on_read(shard, found(3, before), at(0)));
+        let shown = content.entries[&hash(&key)].state.outcome();
+        let expected = case.shown.map(|_| Arc::new(answer));
+        assert_eq!(shown, ClaimOutcome::Finished(expected), "{}", case.name);
+        assert_eq!(
+            batcher.on_write(shard, written(4), at(0)),
+            [],
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn outcomes_of_others_claims_are_not_touched() {
+    let mut batcher = batcher();
+    let key = key("k");
+    batcher.settle(&key, NONCE, ClaimState::Refused, at(0));
+    let other = object(&key, entry(6, NONCE, WALL_MS));
+    assert_eq!(batcher.on_read(shard(&key), found(3, other), at(0)), []);
+}
+
+#[test]
+fn outcomes_wait_for_the_end_of_an_outage() {
+    let mut batcher = batcher();
+    let key = key("k");
+    let shard = shard(&key);
+    batcher.settle(&key, NONCE, ClaimState::Refused, at(0));
+    assert_eq!(batcher.on_read(shard, ReadResult::Unavailable, at(0)), []);
+    assert_eq!(batcher.tick(at(499)), []);
+    assert_eq!(batcher.tick(at(500)), [ClaimCommand::Read(shard)]);
+}
+
+#[test]
+fn sizes_are_never_underestimated_and_content_round_trips() {
+    let mut entry = entry(u64::MAX, ClaimNonce::new(u64::MAX), u64::MAX);
+    entry.owner = "o".repeat(128).parse().unwrap();
+    entry.address = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+        .parse()
+        .unwrap();
+    let text = "\u{1}\"\\\n\r\t\u{8}é\u{7f}\u{2028}".repeat(50);
+    let states = [
+        ClaimState::Claimed,
+        ClaimState::Refused,
+        ClaimState::Finished {
+            status: 999,
+            content_type: None,
+            body: None,
+        },
+        ClaimState::Finished {
+            status: 999,
+            content_type: Some(text.clone()),
+            body: Some(text),
+        },
+    ];
+    for state in states {
+        entry.state = state;
+        let object = object(&key("k"), entry.clone());
+        let json = serde_json::to_string(&object).unwrap();
+        assert!(
+            json.len() as u64 <= object.size_bytes().get(),
+            "{} {json}",
+            json.len()
+        );
+        assert_eq!(serde_json::from_str::<ClaimObject>(&json).unwrap(), object);
+        let value = serde_json::to_value(&object).unwrap();
+        assert_eq!(
+            serde_json::from_value::<ClaimObject>(value).unwrap(),
+            object
+        );
+    }
+}
+
+#[test]
+fn shards_have_names_of_their_own() {
+    let names: std::collections::BTreeSet<_> = ClaimShard::all().map(|s| s.to_string()).collect();
+    assert_eq!(names.len(), 64);
+    assert!(names.contains("claims-07"));
+}
