--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, one module a feature.
 
+mod once_claim;
 mod once_table;
 mod once_ticket;
 mod tier;
