feat(route): add admission with fair shares and the retry budget

Cause: workspaces must not cost each other time, and retries must not multiply the load of a fault. Ruled out: deficit round robin, whose step visits every workspace that waits; a priority that grows while a workspace is idle. Change: start-time fair queueing for each service, quotas by token bucket, bounded queues, refusal at the deadline; a retry budget as a share of requests.

--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/admission/fair_queue.rs
@@ -0,0 +1,114 @@
+//! Start-time fair queueing of the workspaces that wait for one service.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wisteriahitch_types::WorkspaceId;
+
+/// Virtual time, in cost over weight, scaled to whole numbers so that it can be ordered.
+type VirtualTime = u128;
+
+/// Virtual time of one unit of cost at weight one.
+const SCALE: u128 = 1 << 20;
+
+/// Place of a request in its workspace's queue: highest priority first, then in order of arrival.
+///
+/// No two requests of one queue share a place.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Rank {
+    priority: Reverse<u8>,
+    number: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    /// Virtual time at which what it has begun would have ended.
+    finish: VirtualTime,
+    /// Start tag under which it stands in the order; nothing while it waits for nothing.
+    start: Option<VirtualTime>,
+    waiting: BTreeMap<Rank, u64>,
+}
+
+/// Orders workspaces by the virtual time at which their next request starts.
+///
+/// A workspace that was idle starts at the present virtual time: it banks no credit. One that
+/// sends more only lengthens its own queue, because each start moves its own tag on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    now: VirtualTime,
+    flows: HashMap<WorkspaceId, Flow>,
+    order: BTreeSet<(VirtualTime, WorkspaceId)>,
+    next_number: u64,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Adds a request with its cost.
+    pub(crate) fn push(&mut self, workspace: &WorkspaceId, priority: u8, cost: u64) -> Rank {
+        let rank = Rank {
+            priority: Reverse(priority),
+            number: self.next_number,
+        };
+        self.next_number += 1;
+        self.len += 1;
+        let flow = self.flows.entry(workspace.clone()).or_default();
+        flow.waiting.insert(rank, cost.max(1));
+        if flow.start.is_none() {
+            let start = flow.finish.max(self.now);
+            flow.start = Some(start);
+            self.order.insert((start, workspace.clone()));
+        }
+        rank
+    }
+
+    /// Takes the request that is next, by the weight of its workspace.
+    pub(crate) fn pop(&mut self, weight: impl Fn(&WorkspaceId) -> u32) -> Option<Rank> {
+        let (start, workspace) = self.order.pop_first()?;
+        let flow = self.flows.get_mut(&workspace)?;
+        let (rank, cost) = flow.waiting.pop_first()?;
+        self.len -= 1;
+        self.now = self.now.max(start);
+        let weight = u128::from(weight(&workspace).max(1));
+        flow.finish = start + u128::from(cost) * SCALE / weight;
+        flow.start = None;
+        if !flow.waiting.is_empty() {
+            flow.start = Some(flow.finish);
+            self.order.insert((flow.finish, workspace));
+        }
+        Some(rank)
+    }
+
+    /// Removes a request that still waits.
+    pub(crate) fn remove(&mut self, workspace: &WorkspaceId, rank: Rank) {
+        let Some(flow) = self.flows.get_mut(workspace) else {
+            return;
+        };
+        if flow.waiting.remove(&rank).is_none() {
+            return;
+        }
+        self.len -= 1;
+        if flow.waiting.is_empty()
+            && let Some(start) = flow.start.take()
+        {
+            self.order.remove(&(start, workspace.clone()));
+        }
+    }
+
+    /// Forgets workspaces that wait for nothing and whose past no longer matters.
+    pub(crate) fn forget_idle(&mut self) {
+        let now = self.now;
+        self.flows
+            .retain(|_, flow| flow.start.is_some() || flow.finish > now);
+    }
+
+    /// Returns how many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns how many requests of a workspace wait.
+    pub(crate) fn waiting_of(&self, workspace: &WorkspaceId) -> usize {
+        let flow = self.flows.get(workspace);
+        flow.map_or(0, |flow| flow.waiting.len())
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/admission/mod.rs
@@ -0,0 +1,11 @@
+//! Admission: quotas, bounded queues and fair shares among workspaces.
+
+mod fair_queue;
+mod gate;
+mod quota;
+mod request;
+mod table;
+mod token_bucket;
+
+pub use request::{AdmissionCommand, AdmissionRequest};
+pub use table::{Admission, GateSnapshot};
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/admission/quota.rs
@@ -0,0 +1,77 @@
+//! What one workspace may send.
+
+use wisteriahitch_config::Workspace;
+use wisteriahitch_types::{DurationUs, TimeUs, TokenCount};
+
+use super::token_bucket::TokenBucket;
+
+/// Holds the bounds and the weight of one workspace at this daemon.
+#[derive(Clone, Debug)]
+pub(crate) struct Quota {
+    pub(crate) weight: u32,
+    pub(crate) max_queued: usize,
+    requests: Option<TokenBucket>,
+    prompt_tokens: Option<TokenBucket>,
+}
+
+impl Quota {
+    /// Builds the quota, with full buckets.
+    pub(crate) fn new(workspace: &Workspace, daemons: u32, now: TimeUs) -> Self {
+        let mut quota = Self {
+            weight: 1,
+            max_queued: 0,
+            requests: None,
+            prompt_tokens: None,
+        };
+        quota.configure(workspace, daemons, now);
+        quota
+    }
+
+    /// Takes over changed bounds; what has been used stays used.
+    pub(crate) fn configure(&mut self, workspace: &Workspace, daemons: u32, now: TimeUs) {
+        let share = 1.0 / f64::from(daemons.max(1));
+        self.weight = workspace.weight;
+        self.max_queued = workspace.max_queued as usize;
+        let requests_per_s = workspace.requests_per_s.map(f64::from);
+        let tokens_per_s = workspace.prompt_tokens_per_s.map(|rate| rate.as_f64());
+        set_rate(
+            &mut self.requests,
+            requests_per_s.map(|rate| rate * share),
+            now,
+        );
+        set_rate(
+            &mut self.prompt_tokens,
+            tokens_per_s.map(|rate| rate * share),
+            now,
+        );
+    }
+
+    /// Takes a request out of the quota, or returns how long to wait before it would fit.
+    pub(crate) fn take(&mut self, prompt_tokens: TokenCount, now: TimeUs) -> DurationUs {
+        let wait_of = |bucket: &mut TokenBucket| bucket.wait(now);
+        let requests_wait = self.requests.as_mut().map_or(DurationUs::ZERO, wait_of);
+        let tokens_wait = self
+            .prompt_tokens
+            .as_mut()
+            .map_or(DurationUs::ZERO, wait_of);
+        let wait = requests_wait.max(tokens_wait);
+        if wait > DurationUs::ZERO {
+            return wait;
+        }
+        if let Some(bucket) = &mut self.requests {
+            bucket.take(1.0);
+        }
+        if let Some(bucket) = &mut self.prompt_tokens {
+            bucket.take(prompt_tokens.as_f64());
+        }
+        DurationUs::ZERO
+    }
+}
+
+fn set_rate(bucket: &mut Option<TokenBucket>, rate_per_s: Option<f64>, now: TimeUs) {
+    match (bucket.as_mut(), rate_per_s) {
+        (Some(bucket), Some(rate)) => bucket.set_rate(rate, now),
+        (None, Some(rate)) => *bucket = Some(TokenBucket::new(rate, now)),
+        (_, None) => *bucket = None,
+    }
+}
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -2,13 +2,16 @@
 //!
 //! `docs/design/routing.md` and `docs/design/admission.md` give the reasons.
 
+mod admission;
 mod directory;
 mod draw;
 mod endpoint;
 mod pieces;
 mod policy;
+mod retry;
 mod router;
 
+pub use admission::{Admission, AdmissionCommand, AdmissionRequest, GateSnapshot};
 pub use directory::{Directory, DirectorySnapshot, Tier, shard_owner};
 pub use endpoint::{
     EndpointChange, EndpointLoad, EndpointOptions, EndpointSnapshot, EndpointTable, FlightFailure,
@@ -19,4 +22,5 @@
     Affinity, Choice, CostOptions, CostPolicy, Estimate, ImportStep, LeastLoaded, LinkView,
     NoLinks, Plan, Policy, RoundRobin, RouteRefusal, RouteRequest, View, Weighed,
 };
+pub use retry::{FailedAttempt, RetryBudget, RetryDecision, retry_decision};
 pub use router::{Router, RouterSnapshot};
