--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -0,0 +1,127 @@
+//! Waiting for a turn.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::oneshot;
+use wisteriahitch_config::Route;
+use wisteriahitch_core::route::{
+    Admission, AdmissionCommand, AdmissionRequest, GateSnapshot, RetryBudget,
+};
+use wisteriahitch_types::{Code, RequestId, TokenCount};
+
+use crate::caller::{Identity, Refusal};
+use crate::shared::Shared;
+
+type Turn = Result<(), Refusal>;
+
+/// Holds who runs and who waits, with the retry budget.
+pub(crate) struct AdmissionState {
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    admission: Admission,
+    budget: RetryBudget,
+    waiters: HashMap<RequestId, oneshot::Sender<Turn>>,
+}
+
+impl AdmissionState {
+    /// Builds an empty state whose retries are `retry_share` of the requests.
+    pub(crate) fn new(retry_share: f64) -> Self {
+        let inner = Inner {
+            admission: Admission::default(),
+            budget: RetryBudget::new(retry_share),
+            waiters: HashMap::new(),
+        };
+        Self { inner: Mutex::new(inner) }
+    }
+
+    /// Runs a step of the table and tells those whom it concerns.
+    pub(crate) fn step(&self, step: impl FnOnce(&mut Admission) -> Vec<AdmissionCommand>) {
+        let mut inner = self.inner.lock();
+        let commands = step(&mut inner.admission);
+        for command in commands {
+            let (request, turn) = match command {
+                AdmissionCommand::Start(request) => (request, Ok(())),
+                AdmissionCommand::Refuse { request, code, retry_after_us } => {
+                    (request, Err(Refusal::new(code).with_retry_after_us(retry_after_us)))
+                }
+            };
+            if let Some(waiter) = inner.waiters.remove(&request) {
+                // A caller that left gives its turn back when its permit is dropped.
+                let _ = waiter.send(turn);
+            }
+        }
+    }
+
+    /// Takes over another share of retries.
+    pub(crate) fn set_retry_share(&self, share: f64) {
+        self.inner.lock().budget.set_share(share);
+    }
+
+    /// Shows the gates, for the dump.
+    pub(crate) fn snapshot(&self) -> Vec<GateSnapshot> {
+        self.inner.lock().admission.snapshot()
+    }
+}
+
+/// Holds a request's turn; dropping it lets the next one start.
+pub(crate) struct Permit {
+    shared: Arc<Shared>,
+    request: RequestId,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.admission.step(|admission| {
+            admission.cancel(&self.request);
+            admission.finished(&self.request, now)
+        });
+    }
+}
+
+impl Shared {
+    /// Waits for a request's turn, or returns why it gets none.
+    pub(crate) async fn enter(
+        self: &Arc<Self>,
+        identity: &Identity,
+        route: &Route,
+        request_id: &RequestId,
+        prompt_tokens: TokenCount,
+        cost_tokens: TokenCount,
+    ) -> Result<Permit, Refusal> {
+        let now = self.clock.now();
+        let request = AdmissionRequest {
+            request: request_id.clone(),
+            workspace: identity.workspace.clone(),
+            service: route.service.clone(),
+            priority: route.priority,
+            prompt_tokens,
+            cost_tokens,
+            deadline_us: now + route.deadline_us,
+        };
+        let (sender, receiver) = oneshot::channel();
+        {
+            let mut inner = self.admission.inner.lock();
+            inner.budget.request();
+            inner.waiters.insert(request_id.clone(), sender);
+        }
+        // The permit exists from the arrival on, so that a caller that leaves while it waits, or
+        // in the very moment of its start, gives its place back.
+        let permit = Permit { shared: Arc::clone(self), request: request_id.clone() };
+        self.admission.step(|admission| admission.arrive(request, now));
+        match receiver.await {
+            Ok(Ok(())) => Ok(permit),
+            Ok(Err(refusal)) => Err(refusal),
+            Err(_) => Err(Refusal::new(Code::Internal)),
+        }
+    }
+
+    /// Takes one retry out of the budget, if there is one left.
+    pub(crate) fn try_retry(&self) -> bool {
+        self.admission.inner.lock().budget.try_take()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -0,0 +1,178 @@
+//! Carrying claims on callers' keys to the platform.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use chrono::Utc;
+use wisteriahitch_core::once::{
+    ClaimCommand, ClaimNonce, ClaimObject, ClaimShard, ClaimState, ClaimTime, ClaimVersion,
+    Fingerprint, OnceKey, ReadResult, WriteResult,
+};
+use wisteriahitch_wire::platform::{
+    Object, ObjectKind, ObjectVersion, Platform, PlatformError, PlatformErrorKind,
+};
+
+use crate::shared::Shared;
+
+/// Longest pause before the first repetition after a conflict; it doubles with each further one.
+const CONFLICT_PAUSE_MS: u64 = 5;
+
+/// Doublings after which the pause grows no more.
+const MAX_DOUBLINGS: u32 = 5;
+
+impl Shared {
+    /// Asks for a claim on a key.
+    pub(crate) fn claim(
+        self: &Arc<Self>,
+        key: &OnceKey,
+        fingerprint: Fingerprint,
+        nonce: ClaimNonce,
+    ) {
+        let time = self.claim_time();
+        let commands = self.once.lock().claims.claim(key, fingerprint, nonce, time);
+        self.run_claims(commands);
+    }
+
+    /// Writes down what became of a claimed request, for repeats that come after this process.
+    pub(crate) fn settle_claim(
+        self: &Arc<Self>,
+        key: &OnceKey,
+        nonce: ClaimNonce,
+        state: ClaimState,
+    ) {
+        let time = self.claim_time();
+        let commands = self.once.lock().claims.settle(key, nonce, state, time);
+        self.run_claims(commands);
+    }
+
+    /// Gives up claims that waited too long.
+    pub(crate) fn tick_claims(self: &Arc<Self>) {
+        let time = self.claim_time();
+        let commands = self.once.lock().claims.tick(time);
+        self.run_claims(commands);
+    }
+
+    fn claim_time(&self) -> ClaimTime {
+        let wall_ms = u64::try_from(Utc::now().timestamp_millis()).unwrap_or(0);
+        ClaimTime { now: self.clock.now(), wall_ms }
+    }
+
+    fn run_claims(self: &Arc<Self>, commands: Vec<ClaimCommand>) {
+        for command in commands {
+            match command {
+                ClaimCommand::Written(key) => self.note_claim_written(&key),
+                ClaimCommand::Lost(key, standing) => {
+                    let mut once = self.once.lock();
+                    if let Some(delivery) = once.table.claim_lost(&key, &standing) {
+                        once.deliver(delivery);
+                    }
+                }
+                ClaimCommand::Undecided(key, cause) => {
+                    log::warn!("a claim is undecided: {cause:?}");
+                    let now = self.clock.now();
+                    let mut once = self.once.lock();
+                    if let Some(delivery) = once.table.claim_undecided(&key, now) {
+                        once.deliver(delivery);
+                    }
+                }
+                command => {
+                    tokio::spawn(call_platform(Arc::clone(self), command));
+                }
+            }
+        }
+    }
+
+    fn note_claim_written(&self, key: &OnceKey) {
+        let mut once = self.once.lock();
+        if let Some(delivery) = once.table.claim_written(key) {
+            once.deliver(delivery);
+        }
+    }
+}
+
+/// Carries out one call; its result leads to further commands.
+async fn call_platform(shared: Arc<Shared>, command: ClaimCommand) {
+    let commands = match command {
+        ClaimCommand::Read(shard) => {
+            let result = read(&shared, shard).await;
+            let time = shared.claim_time();
+            shared.once.lock().claims.on_read(shard, result, time)
+        }
+        ClaimCommand::WriteGroup { shard, expected, content } => {
+            let result = write(&shared, shard, expected, &content).await;
+            let time = shared.claim_time();
+            shared.once.lock().claims.on_write(shard, result, time)
+        }
+        ClaimCommand::Retry { shard, tries } => {
+            tokio::time::sleep(conflict_pause(tries)).await;
+            shared.once.lock().claims.retry(shard)
+        }
+        ClaimCommand::Written(_) | ClaimCommand::Lost(..) | ClaimCommand::Undecided(..) => return,
+    };
+    shared.run_claims(commands);
+}
+
+/// Draws a pause, so that daemons that met in a conflict don't meet again.
+fn conflict_pause(tries: u32) -> Duration {
+    let longest_ms = CONFLICT_PAUSE_MS << tries.min(MAX_DOUBLINGS);
+    Duration::from_millis(rand::random_range(1..=longest_ms))
+}
+
+async fn read(shared: &Shared, shard: ClaimShard) -> ReadResult {
+    match shared.outside.platform.get(ObjectKind::Claim, &shard.to_string()).await {
+        Ok(None) => ReadResult::Missing,
+        Ok(Some(object)) => parse(object),
+        Err(error) => {
+            log::warn!("claims can't be read: {error}");
+            ReadResult::Unavailable
+        }
+    }
+}
+
+fn parse(object: Object) -> ReadResult {
+    let version = ClaimVersion::new(object.version.get());
+    match serde_json::from_value::<ClaimObject>(object.spec) {
+        Ok(content) => ReadResult::Found(version, content),
+        Err(error) => {
+            log::error!("the claims {} don't parse: {error}", object.name);
+            ReadResult::Unavailable
+        }
+    }
+}
+
+async fn write(
+    shared: &Shared,
+    shard: ClaimShard,
+    expected: Option<ClaimVersion>,
+    content: &ClaimObject,
+) -> WriteResult {
+    let Ok(spec) = serde_json::to_value(content) else {
+        return WriteResult::Unavailable;
+    };
+    let platform = &shared.outside.platform;
+    let name = shard.to_string();
+    let written = match expected {
+        None => platform.create(ObjectKind::Claim, &name, spec).await,
+        Some(version) => {
+            let version = ObjectVersion::new(version.get());
+            platform.update(ObjectKind::Claim, &name, spec, version).await
+        }
+    };
+    match written {
+        Ok(object) => WriteResult::Written(ClaimVersion::new(object.version.get())),
+        Err(error) => write_failure(&error),
+    }
+}
+
+fn write_failure(error: &PlatformError) -> WriteResult {
+    match error.kind() {
+        PlatformErrorKind::AlreadyExists
+        | PlatformErrorKind::Conflict
+        | PlatformErrorKind::NotFound => WriteResult::Conflict,
+        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteResult::AnswerLost,
+        _ => {
+            log::warn!("claims can't be written: {error}");
+            WriteResult::Unavailable
+        }
+    }
+}
