feat(stream): pass each token to its caller once and in order

Answers come late or crossed, and weights may be swapped between decision and run. A check per request compares request, attempt and position of each token and the weight version of each head, counts what it drops by reason, and decides after a break between resuming, an invisible restart and a numbered code for an incomplete answer.

--- a/crates/wisteriahitch-core/src/stream/mod.rs
+++ b/crates/wisteriahitch-core/src/stream/mod.rs
@@ -1,1 +1,13 @@
 //! What passes to the caller of a token stream.
+//!
+//! A caller gets exactly the tokens of its own request, each once and in order, or is told by a
+//! numbered code that the answer is incomplete (`docs/design/at-most-once.md`, on streams).
+
+mod broken;
+mod check;
+mod life;
+mod token;
+
+pub use broken::{BreakDecision, StreamBreak};
+pub use check::{HeadVerdict, StreamCheck, TokenVerdict};
+pub use token::{DropCounts, DropReason, StreamHead, StreamToken};
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -8,3 +8,4 @@
 mod once_claim;
 mod once_table;
 mod once_ticket;
+mod stream;
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/stream.rs
@@ -0,0 +1,281 @@
+//! Token streams: what passes, what is dropped, and what follows a break.
+
+use wisteriahitch_core::stream::{
+    BreakDecision, DropReason, HeadVerdict, StreamBreak, StreamCheck, StreamHead, StreamToken,
+    TokenVerdict,
+};
+use wisteriahitch_types::{AttemptNumber, Code, EndpointId, WeightVersion};
+
+fn version(name: &str) -> WeightVersion {
+    name.parse().unwrap()
+}
+
+fn endpoint() -> EndpointId {
+    "runner-1".parse().unwrap()
+}
+
+fn check() -> StreamCheck {
+    StreamCheck::new("r-1".parse().unwrap(), endpoint(), version("v1"))
+}
+
+fn head(request: &str, attempt: u64, weight_version: &str) -> StreamHead {
+    StreamHead {
+        request: request.parse().unwrap(),
+        attempt: AttemptNumber::new(attempt),
+        weight_version: version(weight_version),
+    }
+}
+
+fn token(request: &str, attempt: u64, position: u64) -> StreamToken {
+    StreamToken {
+        request: request.parse().unwrap(),
+        attempt: AttemptNumber::new(attempt),
+        position,
+        is_last: position == 3,
+    }
+}
+
+fn broken(endpoint_version: Option<&str>) -> StreamBreak {
+    StreamBreak {
+        code: Code::EndpointLost,
+        endpoint_version: endpoint_version.map(version),
+        may_restart: true,
+        may_retry: true,
+    }
+}
+
+/// Returns a check whose first attempt has passed `passed` tokens on.
+fn streaming(passed: u64) -> StreamCheck {
+    let mut check = check();
+    assert_eq!(check.on_head(&head("r-1", 1, "v1")), HeadVerdict::Pass);
+    for position in 0..passed {
+        assert_eq!(
+            check.on_token(&token("r-1", 1, position)),
+            TokenVerdict::Pass
+        );
+    }
+    check
+}
+
+#[test]
+fn each_token_passes_once_and_in_order() {
+    struct Case {
+        name: &'static str,
+        token: StreamToken,
+        expected: TokenVerdict,
+    }
+    let cases = [
+        Case {
+            name: "next",
+            token: token("r-1", 1, 2),
+            expected: TokenVerdict::Pass,
+        },
+        Case {
+            name: "crossed",
+            token: token("r-2", 1, 2),
+            expected: TokenVerdict::Drop(DropReason::OtherRequest),
+        },
+        Case {
+            name: "of another attempt",
+            token: token("r-1", 2, 2),
+            expected: TokenVerdict::Drop(DropReason::OtherAttempt),
+        },
+        Case {
+            name: "twice",
+            token: token("r-1", 1, 1),
+            expected: TokenVerdict::Drop(DropReason::Duplicate),
+        },
+        Case {
+            name: "with a gap",
+            token: token("r-1", 1, 3),
+            expected: TokenVerdict::Incomplete(Code::StreamIncomplete),
+        },
+    ];
+    for case in cases {
+        let mut check = streaming(2);
+        assert_eq!(check.on_token(&case.token), case.expected, "{}", case.name);
+        if let TokenVerdict::Drop(reason) = case.expected {
+            assert_eq!(check.dropped().get(reason), 1, "{}", case.name);
+            assert_eq!(
+                check.on_token(&token("r-1", 1, 2)),
+                TokenVerdict::Pass,
+                "{}",
+                case.name
+            );
+        }
+    }
+}
+
+#[test]
+fn the_head_is_checked_before_any_token() {
+    struct Case {
+        name: &'static str,
+        head: StreamHead,
+        expected: HeadVerdict,
+    }
+    let cases = [
+        Case {
+            name: "awaited",
+            head: head("r-1", 1, "v1"),
+            expected: HeadVerdict::Pass,
+        },
+        Case {
+            name: "crossed",
+            head: head("r-2", 1, "v1"),
+            expected: HeadVerdict::Drop(DropReason::OtherRequest),
+        },
+        Case {
+            name: "of another attempt",
+            head: head("r-1", 2, "v1"),
+            expected: HeadVerdict::Drop(DropReason::OtherAttempt),
+        },
+        Case {
+            name: "swapped weights",
+            head: head("r-1", 1, "v2"),
+            expected: HeadVerdict::WrongVersion,
+        },
+    ];
+    for case in cases {
+        let mut check = check();
+        assert_eq!(check.on_head(&case.head), case.expected, "{}", case.name);
+        let passes = check.on_token(&token("r-1", 1, 0)) == TokenVerdict::Pass;
+        assert_eq!(passes, case.expected == HeadVerdict::Pass, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_break_resumes_restarts_or_is_told() {
+    struct Case {
+        name: &'static str,
+        passed: u64,
+        broken: StreamBreak,
+        expected: BreakDecision,
+    }
+    let attempt = AttemptNumber::new(2);
+    let resume = |position| BreakDecision::Resume {
+        attempt,
+        endpoint: endpoint(),
+        position,
+        weight_version: version("v1"),
+    };
+    let restart = BreakDecision::RestartInvisible { attempt };
+    let once = StreamBreak {
+        may_restart: false,
+        ..broken(None)
+    };
+    let spent = StreamBreak {
+        may_retry: false,
+        ..broken(Some("v1"))
+    };
+    let told = BreakDecision::Incomplete;
+    let cases = [
+        Case {
+            name: "same place",
+            passed: 2,
+            broken: broken(Some("v1")),
+            expected: resume(2),
+        },
+        Case {
+            name: "nothing out",
+            passed: 0,
+            broken: broken(Some("v1")),
+            expected: resume(0),
+        },
+        Case {
+            name: "endpoint gone",
+            passed: 0,
+            broken: broken(None),
+            expected: restart.clone(),
+        },
+        Case {
+            name: "new weights",
+            passed: 0,
+            broken: broken(Some("v2")),
+            expected: restart,
+        },
+        Case {
+            name: "endpoint gone after a token",
+            passed: 1,
+            broken: broken(None),
+            expected: told(Code::StreamIncomplete),
+        },
+        Case {
+            name: "new weights after a token",
+            passed: 1,
+            broken: broken(Some("v2")),
+            expected: told(Code::StreamIncomplete),
+        },
+        Case {
+            name: "may not be repeated",
+            passed: 0,
+            broken: once,
+            expected: told(Code::EndpointLost),
+        },
+        Case {
+            name: "no budget",
+            passed: 1,
+            broken: spent,
+            expected: told(Code::StreamIncomplete),
+        },
+    ];
+    for case in cases {
+        let mut check = streaming(case.passed);
+        let decision = check.on_break(&case.broken);
+        assert_eq!(decision, Some(case.expected), "{}", case.name);
+    }
+}
+
+/// Symptom: a caller sees a token twice. Sequence: the first attempt breaks after token 1, the
+/// second begins, then the first one's connection delivers what it still held. Cause: both carry
+/// the same request id, and only the attempt tells them apart.
+#[test]
+fn an_older_attempt_that_speaks_late_is_dropped() {
+    let mut check = streaming(2);
+    assert!(check.on_break(&broken(Some("v1"))).is_some());
+    let late = TokenVerdict::Drop(DropReason::OtherAttempt);
+    assert_eq!(check.on_token(&token("r-1", 1, 2)), late);
+    let early = TokenVerdict::Drop(DropReason::BeforeHead);
+    assert_eq!(check.on_token(&token("r-1", 2, 2)), early);
+    assert_eq!(check.on_head(&head("r-1", 2, "v1")), HeadVerdict::Pass);
+    assert_eq!(check.on_token(&token("r-1", 1, 2)), late);
+    assert_eq!(check.on_token(&token("r-1", 2, 2)), TokenVerdict::Pass);
+    assert_eq!(check.on_token(&token("r-1", 2, 3)), TokenVerdict::PassLast);
+    assert!(check.is_whole());
+    assert_eq!(check.on_break(&broken(None)), None);
+    assert_eq!(check.dropped().get(DropReason::OtherAttempt), 2);
+}
+
+#[test]
+fn a_restart_is_checked_against_its_own_decision() {
+    let mut check = check();
+    assert_eq!(
+        check.on_head(&head("r-1", 1, "v2")),
+        HeadVerdict::WrongVersion
+    );
+    let decision = check.on_break(&broken(Some("v2")));
+    assert!(matches!(
+        decision,
+        Some(BreakDecision::RestartInvisible { .. })
+    ));
+    check.moved_to("runner-2".parse().unwrap(), version("v2"));
+    assert_eq!(check.on_head(&head("r-1", 2, "v2")), HeadVerdict::Pass);
+    assert_eq!(check.on_token(&token("r-1", 2, 0)), TokenVerdict::Pass);
+    check.moved_to("runner-3".parse().unwrap(), version("v3"));
+    assert!(
+        check.on_break(&broken(Some("v3")))
+            == Some(BreakDecision::Incomplete(Code::StreamIncomplete))
+    );
+}
+
+#[test]
+fn a_caller_that_comes_back_gets_the_rest_alone() {
+    let mut check = check().resumed_by_caller(2);
+    assert_eq!(check.on_head(&head("r-1", 1, "v1")), HeadVerdict::Pass);
+    let known = TokenVerdict::Drop(DropReason::Duplicate);
+    assert_eq!(check.on_token(&token("r-1", 1, 1)), known);
+    let decision = check.on_break(&broken(None));
+    assert_eq!(
+        decision,
+        Some(BreakDecision::Incomplete(Code::StreamIncomplete))
+    );
+}
