--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -5,3 +5,4 @@
 mod once_ticket;
 mod tier;
 mod tier_import;
+mod stream;
