--- a/crates/wisteriahitch-core/src/tier/block.rs
+++ b/crates/wisteriahitch-core/src/tier/block.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    BlockKey, ByteCount, Generation, StoreId, StoreIncarnation, TokenCount, WeightVersion,
+    BlockKey, ByteCount, Generation, StoreId, StoreIncarnation, TimeUs, TokenCount, WeightVersion,
     WorkspaceId,
 };
 
@@ -63,7 +63,7 @@
     identity: BlockIdentity,
     tier: TierName,
     crc32c: Option<u32>,
-    is_suspect: bool,
+    suspect_until_us: TimeUs,
     life: LifeCycle,
 }
 
@@ -73,7 +73,7 @@
             identity,
             tier,
             crc32c: None,
-            is_suspect: false,
+            suspect_until_us: TimeUs::ZERO,
             life: LifeCycle::new(),
         }
     }
@@ -114,13 +114,13 @@
         is_same_version && is_same_workspace
     }
 
-    /// Returns whether a call for the block got no answer since its store last named it.
-    pub fn is_suspect(&self) -> bool {
-        self.is_suspect
+    /// Returns whether a call for the block got no answer lately.
+    pub fn is_suspect(&self, now: TimeUs) -> bool {
+        now < self.suspect_until_us
     }
 
-    pub(crate) fn set_suspect(&mut self, is_suspect: bool) {
-        self.is_suspect = is_suspect;
+    pub(crate) fn set_suspect_until(&mut self, until: TimeUs) {
+        self.suspect_until_us = until;
     }
 
     pub(crate) fn life_mut(&mut self) -> &mut LifeCycle {
--- a/crates/wisteriahitch-core/src/tier/block_table.rs
+++ b/crates/wisteriahitch-core/src/tier/block_table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_types::{BlockKey, ByteCount, StoreId, StoreIncarnation, WorkspaceId};
+use wisteriahitch_types::{BlockKey, ByteCount, StoreId, StoreIncarnation, TimeUs, WorkspaceId};
 
 use super::{
     Block, BlockError, BlockHandle, BlockIdentity, BlockState, LifeEvent, Place, Reader, TierName,
@@ -200,7 +200,7 @@
         if bytes != block.identity().bytes {
             return Err(BlockError::Corrupt);
         }
-        block.set_suspect(false);
+        block.set_suspect_until(TimeUs::ZERO);
         for event in [LifeEvent::Write, LifeEvent::Seal, LifeEvent::Publish] {
             block.life_mut().apply(event);
         }
@@ -329,10 +329,11 @@
         Some(handle)
     }
 
-    /// Notes that a call for a block got no answer; it isn't planned again until its store names it.
-    pub fn suspect(&mut self, place: &Place) {
+    /// Notes that a call for a block got no answer: it isn't planned until its store names it
+    /// again, or until the time `until`.
+    pub fn suspect(&mut self, place: &Place, until: TimeUs) {
         if let Some(block) = self.blocks.get_mut(place) {
-            block.set_suspect(true);
+            block.set_suspect_until(until);
         }
     }
 
@@ -373,6 +374,11 @@
             .unwrap_or_default()
     }
 
+    /// Returns the bytes that known blocks take, by workspace.
+    pub fn bytes_by_workspace(&self) -> &BTreeMap<WorkspaceId, ByteCount> {
+        &self.workspace_bytes
+    }
+
     fn handles_at(&self, store: &StoreId) -> Vec<BlockHandle> {
         let first = Place {
             store: store.clone(),
--- a/crates/wisteriahitch-core/src/tier/context.rs
+++ b/crates/wisteriahitch-core/src/tier/context.rs
@@ -1,8 +1,14 @@
 //! What the planners share while they handle one event.
 
-use wisteriahitch_types::{BlockKey, StoreId, TimeUs};
+use wisteriahitch_types::{BlockKey, DurationUs, StoreId, TimeUs};
 
-use super::{BlockHandle, BlockTable, LinkTable, StoreTable, TierCommand, TransferId};
+use super::{
+    BlockHandle, BlockTable, EvictionIndex, LinkTable, Place, StoreTable, TierCommand, TierName,
+    TransferFailure, TransferId,
+};
+
+/// How long a block is left alone after a call for it got no answer.
+const SUSPECT_US: DurationUs = DurationUs::from_ms(10_000);
 
 /// Lends the tables to a planner, and gathers its commands.
 #[derive(Debug)]
@@ -10,6 +16,7 @@
     pub(crate) blocks: &'a mut BlockTable,
     pub(crate) links: &'a mut LinkTable,
     pub(crate) stores: &'a mut StoreTable,
+    pub(crate) ranks: &'a mut EvictionIndex,
     pub(crate) last_transfer: &'a mut TransferId,
     pub(crate) commands: &'a mut Vec<TierCommand>,
     pub(crate) now: TimeUs,
@@ -26,6 +33,56 @@
         self.commands.push(command);
     }
 
+    /// Leaves a block alone for a while, since a call for it got no answer.
+    pub(crate) fn suspect(&mut self, place: &Place) {
+        self.blocks.suspect(place, self.now + SUSPECT_US);
+    }
+
+    /// Frees a block for room: no new reader comes in, and its store waits for the present ones.
+    pub(crate) fn evict(&mut self, place: &Place) {
+        self.ranks.evicted(place);
+        let Some(handle) = self.blocks.handle(place) else {
+            return;
+        };
+        let Some((bytes, tier)) = self
+            .blocks
+            .get(place)
+            .map(|block| (block.identity().bytes, block.tier()))
+        else {
+            return;
+        };
+        if self.blocks.drain(&handle).is_err() {
+            return;
+        }
+        // With readers of this daemon the block goes when the last of them unpins.
+        let _ = self.blocks.free(&handle);
+        self.stores.give(&place.store, tier, bytes);
+        self.send(TierCommand::Free {
+            store: place.store.clone(),
+            key: place.key,
+            generation: handle.generation,
+        });
+    }
+
+    /// Notes what a failed move to `tier` says of the block and the tier.
+    pub(crate) fn move_failed(
+        &mut self,
+        handle: &BlockHandle,
+        tier: TierName,
+        failure: TransferFailure,
+    ) {
+        let place = &handle.place;
+        match failure {
+            TransferFailure::Full => self.stores.set_full(&place.store, tier, self.now),
+            TransferFailure::Lost => self.suspect(place),
+            _ if self.blocks.handle(place).as_ref() == Some(handle) => {
+                self.blocks.end_life(place);
+                self.ranks.forget(place);
+            }
+            _ => {}
+        }
+    }
+
     /// Gives up a store's pin, and the table's if there is one.
     pub(crate) fn unpin(&mut self, store: &StoreId, held: Option<&BlockHandle>, pin: PinName) {
         if let Some(handle) = held {
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/eviction_index.rs
@@ -0,0 +1,137 @@
+//! Which block of a store's tier is worth least.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use wisteriahitch_types::{BlockKey, StoreId};
+
+use super::{Place, TierName};
+
+/// Ranks a block: its value when last used, above the rank of the last block that was freed.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub(crate) struct Rank(u64);
+
+impl Rank {
+    /// Keeps the value as its bits, which order like the value as long as it isn't negative.
+    fn new(value: f64) -> Self {
+        Self(value.max(0.0).to_bits())
+    }
+
+    fn get(self) -> f64 {
+        f64::from_bits(self.0)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Entry {
+    tier: TierName,
+    rank: Rank,
+    depth: u32,
+}
+
+type Order = BTreeSet<(Rank, Reverse<u32>, BlockKey)>;
+
+/// Orders the blocks of each tier by rank, deeper ones of equal rank first.
+///
+/// A use ranks the whole chain, and a rank never falls, so a block always ranks at least as high
+/// as those behind it in its chain: chains are evicted from their end, and what is left can be
+/// read (`docs/design/blocks.md`).
+#[derive(Debug, Default)]
+pub struct EvictionIndex {
+    entries: BTreeMap<Place, Entry>,
+    orders: BTreeMap<(StoreId, TierName), Order>,
+    /// Rank of the last block that was freed, by store: an unused block ages against it.
+    clocks: BTreeMap<StoreId, f64>,
+}
+
+impl EvictionIndex {
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Ranks a block that was used or saved now.
+    pub(crate) fn touch(&mut self, place: &Place, tier: TierName, value: f64, depth: u32) {
+        let clock = self.clocks.get(&place.store).copied().unwrap_or(0.0);
+        let known = self.remove(place);
+        let rank = Rank::new(clock + value);
+        let entry = Entry {
+            tier,
+            rank: known.map_or(rank, |known| known.rank.max(rank)),
+            depth,
+        };
+        self.insert(place.clone(), entry);
+    }
+
+    /// Returns whether a block is worth less than one of `value` that is saved now.
+    pub(crate) fn is_below(&self, place: &Place, value: f64) -> bool {
+        let clock = self.clocks.get(&place.store).copied().unwrap_or(0.0);
+        self.entries
+            .get(place)
+            .is_some_and(|entry| entry.rank < Rank::new(clock + value))
+    }
+
+    /// Notes that a block lies in another tier.
+    pub(crate) fn moved(&mut self, place: &Place, tier: TierName) {
+        if let Some(entry) = self.remove(place) {
+            self.insert(place.clone(), Entry { tier, ..entry });
+        }
+    }
+
+    /// Forgets a block that was freed for room, and ages all others against it.
+    pub(crate) fn evicted(&mut self, place: &Place) {
+        if let Some(entry) = self.remove(place) {
+            let clock = self.clocks.entry(place.store.clone()).or_default();
+            *clock = clock.max(entry.rank.get());
+        }
+    }
+
+    pub(crate) fn forget(&mut self, place: &Place) {
+        self.remove(place);
+    }
+
+    pub(crate) fn forget_store(&mut self, store: &StoreId) {
+        self.entries.retain(|place, _| place.store != *store);
+        self.orders.retain(|(known, _), _| known != store);
+        self.clocks.remove(store);
+    }
+
+    /// Forgets the blocks that `is_known` denies.
+    pub(crate) fn retain(&mut self, is_known: impl Fn(&Place) -> bool) {
+        let gone: Vec<Place> = self
+            .entries
+            .keys()
+            .filter(|place| !is_known(place))
+            .cloned()
+            .collect();
+        gone.iter().for_each(|place| self.forget(place));
+    }
+
+    /// Returns the blocks of a tier, the one that is worth least first.
+    pub(crate) fn lowest(&self, store: &StoreId, tier: TierName) -> impl Iterator<Item = Place> {
+        self.orders
+            .get(&(store.clone(), tier))
+            .into_iter()
+            .flatten()
+            .map(|(_, _, key)| Place {
+                store: store.clone(),
+                key: *key,
+            })
+    }
+
+    fn insert(&mut self, place: Place, entry: Entry) {
+        self.orders
+            .entry((place.store.clone(), entry.tier))
+            .or_default()
+            .insert((entry.rank, Reverse(entry.depth), place.key));
+        self.entries.insert(place, entry);
+    }
+
+    fn remove(&mut self, place: &Place) -> Option<Entry> {
+        let entry = self.entries.remove(place)?;
+        if let Some(order) = self.orders.get_mut(&(place.store.clone(), entry.tier)) {
+            order.remove(&(entry.rank, Reverse(entry.depth), place.key));
+        }
+        Some(entry)
+    }
+}
--- a/crates/wisteriahitch-core/src/tier/import_planner.rs
+++ b/crates/wisteriahitch-core/src/tier/import_planner.rs
@@ -276,7 +276,7 @@
             }
             TransferFailure::Lost => {
                 self.counts.lost += 1;
-                cx.blocks.suspect(&transfer.place);
+                cx.suspect(&transfer.place);
             }
             TransferFailure::OtherVersion | TransferFailure::Full => self.counts.refused += 1,
         }
@@ -382,7 +382,7 @@
 /// Returns whether a block may be pinned as far as this daemon knows; the store has the last word.
 fn is_worth_a_pin(place: &Place, reader: &Reader, cx: &Context<'_>) -> bool {
     let is_usable = cx.blocks.get(place).is_none_or(|block| {
-        block.is_for(reader) && !block.is_suspect() && block.state() == BlockState::Readable
+        block.is_for(reader) && !block.is_suspect(cx.now) && block.state() == BlockState::Readable
     });
     is_usable && cx.stores.is_reachable(&place.store)
 }
@@ -463,7 +463,9 @@
     let known = cx.blocks.handle(&transfer.place);
     let handle = transfer.held().map(|held| held.handle.clone()).or(known);
     end_if_same(transfer, cx);
-    if let Some(handle) = handle {
+    // Under another incarnation the same generation is another block's.
+    let present = cx.blocks.incarnation(&transfer.place.store).cloned();
+    if let Some(handle) = handle.filter(|handle| Some(&handle.incarnation) == present.as_ref()) {
         cx.send(TierCommand::Free {
             store: handle.place.store,
             key: handle.place.key,
--- a/crates/wisteriahitch-core/src/tier/link.rs
+++ b/crates/wisteriahitch-core/src/tier/link.rs
@@ -13,6 +13,9 @@
 /// Weighs a new sample of the time between two imports.
 const GAP_SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Window over which the busy share of the link is taken.
+const BUSY_WINDOW_US: f64 = 30_000_000.0;
+
 /// Bounds the queue; beyond it an import is recomputed and a save left out.
 const MAX_WAITING: usize = 1_024;
 
@@ -26,6 +29,7 @@
     pub transfer: Transfer,
     /// When it was started.
     pub started_at_us: TimeUs,
+    #[serde(skip)]
     work_at_start_us: f64,
 }
 
@@ -70,6 +74,7 @@
     last_import_at_us: Option<TimeUs>,
     import_gap_us: Option<f64>,
     busy_us: f64,
+    busy_share: f64,
     foreign_bytes: f64,
 }
 
@@ -85,6 +90,7 @@
             last_import_at_us: None,
             import_gap_us: None,
             busy_us: 0.0,
+            busy_share: 0.0,
             foreign_bytes: 0.0,
         }
     }
@@ -130,9 +136,25 @@
         self.running.len()
     }
 
-    pub(crate) fn busy_us(&mut self, now: TimeUs) -> f64 {
-        self.advance(now);
-        self.busy_us
+    /// Returns how long the link has carried transfers of this daemon.
+    pub fn busy_time(&self, now: TimeUs) -> DurationUs {
+        let running_us = match self.running.is_empty() {
+            true => 0.0,
+            false => now.since(self.worked_until_us).as_f64(),
+        };
+        DurationUs::new((self.busy_us + running_us) as u64)
+    }
+
+    /// Returns the part of the last minute or so in which the link carried anything.
+    pub fn busy_share(&self, now: TimeUs) -> f64 {
+        let span_us = now.since(self.worked_until_us).as_f64();
+        self.decayed_share(span_us)
+    }
+
+    fn decayed_share(&self, span_us: f64) -> f64 {
+        let is_busy = f64::from(u8::from(!self.running.is_empty()));
+        let kept = (-span_us / BUSY_WINDOW_US).exp();
+        is_busy + (self.busy_share - is_busy) * kept
     }
 
     pub(crate) fn enqueue(&mut self, transfer: Transfer) -> bool {
@@ -219,6 +241,7 @@
         if !self.running.is_empty() {
             self.busy_us += span_us;
         }
+        self.busy_share = self.decayed_share(span_us);
         let drained = span_us * self.measured_bytes_per_s / 1_000_000.0;
         self.foreign_bytes = (self.foreign_bytes - drained).max(0.0);
         self.worked_until_us = now;
--- a/crates/wisteriahitch-core/src/tier/link_table.rs
+++ b/crates/wisteriahitch-core/src/tier/link_table.rs
@@ -117,10 +117,8 @@
         }
     }
 
-    /// Returns how long a link has carried anything since the start, in microseconds.
-    pub fn busy_time(&mut self, store: &StoreId, now: TimeUs) -> DurationUs {
-        self.links.get_mut(store).map_or(DurationUs::ZERO, |link| {
-            DurationUs::new(link.busy_us(now) as u64)
-        })
+    /// Returns the part of the last minute or so in which a link carried anything.
+    pub fn busy_share(&self, store: &StoreId, now: TimeUs) -> f64 {
+        self.get(store).map_or(0.0, |link| link.busy_share(now))
     }
 }
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/prefetcher.rs
@@ -0,0 +1,247 @@
+//! Moves blocks from disk to memory before a return that can be foreseen.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use wisteriahitch_types::{BlockKey, DurationUs, StoreId, TimeUs};
+
+use super::context::Context;
+use super::{
+    BlockHandle, BlockState, BlockUse, FinishedRequest, Place, TierCommand, TierName,
+    TransferClass, TransferFailure, TransferId,
+};
+
+/// Part of the gap by which a move comes before the foreseen return.
+const LEAD_PART: f64 = 0.1;
+
+/// Bounds the returns that are foreseen.
+const MAX_FORESEEN: usize = 4_096;
+
+/// Bounds the blocks of one foreseen return.
+const MAX_CHAIN: usize = 64;
+
+/// Bounds the moves that wait or are under way.
+const MAX_MOVES: usize = 64;
+
+/// Longest wait for the answer to a move.
+const ANSWER_LIMIT_US: DurationUs = DurationUs::from_ms(60_000);
+
+/// Counts what prefetch did and whether it was of use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct PrefetchCounts {
+    /// Returns that were foreseen.
+    pub foreseen: u64,
+    /// Blocks that were moved to memory.
+    pub promoted: u64,
+    /// Promoted blocks that a request used afterwards.
+    pub promoted_used: u64,
+    /// Moves that failed.
+    pub failed: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Promotion {
+    handle: BlockHandle,
+    asked_at_us: Option<TimeUs>,
+}
+
+/// Foresees returns with a regular gap, and promotes their blocks when the link is idle.
+#[derive(Debug)]
+pub struct Prefetcher {
+    is_enabled: bool,
+    foreseen: BTreeMap<(TimeUs, BlockKey), Vec<BlockKey>>,
+    promotions: BTreeMap<TransferId, Promotion>,
+    /// Promoted blocks that haven't been used since.
+    unused: BTreeSet<BlockKey>,
+    counts: PrefetchCounts,
+}
+
+impl Default for Prefetcher {
+    fn default() -> Self {
+        Self {
+            is_enabled: true,
+            foreseen: BTreeMap::new(),
+            promotions: BTreeMap::new(),
+            unused: BTreeSet::new(),
+            counts: PrefetchCounts::default(),
+        }
+    }
+}
+
+impl Prefetcher {
+    /// Returns what prefetch did.
+    pub fn counts(&self) -> PrefetchCounts {
+        self.counts
+    }
+
+    pub(crate) fn set_enabled(&mut self, is_enabled: bool) {
+        self.is_enabled = is_enabled;
+        if !is_enabled {
+            self.foreseen.clear();
+        }
+    }
+
+    /// Notes when a chain with a regular gap will return.
+    pub(crate) fn finished(
+        &mut self,
+        request: &FinishedRequest,
+        block_uses: &[BlockUse],
+        now: TimeUs,
+    ) {
+        for block in &request.chain {
+            self.counts.promoted_used += u64::from(self.unused.remove(&block.key));
+        }
+        let regular = block_uses
+            .iter()
+            .take(MAX_CHAIN)
+            .take_while(|block_use| block_use.is_regular);
+        let len = regular.count();
+        let gap = len.checked_sub(1).and_then(|last| block_uses[last].gap_us);
+        let Some(gap) = gap.filter(|_| self.is_enabled && self.foreseen.len() < MAX_FORESEEN)
+        else {
+            return;
+        };
+        let lead = DurationUs::new((gap.as_f64() * LEAD_PART) as u64);
+        let keys: Vec<BlockKey> = request.chain[..len].iter().map(|block| block.key).collect();
+        self.counts.foreseen += 1;
+        self.foreseen.insert((now + (gap - lead), keys[0]), keys);
+    }
+
+    pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
+        self.give_up_unanswered(cx);
+        while let Some(entry) = self.foreseen.first_entry() {
+            if entry.key().0 > cx.now {
+                return;
+            }
+            for key in entry.remove() {
+                self.enqueue(key, cx);
+            }
+        }
+    }
+
+    fn enqueue(&mut self, key: BlockKey, cx: &mut Context<'_>) {
+        let stores: Vec<StoreId> = cx.stores.iter().map(|(store, _)| store.clone()).collect();
+        for store in stores {
+            let place = Place { store, key };
+            let Some(block) = cx.blocks.get(&place) else {
+                continue;
+            };
+            let bytes = block.identity().bytes;
+            let is_promotable =
+                block.tier() == TierName::Disk && block.state() == BlockState::Readable;
+            let Some(handle) = cx.blocks.handle(&place).filter(|_| is_promotable) else {
+                continue;
+            };
+            if self.promotions.len() >= MAX_MOVES {
+                return;
+            }
+            let id = cx.new_transfer();
+            if cx
+                .links
+                .enqueue(&place.store, id, TransferClass::Prefetch, bytes, cx.now)
+            {
+                let promotion = Promotion {
+                    handle,
+                    asked_at_us: None,
+                };
+                self.promotions.insert(id, promotion);
+            }
+        }
+    }
+
+    /// Asks for the move once the link has nothing better to do and memory has room.
+    pub(crate) fn start(&mut self, id: TransferId, cx: &mut Context<'_>) {
+        let Some(promotion) = self.promotions.get_mut(&id) else {
+            return;
+        };
+        let handle = promotion.handle.clone();
+        let place = &handle.place;
+        let bytes = cx
+            .blocks
+            .get(place)
+            .filter(|_| cx.blocks.handle(place).as_ref() == Some(&handle))
+            .map(|block| block.identity().bytes);
+        let has_room = bytes.is_some_and(|bytes| {
+            cx.stores
+                .has_room(&place.store, TierName::Memory, bytes, cx.now)
+        });
+        if !has_room {
+            self.remove(id, cx);
+            return;
+        }
+        promotion.asked_at_us = Some(cx.now);
+        cx.send(TierCommand::Move {
+            transfer: id,
+            store: place.store.clone(),
+            key: place.key,
+            generation: handle.generation,
+            tier: TierName::Memory,
+        });
+    }
+
+    /// Takes the answer to a move; `false` if the move isn't one of these.
+    pub(crate) fn moved(
+        &mut self,
+        id: TransferId,
+        result: Result<(), TransferFailure>,
+        cx: &mut Context<'_>,
+    ) -> bool {
+        let Some(promotion) = self.remove(id, cx) else {
+            return false;
+        };
+        let handle = &promotion.handle;
+        if let Err(failure) = result {
+            self.counts.failed += 1;
+            cx.move_failed(handle, TierName::Memory, failure);
+            return true;
+        }
+        if cx.blocks.moved(handle, TierName::Memory).is_ok() {
+            let place = &handle.place;
+            let block = cx.blocks.get(place).map(|block| block.identity().bytes);
+            let bytes = block.unwrap_or_default();
+            cx.ranks.moved(place, TierName::Memory);
+            cx.stores.take(&place.store, TierName::Memory, bytes);
+            cx.stores.give(&place.store, TierName::Disk, bytes);
+            self.counts.promoted += 1;
+            if self.unused.len() < MAX_FORESEEN {
+                self.unused.insert(place.key);
+            }
+        }
+        true
+    }
+
+    pub(crate) fn store_lost(&mut self, store: &StoreId, cx: &mut Context<'_>) {
+        let lost: Vec<TransferId> = self
+            .promotions
+            .iter()
+            .filter(|(_, promotion)| promotion.handle.place.store == *store)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            self.remove(id, cx);
+        }
+    }
+
+    fn give_up_unanswered(&mut self, cx: &mut Context<'_>) {
+        let late: Vec<TransferId> = self
+            .promotions
+            .iter()
+            .filter(|(_, promotion)| {
+                promotion
+                    .asked_at_us
+                    .is_some_and(|asked| cx.now.since(asked) >= ANSWER_LIMIT_US)
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            self.moved(id, Err(TransferFailure::Lost), cx);
+        }
+    }
+
+    fn remove(&mut self, id: TransferId, cx: &mut Context<'_>) -> Option<Promotion> {
+        let promotion = self.promotions.remove(&id)?;
+        cx.links
+            .finish(&promotion.handle.place.store, id, false, cx.now);
+        Some(promotion)
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/save_value.rs
@@ -0,0 +1,54 @@
+//! What it is worth to save a block.
+
+use wisteriahitch_config::SavePolicy;
+use wisteriahitch_types::{DurationUs, StoreId};
+
+use super::context::Context;
+use super::{BlockUse, ChainBlock, FinishedRequest, UseTable};
+
+/// Least value at which a block is saved over an idle link: microseconds of prefill that are
+/// expected to be avoided, for each microsecond of the link (`docs/design/links.md`).
+const MIN_VALUE: f64 = 0.1;
+
+/// Share of the link above which its price grows no further.
+const MAX_BUSY_SHARE: f64 = 0.95;
+
+/// Returns the expected prefill time avoided over the link time that saving the block takes.
+pub(crate) fn value(
+    request: &FinishedRequest,
+    block: &ChainBlock,
+    block_use: &BlockUse,
+    store: &StoreId,
+    uses: &UseTable,
+    cx: &Context<'_>,
+) -> f64 {
+    let probability = uses.return_probability(&request.workspace, block_use.uses);
+    let prefill = request.prefill_tokens_per_s.time_for(block.tokens);
+    let transfer = cx
+        .links
+        .get(store)
+        .map_or(DurationUs::MAX, |link| link.rate().time_for(block.bytes));
+    probability * prefill.as_f64() / transfer.as_f64().max(1.0)
+}
+
+/// Returns whether the rule's policy has a block saved.
+pub(crate) fn is_worth_saving(
+    policy: SavePolicy,
+    value: f64,
+    block_use: &BlockUse,
+    store: &StoreId,
+    cx: &Context<'_>,
+) -> bool {
+    match policy {
+        SavePolicy::Always => true,
+        SavePolicy::SecondUse => block_use.uses >= 2,
+        SavePolicy::Never => false,
+        SavePolicy::Learned => value >= threshold(store, cx),
+    }
+}
+
+/// Returns the least value that is saved now; a busy link's time is dearer.
+fn threshold(store: &StoreId, cx: &Context<'_>) -> f64 {
+    let busy = cx.links.busy_share(store, cx.now).min(MAX_BUSY_SHARE);
+    MIN_VALUE / (1.0 - busy)
+}
--- a/crates/wisteriahitch-core/src/tier/store_table.rs
+++ b/crates/wisteriahitch-core/src/tier/store_table.rs
@@ -3,10 +3,13 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
-use wisteriahitch_types::{ByteCount, StoreId};
+use wisteriahitch_types::{ByteCount, DurationUs, StoreId, TimeUs};
 
 use super::TierName;
 
+/// How long a tier that answered `full` is left alone.
+const FULL_BACKOFF_US: DurationUs = DurationUs::from_ms(5_000);
+
 /// Holds the state of one store VM.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct StoreState {
@@ -18,6 +21,10 @@
     pub memory_free_bytes: ByteCount,
     /// Room left on disk, counted likewise.
     pub disk_free_bytes: ByteCount,
+    /// Until when memory counts as full.
+    pub memory_full_until_us: TimeUs,
+    /// Until when the disk counts as full.
+    pub disk_full_until_us: TimeUs,
 }
 
 impl StoreState {
@@ -28,6 +35,39 @@
             TierName::Disk => self.disk_free_bytes,
         }
     }
+
+    /// Returns whether a tier may be asked for room.
+    pub fn has_room(&self, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+        let full_until = match tier {
+            TierName::Memory => self.memory_full_until_us,
+            TierName::Disk => self.disk_full_until_us,
+        };
+        now >= full_until && self.free_bytes(tier) >= bytes
+    }
+
+    fn take(&mut self, tier: TierName, bytes: ByteCount) {
+        let free = self.free_bytes_mut(tier);
+        *free = *free - bytes;
+    }
+
+    fn give(&mut self, tier: TierName, bytes: ByteCount) {
+        *self.free_bytes_mut(tier) += bytes;
+    }
+
+    fn set_full(&mut self, tier: TierName, now: TimeUs) {
+        *self.free_bytes_mut(tier) = ByteCount::ZERO;
+        match tier {
+            TierName::Memory => self.memory_full_until_us = now + FULL_BACKOFF_US,
+            TierName::Disk => self.disk_full_until_us = now + FULL_BACKOFF_US,
+        }
+    }
+
+    fn free_bytes_mut(&mut self, tier: TierName) -> &mut ByteCount {
+        match tier {
+            TierName::Memory => &mut self.memory_free_bytes,
+            TierName::Disk => &mut self.disk_free_bytes,
+        }
+    }
 }
 
 /// Holds the state of every store VM that was seen.
@@ -52,6 +92,36 @@
         self.get(store).is_some_and(|state| state.is_reachable)
     }
 
+    /// Returns whether a store may be saved to.
+    pub fn takes_saves(&self, store: &StoreId) -> bool {
+        self.get(store)
+            .is_some_and(|state| state.is_reachable && !state.is_leaving)
+    }
+
+    /// Returns whether a store's tier may be asked for room.
+    pub fn has_room(&self, store: &StoreId, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+        self.get(store)
+            .is_some_and(|state| state.has_room(tier, bytes, now))
+    }
+
+    pub(crate) fn take(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.take(tier, bytes);
+        }
+    }
+
+    pub(crate) fn give(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.give(tier, bytes);
+        }
+    }
+
+    pub(crate) fn set_full(&mut self, store: &StoreId, tier: TierName, now: TimeUs) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.set_full(tier, now);
+        }
+    }
+
     pub(crate) fn seen(
         &mut self,
         store: &StoreId,
--- a/crates/wisteriahitch-core/src/tier/tiers.rs
+++ b/crates/wisteriahitch-core/src/tier/tiers.rs
@@ -1,21 +1,48 @@
 //! The tier core as one thing that the shell drives.
 
+use std::collections::BTreeSet;
+
 use wisteriahitch_config::Configuration;
 use wisteriahitch_types::{ByteCount, DurationUs, RequestId, StoreId, TimeUs};
 
 use super::context::Context;
+use super::planners::Planners;
+use super::room_keeper::StoreRoom;
 use super::{
-    BlockIdentity, BlockState, BlockTable, ImportPlan, ImportPlanner, LinkOrder, LinkTable, Place,
-    StoreTable, TierCommand, TierEvent, TransferFailure, TransferId,
+    BlockTable, EvictionIndex, FinishedRequest, ImportPlan, ImportPlanner, LinkOrder, LinkTable,
+    Prefetcher, RoomKeeper, SavePlanner, StoreTable, TierCommand, TierEvent, TierSnapshot,
+    TransferId, UseTable,
 };
 
 /// Drives blocks, links, imports and saves: events and a time in, commands out.
+///
+/// ```
+/// use wisteriahitch_core::tier::{ImportPlan, Reader, TierCommand, Tiers};
+/// use wisteriahitch_types::{DurationUs, TimeUs};
+///
+/// let mut tiers = Tiers::new();
+/// let plan = ImportPlan {
+///     request: "r-1".parse()?,
+///     reader: Reader { workspace: "kandy".parse()?, weight_version: "v1".parse()? },
+///     endpoint: "runner-1".parse()?,
+///     steps: Vec::new(),
+///     limit_us: DurationUs::from_ms(250),
+/// };
+/// let commands = tiers.plan_import(plan, TimeUs::ZERO);
+/// assert!(matches!(commands[..], [TierCommand::Proceed { imported_steps: 0, .. }]));
+/// # Ok::<(), wisteriahitch_types::ParseIdError>(())
+/// ```
 #[derive(Debug, Default)]
 pub struct Tiers {
     blocks: BlockTable,
     links: LinkTable,
     stores: StoreTable,
+    ranks: EvictionIndex,
+    uses: UseTable,
     imports: ImportPlanner,
+    saves: SavePlanner,
+    rooms: RoomKeeper,
+    prefetch: Prefetcher,
     last_transfer: TransferId,
 }
 
@@ -38,6 +65,32 @@
         for store in configuration.stores.values() {
             self.links.configure(&store.id, store.link_rate_bytes_per_s);
         }
+        let rooms = configuration.stores.values().map(|store| {
+            let room = StoreRoom {
+                memory_bytes: store.memory_bytes,
+                disk_bytes: store.disk_bytes,
+            };
+            (store.id.clone(), room)
+        });
+        self.rooms.configure(rooms.collect());
+        let workspaces = configuration.workspaces.values();
+        let quotas = workspaces.map(|workspace| (workspace.id.clone(), workspace.store_bytes));
+        let services = configuration.services.values();
+        let stores_of = services.flat_map(|service| {
+            let endpoints = service.endpoints.iter();
+            endpoints.map(|endpoint| (endpoint.id.clone(), service.stores.clone()))
+        });
+        self.saves.configure(quotas.collect(), stores_of.collect());
+    }
+
+    /// Takes the stores that this daemon alone keeps room at; until then it does so at all of them.
+    pub fn keep_room_at(&mut self, stores: BTreeSet<StoreId>) {
+        self.rooms.set_mine(stores);
+    }
+
+    /// Switches prefetch on or off.
+    pub fn set_prefetch(&mut self, is_enabled: bool) {
+        self.prefetch.set_enabled(is_enabled);
     }
 
     /// Returns the blocks.
@@ -55,11 +108,36 @@
         &self.stores
     }
 
+    /// Returns the uses of blocks and the histories of workspaces.
+    pub fn uses(&self) -> &UseTable {
+        &self.uses
+    }
+
     /// Returns the imports.
     pub fn imports(&self) -> &ImportPlanner {
         &self.imports
     }
 
+    /// Returns the saves.
+    pub fn saves(&self) -> &SavePlanner {
+        &self.saves
+    }
+
+    /// Returns what keeps room in the tiers.
+    pub fn rooms(&self) -> &RoomKeeper {
+        &self.rooms
+    }
+
+    /// Returns the prefetch.
+    pub fn prefetch(&self) -> &Prefetcher {
+        &self.prefetch
+    }
+
+    /// Returns the state for the dump.
+    pub fn snapshot(&self, now: TimeUs) -> TierSnapshot {
+        TierSnapshot::new(self, now)
+    }
+
     /// Estimates how long an import of `bytes` from `store` takes from now.
     pub fn transfer_time(&self, store: &StoreId, bytes: ByteCount, now: TimeUs) -> DurationUs {
         self.links.transfer_time(store, bytes, now)
@@ -67,22 +145,27 @@
 
     /// Starts a request's imports; exactly one `Proceed` follows, at once or later.
     pub fn plan_import(&mut self, plan: ImportPlan, now: TimeUs) -> Vec<TierCommand> {
-        self.run(now, |tiers, cx| tiers.imports.plan(plan, cx))
+        self.run(now, |planners, cx| planners.imports.plan(plan, cx))
     }
 
     /// Forgets a request whose caller went away; no `Proceed` follows.
     pub fn cancel(&mut self, request: &RequestId, now: TimeUs) -> Vec<TierCommand> {
-        self.run(now, |tiers, cx| tiers.imports.cancel(request, cx))
+        self.run(now, |planners, cx| planners.imports.cancel(request, cx))
+    }
+
+    /// Learns from a request that has finished, and saves what is worth it.
+    pub fn finished(&mut self, request: &FinishedRequest, now: TimeUs) -> Vec<TierCommand> {
+        self.run(now, |planners, cx| planners.finished(request, cx))
     }
 
     /// Takes an answer or news from a store VM.
     pub fn on(&mut self, event: TierEvent, now: TimeUs) -> Vec<TierCommand> {
-        self.run(now, |tiers, cx| tiers.dispatch(event, cx))
+        self.run(now, |planners, cx| planners.on(event, cx))
     }
 
     /// Runs what depends on the time alone; called several times a second.
     pub fn tick(&mut self, now: TimeUs) -> Vec<TierCommand> {
-        self.run(now, |tiers, cx| tiers.imports.tick(cx))
+        self.run(now, |planners, cx| planners.tick(cx))
     }
 
     fn run(
@@ -93,11 +176,16 @@
         let mut commands = Vec::new();
         let mut planners = Planners {
             imports: &mut self.imports,
+            saves: &mut self.saves,
+            rooms: &mut self.rooms,
+            prefetch: &mut self.prefetch,
+            uses: &mut self.uses,
         };
         let mut cx = Context {
             blocks: &mut self.blocks,
             links: &mut self.links,
             stores: &mut self.stores,
+            ranks: &mut self.ranks,
             last_transfer: &mut self.last_transfer,
             commands: &mut commands,
             now,
@@ -107,86 +195,3 @@
         commands
     }
 }
-
-/// Lends the planners to one step.
-struct Planners<'a> {
-    imports: &'a mut ImportPlanner,
-}
-
-impl Planners<'_> {
-    fn dispatch(&mut self, event: TierEvent, cx: &mut Context<'_>) {
-        match event {
-            TierEvent::StoreSeen {
-                store,
-                incarnation,
-                memory_free_bytes,
-                disk_free_bytes,
-                queued_bytes,
-                is_leaving,
-            } => {
-                cx.links.note_queued(&store, queued_bytes, cx.now);
-                cx.stores
-                    .seen(&store, memory_free_bytes, disk_free_bytes, is_leaving);
-                let known = cx.blocks.incarnation(&store);
-                if known.is_some_and(|known| *known != incarnation) {
-                    cx.blocks.store_died(&store);
-                    self.imports.store_lost(&store, TransferFailure::Gone, cx);
-                }
-                cx.blocks.store_seen(&store, &incarnation);
-            }
-            TierEvent::StoreLost { store } => {
-                cx.stores.lost(&store);
-                self.imports.store_lost(&store, TransferFailure::Lost, cx);
-            }
-            TierEvent::Pinned { transfer, result } => self.imports.pinned(transfer, result, cx),
-            TierEvent::Imported { transfer, result } => {
-                self.imports.imported(transfer, result, cx);
-            }
-            listed @ TierEvent::BlockListed { .. } => adopt_listed(listed, cx),
-            TierEvent::Reserved { .. }
-            | TierEvent::Exported { .. }
-            | TierEvent::Moved { .. }
-            | TierEvent::EndpointEvicted { .. } => {}
-        }
-    }
-
-    /// Lets transfers cross the links until no more may; one that fails at its start makes room.
-    fn start_transfers(&mut self, cx: &mut Context<'_>) {
-        loop {
-            let started = cx.links.start(cx.now);
-            if started.is_empty() {
-                return;
-            }
-            for start in started {
-                self.imports.start(start.0, cx);
-            }
-        }
-    }
-}
-
-fn adopt_listed(event: TierEvent, cx: &mut Context<'_>) {
-    let TierEvent::BlockListed {
-        store,
-        incarnation,
-        key,
-        generation,
-        bytes,
-        tokens,
-        weight_version,
-        tier,
-        state: BlockState::Readable,
-    } = event
-    else {
-        return;
-    };
-    let identity = BlockIdentity {
-        incarnation,
-        generation,
-        weight_version,
-        workspace: None,
-        tokens,
-        bytes,
-    };
-    // A listing is older than what this daemon did since; what contradicts it is left out.
-    let _ = cx.blocks.adopt(Place { store, key }, identity, tier, None);
-}
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -1,4 +1,7 @@
 //! Tests of the deterministic decisions, by feature.
 
 mod tier;
+mod tier_block;
+mod tier_block_runs;
 mod tier_import;
+mod tier_save;
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/tier_block.rs
@@ -0,0 +1,210 @@
+//! Who may read a block, by table.
+
+use expect_test::expect;
+use wisteriahitch_core::tier::{BlockError, BlockIdentity, BlockTable, Place, TierName};
+use wisteriahitch_types::{BlockKey, ByteCount, Code, Generation};
+
+use crate::tier::{
+    BLOCK_BYTES, BLOCK_TOKENS, CRC32C, at_ms, imported, key, name, pinned, plan, reader, tiers,
+};
+
+fn place(number: u8) -> Place {
+    Place {
+        store: name("hub-cache"),
+        key: key(number),
+    }
+}
+
+fn identity(generation: u64, workspace: Option<&str>, bytes: ByteCount) -> BlockIdentity {
+    BlockIdentity {
+        incarnation: name("i-1"),
+        generation: Generation::new(generation),
+        weight_version: name("v1"),
+        workspace: workspace.map(name),
+        tokens: BLOCK_TOKENS,
+        bytes,
+    }
+}
+
+fn table() -> BlockTable {
+    let mut table = BlockTable::default();
+    table.store_seen(&name("hub-cache"), &name("i-1"));
+    let own = identity(3, Some("kandy"), BLOCK_BYTES);
+    let listed = identity(4, None, BLOCK_BYTES);
+    let adopted = table.adopt(place(1), own, TierName::Memory, Some(CRC32C));
+    assert!(adopted.is_ok());
+    assert!(table.adopt(place(2), listed, TierName::Disk, None).is_ok());
+    table
+}
+
+struct ReaderCase {
+    name: &'static str,
+    key: u8,
+    workspace: &'static str,
+    version: &'static str,
+    expected: Result<(), Code>,
+}
+
+/// Symptom: an answer draws on another customer's or another version's text. Sequence: a request
+/// names a block that isn't its own. Cause: a wrong directory entry, or weights swapped between
+/// the decision and the run.
+#[test]
+fn only_the_owner_of_the_same_version_reads() {
+    let cases = [
+        ReaderCase {
+            name: "owner",
+            key: 1,
+            workspace: "kandy",
+            version: "v1",
+            expected: Ok(()),
+        },
+        ReaderCase {
+            name: "other workspace",
+            key: 1,
+            workspace: "galle",
+            version: "v1",
+            expected: Err(Code::BlockCorrupt),
+        },
+        ReaderCase {
+            name: "other version",
+            key: 1,
+            workspace: "kandy",
+            version: "v2",
+            expected: Err(Code::BlockCorrupt),
+        },
+        ReaderCase {
+            name: "listed without workspace: the key binds it",
+            key: 2,
+            workspace: "galle",
+            version: "v1",
+            expected: Ok(()),
+        },
+        ReaderCase {
+            name: "unknown block",
+            key: 9,
+            workspace: "kandy",
+            version: "v1",
+            expected: Err(Code::BlockGone),
+        },
+    ];
+    for case in cases {
+        let reader = reader(case.workspace, case.version);
+        let result = table().pin(&place(case.key), &reader);
+        let result = result.map(drop).map_err(|error| error.code());
+        assert_eq!(result, case.expected, "{}", case.name);
+    }
+}
+
+struct AdoptCase {
+    name: &'static str,
+    identity: BlockIdentity,
+    crc32c: Option<u32>,
+    expected: Result<(), BlockError>,
+}
+
+/// Symptom: a right to old content reaches new content. Sequence: the store gives a place to new
+/// content, or answers late. Cause: answers cross each other.
+#[test]
+fn a_place_goes_on_to_later_generations_alone() {
+    let cases = [
+        AdoptCase {
+            name: "same again",
+            identity: identity(3, Some("kandy"), BLOCK_BYTES),
+            crc32c: Some(CRC32C),
+            expected: Ok(()),
+        },
+        AdoptCase {
+            name: "later generation",
+            identity: identity(5, Some("kandy"), BLOCK_BYTES),
+            crc32c: Some(7),
+            expected: Ok(()),
+        },
+        AdoptCase {
+            name: "earlier generation",
+            identity: identity(2, Some("kandy"), BLOCK_BYTES),
+            crc32c: Some(CRC32C),
+            expected: Err(BlockError::Gone),
+        },
+        AdoptCase {
+            name: "other length",
+            identity: identity(3, Some("kandy"), ByteCount::new(1)),
+            crc32c: Some(CRC32C),
+            expected: Err(BlockError::Corrupt),
+        },
+        AdoptCase {
+            name: "other checksum",
+            identity: identity(3, Some("kandy"), BLOCK_BYTES),
+            crc32c: Some(1),
+            expected: Err(BlockError::Corrupt),
+        },
+        AdoptCase {
+            name: "earlier incarnation",
+            identity: BlockIdentity {
+                incarnation: name("i-0"),
+                ..identity(9, Some("kandy"), BLOCK_BYTES)
+            },
+            crc32c: Some(CRC32C),
+            expected: Err(BlockError::Gone),
+        },
+    ];
+    for case in cases {
+        let mut table = table();
+        let reader = reader("kandy", "v1");
+        let held = table.pin(&place(1), &reader).expect("readable");
+        let later = case.identity.generation > held.generation;
+        let result = table.adopt(place(1), case.identity, TierName::Memory, case.crc32c);
+        assert_eq!(result.map(drop), case.expected, "{}", case.name);
+        let is_replaced = later && case.expected.is_ok();
+        assert_eq!(table.is_held(&held), !is_replaced, "{}", case.name);
+    }
+}
+
+/// Symptom: one customer's text is read by another. Sequence: two workspaces send equal text, the
+/// blocks are kept, each returns. Cause: keys made of the text alone.
+#[test]
+fn equal_text_of_two_workspaces_never_meets() {
+    let chain_key = |workspace: &str| {
+        BlockKey::derive(
+            "wisteriahitch test block",
+            &[workspace.as_bytes(), b"equal text"],
+        )
+    };
+    let mut tiers = tiers();
+    let mut kandy = plan("r-1", "kandy", &[1]);
+    let mut galle = plan("r-2", "galle", &[1]);
+    kandy.steps[0].key = chain_key("kandy");
+    galle.steps[0].key = chain_key("galle");
+    let forged = plan("r-3", "galle", &[1]);
+
+    tiers.plan_import(kandy.clone(), at_ms(0));
+    let commands = tiers.plan_import(galle, at_ms(0));
+    assert_eq!(crate::tier::briefs(&commands), ["pin t2"], "not joined");
+
+    // Even a request that names the other workspace's key gets nothing.
+    let mut forged_early = forged.clone();
+    forged_early.steps[0].key = chain_key("kandy");
+    let refused = ["r-3 goes on: 0 imported, 1 recomputed"];
+    let commands = tiers.plan_import(forged_early.clone(), at_ms(1));
+    assert_eq!(crate::tier::briefs(&commands), refused, "under way");
+    tiers.on(pinned(1, 4), at_ms(2));
+    tiers.on(imported(1), at_ms(3));
+    let commands = tiers.plan_import(forged_early, at_ms(4));
+    assert_eq!(crate::tier::briefs(&commands), refused, "kept");
+}
+
+#[test]
+fn a_snapshot_shows_links_and_blocks() {
+    let mut tiers = tiers();
+    tiers.plan_import(plan("r-1", "kandy", &[1]), at_ms(0));
+    tiers.on(pinned(1, 4), at_ms(1));
+    let snapshot = serde_json::to_value(tiers.snapshot(at_ms(2))).expect("serializes");
+    let shown = format!(
+        "{}\n{}\n{}",
+        snapshot["block_counts"], snapshot["blocks"], snapshot["stores"]["hub-cache"]["running"],
+    );
+    expect![[r#"
+        {"readable":1}
+        [{"bytes":1000000,"generation":4,"key":"01010101010101010101010101010101","pins":1,"state":"readable","store":"hub-cache","tier":"memory","weight_version":"v1"}]
+        [{"started_at_us":1000,"transfer":{"bytes":1000000,"class":"wait","id":1,"queued_at_us":1000}}]"#]]
+    .assert_eq(&shown);
+}
--- a/crates/wisteriahitch-core/tests/all/tier_import.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_import.rs
@@ -91,7 +91,7 @@
 }
 
 fn failing_cases() -> Vec<Case> {
-    use Step::{Event, Plan, Tick};
+    use Step::{Event, Plan};
     vec![
         // Symptom: a caller waits for a block that its store has freed. Sequence: the directory
         // names the block, the store frees it, the pin is asked for. Cause: the directory lags.
@@ -173,6 +173,12 @@
                 (3, Event(imported(1)), &[]),
             ],
         },
+    ]
+}
+
+fn late_cases() -> Vec<Case> {
+    use Step::{Event, Plan, Tick};
+    vec![
         // Symptom: an import costs the caller more than computing would have. Sequence: the first
         // block arrives, the link slows, the second doesn't. Cause: the estimate was too good.
         Case {
@@ -207,7 +213,8 @@
 
 #[test]
 fn imports_run_as_told() {
-    for case in whole_cases().into_iter().chain(failing_cases()) {
+    let cases = [whole_cases(), failing_cases(), late_cases()];
+    for case in cases.into_iter().flatten() {
         let mut tiers = tiers();
         for (ms, step, expected) in case.run {
             let commands = match step {
