--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -4,5 +4,8 @@
 mod once_table;
 mod once_ticket;
 mod tier;
+mod tier_block;
+mod tier_block_runs;
 mod tier_import;
 mod stream;
+mod tier_save;
