feat(fleet): find the other daemons by probes and bounded news

Cause: entries, shares of work and peers' configuration need to know who is there. Change: members in a table by incarnation, probes in shuffled rounds, indirect probes, suspicion refuted by a higher news number, pages of the member list for newcomers, entries weighted by zone and load. Addresses go as bytes, because as text three of them filled a message. Ruled out: whole lists in every message (grows with the fleet); telling the version of the configuration by fresh news (a change every few seconds would fill the news of the whole fleet). Seen failing first: 120 daemons that started at once did not agree within 105 rounds, because a page read too early was never read again; the pages are now read again, and a dead one that answers is told what is believed of it.

--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/members/membership.rs
@@ -0,0 +1,202 @@
+//! The table of members and the systems that run over it.
+
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use wisteriahitch_types::{ConfigVersion, DaemonId, Incarnation, TimeUs};
+
+use super::news_queue::NewsQueue;
+use super::{Member, MemberState, MembershipCommand, MembershipEvent, MembershipSettings, News};
+
+/// Holds what this daemon knows of the others, and decides whom to probe and what to tell.
+///
+/// Nothing rests on it for safety: a wrong belief makes the fleet slower, never wrong.
+///
+/// ```
+/// use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+/// use wisteriahitch_core::fleet::{
+///     Member, MemberAddresses, MemberState, Membership, MembershipCommand, MembershipEvent,
+///     MembershipSettings,
+/// };
+/// use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs};
+///
+/// let addresses = MemberAddresses {
+///     caller: "127.0.0.1:1".parse()?,
+///     peer: "127.0.0.1:2".parse()?,
+///     operator: "127.0.0.1:3".parse()?,
+/// };
+/// let me = Member {
+///     daemon: "entry-1".parse()?,
+///     incarnation: Incarnation::new(7),
+///     news_number: 1,
+///     state: MemberState::Alive,
+///     addresses,
+///     availability_zone: "colombo-a".parse()?,
+///     config_version: ConfigVersion::new(0),
+///     load_permille: 0,
+///     changed_at_us: TimeUs::ZERO,
+///     is_vm_leaving: false,
+/// };
+/// let settings = MembershipSettings {
+///     seeds: vec!["127.0.0.1:12".parse()?],
+///     ..MembershipSettings::default()
+/// };
+/// let mut members = Membership::new(settings, me, ChaCha8Rng::seed_from_u64(1));
+/// let commands = members.handle(MembershipEvent::Tick, TimeUs::ZERO);
+/// assert!(matches!(commands[0], MembershipCommand::Probe { .. }));
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Clone, Debug, Serialize)]
+pub struct Membership {
+    pub(super) settings: MembershipSettings,
+    pub(super) me: Incarnation,
+    pub(super) members: BTreeMap<Incarnation, Member>,
+    pub(super) queue: NewsQueue,
+    pub(super) rounds: u64,
+    pub(super) next_round_at_us: TimeUs,
+    pub(super) probe_order: Vec<Incarnation>,
+    /// Members whose direct probe failed, with the number of helpers that haven't answered yet.
+    pub(super) indirect: BTreeMap<Incarnation, usize>,
+    pub(super) vm_addresses: BTreeMap<IpAddr, bool>,
+    pub(super) lost_turn: usize,
+    pub(super) round_news_bytes: usize,
+    pub(super) sync_after: Option<Incarnation>,
+    pub(super) is_sync_served: bool,
+    pub(super) told_load_permille: u32,
+    pub(super) told_load_at_us: TimeUs,
+    #[serde(skip)]
+    pub(super) rng: ChaCha8Rng,
+}
+
+impl Membership {
+    /// Starts with `me` alone; `rng` decides whom to probe.
+    pub fn new(settings: MembershipSettings, me: Member, rng: ChaCha8Rng) -> Self {
+        let incarnation = me.incarnation;
+        let mut queue = NewsQueue::default();
+        queue.push(incarnation);
+        Self {
+            settings,
+            me: incarnation,
+            members: BTreeMap::from([(incarnation, me)]),
+            queue,
+            rounds: 0,
+            next_round_at_us: TimeUs::ZERO,
+            probe_order: Vec::new(),
+            indirect: BTreeMap::new(),
+            vm_addresses: BTreeMap::new(),
+            lost_turn: 0,
+            round_news_bytes: 0,
+            sync_after: Some(Incarnation::new(0)),
+            is_sync_served: false,
+            told_load_permille: 0,
+            told_load_at_us: TimeUs::ZERO,
+            rng,
+        }
+    }
+
+    /// Takes an event at `now` and returns what is to be done.
+    pub fn handle(&mut self, event: MembershipEvent, now: TimeUs) -> Vec<MembershipCommand> {
+        let mut commands = Vec::new();
+        match event {
+            MembershipEvent::Tick => self.tick(now, &mut commands),
+            MembershipEvent::ProbeAnswered {
+                address,
+                meant_for,
+                answered_by,
+                news,
+            } => {
+                self.take_all(&news, Some(answered_by), now, &mut commands);
+                self.settle_probe(address, meant_for, answered_by, now, &mut commands);
+                self.advance_sync(&news);
+            }
+            MembershipEvent::ProbeFailed { meant_for } => {
+                self.probe_failed(meant_for, now, &mut commands);
+            }
+            MembershipEvent::IndirectAnswered {
+                target,
+                is_reached,
+                news,
+            } => {
+                self.take_all(&news, None, now, &mut commands);
+                self.indirect_answered(target, is_reached, now, &mut commands);
+            }
+            MembershipEvent::VmList(vms) => self.take_vm_list(&vms),
+            MembershipEvent::Load(permille) => self.take_load(permille, now),
+            MembershipEvent::ConfigApplied(version) => self.update_me(|me| {
+                me.config_version = version;
+            }),
+            MembershipEvent::Drain => self.announce(MemberState::Draining, now, &mut commands),
+            MembershipEvent::Leave => self.announce(MemberState::Left, now, &mut commands),
+        }
+        commands
+    }
+
+    /// Takes the news of a probe that `sender` sent, and returns the news to answer with.
+    ///
+    /// With `sync_after` the sender asks for the page of the member list that follows it; one
+    /// page is given between two rounds, so that many newcomers can't use up the bytes.
+    pub fn answer_probe(
+        &mut self,
+        sender: Incarnation,
+        news: &[News],
+        sync_after: Option<Incarnation>,
+        now: TimeUs,
+    ) -> (Vec<News>, Vec<MembershipCommand>) {
+        let mut commands = Vec::new();
+        self.take_all(news, Some(sender), now, &mut commands);
+        let reply = match sync_after {
+            Some(after) if self.can_serve_sync() => self.sync_page(after),
+            _ => self.pick_news(Some(sender)),
+        };
+        (reply, commands)
+    }
+
+    /// Returns this daemon as the others are told of it.
+    pub fn me(&self) -> &Member {
+        &self.members[&self.me]
+    }
+
+    /// Returns a member by its incarnation, also one that is dead or has left.
+    pub fn by_incarnation(&self, incarnation: Incarnation) -> Option<&Member> {
+        self.members.get(&incarnation)
+    }
+
+    /// Returns the present incarnation of a daemon, if one is known.
+    pub fn by_daemon(&self, daemon: &DaemonId) -> Option<&Member> {
+        self.present().find(|member| member.daemon == *daemon)
+    }
+
+    /// Returns every member, in the order of the incarnations.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns the members that are neither dead nor have left, this daemon among them.
+    pub fn present(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|member| member.state.is_present())
+    }
+
+    /// Returns the members that are present, without this daemon.
+    pub fn peers(&self) -> impl Iterator<Item = &Member> {
+        let me = self.me;
+        self.present()
+            .filter(move |member| member.incarnation != me)
+    }
+
+    /// Returns the members that are alive and stay, this daemon among them: those that share work.
+    pub fn workers(&self) -> impl Iterator<Item = &Member> {
+        self.members().filter(|member| member.is_entry())
+    }
+
+    /// Returns the highest version of the configuration that a present peer was heard to have.
+    pub fn highest_peer_config(&self) -> Option<ConfigVersion> {
+        self.peers().map(|member| member.config_version).max()
+    }
+
+    /// Returns how many members' news is still to be told, for the metrics.
+    pub fn queued_news(&self) -> usize {
+        self.queue.len()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/members/probing.rs
@@ -0,0 +1,245 @@
+//! Whom to probe, and what an answer or its absence means.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom;
+use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
+
+use super::{Member, MemberState, Membership, MembershipCommand};
+
+/// Rounds after which one address is tried that no present member has: a seed, a VM of the
+/// platform's list, or a member believed dead. It finds the others again after a partition.
+const ROUNDS_PER_LOST_PROBE: u64 = 3;
+/// Such addresses that are tried in a round while nobody else is known.
+const LOST_PROBES_ALONE: usize = 3;
+/// Rounds after which the pages of the member list are read once more. A daemon that started
+/// together with many others read pages that were not complete yet, and would miss some for long.
+const ROUNDS_PER_SYNC: u64 = 60;
+/// The same for a daemon that has just started.
+const ROUNDS_PER_FIRST_SYNCS: u64 = 6;
+
+impl Membership {
+    pub(super) fn tick(&mut self, now: TimeUs, commands: &mut Vec<MembershipCommand>) {
+        self.expire(now, commands);
+        if now < self.next_round_at_us {
+            return;
+        }
+        self.next_round_at_us = now + self.settings.interval_us;
+        self.rounds += 1;
+        self.round_news_bytes = 0;
+        self.is_sync_served = false;
+        self.restart_sync();
+        for _ in 0..self.settings.probes_per_round {
+            self.probe_next(commands);
+        }
+        let is_alone = self.peers().next().is_none();
+        let lost_probes = match is_alone {
+            true => LOST_PROBES_ALONE,
+            false => usize::from(self.rounds.is_multiple_of(ROUNDS_PER_LOST_PROBE)),
+        };
+        for _ in 0..lost_probes {
+            self.probe_lost(commands);
+        }
+    }
+
+    pub(super) fn restart_sync(&mut self) {
+        let is_new = self.rounds < ROUNDS_PER_SYNC;
+        let period = if is_new {
+            ROUNDS_PER_FIRST_SYNCS
+        } else {
+            ROUNDS_PER_SYNC
+        };
+        let shift = self.me.get() % period;
+        if self.rounds % period == shift {
+            self.sync_after = Some(Incarnation::new(0));
+        }
+    }
+
+    /// Probes the next member of a shuffled round, so that each is probed within a bounded time.
+    pub(super) fn probe_next(&mut self, commands: &mut Vec<MembershipCommand>) {
+        if self.probe_order.is_empty() {
+            self.probe_order = self.peers().map(|member| member.incarnation).collect();
+            self.probe_order.shuffle(&mut self.rng);
+        }
+        let Some(incarnation) = self.probe_order.pop() else {
+            return;
+        };
+        let Some(member) = self.members.get(&incarnation) else {
+            return;
+        };
+        if !member.state.is_present() {
+            return;
+        }
+        let address = member.addresses.peer;
+        self.push_probe(address, Some(incarnation), commands);
+    }
+
+    pub(super) fn probe_lost(&mut self, commands: &mut Vec<MembershipCommand>) {
+        let lost = self.lost_addresses();
+        if lost.is_empty() {
+            return;
+        }
+        let address = lost[self.lost_turn % lost.len()];
+        self.lost_turn = self.lost_turn.wrapping_add(1);
+        self.push_probe(address, None, commands);
+    }
+
+    /// Returns addresses where a daemon may be that no present member has, the seeds first.
+    pub(super) fn lost_addresses(&self) -> Vec<SocketAddr> {
+        let known: BTreeSet<SocketAddr> = self.present().map(|m| m.addresses.peer).collect();
+        let seeds = self.settings.seeds.iter().copied();
+        let gone = self
+            .members()
+            .filter(|member| !member.state.is_present())
+            .map(|member| member.addresses.peer);
+        let port = self.settings.peer_port;
+        let vms = self
+            .vm_addresses
+            .iter()
+            .filter(|(_, is_leaving)| !**is_leaving)
+            .filter_map(|(ip, _)| port.map(|port| SocketAddr::new(*ip, port)));
+        let mut seen = BTreeSet::new();
+        seeds
+            .chain(gone)
+            .chain(vms)
+            .filter(|address| !known.contains(address) && seen.insert(*address))
+            .collect()
+    }
+
+    pub(super) fn push_probe(
+        &mut self,
+        address: SocketAddr,
+        meant_for: Option<Incarnation>,
+        commands: &mut Vec<MembershipCommand>,
+    ) {
+        let news = self.pick_news(meant_for);
+        commands.push(MembershipCommand::Probe {
+            address,
+            meant_for,
+            news,
+            sync_after: self.sync_after,
+        });
+    }
+
+    /// Notes that an address answered, perhaps as another incarnation than was meant.
+    pub(super) fn settle_probe(
+        &mut self,
+        address: SocketAddr,
+        meant_for: Option<Incarnation>,
+        answered_by: Incarnation,
+        now: TimeUs,
+        commands: &mut Vec<MembershipCommand>,
+    ) {
+        self.indirect.remove(&answered_by);
+        // A member believed dead answers after all, for example after a partition. It can't refute
+        // what it hasn't heard: it would stay unlisted for good. So it is told at once.
+        if meant_for.is_none() && self.is_accused(answered_by) {
+            self.push_probe(address, Some(answered_by), commands);
+        }
+        let Some(meant) = meant_for.filter(|meant| *meant != answered_by) else {
+            return;
+        };
+        // The address belongs to another process now. Without this the dead incarnation would
+        // stay listed until its suspicion times out, and its tickets would be asked for in vain.
+        let is_replaced = self
+            .members
+            .get(&meant)
+            .is_some_and(|member| member.addresses.peer == address && member.state.is_present());
+        if is_replaced {
+            self.set_state(meant, MemberState::Dead, now, commands);
+        }
+    }
+
+    pub(super) fn probe_failed(
+        &mut self,
+        meant_for: Option<Incarnation>,
+        now: TimeUs,
+        commands: &mut Vec<MembershipCommand>,
+    ) {
+        let Some(target) = meant_for.and_then(|incarnation| self.members.get(&incarnation)) else {
+            return;
+        };
+        let can_suspect = matches!(target.state, MemberState::Alive | MemberState::Draining);
+        let (target, target_address) = (target.incarnation, target.addresses.peer);
+        if !can_suspect || self.indirect.contains_key(&target) {
+            return;
+        }
+        let mut helpers: Vec<(SocketAddr, Incarnation)> = self
+            .peers()
+            .filter(|m| m.incarnation != target && m.state == MemberState::Alive)
+            .map(|m| (m.addresses.peer, m.incarnation))
+            .collect();
+        helpers.shuffle(&mut self.rng);
+        helpers.truncate(self.settings.indirect_probes);
+        if helpers.is_empty() {
+            self.set_state(target, MemberState::Suspect, now, commands);
+            return;
+        }
+        self.indirect.insert(target, helpers.len());
+        for (helper, helper_incarnation) in helpers {
+            commands.push(MembershipCommand::IndirectProbe {
+                helper,
+                helper_incarnation,
+                target,
+                target_address,
+            });
+        }
+    }
+
+    pub(super) fn indirect_answered(
+        &mut self,
+        target: Incarnation,
+        is_reached: bool,
+        now: TimeUs,
+        commands: &mut Vec<MembershipCommand>,
+    ) {
+        let Some(open) = self.indirect.get_mut(&target) else {
+            return;
+        };
+        *open -= 1;
+        if is_reached {
+            self.indirect.remove(&target);
+        } else if *open == 0 {
+            self.set_state(target, MemberState::Suspect, now, commands);
+        }
+    }
+
+    /// Declares suspects dead that didn't refute in time, and forgets old dead ones.
+    pub(super) fn expire(&mut self, now: TimeUs, commands: &mut Vec<MembershipCommand>) {
+        let suspicion_us = self.suspicion_us();
+        let tombstone_us = self.settings.tombstone_us;
+        let age = |member: &Member| now.since(member.changed_at_us);
+        let dead: Vec<Incarnation> = self
+            .members()
+            .filter(|m| m.state == MemberState::Suspect && age(m) >= suspicion_us)
+            .map(|m| m.incarnation)
+            .collect();
+        let old: Vec<Incarnation> = self
+            .members()
+            .filter(|m| !m.state.is_present() && age(m) >= tombstone_us)
+            .filter(|m| m.incarnation != self.me)
+            .map(|m| m.incarnation)
+            .collect();
+        for incarnation in dead {
+            self.set_state(incarnation, MemberState::Dead, now, commands);
+        }
+        for incarnation in old {
+            self.members.remove(&incarnation);
+            self.queue.remove(incarnation);
+        }
+    }
+
+    pub(super) fn suspicion_us(&self) -> DurationUs {
+        let size = self.present().count() as u64 + 1;
+        let steps = u64::from(size.ilog2()).max(1);
+        DurationUs::new(self.settings.suspicion_us.get().saturating_mul(steps))
+    }
+
+    /// Tells a few members at once, since no further round may come.
+    pub(super) fn say_goodbye(&mut self, commands: &mut Vec<MembershipCommand>) {
+        for _ in 0..=self.settings.indirect_probes {
+            self.probe_next(commands);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/rendezvous.rs
@@ -0,0 +1,70 @@
+//! Rendezvous hash: who of many is responsible, without anybody being asked.
+
+use xxhash_rust::xxh3::Xxh3;
+
+const UNIT_BITS: u32 = 53;
+
+/// Ranks candidates for a subject by hash, so that all daemons with the same view agree, and a
+/// candidate that goes away moves only its own subjects.
+///
+/// ```
+/// use wisteriahitch_core::fleet::Rendezvous;
+///
+/// let rank = Rendezvous::new("watcher", "colombo-a");
+/// let first = rank.first(&["entry-1", "entry-2", "entry-3"], |name| name.as_bytes());
+/// assert!(first.is_some());
+/// ```
+#[derive(Clone)]
+pub struct Rendezvous {
+    base: Xxh3,
+}
+
+impl Rendezvous {
+    /// Ranks for `subject`, under a `purpose` that keeps the uses apart from each other.
+    pub fn new(purpose: &str, subject: &str) -> Self {
+        let mut base = Xxh3::new();
+        base.update(purpose.as_bytes());
+        base.update(&[0]);
+        base.update(subject.as_bytes());
+        base.update(&[0]);
+        Self { base }
+    }
+
+    /// Returns the score of a candidate; the highest one is responsible.
+    pub fn score(&self, candidate: &[u8]) -> u64 {
+        let mut hasher = self.base.clone();
+        hasher.update(candidate);
+        hasher.digest()
+    }
+
+    /// Returns a score in which a candidate of twice the `weight` wins twice as often; lower wins.
+    pub fn weighted_score(&self, candidate: &[u8], weight: f64) -> f64 {
+        let steps = (self.score(candidate) >> (u64::BITS - UNIT_BITS)) as f64;
+        let uniform = (steps + 0.5) / (1_u64 << UNIT_BITS) as f64;
+        -uniform.ln() / weight.max(f64::MIN_POSITIVE)
+    }
+
+    /// Returns the candidate that is responsible.
+    pub fn first<'a, T>(&self, candidates: &'a [T], name: impl Fn(&T) -> &[u8]) -> Option<&'a T> {
+        candidates.iter().max_by_key(|item| self.score(name(item)))
+    }
+
+    /// Returns the `count` candidates with the highest scores, best first.
+    pub fn top<T: Clone>(
+        &self,
+        candidates: impl IntoIterator<Item = T>,
+        count: usize,
+        name: impl Fn(&T) -> Vec<u8>,
+    ) -> Vec<T> {
+        let scored = candidates
+            .into_iter()
+            .map(|item| (self.score(&name(&item)), item));
+        let mut scored: Vec<(u64, T)> = scored.collect();
+        scored.sort_by_key(|(score, _)| std::cmp::Reverse(*score));
+        scored
+            .into_iter()
+            .take(count)
+            .map(|(_, item)| item)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/fleet.rs
@@ -0,0 +1,60 @@
+//! What the tests of the fleet share.
+
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+use wisteriahitch_core::fleet::{
+    Member, MemberAddresses, MemberState, Membership, MembershipSettings, News,
+};
+use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs};
+
+/// Zones of the daemons by turns.
+pub(crate) const ZONES: [&str; 3] = ["colombo-a", "colombo-b", "negombo-c"];
+
+/// Builds daemon number `index` in its life number `life`; both together give the incarnation.
+pub(crate) fn member(index: u16, life: u64) -> Member {
+    let address = |port: u16| ([127, 0, 0, 1], port).into();
+    Member {
+        daemon: format!("entry-{index}").parse().unwrap(),
+        incarnation: incarnation(index, life),
+        news_number: 1,
+        state: MemberState::Alive,
+        addresses: MemberAddresses {
+            caller: address(10_000 + index),
+            peer: address(20_000 + index),
+            operator: address(30_000 + index),
+        },
+        availability_zone: ZONES[usize::from(index) % ZONES.len()].parse().unwrap(),
+        config_version: ConfigVersion::new(0),
+        load_permille: 0,
+        changed_at_us: TimeUs::ZERO,
+        is_vm_leaving: false,
+    }
+}
+
+pub(crate) fn incarnation(index: u16, life: u64) -> Incarnation {
+    Incarnation::new(1 + u64::from(index) + life * 100_000)
+}
+
+/// Builds the membership of daemon `index`, which knows the first daemon's address alone.
+pub(crate) fn membership(index: u16, life: u64) -> Membership {
+    let settings = MembershipSettings {
+        seeds: vec![member(0, 0).addresses.peer],
+        ..MembershipSettings::default()
+    };
+    let seed = incarnation(index, life).get();
+    Membership::new(
+        settings,
+        member(index, life),
+        ChaCha8Rng::seed_from_u64(seed),
+    )
+}
+
+/// Builds the membership of daemon 0 that knows the daemons below `count`.
+pub(crate) fn membership_of(count: u16) -> Membership {
+    let mut members = membership(0, 0);
+    for index in 1..count {
+        let peer = member(index, 0);
+        members.answer_probe(peer.incarnation, &[News::of(&peer)], None, TimeUs::ZERO);
+    }
+    members
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the deterministic core.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+mod fleet_membership;
--- a/crates/wisteriahitch-peer/src/convert.rs
+++ b/crates/wisteriahitch-peer/src/convert.rs
@@ -3,8 +3,9 @@
 //! A message of a peer is checked like any other input: a peer may run another version, and an
 //! address may by now belong to another program.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
+use bytes::Bytes;
 use wisteriahitch_types::{BlockKey, Code, DaemonId, Incarnation, ParseIdError};
 
 use crate::{
@@ -12,6 +13,9 @@
     MAX_FORWARD_BODY_BYTES, MAX_HINTS, MAX_NEWS, MemberNews, MemberState,
 };
 
+/// Bytes of a port in an address.
+const PORT_BYTES: usize = 2;
+
 /// Reports a message whose fields can't be what they stand for.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum DecodeError {
@@ -97,9 +101,9 @@
         if self.is_short() {
             return Ok(());
         }
-        parse_address(&self.caller_address)?;
-        parse_address(&self.peer_address)?;
-        parse_address(&self.operator_address)?;
+        decode_address(&self.caller_address)?;
+        decode_address(&self.peer_address)?;
+        decode_address(&self.operator_address)?;
         self.availability_zone
             .parse::<wisteriahitch_types::AvailabilityZone>()?;
         Ok(())
@@ -194,6 +198,34 @@
         .map_err(|_| DecodeError::BadAddress(text.chars().take(64).collect()))
 }
 
+/// Writes an address in as few bytes as it needs, since membership news has little room.
+pub fn encode_address(address: SocketAddr) -> Bytes {
+    let mut bytes = match address.ip() {
+        IpAddr::V4(ip) => ip.octets().to_vec(),
+        IpAddr::V6(ip) => ip.octets().to_vec(),
+    };
+    bytes.extend(address.port().to_be_bytes());
+    bytes.into()
+}
+
+/// Reads an address that [`encode_address`] wrote.
+///
+/// # Errors
+///
+/// Fails where the length is neither that of an IPv4 nor that of an IPv6 address with its port.
+pub fn decode_address(bytes: &[u8]) -> Result<SocketAddr, DecodeError> {
+    let bad = || DecodeError::BadAddress(format!("{bytes:?}").chars().take(64).collect());
+    let (ip, port) = bytes.split_last_chunk::<PORT_BYTES>().ok_or_else(bad)?;
+    let ip = if let Ok(octets) = <[u8; 4]>::try_from(ip) {
+        IpAddr::from(octets)
+    } else if let Ok(octets) = <[u8; 16]>::try_from(ip) {
+        IpAddr::from(octets)
+    } else {
+        return Err(bad());
+    };
+    Ok(SocketAddr::new(ip, u16::from_be_bytes(*port)))
+}
+
 fn unknown(field: &'static str, number: i32) -> DecodeError {
     DecodeError::UnknownNumber { field, number }
 }
--- a/crates/wisteriahitch-peer/src/lib.rs
+++ b/crates/wisteriahitch-peer/src/lib.rs
@@ -12,7 +12,7 @@
 mod server;
 
 pub use client::PeerClient;
-pub use convert::{DecodeError, Sender};
+pub use convert::{DecodeError, Sender, decode_address, encode_address};
 pub use error::{PeerError, PeerErrorKind};
 pub use generated::{
     BlockHint, Envelope, ForwardMeaning, ForwardReply, ForwardRequest, Header, HintKind,
