--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -9,3 +9,9 @@
 mod tier_import;
 mod stream;
 mod tier_save;
+//! Tests of the deterministic core.
+
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+mod fleet_membership;
