--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -124,8 +124,7 @@
         prompt: body.prompt,
         prompt_tokens,
         max_tokens: body.max_tokens,
-        first_position: 0,
-        pinned_version: None,
+        resumption: None,
     })
 }
 
--- a/crates/wisteriahitch-node/src/dispatch/completion_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_call.rs
@@ -3,13 +3,14 @@
 use wisteriahitch_config::{Model, Route};
 use wisteriahitch_core::route::{ChainScope, PieceChain, piece_chain};
 use wisteriahitch_types::{
-    AdapterName, ModelName, RequestId, TimeUs, TokenCount, WeightVersion,
+    AdapterName, AttemptNumber, EndpointId, RequestId, TimeUs, TokenCount, WeightVersion,
 };
 use wisteriahitch_wire::engine::{CompletionHead, Token};
 
 use crate::caller::{Identity, Refusal};
 
 /// Holds one caller's completion.
+#[derive(Clone)]
 pub(crate) struct CompletionCall {
     /// Whose call it is.
     pub(crate) identity: Identity,
@@ -29,10 +30,21 @@
     pub(crate) prompt_tokens: TokenCount,
     /// Most tokens to generate.
     pub(crate) max_tokens: TokenCount,
-    /// First token wanted, above zero when a caller resumes.
-    pub(crate) first_position: u64,
-    /// Version that the answer must come from, when a caller resumes.
-    pub(crate) pinned_version: Option<WeightVersion>,
+    /// Where the answer goes on, when a caller resumes.
+    pub(crate) resumption: Option<Resumption>,
+}
+
+/// Says where an answer goes on whose caller has its beginning.
+#[derive(Clone, Debug)]
+pub(crate) struct Resumption {
+    /// Endpoint that gave the beginning.
+    pub(crate) endpoint: EndpointId,
+    /// Weight version that gave it.
+    pub(crate) weight_version: WeightVersion,
+    /// First token wanted.
+    pub(crate) position: u64,
+    /// Attempt to go on with, above every earlier one.
+    pub(crate) attempt: AttemptNumber,
 }
 
 /// What a running completion tells the side that answers its caller.
@@ -58,9 +70,4 @@
         };
         piece_chain(&scope, &self.prompt)
     }
-
-    /// Returns the model's name.
-    pub(crate) fn model_name(&self) -> &ModelName {
-        &self.model.name
-    }
 }
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -1,20 +1,23 @@
 //! Running a completion: attempts, restarts and resumption until the answer is whole.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::SendError;
 use tokio::time::timeout;
 use tokio_stream::StreamExt;
-use wisteriahitch_core::route::{Choice, FlightFailure, PieceChain, RouteRequest};
-use wisteriahitch_types::{
-    AttemptNumber, Code, DurationUs, EndpointId, TokenCount, WeightVersion,
+use wisteriahitch_core::route::{
+    Choice, Estimate, FlightFailure, PieceChain, Plan as RoutePlan, RouteRequest,
 };
+use wisteriahitch_core::stream::{
+    BreakDecision, HeadVerdict, StreamBreak, StreamCheck, StreamHead, StreamToken, TokenVerdict,
+};
+use wisteriahitch_types::{Code, DurationUs, EndpointId, WeightVersion};
 use wisteriahitch_wire::engine::{
     BlockRef, CompletionHead, CompletionRequest, EngineError, EngineErrorKind, Token, TokenStream,
 };
 
-use super::completion_call::{CompletionCall, Piece};
+use super::completion_call::{CompletionCall, Piece, Resumption};
 use super::import;
 use crate::caller::Refusal;
 use crate::shared::Shared;
@@ -41,7 +44,7 @@
     Whole,
     /// The caller went away.
     CallerGone,
-    /// The endpoint failed; the request can go on from the position that was reached.
+    /// The endpoint failed.
     Failed(EngineError),
 }
 
@@ -50,19 +53,10 @@
     shared: &'a Arc<Shared>,
     call: &'a CompletionCall,
     pieces: &'a mpsc::Sender<Piece>,
-    attempt: AttemptNumber,
+    check: StreamCheck,
+    /// Endpoints that this request isn't tried at again.
     tried: Vec<EndpointId>,
-    /// Next position that the caller is to get.
-    position: u64,
-    /// Endpoint and version of the tokens that the caller has, once it has any.
-    bound: Option<Bound>,
-}
-
-/// Names where the tokens come from that have reached a caller.
-#[derive(Clone)]
-struct Bound {
-    endpoint: EndpointId,
-    weight_version: WeightVersion,
+    has_sent_head: bool,
 }
 
 /// Holds where and how an attempt runs.
@@ -78,96 +72,122 @@
     call: &CompletionCall,
     pieces: &mpsc::Sender<Piece>,
 ) {
-    let mut run = Run {
-        shared,
-        call,
-        pieces,
-        attempt: AttemptNumber::new(0),
-        tried: Vec::new(),
-        position: call.first_position,
-        bound: None,
-    };
-    if let Err(refusal) = run.until_whole().await {
+    if let Err(refusal) = run_until_whole(shared, call, pieces).await {
         // The receiver may be gone, and then nobody waits for the refusal.
         let _ = pieces.send(Piece::Refused(refusal)).await;
     }
 }
 
-impl Run<'_> {
-    async fn until_whole(&mut self) -> Result<(), Refusal> {
-        let _permit =
-            self.shared.enter(&self.call.identity, &self.call.route, self.call.prompt_tokens).await?;
-        loop {
-            self.attempt = self.attempt.next();
-            let plan = self.plan()?;
-            let ended = self.attempt(&plan).await;
-            match ended {
-                Ended::Whole => return Ok(()),
-                Ended::CallerGone => {
-                    self.shared.metrics.count_refusal(Code::CallerGone);
-                    return Ok(());
-                }
-                Ended::Failed(error) => self.check_may_go_on(&plan, &error)?,
-            }
-        }
+async fn run_until_whole(
+    shared: &Arc<Shared>,
+    call: &CompletionCall,
+    pieces: &mpsc::Sender<Piece>,
+) -> Result<(), Refusal> {
+    let cost_tokens = call.prompt_tokens + call.max_tokens;
+    let turn = shared.enter(
+        &call.identity,
+        &call.route,
+        &call.request_id,
+        call.prompt_tokens,
+        cost_tokens,
+    );
+    let _permit = tokio::select! {
+        turn = turn => turn?,
+        () = pieces.closed() => return Ok(()),
+    };
+    let first = match &call.resumption {
+        Some(resumption) => resume(call, resumption),
+        None => plan(shared, call, &[])?,
+    };
+    let mut check = StreamCheck::new(
+        call.request_id.clone(),
+        first.choice.endpoint.clone(),
+        first.weight_version.clone(),
+    );
+    if let Some(resumption) = &call.resumption {
+        check = check.resumed_by_caller(resumption.position, resumption.attempt);
     }
+    let mut run = Run { shared, call, pieces, check, tried: Vec::new(), has_sent_head: false };
+    let result = run.follow_attempts(first).await;
+    run.count_dropped();
+    result
+}
 
-    /// Chooses endpoint and version; a stream that the caller has tokens of stays with its own.
-    fn plan(&self) -> Result<Plan, Refusal> {
-        if let Some(bound) = &self.bound {
-            return Ok(self.plan_resumption(bound));
-        }
-        let versions = match self.call.pinned_version.clone() {
-            Some(version) => vec![version],
-            None => self.shared.candidate_versions(&self.call.route.service, &self.call.model),
-        };
-        let mut best: Option<Plan> = None;
-        let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
-        for weight_version in versions {
-            let chain = self.call.chain(&weight_version);
-            match self.shared.choose(&self.route_request(&chain, &weight_version)) {
-                Ok(choice) => {
-                    let is_better = best.as_ref().is_none_or(|best| {
-                        choice.estimate.first_token_us < best.choice.estimate.first_token_us
-                    });
-                    if is_better {
-                        best = Some(Plan { choice, chain, weight_version });
-                    }
+/// Chooses endpoint and weight version; of two versions in use during a rollout the faster one.
+fn plan(
+    shared: &Shared,
+    call: &CompletionCall,
+    tried: &[EndpointId],
+) -> Result<Plan, Refusal> {
+    let mut best: Option<Plan> = None;
+    let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
+    for weight_version in shared.candidate_versions(&call.route.service, &call.model) {
+        let chain = call.chain(&weight_version);
+        let request = route_request(shared, call, &chain, &weight_version, tried);
+        match shared.choose(&request) {
+            Ok(choice) => {
+                let is_better = best.as_ref().is_none_or(|best| {
+                    choice.estimate.first_token_us < best.choice.estimate.first_token_us
+                });
+                if is_better {
+                    best = Some(Plan { choice, chain, weight_version });
                 }
-                Err(refusal) => refused = refusal,
             }
+            Err(refusal) => refused = refusal,
         }
-        best.ok_or(refused)
     }
+    best.ok_or(refused)
+}
 
-    /// Plans to go on where the caller's tokens come from: only there the same answer goes on.
-    fn plan_resumption(&self, bound: &Bound) -> Plan {
-        let choice = Choice {
-            endpoint: bound.endpoint.clone(),
-            plan: RoutePlan::default(),
-            estimate: Estimate::default(),
-            weighed: Vec::new(),
-        };
-        let chain = self.call.chain(&bound.weight_version);
-        Plan { choice, chain, weight_version: bound.weight_version.clone() }
+/// Plans to go on where an answer began: only there the same answer goes on.
+fn resume(call: &CompletionCall, resumption: &Resumption) -> Plan {
+    let choice = Choice {
+        endpoint: resumption.endpoint.clone(),
+        plan: RoutePlan::default(),
+        estimate: Estimate::default(),
+        weighed: Vec::new(),
+    };
+    let weight_version = resumption.weight_version.clone();
+    Plan { choice, chain: call.chain(&weight_version), weight_version }
+}
+
+fn route_request(
+    shared: &Shared,
+    call: &CompletionCall,
+    chain: &PieceChain,
+    weight_version: &WeightVersion,
+    tried: &[EndpointId],
+) -> RouteRequest {
+    let waited_us = shared.clock.now().since(call.arrived_us);
+    RouteRequest {
+        service: call.route.service.clone(),
+        model: Some(call.model.name.clone()),
+        adapter: call.adapter.clone(),
+        weight_version: Some(weight_version.clone()),
+        chain: chain.clone(),
+        max_tokens: call.max_tokens,
+        first_token_weight: call.route.first_token_weight,
+        priority: call.route.priority,
+        deadline_us: call.route.deadline_us - waited_us,
+        availability_zone: shared.settings.availability_zone.clone(),
+        exclude: tried.to_vec(),
+        explain: false,
+        bytes_per_token: call.model.bytes_per_token,
     }
+}
 
-    fn route_request(&self, chain: &PieceChain, weight_version: &WeightVersion) -> RouteRequest {
-        let waited_us = self.shared.clock.now().since(self.call.arrived_us);
-        RouteRequest {
-            service: self.call.route.service.clone(),
-            model: Some(self.call.model_name().clone()),
-            adapter: self.call.adapter.clone(),
-            weight_version: Some(weight_version.clone()),
-            chain: chain.clone(),
-            max_tokens: self.call.max_tokens,
-            first_token_weight: self.call.route.first_token_weight,
-            priority: self.call.route.priority,
-            deadline_us: self.call.route.deadline_us - waited_us,
-            availability_zone: self.shared.settings.availability_zone.clone(),
-            exclude: self.tried.clone(),
-            explain: false,
-            bytes_per_token: self.call.model.bytes_per_token,
+impl Run<'_> {
+    async fn follow_attempts(&mut self, first: Plan) -> Result<(), Refusal> {
+        let mut plan = first;
+        loop {
+            match self.attempt(&plan).await {
+                Ended::Whole => return Ok(()),
+                Ended::CallerGone => {
+                    self.shared.metrics.count_refusal(Code::CallerGone);
+                    return Ok(());
+                }
+                Ended::Failed(error) => plan = self.plan_next(plan, &error)?,
+            }
         }
     }
 
@@ -178,7 +198,8 @@
         let Some(flight) = self.shared.take_off(&choice.endpoint, recompute, expected_us) else {
             return Ended::Failed(EngineError::new(EngineErrorKind::NotSent, "endpoint is gone"));
         };
-        let imported = import::run(self.shared, self.call, plan_import(plan));
+        let imported =
+            import::run(self.shared, self.call, choice, &plan.weight_version);
         tokio::select! {
             () = imported => {}
             () = self.pieces.closed() => return self.cancel_import(),
@@ -189,16 +210,13 @@
             self.shared.outside.engine.complete(flight.address(), request, head_timeout_us);
         let opened = tokio::select! {
             opened = opening => opened,
-            () = self.pieces.closed() => {
-                self.cancel(flight).await;
-                return Ended::CallerGone;
-            }
+            () = self.pieces.closed() => return self.land(flight, plan, Ended::CallerGone),
         };
         let ended = match opened {
             Ok((head, stream)) => self.follow(plan, &flight, head, stream).await,
             Err(error) => Ended::Failed(error),
         };
-        self.land(flight, plan, ended).await
+        self.land(flight, plan, ended)
     }
 
     fn cancel_import(&self) -> Ended {
@@ -210,14 +228,14 @@
         let blocks = plan.chain.blocks.iter();
         CompletionRequest {
             request_id: self.call.request_id.clone(),
-            attempt: self.attempt,
-            model: self.call.model_name().clone(),
+            attempt: self.check.attempt(),
+            model: self.call.model.name.clone(),
             adapter: self.call.adapter.clone(),
             weight_version: plan.weight_version.clone(),
             prompt: self.call.prompt.clone(),
             max_tokens: self.call.max_tokens,
             priority: self.call.route.priority,
-            position: self.position,
+            position: self.check.next_position(),
             blocks: blocks.map(|b| BlockRef { key: b.key, tokens: b.tokens }).collect(),
         }
     }
@@ -230,10 +248,9 @@
         head: CompletionHead,
         mut stream: TokenStream,
     ) -> Ended {
-        if let Err(error) = self.check_head(plan, &head) {
+        if let Err(error) = self.check_head(&head) {
             return Ended::Failed(error);
         }
-        let mut first_head = Some(head);
         let mut wait_us = self.first_token_wait(plan.choice.estimate.first_token_us);
         loop {
             let next = tokio::select! {
@@ -246,45 +263,51 @@
                 Ok(None) => return failed(EngineErrorKind::Lost, "the stream ended early"),
                 Err(_) => return failed(EngineErrorKind::Timeout, "no token in time"),
             };
-            match self.stream_check.accept(&token) {
-                Passage::Pass => {}
-                Passage::Drop => continue,
-                Passage::Skipped => {
-                    return failed(EngineErrorKind::Nonsense, "a position was skipped");
+            let verdict = self.check.on_token(&stream_token(&token));
+            match verdict {
+                TokenVerdict::Pass | TokenVerdict::PassLast => {}
+                TokenVerdict::Drop(_) => continue,
+                TokenVerdict::Incomplete(_) => {
+                    return failed(EngineErrorKind::Nonsense, "a token is missing");
                 }
             }
             wait_us = TOKEN_STALL_US;
-            if let Some(head) = first_head.take() {
-                self.note_first_token(plan, flight, &head);
-                if self.send_head(head).await.is_err() {
-                    return Ended::CallerGone;
-                }
-            }
-            let is_last = token.finish_reason.is_some();
-            if self.pieces.send(Piece::Token(token)).await.is_err() {
+            if self.pass_on(flight, &head, token).await.is_err() {
                 return Ended::CallerGone;
             }
-            if is_last {
+            if verdict == TokenVerdict::PassLast {
                 return Ended::Whole;
             }
         }
     }
 
-    /// Checks that the answer is this attempt's and comes from the version that was decided for.
-    ///
-    /// The weights may have been swapped between the decision and the run. Without this check the
-    /// caller would get an answer of weights that nobody chose for it, and blocks of the old
-    /// version might have been used with the new one.
-    fn check_head(&self, plan: &Plan, head: &CompletionHead) -> Result<(), EngineError> {
-        if head.request_id != self.call.request_id || head.attempt != self.attempt {
-            let detail = "the answer is another request's";
-            return Err(EngineError::new(EngineErrorKind::Nonsense, detail));
-        }
-        if head.weight_version != plan.weight_version {
-            let detail = "the answer comes from another weight version";
-            return Err(EngineError::new(EngineErrorKind::Nonsense, detail));
+    async fn pass_on(
+        &mut self,
+        flight: &Flight,
+        head: &CompletionHead,
+        token: Token,
+    ) -> Result<(), SendError<Piece>> {
+        if !self.has_sent_head {
+            self.has_sent_head = true;
+            self.note_first_token(flight, head);
+            self.pieces.send(Piece::Head(head.clone())).await?;
         }
-        Ok(())
+        self.pieces.send(Piece::Token(token)).await
+    }
+
+    /// Checks that the answer is this attempt's and comes from the version that was decided for.
+    fn check_head(&mut self, head: &CompletionHead) -> Result<(), EngineError> {
+        let verdict = self.check.on_head(&StreamHead {
+            request: head.request_id.clone(),
+            attempt: head.attempt,
+            weight_version: head.weight_version.clone(),
+        });
+        let detail = match verdict {
+            HeadVerdict::Pass => return Ok(()),
+            HeadVerdict::Drop(_) => "the answer is another request's",
+            HeadVerdict::WrongVersion => "the answer comes from another weight version",
+        };
+        Err(EngineError::new(EngineErrorKind::Nonsense, detail))
     }
 
     /// Returns how long the first token may take before another endpoint is tried.
@@ -296,15 +319,8 @@
         patient_us.max(MIN_FIRST_TOKEN_WAIT_US).min(self.call.route.deadline_us)
     }
 
-    fn note_first_token(&mut self, plan: &Plan, flight: &Flight, head: &CompletionHead) {
+    fn note_first_token(&self, flight: &Flight, head: &CompletionHead) {
         flight.first_token();
-        if self.bound.is_some() {
-            return;
-        }
-        self.bound = Some(Bound {
-            endpoint: plan.choice.endpoint.clone(),
-            weight_version: head.weight_version.clone(),
-        });
         let metrics = &self.shared.metrics;
         metrics.prompt_tokens.inc_by(self.call.prompt_tokens.get());
         metrics.cached_tokens.inc_by(head.cached_tokens.get());
@@ -312,14 +328,6 @@
         metrics.observe_first_token(taken_us);
     }
 
-    async fn send_head(&mut self, head: CompletionHead) -> Result<(), ()> {
-        if self.has_sent_head {
-            return Ok(());
-        }
-        self.has_sent_head = true;
-        self.pieces.send(Piece::Head(head)).await.map_err(|_| ())
-    }
-
     /// Ends the flight as the attempt ended, and lets go of what it still holds at the endpoint.
     fn land(&self, flight: Flight, plan: &Plan, ended: Ended) -> Ended {
         let outcome = match &ended {
@@ -341,7 +349,7 @@
             Ended::Failed(error) => {
                 flight.failed(failure(error.kind()));
                 let may_still_run = !error.is_not_run();
-                if may_still_run && self.bound.is_none() {
+                if may_still_run && !self.has_sent_head {
                     self.shared.cancel_at(address, &self.call.request_id);
                 }
             }
@@ -349,26 +357,58 @@
         ended
     }
 
-    /// Decides after a failed attempt whether another one follows.
-    fn check_may_go_on(&mut self, plan: &Plan, error: &EngineError) -> Result<(), Refusal> {
+    /// Decides after a failed attempt how the next one runs, or that there is none.
+    fn plan_next(&mut self, last: Plan, error: &EngineError) -> Result<Plan, Refusal> {
+        let endpoint = last.choice.endpoint.clone();
         log::info!(
-            "request {} attempt {} at {}: {error}",
+            "request {} attempt {} at {endpoint}: {error}",
             self.call.request_id,
-            self.attempt,
-            plan.choice.endpoint
+            self.check.attempt(),
         );
-        let has_caller_tokens = self.bound.is_some();
-        if !has_caller_tokens {
-            self.tried.push(plan.choice.endpoint.clone());
+        let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
+        // Where nothing has reached the caller, another endpoint may well do better than the one
+        // that just failed; only an answer that has begun depends on its own endpoint.
+        let endpoint_version = match self.has_sent_head {
+            true => self.shared.ready_version(&endpoint, &self.call.model.name),
+            false => None,
+        };
+        let decision = self.check.on_break(&StreamBreak {
+            code: error.code(),
+            endpoint_version,
+            may_restart: true,
+            may_retry: has_attempts && self.shared.try_retry(),
+        });
+        match decision {
+            Some(BreakDecision::Resume { .. }) => {
+                Ok(Plan { choice: Choice { plan: RoutePlan::default(), ..last.choice }, ..last })
+            }
+            Some(BreakDecision::RestartInvisible { .. }) => {
+                self.tried.push(endpoint);
+                let next = plan(self.shared, self.call, &self.tried)?;
+                self.check.moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
+                Ok(next)
+            }
+            Some(BreakDecision::Incomplete(code)) => {
+                Err(Refusal::new(code).with_retry_after_us(RETRY_AFTER_US))
+            }
+            None => Err(Refusal::new(Code::Internal)),
         }
-        if self.attempt.get() < MAX_ATTEMPTS && self.shared.try_retry() {
-            return Ok(());
+    }
+
+    fn count_dropped(&self) {
+        for (reason, count) in self.check.dropped().iter() {
+            let label = reason.to_string();
+            self.shared.metrics.dropped_tokens.with_label_values(&[&label]).inc_by(count);
         }
-        let code = match has_caller_tokens {
-            true => Code::StreamIncomplete,
-            false => error.code(),
-        };
-        Err(Refusal::new(code).with_retry_after_us(RETRY_AFTER_US))
+    }
+}
+
+fn stream_token(token: &Token) -> StreamToken {
+    StreamToken {
+        request: token.request_id.clone(),
+        attempt: token.attempt,
+        position: token.position,
+        is_last: token.finish_reason.is_some(),
     }
 }
 
--- /dev/null
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -0,0 +1,213 @@
+//! Handing a keyed request to the incarnation that decides for its key.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use wisteriahitch_config::RequestFacts;
+use wisteriahitch_core::once::{ClaimHolder, KeptAnswer, OnceKey, Ticket};
+use wisteriahitch_peer::{
+    ForwardMeaning, ForwardReply, ForwardRequest, Header, KeyKind, PeerErrorKind,
+};
+use wisteriahitch_types::{Code, Incarnation, Meaning};
+
+use crate::caller::gate::{decide, labels};
+use crate::caller::keyed::{ForwardPolicy, Outcome, ask_again, submit, submit_ticket};
+use crate::caller::{Identity, Refusal, new_request_id};
+use crate::dispatch::plain_call::PlainCall;
+use crate::shared::Shared;
+
+/// Header under which an answer's content type travels.
+const CONTENT_TYPE: &str = "content-type";
+
+/// How much longer than the call itself a forwarder waits.
+const FORWARD_SLACK: Duration = Duration::from_millis(500);
+
+impl Shared {
+    /// Hands over a request whose ticket another incarnation issued.
+    pub(crate) async fn forward_ticket(
+        &self,
+        call: &PlainCall,
+        ticket: &str,
+        address: SocketAddr,
+        incarnation: Incarnation,
+    ) -> Outcome {
+        let request = self.forward_request(call, KeyKind::Ticket, ticket, incarnation);
+        self.forward(call, address, request, Code::TicketHolderLost).await
+    }
+
+    /// Hands over a request on whose key another daemon holds the claim.
+    pub(crate) async fn forward_claim(
+        &self,
+        call: &PlainCall,
+        key: &OnceKey,
+        holder: &ClaimHolder,
+    ) -> Outcome {
+        let OnceKey::Claimed { hash, .. } = key else {
+            return Err(ask_again(Code::Internal));
+        };
+        let request =
+            self.forward_request(call, KeyKind::Claim, &hash.to_string(), holder.incarnation);
+        self.forward(call, holder.address, request, Code::ClaimHeldElsewhere).await
+    }
+
+    fn forward_request(
+        &self,
+        call: &PlainCall,
+        kind: KeyKind,
+        key: &str,
+        incarnation: Incarnation,
+    ) -> ForwardRequest {
+        let headers = call.headers.iter();
+        ForwardRequest {
+            envelope: self.envelope(Some(incarnation)),
+            workspace: call.identity.workspace.to_string(),
+            kind: kind.into(),
+            key: key.to_owned(),
+            method: call.method.as_str().to_owned(),
+            path: call.path_and_query.clone(),
+            headers: headers
+                .map(|(name, value)| Header {
+                    name: name.as_str().to_owned(),
+                    value: value.as_bytes().to_vec().into(),
+                })
+                .collect(),
+            body: call.body.clone(),
+            deadline_us: call.route.deadline_us.get(),
+        }
+    }
+
+    /// Sends a request once; whatever fails, only the one who decides could say `not run`.
+    async fn forward(
+        &self,
+        call: &PlainCall,
+        address: SocketAddr,
+        request: ForwardRequest,
+        lost: Code,
+    ) -> Outcome {
+        let timeout = Duration::from(call.route.deadline_us) + FORWARD_SLACK;
+        match self.outside.peers.forward(address, request, timeout).await {
+            Ok(reply) => read_reply(reply),
+            Err(error) => {
+                if error.kind() == PeerErrorKind::WrongIncarnation {
+                    log::info!("the holder of a key has been replaced at {address}");
+                }
+                Err(ask_again(lost))
+            }
+        }
+    }
+
+    /// Answers a keyed request that a peer handed over to this incarnation.
+    pub(crate) async fn answer_forwarded(
+        self: &Arc<Self>,
+        request: ForwardRequest,
+    ) -> ForwardReply {
+        let shared = Arc::clone(self);
+        // A task of its own, for the same reason as with a caller of this daemon.
+        let task = tokio::spawn(async move { decide_forwarded(&shared, request).await });
+        match task.await {
+            Ok(outcome) => write_reply(outcome),
+            Err(_) => write_reply(Err(ask_again(Code::Internal))),
+        }
+    }
+}
+
+async fn decide_forwarded(shared: &Arc<Shared>, request: ForwardRequest) -> Outcome {
+    let kind = request.kind();
+    let key = request.key.clone();
+    let call = build_call(shared, request)?;
+    match kind {
+        KeyKind::Ticket => {
+            let ticket: Ticket = key.parse().map_err(|_| Refusal::new(Code::BadKey))?;
+            submit_ticket(shared, call, &ticket).await
+        }
+        KeyKind::Claim => {
+            let hash = key.parse().map_err(|_| Refusal::new(Code::BadKey))?;
+            let workspace = call.identity.workspace.clone();
+            let key = OnceKey::Claimed { workspace, hash };
+            submit(shared, call, key, ForwardPolicy::Forbidden).await
+        }
+        KeyKind::Unspecified => Err(ask_again(Code::BadKey)),
+    }
+}
+
+fn build_call(shared: &Arc<Shared>, request: ForwardRequest) -> Result<PlainCall, Refusal> {
+    let not_ready = || ask_again(Code::NotReady);
+    let in_force = shared.in_force.load_full().ok_or_else(not_ready)?;
+    let workspace = request.workspace.parse().map_err(|_| Refusal::new(Code::BadKey))?;
+    let identity = Identity { in_force, workspace };
+    let headers = read_headers(&request.headers);
+    let method = Method::from_bytes(request.method.as_bytes())
+        .map_err(|_| Refusal::new(Code::BadHttp))?;
+    let path = request.path.split('?').next().unwrap_or_default();
+    let facts = RequestFacts {
+        workspace: Some(identity.workspace.clone()),
+        method: request.method.clone(),
+        path: path.to_owned(),
+        labels: labels(&headers),
+        availability_zone: Some(shared.settings.availability_zone.clone()),
+        ..RequestFacts::default()
+    };
+    let ruling = decide(&identity, &facts).map_err(Refusal::with_outcome_unknown)?;
+    Ok(PlainCall {
+        identity,
+        route: ruling.route,
+        request_id: new_request_id(shared),
+        method,
+        path_and_query: request.path,
+        headers,
+        body: request.body,
+    })
+}
+
+fn read_headers(headers: &[Header]) -> HeaderMap {
+    let pairs = headers.iter().filter_map(|header| {
+        let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
+        Some((name, HeaderValue::from_bytes(&header.value).ok()?))
+    });
+    pairs.collect()
+}
+
+fn write_reply(outcome: Outcome) -> ForwardReply {
+    match outcome {
+        Ok(answer) => ForwardReply {
+            status: u32::from(answer.status),
+            headers: answer.content_type.iter().map(|value| content_type(value)).collect(),
+            body: answer.body.clone().into(),
+            code: 0,
+            meaning: ForwardMeaning::Unspecified.into(),
+        },
+        Err(refusal) => ForwardReply {
+            status: 0,
+            headers: Vec::new(),
+            body: bytes::Bytes::new(),
+            code: u32::from(refusal.code().number()),
+            meaning: match refusal.meaning() {
+                Meaning::NotRun => ForwardMeaning::NotRun.into(),
+                _ => ForwardMeaning::OutcomeUnknown.into(),
+            },
+        },
+    }
+}
+
+fn content_type(value: &str) -> Header {
+    Header { name: CONTENT_TYPE.to_owned(), value: value.as_bytes().to_vec().into() }
+}
+
+fn read_reply(reply: ForwardReply) -> Outcome {
+    if reply.code == 0 {
+        let header = reply.headers.iter().find(|header| header.name == CONTENT_TYPE);
+        let content_type = header.map(|header| String::from_utf8_lossy(&header.value).into_owned());
+        return Ok(Arc::new(KeptAnswer {
+            status: u16::try_from(reply.status).unwrap_or(0),
+            content_type,
+            body: reply.body.to_vec(),
+        }));
+    }
+    let code = reply.result_code().unwrap_or(Code::Internal);
+    match reply.meaning() {
+        ForwardMeaning::NotRun => Err(Refusal::new(code)),
+        _ => Err(ask_again(code)),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/peering/news.rs
@@ -0,0 +1,82 @@
+//! Membership news between the core's form and the message's.
+
+use std::net::SocketAddr;
+
+use wisteriahitch_core::fleet::{MemberAddresses, MemberState, News};
+use wisteriahitch_peer::{MemberNews, MemberState as WireState};
+use wisteriahitch_types::{ConfigVersion, Incarnation};
+
+/// Renders news for a message.
+pub(crate) fn to_wire(news: &News) -> MemberNews {
+    let address = |pick: fn(&MemberAddresses) -> SocketAddr| {
+        news.addresses.as_ref().map(pick).map(|address| address.to_string()).unwrap_or_default()
+    };
+    MemberNews {
+        daemon_id: news.daemon.to_string(),
+        incarnation: news.incarnation.get(),
+        news_number: news.news_number,
+        state: wire_state(news.state).into(),
+        caller_address: address(|addresses| addresses.caller),
+        peer_address: address(|addresses| addresses.peer),
+        operator_address: address(|addresses| addresses.operator),
+        availability_zone: news
+            .availability_zone
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        config_version: news.config_version.get(),
+        load_permille: news.load_permille,
+    }
+}
+
+/// Reads the news of a message; a piece that doesn't parse is left out.
+pub(crate) fn from_wire(news: &[MemberNews]) -> Vec<News> {
+    news.iter().filter_map(try_from_wire).collect()
+}
+
+fn try_from_wire(news: &MemberNews) -> Option<News> {
+    let addresses = match news.is_short() {
+        true => None,
+        false => Some(MemberAddresses {
+            caller: news.caller_address.parse().ok()?,
+            peer: news.peer_address.parse().ok()?,
+            operator: news.operator_address.parse().ok()?,
+        }),
+    };
+    let availability_zone = match addresses {
+        Some(_) => Some(news.availability_zone.parse().ok()?),
+        None => None,
+    };
+    Some(News {
+        daemon: news.daemon_id.parse().ok()?,
+        incarnation: Incarnation::new(news.incarnation),
+        news_number: news.news_number,
+        state: core_state(news.state())?,
+        addresses,
+        availability_zone,
+        config_version: ConfigVersion::new(news.config_version),
+        load_permille: news.load_permille,
+    })
+}
+
+/// Returns the message's name of a state.
+pub(crate) fn wire_state(state: MemberState) -> WireState {
+    match state {
+        MemberState::Alive => WireState::Alive,
+        MemberState::Draining => WireState::Draining,
+        MemberState::Suspect => WireState::Suspect,
+        MemberState::Dead => WireState::Dead,
+        MemberState::Left => WireState::Left,
+    }
+}
+
+fn core_state(state: WireState) -> Option<MemberState> {
+    match state {
+        WireState::Unspecified => None,
+        WireState::Alive => Some(MemberState::Alive),
+        WireState::Draining => Some(MemberState::Draining),
+        WireState::Suspect => Some(MemberState::Suspect),
+        WireState::Dead => Some(MemberState::Dead),
+        WireState::Left => Some(MemberState::Left),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/peering/probe.rs
@@ -0,0 +1,128 @@
+//! Probing a few peers in each round, with the news that travels on the probes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriahitch_core::fleet::{MembershipCommand, MembershipEvent};
+use wisteriahitch_peer::{Envelope, IndirectProbeRequest, PeerIdentity, ProbeRequest};
+use wisteriahitch_types::Incarnation;
+
+use super::news::{from_wire, to_wire};
+use crate::shared::Shared;
+
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest wait for a probe's answer.
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Longest wait for a peer that probes somebody else for us.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Keeps up the view of the other daemons until the process stops.
+pub(crate) async fn run_membership(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(TICK);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => shared.step_members(MembershipEvent::Tick),
+        }
+    }
+}
+
+impl Shared {
+    /// Returns how this daemon names itself to peers.
+    pub(crate) fn identity(&self) -> PeerIdentity {
+        PeerIdentity::new(self.settings.id.clone(), self.incarnation)
+    }
+
+    /// Returns the envelope of a call that is meant for one incarnation, or for whoever answers.
+    pub(crate) fn envelope(&self, meant_for: Option<Incarnation>) -> Option<Envelope> {
+        Some(self.identity().envelope(meant_for))
+    }
+
+    /// Tells membership an event and carries out what it asks for.
+    pub(crate) fn step_members(self: &Arc<Self>, event: MembershipEvent) {
+        let now = self.clock.now();
+        let commands = self.fleet.members.lock().handle(event, now);
+        self.run_members(commands);
+    }
+
+    /// Carries out what membership asks for.
+    pub(crate) fn run_members(self: &Arc<Self>, commands: Vec<MembershipCommand>) {
+        for command in commands {
+            match command {
+                MembershipCommand::Changed { incarnation, state } => {
+                    log::info!("member {incarnation} is now {state:?}");
+                }
+                command => {
+                    tokio::spawn(send(Arc::clone(self), command));
+                }
+            }
+        }
+    }
+}
+
+async fn send(shared: Arc<Shared>, command: MembershipCommand) {
+    match command {
+        MembershipCommand::Probe { address, meant_for, news, sync_after } => {
+            let request = ProbeRequest {
+                envelope: shared.envelope(meant_for),
+                news: news.iter().map(to_wire).collect(),
+                sync: sync_after.is_some(),
+                sync_after: sync_after.map_or(0, Incarnation::get),
+            };
+            probe(&shared, address, meant_for, request).await;
+        }
+        MembershipCommand::IndirectProbe {
+            helper,
+            helper_incarnation,
+            target,
+            target_address,
+        } => {
+            let request = IndirectProbeRequest {
+                envelope: shared.envelope(Some(helper_incarnation)),
+                target_address: target_address.to_string(),
+                target_incarnation: target.get(),
+                timeout_ms: u32::try_from(PROBE_TIMEOUT.as_millis()).unwrap_or(u32::MAX),
+            };
+            ask_helper(&shared, helper, target, request).await;
+        }
+        MembershipCommand::Changed { .. } => {}
+    }
+}
+
+async fn probe(
+    shared: &Arc<Shared>,
+    address: SocketAddr,
+    meant_for: Option<Incarnation>,
+    request: ProbeRequest,
+) {
+    let answer = shared.outside.peers.probe(address, request, PROBE_TIMEOUT).await;
+    let answered = answer.ok().and_then(|reply| {
+        let sender = reply.envelope.as_ref()?.sender().ok()?;
+        Some((sender.incarnation, from_wire(&reply.news)))
+    });
+    let event = match answered {
+        Some((answered_by, news)) => {
+            MembershipEvent::ProbeAnswered { address, meant_for, answered_by, news }
+        }
+        None => MembershipEvent::ProbeFailed { meant_for },
+    };
+    shared.step_members(event);
+}
+
+async fn ask_helper(
+    shared: &Arc<Shared>,
+    helper: SocketAddr,
+    target: Incarnation,
+    request: IndirectProbeRequest,
+) {
+    let answer = shared.outside.peers.indirect_probe(helper, request, INDIRECT_TIMEOUT).await;
+    let (is_reached, news) = match answer {
+        Ok(reply) => (reply.reached, from_wire(&reply.news)),
+        Err(_) => (false, Vec::new()),
+    };
+    shared.step_members(MembershipEvent::IndirectAnswered { target, is_reached, news });
+}
