feat(config): worked configurations, wider checks and their tests

Cause: rules that can never match for other reasons than an earlier rule (adapters of other models, prompts that no model takes, parts of a completion on another path), engine keys on routes to plain services, and a daemon's own addresses given as the platform's passed unseen; a text for the whole site that leaves out a workspace in force lost it silently.

Change: these are contradictions now; a workspace goes only when the text names it in removed_workspaces. Reports are bounded at 200 problems and texts at 8 MiB.

Ruled out: taking a workspace out because a whole text lacks it, and keeping it without a word; both surprise one of two operators.

--- a/crates/wisteriahitch-config/src/check/contradictions.rs
+++ b/crates/wisteriahitch-config/src/check/contradictions.rs
@@ -6,7 +6,11 @@
 
 use crate::draft::{Draft, DraftRule};
 use crate::read::ProblemLog;
-use crate::{Action, Condition, Model, Route, Service, ServiceKind};
+use crate::{Action, Condition, Model, RequestFacts, Route, Service, ServiceKind};
+
+/// The one call that carries model, adapter and prompt.
+const COMPLETIONS_METHOD: &str = "POST";
+const COMPLETIONS_PATH: &str = "/v1/completions";
 
 pub(super) fn check(draft: &Draft, log: &ProblemLog<'_>) {
     let services = draft.services.iter().map(|s| (&s.name, s));
@@ -30,7 +34,7 @@
         let Some(rule) = &draft.rule else {
             return;
         };
-        if let Some(message) = self.too_long_prompts(&rule.when) {
+        if let Some(message) = self.impossible(&rule.when) {
             log.add(Code::ConfigContradiction, &draft.when, message);
         }
         let Action::Route(route) = &rule.then else {
@@ -46,6 +50,27 @@
         if let Some(message) = fault {
             log.add(Code::ConfigContradiction, &draft.then, message);
         }
+        if service.kind == ServiceKind::Plain {
+            refuse_engine_keys(draft, &service.name, log);
+        }
+    }
+
+    /// A condition whose parts exclude each other would make a rule that never matches.
+    fn impossible(&self, when: &Condition) -> Option<String> {
+        self.too_long_prompts(when)
+            .or_else(|| self.foreign_adapter(when))
+            .or_else(|| not_a_completion(when))
+    }
+
+    fn foreign_adapter(&self, when: &Condition) -> Option<String> {
+        if when.models.is_empty() || when.adapters.is_empty() {
+            return None;
+        }
+        let models: Option<Vec<_>> = when.models.iter().map(|m| self.models.get(m)).collect();
+        let models = models?;
+        let is_held = |adapter| models.iter().any(|model| model.adapters.contains(adapter));
+        let foreign = when.adapters.iter().find(|adapter| !is_held(adapter))?;
+        Some(format!("none of the models has the adapter {foreign}"))
     }
 
     /// A rule for prompts that its models all refuse can never match a request that runs.
@@ -78,13 +103,40 @@
 fn plain_fault(when: &Condition, route: &Route) -> Option<String> {
     let name = &route.service;
     if when.is_for_completions() {
-        let parts = "models, adapters or prompt tokens";
+        let parts = "parts of a completion";
         return Some(format!(
             "the rule asks for {parts}, but the service {name} is a plain one"
         ));
     }
-    route
-        .adapter
-        .as_ref()
-        .map(|adapter| format!("the service {name} is a plain one and has no adapter {adapter}"))
+    None
+}
+
+fn refuse_engine_keys(draft: &DraftRule, service: &ServiceName, log: &ProblemLog<'_>) {
+    for place in &draft.engine_keys {
+        let message = format!("has no meaning, because the service {service} is a plain one");
+        log.add(Code::ConfigContradiction, place, message);
+    }
+}
+
+/// Completions are posted to one path, so a rule that asks for their parts elsewhere never matches.
+fn not_a_completion(when: &Condition) -> Option<String> {
+    if !when.is_for_completions() {
+        return None;
+    }
+    let completion = RequestFacts {
+        method: COMPLETIONS_METHOD.to_owned(),
+        path: COMPLETIONS_PATH.to_owned(),
+        ..RequestFacts::default()
+    };
+    let call = Condition {
+        methods: when.methods.clone(),
+        path_prefixes: when.path_prefixes.clone(),
+        ..Condition::default()
+    };
+    (!call.is_match(&completion)).then(|| {
+        format!(
+            "the condition asks for parts of a completion, but leaves out \
+             {COMPLETIONS_METHOD} {COMPLETIONS_PATH}"
+        )
+    })
 }
--- a/crates/wisteriahitch-config/src/check/mod.rs
+++ b/crates/wisteriahitch-config/src/check/mod.rs
@@ -6,6 +6,8 @@
 mod rules;
 mod shadow;
 
+pub(crate) use names::check_defined_once;
+
 use crate::Configuration;
 use crate::draft::Draft;
 use crate::read::ProblemLog;
@@ -16,7 +18,8 @@
     if draft.has_gap {
         return None;
     }
-    names::check(&draft, log);
+    check_defined_once(&draft, log);
+    names::check_used(&draft, log);
     contradictions::check(&draft, log);
     rules::check(&draft, log);
     log.is_empty().then(|| finish::finish(draft))
--- a/crates/wisteriahitch-config/src/check/names.rs
+++ b/crates/wisteriahitch-config/src/check/names.rs
@@ -8,12 +8,20 @@
 use crate::draft::Draft;
 use crate::read::{Place, Placed, ProblemLog, nearest};
 
-pub(super) fn check(draft: &Draft, log: &ProblemLog<'_>) {
-    check_defined_once(draft, log);
-    check_used(draft, log);
+/// Checks that every used name is defined.
+pub(super) fn check_used(draft: &Draft, log: &ProblemLog<'_>) {
+    let (used, defined) = (&draft.used, &draft.defined);
+    known(log, "model", &used.models, &defined.models);
+    known(log, "adapter", &used.adapters, &defined.adapters);
+    known(log, "store", &used.stores, &defined.stores);
+    known(log, "service", &used.services, &defined.services);
+    known(log, "workspace", &used.workspaces, &defined.workspaces);
+    check_zones(draft, log);
 }
 
-fn check_defined_once(draft: &Draft, log: &ProblemLog<'_>) {
+/// Checks that every name, address and key is defined once; a part of a configuration can be
+/// checked for that by itself.
+pub(crate) fn check_defined_once(draft: &Draft, log: &ProblemLog<'_>) {
     let defined = &draft.defined;
     once(log, "model", &defined.models);
     once(log, "store", &defined.stores);
@@ -30,29 +38,30 @@
 fn once<T: Ord + Display>(log: &ProblemLog<'_>, kind: &str, names: &[Placed<T>]) {
     let mut first: BTreeMap<&T, &Place> = BTreeMap::new();
     for name in names {
+        if log.is_cut() {
+            return;
+        }
         let Some(earlier) = first.get(&name.value) else {
             first.insert(&name.value, &name.place);
             continue;
         };
-        let (line, _) = log.position(earlier);
-        let value = &name.value;
-        let place = &earlier.path;
-        let message = format!("the {kind} {value} is given before, at {place} in line {line}");
+        let (value, place) = (&name.value, log.describe(earlier));
+        let message = format!("the {kind} {value} is given before, at {place}");
         log.add(Code::ConfigDuplicateName, &name.place, message);
     }
 }
 
-fn check_used(draft: &Draft, log: &ProblemLog<'_>) {
-    let (used, defined) = (&draft.used, &draft.defined);
-    known(log, "model", &used.models, &defined.models);
-    known(log, "adapter", &used.adapters, &defined.adapters);
-    known(log, "store", &used.stores, &defined.stores);
-    known(log, "service", &used.services, &defined.services);
-    known(log, "workspace", &used.workspaces, &defined.workspaces);
-    if !defined.availability_zones.is_empty() {
-        let zones = &defined.availability_zones;
-        known(log, "availability zone", &used.availability_zones, zones);
+/// Where the site doesn't declare its availability zones, those of endpoints and store VMs count as
+/// declared.
+fn check_zones(draft: &Draft, log: &ProblemLog<'_>) {
+    let (kind, located) = ("availability zone", &draft.located_zones);
+    let mut declared = &draft.defined.availability_zones;
+    if declared.is_empty() {
+        declared = located;
+    } else {
+        known(log, kind, located, declared);
     }
+    known(log, kind, &draft.used.availability_zones, declared);
 }
 
 fn known<T: Ord + Display>(
@@ -66,6 +75,9 @@
         if names.contains(&name.value) {
             continue;
         }
+        if log.is_cut() {
+            return;
+        }
         let message = unknown(kind, &name.value.to_string(), &names);
         log.add(Code::ConfigUnknownName, &name.place, message);
     }
--- a/crates/wisteriahitch-config/src/check/rules.rs
+++ b/crates/wisteriahitch-config/src/check/rules.rs
@@ -4,7 +4,7 @@
 
 use super::shadow;
 use crate::draft::{Draft, DraftRule};
-use crate::read::{Place, ProblemLog};
+use crate::read::ProblemLog;
 
 pub(super) fn check(draft: &Draft, log: &ProblemLog<'_>) {
     check_default(&draft.rules, log);
@@ -24,7 +24,7 @@
 fn check_default(rules: &[DraftRule], log: &ProblemLog<'_>) {
     let Some(last) = rules.last() else {
         let message = "there is no rule; the last one is to be a default without `when`";
-        log.add(Code::ConfigNoDefault, &Place::default(), message);
+        log.add(Code::ConfigNoDefault, &log.top(), message);
         return;
     };
     let Some(rule) = &last.rule else {
--- a/crates/wisteriahitch-config/src/check/shadow.rs
+++ b/crates/wisteriahitch-config/src/check/shadow.rs
@@ -4,42 +4,69 @@
 
 use wisteriahitch_types::WorkspaceId;
 
+use crate::Condition;
 use crate::draft::DraftRule;
 
+/// Holds a rule with its workspaces in ascending order, so that two long lists are compared in one
+/// pass.
+struct Candidate<'d> {
+    draft: &'d DraftRule,
+    when: &'d Condition,
+    workspaces: Vec<&'d WorkspaceId>,
+}
+
 /// Returns each rule that can never match, with the earlier rule that covers it.
 ///
 /// A rule that names workspaces can only cover one that names them too, so the candidates are the
 /// earlier rules without workspaces and those of one workspace of the rule. That keeps the check
 /// near linear where each of thousands of workspaces has rules of its own.
 pub(super) fn unreachable(rules: &[DraftRule]) -> Vec<(&DraftRule, &DraftRule)> {
-    let mut general: Vec<&DraftRule> = Vec::new();
-    let mut by_workspace: HashMap<&WorkspaceId, Vec<&DraftRule>> = HashMap::new();
+    let mut reachable: Vec<Candidate<'_>> = Vec::new();
+    let mut general: Vec<usize> = Vec::new();
+    let mut by_workspace: HashMap<&WorkspaceId, Vec<usize>> = HashMap::new();
     let mut found = Vec::new();
-    for draft in rules {
-        let Some(rule) = &draft.rule else {
-            continue;
-        };
-        let workspaces = &rule.when.workspaces;
-        let own = workspaces.first().and_then(|first| by_workspace.get(first));
-        let candidates = general.iter().chain(own.into_iter().flatten());
-        let cover = candidates.copied().find(|earlier| covers(earlier, draft));
-        if let Some(earlier) = cover {
-            found.push((draft, earlier));
+    for later in rules.iter().filter_map(Candidate::new) {
+        let first = later.workspaces.first();
+        let own = first.and_then(|first| by_workspace.get(first));
+        let mut earlier = general.iter().chain(own.into_iter().flatten());
+        let cover = earlier.find(|position| reachable[**position].covers(&later));
+        if let Some(position) = cover {
+            found.push((later.draft, reachable[*position].draft));
             continue;
         }
-        if workspaces.is_empty() {
-            general.push(draft);
+        let position = reachable.len();
+        if later.workspaces.is_empty() {
+            general.push(position);
         }
-        for workspace in workspaces {
-            by_workspace.entry(workspace).or_default().push(draft);
+        for workspace in &later.workspaces {
+            by_workspace.entry(workspace).or_default().push(position);
         }
+        reachable.push(later);
     }
     found
 }
 
-fn covers(earlier: &DraftRule, later: &DraftRule) -> bool {
-    match (&earlier.rule, &later.rule) {
-        (Some(earlier), Some(later)) => earlier.when.covers(&later.when),
-        _ => false,
+impl<'d> Candidate<'d> {
+    fn new(draft: &'d DraftRule) -> Option<Self> {
+        let when = &draft.rule.as_ref()?.when;
+        let mut workspaces: Vec<_> = when.workspaces.iter().collect();
+        workspaces.sort_unstable();
+        Some(Self {
+            draft,
+            when,
+            workspaces,
+        })
     }
+
+    /// Returns whether this rule matches wherever `later` does.
+    fn covers(&self, later: &Self) -> bool {
+        self.when.covers_within(later.when)
+            && (self.workspaces.is_empty() || is_superset(&self.workspaces, &later.workspaces))
+    }
+}
+
+/// Returns whether an ascending list holds everything of another one that isn't empty.
+fn is_superset<T: Ord>(wide: &[T], narrow: &[T]) -> bool {
+    let mut wide = wide.iter();
+    !narrow.is_empty() && narrow.iter().all(|name| wide.any(|found| found == name))
 }
--- a/crates/wisteriahitch-config/src/decide/condition.rs
+++ b/crates/wisteriahitch-config/src/decide/condition.rs
@@ -2,10 +2,54 @@
 
 use std::collections::BTreeMap;
 
+use wisteriahitch_types::TokenCount;
+
 use crate::decide::ConditionPart;
 use crate::model::has_prefix;
 use crate::{Condition, RequestFacts};
 
+/// One part of a condition, workspaces and labels aside.
+struct Part {
+    name: ConditionPart,
+    holds: fn(&Condition, &RequestFacts) -> bool,
+}
+
+/// The parts in the order in which they are tried.
+static PARTS: [Part; 8] = [
+    Part {
+        name: ConditionPart::Methods,
+        holds: |when, facts| is_one_of(&when.methods, Some(&facts.method)),
+    },
+    Part {
+        name: ConditionPart::PathPrefixes,
+        holds: |when, facts| is_below(&when.path_prefixes, &facts.path),
+    },
+    Part {
+        name: ConditionPart::Models,
+        holds: |when, facts| is_one_of(&when.models, facts.model.as_ref()),
+    },
+    Part {
+        name: ConditionPart::Adapters,
+        holds: |when, facts| is_one_of(&when.adapters, facts.adapter.as_ref()),
+    },
+    Part {
+        name: ConditionPart::MinPromptTokens,
+        holds: |when, facts| is_bound(when.min_prompt_tokens, facts, |low, found| found >= low),
+    },
+    Part {
+        name: ConditionPart::MaxPromptTokens,
+        holds: |when, facts| is_bound(when.max_prompt_tokens, facts, |high, found| found <= high),
+    },
+    Part {
+        name: ConditionPart::Stream,
+        holds: |when, facts| when.stream.is_none_or(|stream| stream == facts.stream),
+    },
+    Part {
+        name: ConditionPart::AvailabilityZones,
+        holds: |when, facts| is_one_of(&when.availability_zones, facts.availability_zone.as_ref()),
+    },
+];
+
 impl Condition {
     /// Returns whether the condition has no part, so that it always holds.
     pub fn is_default(&self) -> bool {
@@ -18,78 +62,48 @@
             || !self.adapters.is_empty()
             || self.min_prompt_tokens.is_some()
             || self.max_prompt_tokens.is_some()
+            || self.stream == Some(true)
     }
 
     /// Returns whether every part that is given holds.
     pub fn is_match(&self, facts: &RequestFacts) -> bool {
-        self.mismatches(facts).next().is_none()
+        self.has_workspace(facts) && self.is_match_within(facts)
+    }
+
+    /// Returns whether every part but the workspaces holds.
+    pub(crate) fn is_match_within(&self, facts: &RequestFacts) -> bool {
+        PARTS.iter().all(|part| (part.holds)(self, facts))
+            && self.other_labels(facts).next().is_none()
     }
 
-    /// Returns the parts that don't hold, found one by one as they are asked for.
-    pub(crate) fn mismatches<'a>(
-        &'a self,
-        facts: &'a RequestFacts,
-    ) -> impl Iterator<Item = ConditionPart> + 'a {
-        use ConditionPart as Part;
-        let tokens = facts.prompt_tokens;
-        let checks: [(fn() -> Part, bool); 9] = [
-            (
-                || Part::Workspaces,
-                is_one_of(&self.workspaces, facts.workspace.as_ref()),
-            ),
-            (
-                || Part::Methods,
-                is_one_of(&self.methods, Some(&facts.method)),
-            ),
-            (
-                || Part::PathPrefixes,
-                is_below(&self.path_prefixes, &facts.path),
-            ),
-            (
-                || Part::Models,
-                is_one_of(&self.models, facts.model.as_ref()),
-            ),
-            (
-                || Part::Adapters,
-                is_one_of(&self.adapters, facts.adapter.as_ref()),
-            ),
-            (
-                || Part::MinPromptTokens,
-                self.min_prompt_tokens
-                    .is_none_or(|low| tokens.is_some_and(|tokens| tokens >= low)),
-            ),
-            (
-                || Part::MaxPromptTokens,
-                self.max_prompt_tokens
-                    .is_none_or(|high| tokens.is_some_and(|tokens| tokens <= high)),
-            ),
-            (
-                || Part::Stream,
-                self.stream.is_none_or(|stream| stream == facts.stream),
-            ),
-            (
-                || Part::AvailabilityZones,
-                is_one_of(&self.availability_zones, facts.availability_zone.as_ref()),
-            ),
-        ];
-        let labels = self
-            .labels
-            .iter()
-            .filter(|(name, value)| facts.labels.get(*name) != Some(value))
-            .map(|(name, _)| Part::Label(name.clone()));
-        checks
-            .into_iter()
-            .filter(|(_, holds)| !holds)
-            .map(|(part, _)| part())
-            .chain(labels)
+    /// Returns the parts that don't hold.
+    pub(crate) fn mismatches(&self, facts: &RequestFacts) -> Vec<ConditionPart> {
+        let mut failed = Vec::new();
+        if !self.has_workspace(facts) {
+            failed.push(ConditionPart::Workspaces);
+        }
+        let parts = PARTS.iter().filter(|part| !(part.holds)(self, facts));
+        failed.extend(parts.map(|part| part.name.clone()));
+        let labels = self.other_labels(facts);
+        failed.extend(labels.map(|name| ConditionPart::Label(name.clone())));
+        failed
     }
 
-    /// Returns whether this condition holds wherever `other` does.
-    pub(crate) fn covers(&self, other: &Self) -> bool {
+    fn has_workspace(&self, facts: &RequestFacts) -> bool {
+        is_one_of(&self.workspaces, facts.workspace.as_ref())
+    }
+
+    fn other_labels<'a>(&'a self, facts: &'a RequestFacts) -> impl Iterator<Item = &'a String> {
+        let is_other = |(name, value): &(&String, &String)| facts.labels.get(*name) != Some(*value);
+        let labels = self.labels.iter();
+        labels.filter(is_other).map(|(name, _)| name)
+    }
+
+    /// Returns whether this condition holds wherever `other` does, workspaces aside.
+    pub(crate) fn covers_within(&self, other: &Self) -> bool {
         let low = self.min_prompt_tokens;
         let high = self.max_prompt_tokens;
-        is_superset(&self.workspaces, &other.workspaces)
-            && is_superset(&self.methods, &other.methods)
+        is_superset(&self.methods, &other.methods)
             && covers_prefixes(&self.path_prefixes, &other.path_prefixes)
             && is_superset(&self.models, &other.models)
             && is_superset(&self.adapters, &other.adapters)
@@ -109,6 +123,15 @@
     prefixes.is_empty() || prefixes.iter().any(|prefix| has_prefix(path, prefix))
 }
 
+fn is_bound(
+    bound: Option<TokenCount>,
+    facts: &RequestFacts,
+    holds: fn(TokenCount, TokenCount) -> bool,
+) -> bool {
+    let found = facts.prompt_tokens;
+    bound.is_none_or(|bound| found.is_some_and(|found| holds(bound, found)))
+}
+
 fn is_superset<T: PartialEq>(wide: &[T], narrow: &[T]) -> bool {
     wide.is_empty() || (!narrow.is_empty() && narrow.iter().all(|name| wide.contains(name)))
 }
--- a/crates/wisteriahitch-config/src/decide/configuration.rs
+++ b/crates/wisteriahitch-config/src/decide/configuration.rs
@@ -80,7 +80,7 @@
         let own = own.map_or(&[][..], Vec::as_slice);
         merged(own, &tables.general_rules)
             .filter_map(|position| self.rules.get(position))
-            .find(|rule| rule.when.is_match(facts))
+            .find(|rule| rule.when.is_match_within(facts))
             .unwrap_or(&NO_RULE)
     }
 
@@ -91,7 +91,7 @@
             let trace = RuleTrace {
                 position: position + 1,
                 rule: rule.name.clone(),
-                failed: rule.when.mismatches(facts).collect(),
+                failed: rule.when.mismatches(facts),
             };
             let is_decisive = trace.is_decisive();
             traces.push(trace);
--- a/crates/wisteriahitch-config/src/draft/draft.rs
+++ b/crates/wisteriahitch-config/src/draft/draft.rs
@@ -1,15 +1,18 @@
 //! The whole configuration as read, before names are resolved.
 
 use toml::de::DeTable;
-use wisteriahitch_types::AvailabilityZone;
+use wisteriahitch_types::{AvailabilityZone, WorkspaceId};
 
 use super::{DraftRule, Names, limits, model, names, rule, service, store, workspace};
-use crate::read::{Place, ProblemLog, TableReader};
+use crate::read::{Place, Placed, ProblemLog, TableReader};
 use crate::{Limits, Model, Service, Store, Workspace};
 
 /// Key of the list of customers, the one key that a workspace's section holds.
 pub(crate) const WORKSPACES_KEY: &str = "workspaces";
 
+/// Key of the list of workspaces that a submission takes out.
+pub(crate) const REMOVED_WORKSPACES_KEY: &str = "removed_workspaces";
+
 /// Holds what was read of a configuration; an entry that could not be read is left out, though its
 /// name counts as defined, so that one fault doesn't bring others after it.
 #[derive(Debug, Default)]
@@ -23,6 +26,10 @@
     pub(crate) rules: Vec<DraftRule>,
     pub(crate) defined: Names,
     pub(crate) used: Names,
+    /// Availability zones that endpoints and store VMs are in.
+    pub(crate) located_zones: Vec<Placed<AvailabilityZone>>,
+    /// Workspaces that the submission takes out.
+    pub(crate) removed: Vec<Placed<WorkspaceId>>,
     /// Whether some source couldn't be parsed at all, so that names may be missing.
     pub(crate) has_gap: bool,
 }
@@ -53,6 +60,7 @@
         service::read_all(&top, self);
         workspace::read_all(&top, self);
         rule::read_all(&top, self);
+        self.removed.extend(top.list(REMOVED_WORKSPACES_KEY));
         top.finish();
     }
 
--- a/crates/wisteriahitch-config/src/draft/rule.rs
+++ b/crates/wisteriahitch-config/src/draft/rule.rs
@@ -26,8 +26,13 @@
     pub(crate) when: Place,
     /// Where its action stands.
     pub(crate) then: Place,
+    /// Where keys stand that mean something for engines alone.
+    pub(crate) engine_keys: Vec<Place>,
 }
 
+/// Keys of a route that mean nothing for plain services.
+const ENGINE_KEYS: [&str; 3] = ["adapter", "first_token_weight", "save"];
+
 impl FromValue for SavePolicy {
     fn from_value(value: &DeValue<'_>) -> Result<Self, String> {
         let text = String::from_value(value)?;
@@ -55,11 +60,21 @@
             place: table.place().clone(),
             when: table.place_of("when"),
             then: table.place_of("then"),
+            engine_keys: engine_keys(&table),
         });
         table.finish();
     }
 }
 
+fn engine_keys(table: &TableReader<'_, '_>) -> Vec<Place> {
+    let then = table.peek_table("then");
+    let Some(route) = then.and_then(|then| then.peek_table("route")) else {
+        return Vec::new();
+    };
+    let given = ENGINE_KEYS.iter().filter(|key| route.has(key));
+    given.map(|key| route.place_of(key)).collect()
+}
+
 fn read(
     table: &TableReader<'_, '_>,
     name: Option<Placed<RuleName>>,
--- a/crates/wisteriahitch-config/src/draft/service.rs
+++ b/crates/wisteriahitch-config/src/draft/service.rs
@@ -64,7 +64,6 @@
         }
         ServiceKind::Plain => {
             refuse_key(table, "models", "of a plain service; it is for engines");
-            refuse_key(table, "stores", "of a plain service; it is for engines");
         }
     }
 }
--- a/crates/wisteriahitch-config/src/draft/store.rs
+++ b/crates/wisteriahitch-config/src/draft/store.rs
@@ -62,6 +62,6 @@
     draft: &mut Draft,
 ) -> Option<AvailabilityZone> {
     let zone: Placed<AvailabilityZone> = table.required_placed("availability_zone")?;
-    draft.used.availability_zones.push(zone.clone());
+    draft.located_zones.push(zone.clone());
     Some(zone.value)
 }
--- a/crates/wisteriahitch-config/src/lib.rs
+++ b/crates/wisteriahitch-config/src/lib.rs
@@ -18,7 +18,7 @@
     RequestFacts, Route, Rule, SavePolicy, Service, ServiceKind, Store, Workspace, is_plain_path,
 };
 pub use report::{Problem, Report, ReportInFile};
-pub use sections::{Section, SectionHash, SectionMismatch, SectionName, Sections};
+pub use sections::{Change, Section, SectionHash, SectionMismatch, SectionName, Sections};
 pub use settings::{
     ListenSettings, LogLevel, LogSettings, OperatorSettings, PeerSettings, PlatformSettings,
     RequestLimits, RunSettings, Settings,
--- a/crates/wisteriahitch-config/src/read/problem_log.rs
+++ b/crates/wisteriahitch-config/src/read/problem_log.rs
@@ -1,6 +1,7 @@
 //! Collects problems while several readers walk the same texts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 
 use toml::de::DeTable;
 use wisteriahitch_types::Code;
@@ -11,11 +12,15 @@
 /// Most problems that a report lists, so that a hostile text makes no endless one.
 const MAX_PROBLEMS: usize = 200;
 
+/// Longest text that is parsed, several times what 3,200 workspaces take.
+const MAX_TEXT_BYTES: usize = 8 << 20;
+
 /// Collects problems and turns their places into lines and columns.
 #[derive(Debug)]
 pub(crate) struct ProblemLog<'a> {
     sources: Vec<Source<'a>>,
     problems: RefCell<Vec<Problem>>,
+    is_cut: Cell<bool>,
 }
 
 impl<'a> ProblemLog<'a> {
@@ -24,6 +29,7 @@
         Self {
             sources,
             problems: RefCell::default(),
+            is_cut: Cell::default(),
         }
     }
 
@@ -36,6 +42,7 @@
     pub(crate) fn add(&self, code: Code, place: &Place, message: impl Into<String>) {
         let mut problems = self.problems.borrow_mut();
         if problems.len() >= MAX_PROBLEMS {
+            self.is_cut.set(true);
             return;
         }
         let Some(source) = self.sources.get(place.source) else {
@@ -58,11 +65,37 @@
         source.map_or((1, 1), |source| source.position(place.offset))
     }
 
+    /// Returns what to call a place beside another one: its line, and its section where that
+    /// is not the submitted text.
+    pub(crate) fn describe(&self, place: &Place) -> String {
+        let (line, _) = self.position(place);
+        let source = self.sources.get(place.source);
+        let path = &place.path;
+        match source.and_then(|source| source.section.as_ref()) {
+            Some(section) => format!("{path} of {section} (in force)"),
+            None => format!("{path} in line {line}"),
+        }
+    }
+
+    /// Returns the start of the submitted text, or of the first one where none is submitted.
+    pub(crate) fn top(&self) -> Place {
+        let submitted = self.sources.iter().position(|s| s.section.is_none());
+        Place {
+            source: submitted.unwrap_or_default(),
+            ..Place::default()
+        }
+    }
+
     /// Returns how many problems were added so far.
     pub(crate) fn len(&self) -> usize {
         self.problems.borrow().len()
     }
 
+    /// Returns whether no further problem will be listed; checks that cost much may stop.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.is_cut.get()
+    }
+
     /// Returns whether no problem was added so far.
     pub(crate) fn is_empty(&self) -> bool {
         self.len() == 0
@@ -72,19 +105,30 @@
     /// parser guesses would only add misleading problems.
     pub(crate) fn parse(&self, source: usize) -> Option<DeTable<'a>> {
         let text = self.sources.get(source)?.text;
+        if text.len() > MAX_TEXT_BYTES {
+            let place = Place {
+                source,
+                ..Place::default()
+            };
+            let message = format!(
+                "the text has {} bytes, more than {MAX_TEXT_BYTES}",
+                text.len()
+            );
+            self.add(Code::ConfigTooLarge, &place, message);
+            return None;
+        }
         let (table, errors) = DeTable::parse_recoverable(text);
         if errors.is_empty() {
             return Some(table.into_inner());
         }
-        let mut last_line = 0;
+        let mut lines = BTreeSet::new();
         for error in errors {
             let offset = error.span().map_or(0, |span| span.start);
             let (line, _) = self.sources[source].position(offset);
             // A parser that recovers trips again over the rest of a broken line.
-            if line == last_line {
+            if !lines.insert(line) {
                 continue;
             }
-            last_line = line;
             let place = Place {
                 source,
                 offset,
@@ -99,7 +143,7 @@
     pub(crate) fn finish<T>(self, value: Option<T>) -> Result<T, Report> {
         match value {
             Some(value) if self.is_empty() => Ok(value),
-            _ => Err(Report::new(self.problems.into_inner())),
+            _ => Err(Report::new(self.problems.into_inner(), self.is_cut.get())),
         }
     }
 }
--- a/crates/wisteriahitch-config/src/read/table_reader.rs
+++ b/crates/wisteriahitch-config/src/read/table_reader.rs
@@ -181,6 +181,17 @@
         self.open(value, self.child_place(key, value))
     }
 
+    /// Opens a table without reporting what is wrong with it, for one that is read elsewhere.
+    pub(crate) fn peek_table(&self, key: &str) -> Option<TableReader<'r, 'i>> {
+        let value = self.table.get(key)?;
+        let table = value.get_ref().as_table()?;
+        Some(TableReader::new(
+            self.log,
+            table,
+            self.child_place(key, value),
+        ))
+    }
+
     /// Opens every table of a list; a missing list is empty.
     pub(crate) fn tables(&self, key: &'static str) -> Vec<TableReader<'r, 'i>> {
         self.elements(key)
--- a/crates/wisteriahitch-config/src/read/value.rs
+++ b/crates/wisteriahitch-config/src/read/value.rs
@@ -25,7 +25,7 @@
         DeValue::String(_) => "a string",
         DeValue::Integer(_) => "a whole number",
         DeValue::Float(_) => "a fraction",
-        DeValue::Boolean(_) => "true or false",
+        DeValue::Boolean(_) => "a boolean",
         DeValue::Datetime(_) => "a date",
         DeValue::Array(_) => "a list",
         DeValue::Table(_) => "a table",
--- a/crates/wisteriahitch-config/src/report/report.rs
+++ b/crates/wisteriahitch-config/src/report/report.rs
@@ -16,17 +16,18 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct Report {
     problems: Vec<Problem>,
+    is_cut: bool,
 }
 
 impl Report {
     /// Gathers problems into a report, ordered by their place.
-    pub(crate) fn new(mut problems: Vec<Problem>) -> Self {
+    pub(crate) fn new(mut problems: Vec<Problem>, is_cut: bool) -> Self {
         let place = |problem: &Problem| {
             let section = problem.section.clone();
             (section, problem.line, problem.column, problem.code)
         };
         problems.sort_by_key(place);
-        Self { problems }
+        Self { problems, is_cut }
     }
 
     /// Returns the problems in the order of the text.
@@ -34,6 +35,11 @@
         &self.problems
     }
 
+    /// Returns whether there are more problems than are listed.
+    pub fn is_cut(&self) -> bool {
+        self.is_cut
+    }
+
     /// Returns the report as lines that open with the name of the file.
     pub fn in_file<'a>(&'a self, file: &'a str) -> ReportInFile<'a> {
         ReportInFile { report: self, file }
@@ -64,6 +70,14 @@
             }
             problem.write_line(self.file, f)?;
         }
+        if self.report.is_cut {
+            let listed = self.report.problems.len();
+            write!(
+                f,
+                "\n{}: only the first {listed} problems found are listed",
+                self.file
+            )?;
+        }
         Ok(())
     }
 }
--- a/crates/wisteriahitch-config/src/sections/canonical.rs
+++ b/crates/wisteriahitch-config/src/sections/canonical.rs
@@ -4,7 +4,7 @@
 use wisteriahitch_types::WorkspaceId;
 
 use super::{Section, SectionName};
-use crate::draft::WORKSPACES_KEY;
+use crate::draft::{REMOVED_WORKSPACES_KEY, WORKSPACES_KEY};
 
 const ID_KEY: &str = "id";
 
@@ -13,6 +13,7 @@
 pub(super) fn split(text: &str) -> Result<Vec<(SectionName, Section)>, toml::de::Error> {
     let mut top: Table = toml::from_str(text)?;
     let workspaces = top.remove(WORKSPACES_KEY);
+    top.remove(REMOVED_WORKSPACES_KEY);
     let mut sections = Vec::new();
     if !top.is_empty() {
         sections.push((SectionName::Site, Section::new(top.to_string())));
--- a/crates/wisteriahitch-config/src/sections/mod.rs
+++ b/crates/wisteriahitch-config/src/sections/mod.rs
@@ -1,12 +1,14 @@
 //! A configuration in the parts that are stored and passed on by themselves.
 
 mod canonical;
+mod change;
 mod section;
 mod section_hash;
 mod section_name;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
 mod sections;
 
+pub use change::Change;
 pub use section::{Section, SectionMismatch};
 pub use section_hash::SectionHash;
 pub use section_name::SectionName;
--- a/crates/wisteriahitch-config/src/sections/sections.rs
+++ b/crates/wisteriahitch-config/src/sections/sections.rs
@@ -1,14 +1,14 @@
 //! All sections of a configuration.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use wisteriahitch_types::Code;
+use wisteriahitch_types::{Code, WorkspaceId};
 
-use super::{Section, SectionHash, SectionMismatch, SectionName, canonical};
-use crate::check::check;
+use super::{Change, Section, SectionHash, SectionMismatch, SectionName, canonical};
+use crate::check::{check, check_defined_once};
 use crate::draft::Draft;
-use crate::read::{Place, ProblemLog, Source};
+use crate::read::{ProblemLog, Source};
 use crate::{Configuration, Report};
 
 /// Longest section, as the JSON text that the platform keeps; its limit is a megabyte, and the
@@ -44,6 +44,8 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Sections {
     sections: BTreeMap<SectionName, Section>,
+    /// Workspaces that a submission takes out; empty but for a submission.
+    removed: BTreeSet<WorkspaceId>,
 }
 
 impl Sections {
@@ -57,8 +59,9 @@
     /// Every fault that can be found in the submission by itself.
     pub fn split(text: &str) -> Result<Self, Report> {
         let log = ProblemLog::new(vec![Source::submitted(text)]);
-        Draft::read(&log);
-        let split = split_read(text, &log);
+        let draft = Draft::read(&log);
+        check_defined_once(&draft, &log);
+        let split = log.is_empty().then(|| split_read(text, &draft, &log));
         log.finish(split)
     }
 
@@ -75,14 +78,15 @@
         log.finish(checked)
     }
 
-    /// Returns these sections with the submitted ones in their places.
+    /// Returns these sections with the submitted ones in their places, and without the workspaces
+    /// that the submission names under `removed_workspaces`.
     ///
-    /// A submission of workspaces alone, or of the site alone, leaves all other sections. One of
-    /// both is a whole configuration: workspaces that it doesn't hold are gone.
+    /// Every other section stays: a workspace is never lost because a text leaves it out.
     pub fn merge(&self, submitted: &Self) -> Self {
         let mut merged = self.clone();
-        if submitted.is_whole() {
-            merged.sections.clear();
+        for id in &submitted.removed {
+            let name = SectionName::Workspace(id.clone());
+            merged.sections.remove(&name);
         }
         let added = submitted.sections.iter();
         let added = added.map(|(name, section)| (name.clone(), section.clone()));
@@ -98,19 +102,35 @@
     /// Every fault, with its place in the submitted text or in the section in force.
     pub fn accept(&self, text: &str) -> Result<(Self, Configuration), Report> {
         let submitted = Self::split(text)?;
-        let kept = if submitted.is_whole() {
-            Self::default()
-        } else {
-            self.clone()
-        };
-        let mut sources = vec![Source::submitted(text)];
-        sources.extend(kept.sources(&submitted));
-        let log = ProblemLog::new(sources);
         let merged = self.merge(&submitted);
+        // The submitted text comes last, so that a name given twice is reported there.
+        let mut sources: Vec<_> = merged.sources(&submitted).collect();
+        sources.push(Source::submitted(text));
+        let log = ProblemLog::new(sources);
         merged.check_size(&log);
+        self.check_left_out(&submitted, &log);
         let draft = Draft::read(&log);
+        self.check_removed(&draft, &log);
         let checked = check(draft, &log);
-        log.finish(checked.map(|configuration| (merged, configuration)))
+        log.finish(checked.map(|configuration| (merged.clone(), configuration)))
+    }
+
+    /// Returns what differs in `after`, in the order of the names.
+    pub fn changes_to(&self, after: &Self) -> Vec<Change> {
+        let gone = self
+            .sections
+            .keys()
+            .filter(|name| after.get(name).is_none());
+        let mut changes: Vec<Change> = gone.cloned().map(Change::Removed).collect();
+        for (name, section) in &after.sections {
+            match self.get(name) {
+                None => changes.push(Change::Added(name.clone())),
+                Some(before) if before != section => changes.push(Change::Changed(name.clone())),
+                Some(_) => {}
+            }
+        }
+        changes.sort();
+        changes
     }
 
     /// Adds a section that was fetched under a hash.
@@ -162,8 +182,41 @@
         self.sections.is_empty()
     }
 
-    fn is_whole(&self) -> bool {
-        self.sections.contains_key(&SectionName::Site) && self.len() > 1
+    /// Reports workspaces to be removed that are not in force, since a mistyped name would leave
+    /// a customer's keys valid.
+    fn check_removed(&self, draft: &Draft, log: &ProblemLog<'_>) {
+        for id in &draft.removed {
+            let name = SectionName::Workspace(id.value.clone());
+            if self.get(&name).is_none() {
+                let message = format!("no workspace in force is named \"{}\"", id.value);
+                log.add(Code::ConfigUnknownName, &id.place, message);
+            }
+        }
+    }
+
+    /// Reports workspaces in force that a text for the whole site leaves out.
+    ///
+    /// An operator who deletes a workspace from such a text expects it gone, and one who adds a
+    /// workspace to the text of the rules expects all others kept. Either guess would be wrong
+    /// for somebody's customers, so the text has to say which.
+    fn check_left_out(&self, submitted: &Self, log: &ProblemLog<'_>) {
+        let is_whole = submitted.get(&SectionName::Site).is_some() && submitted.len() > 1;
+        if !is_whole {
+            return;
+        }
+        for name in self.sections.keys() {
+            let SectionName::Workspace(id) = name else {
+                continue;
+            };
+            if submitted.get(name).is_some() || submitted.removed.contains(id) {
+                continue;
+            }
+            let message = format!(
+                "the workspace {id} is in force but not in the text; add it, name it in \
+                 `removed_workspaces`, or submit workspaces and the rest apart"
+            );
+            log.add(Code::ConfigContradiction, &log.top(), message);
+        }
     }
 
     /// Returns the sections as texts to check, without those that `replaced` holds.
@@ -185,26 +238,51 @@
             .sum();
         if bytes > MAX_NAMES_BYTES {
             let message = format!("the names of {} sections take too much room", self.len());
-            log.add(Code::ConfigTooLarge, &Place::default(), message);
+            log.add(Code::ConfigTooLarge, &log.top(), message);
         }
     }
 }
 
-fn split_read(text: &str, log: &ProblemLog<'_>) -> Option<Sections> {
-    if !log.is_empty() {
-        return None;
+fn split_read(text: &str, draft: &Draft, log: &ProblemLog<'_>) -> Sections {
+    let removed = draft.removed.iter().map(|id| id.value.clone());
+    let mut sections = Sections {
+        removed: removed.collect(),
+        ..Sections::default()
+    };
+    let split = canonical::split(text).unwrap_or_else(|error| {
+        log.add(Code::ConfigSyntax, &log.top(), error.message());
+        Vec::new()
+    });
+    for (name, section) in split {
+        check_section_size(&name, &section, log);
+        sections.sections.insert(name, section);
     }
-    let mut sections = Sections::default();
-    for (name, section) in canonical::split(text).ok()? {
-        let bytes = serde_json::to_string(section.text()).map_or(usize::MAX, |json| json.len());
-        if bytes > MAX_SECTION_BYTES {
-            let message = format!(
-                "the section {name} takes {bytes} bytes; the platform's limit leaves room for \
-                 {MAX_SECTION_BYTES}"
-            );
-            log.add(Code::ConfigTooLarge, &Place::default(), message);
+    if sections.is_empty() && sections.removed.is_empty() {
+        let message = "the text changes nothing";
+        log.add(Code::ConfigMissingKey, &log.top(), message);
+    }
+    check_given_once(&sections, draft, log);
+    sections
+}
+
+fn check_section_size(name: &SectionName, section: &Section, log: &ProblemLog<'_>) {
+    let json = serde_json::to_string(section.text());
+    let bytes = json.map_or(usize::MAX, |json| json.len());
+    if bytes > MAX_SECTION_BYTES {
+        let message = format!(
+            "the section {name} takes {bytes} bytes; the platform's limit leaves room for \
+             {MAX_SECTION_BYTES}"
+        );
+        log.add(Code::ConfigTooLarge, &log.top(), message);
+    }
+}
+
+fn check_given_once(sections: &Sections, draft: &Draft, log: &ProblemLog<'_>) {
+    for id in &draft.removed {
+        let name = SectionName::Workspace(id.value.clone());
+        if sections.get(&name).is_some() {
+            let message = format!("the workspace {} is both given and removed", id.value);
+            log.add(Code::ConfigContradiction, &id.place, message);
         }
-        sections.sections.insert(name, section);
     }
-    Some(sections)
 }
--- a/crates/wisteriahitch-config/src/settings/read.rs
+++ b/crates/wisteriahitch-config/src/settings/read.rs
@@ -22,6 +22,8 @@
 const KEEP_ALIVE_MS: RangeInclusive<u64> = 1..=3_600_000;
 const HEADER_BYTES: RangeInclusive<u64> = 1 << 10..=1 << 20;
 const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=1 << 30;
+/// An answer is kept in an object of at most a megabyte, and base64 makes it a third longer.
+const ANSWER_BYTES: RangeInclusive<u64> = 1 << 10..=700 << 10;
 const MAX_STREAMS: u32 = 1_000_000;
 const MAX_CORES: u32 = 1_024;
 
@@ -54,7 +56,7 @@
     let limits = optional_table(top, "limits", read_limits);
     let log = optional_table(top, "log", read_log);
     let run = optional_table(top, "run", read_run);
-    Some(Settings {
+    let settings = Settings {
         id: id?,
         availability_zone: availability_zone?,
         listen: listen??,
@@ -64,7 +66,43 @@
         operators: operators?,
         log: log.unwrap_or_default(),
         run: run.unwrap_or_default(),
-    })
+    };
+    check_own_addresses(top, &settings);
+    Some(settings)
+}
+
+/// Checks the daemon's own addresses against those that it is to call.
+fn check_own_addresses(top: &TableReader<'_, '_>, settings: &Settings) {
+    let ListenSettings {
+        callers,
+        peers,
+        operators,
+    } = settings.listen;
+    for address in &settings.platform.addresses {
+        if [callers, peers, operators].contains(address) {
+            let message = format!("the address {address} is this daemon's own");
+            fault_in(
+                top,
+                "platform",
+                "addresses",
+                Code::ConfigDuplicateName,
+                message,
+            );
+        }
+    }
+    // A list of seeds may hold the daemon's own peer address, so that all daemons share one list.
+    for address in &settings.peers.seeds {
+        if [callers, operators].contains(address) {
+            let message = format!("{address} is this daemon's own address, but not for peers");
+            fault_in(top, "peers", "seeds", Code::ConfigContradiction, message);
+        }
+    }
+}
+
+fn fault_in(top: &TableReader<'_, '_>, table: &str, key: &str, code: Code, message: String) {
+    if let Some(table) = top.peek_table(table) {
+        table.fault(code, key, message);
+    }
 }
 
 fn required_table<T>(
@@ -161,7 +199,7 @@
     let limits = RequestLimits {
         header_bytes: bytes("header_bytes", HEADER_BYTES, default.header_bytes),
         body_bytes: bytes("body_bytes", BODY_BYTES, default.body_bytes),
-        answer_bytes: bytes("answer_bytes", BODY_BYTES, default.answer_bytes),
+        answer_bytes: bytes("answer_bytes", ANSWER_BYTES, default.answer_bytes),
         streams: count("streams", default.streams),
         header_timeout_us: span(
             duration_keys!("header_timeout"),
--- a/crates/wisteriahitch-config/tests/all/main.rs
+++ b/crates/wisteriahitch-config/tests/all/main.rs
@@ -5,4 +5,12 @@
     reason = "helpers of tests fail the test by panicking"
 )]
 
+mod decide;
+mod examples;
+mod generated;
+mod mistakes;
+mod path;
 mod sections;
+mod settings;
+mod shadow;
+mod support;
