--- a/crates/wisteriahitch-core/src/route/endpoint/mod.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/mod.rs
@@ -8,6 +8,7 @@
 mod outlier;
 mod pool;
 mod record;
+mod reported;
 mod scan;
 mod sent_load;
 mod snapshot;
--- a/crates/wisteriahitch-core/src/stream/check.rs
+++ b/crates/wisteriahitch-core/src/stream/check.rs
@@ -108,6 +108,12 @@
         self
     }
 
+    /// Counts on from an earlier answer's attempts, so that what is left of them is dropped.
+    pub fn starting_with(mut self, attempt: AttemptNumber) -> Self {
+        self.attempt = attempt;
+        self
+    }
+
     /// Checks the head of an endpoint's answer, before the first byte goes on.
     pub fn on_head(&mut self, head: &StreamHead) -> HeadVerdict {
         if let Some(reason) = self.find_mismatch(&head.request, head.attempt) {
--- a/crates/wisteriahitch-core/src/stream/token.rs
+++ b/crates/wisteriahitch-core/src/stream/token.rs
@@ -1,6 +1,7 @@
 //! What an endpoint's answer says of itself, and why a part of it is dropped.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::Serialize;
 use wisteriahitch_types::{AttemptNumber, RequestId, WeightVersion};
@@ -45,6 +46,18 @@
     AfterEnd,
 }
 
+impl fmt::Display for DropReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            DropReason::OtherRequest => "other_request",
+            DropReason::OtherAttempt => "other_attempt",
+            DropReason::Duplicate => "duplicate",
+            DropReason::BeforeHead => "before_head",
+            DropReason::AfterEnd => "after_end",
+        })
+    }
+}
+
 /// Counts what was dropped, by reason.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
 #[serde(transparent)]
--- a/crates/wisteriahitch-node/src/caller/entries.rs
+++ b/crates/wisteriahitch-node/src/caller/entries.rs
@@ -29,10 +29,8 @@
 /// The order is drawn for each answer: callers keep an answer for a while, and an equal order for
 /// all of them would send them all to the same daemon.
 pub(crate) fn answer(shared: &Shared, identity: &Identity) -> Response<ResponseBody> {
-    let now = shared.clock.now();
     let ttl_us = identity.in_force.configuration.limits.entries_ttl_us;
-    let addresses = shared.list_entries(&identity.workspace, rand::random(), now);
-    shared.drain.lock().note_entries_answered(now, ttl_us);
+    let addresses = shared.list_entries(&identity.workspace);
     let rows = addresses
         .into_iter()
         .map(|entry| EntryRow {
--- a/crates/wisteriahitch-node/src/caller/mod.rs
+++ b/crates/wisteriahitch-node/src/caller/mod.rs
@@ -16,5 +16,5 @@
 
 pub(crate) use entries::json_response;
 pub(crate) use handler::CallerHandler;
-pub(crate) use identity::Identity;
+pub(crate) use identity::{Identity, new_request_id};
 pub(crate) use refusal::Refusal;
--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Response};
 use wisteriahitch_config::{RequestFacts, Route, Service};
-use wisteriahitch_types::{Code, RequestId, TokenCount};
+use wisteriahitch_types::{Code, Meaning, RequestId};
 use wisteriahitch_wire::service::ServiceResponse;
 
 use super::body::{ResponseBody, full_body};
@@ -28,9 +28,15 @@
     body: Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let facts = facts(shared, &identity, parts);
-    let ruling = decide(&identity, &facts)?;
-    let call = build_call(shared, &identity, &ruling, request_id, parts, body);
-    match parts.headers.get(KEY_HEADER) {
+    let key = parts.headers.get(KEY_HEADER);
+    let ruling = decide(&identity, &facts).map_err(|refusal| match key {
+        // Another copy of a keyed request may be on its way to a daemon that decides otherwise,
+        // so that this one can't say that the request was not run.
+        Some(_) if refusal.meaning() == Meaning::NotRun => refusal.with_outcome_unknown(),
+        _ => refusal,
+    })?;
+    let call = build_call(&identity, &ruling, request_id, parts, body);
+    match key {
         Some(key) => {
             let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
             let keyed = KeyedCall { call, key: key.to_owned() };
@@ -52,7 +58,6 @@
 }
 
 fn build_call(
-    shared: &Shared,
     identity: &Identity,
     ruling: &Ruling,
     request_id: &RequestId,
@@ -69,8 +74,6 @@
         path_and_query,
         headers: parts.headers.clone(),
         body,
-        answer_limit_bytes: shared.settings.limits.answer_bytes,
-        prompt_tokens: TokenCount::ZERO,
     }
 }
 
--- /dev/null
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -0,0 +1,159 @@
+//! A daemon: every role in one process.
+
+use std::sync::Arc;
+
+use anyhow::Context;
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+use wisteriahitch_config::Settings;
+use wisteriahitch_core::once::ClaimHolder;
+use wisteriahitch_core::route::{CostPolicy, Router};
+use wisteriahitch_peer::{PeerClient, serve_peers};
+use wisteriahitch_types::Incarnation;
+use wisteriahitch_wire::engine::HttpEngine;
+use wisteriahitch_wire::http_client::{HttpClient, HttpClientOptions};
+use wisteriahitch_wire::platform::{CallRate, HttpPlatform, HttpPlatformOptions};
+use wisteriahitch_wire::service::{HttpService, HttpServiceOptions};
+use wisteriahitch_wire::store::HttpStore;
+
+use crate::caller::CallerHandler;
+use crate::clock::Clock;
+use crate::observe::Metrics;
+use crate::operator::OperatorHandler;
+use crate::peering::{PeerSide, run_membership};
+use crate::server::{ConnectionLimits, serve};
+use crate::shared::{Outside, Shared};
+use crate::state::{AdmissionState, FleetState, OnceState, TierState};
+use crate::task;
+
+/// Part of the requests that may be retries until a configuration says otherwise.
+const FIRST_RETRY_SHARE: f64 = 0.1;
+
+/// Longest wait for a connection to a peer.
+const PEER_CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Operators' connections at once.
+const OPERATOR_CONNECTIONS: usize = 64;
+
+/// One life of a daemon process.
+///
+/// It holds nothing that must last: whatever must lies in the platform's objects, and everything
+/// else is learned again at the next start (`docs/ARCHITECTURE.md`).
+pub struct Daemon {
+    shared: Arc<Shared>,
+}
+
+impl Daemon {
+    /// Builds a daemon that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the metrics can't be registered.
+    pub fn new(settings: Settings) -> anyhow::Result<Self> {
+        let incarnation = Incarnation::new(rand::random_range(1..u64::MAX));
+        let holder = ClaimHolder {
+            owner: settings.id.clone(),
+            incarnation,
+            address: settings.listen.peers,
+        };
+        let shared = Shared {
+            incarnation,
+            clock: Clock::new(),
+            in_force: ArcSwapOption::empty(),
+            outside: outside(&settings),
+            router: Mutex::new(Router::new(Box::new(CostPolicy::default()), incarnation.get())),
+            tiers: TierState::new(),
+            once: Mutex::new(OnceState::new(holder)),
+            admission: AdmissionState::new(FIRST_RETRY_SHARE),
+            fleet: FleetState::new(&settings, incarnation),
+            metrics: Metrics::new().context("the metrics can't be registered")?,
+            stop: CancellationToken::new(),
+            settings,
+        };
+        Ok(Self { shared: Arc::new(shared) })
+    }
+
+    /// Returns what starts draining, for a signal handler.
+    pub fn drainer(&self) -> impl Fn() + Send + Sync + use<> {
+        let shared = Arc::clone(&self.shared);
+        move || shared.start_drain()
+    }
+
+    /// Serves until the daemon has drained.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let shared = self.shared;
+        let listen = &shared.settings.listen;
+        let callers = bind(listen.callers, "callers").await?;
+        let operators = bind(listen.operators, "operators").await?;
+        let peers = bind(listen.peers, "peers").await?;
+        let mut tasks = JoinSet::new();
+        tasks.spawn(task::run_housekeeping(Arc::clone(&shared)));
+        tasks.spawn(task::run_endpoints(Arc::clone(&shared)));
+        tasks.spawn(task::run_stores(Arc::clone(&shared)));
+        tasks.spawn(task::run_vm_list(Arc::clone(&shared)));
+        tasks.spawn(run_membership(Arc::clone(&shared)));
+        tasks.spawn(serve_peer_side(Arc::clone(&shared), peers));
+        let operator_side = Arc::new(OperatorHandler::new(Arc::clone(&shared)));
+        let limits = limits(&shared.settings, OPERATOR_CONNECTIONS);
+        tasks.spawn(serve(operators, limits, operator_side, shared.stop.clone()));
+        let caller_side = Arc::new(CallerHandler::new(Arc::clone(&shared)));
+        let limits = limits_for_callers(&shared.settings);
+        tasks.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
+        log::info!("daemon {} incarnation {}", shared.settings.id, shared.incarnation);
+        while tasks.join_next().await.is_some() {}
+        Ok(())
+    }
+}
+
+async fn bind(address: std::net::SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("the {side}' address {address} can't be listened on"))
+}
+
+async fn serve_peer_side(shared: Arc<Shared>, listener: TcpListener) {
+    let handler = Arc::new(PeerSide::new(Arc::clone(&shared)));
+    let stop = shared.stop.clone();
+    if let Err(error) = serve_peers(listener, handler, stop.cancelled_owned()).await {
+        log::error!("the peers' side ended: {error}");
+    }
+}
+
+fn limits_for_callers(settings: &Settings) -> ConnectionLimits {
+    limits(settings, settings.limits.streams as usize)
+}
+
+fn limits(settings: &Settings, connections: usize) -> ConnectionLimits {
+    let limits = &settings.limits;
+    ConnectionLimits {
+        connections,
+        header_bytes: limits.header_bytes,
+        header_timeout: limits.header_timeout_us.into(),
+        reader_stall: limits.reader_stall_timeout_us.into(),
+    }
+}
+
+fn outside(settings: &Settings) -> Outside {
+    let platform = HttpPlatformOptions {
+        addresses: settings.platform.addresses.clone(),
+        call_timeout_us: settings.platform.timeout_us,
+        reads_per_s: CallRate::new(f64::from(settings.platform.reads_per_s)),
+        writes_per_s: CallRate::new(f64::from(settings.platform.writes_per_s)),
+        ..HttpPlatformOptions::default()
+    };
+    let client = HttpClient::new(HttpClientOptions::default());
+    Outside {
+        platform: Arc::new(HttpPlatform::new(platform)),
+        engine: Arc::new(HttpEngine::new(client.clone())),
+        service: Arc::new(HttpService::new(HttpServiceOptions::default())),
+        store: Arc::new(HttpStore::new(client)),
+        peers: PeerClient::new(PEER_CONNECT_TIMEOUT),
+    }
+}
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -105,7 +105,9 @@
         first.weight_version.clone(),
     );
     if let Some(resumption) = &call.resumption {
-        check = check.resumed_by_caller(resumption.position, resumption.attempt);
+        check = check
+            .resumed_by_caller(resumption.position)
+            .starting_with(resumption.attempt);
     }
     let mut run = Run { shared, call, pieces, check, tried: Vec::new(), has_sent_head: false };
     let result = run.follow_attempts(first).await;
@@ -340,7 +342,7 @@
         match &ended {
             Ended::Whole => {
                 flight.finished();
-                self.shared.used(self.call, &plan.chain, &plan.choice.endpoint);
+                self.shared.used(self.call, &plan.chain, &plan.choice.endpoint, &plan.weight_version);
             }
             Ended::CallerGone => {
                 flight.failed(FlightFailure::Cancelled);
--- a/crates/wisteriahitch-node/src/dispatch/plain_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -58,7 +58,9 @@
     mode: RunMode,
     may_send: impl FnOnce() -> bool,
 ) -> Result<ServiceResponse, Refusal> {
-    let _permit = shared.enter(&call.identity, &call.route, TokenCount::ZERO).await?;
+    let _permit = shared
+        .enter(&call.identity, &call.route, &call.request_id, TokenCount::ZERO, TokenCount::ZERO)
+        .await?;
     let mut permission = Some(may_send);
     let mut tried: Vec<EndpointId> = Vec::new();
     loop {
--- a/crates/wisteriahitch-node/src/lib.rs
+++ b/crates/wisteriahitch-node/src/lib.rs
@@ -1,1 +1,18 @@
 //! Daemon of wisteriahitch as a library: the shells that connect the decisions to the network.
+//!
+//! `docs/ARCHITECTURE.md` follows a request through the modules.
+
+mod caller;
+mod clock;
+mod daemon;
+mod dispatch;
+mod observe;
+mod operator;
+mod peering;
+mod server;
+mod shared;
+mod state;
+mod task;
+
+pub use daemon::Daemon;
+pub use observe::{LogOptions, start_logging};
--- /dev/null
+++ b/crates/wisteriahitch-node/src/operator/dump.rs
@@ -0,0 +1,26 @@
+//! The whole state of a daemon.
+
+use serde_json::{Value, json};
+
+use crate::shared::Shared;
+
+/// Renders everything that the daemon holds, but for secrets, prompts and answers.
+pub(crate) fn state(shared: &Shared) -> Value {
+    let now = shared.clock.now();
+    let in_force = shared.in_force.load_full();
+    let version = in_force.as_ref().map(|in_force| in_force.version);
+    json!({
+        "daemon": shared.settings.id,
+        "incarnation": shared.incarnation,
+        "uptime_us": now,
+        "is_draining": shared.is_draining(),
+        "config_version": version,
+        "settings": shared.settings,
+        "router": shared.router.lock().snapshot(),
+        "tiers": shared.tiers.with(|tiers| tiers.snapshot(now)),
+        "admission": shared.admission.snapshot(),
+        "once": shared.once.lock().table.snapshot(),
+        "members": *shared.fleet.members.lock(),
+        "platform_calls": shared.outside.platform.counts(),
+    })
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/operator/explain.rs
@@ -0,0 +1,177 @@
+//! Telling which rule decides for a described request, and which endpoint, and why.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Response;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use wisteriahitch_config::{Action, Model, RequestFacts, Route};
+use wisteriahitch_core::route::{ChainScope, PieceChain, RouteRequest, piece_chain};
+use wisteriahitch_types::{
+    ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId,
+};
+
+use super::handler::parse;
+use crate::caller::body::ResponseBody;
+use crate::caller::{Refusal, json_response};
+use crate::shared::{InForce, Shared};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Question {
+    workspace: WorkspaceId,
+    #[serde(default)]
+    method: Option<String>,
+    #[serde(default)]
+    path: Option<String>,
+    #[serde(default)]
+    model: Option<ModelName>,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    labels: BTreeMap<String, String>,
+}
+
+const COMPLETIONS_PATH: &str = "/v1/completions";
+
+/// Answers `POST /v1/explain`; nothing is sent to an endpoint.
+pub(crate) fn explain(
+    shared: &Arc<Shared>,
+    body: &Bytes,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let question: Question = parse(body)?;
+    let in_force = shared.in_force.load_full().ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let facts = facts(shared, &question);
+    let traces = in_force.configuration.explain(&facts);
+    let rule = in_force.configuration.decide(&facts);
+    let tried: Vec<Value> = traces
+        .iter()
+        .map(|trace| json!({ "rule": trace.rule, "outcome": trace.to_string() }))
+        .collect();
+    let mut answer = json!({ "rule": rule.name, "tried": tried, "action": rule.then });
+    if let Action::Route(route) = &rule.then {
+        explain_choice(shared, &in_force, &question, route, &mut answer);
+    }
+    Ok(json_response(&answer))
+}
+
+fn facts(shared: &Shared, question: &Question) -> RequestFacts {
+    let prompt_tokens = question
+        .prompt
+        .as_ref()
+        .map(|prompt| TokenCount::new(prompt.split_whitespace().count() as u64));
+    RequestFacts {
+        workspace: Some(question.workspace.clone()),
+        method: question.method.clone().unwrap_or_else(|| "POST".to_owned()),
+        path: question.path.clone().unwrap_or_else(|| COMPLETIONS_PATH.to_owned()),
+        model: question.model.clone(),
+        prompt_tokens,
+        labels: question.labels.clone(),
+        availability_zone: Some(shared.settings.availability_zone.clone()),
+        ..RequestFacts::default()
+    }
+}
+
+fn explain_choice(
+    shared: &Arc<Shared>,
+    in_force: &InForce,
+    question: &Question,
+    route: &Route,
+    answer: &mut Value,
+) {
+    let model =
+        question.model.as_ref().and_then(|model| in_force.configuration.models.get(model));
+    let version = model.and_then(|model| {
+        let mut versions = shared.candidate_versions(&route.service, model);
+        versions.pop()
+    });
+    let chain = match (model, &version) {
+        (Some(model), Some(version)) => chain(question, model, version),
+        _ => PieceChain::default(),
+    };
+    let request = RouteRequest {
+        service: route.service.clone(),
+        model: model.map(|model| model.name.clone()),
+        adapter: route.adapter.clone(),
+        weight_version: version,
+        chain,
+        max_tokens: TokenCount::new(1),
+        first_token_weight: route.first_token_weight,
+        priority: route.priority,
+        deadline_us: route.deadline_us,
+        availability_zone: shared.settings.availability_zone.clone(),
+        exclude: Vec::new(),
+        explain: true,
+        bytes_per_token: model.map_or(ByteCount::ZERO, |model| model.bytes_per_token),
+    };
+    match shared.choose(&request) {
+        Ok(choice) => {
+            answer["endpoint"] = json!(choice.endpoint);
+            answer["plan"] = json!(choice.plan);
+            answer["weighed"] = choice
+                .weighed
+                .iter()
+                .map(|weighed| {
+                    json!({
+                        "endpoint": weighed.endpoint,
+                        "cost": weighed.cost_us,
+                        "first_token_us": weighed.estimate.first_token_us,
+                        "queue_us": weighed.estimate.queue_us,
+                        "transfer_us": weighed.estimate.transfer_us,
+                        "prefill_us": weighed.estimate.prefill_us,
+                    })
+                })
+                .collect();
+        }
+        Err(refusal) => answer["refusal"] = json!(refusal.code()),
+    }
+}
+
+fn chain(question: &Question, model: &Model, weight_version: &WeightVersion) -> PieceChain {
+    let scope = ChainScope {
+        secret: &[],
+        workspace: &question.workspace,
+        model: &model.name,
+        adapter: None,
+        weight_version,
+        piece_tokens: model.piece_tokens,
+    };
+    piece_chain(&scope, question.prompt.as_deref().unwrap_or_default())
+}
+
+/// Answers `POST /v1/locate` with where each block of a prompt is.
+pub(crate) fn locate(
+    shared: &Arc<Shared>,
+    body: &Bytes,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let question: Question = parse(body)?;
+    let in_force = shared.in_force.load_full().ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let model = question
+        .model
+        .as_ref()
+        .and_then(|model| in_force.configuration.models.get(model))
+        .ok_or_else(|| Refusal::new(Code::UnknownModel))?;
+    let chain = chain(&question, model, &model.weight_version);
+    let router = shared.router.lock();
+    let tiers = router.directory.tier_prefix(&chain);
+    let mut start = TokenCount::ZERO;
+    let mut blocks = Vec::new();
+    for (index, piece) in chain.blocks.iter().enumerate() {
+        start += piece.tokens;
+        let services = in_force.configuration.services.values();
+        let holders = services
+            .flat_map(|service| &service.endpoints)
+            .filter(|endpoint| router.directory.resident_prefix(&endpoint.id, &chain) >= start);
+        let endpoints: Vec<_> = holders.map(|endpoint| &endpoint.id).collect();
+        let stores: Vec<_> = tiers.get(index).into_iter().flatten().collect();
+        blocks.push(json!({
+            "key": piece.key,
+            "tokens": piece.tokens,
+            "endpoints": endpoints,
+            "stores": stores,
+        }));
+    }
+    Ok(json_response(&json!({ "blocks": blocks })))
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/operator/mod.rs
@@ -0,0 +1,9 @@
+//! The operators' side: configuration in, reports out.
+
+mod config;
+mod dump;
+mod explain;
+mod handler;
+mod status;
+
+pub(crate) use handler::OperatorHandler;
--- /dev/null
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -0,0 +1,91 @@
+//! The state of the site as this daemon sees it.
+
+use serde_json::{Value, json};
+use wisteriahitch_config::Configuration;
+
+use crate::shared::Shared;
+
+/// Renders daemons with their versions, endpoints, stores and rollouts.
+pub(crate) fn status(shared: &Shared) -> Value {
+    let in_force = shared.in_force.load_full();
+    let version = in_force.as_ref().map(|in_force| in_force.version);
+    let daemons: Vec<Value> = {
+        let members = shared.fleet.members.lock();
+        let row = |member: &wisteriahitch_core::fleet::Member| {
+            json!({
+                "daemon": member.daemon,
+                "state": member.state,
+                "config_version": member.config_version,
+                "availability_zone": member.availability_zone,
+            })
+        };
+        members.members().map(row).collect()
+    };
+    let empty = Configuration::default();
+    let configuration = in_force.as_ref().map_or(&empty, |in_force| &in_force.configuration);
+    let rollout = rollout(shared, configuration);
+    json!({
+        "daemon": shared.settings.id,
+        "state": if shared.is_draining() { "draining" } else { "serving" },
+        "config_version": version,
+        "daemons": daemons,
+        "endpoints": endpoints(shared, configuration),
+        "stores": stores(shared, configuration),
+        "rollout": rollout,
+    })
+}
+
+fn endpoints(shared: &Shared, configuration: &Configuration) -> Vec<Value> {
+    let router = shared.router.lock();
+    let services = configuration.services.values();
+    let rows = services.flat_map(|service| {
+        service.endpoints.iter().map(|endpoint| {
+            let report = router.endpoints.get_report(&endpoint.id);
+            let versions = report.map(|report| {
+                let models = report.models.iter();
+                models
+                    .map(|loaded| format!("{}@{}", loaded.model, loaded.weight_version))
+                    .collect::<Vec<_>>()
+            });
+            json!({
+                "endpoint": endpoint.id,
+                "service": service.name,
+                "state": router.endpoints.get_state(&endpoint.id),
+                "versions": versions,
+                "running": report.map(|report| report.running),
+            })
+        })
+    });
+    rows.collect()
+}
+
+fn stores(shared: &Shared, configuration: &Configuration) -> Vec<Value> {
+    shared.tiers.with(|tiers| {
+        let rows = configuration.stores.values().map(|store| {
+            let is_known = tiers.blocks().incarnation(&store.id).is_some();
+            json!({
+                "store": store.id,
+                "state": if is_known { "seen" } else { "unseen" },
+            })
+        });
+        rows.collect()
+    })
+}
+
+/// Counts the models of endpoints that run the wanted version, and those that don't yet.
+fn rollout(shared: &Shared, configuration: &Configuration) -> Value {
+    let router = shared.router.lock();
+    let (mut done, mut pending) = (0, 0);
+    for service in configuration.services.values() {
+        for endpoint in &service.endpoints {
+            for model in service.models.iter().filter_map(|name| configuration.models.get(name)) {
+                let ready = router.endpoints.get_ready_version(&endpoint.id, &model.name);
+                match ready.as_ref() == Some(&model.weight_version) {
+                    true => done += 1,
+                    false => pending += 1,
+                }
+            }
+        }
+    }
+    json!({ "done": done, "pending": pending })
+}
--- a/crates/wisteriahitch-node/src/state/admission.rs
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -5,11 +5,11 @@
 
 use parking_lot::Mutex;
 use tokio::sync::oneshot;
-use wisteriahitch_config::Route;
+use wisteriahitch_config::{Configuration, Route};
 use wisteriahitch_core::route::{
     Admission, AdmissionCommand, AdmissionRequest, GateSnapshot, RetryBudget,
 };
-use wisteriahitch_types::{Code, RequestId, TokenCount};
+use wisteriahitch_types::{Code, RequestId, TimeUs, TokenCount};
 
 use crate::caller::{Identity, Refusal};
 use crate::shared::Shared;
@@ -56,9 +56,11 @@
         }
     }
 
-    /// Takes over another share of retries.
-    pub(crate) fn set_retry_share(&self, share: f64) {
-        self.inner.lock().budget.set_share(share);
+    /// Takes over a configuration that `daemons` daemons share.
+    pub(crate) fn configured(&self, configuration: &Configuration, daemons: u32, now: TimeUs) {
+        let mut inner = self.inner.lock();
+        inner.budget.set_share(configuration.limits.retry_share);
+        inner.admission.configured(configuration, daemons, now);
     }
 
     /// Shows the gates, for the dump.
--- a/crates/wisteriahitch-node/src/state/fleet.rs
+++ b/crates/wisteriahitch-node/src/state/fleet.rs
@@ -1,27 +1,27 @@
 //! Other daemons, and what this one tells them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_config::Settings;
 use wisteriahitch_core::fleet::{
-    EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipCommand,
-    MembershipEvent, MembershipSettings,
+    EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipSettings,
 };
 use wisteriahitch_types::{
-    ConfigVersion, DurationUs, Incarnation, TimeUs, WorkspaceId,
+    ConfigVersion, Incarnation, TimeUs, WorkspaceId,
 };
 
 use crate::shared::Shared;
-use crate::state::drain::DrainState;
+use super::drain::DrainState;
 
 /// Holds who else is there and how far this daemon's draining has come.
 pub(crate) struct FleetState {
     /// Members as this daemon sees them.
     pub(crate) members: Mutex<Membership>,
+    /// How far draining has come.
+    pub(crate) drain: DrainState,
 }
 
 impl FleetState {
@@ -49,7 +49,8 @@
             ..MembershipSettings::default()
         };
         let rng = ChaCha8Rng::seed_from_u64(rand::random());
-        Self { members: Mutex::new(Membership::new(options, me, rng)) }
+        let members = Mutex::new(Membership::new(options, me, rng));
+        Self { members, drain: DrainState::default() }
     }
 }
 
--- a/crates/wisteriahitch-node/src/state/mod.rs
+++ b/crates/wisteriahitch-node/src/state/mod.rs
@@ -2,12 +2,16 @@
 
 mod admission;
 mod claims;
+mod config;
+mod drain;
 mod fleet;
+mod models;
 pub(crate) mod once;
 mod route;
 mod tiers;
 
 pub(crate) use admission::AdmissionState;
+pub(crate) use drain::Accepted;
 pub(crate) use fleet::FleetState;
 pub(crate) use once::OnceState;
 pub(crate) use route::Flight;
--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/models.rs
@@ -0,0 +1,88 @@
+//! Which weight versions and speeds endpoints have, and what happens after their use.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use wisteriahitch_config::Model;
+use wisteriahitch_core::route::PieceChain;
+use wisteriahitch_core::tier::{ChainBlock, FinishedRequest};
+use wisteriahitch_types::{
+    ByteCount, EndpointId, ModelName, RequestId, ServiceName, TokenRate, WeightVersion,
+};
+
+use crate::dispatch::completion_call::CompletionCall;
+use crate::shared::Shared;
+
+impl Shared {
+    /// Returns the versions of a model that a new request may run on.
+    ///
+    /// During a rollout there are two; where no endpoint is ready the wanted one is returned, so
+    /// that the refusal is the router's.
+    pub(crate) fn candidate_versions(
+        &self,
+        service: &ServiceName,
+        model: &Model,
+    ) -> Vec<WeightVersion> {
+        let ready = self.router.lock().endpoints.ready_versions(service, &model.name);
+        if ready.is_empty() {
+            return vec![model.weight_version.clone()];
+        }
+        ready.into_iter().map(|(version, _)| version).collect()
+    }
+
+    /// Returns the version of a model that an endpoint has ready.
+    pub(crate) fn ready_version(
+        &self,
+        endpoint: &EndpointId,
+        model: &ModelName,
+    ) -> Option<WeightVersion> {
+        self.router.lock().endpoints.get_ready_version(endpoint, model)
+    }
+
+    /// Returns the speed at which an endpoint reads prompts.
+    pub(crate) fn prefill_rate(&self, endpoint: &EndpointId) -> TokenRate {
+        self.router.lock().endpoints.get_prefill_rate(endpoint).unwrap_or_default()
+    }
+
+    /// Learns from a whole answer, and saves what is worth it.
+    pub(crate) fn used(
+        self: &Arc<Self>,
+        call: &CompletionCall,
+        chain: &PieceChain,
+        endpoint: &EndpointId,
+        weight_version: &WeightVersion,
+    ) {
+        let bytes_per_token = call.model.bytes_per_token.get();
+        let blocks = chain.blocks.iter().map(|piece| ChainBlock {
+            key: piece.key,
+            tokens: piece.tokens,
+            bytes: ByteCount::new(piece.tokens.get() * bytes_per_token),
+        });
+        let finished = FinishedRequest {
+            workspace: call.identity.workspace.clone(),
+            weight_version: weight_version.clone(),
+            endpoint: endpoint.clone(),
+            policy: call.route.save,
+            prefill_tokens_per_s: self.prefill_rate(endpoint),
+            chain: blocks.collect(),
+        };
+        {
+            let mut router = self.router.lock();
+            for piece in &chain.blocks {
+                router.directory.stored(endpoint, &piece.key);
+            }
+        }
+        self.step_tiers(|tiers, now| tiers.finished(&finished, now));
+    }
+
+    /// Cancels a request at an endpoint, without waiting for the answer.
+    pub(crate) fn cancel_at(self: &Arc<Self>, address: SocketAddr, request: &RequestId) {
+        let shared = Arc::clone(self);
+        let request = request.clone();
+        tokio::spawn(async move {
+            if let Err(error) = shared.outside.engine.cancel(address, &request).await {
+                log::debug!("cancelling {request} failed: {error}");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -0,0 +1,35 @@
+//! The ticks of the tables.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::shared::Shared;
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// Runs the systems of every table at each tick until the process stops.
+pub(crate) async fn run_housekeeping(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => tick(&shared),
+        }
+    }
+}
+
+fn tick(shared: &Arc<Shared>) {
+    let now = shared.clock.now();
+    shared.router.lock().tick(now);
+    shared.admission.step(|admission| admission.tick(now));
+    shared.step_tiers(|tiers, now| tiers.tick(now));
+    {
+        let mut once = shared.once.lock();
+        once.issuer.tick(now);
+        once.table.tick(now);
+    }
+    shared.tick_claims();
+    shared.tick_config();
+    shared.tick_drain();
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -0,0 +1,11 @@
+//! What a daemon does on its own, again and again.
+
+mod endpoints;
+mod housekeeping;
+mod stores;
+mod vm_list;
+
+pub(crate) use endpoints::run_endpoints;
+pub(crate) use housekeeping::run_housekeeping;
+pub(crate) use stores::run_stores;
+pub(crate) use vm_list::run_vm_list;
--- /dev/null
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -0,0 +1,143 @@
+//! Following the store VMs: which life they are in, their room, their links and their blocks.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::task::JoinSet;
+use wisteriahitch_config::Store;
+use wisteriahitch_core::route::Tier as RouteTier;
+use wisteriahitch_core::tier::{BlockState, TierEvent};
+use wisteriahitch_types::{BlockKey, StoreId, StoreIncarnation};
+use wisteriahitch_wire::store::{
+    BlockListing, BlockState as WireState, StoreReport, StoredBlock, Tier,
+};
+
+use crate::dispatch::transfer::tier_name;
+use crate::shared::Shared;
+
+/// Time between two looks at every store VM.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Looks after which the blocks are listed again, for what other daemons saved or freed.
+const LOOKS_PER_LISTING: u64 = 4;
+
+/// Asks every store VM for its state until the process stops.
+pub(crate) async fn run_stores(shared: Arc<Shared>) {
+    let mut lives: HashMap<StoreId, StoreIncarnation> = HashMap::new();
+    let mut ticks = tokio::time::interval(PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut looks = 0;
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        ask_all(&shared, &mut lives, looks % LOOKS_PER_LISTING == 0).await;
+        looks += 1;
+    }
+}
+
+async fn ask_all(
+    shared: &Arc<Shared>,
+    lives: &mut HashMap<StoreId, StoreIncarnation>,
+    is_listing_due: bool,
+) {
+    let Some(in_force) = shared.in_force.load_full() else {
+        return;
+    };
+    let mut calls = JoinSet::new();
+    for store in in_force.configuration.stores.values() {
+        let known = lives.get(&store.id).cloned();
+        calls.spawn(ask(Arc::clone(shared), store.clone(), known, is_listing_due));
+    }
+    while let Some(answer) = calls.join_next().await {
+        if let Ok((store, Some(life))) = answer {
+            lives.insert(store, life);
+        }
+    }
+}
+
+/// Asks one store VM and returns the life that it is in.
+async fn ask(
+    shared: Arc<Shared>,
+    store: Store,
+    known: Option<StoreIncarnation>,
+    is_listing_due: bool,
+) -> (StoreId, Option<StoreIncarnation>) {
+    let Ok(report) = shared.outside.store.report(store.address).await else {
+        shared.note_tier(TierEvent::StoreLost { store: store.id.clone() });
+        shared.router.lock().directory.store_gone(&store.id);
+        return (store.id, None);
+    };
+    let is_new_life = known.as_ref() != Some(&report.incarnation);
+    if is_new_life {
+        shared.router.lock().directory.store_gone(&store.id);
+    }
+    shared.note_tier(seen(&store.id, &report));
+    if is_new_life || is_listing_due {
+        list(&shared, &store, &report.incarnation).await;
+    }
+    (store.id, Some(report.incarnation))
+}
+
+fn seen(store: &StoreId, report: &StoreReport) -> TierEvent {
+    TierEvent::StoreSeen {
+        store: store.clone(),
+        incarnation: report.incarnation.clone(),
+        memory_free_bytes: report.memory.capacity_bytes - report.memory.used_bytes,
+        disk_free_bytes: report.disk.capacity_bytes - report.disk.used_bytes,
+        queued_bytes: report.link.queued_bytes,
+        is_leaving: report.leaving,
+    }
+}
+
+async fn list(shared: &Arc<Shared>, store: &Store, incarnation: &StoreIncarnation) {
+    let Ok(listing) = shared.outside.store.list(store.address).await else {
+        return;
+    };
+    if listing.incarnation != *incarnation {
+        return;
+    }
+    let readable: Vec<(BlockKey, RouteTier)> = readable(&listing).collect();
+    shared.router.lock().directory.store_listing(&store.id, &readable);
+    for block in listing.blocks {
+        shared.note_tier(listed(&store.id, incarnation, block));
+    }
+}
+
+fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, RouteTier)> {
+    let blocks = listing.blocks.iter();
+    blocks.filter(|block| block.state == WireState::Readable).map(|block| {
+        let tier = match block.tier {
+            Tier::Memory => RouteTier::Memory,
+            Tier::Disk => RouteTier::Disk,
+        };
+        (block.key, tier)
+    })
+}
+
+fn listed(store: &StoreId, incarnation: &StoreIncarnation, block: StoredBlock) -> TierEvent {
+    TierEvent::BlockListed {
+        store: store.clone(),
+        incarnation: incarnation.clone(),
+        key: block.key,
+        generation: block.generation,
+        bytes: block.bytes,
+        tokens: block.tokens,
+        weight_version: block.weight_version,
+        tier: tier_name(block.tier),
+        state: block_state(block.state),
+    }
+}
+
+fn block_state(state: WireState) -> BlockState {
+    match state {
+        WireState::Reserved => BlockState::Reserved,
+        WireState::Writing => BlockState::Writing,
+        WireState::Sealed => BlockState::Sealed,
+        WireState::Readable => BlockState::Readable,
+        WireState::Draining => BlockState::Draining,
+        WireState::Freed => BlockState::Freed,
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -0,0 +1,75 @@
+//! Reading the platform's lagging list of VMs.
+
+use std::collections::HashMap;
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriahitch_core::fleet::{MembershipEvent, VmNotice};
+use wisteriahitch_core::route::LeavingSource;
+use wisteriahitch_wire::platform::{ObjectKind, Platform, VirtualMachine, VmPhase};
+
+use crate::shared::Shared;
+
+/// Time between two readings; each is one call of the platform.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Reads the list until the process stops.
+pub(crate) async fn run_vm_list(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => read(&shared).await,
+        }
+    }
+}
+
+async fn read(shared: &Arc<Shared>) {
+    let listing = match shared.outside.platform.list(ObjectKind::VirtualMachine).await {
+        Ok(listing) => listing,
+        Err(error) => {
+            log::debug!("the VM list can't be read: {error}");
+            return;
+        }
+    };
+    let vms: Vec<VirtualMachine> = listing
+        .items
+        .into_iter()
+        .filter_map(|object| serde_json::from_value(object.spec).ok())
+        .collect();
+    let notices = vms.iter().filter_map(|vm| {
+        let address: IpAddr = vm.address.parse().ok()?;
+        Some(VmNotice { address, is_leaving: vm.phase == VmPhase::Leaving })
+    });
+    shared.step_members(MembershipEvent::VmList(notices.collect()));
+    note_endpoints(shared, &vms);
+}
+
+/// Tells the endpoint table which endpoints' VMs are leaving.
+///
+/// An entry names a VM by its IP address; where several endpoints share one, as in tests on one
+/// machine, it may name the port too.
+fn note_endpoints(shared: &Shared, vms: &[VirtualMachine]) {
+    let Some(in_force) = shared.in_force.load_full() else {
+        return;
+    };
+    let phases: HashMap<&str, VmPhase> =
+        vms.iter().map(|vm| (vm.address.as_str(), vm.phase)).collect();
+    let now = shared.clock.now();
+    let services = in_force.configuration.services.values();
+    for endpoint in services.flat_map(|service| &service.endpoints) {
+        let ip = endpoint.address.ip().to_string();
+        let socket = endpoint.address.to_string();
+        let phase = phases.get(socket.as_str()).or_else(|| phases.get(ip.as_str()));
+        let mut router = shared.router.lock();
+        match phase {
+            Some(VmPhase::Leaving) => {
+                router.endpoints.leaving(&endpoint.id, &LeavingSource::VmList, now);
+            }
+            Some(VmPhase::Live) => router.endpoints.vm_list_live(&endpoint.id, now),
+            None => {}
+        }
+    }
+}
