feat(fleet): replicate the configuration before it is in force, and accept it by the head

Cause: an accepted configuration must be in force everywhere and never revert, and an operator must be told the truth although answers are lost. Change: heads with a bounded history, changes between heads, a replica (empty, learning, replicating, applied) that asks the store and its peers at the start, and a submission that settles a lost answer by reading the head. Ruled out: taking the first peer's answer at a start, because a peer that isn't known yet may hold a higher version; telling a submission 'no effect' while the head it was made against still stands, because a delayed update may yet land.

--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
@@ -0,0 +1,28 @@
+//! The configuration that is in force, how it gets to every daemon, and how it is accepted
+//! (`docs/design/configuration-acceptance.md`).
+
+mod config_event;
+mod config_replica;
+mod config_table;
+mod head_change;
+mod head_object;
+mod phase;
+mod replication;
+mod section;
+mod submission;
+mod submission_event;
+mod submission_machine;
+mod submission_table;
+mod watchers;
+
+pub use config_event::{ConfigCommand, ConfigEvent, PullAnswer, PushAnswer};
+pub use config_replica::ConfigReplica;
+pub use config_table::{ConfigSettings, ConfigTable};
+pub use head_change::HeadChange;
+pub use head_object::{HeadObject, HistoryEntry};
+pub use phase::ConfigPhase;
+pub use replication::Holders;
+pub use section::{Section, SectionHash, SectionName};
+pub use submission::{Submission, SubmissionStep};
+pub use submission_event::{SubmissionCommand, SubmissionEvent, SubmissionOutcome};
+pub use watchers::{head_watchers, is_head_watcher};
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_machine.rs
@@ -0,0 +1,201 @@
+//! Life of a submission, as a state machine over [`SubmissionTable`].
+
+#![allow(
+    missing_docs,
+    unreachable_pub,
+    reason = "the attribute generates items without comments, and public where they needn't be"
+)]
+
+use statig::prelude::*;
+
+use super::submission_table::SubmissionTable;
+use super::{Holders, SubmissionCommand, SubmissionEvent, SubmissionOutcome, SubmissionStep};
+
+/// Moves a submission from its sections to an outcome.
+#[derive(Debug, Default)]
+pub(super) struct SubmissionMachine;
+
+#[state_machine(
+    initial = "State::fresh()",
+    state(derive(Debug, Clone, Copy, PartialEq, Eq))
+)]
+impl SubmissionMachine {
+    #[state]
+    fn fresh(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::Start => Self::start(context),
+            _ => Handled,
+        }
+    }
+
+    /// The sections go first: a head must never name an object that isn't there.
+    #[state]
+    fn writing(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::SectionWritten(hash) => {
+                context.unwritten.remove(hash);
+                Self::start_reading_if_written(context)
+            }
+            SubmissionEvent::SectionFailed(hash) if context.try_again() => {
+                context.ask(SubmissionCommand::WriteSection(hash.clone()));
+                Handled
+            }
+            SubmissionEvent::SectionFailed(_) => {
+                Self::finish(context, SubmissionOutcome::Unavailable)
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn reading(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::HeadRead {
+                head,
+                object_version,
+            } => {
+                context.take_head(head.clone(), *object_version);
+                Self::decide(context)
+            }
+            SubmissionEvent::HeadUnavailable => Self::give_up(context),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn checking(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::Checked { is_good: true } => {
+                context.ask_update();
+                Transition(State::updating())
+            }
+            SubmissionEvent::Checked { is_good: false } => {
+                Self::finish(context, SubmissionOutcome::Refused)
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn updating(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::Updated => Self::spread(context),
+            // The head has moved on, perhaps by an update of ours whose answer was lost.
+            SubmissionEvent::Conflict => Self::read_again(context),
+            SubmissionEvent::UpdateLost => {
+                context.has_lost_update = true;
+                Self::read_again(context)
+            }
+            SubmissionEvent::UpdateUnavailable => Self::give_up(context),
+            SubmissionEvent::TooLarge => Self::finish(context, SubmissionOutcome::TooLarge),
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn spreading(context: &mut SubmissionTable, event: &SubmissionEvent) -> Outcome<State> {
+        match event {
+            SubmissionEvent::Spread {
+                holders,
+                is_final: true,
+            } => {
+                let outcome = context.accepted(*holders);
+                Self::finish(context, outcome)
+            }
+            _ => Handled,
+        }
+    }
+
+    #[state]
+    fn done() -> Outcome<State> {
+        Handled
+    }
+}
+
+impl SubmissionMachine {
+    fn start(context: &mut SubmissionTable) -> Outcome<State> {
+        let writes = context.unwritten.iter().cloned();
+        let writes: Vec<_> = writes.map(SubmissionCommand::WriteSection).collect();
+        context.commands.extend(writes);
+        match Self::start_reading_if_written(context) {
+            Handled => Transition(State::writing()),
+            transition => transition,
+        }
+    }
+
+    fn start_reading_if_written(context: &mut SubmissionTable) -> Outcome<State> {
+        if !context.unwritten.is_empty() {
+            return Handled;
+        }
+        context.ask(SubmissionCommand::ReadHead);
+        Transition(State::reading())
+    }
+
+    /// Decides by the head that was read: accepted before, lost to another one, or to be written.
+    fn decide(context: &mut SubmissionTable) -> Outcome<State> {
+        if context.find_acceptance() {
+            return Self::spread(context);
+        }
+        if let Some(winner) = context.find_winner() {
+            return Self::finish(context, SubmissionOutcome::Conflict { winner });
+        }
+        if context.has_forgotten() {
+            return Self::finish(context, SubmissionOutcome::Unknown);
+        }
+        let next = context.build_next();
+        context.ask(SubmissionCommand::Check(next));
+        Transition(State::checking())
+    }
+
+    fn read_again(context: &mut SubmissionTable) -> Outcome<State> {
+        if !context.try_again() {
+            return Self::give_up(context);
+        }
+        context.ask(SubmissionCommand::ReadHead);
+        Transition(State::reading())
+    }
+
+    /// Ends without the platform: once an update was lost, it may yet take effect.
+    fn give_up(context: &mut SubmissionTable) -> Outcome<State> {
+        let outcome = match context.has_lost_update {
+            true => SubmissionOutcome::Unknown,
+            false => SubmissionOutcome::Unavailable,
+        };
+        Self::finish(context, outcome)
+    }
+
+    fn spread(context: &mut SubmissionTable) -> Outcome<State> {
+        let head = context.next.clone();
+        context.ask(SubmissionCommand::Spread(head));
+        Transition(State::spreading())
+    }
+
+    fn finish(context: &mut SubmissionTable, outcome: SubmissionOutcome) -> Outcome<State> {
+        context.outcome = Some(outcome);
+        context.ask(SubmissionCommand::Finish(outcome));
+        Transition(State::done())
+    }
+}
+
+impl SubmissionTable {
+    fn accepted(&self, holders: Holders) -> SubmissionOutcome {
+        SubmissionOutcome::Accepted {
+            version: self.accepted_version,
+            holders,
+        }
+    }
+}
+
+impl From<&State> for SubmissionStep {
+    fn from(state: &State) -> Self {
+        match state {
+            State::Fresh {} => SubmissionStep::Fresh,
+            State::Writing {} => SubmissionStep::Writing,
+            State::Reading {} => SubmissionStep::Reading,
+            State::Checking {} => SubmissionStep::Checking,
+            State::Updating {} => SubmissionStep::Updating,
+            State::Spreading {} => SubmissionStep::Spreading,
+            State::Done {} => SubmissionStep::Done,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_table.rs
@@ -0,0 +1,92 @@
+//! What a submission knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wisteriahitch_types::{ConfigVersion, SubmissionId};
+
+use super::{HeadObject, SectionHash, SectionName, SubmissionCommand, SubmissionOutcome};
+
+/// Tries at the store over the whole life of a submission.
+const MAX_TRIES: u32 = 8;
+
+/// Holds a submission's changes and what it has learnt of the head.
+#[derive(Debug, Default)]
+pub(super) struct SubmissionTable {
+    pub(super) id: Option<SubmissionId>,
+    pub(super) changes: BTreeMap<SectionName, Option<SectionHash>>,
+    pub(super) expected: Option<ConfigVersion>,
+    pub(super) submitted_at_unix_ms: u64,
+    pub(super) unwritten: BTreeSet<SectionHash>,
+    pub(super) head: HeadObject,
+    pub(super) object_version: u64,
+    pub(super) next: HeadObject,
+    pub(super) accepted_version: ConfigVersion,
+    pub(super) first_read: Option<ConfigVersion>,
+    pub(super) has_lost_update: bool,
+    pub(super) tries: u32,
+    pub(super) outcome: Option<SubmissionOutcome>,
+    pub(super) commands: Vec<SubmissionCommand>,
+}
+
+impl SubmissionTable {
+    pub(super) fn ask(&mut self, command: SubmissionCommand) {
+        self.commands.push(command);
+    }
+
+    pub(super) fn try_again(&mut self) -> bool {
+        self.tries += 1;
+        self.tries < MAX_TRIES
+    }
+
+    pub(super) fn take_head(&mut self, head: Option<HeadObject>, object_version: u64) {
+        self.head = head.unwrap_or_default();
+        self.object_version = object_version;
+        self.first_read.get_or_insert(self.head.version);
+    }
+
+    /// Returns whether the history names this submission, and takes its version over.
+    pub(super) fn find_acceptance(&mut self) -> bool {
+        let id = self.id.as_ref();
+        let Some(entry) = id.and_then(|id| self.head.find_submission(id)) else {
+            return false;
+        };
+        self.accepted_version = entry.version;
+        self.next = self.head.clone();
+        true
+    }
+
+    /// Returns the version that won, where the operator named another one to build on.
+    pub(super) fn find_winner(&self) -> Option<ConfigVersion> {
+        // While a lost update may still arrive, the head that it was made against must be left
+        // behind before "no effect" is true; a moved head makes the late update fail.
+        let is_moved = self
+            .expected
+            .is_some_and(|version| version != self.head.version);
+        (is_moved && !self.has_forgotten()).then_some(self.head.version)
+    }
+
+    /// Returns whether an acceptance of this submission may have dropped out of the history.
+    pub(super) fn has_forgotten(&self) -> bool {
+        let since = self.first_read.unwrap_or_default();
+        self.has_lost_update && !self.head.remembers_since(since)
+    }
+
+    pub(super) fn build_next(&mut self) -> HeadObject {
+        let Some(id) = self.id.clone() else {
+            return self.head.clone();
+        };
+        let changes = self.changes.clone();
+        self.next = self
+            .head
+            .with_changes(changes, id, self.submitted_at_unix_ms);
+        self.accepted_version = self.next.version;
+        self.next.clone()
+    }
+
+    pub(super) fn ask_update(&mut self) {
+        self.ask(SubmissionCommand::UpdateHead {
+            head: self.next.clone(),
+            expected: self.object_version,
+        });
+    }
+}
--- a/crates/wisteriahitch-core/tests/all/fleet.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet.rs
@@ -58,3 +58,15 @@
     }
     members
 }
+
+/// Builds the membership of daemon `index` in its life `life` that knows all of `count` daemons.
+pub(crate) fn full_membership(index: u16, lives: &[u64]) -> Membership {
+    let mut members = membership(index, lives[usize::from(index)]);
+    for (other, life) in lives.iter().enumerate() {
+        let peer = member(other as u16, *life);
+        if peer.incarnation != members.me().incarnation {
+            members.answer_probe(peer.incarnation, &[News::of(&peer)], None, TimeUs::ZERO);
+        }
+    }
+    members
+}
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -3,4 +3,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod fleet;
+mod fleet_configuration;
 mod fleet_membership;
+mod fleet_submission;
