--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -14,4 +14,6 @@
 #![allow(clippy::unwrap_used)]
 
 mod fleet;
+mod fleet_configuration;
 mod fleet_membership;
+mod fleet_submission;
