test(once): run two daemons against a model with faults

Generated runs drive two daemons and one object store through lost answers, writes that land late, conflicts, outages, restarts, a wall clock two hours ahead and forgetting. The model predicts for every copy of a ticket whether it may run; the world fails on a second dispatch of a key, on `not run` said of a request that ran or later runs, and on another request's answer.

--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -6,6 +6,8 @@
 )]
 
 mod once_claim;
+mod once_model;
 mod once_table;
 mod once_ticket;
+mod once_world;
 mod stream;
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/once_model.rs
@@ -0,0 +1,243 @@
+//! Generated runs of two daemons against a simple model, with lost answers, conflicts, restarts.
+//!
+//! After each step no key has been dispatched twice, and no request that was said not to run has
+//! run. `WISTERIAHITCH_MODEL_CASES` asks for more runs than the usual ones; they begin with the
+//! same ones, since the seed is fixed.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use wisteriahitch_types::{DurationUs, TimeUs};
+
+use crate::once_world::{DAEMONS, End, Fate, OWN_KEYS, TICKET_LIFETIME, World};
+
+const CASES_VARIABLE: &str = "WISTERIAHITCH_MODEL_CASES";
+const USUAL_CASES: u32 = 400;
+const SEED: u64 = 4_711;
+
+fn config() -> ProptestConfig {
+    let wanted = std::env::var(CASES_VARIABLE).ok();
+    ProptestConfig {
+        cases: wanted
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(USUAL_CASES),
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// What may happen next.
+#[derive(Clone, Debug)]
+enum Step {
+    Issue {
+        daemon: usize,
+    },
+    SubmitTicket {
+        index: usize,
+        body: u8,
+    },
+    SubmitOwn {
+        daemon: usize,
+        index: usize,
+        body: u8,
+    },
+    PlatformCall {
+        daemon: usize,
+        fate: Fate,
+    },
+    LandLateWrite {
+        pick: usize,
+    },
+    Dispatch {
+        daemon: usize,
+        pick: usize,
+    },
+    Refuse {
+        daemon: usize,
+        pick: usize,
+    },
+    TurnAway {
+        daemon: usize,
+        index: usize,
+    },
+    End {
+        daemon: usize,
+        pick: usize,
+        end: End,
+    },
+    Restart {
+        daemon: usize,
+    },
+    Tick {
+        span: DurationUs,
+    },
+}
+
+/// A ticket as its rules see it: good at one life of one daemon, once, for a while.
+#[derive(Clone, Debug)]
+struct ModelTicket {
+    daemon: usize,
+    life: u64,
+    expires_us: TimeUs,
+    is_used: bool,
+}
+
+/// Knows of each ticket whether its next copy may run.
+#[derive(Clone, Debug, Default)]
+struct Model {
+    now: TimeUs,
+    lives: [u64; DAEMONS],
+    tickets: Vec<ModelTicket>,
+    /// Whether the newest copy of a ticket is to run.
+    runs_ticket: bool,
+}
+
+impl Model {
+    fn issue(&mut self, daemon: usize) {
+        self.tickets.push(ModelTicket {
+            daemon,
+            life: self.lives[daemon],
+            expires_us: self.now + TICKET_LIFETIME,
+            is_used: false,
+        });
+    }
+
+    fn submit_ticket(&mut self, index: usize) {
+        let ticket = &mut self.tickets[index];
+        let is_alive = ticket.life == self.lives[ticket.daemon];
+        let is_in_time = self.now < ticket.expires_us;
+        self.runs_ticket = is_alive && is_in_time && !ticket.is_used;
+        ticket.is_used |= self.runs_ticket;
+    }
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        20 => Just(Fate::Works),
+        1 => Just(Fate::AppliedAnswerLost),
+        1 => Just(Fate::NotAppliedAnswerLost),
+        1 => Just(Fate::LandsLater),
+        1 => Just(Fate::Unavailable),
+    ]
+}
+
+fn end() -> impl Strategy<Value = End> {
+    prop_oneof![
+        Just(End::Answer),
+        Just(End::Lost),
+        Just(End::EndpointRefuses)
+    ]
+}
+
+fn span() -> impl Strategy<Value = DurationUs> {
+    let spans_ms = prop_oneof![
+        4 => Just(1),
+        6 => Just(600),
+        1 => Just(2_500),
+        1 => Just(20_000),
+        1 => Just(61_000),
+        1 => Just(400_000),
+    ];
+    spans_ms.prop_map(DurationUs::from_ms)
+}
+
+fn step(tickets: usize) -> BoxedStrategy<Step> {
+    let daemon = || 0..DAEMONS;
+    let pick = || 0..8_usize;
+    let others = prop_oneof![
+        2 => daemon().prop_map(|daemon| Step::Issue { daemon }),
+        8 => (daemon(), 0..OWN_KEYS, 0..2_u8)
+            .prop_map(|(daemon, index, body)| Step::SubmitOwn { daemon, index, body }),
+        24 => (daemon(), fate()).prop_map(|(daemon, fate)| Step::PlatformCall { daemon, fate }),
+        1 => pick().prop_map(|pick| Step::LandLateWrite { pick }),
+        8 => (daemon(), pick()).prop_map(|(daemon, pick)| Step::Dispatch { daemon, pick }),
+        1 => (daemon(), pick()).prop_map(|(daemon, pick)| Step::Refuse { daemon, pick }),
+        1 => (daemon(), 0..OWN_KEYS)
+            .prop_map(|(daemon, index)| Step::TurnAway { daemon, index }),
+        4 => (daemon(), pick(), end())
+            .prop_map(|(daemon, pick, end)| Step::End { daemon, pick, end }),
+        1 => daemon().prop_map(|daemon| Step::Restart { daemon }),
+        3 => span().prop_map(|span| Step::Tick { span }),
+    ];
+    if tickets == 0 {
+        return others.boxed();
+    }
+    let ticket = (0..tickets, 0..2_u8);
+    let ticket = ticket.prop_map(|(index, body)| Step::SubmitTicket { index, body });
+    prop_oneof![9 => others, 1 => ticket].boxed()
+}
+
+impl ReferenceStateMachine for Model {
+    type State = Model;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Model> {
+        Just(Model::default()).boxed()
+    }
+
+    fn transitions(model: &Model) -> BoxedStrategy<Step> {
+        step(model.tickets.len())
+    }
+
+    fn preconditions(model: &Model, step: &Step) -> bool {
+        match step {
+            Step::SubmitTicket { index, .. } => *index < model.tickets.len(),
+            _ => true,
+        }
+    }
+
+    fn apply(mut model: Model, step: &Step) -> Model {
+        match step {
+            Step::Issue { daemon } => model.issue(*daemon),
+            Step::SubmitTicket { index, .. } => model.submit_ticket(*index),
+            Step::Restart { daemon } => model.lives[*daemon] += 1,
+            Step::Tick { span } => model.now = model.now + *span,
+            _ => {}
+        }
+        model
+    }
+}
+
+struct OnceTest;
+
+impl StateMachineTest for OnceTest {
+    type SystemUnderTest = World;
+    type Reference = Model;
+
+    fn init_test(_model: &Model) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, model: &Model, step: Step) -> World {
+        match step {
+            Step::Issue { daemon } => world.issue(daemon),
+            Step::SubmitTicket { index, body } => {
+                world.submit_ticket(index, body);
+                assert_eq!(world.has_run_ticket, model.runs_ticket);
+            }
+            Step::SubmitOwn {
+                daemon,
+                index,
+                body,
+            } => world.submit_own(daemon, index, body),
+            Step::PlatformCall { daemon, fate } => world.platform_call(daemon, fate),
+            Step::LandLateWrite { pick } => world.land_late_write(pick),
+            Step::Dispatch { daemon, pick } => world.dispatch(daemon, pick),
+            Step::Refuse { daemon, pick } => world.refuse(daemon, pick),
+            Step::TurnAway { daemon, index } => world.turn_away(daemon, index),
+            Step::End { daemon, pick, end } => world.end(daemon, pick, end),
+            Step::Restart { daemon } => world.restart(daemon),
+            Step::Tick { span } => world.tick(span),
+        }
+        world
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    /// The world itself fails on the step that breaks a promise; see its `History`.
+    #[test]
+    fn each_key_runs_at_most_once_and_refusals_are_true(sequential 1..200 => OnceTest);
+}
--- a/crates/wisteriahitch-core/tests/all/once_ticket.rs
+++ b/crates/wisteriahitch-core/tests/all/once_ticket.rs
@@ -1,7 +1,7 @@
 //! Tickets: their text, who may use them, and when an issuer may leave.
 
 use wisteriahitch_core::once::{OnceKey, Ticket, TicketIssuer, TicketSecret};
-use wisteriahitch_types::{Code, DurationUs, Incarnation, TimeUs, WorkspaceId};
+use wisteriahitch_types::{Code, DurationUs, Incarnation, KeyHash, TimeUs, WorkspaceId};
 
 const LIFETIME: DurationUs = DurationUs::from_ms(60_000);
 const START: TimeUs = TimeUs::new(1_000);
@@ -168,11 +168,18 @@
     );
 }
 
+fn hash(key: &OnceKey) -> KeyHash {
+    match key {
+        OnceKey::Claimed { hash, .. } => *hash,
+        OnceKey::Ticket { .. } => panic!("a claimed key"),
+    }
+}
+
 #[test]
 fn claimed_keys_are_checked_and_bound_to_the_workspace() {
     let kandy = OnceKey::try_claimed(&workspace("kandy"), "order-1").unwrap();
     let galle = OnceKey::try_claimed(&workspace("galle"), "order-1").unwrap();
-    assert_ne!(kandy, galle);
+    assert_ne!(hash(&kandy), hash(&galle));
     let long = "k".repeat(256);
     for text in [
         "",
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/once_world.rs
@@ -0,0 +1,473 @@
+//! Two daemons, their shells and the platform's claims, for generated runs.
+//!
+//! The world notes what endpoints ran and what callers were told, and fails as soon as the two
+//! contradict each other.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use wisteriahitch_core::once::{
+    ClaimBatcher, ClaimCommand, ClaimHolder, ClaimLimits, ClaimObject, ClaimShard, ClaimState,
+    ClaimTime, ClaimVersion, Decision, Delivery, Fingerprint, KeptAnswer, KeyedTable, OnceKey,
+    ReadResult, TableLimits, Ticket, TicketIssuer, TicketSecret, WaiterId, WriteResult,
+};
+use wisteriahitch_types::{ByteCount, Code, DurationUs, Incarnation, Meaning, TimeUs, WorkspaceId};
+
+pub(crate) const DAEMONS: usize = 2;
+pub(crate) const OWN_KEYS: usize = 3;
+pub(crate) const TICKET_LIFETIME: DurationUs = DurationUs::from_ms(60_000);
+const WALL_START_MS: u64 = 1_000 * 3_600_000;
+const SKEW_MS: u64 = 2 * 3_600_000;
+
+/// What happens to a platform call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Fate {
+    Works,
+    AppliedAnswerLost,
+    NotAppliedAnswerLost,
+    LandsLater,
+    Unavailable,
+}
+
+/// How a dispatched request ends.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum End {
+    Answer,
+    Lost,
+    EndpointRefuses,
+}
+
+/// One copy of a request: its key and which of two bodies it carries.
+pub(crate) type RequestCopy = (OnceKey, u8);
+
+struct Daemon {
+    life: u64,
+    issuer: TicketIssuer,
+    table: KeyedTable,
+    batcher: ClaimBatcher,
+    calls: VecDeque<ClaimCommand>,
+    granted: Vec<RequestCopy>,
+    running: Vec<RequestCopy>,
+}
+
+impl Daemon {
+    fn new(index: usize, life: u64) -> Self {
+        let incarnation = Incarnation::new(life);
+        let limits = TableLimits {
+            kept_us: DurationUs::from_ms(300_000),
+            kept_bytes: ByteCount::new(2_000),
+            max_waiters: 4,
+        };
+        let holder = ClaimHolder {
+            owner: format!("entry-{index}").parse().unwrap(),
+            incarnation,
+            address: "127.0.0.1:7000".parse().unwrap(),
+        };
+        Self {
+            life,
+            issuer: TicketIssuer::new(incarnation, TicketSecret::new([life as u8; 32])),
+            table: KeyedTable::new(incarnation, limits),
+            batcher: ClaimBatcher::new(holder, ClaimLimits::default()),
+            calls: VecDeque::new(),
+            granted: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+}
+
+type Write = (ClaimShard, Option<ClaimVersion>, Arc<ClaimObject>);
+
+#[derive(Default)]
+struct Platform {
+    objects: BTreeMap<ClaimShard, (ClaimVersion, ClaimObject)>,
+    last_version: u64,
+    late_writes: Vec<Write>,
+}
+
+impl Platform {
+    fn read(&self, shard: ClaimShard) -> ReadResult {
+        let object = self.objects.get(&shard).cloned();
+        object.map_or(ReadResult::Missing, |(version, o)| {
+            ReadResult::Found(version, o)
+        })
+    }
+
+    fn write(&mut self, (shard, expected, content): Write) -> WriteResult {
+        if self.objects.get(&shard).map(|(version, _)| *version) != expected {
+            return WriteResult::Conflict;
+        }
+        self.last_version += 1;
+        let version = ClaimVersion::new(self.last_version);
+        self.objects.insert(shard, (version, (*content).clone()));
+        WriteResult::Written(version)
+    }
+}
+
+/// What endpoints ran and callers heard.
+#[derive(Default)]
+struct History {
+    dispatched: BTreeMap<OnceKey, u8>,
+    endpoint_refused: BTreeSet<OnceKey>,
+    answers: BTreeMap<OnceKey, Vec<u8>>,
+    told_not_run: BTreeSet<RequestCopy>,
+}
+
+impl History {
+    fn dispatch(&mut self, copy: &RequestCopy) {
+        let earlier = self.dispatched.insert(copy.0.clone(), copy.1);
+        assert_eq!(earlier, None, "a second dispatch of {copy:?}");
+        let is_promised = self.told_not_run.contains(copy);
+        assert!(
+            !is_promised,
+            "dispatched after `not run` was said: {copy:?}"
+        );
+    }
+
+    fn tell(&mut self, copy: &RequestCopy, code: Code) {
+        if code.meaning() != Meaning::NotRun {
+            return;
+        }
+        let has_run = self.dispatched.get(&copy.0) == Some(&copy.1);
+        let has_run = has_run && !self.endpoint_refused.contains(&copy.0);
+        assert!(
+            !has_run,
+            "`not run` ({code}) was said after dispatch: {copy:?}"
+        );
+        self.told_not_run.insert(copy.clone());
+    }
+
+    fn answer(&self, copy: &RequestCopy, answer: &KeptAnswer) {
+        assert_eq!(
+            self.dispatched.get(&copy.0),
+            Some(&copy.1),
+            "another's answer: {copy:?}"
+        );
+        assert_eq!(
+            self.answers.get(&copy.0),
+            Some(&answer.body),
+            "a changed answer: {copy:?}"
+        );
+    }
+}
+
+pub(crate) struct World {
+    daemons: Vec<Daemon>,
+    platform: Platform,
+    history: History,
+    tickets: Vec<Ticket>,
+    copies: BTreeMap<WaiterId, RequestCopy>,
+    last_life: u64,
+    now: TimeUs,
+    /// Whether the newest copy of a ticket was let run.
+    pub(crate) has_run_ticket: bool,
+}
+
+pub(crate) fn workspace(name: &str) -> WorkspaceId {
+    name.parse().unwrap()
+}
+
+/// Gives the callers' own keys: one text in two workspaces, and one more in the first one's shard.
+fn own_key(index: usize) -> OnceKey {
+    let key = |number| OnceKey::try_claimed(&workspace("kandy"), &format!("order-{number}"));
+    let shard = |key: &OnceKey| match key {
+        OnceKey::Claimed { hash, .. } => ClaimShard::of(hash),
+        OnceKey::Ticket { .. } => panic!("a claimed key"),
+    };
+    let first = key(0).unwrap();
+    match index {
+        0 => first,
+        1 => OnceKey::try_claimed(&workspace("galle"), "order-0").unwrap(),
+        _ => {
+            let mut others = (1..).map(|number| key(number).unwrap());
+            others.find(|other| shard(other) == shard(&first)).unwrap()
+        }
+    }
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let lives = 1..=DAEMONS as u64;
+        Self {
+            daemons: lives.map(|life| Daemon::new(life as usize, life)).collect(),
+            platform: Platform::default(),
+            history: History::default(),
+            tickets: Vec::new(),
+            copies: BTreeMap::new(),
+            last_life: DAEMONS as u64,
+            now: TimeUs::ZERO,
+            has_run_ticket: false,
+        }
+    }
+
+    pub(crate) fn issue(&mut self, daemon: usize) {
+        let issuer = &mut self.daemons[daemon].issuer;
+        let tickets = issuer.issue(&workspace("kandy"), 1, self.now, TICKET_LIFETIME);
+        self.tickets.extend(tickets);
+    }
+
+    pub(crate) fn submit_ticket(&mut self, index: usize, body: u8) {
+        self.has_run_ticket = false;
+        let ticket = self.tickets[index];
+        let Some(daemon) = self.find_life(ticket.incarnation()) else {
+            return;
+        };
+        let verified = self.daemons[daemon]
+            .issuer
+            .verify(&ticket, &workspace("kandy"));
+        let key = verified.expect("a good ticket at its issuer");
+        self.submit(daemon, (key, body), false);
+    }
+
+    pub(crate) fn submit_own(&mut self, daemon: usize, index: usize, body: u8) {
+        self.submit(daemon, (own_key(index), body), true);
+    }
+
+    pub(crate) fn platform_call(&mut self, daemon: usize, fate: Fate) {
+        let Some(call) = self.daemons[daemon].calls.pop_front() else {
+            return;
+        };
+        let time = self.time(daemon);
+        let platform = &mut self.platform;
+        let batcher = &mut self.daemons[daemon].batcher;
+        let commands = match call {
+            ClaimCommand::Read(shard) => {
+                let result = match fate {
+                    Fate::Works => platform.read(shard),
+                    _ => ReadResult::Unavailable,
+                };
+                batcher.on_read(shard, result, time)
+            }
+            ClaimCommand::WriteGroup {
+                shard,
+                expected,
+                content,
+            } => {
+                let result = write_with(platform, fate, (shard, expected, content));
+                batcher.on_write(shard, result, time)
+            }
+            ClaimCommand::Retry { shard, .. } => batcher.retry(shard),
+            other => panic!("not a call: {other:?}"),
+        };
+        self.carry_out(daemon, commands);
+    }
+
+    pub(crate) fn land_late_write(&mut self, pick: usize) {
+        let writes = &mut self.platform.late_writes;
+        if !writes.is_empty() {
+            let write = writes.swap_remove(pick % writes.len());
+            self.platform.write(write);
+        }
+    }
+
+    /// Asks to dispatch a granted copy; a shell that asks again by mistake must not be let.
+    pub(crate) fn dispatch(&mut self, daemon: usize, pick: usize) {
+        let node = &mut self.daemons[daemon];
+        let Some(copy) = take(&mut node.granted, pick) else {
+            return;
+        };
+        if node.table.dispatched(&copy.0) {
+            self.history.dispatch(&copy);
+            node.granted.push(copy.clone());
+            node.running.push(copy);
+        }
+    }
+
+    pub(crate) fn refuse(&mut self, daemon: usize, pick: usize) {
+        if let Some(copy) = take(&mut self.daemons[daemon].granted, pick) {
+            self.refuse_key(daemon, &copy.0);
+        }
+    }
+
+    /// Turns a caller's own key away in whatever state it is.
+    pub(crate) fn turn_away(&mut self, daemon: usize, index: usize) {
+        self.refuse_key(daemon, &own_key(index));
+    }
+
+    pub(crate) fn end(&mut self, daemon: usize, pick: usize, end: End) {
+        let Some((key, body)) = take(&mut self.daemons[daemon].running, pick) else {
+            return;
+        };
+        let nonce = self.daemons[daemon].table.nonce(&key);
+        let table = &mut self.daemons[daemon].table;
+        let (delivery, state) = match end {
+            End::Lost => (table.lost(&key, Code::EndpointLost, self.now), None),
+            End::EndpointRefuses => {
+                self.history.endpoint_refused.insert(key.clone());
+                let delivery = table.endpoint_refused(&key, self.now);
+                (delivery, Some(ClaimState::Refused))
+            }
+            End::Answer => {
+                let answer = make_answer(&key, body);
+                self.history
+                    .answers
+                    .insert(key.clone(), answer.body.clone());
+                let state = ClaimState::finished(&answer, ByteCount::new(8_192));
+                (
+                    table.finished(&key, Arc::new(answer), self.now),
+                    Some(state),
+                )
+            }
+        };
+        self.deliver(&delivery);
+        if let (Some(nonce), Some(state)) = (nonce, state) {
+            let time = self.time(daemon);
+            let commands = self.daemons[daemon]
+                .batcher
+                .settle(&key, nonce, state, time);
+            self.carry_out(daemon, commands);
+        }
+    }
+
+    pub(crate) fn restart(&mut self, daemon: usize) {
+        self.last_life += 1;
+        let reborn = Daemon::new(daemon, self.last_life);
+        let dead = std::mem::replace(&mut self.daemons[daemon], reborn);
+        for call in dead.calls {
+            if let ClaimCommand::WriteGroup {
+                shard,
+                expected,
+                content,
+            } = call
+            {
+                self.platform.late_writes.push((shard, expected, content));
+            }
+        }
+    }
+
+    pub(crate) fn tick(&mut self, span: DurationUs) {
+        self.now = self.now + span;
+        for daemon in 0..DAEMONS {
+            let time = self.time(daemon);
+            self.daemons[daemon].table.tick(self.now);
+            self.daemons[daemon].issuer.tick(self.now);
+            let commands = self.daemons[daemon].batcher.tick(time);
+            self.carry_out(daemon, commands);
+        }
+    }
+
+    fn submit(&mut self, daemon: usize, copy: RequestCopy, may_forward: bool) {
+        let waiter = WaiterId::new(self.copies.len() as u64);
+        self.copies.insert(waiter, copy.clone());
+        self.submit_as(daemon, waiter, copy, may_forward);
+    }
+
+    fn submit_as(&mut self, daemon: usize, waiter: WaiterId, copy: RequestCopy, may_forward: bool) {
+        let (key, body) = &copy;
+        let print = Fingerprint::new(key.workspace(), "POST", "/orders", &[*body]);
+        let time = self.time(daemon);
+        let node = &mut self.daemons[daemon];
+        match node.table.submit(key, print, waiter, self.now) {
+            Decision::Claim(nonce) => {
+                let commands = node.batcher.claim(key, print, nonce, time);
+                self.carry_out(daemon, commands);
+            }
+            Decision::Run => {
+                node.issuer.note_used(key);
+                self.has_run_ticket = matches!(key, OnceKey::Ticket { .. });
+                node.granted.push(copy);
+            }
+            Decision::Wait => {}
+            Decision::Answer(answer) => self.history.answer(&copy, &answer),
+            Decision::Refuse(code) => self.history.tell(&copy, code),
+            Decision::Forward(holder) => self.forward(&holder, waiter, copy, may_forward),
+        }
+    }
+
+    fn forward(
+        &mut self,
+        holder: &ClaimHolder,
+        waiter: WaiterId,
+        copy: RequestCopy,
+        may_forward: bool,
+    ) {
+        match self.find_life(holder.incarnation) {
+            Some(daemon) if may_forward => self.submit_as(daemon, waiter, copy, false),
+            _ => self.history.tell(&copy, Code::ClaimHeldElsewhere),
+        }
+    }
+
+    fn refuse_key(&mut self, daemon: usize, key: &OnceKey) {
+        let delivery = self.daemons[daemon]
+            .table
+            .refused(key, Code::NoEndpoint, self.now);
+        self.deliver(&delivery);
+    }
+
+    fn carry_out(&mut self, daemon: usize, commands: Vec<ClaimCommand>) {
+        for command in commands {
+            let table = &mut self.daemons[daemon].table;
+            let delivery = match command {
+                ClaimCommand::Written(key) => {
+                    let delivery = table.claim_written(&key);
+                    self.grant(daemon, delivery.iter().flat_map(|d| &d.waiters));
+                    None
+                }
+                ClaimCommand::Lost(key, claim) => table.claim_lost(&key, &claim),
+                ClaimCommand::Undecided(key, _) => table.claim_undecided(&key, self.now),
+                call => {
+                    self.daemons[daemon].calls.push_back(call);
+                    None
+                }
+            };
+            delivery.iter().for_each(|delivery| self.deliver(delivery));
+        }
+    }
+
+    fn grant<'a>(&mut self, daemon: usize, waiters: impl Iterator<Item = &'a WaiterId>) {
+        let copies = waiters.map(|waiter| self.copies[waiter].clone());
+        self.daemons[daemon].granted.extend(copies);
+    }
+
+    fn deliver(&mut self, delivery: &Delivery) {
+        for waiter in &delivery.waiters {
+            let copy = self.copies[waiter].clone();
+            match &delivery.decision {
+                Decision::Answer(answer) => self.history.answer(&copy, answer),
+                Decision::Refuse(code) => self.history.tell(&copy, *code),
+                Decision::Forward(holder) => self.forward(holder, *waiter, copy, true),
+                other => panic!("not an outcome: {other:?}"),
+            }
+        }
+    }
+
+    fn find_life(&self, incarnation: Incarnation) -> Option<usize> {
+        let mut daemons = self.daemons.iter();
+        daemons.position(|daemon| daemon.life == incarnation.get())
+    }
+
+    /// Gives a daemon's clocks; the second one's wall clock is ahead.
+    fn time(&self, daemon: usize) -> ClaimTime {
+        let elapsed_ms = self.now.get() / 1_000;
+        ClaimTime {
+            now: self.now,
+            wall_ms: WALL_START_MS + elapsed_ms + SKEW_MS * daemon as u64,
+        }
+    }
+}
+
+fn write_with(platform: &mut Platform, fate: Fate, write: Write) -> WriteResult {
+    match fate {
+        Fate::Works => return platform.write(write),
+        Fate::Unavailable => return WriteResult::Unavailable,
+        Fate::AppliedAnswerLost => drop(platform.write(write)),
+        Fate::LandsLater => platform.late_writes.push(write),
+        Fate::NotAppliedAnswerLost => {}
+    }
+    WriteResult::AnswerLost
+}
+
+fn make_answer(key: &OnceKey, body: u8) -> KeptAnswer {
+    KeptAnswer {
+        status: 201,
+        content_type: None,
+        body: format!("{key:?} {body}").into_bytes(),
+    }
+}
+
+fn take(copies: &mut Vec<RequestCopy>, pick: usize) -> Option<RequestCopy> {
+    if copies.is_empty() {
+        return None;
+    }
+    let index = pick % copies.len();
+    Some(copies.swap_remove(index))
+}
