--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -1,19 +1,19 @@
 //! Tests of the decisions, one module a feature.
 
+#![allow(clippy::unwrap_used)]
+
+mod fleet;
+mod fleet_configuration;
+mod fleet_membership;
+mod fleet_submission;
 mod once_claim;
+mod once_model;
 mod once_table;
 mod once_ticket;
+mod once_world;
+mod stream;
 mod tier;
 mod tier_block;
 mod tier_block_runs;
 mod tier_import;
-mod stream;
 mod tier_save;
-//! Tests of the deterministic core.
-
-#![allow(clippy::unwrap_used)]
-
-mod fleet;
-mod fleet_configuration;
-mod fleet_membership;
-mod fleet_submission;
