--- a/crates/wisteriahitch-cli/src/client.rs
+++ b/crates/wisteriahitch-cli/src/client.rs
@@ -44,7 +44,11 @@
         let addresses = get_addresses(flags)?;
         let key = get_key(flags)?;
         let http = HttpClient::new(HttpClientOptions::default());
-        Ok(Self { http, addresses, key })
+        Ok(Self {
+            http,
+            addresses,
+            key,
+        })
     }
 
     /// Sends a call to the first daemon that can be reached.
@@ -60,7 +64,10 @@
         let body = body.into();
         let mut failures = Vec::new();
         for address in &self.addresses {
-            match self.call_one(*address, method.clone(), path, body.clone()).await {
+            match self
+                .call_one(*address, method.clone(), path, body.clone())
+                .await
+            {
                 Ok(answer) => return Ok(answer),
                 Err((HttpErrorKind::NotSent, detail)) => failures.push(detail),
                 Err((_, detail)) => bail!("{detail}; whether the call took effect is unknown"),
@@ -69,16 +76,6 @@
         bail!("no daemon can be reached: {}", failures.join("; "))
     }
 
-    /// Returns a client for each address alone.
-    pub(crate) fn each(&self) -> Vec<(SocketAddr, Client)> {
-        let single = |address: &SocketAddr| Client {
-            http: self.http.clone(),
-            addresses: vec![*address],
-            key: self.key.clone(),
-        };
-        self.addresses.iter().map(|address| (*address, single(address))).collect()
-    }
-
     async fn call_one(
         &self,
         address: SocketAddr,
@@ -97,7 +94,10 @@
             .fetch(address, request, TIMEOUT_US, ANSWER_LIMIT_BYTES)
             .await
             .map_err(|error| (error.kind(), format!("{address}: {error}")))?;
-        Ok(Answer { status: response.status(), body: response.into_body() })
+        Ok(Answer {
+            status: response.status(),
+            body: response.into_body(),
+        })
     }
 }
 
@@ -109,7 +109,9 @@
         bail!("no daemon is named; use --daemon IP:PORT or set {ADDRESSES_VARIABLE}");
     };
     let parse = |part: &str| {
-        part.trim().parse().with_context(|| format!("{part:?} in {ADDRESSES_VARIABLE}"))
+        part.trim()
+            .parse()
+            .with_context(|| format!("{part:?} in {ADDRESSES_VARIABLE}"))
     };
     text.split(',').map(parse).collect()
 }
--- a/crates/wisteriahitch-cli/src/command/config.rs
+++ b/crates/wisteriahitch-cli/src/command/config.rs
@@ -29,7 +29,14 @@
     let text = read(path)?;
     let report = match Configuration::check(&text) {
         Ok(_) => {
-            println!("{}", if flags.json { r#"{"problems":[]}"# } else { "no problems" });
+            println!(
+                "{}",
+                if flags.json {
+                    r#"{"problems":[]}"#
+                } else {
+                    "no problems"
+                }
+            );
             return Ok(true);
         }
         Err(report) => report,
@@ -37,7 +44,7 @@
     if flags.json {
         println!("{}", json!({ "problems": report.problems() }));
     } else {
-        eprint!("{}", report.render(&path.display().to_string()));
+        eprintln!("{}", report.in_file(&path.display().to_string()));
     }
     Ok(false)
 }
@@ -67,7 +74,9 @@
 }
 
 async fn run_show(flags: &Wisteriahitch) -> anyhow::Result<bool> {
-    let answer = Client::from_flags(flags)?.call(Method::GET, "/v1/config", "").await?;
+    let answer = Client::from_flags(flags)?
+        .call(Method::GET, "/v1/config", "")
+        .await?;
     let text = String::from_utf8_lossy(&answer.body);
     if answer.status.is_success() {
         print!("{text}");
@@ -78,11 +87,19 @@
 }
 
 async fn run_history(flags: &Wisteriahitch) -> anyhow::Result<bool> {
-    let answer = Client::from_flags(flags)?.call(Method::GET, "/v1/config/history", "").await?;
+    let answer = Client::from_flags(flags)?
+        .call(Method::GET, "/v1/config/history", "")
+        .await?;
     print_answer(&answer, flags.json, |value| {
         let entries = value["history"].as_array().into_iter().flatten();
         entries
-            .map(|entry| format!("{} {}\n", field(entry, "version"), field(entry, "submission")))
+            .map(|entry| {
+                format!(
+                    "{} {}\n",
+                    field(entry, "version"),
+                    field(entry, "submission")
+                )
+            })
             .collect()
     })
 }
--- a/crates/wisteriahitch-cli/src/command/drain.rs
+++ b/crates/wisteriahitch-cli/src/command/drain.rs
@@ -8,8 +8,13 @@
 
 /// Runs `wisteriahitch drain`, which needs exactly one `--daemon`.
 pub(crate) async fn run(flags: &Wisteriahitch) -> anyhow::Result<bool> {
-    anyhow::ensure!(flags.daemon.len() == 1, "name the daemon to drain with --daemon IP:PORT");
+    anyhow::ensure!(
+        flags.daemon.len() == 1,
+        "name the daemon to drain with --daemon IP:PORT"
+    );
     let client = Client::from_flags(flags)?;
     let answer = client.call(Method::POST, "/v1/drain", "").await?;
-    print_answer(&answer, flags.json, |value| format!("{}\n", field(value, "state")))
+    print_answer(&answer, flags.json, |value| {
+        format!("{}\n", field(value, "state"))
+    })
 }
--- a/crates/wisteriahitch-cli/src/command/explain.rs
+++ b/crates/wisteriahitch-cli/src/command/explain.rs
@@ -14,7 +14,9 @@
 pub(crate) async fn run(flags: &Wisteriahitch, explain: &Explain) -> anyhow::Result<bool> {
     let question = build_question(explain)?;
     let client = Client::from_flags(flags)?;
-    let answer = client.call(Method::POST, "/v1/explain", question.to_string()).await?;
+    let answer = client
+        .call(Method::POST, "/v1/explain", question.to_string())
+        .await?;
     print_answer(&answer, flags.json, render)
 }
 
@@ -40,7 +42,11 @@
 fn parse_labels(labels: &[String]) -> anyhow::Result<BTreeMap<&str, &str>> {
     labels
         .iter()
-        .map(|label| label.split_once('=').with_context(|| format!("{label:?} isn't NAME=VALUE")))
+        .map(|label| {
+            label
+                .split_once('=')
+                .with_context(|| format!("{label:?} isn't NAME=VALUE"))
+        })
         .collect()
 }
 
--- a/crates/wisteriahitch-cli/src/command/status.rs
+++ b/crates/wisteriahitch-cli/src/command/status.rs
@@ -36,10 +36,18 @@
         field(value, "config_version")
     );
     text += &render_rows("daemons", value, &["daemon", "state", "config_version"]);
-    text += &render_rows("endpoints", value, &["endpoint", "state", "versions", "running"]);
+    text += &render_rows(
+        "endpoints",
+        value,
+        &["endpoint", "state", "versions", "running"],
+    );
     text += &render_rows("stores", value, &["store", "state", "used_bytes"]);
     let rollout = &value["rollout"];
-    text += &format!("rollout: {} done, {} pending\n", field(rollout, "done"), field(rollout, "pending"));
+    text += &format!(
+        "rollout: {} done, {} pending\n",
+        field(rollout, "done"),
+        field(rollout, "pending")
+    );
     text
 }
 
--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -65,7 +65,11 @@
         cached_tokens: head.cached_tokens,
         completion_tokens: TokenCount::ZERO,
     };
-    let answer = Answer { name, usage, pieces };
+    let answer = Answer {
+        name,
+        usage,
+        pieces,
+    };
     let mut response = match is_stream {
         true => answer.stream(shared),
         false => answer.whole().await?,
@@ -88,7 +92,10 @@
     if let Ok(value) = HeaderValue::from_str(head.weight_version.as_str()) {
         headers.insert("x-weight-version", value);
     }
-    headers.insert("x-cached-tokens", HeaderValue::from(head.cached_tokens.get()));
+    headers.insert(
+        "x-cached-tokens",
+        HeaderValue::from(head.cached_tokens.get()),
+    );
 }
 
 fn build_call(
@@ -134,10 +141,14 @@
     prompt_tokens: TokenCount,
 ) -> Result<Model, Refusal> {
     let models = &identity.in_force.configuration.models;
-    let model = models.get(&body.model).ok_or_else(|| Refusal::new(Code::UnknownModel))?;
+    let model = models
+        .get(&body.model)
+        .ok_or_else(|| Refusal::new(Code::UnknownModel))?;
     if prompt_tokens > model.max_prompt_tokens {
-        let message =
-            format!("the prompt has {prompt_tokens}, the model takes {}", model.max_prompt_tokens);
+        let message = format!(
+            "the prompt has {prompt_tokens}, the model takes {}",
+            model.max_prompt_tokens
+        );
         return Err(Refusal::new(Code::PromptTooLong).with_message(message));
     }
     Ok(model.clone())
@@ -157,7 +168,9 @@
         tokio::spawn(self.pump(shared, sender));
         let mut response = Response::new(body);
         let event_stream = HeaderValue::from_static("text/event-stream");
-        response.headers_mut().insert(header::CONTENT_TYPE, event_stream);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, event_stream);
         response
     }
 
@@ -220,7 +233,9 @@
         let json = render(&self.name, 0, &text, Some(&reason), Some(self.usage));
         let mut response = Response::new(full_body(json));
         let json_type = HeaderValue::from_static("application/json");
-        response.headers_mut().insert(header::CONTENT_TYPE, json_type);
+        response
+            .headers_mut()
+            .insert(header::CONTENT_TYPE, json_type);
         Ok(response)
     }
 }
--- a/crates/wisteriahitch-node/src/caller/completion_body.rs
+++ b/crates/wisteriahitch-node/src/caller/completion_body.rs
@@ -101,7 +101,11 @@
         model: &name.model,
         weight_version: &name.weight_version,
         position,
-        choices: [Choice { index: 0, text, finish_reason }],
+        choices: [Choice {
+            index: 0,
+            text,
+            finish_reason,
+        }],
         usage,
     };
     Bytes::from(serde_json::to_vec(&chunk).unwrap_or_default())
--- a/crates/wisteriahitch-node/src/caller/entries.rs
+++ b/crates/wisteriahitch-node/src/caller/entries.rs
@@ -51,6 +51,8 @@
     let body = Bytes::from(serde_json::to_vec(value).unwrap_or_default());
     let mut response = Response::new(full_body(body));
     let json = http::HeaderValue::from_static("application/json");
-    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+        .headers_mut()
+        .insert(http::header::CONTENT_TYPE, json);
     response
 }
--- a/crates/wisteriahitch-node/src/caller/gate.rs
+++ b/crates/wisteriahitch-node/src/caller/gate.rs
@@ -24,7 +24,10 @@
 pub(crate) fn decide(identity: &Identity, facts: &RequestFacts) -> Result<Ruling, Refusal> {
     let rule = identity.in_force.configuration.decide(facts);
     match &rule.then {
-        Action::Route(route) => Ok(Ruling { rule: rule.name.clone(), route: route.clone() }),
+        Action::Route(route) => Ok(Ruling {
+            rule: rule.name.clone(),
+            route: route.clone(),
+        }),
         Action::Refuse(refusal) => Err(Refusal::new(Code::RuleRefused)
             .with_message(refusal.reason.clone())
             .with_retry_after_us(refusal.retry_after_us)),
--- a/crates/wisteriahitch-node/src/caller/handler.rs
+++ b/crates/wisteriahitch-node/src/caller/handler.rs
@@ -67,7 +67,11 @@
             path if path.starts_with(REQUESTS_PREFIX) => "requests",
             _ => "plain",
         };
-        self.shared.metrics.requests.with_label_values(&[label]).inc();
+        self.shared
+            .metrics
+            .requests
+            .with_label_values(&[label])
+            .inc();
     }
 }
 
--- a/crates/wisteriahitch-node/src/caller/identity.rs
+++ b/crates/wisteriahitch-node/src/caller/identity.rs
@@ -39,7 +39,10 @@
         .workspace_by_key(&key_hash(secret))
         .map(|workspace| workspace.id.clone())
         .ok_or_else(|| Refusal::new(Code::UnknownKey))?;
-    Ok(Identity { in_force, workspace })
+    Ok(Identity {
+        in_force,
+        workspace,
+    })
 }
 
 fn get_secret(headers: &HeaderMap) -> Option<&str> {
@@ -57,5 +60,6 @@
 pub(crate) fn new_request_id(shared: &Shared) -> RequestId {
     let number: u128 = rand::random();
     let text = format!("r-{:x}-{number:032x}", shared.incarnation.get());
-    text.parse().unwrap_or_else(|_| unreachable!("hexadecimal digits make a valid name"))
+    text.parse()
+        .unwrap_or_else(|_| unreachable!("hexadecimal digits make a valid name"))
 }
--- a/crates/wisteriahitch-node/src/caller/keyed.rs
+++ b/crates/wisteriahitch-node/src/caller/keyed.rs
@@ -38,15 +38,16 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let request_id = keyed.call.request_id.clone();
     let task = tokio::spawn(decide_key(Arc::clone(shared), keyed));
-    let outcome = task.await.unwrap_or_else(|_| Err(Refusal::new(Code::Internal)));
+    let outcome = task
+        .await
+        .unwrap_or_else(|_| Err(Refusal::new(Code::Internal)));
     Ok(render(&*outcome?, &request_id))
 }
 
 async fn decide_key(shared: Arc<Shared>, keyed: KeyedCall) -> Outcome {
     let KeyedCall { call, key } = keyed;
     if !Ticket::is_ticket_text(&key) {
-        let key =
-            OnceKey::try_claimed(&call.identity.workspace, &key).map_err(Refusal::new)?;
+        let key = OnceKey::try_claimed(&call.identity.workspace, &key).map_err(Refusal::new)?;
         return submit(&shared, call, key, ForwardPolicy::Allowed).await;
     }
     let ticket: Ticket = key.parse().map_err(|_| Refusal::new(Code::BadKey))?;
@@ -56,7 +57,11 @@
     // Only the life of a process that issued the ticket may dispatch it. Where that one can't be
     // found this daemon knows nothing of the request, and says just that.
     match shared.find_peer(ticket.incarnation()) {
-        Some(address) => shared.forward_ticket(&call, &key, address, ticket.incarnation()).await,
+        Some(address) => {
+            shared
+                .forward_ticket(&call, &key, address, ticket.incarnation())
+                .await
+        }
         None => Err(ask_again(Code::TicketHolderLost)),
     }
 }
@@ -67,7 +72,11 @@
     call: PlainCall,
     ticket: &Ticket,
 ) -> Outcome {
-    let verified = shared.once.lock().issuer.verify(ticket, &call.identity.workspace);
+    let verified = shared
+        .once
+        .lock()
+        .issuer
+        .verify(ticket, &call.identity.workspace);
     let key = verified.map_err(Refusal::new)?;
     submit(shared, call, key, ForwardPolicy::Forbidden).await
 }
@@ -142,7 +151,9 @@
     let content_type = response.headers.get(header::CONTENT_TYPE);
     KeptAnswer {
         status: response.status.as_u16(),
-        content_type: content_type.and_then(|value| value.to_str().ok()).map(str::to_owned),
+        content_type: content_type
+            .and_then(|value| value.to_str().ok())
+            .map(str::to_owned),
         body: response.body.to_vec(),
     }
 }
@@ -156,7 +167,9 @@
 
 /// Builds the refusal of a daemon that doesn't know what became of a key.
 pub(crate) fn ask_again(code: Code) -> Refusal {
-    Refusal::new(code).with_outcome_unknown().with_retry_after_us(ASK_AGAIN_US)
+    Refusal::new(code)
+        .with_outcome_unknown()
+        .with_retry_after_us(ASK_AGAIN_US)
 }
 
 /// Renders a kept answer, the same for the first copy and for each repeat.
@@ -168,7 +181,9 @@
     if let Some(Ok(value)) = content_type.map(HeaderValue::from_str) {
         response.headers_mut().insert(header::CONTENT_TYPE, value);
     }
-    response.headers_mut().insert(KEPT, HeaderValue::from_static("1"));
+    response
+        .headers_mut()
+        .insert(KEPT, HeaderValue::from_static("1"));
     set_request_id(&mut response, request_id);
     response
 }
--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -9,11 +9,11 @@
 use wisteriahitch_types::{Code, Meaning, RequestId};
 use wisteriahitch_wire::service::ServiceResponse;
 
+use super::Refusal;
 use super::body::{ResponseBody, full_body};
 use super::gate::{Ruling, decide, labels};
 use super::identity::Identity;
 use super::keyed::{self, KeyedCall};
-use super::Refusal;
 use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
 use crate::shared::Shared;
 
@@ -39,7 +39,10 @@
     match key {
         Some(key) => {
             let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
-            let keyed = KeyedCall { call, key: key.to_owned() };
+            let keyed = KeyedCall {
+                call,
+                key: key.to_owned(),
+            };
             keyed::answer(shared, keyed).await
         }
         None => run_unkeyed(shared, call).await,
@@ -64,8 +67,10 @@
     parts: &Parts,
     body: Bytes,
 ) -> PlainCall {
-    let path_and_query =
-        parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+    let path_and_query = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), ToString::to_string);
     PlainCall {
         identity: identity.clone(),
         route: ruling.route.clone(),
@@ -85,7 +90,11 @@
     shared: &Arc<Shared>,
     call: PlainCall,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mode = if may_repeat(&call) { RunMode::Repeatable } else { RunMode::Once };
+    let mode = if may_repeat(&call) {
+        RunMode::Repeatable
+    } else {
+        RunMode::Once
+    };
     let request_id = call.request_id.clone();
     let response = run_plain(shared, &call, mode, || true).await?;
     Ok(to_response(response, &request_id))
@@ -103,7 +112,10 @@
         return may_repeat;
     }
     let path = call.path_and_query.split('?').next().unwrap_or_default();
-    service.repeatable.iter().any(|pattern| pattern.is_match(call.method.as_str(), path))
+    service
+        .repeatable
+        .iter()
+        .any(|pattern| pattern.is_match(call.method.as_str(), path))
 }
 
 /// Turns a service's answer into the caller's.
--- a/crates/wisteriahitch-node/src/caller/refusal.rs
+++ b/crates/wisteriahitch-node/src/caller/refusal.rs
@@ -79,11 +79,6 @@
         self.meaning
     }
 
-    /// Returns when to come back, if that was said.
-    pub(crate) fn retry_after_us(&self) -> Option<DurationUs> {
-        self.retry_after_us
-    }
-
     /// Renders the JSON form that stands in bodies and in the last event of a broken stream.
     pub(crate) fn to_json(&self, request_id: &RequestId) -> Bytes {
         let body = RefusalBody {
--- a/crates/wisteriahitch-node/src/caller/resume.rs
+++ b/crates/wisteriahitch-node/src/caller/resume.rs
@@ -25,7 +25,11 @@
     parts: &Parts,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let unknown = || Refusal::new(Code::UnknownRequest);
-    let id = parts.uri.path().strip_prefix(PREFIX).and_then(|rest| rest.strip_suffix(SUFFIX));
+    let id = parts
+        .uri
+        .path()
+        .strip_prefix(PREFIX)
+        .and_then(|rest| rest.strip_suffix(SUFFIX));
     let id: RequestId = id.and_then(|id| id.parse().ok()).ok_or_else(unknown)?;
     let position = parse_position(parts.uri.query().unwrap_or_default())?;
     // A request of another workspace is as unknown as one that never was.
@@ -36,7 +40,9 @@
 }
 
 fn parse_position(query: &str) -> Result<u64, Refusal> {
-    let value = query.split('&').find_map(|part| part.strip_prefix(POSITION_PARAMETER));
+    let value = query
+        .split('&')
+        .find_map(|part| part.strip_prefix(POSITION_PARAMETER));
     let position = value.unwrap_or("0").parse();
     position.map_err(|_| Refusal::new(Code::BadHttp).with_message("position is not a number"))
 }
--- a/crates/wisteriahitch-node/src/caller/tickets.rs
+++ b/crates/wisteriahitch-node/src/caller/tickets.rs
@@ -42,14 +42,24 @@
     let wanted = parse_count(body)?;
     let lifetime_us = identity.in_force.configuration.limits.ticket_lifetime_us;
     let now = shared.clock.now();
-    let issued =
-        shared.once.lock().issuer.issue(&identity.workspace, wanted, now, lifetime_us);
+    let issued = shared
+        .once
+        .lock()
+        .issuer
+        .issue(&identity.workspace, wanted, now, lifetime_us);
     if issued.is_empty() {
-        let code = if shared.is_draining() { Code::Draining } else { Code::QuotaExceeded };
+        let code = if shared.is_draining() {
+            Code::Draining
+        } else {
+            Code::QuotaExceeded
+        };
         return Err(Refusal::new(code).with_retry_after_us(RETRY_US));
     }
     let tickets = issued.iter().map(ToString::to_string).collect();
-    Ok(json_response(&Tickets { tickets, lifetime_ms: lifetime_us.as_ms() }))
+    Ok(json_response(&Tickets {
+        tickets,
+        lifetime_ms: lifetime_us.as_ms(),
+    }))
 }
 
 fn parse_count(body: &[u8]) -> Result<usize, Refusal> {
--- a/crates/wisteriahitch-node/src/clock.rs
+++ b/crates/wisteriahitch-node/src/clock.rs
@@ -6,18 +6,20 @@
 
 /// Tells the time since the process started, which is the only time the decisions see.
 #[derive(Clone, Copy, Debug)]
-pub struct Clock {
+pub(crate) struct Clock {
     started: Instant,
 }
 
 impl Clock {
     /// Starts a clock at zero.
-    pub fn new() -> Self {
-        Self { started: Instant::now() }
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+        }
     }
 
     /// Returns the time now.
-    pub fn now(&self) -> TimeUs {
+    pub(crate) fn now(&self) -> TimeUs {
         TimeUs::new(DurationUs::from(self.started.elapsed()).get())
     }
 }
--- /dev/null
+++ b/crates/wisteriahitch-node/src/config/mod.rs
@@ -0,0 +1,12 @@
+//! The configuration: how it gets to this daemon, comes into force and is accepted.
+//!
+//! `docs/design/configuration-acceptance.md` gives the reasons.
+
+mod apply;
+mod objects;
+mod peers;
+mod replica;
+mod submit;
+
+pub(crate) use replica::ConfigState;
+pub(crate) use submit::{SubmitError, Submitted};
--- /dev/null
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -0,0 +1,167 @@
+//! Driving the replica of the configuration.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio_util::sync::CancellationToken;
+use wisteriahitch_core::fleet::{
+    ConfigCommand, ConfigEvent, ConfigReplica, ConfigSettings, HeadObject,
+};
+use wisteriahitch_types::DurationUs;
+use wisteriahitch_wire::platform::{Object, ObjectKind, ObjectVersion, Platform, PlatformError};
+
+use super::objects::{HEAD_NAME, parse_head, read_section};
+use crate::shared::Shared;
+
+/// Time for which one watch of the head waits.
+const WATCH_US: DurationUs = DurationUs::from_ms(20_000);
+
+/// Pause after a watch failed.
+const WATCH_PAUSE: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Holds the replica and the watch that it asked for.
+///
+/// The replica is locked before the members where both are needed.
+pub(crate) struct ConfigState {
+    /// Versions held and in force.
+    pub(crate) replica: Mutex<ConfigReplica>,
+    watch: Mutex<Option<CancellationToken>>,
+}
+
+impl ConfigState {
+    /// Builds a replica that knows nothing.
+    pub(crate) fn new() -> Self {
+        let replica = ConfigReplica::new(ConfigSettings::default());
+        Self {
+            replica: Mutex::new(replica),
+            watch: Mutex::new(None),
+        }
+    }
+}
+
+impl Shared {
+    /// Runs what depends on the time alone.
+    pub(crate) fn tick_config(self: &Arc<Self>) {
+        self.step_config(ConfigEvent::Tick);
+    }
+
+    /// Tells the replica an event and carries out what it asks for.
+    pub(crate) fn step_config(self: &Arc<Self>, event: ConfigEvent) {
+        let now = self.clock.now();
+        let commands = {
+            let mut replica = self.config.replica.lock();
+            replica.handle(event, now, &self.fleet.members.lock())
+        };
+        self.run_config(commands);
+    }
+
+    /// Carries out what the replica asks for.
+    pub(crate) fn run_config(self: &Arc<Self>, commands: Vec<ConfigCommand>) {
+        for command in commands {
+            match command {
+                ConfigCommand::Apply { head, sections } => self.apply_config(&head, &sections),
+                ConfigCommand::WatchHead(is_wanted) => self.watch_head(is_wanted),
+                ConfigCommand::Report { code, version } => {
+                    log::error!("{code} configuration {version}: {}", code.summary());
+                }
+                command => {
+                    tokio::spawn(call(Arc::clone(self), command));
+                }
+            }
+        }
+    }
+
+    fn watch_head(self: &Arc<Self>, is_wanted: bool) {
+        let mut watch = self.config.watch.lock();
+        if let Some(running) = watch.take() {
+            running.cancel();
+        }
+        if is_wanted {
+            let token = self.stop.child_token();
+            *watch = Some(token.clone());
+            tokio::spawn(watch_until(Arc::clone(self), token));
+        }
+    }
+
+    fn note_head(self: &Arc<Self>, read: Result<Option<Object>, PlatformError>) {
+        let event = match read {
+            Ok(None) => ConfigEvent::StoreHead(None),
+            Ok(Some(object)) => match parse_head(&object) {
+                Ok(head) => ConfigEvent::StoreHead(Some(head)),
+                Err(error) => {
+                    log::error!("the head doesn't parse: {error}");
+                    ConfigEvent::StoreHeadCorrupt
+                }
+            },
+            Err(error) => {
+                log::debug!("the head can't be read: {error}");
+                ConfigEvent::StoreFailed
+            }
+        };
+        self.step_config(event);
+    }
+
+    /// Returns the head that is held whole, if there is one.
+    pub(crate) fn held_head(&self) -> Option<HeadObject> {
+        self.config.replica.lock().held().cloned()
+    }
+}
+
+async fn watch_until(shared: Arc<Shared>, token: CancellationToken) {
+    let mut seen = ObjectVersion::default();
+    loop {
+        let platform = &shared.outside.platform;
+        let watching = platform.watch(ObjectKind::ConfigHead, HEAD_NAME, seen, WATCH_US);
+        let read = tokio::select! {
+            () = token.cancelled() => return,
+            read = watching => read,
+        };
+        match read {
+            Ok(None) => {}
+            Ok(Some(object)) => {
+                seen = object.version;
+                shared.note_head(Ok(Some(object)));
+            }
+            Err(error) => {
+                shared.note_head(Err(error));
+                tokio::time::sleep(WATCH_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn call(shared: Arc<Shared>, command: ConfigCommand) {
+    match command {
+        ConfigCommand::ReadHead => {
+            let read = shared
+                .outside
+                .platform
+                .get(ObjectKind::ConfigHead, HEAD_NAME)
+                .await;
+            shared.note_head(read);
+        }
+        ConfigCommand::ReadSection(hash) => {
+            let read = read_section(&*shared.outside.platform, &hash).await;
+            let event = match read {
+                Ok(Some(text)) => ConfigEvent::SectionRead {
+                    hash,
+                    content: text.into_bytes(),
+                },
+                Ok(None) | Err(_) => ConfigEvent::SectionFailed(hash),
+            };
+            shared.step_config(event);
+        }
+        ConfigCommand::PullHead { peer, after } => shared.pull_head(peer, after).await,
+        ConfigCommand::PullSections { peer, wanted } => shared.pull_sections(peer, &wanted).await,
+        ConfigCommand::Push {
+            peer,
+            change,
+            sections,
+        } => {
+            shared.push_config(peer, &change, &sections).await;
+        }
+        ConfigCommand::Apply { .. }
+        | ConfigCommand::WatchHead(_)
+        | ConfigCommand::Report { .. } => {}
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -0,0 +1,262 @@
+//! Accepting a submission by one conditional update of the head.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use chrono::Utc;
+use wisteriahitch_config::{Report, Sections};
+use wisteriahitch_core::fleet::{
+    ConfigEvent, HeadObject, Section, SectionHash, SectionName, Submission, SubmissionCommand,
+    SubmissionEvent, SubmissionOutcome,
+};
+use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
+use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
+
+use super::objects::{
+    HEAD_NAME, build_sections, core_name, parse_head, read_section, write_section,
+};
+use crate::shared::Shared;
+
+/// Time between two counts of the peers that hold an accepted version.
+const SPREAD_PAUSE: Duration = Duration::from_millis(50);
+
+/// Counts after which the operator is told with those that hold it by then.
+const MAX_SPREAD_COUNTS: u32 = 40;
+
+/// Holds a checked submission.
+pub(crate) struct Submitted {
+    /// Name that the operator gave it.
+    pub(crate) id: SubmissionId,
+    /// Sections in force that it was checked against.
+    pub(crate) base: Sections,
+    /// Sections that are to be in force.
+    pub(crate) merged: Sections,
+    /// Version that it must be accepted on top of.
+    pub(crate) expected: Option<ConfigVersion>,
+}
+
+/// Says why a submission was not accepted.
+pub(crate) enum SubmitError {
+    /// The whole that would come out has faults.
+    Refused(Box<Report>),
+    /// Something else, by its outcome.
+    Outcome(SubmissionOutcome),
+    /// A section can't be read.
+    Failed(Code),
+}
+
+/// Follows one submission.
+struct Run<'a> {
+    shared: &'a Arc<Shared>,
+    texts: BTreeMap<SectionHash, String>,
+    report: Option<Report>,
+}
+
+impl Shared {
+    /// Brings a submission to its end and returns the acceptance.
+    pub(crate) async fn submit_config(
+        self: &Arc<Self>,
+        submitted: Submitted,
+    ) -> Result<SubmissionOutcome, SubmitError> {
+        let changes = changes(&submitted.base, &submitted.merged);
+        let texts = submitted.merged.iter();
+        let texts = texts.filter_map(|(_, section)| {
+            let hash = section.hash().to_string().parse().ok()?;
+            Some((hash, section.text().to_owned()))
+        });
+        let mut run = Run {
+            shared: self,
+            texts: texts.collect(),
+            report: None,
+        };
+        let now_unix_ms = u64::try_from(Utc::now().timestamp_millis()).unwrap_or(0);
+        let mut submission =
+            Submission::new(submitted.id, changes, submitted.expected, now_unix_ms);
+        let mut commands: VecDeque<_> = submission.handle(&SubmissionEvent::Start).into();
+        while let Some(command) = commands.pop_front() {
+            if let SubmissionCommand::Finish(outcome) = command {
+                return run.finish(outcome);
+            }
+            let event = run.call(command).await;
+            commands.extend(submission.handle(&event));
+        }
+        Err(SubmitError::Failed(Code::Internal))
+    }
+}
+
+impl Run<'_> {
+    fn finish(self, outcome: SubmissionOutcome) -> Result<SubmissionOutcome, SubmitError> {
+        match (outcome, self.report) {
+            (SubmissionOutcome::Accepted { .. }, _) => Ok(outcome),
+            (SubmissionOutcome::Refused, Some(report)) => {
+                Err(SubmitError::Refused(Box::new(report)))
+            }
+            _ => Err(SubmitError::Outcome(outcome)),
+        }
+    }
+
+    async fn call(&mut self, command: SubmissionCommand) -> SubmissionEvent {
+        match command {
+            SubmissionCommand::WriteSection(hash) => self.write_section(hash).await,
+            SubmissionCommand::ReadHead => self.read_head().await,
+            SubmissionCommand::Check(head) => self.check(&head).await,
+            SubmissionCommand::UpdateHead { head, expected } => {
+                self.update_head(&head, expected).await
+            }
+            SubmissionCommand::Spread(head) => self.spread(&head).await,
+            SubmissionCommand::Finish(_) => SubmissionEvent::Start,
+        }
+    }
+
+    async fn write_section(&self, hash: SectionHash) -> SubmissionEvent {
+        let text = self
+            .texts
+            .get(&hash)
+            .map(String::as_str)
+            .unwrap_or_default();
+        match write_section(&*self.shared.outside.platform, &hash, text).await {
+            Ok(()) => SubmissionEvent::SectionWritten(hash),
+            Err(error) => {
+                log::warn!("a section can't be written: {error}");
+                SubmissionEvent::SectionFailed(hash)
+            }
+        }
+    }
+
+    async fn read_head(&self) -> SubmissionEvent {
+        let read = self
+            .shared
+            .outside
+            .platform
+            .get(ObjectKind::ConfigHead, HEAD_NAME)
+            .await;
+        match read {
+            Ok(None) => SubmissionEvent::HeadRead {
+                head: None,
+                object_version: 0,
+            },
+            Ok(Some(object)) => match parse_head(&object) {
+                Ok(head) => {
+                    let object_version = object.version.get();
+                    SubmissionEvent::HeadRead {
+                        head: Some(head),
+                        object_version,
+                    }
+                }
+                Err(error) => {
+                    log::error!("the head doesn't parse: {error}");
+                    SubmissionEvent::HeadUnavailable
+                }
+            },
+            Err(error) => {
+                log::warn!("the head can't be read: {error}");
+                SubmissionEvent::HeadUnavailable
+            }
+        }
+    }
+
+    /// Checks the whole that would come out, with the sections that others submitted meanwhile.
+    async fn check(&mut self, head: &HeadObject) -> SubmissionEvent {
+        let Some(sections) = self.collect(head).await else {
+            return SubmissionEvent::Checked { is_good: false };
+        };
+        let is_good = match build_sections(head, &sections) {
+            Ok(built) => match built.assemble() {
+                Ok(_) => true,
+                Err(report) => {
+                    self.report = Some(report);
+                    false
+                }
+            },
+            Err(error) => {
+                log::error!("the sections don't fit their head: {error}");
+                false
+            }
+        };
+        SubmissionEvent::Checked { is_good }
+    }
+
+    async fn collect(&mut self, head: &HeadObject) -> Option<Vec<Section>> {
+        let mut sections = Vec::new();
+        for hash in head.sections.values() {
+            if !self.texts.contains_key(hash) {
+                let read = read_section(&*self.shared.outside.platform, hash).await;
+                self.texts.insert(hash.clone(), read.ok()??);
+            }
+            let text = self.texts.get(hash)?;
+            sections.push(Section::new(text.as_bytes().to_vec()));
+        }
+        Some(sections)
+    }
+
+    async fn update_head(&self, head: &HeadObject, expected: u64) -> SubmissionEvent {
+        let platform = &self.shared.outside.platform;
+        let Ok(spec) = serde_json::to_value(head) else {
+            return SubmissionEvent::UpdateUnavailable;
+        };
+        let written = match expected {
+            0 => {
+                platform
+                    .create(ObjectKind::ConfigHead, HEAD_NAME, spec)
+                    .await
+            }
+            expected => {
+                let version = ObjectVersion::new(expected);
+                platform
+                    .update(ObjectKind::ConfigHead, HEAD_NAME, spec, version)
+                    .await
+            }
+        };
+        let Err(error) = written else {
+            return SubmissionEvent::Updated;
+        };
+        match error.kind() {
+            PlatformErrorKind::AlreadyExists
+            | PlatformErrorKind::Conflict
+            | PlatformErrorKind::NotFound => SubmissionEvent::Conflict,
+            PlatformErrorKind::TooLarge => SubmissionEvent::TooLarge,
+            PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => {
+                SubmissionEvent::UpdateLost
+            }
+            PlatformErrorKind::RateLimited | PlatformErrorKind::Unavailable => {
+                SubmissionEvent::UpdateUnavailable
+            }
+        }
+    }
+
+    /// Learns the accepted version here, which hands it to peers, and counts who holds it.
+    async fn spread(&self, head: &HeadObject) -> SubmissionEvent {
+        let shared = self.shared;
+        shared.step_config(ConfigEvent::StoreHead(Some(head.clone())));
+        for _ in 0..MAX_SPREAD_COUNTS {
+            let in_force = shared.in_force.load_full();
+            if in_force.is_some_and(|in_force| in_force.version >= head.version) {
+                break;
+            }
+            tokio::time::sleep(SPREAD_PAUSE).await;
+        }
+        let replica = shared.config.replica.lock();
+        let holders = replica.holders(&shared.fleet.members.lock());
+        SubmissionEvent::Spread {
+            holders,
+            is_final: true,
+        }
+    }
+}
+
+/// Returns what differs between the sections in force and those that are to be.
+fn changes(base: &Sections, merged: &Sections) -> BTreeMap<SectionName, Option<SectionHash>> {
+    let mut changes = BTreeMap::new();
+    for (name, _) in base.iter().filter(|(name, _)| merged.get(name).is_none()) {
+        changes.extend(core_name(name).map(|name| (name, None)));
+    }
+    for (name, section) in merged.iter() {
+        if base.get(name).map(|known| known.hash()) == Some(section.hash()) {
+            continue;
+        }
+        let hash = section.hash().to_string().parse().ok();
+        changes.extend(core_name(name).map(|name| (name, hash)));
+    }
+    changes
+}
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -9,6 +9,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_config::Settings;
+use wisteriahitch_core::fleet::ConfigEvent;
 use wisteriahitch_core::once::ClaimHolder;
 use wisteriahitch_core::route::{CostPolicy, Router};
 use wisteriahitch_peer::{PeerClient, serve_peers};
@@ -21,12 +22,13 @@
 
 use crate::caller::CallerHandler;
 use crate::clock::Clock;
+use crate::config::ConfigState;
 use crate::observe::Metrics;
 use crate::operator::OperatorHandler;
 use crate::peering::{PeerSide, run_membership};
 use crate::server::{ConnectionLimits, serve};
 use crate::shared::{Outside, Shared};
-use crate::state::{AdmissionState, FleetState, OnceState, TierState};
+use crate::state::{AdmissionState, FleetState, OnceState, ResumeState, TierState};
 use crate::task;
 
 /// Part of the requests that may be retries until a configuration says otherwise.
@@ -64,16 +66,23 @@
             clock: Clock::new(),
             in_force: ArcSwapOption::empty(),
             outside: outside(&settings),
-            router: Mutex::new(Router::new(Box::new(CostPolicy::default()), incarnation.get())),
+            router: Mutex::new(Router::new(
+                Box::new(CostPolicy::default()),
+                incarnation.get(),
+            )),
             tiers: TierState::new(),
             once: Mutex::new(OnceState::new(holder)),
+            resume: ResumeState::new(),
             admission: AdmissionState::new(FIRST_RETRY_SHARE),
+            config: ConfigState::new(),
             fleet: FleetState::new(&settings, incarnation),
             metrics: Metrics::new().context("the metrics can't be registered")?,
             stop: CancellationToken::new(),
             settings,
         };
-        Ok(Self { shared: Arc::new(shared) })
+        Ok(Self {
+            shared: Arc::new(shared),
+        })
     }
 
     /// Returns what starts draining, for a signal handler.
@@ -93,6 +102,7 @@
         let callers = bind(listen.callers, "callers").await?;
         let operators = bind(listen.operators, "operators").await?;
         let peers = bind(listen.peers, "peers").await?;
+        shared.step_config(ConfigEvent::Restart);
         let mut tasks = JoinSet::new();
         tasks.spawn(task::run_housekeeping(Arc::clone(&shared)));
         tasks.spawn(task::run_endpoints(Arc::clone(&shared)));
@@ -106,7 +116,11 @@
         let caller_side = Arc::new(CallerHandler::new(Arc::clone(&shared)));
         let limits = limits_for_callers(&shared.settings);
         tasks.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
-        log::info!("daemon {} incarnation {}", shared.settings.id, shared.incarnation);
+        log::info!(
+            "daemon {} incarnation {}",
+            shared.settings.id,
+            shared.incarnation
+        );
         while tasks.join_next().await.is_some() {}
         Ok(())
     }
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -67,11 +67,7 @@
 }
 
 /// Runs a completion to its end and sends what the caller is to get.
-pub(crate) async fn run(
-    shared: &Arc<Shared>,
-    call: &CompletionCall,
-    pieces: &mpsc::Sender<Piece>,
-) {
+pub(crate) async fn run(shared: &Arc<Shared>, call: &CompletionCall, pieces: &mpsc::Sender<Piece>) {
     if let Err(refusal) = run_until_whole(shared, call, pieces).await {
         // The receiver may be gone, and then nobody waits for the refusal.
         let _ = pieces.send(Piece::Refused(refusal)).await;
@@ -109,18 +105,21 @@
             .resumed_by_caller(resumption.position)
             .starting_with(resumption.attempt);
     }
-    let mut run = Run { shared, call, pieces, check, tried: Vec::new(), has_sent_head: false };
+    let mut run = Run {
+        shared,
+        call,
+        pieces,
+        check,
+        tried: Vec::new(),
+        has_sent_head: false,
+    };
     let result = run.follow_attempts(first).await;
     run.count_dropped();
     result
 }
 
 /// Chooses endpoint and weight version; of two versions in use during a rollout the faster one.
-fn plan(
-    shared: &Shared,
-    call: &CompletionCall,
-    tried: &[EndpointId],
-) -> Result<Plan, Refusal> {
+fn plan(shared: &Shared, call: &CompletionCall, tried: &[EndpointId]) -> Result<Plan, Refusal> {
     let mut best: Option<Plan> = None;
     let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
     for weight_version in shared.candidate_versions(&call.route.service, &call.model) {
@@ -132,7 +131,11 @@
                     choice.estimate.first_token_us < best.choice.estimate.first_token_us
                 });
                 if is_better {
-                    best = Some(Plan { choice, chain, weight_version });
+                    best = Some(Plan {
+                        choice,
+                        chain,
+                        weight_version,
+                    });
                 }
             }
             Err(refusal) => refused = refusal,
@@ -150,7 +153,11 @@
         weighed: Vec::new(),
     };
     let weight_version = resumption.weight_version.clone();
-    Plan { choice, chain: call.chain(&weight_version), weight_version }
+    Plan {
+        choice,
+        chain: call.chain(&weight_version),
+        weight_version,
+    }
 }
 
 fn route_request(
@@ -197,11 +204,16 @@
         let choice = &plan.choice;
         let expected_us = choice.estimate.first_token_us;
         let recompute = choice.plan.recompute_tokens;
-        let Some(flight) = self.shared.take_off(&choice.endpoint, recompute, expected_us) else {
-            return Ended::Failed(EngineError::new(EngineErrorKind::NotSent, "endpoint is gone"));
+        let Some(flight) = self
+            .shared
+            .take_off(&choice.endpoint, recompute, expected_us)
+        else {
+            return Ended::Failed(EngineError::new(
+                EngineErrorKind::NotSent,
+                "endpoint is gone",
+            ));
         };
-        let imported =
-            import::run(self.shared, self.call, choice, &plan.weight_version);
+        let imported = import::run(self.shared, self.call, choice, &plan.weight_version);
         tokio::select! {
             () = imported => {}
             () = self.pieces.closed() => return self.cancel_import(),
@@ -209,7 +221,10 @@
         let request = self.completion_request(plan);
         let head_timeout_us = self.first_token_wait(choice.estimate.first_token_us);
         let opening =
-            self.shared.outside.engine.complete(flight.address(), request, head_timeout_us);
+            self.shared
+                .outside
+                .engine
+                .complete(flight.address(), request, head_timeout_us);
         let opened = tokio::select! {
             opened = opening => opened,
             () = self.pieces.closed() => return self.land(flight, plan, Ended::CallerGone),
@@ -238,7 +253,12 @@
             max_tokens: self.call.max_tokens,
             priority: self.call.route.priority,
             position: self.check.next_position(),
-            blocks: blocks.map(|b| BlockRef { key: b.key, tokens: b.tokens }).collect(),
+            blocks: blocks
+                .map(|b| BlockRef {
+                    key: b.key,
+                    tokens: b.tokens,
+                })
+                .collect(),
         }
     }
 
@@ -318,7 +338,9 @@
     /// would use up the time in which another one could answer.
     fn first_token_wait(&self, expected_us: DurationUs) -> DurationUs {
         let patient_us = DurationUs::new(expected_us.get().saturating_mul(FIRST_TOKEN_SLACK));
-        patient_us.max(MIN_FIRST_TOKEN_WAIT_US).min(self.call.route.deadline_us)
+        patient_us
+            .max(MIN_FIRST_TOKEN_WAIT_US)
+            .min(self.call.route.deadline_us)
     }
 
     fn note_first_token(&self, flight: &Flight, head: &CompletionHead) {
@@ -337,15 +359,25 @@
             Ended::CallerGone => "caller_gone",
             Ended::Failed(error) => outcome(error.kind()),
         };
-        self.shared.metrics.attempts.with_label_values(&[outcome]).inc();
+        self.shared
+            .metrics
+            .attempts
+            .with_label_values(&[outcome])
+            .inc();
         let address = flight.address();
         match &ended {
             Ended::Whole => {
                 flight.finished();
-                self.shared.used(self.call, &plan.chain, &plan.choice.endpoint, &plan.weight_version);
+                self.shared.used(
+                    self.call,
+                    &plan.chain,
+                    &plan.choice.endpoint,
+                    &plan.weight_version,
+                );
             }
             Ended::CallerGone => {
                 flight.failed(FlightFailure::Cancelled);
+                self.keep_for_resumption(plan);
                 self.shared.cancel_at(address, &self.call.request_id);
             }
             Ended::Failed(error) => {
@@ -359,6 +391,20 @@
         ended
     }
 
+    /// Keeps a stream whose caller has its beginning, since it may come back for the rest.
+    fn keep_for_resumption(&self, plan: &Plan) {
+        if !self.has_sent_head {
+            return;
+        }
+        self.shared.keep_for_resumption(
+            self.call,
+            &plan.choice.endpoint,
+            &plan.weight_version,
+            self.check.attempt(),
+            self.check.next_position(),
+        );
+    }
+
     /// Decides after a failed attempt how the next one runs, or that there is none.
     fn plan_next(&mut self, last: Plan, error: &EngineError) -> Result<Plan, Refusal> {
         let endpoint = last.choice.endpoint.clone();
@@ -381,13 +427,18 @@
             may_retry: has_attempts && self.shared.try_retry(),
         });
         match decision {
-            Some(BreakDecision::Resume { .. }) => {
-                Ok(Plan { choice: Choice { plan: RoutePlan::default(), ..last.choice }, ..last })
-            }
+            Some(BreakDecision::Resume { .. }) => Ok(Plan {
+                choice: Choice {
+                    plan: RoutePlan::default(),
+                    ..last.choice
+                },
+                ..last
+            }),
             Some(BreakDecision::RestartInvisible { .. }) => {
                 self.tried.push(endpoint);
                 let next = plan(self.shared, self.call, &self.tried)?;
-                self.check.moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
+                self.check
+                    .moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
                 Ok(next)
             }
             Some(BreakDecision::Incomplete(code)) => {
@@ -400,7 +451,11 @@
     fn count_dropped(&self) {
         for (reason, count) in self.check.dropped().iter() {
             let label = reason.to_string();
-            self.shared.metrics.dropped_tokens.with_label_values(&[&label]).inc_by(count);
+            self.shared
+                .metrics
+                .dropped_tokens
+                .with_label_values(&[&label])
+                .inc_by(count);
         }
     }
 }
--- a/crates/wisteriahitch-node/src/dispatch/mod.rs
+++ b/crates/wisteriahitch-node/src/dispatch/mod.rs
@@ -3,5 +3,5 @@
 pub(crate) mod completion_call;
 pub(crate) mod completion_run;
 pub(crate) mod import;
-pub(crate) mod transfer;
 pub(crate) mod plain_call;
+pub(crate) mod transfer;
--- a/crates/wisteriahitch-node/src/dispatch/plain_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -59,7 +59,13 @@
     may_send: impl FnOnce() -> bool,
 ) -> Result<ServiceResponse, Refusal> {
     let _permit = shared
-        .enter(&call.identity, &call.route, &call.request_id, TokenCount::ZERO, TokenCount::ZERO)
+        .enter(
+            &call.identity,
+            &call.route,
+            &call.request_id,
+            TokenCount::ZERO,
+            TokenCount::ZERO,
+        )
         .await?;
     let mut permission = Some(may_send);
     let mut tried: Vec<EndpointId> = Vec::new();
@@ -91,11 +97,7 @@
     }
 }
 
-fn choose(
-    shared: &Shared,
-    call: &PlainCall,
-    tried: &[EndpointId],
-) -> Result<EndpointId, Refusal> {
+fn choose(shared: &Shared, call: &PlainCall, tried: &[EndpointId]) -> Result<EndpointId, Refusal> {
     let request = RouteRequest {
         service: call.route.service.clone(),
         model: None,
@@ -133,7 +135,9 @@
         answer_limit_bytes: shared.settings.limits.answer_bytes,
     };
     let result = shared.outside.service.call(flight.address(), request).await;
-    let outcome = result.as_ref().map_or_else(|error| outcome(error.kind()), |_| "answered");
+    let outcome = result
+        .as_ref()
+        .map_or_else(|error| outcome(error.kind()), |_| "answered");
     shared.metrics.attempts.with_label_values(&[outcome]).inc();
     match &result {
         Ok(_) => flight.finished(),
--- a/crates/wisteriahitch-node/src/dispatch/transfer.rs
+++ b/crates/wisteriahitch-node/src/dispatch/transfer.rs
@@ -42,12 +42,21 @@
 }
 
 async fn pin(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
-    let TierCommand::Pin { transfer, store, incarnation, key } = command else {
+    let TierCommand::Pin {
+        transfer,
+        store,
+        incarnation,
+        key,
+    } = command
+    else {
         return None;
     };
     let result = match shared.store_address(&store) {
         Some(address) => shared.outside.store.pin(address, key, &incarnation).await,
-        None => Err(StoreError::new(StoreErrorKind::Gone, "the store isn't configured")),
+        None => Err(StoreError::new(
+            StoreErrorKind::Gone,
+            "the store isn't configured",
+        )),
     };
     let result = result
         .map(|pin| PinGrant {
@@ -77,14 +86,30 @@
     else {
         return None;
     };
-    let addresses = shared.endpoint_address(&endpoint).zip(shared.store_address(&store));
+    let addresses = shared
+        .endpoint_address(&endpoint)
+        .zip(shared.store_address(&store));
     let Some((endpoint_address, store_address)) = addresses else {
-        return Some(TierEvent::Imported { transfer, result: Err(TransferFailure::Lost) });
+        return Some(TierEvent::Imported {
+            transfer,
+            result: Err(TransferFailure::Lost),
+        });
     };
     let from = shared.outside.store.block_url(store_address, key);
-    let request =
-        ImportRequest { key, from, generation, pin, weight_version, bytes, crc32c };
-    let result = shared.outside.engine.import(endpoint_address, request).await;
+    let request = ImportRequest {
+        key,
+        from,
+        generation,
+        pin,
+        weight_version,
+        bytes,
+        crc32c,
+    };
+    let result = shared
+        .outside
+        .engine
+        .import(endpoint_address, request)
+        .await;
     if result.is_ok() {
         shared.router.lock().directory.stored(&endpoint, &key);
     }
@@ -106,17 +131,24 @@
     else {
         return None;
     };
-    let request =
-        ReserveRequest { key, tokens, bytes, weight_version, tier: wire_tier(tier), workspace };
+    let request = ReserveRequest {
+        key,
+        tokens,
+        bytes,
+        weight_version,
+        tier: wire_tier(tier),
+        workspace,
+    };
     let result = match shared.store_address(&store) {
         Some(address) => shared.outside.store.reserve(address, request).await,
-        None => Err(StoreError::new(StoreErrorKind::Gone, "the store isn't configured")),
+        None => Err(StoreError::new(
+            StoreErrorKind::Gone,
+            "the store isn't configured",
+        )),
     };
     let result = match result {
         Ok(Reserved::Room(generation)) => Ok(ReservedRoom::Room(generation)),
-        Ok(Reserved::AlreadyReadable(generation)) => {
-            Ok(ReservedRoom::AlreadyReadable(generation))
-        }
+        Ok(Reserved::AlreadyReadable(generation)) => Ok(ReservedRoom::AlreadyReadable(generation)),
         Ok(Reserved::InProgress) => Err(TransferFailure::InProgress),
         Err(error) => Err(store_failure(&error)),
     };
@@ -124,46 +156,94 @@
 }
 
 async fn export(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
-    let TierCommand::Export { transfer, endpoint, store, key, generation, weight_version } =
-        command
+    let TierCommand::Export {
+        transfer,
+        endpoint,
+        store,
+        key,
+        generation,
+        weight_version,
+    } = command
     else {
         return None;
     };
-    let addresses = shared.endpoint_address(&endpoint).zip(shared.store_address(&store));
+    let addresses = shared
+        .endpoint_address(&endpoint)
+        .zip(shared.store_address(&store));
     let Some((endpoint_address, store_address)) = addresses else {
-        return Some(TierEvent::Exported { transfer, result: Err(TransferFailure::Lost) });
+        return Some(TierEvent::Exported {
+            transfer,
+            result: Err(TransferFailure::Lost),
+        });
     };
     let to = shared.outside.store.block_url(store_address, key);
-    let request = ExportRequest { key, to, generation, weight_version };
-    let result = shared.outside.engine.export(endpoint_address, request).await;
+    let request = ExportRequest {
+        key,
+        to,
+        generation,
+        weight_version,
+    };
+    let result = shared
+        .outside
+        .engine
+        .export(endpoint_address, request)
+        .await;
     let result = result
-        .map(|done| ExportReceipt { bytes: done.bytes, crc32c: done.crc32c })
+        .map(|done| ExportReceipt {
+            bytes: done.bytes,
+            crc32c: done.crc32c,
+        })
         .map_err(|error| engine_failure(&error));
     Some(TierEvent::Exported { transfer, result })
 }
 
 async fn move_block(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
-    let TierCommand::Move { transfer, store, key, generation, tier } = command else {
+    let TierCommand::Move {
+        transfer,
+        store,
+        key,
+        generation,
+        tier,
+    } = command
+    else {
         return None;
     };
     let result = match shared.store_address(&store) {
         Some(address) => {
-            shared.outside.store.move_to(address, key, generation, wire_tier(tier)).await
+            shared
+                .outside
+                .store
+                .move_to(address, key, generation, wire_tier(tier))
+                .await
         }
-        None => Err(StoreError::new(StoreErrorKind::Gone, "the store isn't configured")),
+        None => Err(StoreError::new(
+            StoreErrorKind::Gone,
+            "the store isn't configured",
+        )),
     };
-    Some(TierEvent::Moved { transfer, result: result.map_err(|error| store_failure(&error)) })
+    Some(TierEvent::Moved {
+        transfer,
+        result: result.map_err(|error| store_failure(&error)),
+    })
 }
 
 /// Gives something back at a store; one that fails runs out there by itself.
 async fn release(shared: &Shared, command: TierCommand) {
     let store = &shared.outside.store;
     let result = match command {
-        TierCommand::Unpin { store: id, key, pin } => match shared.store_address(&id) {
+        TierCommand::Unpin {
+            store: id,
+            key,
+            pin,
+        } => match shared.store_address(&id) {
             Some(address) => store.unpin(address, key, &pin).await,
             None => Ok(()),
         },
-        TierCommand::Free { store: id, key, generation } => match shared.store_address(&id) {
+        TierCommand::Free {
+            store: id,
+            key,
+            generation,
+        } => match shared.store_address(&id) {
             Some(address) => store.free(address, key, generation).await,
             None => Ok(()),
         },
--- a/crates/wisteriahitch-node/src/lib.rs
+++ b/crates/wisteriahitch-node/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod caller;
 mod clock;
+mod config;
 mod daemon;
 mod dispatch;
 mod observe;
--- a/crates/wisteriahitch-node/src/observe/logging.rs
+++ b/crates/wisteriahitch-node/src/observe/logging.rs
@@ -48,7 +48,10 @@
             Ok(Box::new(appender))
         }
         None => Ok(Box::new(
-            ConsoleAppender::builder().target(Target::Stderr).encoder(encoder).build(),
+            ConsoleAppender::builder()
+                .target(Target::Stderr)
+                .encoder(encoder)
+                .build(),
         )),
     }
 }
--- a/crates/wisteriahitch-node/src/observe/metrics.rs
+++ b/crates/wisteriahitch-node/src/observe/metrics.rs
@@ -8,8 +8,9 @@
 };
 use wisteriahitch_types::{Code, DurationUs};
 
-const FIRST_TOKEN_BUCKETS_S: [f64; 12] =
-    [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 3.0, 6.0, 12.0];
+const FIRST_TOKEN_BUCKETS_S: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 3.0, 6.0, 12.0,
+];
 
 /// Holds every metric of a daemon.
 pub(crate) struct Metrics {
@@ -49,7 +50,12 @@
         let metrics = Self {
             requests: counters(&registry, "requests_total", "Requests by path.", "path")?,
             refusals: counters(&registry, "refusals_total", "Refusals by code.", "code")?,
-            attempts: counters(&registry, "attempts_total", "Attempts by outcome.", "outcome")?,
+            attempts: counters(
+                &registry,
+                "attempts_total",
+                "Attempts by outcome.",
+                "outcome",
+            )?,
             dropped_tokens: counters(
                 &registry,
                 "dropped_tokens_total",
--- a/crates/wisteriahitch-node/src/operator/dump.rs
+++ b/crates/wisteriahitch-node/src/operator/dump.rs
@@ -22,5 +22,6 @@
         "once": shared.once.lock().table.snapshot(),
         "members": *shared.fleet.members.lock(),
         "platform_calls": shared.outside.platform.counts(),
+        "config": *shared.config.replica.lock().table(),
     })
 }
--- a/crates/wisteriahitch-node/src/operator/explain.rs
+++ b/crates/wisteriahitch-node/src/operator/explain.rs
@@ -9,9 +9,7 @@
 use serde_json::{Value, json};
 use wisteriahitch_config::{Action, Model, RequestFacts, Route};
 use wisteriahitch_core::route::{ChainScope, PieceChain, RouteRequest, piece_chain};
-use wisteriahitch_types::{
-    ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId,
-};
+use wisteriahitch_types::{ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId};
 
 use super::handler::parse;
 use crate::caller::body::ResponseBody;
@@ -42,7 +40,10 @@
     body: &Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let question: Question = parse(body)?;
-    let in_force = shared.in_force.load_full().ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let in_force = shared
+        .in_force
+        .load_full()
+        .ok_or_else(|| Refusal::new(Code::NotReady))?;
     let facts = facts(shared, &question);
     let traces = in_force.configuration.explain(&facts);
     let rule = in_force.configuration.decide(&facts);
@@ -65,7 +66,10 @@
     RequestFacts {
         workspace: Some(question.workspace.clone()),
         method: question.method.clone().unwrap_or_else(|| "POST".to_owned()),
-        path: question.path.clone().unwrap_or_else(|| COMPLETIONS_PATH.to_owned()),
+        path: question
+            .path
+            .clone()
+            .unwrap_or_else(|| COMPLETIONS_PATH.to_owned()),
         model: question.model.clone(),
         prompt_tokens,
         labels: question.labels.clone(),
@@ -81,8 +85,10 @@
     route: &Route,
     answer: &mut Value,
 ) {
-    let model =
-        question.model.as_ref().and_then(|model| in_force.configuration.models.get(model));
+    let model = question
+        .model
+        .as_ref()
+        .and_then(|model| in_force.configuration.models.get(model));
     let version = model.and_then(|model| {
         let mut versions = shared.candidate_versions(&route.service, model);
         versions.pop()
@@ -147,7 +153,10 @@
     body: &Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let question: Question = parse(body)?;
-    let in_force = shared.in_force.load_full().ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let in_force = shared
+        .in_force
+        .load_full()
+        .ok_or_else(|| Refusal::new(Code::NotReady))?;
     let model = question
         .model
         .as_ref()
--- a/crates/wisteriahitch-node/src/operator/handler.rs
+++ b/crates/wisteriahitch-node/src/operator/handler.rs
@@ -62,7 +62,9 @@
     }
 
     fn check_key(&self, headers: &HeaderMap) -> Result<(), Refusal> {
-        let secret = headers.get(KEY_HEADER).and_then(|value| value.to_str().ok());
+        let secret = headers
+            .get(KEY_HEADER)
+            .and_then(|value| value.to_str().ok());
         let hash = secret.map(key_hash);
         let known = &self.shared.settings.operators.key_hashes;
         match hash.is_some_and(|hash| known.contains(&hash)) {
--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -22,7 +22,9 @@
         members.members().map(row).collect()
     };
     let empty = Configuration::default();
-    let configuration = in_force.as_ref().map_or(&empty, |in_force| &in_force.configuration);
+    let configuration = in_force
+        .as_ref()
+        .map_or(&empty, |in_force| &in_force.configuration);
     let rollout = rollout(shared, configuration);
     json!({
         "daemon": shared.settings.id,
@@ -78,8 +80,14 @@
     let (mut done, mut pending) = (0, 0);
     for service in configuration.services.values() {
         for endpoint in &service.endpoints {
-            for model in service.models.iter().filter_map(|name| configuration.models.get(name)) {
-                let ready = router.endpoints.get_ready_version(&endpoint.id, &model.name);
+            for model in service
+                .models
+                .iter()
+                .filter_map(|name| configuration.models.get(name))
+            {
+                let ready = router
+                    .endpoints
+                    .get_ready_version(&endpoint.id, &model.name);
                 match ready.as_ref() == Some(&model.weight_version) {
                     true => done += 1,
                     false => pending += 1,
--- a/crates/wisteriahitch-node/src/peering/forward.rs
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -34,7 +34,8 @@
         incarnation: Incarnation,
     ) -> Outcome {
         let request = self.forward_request(call, KeyKind::Ticket, ticket, incarnation);
-        self.forward(call, address, request, Code::TicketHolderLost).await
+        self.forward(call, address, request, Code::TicketHolderLost)
+            .await
     }
 
     /// Hands over a request on whose key another daemon holds the claim.
@@ -49,7 +50,8 @@
         };
         let request =
             self.forward_request(call, KeyKind::Claim, &hash.to_string(), holder.incarnation);
-        self.forward(call, holder.address, request, Code::ClaimHeldElsewhere).await
+        self.forward(call, holder.address, request, Code::ClaimHeldElsewhere)
+            .await
     }
 
     fn forward_request(
@@ -135,11 +137,17 @@
 fn build_call(shared: &Arc<Shared>, request: ForwardRequest) -> Result<PlainCall, Refusal> {
     let not_ready = || ask_again(Code::NotReady);
     let in_force = shared.in_force.load_full().ok_or_else(not_ready)?;
-    let workspace = request.workspace.parse().map_err(|_| Refusal::new(Code::BadKey))?;
-    let identity = Identity { in_force, workspace };
+    let workspace = request
+        .workspace
+        .parse()
+        .map_err(|_| Refusal::new(Code::BadKey))?;
+    let identity = Identity {
+        in_force,
+        workspace,
+    };
     let headers = read_headers(&request.headers);
-    let method = Method::from_bytes(request.method.as_bytes())
-        .map_err(|_| Refusal::new(Code::BadHttp))?;
+    let method =
+        Method::from_bytes(request.method.as_bytes()).map_err(|_| Refusal::new(Code::BadHttp))?;
     let path = request.path.split('?').next().unwrap_or_default();
     let facts = RequestFacts {
         workspace: Some(identity.workspace.clone()),
@@ -173,7 +181,11 @@
     match outcome {
         Ok(answer) => ForwardReply {
             status: u32::from(answer.status),
-            headers: answer.content_type.iter().map(|value| content_type(value)).collect(),
+            headers: answer
+                .content_type
+                .iter()
+                .map(|value| content_type(value))
+                .collect(),
             body: answer.body.clone().into(),
             code: 0,
             meaning: ForwardMeaning::Unspecified.into(),
@@ -192,12 +204,18 @@
 }
 
 fn content_type(value: &str) -> Header {
-    Header { name: CONTENT_TYPE.to_owned(), value: value.as_bytes().to_vec().into() }
+    Header {
+        name: CONTENT_TYPE.to_owned(),
+        value: value.as_bytes().to_vec().into(),
+    }
 }
 
 fn read_reply(reply: ForwardReply) -> Outcome {
     if reply.code == 0 {
-        let header = reply.headers.iter().find(|header| header.name == CONTENT_TYPE);
+        let header = reply
+            .headers
+            .iter()
+            .find(|header| header.name == CONTENT_TYPE);
         let content_type = header.map(|header| String::from_utf8_lossy(&header.value).into_owned());
         return Ok(Arc::new(KeptAnswer {
             status: u16::try_from(reply.status).unwrap_or(0),
--- a/crates/wisteriahitch-node/src/peering/handler.rs
+++ b/crates/wisteriahitch-node/src/peering/handler.rs
@@ -56,7 +56,10 @@
         request: IndirectProbeRequest,
     ) -> IndirectProbeReply {
         let Ok((address, incarnation)) = request.target() else {
-            return IndirectProbeReply { reached: false, news: Vec::new() };
+            return IndirectProbeReply {
+                reached: false,
+                news: Vec::new(),
+            };
         };
         let probe = ProbeRequest {
             envelope: self.shared.envelope(Some(incarnation)),
@@ -67,11 +70,20 @@
         let limit = Duration::from_millis(u64::from(request.timeout_ms)).min(PROBE_TIMEOUT);
         let answer = self.shared.outside.peers.probe(address, probe, limit).await;
         let Ok(reply) = answer else {
-            return IndirectProbeReply { reached: false, news: Vec::new() };
+            return IndirectProbeReply {
+                reached: false,
+                news: Vec::new(),
+            };
         };
-        let sender = reply.envelope.as_ref().and_then(|envelope| envelope.sender().ok());
+        let sender = reply
+            .envelope
+            .as_ref()
+            .and_then(|envelope| envelope.sender().ok());
         let reached = sender.is_some_and(|sender| sender.incarnation == incarnation);
-        IndirectProbeReply { reached, news: reply.news }
+        IndirectProbeReply {
+            reached,
+            news: reply.news,
+        }
     }
 
     async fn push_configuration(
@@ -125,9 +137,13 @@
         let now = self.clock.now();
         if hint.kind() == HintKind::Leaving {
             let endpoint: EndpointId = hint.holder.parse().ok()?;
-            let life = (!hint.holder_incarnation.is_empty()).then(|| hint.holder_incarnation.clone());
+            let life =
+                (!hint.holder_incarnation.is_empty()).then(|| hint.holder_incarnation.clone());
             let source = LeavingSource::Peer { life };
-            self.router.lock().endpoints.leaving(&endpoint, &source, now);
+            self.router
+                .lock()
+                .endpoints
+                .leaving(&endpoint, &source, now);
             return Some(());
         }
         if hint.is_store {
--- a/crates/wisteriahitch-node/src/peering/news.rs
+++ b/crates/wisteriahitch-node/src/peering/news.rs
@@ -2,14 +2,16 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use wisteriahitch_core::fleet::{MemberAddresses, MemberState, News};
-use wisteriahitch_peer::{MemberNews, MemberState as WireState};
+use wisteriahitch_peer::{MemberNews, MemberState as WireState, decode_address, encode_address};
 use wisteriahitch_types::{ConfigVersion, Incarnation};
 
 /// Renders news for a message.
 pub(crate) fn to_wire(news: &News) -> MemberNews {
     let address = |pick: fn(&MemberAddresses) -> SocketAddr| {
-        news.addresses.as_ref().map(pick).map(|address| address.to_string()).unwrap_or_default()
+        let picked = news.addresses.as_ref().map(pick);
+        picked.map_or_else(Bytes::new, encode_address)
     };
     MemberNews {
         daemon_id: news.daemon.to_string(),
@@ -38,9 +40,9 @@
     let addresses = match news.is_short() {
         true => None,
         false => Some(MemberAddresses {
-            caller: news.caller_address.parse().ok()?,
-            peer: news.peer_address.parse().ok()?,
-            operator: news.operator_address.parse().ok()?,
+            caller: decode_address(&news.caller_address).ok()?,
+            peer: decode_address(&news.peer_address).ok()?,
+            operator: decode_address(&news.operator_address).ok()?,
         }),
     };
     let availability_zone = match addresses {
--- a/crates/wisteriahitch-node/src/peering/probe.rs
+++ b/crates/wisteriahitch-node/src/peering/probe.rs
@@ -66,7 +66,12 @@
 
 async fn send(shared: Arc<Shared>, command: MembershipCommand) {
     match command {
-        MembershipCommand::Probe { address, meant_for, news, sync_after } => {
+        MembershipCommand::Probe {
+            address,
+            meant_for,
+            news,
+            sync_after,
+        } => {
             let request = ProbeRequest {
                 envelope: shared.envelope(meant_for),
                 news: news.iter().map(to_wire).collect(),
@@ -99,15 +104,22 @@
     meant_for: Option<Incarnation>,
     request: ProbeRequest,
 ) {
-    let answer = shared.outside.peers.probe(address, request, PROBE_TIMEOUT).await;
+    let answer = shared
+        .outside
+        .peers
+        .probe(address, request, PROBE_TIMEOUT)
+        .await;
     let answered = answer.ok().and_then(|reply| {
         let sender = reply.envelope.as_ref()?.sender().ok()?;
         Some((sender.incarnation, from_wire(&reply.news)))
     });
     let event = match answered {
-        Some((answered_by, news)) => {
-            MembershipEvent::ProbeAnswered { address, meant_for, answered_by, news }
-        }
+        Some((answered_by, news)) => MembershipEvent::ProbeAnswered {
+            address,
+            meant_for,
+            answered_by,
+            news,
+        },
         None => MembershipEvent::ProbeFailed { meant_for },
     };
     shared.step_members(event);
@@ -119,10 +131,18 @@
     target: Incarnation,
     request: IndirectProbeRequest,
 ) {
-    let answer = shared.outside.peers.indirect_probe(helper, request, INDIRECT_TIMEOUT).await;
+    let answer = shared
+        .outside
+        .peers
+        .indirect_probe(helper, request, INDIRECT_TIMEOUT)
+        .await;
     let (is_reached, news) = match answer {
         Ok(reply) => (reply.reached, from_wire(&reply.news)),
         Err(_) => (false, Vec::new()),
     };
-    shared.step_members(MembershipEvent::IndirectAnswered { target, is_reached, news });
+    shared.step_members(MembershipEvent::IndirectAnswered {
+        target,
+        is_reached,
+        news,
+    });
 }
--- a/crates/wisteriahitch-node/src/server/stall_guard.rs
+++ b/crates/wisteriahitch-node/src/server/stall_guard.rs
@@ -25,7 +25,12 @@
 impl<S> StallGuard<S> {
     /// Wraps `inner`; a write may make no progress for at most `limit`.
     pub(crate) fn new(inner: S, limit: Duration) -> Self {
-        Self { inner, limit, timer: Box::pin(sleep(limit)), is_stalled: false }
+        Self {
+            inner,
+            limit,
+            timer: Box::pin(sleep(limit)),
+            is_stalled: false,
+        }
     }
 
     fn check<T>(
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -15,8 +15,9 @@
 use wisteriahitch_wire::store::Store;
 
 use crate::clock::Clock;
+use crate::config::ConfigState;
 use crate::observe::Metrics;
-use crate::state::{AdmissionState, FleetState, OnceState, TierState};
+use crate::state::{AdmissionState, FleetState, OnceState, ResumeState, TierState};
 
 /// Holds the configuration that is in force.
 #[derive(Debug)]
@@ -46,7 +47,8 @@
 /// Holds a daemon's tables, each behind its own lock.
 ///
 /// Locks are held only for a step of a table, never across a wait. Where two are needed, `router`
-/// is taken before `tiers`; no other pair is held at once.
+/// is taken before `tiers`, and the replica of `config` before the members; no other pair is held
+/// at once.
 pub(crate) struct Shared {
     /// Settings of this daemon.
     pub(crate) settings: Settings,
@@ -64,9 +66,13 @@
     pub(crate) tiers: TierState,
     /// Keys of requests that may not be repeated.
     pub(crate) once: Mutex<OnceState>,
+    /// Streams that a caller may go on with.
+    pub(crate) resume: ResumeState,
     /// Who waits for its turn.
     pub(crate) admission: AdmissionState,
-    /// Other daemons, configuration versions, leases and draining.
+    /// Versions of the configuration.
+    pub(crate) config: ConfigState,
+    /// Other daemons and draining.
     pub(crate) fleet: FleetState,
     /// Counters.
     pub(crate) metrics: Metrics,
--- a/crates/wisteriahitch-node/src/state/admission.rs
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -35,7 +35,9 @@
             budget: RetryBudget::new(retry_share),
             waiters: HashMap::new(),
         };
-        Self { inner: Mutex::new(inner) }
+        Self {
+            inner: Mutex::new(inner),
+        }
     }
 
     /// Runs a step of the table and tells those whom it concerns.
@@ -45,9 +47,14 @@
         for command in commands {
             let (request, turn) = match command {
                 AdmissionCommand::Start(request) => (request, Ok(())),
-                AdmissionCommand::Refuse { request, code, retry_after_us } => {
-                    (request, Err(Refusal::new(code).with_retry_after_us(retry_after_us)))
-                }
+                AdmissionCommand::Refuse {
+                    request,
+                    code,
+                    retry_after_us,
+                } => (
+                    request,
+                    Err(Refusal::new(code).with_retry_after_us(retry_after_us)),
+                ),
             };
             if let Some(waiter) = inner.waiters.remove(&request) {
                 // A caller that left gives its turn back when its permit is dropped.
@@ -113,8 +120,12 @@
         }
         // The permit exists from the arrival on, so that a caller that leaves while it waits, or
         // in the very moment of its start, gives its place back.
-        let permit = Permit { shared: Arc::clone(self), request: request_id.clone() };
-        self.admission.step(|admission| admission.arrive(request, now));
+        let permit = Permit {
+            shared: Arc::clone(self),
+            request: request_id.clone(),
+        };
+        self.admission
+            .step(|admission| admission.arrive(request, now));
         match receiver.await {
             Ok(Ok(())) => Ok(permit),
             Ok(Err(refusal)) => Err(refusal),
--- a/crates/wisteriahitch-node/src/state/claims.rs
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -54,7 +54,10 @@
 
     fn claim_time(&self) -> ClaimTime {
         let wall_ms = u64::try_from(Utc::now().timestamp_millis()).unwrap_or(0);
-        ClaimTime { now: self.clock.now(), wall_ms }
+        ClaimTime {
+            now: self.clock.now(),
+            wall_ms,
+        }
     }
 
     fn run_claims(self: &Arc<Self>, commands: Vec<ClaimCommand>) {
@@ -98,7 +101,11 @@
             let time = shared.claim_time();
             shared.once.lock().claims.on_read(shard, result, time)
         }
-        ClaimCommand::WriteGroup { shard, expected, content } => {
+        ClaimCommand::WriteGroup {
+            shard,
+            expected,
+            content,
+        } => {
             let result = write(&shared, shard, expected, &content).await;
             let time = shared.claim_time();
             shared.once.lock().claims.on_write(shard, result, time)
@@ -119,7 +126,12 @@
 }
 
 async fn read(shared: &Shared, shard: ClaimShard) -> ReadResult {
-    match shared.outside.platform.get(ObjectKind::Claim, &shard.to_string()).await {
+    match shared
+        .outside
+        .platform
+        .get(ObjectKind::Claim, &shard.to_string())
+        .await
+    {
         Ok(None) => ReadResult::Missing,
         Ok(Some(object)) => parse(object),
         Err(error) => {
@@ -155,7 +167,9 @@
         None => platform.create(ObjectKind::Claim, &name, spec).await,
         Some(version) => {
             let version = ObjectVersion::new(version.get());
-            platform.update(ObjectKind::Claim, &name, spec, version).await
+            platform
+                .update(ObjectKind::Claim, &name, spec, version)
+                .await
         }
     };
     match written {
--- a/crates/wisteriahitch-node/src/state/drain.rs
+++ b/crates/wisteriahitch-node/src/state/drain.rs
@@ -30,7 +30,11 @@
 
 impl Drop for Accepted {
     fn drop(&mut self) {
-        self.shared.fleet.drain.accepted.fetch_sub(1, Ordering::AcqRel);
+        self.shared
+            .fleet
+            .drain
+            .accepted
+            .fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -38,7 +42,9 @@
     /// Counts a request that a draining daemon waits for.
     pub(crate) fn accept(self: &Arc<Self>) -> Accepted {
         self.fleet.drain.accepted.fetch_add(1, Ordering::AcqRel);
-        Accepted { shared: Arc::clone(self) }
+        Accepted {
+            shared: Arc::clone(self),
+        }
     }
 
     /// Returns whether this daemon is leaving.
--- a/crates/wisteriahitch-node/src/state/fleet.rs
+++ b/crates/wisteriahitch-node/src/state/fleet.rs
@@ -9,12 +9,10 @@
 use wisteriahitch_core::fleet::{
     EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipSettings,
 };
-use wisteriahitch_types::{
-    ConfigVersion, Incarnation, TimeUs, WorkspaceId,
-};
+use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs, WorkspaceId};
 
-use crate::shared::Shared;
 use super::drain::DrainState;
+use crate::shared::Shared;
 
 /// Holds who else is there and how far this daemon's draining has come.
 pub(crate) struct FleetState {
@@ -50,7 +48,10 @@
         };
         let rng = ChaCha8Rng::seed_from_u64(rand::random());
         let members = Mutex::new(Membership::new(options, me, rng));
-        Self { members, drain: DrainState::default() }
+        Self {
+            members,
+            drain: DrainState::default(),
+        }
     }
 }
 
@@ -58,7 +59,10 @@
     /// Returns addresses for a caller of a workspace, the best first.
     pub(crate) fn list_entries(&self, workspace: &WorkspaceId) -> Vec<EntryAddress> {
         let zone = &self.settings.availability_zone;
-        self.fleet.members.lock().entries(Some(zone), workspace, rand::random())
+        self.fleet
+            .members
+            .lock()
+            .entries(Some(zone), workspace, rand::random())
     }
 
     /// Returns where an incarnation can be asked, unless it is known to be gone.
--- a/crates/wisteriahitch-node/src/state/mod.rs
+++ b/crates/wisteriahitch-node/src/state/mod.rs
@@ -2,17 +2,17 @@
 
 mod admission;
 mod claims;
-mod config;
 mod drain;
 mod fleet;
 mod models;
 pub(crate) mod once;
+mod resume;
 mod route;
 mod tiers;
 
 pub(crate) use admission::AdmissionState;
-pub(crate) use drain::Accepted;
 pub(crate) use fleet::FleetState;
 pub(crate) use once::OnceState;
+pub(crate) use resume::ResumeState;
 pub(crate) use route::Flight;
 pub(crate) use tiers::TierState;
--- a/crates/wisteriahitch-node/src/state/models.rs
+++ b/crates/wisteriahitch-node/src/state/models.rs
@@ -23,7 +23,11 @@
         service: &ServiceName,
         model: &Model,
     ) -> Vec<WeightVersion> {
-        let ready = self.router.lock().endpoints.ready_versions(service, &model.name);
+        let ready = self
+            .router
+            .lock()
+            .endpoints
+            .ready_versions(service, &model.name);
         if ready.is_empty() {
             return vec![model.weight_version.clone()];
         }
@@ -36,12 +40,19 @@
         endpoint: &EndpointId,
         model: &ModelName,
     ) -> Option<WeightVersion> {
-        self.router.lock().endpoints.get_ready_version(endpoint, model)
+        self.router
+            .lock()
+            .endpoints
+            .get_ready_version(endpoint, model)
     }
 
     /// Returns the speed at which an endpoint reads prompts.
     pub(crate) fn prefill_rate(&self, endpoint: &EndpointId) -> TokenRate {
-        self.router.lock().endpoints.get_prefill_rate(endpoint).unwrap_or_default()
+        self.router
+            .lock()
+            .endpoints
+            .get_prefill_rate(endpoint)
+            .unwrap_or_default()
     }
 
     /// Learns from a whole answer, and saves what is worth it.
--- a/crates/wisteriahitch-node/src/state/once.rs
+++ b/crates/wisteriahitch-node/src/state/once.rs
@@ -93,7 +93,11 @@
 
     /// Opens the record of how a key's run ends.
     pub(crate) fn open_settlement(self: &Arc<Self>, key: OnceKey) -> Settlement {
-        Settlement { shared: Arc::clone(self), key, is_settled: false }
+        Settlement {
+            shared: Arc::clone(self),
+            key,
+            is_settled: false,
+        }
     }
 }
 
--- a/crates/wisteriahitch-node/src/state/route.rs
+++ b/crates/wisteriahitch-node/src/state/route.rs
@@ -3,12 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use wisteriahitch_core::route::{
-    Choice, FlightFailure, FlightId, LinkView, RouteRequest, Tier,
-};
-use wisteriahitch_types::{
-    ByteCount, DurationUs, EndpointId, StoreId, TimeUs, TokenCount,
-};
+use wisteriahitch_core::route::{Choice, FlightFailure, FlightId, LinkView, RouteRequest, Tier};
+use wisteriahitch_types::{ByteCount, DurationUs, EndpointId, StoreId, TimeUs, TokenCount};
 
 use crate::caller::Refusal;
 use crate::shared::Shared;
@@ -45,8 +41,15 @@
         let now = self.clock.now();
         let mut router = self.router.lock();
         let address = router.endpoints.get_address(endpoint)?;
-        let id = router.endpoints.sent(endpoint, prefill_tokens, expected_us, now)?;
-        Some(Flight { shared: Arc::clone(self), id, address, has_landed: false })
+        let id = router
+            .endpoints
+            .sent(endpoint, prefill_tokens, expected_us, now)?;
+        Some(Flight {
+            shared: Arc::clone(self),
+            id,
+            address,
+            has_landed: false,
+        })
     }
 }
 
@@ -70,7 +73,11 @@
     /// Notes the first token.
     pub(crate) fn first_token(&self) {
         let now = self.shared.clock.now();
-        self.shared.router.lock().endpoints.first_token(self.id, now);
+        self.shared
+            .router
+            .lock()
+            .endpoints
+            .first_token(self.id, now);
     }
 
     /// Notes a whole answer.
@@ -90,7 +97,11 @@
             return;
         }
         let now = self.shared.clock.now();
-        self.shared.router.lock().endpoints.failed(self.id, failure, now);
+        self.shared
+            .router
+            .lock()
+            .endpoints
+            .failed(self.id, failure, now);
         self.has_landed = true;
     }
 }
--- a/crates/wisteriahitch-node/src/state/tiers.rs
+++ b/crates/wisteriahitch-node/src/state/tiers.rs
@@ -21,7 +21,10 @@
 impl TierState {
     /// Builds an empty state.
     pub(crate) fn new() -> Self {
-        Self { core: Mutex::new(Tiers::new()), waiters: Mutex::default() }
+        Self {
+            core: Mutex::new(Tiers::new()),
+            waiters: Mutex::default(),
+        }
     }
 
     /// Estimates how long an import takes from now.
@@ -44,7 +47,10 @@
     /// Waits until a request's imports are done or given up.
     pub(crate) async fn import(self: &Arc<Self>, plan: ImportPlan) {
         let (sender, receiver) = oneshot::channel();
-        self.tiers.waiters.lock().insert(plan.request.clone(), sender);
+        self.tiers
+            .waiters
+            .lock()
+            .insert(plan.request.clone(), sender);
         self.step_tiers(|tiers, now| tiers.plan_import(plan, now));
         // An error means that the import was cancelled; the request goes on without it.
         let _ = receiver.await;
@@ -85,7 +91,11 @@
     /// Returns a store VM's address.
     pub(crate) fn store_address(&self, store: &StoreId) -> Option<SocketAddr> {
         let in_force = self.in_force.load_full()?;
-        in_force.configuration.stores.get(store).map(|store| store.address)
+        in_force
+            .configuration
+            .stores
+            .get(store)
+            .map(|store| store.address)
     }
 
     /// Returns an endpoint's address.
--- a/crates/wisteriahitch-node/src/task/endpoints.rs
+++ b/crates/wisteriahitch-node/src/task/endpoints.rs
@@ -67,7 +67,10 @@
         return;
     };
     follow_cache(&shared, &endpoint, &places).await;
-    let life = places.lock().get(&endpoint.id).map(|place| place.incarnation.clone());
+    let life = places
+        .lock()
+        .get(&endpoint.id)
+        .map(|place| place.incarnation.clone());
     let load = engine_load(report, life);
     note_load(&shared, &endpoint, load);
 }
@@ -84,7 +87,9 @@
     let mut router = shared.router.lock();
     router.endpoints.report(&endpoint.id, load, now);
     if is_leaving {
-        router.endpoints.leaving(&endpoint.id, &LeavingSource::OwnReport, now);
+        router
+            .endpoints
+            .leaving(&endpoint.id, &LeavingSource::OwnReport, now);
     }
 }
 
@@ -128,7 +133,12 @@
         return;
     };
     let after = place.next.saturating_sub(1);
-    let Ok(events) = shared.outside.engine.cache_events(endpoint.address, after).await else {
+    let Ok(events) = shared
+        .outside
+        .engine
+        .cache_events(endpoint.address, after)
+        .await
+    else {
         return;
     };
     let is_same_life = events.incarnation == place.incarnation;
@@ -138,7 +148,10 @@
         return;
     }
     take_events(shared, endpoint, &events, place.next);
-    let place = CachePlace { incarnation: events.incarnation, next: events.next };
+    let place = CachePlace {
+        incarnation: events.incarnation,
+        next: events.next,
+    };
     places.lock().insert(endpoint.id.clone(), place);
 }
 
@@ -146,10 +159,18 @@
     for event in events.events.iter().filter(|event| event.number >= next) {
         match event.kind {
             CacheEventKind::Stored => {
-                shared.router.lock().directory.stored(&endpoint.id, &event.key);
+                shared
+                    .router
+                    .lock()
+                    .directory
+                    .stored(&endpoint.id, &event.key);
             }
             CacheEventKind::Evicted => {
-                shared.router.lock().directory.evicted(&endpoint.id, &event.key);
+                shared
+                    .router
+                    .lock()
+                    .directory
+                    .evicted(&endpoint.id, &event.key);
                 shared.note_tier(TierEvent::EndpointEvicted { key: event.key });
             }
         }
@@ -160,7 +181,14 @@
     let Ok(listing) = shared.outside.engine.cache_listing(endpoint.address).await else {
         return;
     };
-    shared.router.lock().directory.listing(&endpoint.id, &listing.keys);
-    let place = CachePlace { incarnation: listing.incarnation, next: listing.next };
+    shared
+        .router
+        .lock()
+        .directory
+        .listing(&endpoint.id, &listing.keys);
+    let place = CachePlace {
+        incarnation: listing.incarnation,
+        next: listing.next,
+    };
     places.lock().insert(endpoint.id.clone(), place);
 }
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -49,7 +49,12 @@
     let mut calls = JoinSet::new();
     for store in in_force.configuration.stores.values() {
         let known = lives.get(&store.id).cloned();
-        calls.spawn(ask(Arc::clone(shared), store.clone(), known, is_listing_due));
+        calls.spawn(ask(
+            Arc::clone(shared),
+            store.clone(),
+            known,
+            is_listing_due,
+        ));
     }
     while let Some(answer) = calls.join_next().await {
         if let Ok((store, Some(life))) = answer {
@@ -66,7 +71,9 @@
     is_listing_due: bool,
 ) -> (StoreId, Option<StoreIncarnation>) {
     let Ok(report) = shared.outside.store.report(store.address).await else {
-        shared.note_tier(TierEvent::StoreLost { store: store.id.clone() });
+        shared.note_tier(TierEvent::StoreLost {
+            store: store.id.clone(),
+        });
         shared.router.lock().directory.store_gone(&store.id);
         return (store.id, None);
     };
@@ -100,7 +107,11 @@
         return;
     }
     let readable: Vec<(BlockKey, RouteTier)> = readable(&listing).collect();
-    shared.router.lock().directory.store_listing(&store.id, &readable);
+    shared
+        .router
+        .lock()
+        .directory
+        .store_listing(&store.id, &readable);
     for block in listing.blocks {
         shared.note_tier(listed(&store.id, incarnation, block));
     }
@@ -108,13 +119,15 @@
 
 fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, RouteTier)> {
     let blocks = listing.blocks.iter();
-    blocks.filter(|block| block.state == WireState::Readable).map(|block| {
-        let tier = match block.tier {
-            Tier::Memory => RouteTier::Memory,
-            Tier::Disk => RouteTier::Disk,
-        };
-        (block.key, tier)
-    })
+    blocks
+        .filter(|block| block.state == WireState::Readable)
+        .map(|block| {
+            let tier = match block.tier {
+                Tier::Memory => RouteTier::Memory,
+                Tier::Disk => RouteTier::Disk,
+            };
+            (block.key, tier)
+        })
 }
 
 fn listed(store: &StoreId, incarnation: &StoreIncarnation, block: StoredBlock) -> TierEvent {
--- a/crates/wisteriahitch-node/src/task/vm_list.rs
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -27,7 +27,12 @@
 }
 
 async fn read(shared: &Arc<Shared>) {
-    let listing = match shared.outside.platform.list(ObjectKind::VirtualMachine).await {
+    let listing = match shared
+        .outside
+        .platform
+        .list(ObjectKind::VirtualMachine)
+        .await
+    {
         Ok(listing) => listing,
         Err(error) => {
             log::debug!("the VM list can't be read: {error}");
@@ -41,7 +46,10 @@
         .collect();
     let notices = vms.iter().filter_map(|vm| {
         let address: IpAddr = vm.address.parse().ok()?;
-        Some(VmNotice { address, is_leaving: vm.phase == VmPhase::Leaving })
+        Some(VmNotice {
+            address,
+            is_leaving: vm.phase == VmPhase::Leaving,
+        })
     });
     shared.step_members(MembershipEvent::VmList(notices.collect()));
     note_endpoints(shared, &vms);
@@ -55,18 +63,24 @@
     let Some(in_force) = shared.in_force.load_full() else {
         return;
     };
-    let phases: HashMap<&str, VmPhase> =
-        vms.iter().map(|vm| (vm.address.as_str(), vm.phase)).collect();
+    let phases: HashMap<&str, VmPhase> = vms
+        .iter()
+        .map(|vm| (vm.address.as_str(), vm.phase))
+        .collect();
     let now = shared.clock.now();
     let services = in_force.configuration.services.values();
     for endpoint in services.flat_map(|service| &service.endpoints) {
         let ip = endpoint.address.ip().to_string();
         let socket = endpoint.address.to_string();
-        let phase = phases.get(socket.as_str()).or_else(|| phases.get(ip.as_str()));
+        let phase = phases
+            .get(socket.as_str())
+            .or_else(|| phases.get(ip.as_str()));
         let mut router = shared.router.lock();
         match phase {
             Some(VmPhase::Leaving) => {
-                router.endpoints.leaving(&endpoint.id, &LeavingSource::VmList, now);
+                router
+                    .endpoints
+                    .leaving(&endpoint.id, &LeavingSource::VmList, now);
             }
             Some(VmPhase::Live) => router.endpoints.vm_list_live(&endpoint.id, now),
             None => {}
--- a/crates/wisteriahitch-wire/src/platform/call_counts.rs
+++ b/crates/wisteriahitch-wire/src/platform/call_counts.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use serde::Serialize;
+
 use super::call::CallKind;
 
 /// Counts calls to the platform since the client was built; each address tried counts.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
 pub struct CallCounts {
     /// Gets and listings.
     pub reads: u64,
--- a/crates/wisteriahitchd/src/main.rs
+++ b/crates/wisteriahitchd/src/main.rs
@@ -1,3 +1,98 @@
-//! Daemon of wisteriahitch.
+//! Daemon of wisteriahitch; `docs/SETTINGS.md` explains its settings file.
 
-fn main() {}
+mod flags;
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use anyhow::Context;
+use flags::Wisteriahitchd;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use wisteriahitch::config::{LogLevel, LogSettings, Settings};
+use wisteriahitch::node::{Daemon, LogOptions, start_logging};
+
+/// Exit code for settings with faults, and for a daemon that can't run.
+const FAILED: u8 = 1;
+
+/// Exit code after an operator's second order to stop, which cuts off requests.
+const STOPPED_HARD: u8 = 3;
+
+fn main() -> ExitCode {
+    let flags = Wisteriahitchd::from_env_or_exit();
+    match run(&flags) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("error: {error:#}");
+            ExitCode::from(FAILED)
+        }
+    }
+}
+
+fn run(flags: &Wisteriahitchd) -> anyhow::Result<ExitCode> {
+    let Some(settings) = read_settings(&flags.settings)? else {
+        return Ok(ExitCode::from(FAILED));
+    };
+    if flags.check {
+        println!("no problems");
+        return Ok(ExitCode::SUCCESS);
+    }
+    start_logging(&log_options(&settings.log))?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.run.cores as usize)
+        .enable_all()
+        .build()
+        .context("the runtime can't be started")?;
+    runtime.block_on(serve(settings))
+}
+
+/// Reads the settings; faults are printed one a line, with their places.
+fn read_settings(path: &Path) -> anyhow::Result<Option<Settings>> {
+    let text = std::fs::read_to_string(path)
+        .with_context(|| format!("the settings {} can't be read", path.display()))?;
+    match Settings::check(&text) {
+        Ok(settings) => Ok(Some(settings)),
+        Err(report) => {
+            eprintln!("{}", report.in_file(&path.display().to_string()));
+            Ok(None)
+        }
+    }
+}
+
+fn log_options(settings: &LogSettings) -> LogOptions {
+    let level = match settings.level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+        LogLevel::Trace => log::LevelFilter::Trace,
+    };
+    LogOptions {
+        level,
+        file: settings.file.as_ref().map(Into::into),
+    }
+}
+
+/// Serves until drained; the first signal starts draining, the second one stops at once.
+async fn serve(settings: Settings) -> anyhow::Result<ExitCode> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let daemon = Daemon::new(settings)?;
+    let drain = daemon.drainer();
+    let running = daemon.run();
+    tokio::pin!(running);
+    tokio::select! {
+        ended = running.as_mut() => return ended.map(|()| ExitCode::SUCCESS),
+        () = next_signal(&mut terminate, &mut interrupt) => drain(),
+    }
+    tokio::select! {
+        ended = running => ended.map(|()| ExitCode::SUCCESS),
+        () = next_signal(&mut terminate, &mut interrupt) => Ok(ExitCode::from(STOPPED_HARD)),
+    }
+}
+
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
