--- a/crates/wisteriahitch-config/tests/all/sections.rs
+++ b/crates/wisteriahitch-config/tests/all/sections.rs
@@ -1,6 +1,6 @@
 //! Splitting, merging and assembling sections.
 
-use wisteriahitch_config::{Configuration, SectionName, Sections};
+use wisteriahitch_config::{Change, Configuration, Report, SectionHash, SectionName, Sections};
 use wisteriahitch_types::Code;
 
 const WHOLE: &str = r#"
@@ -81,3 +81,161 @@
     assert_eq!(codes, [Code::ConfigDuplicateName]);
     assert_eq!(before, Sections::split(WHOLE).unwrap());
 }
+
+#[test]
+fn spacing_order_and_comments_do_not_change_a_section() {
+    let other = r#"
+# The same workspace, written by another hand.
+[[workspaces]]
+store_bytes=2_000
+key_hashes = [
+    "00000000000000000000000000000003",
+]
+id = 'galle-02'
+weight = 0x3
+"#;
+    assert_eq!(
+        Sections::split(other).unwrap(),
+        Sections::split(GALLE).unwrap()
+    );
+    let changed = GALLE.replace("weight = 3", "weight = 4");
+    assert_ne!(
+        Sections::split(&changed).unwrap(),
+        Sections::split(GALLE).unwrap()
+    );
+}
+
+#[test]
+fn a_submission_without_workspaces_keeps_them() {
+    let before = Sections::split(WHOLE).unwrap();
+    let (site, _) = WHOLE.split_once("[[workspaces]]").unwrap();
+    let rules = "[[rules]]\nname = \"closed\"\nthen.refuse.reason = \"Closed.\"\n";
+    let (after, configuration) = before.accept(&format!("{site}{rules}")).unwrap();
+    assert_eq!(configuration.workspaces.len(), 2);
+    assert_eq!(
+        before.changes_to(&after),
+        [Change::Changed(SectionName::Site)]
+    );
+}
+
+/// Symptom: a workspace's callers are all refused. Events: an operator submits the rules together
+/// with one new workspace. Cause: the text is taken for the whole site, and the others for gone.
+#[test]
+fn a_whole_text_that_leaves_out_a_workspace_is_refused() {
+    let before = Sections::split(WHOLE).unwrap();
+    let fewer = without_galle();
+    let report = before.accept(&fewer).unwrap_err();
+    assert_eq!(codes(&report), [Code::ConfigContradiction]);
+    assert_eq!(before.merge(&Sections::split(&fewer).unwrap()).len(), 3);
+}
+
+#[test]
+fn a_workspace_goes_when_the_text_says_so() {
+    let before = Sections::split(WHOLE).unwrap();
+    let gone = [Change::Removed(workspace("galle-02"))];
+    let alone = "removed_workspaces = [\"galle-02\"]\n".to_owned();
+    let whole = format!("{alone}{}", without_galle());
+    for text in [alone, whole] {
+        let (after, configuration) = before.accept(&text).unwrap();
+        assert_eq!(before.changes_to(&after), gone, "{text}");
+        assert_eq!(configuration.workspaces.len(), 1);
+    }
+}
+
+fn without_galle() -> String {
+    let (head, tail) = WHOLE
+        .split_once("[[workspaces]]\nid = \"galle-02\"")
+        .unwrap();
+    let (_, rules) = tail.split_once("[[rules]]").unwrap();
+    format!("{head}[[rules]]{rules}")
+}
+
+fn codes(report: &Report) -> Vec<Code> {
+    report.problems().iter().map(|p| p.code).collect()
+}
+
+#[test]
+fn submissions_with_mistakes_are_refused_with_all_sections_untouched() {
+    struct Case {
+        text: &'static str,
+        code: Code,
+    }
+    let case = |text, code| Case { text, code };
+    let cases = [
+        case("", Code::ConfigMissingKey),
+        case("# nothing\n", Code::ConfigMissingKey),
+        case(
+            "removed_workspaces = [\"galle-2\"]",
+            Code::ConfigUnknownName,
+        ),
+        // A rule of the site names the workspace.
+        case(
+            "removed_workspaces = [\"kandy-01\"]",
+            Code::ConfigUnknownName,
+        ),
+        case(
+            "removed_workspaces = [\"x\"]\n[[workspaces]]\nid = \"x\"\n\
+             key_hashes = [\"00000000000000000000000000000009\"]\nstore_bytes = 1",
+            Code::ConfigContradiction,
+        ),
+        case(
+            "[[workspaces]]\nid = \"x\"\nstore_bytes = 1",
+            Code::ConfigMissingKey,
+        ),
+        case("[[workspace]]\nid = \"x\"", Code::ConfigUnknownKey),
+        case("workspaces = 7", Code::ConfigBadValue),
+        case("limits.entries_ttl_s = 5", Code::ConfigNoDefault),
+        case(
+            "[[workspaces]]\nid = \"x\"\nkey_hashes = [\"00000000000000000000000000000008\"]\n\
+             store_bytes = 1\n[[workspaces]]\nid = \"x\"\n\
+             key_hashes = [\"00000000000000000000000000000009\"]\nstore_bytes = 1",
+            Code::ConfigDuplicateName,
+        ),
+    ];
+    let before = Sections::split(WHOLE).unwrap();
+    for Case { text, code } in cases {
+        let report = before.accept(text).unwrap_err();
+        assert!(codes(&report).contains(&code), "{text}: {report}");
+    }
+    assert_eq!(before, Sections::split(WHOLE).unwrap());
+}
+
+#[test]
+fn a_section_beyond_the_platforms_limit_is_refused() {
+    let reason = "\\\"".repeat(250);
+    let rules: String = (0..3_000)
+        .map(|i| format!("[[rules]]\nname = \"r{i}\"\nthen.refuse.reason = \"{reason}\"\n"))
+        .collect();
+    let report = Sections::split(&rules).unwrap_err();
+    assert_eq!(codes(&report), [Code::ConfigTooLarge]);
+}
+
+/// Symptom: daemons run with different configurations of the same version. Events: the platform,
+/// or a peer, answers with another text than the one asked for. Cause: the text isn't checked
+/// against its name.
+#[test]
+fn a_fetched_text_must_have_the_hash_it_is_named_by() {
+    let whole = Sections::split(WHOLE).unwrap();
+    let mut fetched = Sections::default();
+    for (name, section) in whole.iter() {
+        let other = format!("{}# changed\n", section.text());
+        let refused = fetched.insert(name.clone(), section.hash(), other);
+        assert_eq!(refused.unwrap_err().expected, section.hash());
+        let added = fetched.insert(name.clone(), section.hash(), section.text());
+        assert!(added.is_ok());
+    }
+    assert_eq!(fetched, whole);
+}
+
+#[test]
+fn names_and_hashes_read_as_they_are_written() {
+    for (name, section) in Sections::split(WHOLE).unwrap().iter() {
+        assert_eq!(name.to_string().parse::<SectionName>().as_ref(), Ok(name));
+        let hash = section.hash();
+        assert_eq!(hash.to_string().parse::<SectionHash>(), Ok(hash));
+        assert_eq!(hash.to_string().len(), 64);
+    }
+    for text in ["", "sites", "workspace/", "workspace", "workspace/a b"] {
+        assert!(text.parse::<SectionName>().is_err(), "{text:?}");
+    }
+}
