--- a/crates/wisteriahitch-core/src/route/directory/chain_holders.rs
+++ b/crates/wisteriahitch-core/src/route/directory/chain_holders.rs
@@ -39,10 +39,16 @@
 
     /// Iterates over the tiers that hold a piece.
     pub(crate) fn stores(&self, piece: usize) -> impl Iterator<Item = (&'a StoreId, Tier)> + '_ {
-        self.trusted(piece).filter_map(|holder| match holder {
-            Holder::Store(store, tier) => Some((store, *tier)),
-            Holder::Endpoint(_) => None,
-        })
+        let holders = self.pieces.get(piece).copied().flatten();
+        let (spill, places) = (self.spill, self.places);
+        holders
+            .into_iter()
+            .flat_map(move |holders| holders.stores(spill))
+            .filter(move |place| places.is_trusted(*place))
+            .filter_map(move |place| match places.holder(place) {
+                Holder::Store(store, tier) => Some((store, *tier)),
+                Holder::Endpoint(_) => None,
+            })
     }
 
     /// Returns up to `most` endpoints that hold late pieces, those of the latest piece first.
@@ -79,14 +85,4 @@
             Holder::Store(..) => None,
         }
     }
-
-    fn trusted(&self, piece: usize) -> impl Iterator<Item = &'a Holder> + '_ {
-        let holders = self.pieces.get(piece).copied().flatten();
-        let (spill, places) = (self.spill, self.places);
-        holders
-            .into_iter()
-            .flat_map(move |holders| holders.iter(spill))
-            .filter(move |place| places.is_trusted(*place))
-            .map(move |place| places.holder(place))
-    }
 }
--- a/crates/wisteriahitch-core/src/route/directory/holders.rs
+++ b/crates/wisteriahitch-core/src/route/directory/holders.rs
@@ -25,12 +25,15 @@
     /// Holds no place.
     pub(crate) const NONE: Self = Self([EMPTY; INLINE]);
 
-    /// Iterates over the places.
-    pub(crate) fn iter<'a>(
-        &'a self,
-        spill: &'a Spill,
-    ) -> impl Iterator<Item = PlaceId> + Clone + 'a {
-        self.as_slice(spill).iter().map(|number| PlaceId(*number))
+    /// Iterates over the tiers of store VMs, without a look at the endpoints of a long list.
+    pub(crate) fn stores<'a>(&'a self, spill: &'a Spill) -> impl Iterator<Item = PlaceId> + 'a {
+        let numbers = self.as_slice(spill);
+        let looked_at = match self.spilled() {
+            Some(_) => numbers.partition_point(|number| PlaceId(*number).is_store()),
+            None => numbers.len(),
+        };
+        let places = numbers[..looked_at].iter().map(|number| PlaceId(*number));
+        places.filter(|place| place.is_store())
     }
 
     /// Returns the place at `index`, counted round.
--- a/crates/wisteriahitch-core/src/route/directory/place.rs
+++ b/crates/wisteriahitch-core/src/route/directory/place.rs
@@ -26,12 +26,22 @@
 }
 
 /// Stands for one listing of one holder; a new listing has a new number.
+///
+/// Tiers of store VMs have the low numbers, so that in a sorted list they come first and are
+/// found without a look at the endpoints.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct PlaceId(pub(crate) u16);
 
 impl PlaceId {
     /// First number that stands for no place; see [`Holders`](super::Holders).
     pub(crate) const LIMIT: u16 = u16::MAX - 1;
+    /// First number that stands for an endpoint.
+    const FIRST_ENDPOINT: u16 = 4_096;
+
+    /// Returns whether the place is a tier of a store VM.
+    pub(crate) fn is_store(self) -> bool {
+        self.0 < Self::FIRST_ENDPOINT
+    }
 }
 
 #[derive(Debug)]
@@ -42,18 +52,90 @@
     is_suspect: bool,
 }
 
+/// Whole passes over the table after which no entry names a dead place any more: one may have
+/// begun before the place died.
+const SWEEPS_TO_FREE: u8 = 2;
+
+/// Gives numbers from a range.
+#[derive(Debug)]
+struct Numbers {
+    first: u16,
+    limit: u16,
+    places: Vec<Place>,
+    free: Vec<PlaceId>,
+}
+
+impl Numbers {
+    fn new(first: u16, limit: u16) -> Self {
+        Self {
+            first,
+            limit,
+            places: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+
+    fn get(&self, id: PlaceId) -> &Place {
+        &self.places[usize::from(id.0 - self.first)]
+    }
+
+    fn get_mut(&mut self, id: PlaceId) -> &mut Place {
+        &mut self.places[usize::from(id.0 - self.first)]
+    }
+
+    fn put(&mut self, place: Place) -> Option<PlaceId> {
+        if let Some(id) = self.free.pop() {
+            *self.get_mut(id) = place;
+            return Some(id);
+        }
+        let used = u16::try_from(self.places.len()).ok()?;
+        let number = self.first.checked_add(used)?;
+        if number >= self.limit {
+            return None;
+        }
+        self.places.push(place);
+        Some(PlaceId(number))
+    }
+
+    /// Counts a whole sweep and returns how many places became free by it.
+    fn swept(&mut self) -> usize {
+        let free_before = self.free.len();
+        for (number, place) in (self.first..).zip(&mut self.places) {
+            match place.sweeps_left {
+                Some(0) | None => {}
+                Some(1) => {
+                    place.sweeps_left = Some(0);
+                    self.free.push(PlaceId(number));
+                }
+                Some(left) => place.sweeps_left = Some(left - 1),
+            }
+        }
+        self.free.len() - free_before
+    }
+}
+
 /// Gives numbers to the holders.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Places {
-    places: Vec<Place>,
+    store_numbers: Numbers,
+    endpoint_numbers: Numbers,
     endpoints: HashMap<EndpointId, PlaceId>,
     stores: HashMap<(StoreId, Tier), PlaceId>,
-    free: Vec<PlaceId>,
+    /// Dead places whose entries may still be in the table.
+    dying: usize,
 }
 
-/// Whole passes over the table after which no entry names a dead place any more: one may have
-/// begun before the place died.
-const SWEEPS_TO_FREE: u8 = 2;
+impl Default for Places {
+    fn default() -> Self {
+        Self {
+            store_numbers: Numbers::new(0, PlaceId::FIRST_ENDPOINT),
+            endpoint_numbers: Numbers::new(PlaceId::FIRST_ENDPOINT, PlaceId::LIMIT),
+            endpoints: HashMap::new(),
+            stores: HashMap::new(),
+            dying: 0,
+        }
+    }
+}
 
 impl Places {
     /// Returns the live number of an endpoint.
@@ -88,7 +170,8 @@
             Holder::Store(store, tier) => self.stores.remove(&(store.clone(), *tier)),
         };
         if let Some(id) = dead {
-            self.places[usize::from(id.0)].sweeps_left = Some(SWEEPS_TO_FREE);
+            self.get_mut(id).sweeps_left = Some(SWEEPS_TO_FREE);
+            self.dying += 1;
         }
     }
 
@@ -98,69 +181,72 @@
             sweeps_left: None,
             is_suspect: false,
         };
-        let id = self.put(place)?;
         match holder {
-            Holder::Endpoint(endpoint) => self.endpoints.insert(endpoint.clone(), id),
-            Holder::Store(store, tier) => self.stores.insert((store.clone(), *tier), id),
-        };
-        Some(id)
-    }
-
-    fn put(&mut self, place: Place) -> Option<PlaceId> {
-        if let Some(id) = self.free.pop() {
-            self.places[usize::from(id.0)] = place;
-            return Some(id);
-        }
-        let number = u16::try_from(self.places.len()).ok()?;
-        if number >= PlaceId::LIMIT {
-            return None;
+            Holder::Endpoint(endpoint) => {
+                let id = self.endpoint_numbers.put(place)?;
+                self.endpoints.insert(endpoint.clone(), id);
+                Some(id)
+            }
+            Holder::Store(store, tier) => {
+                let id = self.store_numbers.put(place)?;
+                self.stores.insert((store.clone(), *tier), id);
+                Some(id)
+            }
         }
-        self.places.push(place);
-        Some(PlaceId(number))
     }
 
     /// Makes a holder's entries count for nothing until they are listed again.
     pub(crate) fn suspect(&mut self, id: PlaceId) {
-        self.places[usize::from(id.0)].is_suspect = true;
+        self.get_mut(id).is_suspect = true;
     }
 
     /// Returns whether entries under this number are in use, suspect or not.
     pub(crate) fn is_live(&self, id: PlaceId) -> bool {
-        self.places[usize::from(id.0)].sweeps_left.is_none()
+        self.get(id).sweeps_left.is_none()
     }
 
     /// Returns whether entries under this number count.
     pub(crate) fn is_trusted(&self, id: PlaceId) -> bool {
-        let place = &self.places[usize::from(id.0)];
+        let place = self.get(id);
         place.sweeps_left.is_none() && !place.is_suspect
     }
 
     /// Returns the holder that a number stands for.
     pub(crate) fn holder(&self, id: PlaceId) -> &Holder {
-        &self.places[usize::from(id.0)].holder
+        &self.get(id).holder
     }
 
     /// Returns how many numbers are in use and how many of those are suspect.
     pub(crate) fn counts(&self) -> (usize, usize) {
-        let live = self
-            .places
-            .iter()
-            .filter(|place| place.sweeps_left.is_none());
+        let places = self.store_numbers.places.iter();
+        let places = places.chain(&self.endpoint_numbers.places);
+        let live = places.filter(|place| place.sweeps_left.is_none());
         let suspect = live.clone().filter(|place| place.is_suspect);
         (live.count(), suspect.count())
     }
 
+    /// Returns whether entries of dead places may be left in the table.
+    pub(crate) fn needs_sweep(&self) -> bool {
+        self.dying > 0
+    }
+
     /// Records that a sweep has passed the whole table.
     pub(crate) fn swept(&mut self) {
-        for (number, place) in (0..).zip(&mut self.places) {
-            match place.sweeps_left {
-                Some(0) | None => {}
-                Some(1) => {
-                    place.sweeps_left = Some(0);
-                    self.free.push(PlaceId(number));
-                }
-                Some(left) => place.sweeps_left = Some(left - 1),
-            }
+        let freed = self.store_numbers.swept() + self.endpoint_numbers.swept();
+        self.dying -= freed;
+    }
+
+    fn get(&self, id: PlaceId) -> &Place {
+        match id.is_store() {
+            true => self.store_numbers.get(id),
+            false => self.endpoint_numbers.get(id),
+        }
+    }
+
+    fn get_mut(&mut self, id: PlaceId) -> &mut Place {
+        match id.is_store() {
+            true => self.store_numbers.get_mut(id),
+            false => self.endpoint_numbers.get_mut(id),
         }
     }
 }
--- a/crates/wisteriahitch-core/src/route/directory/table.rs
+++ b/crates/wisteriahitch-core/src/route/directory/table.rs
@@ -148,11 +148,13 @@
 
     /// Drops entries of dead holders from the next `segments` of 256 parts of the table.
     ///
-    /// Called with a few parts each tick, it gives the room of replaced listings back without a
+    /// It does nothing where no holder has died. Called with a few parts each tick, it gives the room of replaced listings back without a
     /// long stop.
     pub fn sweep(&mut self, segments: usize) {
         for _ in 0..segments.min(SEGMENTS) {
-            self.sweep_one();
+            if self.places.needs_sweep() {
+                self.sweep_one();
+            }
         }
     }
 
--- a/crates/wisteriahitch-core/src/route/policy/baseline.rs
+++ b/crates/wisteriahitch-core/src/route/policy/baseline.rs
@@ -4,7 +4,7 @@
 
 use wisteriahitch_types::TimeUs;
 
-use super::candidates::all_candidates;
+use super::candidates::{all_candidates, no_endpoint};
 use super::sources::Sources;
 use super::weigh::Weigher;
 use super::{Choice, CostOptions, NoLinks, Policy, RouteRefusal, RouteRequest, View};
@@ -109,5 +109,7 @@
     let sources = Sources::find(request, &holders, &NoLinks, now);
     let options = CostOptions::default();
     let weigher = Weigher::new(request, view, &holders, &sources, &options, now);
-    Ok(weigher.choice(&weigher.offer(row), &[]))
+    let offers = weigher.offers(&[row]);
+    let offer = offers.first().ok_or_else(no_endpoint)?;
+    Ok(weigher.choice(offer, &[]))
 }
--- a/crates/wisteriahitch-core/src/route/policy/candidates.rs
+++ b/crates/wisteriahitch-core/src/route/policy/candidates.rs
@@ -131,7 +131,8 @@
     }
 }
 
-fn no_endpoint() -> RouteRefusal {
+/// Refuses for want of an endpoint that takes work.
+pub(crate) fn no_endpoint() -> RouteRefusal {
     RouteRefusal {
         code: Code::NoEndpoint,
         retry_after_us: RETRY_NO_ENDPOINT_US,
--- a/crates/wisteriahitch-core/src/route/policy/cost.rs
+++ b/crates/wisteriahitch-core/src/route/policy/cost.rs
@@ -93,7 +93,7 @@
         let mut soonest = DurationUs::MAX;
         for _ in 0..MAX_SAMPLES {
             let rows = candidates(request, view, &holders, &mut draw)?;
-            let offers: Vec<Offer> = rows.iter().map(|row| weigher.offer(*row)).collect();
+            let offers = weigher.offers(&rows);
             let is_in_time = |offer: &&Offer| offer.estimate.first_token_us <= request.deadline_us;
             let in_time: Vec<Offer> = offers.iter().filter(is_in_time).cloned().collect();
             if let Some(offer) = self.pick(&in_time, &mut draw) {
--- a/crates/wisteriahitch-core/src/route/policy/sources.rs
+++ b/crates/wisteriahitch-core/src/route/policy/sources.rs
@@ -20,6 +20,18 @@
     run_ends: Vec<usize>,
 }
 
+/// Most lengths of the imported part that are compared.
+const MAX_CUTS: usize = 8;
+
+/// Gives one end of an import.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Cut {
+    /// Piece before which the import ends.
+    pub(crate) end: usize,
+    /// Time that it takes.
+    pub(crate) transfer_us: DurationUs,
+}
+
 /// Adds up what is imported from one tier.
 struct Load<'a> {
     source: Source<'a>,
@@ -49,7 +61,7 @@
     }
 
     /// Returns the end of the run of importable pieces that begins at `start`.
-    pub(crate) fn run_end(&self, start: usize) -> usize {
+    fn run_end(&self, start: usize) -> usize {
         self.run_ends.get(start).copied().unwrap_or(start)
     }
 
@@ -58,32 +70,49 @@
         self.sources.get(piece).copied().flatten()
     }
 
-    /// Estimates how long the import of the pieces from `start` to before `end` takes.
+    /// Lists ends of an import that begins at `start`, with the time that each takes.
     ///
-    /// Imports from one store share its link and follow each other; those from several stores
-    /// run side by side.
-    pub(crate) fn transfer_time(
+    /// The first end is `start` itself. Imports from one store share its link and follow each
+    /// other; those from several stores run side by side.
+    pub(crate) fn cuts(
         &self,
-        range: std::ops::Range<usize>,
+        start: usize,
         request: &RouteRequest,
         links: &dyn LinkView,
         now: TimeUs,
-    ) -> DurationUs {
+    ) -> Vec<Cut> {
+        let len = self.run_end(start) - start;
+        let count = len.min(MAX_CUTS);
         let mut loads: Vec<Load<'_>> = Vec::new();
-        for piece in range {
-            let Some(source) = self.get(piece) else {
-                continue;
-            };
-            let bytes = bytes_of(request.chain.blocks[piece].tokens.get(), request);
-            let is_same = |load: &&mut Load<'_>| {
-                load.source.store == source.store && load.source.tier == source.tier
-            };
-            match loads.iter_mut().find(is_same) {
-                Some(load) => load.bytes += bytes,
-                None => loads.push(Load { source, bytes }),
-            }
+        let mut cuts = vec![Cut {
+            end: start,
+            transfer_us: DurationUs::ZERO,
+        }];
+        let mut from = start;
+        for step in 1..=count {
+            let end = start + len * step / count;
+            (from..end).for_each(|piece| self.add_piece(piece, request, &mut loads));
+            cuts.push(Cut {
+                end,
+                transfer_us: slowest_store(&loads, links, now),
+            });
+            from = end;
+        }
+        cuts
+    }
+
+    fn add_piece(&self, piece: usize, request: &RouteRequest, loads: &mut Vec<Load<'a>>) {
+        let Some(source) = self.get(piece) else {
+            return;
+        };
+        let bytes = bytes_of(request.chain.blocks[piece].tokens.get(), request);
+        let is_same = |load: &&mut Load<'_>| {
+            load.source.store == source.store && load.source.tier == source.tier
+        };
+        match loads.iter_mut().find(is_same) {
+            Some(load) => load.bytes += bytes,
+            None => loads.push(Load { source, bytes }),
         }
-        slowest_store(&loads, links, now)
     }
 }
 
--- a/crates/wisteriahitch-core/src/route/policy/weigh.rs
+++ b/crates/wisteriahitch-core/src/route/policy/weigh.rs
@@ -1,13 +1,14 @@
 //! Estimates what a request costs at one endpoint.
 
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
 use wisteriahitch_types::{DurationUs, TimeUs, TokenCount};
 
-use super::sources::Sources;
+use super::sources::{Cut, Sources};
 use super::{Choice, CostOptions, Estimate, ImportStep, Plan, RouteRequest, View, Weighed};
 use crate::route::directory::ChainHolders;
-
-/// Most lengths of the imported part that are compared for one endpoint.
-const MAX_CUTS: usize = 8;
+use crate::route::endpoint::EndpointRecord;
 
 /// Holds the best plan for one endpoint.
 #[derive(Clone, Debug)]
@@ -29,6 +30,8 @@
     sources: &'a Sources<'a>,
     options: &'a CostOptions,
     now: TimeUs,
+    /// Tokens of the first pieces, by their number.
+    prefix_tokens: Vec<TokenCount>,
 }
 
 impl<'a> Weigher<'a> {
@@ -48,72 +51,79 @@
             sources,
             options,
             now,
+            prefix_tokens: prefix_tokens(request),
         }
     }
 
-    /// Returns the cheapest plan for a row; one that meets the deadline goes first.
-    pub(crate) fn offer(&self, row: usize) -> Offer {
-        let record = &self.view.endpoints.rows[row];
-        let place = self.view.directory.place_of(&record.id);
-        let resident = place.map_or(0, |place| self.holders.resident_pieces(place));
-        let run_end = self.sources.run_end(resident);
-        let mut best = self.plan(row, resident, resident);
-        for cut in cuts(resident, run_end) {
-            let other = self.plan(row, resident, cut);
-            if self.rank(&other) < self.rank(&best) {
-                best = other;
-            }
-        }
-        best
+    /// Returns for each row its cheapest plan; one that meets the deadline goes first.
+    ///
+    /// Rows that hold equally much share the estimates of the imports.
+    pub(crate) fn offers(&self, rows: &[usize]) -> Vec<Offer> {
+        let mut cuts_by_start: BTreeMap<usize, Vec<Cut>> = BTreeMap::new();
+        let offer = |row: &usize| {
+            let resident = self.resident_pieces(*row);
+            let cuts = cuts_by_start.entry(resident).or_insert_with(|| {
+                self.sources
+                    .cuts(resident, self.request, self.view.links, self.now)
+            });
+            self.offer(*row, resident, cuts)
+        };
+        rows.iter().filter_map(offer).collect()
     }
 
-    fn rank(&self, offer: &Offer) -> (bool, f64) {
-        let is_late = offer.estimate.first_token_us > self.request.deadline_us;
-        (is_late, offer.cost_us)
+    fn resident_pieces(&self, row: usize) -> usize {
+        let id = &self.view.endpoints.rows[row].id;
+        let place = self.view.directory.place_of(id);
+        place.map_or(0, |place| self.holders.resident_pieces(place))
     }
 
-    /// Weighs one plan: import up to `import_end`, compute the rest.
-    fn plan(&self, row: usize, resident_pieces: usize, import_end: usize) -> Offer {
+    fn offer(&self, row: usize, resident_pieces: usize, cuts: &[Cut]) -> Option<Offer> {
         let record = &self.view.endpoints.rows[row];
-        let recompute = self.recompute_tokens(import_end);
         let queue_us = record.queue_time(&self.view.endpoints.options);
-        let transfer_us = self.sources.transfer_time(
-            resident_pieces..import_end,
-            self.request,
-            self.view.links,
-            self.now,
-        );
-        let prefill_us = record.prefill_time(recompute);
+        let load_us = record.utilisation() * self.options.full_load_us.as_f64();
+        cuts.iter()
+            .map(|cut| {
+                let estimate = self.estimate(record, queue_us, *cut);
+                Offer {
+                    row,
+                    resident_pieces,
+                    import_end: cut.end,
+                    estimate,
+                    cost_us: self.cost_us(&estimate) + load_us,
+                }
+            })
+            .min_by(|a, b| self.compare(a, b))
+    }
+
+    fn compare(&self, a: &Offer, b: &Offer) -> Ordering {
+        let is_late = |offer: &Offer| offer.estimate.first_token_us > self.request.deadline_us;
+        let by_deadline = is_late(a).cmp(&is_late(b));
+        by_deadline.then(a.cost_us.total_cmp(&b.cost_us))
+    }
+
+    fn estimate(&self, record: &EndpointRecord, queue_us: DurationUs, cut: Cut) -> Estimate {
+        let prefill_us = record.prefill_time(self.recompute_tokens(cut.end));
         let is_near = record.availability_zone == self.request.availability_zone;
         let way_us = match is_near {
             true => DurationUs::ZERO,
             false => self.options.other_zone_us,
         };
-        let estimate = Estimate {
+        Estimate {
             queue_us,
-            transfer_us,
+            transfer_us: cut.transfer_us,
             prefill_us,
-            first_token_us: queue_us.max(transfer_us) + prefill_us + way_us,
-        };
-        let load_us = record.utilisation() * self.options.full_load_us.as_f64();
-        let weight = self.request.first_token_weight.get();
-        let cost_us = weight * estimate.first_token_us.as_f64()
-            + (1.0 - weight) * prefill_us.as_f64()
-            + load_us;
-        Offer {
-            row,
-            resident_pieces,
-            import_end,
-            estimate,
-            cost_us,
+            first_token_us: queue_us.max(cut.transfer_us) + prefill_us + way_us,
         }
     }
 
+    fn cost_us(&self, estimate: &Estimate) -> f64 {
+        let weight = self.request.first_token_weight.get();
+        weight * estimate.first_token_us.as_f64() + (1.0 - weight) * estimate.prefill_us.as_f64()
+    }
+
     fn recompute_tokens(&self, pieces_kept: usize) -> TokenCount {
-        let chain = &self.request.chain;
-        chain
-            .prompt_tokens
-            .saturating_sub(chain.prefix_tokens(pieces_kept))
+        let kept = self.prefix_tokens[pieces_kept];
+        self.request.chain.prompt_tokens.saturating_sub(kept)
     }
 
     /// Turns an offer into the choice that the caller gets.
@@ -144,9 +154,11 @@
     }
 }
 
-/// Returns ends of the imported part to compare, evenly spread from `start` up to `end`.
-fn cuts(start: usize, end: usize) -> impl Iterator<Item = usize> {
-    let len = end.saturating_sub(start);
-    let count = len.min(MAX_CUTS);
-    (1..=count).map(move |step| start + len * step / count)
+fn prefix_tokens(request: &RouteRequest) -> Vec<TokenCount> {
+    let mut sums = vec![TokenCount::ZERO];
+    for piece in &request.chain.blocks {
+        let before = sums.last().copied().unwrap_or_default();
+        sums.push(before + piece.tokens);
+    }
+    sums
 }
--- a/crates/wisteriahitch-core/src/route/router.rs
+++ b/crates/wisteriahitch-core/src/route/router.rs
@@ -11,7 +11,7 @@
 };
 
 /// Parts of the directory that are swept each tick; 256 make it whole.
-const SWEPT_EACH_TICK: usize = 4;
+const SWEPT_EACH_TICK: usize = 1;
 
 /// Decides where requests run.
 ///
