test(fleet): hold the replica to pauses and to peers' acknowledgement

Change: daemons freeze and go on; a version in force must be held by a peer or have waited. A start now goes on waiting, within a bound, for a peer that is known to be ahead.

--- a/crates/wisteriahitch-core/src/fleet/configuration/config_replica.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/config_replica.rs
@@ -186,7 +186,7 @@
 
     fn tick(&mut self, now: TimeUs, members: &Membership) {
         self.ask_found_peers(members);
-        self.end_gathering(now);
+        self.end_gathering(now, members);
         self.follow_watch(members);
         if now.since(self.asked_at_us) < self.settings.retry_us {
             return;
@@ -258,12 +258,20 @@
 
     /// Goes on without the store once peers had time to be found and to answer. Taking the first
     /// answer would put an older version in force while a peer that holds a higher one isn't
-    /// known yet.
-    fn end_gathering(&mut self, now: TimeUs) {
-        let wait_us = self.settings.start_wait_us;
-        self.table
-            .gathering
-            .take_if(|gathering| now.since(gathering.since_us) >= wait_us);
+    /// known yet, or while its answer was lost.
+    fn end_gathering(&mut self, now: TimeUs, members: &Membership) {
+        let Some(gathering) = &self.table.gathering else {
+            return;
+        };
+        let waited_us = now.since(gathering.since_us);
+        let is_peer_ahead = members.highest_peer_config() > Some(self.table.known_version());
+        let wait_us = match is_peer_ahead {
+            true => self.settings.start_wait_us + self.settings.start_ahead_wait_us,
+            false => self.settings.start_wait_us,
+        };
+        if waited_us >= wait_us {
+            self.table.gathering = None;
+        }
     }
 
     fn section_read(&mut self, hash: SectionHash, content: Vec<u8>) {
--- a/crates/wisteriahitch-core/src/fleet/configuration/config_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/config_table.rs
@@ -25,6 +25,8 @@
     /// Wait of a starting daemon for peers to be found and asked while the store is away, and the
     /// time between two such starts as long as nobody holds a configuration.
     pub start_wait_us: DurationUs,
+    /// Longest further wait for a peer that is known to have a higher version in force.
+    pub start_ahead_wait_us: DurationUs,
     /// Time between two tries to read what is missing.
     pub retry_us: DurationUs,
     /// Silence of the peers after which a daemon reads the head itself.
@@ -44,6 +46,7 @@
             replicate_wait_us: DurationUs::from_ms(1_000),
             start_peers: 12,
             start_wait_us: DurationUs::from_ms(3_000),
+            start_ahead_wait_us: DurationUs::from_ms(30_000),
             retry_us: DurationUs::from_ms(200),
             silence_us: DurationUs::from_ms(10_000),
             max_asked_sections: 256,
--- a/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
@@ -26,10 +26,23 @@
     Read(usize, u64, Option<SectionHash>),
 }
 
+impl Flight {
+    /// Returns the daemons that have to run for it to land.
+    fn waits_for(&self) -> impl Iterator<Item = usize> + use<> {
+        let (a, b) = match self {
+            Flight::Event(index, ..) | Flight::Read(index, ..) => (*index, *index),
+            Flight::Pull(index, _, to, ..) | Flight::Push(index, _, to, ..) => (*index, *to),
+        };
+        [a, b].into_iter()
+    }
+}
+
 struct Node {
     replica: ConfigReplica,
     members: Membership,
     is_up: bool,
+    /// Whether the process is paused: whatever is sent to it waits.
+    is_frozen: bool,
     /// Highest version that was in force in any life, if peers held it then.
     highest: Option<ConfigVersion>,
 }
@@ -52,6 +65,7 @@
             replica: ConfigReplica::new(ConfigSettings::default()),
             members: full_membership(index as u16, &lives),
             is_up: false,
+            is_frozen: false,
             highest: None,
         });
         let mut site = Self {
@@ -91,6 +105,11 @@
 
     fn kill(&mut self, index: usize) {
         self.nodes[index].is_up = false;
+        self.nodes[index].is_frozen = false;
+    }
+
+    fn is_running(&self, index: usize) -> bool {
+        self.nodes[index].is_up && !self.nodes[index].is_frozen
     }
 
     fn start(&mut self, index: usize) {
@@ -178,13 +197,21 @@
         node.members.handle(applied, self.now);
         let highest = node.highest;
         let is_confirmed = node.replica.holders(&node.members).daemons > 0;
+        let dump = serde_json::to_value(node.replica.table()).unwrap();
+        let started_us = dump["replication"]["started_at_us"].as_u64().unwrap();
+        let waited_us = self.now.since(TimeUs::new(started_us));
+        let has_waited = waited_us >= ConfigSettings::default().replicate_wait_us;
+        assert!(
+            is_confirmed || has_waited,
+            "in force before any peer held it"
+        );
         if highest.is_some_and(|highest| version < highest) {
             // The written bound: it may only happen while the store is away and every daemon
             // that holds the higher version has died with it or can't be reached.
             let holder = (0..DAEMONS).find(|other| {
                 let other_node = &self.nodes[*other];
                 *other != index
-                    && other_node.is_up
+                    && self.is_running(*other)
                     && other_node.replica.held().map(|head| head.version) >= highest
             });
             assert!(!self.is_store_up, "reverted with the store up");
@@ -201,6 +228,10 @@
         let is_here = |site: &Self, index: usize, life: u64| {
             site.nodes[index].is_up && site.lives[index] == life
         };
+        if flight.waits_for().any(|index| self.nodes[index].is_frozen) {
+            self.flights.push(flight);
+            return;
+        }
         match flight {
             Flight::Event(index, life, event) => {
                 if is_here(self, index, life) {
@@ -263,11 +294,11 @@
     fn pass(&mut self) {
         self.now = self.now + STEP_US;
         for index in 0..DAEMONS {
-            if !self.nodes[index].is_up {
+            if !self.is_running(index) {
                 continue;
             }
             for other in 0..DAEMONS {
-                if other == index || !self.nodes[other].is_up {
+                if other == index || !self.is_running(other) {
                     continue;
                 }
                 let peer = self.nodes[other].members.me().clone();
@@ -288,9 +319,10 @@
     fn settle(&mut self) {
         self.is_store_up = true;
         for index in 0..DAEMONS {
+            self.nodes[index].is_frozen = false;
             self.start(index);
         }
-        for _ in 0..80 {
+        for _ in 0..200 {
             self.pass();
             self.land_all();
         }
@@ -316,6 +348,7 @@
     Outage(bool),
     Kill(usize),
     Start(usize),
+    Freeze(usize, bool),
     Pass,
     Land(usize),
     Lose(usize),
@@ -338,6 +371,7 @@
             1 => any::<bool>().prop_map(Step::Outage),
             1 => (0..DAEMONS).prop_map(Step::Kill),
             2 => (0..DAEMONS).prop_map(Step::Start),
+            2 => (0..DAEMONS, any::<bool>()).prop_map(|(i, on)| Step::Freeze(i, on)),
             6 => Just(Step::Pass),
             16 => any::<usize>().prop_map(Step::Land),
             1 => any::<usize>().prop_map(Step::Lose),
@@ -366,6 +400,7 @@
             Step::Outage(is_away) => site.is_store_up = !is_away,
             Step::Kill(index) => site.kill(index),
             Step::Start(index) => site.start(index),
+            Step::Freeze(index, on) => site.nodes[index].is_frozen = on && site.nodes[index].is_up,
             Step::Pass => site.pass(),
             Step::Land(place) if count > 0 => {
                 let flight = site.flights.swap_remove(place % count);
@@ -406,14 +441,14 @@
 }
 
 /// Symptom: the accepted version 2 is replaced by version 1.
-/// Sequence: a daemon applies 2 and dies in an outage; it starts again while the store is away,
-/// and the first peer that answers holds 1 alone.
+/// Sequence: one daemon is paused while the others put 2 in force; the store goes away; another
+/// daemon dies and starts again, and the paused one goes on and answers it first.
 /// Cause: the first answer is taken for the highest.
 #[test]
 fn a_start_in_an_outage_takes_the_highest_version_of_the_peers() {
     let mut site = Site::new();
     site.settle();
-    site.kill(3);
+    site.nodes[3].is_frozen = true;
     site.accept();
     for _ in 0..8 {
         site.pass();
@@ -424,9 +459,18 @@
         Some(ConfigVersion::new(2))
     );
     site.is_store_up = false;
+    site.flights.clear();
     site.kill(0);
-    site.start(3);
+    site.nodes[3].is_frozen = false;
     site.start(0);
+    let is_pull_of_3 = |flight: &Flight| matches!(flight, Flight::Pull(0, _, 3, ..));
+    let first = site.flights.iter().position(is_pull_of_3).unwrap();
+    let first = site.flights.swap_remove(first);
+    site.land(first);
+    let answer = site.flights.pop().unwrap();
+    site.land(answer);
+    site.pass();
+    assert_eq!(site.nodes[0].replica.in_force(), None);
     for _ in 0..40 {
         site.pass();
         site.land_all();
