--- /dev/null
+++ b/crates/wisteriahitch-bench/src/caller/error.rs
@@ -0,0 +1,24 @@
+//! Failed calls as a caller sees them.
+
+use wisteriahitch::types::{Code, DurationUs, Meaning};
+
+/// Reports a call that brought no whole answer.
+#[derive(Clone, Debug, thiserror::Error)]
+pub enum CallError {
+    /// The system refused the request or gave it up.
+    #[error("{code} ({meaning}), come back in {retry_after_us:?}")]
+    Refused {
+        /// Numbered code.
+        code: Code,
+        /// What the refusal means.
+        meaning: Meaning,
+        /// When to come back, if that was said.
+        retry_after_us: Option<DurationUs>,
+    },
+    /// No connection could be opened, so that nothing was sent.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The connection broke, or the answer isn't one.
+    #[error("broken: {0}")]
+    Broken(String),
+}
--- a/crates/wisteriahitch-bench/src/lib.rs
+++ b/crates/wisteriahitch-bench/src/lib.rs
@@ -1,1 +1,6 @@
-//! Open-loop load and experiment tool of wisteriahitch, for development only.
+//! Open-loop load and experiment tool, for development only.
+//!
+//! It acts as a caller of daemons that a script has started, and checks every answer.
+
+pub mod caller;
+pub mod demo;
