test(wire): hold the engine and store clients against canned answers

Cause: what a failed call proves decides what a caller may be told. Change: tables of refusals, broken streams, control calls and reservations; generated event streams in any pieces with a bound on the memory held.

--- a/crates/wisteriahitch-wire/tests/all/main.rs
+++ b/crates/wisteriahitch-wire/tests/all/main.rs
@@ -4,6 +4,9 @@
 #![allow(clippy::unwrap_used)]
 
 mod canned;
+mod engine;
 mod http_client;
 mod platform;
 mod service;
+mod sse;
+mod store;
