test(site): run bookings against separate processes under failure

Cause: the promise of at most one run held in the core's tests alone. Change: a harness that starts stand-ins and daemons as processes, and three tests: a daemon dies between dispatch and answer, one key at two daemons at once, the platform away.

--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -118,12 +118,12 @@
         labels: labels(&parts.headers),
         availability_zone: Some(shared.settings.availability_zone.clone()),
     };
-    let ruling = decide(&identity, &facts)?;
+    let route = decide(&identity, &facts)?;
     let model = find_model(&identity, &body, prompt_tokens)?;
-    let adapter = ruling.route.adapter.clone().or(body.adapter);
+    let adapter = route.adapter.clone().or(body.adapter);
     Ok(CompletionCall {
         identity,
-        route: ruling.route,
+        route,
         request_id: request_id.clone(),
         arrived_us,
         model,
--- a/crates/wisteriahitch-node/src/caller/gate.rs
+++ b/crates/wisteriahitch-node/src/caller/gate.rs
@@ -4,30 +4,19 @@
 
 use http::HeaderMap;
 use wisteriahitch_config::{Action, RequestFacts, Route};
-use wisteriahitch_types::{Code, RuleName};
+use wisteriahitch_types::Code;
 
 use super::Refusal;
 use super::identity::Identity;
 
 const LABEL_PREFIX: &str = "x-label-";
 
-/// Holds what the rules decided.
-#[derive(Clone, Debug)]
-pub(crate) struct Ruling {
-    /// Rule that decided.
-    pub(crate) rule: RuleName,
-    /// How the request is served.
-    pub(crate) route: Route,
-}
-
 /// Tries the rules in their order; the first that holds decides.
-pub(crate) fn decide(identity: &Identity, facts: &RequestFacts) -> Result<Ruling, Refusal> {
+pub(crate) fn decide(identity: &Identity, facts: &RequestFacts) -> Result<Route, Refusal> {
     let rule = identity.in_force.configuration.decide(facts);
+    log::debug!("rule {} decides", rule.name);
     match &rule.then {
-        Action::Route(route) => Ok(Ruling {
-            rule: rule.name.clone(),
-            route: route.clone(),
-        }),
+        Action::Route(route) => Ok(route.clone()),
         Action::Refuse(refusal) => Err(Refusal::new(Code::RuleRefused)
             .with_message(refusal.reason.clone())
             .with_retry_after_us(refusal.retry_after_us)),
--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -11,7 +11,7 @@
 
 use super::Refusal;
 use super::body::{ResponseBody, full_body};
-use super::gate::{Ruling, decide, labels};
+use super::gate::{decide, labels};
 use super::identity::Identity;
 use super::keyed::{self, KeyedCall};
 use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
@@ -29,13 +29,13 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let facts = facts(shared, &identity, parts);
     let key = parts.headers.get(KEY_HEADER);
-    let ruling = decide(&identity, &facts).map_err(|refusal| match key {
+    let route = decide(&identity, &facts).map_err(|refusal| match key {
         // Another copy of a keyed request may be on its way to a daemon that decides otherwise,
         // so that this one can't say that the request was not run.
         Some(_) if refusal.meaning() == Meaning::NotRun => refusal.with_outcome_unknown(),
         _ => refusal,
     })?;
-    let call = build_call(&identity, &ruling, request_id, parts, body);
+    let call = build_call(&identity, route, request_id, parts, body);
     match key {
         Some(key) => {
             let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
@@ -62,7 +62,7 @@
 
 fn build_call(
     identity: &Identity,
-    ruling: &Ruling,
+    route: Route,
     request_id: &RequestId,
     parts: &Parts,
     body: Bytes,
@@ -73,7 +73,7 @@
         .map_or_else(|| "/".to_owned(), ToString::to_string);
     PlainCall {
         identity: identity.clone(),
-        route: ruling.route.clone(),
+        route,
         request_id: request_id.clone(),
         method: parts.method.clone(),
         path_and_query,
--- a/crates/wisteriahitch-node/src/observe/metrics.rs
+++ b/crates/wisteriahitch-node/src/observe/metrics.rs
@@ -3,10 +3,11 @@
 //! No label carries a workspace, so that one customer's traffic can't be read from a shared page.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 use wisteriahitch_types::{Code, DurationUs};
+use wisteriahitch_wire::platform::CallCounts;
 
 const FIRST_TOKEN_BUCKETS_S: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.6, 3.0, 6.0, 12.0,
@@ -29,8 +30,8 @@
     pub(crate) cached_tokens: IntCounter,
     /// Blocks by what became of their transfer.
     pub(crate) transfers: IntCounterVec,
-    /// Calls to the platform by kind and outcome.
-    pub(crate) platform_calls: IntCounterVec,
+    /// Calls to the platform by kind, as its client counts them.
+    platform_calls: IntGaugeVec,
     /// Streams that run now.
     pub(crate) streams: IntGauge,
     /// Configuration that is in force.
@@ -74,12 +75,7 @@
                 "Block transfers by outcome.",
                 "outcome",
             )?,
-            platform_calls: counters(
-                &registry,
-                "platform_calls_total",
-                "Platform calls by kind.",
-                "kind",
-            )?,
+            platform_calls: gauges(&registry, "platform_calls", "Platform calls.", "kind")?,
             streams: gauge(&registry, "streams", "Answers that run now.")?,
             config_version: gauge(&registry, "config_version", "Configuration in force.")?,
             first_token_s: first_token_histogram(&registry)?,
@@ -98,6 +94,20 @@
         self.first_token_s.observe(span_us.as_secs_f64());
     }
 
+    /// Takes over the counts that the platform's client keeps.
+    pub(crate) fn set_platform_calls(&self, counts: &CallCounts) {
+        let kinds = [
+            ("read", counts.reads),
+            ("write", counts.writes),
+            ("watch", counts.watches),
+            ("over_budget", counts.over_budget),
+        ];
+        for (kind, count) in kinds {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.platform_calls.with_label_values(&[kind]).set(count);
+        }
+    }
+
     /// Renders the page that is scraped.
     pub(crate) fn render(&self) -> Vec<u8> {
         let mut page = Vec::new();
@@ -129,6 +139,17 @@
     Ok(counters)
 }
 
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+) -> prometheus::Result<IntGaugeVec> {
+    let gauges = IntGaugeVec::new(Opts::new(full_name(name), help), &[label])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
     let gauge = IntGauge::new(full_name(name), help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/crates/wisteriahitch-node/src/operator/handler.rs
+++ b/crates/wisteriahitch-node/src/operator/handler.rs
@@ -38,6 +38,9 @@
         let shared = &self.shared;
         let path = parts.uri.path();
         if (&parts.method, path) == (&Method::GET, "/metrics") {
+            shared
+                .metrics
+                .set_platform_calls(&shared.outside.platform.counts());
             return Ok(Response::new(full_body(shared.metrics.render())));
         }
         self.check_key(&parts.headers)?;
--- a/crates/wisteriahitch-node/src/peering/forward.rs
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -157,10 +157,10 @@
         availability_zone: Some(shared.settings.availability_zone.clone()),
         ..RequestFacts::default()
     };
-    let ruling = decide(&identity, &facts).map_err(Refusal::with_outcome_unknown)?;
+    let route = decide(&identity, &facts).map_err(Refusal::with_outcome_unknown)?;
     Ok(PlainCall {
         identity,
-        route: ruling.route,
+        route,
         request_id: new_request_id(shared),
         method,
         path_and_query: request.path,
--- /dev/null
+++ b/crates/wisteriahitch/tests/all/harness/mod.rs
@@ -0,0 +1,12 @@
+//! Sites of separate processes: stand-ins and daemons on loopback.
+
+mod call;
+mod ports;
+mod process;
+mod site;
+mod wait;
+
+pub(crate) use call::{Answer, call, post_json};
+pub(crate) use process::Process;
+pub(crate) use site::{Site, SiteOptions};
+pub(crate) use wait::wait_until;
--- /dev/null
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -0,0 +1,11 @@
+//! Failure tests against separate processes on loopback.
+//!
+//! `scripts/test` builds the programs first; `harness` finds them beside the test binary.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "a helper of a test fails that test by panicking"
+)]
+
+mod booking;
+mod harness;
