test(standin): catch blocks and requests that a weight swap overtakes

Cause: three protections against another version's blocks could be taken out without a red test: the check when a block is stored, the version in the prefix look-up, and the second look at the models after the wait. Seen failing first: each of the three, taken out on a scratch copy, now turns a test red (an_import_that_a_swap_overtakes_is_refused, a_block_of_other_weights_is_not_used, a_request_that_waits_across_a_swap_is_refused). Change: the import waits behind another reader of the link in place of a frozen store, which let the swap begin before the import did.

--- a/crates/wisteriahitch-standin/tests/all/engine.rs
+++ b/crates/wisteriahitch-standin/tests/all/engine.rs
@@ -116,6 +116,24 @@
     }
 }
 
+#[tokio::test]
+async fn a_block_of_other_weights_is_not_used() {
+    let models = ["hist-7b@v1", "parts-3b@v2"].map(|model| model.parse().unwrap());
+    let site = Site::start_engine(EngineOptions {
+        models: models.to_vec(),
+        ..fast_engine()
+    })
+    .await;
+    site.visit("r-1", &[1]).await;
+    let other = CompletionRequest {
+        model: "parts-3b".parse().unwrap(),
+        weight_version: version("v2"),
+        ..request("r-2", &[1])
+    };
+    let (head, _) = site.complete(other).await;
+    assert_eq!(head.cached_tokens, TokenCount::ZERO);
+}
+
 #[tokio::test]
 async fn the_end_of_the_oldest_chain_goes_first() {
     let site = Site::start_engine(EngineOptions {
@@ -358,6 +376,36 @@
     assert_eq!(texts, expected_texts(&long));
 }
 
+#[tokio::test]
+async fn a_request_that_waits_across_a_swap_is_refused() {
+    let site = Site::start_engine(EngineOptions {
+        batch_slots: 1,
+        ..fast_engine()
+    })
+    .await;
+    let (_, holding) = site.start_run(endless_request("r-1")).await.unwrap();
+    let engine = site.engine.clone();
+    let address = site.engine_address();
+    let late = request("r-2", &[1]);
+    let waiting = tokio::spawn(async move {
+        let answer = engine.complete(address, late, ORDER_TIMEOUT).await;
+        answer.err().unwrap().kind()
+    });
+    eventually("the request waits", async || {
+        (site.load().await.queued == 1).then_some(())
+    })
+    .await;
+    let order = load_order("hist-7b", "v2");
+    let fence = FenceNumber::new(1);
+    let given = site.engine.order(address, fence, order, ORDER_TIMEOUT);
+    given.await.unwrap();
+    drop(holding);
+    let refused = waiting.await.unwrap();
+    assert_eq!(refused, EngineErrorKind::OtherVersion);
+    let counters = site.engine_counters().await;
+    assert!(!counters.runs.contains_key(&"r-2".parse().unwrap()));
+}
+
 #[tokio::test]
 async fn requests_that_cannot_run_are_refused_as_not_run() {
     let options = EngineOptions {
--- a/crates/wisteriahitch-standin/tests/all/transfer.rs
+++ b/crates/wisteriahitch-standin/tests/all/transfer.rs
@@ -1,5 +1,7 @@
 //! Blocks that travel between an engine and a store.
 
+use bytes::Bytes;
+use http::Request;
 use wisteriahitch_standin::engine::{EngineFault, EngineOptions};
 use wisteriahitch_standin::store::{StoreFault, StoreOptions};
 use wisteriahitch_types::{ByteCount, DurationUs, FenceNumber, Generation, TokenCount};
@@ -71,6 +73,11 @@
     imported.map_err(|error| error.kind())
 }
 
+fn path(request: &ImportRequest) -> &str {
+    let at = request.from.find("/v1").unwrap();
+    &request.from[at..]
+}
+
 /// Computes block 1, writes it to the store and has it dropped from the engine's cache.
 async fn save_and_evict(site: &Site) {
     site.visit("r-save", &[1]).await;
@@ -259,21 +266,39 @@
     // Cause: the version is checked only before the transfer.
     let site = start().await;
     save_and_evict(&site).await;
-    let request = pin(&site, 1).await;
-    site.store_fault(StoreFault::Freeze).await;
+    let (ahead, request) = (pin(&site, 1).await, pin(&site, 1).await);
+    // The import has begun and waits for the link, which another reader takes for an hour.
+    site.store_fault(StoreFault::SlowFactor(1_000_000_000))
+        .await;
+    let ahead = format!(
+        "{}?generation={}&pin={}",
+        path(&ahead),
+        ahead.generation,
+        ahead.pin
+    );
+    let ahead = Request::get(ahead).body(Bytes::new()).unwrap();
+    let patient = DurationUs::from_ms(20_000);
+    let ahead = site.http.send(site.store_address(), ahead, patient);
+    let ahead = ahead.await.unwrap();
     let engine = site.engine.clone();
     let address = site.engine_address();
     let waiting = tokio::spawn(async move { engine.import(address, request).await });
+    let is_queued = async || {
+        let report = site.store.report(site.store_address()).await.unwrap();
+        (report.link.queued_bytes.get() == 2 * BLOCK_BYTES.get()).then_some(())
+    };
+    eventually("the import waits for the link", is_queued).await;
+
     let order = Order::LoadModel {
         model: "hist-7b".parse().unwrap(),
         weight_version: version("v2"),
     };
-    let patient = DurationUs::from_ms(20_000);
     let given = site
         .engine
         .order(address, FenceNumber::new(1), order, patient);
     given.await.unwrap();
     site.store_fault(StoreFault::None).await;
+    drop(ahead);
     let error = waiting.await.unwrap().unwrap_err();
     assert_eq!(error.kind(), EngineErrorKind::OtherVersion);
     assert_eq!(site.cached_keys().await, []);
