--- a/crates/wisteriahitch-node/src/state/fleet.rs
+++ b/crates/wisteriahitch-node/src/state/fleet.rs
@@ -1,27 +1,25 @@
 //! Other daemons, and what this one tells them.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use parking_lot::Mutex;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_config::Settings;
 use wisteriahitch_core::fleet::{
-    EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipCommand,
-    MembershipEvent, MembershipSettings,
-};
-use wisteriahitch_types::{
-    ConfigVersion, DurationUs, Incarnation, TimeUs, WorkspaceId,
+    EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipSettings,
 };
+use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs, WorkspaceId};
 
+use super::drain::DrainState;
 use crate::shared::Shared;
-use crate::state::drain::DrainState;
 
 /// Holds who else is there and how far this daemon's draining has come.
 pub(crate) struct FleetState {
     /// Members as this daemon sees them.
     pub(crate) members: Mutex<Membership>,
+    /// How far draining has come.
+    pub(crate) drain: DrainState,
 }
 
 impl FleetState {
@@ -49,7 +47,11 @@
             ..MembershipSettings::default()
         };
         let rng = ChaCha8Rng::seed_from_u64(rand::random());
-        Self { members: Mutex::new(Membership::new(options, me, rng)) }
+        let members = Mutex::new(Membership::new(options, me, rng));
+        Self {
+            members,
+            drain: DrainState::default(),
+        }
     }
 }
 
@@ -57,7 +59,10 @@
     /// Returns addresses for a caller of a workspace, the best first.
     pub(crate) fn list_entries(&self, workspace: &WorkspaceId) -> Vec<EntryAddress> {
         let zone = &self.settings.availability_zone;
-        self.fleet.members.lock().entries(Some(zone), workspace, rand::random())
+        self.fleet
+            .members
+            .lock()
+            .entries(Some(zone), workspace, rand::random())
     }
 
     /// Returns where an incarnation can be asked, unless it is known to be gone.
