feat(fleet): lease the right to give orders, plan rollouts and drain

Cause: orders to endpoints need one giver at a time, rollouts need bounds, and a shutdown must cut off nobody. Change: leases (vacant, waiting, held, lapsed) whose object version is the fencing number and whose term counts from the sending of the write; an order planner with a first trial, at most rollout_parallel loads, a ready share and a way back; a drain that waits for kept answers, requests and tickets. Ruled out: letting an answer to a write that was given up count for the next one (its term would be counted from too late).

--- a/crates/wisteriahitch-core/src/fleet/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/mod.rs
@@ -1,7 +1,10 @@
 //! Daemons among each other: membership, configuration, leases, orders and draining.
 
 mod configuration;
+mod drain;
+mod leases;
 mod members;
+mod orders;
 mod rendezvous;
 
 pub use configuration::{
@@ -10,8 +13,18 @@
     SectionName, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome, SubmissionStep,
     head_watchers, is_head_watcher,
 };
+pub use drain::{Drain, DrainPhase, OpenWork};
+pub use leases::{
+    LeaseCommand, LeaseEvent, LeaseGroup, LeaseHolder, LeaseObject, LeasePhase, LeaseSettings,
+    LeaseStatus, LeaseTable, OrderGrant, WriteFailure,
+};
 pub use members::{
     EntryAddress, Member, MemberAddresses, MemberState, Membership, MembershipCommand,
     MembershipEvent, MembershipSettings, News, VmNotice,
 };
+pub use orders::{
+    Blocked, EndpointOrder, EndpointReport, ModelOnEndpoint, OrderPlanner, PlannedOrder,
+    PlannerSettings, RolloutPhase, RolloutProgress, SiteView, WantedEndpoint, WantedModel,
+    WantedState,
+};
 pub use rendezvous::Rendezvous;
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
@@ -0,0 +1,372 @@
+//! Brings endpoints to the wanted state, a few at a time.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use wisteriahitch_types::{DurationUs, EndpointId, ModelName, Share, TimeUs, WeightVersion};
+
+use super::confirmation::{Confirmation, is_done};
+use super::readiness::can_spare;
+use super::rollout::Rollout;
+use super::{
+    Blocked, EndpointOrder, EndpointReport, PlannedOrder, RolloutPhase, RolloutProgress,
+    WantedEndpoint, WantedModel, WantedState,
+};
+
+/// Holds the bounds of rollouts.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct PlannerSettings {
+    /// Different reports in a row that must show an order's effect.
+    pub wanted_reads: u32,
+    /// Failed loads of a version after which its rollout stops and goes back.
+    pub max_failures: u32,
+    /// Part of a model's endpoints that stays ready.
+    pub ready_share: Share,
+    /// Longest time from an order to its last confirmation.
+    pub confirm_us: DurationUs,
+    /// Pause after a failed order before the endpoint is given another one.
+    pub retry_us: DurationUs,
+}
+
+impl Default for PlannerSettings {
+    fn default() -> Self {
+        Self {
+            wanted_reads: 2,
+            max_failures: 2,
+            ready_share: Share::try_from(0.5).unwrap_or(Share::ONE),
+            confirm_us: DurationUs::from_ms(60_000),
+            retry_us: DurationUs::from_ms(5_000),
+        }
+    }
+}
+
+/// Holds what the planner looks at.
+#[derive(Clone, Copy, Debug)]
+pub struct SiteView<'a> {
+    /// What the configuration wants.
+    pub wanted: &'a WantedState,
+    /// What every endpoint last reported.
+    pub reports: &'a BTreeMap<EndpointId, EndpointReport>,
+    /// Endpoints that this daemon may give orders to now.
+    pub owned: &'a BTreeSet<EndpointId>,
+    /// Loads that this daemon may have under way at once.
+    pub load_slots: u32,
+}
+
+/// Plans orders, follows them, and stops a rollout that fails.
+///
+/// The shell asks the lease for a grant right before it sends a planned order, and tells the end
+/// with [`OrderPlanner::order_done`].
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct OrderPlanner {
+    settings: PlannerSettings,
+    rollouts: BTreeMap<ModelName, Rollout>,
+    running: BTreeMap<EndpointId, Confirmation>,
+    resting_until_us: BTreeMap<EndpointId, TimeUs>,
+    blocked: BTreeMap<EndpointId, (ModelName, Blocked)>,
+}
+
+impl OrderPlanner {
+    /// Starts without any rollout.
+    pub fn new(settings: PlannerSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Looks at the site and returns the orders to give now.
+    pub fn plan(&mut self, site: SiteView<'_>, now: TimeUs) -> Vec<PlannedOrder> {
+        self.follow_wanted(site);
+        self.confirm(site, now);
+        self.note_complete(site);
+        self.blocked.clear();
+        self.resting_until_us.retain(|_, until| *until > now);
+        let mut planned = Vec::new();
+        for (endpoint, wanted) in &site.wanted.endpoints {
+            if let Some(order) = self.next_order(endpoint, wanted, site) {
+                let confirmation = Confirmation::new(order.clone(), now);
+                self.running.insert(endpoint.clone(), confirmation);
+                let endpoint = endpoint.clone();
+                planned.push(PlannedOrder { endpoint, order });
+            }
+        }
+        planned
+    }
+
+    /// Notes that an order was answered (`is_good`), or failed or could not be given.
+    pub fn order_done(&mut self, endpoint: &EndpointId, is_good: bool, now: TimeUs) {
+        match self.running.get_mut(endpoint) {
+            Some(running) if is_good => running.is_answered = true,
+            Some(_) => self.fail(endpoint, now),
+            None => {}
+        }
+    }
+
+    /// Notes that an order wasn't sent, because the lease didn't allow it; no failure of its own.
+    pub fn order_withdrawn(&mut self, endpoint: &EndpointId) {
+        self.running.remove(endpoint);
+    }
+
+    /// Returns whether an endpoint's present order isn't confirmed yet; it then gets no work for a
+    /// version that it doesn't report.
+    pub fn is_changing(&self, endpoint: &EndpointId) -> bool {
+        self.running.contains_key(endpoint)
+    }
+
+    /// Returns how far every model is, for operators.
+    pub fn progress(&self, site: SiteView<'_>) -> Vec<RolloutProgress> {
+        let progress = |(model, rollout): (&ModelName, &Rollout)| RolloutProgress {
+            model: model.clone(),
+            from: rollout.from.clone(),
+            to: rollout.to.clone(),
+            phase: rollout.phase,
+            total: site.wanted.holders(model).count(),
+            done: count_at_target(model, rollout, site),
+            loading: self.loading_of(model),
+            failures: rollout.failures,
+            blocked: self.blocked_of(model),
+        };
+        self.rollouts.iter().map(progress).collect()
+    }
+
+    fn loading_of(&self, model: &ModelName) -> Vec<EndpointId> {
+        self.running
+            .iter()
+            .filter(|(_, running)| running.order.is_load() && running.order.model() == Some(model))
+            .map(|(endpoint, _)| endpoint.clone())
+            .collect()
+    }
+
+    fn blocked_of(&self, model: &ModelName) -> Vec<(EndpointId, Blocked)> {
+        self.blocked
+            .iter()
+            .filter(|(_, (of, _))| of == model)
+            .map(|(endpoint, (_, reason))| (endpoint.clone(), *reason))
+            .collect()
+    }
+
+    /// Starts a rollout for every model whose wanted version is new.
+    fn follow_wanted(&mut self, site: SiteView<'_>) {
+        let versions = site.wanted.versions();
+        self.rollouts
+            .retain(|model, _| versions.contains_key(model));
+        for (model, version) in versions {
+            let is_known = self.rollouts.get(model).is_some_and(|r| r.to == *version);
+            if !is_known {
+                let from = version_before(model, version, site);
+                let rollout = Rollout::new(from, version.clone());
+                self.rollouts.insert(model.clone(), rollout);
+            }
+        }
+        self.running
+            .retain(|endpoint, _| site.wanted.endpoints.contains_key(endpoint));
+    }
+
+    fn confirm(&mut self, site: SiteView<'_>, now: TimeUs) {
+        let (reads, confirm_us) = (self.settings.wanted_reads, self.settings.confirm_us);
+        let mut failed = Vec::new();
+        self.running.retain(|endpoint, running| {
+            let report = site.reports.get(endpoint);
+            let is_confirmed = report.is_some_and(|report| running.take(report, reads));
+            let is_late = now.since(running.started_at_us) >= confirm_us;
+            if is_late && !is_confirmed {
+                failed.push(endpoint.clone());
+            }
+            !is_confirmed
+        });
+        for endpoint in failed {
+            self.fail(&endpoint, now);
+        }
+    }
+
+    fn fail(&mut self, endpoint: &EndpointId, now: TimeUs) {
+        let Some(running) = self.running.remove(endpoint) else {
+            return;
+        };
+        let until = now + self.settings.retry_us;
+        self.resting_until_us.insert(endpoint.clone(), until);
+        let model = running.order.model().filter(|_| running.order.is_load());
+        if let Some(rollout) = model.and_then(|model| self.rollouts.get_mut(model)) {
+            rollout.fail(self.settings.max_failures);
+        }
+    }
+
+    fn note_complete(&mut self, site: SiteView<'_>) {
+        for (model, rollout) in &mut self.rollouts {
+            let total = site.wanted.holders(model).count();
+            let is_complete = count_at_target(model, rollout, site) == total;
+            rollout.note_complete(is_complete);
+        }
+    }
+
+    /// Returns the next order of an endpoint, and notes why a load has to wait.
+    fn next_order(
+        &mut self,
+        endpoint: &EndpointId,
+        wanted: &WantedEndpoint,
+        site: SiteView<'_>,
+    ) -> Option<EndpointOrder> {
+        let is_free =
+            !self.running.contains_key(endpoint) && !self.resting_until_us.contains_key(endpoint);
+        if !is_free {
+            return None;
+        }
+        let Some(report) = site.reports.get(endpoint) else {
+            self.block_all(endpoint, wanted, Blocked::NoReport);
+            return None;
+        };
+        if report.is_leaving {
+            return None;
+        }
+        let order = self.difference(wanted, report)?;
+        let reason = self.find_block(endpoint, &order, site);
+        let Some(reason) = reason else {
+            return Some(order);
+        };
+        if let Some(model) = order.model() {
+            let model = model.clone();
+            self.blocked.insert(endpoint.clone(), (model, reason));
+        }
+        None
+    }
+
+    fn block_all(&mut self, endpoint: &EndpointId, wanted: &WantedEndpoint, reason: Blocked) {
+        if let Some(first) = wanted.models.first() {
+            let entry = (first.model.clone(), reason);
+            self.blocked.insert(endpoint.clone(), entry);
+        }
+    }
+
+    /// Returns the first order that brings the endpoint nearer to the wanted state: the role, then
+    /// weights, then adapters, and last what is to be dropped.
+    fn difference(
+        &self,
+        wanted: &WantedEndpoint,
+        report: &EndpointReport,
+    ) -> Option<EndpointOrder> {
+        let role = wanted.service.to_string();
+        let set_role = EndpointOrder::SetRole { role };
+        let loads = wanted.models.iter().filter_map(|w| self.load_of(w));
+        let adapters = wanted.models.iter().flat_map(|w| adapter_orders(w, report));
+        let drops = report
+            .models
+            .iter()
+            .filter(|loaded| !wanted.models.iter().any(|w| w.model == loaded.model))
+            .map(|loaded| EndpointOrder::UnloadModel {
+                model: loaded.model.clone(),
+            });
+        let mut orders = std::iter::once(set_role)
+            .chain(loads)
+            .chain(adapters)
+            .chain(drops);
+        orders.find(|order| !is_done(order, report))
+    }
+
+    fn load_of(&self, wanted: &WantedModel) -> Option<EndpointOrder> {
+        let target = self.rollouts.get(&wanted.model)?.target()?;
+        Some(EndpointOrder::LoadModel {
+            model: wanted.model.clone(),
+            weight_version: target.clone(),
+        })
+    }
+
+    fn find_block(
+        &self,
+        endpoint: &EndpointId,
+        order: &EndpointOrder,
+        site: SiteView<'_>,
+    ) -> Option<Blocked> {
+        if !site.owned.contains(endpoint) {
+            return Some(Blocked::NoLease);
+        }
+        let model = order.model().filter(|_| order.is_load())?;
+        if self.loads_under_way(site) >= site.load_slots.min(site.wanted.rollout_parallel) {
+            return Some(Blocked::TooManyLoading);
+        }
+        if self.waits_for_first(model, site) {
+            return Some(Blocked::FirstNotConfirmed);
+        }
+        let busy: Vec<EndpointId> = self.running.keys().cloned().collect();
+        let share = self.settings.ready_share;
+        let can_go = can_spare(endpoint, model, site.wanted, site.reports, &busy, share);
+        (!can_go).then_some(Blocked::NeededForLoad)
+    }
+
+    /// Counts the loads of this daemon and those that other endpoints report.
+    fn loads_under_way(&self, site: SiteView<'_>) -> u32 {
+        let ours = self.running.values().filter(|r| r.order.is_load()).count();
+        let others = site
+            .reports
+            .iter()
+            .filter(|(id, report)| report.is_loading() && !self.running.contains_key(*id))
+            .count();
+        (ours + others) as u32
+    }
+
+    /// Returns whether the version hasn't been shown to work and one endpoint is trying it.
+    fn waits_for_first(&self, model: &ModelName, site: SiteView<'_>) -> bool {
+        let Some(rollout) = self.rollouts.get(model) else {
+            return false;
+        };
+        let is_new = rollout.phase == RolloutPhase::Running && rollout.from.is_some();
+        is_new && count_at_target(model, rollout, site) == 0 && !self.loading_of(model).is_empty()
+    }
+}
+
+fn adapter_orders(
+    wanted: &WantedModel,
+    report: &EndpointReport,
+) -> impl Iterator<Item = EndpointOrder> {
+    let model = wanted.model.clone();
+    let loaded = report.model(&model).map_or(&[][..], |m| &m.adapters[..]);
+    let missing = wanted.adapters.iter().map({
+        let model = model.clone();
+        move |adapter| EndpointOrder::LoadAdapter {
+            model: model.clone(),
+            adapter: adapter.clone(),
+        }
+    });
+    let surplus = loaded
+        .iter()
+        .filter(|adapter| !wanted.adapters.contains(adapter))
+        .map(move |adapter| EndpointOrder::UnloadAdapter {
+            model: model.clone(),
+            adapter: adapter.clone(),
+        });
+    let orders: Vec<EndpointOrder> = missing.chain(surplus).collect();
+    orders.into_iter()
+}
+
+/// Returns the version that most endpoints report and that isn't the wanted one.
+fn version_before(
+    model: &ModelName,
+    wanted: &WeightVersion,
+    site: SiteView<'_>,
+) -> Option<WeightVersion> {
+    let mut counts: BTreeMap<&WeightVersion, usize> = BTreeMap::new();
+    let reports = site
+        .wanted
+        .holders(model)
+        .filter_map(|id| site.reports.get(id));
+    for loaded in reports.filter_map(|report| report.model(model)) {
+        if loaded.weight_version != *wanted {
+            *counts.entry(&loaded.weight_version).or_default() += 1;
+        }
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(version, _)| version.clone())
+}
+
+fn count_at_target(model: &ModelName, rollout: &Rollout, site: SiteView<'_>) -> usize {
+    let Some(target) = rollout.target() else {
+        return 0;
+    };
+    let is_there = |report: &EndpointReport| {
+        report.is_ready_for(model) && report.model(model).map(|m| &m.weight_version) == Some(target)
+    };
+    site.wanted
+        .holders(model)
+        .filter(|id| site.reports.get(*id).is_some_and(is_there))
+        .count()
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/fleet/orders/readiness.rs
@@ -0,0 +1,53 @@
+//! Whether an endpoint can be spared while it loads.
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_types::{EndpointId, ModelName, Share};
+
+use super::{EndpointReport, WantedState};
+
+/// Returns whether the others carry the model's present load without this endpoint.
+///
+/// `busy` are endpoints that are given orders now; they count as not ready whatever they report,
+/// since reports lag.
+pub(super) fn can_spare(
+    endpoint: &EndpointId,
+    model: &ModelName,
+    wanted: &WantedState,
+    reports: &BTreeMap<EndpointId, EndpointReport>,
+    busy: &[EndpointId],
+    ready_share: Share,
+) -> bool {
+    let holders: Vec<&EndpointId> = wanted.holders(model).collect();
+    let is_ready = |id: &EndpointId| {
+        let report = reports.get(id);
+        report.is_some_and(|r| r.is_ready_for(model)) && !busy.contains(id)
+    };
+    if !is_ready(endpoint) {
+        return true;
+    }
+    let others = || holders.iter().filter(|id| **id != endpoint);
+    if holders.len() == 1 {
+        // Nobody can stand in for the only one: it is taken while it has nothing to do.
+        return reports.get(endpoint).is_some_and(|r| r.open_requests == 0);
+    }
+    let ready_others = others().filter(|id| is_ready(id)).count();
+    let by_share = (ready_share.get() * holders.len() as f64).floor() as usize;
+    let needed = by_share.max(1).max(needed_for_load(&holders, reports));
+    ready_others >= needed.min(holders.len() - 1)
+}
+
+/// Returns how many endpoints the requests that run or wait now would fill.
+fn needed_for_load(
+    holders: &[&EndpointId],
+    reports: &BTreeMap<EndpointId, EndpointReport>,
+) -> usize {
+    let known = || holders.iter().filter_map(|id| reports.get(*id));
+    let open: u64 = known().map(|report| report.open_requests).sum();
+    let slots: u64 = known().map(|report| report.batch_slots).sum();
+    let count = known().count() as u64;
+    if slots == 0 || count == 0 {
+        return 0;
+    }
+    (open * count).div_ceil(slots) as usize
+}
