--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -4,7 +4,10 @@
 
 mod fleet;
 mod fleet_configuration;
+mod fleet_drain;
+mod fleet_leases;
 mod fleet_membership;
+mod fleet_orders;
 mod fleet_submission;
 mod once_claim;
 mod once_model;
