feat(orders): give orders under a lease of the platform, and drain by the core's state machine

Cause: rollouts had a plan but nobody carried it out. Change: one lease for the site's orders, planning each 200 ms, read-back of reports; draining waits for running streams and for entries that name it.

--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -50,6 +50,8 @@
     let (sender, mut pieces) = mpsc::channel(PIECE_BUFFER);
     let task_shared = Arc::clone(shared);
     tokio::spawn(async move {
+        // The answer's head is sent long before its end; draining waits for the end.
+        let _accepted = task_shared.accept();
         task_shared.metrics.streams.inc();
         completion_run::run(&task_shared, &call, &sender).await;
         task_shared.metrics.streams.dec();
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -9,7 +9,7 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_config::Settings;
-use wisteriahitch_core::fleet::ConfigEvent;
+use wisteriahitch_core::fleet::{ConfigEvent, LeaseHolder};
 use wisteriahitch_core::once::ClaimHolder;
 use wisteriahitch_core::route::{CostPolicy, Router};
 use wisteriahitch_peer::{PeerClient, serve_peers};
@@ -25,6 +25,7 @@
 use crate::config::ConfigState;
 use crate::observe::Metrics;
 use crate::operator::OperatorHandler;
+use crate::orders::{OrderState, run_orders};
 use crate::peering::{PeerSide, run_membership};
 use crate::server::{ConnectionLimits, serve};
 use crate::shared::{Outside, Shared};
@@ -61,6 +62,10 @@
             incarnation,
             address: settings.listen.peers,
         };
+        let lease_holder = LeaseHolder {
+            daemon: settings.id.clone(),
+            incarnation,
+        };
         let shared = Shared {
             incarnation,
             clock: Clock::new(),
@@ -75,6 +80,7 @@
             resume: ResumeState::new(),
             admission: AdmissionState::new(FIRST_RETRY_SHARE),
             config: ConfigState::new(),
+            orders: OrderState::new(lease_holder),
             fleet: FleetState::new(&settings, incarnation),
             metrics: Metrics::new().context("the metrics can't be registered")?,
             stop: CancellationToken::new(),
@@ -108,6 +114,7 @@
         tasks.spawn(task::run_endpoints(Arc::clone(&shared)));
         tasks.spawn(task::run_stores(Arc::clone(&shared)));
         tasks.spawn(task::run_vm_list(Arc::clone(&shared)));
+        tasks.spawn(run_orders(Arc::clone(&shared)));
         tasks.spawn(run_membership(Arc::clone(&shared)));
         tasks.spawn(serve_peer_side(Arc::clone(&shared), peers));
         let operator_side = Arc::new(OperatorHandler::new(Arc::clone(&shared)));
--- a/crates/wisteriahitch-node/src/lib.rs
+++ b/crates/wisteriahitch-node/src/lib.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod observe;
 mod operator;
+mod orders;
 mod peering;
 mod server;
 mod shared;
--- a/crates/wisteriahitch-node/src/operator/dump.rs
+++ b/crates/wisteriahitch-node/src/operator/dump.rs
@@ -21,6 +21,7 @@
         "admission": shared.admission.snapshot(),
         "once": shared.once.lock().table.snapshot(),
         "members": *shared.fleet.members.lock(),
+        "orders": shared.orders.snapshot(),
         "platform_calls": shared.outside.platform.counts(),
         "config": *shared.config.replica.lock().table(),
     })
--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -95,5 +95,7 @@
             }
         }
     }
-    json!({ "done": done, "pending": pending })
+    drop(router);
+    let progress = shared.orders.progress.lock();
+    json!({ "done": done, "pending": pending, "progress": *progress })
 }
--- /dev/null
+++ b/crates/wisteriahitch-node/src/orders/planning.rs
@@ -0,0 +1,136 @@
+//! Planning orders and giving them.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriahitch_core::fleet::{
+    EndpointOrder, LeaseEvent, OrderGrant, PlannedOrder, SiteView, WantedState,
+};
+use wisteriahitch_types::EndpointId;
+use wisteriahitch_wire::engine::{EngineErrorKind, Order};
+
+use super::OrderState;
+use crate::shared::{InForce, Shared};
+
+/// Time between two looks at what is to be ordered.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Holds leases and gives orders until the process stops.
+pub(crate) async fn run_orders(shared: Arc<Shared>) {
+    let mut ticks = tokio::time::interval(PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        if let Some(in_force) = shared.in_force.load_full() {
+            shared.orders.leases.lock().want([OrderState::group()]);
+            shared.step_leases(LeaseEvent::Tick);
+            plan(&shared, &in_force);
+        }
+    }
+}
+
+fn plan(shared: &Arc<Shared>, in_force: &InForce) {
+    let now = shared.clock.now();
+    let wanted = WantedState::from_configuration(&in_force.configuration);
+    let is_held = shared
+        .orders
+        .leases
+        .lock()
+        .held()
+        .any(|group| *group == OrderState::group());
+    let owned: BTreeSet<EndpointId> = match is_held {
+        true => wanted.endpoints.keys().cloned().collect(),
+        false => BTreeSet::new(),
+    };
+    let load_slots = if is_held { wanted.rollout_parallel } else { 0 };
+    let planned = {
+        let reports = shared.orders.reports.lock();
+        let view = SiteView {
+            wanted: &wanted,
+            reports: &reports,
+            owned: &owned,
+            load_slots,
+        };
+        let mut planner = shared.orders.planner.lock();
+        let planned = planner.plan(view, now);
+        *shared.orders.progress.lock() = planner.progress(view);
+        planned
+    };
+    for order in planned {
+        give(shared, order);
+    }
+}
+
+/// Gives an order if the lease still allows it right now.
+fn give(shared: &Arc<Shared>, planned: PlannedOrder) {
+    let now = shared.clock.now();
+    let grant = shared
+        .orders
+        .leases
+        .lock()
+        .try_order(&OrderState::group(), now);
+    match grant {
+        Ok(grant) => {
+            tokio::spawn(send(Arc::clone(shared), planned, grant));
+        }
+        Err(code) => {
+            log::debug!("{code} no order to {}", planned.endpoint);
+            shared
+                .orders
+                .planner
+                .lock()
+                .order_withdrawn(&planned.endpoint);
+        }
+    }
+}
+
+async fn send(shared: Arc<Shared>, planned: PlannedOrder, grant: OrderGrant) {
+    let PlannedOrder { endpoint, order } = planned;
+    log::info!("order to {endpoint} under {}: {order:?}", grant.fence);
+    let result = match shared.endpoint_address(&endpoint) {
+        Some(address) => {
+            let order = wire_order(order);
+            shared
+                .outside
+                .engine
+                .order(address, grant.fence, order, grant.timeout_us)
+                .await
+        }
+        None => Ok(()),
+    };
+    if let Err(error) = &result {
+        log::warn!("{} order to {endpoint} failed: {error}", error.code());
+    }
+    // One that timed out may still take effect: what the endpoint reports then decides.
+    let is_good = match &result {
+        Ok(()) => true,
+        Err(error) => error.kind() == EngineErrorKind::Timeout,
+    };
+    let now = shared.clock.now();
+    shared
+        .orders
+        .planner
+        .lock()
+        .order_done(&endpoint, is_good, now);
+    shared.step_leases(LeaseEvent::OrderDone(OrderState::group()));
+}
+
+fn wire_order(order: EndpointOrder) -> Order {
+    match order {
+        EndpointOrder::LoadModel {
+            model,
+            weight_version,
+        } => Order::LoadModel {
+            model,
+            weight_version,
+        },
+        EndpointOrder::UnloadModel { model } => Order::UnloadModel { model },
+        EndpointOrder::LoadAdapter { model, adapter } => Order::LoadAdapter { model, adapter },
+        EndpointOrder::UnloadAdapter { model, adapter } => Order::UnloadAdapter { model, adapter },
+        EndpointOrder::SetRole { role } => Order::SetRole { role },
+    }
+}
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::config::ConfigState;
 use crate::observe::Metrics;
+use crate::orders::OrderState;
 use crate::state::{AdmissionState, FleetState, OnceState, ResumeState, TierState};
 
 /// Holds the configuration that is in force.
@@ -47,8 +48,8 @@
 /// Holds a daemon's tables, each behind its own lock.
 ///
 /// Locks are held only for a step of a table, never across a wait. Where two are needed, `router`
-/// is taken before `tiers`, and the replica of `config` before the members; no other pair is held
-/// at once.
+/// is taken before `tiers`, and the replica of `config` before the members, and the members
+/// before the leases; no other pair is held at once.
 pub(crate) struct Shared {
     /// Settings of this daemon.
     pub(crate) settings: Settings,
@@ -72,6 +73,8 @@
     pub(crate) admission: AdmissionState,
     /// Versions of the configuration.
     pub(crate) config: ConfigState,
+    /// Orders to endpoints.
+    pub(crate) orders: OrderState,
     /// Other daemons and draining.
     pub(crate) fleet: FleetState,
     /// Counters.
--- a/crates/wisteriahitch-node/src/state/drain.rs
+++ b/crates/wisteriahitch-node/src/state/drain.rs
@@ -4,23 +4,19 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use parking_lot::Mutex;
-use wisteriahitch_core::fleet::MembershipEvent;
-use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_core::fleet::{Drain, DrainPhase, MembershipEvent, OpenWork};
+use wisteriahitch_types::DurationUs;
 
 use crate::shared::Shared;
 
+/// How long other daemons may go on naming this one before the news of its draining is everywhere.
+const SPREAD_US: DurationUs = DurationUs::from_ms(2_000);
+
 /// Holds how far this daemon's draining has come.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(crate) struct DrainState {
     accepted: AtomicU64,
-    inner: Mutex<Inner>,
-}
-
-#[derive(Debug, Default)]
-struct Inner {
-    is_draining: bool,
-    /// When the last answer that named this daemon runs out.
-    named_until_us: TimeUs,
+    drain: Mutex<Drain>,
 }
 
 /// Counts a request as accepted until it is dropped.
@@ -39,7 +35,7 @@
 }
 
 impl Shared {
-    /// Counts a request that a draining daemon waits for.
+    /// Counts a request that a draining daemon waits for, until its whole answer is sent.
     pub(crate) fn accept(self: &Arc<Self>) -> Accepted {
         self.fleet.drain.accepted.fetch_add(1, Ordering::AcqRel);
         Accepted {
@@ -49,25 +45,18 @@
 
     /// Returns whether this daemon is leaving.
     pub(crate) fn is_draining(&self) -> bool {
-        self.fleet.drain.inner.lock().is_draining
+        self.fleet.drain.drain.lock().phase() != DrainPhase::Serving
     }
 
     /// Starts to drain; a second call changes nothing.
     pub(crate) fn start_drain(self: &Arc<Self>) {
-        let now = self.clock.now();
-        let ttl_us = self
-            .in_force
-            .load_full()
-            .map_or(DurationUs::ZERO, |c| c.configuration.limits.entries_ttl_us);
-        {
-            let mut inner = self.fleet.drain.inner.lock();
-            if inner.is_draining {
-                return;
-            }
-            inner.is_draining = true;
-            // Other daemons may have named this one until they hear of the draining.
-            inner.named_until_us = now + ttl_us;
+        if self.is_draining() {
+            return;
         }
+        let now = self.clock.now();
+        let in_force = self.in_force.load_full();
+        let ttl_us = in_force.map_or(DurationUs::ZERO, |c| c.configuration.limits.entries_ttl_us);
+        self.fleet.drain.drain.lock().start(now, ttl_us + SPREAD_US);
         self.once.lock().issuer.stop();
         self.step_members(MembershipEvent::Drain);
         log::info!("draining");
@@ -75,19 +64,21 @@
 
     /// Ends the process once nothing would be cut off.
     pub(crate) fn tick_drain(self: &Arc<Self>) {
-        let now = self.clock.now();
-        let inner = self.fleet.drain.inner.lock();
-        if !inner.is_draining || now < inner.named_until_us {
+        if !self.is_draining() {
             return;
         }
-        drop(inner);
-        let is_accepting = self.fleet.drain.accepted.load(Ordering::Acquire) > 0;
-        let once = self.once.lock();
-        if is_accepting || once.issuer.has_live_tickets(now) || once.table.under_way() > 0 {
-            return;
+        let now = self.clock.now();
+        let work = {
+            let once = self.once.lock();
+            let under_way = once.table.under_way() as u64;
+            OpenWork {
+                requests: self.fleet.drain.accepted.load(Ordering::Acquire) + under_way,
+                tickets: u64::from(once.issuer.has_live_tickets(now)),
+            }
+        };
+        if self.fleet.drain.drain.lock().tick(now, work) == DrainPhase::Drained {
+            log::info!("drained");
+            self.stop.cancel();
         }
-        drop(once);
-        log::info!("drained");
-        self.stop.cancel();
     }
 }
--- a/crates/wisteriahitch-node/src/task/endpoints.rs
+++ b/crates/wisteriahitch-node/src/task/endpoints.rs
@@ -66,6 +66,7 @@
     let Ok(report) = shared.outside.engine.load(endpoint.address).await else {
         return;
     };
+    shared.orders.note_report(&endpoint.id, &report);
     follow_cache(&shared, &endpoint, &places).await;
     let life = places
         .lock()
