fix(dispatch): say outcome unknown once an attempt may have run

Cause: after a failed attempt the next choice found no endpoint, and its refusal said not run although bytes had left; a skipped position ended as an internal error. Ruled out: the engine stand-in's counters, which showed the request had run. Change: a request remembers that an attempt may have run; all its later refusals say so. After every endpoint was tried, any may be tried again.

--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -46,6 +46,8 @@
     CallerGone,
     /// The endpoint failed.
     Failed(EngineError),
+    /// The answer can't become whole any more.
+    Incomplete(Code),
 }
 
 /// Follows one completion through its attempts.
@@ -57,6 +59,8 @@
     /// Endpoints that this request isn't tried at again.
     tried: Vec<EndpointId>,
     has_sent_head: bool,
+    /// Whether some attempt may have run, so that `not run` would no longer be true.
+    may_have_run: bool,
 }
 
 /// Holds where and how an attempt runs.
@@ -112,10 +116,15 @@
         check,
         tried: Vec::new(),
         has_sent_head: false,
+        may_have_run: false,
     };
     let result = run.follow_attempts(first).await;
     run.count_dropped();
-    result
+    // Whatever ends the request now, an endpoint may have run it before.
+    match run.may_have_run {
+        true => result.map_err(Refusal::with_outcome_unknown),
+        false => result,
+    }
 }
 
 /// Chooses endpoint and weight version; of two versions in use during a rollout the faster one.
@@ -196,6 +205,10 @@
                     return Ok(());
                 }
                 Ended::Failed(error) => plan = self.plan_next(plan, &error)?,
+                Ended::Incomplete(code) => {
+                    self.may_have_run = true;
+                    return Err(Refusal::new(code).with_retry_after_us(RETRY_AFTER_US));
+                }
             }
         }
     }
@@ -289,9 +302,7 @@
             match verdict {
                 TokenVerdict::Pass | TokenVerdict::PassLast => {}
                 TokenVerdict::Drop(_) => continue,
-                TokenVerdict::Incomplete(_) => {
-                    return failed(EngineErrorKind::Nonsense, "a token is missing");
-                }
+                TokenVerdict::Incomplete(code) => return Ended::Incomplete(code),
             }
             wait_us = TOKEN_STALL_US;
             if self.pass_on(flight, &head, token).await.is_err() {
@@ -358,6 +369,7 @@
             Ended::Whole => "answered",
             Ended::CallerGone => "caller_gone",
             Ended::Failed(error) => outcome(error.kind()),
+            Ended::Incomplete(_) => "incomplete",
         };
         self.shared
             .metrics
@@ -380,6 +392,10 @@
                 self.keep_for_resumption(plan);
                 self.shared.cancel_at(address, &self.call.request_id);
             }
+            Ended::Incomplete(_) => {
+                flight.failed(FlightFailure::Broken);
+                self.shared.cancel_at(address, &self.call.request_id);
+            }
             Ended::Failed(error) => {
                 flight.failed(failure(error.kind()));
                 let may_still_run = !error.is_not_run();
@@ -413,6 +429,7 @@
             self.call.request_id,
             self.check.attempt(),
         );
+        self.may_have_run |= !error.is_not_run();
         let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
         // Where nothing has reached the caller, another endpoint may well do better than the one
         // that just failed; only an answer that has begun depends on its own endpoint.
@@ -436,7 +453,7 @@
             }),
             Some(BreakDecision::RestartInvisible { .. }) => {
                 self.tried.push(endpoint);
-                let next = plan(self.shared, self.call, &self.tried)?;
+                let next = self.plan_elsewhere()?;
                 self.check
                     .moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
                 Ok(next)
@@ -448,6 +465,12 @@
         }
     }
 
+    /// Plans at an endpoint that wasn't tried yet or, where there is none, at any.
+    fn plan_elsewhere(&self) -> Result<Plan, Refusal> {
+        let elsewhere = plan(self.shared, self.call, &self.tried);
+        elsewhere.or_else(|_| plan(self.shared, self.call, &[]))
+    }
+
     fn count_dropped(&self) {
         for (reason, count) in self.check.dropped().iter() {
             let label = reason.to_string();
--- a/crates/wisteriahitch-node/src/dispatch/plain_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -69,8 +69,15 @@
         .await?;
     let mut permission = Some(may_send);
     let mut tried: Vec<EndpointId> = Vec::new();
+    let mut may_have_run = false;
     loop {
-        let endpoint = choose(shared, call, &tried)?;
+        let chosen = choose(shared, call, &tried);
+        // An endpoint that was tried before may have run the call, and then the refusal of the
+        // next choice can't say that it was not run.
+        let endpoint = match may_have_run {
+            true => chosen.map_err(Refusal::with_outcome_unknown)?,
+            false => chosen?,
+        };
         if permission.take().is_some_and(|may_send| !may_send()) {
             return Err(Refusal::new(Code::KeyRefused));
         }
@@ -79,9 +86,14 @@
             Err(error) => error,
         };
         tried.push(endpoint);
+        may_have_run |= !error.is_not_run();
         let is_last = tried.len() >= MAX_ATTEMPTS;
         if is_last || !may_try_again(shared, mode, &error) {
-            return Err(Refusal::new(error.code()).with_retry_after_us(RETRY_AFTER_US));
+            let refusal = Refusal::new(error.code()).with_retry_after_us(RETRY_AFTER_US);
+            return match may_have_run {
+                true => Err(refusal.with_outcome_unknown()),
+                false => Err(refusal),
+            };
         }
     }
 }
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -8,4 +8,8 @@
 )]
 
 mod booking;
+mod configuration;
+mod drain;
 mod harness;
+mod stream;
+mod weights;
