--- a/crates/wisteriahitch-config/tests/all/contradictions.rs
+++ b/crates/wisteriahitch-config/tests/all/contradictions.rs
@@ -32,47 +32,16 @@
     }
 }
 
+#[rustfmt::skip]
 const CASES: &[Case] = &[
-    case(
-        "when = { models = [\"hist-7b\"], adapters = [\"tag\"] }\nthen.route.service = \"assistant\"",
-        Code::ConfigContradiction,
-        "none of the models has the adapter tag",
-    ),
-    case(
-        "when = { models = [\"tag-1b\"] }\nthen.route.service = \"assistant\"",
-        Code::ConfigContradiction,
-        "the service assistant does not hold the model tag-1b",
-    ),
-    case(
-        "when.stream = true\nthen.route = { service = \"assistant\", adapter = \"tag\" }",
-        Code::ConfigContradiction,
-        "no model of the service assistant has the adapter tag",
-    ),
-    case(
-        "when.stream = true\nthen.route = { service = \"assistant\", adapter = \"tags\" }",
-        Code::ConfigUnknownName,
-        "no adapter is named \"tags\"; did you mean \"tag\"?",
-    ),
-    case(
-        "when.adapters = [\"part\"]\nthen.route.service = \"assistant\"",
-        Code::ConfigUnknownName,
-        "no adapter is named \"part\"; did you mean \"parts\"?",
-    ),
-    case(
-        "when.adapters = [\"parts\"]\nthen.route.service = \"till\"",
-        Code::ConfigContradiction,
-        "the rule asks for parts of a completion, but the service till is a plain one",
-    ),
-    case(
-        "when = { stream = true, path_prefixes = [\"/stock\"] }\nthen.refuse.reason = \"no\"",
-        Code::ConfigContradiction,
-        "leaves out POST /v1/completions",
-    ),
-    case(
-        "when = { availability_zones = [\"colombo-c\"] }\nthen.refuse.reason = \"no\"",
-        Code::ConfigUnknownName,
-        "no availability zone is named \"colombo-c\"",
-    ),
+    case("when = { models = [\"hist-7b\"], adapters = [\"tag\"] }\nthen.route.service = \"assistant\"", Code::ConfigContradiction, "none of the models has the adapter tag"),
+    case("when = { models = [\"tag-1b\"] }\nthen.route.service = \"assistant\"", Code::ConfigContradiction, "the service assistant does not hold the model tag-1b"),
+    case("when.stream = true\nthen.route = { service = \"assistant\", adapter = \"tag\" }", Code::ConfigContradiction, "no model of the service assistant has the adapter tag"),
+    case("when.stream = true\nthen.route = { service = \"assistant\", adapter = \"tags\" }", Code::ConfigUnknownName, "no adapter is named \"tags\"; did you mean \"tag\"?"),
+    case("when.adapters = [\"part\"]\nthen.route.service = \"assistant\"", Code::ConfigUnknownName, "no adapter is named \"part\"; did you mean \"parts\"?"),
+    case("when.adapters = [\"parts\"]\nthen.route.service = \"till\"", Code::ConfigContradiction, "the rule asks for parts of a completion, but the service till is a plain one"),
+    case("when = { stream = true, path_prefixes = [\"/stock\"] }\nthen.refuse.reason = \"no\"", Code::ConfigContradiction, "leaves out POST /v1/completions"),
+    case("when = { availability_zones = [\"colombo-c\"] }\nthen.refuse.reason = \"no\"", Code::ConfigUnknownName, "no availability zone is named \"colombo-c\""),
 ];
 
 #[test]
--- a/crates/wisteriahitch-config/tests/all/settings.rs
+++ b/crates/wisteriahitch-config/tests/all/settings.rs
@@ -111,50 +111,16 @@
     }
 }
 
+#[rustfmt::skip]
 const CASES: &[Case] = &[
     case("id = \"entry-1\"\n", "", Code::ConfigMissingKey, "#"),
-    case(
-        "peers = \"127.0.0.1:7002\"\n",
-        "",
-        Code::ConfigMissingKey,
-        "[listen]",
-    ),
-    case(
-        "peers = \"127.0.0.1:7002\"",
-        "peers = \"127.0.0.1:7001\"",
-        Code::ConfigDuplicateName,
-        "peers = \"127.0.0.1:7001\"",
-    ),
-    case(
-        "addresses = [\"127.0.0.1:7000\"]",
-        "addresses = [\"127.0.0.1:7003\"]",
-        Code::ConfigDuplicateName,
-        "addresses = ",
-    ),
-    case(
-        "seeds = [\"127.0.0.1:7002\"",
-        "seeds = [\"127.0.0.1:7001\"",
-        Code::ConfigContradiction,
-        "seeds = ",
-    ),
-    case(
-        "key_hashes = [\"c3",
-        "key_hashes = [\"+3",
-        Code::ConfigBadValue,
-        "key_hashes = ",
-    ),
-    case(
-        "body_timeout_s = 30",
-        "body_timeout_s = 4",
-        Code::ConfigContradiction,
-        "[limits]",
-    ),
-    case(
-        "answer_bytes = 524_288",
-        "answer_bytes = 900_000",
-        Code::ConfigBadValue,
-        "answer_bytes",
-    ),
+    case("peers = \"127.0.0.1:7002\"\n", "", Code::ConfigMissingKey, "[listen]"),
+    case("peers = \"127.0.0.1:7002\"", "peers = \"127.0.0.1:7001\"", Code::ConfigDuplicateName, "peers = \"127.0.0.1:7001\""),
+    case("addresses = [\"127.0.0.1:7000\"]", "addresses = [\"127.0.0.1:7003\"]", Code::ConfigDuplicateName, "addresses = "),
+    case("seeds = [\"127.0.0.1:7002\"", "seeds = [\"127.0.0.1:7001\"", Code::ConfigContradiction, "seeds = "),
+    case("key_hashes = [\"c3", "key_hashes = [\"+3", Code::ConfigBadValue, "key_hashes = "),
+    case("body_timeout_s = 30", "body_timeout_s = 4", Code::ConfigContradiction, "[limits]"),
+    case("answer_bytes = 524_288", "answer_bytes = 900_000", Code::ConfigBadValue, "answer_bytes"),
     case("cores = 2", "core = 2", Code::ConfigUnknownKey, "core = 2"),
     case("[run]", "[runs]", Code::ConfigUnknownKey, "[runs]"),
     case("[run]", "[log]", Code::ConfigSyntax, "[log]\ncores"),
--- a/crates/wisteriahitch-config/tests/all/shadow.rs
+++ b/crates/wisteriahitch-config/tests/all/shadow.rs
@@ -138,86 +138,27 @@
     }
 }
 
+#[rustfmt::skip]
 const CASES: &[Case] = &[
     case("{}", "{ methods = [\"GET\"] }", true),
     case("{ methods = [\"GET\"] }", "{ methods = [\"GET\"] }", true),
-    case(
-        "{ methods = [\"GET\", \"PUT\"] }",
-        "{ methods = [\"PUT\"] }",
-        true,
-    ),
-    case(
-        "{ methods = [\"GET\"] }",
-        "{ methods = [\"GET\", \"PUT\"] }",
-        false,
-    ),
-    case(
-        "{ path_prefixes = [\"/a\"] }",
-        "{ path_prefixes = [\"/a/b\"] }",
-        true,
-    ),
-    case(
-        "{ path_prefixes = [\"/a\"] }",
-        "{ path_prefixes = [\"/ab\"] }",
-        false,
-    ),
-    case(
-        "{ path_prefixes = [\"/a/\"] }",
-        "{ path_prefixes = [\"/a\"] }",
-        false,
-    ),
-    case(
-        "{ workspaces = [\"w2\", \"w1\"] }",
-        "{ workspaces = [\"w1\"] }",
-        true,
-    ),
-    case(
-        "{ workspaces = [\"w1\"] }",
-        "{ workspaces = [\"w1\", \"w2\"] }",
-        false,
-    ),
-    case(
-        "{ workspaces = [\"w1\"] }",
-        "{ methods = [\"GET\"] }",
-        false,
-    ),
-    case(
-        "{ min_prompt_tokens = 3 }",
-        "{ min_prompt_tokens = 4 }",
-        true,
-    ),
-    case(
-        "{ min_prompt_tokens = 4 }",
-        "{ min_prompt_tokens = 3 }",
-        false,
-    ),
-    case(
-        "{ max_prompt_tokens = 4 }",
-        "{ max_prompt_tokens = 3 }",
-        true,
-    ),
-    case(
-        "{ max_prompt_tokens = 3 }",
-        "{ max_prompt_tokens = 4 }",
-        false,
-    ),
-    case(
-        "{ stream = true }",
-        "{ stream = true, methods = [\"POST\"] }",
-        true,
-    ),
+    case("{ methods = [\"GET\", \"PUT\"] }", "{ methods = [\"PUT\"] }", true),
+    case("{ methods = [\"GET\"] }", "{ methods = [\"GET\", \"PUT\"] }", false),
+    case("{ path_prefixes = [\"/a\"] }", "{ path_prefixes = [\"/a/b\"] }", true),
+    case("{ path_prefixes = [\"/a\"] }", "{ path_prefixes = [\"/ab\"] }", false),
+    case("{ path_prefixes = [\"/a/\"] }", "{ path_prefixes = [\"/a\"] }", false),
+    case("{ workspaces = [\"w2\", \"w1\"] }", "{ workspaces = [\"w1\"] }", true),
+    case("{ workspaces = [\"w1\"] }", "{ workspaces = [\"w1\", \"w2\"] }", false),
+    case("{ workspaces = [\"w1\"] }", "{ methods = [\"GET\"] }", false),
+    case("{ min_prompt_tokens = 3 }", "{ min_prompt_tokens = 4 }", true),
+    case("{ min_prompt_tokens = 4 }", "{ min_prompt_tokens = 3 }", false),
+    case("{ max_prompt_tokens = 4 }", "{ max_prompt_tokens = 3 }", true),
+    case("{ max_prompt_tokens = 3 }", "{ max_prompt_tokens = 4 }", false),
+    case("{ stream = true }", "{ stream = true, methods = [\"POST\"] }", true),
     case("{ stream = true }", "{ stream = false }", false),
-    case(
-        "{ labels.x = \"1\" }",
-        "{ labels.x = \"1\", labels.y = \"1\" }",
-        true,
-    ),
+    case("{ labels.x = \"1\" }", "{ labels.x = \"1\", labels.y = \"1\" }", true),
     case("{ labels.x = \"1\" }", "{ labels.x = \"2\" }", false),
-    case(
-        "{ availability_zones = [\"a\"] }",
-        "{ availability_zones = [\"b\"] }",
-        false,
-    ),
+    case("{ availability_zones = [\"a\"] }", "{ availability_zones = [\"b\"] }", false),
 ];
 
 #[test]
