refactor(config): part the large files by job

Cause: the table reader, the sections and the settings' reader had grown beyond one job.

Change: numbers and spans, checks of a submission and checks of addresses stand by themselves; no behaviour changes.

--- a/crates/wisteriahitch-config/src/read/mod.rs
+++ b/crates/wisteriahitch-config/src/read/mod.rs
@@ -4,6 +4,7 @@
 mod place;
 mod problem_log;
 mod source;
+mod table_numbers;
 mod table_reader;
 mod value;
 
@@ -11,5 +12,6 @@
 pub(crate) use place::{Place, Placed};
 pub(crate) use problem_log::ProblemLog;
 pub(crate) use source::Source;
-pub(crate) use table_reader::{DurationKeys, TableReader, duration_keys};
+pub(crate) use table_numbers::{DurationKeys, duration_keys};
+pub(crate) use table_reader::TableReader;
 pub(crate) use value::FromValue;
--- a/crates/wisteriahitch-config/src/read/table_reader.rs
+++ b/crates/wisteriahitch-config/src/read/table_reader.rs
@@ -2,18 +2,15 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::ops::RangeInclusive;
 
 use serde_spanned::Spanned;
 use toml::de::{DeString, DeTable, DeValue};
-use wisteriahitch_types::{Code, DurationUs};
+use wisteriahitch_types::Code;
 
 use super::name_hint::nearest;
-use super::value::{whole_number, wrong_type};
+use super::value::wrong_type;
 use super::{FromValue, Place, Placed, ProblemLog};
 
-const MS_PER_S: u64 = 1_000;
-
 /// Reads the keys of one table; each fault goes to the log, and [`TableReader::finish`] reports
 /// the keys that nobody asked for.
 pub(crate) struct TableReader<'r, 'i> {
@@ -120,61 +117,6 @@
         self.list(key)
     }
 
-    /// Reads a whole number that may be missing.
-    pub(crate) fn number(&self, key: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
-        let value = self.get(key)?;
-        let found = match whole_number(value.get_ref()) {
-            Ok(found) => found,
-            Err(message) => {
-                self.fault(Code::ConfigBadValue, key, message);
-                return None;
-            }
-        };
-        match u64::try_from(found) {
-            Ok(number) if range.contains(&number) => Some(number),
-            _ => {
-                let (low, high) = (range.start(), range.end());
-                let message = format!("must be from {low} to {high}, found {found}");
-                self.fault(Code::ConfigBadValue, key, message);
-                None
-            }
-        }
-    }
-
-    /// Reads a whole number that must be there.
-    pub(crate) fn required_number(
-        &self,
-        key: &'static str,
-        range: RangeInclusive<u64>,
-    ) -> Option<u64> {
-        self.expect(key);
-        self.number(key, range)
-    }
-
-    /// Reads a small whole number that may be missing.
-    pub(crate) fn small(&self, key: &'static str, range: RangeInclusive<u32>) -> Option<u32> {
-        let range = u64::from(*range.start())..=u64::from(*range.end());
-        self.number(key, range)
-            .and_then(|number| u32::try_from(number).ok())
-    }
-
-    /// Reads a span that is given in milliseconds or in seconds, under a key with that unit.
-    pub(crate) fn duration(
-        &self,
-        keys: DurationKeys,
-        range_ms: RangeInclusive<u64>,
-    ) -> Option<DurationUs> {
-        let (low, high) = (*range_ms.start(), *range_ms.end());
-        if self.has(keys.ms) && self.has(keys.s) {
-            let message = format!("`{}` and `{}` are both given", keys.ms, keys.s);
-            self.fault(Code::ConfigContradiction, keys.s, message);
-        }
-        let in_ms = self.number(keys.ms, range_ms);
-        let range_s = low.div_ceil(MS_PER_S)..=high / MS_PER_S;
-        let in_s = self.number(keys.s, range_s).map(|s| s * MS_PER_S);
-        in_ms.or(in_s).map(DurationUs::from_ms)
-    }
-
     /// Opens a table that may be missing.
     pub(crate) fn table(&self, key: &'static str) -> Option<TableReader<'r, 'i>> {
         let value = self.get(key)?;
@@ -239,7 +181,8 @@
         }
     }
 
-    fn get(&self, key: &'static str) -> Option<&'r Spanned<DeValue<'i>>> {
+    /// Returns a key's value and notes that the key exists.
+    pub(super) fn get(&self, key: &'static str) -> Option<&'r Spanned<DeValue<'i>>> {
         self.asked.borrow_mut().push(key);
         self.table.get(key)
     }
@@ -304,24 +247,3 @@
         }
     }
 }
-
-/// Names the two keys that one span may be given under.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct DurationKeys {
-    /// Key with the unit milliseconds.
-    pub(crate) ms: &'static str,
-    /// Key with the unit seconds.
-    pub(crate) s: &'static str,
-}
-
-/// Builds [`DurationKeys`] from the name without its unit.
-macro_rules! duration_keys {
-    ($name:literal) => {
-        $crate::read::DurationKeys {
-            ms: concat!($name, "_ms"),
-            s: concat!($name, "_s"),
-        }
-    };
-}
-
-pub(crate) use duration_keys;
--- a/crates/wisteriahitch-config/src/sections/mod.rs
+++ b/crates/wisteriahitch-config/src/sections/mod.rs
@@ -7,6 +7,7 @@
 mod section_name;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
 mod sections;
+mod submission;
 
 pub use change::Change;
 pub use section::{Section, SectionMismatch};
--- a/crates/wisteriahitch-config/src/sections/sections.rs
+++ b/crates/wisteriahitch-config/src/sections/sections.rs
@@ -3,22 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use wisteriahitch_types::{Code, WorkspaceId};
+use wisteriahitch_types::WorkspaceId;
 
-use super::{Change, Section, SectionHash, SectionMismatch, SectionName, canonical};
+use super::submission::split_read;
+use super::{Change, Section, SectionHash, SectionMismatch, SectionName};
 use crate::check::{check, check_defined_once};
 use crate::draft::Draft;
 use crate::read::{ProblemLog, Source};
 use crate::{Configuration, Report};
 
-/// Longest section, as the JSON text that the platform keeps; its limit is a megabyte, and the
-/// object around the text takes some of it.
-const MAX_SECTION_BYTES: usize = 990_000;
-/// Longest list of all sections' names and hashes, which the head object holds.
-const MAX_NAMES_BYTES: usize = 900_000;
-/// What a section takes in the head beside its name: the hash, quotes and commas.
-const NAME_OVERHEAD_BYTES: usize = 80;
-
 /// Holds the sections of a configuration: `site`, and one for each workspace.
 ///
 /// A change of one workspace moves that section alone, and a mistake in it is refused with all
@@ -43,9 +36,9 @@
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Sections {
-    sections: BTreeMap<SectionName, Section>,
+    pub(super) sections: BTreeMap<SectionName, Section>,
     /// Workspaces that a submission takes out; empty but for a submission.
-    removed: BTreeSet<WorkspaceId>,
+    pub(super) removed: BTreeSet<WorkspaceId>,
 }
 
 impl Sections {
@@ -182,43 +175,6 @@
         self.sections.is_empty()
     }
 
-    /// Reports workspaces to be removed that are not in force, since a mistyped name would leave
-    /// a customer's keys valid.
-    fn check_removed(&self, draft: &Draft, log: &ProblemLog<'_>) {
-        for id in &draft.removed {
-            let name = SectionName::Workspace(id.value.clone());
-            if self.get(&name).is_none() {
-                let message = format!("no workspace in force is named \"{}\"", id.value);
-                log.add(Code::ConfigUnknownName, &id.place, message);
-            }
-        }
-    }
-
-    /// Reports workspaces in force that a text for the whole site leaves out.
-    ///
-    /// An operator who deletes a workspace from such a text expects it gone, and one who adds a
-    /// workspace to the text of the rules expects all others kept. Either guess would be wrong
-    /// for somebody's customers, so the text has to say which.
-    fn check_left_out(&self, submitted: &Self, log: &ProblemLog<'_>) {
-        let is_whole = submitted.get(&SectionName::Site).is_some() && submitted.len() > 1;
-        if !is_whole {
-            return;
-        }
-        for name in self.sections.keys() {
-            let SectionName::Workspace(id) = name else {
-                continue;
-            };
-            if submitted.get(name).is_some() || submitted.removed.contains(id) {
-                continue;
-            }
-            let message = format!(
-                "the workspace {id} is in force but not in the text; add it, name it in \
-                 `removed_workspaces`, or submit workspaces and the rest apart"
-            );
-            log.add(Code::ConfigContradiction, &log.top(), message);
-        }
-    }
-
     /// Returns the sections as texts to check, without those that `replaced` holds.
     fn sources<'a>(&'a self, replaced: &'a Self) -> impl Iterator<Item = Source<'a>> {
         let kept = |(name, section): (&SectionName, &'a Section)| {
@@ -230,59 +186,4 @@
         };
         self.sections.iter().filter_map(kept)
     }
-
-    fn check_size(&self, log: &ProblemLog<'_>) {
-        let names = self.sections.keys();
-        let bytes: usize = names
-            .map(|name| name.to_string().len() + NAME_OVERHEAD_BYTES)
-            .sum();
-        if bytes > MAX_NAMES_BYTES {
-            let message = format!("the names of {} sections take too much room", self.len());
-            log.add(Code::ConfigTooLarge, &log.top(), message);
-        }
-    }
-}
-
-fn split_read(text: &str, draft: &Draft, log: &ProblemLog<'_>) -> Sections {
-    let removed = draft.removed.iter().map(|id| id.value.clone());
-    let mut sections = Sections {
-        removed: removed.collect(),
-        ..Sections::default()
-    };
-    let split = canonical::split(text).unwrap_or_else(|error| {
-        log.add(Code::ConfigSyntax, &log.top(), error.message());
-        Vec::new()
-    });
-    for (name, section) in split {
-        check_section_size(&name, &section, log);
-        sections.sections.insert(name, section);
-    }
-    if sections.is_empty() && sections.removed.is_empty() {
-        let message = "the text changes nothing";
-        log.add(Code::ConfigMissingKey, &log.top(), message);
-    }
-    check_given_once(&sections, draft, log);
-    sections
-}
-
-fn check_section_size(name: &SectionName, section: &Section, log: &ProblemLog<'_>) {
-    let json = serde_json::to_string(section.text());
-    let bytes = json.map_or(usize::MAX, |json| json.len());
-    if bytes > MAX_SECTION_BYTES {
-        let message = format!(
-            "the section {name} takes {bytes} bytes; the platform's limit leaves room for \
-             {MAX_SECTION_BYTES}"
-        );
-        log.add(Code::ConfigTooLarge, &log.top(), message);
-    }
-}
-
-fn check_given_once(sections: &Sections, draft: &Draft, log: &ProblemLog<'_>) {
-    for id in &draft.removed {
-        let name = SectionName::Workspace(id.value.clone());
-        if sections.get(&name).is_some() {
-            let message = format!("the workspace {} is both given and removed", id.value);
-            log.add(Code::ConfigContradiction, &id.place, message);
-        }
-    }
 }
--- a/crates/wisteriahitch-config/src/settings/mod.rs
+++ b/crates/wisteriahitch-config/src/settings/mod.rs
@@ -1,5 +1,6 @@
 //! The daemon's own settings file.
 
+mod addresses;
 mod log_level;
 mod read;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
--- a/crates/wisteriahitch-config/src/settings/read.rs
+++ b/crates/wisteriahitch-config/src/settings/read.rs
@@ -1,17 +1,16 @@
 //! Reads and checks the settings file.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 
 use wisteriahitch_types::{ByteCount, Code, DurationUs};
 
+use super::addresses::{check_distinct, check_own, plain_addresses};
 use super::{
     ListenSettings, LogSettings, OperatorSettings, PeerSettings, PlatformSettings, RequestLimits,
     RunSettings, Settings,
 };
 use crate::Report;
-use crate::read::{DurationKeys, Place, Placed, ProblemLog, Source, TableReader, duration_keys};
+use crate::read::{DurationKeys, Place, ProblemLog, Source, TableReader, duration_keys};
 
 const DEFAULT_READS_PER_S: u32 = 20;
 const DEFAULT_WRITES_PER_S: u32 = 5;
@@ -67,44 +66,10 @@
         log: log.unwrap_or_default(),
         run: run.unwrap_or_default(),
     };
-    check_own_addresses(top, &settings);
+    check_own(top, &settings);
     Some(settings)
 }
 
-/// Checks the daemon's own addresses against those that it is to call.
-fn check_own_addresses(top: &TableReader<'_, '_>, settings: &Settings) {
-    let ListenSettings {
-        callers,
-        peers,
-        operators,
-    } = settings.listen;
-    for address in &settings.platform.addresses {
-        if [callers, peers, operators].contains(address) {
-            let message = format!("the address {address} is this daemon's own");
-            fault_in(
-                top,
-                "platform",
-                "addresses",
-                Code::ConfigDuplicateName,
-                message,
-            );
-        }
-    }
-    // A list of seeds may hold the daemon's own peer address, so that all daemons share one list.
-    for address in &settings.peers.seeds {
-        if [callers, operators].contains(address) {
-            let message = format!("{address} is this daemon's own address, but not for peers");
-            fault_in(top, "peers", "seeds", Code::ConfigContradiction, message);
-        }
-    }
-}
-
-fn fault_in(top: &TableReader<'_, '_>, table: &str, key: &str, code: Code, message: String) {
-    if let Some(table) = top.peek_table(table) {
-        table.fault(code, key, message);
-    }
-}
-
 fn required_table<T>(
     top: &TableReader<'_, '_>,
     key: &'static str,
@@ -129,7 +94,7 @@
     let callers = table.required_placed("callers");
     let peers = table.required_placed("peers");
     let operators = table.required_placed("operators");
-    check_addresses(table, [&callers, &peers, &operators]);
+    check_distinct(table, [&callers, &peers, &operators]);
     Some(ListenSettings {
         callers: callers?.value,
         peers: peers?.value,
@@ -137,28 +102,8 @@
     })
 }
 
-fn check_addresses(table: &TableReader<'_, '_>, found: [&Option<Placed<SocketAddr>>; 3]) {
-    let mut first: BTreeMap<SocketAddr, &Place> = BTreeMap::new();
-    for Placed { value, place } in found.into_iter().flatten() {
-        check_reachable(table, *value, place);
-        if let Some(earlier) = first.insert(*value, place) {
-            let message = format!("the address {value} is given before, at {}", earlier.path);
-            table.log().add(Code::ConfigDuplicateName, place, message);
-        }
-    }
-}
-
-/// Callers and peers are told the address that a daemon serves, so one that only the daemon itself
-/// can use (every address, or any free port) would send them nowhere.
-fn check_reachable(table: &TableReader<'_, '_>, address: SocketAddr, place: &Place) {
-    if address.ip().is_unspecified() || address.port() == 0 {
-        let message = format!("{address} is not an address that others can connect to");
-        table.log().add(Code::ConfigBadValue, place, message);
-    }
-}
-
 fn read_platform(table: &TableReader<'_, '_>) -> PlatformSettings {
-    let addresses = read_addresses(table, table.required_list("addresses"));
+    let addresses = plain_addresses(table, table.required_list("addresses"));
     let reads = table.small("reads_per_s", 1..=MAX_CALLS_PER_S);
     let writes = table.small("writes_per_s", 1..=MAX_CALLS_PER_S);
     let timeout = table.duration(duration_keys!("timeout"), TIMEOUT_MS);
@@ -170,16 +115,8 @@
     }
 }
 
-fn read_addresses(table: &TableReader<'_, '_>, found: Vec<Placed<SocketAddr>>) -> Vec<SocketAddr> {
-    let checked = |Placed { value, place }| {
-        check_reachable(table, value, &place);
-        value
-    };
-    found.into_iter().map(checked).collect()
-}
-
 fn read_peers(table: &TableReader<'_, '_>) -> PeerSettings {
-    let seeds = read_addresses(table, table.list("seeds"));
+    let seeds = plain_addresses(table, table.list("seeds"));
     let interval = table.duration(duration_keys!("probe_interval"), PROBE_INTERVAL_MS);
     let default = PeerSettings::default();
     PeerSettings {
