--- a/crates/wisteriahitch-core/src/tier/mod.rs
+++ b/crates/wisteriahitch-core/src/tier/mod.rs
@@ -1,1 +1,59 @@
 //! Cache blocks in accelerator memory and in the tiers of store VMs.
+//!
+//! [`Tiers`] takes events and a time and gives commands to the shell. `docs/design/blocks.md`
+//! tells the life of a block, and `docs/design/links.md` the order of transfers and what is saved.
+
+mod block;
+mod block_error;
+mod block_life;
+mod block_state;
+mod block_table;
+mod chain;
+mod command;
+mod context;
+mod event;
+mod eviction_index;
+mod import_planner;
+mod import_request;
+mod import_transfer;
+mod link;
+mod link_order;
+mod link_table;
+mod planners;
+mod prefetcher;
+mod return_history;
+mod room_keeper;
+mod save_job;
+mod save_planner;
+mod save_value;
+mod snapshot;
+mod store_table;
+mod tier_name;
+mod tiers;
+mod transfer;
+mod use_table;
+
+pub use block::{Block, BlockHandle, BlockIdentity, Place, Reader};
+pub use block_error::BlockError;
+pub use block_life::LifeEvent;
+pub use block_state::BlockState;
+pub use block_table::BlockTable;
+pub use chain::{ChainBlock, FinishedRequest};
+pub use command::TierCommand;
+pub use event::{ExportReceipt, PinGrant, ReservedRoom, TierEvent, TransferFailure};
+pub use eviction_index::EvictionIndex;
+pub use import_planner::{ImportCounts, ImportPlanner};
+pub use import_request::{ImportPlan, ImportStep};
+pub use link::{Link, LinkView, RunningTransfer};
+pub use link_order::{BackfillOrder, LinkOrder, PlainOrder, PriorityOrder};
+pub use link_table::{LinkTable, StartTransfer};
+pub use prefetcher::{PrefetchCounts, Prefetcher};
+pub use return_history::ReturnHistory;
+pub use room_keeper::{RoomCounts, RoomKeeper};
+pub use save_planner::{SaveCounts, SavePlanner};
+pub use snapshot::{BlockSnapshot, StoreSnapshot, TierSnapshot};
+pub use store_table::{StoreState, StoreTable};
+pub use tier_name::TierName;
+pub use tiers::Tiers;
+pub use transfer::{Transfer, TransferClass, TransferId};
+pub use use_table::{BlockUse, UseTable};
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/store_table.rs
@@ -0,0 +1,144 @@
+//! What is known of the store VMs themselves.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+use wisteriahitch_types::{ByteCount, DurationUs, StoreId, TimeUs};
+
+use super::TierName;
+
+/// How long a tier that answered `full` is left alone.
+const FULL_BACKOFF_US: DurationUs = DurationUs::from_ms(5_000);
+
+/// Holds the state of one store VM.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct StoreState {
+    /// Whether it answered when it was last asked.
+    pub is_reachable: bool,
+    /// Whether the VM will go away soon; nothing more is saved to it.
+    pub is_leaving: bool,
+    /// Room left in memory, by its last report less what this daemon reserved since.
+    pub memory_free_bytes: ByteCount,
+    /// Room left on disk, counted likewise.
+    pub disk_free_bytes: ByteCount,
+    /// Until when memory counts as full.
+    pub memory_full_until_us: TimeUs,
+    /// Until when the disk counts as full.
+    pub disk_full_until_us: TimeUs,
+}
+
+impl StoreState {
+    /// Returns the room left in a tier.
+    pub fn free_bytes(&self, tier: TierName) -> ByteCount {
+        match tier {
+            TierName::Memory => self.memory_free_bytes,
+            TierName::Disk => self.disk_free_bytes,
+        }
+    }
+
+    /// Returns whether a tier may be asked for room.
+    pub fn has_room(&self, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+        let full_until = match tier {
+            TierName::Memory => self.memory_full_until_us,
+            TierName::Disk => self.disk_full_until_us,
+        };
+        now >= full_until && self.free_bytes(tier) >= bytes
+    }
+
+    fn take(&mut self, tier: TierName, bytes: ByteCount) {
+        let free = self.free_bytes_mut(tier);
+        *free = *free - bytes;
+    }
+
+    fn give(&mut self, tier: TierName, bytes: ByteCount) {
+        *self.free_bytes_mut(tier) += bytes;
+    }
+
+    fn set_full(&mut self, tier: TierName, now: TimeUs) {
+        *self.free_bytes_mut(tier) = ByteCount::ZERO;
+        match tier {
+            TierName::Memory => self.memory_full_until_us = now + FULL_BACKOFF_US,
+            TierName::Disk => self.disk_full_until_us = now + FULL_BACKOFF_US,
+        }
+    }
+
+    fn free_bytes_mut(&mut self, tier: TierName) -> &mut ByteCount {
+        match tier {
+            TierName::Memory => &mut self.memory_free_bytes,
+            TierName::Disk => &mut self.disk_free_bytes,
+        }
+    }
+}
+
+/// Holds the state of every store VM that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct StoreTable {
+    stores: BTreeMap<StoreId, StoreState>,
+}
+
+impl StoreTable {
+    /// Returns a store's state, if it was seen.
+    pub fn get(&self, store: &StoreId) -> Option<&StoreState> {
+        self.stores.get(store)
+    }
+
+    /// Returns every store that was seen.
+    pub fn iter(&self) -> impl Iterator<Item = (&StoreId, &StoreState)> {
+        self.stores.iter()
+    }
+
+    /// Returns whether a store answered when it was last asked.
+    pub fn is_reachable(&self, store: &StoreId) -> bool {
+        self.get(store).is_some_and(|state| state.is_reachable)
+    }
+
+    /// Returns whether a store may be saved to.
+    pub fn takes_saves(&self, store: &StoreId) -> bool {
+        self.get(store)
+            .is_some_and(|state| state.is_reachable && !state.is_leaving)
+    }
+
+    /// Returns whether a store's tier may be asked for room.
+    pub fn has_room(&self, store: &StoreId, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+        self.get(store)
+            .is_some_and(|state| state.has_room(tier, bytes, now))
+    }
+
+    pub(crate) fn take(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.take(tier, bytes);
+        }
+    }
+
+    pub(crate) fn give(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.give(tier, bytes);
+        }
+    }
+
+    pub(crate) fn set_full(&mut self, store: &StoreId, tier: TierName, now: TimeUs) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.set_full(tier, now);
+        }
+    }
+
+    pub(crate) fn seen(
+        &mut self,
+        store: &StoreId,
+        memory_free_bytes: ByteCount,
+        disk_free_bytes: ByteCount,
+        is_leaving: bool,
+    ) {
+        let state = self.stores.entry(store.clone()).or_default();
+        state.is_reachable = true;
+        state.is_leaving = is_leaving;
+        state.memory_free_bytes = memory_free_bytes;
+        state.disk_free_bytes = disk_free_bytes;
+    }
+
+    pub(crate) fn lost(&mut self, store: &StoreId) {
+        if let Some(state) = self.stores.get_mut(store) {
+            state.is_reachable = false;
+        }
+    }
+}
