--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -50,6 +50,8 @@
     let (sender, mut pieces) = mpsc::channel(PIECE_BUFFER);
     let task_shared = Arc::clone(shared);
     tokio::spawn(async move {
+        // The answer's head is sent long before its end; draining waits for the end.
+        let _accepted = task_shared.accept();
         task_shared.metrics.streams.inc();
         completion_run::run(&task_shared, &call, &sender).await;
         task_shared.metrics.streams.dec();
@@ -118,12 +120,12 @@
         labels: labels(&parts.headers),
         availability_zone: Some(shared.settings.availability_zone.clone()),
     };
-    let ruling = decide(&identity, &facts)?;
+    let route = decide(&identity, &facts)?;
     let model = find_model(&identity, &body, prompt_tokens)?;
-    let adapter = ruling.route.adapter.clone().or(body.adapter);
+    let adapter = route.adapter.clone().or(body.adapter);
     Ok(CompletionCall {
         identity,
-        route: ruling.route,
+        route,
         request_id: request_id.clone(),
         arrived_us,
         model,
