fix(route): tell late reports from new lives, and count refusals as load

Cause: reading the shell against the table showed that reports can overtake each other. A late report of an earlier life counted as a new life and put a leaving endpoint back to work; an endpoint that tells no life never came back after a leaving; a clock set back made every own request count twice; and an endpoint that refuses at once while it reports to be idle drew every request. Ruled out: a pause for an endpoint that refuses (needs a time in each decision). Change: past lives are remembered, reports are judged in one place, refused requests stay counted until the next report, many refusals in a row eject.

--- a/crates/wisteriahitch-core/src/route/endpoint/flight.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/flight.rs
@@ -20,7 +20,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FlightFailure {
-    /// The endpoint said that it did not run it; this speaks of its load, not of its health.
+    /// The endpoint said that it did not run it: it is busy, leaving or has other models than it
+    /// reported.
     Refused,
     /// The connection broke, the answer was late or it was wrong.
     Broken,
--- a/crates/wisteriahitch-core/src/route/endpoint/mod.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/mod.rs
@@ -1,6 +1,7 @@
 //! Endpoints: their life, their load and the outliers among them.
 
 mod flight;
+mod freshness;
 mod leaving;
 mod life;
 mod load;
@@ -27,6 +28,7 @@
 pub use table::{EndpointChange, EndpointTable};
 
 pub(crate) use flight::Flight;
+pub(crate) use freshness::{Freshness, HeldReport, PastLives};
 pub(crate) use leaving::LeavingClaims;
 pub(crate) use life::{Life, LifeEvent};
 pub(crate) use outlier::Outlier;
--- a/crates/wisteriahitch-core/src/route/endpoint/options.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/options.rs
@@ -14,6 +14,8 @@
     pub least_lag_us: DurationUs,
     /// So many failures in a row eject an endpoint.
     pub max_failures: u32,
+    /// So many refusals in a row, with no good answer between, eject an endpoint.
+    pub max_refusals: u32,
     /// A first token so many times as slow as the service's median ejects an endpoint.
     pub slow_factor: f64,
     /// First tokens that must have been seen before an endpoint may count as slow.
@@ -37,6 +39,7 @@
             silence_us: DurationUs::from_ms(5_000),
             least_lag_us: DurationUs::from_ms(100),
             max_failures: 5,
+            max_refusals: 20,
             slow_factor: 3.0,
             min_samples: 10,
             max_ejected_share: 0.3,
--- a/crates/wisteriahitch-core/src/route/endpoint/outlier.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/outlier.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Outlier {
     /// Failures since the last success.
     pub(crate) failures_in_row: u32,
+    /// Refusals since the last success.
+    pub(crate) refusals_in_row: u32,
     /// Moving mean of (time to the first token / estimate), which compares long and short prompts.
     pub(crate) slowness: f64,
     /// First tokens seen since the last ejection.
@@ -41,6 +43,7 @@
     /// Records an answer that ended well.
     pub(crate) fn succeeded(&mut self) {
         self.failures_in_row = 0;
+        self.refusals_in_row = 0;
         if self.is_probing {
             self.is_probing = false;
             self.ejections_in_row = 0;
@@ -53,6 +56,12 @@
         self.is_probing || self.failures_in_row >= options.max_failures
     }
 
+    /// Records a refusal and returns whether it is one too many.
+    pub(crate) fn refused(&mut self, options: &EndpointOptions) -> bool {
+        self.refusals_in_row = self.refusals_in_row.saturating_add(1);
+        self.refusals_in_row >= options.max_refusals
+    }
+
     /// Returns whether the endpoint is slow against the `median` of its service.
     pub(crate) fn is_slow(&self, median: f64, options: &EndpointOptions) -> bool {
         self.samples >= options.min_samples && self.slowness > median * options.slow_factor
@@ -73,6 +82,7 @@
     pub(crate) fn begin_probing(&mut self) {
         self.ejected_until_us = None;
         self.failures_in_row = 0;
+        self.refusals_in_row = 0;
         self.is_probing = true;
     }
 }
--- a/crates/wisteriahitch-core/src/route/endpoint/record.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/record.rs
@@ -10,8 +10,8 @@
 };
 
 use super::{
-    EndpointLoad, EndpointOptions, LeavingClaims, Life, LifeEvent, LifeState, Membership, Outlier,
-    PoolKey, SentLoad, Standing,
+    EndpointLoad, EndpointOptions, Freshness, HeldReport, LeavingClaims, LeavingSource, Life,
+    LifeEvent, LifeState, Membership, Outlier, PastLives, PoolKey, SentLoad, Standing,
 };
 
 /// Part of a new sample in the moving mean of the time that a request takes.
@@ -19,15 +19,6 @@
 /// How far the difference of two clocks may drift from one report to the next.
 const CLOCK_DRIFT_US: i64 = 50;
 
-/// Holds the last report of an endpoint.
-#[derive(Clone, Debug)]
-pub(crate) struct HeldReport {
-    /// What it said.
-    pub(crate) load: EndpointLoad,
-    /// When it arrived here.
-    pub(crate) received_at_us: TimeUs,
-}
-
 /// Holds what is known of one endpoint.
 #[derive(Debug)]
 pub(crate) struct EndpointRecord {
@@ -47,6 +38,7 @@
     pub(crate) life_number: u64,
     pub(crate) membership: Membership,
     life: InitializedStateMachine<Life>,
+    past_lives: PastLives,
     service_time_us: Option<f64>,
     clock_offset_us: Option<i64>,
 }
@@ -74,6 +66,7 @@
             life_number,
             membership: Membership::default(),
             life: Life.uninitialized_state_machine().init(),
+            past_lives: PastLives::default(),
             service_time_us: None,
             clock_offset_us: None,
         }
@@ -89,10 +82,17 @@
         self.life.handle(&event);
     }
 
-    /// Takes a report over and changes the life accordingly.
+    /// Takes a report over and changes the life accordingly; a late one changes nothing.
     pub(crate) fn accept(&mut self, load: EndpointLoad, options: &EndpointOptions, now: TimeUs) {
-        if self.is_new_life(&load) {
-            self.begin_life();
+        let held = self.report.as_ref();
+        match self
+            .past_lives
+            .judge(held, &load, self.leaving.is_leaving, now)
+        {
+            Freshness::Late => return,
+            Freshness::SameLife => {}
+            Freshness::ClockSetBack => self.clock_offset_us = None,
+            Freshness::NewLife => self.begin_life(),
         }
         let made_at = self.made_at(&load, options, now);
         self.sent.forget_before(made_at);
@@ -103,27 +103,16 @@
         });
         self.handle(LifeEvent::Reported);
         if is_leaving {
-            self.leaving.claim(&super::LeavingSource::OwnReport);
+            self.leaving.claim(&LeavingSource::OwnReport);
             self.handle(LifeEvent::Left);
         }
     }
 
-    /// Returns whether a report is of another life than the last one.
-    ///
-    /// Where endpoints tell no life, a clock that went back means a restart; two such reports can
-    /// also come in the wrong order, and then a leaving endpoint would be put back to work. So an
-    /// older report without a life never ends a leaving.
-    fn is_new_life(&self, load: &EndpointLoad) -> bool {
-        let Some(held) = &self.report else {
-            return false;
-        };
-        match (&held.load.life, &load.life) {
-            (Some(old), Some(new)) => old != new,
-            _ => load.made_at_ms < held.load.made_at_ms && !self.leaving.is_leaving,
-        }
-    }
-
     fn begin_life(&mut self) {
+        let held = self.report.take();
+        if let Some(life) = held.and_then(|held| held.load.life) {
+            self.past_lives.push(life);
+        }
         self.life_number += 1;
         self.in_flight = 0;
         self.sent.clear();
--- a/crates/wisteriahitch-core/src/route/endpoint/traffic.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/traffic.rs
@@ -55,34 +55,42 @@
     /// Records the good end of an attempt.
     pub fn finished(&mut self, id: FlightId, now: TimeUs) {
         self.first_token(id, now);
-        let Some(record_row) = self.land(id, now) else {
+        let Some(row) = self.land_and_unload(id, now) else {
             return;
         };
-        self.rows[record_row].outlier.succeeded();
+        self.rows[row].outlier.succeeded();
     }
 
     /// Records the bad end of an attempt; the endpoint may be ejected by it.
+    ///
+    /// What was refused stays counted as load until the next report is made. An endpoint that
+    /// refuses at once while its report says that it is idle would otherwise look best to every
+    /// request and draw them all; one would notice by refusals while other endpoints have room.
     pub fn failed(&mut self, id: FlightId, failure: FlightFailure, now: TimeUs) {
-        let Some(row) = self.land(id, now) else {
-            return;
+        let is_refused = failure == FlightFailure::Refused;
+        let row = match is_refused {
+            true => self.land(id),
+            false => self.land_and_unload(id, now),
         };
-        if failure != FlightFailure::Broken {
+        let Some(row) = row else {
             return;
-        }
-        let is_too_many = self.rows[row].outlier.failed(&self.options);
+        };
+        let outlier = &mut self.rows[row].outlier;
+        let is_too_many = match failure {
+            FlightFailure::Refused => outlier.refused(&self.options),
+            FlightFailure::Broken => outlier.failed(&self.options),
+            FlightFailure::Cancelled => false,
+        };
         if is_too_many {
             self.try_eject(row, now);
         }
     }
 
-    /// Removes a flight and returns its row, if that still holds the same life.
-    fn land(&mut self, id: FlightId, now: TimeUs) -> Option<usize> {
-        let flight = self.flights.remove(&id)?;
-        let record = &mut self.rows[flight.row];
-        if record.life_number != flight.life_number {
-            return None;
-        }
-        record.in_flight = record.in_flight.saturating_sub(1);
+    /// Removes a flight with its load and returns its row, if that still holds the same life.
+    fn land_and_unload(&mut self, id: FlightId, now: TimeUs) -> Option<usize> {
+        let flight = self.flights.get(&id)?.clone();
+        let row = self.land(id)?;
+        let record = &mut self.rows[row];
         let tokens = match flight.has_first_token {
             true => 0,
             false => -signed(flight.prefill_tokens),
@@ -91,6 +99,17 @@
         if flight.has_first_token {
             record.took(now.since(flight.sent_at_us));
         }
+        Some(row)
+    }
+
+    /// Removes a flight and returns its row, if that still holds the same life.
+    fn land(&mut self, id: FlightId) -> Option<usize> {
+        let flight = self.flights.remove(&id)?;
+        let record = &mut self.rows[flight.row];
+        if record.life_number != flight.life_number {
+            return None;
+        }
+        record.in_flight = record.in_flight.saturating_sub(1);
         Some(flight.row)
     }
 }
--- a/crates/wisteriahitch-core/tests/all/route_policy.rs
+++ b/crates/wisteriahitch-core/tests/all/route_policy.rs
@@ -278,6 +278,45 @@
     assert_ne!(choice.endpoint, endpoint(0));
 }
 
+#[test]
+fn a_plan_that_meets_the_deadline_goes_before_a_cheaper_late_one() {
+    struct Case {
+        deadline_ms: u64,
+        imported: u64,
+    }
+    let cases = [
+        Case {
+            deadline_ms: 110,
+            imported: 0,
+        },
+        Case {
+            deadline_ms: 60_000,
+            imported: 100,
+        },
+    ];
+    for case in cases {
+        let mut router = router(1);
+        let request = RouteRequest {
+            first_token_weight: Share::ZERO,
+            deadline_us: DurationUs::from_ms(case.deadline_ms),
+            ..request(105)
+        };
+        let on_disk: Vec<(BlockKey, Tier)> = keys(&request)
+            .into_iter()
+            .map(|key| (key, Tier::Disk))
+            .collect();
+        router
+            .directory
+            .store_listing(&store("hub-cache"), &on_disk);
+        let slow_disk = FixedLinks {
+            disk_rate: ByteRate::new(500_000),
+            ..links(10, 1, 0)
+        };
+        let choice = router.choose(&request, &slow_disk, START).unwrap();
+        assert_eq!(imported(&choice), case.imported, "{} ms", case.deadline_ms);
+    }
+}
+
 /// Symptom: queues wander: all daemons send to one endpoint until its next report.
 /// Sequence: several daemons with the same reports decide at once, each without the others' sends.
 /// Cause: taking the lowest cost alone makes equal daemons choose alike.
