--- a/crates/wisteriahitch-types/src/key.rs
+++ b/crates/wisteriahitch-types/src/key.rs
@@ -51,7 +51,7 @@
             type Err = ParseKeyError;
 
             fn from_str(text: &str) -> Result<Self, Self::Err> {
-                if text.len() != HEX_LEN || !text.is_ascii() {
+                if text.len() != HEX_LEN || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
                     return Err(ParseKeyError);
                 }
                 let mut bytes = [0; KEY_LEN];
--- a/crates/wisteriahitch-types/tests/all/id.rs
+++ b/crates/wisteriahitch-types/tests/all/id.rs
@@ -72,4 +72,6 @@
     assert_eq!(key.to_string().parse::<BlockKey>(), Ok(key));
     assert!("xyz".parse::<BlockKey>().is_err());
     assert!("é".repeat(16).parse::<BlockKey>().is_err());
+    // A sign is no digit, although the library's parser of numbers takes one.
+    assert!("+1".repeat(16).parse::<BlockKey>().is_err());
 }
