--- a/crates/wisteriahitch-core/src/route/directory/table.rs
+++ b/crates/wisteriahitch-core/src/route/directory/table.rs
@@ -71,7 +71,8 @@
     /// endpoint that computes everything again, which shows as a recomputed share above the
     /// estimate.
     pub fn gap(&mut self, endpoint: &EndpointId) {
-        if let Some(place) = self.places.endpoint(endpoint) {
+        let holder = Holder::Endpoint(endpoint.clone());
+        if let Some(place) = self.places.get_or_add(&holder) {
             self.places.suspect(place);
         }
     }
@@ -147,11 +148,13 @@
 
     /// Drops entries of dead holders from the next `segments` of 256 parts of the table.
     ///
-    /// Called with a few parts each tick, it gives the room of replaced listings back without a
+    /// It does nothing where no holder has died. Called with a few parts each tick, it gives the room of replaced listings back without a
     /// long stop.
     pub fn sweep(&mut self, segments: usize) {
         for _ in 0..segments.min(SEGMENTS) {
-            self.sweep_one();
+            if self.places.needs_sweep() {
+                self.sweep_one();
+            }
         }
     }
 
--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -6,14 +6,14 @@
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Response};
 use wisteriahitch_config::{RequestFacts, Route, Service};
-use wisteriahitch_types::{Code, RequestId, TokenCount};
+use wisteriahitch_types::{Code, Meaning, RequestId};
 use wisteriahitch_wire::service::ServiceResponse;
 
+use super::Refusal;
 use super::body::{ResponseBody, full_body};
-use super::gate::{Ruling, decide, labels};
+use super::gate::{decide, labels};
 use super::identity::Identity;
 use super::keyed::{self, KeyedCall};
-use super::Refusal;
 use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
 use crate::shared::Shared;
 
@@ -28,12 +28,21 @@
     body: Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let facts = facts(shared, &identity, parts);
-    let ruling = decide(&identity, &facts)?;
-    let call = build_call(shared, &identity, &ruling, request_id, parts, body);
-    match parts.headers.get(KEY_HEADER) {
+    let key = parts.headers.get(KEY_HEADER);
+    let route = decide(&identity, &facts).map_err(|refusal| match key {
+        // Another copy of a keyed request may be on its way to a daemon that decides otherwise,
+        // so that this one can't say that the request was not run.
+        Some(_) if refusal.meaning() == Meaning::NotRun => refusal.with_outcome_unknown(),
+        _ => refusal,
+    })?;
+    let call = build_call(&identity, route, request_id, parts, body);
+    match key {
         Some(key) => {
             let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
-            let keyed = KeyedCall { call, key: key.to_owned() };
+            let keyed = KeyedCall {
+                call,
+                key: key.to_owned(),
+            };
             keyed::answer(shared, keyed).await
         }
         None => run_unkeyed(shared, call).await,
@@ -52,25 +61,24 @@
 }
 
 fn build_call(
-    shared: &Shared,
     identity: &Identity,
-    ruling: &Ruling,
+    route: Route,
     request_id: &RequestId,
     parts: &Parts,
     body: Bytes,
 ) -> PlainCall {
-    let path_and_query =
-        parts.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string);
+    let path_and_query = parts
+        .uri
+        .path_and_query()
+        .map_or_else(|| "/".to_owned(), ToString::to_string);
     PlainCall {
         identity: identity.clone(),
-        route: ruling.route.clone(),
+        route,
         request_id: request_id.clone(),
         method: parts.method.clone(),
         path_and_query,
         headers: parts.headers.clone(),
         body,
-        answer_limit_bytes: shared.settings.limits.answer_bytes,
-        prompt_tokens: TokenCount::ZERO,
     }
 }
 
@@ -82,7 +90,11 @@
     shared: &Arc<Shared>,
     call: PlainCall,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let mode = if may_repeat(&call) { RunMode::Repeatable } else { RunMode::Once };
+    let mode = if may_repeat(&call) {
+        RunMode::Repeatable
+    } else {
+        RunMode::Once
+    };
     let request_id = call.request_id.clone();
     let response = run_plain(shared, &call, mode, || true).await?;
     Ok(to_response(response, &request_id))
@@ -100,7 +112,10 @@
         return may_repeat;
     }
     let path = call.path_and_query.split('?').next().unwrap_or_default();
-    service.repeatable.iter().any(|pattern| pattern.is_match(call.method.as_str(), path))
+    service
+        .repeatable
+        .iter()
+        .any(|pattern| pattern.is_match(call.method.as_str(), path))
 }
 
 /// Turns a service's answer into the caller's.
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -46,6 +46,8 @@
     CallerGone,
     /// The endpoint failed.
     Failed(EngineError),
+    /// The answer can't become whole any more.
+    Incomplete(Code),
 }
 
 /// Follows one completion through its attempts.
@@ -57,6 +59,8 @@
     /// Endpoints that this request isn't tried at again.
     tried: Vec<EndpointId>,
     has_sent_head: bool,
+    /// Whether some attempt may have run, so that `not run` would no longer be true.
+    may_have_run: bool,
 }
 
 /// Holds where and how an attempt runs.
@@ -67,11 +71,7 @@
 }
 
 /// Runs a completion to its end and sends what the caller is to get.
-pub(crate) async fn run(
-    shared: &Arc<Shared>,
-    call: &CompletionCall,
-    pieces: &mpsc::Sender<Piece>,
-) {
+pub(crate) async fn run(shared: &Arc<Shared>, call: &CompletionCall, pieces: &mpsc::Sender<Piece>) {
     if let Err(refusal) = run_until_whole(shared, call, pieces).await {
         // The receiver may be gone, and then nobody waits for the refusal.
         let _ = pieces.send(Piece::Refused(refusal)).await;
@@ -105,20 +105,30 @@
         first.weight_version.clone(),
     );
     if let Some(resumption) = &call.resumption {
-        check = check.resumed_by_caller(resumption.position, resumption.attempt);
+        check = check
+            .resumed_by_caller(resumption.position)
+            .starting_with(resumption.attempt);
     }
-    let mut run = Run { shared, call, pieces, check, tried: Vec::new(), has_sent_head: false };
+    let mut run = Run {
+        shared,
+        call,
+        pieces,
+        check,
+        tried: Vec::new(),
+        has_sent_head: false,
+        may_have_run: false,
+    };
     let result = run.follow_attempts(first).await;
     run.count_dropped();
-    result
+    // Whatever ends the request now, an endpoint may have run it before.
+    match run.may_have_run {
+        true => result.map_err(Refusal::with_outcome_unknown),
+        false => result,
+    }
 }
 
 /// Chooses endpoint and weight version; of two versions in use during a rollout the faster one.
-fn plan(
-    shared: &Shared,
-    call: &CompletionCall,
-    tried: &[EndpointId],
-) -> Result<Plan, Refusal> {
+fn plan(shared: &Shared, call: &CompletionCall, tried: &[EndpointId]) -> Result<Plan, Refusal> {
     let mut best: Option<Plan> = None;
     let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
     for weight_version in shared.candidate_versions(&call.route.service, &call.model) {
@@ -130,7 +140,11 @@
                     choice.estimate.first_token_us < best.choice.estimate.first_token_us
                 });
                 if is_better {
-                    best = Some(Plan { choice, chain, weight_version });
+                    best = Some(Plan {
+                        choice,
+                        chain,
+                        weight_version,
+                    });
                 }
             }
             Err(refusal) => refused = refusal,
@@ -148,7 +162,11 @@
         weighed: Vec::new(),
     };
     let weight_version = resumption.weight_version.clone();
-    Plan { choice, chain: call.chain(&weight_version), weight_version }
+    Plan {
+        choice,
+        chain: call.chain(&weight_version),
+        weight_version,
+    }
 }
 
 fn route_request(
@@ -187,6 +205,10 @@
                     return Ok(());
                 }
                 Ended::Failed(error) => plan = self.plan_next(plan, &error)?,
+                Ended::Incomplete(code) => {
+                    self.may_have_run = true;
+                    return Err(Refusal::new(code).with_retry_after_us(RETRY_AFTER_US));
+                }
             }
         }
     }
@@ -195,11 +217,16 @@
         let choice = &plan.choice;
         let expected_us = choice.estimate.first_token_us;
         let recompute = choice.plan.recompute_tokens;
-        let Some(flight) = self.shared.take_off(&choice.endpoint, recompute, expected_us) else {
-            return Ended::Failed(EngineError::new(EngineErrorKind::NotSent, "endpoint is gone"));
+        let Some(flight) = self
+            .shared
+            .take_off(&choice.endpoint, recompute, expected_us)
+        else {
+            return Ended::Failed(EngineError::new(
+                EngineErrorKind::NotSent,
+                "endpoint is gone",
+            ));
         };
-        let imported =
-            import::run(self.shared, self.call, choice, &plan.weight_version);
+        let imported = import::run(self.shared, self.call, choice, &plan.weight_version);
         tokio::select! {
             () = imported => {}
             () = self.pieces.closed() => return self.cancel_import(),
@@ -207,7 +234,10 @@
         let request = self.completion_request(plan);
         let head_timeout_us = self.first_token_wait(choice.estimate.first_token_us);
         let opening =
-            self.shared.outside.engine.complete(flight.address(), request, head_timeout_us);
+            self.shared
+                .outside
+                .engine
+                .complete(flight.address(), request, head_timeout_us);
         let opened = tokio::select! {
             opened = opening => opened,
             () = self.pieces.closed() => return self.land(flight, plan, Ended::CallerGone),
@@ -236,7 +266,12 @@
             max_tokens: self.call.max_tokens,
             priority: self.call.route.priority,
             position: self.check.next_position(),
-            blocks: blocks.map(|b| BlockRef { key: b.key, tokens: b.tokens }).collect(),
+            blocks: blocks
+                .map(|b| BlockRef {
+                    key: b.key,
+                    tokens: b.tokens,
+                })
+                .collect(),
         }
     }
 
@@ -267,9 +302,7 @@
             match verdict {
                 TokenVerdict::Pass | TokenVerdict::PassLast => {}
                 TokenVerdict::Drop(_) => continue,
-                TokenVerdict::Incomplete(_) => {
-                    return failed(EngineErrorKind::Nonsense, "a token is missing");
-                }
+                TokenVerdict::Incomplete(code) => return Ended::Incomplete(code),
             }
             wait_us = TOKEN_STALL_US;
             if self.pass_on(flight, &head, token).await.is_err() {
@@ -316,7 +349,9 @@
     /// would use up the time in which another one could answer.
     fn first_token_wait(&self, expected_us: DurationUs) -> DurationUs {
         let patient_us = DurationUs::new(expected_us.get().saturating_mul(FIRST_TOKEN_SLACK));
-        patient_us.max(MIN_FIRST_TOKEN_WAIT_US).min(self.call.route.deadline_us)
+        patient_us
+            .max(MIN_FIRST_TOKEN_WAIT_US)
+            .min(self.call.route.deadline_us)
     }
 
     fn note_first_token(&self, flight: &Flight, head: &CompletionHead) {
@@ -334,16 +369,31 @@
             Ended::Whole => "answered",
             Ended::CallerGone => "caller_gone",
             Ended::Failed(error) => outcome(error.kind()),
+            Ended::Incomplete(_) => "incomplete",
         };
-        self.shared.metrics.attempts.with_label_values(&[outcome]).inc();
+        self.shared
+            .metrics
+            .attempts
+            .with_label_values(&[outcome])
+            .inc();
         let address = flight.address();
         match &ended {
             Ended::Whole => {
                 flight.finished();
-                self.shared.used(self.call, &plan.chain, &plan.choice.endpoint);
+                self.shared.used(
+                    self.call,
+                    &plan.chain,
+                    &plan.choice.endpoint,
+                    &plan.weight_version,
+                );
             }
             Ended::CallerGone => {
                 flight.failed(FlightFailure::Cancelled);
+                self.keep_for_resumption(plan);
+                self.shared.cancel_at(address, &self.call.request_id);
+            }
+            Ended::Incomplete(_) => {
+                flight.failed(FlightFailure::Broken);
                 self.shared.cancel_at(address, &self.call.request_id);
             }
             Ended::Failed(error) => {
@@ -357,6 +407,20 @@
         ended
     }
 
+    /// Keeps a stream whose caller has its beginning, since it may come back for the rest.
+    fn keep_for_resumption(&self, plan: &Plan) {
+        if !self.has_sent_head {
+            return;
+        }
+        self.shared.keep_for_resumption(
+            self.call,
+            &plan.choice.endpoint,
+            &plan.weight_version,
+            self.check.attempt(),
+            self.check.next_position(),
+        );
+    }
+
     /// Decides after a failed attempt how the next one runs, or that there is none.
     fn plan_next(&mut self, last: Plan, error: &EngineError) -> Result<Plan, Refusal> {
         let endpoint = last.choice.endpoint.clone();
@@ -365,6 +429,7 @@
             self.call.request_id,
             self.check.attempt(),
         );
+        self.may_have_run |= !error.is_not_run();
         let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
         // Where nothing has reached the caller, another endpoint may well do better than the one
         // that just failed; only an answer that has begun depends on its own endpoint.
@@ -379,13 +444,18 @@
             may_retry: has_attempts && self.shared.try_retry(),
         });
         match decision {
-            Some(BreakDecision::Resume { .. }) => {
-                Ok(Plan { choice: Choice { plan: RoutePlan::default(), ..last.choice }, ..last })
-            }
+            Some(BreakDecision::Resume { .. }) => Ok(Plan {
+                choice: Choice {
+                    plan: RoutePlan::default(),
+                    ..last.choice
+                },
+                ..last
+            }),
             Some(BreakDecision::RestartInvisible { .. }) => {
                 self.tried.push(endpoint);
-                let next = plan(self.shared, self.call, &self.tried)?;
-                self.check.moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
+                let next = self.plan_elsewhere()?;
+                self.check
+                    .moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
                 Ok(next)
             }
             Some(BreakDecision::Incomplete(code)) => {
@@ -395,10 +465,20 @@
         }
     }
 
+    /// Plans at an endpoint that wasn't tried yet or, where there is none, at any.
+    fn plan_elsewhere(&self) -> Result<Plan, Refusal> {
+        let elsewhere = plan(self.shared, self.call, &self.tried);
+        elsewhere.or_else(|_| plan(self.shared, self.call, &[]))
+    }
+
     fn count_dropped(&self) {
         for (reason, count) in self.check.dropped().iter() {
             let label = reason.to_string();
-            self.shared.metrics.dropped_tokens.with_label_values(&[&label]).inc_by(count);
+            self.shared
+                .metrics
+                .dropped_tokens
+                .with_label_values(&[&label])
+                .inc_by(count);
         }
     }
 }
--- a/crates/wisteriahitch-standin/tests/all/main.rs
+++ b/crates/wisteriahitch-standin/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the wire's clients against the stand-ins.
+//! Tests of the stand-ins through the clients that the daemons use.
 
 // Helpers of tests may unwrap as the tests themselves do; the linter knows only the latter.
 #![allow(clippy::unwrap_used)]
@@ -7,3 +8,8 @@
 mod platform;
 mod process;
 mod service;
+mod engine;
+mod kv_block;
+mod site;
+mod store;
+mod transfer;
