--- a/crates/wisteriahitch-standin/src/platform/control.rs
+++ b/crates/wisteriahitch-standin/src/platform/control.rs
@@ -3,8 +3,6 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
-use wisteriahitch_types::AvailabilityZone;
-use wisteriahitch_wire::platform::{VirtualMachine, VmPhase};
 
 use super::call::{Call, CallMethod};
 
@@ -39,38 +37,6 @@
     pub lose_answer_kinds: Option<Vec<String>>,
 }
 
-/// One VM of the lagging list.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct VmEntry {
-    /// Name of the VM.
-    pub name: String,
-    /// IP address.
-    pub address: String,
-    /// Availability zone it is in.
-    pub availability_zone: AvailabilityZone,
-    /// Whether it stays.
-    pub phase: VmPhase,
-}
-
-impl VmEntry {
-    /// Returns the content of the VM's object.
-    pub(crate) fn into_spec(self) -> VirtualMachine {
-        VirtualMachine {
-            address: self.address,
-            availability_zone: self.availability_zone,
-            phase: self.phase,
-        }
-    }
-}
-
-/// The whole list of VMs that shows up after the lag.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct VmList {
-    /// VMs; one that isn't named is gone.
-    pub vms: Vec<VmEntry>,
-}
-
 /// Faults in force, and counts of what happened.
 #[derive(Clone, Debug, Default, Serialize)]
 pub(crate) struct ControlState {
--- a/crates/wisteriahitch-standin/src/platform/handler.rs
+++ b/crates/wisteriahitch-standin/src/platform/handler.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use http::header::RETRY_AFTER;
-use http::{HeaderValue, Method, Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use serde_json::json;
@@ -14,20 +13,17 @@
 use wisteriahitch_types::DurationUs;
 use wisteriahitch_wire::platform::TokenBucket;
 
+use super::answer::{refusal, too_many_requests, write_object};
 use super::call::{Call, CallMethod};
-use super::control::{ControlState, PlatformControl, PlatformMode, VmList};
-use super::object_table::{ObjectDocument, ObjectTable, WriteRefusal};
+use super::control::{ControlState, PlatformControl, PlatformMode};
+use super::object_table::{ObjectDocument, ObjectTable};
 use super::options::PlatformOptions;
+use super::vm_list::{VM_KIND, VmList};
 use crate::util::{Abort, Answer, Gate, Handler, answer_json, answer_status, read_json};
 
-/// Largest content of an object.
-const SPEC_LIMIT_BYTES: usize = 1_000_000;
-
 /// Largest body that is read at all.
 const BODY_LIMIT_BYTES: usize = 8_000_000;
 
-const VM_KIND: &str = "virtualmachines";
-
 /// Rate limits save up what a second gives.
 const BURST_US: DurationUs = DurationUs::from_ms(1_000);
 
@@ -225,24 +221,8 @@
             return;
         }
         state.vm_lists_shown = number;
-        let objects = &mut state.objects;
-        for gone in objects.list(VM_KIND) {
-            let name = gone.metadata.name;
-            if list.vms.iter().all(|vm| vm.name != name) {
-                objects.delete_now(VM_KIND, &name);
-            }
-        }
-        for vm in list.vms {
-            let name = vm.name.clone();
-            let spec = json!(vm.into_spec());
-            if objects
-                .get(VM_KIND, &name)
-                .is_none_or(|old| old.spec != spec)
-            {
-                objects.put_now(VM_KIND, &name, spec);
-            }
-        }
-        self.changed.send_replace(objects.version());
+        list.show(&mut state.objects);
+        self.changed.send_replace(state.objects.version());
     }
 }
 
@@ -263,59 +243,3 @@
         }
     }
 }
-
-fn write_object(
-    objects: &mut ObjectTable,
-    call: &Call,
-    document: Option<ObjectDocument>,
-) -> Answer {
-    let Some(document) = document else {
-        let Some(expected) = call.get_number("resourceVersion") else {
-            return refusal(StatusCode::BAD_REQUEST, "BadRequest");
-        };
-        return match objects.delete(call.kind, &call.name, expected) {
-            Ok(()) => answer_json(StatusCode::OK, &json!({"status": "Success"})),
-            Err(reason) => refused_write(reason),
-        };
-    };
-    if document.spec.to_string().len() > SPEC_LIMIT_BYTES {
-        return refusal(StatusCode::PAYLOAD_TOO_LARGE, "RequestEntityTooLarge");
-    }
-    let name = document.metadata.name;
-    if call.method == CallMethod::Create {
-        return match objects.create(call.kind, &name, document.spec) {
-            Ok(object) => answer_json(StatusCode::CREATED, &object),
-            Err(reason) => refused_write(reason),
-        };
-    }
-    let expected = document.metadata.resource_version;
-    let Some(expected) = expected.and_then(|text| text.parse().ok()) else {
-        return refusal(StatusCode::BAD_REQUEST, "BadRequest");
-    };
-    match objects.update(call.kind, &call.name, document.spec, expected) {
-        Ok(object) => answer_json(StatusCode::OK, &object),
-        Err(reason) => refused_write(reason),
-    }
-}
-
-fn refused_write(reason: WriteRefusal) -> Answer {
-    match reason {
-        WriteRefusal::AlreadyExists => refusal(StatusCode::CONFLICT, "AlreadyExists"),
-        WriteRefusal::Conflict => refusal(StatusCode::CONFLICT, "Conflict"),
-        WriteRefusal::NotFound => refusal(StatusCode::NOT_FOUND, "NotFound"),
-    }
-}
-
-fn refusal(status: StatusCode, reason: &str) -> Answer {
-    let body = json!({"kind": "Status", "code": status.as_u16(), "reason": reason});
-    answer_json(status, &body)
-}
-
-fn too_many_requests(wait_us: DurationUs) -> Answer {
-    let mut answer = refusal(StatusCode::TOO_MANY_REQUESTS, "TooManyRequests");
-    let wait_s = wait_us.as_secs_f64().ceil().max(1.0);
-    if let Ok(value) = HeaderValue::from_str(&wait_s.to_string()) {
-        answer.headers_mut().insert(RETRY_AFTER, value);
-    }
-    answer
-}
--- a/crates/wisteriahitch-standin/src/platform/mod.rs
+++ b/crates/wisteriahitch-standin/src/platform/mod.rs
@@ -1,13 +1,16 @@
 //! Stand-in of the platform: objects with versions, watches and the lagging list of VMs.
 
+mod answer;
 mod call;
 mod control;
 mod handler;
 mod object_table;
 mod options;
+mod vm_list;
 
-pub use control::{PlatformControl, PlatformMode, VmEntry, VmList};
+pub use control::{PlatformControl, PlatformMode};
 pub use options::PlatformOptions;
+pub use vm_list::{VmEntry, VmList};
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/wisteriahitch-standin/tests/all/main.rs
+++ b/crates/wisteriahitch-standin/tests/all/main.rs
@@ -5,11 +5,11 @@
 #![allow(clippy::unwrap_used)]
 
 mod control;
+mod engine;
+mod kv_block;
 mod platform;
 mod process;
 mod service;
-mod engine;
-mod kv_block;
 mod site;
 mod store;
 mod transfer;
--- a/crates/wisteriahitch-wire/tests/all/canned.rs
+++ b/crates/wisteriahitch-wire/tests/all/canned.rs
@@ -1,6 +1,7 @@
 //! Server that answers with prepared bytes, also such as are no HTTP.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -51,6 +52,7 @@
 pub(crate) struct Canned {
     pub(crate) address: SocketAddr,
     seen: Arc<Mutex<Vec<String>>>,
+    connections: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -59,15 +61,31 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let seen = Arc::new(Mutex::new(Vec::new()));
+        let connections = Arc::new(AtomicUsize::new(0));
         let replies = Arc::new(replies);
-        let task = tokio::spawn(accept(listener, replies, Arc::clone(&seen)));
+        let task = tokio::spawn({
+            let (seen, connections) = (Arc::clone(&seen), Arc::clone(&connections));
+            async move {
+                loop {
+                    let (stream, _) = listener.accept().await.unwrap();
+                    connections.fetch_add(1, Ordering::SeqCst);
+                    tokio::spawn(converse(stream, Arc::clone(&replies), Arc::clone(&seen)));
+                }
+            }
+        });
         Self {
             address,
             seen,
+            connections,
             task,
         }
     }
 
+    /// Returns how many connections were opened.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests that arrived whole, head and body.
     pub(crate) fn seen(&self) -> Vec<String> {
         self.seen.lock().unwrap().clone()
@@ -86,13 +104,6 @@
     listener.local_addr().unwrap()
 }
 
-async fn accept(listener: TcpListener, replies: Arc<Vec<Reply>>, seen: Arc<Mutex<Vec<String>>>) {
-    loop {
-        let (stream, _) = listener.accept().await.unwrap();
-        tokio::spawn(converse(stream, Arc::clone(&replies), Arc::clone(&seen)));
-    }
-}
-
 async fn converse(mut stream: TcpStream, replies: Arc<Vec<Reply>>, seen: Arc<Mutex<Vec<String>>>) {
     while let Some(request) = read_request(&mut stream).await {
         let number = {
--- a/crates/wisteriahitch-wire/tests/all/http_client.rs
+++ b/crates/wisteriahitch-wire/tests/all/http_client.rs
@@ -166,6 +166,19 @@
     }
 }
 
+#[tokio::test]
+async fn connections_are_kept_for_later_requests() {
+    const CALLS: usize = 50;
+    let server = Canned::start(vec![Reply::whole("200 OK", "", "ok")]).await;
+    let client = HttpClient::new(HttpClientOptions::default());
+    for _ in 0..CALLS {
+        let call = client.fetch(server.address, request("/a"), LONG_US, LIMIT_BYTES);
+        assert_eq!(call.await.unwrap().body(), "ok");
+    }
+    // A connection comes back to the pool a moment after its answer, so not each one is reused.
+    assert!(server.connections() < CALLS / 2);
+}
+
 /// Symptom: a booking stands twice. Sequence: a request goes out on a kept connection, the server
 /// reads it and dies before it answers, and the client sends it again on a new connection. Cause:
 /// a library that repeats requests whose kept connection turned out dead.
