fix(once): give a key back when its run ends before the dispatch

A caller that leaves after it was told to run, before any byte has left, made its key unknown for ever although nothing ran. Seen failing: both new cases got the code of the loss where a ticket should run and a claim be asked again. Such a key is now undecided, with the code that was given, and the next copy may run.

That brought a fault along, seen failing by its own test: a ticket given back and then run again was forgotten with the tombstone of its first time, and its caller waited without an answer. A tombstone now takes only a key that has ended and has no place of its own.

The model in specs/ has no step from Claimed to Unknown yet.

--- a/crates/wisteriahitch-core/src/once/entry.rs
+++ b/crates/wisteriahitch-core/src/once/entry.rs
@@ -31,11 +31,7 @@
 
     pub(crate) fn submit(&mut self, waiter: WaiterId) -> Decision {
         self.life.handle(&Event::Submit);
-        self.waiters.push(waiter);
-        match self.life.state() {
-            KeyState::Deciding {} => Decision::Claim(self.nonce),
-            _ => Decision::Run,
-        }
+        self.begin(waiter)
     }
 
     pub(crate) fn repeat(
@@ -49,15 +45,14 @@
         }
         let was_unknown = matches!(self.life.state(), KeyState::Unknown { .. });
         self.life.handle(&Event::Repeat);
-        match self.life.state() {
-            KeyState::Deciding {} if was_unknown => {
-                self.settlement = None;
-                self.waiters.push(waiter);
-                Decision::Claim(self.nonce)
-            }
-            _ if self.is_settled() => self.outcome(),
-            _ => self.wait(waiter, max_waiters),
+        if self.is_settled() {
+            return self.outcome();
+        }
+        if !was_unknown {
+            return self.wait(waiter, max_waiters);
         }
+        self.settlement = None;
+        self.begin(waiter)
     }
 
     /// Passes an event to the life cycle and says whether it changed the state.
@@ -153,12 +148,21 @@
         match self.life.state() {
             KeyState::Fresh {} | KeyState::Deciding {} => Code::ClaimUndecided,
             KeyState::Unknown {
-                cause: UnknownCause::Undecided | UnknownCause::HeldElsewhere,
+                cause: UnknownCause::Undecided(_) | UnknownCause::HeldElsewhere,
             } => Code::ClaimUndecided,
             _ => Code::KeyReused,
         }
     }
 
+    /// Takes in the copy that is to run, once the key is decided.
+    fn begin(&mut self, waiter: WaiterId) -> Decision {
+        self.waiters.push(waiter);
+        if self.is_deciding() {
+            return Decision::Claim(self.nonce);
+        }
+        Decision::Run
+    }
+
     fn wait(&mut self, waiter: WaiterId, max_waiters: usize) -> Decision {
         if self.waiters.len() >= max_waiters {
             return Decision::Refuse(Code::ClaimUndecided);
@@ -182,8 +186,7 @@
 
 fn unknown_code(cause: UnknownCause) -> Code {
     match cause {
-        UnknownCause::Undecided => Code::ClaimUndecided,
         UnknownCause::HeldElsewhere => Code::ClaimHeldElsewhere,
-        UnknownCause::Lost(code) => code,
+        UnknownCause::Undecided(code) | UnknownCause::Lost(code) => code,
     }
 }
--- a/crates/wisteriahitch-core/src/once/life.rs
+++ b/crates/wisteriahitch-core/src/once/life.rs
@@ -37,11 +37,11 @@
 /// Says why the outcome is unknown.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum UnknownCause {
-    /// Our claim may have been written; nothing was dispatched.
-    Undecided,
+    /// Nothing was dispatched, but our claim may stand; a repeat may go on from there.
+    Undecided(Code),
     /// Another daemon decides for the key.
     HeldElsewhere,
-    /// It was dispatched or given up, and no answer will come.
+    /// It was dispatched, and no answer will come.
     Lost(Code),
 }
 
@@ -79,9 +79,9 @@
             Event::ClaimWritten => Transition(KeyState::claimed()),
             Event::ClaimLost => Transition(KeyState::unknown(UnknownCause::HeldElsewhere)),
             // Not the decider yet: a copy elsewhere may win the claim, so `not run` can't be said.
-            Event::Lost(_) | Event::Refuse(_) => {
-                Transition(KeyState::unknown(UnknownCause::Undecided))
-            }
+            Event::Lost(_) | Event::Refuse(_) => Transition(KeyState::unknown(
+                UnknownCause::Undecided(Code::ClaimUndecided),
+            )),
             _ => Handled,
         }
     }
@@ -91,7 +91,12 @@
         match event {
             Event::Dispatch => Transition(KeyState::dispatched()),
             Event::Refuse(code) => Transition(KeyState::refused(*code)),
-            Event::Lost(code) => Transition(KeyState::unknown(lost(*code))),
+            // The copy that was to run has gone before its first byte left. Taken for a lost
+            // answer, the key would be dead although nothing ever ran.
+            Event::Lost(code) => {
+                let code = unknown_code(*code);
+                Transition(KeyState::unknown(UnknownCause::Undecided(code)))
+            }
             _ => Handled,
         }
     }
@@ -104,8 +109,11 @@
                 Transition(KeyState::refused(Code::EndpointRefused))
             }
             // A byte may have left, so a refusal that is ours would be untrue from here on.
-            Event::Refuse(_) => Transition(KeyState::unknown(lost(Code::Internal))),
-            Event::Lost(code) => Transition(KeyState::unknown(lost(*code))),
+            Event::Refuse(_) => Transition(KeyState::unknown(UnknownCause::Lost(Code::Internal))),
+            Event::Lost(code) => {
+                let code = unknown_code(*code);
+                Transition(KeyState::unknown(UnknownCause::Lost(code)))
+            }
             _ => Handled,
         }
     }
@@ -127,20 +135,23 @@
     }
 
     #[state]
-    fn unknown(cause: &mut UnknownCause, event: &Event) -> Outcome<KeyState> {
+    fn unknown(&self, cause: &mut UnknownCause, event: &Event) -> Outcome<KeyState> {
         match (event, *cause) {
-            // Nothing was dispatched and nobody was told `not run`, so asking the store again is
-            // safe: it shows our own claim, another's, or none.
-            (Event::Repeat, UnknownCause::Undecided) => Transition(KeyState::deciding()),
+            // Nothing was dispatched and nobody was told `not run`. A ticket is still ours to run;
+            // the store shows our own claim, another's, or none.
+            (Event::Repeat, UnknownCause::Undecided(_)) if self.is_ticket => {
+                Transition(KeyState::claimed())
+            }
+            (Event::Repeat, UnknownCause::Undecided(_)) => Transition(KeyState::deciding()),
             _ => Handled,
         }
     }
 }
 
 /// Keeps a code that promises `not run` from being given where that isn't known.
-fn lost(code: Code) -> UnknownCause {
+fn unknown_code(code: Code) -> Code {
     match code.meaning() {
-        Meaning::OutcomeUnknown => UnknownCause::Lost(code),
-        Meaning::NotRun | Meaning::Notice => UnknownCause::Lost(Code::Internal),
+        Meaning::OutcomeUnknown => code,
+        Meaning::NotRun | Meaning::Notice => Code::Internal,
     }
 }
--- a/crates/wisteriahitch-core/src/once/table.rs
+++ b/crates/wisteriahitch-core/src/once/table.rs
@@ -167,6 +167,9 @@
     }
 
     /// Notes that the outcome can't be found out any more; `code` says why.
+    ///
+    /// Before the dispatch, such as when the caller that was to run has gone, this gives the key
+    /// back: nothing ran, and the next copy may.
     pub fn lost(&mut self, key: &OnceKey, code: Code, now: TimeUs) -> Delivery {
         let delivery = self.settle(key, &Event::Lost(code), now);
         delivery.unwrap_or_else(nobody)
--- a/crates/wisteriahitch-core/src/once/table/retention.rs
+++ b/crates/wisteriahitch-core/src/once/table/retention.rs
@@ -3,6 +3,7 @@
 use wisteriahitch_types::{DurationUs, TimeUs};
 
 use super::KeyedTable;
+use crate::once::entry::Entry;
 use crate::once::keeper::Place;
 use crate::once::life::Event;
 
@@ -54,7 +55,11 @@
                 self.tombstones.insert((expires_us, key));
                 break;
             }
-            self.entries.remove(&key);
+            // A ticket that was given back may run again; it has a place of its own once it ends.
+            let is_dead = |entry: &Entry| entry.is_settled() && entry.settlement.is_none();
+            if self.entries.get(&key).is_some_and(is_dead) {
+                self.entries.remove(&key);
+            }
         }
     }
 }
--- a/crates/wisteriahitch-core/tests/all/once_model.rs
+++ b/crates/wisteriahitch-core/tests/all/once_model.rs
@@ -61,6 +61,10 @@
         daemon: usize,
         index: usize,
     },
+    GiveBack {
+        daemon: usize,
+        pick: usize,
+    },
     Leave {
         pick: usize,
     },
@@ -161,6 +165,8 @@
         4 => (daemon(), pick(), end())
             .prop_map(|(daemon, pick, end)| Step::End { daemon, pick, end }),
         1 => daemon().prop_map(|daemon| Step::Restart { daemon }),
+        1 => (daemon(), pick())
+            .prop_map(|(daemon, pick)| Step::GiveBack { daemon, pick }),
         1 => (0..64_usize).prop_map(|pick| Step::Leave { pick }),
         3 => span().prop_map(|span| Step::Tick { span }),
     ];
@@ -230,6 +236,7 @@
             Step::Dispatch { daemon, pick } => world.dispatch(daemon, pick),
             Step::Refuse { daemon, pick } => world.refuse(daemon, pick),
             Step::TurnAway { daemon, index } => world.turn_away(daemon, index),
+            Step::GiveBack { daemon, pick } => world.give_back(daemon, pick),
             Step::Leave { pick } => world.leave(pick),
             Step::End { daemon, pick, end } => world.end(daemon, pick, end),
             Step::Restart { daemon } => world.restart(daemon),
--- a/crates/wisteriahitch-core/tests/all/once_table.rs
+++ b/crates/wisteriahitch-core/tests/all/once_table.rs
@@ -129,6 +129,12 @@
             repeat: Decision::Answer(answer(1)),
             may_dispatch: false,
         },
+        Case {
+            name: "ticket given back before dispatch",
+            steps: &[Submit, Lose(Code::CallerGone)],
+            repeat: Decision::Run,
+            may_dispatch: true,
+        },
         Case {
             name: "refused by the decider",
             steps: &[Submit, Refuse(Code::QueueFull)],
@@ -209,6 +215,12 @@
             repeat: Decision::Claim(ClaimNonce::new(1)),
             may_dispatch: false,
         },
+        Case {
+            name: "claim given back before dispatch",
+            steps: &[Submit, ClaimWritten, Lose(Code::CallerGone)],
+            repeat: Decision::Claim(ClaimNonce::new(1)),
+            may_dispatch: false,
+        },
         Case {
             name: "given up, then asked again",
             steps: &[Submit, Undecided, Submit, ClaimWritten],
@@ -409,6 +421,26 @@
     assert_eq!(repeat, Decision::Answer(answer(9)));
 }
 
+/// Symptom: a caller waits without an end. Sequence: a ticket is given back, its place is taken
+/// by others' answers, a repeat runs, and the ticket expires during the run. Cause: the tombstone
+/// of the first time took the running key with it.
+#[test]
+fn a_running_key_is_not_forgotten_with_its_tombstone() {
+    let limits = TableLimits {
+        kept_bytes: ByteCount::ZERO,
+        ..TableLimits::default()
+    };
+    let mut table = KeyedTable::new(OWN, limits);
+    let key = ticket_key();
+    submit(&mut table, &key, 1);
+    table.lost(&key, Code::CallerGone, START);
+    assert_eq!(submit(&mut table, &key, 2), Decision::Run);
+    assert!(table.dispatched(&key));
+    table.tick(START + LIFETIME);
+    let delivery = table.finished(&key, answer(9), START + LIFETIME);
+    assert_eq!(delivery.waiters, [waiter(2)]);
+}
+
 /// Symptom: repeats of small customers get `answer gone`. Sequence: one workspace's calls give
 /// large answers. Cause: room was taken from the oldest answer, whoever it belonged to.
 #[test]
--- a/crates/wisteriahitch-core/tests/all/once_world.rs
+++ b/crates/wisteriahitch-core/tests/all/once_world.rs
@@ -279,6 +279,19 @@
         }
     }
 
+    /// Gives a granted copy back. Tickets are left out, since the model couldn't tell that one
+    /// may run again.
+    pub(crate) fn give_back(&mut self, daemon: usize, pick: usize) {
+        let node = &mut self.daemons[daemon];
+        let Some((key, _)) = take(&mut node.granted, pick) else {
+            return;
+        };
+        if let OnceKey::Claimed { .. } = key {
+            let delivery = node.table.lost(&key, Code::CallerGone, self.now);
+            self.deliver(&delivery);
+        }
+    }
+
     /// Lets the caller of a random copy go away.
     pub(crate) fn leave(&mut self, pick: usize) {
         let picked = self.copies.iter().nth(pick % self.copies.len().max(1));
