test(tiers): wait for the store's new life before saving to it

Cause of the failing test: hints of the dead store's blocks stand until the next look, up to half a second; the test took them for saved blocks. The request itself recomputed, as it should. Change: status names each store's incarnation, and the test waits for it.

--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -64,10 +64,11 @@
 fn stores(shared: &Shared, configuration: &Configuration) -> Vec<Value> {
     shared.tiers.with(|tiers| {
         let rows = configuration.stores.values().map(|store| {
-            let is_known = tiers.blocks().incarnation(&store.id).is_some();
+            let incarnation = tiers.blocks().incarnation(&store.id);
             json!({
                 "store": store.id,
-                "state": if is_known { "seen" } else { "unseen" },
+                "state": if incarnation.is_some() { "seen" } else { "unseen" },
+                "incarnation": incarnation,
             })
         });
         rows.collect()
--- a/crates/wisteriahitch/tests/all/tiers.rs
+++ b/crates/wisteriahitch/tests/all/tiers.rs
@@ -67,6 +67,15 @@
     assert_eq!(back.cached_tokens.get(), HISTORY_TOKENS, "{}", site.logs());
 }
 
+/// Returns the life of the store VM that the first daemon knows.
+async fn incarnation(site: &Site) -> Value {
+    let status = site
+        .operator(0, Method::GET, "/v1/status", "")
+        .await
+        .unwrap();
+    status.json()["stores"][0]["incarnation"].clone()
+}
+
 struct FaultCase {
     fault: Value,
 }
@@ -120,7 +129,13 @@
     site.store.process.kill();
     let without = ask(&site, 0, SECRET, &history).await.unwrap();
     assert_eq!(without.cached_tokens.get(), 0);
+    let old = incarnation(&site).await;
     site.restart_store(address);
+    wait_until("the store's new life to be seen", async || {
+        let new = incarnation(&site).await;
+        new != old && new != Value::Null
+    })
+    .await;
     save_and_evict(&site, &history).await;
     let back = ask(&site, 0, SECRET, &history).await.unwrap();
     assert_eq!(back.cached_tokens.get(), HISTORY_TOKENS, "{}", site.logs());
