fix(once): let the table alone say what became of a key

Cause: the shell wrote down a refusal from its own view, so that a refusal that came too late could make other daemons say not run of a request that ran; a copy told to run whose task had ended left its key claimed for ever. Change: outcomes are written from outcome_to_write; the first copy gets the table's decision; a run that nobody takes gives its key back.

--- a/crates/wisteriahitch-node/src/caller/keyed.rs
+++ b/crates/wisteriahitch-node/src/caller/keyed.rs
@@ -1,6 +1,7 @@
 //! Requests that may not be repeated, told apart by their key.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use http::{HeaderName, HeaderValue, Response, StatusCode, header};
 use wisteriahitch_core::once::{Decision, Fingerprint, KeptAnswer, OnceKey, Ticket};
@@ -129,24 +130,41 @@
 /// Runs the request, which the table lets happen once, and tells every copy of the outcome.
 async fn run(shared: &Arc<Shared>, call: PlainCall, key: OnceKey) -> Outcome {
     let settlement = shared.open_settlement(key.clone());
-    let may_send = || shared.once.lock().table.dispatched(&key);
+    let is_dispatched = AtomicBool::new(false);
+    let may_send = || {
+        let is_allowed = shared.once.lock().table.dispatched(&key);
+        is_dispatched.store(is_allowed, Ordering::Release);
+        is_allowed
+    };
     match run_plain(shared, &call, RunMode::Once, may_send).await {
-        Ok(response) => {
-            let answer = Arc::new(keep(&response));
-            settlement.finish(Arc::clone(&answer));
-            Ok(answer)
-        }
-        Err(refusal) if refusal.meaning() == Meaning::NotRun => {
-            settlement.refuse(refusal.code());
-            Err(refusal)
-        }
+        Ok(response) => outcome(settlement.finish(Arc::new(keep(&response))), None),
         Err(refusal) => {
-            settlement.lose(refusal.code());
-            Err(refusal)
+            let decision = match refusal.meaning() {
+                // After the dispatch a refusal says `not run` only where the endpoint said so, or
+                // where no connection to one opened.
+                Meaning::NotRun if is_dispatched.load(Ordering::Acquire) => {
+                    settlement.refuse_by_endpoint()
+                }
+                Meaning::NotRun => settlement.refuse(refusal.code()),
+                Meaning::OutcomeUnknown | Meaning::Notice => settlement.lose(refusal.code()),
+            };
+            outcome(decision, Some(refusal))
         }
     }
 }
 
+/// Turns the table's decision into this copy's outcome; `refusal` says more where both agree.
+fn outcome(decision: Decision, refusal: Option<Refusal>) -> Outcome {
+    match decision {
+        Decision::Answer(answer) => Ok(answer),
+        Decision::Refuse(code) => match refusal {
+            Some(refusal) if refusal.meaning() == code.meaning() => Err(refusal),
+            _ => Err(refuse(code)),
+        },
+        _ => Err(refusal.unwrap_or_else(|| Refusal::new(Code::Internal))),
+    }
+}
+
 fn keep(response: &ServiceResponse) -> KeptAnswer {
     let content_type = response.headers.get(header::CONTENT_TYPE);
     KeptAnswer {
--- a/crates/wisteriahitch-node/src/state/claims.rs
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -65,9 +65,10 @@
             match command {
                 ClaimCommand::Written(key) => self.note_claim_written(&key),
                 ClaimCommand::Lost(key, standing) => {
+                    let now = self.clock.now();
                     let mut once = self.once.lock();
                     if let Some(delivery) = once.table.claim_lost(&key, &standing) {
-                        once.deliver(delivery);
+                        once.deliver(&key, delivery, now);
                     }
                 }
                 ClaimCommand::Undecided(key, cause) => {
@@ -75,7 +76,7 @@
                     let now = self.clock.now();
                     let mut once = self.once.lock();
                     if let Some(delivery) = once.table.claim_undecided(&key, now) {
-                        once.deliver(delivery);
+                        once.deliver(&key, delivery, now);
                     }
                 }
                 command => {
@@ -86,9 +87,10 @@
     }
 
     fn note_claim_written(&self, key: &OnceKey) {
+        let now = self.clock.now();
         let mut once = self.once.lock();
         if let Some(delivery) = once.table.claim_written(key) {
-            once.deliver(delivery);
+            once.deliver(key, delivery, now);
         }
     }
 }
--- a/crates/wisteriahitch-node/src/state/once.rs
+++ b/crates/wisteriahitch-node/src/state/once.rs
@@ -5,11 +5,10 @@
 
 use tokio::sync::oneshot;
 use wisteriahitch_core::once::{
-    ClaimBatcher, ClaimHolder, ClaimLimits, ClaimNonce, ClaimState, Decision, Delivery,
-    Fingerprint, KeptAnswer, KeyedTable, OnceKey, TableLimits, TicketIssuer, TicketSecret,
-    WaiterId,
+    ClaimBatcher, ClaimHolder, ClaimLimits, Decision, Delivery, Fingerprint, KeptAnswer,
+    KeyedTable, OnceKey, TableLimits, TicketIssuer, TicketSecret, WaiterId,
 };
-use wisteriahitch_types::Code;
+use wisteriahitch_types::{Code, TimeUs};
 
 use crate::shared::Shared;
 
@@ -55,12 +54,19 @@
     }
 
     /// Tells every copy that waited what was decided.
-    pub(crate) fn deliver(&mut self, delivery: Delivery) {
+    ///
+    /// A copy that was told to run and whose task has ended gives its key back: otherwise the key
+    /// would stay claimed, and every repeat would wait for a run that never comes.
+    pub(crate) fn deliver(&mut self, key: &OnceKey, delivery: Delivery, now: TimeUs) {
+        let mut is_run_lost = false;
         for waiter in delivery.waiters {
-            if let Some(sender) = self.waiters.remove(&waiter) {
-                // A copy whose task has ended needs no word.
-                let _ = sender.send(delivery.decision.clone());
-            }
+            let sender = self.waiters.remove(&waiter);
+            let is_told = sender.is_some_and(|s| s.send(delivery.decision.clone()).is_ok());
+            is_run_lost |= !is_told && delivery.decision == Decision::Run;
+        }
+        if is_run_lost {
+            let next = self.table.lost(key, Code::CallerGone, now);
+            self.deliver(key, next, now);
         }
     }
 }
@@ -112,61 +118,57 @@
 }
 
 impl Settlement {
-    /// Notes the whole answer.
-    pub(crate) fn finish(mut self, answer: Arc<KeptAnswer>) {
-        self.is_settled = true;
-        let now = self.shared.clock.now();
-        let limit = ClaimLimits::default().answer_bytes;
-        let state = ClaimState::finished(&answer, limit);
-        let mut once = self.shared.once.lock();
-        let delivery = once.table.finished(&self.key, answer, now);
-        let nonce = once.table.nonce(&self.key);
-        once.deliver(delivery);
-        drop(once);
-        self.write_down(nonce, state);
+    /// Notes the whole answer, and returns what the copy that ran gets.
+    pub(crate) fn finish(self, answer: Arc<KeptAnswer>) -> Decision {
+        self.settle(|once, key, now| once.table.finished(key, answer, now))
     }
 
-    /// Notes that the request certainly was not run; this uses the key up.
-    ///
-    /// Before the dispatch that is this process's own word, after it the endpoint's.
-    pub(crate) fn refuse(mut self, code: Code) {
-        self.is_settled = true;
-        let now = self.shared.clock.now();
-        let mut once = self.shared.once.lock();
-        let delivery = match code {
-            Code::EndpointRefused => once.table.endpoint_refused(&self.key, now),
-            code => once.table.refused(&self.key, code, now),
-        };
-        let nonce = once.table.nonce(&self.key);
-        once.deliver(delivery);
-        drop(once);
-        self.write_down(nonce, ClaimState::Refused);
+    /// Notes that the request is refused before its dispatch, and returns what its copy gets.
+    pub(crate) fn refuse(self, code: Code) -> Decision {
+        self.settle(|once, key, now| once.table.refused(key, code, now))
+    }
+
+    /// Notes that no endpoint ran the request after its dispatch, by the endpoint's own word or
+    /// because no byte of it left.
+    pub(crate) fn refuse_by_endpoint(self) -> Decision {
+        self.settle(|once, key, now| once.table.endpoint_refused(key, now))
     }
 
     /// Notes that nobody knows whether the request ran.
-    pub(crate) fn lose(mut self, code: Code) {
-        self.lose_now(code);
+    pub(crate) fn lose(self, code: Code) -> Decision {
+        self.settle(|once, key, now| once.table.lost(key, code, now))
     }
 
-    fn lose_now(&mut self, code: Code) {
+    fn settle(
+        mut self,
+        step: impl FnOnce(&mut OnceState, &OnceKey, TimeUs) -> Delivery,
+    ) -> Decision {
         self.is_settled = true;
         let now = self.shared.clock.now();
         let mut once = self.shared.once.lock();
-        let delivery = once.table.lost(&self.key, code, now);
-        once.deliver(delivery);
-    }
-
-    fn write_down(&self, nonce: Option<ClaimNonce>, state: ClaimState) {
-        if let Some(nonce) = nonce {
+        let delivery = step(&mut once, &self.key, now);
+        let decision = delivery.decision.clone();
+        // Only the table knows what is certain: a refusal that came too late, written down from
+        // this run's own view, would let other daemons say `not run` of a request that ran.
+        let limit = ClaimLimits::default().answer_bytes;
+        let outcome = once.table.outcome_to_write(&self.key, limit);
+        once.deliver(&self.key, delivery, now);
+        drop(once);
+        if let Some((nonce, state)) = outcome {
             self.shared.settle_claim(&self.key, nonce, state);
         }
+        decision
     }
 }
 
 impl Drop for Settlement {
     fn drop(&mut self) {
-        if !self.is_settled {
-            self.lose_now(Code::Internal);
+        if self.is_settled {
+            return;
         }
+        let now = self.shared.clock.now();
+        let mut once = self.shared.once.lock();
+        let delivery = once.table.lost(&self.key, Code::Internal, now);
+        once.deliver(&self.key, delivery, now);
     }
 }
