fix(route): judge slowness by ratio and difference, and learn work without the wait

Cause: reviewed against plain services, whose estimates are near zero when idle, three faults showed. The ratio of a time to its estimate ejected an endpoint in the daemon's own availability zone, or one with short requests. The time of a request was learned with its wait in the queue, so that 50 requests of 30 ms each brought the estimate to 227 ms. An engine that reports no speed looked free of charge. Seen failing first: a_slow_endpoint_is_ejected_against_the_median (new cases), waiting_is_not_learned_as_work (227 in place of 30) and an_engine_of_unknown_speed_looks_like_an_ordinary_one. Ruled out: a floor under the estimate, which only moves the point where the ratio misleads. Change: slow means far above the service's median in ratio and in difference; the expected wait is taken off what is learned; a default speed.

--- a/crates/wisteriahitch-core/src/route/endpoint/mod.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/mod.rs
@@ -14,6 +14,7 @@
 mod scan;
 mod sent_load;
 mod served;
+mod slowness;
 mod snapshot;
 mod table;
 mod traffic;
@@ -24,6 +25,7 @@
 pub use load::{EndpointLoad, LoadedModel};
 pub use options::EndpointOptions;
 pub use served::Served;
+pub use slowness::Slowness;
 pub use snapshot::EndpointSnapshot;
 pub use table::{EndpointChange, EndpointTable};
 
--- a/crates/wisteriahitch-core/src/route/endpoint/options.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/options.rs
@@ -1,6 +1,6 @@
 //! Bounds and intervals of the endpoint table.
 
-use wisteriahitch_types::DurationUs;
+use wisteriahitch_types::{DurationUs, TokenRate};
 
 /// Holds the bounds by which endpoints are judged.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,8 +16,10 @@
     pub max_failures: u32,
     /// So many refusals in a row, with no good answer between, eject an endpoint.
     pub max_refusals: u32,
-    /// A first token so many times as slow as the service's median ejects an endpoint.
+    /// First tokens so many times as slow as the service's median eject an endpoint.
     pub slow_factor: f64,
+    /// First tokens must be late by so much more than the median's before that counts.
+    pub slow_margin_us: DurationUs,
     /// First tokens that must have been seen before an endpoint may count as slow.
     pub min_samples: u32,
     /// Largest part of a service's endpoints that may be ejected at once; one always may, unless
@@ -29,6 +31,8 @@
     pub max_ejection_us: DurationUs,
     /// How often slow endpoints are looked for.
     pub scan_interval_us: DurationUs,
+    /// Speed of reading prompts of an engine that doesn't report one.
+    pub default_prefill_tokens_per_s: TokenRate,
     /// Time that a request takes at an endpoint of which none has finished yet.
     pub default_service_us: DurationUs,
 }
@@ -41,11 +45,13 @@
             max_failures: 5,
             max_refusals: 20,
             slow_factor: 3.0,
+            slow_margin_us: DurationUs::from_ms(50),
             min_samples: 10,
             max_ejected_share: 0.3,
             ejection_us: DurationUs::from_ms(10_000),
             max_ejection_us: DurationUs::from_ms(300_000),
             scan_interval_us: DurationUs::from_ms(1_000),
+            default_prefill_tokens_per_s: TokenRate::new(4_000),
             default_service_us: DurationUs::from_ms(50),
         }
     }
--- a/crates/wisteriahitch-core/src/route/endpoint/outlier.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/outlier.rs
@@ -3,10 +3,8 @@
 use serde::Serialize;
 use wisteriahitch_types::{DurationUs, TimeUs};
 
-use super::EndpointOptions;
+use super::{EndpointOptions, Slowness};
 
-/// Part of a new sample in the moving mean.
-const SAMPLE_WEIGHT: f64 = 0.2;
 /// Doublings after which an ejection grows no more.
 const MAX_DOUBLINGS: u32 = 16;
 
@@ -17,8 +15,8 @@
     pub(crate) failures_in_row: u32,
     /// Refusals since the last success.
     pub(crate) refusals_in_row: u32,
-    /// Moving mean of (time to the first token / estimate), which compares long and short prompts.
-    pub(crate) slowness: f64,
+    /// How slow first tokens are.
+    pub(crate) slowness: Slowness,
     /// First tokens seen since the last ejection.
     pub(crate) samples: u32,
     /// Ejections since the endpoint last proved good.
@@ -32,10 +30,10 @@
 impl Outlier {
     /// Records a first token after `taken`, where `expected` had been estimated.
     pub(crate) fn first_token(&mut self, taken: DurationUs, expected: DurationUs) {
-        let slowness = taken.as_f64() / expected.as_f64().max(1.0);
+        let sample = Slowness::of(taken, expected);
         self.slowness = match self.samples {
-            0 => slowness,
-            _ => self.slowness + SAMPLE_WEIGHT * (slowness - self.slowness),
+            0 => sample,
+            _ => self.slowness.towards(sample),
         };
         self.samples = self.samples.saturating_add(1);
     }
@@ -63,8 +61,8 @@
     }
 
     /// Returns whether the endpoint is slow against the `median` of its service.
-    pub(crate) fn is_slow(&self, median: f64, options: &EndpointOptions) -> bool {
-        self.samples >= options.min_samples && self.slowness > median * options.slow_factor
+    pub(crate) fn is_slow(&self, median: Slowness, options: &EndpointOptions) -> bool {
+        self.samples >= options.min_samples && self.slowness.is_far_above(median, options)
     }
 
     /// Begins an ejection at `now`.
--- a/crates/wisteriahitch-core/src/route/endpoint/record.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/record.rs
@@ -140,7 +140,7 @@
         TimeUs::new(made_here_us.saturating_sub(options.least_lag_us.get()))
     }
 
-    /// Records how long a request took from its sending to its end.
+    /// Records how long a request held its slot.
     pub(crate) fn took(&mut self, span: DurationUs) {
         let sample = span.as_f64();
         self.service_time_us = Some(match self.service_time_us {
@@ -178,14 +178,15 @@
         self.requests() as f64 / self.slots() as f64
     }
 
-    /// Returns how long `tokens` take to be read; no time where the speed is unknown.
-    pub(crate) fn prefill_time(&self, tokens: TokenCount) -> DurationUs {
-        match &self.report {
-            Some(held) if held.load.prefill_tokens_per_s.get() > 0 => {
-                held.load.prefill_tokens_per_s.time_for(tokens)
-            }
-            _ => DurationUs::ZERO,
-        }
+    /// Returns how long `tokens` take to be read.
+    pub(crate) fn prefill_time(&self, tokens: TokenCount, options: &EndpointOptions) -> DurationUs {
+        let reported = self
+            .report
+            .as_ref()
+            .map(|held| held.load.prefill_tokens_per_s);
+        let rate = reported.filter(|rate| rate.get() > 0);
+        let rate = rate.unwrap_or(options.default_prefill_tokens_per_s);
+        rate.time_for(tokens)
     }
 
     /// Estimates the wait before a new request is begun: for a slot, then for the prompts ahead.
@@ -196,7 +197,7 @@
             .service_time_us
             .unwrap_or(options.default_service_us.as_f64());
         let for_slot_us = waiting as f64 * service_time_us / slots as f64;
-        DurationUs::new(for_slot_us as u64) + self.prefill_time(self.queued_tokens())
+        DurationUs::new(for_slot_us as u64) + self.prefill_time(self.queued_tokens(), options)
     }
 
     /// Returns whether the adapter is loaded for the model.
--- a/crates/wisteriahitch-core/src/route/endpoint/scan.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/scan.rs
@@ -4,7 +4,7 @@
 
 use wisteriahitch_types::{ServiceName, TimeUs};
 
-use super::{EndpointTable, LifeEvent, LifeState};
+use super::{EndpointTable, LifeEvent, LifeState, Slowness};
 
 /// Endpoints with enough samples without which a service has no median to compare with.
 const MIN_COMPARED: usize = 2;
@@ -62,8 +62,8 @@
     }
 
     /// Returns the median slowness of each service that has enough endpoints to compare.
-    fn medians(&self) -> HashMap<ServiceName, f64> {
-        let mut by_service: HashMap<ServiceName, Vec<f64>> = HashMap::new();
+    fn medians(&self) -> HashMap<ServiceName, Slowness> {
+        let mut by_service: HashMap<ServiceName, Vec<Slowness>> = HashMap::new();
         for record in &self.rows {
             let takes_work = matches!(record.state(), LifeState::Ready | LifeState::Suspect);
             if takes_work && record.outlier.samples >= self.options.min_samples {
@@ -74,7 +74,7 @@
         by_service
             .into_iter()
             .filter(|(_, values)| values.len() >= MIN_COMPARED)
-            .map(|(service, values)| (service, lower_median(values)))
+            .filter_map(|(service, values)| Some((service, Slowness::median(&values)?)))
             .collect()
     }
 
@@ -115,9 +115,3 @@
         ejected < allowed.max(1)
     }
 }
-
-/// Returns the lower of the two middle values, so that in a pair the slow one stands out.
-fn lower_median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values[(values.len() - 1) / 2]
-}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/endpoint/slowness.rs
@@ -0,0 +1,65 @@
+//! How slow an endpoint is against what was estimated.
+
+use serde::Serialize;
+use wisteriahitch_types::DurationUs;
+
+use super::EndpointOptions;
+
+/// Part of a new sample in the moving means.
+const SAMPLE_WEIGHT: f64 = 0.2;
+/// Shorter estimates count as so long, because a ratio to nearly nothing says nothing.
+const MIN_EXPECTED_US: f64 = 1_000.0;
+
+/// Compares times to the first token with their estimates, in two ways.
+///
+/// Each way alone misleads: a ratio is large where the estimate is near zero, as at an idle plain
+/// service, and a difference is large where the estimate is, as for long prompts. An endpoint is
+/// slow only by both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Slowness {
+    /// Moving mean of the time over its estimate.
+    pub ratio: f64,
+    /// Moving mean of the time above its estimate, in microseconds.
+    pub excess_us: f64,
+}
+
+impl Slowness {
+    /// Compares one time with its estimate.
+    pub(crate) fn of(taken: DurationUs, expected: DurationUs) -> Self {
+        Self {
+            ratio: taken.as_f64() / expected.as_f64().max(MIN_EXPECTED_US),
+            excess_us: taken.as_f64() - expected.as_f64(),
+        }
+    }
+
+    /// Moves the means towards a sample.
+    pub(crate) fn towards(self, sample: Self) -> Self {
+        let mix = |mean: f64, sample: f64| mean + SAMPLE_WEIGHT * (sample - mean);
+        Self {
+            ratio: mix(self.ratio, sample.ratio),
+            excess_us: mix(self.excess_us, sample.excess_us),
+        }
+    }
+
+    /// Returns whether this is far above the `median` of a service in both ways.
+    pub(crate) fn is_far_above(self, median: Self, options: &EndpointOptions) -> bool {
+        let usual_us = median.excess_us.max(0.0) * options.slow_factor;
+        let allowed_us = usual_us + options.slow_margin_us.as_f64();
+        self.ratio > median.ratio * options.slow_factor && self.excess_us > allowed_us
+    }
+
+    /// Returns the lower medians, so that in a pair the slow one stands out; nothing for none.
+    pub(crate) fn median(values: &[Self]) -> Option<Self> {
+        Some(Self {
+            ratio: lower_median(values.iter().map(|value| value.ratio))?,
+            excess_us: lower_median(values.iter().map(|value| value.excess_us))?,
+        })
+    }
+}
+
+fn lower_median(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    let middle = values.len().checked_sub(1)? / 2;
+    values.get(middle).copied()
+}
--- a/crates/wisteriahitch-core/src/route/endpoint/snapshot.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/snapshot.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 use wisteriahitch_types::{AvailabilityZone, EndpointId, ServiceName, TimeUs, TokenCount};
 
-use super::{EndpointLoad, EndpointRecord, EndpointTable, LifeState};
+use super::{EndpointLoad, EndpointRecord, EndpointTable, LifeState, Slowness};
 
 /// Shows what is known of one endpoint.
 #[derive(Clone, Debug, Serialize)]
@@ -28,8 +28,8 @@
     pub in_flight: u64,
     /// Failures since the last success.
     pub failures_in_row: u32,
-    /// Moving mean of the time to the first token over its estimate.
-    pub slowness: f64,
+    /// How slow its first tokens are.
+    pub slowness: Slowness,
     /// When the ejection ends.
     pub ejected_until_us: Option<TimeUs>,
     /// Whether one request at a time probes it.
--- a/crates/wisteriahitch-core/src/route/endpoint/traffic.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/traffic.rs
@@ -97,7 +97,10 @@
         };
         record.sent.add(-1, tokens, now);
         if flight.has_first_token {
-            record.took(now.since(flight.sent_at_us));
+            // The expected wait isn't learned as work: estimates would grow with every queue,
+            // which one would notice by refusals for deadlines that could be met.
+            let span = now.since(flight.sent_at_us);
+            record.took(span.saturating_sub(flight.expected_us));
         }
         Some(row)
     }
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -15,7 +15,7 @@
 pub use directory::{Directory, DirectorySnapshot, Tier, shard_owner};
 pub use endpoint::{
     EndpointChange, EndpointLoad, EndpointOptions, EndpointSnapshot, EndpointTable, FlightFailure,
-    FlightId, LeavingSource, LifeState, LoadedModel, Served,
+    FlightId, LeavingSource, LifeState, LoadedModel, Served, Slowness,
 };
 pub use pieces::{ChainScope, Piece, PieceChain, piece_chain};
 pub use policy::{
--- a/crates/wisteriahitch-core/src/route/policy/weigh.rs
+++ b/crates/wisteriahitch-core/src/route/policy/weigh.rs
@@ -102,7 +102,8 @@
     }
 
     fn estimate(&self, record: &EndpointRecord, queue_us: DurationUs, cut: Cut) -> Estimate {
-        let prefill_us = record.prefill_time(self.recompute_tokens(cut.end));
+        let options = &self.view.endpoints.options;
+        let prefill_us = record.prefill_time(self.recompute_tokens(cut.end), options);
         let is_near = record.availability_zone == self.request.availability_zone;
         let way_us = match is_near {
             true => DurationUs::ZERO,
--- a/crates/wisteriahitch-core/tests/all/route_endpoint.rs
+++ b/crates/wisteriahitch-core/tests/all/route_endpoint.rs
@@ -317,35 +317,60 @@
     }
 }
 
+/// Symptom: endpoints that are well are ejected because their estimates differ.
+/// Sequence: one gets requests that should wait, or long prompts; the others get short ones.
+/// Cause: a ratio to the estimate misleads where that is near zero, a difference where it is large.
 #[test]
 fn a_slow_endpoint_is_ejected_against_the_median() {
     struct Case {
         name: &'static str,
+        expected_ms: [u64; 4],
         taken_ms: [u64; 4],
         ejected: Option<usize>,
     }
+    let case = |name, expected_ms, taken_ms, ejected| Case {
+        name,
+        expected_ms,
+        taken_ms,
+        ejected,
+    };
+    let alike = [100; 4];
     let cases = [
-        Case {
-            name: "one is slow",
-            taken_ms: [100, 100, 120, 500],
-            ejected: Some(3),
-        },
-        Case {
-            name: "all are slow",
-            taken_ms: [900, 900, 900, 900],
-            ejected: None,
-        },
-        Case {
-            name: "one is slower, within reason",
-            taken_ms: [100, 100, 100, 290],
-            ejected: None,
-        },
+        case("one is slow", alike, [100, 100, 120, 500], Some(3)),
+        case("all are slow", alike, [900; 4], None),
+        case(
+            "one is slower, within reason",
+            alike,
+            [100, 100, 100, 290],
+            None,
+        ),
+        case(
+            "one is in the same zone",
+            [0, 3, 3, 3],
+            [8, 11, 11, 11],
+            None,
+        ),
+        case("one has a queue", [0, 0, 0, 500], [8, 8, 8, 520], None),
+        case(
+            "one has long prompts",
+            [100, 100, 100, 9_000],
+            [101, 99, 101, 9_900],
+            None,
+        ),
+        case(
+            "one is slow at short requests",
+            [0; 4],
+            [8, 8, 9, 200],
+            Some(3),
+        ),
     ];
     for case in cases {
         let mut table = table(4);
         for _ in 0..10 {
-            for (number, taken_ms) in case.taken_ms.into_iter().enumerate() {
-                succeed(&mut table, number, taken_ms, START);
+            for number in 0..4 {
+                let expected = DurationUs::from_ms(case.expected_ms[number]);
+                let flight = table.sent(&endpoint(number), TokenCount::ZERO, expected, START);
+                table.finished(flight.unwrap(), after_ms(case.taken_ms[number]));
             }
         }
         table.tick(after_ms(1_000));
--- a/crates/wisteriahitch-core/tests/all/route_policy.rs
+++ b/crates/wisteriahitch-core/tests/all/route_policy.rs
@@ -457,6 +457,50 @@
     }
 }
 
+/// Symptom: the more a service waits, the longer the estimates get, until all are refused.
+/// Sequence: requests wait their turn at a busy endpoint and end as expected.
+/// Cause: the wait itself would be learned as time that each request takes.
+#[test]
+fn waiting_is_not_learned_as_work() {
+    let mut router = router(1);
+    let load = EndpointLoad {
+        running: 1,
+        batch_slots: 1,
+        ..idle(START)
+    };
+    router.endpoints.report(&endpoint(0), load, START);
+    for _ in 0..50 {
+        let wait = router
+            .choose(&request(0), &NoLinks, START)
+            .unwrap()
+            .estimate
+            .first_token_us;
+        let flight = router
+            .endpoints
+            .sent(&endpoint(0), TokenCount::ZERO, wait, START);
+        let end = START + wait + DurationUs::from_ms(30);
+        router.endpoints.finished(flight.unwrap(), end);
+    }
+    let estimate = router
+        .choose(&request(0), &NoLinks, START)
+        .unwrap()
+        .estimate;
+    assert_eq!(estimate.queue_us.as_ms(), 30);
+}
+
+#[test]
+fn an_engine_of_unknown_speed_looks_like_an_ordinary_one() {
+    let mut router = router(2);
+    let load = EndpointLoad {
+        prefill_tokens_per_s: TokenRate::ZERO,
+        queued_tokens: TokenCount::new(100_000),
+        ..idle(START)
+    };
+    router.endpoints.report(&endpoint(0), load, START);
+    let choice = router.choose(&request(100), &NoLinks, START).unwrap();
+    assert_eq!(choice.endpoint, endpoint(1));
+}
+
 #[test]
 fn baselines_choose_as_their_names_say() {
     struct Case {
