fix(route): bound the list of changes and forget removed endpoints' blocks

Cause: nobody takes the list of changes in the shell, so it grew for ever, and the blocks of an endpoint that left the configuration stayed in the directory. Seen failing first: with either protection taken out of a copy, what_nobody_takes_stays_bounded or a_removed_endpoint_leaves_the_directory_too fails. Change: the last 1,024 changes are kept; the router's tick forgets the blocks of removed endpoints; ready_slots tells a service's capacity for admission. A property test holds that a leaving endpoint is not chosen before a later life reports; it fails where past lives are not remembered.

--- a/crates/wisteriahitch-core/src/route/endpoint/lookup.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/lookup.rs
@@ -25,6 +25,16 @@
         Some(self.rows[row].in_flight)
     }
 
+    /// Returns how many requests the endpoints of a service that take work can run at once.
+    ///
+    /// A daemon's part of it is the capacity for [`Admission`](crate::route::Admission): with much
+    /// more, requests wait at the endpoints, where workspaces have no shares.
+    pub fn ready_slots(&self, service: &ServiceName) -> u64 {
+        let of_service = self.rows.iter().filter(|record| record.service == *service);
+        let ready = of_service.filter(|record| record.state() == LifeState::Ready);
+        ready.map(|record| record.slots()).sum()
+    }
+
     /// Returns the weight versions of a model that endpoints of a service have ready, with how
     /// many endpoints have each, in the order of the versions.
     pub fn ready_versions(
--- a/crates/wisteriahitch-core/src/route/endpoint/table.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/table.rs
@@ -1,6 +1,6 @@
 //! The table of all endpoints and the events that change it.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use serde::Serialize;
 use wisteriahitch_config::{Configuration, Endpoint, Service};
@@ -11,6 +11,9 @@
     LifeState, Pools,
 };
 
+/// Most steps of lives that are kept for logs and metrics.
+const MAX_CHANGES: usize = 1_024;
+
 /// Tells that an endpoint's life took a step.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct EndpointChange {
@@ -32,7 +35,9 @@
     pub(crate) by_id: HashMap<EndpointId, usize>,
     pub(crate) pools: Pools,
     pub(crate) last_scan_at_us: TimeUs,
-    pub(crate) changes: Vec<EndpointChange>,
+    pub(crate) changes: VecDeque<EndpointChange>,
+    /// Endpoints that were taken out since the last tick of the router.
+    pub(crate) removed: Vec<EndpointId>,
     pub(crate) flights: HashMap<FlightId, Flight>,
     pub(crate) next_flight: u64,
 }
@@ -106,6 +111,7 @@
         if let Some(&row) = self.by_id.get(id) {
             self.change(row, |record| record.handle(LifeEvent::Removed));
             self.by_id.remove(id);
+            self.removed.push(id.clone());
         }
     }
 
@@ -152,9 +158,10 @@
         });
     }
 
-    /// Takes the steps that lives took since the last call, for logs and metrics.
+    /// Takes the steps that lives took since the last call, for logs and metrics; of many, the
+    /// last 1,024.
     pub fn take_changes(&mut self) -> Vec<EndpointChange> {
-        std::mem::take(&mut self.changes)
+        std::mem::take(&mut self.changes).into()
     }
 
     /// Changes a row and brings its pools and the list of changes up to date.
@@ -164,7 +171,11 @@
         step(record);
         let to = record.state();
         if from != to {
-            self.changes.push(EndpointChange {
+            // Nobody may be there to take them, and memory has to stay bounded all the same.
+            if self.changes.len() >= MAX_CHANGES {
+                self.changes.pop_front();
+            }
+            self.changes.push_back(EndpointChange {
                 endpoint: record.id.clone(),
                 from,
                 to,
--- a/crates/wisteriahitch-core/src/route/router.rs
+++ b/crates/wisteriahitch-core/src/route/router.rs
@@ -120,6 +120,12 @@
     /// Runs the systems of the tables.
     pub fn tick(&mut self, now: TimeUs) {
         self.endpoints.tick(now);
+        for endpoint in std::mem::take(&mut self.endpoints.removed) {
+            // One that was only moved to another address has been listed anew, or will be.
+            if self.endpoints.get_state(&endpoint).is_none() {
+                self.directory.endpoint_gone(&endpoint);
+            }
+        }
         self.directory.sweep(SWEPT_EACH_TICK);
     }
 
--- a/crates/wisteriahitch-core/tests/all/route_endpoint.rs
+++ b/crates/wisteriahitch-core/tests/all/route_endpoint.rs
@@ -1,12 +1,14 @@
 //! The endpoint table: leaving, load correction, ejection and probing.
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use wisteriahitch_config::ServiceKind;
 use wisteriahitch_core::route::{
-    EndpointLoad, EndpointOptions, EndpointTable, FlightFailure, LeavingSource, LifeState,
+    EndpointLoad, EndpointOptions, EndpointTable, FlightFailure, LeavingSource, LifeState, NoLinks,
 };
-use wisteriahitch_types::{DurationUs, TimeUs, TokenCount};
+use wisteriahitch_types::{BlockKey, DurationUs, TimeUs, TokenCount};
 
-use crate::route_fixture::{START, after_ms, configuration, endpoint, idle};
+use crate::route_fixture::{START, after_ms, configuration, endpoint, idle, request, router};
 
 const EXPECTED: DurationUs = DurationUs::from_ms(100);
 
@@ -351,6 +353,7 @@
             None,
         ),
         case("one has a queue", [0, 0, 0, 500], [8, 8, 8, 520], None),
+        case("one is idle", [500, 500, 500, 0], [510, 510, 510, 12], None),
         case(
             "one has long prompts",
             [100, 100, 100, 9_000],
@@ -430,6 +433,118 @@
     assert_eq!(table.get_in_flight(&endpoint(0)), Some(0));
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever the order of reports, late ones among them, and of the sources: once a life is
+    /// said to be leaving, its endpoint is not chosen before its own report of a later life.
+    #[test]
+    fn a_leaving_endpoint_gets_no_work(steps in proptest::collection::vec(any_step(), 1..80)) {
+        let mut router = router(2);
+        // The lives are 0, 1 and so on; the first of each endpoint is reported by the fixture.
+        let mut newest = [0_u64; 2];
+        let mut is_leaving = [false; 2];
+        for (number, step) in (1..).zip(steps) {
+            let now = after_ms(100 * number);
+            let made_ms = now.get() / 1_000;
+            let (target, life) = match step {
+                RandomStep::Leaving(target, source) => {
+                    is_leaving[target] = true;
+                    router.endpoints.leaving(&endpoint(target), &source, now);
+                    continue;
+                }
+                RandomStep::NewLife(target) => (target, newest[target] + 1),
+                RandomStep::Again(target) => (target, newest[target]),
+                RandomStep::LateLife(target) => (target, newest[target].saturating_sub(1)),
+            };
+            let load = EndpointLoad {
+                life: Some(life_name(life)),
+                made_at_ms: made_ms,
+                ..idle(now)
+            };
+            router.endpoints.report(&endpoint(target), load, now);
+            if life > newest[target] {
+                newest[target] = life;
+                is_leaving[target] = false;
+            }
+            router.tick(now);
+            for _ in 0..4 {
+                let chosen = router.choose(&request(10), &NoLinks, now).ok();
+                let chosen = chosen.map(|choice| choice.endpoint);
+                let left: Vec<usize> = (0..2).filter(|number| is_leaving[*number]).collect();
+                prop_assert!(left.iter().all(|number| chosen != Some(endpoint(*number))));
+                prop_assert!(left.len() == 2 || chosen.is_some());
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum RandomStep {
+    Leaving(usize, LeavingSource),
+    NewLife(usize),
+    Again(usize),
+    LateLife(usize),
+}
+
+fn any_step() -> impl Strategy<Value = RandomStep> {
+    let source = prop_oneof![
+        Just(LeavingSource::VmList),
+        Just(LeavingSource::OwnReport),
+        Just(LeavingSource::Peer { life: None }),
+    ];
+    prop_oneof![
+        2 => (0..2_usize, source).prop_map(|(target, source)| RandomStep::Leaving(target, source)),
+        2 => (0..2_usize).prop_map(RandomStep::NewLife),
+        4 => (0..2_usize).prop_map(RandomStep::Again),
+        2 => (0..2_usize).prop_map(RandomStep::LateLife),
+    ]
+}
+
+/// Names a life; the first is that of the fixture's reports.
+fn life_name(number: u64) -> String {
+    match number {
+        0 => "first".to_owned(),
+        _ => format!("life-{number}"),
+    }
+}
+
+#[test]
+fn what_nobody_takes_stays_bounded() {
+    let mut table = table(1);
+    for number in 0..2_000 {
+        let now = after_ms(6_000 * (number + 1));
+        table.tick(now);
+        table.report(&endpoint(0), idle(now), now);
+    }
+    assert_eq!(table.take_changes().len(), 1_024);
+    assert!(table.take_changes().is_empty());
+}
+
+#[test]
+fn a_removed_endpoint_leaves_the_directory_too() {
+    let mut router = router(3);
+    let key = BlockKey::derive("wisteriahitch test key", &[]);
+    (0..3).for_each(|number| router.directory.stored(&endpoint(number), &key));
+    assert_eq!(
+        router.endpoints.ready_slots(&"assistant".parse().unwrap()),
+        24
+    );
+    router
+        .endpoints
+        .configured(&configuration(ServiceKind::Engine, 2), START);
+    router.tick(START);
+    assert_eq!(router.directory.snapshot().holders, 2);
+    assert_eq!(
+        router.endpoints.ready_slots(&"assistant".parse().unwrap()),
+        16
+    );
+}
+
 #[test]
 fn a_configuration_adds_moves_and_removes() {
     let mut table = table(3);
