--- a/crates/wisteriahitch-core/tests/all/tier.rs
+++ b/crates/wisteriahitch-core/tests/all/tier.rs
@@ -2,12 +2,15 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_config::{Configuration, Store};
+use wisteriahitch_config::{
+    Configuration, Endpoint, SavePolicy, Service, ServiceKind, Store, Workspace,
+};
 use wisteriahitch_core::tier::{
-    ImportPlan, ImportStep, PinGrant, Reader, TierCommand, TierEvent, TierName, Tiers, TransferId,
+    ChainBlock, FinishedRequest, ImportPlan, ImportStep, PinGrant, Reader, TierCommand, TierEvent,
+    TierName, Tiers, TransferId,
 };
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, DurationUs, Generation, StoreId, TimeUs, TokenCount,
+    BlockKey, ByteCount, ByteRate, DurationUs, Generation, StoreId, TimeUs, TokenCount, TokenRate,
 };
 
 pub(crate) const BLOCK_BYTES: ByteCount = ByteCount::new(1_000_000);
@@ -54,6 +57,56 @@
     }
 }
 
+fn service() -> Service {
+    Service {
+        name: name("assistant"),
+        kind: ServiceKind::Engine,
+        models: Vec::new(),
+        stores: vec![name("hub-cache")],
+        repeatable: Vec::new(),
+        endpoints: vec![Endpoint {
+            id: name("runner-1"),
+            address: ([127, 0, 0, 1], 8).into(),
+            availability_zone: name("colombo-a"),
+            checks_fence: true,
+        }],
+    }
+}
+
+/// Builds a configuration with an endpoint and a workspace that may take so many blocks.
+pub(crate) fn configuration_with(quota_blocks: u64) -> Configuration {
+    let workspace = Workspace {
+        id: name("kandy"),
+        key_hashes: Vec::new(),
+        weight: 1,
+        requests_per_s: None,
+        prompt_tokens_per_s: None,
+        max_queued: 10,
+        store_bytes: ByteCount::new(quota_blocks * BLOCK_BYTES.get()),
+    };
+    Configuration {
+        services: BTreeMap::from([(name("assistant"), service())]),
+        workspaces: BTreeMap::from([(name("kandy"), workspace)]),
+        ..configuration()
+    }
+}
+
+pub(crate) fn finished(policy: SavePolicy, keys: &[u8]) -> FinishedRequest {
+    let block = |number: &u8| ChainBlock {
+        key: key(*number),
+        tokens: BLOCK_TOKENS,
+        bytes: BLOCK_BYTES,
+    };
+    FinishedRequest {
+        workspace: name("kandy"),
+        weight_version: name("v1"),
+        endpoint: name("runner-1"),
+        policy,
+        prefill_tokens_per_s: TokenRate::new(2_000),
+        chain: keys.iter().map(block).collect(),
+    }
+}
+
 pub(crate) fn store_seen(incarnation: &str) -> TierEvent {
     TierEvent::StoreSeen {
         store: name("hub-cache"),
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/tier_link.rs
@@ -0,0 +1,265 @@
+//! Orders of transfers, measured rates and estimates.
+
+use wisteriahitch_core::tier::{
+    BackfillOrder, LinkOrder, LinkTable, PlainOrder, PriorityOrder, StartTransfer, TransferClass,
+    TransferId,
+};
+use wisteriahitch_types::{ByteCount, ByteRate, DurationUs, StoreId};
+
+use crate::tier::{at_ms, name};
+
+const RATE: u64 = 1_000_000;
+const BLOCK: ByteCount = ByteCount::new(RATE);
+
+fn store() -> StoreId {
+    name("hub-cache")
+}
+
+fn table(order: Box<dyn LinkOrder>) -> LinkTable {
+    let mut table = LinkTable::new(order);
+    table.configure(&store(), ByteRate::new(RATE));
+    table
+}
+
+/// Names one thing that happens to a link.
+enum Step {
+    Queue(u64, TransferClass, u64),
+    Finish(u64),
+    Look,
+}
+
+struct OrderCase {
+    name: &'static str,
+    order: Box<dyn LinkOrder>,
+    /// What happens by the time in milliseconds, and the transfers that start then.
+    run: Vec<(u64, Step, &'static [u64])>,
+}
+
+fn order_cases() -> Vec<OrderCase> {
+    use Step::{Finish, Look, Queue};
+    use TransferClass::{Prefetch, Save, Wait};
+    vec![
+        OrderCase {
+            name: "plain order takes transfers as they come, two at once",
+            order: Box::new(PlainOrder),
+            run: vec![
+                (0, Queue(1, Save, RATE), &[1]),
+                (1, Queue(2, Prefetch, RATE), &[2]),
+                (2, Queue(3, Save, RATE), &[]),
+                (3, Queue(4, Wait, RATE), &[]),
+                (900, Finish(1), &[3]),
+                (999, Finish(2), &[4]),
+            ],
+        },
+        OrderCase {
+            name: "imports go before saves, and saves before prefetch",
+            order: Box::new(PriorityOrder),
+            run: vec![
+                (0, Queue(1, Wait, RATE), &[1]),
+                (1, Queue(2, Wait, RATE), &[2]),
+                (2, Queue(3, Prefetch, RATE), &[]),
+                (3, Queue(4, Save, RATE), &[]),
+                (4, Queue(5, Wait, RATE), &[]),
+                (900, Finish(1), &[5]),
+                (1_000, Finish(2), &[]),
+                (1_500, Finish(5), &[4]),
+                (2_500, Finish(4), &[3]),
+            ],
+        },
+        // Symptom: nothing is ever saved. Sequence: imports never leave the link free. Cause:
+        // they always go first.
+        OrderCase {
+            name: "a save that has aged goes before later imports",
+            order: Box::new(PriorityOrder),
+            run: vec![
+                (0, Queue(1, Wait, RATE), &[1]),
+                (0, Queue(2, Wait, RATE), &[2]),
+                (1, Queue(3, Save, RATE), &[]),
+                (2, Queue(4, Wait, RATE), &[]),
+                (3, Queue(5, Wait, RATE), &[]),
+                (19_999, Finish(1), &[4]),
+                (20_001, Finish(2), &[3]),
+                (20_500, Finish(4), &[5]),
+            ],
+        },
+        OrderCase {
+            name: "backfill starts no save that may outlast the gap, until it has aged",
+            order: Box::new(BackfillOrder),
+            run: vec![
+                (0, Queue(1, Wait, RATE), &[1]),
+                (900, Finish(1), &[]),
+                (2_000, Queue(2, Wait, RATE), &[2]),
+                (2_900, Finish(2), &[]),
+                (3_000, Queue(3, Save, RATE), &[]),
+                (3_001, Queue(4, Save, RATE / 10), &[]),
+                (22_999, Look, &[]),
+                (23_000, Look, &[3]),
+            ],
+        },
+        OrderCase {
+            name: "backfill fills a gap in which a save is likely to finish",
+            order: Box::new(BackfillOrder),
+            run: vec![
+                (0, Queue(1, Wait, RATE), &[1]),
+                (900, Finish(1), &[]),
+                (2_000, Queue(2, Wait, RATE), &[2]),
+                (2_900, Finish(2), &[]),
+                (3_000, Queue(3, Save, RATE / 10), &[3]),
+            ],
+        },
+    ]
+}
+
+#[test]
+fn transfers_start_in_order() {
+    for case in order_cases() {
+        let mut table = table(case.order);
+        for (ms, step, expected) in case.run {
+            let now = at_ms(ms);
+            match step {
+                Step::Queue(id, class, bytes) => {
+                    let bytes = ByteCount::new(bytes);
+                    assert!(table.enqueue(&store(), TransferId::new(id), class, bytes, now));
+                }
+                Step::Finish(id) => {
+                    assert!(table.finish(&store(), TransferId::new(id), true, now));
+                }
+                Step::Look => {}
+            }
+            let started = table.start(now);
+            let expected: Vec<StartTransfer> = expected
+                .iter()
+                .map(|id| StartTransfer(TransferId::new(*id)))
+                .collect();
+            assert_eq!(started, expected, "{} at {ms} ms", case.name);
+        }
+    }
+}
+
+struct RateCase {
+    name: &'static str,
+    /// Transfers at once, and how long each takes.
+    at_once: u64,
+    each_ms: u64,
+    /// Bounds of the measured rate after twenty rounds.
+    expected: (u64, u64),
+}
+
+/// Symptom: estimates stay good while callers wait ever longer. Sequence: a link slows down, the
+/// configured rate is used on. Cause: nobody measures. The last case is the opposite error: a link
+/// that is merely shared isn't slow.
+#[test]
+fn a_slowed_link_is_noticed() {
+    let cases = [
+        RateCase {
+            name: "as configured",
+            at_once: 1,
+            each_ms: 1_000,
+            expected: (990_000, 1_010_000),
+        },
+        RateCase {
+            name: "four times slower",
+            at_once: 1,
+            each_ms: 4_000,
+            expected: (245_000, 260_000),
+        },
+        RateCase {
+            name: "shared by two, not slowed",
+            at_once: 2,
+            each_ms: 2_000,
+            expected: (990_000, 1_010_000),
+        },
+    ];
+    for case in cases {
+        let mut table = table(Box::new(PlainOrder));
+        for round in 0..20 {
+            let ids = (0..case.at_once).map(|i| TransferId::new(round * 10 + i));
+            let start = at_ms(round * case.each_ms);
+            for id in ids.clone() {
+                assert!(table.enqueue(&store(), id, TransferClass::Wait, BLOCK, start));
+            }
+            assert_eq!(table.start(start).len() as u64, case.at_once);
+            for id in ids {
+                assert!(table.finish(&store(), id, true, at_ms((round + 1) * case.each_ms)));
+            }
+        }
+        let rate = table.get(&store()).map(|link| link.rate().get());
+        let (low, high) = case.expected;
+        assert!(
+            rate.is_some_and(|rate| (low..=high).contains(&rate)),
+            "{}: {rate:?}",
+            case.name
+        );
+    }
+}
+
+struct EstimateCase {
+    name: &'static str,
+    queued: &'static [TransferClass],
+    reported_bytes: u64,
+    expected_ms: u64,
+}
+
+#[test]
+fn an_estimate_counts_what_is_ahead() {
+    use TransferClass::{Save, Wait};
+    let cases = [
+        EstimateCase {
+            name: "an idle link",
+            queued: &[],
+            reported_bytes: 0,
+            expected_ms: 1_000,
+        },
+        EstimateCase {
+            name: "running and waiting imports",
+            queued: &[Wait, Wait, Wait],
+            reported_bytes: 0,
+            expected_ms: 4_000,
+        },
+        EstimateCase {
+            name: "saves that wait are passed by",
+            queued: &[Wait, Save, Save],
+            reported_bytes: 0,
+            expected_ms: 2_000,
+        },
+        EstimateCase {
+            name: "other daemons' bytes, as the store reports them",
+            queued: &[],
+            reported_bytes: 3 * RATE,
+            expected_ms: 4_000,
+        },
+    ];
+    for case in cases {
+        let mut table = table(Box::new(PriorityOrder));
+        for (id, class) in case.queued.iter().enumerate() {
+            let id = TransferId::new(id as u64);
+            assert!(table.enqueue(&store(), id, *class, BLOCK, at_ms(0)));
+            table.start(at_ms(0));
+        }
+        table.note_queued(&store(), ByteCount::new(case.reported_bytes), at_ms(0));
+        let estimate = table.transfer_time(&store(), BLOCK, at_ms(0));
+        assert_eq!(
+            estimate,
+            DurationUs::from_ms(case.expected_ms),
+            "{}",
+            case.name
+        );
+    }
+    let nowhere = table(Box::new(PlainOrder)).transfer_time(&name("other"), BLOCK, at_ms(0));
+    assert_eq!(nowhere, DurationUs::MAX);
+}
+
+#[test]
+fn a_queue_is_bounded() {
+    let mut table = table(Box::new(PriorityOrder));
+    let accepted = (0..5_000).filter(|id| {
+        table.enqueue(
+            &store(),
+            TransferId::new(*id),
+            TransferClass::Save,
+            BLOCK,
+            at_ms(0),
+        )
+    });
+    assert_eq!(accepted.count(), 1_024);
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/tests/all/tier_room.rs
@@ -0,0 +1,221 @@
+//! Room in the tiers, and prefetch.
+
+use std::collections::BTreeSet;
+
+use wisteriahitch_config::SavePolicy;
+use wisteriahitch_core::tier::{
+    ExportReceipt, ReservedRoom, TierCommand, TierEvent, TierName, Tiers, TransferFailure,
+    TransferId,
+};
+use wisteriahitch_types::{BlockKey, ByteCount, Generation, TimeUs};
+
+use crate::tier::{
+    BLOCK_BYTES, CRC32C, at_ms, briefs, configuration_with, finished, key, name, store_seen,
+};
+
+/// Answers every call of a save, so that the blocks become readable.
+fn save(tiers: &mut Tiers, keys: &[u8], now: TimeUs) {
+    let mut commands = tiers.finished(&finished(SavePolicy::Always, keys), now);
+    while let Some(command) = commands.pop() {
+        let event = match command {
+            TierCommand::Reserve { transfer, .. } => TierEvent::Reserved {
+                transfer,
+                result: Ok(ReservedRoom::Room(Generation::new(transfer.get()))),
+            },
+            TierCommand::Export { transfer, .. } => TierEvent::Exported {
+                transfer,
+                result: Ok(ExportReceipt {
+                    bytes: BLOCK_BYTES,
+                    crc32c: CRC32C,
+                }),
+            },
+            other => panic!("a save doesn't need {other:?}"),
+        };
+        commands.extend(tiers.on(event, now));
+    }
+}
+
+fn tiers_with(keys: &[u8]) -> Tiers {
+    let mut tiers = Tiers::new();
+    tiers.configured(&configuration_with(100));
+    tiers.on(store_seen("i-1"), at_ms(0));
+    save(&mut tiers, keys, at_ms(0));
+    assert_eq!(tiers.saves().counts().finished as usize, keys.len());
+    tiers
+}
+
+fn seen_with(memory_blocks: u64, disk_blocks: u64) -> TierEvent {
+    TierEvent::StoreSeen {
+        store: name("hub-cache"),
+        incarnation: name("i-1"),
+        memory_free_bytes: ByteCount::new(memory_blocks * BLOCK_BYTES.get()),
+        disk_free_bytes: ByteCount::new(disk_blocks * BLOCK_BYTES.get()),
+        queued_bytes: ByteCount::ZERO,
+        is_leaving: false,
+    }
+}
+
+fn moved(transfer: u64, result: Result<(), TransferFailure>) -> TierEvent {
+    TierEvent::Moved {
+        transfer: TransferId::new(transfer),
+        result,
+    }
+}
+
+fn moved_key(commands: &[TierCommand]) -> Option<(BlockKey, TierName)> {
+    match commands {
+        [TierCommand::Move { key, tier, .. }] => Some((*key, *tier)),
+        _ => None,
+    }
+}
+
+fn tier_of(tiers: &Tiers, number: u8) -> Option<TierName> {
+    let mut blocks = tiers.blocks().iter();
+    let found = blocks.find(|(place, _)| place.key == key(number));
+    found.map(|(_, block)| block.tier())
+}
+
+struct RoomCase {
+    name: &'static str,
+    /// Blocks that fit into memory and disk, by the store's report.
+    free_blocks: (u64, u64),
+    is_mine: bool,
+    /// The block that is to be moved to disk.
+    expected: Option<u8>,
+}
+
+/// Symptom: a chain without its front is kept, which nobody can read. Sequence: memory fills up
+/// and blocks go. Cause: the front of a chain is the oldest part of it.
+#[test]
+fn memory_is_emptied_from_the_end_of_a_chain() {
+    let cases = [
+        RoomCase {
+            name: "enough room",
+            free_blocks: (5, 50),
+            is_mine: true,
+            expected: None,
+        },
+        RoomCase {
+            name: "memory is full",
+            free_blocks: (0, 50),
+            is_mine: true,
+            expected: Some(3),
+        },
+        RoomCase {
+            name: "memory is full, and another daemon keeps the room",
+            free_blocks: (0, 50),
+            is_mine: false,
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut tiers = tiers_with(&[1, 2, 3]);
+        if !case.is_mine {
+            tiers.keep_room_at(BTreeSet::new());
+        }
+        let (memory, disk) = case.free_blocks;
+        tiers.on(seen_with(memory, disk), at_ms(10));
+        let commands = tiers.tick(at_ms(20));
+        let expected = case.expected.map(|number| (key(number), TierName::Disk));
+        assert_eq!(moved_key(&commands), expected, "{}", case.name);
+    }
+}
+
+struct MoveCase {
+    name: &'static str,
+    result: Result<(), TransferFailure>,
+    expected: Option<TierName>,
+}
+
+#[test]
+fn a_move_ends_as_the_store_says() {
+    let cases = [
+        MoveCase {
+            name: "moved",
+            result: Ok(()),
+            expected: Some(TierName::Disk),
+        },
+        MoveCase {
+            name: "the disk is full",
+            result: Err(TransferFailure::Full),
+            expected: Some(TierName::Memory),
+        },
+        MoveCase {
+            name: "the block is gone",
+            result: Err(TransferFailure::Gone),
+            expected: None,
+        },
+    ];
+    for case in cases {
+        let mut tiers = tiers_with(&[1, 2]);
+        tiers.on(seen_with(0, 50), at_ms(10));
+        assert_eq!(briefs(&tiers.tick(at_ms(20))), ["move t3 disk"]);
+        assert_eq!(tiers.on(moved(3, case.result), at_ms(30)), []);
+        assert_eq!(tier_of(&tiers, 2), case.expected, "{}", case.name);
+        assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory), "{}", case.name);
+    }
+}
+
+/// Symptom: nothing can be saved any more. Sequence: the disk fills up. Cause: nothing is freed.
+#[test]
+fn a_full_disk_is_freed_from_the_end_of_a_chain() {
+    let mut tiers = tiers_with(&[1, 2]);
+    tiers.on(seen_with(0, 50), at_ms(10));
+    tiers.tick(at_ms(20));
+    tiers.on(moved(3, Ok(())), at_ms(30));
+    tiers.on(seen_with(5, 0), at_ms(40));
+    assert_eq!(briefs(&tiers.tick(at_ms(50))), ["free generation 2"]);
+    assert_eq!(tier_of(&tiers, 2), None);
+    assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory));
+}
+
+struct PrefetchCase {
+    name: &'static str,
+    is_enabled: bool,
+    /// When the block is used, in seconds.
+    uses_s: [u64; 3],
+    expected: &'static [&'static str],
+}
+
+#[test]
+fn a_regular_return_is_prefetched() {
+    let cases = [
+        PrefetchCase {
+            name: "regular",
+            is_enabled: true,
+            uses_s: [1, 101, 201],
+            expected: &["move t3 memory"],
+        },
+        PrefetchCase {
+            name: "irregular",
+            is_enabled: true,
+            uses_s: [1, 11, 201],
+            expected: &[],
+        },
+        PrefetchCase {
+            name: "switched off",
+            is_enabled: false,
+            uses_s: [1, 101, 201],
+            expected: &[],
+        },
+    ];
+    for case in cases {
+        let mut tiers = tiers_with(&[1]);
+        tiers.set_prefetch(case.is_enabled);
+        tiers.on(seen_with(0, 50), at_ms(10));
+        assert_eq!(briefs(&tiers.tick(at_ms(20))), ["move t2 disk"]);
+        tiers.on(moved(2, Ok(())), at_ms(30));
+        tiers.on(seen_with(5, 50), at_ms(40));
+        for second in case.uses_s {
+            let used = finished(SavePolicy::Never, &[1]);
+            assert_eq!(tiers.finished(&used, at_ms(second * 1_000)), []);
+        }
+        assert_eq!(tiers.tick(at_ms(290_000)), [], "{}: too early", case.name);
+        let commands = tiers.tick(at_ms(292_000));
+        assert_eq!(briefs(&commands), case.expected, "{}", case.name);
+        if !commands.is_empty() {
+            tiers.on(moved(3, Ok(())), at_ms(292_100));
+            assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory));
+        }
+    }
+}
--- a/crates/wisteriahitch-core/tests/all/tier_save.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_save.rs
@@ -1,16 +1,13 @@
 //! Saves, whole and failing at each step.
 
-use std::collections::BTreeMap;
-
-use wisteriahitch_config::{Configuration, Endpoint, SavePolicy, Service, ServiceKind, Workspace};
+use wisteriahitch_config::SavePolicy;
 use wisteriahitch_core::tier::{
-    BlockState, ChainBlock, ExportReceipt, FinishedRequest, Place, ReservedRoom, TierEvent, Tiers,
-    TransferFailure, TransferId,
+    BlockState, ExportReceipt, Place, ReservedRoom, TierEvent, Tiers, TransferFailure, TransferId,
 };
-use wisteriahitch_types::{ByteCount, Generation, TokenRate};
+use wisteriahitch_types::{ByteCount, Generation};
 
 use crate::tier::{
-    BLOCK_BYTES, BLOCK_TOKENS, CRC32C, at_ms, briefs, configuration, key, name, store_seen,
+    BLOCK_BYTES, CRC32C, at_ms, briefs, configuration_with, finished, key, name, store_seen,
 };
 
 enum Step {
@@ -28,55 +25,6 @@
     readable: &'static [u8],
 }
 
-fn service() -> Service {
-    Service {
-        name: name("assistant"),
-        kind: ServiceKind::Engine,
-        models: Vec::new(),
-        stores: vec![name("hub-cache")],
-        repeatable: Vec::new(),
-        endpoints: vec![Endpoint {
-            id: name("runner-1"),
-            address: ([127, 0, 0, 1], 8).into(),
-            availability_zone: name("colombo-a"),
-            checks_fence: true,
-        }],
-    }
-}
-
-fn configuration_with(quota_blocks: u64) -> Configuration {
-    let workspace = Workspace {
-        id: name("kandy"),
-        key_hashes: Vec::new(),
-        weight: 1,
-        requests_per_s: None,
-        prompt_tokens_per_s: None,
-        max_queued: 10,
-        store_bytes: ByteCount::new(quota_blocks * BLOCK_BYTES.get()),
-    };
-    Configuration {
-        services: BTreeMap::from([(name("assistant"), service())]),
-        workspaces: BTreeMap::from([(name("kandy"), workspace)]),
-        ..configuration()
-    }
-}
-
-fn finished(policy: SavePolicy, keys: &[u8]) -> FinishedRequest {
-    let block = |number: &u8| ChainBlock {
-        key: key(*number),
-        tokens: BLOCK_TOKENS,
-        bytes: BLOCK_BYTES,
-    };
-    FinishedRequest {
-        workspace: name("kandy"),
-        weight_version: name("v1"),
-        endpoint: name("runner-1"),
-        policy,
-        prefill_tokens_per_s: TokenRate::new(2_000),
-        chain: keys.iter().map(block).collect(),
-    }
-}
-
 fn reserved(transfer: u64, result: Result<ReservedRoom, TransferFailure>) -> Step {
     Step::Event(TierEvent::Reserved {
         transfer: TransferId::new(transfer),
