--- /dev/null
+++ b/crates/wisteriahitch-node/src/caller/mod.rs
@@ -0,0 +1,20 @@
+//! The callers' side: HTTP in, answers and refusals out.
+
+pub(crate) mod body;
+mod completion;
+mod completion_body;
+mod entries;
+pub(crate) mod gate;
+mod handler;
+mod identity;
+pub(crate) mod keyed;
+mod plain;
+mod refusal;
+mod resume;
+mod stream_body;
+mod tickets;
+
+pub(crate) use entries::json_response;
+pub(crate) use handler::CallerHandler;
+pub(crate) use identity::{Identity, new_request_id};
+pub(crate) use refusal::Refusal;
--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/drain.rs
@@ -0,0 +1,84 @@
+//! Leaving without cutting off a request.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use parking_lot::Mutex;
+use wisteriahitch_core::fleet::{Drain, DrainPhase, MembershipEvent, OpenWork};
+use wisteriahitch_types::DurationUs;
+
+use crate::shared::Shared;
+
+/// How long other daemons may go on naming this one before the news of its draining is everywhere.
+const SPREAD_US: DurationUs = DurationUs::from_ms(2_000);
+
+/// Holds how far this daemon's draining has come.
+#[derive(Default)]
+pub(crate) struct DrainState {
+    accepted: AtomicU64,
+    drain: Mutex<Drain>,
+}
+
+/// Counts a request as accepted until it is dropped.
+pub(crate) struct Accepted {
+    shared: Arc<Shared>,
+}
+
+impl Drop for Accepted {
+    fn drop(&mut self) {
+        self.shared
+            .fleet
+            .drain
+            .accepted
+            .fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Shared {
+    /// Counts a request that a draining daemon waits for, until its whole answer is sent.
+    pub(crate) fn accept(self: &Arc<Self>) -> Accepted {
+        self.fleet.drain.accepted.fetch_add(1, Ordering::AcqRel);
+        Accepted {
+            shared: Arc::clone(self),
+        }
+    }
+
+    /// Returns whether this daemon is leaving.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.fleet.drain.drain.lock().phase() != DrainPhase::Serving
+    }
+
+    /// Starts to drain; a second call changes nothing.
+    pub(crate) fn start_drain(self: &Arc<Self>) {
+        if self.is_draining() {
+            return;
+        }
+        let now = self.clock.now();
+        let in_force = self.in_force.load_full();
+        let ttl_us = in_force.map_or(DurationUs::ZERO, |c| c.configuration.limits.entries_ttl_us);
+        self.fleet.drain.drain.lock().start(now, ttl_us + SPREAD_US);
+        self.once.lock().issuer.stop();
+        self.step_members(MembershipEvent::Drain);
+        log::info!("draining");
+    }
+
+    /// Ends the process once nothing would be cut off.
+    pub(crate) fn tick_drain(self: &Arc<Self>) {
+        if !self.is_draining() {
+            return;
+        }
+        let now = self.clock.now();
+        let work = {
+            let once = self.once.lock();
+            let under_way = once.table.under_way() as u64;
+            OpenWork {
+                requests: self.fleet.drain.accepted.load(Ordering::Acquire) + under_way,
+                tickets: u64::from(once.issuer.has_live_tickets(now)),
+            }
+        };
+        if self.fleet.drain.drain.lock().tick(now, work) == DrainPhase::Drained {
+            log::info!("drained");
+            self.stop.cancel();
+        }
+    }
+}
