fix(tier): a listing neither ranks known blocks anew nor leaves freed ones readable

Cause: each listing ranked every block again, with depth 0 and at the store's clock, so the front of a chain went before its end and unused blocks never aged. A block that another daemon had freed stayed readable here and was never saved again. A pin's answer that made no sense freed a block that nobody had looked at. Change: a listing ranks unknown blocks alone; StoreListed ends those that are not in it; a pin's nonsense makes the block suspect.

--- a/crates/wisteriahitch-core/src/tier/block_table.rs
+++ b/crates/wisteriahitch-core/src/tier/block_table.rs
@@ -379,14 +379,19 @@
         &self.workspace_bytes
     }
 
-    fn handles_at(&self, store: &StoreId) -> Vec<BlockHandle> {
+    /// Returns the blocks of one store, ordered by key.
+    pub fn blocks_at(&self, store: &StoreId) -> impl Iterator<Item = (&Place, &Block)> {
         let first = Place {
             store: store.clone(),
             key: BlockKey::from_bytes([0; 16]),
         };
         self.blocks
             .range(first..)
-            .take_while(|(place, _)| place.store == *store)
+            .take_while(move |(place, _)| place.store == *store)
+    }
+
+    fn handles_at(&self, store: &StoreId) -> Vec<BlockHandle> {
+        self.blocks_at(store)
             .filter_map(|(place, _)| self.handle(place))
             .collect()
     }
--- a/crates/wisteriahitch-core/src/tier/context.rs
+++ b/crates/wisteriahitch-core/src/tier/context.rs
@@ -1,10 +1,12 @@
 //! What the planners share while they handle one event.
 
-use wisteriahitch_types::{BlockKey, DurationUs, StoreId, TimeUs};
+use std::collections::BTreeSet;
+
+use wisteriahitch_types::{BlockKey, DurationUs, StoreId, StoreIncarnation, TimeUs};
 
 use super::{
-    BlockHandle, BlockTable, EvictionIndex, LinkTable, Place, StoreTable, TierCommand, TierName,
-    TransferFailure, TransferId,
+    BlockHandle, BlockState, BlockTable, EvictionIndex, LinkTable, Place, StoreTable, TierCommand,
+    TierName, TransferFailure, TransferId,
 };
 
 /// How long a block is left alone after a call for it got no answer.
@@ -83,6 +85,33 @@
         }
     }
 
+    /// Forgets the readable blocks that their store no longer lists.
+    ///
+    /// Another daemon may have freed them. Were they kept, they would never be saved again, seen
+    /// as chains that are recomputed at each return. One that became readable after the listing
+    /// was taken is forgotten too, and known again by the next.
+    pub(crate) fn keep_listed(
+        &mut self,
+        store: &StoreId,
+        incarnation: &StoreIncarnation,
+        keys: &BTreeSet<BlockKey>,
+    ) {
+        if self.blocks.incarnation(store) != Some(incarnation) {
+            return;
+        }
+        let gone: Vec<Place> = self
+            .blocks
+            .blocks_at(store)
+            .filter(|(place, _)| !keys.contains(&place.key))
+            .filter(|(_, block)| block.state() == BlockState::Readable && block.pins() == 0)
+            .map(|(place, _)| place.clone())
+            .collect();
+        for place in gone {
+            self.blocks.end_life(&place);
+            self.ranks.forget(&place);
+        }
+    }
+
     /// Gives up a store's pin, and the table's if there is one.
     pub(crate) fn unpin(&mut self, store: &StoreId, held: Option<&BlockHandle>, pin: PinName) {
         if let Some(handle) = held {
--- a/crates/wisteriahitch-core/src/tier/event.rs
+++ b/crates/wisteriahitch-core/src/tier/event.rs
@@ -1,5 +1,7 @@
 //! What the shell tells the tier core.
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 use wisteriahitch_types::{
     BlockKey, ByteCount, Code, Generation, StoreId, StoreIncarnation, TokenCount, WeightVersion,
@@ -108,6 +110,15 @@
         /// Step of its life.
         state: BlockState,
     },
+    /// A store VM has listed all of its readable blocks; others are gone there.
+    StoreListed {
+        /// Store.
+        store: StoreId,
+        /// Incarnation that lists them.
+        incarnation: StoreIncarnation,
+        /// Blocks.
+        keys: BTreeSet<BlockKey>,
+    },
     /// Answers `Pin`.
     Pinned {
         /// Transfer.
--- a/crates/wisteriahitch-core/src/tier/eviction_index.rs
+++ b/crates/wisteriahitch-core/src/tier/eviction_index.rs
@@ -63,6 +63,18 @@
         self.insert(place.clone(), entry);
     }
 
+    /// Ranks a block that a store lists, if nothing is known of it.
+    ///
+    /// A listing knows neither depth nor use; were it to rank known blocks, the front of a chain
+    /// would go before its end, seen as imports that stop at the first block.
+    pub(crate) fn listed(&mut self, place: &Place, tier: TierName) {
+        match self.entries.get(place).map(|entry| entry.tier) {
+            None => self.touch(place, tier, 0.0, 0),
+            Some(known) if known != tier => self.moved(place, tier),
+            Some(_) => {}
+        }
+    }
+
     /// Returns whether a block is worth less than one of `value` that is saved now.
     pub(crate) fn is_below(&self, place: &Place, value: f64) -> bool {
         let clock = self.clocks.get(&place.store).copied().unwrap_or(0.0);
--- a/crates/wisteriahitch-core/src/tier/import_planner.rs
+++ b/crates/wisteriahitch-core/src/tier/import_planner.rs
@@ -158,6 +158,9 @@
         }
         let grant = match result {
             Ok(grant) => grant,
+            // An answer that makes no sense says nothing of the block, which nobody has looked at;
+            // freeing it would cost every later reader the import.
+            Err(TransferFailure::Corrupt) => return self.fail(id, TransferFailure::Lost, cx),
             Err(failure) => return self.fail(id, failure, cx),
         };
         if transfer.waiters.is_empty() {
--- a/crates/wisteriahitch-core/src/tier/planners.rs
+++ b/crates/wisteriahitch-core/src/tier/planners.rs
@@ -47,6 +47,11 @@
                 self.prefetch.store_lost(&store, cx);
             }
             listed @ TierEvent::BlockListed { .. } => adopt_listed(listed, cx),
+            TierEvent::StoreListed {
+                store,
+                incarnation,
+                keys,
+            } => cx.keep_listed(&store, &incarnation, &keys),
             TierEvent::Pinned { transfer, result } => self.imports.pinned(transfer, result, cx),
             TierEvent::Imported { transfer, result } => {
                 self.imports.imported(transfer, result, cx);
@@ -131,6 +136,6 @@
     let place = Place { store, key };
     // A listing is older than what this daemon did since; what contradicts it is left out.
     if cx.blocks.adopt(place.clone(), identity, tier, None).is_ok() {
-        cx.ranks.touch(&place, tier, 0.0, 0);
+        cx.ranks.listed(&place, tier);
     }
 }
--- a/crates/wisteriahitch-core/tests/all/tier_import.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_import.rs
@@ -129,6 +129,26 @@
                 ),
             ],
         },
+        // Symptom: good blocks are freed. Sequence: a store's answer to a pin is cut off. Cause:
+        // what was damaged is the answer, and nobody has looked at the block.
+        Case {
+            name: "a pin's answer that makes no sense frees nothing",
+            run: vec![
+                (0, Plan("r-1", &[1]), &["pin t1"]),
+                (1, Event(pinned(1, 4)), &["import t1"]),
+                (
+                    2,
+                    Event(imported(1)),
+                    &["unpin p-4", "r-1 goes on: 1 imported, 0 recomputed"],
+                ),
+                (3, Plan("r-2", &[1]), &["pin t2"]),
+                (
+                    4,
+                    Event(failed_pin(2, TransferFailure::Corrupt)),
+                    &["r-2 goes on: 0 imported, 1 recomputed"],
+                ),
+            ],
+        },
         // Symptom: an import never ends. Sequence: pinned, started, the store VM dies. Cause: the
         // VM is gone, so no answer comes.
         Case {
--- a/crates/wisteriahitch-core/tests/all/tier_room.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_room.rs
@@ -4,13 +4,14 @@
 
 use wisteriahitch_config::SavePolicy;
 use wisteriahitch_core::tier::{
-    ExportReceipt, ReservedRoom, TierCommand, TierEvent, TierName, Tiers, TransferFailure,
-    TransferId,
+    BlockState, ExportReceipt, ReservedRoom, TierCommand, TierEvent, TierName, Tiers,
+    TransferFailure, TransferId,
 };
 use wisteriahitch_types::{BlockKey, ByteCount, Generation, TimeUs};
 
 use crate::tier::{
-    BLOCK_BYTES, CRC32C, at_ms, briefs, configuration_with, finished, key, name, store_seen,
+    BLOCK_BYTES, BLOCK_TOKENS, CRC32C, at_ms, briefs, configuration_with, finished, key, name,
+    store_seen,
 };
 
 /// Answers every call of a save, so that the blocks become readable.
@@ -121,6 +122,52 @@
     }
 }
 
+fn listed(tiers: &mut Tiers, keys: &[u8], now: TimeUs) {
+    for number in keys {
+        let event = TierEvent::BlockListed {
+            store: name("hub-cache"),
+            incarnation: name("i-1"),
+            key: key(*number),
+            generation: Generation::new(u64::from(*number)),
+            bytes: BLOCK_BYTES,
+            tokens: BLOCK_TOKENS,
+            weight_version: name("v1"),
+            tier: TierName::Memory,
+            state: BlockState::Readable,
+        };
+        assert_eq!(tiers.on(event, now), []);
+    }
+}
+
+/// Symptom: the front of a chain goes before its end, and unused blocks stay. Sequence: a chain is
+/// saved, its store is listed, memory fills up. Cause: the listing, which knows neither the depth
+/// nor the use of a block, replaced what was known of both.
+#[test]
+fn a_listing_leaves_ranks_alone() {
+    let mut tiers = tiers_with(&[1, 2, 3]);
+    listed(&mut tiers, &[3, 2, 1], at_ms(5));
+    tiers.on(seen_with(0, 50), at_ms(10));
+    let commands = tiers.tick(at_ms(20));
+    assert_eq!(moved_key(&commands), Some((key(3), TierName::Disk)));
+}
+
+/// Symptom: a chain that returns often is never saved again. Sequence: it is saved, another daemon
+/// frees its end, the store is listed without it, the chain is used. Cause: the block still counts
+/// as readable here.
+#[test]
+fn a_block_that_its_store_no_longer_lists_is_saved_again() {
+    let mut tiers = tiers_with(&[1, 2]);
+    let event = TierEvent::StoreListed {
+        store: name("hub-cache"),
+        incarnation: name("i-1"),
+        keys: [key(1)].into(),
+    };
+    assert_eq!(tiers.on(event, at_ms(10)), []);
+    let used = finished(SavePolicy::Always, &[1, 2]);
+    let commands = tiers.finished(&used, at_ms(20));
+    assert_eq!(briefs(&commands), ["reserve t3 memory"]);
+}
+
 struct MoveCase {
     name: &'static str,
     result: Result<(), TransferFailure>,
