--- a/crates/wisteriahitch-core/src/tier/prefetcher.rs
+++ b/crates/wisteriahitch-core/src/tier/prefetcher.rs
@@ -46,7 +46,9 @@
 }
 
 /// Foresees returns with a regular gap, and promotes their blocks when the link is idle.
-#[derive(Debug)]
+///
+/// It is off until it is switched on, since no gain was measured (`docs/design/links.md`).
+#[derive(Debug, Default)]
 pub struct Prefetcher {
     is_enabled: bool,
     foreseen: BTreeMap<(TimeUs, BlockKey), Vec<BlockKey>>,
@@ -56,18 +58,6 @@
     counts: PrefetchCounts,
 }
 
-impl Default for Prefetcher {
-    fn default() -> Self {
-        Self {
-            is_enabled: true,
-            foreseen: BTreeMap::new(),
-            promotions: BTreeMap::new(),
-            unused: BTreeSet::new(),
-            counts: PrefetchCounts::default(),
-        }
-    }
-}
-
 impl Prefetcher {
     /// Returns what prefetch did.
     pub fn counts(&self) -> PrefetchCounts {
