--- a/crates/wisteriahitch-core/tests/all/tier_import.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_import.rs
@@ -178,6 +178,32 @@
     ]
 }
 
+fn answer_cases() -> Vec<Case> {
+    use Step::{Event, Plan};
+    vec![
+        // Symptom: good blocks are freed. Sequence: a store's answer to a pin is cut off. Cause:
+        // what was damaged is the answer, and nobody has looked at the block.
+        Case {
+            name: "a pin's answer that makes no sense frees nothing",
+            run: vec![
+                (0, Plan("r-1", &[1]), &["pin t1"]),
+                (1, Event(pinned(1, 4)), &["import t1"]),
+                (
+                    2,
+                    Event(imported(1)),
+                    &["unpin p-4", "r-1 goes on: 1 imported, 0 recomputed"],
+                ),
+                (3, Plan("r-2", &[1]), &["pin t2"]),
+                (
+                    4,
+                    Event(failed_pin(2, TransferFailure::Corrupt)),
+                    &["r-2 goes on: 0 imported, 1 recomputed"],
+                ),
+            ],
+        },
+    ]
+}
+
 fn late_cases() -> Vec<Case> {
     use Step::{Event, Plan, PlanAt, Tick};
     vec![
@@ -226,6 +252,22 @@
                 (11_000, Event(imported(2)), &["unpin p-5"]),
             ],
         },
+        // Symptom: a first answer takes twice as long as without any import. Sequence: four
+        // blocks are wanted, the link has slowed, none arrives, the whole limit passes, and all
+        // four are computed. Cause: the wait was held to the limit alone.
+        Case {
+            name: "an import that falls behind the pace of computing is left behind",
+            run: vec![
+                (
+                    0,
+                    Plan("r-1", &[1, 2, 3, 4]),
+                    &["pin t1", "pin t2", "pin t3", "pin t4"],
+                ),
+                (1, Event(pinned(1, 4)), &["import t1"]),
+                (4_999, Tick, &[]),
+                (5_000, Tick, &["r-1 goes on: 0 imported, 4 recomputed"]),
+            ],
+        },
         // Symptom: a new version's request reads an old version's block. Sequence: planned for
         // v1, the weights are swapped at the endpoint, the import arrives. Cause: decision and
         // run lie apart. The engine refuses, and the block isn't to blame.
@@ -246,7 +288,7 @@
 
 #[test]
 fn imports_run_as_told() {
-    let cases = [whole_cases(), failing_cases(), late_cases()];
+    let cases = [whole_cases(), failing_cases(), answer_cases(), late_cases()];
     for case in cases.into_iter().flatten() {
         let mut tiers = tiers();
         for (ms, step, expected) in case.run {
