test(fleet): pin down four protections of the lease

Cause: the generated runs didn't find four faults put in on purpose: a term counted from the answer, an answer taken for another write, a release under an open order, no wait after the holder before. Change: one test for each.

--- a/crates/wisteriahitch-core/tests/all/fleet_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_leases.rs
@@ -499,3 +499,115 @@
     assert!(settings.renew_before_us < settings.term_us);
     assert!(settings.order_timeout_us + settings.margin_us < DurationUs::from_ms(10_000));
 }
+
+/// Returns the daemon that all agree on, after it has read that there is no object yet and sent
+/// the write that takes the lease.
+fn first_write(site: &mut Site) -> usize {
+    let members = &site.nodes[0].members;
+    let responsible = LeaseTable::responsible(&site.group, members);
+    let index = (0..DAEMONS)
+        .find(|index| responsible == Some(site.nodes[*index].members.me().incarnation))
+        .unwrap();
+    site.tick(index);
+    site.land(0, false);
+    site.tick(index);
+    assert!(matches!(site.flights[0], Flight::Write(..)));
+    index
+}
+
+/// Symptom: two daemons hold the lease at once.
+/// Sequence: the write takes effect at once, but its answer comes 14 seconds later.
+/// Cause: the term is counted from the answer, while the others count from the write.
+#[test]
+fn the_term_counts_from_the_sending_of_the_write() {
+    let mut site = Site::new();
+    let index = first_write(&mut site);
+    site.land(0, false);
+    site.now_us += 14_000_000;
+    site.land(0, false);
+    let grant = site.order(index).unwrap();
+    assert_eq!(grant.timeout_us, DurationUs::from_ms(500));
+    site.now_us += 1_000_000;
+    assert_eq!(site.order(index), Err(Code::LeaseLapsed));
+}
+
+/// Symptom: two daemons hold the lease at once.
+/// Sequence: a write is slow, is read back without effect and given up; a second one is sent; then
+/// the first one takes effect and is answered.
+/// Cause: the answer counts for the second write, whose term began later.
+#[test]
+fn an_answer_to_an_earlier_write_counts_for_nothing() {
+    let mut site = Site::new();
+    let index = first_write(&mut site);
+    let slow = site.flights.remove(0);
+    site.now_us += 5_000_000;
+    site.tick(index);
+    site.land(0, false);
+    site.tick(index);
+    assert!(
+        matches!(site.flights[0], Flight::Write(..)),
+        "the second write"
+    );
+    site.flights.push(slow);
+    site.land(1, false);
+    site.land(1, false);
+    assert_eq!(
+        site.nodes[index].leases.status()[0].phase,
+        LeasePhase::Vacant
+    );
+}
+
+/// Symptom: an order of the holder before arrives after one of the new holder.
+/// Sequence: a holder is no longer responsible while its order is under way.
+/// Cause: it gives the lease up, and a released lease is taken without a wait.
+#[test]
+fn a_lease_is_not_released_while_an_order_is_under_way() {
+    let mut site = Site::new();
+    site.run(5_000);
+    let holder = site.holder().unwrap();
+    site.order(holder).unwrap();
+    site.nodes[holder].leases.want([]);
+    let object_holder = |site: &Site| {
+        let (object, _) = site.store.object.clone().unwrap();
+        object.holder.map(|holder| holder.incarnation)
+    };
+    let me = site.nodes[holder].members.me().incarnation;
+    site.run(2_000);
+    assert_eq!(object_holder(&site), Some(me));
+    let done = LeaseEvent::OrderDone(site.group.clone());
+    site.feed(holder, done);
+    site.run(2_000);
+    assert_eq!(object_holder(&site), None);
+}
+
+/// Symptom: an order of the holder before arrives after one of the new holder.
+/// Sequence: the holder is paused right after an order; its lease runs out and another takes it.
+/// Cause: the new holder begins at once.
+#[test]
+fn a_new_holder_waits_for_the_orders_before() {
+    let mut site = Site::new();
+    site.run(5_000);
+    let before = site.holder().unwrap();
+    site.order(before).unwrap();
+    site.nodes[before].is_frozen = true;
+    for index in (0..DAEMONS).filter(|index| *index != before) {
+        site.suspect(index, before);
+    }
+    let members = &site.nodes[(before + 1) % DAEMONS].members;
+    let next = LeaseTable::responsible(&site.group, members);
+    let next = (0..DAEMONS)
+        .find(|index| next == Some(site.nodes[*index].members.me().incarnation))
+        .unwrap();
+    let phase = |site: &Site| site.nodes[next].leases.status()[0].phase;
+    let mut waited_us = 0;
+    while phase(&site) != LeasePhase::Held {
+        site.run(100);
+        if phase(&site) == LeasePhase::Waiting {
+            waited_us += 100_000;
+            assert_eq!(site.order(next), Err(Code::LeaseLapsed));
+        }
+        assert!(site.now_us < 120_000_000);
+    }
+    assert!(waited_us >= LeaseSettings::default().order_timeout_us.get());
+    assert!(site.order(next).is_ok());
+}
