feat(fleet): give the right to load to the owner of the endpoint that loads next

Cause: a rendezvous hash could give the site's right to load to a daemon that has nothing to load, and the rollout would stand still. Change: one lease for loads whose wanted holder is told by the planner's next endpoint. Ruled out: one lease for each load slot, which has the same fault and more writes.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -59,7 +59,7 @@
 ///
 /// let me = LeaseHolder { daemon: "entry-1".parse()?, incarnation: Incarnation::new(7) };
 /// let mut leases = LeaseTable::new(me, LeaseSettings::default());
-/// let group = LeaseGroup::RolloutSlot(0);
+/// let group = LeaseGroup::Rollout;
 /// leases.want([group.clone()]);
 /// assert_eq!(leases.try_order(&group, TimeUs::ZERO), Err(Code::LeaseHeld));
 /// # Ok::<(), Box<dyn std::error::Error>>(())
@@ -68,6 +68,7 @@
     me: LeaseHolder,
     settings: LeaseSettings,
     wanted: BTreeSet<LeaseGroup>,
+    rollout_owner: Option<Incarnation>,
     leases: BTreeMap<LeaseGroup, Lease>,
 }
 
@@ -78,6 +79,7 @@
             me,
             settings,
             wanted: BTreeSet::new(),
+            rollout_owner: None,
             leases: BTreeMap::new(),
         }
     }
@@ -95,6 +97,15 @@
             .retain(|group, lease| wanted.contains(group) || lease.is_owned());
     }
 
+    /// Names the daemon that should hold the lease of loads now: the one with the right to give
+    /// orders to the endpoint that is to load next.
+    ///
+    /// A rendezvous hash would name a daemon that may have nothing to load, and the rollout would
+    /// stand still. Daemons that name different ones contend for the lease, and one holds it.
+    pub fn set_rollout_owner(&mut self, owner: Option<Incarnation>) {
+        self.rollout_owner = owner;
+    }
+
     /// Takes an event at `now` and returns what is to be done.
     pub fn handle(
         &mut self,
@@ -152,7 +163,7 @@
         self.leases.iter().map(to_status).collect()
     }
 
-    /// Returns the member that should hold the lease of a group.
+    /// Returns the member that should hold the lease of a group of endpoints.
     pub fn responsible(group: &LeaseGroup, members: &Membership) -> Option<Incarnation> {
         let rank = Rendezvous::new("lease", &group.to_string());
         let workers = members.workers().map(|member| member.incarnation);
@@ -166,7 +177,10 @@
         let mut commands = Vec::new();
         for (group, lease) in &mut self.leases {
             let is_wanted = self.wanted.contains(group);
-            let responsible = Self::responsible(group, members);
+            let responsible = match group {
+                LeaseGroup::Rollout => self.rollout_owner,
+                LeaseGroup::Endpoints { .. } => Self::responsible(group, members),
+            };
             let is_responsible = is_wanted && responsible == Some(self.me.incarnation);
             let Some(call) = lease.tick(is_responsible, now) else {
                 continue;
--- a/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
+++ b/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
@@ -49,8 +49,8 @@
     pub reports: &'a BTreeMap<EndpointId, EndpointReport>,
     /// Endpoints that this daemon may give orders to now.
     pub owned: &'a BTreeSet<EndpointId>,
-    /// Loads that this daemon may have under way at once.
-    pub load_slots: u32,
+    /// Whether this daemon holds the lease of loads.
+    pub may_load: bool,
 }
 
 /// Plans orders, follows them, and stops a rollout that fails.
@@ -108,6 +108,29 @@
         self.running.remove(endpoint);
     }
 
+    /// Returns the endpoint that is to load next, whoever may give it orders; its owner is the one
+    /// for [`LeaseTable::set_rollout_owner`](crate::fleet::LeaseTable::set_rollout_owner).
+    pub fn next_to_load<'a>(&self, site: SiteView<'a>) -> Option<&'a EndpointId> {
+        let is_next = |endpoint: &EndpointId, wanted: &WantedEndpoint| {
+            if self
+                .running
+                .get(endpoint)
+                .is_some_and(|r| r.order.is_load())
+            {
+                return true;
+            }
+            let report = site.reports.get(endpoint).filter(|r| !r.is_leaving);
+            let order = report.and_then(|report| self.difference(wanted, report));
+            let load = order.filter(EndpointOrder::is_load);
+            let model = load.as_ref().and_then(EndpointOrder::model);
+            model.is_some_and(|model| self.can_spare(endpoint, model, site))
+        };
+        let mut endpoints = site.wanted.endpoints.iter();
+        endpoints
+            .find(|(endpoint, wanted)| is_next(endpoint, wanted))
+            .map(|(endpoint, _)| endpoint)
+    }
+
     /// Returns whether an endpoint's present order isn't confirmed yet; it then gets no work for a
     /// version that it doesn't report.
     pub fn is_changing(&self, endpoint: &EndpointId) -> bool {
@@ -281,16 +304,22 @@
             return Some(Blocked::NoLease);
         }
         let model = order.model().filter(|_| order.is_load())?;
-        if self.loads_under_way(site) >= site.load_slots.min(site.wanted.rollout_parallel) {
+        if !site.may_load {
+            return Some(Blocked::NoLease);
+        }
+        if self.loads_under_way(site) >= site.wanted.rollout_parallel {
             return Some(Blocked::TooManyLoading);
         }
         if self.waits_for_first(model, site) {
             return Some(Blocked::FirstNotConfirmed);
         }
+        (!self.can_spare(endpoint, model, site)).then_some(Blocked::NeededForLoad)
+    }
+
+    fn can_spare(&self, endpoint: &EndpointId, model: &ModelName, site: SiteView<'_>) -> bool {
         let busy: Vec<EndpointId> = self.running.keys().cloned().collect();
         let share = self.settings.ready_share;
-        let can_go = can_spare(endpoint, model, site.wanted, site.reports, &busy, share);
-        (!can_go).then_some(Blocked::NeededForLoad)
+        can_spare(endpoint, model, site.wanted, site.reports, &busy, share)
     }
 
     /// Counts the loads of this daemon and those that other endpoints report.
