fix(fleet): let a newcomer read the member list to its end

Cause: the pages of the member list were begun anew every 6 rounds, before a newcomer of a large fleet had reached the last one. Change: a reading under way goes on.

--- a/crates/wisteriahitch-core/src/fleet/members/probing.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/probing.rs
@@ -51,7 +51,8 @@
             ROUNDS_PER_SYNC
         };
         let shift = self.me.get() % period;
-        if self.rounds % period == shift {
+        // A reading under way goes on: begun anew it would never get past the first pages.
+        if self.rounds % period == shift && self.sync_after.is_none() {
             self.sync_after = Some(Incarnation::new(0));
         }
     }
