--- /dev/null
+++ b/crates/wisteriahitch-config/src/sections/sections.rs
@@ -0,0 +1,189 @@
+//! All sections of a configuration.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use wisteriahitch_types::WorkspaceId;
+
+use super::submission::split_read;
+use super::{Change, Section, SectionHash, SectionMismatch, SectionName};
+use crate::check::{check, check_defined_once};
+use crate::draft::Draft;
+use crate::read::{ProblemLog, Source};
+use crate::{Configuration, Report};
+
+/// Holds the sections of a configuration: `site`, and one for each workspace.
+///
+/// A change of one workspace moves that section alone, and a mistake in it is refused with all
+/// other sections untouched (`docs/design/configuration.md`).
+///
+/// ```
+/// use wisteriahitch_config::{SectionName, Sections};
+///
+/// let site = Sections::split(r#"
+///     [[rules]]
+///     name = "closed"
+///     then.refuse = { reason = "Closed." }
+/// "#).expect("the text is right");
+/// let sections = site.accept(r#"
+///     [[workspaces]]
+///     id = "kandy-01"
+///     key_hashes = ["000102030405060708090a0b0c0d0e0f"]
+///     store_bytes = 1000000
+/// "#).expect("the text is right").0;
+/// assert_eq!(sections.get(&SectionName::Site), site.get(&SectionName::Site));
+/// assert_eq!(sections.len(), 2);
+/// ```
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Sections {
+    pub(super) sections: BTreeMap<SectionName, Section>,
+    /// Workspaces that a submission takes out; empty but for a submission.
+    pub(super) removed: BTreeSet<WorkspaceId>,
+}
+
+impl Sections {
+    /// Reads a submission and splits it; it may hold workspaces only, or no workspaces.
+    ///
+    /// Names are not resolved here, since the submission may be a part: [`Sections::accept`]
+    /// checks it together with what it is merged into.
+    ///
+    /// # Errors
+    ///
+    /// Every fault that can be found in the submission by itself.
+    pub fn split(text: &str) -> Result<Self, Report> {
+        let log = ProblemLog::new(vec![Source::submitted(text)]);
+        let draft = Draft::read(&log);
+        check_defined_once(&draft, &log);
+        let split = log.is_empty().then(|| split_read(text, &draft, &log));
+        log.finish(split)
+    }
+
+    /// Checks the whole that the sections make.
+    ///
+    /// # Errors
+    ///
+    /// Every fault, with its place in the text of its section.
+    pub fn assemble(&self) -> Result<Configuration, Report> {
+        let nothing = Self::default();
+        let log = ProblemLog::new(self.sources(&nothing).collect());
+        let draft = Draft::read(&log);
+        let checked = check(draft, &log);
+        log.finish(checked)
+    }
+
+    /// Returns these sections with the submitted ones in their places, and without the workspaces
+    /// that the submission names under `removed_workspaces`.
+    ///
+    /// Every other section stays: a workspace is never lost because a text leaves it out.
+    pub fn merge(&self, submitted: &Self) -> Self {
+        let mut merged = self.clone();
+        for id in &submitted.removed {
+            let name = SectionName::Workspace(id.clone());
+            merged.sections.remove(&name);
+        }
+        let added = submitted.sections.iter();
+        let added = added.map(|(name, section)| (name.clone(), section.clone()));
+        merged.sections.extend(added);
+        merged
+    }
+
+    /// Checks a submission together with these sections, and returns the merged sections and the
+    /// configuration that they make. Nothing is changed where a fault is found.
+    ///
+    /// # Errors
+    ///
+    /// Every fault, with its place in the submitted text or in the section in force.
+    pub fn accept(&self, text: &str) -> Result<(Self, Configuration), Report> {
+        let submitted = Self::split(text)?;
+        let merged = self.merge(&submitted);
+        // The submitted text comes last, so that a name given twice is reported there.
+        let mut sources: Vec<_> = merged.sources(&submitted).collect();
+        sources.push(Source::submitted(text));
+        let log = ProblemLog::new(sources);
+        merged.check_size(&log);
+        self.check_left_out(&submitted, &log);
+        let draft = Draft::read(&log);
+        self.check_removed(&draft, &log);
+        let checked = check(draft, &log);
+        log.finish(checked.map(|configuration| (merged.clone(), configuration)))
+    }
+
+    /// Returns what differs in `after`, in the order of the names.
+    pub fn changes_to(&self, after: &Self) -> Vec<Change> {
+        let gone = self
+            .sections
+            .keys()
+            .filter(|name| after.get(name).is_none());
+        let mut changes: Vec<Change> = gone.cloned().map(Change::Removed).collect();
+        for (name, section) in &after.sections {
+            match self.get(name) {
+                None => changes.push(Change::Added(name.clone())),
+                Some(before) if before != section => changes.push(Change::Changed(name.clone())),
+                Some(_) => {}
+            }
+        }
+        changes.sort();
+        changes
+    }
+
+    /// Adds a section that was fetched under a hash.
+    ///
+    /// # Errors
+    ///
+    /// The text doesn't have that hash; the section is not added.
+    pub fn insert(
+        &mut self,
+        name: SectionName,
+        expected: SectionHash,
+        text: impl Into<Arc<str>>,
+    ) -> Result<(), SectionMismatch> {
+        let section = Section::new(text);
+        let found = section.hash();
+        if found != expected {
+            return Err(SectionMismatch {
+                name,
+                expected,
+                found,
+            });
+        }
+        self.sections.insert(name, section);
+        Ok(())
+    }
+
+    /// Removes a section and returns it.
+    pub fn remove(&mut self, name: &SectionName) -> Option<Section> {
+        self.sections.remove(name)
+    }
+
+    /// Returns a section.
+    pub fn get(&self, name: &SectionName) -> Option<&Section> {
+        self.sections.get(name)
+    }
+
+    /// Returns every section in the order of the names.
+    pub fn iter(&self) -> impl Iterator<Item = (&SectionName, &Section)> {
+        self.sections.iter()
+    }
+
+    /// Returns the number of sections.
+    pub fn len(&self) -> usize {
+        self.sections.len()
+    }
+
+    /// Returns whether there is no section.
+    pub fn is_empty(&self) -> bool {
+        self.sections.is_empty()
+    }
+
+    /// Returns the sections as texts to check, without those that `replaced` holds.
+    fn sources<'a>(&'a self, replaced: &'a Self) -> impl Iterator<Item = Source<'a>> {
+        let kept = |(name, section): (&SectionName, &'a Section)| {
+            let is_kept = !replaced.sections.contains_key(name);
+            is_kept.then(|| Source {
+                section: Some(name.clone()),
+                text: section.text(),
+            })
+        };
+        self.sections.iter().filter_map(kept)
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/state/mod.rs
@@ -0,0 +1,18 @@
+//! The daemon's tables, with the steps that connect them to the network.
+
+mod admission;
+mod claims;
+mod drain;
+mod fleet;
+mod models;
+pub(crate) mod once;
+mod resume;
+mod route;
+mod tiers;
+
+pub(crate) use admission::AdmissionState;
+pub(crate) use fleet::FleetState;
+pub(crate) use once::OnceState;
+pub(crate) use resume::ResumeState;
+pub(crate) use route::Flight;
+pub(crate) use tiers::TierState;
--- /dev/null
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -0,0 +1,19 @@
+//! Failure tests against separate processes on loopback.
+//!
+//! `scripts/test` builds the programs first; `harness` finds them beside the test binary.
+
+#![allow(
+    clippy::unwrap_used,
+    reason = "a helper of a test fails that test by panicking"
+)]
+
+mod booking;
+mod configuration;
+mod drain;
+mod harness;
+mod input;
+mod leaving;
+mod stream;
+mod tiers;
+mod weights;
+mod workspaces;
