--- a/crates/wisteriahitch-core/src/fleet/leases/lease_group.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_group.rs
@@ -17,8 +17,8 @@
         /// Number of the shard.
         shard: u32,
     },
-    /// Loads of weights at the whole site, whose number at once is bounded.
-    Rollout,
+    /// A part of the loads of weights that may run at once at the whole site.
+    RolloutSlot(u32),
 }
 
 impl LeaseGroup {
@@ -37,7 +37,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             LeaseGroup::Endpoints { service, shard } => write!(f, "endpoints.{service}.{shard}"),
-            LeaseGroup::Rollout => f.write_str("rollout"),
+            LeaseGroup::RolloutSlot(slot) => write!(f, "rollout-slot.{slot}"),
         }
     }
 }
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -59,7 +59,7 @@
 ///
 /// let me = LeaseHolder { daemon: "entry-1".parse()?, incarnation: Incarnation::new(7) };
 /// let mut leases = LeaseTable::new(me, LeaseSettings::default());
-/// let group = LeaseGroup::Rollout;
+/// let group = LeaseGroup::RolloutSlot(0);
 /// leases.want([group.clone()]);
 /// assert_eq!(leases.try_order(&group, TimeUs::ZERO), Err(Code::LeaseHeld));
 /// # Ok::<(), Box<dyn std::error::Error>>(())
@@ -97,11 +97,11 @@
             .retain(|group, lease| wanted.contains(group) || lease.is_owned());
     }
 
-    /// Names the daemon that should hold the lease of loads now: the one with the right to give
-    /// orders to the endpoint that is to load next.
+    /// Names the daemon that should hold the leases of loads now: the one with the right to give
+    /// orders to the endpoint that is to load next. Without it the rendezvous hash decides.
     ///
-    /// A rendezvous hash would name a daemon that may have nothing to load, and the rollout would
-    /// stand still. Daemons that name different ones contend for the lease, and one holds it.
+    /// Where the endpoints are shared, the hash may name a daemon that has nothing to load, and
+    /// the rollout would stand still. Daemons that name different ones contend, and one holds it.
     pub fn set_rollout_owner(&mut self, owner: Option<Incarnation>) {
         self.rollout_owner = owner;
     }
@@ -163,7 +163,7 @@
         self.leases.iter().map(to_status).collect()
     }
 
-    /// Returns the member that should hold the lease of a group of endpoints.
+    /// Returns the member that should hold the lease of a group by the rendezvous hash.
     pub fn responsible(group: &LeaseGroup, members: &Membership) -> Option<Incarnation> {
         let rank = Rendezvous::new("lease", &group.to_string());
         let workers = members.workers().map(|member| member.incarnation);
@@ -178,8 +178,8 @@
         for (group, lease) in &mut self.leases {
             let is_wanted = self.wanted.contains(group);
             let responsible = match group {
-                LeaseGroup::Rollout => self.rollout_owner,
-                LeaseGroup::Endpoints { .. } => Self::responsible(group, members),
+                LeaseGroup::RolloutSlot(_) if self.rollout_owner.is_some() => self.rollout_owner,
+                _ => Self::responsible(group, members),
             };
             let is_responsible = is_wanted && responsible == Some(self.me.incarnation);
             let Some(call) = lease.tick(is_responsible, now) else {
--- a/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
+++ b/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
@@ -49,8 +49,8 @@
     pub reports: &'a BTreeMap<EndpointId, EndpointReport>,
     /// Endpoints that this daemon may give orders to now.
     pub owned: &'a BTreeSet<EndpointId>,
-    /// Whether this daemon holds the lease of loads.
-    pub may_load: bool,
+    /// Loads that this daemon may have under way at once; none without a lease of loads.
+    pub load_slots: u32,
 }
 
 /// Plans orders, follows them, and stops a rollout that fails.
@@ -304,10 +304,11 @@
             return Some(Blocked::NoLease);
         }
         let model = order.model().filter(|_| order.is_load())?;
-        if !site.may_load {
+        if site.load_slots == 0 {
             return Some(Blocked::NoLease);
         }
-        if self.loads_under_way(site) >= site.wanted.rollout_parallel {
+        let max_loads = site.load_slots.min(site.wanted.rollout_parallel);
+        if self.loads_under_way(site) >= max_loads {
             return Some(Blocked::TooManyLoading);
         }
         if self.waits_for_first(model, site) {
--- a/crates/wisteriahitch-core/tests/all/fleet_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_leases.rs
@@ -618,9 +618,9 @@
 #[test]
 fn the_lease_of_loads_follows_the_one_who_is_to_load() {
     let mut site = Site::new();
-    site.group = LeaseGroup::Rollout;
+    site.group = LeaseGroup::RolloutSlot(0);
     for node in &mut site.nodes {
-        node.leases.want([LeaseGroup::Rollout]);
+        node.leases.want([LeaseGroup::RolloutSlot(0)]);
     }
     for owner in [2, 0] {
         let incarnation = site.nodes[owner].members.me().incarnation;
@@ -630,7 +630,7 @@
         site.run(30_000);
         assert_eq!(site.holder(), Some(owner));
         assert!(site.order(owner).is_ok());
-        let done = LeaseEvent::OrderDone(LeaseGroup::Rollout);
+        let done = LeaseEvent::OrderDone(LeaseGroup::RolloutSlot(0));
         site.feed(owner, done);
     }
 }
--- a/crates/wisteriahitch-core/tests/all/fleet_orders.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_orders.rs
@@ -18,7 +18,7 @@
     wanted: WantedState,
     reports: BTreeMap<EndpointId, EndpointReport>,
     owned: BTreeSet<EndpointId>,
-    may_load: bool,
+    load_slots: u32,
     loading: BTreeMap<EndpointId, u32>,
     planner: OrderPlanner,
     now: TimeUs,
@@ -58,7 +58,7 @@
             wanted: WantedState::default(),
             reports: (0..count).map(|n| (id(n), report())).collect(),
             owned: (0..count).map(id).collect(),
-            may_load: true,
+            load_slots: 2,
             loading: BTreeMap::new(),
             planner: OrderPlanner::new(PlannerSettings::default()),
             now: TimeUs::ZERO,
@@ -94,7 +94,7 @@
             wanted: &self.wanted,
             reports: &self.reports,
             owned: &self.owned,
-            may_load: self.may_load,
+            load_slots: self.load_slots,
         };
         self.planner.plan(site, self.now)
     }
@@ -104,7 +104,7 @@
             wanted: &self.wanted,
             reports: &self.reports,
             owned: &self.owned,
-            may_load: self.may_load,
+            load_slots: self.load_slots,
         };
         self.planner.progress(site).remove(0)
     }
@@ -295,7 +295,7 @@
     SpareCase {
         name: "no lease of loads",
         count: 3,
-        change: |site| site.may_load = false,
+        change: |site| site.load_slots = 0,
         planned: 0,
         blocked: Some(Blocked::NoLease),
     },
@@ -415,7 +415,7 @@
             wanted: &site.wanted,
             reports: &site.reports,
             owned: &site.owned,
-            may_load: site.may_load,
+            load_slots: site.load_slots,
         };
         site.planner.next_to_load(view).cloned()
     };
