--- a/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
@@ -4,11 +4,13 @@
 mod config_event;
 mod config_replica;
 mod config_table;
+mod handing_on;
 mod head_change;
 mod head_object;
 mod phase;
 mod replication;
 mod section;
+mod starting;
 mod submission;
 mod submission_event;
 mod submission_machine;
--- a/crates/wisteriahitch-core/src/fleet/leases/lease.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease.rs
@@ -12,7 +12,7 @@
 /// Says what a write under way is for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
-enum WriteKind {
+pub(super) enum WriteKind {
     Acquire,
     Renew,
     Release,
@@ -20,34 +20,34 @@
 
 /// Holds a write whose effect isn't known yet.
 #[derive(Clone, Debug, Serialize)]
-struct PendingWrite {
-    kind: WriteKind,
-    write_number: u64,
-    sent_at_us: TimeUs,
-    wait_us: DurationUs,
+pub(super) struct PendingWrite {
+    pub(super) kind: WriteKind,
+    pub(super) write_number: u64,
+    pub(super) sent_at_us: TimeUs,
+    pub(super) wait_us: DurationUs,
 }
 
 /// Holds the object as it was last read or written.
 #[derive(Clone, Debug, Serialize)]
-struct SeenObject {
-    object: Option<LeaseObject>,
-    version: u64,
+pub(super) struct SeenObject {
+    pub(super) object: Option<LeaseObject>,
+    pub(super) version: u64,
     /// When this version was first seen: its holder's term ends at most a term later.
-    first_seen_at_us: TimeUs,
+    pub(super) first_seen_at_us: TimeUs,
 }
 
 /// Holds one lease as one daemon sees it.
 pub(super) struct Lease {
-    me: LeaseHolder,
-    settings: LeaseSettings,
-    times: LeaseTimes,
-    machine: StateMachine<LeaseMachine>,
-    seen: Option<SeenObject>,
-    own_version: u64,
-    pending: Option<PendingWrite>,
-    is_reading: bool,
-    read_at_us: Option<TimeUs>,
-    write_number: u64,
+    pub(super) me: LeaseHolder,
+    pub(super) settings: LeaseSettings,
+    pub(super) times: LeaseTimes,
+    pub(super) machine: StateMachine<LeaseMachine>,
+    pub(super) seen: Option<SeenObject>,
+    pub(super) own_version: u64,
+    pub(super) pending: Option<PendingWrite>,
+    pub(super) is_reading: bool,
+    pub(super) read_at_us: Option<TimeUs>,
+    pub(super) write_number: u64,
 }
 
 /// Asks the table for one call of the platform.
@@ -197,7 +197,7 @@
         }
     }
 
-    fn see(&mut self, object: Option<LeaseObject>, version: u64, now: TimeUs) {
+    pub(super) fn see(&mut self, object: Option<LeaseObject>, version: u64, now: TimeUs) {
         let is_known = self
             .seen
             .as_ref()
@@ -213,7 +213,7 @@
 
     /// Settles a write whose answer was lost: the object names it, or it has no effect so far. A
     /// late one can only replace the version that it expects, and is then seen by the next read.
-    fn settle_pending(&mut self, now: TimeUs) {
+    pub(super) fn settle_pending(&mut self, now: TimeUs) {
         let Some(pending) = self.pending.take() else {
             return;
         };
@@ -224,7 +224,7 @@
         }
     }
 
-    fn take_effect(&mut self, pending: &PendingWrite, now: TimeUs) {
+    pub(super) fn take_effect(&mut self, pending: &PendingWrite, now: TimeUs) {
         let sent_at_us = pending.sent_at_us;
         let wait_us = pending.wait_us;
         match pending.kind {
@@ -241,93 +241,7 @@
         self.dispatch(PhaseEvent::Lapse, now);
     }
 
-    fn read_if_due(&mut self, now: TimeUs) -> Option<LeaseCall> {
-        let is_due = self
-            .read_at_us
-            .is_none_or(|read| now.since(read) >= self.settings.read_us);
-        if !is_due {
-            return None;
-        }
-        self.read_at_us = Some(now);
-        self.is_reading = true;
-        Some(LeaseCall::Read)
-    }
-
-    fn renew_if_due(&mut self, now: TimeUs) -> Option<LeaseCall> {
-        let left_us = self.times.expires_at_us.since(now);
-        if left_us > self.settings.renew_before_us {
-            return None;
-        }
-        if self.seen.is_none() {
-            return self.read_if_due(now);
-        }
-        self.write(WriteKind::Renew, DurationUs::ZERO, now)
-    }
-
-    /// Gives the lease up early, once nothing is under way that the next holder would wait for.
-    fn release_if_idle(&mut self, now: TimeUs) -> Option<LeaseCall> {
-        if self.times.open_orders > 0 {
-            return None;
-        }
-        // From here on no order may start: the release may take effect at any moment.
-        self.dispatch(PhaseEvent::ReadBack, now);
-        self.write(WriteKind::Release, DurationUs::ZERO, now)
-    }
-
-    fn acquire_if_free(&mut self, now: TimeUs) -> Option<LeaseCall> {
-        let Some(seen) = &self.seen else {
-            return self.read_if_due(now);
-        };
-        let holder = seen
-            .object
-            .as_ref()
-            .and_then(|object| object.holder.as_ref());
-        let Some(holder) = holder else {
-            let wait_us = DurationUs::ZERO;
-            return self.write(WriteKind::Acquire, wait_us, now);
-        };
-        // Terms are counted from when the version was first seen here, since clocks can't be
-        // compared; the holder counts from before it wrote, so it stops earlier.
-        let term_us = seen.object.as_ref().map_or(DurationUs::ZERO, |o| o.term_us);
-        let order_us = seen
-            .object
-            .as_ref()
-            .map_or(DurationUs::ZERO, |o| o.order_timeout_us);
-        let is_over = now.since(seen.first_seen_at_us) >= term_us;
-        let is_mine = holder.incarnation == self.me.incarnation;
-        if is_over || is_mine {
-            return self.write(WriteKind::Acquire, order_us, now);
-        }
-        self.read_if_due(now)
-    }
-
-    fn write(&mut self, kind: WriteKind, wait_us: DurationUs, now: TimeUs) -> Option<LeaseCall> {
-        self.write_number += 1;
-        let pending = PendingWrite {
-            kind,
-            write_number: self.write_number,
-            sent_at_us: now,
-            wait_us,
-        };
-        let object = self.object_of(&pending);
-        let expected = self.seen.as_ref().map_or(0, |seen| seen.version);
-        self.pending = Some(pending);
-        // The answer may take long; until then nothing is read.
-        self.read_at_us = Some(now);
-        Some(LeaseCall::Write { object, expected })
-    }
-
-    fn object_of(&self, pending: &PendingWrite) -> LeaseObject {
-        let is_release = pending.kind == WriteKind::Release;
-        LeaseObject {
-            holder: (!is_release).then(|| self.me.clone()),
-            write_number: pending.write_number,
-            term_us: self.settings.term_us,
-            order_timeout_us: self.settings.order_timeout_us,
-        }
-    }
-
-    fn dispatch(&mut self, event: PhaseEvent, now: TimeUs) {
+    pub(super) fn dispatch(&mut self, event: PhaseEvent, now: TimeUs) {
         self.times.now = now;
         self.machine.handle_with_context(&event, &mut self.times);
     }
--- a/crates/wisteriahitch-core/src/fleet/leases/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/mod.rs
@@ -1,6 +1,7 @@
 //! The right to give orders to endpoints (`docs/design/orders.md`).
 
 mod lease;
+mod lease_calls;
 mod lease_event;
 mod lease_group;
 mod lease_machine;
--- a/crates/wisteriahitch-core/src/fleet/orders/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/orders/mod.rs
@@ -1,5 +1,6 @@
 //! Which orders bring the endpoints to the wanted state (`docs/design/orders.md`).
 
+mod choosing;
 mod confirmation;
 mod endpoint_order;
 mod order_planner;
--- a/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
+++ b/crates/wisteriahitch-core/src/fleet/orders/order_planner.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
-use wisteriahitch_types::{DurationUs, EndpointId, ModelName, Share, TimeUs, WeightVersion};
+use wisteriahitch_types::{DurationUs, EndpointId, ModelName, Share, TimeUs};
 
-use super::confirmation::{Confirmation, is_done};
-use super::readiness::can_spare;
+use super::choosing::{count_at_target, version_before};
+use super::confirmation::Confirmation;
 use super::rollout::Rollout;
 use super::{
-    Blocked, EndpointOrder, EndpointReport, PlannedOrder, RolloutPhase, RolloutProgress,
-    WantedEndpoint, WantedModel, WantedState,
+    Blocked, EndpointOrder, EndpointReport, PlannedOrder, RolloutProgress, WantedEndpoint,
+    WantedState,
 };
 
 /// Holds the bounds of rollouts.
@@ -59,11 +59,11 @@
 /// with [`OrderPlanner::order_done`].
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct OrderPlanner {
-    settings: PlannerSettings,
-    rollouts: BTreeMap<ModelName, Rollout>,
-    running: BTreeMap<EndpointId, Confirmation>,
-    resting_until_us: BTreeMap<EndpointId, TimeUs>,
-    blocked: BTreeMap<EndpointId, (ModelName, Blocked)>,
+    pub(super) settings: PlannerSettings,
+    pub(super) rollouts: BTreeMap<ModelName, Rollout>,
+    pub(super) running: BTreeMap<EndpointId, Confirmation>,
+    pub(super) resting_until_us: BTreeMap<EndpointId, TimeUs>,
+    pub(super) blocked: BTreeMap<EndpointId, (ModelName, Blocked)>,
 }
 
 impl OrderPlanner {
@@ -153,7 +153,7 @@
         self.rollouts.iter().map(progress).collect()
     }
 
-    fn loading_of(&self, model: &ModelName) -> Vec<EndpointId> {
+    pub(super) fn loading_of(&self, model: &ModelName) -> Vec<EndpointId> {
         self.running
             .iter()
             .filter(|(_, running)| running.order.is_load() && running.order.model() == Some(model))
@@ -161,7 +161,7 @@
             .collect()
     }
 
-    fn blocked_of(&self, model: &ModelName) -> Vec<(EndpointId, Blocked)> {
+    pub(super) fn blocked_of(&self, model: &ModelName) -> Vec<(EndpointId, Blocked)> {
         self.blocked
             .iter()
             .filter(|(_, (of, _))| of == model)
@@ -170,7 +170,7 @@
     }
 
     /// Starts a rollout for every model whose wanted version is new.
-    fn follow_wanted(&mut self, site: SiteView<'_>) {
+    pub(super) fn follow_wanted(&mut self, site: SiteView<'_>) {
         let versions = site.wanted.versions();
         self.rollouts
             .retain(|model, _| versions.contains_key(model));
@@ -186,7 +186,7 @@
             .retain(|endpoint, _| site.wanted.endpoints.contains_key(endpoint));
     }
 
-    fn confirm(&mut self, site: SiteView<'_>, now: TimeUs) {
+    pub(super) fn confirm(&mut self, site: SiteView<'_>, now: TimeUs) {
         let (reads, confirm_us) = (self.settings.wanted_reads, self.settings.confirm_us);
         let mut failed = Vec::new();
         self.running.retain(|endpoint, running| {
@@ -203,7 +203,7 @@
         }
     }
 
-    fn fail(&mut self, endpoint: &EndpointId, now: TimeUs) {
+    pub(super) fn fail(&mut self, endpoint: &EndpointId, now: TimeUs) {
         let Some(running) = self.running.remove(endpoint) else {
             return;
         };
@@ -215,188 +215,11 @@
         }
     }
 
-    fn note_complete(&mut self, site: SiteView<'_>) {
+    pub(super) fn note_complete(&mut self, site: SiteView<'_>) {
         for (model, rollout) in &mut self.rollouts {
             let total = site.wanted.holders(model).count();
             let is_complete = count_at_target(model, rollout, site) == total;
             rollout.note_complete(is_complete);
         }
     }
-
-    /// Returns the next order of an endpoint, and notes why a load has to wait.
-    fn next_order(
-        &mut self,
-        endpoint: &EndpointId,
-        wanted: &WantedEndpoint,
-        site: SiteView<'_>,
-    ) -> Option<EndpointOrder> {
-        let is_free =
-            !self.running.contains_key(endpoint) && !self.resting_until_us.contains_key(endpoint);
-        if !is_free {
-            return None;
-        }
-        let Some(report) = site.reports.get(endpoint) else {
-            self.block_all(endpoint, wanted, Blocked::NoReport);
-            return None;
-        };
-        if report.is_leaving {
-            return None;
-        }
-        let order = self.difference(wanted, report)?;
-        let reason = self.find_block(endpoint, &order, site);
-        let Some(reason) = reason else {
-            return Some(order);
-        };
-        if let Some(model) = order.model() {
-            let model = model.clone();
-            self.blocked.insert(endpoint.clone(), (model, reason));
-        }
-        None
-    }
-
-    fn block_all(&mut self, endpoint: &EndpointId, wanted: &WantedEndpoint, reason: Blocked) {
-        if let Some(first) = wanted.models.first() {
-            let entry = (first.model.clone(), reason);
-            self.blocked.insert(endpoint.clone(), entry);
-        }
-    }
-
-    /// Returns the first order that brings the endpoint nearer to the wanted state: the role, then
-    /// weights, then adapters, and last what is to be dropped.
-    fn difference(
-        &self,
-        wanted: &WantedEndpoint,
-        report: &EndpointReport,
-    ) -> Option<EndpointOrder> {
-        let role = wanted.service.to_string();
-        let set_role = EndpointOrder::SetRole { role };
-        let loads = wanted.models.iter().filter_map(|w| self.load_of(w));
-        let adapters = wanted.models.iter().flat_map(|w| adapter_orders(w, report));
-        let drops = report
-            .models
-            .iter()
-            .filter(|loaded| !wanted.models.iter().any(|w| w.model == loaded.model))
-            .map(|loaded| EndpointOrder::UnloadModel {
-                model: loaded.model.clone(),
-            });
-        let mut orders = std::iter::once(set_role)
-            .chain(loads)
-            .chain(adapters)
-            .chain(drops);
-        orders.find(|order| !is_done(order, report))
-    }
-
-    fn load_of(&self, wanted: &WantedModel) -> Option<EndpointOrder> {
-        let target = self.rollouts.get(&wanted.model)?.target()?;
-        Some(EndpointOrder::LoadModel {
-            model: wanted.model.clone(),
-            weight_version: target.clone(),
-        })
-    }
-
-    fn find_block(
-        &self,
-        endpoint: &EndpointId,
-        order: &EndpointOrder,
-        site: SiteView<'_>,
-    ) -> Option<Blocked> {
-        if !site.owned.contains(endpoint) {
-            return Some(Blocked::NoLease);
-        }
-        let model = order.model().filter(|_| order.is_load())?;
-        if site.load_slots == 0 {
-            return Some(Blocked::NoLease);
-        }
-        let max_loads = site.load_slots.min(site.wanted.rollout_parallel);
-        if self.loads_under_way(site) >= max_loads {
-            return Some(Blocked::TooManyLoading);
-        }
-        if self.waits_for_first(model, site) {
-            return Some(Blocked::FirstNotConfirmed);
-        }
-        (!self.can_spare(endpoint, model, site)).then_some(Blocked::NeededForLoad)
-    }
-
-    fn can_spare(&self, endpoint: &EndpointId, model: &ModelName, site: SiteView<'_>) -> bool {
-        let busy: Vec<EndpointId> = self.running.keys().cloned().collect();
-        let share = self.settings.ready_share;
-        can_spare(endpoint, model, site.wanted, site.reports, &busy, share)
-    }
-
-    /// Counts the loads of this daemon and those that other endpoints report.
-    fn loads_under_way(&self, site: SiteView<'_>) -> u32 {
-        let ours = self.running.values().filter(|r| r.order.is_load()).count();
-        let others = site
-            .reports
-            .iter()
-            .filter(|(id, report)| report.is_loading() && !self.running.contains_key(*id))
-            .count();
-        (ours + others) as u32
-    }
-
-    /// Returns whether the version hasn't been shown to work and one endpoint is trying it.
-    fn waits_for_first(&self, model: &ModelName, site: SiteView<'_>) -> bool {
-        let Some(rollout) = self.rollouts.get(model) else {
-            return false;
-        };
-        let is_new = rollout.phase == RolloutPhase::Running && rollout.from.is_some();
-        is_new && count_at_target(model, rollout, site) == 0 && !self.loading_of(model).is_empty()
-    }
-}
-
-fn adapter_orders(
-    wanted: &WantedModel,
-    report: &EndpointReport,
-) -> impl Iterator<Item = EndpointOrder> {
-    let model = wanted.model.clone();
-    let loaded = report.model(&model).map_or(&[][..], |m| &m.adapters[..]);
-    let missing = wanted.adapters.iter().map({
-        let model = model.clone();
-        move |adapter| EndpointOrder::LoadAdapter {
-            model: model.clone(),
-            adapter: adapter.clone(),
-        }
-    });
-    let surplus = loaded
-        .iter()
-        .filter(|adapter| !wanted.adapters.contains(adapter))
-        .map(move |adapter| EndpointOrder::UnloadAdapter {
-            model: model.clone(),
-            adapter: adapter.clone(),
-        });
-    let orders: Vec<EndpointOrder> = missing.chain(surplus).collect();
-    orders.into_iter()
-}
-
-/// Returns the version that most endpoints report and that isn't the wanted one.
-fn version_before(
-    model: &ModelName,
-    wanted: &WeightVersion,
-    site: SiteView<'_>,
-) -> Option<WeightVersion> {
-    let mut counts: BTreeMap<&WeightVersion, usize> = BTreeMap::new();
-    let reports = site
-        .wanted
-        .holders(model)
-        .filter_map(|id| site.reports.get(id));
-    for loaded in reports.filter_map(|report| report.model(model)) {
-        if loaded.weight_version != *wanted {
-            *counts.entry(&loaded.weight_version).or_default() += 1;
-        }
-    }
-    let most = counts.into_iter().max_by_key(|(_, count)| *count);
-    most.map(|(version, _)| version.clone())
-}
-
-fn count_at_target(model: &ModelName, rollout: &Rollout, site: SiteView<'_>) -> usize {
-    let Some(target) = rollout.target() else {
-        return 0;
-    };
-    let is_there = |report: &EndpointReport| {
-        report.is_ready_for(model) && report.model(model).map(|m| &m.weight_version) == Some(target)
-    };
-    site.wanted
-        .holders(model)
-        .filter(|id| site.reports.get(*id).is_some_and(is_there))
-        .count()
 }
