--- a/crates/wisteriahitch-core/src/route/admission/mod.rs
+++ b/crates/wisteriahitch-core/src/route/admission/mod.rs
@@ -4,8 +4,10 @@
 mod gate;
 mod quota;
 mod request;
+mod snapshot;
 mod table;
 mod token_bucket;
 
 pub use request::{AdmissionCommand, AdmissionRequest};
-pub use table::{Admission, GateSnapshot};
+pub use snapshot::GateSnapshot;
+pub use table::Admission;
--- a/crates/wisteriahitch-core/src/route/admission/table.rs
+++ b/crates/wisteriahitch-core/src/route/admission/table.rs
@@ -2,7 +2,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use serde::Serialize;
 use wisteriahitch_config::Configuration;
 use wisteriahitch_types::{Code, DurationUs, RequestId, ServiceName, TimeUs, WorkspaceId};
 
@@ -38,25 +37,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Admission {
     quotas: HashMap<WorkspaceId, Quota>,
-    gates: HashMap<ServiceName, Gate>,
+    pub(super) gates: HashMap<ServiceName, Gate>,
     capacities: HashMap<ServiceName, usize>,
     entries: HashMap<RequestId, Entry>,
     deadlines: BTreeSet<(TimeUs, RequestId)>,
 }
 
-/// Shows one service's gate, for the dump.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct GateSnapshot {
-    /// Service.
-    pub service: ServiceName,
-    /// Requests that run.
-    pub running: usize,
-    /// Requests that may run at once.
-    pub capacity: usize,
-    /// Requests that wait.
-    pub waiting: usize,
-}
-
 impl Admission {
     /// Takes over weights, quotas and bounds of a configuration.
     ///
@@ -214,22 +200,6 @@
             .collect()
     }
 
-    /// Shows every gate in the order of the services.
-    pub fn snapshot(&self) -> Vec<GateSnapshot> {
-        let mut gates: Vec<GateSnapshot> = self
-            .gates
-            .iter()
-            .map(|(service, gate)| GateSnapshot {
-                service: service.clone(),
-                running: gate.running,
-                capacity: gate.capacity,
-                waiting: gate.queue.len(),
-            })
-            .collect();
-        gates.sort_by(|a, b| a.service.cmp(&b.service));
-        gates
-    }
-
     /// Starts what fits; requests that nobody waits for any more are refused before.
     fn start_next(&mut self, service: &ServiceName, now: TimeUs) -> Vec<AdmissionCommand> {
         let mut commands = self.expire(now);
--- a/crates/wisteriahitch-core/src/route/directory/mod.rs
+++ b/crates/wisteriahitch-core/src/route/directory/mod.rs
@@ -2,6 +2,7 @@
 
 mod chain_holders;
 mod holders;
+mod numbers;
 mod place;
 mod segment;
 mod shard;
--- a/crates/wisteriahitch-core/src/route/directory/place.rs
+++ b/crates/wisteriahitch-core/src/route/directory/place.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use wisteriahitch_types::{EndpointId, StoreId};
 
+use super::numbers::{Numbers, Place, SWEEPS_TO_FREE};
+
 /// Names where in a store VM a block lies.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -44,76 +46,6 @@
     }
 }
 
-#[derive(Debug)]
-struct Place {
-    holder: Holder,
-    /// Sweeps that must still pass before the number is free again; nothing while it is in use.
-    sweeps_left: Option<u8>,
-    is_suspect: bool,
-}
-
-/// Whole passes over the table after which no entry names a dead place any more: one may have
-/// begun before the place died.
-const SWEEPS_TO_FREE: u8 = 2;
-
-/// Gives numbers from a range.
-#[derive(Debug)]
-struct Numbers {
-    first: u16,
-    limit: u16,
-    places: Vec<Place>,
-    free: Vec<PlaceId>,
-}
-
-impl Numbers {
-    fn new(first: u16, limit: u16) -> Self {
-        Self {
-            first,
-            limit,
-            places: Vec::new(),
-            free: Vec::new(),
-        }
-    }
-
-    fn get(&self, id: PlaceId) -> &Place {
-        &self.places[usize::from(id.0 - self.first)]
-    }
-
-    fn get_mut(&mut self, id: PlaceId) -> &mut Place {
-        &mut self.places[usize::from(id.0 - self.first)]
-    }
-
-    fn put(&mut self, place: Place) -> Option<PlaceId> {
-        if let Some(id) = self.free.pop() {
-            *self.get_mut(id) = place;
-            return Some(id);
-        }
-        let used = u16::try_from(self.places.len()).ok()?;
-        let number = self.first.checked_add(used)?;
-        if number >= self.limit {
-            return None;
-        }
-        self.places.push(place);
-        Some(PlaceId(number))
-    }
-
-    /// Counts a whole sweep and returns how many places became free by it.
-    fn swept(&mut self) -> usize {
-        let free_before = self.free.len();
-        for (number, place) in (self.first..).zip(&mut self.places) {
-            match place.sweeps_left {
-                Some(0) | None => {}
-                Some(1) => {
-                    place.sweeps_left = Some(0);
-                    self.free.push(PlaceId(number));
-                }
-                Some(left) => place.sweeps_left = Some(left - 1),
-            }
-        }
-        self.free.len() - free_before
-    }
-}
-
 /// Gives numbers to the holders.
 #[derive(Debug)]
 pub(crate) struct Places {
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -20,7 +20,8 @@
 pub use pieces::{ChainScope, Piece, PieceChain, piece_chain};
 pub use policy::{
     Affinity, Choice, CostOptions, CostPolicy, Estimate, ImportStep, LeastLoaded, LinkView,
-    NoLinks, Plan, Policy, RoundRobin, RouteRefusal, RouteRequest, View, Weighed,
+    NoLinks, ParsePolicyError, Plan, Policy, PolicyKind, RoundRobin, RouteRefusal, RouteRequest,
+    View, Weighed,
 };
 pub use retry::{FailedAttempt, RetryBudget, RetryDecision, retry_decision};
 pub use router::{Router, RouterSnapshot};
--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/policy/kind.rs
@@ -0,0 +1,70 @@
+//! The policies by name, for settings and experiments.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Affinity, CostPolicy, LeastLoaded, Policy, RoundRobin};
+
+/// Names a policy.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyKind {
+    /// [`CostPolicy`] with its default options.
+    #[default]
+    Cost,
+    /// [`RoundRobin`].
+    RoundRobin,
+    /// [`LeastLoaded`].
+    LeastLoaded,
+    /// [`Affinity`].
+    Affinity,
+}
+
+/// Reports a text that names no policy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the policies are cost, round_robin, least_loaded and affinity")]
+pub struct ParsePolicyError;
+
+impl PolicyKind {
+    /// Lists every policy.
+    pub const ALL: [Self; 4] = [
+        Self::Cost,
+        Self::RoundRobin,
+        Self::LeastLoaded,
+        Self::Affinity,
+    ];
+
+    /// Builds the policy.
+    pub fn build(self) -> Box<dyn Policy> {
+        match self {
+            Self::Cost => Box::new(CostPolicy::default()),
+            Self::RoundRobin => Box::new(RoundRobin::default()),
+            Self::LeastLoaded => Box::new(LeastLoaded),
+            Self::Affinity => Box::new(Affinity),
+        }
+    }
+}
+
+impl fmt::Display for PolicyKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Cost => "cost",
+            Self::RoundRobin => "round_robin",
+            Self::LeastLoaded => "least_loaded",
+            Self::Affinity => "affinity",
+        })
+    }
+}
+
+impl FromStr for PolicyKind {
+    type Err = ParsePolicyError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let mut kinds = Self::ALL.into_iter();
+        kinds
+            .find(|kind| kind.to_string() == text)
+            .ok_or(ParsePolicyError)
+    }
+}
--- a/crates/wisteriahitch-core/src/route/policy/mod.rs
+++ b/crates/wisteriahitch-core/src/route/policy/mod.rs
@@ -4,6 +4,7 @@
 mod candidates;
 mod choice;
 mod cost;
+mod kind;
 mod request;
 mod sources;
 mod weigh;
@@ -11,6 +12,7 @@
 pub use baseline::{Affinity, LeastLoaded, RoundRobin};
 pub use choice::{Choice, Estimate, ImportStep, Plan, RouteRefusal, Weighed};
 pub use cost::{CostOptions, CostPolicy};
+pub use kind::{ParsePolicyError, PolicyKind};
 pub use request::{LinkView, NoLinks, RouteRequest, View};
 
 use std::fmt;
--- a/crates/wisteriahitch-core/tests/all/route_policy.rs
+++ b/crates/wisteriahitch-core/tests/all/route_policy.rs
@@ -5,7 +5,7 @@
 use wisteriahitch_config::ServiceKind;
 use wisteriahitch_core::route::{
     Affinity, Choice, CostPolicy, EndpointLoad, FlightFailure, LeastLoaded, LeavingSource, NoLinks,
-    Policy, RoundRobin, RouteRequest, Router, Tier,
+    ParsePolicyError, Policy, PolicyKind, RoundRobin, RouteRequest, Router, Tier,
 };
 use wisteriahitch_types::{
     BlockKey, ByteRate, Code, DurationUs, EndpointId, Share, TokenCount, TokenRate,
@@ -501,6 +501,15 @@
     assert_eq!(choice.endpoint, endpoint(1));
 }
 
+#[test]
+fn policies_are_built_by_the_name_that_they_report() {
+    for kind in PolicyKind::ALL {
+        let policy = kind.to_string().parse::<PolicyKind>().unwrap().build();
+        assert_eq!(policy.name(), kind.to_string());
+    }
+    assert_eq!("fastest".parse::<PolicyKind>(), Err(ParsePolicyError));
+}
+
 #[test]
 fn baselines_choose_as_their_names_say() {
     struct Case {
