fix(fleet): keep a lease for an order time-out after the last order

Cause: an order given up early counted as done, the lease was released, and the next holder began without a wait while that order could still arrive. Change: a release waits an order time-out from the last order on. Seen failing: the new test without the check. Conclusion: 135 tests of the core pass.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
@@ -31,8 +31,14 @@
     }
 
     /// Gives the lease up early, once nothing is under way that the next holder would wait for.
+    ///
+    /// An order that was given up by a shorter time-out may still arrive; a whole order time-out
+    /// after the last one it counts as ended, as it does for a holder that takes a lapsed lease.
     pub(super) fn release_if_idle(&mut self, now: TimeUs) -> Option<LeaseCall> {
-        if self.times.open_orders > 0 {
+        let order_us = self.settings.order_timeout_us;
+        let last_order = self.times.last_order_at_us;
+        let is_recent = last_order.is_some_and(|last| now.since(last) < order_us);
+        if self.times.open_orders > 0 || is_recent {
             return None;
         }
         // From here on no order may start: the release may take effect at any moment.
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
@@ -54,6 +54,7 @@
     pub(super) expires_at_us: TimeUs,
     pub(super) wait_until_us: TimeUs,
     pub(super) open_orders: u32,
+    pub(super) last_order_at_us: Option<TimeUs>,
     #[serde(skip)]
     pub(super) is_order_granted: bool,
 }
@@ -165,6 +166,7 @@
     fn grant_order(&mut self) {
         if self.left_us() > DurationUs::ZERO {
             self.open_orders += 1;
+            self.last_order_at_us = Some(self.now);
             self.is_order_granted = true;
         }
     }
