feat(tasks): keep room at store VMs and split quotas over the present daemons

Cause: no daemon emptied full tiers, so nothing moved to disk, and quotas were split over the daemons that were there when a version came into force. Change: each store has one daemon by rendezvous hash; shares follow membership.

--- a/crates/wisteriahitch-node/src/task/housekeeping.rs
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -5,6 +5,7 @@
 
 use super::capacity::update_capacity;
 use super::endpoint_news::tell_changes;
+use super::shares::{QuotaSplit, update_shares};
 use crate::shared::Shared;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -16,6 +17,7 @@
 pub(crate) async fn run_housekeeping(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let split = QuotaSplit::default();
     let mut count: u64 = 0;
     loop {
         tokio::select! {
@@ -24,6 +26,7 @@
         }
         if count.is_multiple_of(TICKS_PER_CAPACITY) {
             update_capacity(&shared);
+            update_shares(&shared, &split);
         }
         count += 1;
     }
--- a/crates/wisteriahitch-node/src/task/mod.rs
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_news;
 mod endpoints;
 mod housekeeping;
+mod shares;
 mod stores;
 mod vm_list;
 
--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -30,6 +30,8 @@
     pub(crate) service_flags: Vec<String>,
     /// Further flags of the store VM.
     pub(crate) store_flags: Vec<String>,
+    /// Memory of the store VM, as configured.
+    pub(crate) store_memory_bytes: u64,
     /// TOML of the section `[limits]` of the configuration.
     pub(crate) limits: String,
     /// Deadline of completions, in milliseconds.
@@ -50,6 +52,7 @@
             engine_flags: Vec::new(),
             service_flags: Vec::new(),
             store_flags: Vec::new(),
+            store_memory_bytes: 64_000_000,
             limits: "ticket_lifetime_s = 60\nentries_ttl_s = 1\n".to_owned(),
             prompt_deadline_ms: 20_000,
             till_deadline_ms: 10_000,
@@ -190,9 +193,9 @@
              [[models]]\nname = \"hist-7b\"\nweight_version = \"{weight_version}\"\n\
              piece_tokens = 100\nbytes_per_token = 64\nmax_prompt_tokens = 64_000\n\
              [[stores]]\nid = \"hub-cache\"\naddress = \"{}\"\navailability_zone = \"colombo-a\"\n\
-             link_rate_bytes_per_s = 20_000_000\nmemory_bytes = 64_000_000\ndisk_bytes = 64_000_000\n\
+             link_rate_bytes_per_s = 20_000_000\nmemory_bytes = {}\ndisk_bytes = 64_000_000\n\
              [[services]]\nname = \"assistant\"\nkind = \"engine\"\nmodels = [\"hist-7b\"]\nstores = [\"hub-cache\"]\n",
-            options.limits, self.store.address
+            options.limits, self.store.address, options.store_memory_bytes
         );
         for (number, engine) in self.engines.iter().enumerate() {
             text += &format!(
