fix(tier): give imports half the plan's steps as grace behind the pace of computing

Cause: with two steps of grace imports were given up that would have caught up again. Ruled out: no bound at all, which lets a wait and then the computing cost twice the limit. Conclusion: half the steps.

--- a/crates/wisteriahitch-core/src/tier/import_request.rs
+++ b/crates/wisteriahitch-core/src/tier/import_request.rs
@@ -35,9 +35,13 @@
     pub limit_us: DurationUs,
 }
 
-/// Steps by which an import may be behind the pace of computing: two cross a link at once, and
-/// neither is done before both are nearly so.
-const GRACE_STEPS: usize = 2;
+/// Least number of steps by which an import may be behind the pace of computing: two cross a link
+/// at once, and neither is done before both are nearly so.
+const MIN_GRACE_STEPS: usize = 2;
+
+/// Part of the steps by which an import may be behind; less gave up imports that caught up again
+/// (`docs/design/links.md`).
+const GRACE_DIVISOR: usize = 2;
 
 /// Tells how far one step has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
@@ -76,11 +80,12 @@
     ///
     /// A request that waited for the whole limit and then computed after all would take twice as
     /// long as without any import, seen as first answers that a slowed link doubles. Held to the
-    /// pace of computing, it loses the time of a few steps at most.
+    /// pace of computing, it loses half of that at most.
     pub(crate) fn deadline(&self) -> TimeUs {
-        let steps = self.planned_steps.max(1) as f64;
-        let reached = (self.done_steps() + GRACE_STEPS) as f64;
-        let part = (reached / steps).min(1.0);
+        let steps = self.planned_steps.max(1);
+        let grace = MIN_GRACE_STEPS.max(steps.div_ceil(GRACE_DIVISOR));
+        let reached = (self.done_steps() + grace) as f64;
+        let part = (reached / steps as f64).min(1.0);
         self.started_at_us + DurationUs::new((self.limit_us.as_f64() * part) as u64)
     }
 
