--- a/crates/wisteriahitch-core/src/tier/save_planner.rs
+++ b/crates/wisteriahitch-core/src/tier/save_planner.rs
@@ -9,10 +9,13 @@
 
 use super::context::Context;
 use super::save_job::{SaveBlock, SaveJob, SavePhase, SaveTransfer};
+use super::save_room::{
+    begin_write, free_at_store, free_late_room, give_back, keep_quota, readable_tier, room,
+};
 use super::save_value::{is_worth_saving, value};
 use super::{
-    BlockHandle, BlockState, BlockUse, ExportReceipt, FinishedRequest, Place, ReservedRoom,
-    TierCommand, TierName, TransferClass, TransferFailure, TransferId, UseTable,
+    BlockHandle, BlockUse, ExportReceipt, FinishedRequest, Place, ReservedRoom, TierCommand,
+    TierName, TransferClass, TransferFailure, TransferId, UseTable,
 };
 
 /// Bounds the chains that are being saved; a further one is left out until its next use.
@@ -24,9 +27,6 @@
 /// Bounds the reservations whose late answer is still freed.
 const MAX_ABANDONED: usize = 1_024;
 
-/// Blocks of a tier that are looked at to make room within a workspace's quota.
-const MAX_QUOTA_SCAN: usize = 256;
-
 /// Longest wait for the answer to one call; afterwards the answer counts as lost.
 const ANSWER_LIMIT_US: DurationUs = DurationUs::from_ms(60_000);
 
@@ -195,7 +195,8 @@
         let Some(transfer) = self.transfers.get(&id) else {
             return;
         };
-        let is_within_quota = self.keep_quota(transfer, cx);
+        let quota = self.quotas.get(&transfer.job.workspace).copied();
+        let is_within_quota = quota.is_none_or(|quota| keep_quota(transfer, quota, cx));
         let tier = room(&transfer.job.store, transfer.front.block.bytes, cx);
         match tier {
             Some(tier) if is_within_quota => self.reserve(id, tier, cx),
@@ -227,36 +228,6 @@
         transfer.asked_at_us = cx.now;
     }
 
-    /// Frees the workspace's least valuable blocks until one more fits; `false` if it can't.
-    fn keep_quota(&self, transfer: &SaveTransfer, cx: &mut Context<'_>) -> bool {
-        let Some(quota) = self.quotas.get(&transfer.job.workspace).copied() else {
-            return true;
-        };
-        let bytes = transfer.front.block.bytes;
-        let workspace = &transfer.job.workspace;
-        if bytes > quota {
-            return false;
-        }
-        let store = &transfer.job.store;
-        let candidates: Vec<Place> = [TierName::Disk, TierName::Memory]
-            .into_iter()
-            .flat_map(|tier| cx.ranks.lowest(store, tier).take(MAX_QUOTA_SCAN))
-            .collect();
-        for place in candidates {
-            if cx.blocks.workspace_bytes(workspace) + bytes <= quota {
-                return true;
-            }
-            let is_own = cx
-                .blocks
-                .get(&place)
-                .is_some_and(|block| block.identity().workspace.as_ref() == Some(workspace));
-            if is_own && cx.ranks.is_below(&place, transfer.front.value) {
-                cx.evict(&place);
-            }
-        }
-        cx.blocks.workspace_bytes(workspace) + bytes <= quota
-    }
-
     pub(crate) fn reserved(
         &mut self,
         id: TransferId,
@@ -518,57 +489,3 @@
             .collect()
     }
 }
-
-fn readable_tier(place: &Place, cx: &Context<'_>) -> Option<TierName> {
-    cx.blocks
-        .get(place)
-        .filter(|block| block.state() == BlockState::Readable)
-        .map(|block| block.tier())
-}
-
-fn room(store: &StoreId, bytes: ByteCount, cx: &Context<'_>) -> Option<TierName> {
-    [TierName::Memory, TierName::Disk]
-        .into_iter()
-        .find(|tier| cx.stores.has_room(store, *tier, bytes, cx.now))
-}
-
-fn begin_write(
-    transfer: &SaveTransfer,
-    incarnation: StoreIncarnation,
-    generation: Generation,
-    tier: TierName,
-    cx: &mut Context<'_>,
-) -> Option<BlockHandle> {
-    let identity = transfer.identity(incarnation, generation);
-    let handle = cx.blocks.reserve(transfer.place(), identity, tier).ok()?;
-    cx.blocks.write(&handle).ok()?;
-    Some(handle)
-}
-
-fn free_at_store(place: &Place, generation: Generation, cx: &mut Context<'_>) {
-    cx.send(TierCommand::Free {
-        store: place.store.clone(),
-        key: place.key,
-        generation,
-    });
-}
-
-fn give_back(handle: &BlockHandle, cx: &mut Context<'_>) {
-    // A block that ended with its store's incarnation is gone already; under the next one the
-    // same generation would be another block's.
-    if cx.blocks.free(handle).is_ok() {
-        free_at_store(&handle.place, handle.generation, cx);
-    }
-}
-
-fn free_late_room(
-    place: &Place,
-    incarnation: &StoreIncarnation,
-    result: Result<ReservedRoom, TransferFailure>,
-    cx: &mut Context<'_>,
-) {
-    let is_same_store = cx.blocks.incarnation(&place.store) == Some(incarnation);
-    if let (Ok(ReservedRoom::Room(generation)), true) = (result, is_same_store) {
-        free_at_store(place, generation, cx);
-    }
-}
