fix(standin): read no more of an imported block than it must have

Cause: the engine read whatever a store sent before it looked at the length, so a store gone wrong could fill its memory. Change: the read is bounded by the length in the order to import; every import refused as corrupt is counted in one place.

--- a/crates/wisteriahitch-standin/src/engine/transfer.rs
+++ b/crates/wisteriahitch-standin/src/engine/transfer.rs
@@ -38,7 +38,12 @@
 pub(super) async fn import(state: &Arc<EngineState>, request: ImportRequest) -> Answer {
     match try_import(state, request).await {
         Ok(()) => answer_status(StatusCode::OK),
-        Err((status, reason)) => refuse(status, false, &reason),
+        Err((status, reason)) => {
+            if status == StatusCode::UNPROCESSABLE_ENTITY {
+                state.counters.lock().corrupt_imports += 1;
+            }
+            refuse(status, false, &reason)
+        }
     }
 }
 
@@ -56,8 +61,8 @@
         crc32c: crc32c::crc32c(&content),
     };
     let query = format!("generation={}", request.generation);
-    let call = call_store(state, Method::PUT, &request.to, &query, content);
-    let response = call.await?;
+    let answer = call_store(state, &request.to, &query, StoreCall::Write(content));
+    let response = answer.await?;
     let sealed = serde_json::from_slice::<ExportResult>(response.body());
     if sealed.ok().as_ref() != Some(&own) {
         return Err(refusal(
@@ -82,11 +87,11 @@
         return Ok(());
     }
     let query = format!("generation={}&pin={}", request.generation, request.pin);
-    let call = call_store(state, Method::GET, &request.from, &query, Bytes::new());
-    let response = call.await?;
+    let answer = call_store(state, &request.from, &query, StoreCall::Read(request.bytes));
+    let response = answer.await?;
     let (bytes, crc32c) = (request.bytes, request.crc32c);
     let checked = check_block(response.body(), request.key, version, bytes, crc32c);
-    let tokens = checked.map_err(|error| refuse_corrupt(state, error))?;
+    let tokens = checked.map_err(refuse_corrupt)?;
     let block = CachedBlock {
         tokens,
         weight_version: version.clone(),
@@ -101,17 +106,24 @@
     Ok(())
 }
 
+/// What is done at a store.
+enum StoreCall {
+    /// Writes this content.
+    Write(Bytes),
+    /// Reads content of at most this length.
+    Read(ByteCount),
+}
+
 async fn call_store(
     state: &EngineState,
-    method: Method,
     url: &str,
     query: &str,
-    content: Bytes,
+    call: StoreCall,
 ) -> Result<Response<Bytes>, Refusal> {
     let (address, path) = parse_url(url)?;
-    let (class, limit_bytes) = match method {
-        Method::PUT => ("save", ANSWER_LIMIT),
-        _ => ("wait", ByteCount::MAX),
+    let (method, class, content, limit_bytes) = match call {
+        StoreCall::Write(content) => (Method::PUT, "save", content, ANSWER_LIMIT),
+        StoreCall::Read(bytes) => (Method::GET, "wait", Bytes::new(), bytes),
     };
     let request = Request::builder()
         .method(method)
@@ -151,8 +163,7 @@
     (status, error.to_string())
 }
 
-fn refuse_corrupt(state: &EngineState, error: KvBlockError) -> Refusal {
-    state.counters.lock().corrupt_imports += 1;
+fn refuse_corrupt(error: KvBlockError) -> Refusal {
     let status = StatusCode::UNPROCESSABLE_ENTITY;
     (status, format!("the block is corrupt: {error:?}"))
 }
--- a/crates/wisteriahitch-standin/tests/all/transfer.rs
+++ b/crates/wisteriahitch-standin/tests/all/transfer.rs
@@ -137,6 +137,12 @@
             change: |request| request.crc32c ^= 1,
             kind: EngineErrorKind::Corrupt,
         },
+        Case {
+            name: "longer than it must be",
+            fault: StoreFault::None,
+            change: |request| request.bytes = ByteCount::new(5119),
+            kind: EngineErrorKind::Corrupt,
+        },
         Case {
             name: "another block",
             fault: StoreFault::None,
@@ -185,7 +191,8 @@
         let keys = site.cached_keys().await;
         assert_eq!(keys, [8, 9].map(key), "{}", case.name);
     }
-    assert_eq!(site.engine_counters().await.imported_blocks, 0);
+    let counters = site.engine_counters().await;
+    assert_eq!((counters.imported_blocks, counters.corrupt_imports), (0, 5));
 }
 
 #[tokio::test]
