--- a/crates/wisteriahitch-node/src/server/mod.rs
+++ b/crates/wisteriahitch-node/src/server/mod.rs
@@ -1,6 +1,8 @@
 //! HTTP server shell shared by callers' and operators' listeners.
 
 mod connection;
+mod head_guard;
+mod numbered_refusal;
 mod stall_guard;
 
 pub(crate) use connection::{ConnectionLimits, Handler, serve};
--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -38,6 +38,8 @@
     pub(crate) till_deadline_ms: u64,
     /// Whether the engines refuse orders with an old fencing number.
     pub(crate) checks_fence: bool,
+    /// Further TOML of every daemon's settings.
+    pub(crate) settings: String,
 }
 
 impl Default for SiteOptions {
@@ -52,6 +54,7 @@
             prompt_deadline_ms: 20_000,
             till_deadline_ms: 10_000,
             checks_fence: true,
+            settings: String::new(),
         }
     }
 }
@@ -140,9 +143,10 @@
                  listen = {{ callers = \"{callers}\", peers = \"{peers}\", operators = \"{operators}\" }}\n\
                  platform = {{ addresses = [\"{platform}\"], reads_per_s = 200, writes_per_s = 200, timeout_ms = 1_000 }}\n\
                  peers = {{ seeds = [{}], probe_interval_ms = 100 }}\n\
-                 operators = {{ key_hashes = [\"{OPERATOR_KEY_HASH}\"] }}\n",
+                 operators = {{ key_hashes = [\"{OPERATOR_KEY_HASH}\"] }}\n{}",
                 ZONES[number % ZONES.len()],
                 seeds.join(", "),
+                self.options.settings,
             );
             std::fs::write(&settings, text).unwrap();
             let process = start_daemon(&settings, &self.folder, &name);
@@ -163,6 +167,20 @@
         daemon.process = start_daemon(&daemon.settings, &self.folder, &daemon.name);
     }
 
+    /// Starts the store VM again at its old address, empty.
+    pub(crate) fn restart_store(&mut self, address: SocketAddr) {
+        self.store.process.kill();
+        let mut arguments = vec![
+            "--listen".to_owned(),
+            address.to_string(),
+            "store".to_owned(),
+        ];
+        arguments.extend(self.options.store_flags.iter().cloned());
+        let log = self.folder.path().join("store.log");
+        let (process, address) = Process::start_standin(&arguments, log);
+        self.store = StandinHandle { process, address };
+    }
+
     /// Returns a configuration of this site with a weight version of its model.
     pub(crate) fn configuration(&self, weight_version: &str) -> String {
         let options = &self.options;
@@ -274,7 +292,9 @@
             let alive = |row: &&Value| row["state"] == "alive";
             let endpoints = status["endpoints"].as_array().cloned().unwrap_or_default();
             let daemons = status["daemons"].as_array().cloned().unwrap_or_default();
+            let stores = status["stores"].as_array().cloned().unwrap_or_default();
             !endpoints.is_empty()
+                && stores.iter().all(|row| row["state"] == "seen")
                 && endpoints.iter().all(is_ready)
                 && daemons.iter().filter(alive).count() >= count
         })
