--- a/crates/wisteriahitch-standin/tests/all/transfer.rs
+++ b/crates/wisteriahitch-standin/tests/all/transfer.rs
@@ -106,83 +106,87 @@
     assert_eq!((store.saved_bytes, store.read_bytes), (5120, 5120));
 }
 
-#[tokio::test]
-async fn imports_of_anything_but_the_block_are_refused() {
-    // Symptom: answers go wrong without an error anywhere.
-    // Sequence: a store hands out a block that was changed, cut, freed, exchanged or computed
-    // with other weights, and the engine computes on with it.
-    // Cause: content is trusted because its name is right.
-    struct Case {
-        name: &'static str,
-        fault: StoreFault,
-        change: fn(&mut ImportRequest),
-        kind: EngineErrorKind,
-    }
-    let cases = [
-        Case {
+struct ImportCase {
+    name: &'static str,
+    fault: StoreFault,
+    change: fn(&mut ImportRequest),
+    kind: EngineErrorKind,
+}
+
+fn import_cases() -> Vec<ImportCase> {
+    vec![
+        ImportCase {
             name: "changed content",
             fault: StoreFault::CorruptReads(1),
             change: |_| {},
             kind: EngineErrorKind::Corrupt,
         },
-        Case {
+        ImportCase {
             name: "cut content",
             fault: StoreFault::ShortReads(1),
             change: |_| {},
             kind: EngineErrorKind::Corrupt,
         },
-        Case {
+        ImportCase {
             name: "another checksum",
             fault: StoreFault::None,
             change: |request| request.crc32c ^= 1,
             kind: EngineErrorKind::Corrupt,
         },
-        Case {
+        ImportCase {
             name: "longer than it must be",
             fault: StoreFault::None,
             change: |request| request.bytes = ByteCount::new(5119),
             kind: EngineErrorKind::Corrupt,
         },
-        Case {
+        ImportCase {
             name: "another block",
             fault: StoreFault::None,
             change: |request| request.key = key(2),
             kind: EngineErrorKind::Corrupt,
         },
-        Case {
+        ImportCase {
             name: "weights that the engine doesn't have",
             fault: StoreFault::None,
             change: |request| request.weight_version = version("v2"),
             kind: EngineErrorKind::OtherVersion,
         },
-        Case {
+        ImportCase {
             name: "another generation",
             fault: StoreFault::None,
             change: |request| request.generation = request.generation.next(),
             kind: EngineErrorKind::Gone,
         },
-        Case {
+        ImportCase {
             name: "another pin",
             fault: StoreFault::None,
             change: |request| request.pin.push('0'),
             kind: EngineErrorKind::Gone,
         },
-        Case {
+        ImportCase {
             name: "a store that is not there",
             fault: StoreFault::None,
             change: |request| request.from = "http://127.0.0.1:1/v1/blocks/x".to_owned(),
             kind: EngineErrorKind::Lost,
         },
-        Case {
+        ImportCase {
             name: "no URL",
             fault: StoreFault::None,
             change: |request| request.from = "blocks".to_owned(),
             kind: EngineErrorKind::Nonsense,
         },
-    ];
+    ]
+}
+
+#[tokio::test]
+async fn imports_of_anything_but_the_block_are_refused() {
+    // Symptom: answers go wrong without an error anywhere.
+    // Sequence: a store hands out a block that was changed, cut, freed, exchanged or computed
+    // with other weights, and the engine computes on with it.
+    // Cause: content is trusted because its name is right.
     let site = start().await;
     save_and_evict(&site).await;
-    for case in cases {
+    for case in import_cases() {
         let mut request = pin(&site, 1).await;
         (case.change)(&mut request);
         site.store_fault(case.fault).await;
