--- a/crates/wisteriahitch-cli/src/command/config.rs
+++ b/crates/wisteriahitch-cli/src/command/config.rs
@@ -1,15 +1,17 @@
 //! Checks, submits and shows configuration.
 
 use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use http::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 use wisteriahitch::config::Configuration;
 
 use crate::client::Client;
 use crate::flags::{Config, ConfigCmd, Submit, Wisteriahitch};
-use crate::output::{field, print_answer, render_failure};
+use crate::output::{print_answer, print_answer_to};
+use crate::render;
 
 /// Runs `wisteriahitch config …`.
 pub(crate) async fn run(flags: &Wisteriahitch, config: &Config) -> anyhow::Result<bool> {
@@ -60,17 +62,8 @@
         path += &format!("base={base}");
     }
     let answer = client.call(Method::POST, &path, text).await?;
-    print_answer(&answer, flags.json, render_accepted)
-}
-
-fn render_accepted(value: &Value) -> String {
-    format!(
-        "accepted as version {} (submission {}), held by {} peers in {} availability zones\n",
-        field(value, "version"),
-        field(value, "submission"),
-        field(value, "held_by_peers"),
-        field(value, "held_in_availability_zones"),
-    )
+    let file = submit.path.display().to_string();
+    print_answer_to(&answer, flags.json, Some(&file), render::accepted)
 }
 
 async fn run_show(flags: &Wisteriahitch) -> anyhow::Result<bool> {
@@ -82,7 +75,7 @@
         print!("{text}");
         return Ok(true);
     }
-    eprint!("{}", render_failure(answer.status, &answer.json()?));
+    eprint!("{}", render::failure(answer.status, &answer.json()?, None));
     Ok(false)
 }
 
@@ -90,16 +83,10 @@
     let answer = Client::from_flags(flags)?
         .call(Method::GET, "/v1/config/history", "")
         .await?;
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now_unix_ms = since_epoch.map_or(0, |span| span.as_millis());
+    let now_unix_ms = u64::try_from(now_unix_ms).unwrap_or(u64::MAX);
     print_answer(&answer, flags.json, |value| {
-        let entries = value["history"].as_array().into_iter().flatten();
-        entries
-            .map(|entry| {
-                format!(
-                    "{} {}\n",
-                    field(entry, "version"),
-                    field(entry, "submission")
-                )
-            })
-            .collect()
+        render::history(value, now_unix_ms)
     })
 }
--- a/crates/wisteriahitch-cli/src/command/drain.rs
+++ b/crates/wisteriahitch-cli/src/command/drain.rs
@@ -4,7 +4,8 @@
 
 use crate::client::Client;
 use crate::flags::Wisteriahitch;
-use crate::output::{field, print_answer};
+use crate::output::print_answer;
+use crate::render;
 
 /// Runs `wisteriahitch drain`, which needs exactly one `--daemon`.
 pub(crate) async fn run(flags: &Wisteriahitch) -> anyhow::Result<bool> {
@@ -15,6 +16,6 @@
     let client = Client::from_flags(flags)?;
     let answer = client.call(Method::POST, "/v1/drain", "").await?;
     print_answer(&answer, flags.json, |value| {
-        format!("{}\n", field(value, "state"))
+        format!("{}\n", render::field(value, "state"))
     })
 }
--- a/crates/wisteriahitch-cli/src/command/explain.rs
+++ b/crates/wisteriahitch-cli/src/command/explain.rs
@@ -8,7 +8,8 @@
 
 use crate::client::Client;
 use crate::flags::{Explain, Wisteriahitch};
-use crate::output::{field, print_answer};
+use crate::output::print_answer;
+use crate::render;
 
 /// Runs `wisteriahitch explain`.
 pub(crate) async fn run(flags: &Wisteriahitch, explain: &Explain) -> anyhow::Result<bool> {
@@ -17,7 +18,7 @@
     let answer = client
         .call(Method::POST, "/v1/explain", question.to_string())
         .await?;
-    print_answer(&answer, flags.json, render)
+    print_answer(&answer, flags.json, render::explain)
 }
 
 fn build_question(explain: &Explain) -> anyhow::Result<Value> {
@@ -49,29 +50,3 @@
         })
         .collect()
 }
-
-fn render(value: &Value) -> String {
-    let mut lines = format!("rule {} decides\n", field(value, "rule"));
-    for tried in value["tried"].as_array().into_iter().flatten() {
-        lines += &format!("  {}: {}\n", field(tried, "rule"), field(tried, "outcome"));
-    }
-    lines += &format!("action {}\n", value["action"]);
-    if !value["refusal"].is_null() {
-        lines += &format!("refused: {}\n", value["refusal"]);
-    }
-    if !value["endpoint"].is_null() {
-        lines += &format!("endpoint {}\n", field(value, "endpoint"));
-    }
-    for weighed in value["weighed"].as_array().into_iter().flatten() {
-        lines += &format!(
-            "  {}: cost {}, first token {} us (queue {}, transfer {}, prefill {})\n",
-            field(weighed, "endpoint"),
-            field(weighed, "cost"),
-            field(weighed, "first_token_us"),
-            field(weighed, "queue_us"),
-            field(weighed, "transfer_us"),
-            field(weighed, "prefill_us"),
-        );
-    }
-    lines
-}
--- a/crates/wisteriahitch-cli/src/command/locate.rs
+++ b/crates/wisteriahitch-cli/src/command/locate.rs
@@ -2,11 +2,12 @@
 
 use anyhow::Context;
 use http::Method;
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::client::Client;
 use crate::flags::{Locate, Wisteriahitch};
-use crate::output::{field, print_answer};
+use crate::output::print_answer;
+use crate::render;
 
 /// Runs `wisteriahitch locate`.
 pub(crate) async fn run(flags: &Wisteriahitch, locate: &Locate) -> anyhow::Result<bool> {
@@ -18,20 +19,5 @@
     let answer = client
         .call(Method::POST, "/v1/locate", question.to_string())
         .await?;
-    print_answer(&answer, flags.json, render)
-}
-
-fn render(value: &Value) -> String {
-    let blocks = value["blocks"].as_array().into_iter().flatten();
-    blocks
-        .map(|block| {
-            format!(
-                "{} {} tokens: endpoints {}, stores {}\n",
-                field(block, "key"),
-                field(block, "tokens"),
-                block["endpoints"],
-                block["stores"]
-            )
-        })
-        .collect()
+    print_answer(&answer, flags.json, render::locate)
 }
--- a/crates/wisteriahitch-cli/src/command/status.rs
+++ b/crates/wisteriahitch-cli/src/command/status.rs
@@ -7,19 +7,30 @@
 
 use crate::client::Client;
 use crate::flags::{Status, Wisteriahitch};
-use crate::output::{field, print_answer};
+use crate::output::print_answer;
+use crate::render;
 
 const WATCH_PAUSE: Duration = Duration::from_secs(1);
 
-/// Runs `wisteriahitch status`, once or until no rollout is under way.
+/// Phase of a rollout that failed and went back.
+const STOPPED: &str = "stopped";
+
+/// Runs `wisteriahitch status`, once or until no rollout is under way or one has failed.
 pub(crate) async fn run(flags: &Wisteriahitch, status: &Status) -> anyhow::Result<bool> {
     let client = Client::from_flags(flags)?;
     loop {
         let answer = client.call(Method::GET, "/v1/status", "").await?;
-        let is_success = print_answer(&answer, flags.json, render)?;
-        if !status.watch || !is_success || !is_rollout_under_way(&answer.json()?) {
+        let is_success = print_answer(&answer, flags.json, render::status)?;
+        if !status.watch || !is_success {
             return Ok(is_success);
         }
+        let value = answer.json()?;
+        if is_rollout_stopped(&value) {
+            return Ok(false);
+        }
+        if !is_rollout_under_way(&value) {
+            return Ok(true);
+        }
         tokio::time::sleep(WATCH_PAUSE).await;
     }
 }
@@ -28,34 +39,9 @@
     value["rollout"]["pending"].as_u64().unwrap_or(0) > 0
 }
 
-fn render(value: &Value) -> String {
-    let mut text = format!(
-        "daemon {} {} with configuration {}\n",
-        field(value, "daemon"),
-        field(value, "state"),
-        field(value, "config_version")
-    );
-    text += &render_rows("daemons", value, &["daemon", "state", "config_version"]);
-    text += &render_rows(
-        "endpoints",
-        value,
-        &["endpoint", "state", "versions", "running"],
-    );
-    text += &render_rows("stores", value, &["store", "state", "used_bytes"]);
-    let rollout = &value["rollout"];
-    text += &format!(
-        "rollout: {} done, {} pending\n",
-        field(rollout, "done"),
-        field(rollout, "pending")
-    );
-    text
-}
-
-fn render_rows(title: &str, value: &Value, fields: &[&str]) -> String {
-    let rows = value[title].as_array().into_iter().flatten();
-    let render = |row: &Value| {
-        let cells: Vec<String> = fields.iter().map(|name| field(row, name)).collect();
-        format!("  {}\n", cells.join("  "))
-    };
-    format!("{title}:\n{}", rows.map(render).collect::<String>())
+/// Returns whether a rollout has failed: what is pending then stays so, and a watch for its end
+/// would never return.
+fn is_rollout_stopped(value: &Value) -> bool {
+    let progress = value["rollout"]["progress"].as_array();
+    progress.is_some_and(|models| models.iter().any(|model| model["phase"] == STOPPED))
 }
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/command_line.rs
@@ -0,0 +1,59 @@
+//! One call of the command line.
+
+use std::ffi::OsString;
+
+use anyhow::Context;
+
+use crate::command;
+use crate::flags::{Wisteriahitch, WisteriahitchCmd};
+
+/// Holds a call of the command line that parses.
+///
+/// ```
+/// use wisteriahitch_cli::CommandLine;
+///
+/// assert!(CommandLine::try_from_args(["status", "--watch"]).is_ok());
+/// assert!(CommandLine::try_from_args(["state"]).is_err());
+/// ```
+#[derive(Debug)]
+pub struct CommandLine {
+    flags: Wisteriahitch,
+}
+
+impl CommandLine {
+    /// Reads the arguments of this process; prints help or a fault of theirs and exits.
+    pub fn from_env_or_exit() -> Self {
+        let flags = Wisteriahitch::from_env_or_exit();
+        Self { flags }
+    }
+
+    /// Reads arguments, without the program's name before them.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a command or flag doesn't exist, or one that is required is missing.
+    pub fn try_from_args<T: Into<OsString>>(
+        arguments: impl IntoIterator<Item = T>,
+    ) -> anyhow::Result<Self> {
+        let arguments = arguments.into_iter().map(Into::into).collect();
+        let flags = Wisteriahitch::from_vec(arguments).context("the arguments don't parse")?;
+        Ok(Self { flags })
+    }
+
+    /// Runs the command and returns whether it did what was asked.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be read, no daemon is named or reached, or an answer doesn't parse.
+    pub async fn run(&self) -> anyhow::Result<bool> {
+        let flags = &self.flags;
+        match &flags.subcommand {
+            WisteriahitchCmd::Config(config) => command::config::run(flags, config).await,
+            WisteriahitchCmd::Explain(explain) => command::explain::run(flags, explain).await,
+            WisteriahitchCmd::Locate(locate) => command::locate::run(flags, locate).await,
+            WisteriahitchCmd::Dump(_) => command::dump::run(flags).await,
+            WisteriahitchCmd::Status(status) => command::status::run(flags, status).await,
+            WisteriahitchCmd::Drain(_) => command::drain::run(flags).await,
+        }
+    }
+}
--- a/crates/wisteriahitch-cli/src/flags.rs
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -64,7 +64,8 @@
         cmd dump {}
         /// Prints the version in force on every daemon, the endpoints, the stores and rollouts.
         cmd status {
-            /// Print again until the rollout has ended.
+            /// Print again each second until every wanted model is ready (exit code 0) or a rollout has
+                /// stopped after failures (exit code 1).
             optional --watch
         }
         /// Drains a daemon: it leaves the entries, ends what it has accepted, and exits.
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/render/failure.rs
@@ -0,0 +1,47 @@
+//! Refusals of a daemon.
+
+use http::StatusCode;
+use serde_json::Value;
+
+use super::field;
+
+/// Stands for the submitted text where its file isn't known.
+const UNNAMED_TEXT: &str = "text";
+
+/// Renders a failure: its problems one a line, or its code and message.
+///
+/// `file` names the submitted text, so that a problem reads as in `config check`.
+pub fn failure(status: StatusCode, value: &Value, file: Option<&str>) -> String {
+    if let Some(problems) = value["problems"].as_array() {
+        let file = file.unwrap_or(UNNAMED_TEXT);
+        return problems.iter().map(|row| problem(row, file)).collect();
+    }
+    let error = &value["error"];
+    let mut line = format!("{} {}", field(error, "code"), field(error, "message"));
+    if let Some(version) = error["winning_version"].as_u64() {
+        line += &format!(" Version {version} is in force.");
+    }
+    if let Some(wait_ms) = error["retry_after_ms"].as_u64() {
+        line += &format!(" Come back in {wait_ms} ms.");
+    }
+    format!("refused with status {}: {line}\n", status.as_u16())
+}
+
+/// Renders one fault; one in a section that is in force names that section in place of the file.
+fn problem(problem: &Value, file: &str) -> String {
+    let place = match problem["section"].as_str() {
+        Some(section) => format!("{section} (in force)"),
+        None => file.to_owned(),
+    };
+    let path = match problem["path"].as_str() {
+        Some(path) if !path.is_empty() => format!(" {path}"),
+        _ => String::new(),
+    };
+    format!(
+        "{place}:{}:{}: {}{path}: {}\n",
+        field(problem, "line"),
+        field(problem, "column"),
+        field(problem, "code"),
+        field(problem, "message")
+    )
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/render/locate.rs
@@ -0,0 +1,36 @@
+//! Where the blocks of a prompt are.
+
+use serde_json::Value;
+
+use super::field;
+use super::field::text;
+
+/// Renders one line for each block, in the order of the prompt.
+pub fn locate(value: &Value) -> String {
+    let blocks = value["blocks"].as_array().map_or(&[][..], Vec::as_slice);
+    if blocks.is_empty() {
+        return "the prompt is shorter than one block\n".to_owned();
+    }
+    blocks.iter().map(block).collect()
+}
+
+fn block(block: &Value) -> String {
+    format!(
+        "{} {} tokens: endpoints {}, stores {}\n",
+        field(block, "key"),
+        field(block, "tokens"),
+        field(block, "endpoints"),
+        stores(&block["stores"]),
+    )
+}
+
+/// Each store stands as a pair of its name and the tier.
+fn stores(stores: &Value) -> String {
+    let pairs = stores.as_array().map_or(&[][..], Vec::as_slice);
+    if pairs.is_empty() {
+        return text(stores);
+    }
+    let pair = |pair: &Value| format!("{} ({})", text(&pair[0]), text(&pair[1]));
+    let pairs: Vec<String> = pairs.iter().map(pair).collect();
+    pairs.join(" ")
+}
--- /dev/null
+++ b/crates/wisteriahitch-cli/src/render/mod.rs
@@ -0,0 +1,15 @@
+//! Lines that people read, made of the daemons' JSON.
+
+mod config;
+mod explain;
+mod failure;
+mod field;
+mod locate;
+mod status;
+
+pub use config::{accepted, history};
+pub use explain::explain;
+pub use failure::failure;
+pub(crate) use field::{field, pretty};
+pub use locate::locate;
+pub use status::status;
