--- a/crates/wisteriahitch-cli/tests/all/main.rs
+++ b/crates/wisteriahitch-cli/tests/all/main.rs
@@ -3,4 +3,5 @@
 // Helpers of tests may unwrap as the tests themselves do; the linter knows only the latter.
 #![allow(clippy::unwrap_used)]
 
+mod docs;
 mod render;
