--- a/crates/wisteriahitch-cli/src/command/config.rs
+++ b/crates/wisteriahitch-cli/src/command/config.rs
@@ -7,6 +7,7 @@
 use http::Method;
 use serde_json::json;
 use wisteriahitch::config::Configuration;
+use wisteriahitch::types::SubmissionId;
 
 use crate::client::Client;
 use crate::flags::{Config, ConfigCmd, Submit, Wisteriahitch};
@@ -51,19 +52,36 @@
     Ok(false)
 }
 
+/// Submits a file under a name that is known here before anything is sent.
+///
+/// A daemon would draw a name too, but an operator who never gets its answer couldn't ask again.
 async fn run_submit(flags: &Wisteriahitch, submit: &Submit) -> anyhow::Result<bool> {
     let text = read(&submit.path)?;
     let client = Client::from_flags(flags)?;
-    let mut path = "/v1/config?".to_owned();
-    if let Some(id) = &submit.submission {
-        path += &format!("submission={id}&");
-    }
+    let id = match &submit.submission {
+        Some(id) => id.clone(),
+        None => draw_submission()?,
+    };
+    let mut path = format!("/v1/config?submission={id}");
     if let Some(base) = submit.base {
-        path += &format!("base={base}");
+        path += &format!("&base={base}");
     }
-    let answer = client.call(Method::POST, &path, text).await?;
+    let called = client.call(Method::POST, &path, text).await;
+    let answer = called.with_context(|| render::ask_again(&id))?;
     let file = submit.path.display().to_string();
-    print_answer_to(&answer, flags.json, Some(&file), render::accepted)
+    let is_accepted = print_answer_to(&answer, flags.json, Some(&file), render::accepted)?;
+    if answer.status.is_server_error() {
+        eprintln!("{}", render::ask_again(&id));
+    }
+    Ok(is_accepted)
+}
+
+/// Names a submission by the time and this process, which no two submissions share.
+fn draw_submission() -> anyhow::Result<SubmissionId> {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let at_ns = since_epoch.map_or(0, |span| span.as_nanos());
+    let name = format!("s-{at_ns:x}-{:x}", std::process::id());
+    Ok(name.parse()?)
 }
 
 async fn run_show(flags: &Wisteriahitch) -> anyhow::Result<bool> {
--- a/crates/wisteriahitch-cli/src/command_line.rs
+++ b/crates/wisteriahitch-cli/src/command_line.rs
@@ -6,6 +6,7 @@
 
 use crate::command;
 use crate::flags::{Wisteriahitch, WisteriahitchCmd};
+use crate::render;
 
 /// Holds a call of the command line that parses.
 ///
@@ -23,8 +24,16 @@
 impl CommandLine {
     /// Reads the arguments of this process; prints help or a fault of theirs and exits.
     pub fn from_env_or_exit() -> Self {
-        let flags = Wisteriahitch::from_env_or_exit();
-        Self { flags }
+        let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+        match Wisteriahitch::from_vec(arguments.clone()) {
+            Ok(flags) => Self { flags },
+            Err(error) if error.is_help() => {
+                let words: Vec<&str> = arguments.iter().filter_map(|word| word.to_str()).collect();
+                print!("{}", render::help_of(&error.to_string(), &words));
+                std::process::exit(0)
+            }
+            Err(error) => error.exit(),
+        }
     }
 
     /// Reads arguments, without the program's name before them.
--- a/crates/wisteriahitch-cli/src/flags.rs
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use wisteriahitch::types::{ConfigVersion, SubmissionId};
+
 xflags::xflags! {
     /// Operates a wisteriahitch site: configuration, explanations and state.
     cmd wisteriahitch {
@@ -26,10 +28,11 @@
             cmd submit {
                 /// File to submit.
                 required path: PathBuf
-                /// Name of this submission; ask again with the same one after an unknown outcome.
-                optional --submission id: String
+                /// Name of this submission; ask again with the same one after an unknown outcome. One is
+                /// drawn where it is left out.
+                optional --submission id: SubmissionId
                 /// Version that the submission is based on; another one in force is a conflict.
-                optional --base version: u64
+                optional --base version: ConfigVersion
             }
             /// Prints the configuration in force at a daemon.
             cmd show {}
--- a/crates/wisteriahitch-cli/src/render/config.rs
+++ b/crates/wisteriahitch-cli/src/render/config.rs
@@ -1,6 +1,7 @@
 //! Accepted versions of the configuration.
 
 use serde_json::Value;
+use wisteriahitch::types::SubmissionId;
 
 use super::field;
 
@@ -17,6 +18,11 @@
     )
 }
 
+/// Says how to settle a submission whose outcome isn't known.
+pub fn ask_again(id: &SubmissionId) -> String {
+    format!("to settle submission {id}, submit the same file with --submission {id}")
+}
+
 /// Renders the accepted versions, the latest first, with their age at `now_unix_ms`.
 pub fn history(value: &Value, now_unix_ms: u64) -> String {
     let in_force = &value["in_force"];
--- a/crates/wisteriahitch-cli/src/render/mod.rs
+++ b/crates/wisteriahitch-cli/src/render/mod.rs
@@ -4,12 +4,14 @@
 mod explain;
 mod failure;
 mod field;
+mod help;
 mod locate;
 mod status;
 
-pub use config::{accepted, history};
+pub use config::{accepted, ask_again, history};
 pub use explain::explain;
 pub use failure::failure;
 pub(crate) use field::{field, pretty};
+pub use help::help_of;
 pub use locate::locate;
 pub use status::status;
--- /dev/null
+++ b/crates/wisteriahitch-cli/tests/all/flags.rs
@@ -0,0 +1,42 @@
+//! Arguments that are refused before anything is sent.
+
+use wisteriahitch_cli::CommandLine;
+
+#[test]
+fn arguments_parse_or_are_refused() {
+    let cases: [(&[&str], bool); 9] = [
+        (
+            &[
+                "config",
+                "submit",
+                "site.toml",
+                "--submission",
+                "tuesday",
+                "--base",
+                "7",
+            ],
+            true,
+        ),
+        (
+            &["config", "submit", "site.toml", "--submission", "a&base=1"],
+            false,
+        ),
+        (
+            &["config", "submit", "site.toml", "--base", "latest"],
+            false,
+        ),
+        (&["config", "submit"], false),
+        (&["--daemon", "10.0.0.5:7003", "--json", "status"], true),
+        (&["--daemon", "entry-1:7003", "status"], false),
+        (&["explain", "--model", "hist-7b"], false),
+        (
+            &["locate", "--workspace", "galle-fort", "--model", "hist-7b"],
+            false,
+        ),
+        (&[], false),
+    ];
+    for (arguments, is_good) in cases {
+        let parsed = CommandLine::try_from_args(arguments.iter().copied());
+        assert_eq!(parsed.is_ok(), is_good, "{arguments:?}: {parsed:?}");
+    }
+}
--- a/crates/wisteriahitch-cli/tests/all/main.rs
+++ b/crates/wisteriahitch-cli/tests/all/main.rs
@@ -4,4 +4,5 @@
 #![allow(clippy::unwrap_used)]
 
 mod docs;
+mod flags;
 mod render;
--- a/crates/wisteriahitch-cli/tests/all/render.rs
+++ b/crates/wisteriahitch-cli/tests/all/render.rs
@@ -230,3 +230,37 @@
     "#]]
     .assert_eq(&fails(503, away));
 }
+
+/// Symptom: `wisteriahitch config submit --help` printed 90 lines on every command. Cause: the
+/// library for flags knows one help text.
+#[test]
+fn help_is_of_the_command_that_is_asked_for() {
+    let whole = "wisteriahitch\n  All.\n\nwisteriahitch config\n  Both.\n\nwisteriahitch config check\n  One.\n\n\nwisteriahitch configure\n  Other.\n";
+    let check = "wisteriahitch config check\n  One.\n";
+    let cases: [(&[&str], &str); 5] = [
+        (&["--help"], whole),
+        (&["unknown", "--help"], whole),
+        (&["config", "check", "site.toml", "--help"], check),
+        (
+            &["--daemon", "10.0.0.5:7003", "config", "check", "-h"],
+            check,
+        ),
+        (
+            &["config", "--help"],
+            "wisteriahitch config\n  Both.\n\nwisteriahitch config check\n  One.\n",
+        ),
+    ];
+    for (words, expected) in cases {
+        assert_eq!(render::help_of(whole, words), expected, "{words:?}");
+    }
+}
+
+/// Symptom: after an unknown outcome the operator was told to ask again with the submission's id,
+/// which nobody had told. Sequence: a submission without `--submission`; the daemon draws an id; its
+/// answer is lost, or names only the code. Cause: the id was drawn on the other side.
+#[test]
+fn an_unsettled_submission_is_named() {
+    let id = "s-1f-2a".parse().unwrap();
+    expect!["to settle submission s-1f-2a, submit the same file with --submission s-1f-2a"]
+        .assert_eq(&render::ask_again(&id));
+}
