--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -1,11 +1,12 @@
 //! A daemon: every role in one process.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_config::Settings;
@@ -41,6 +42,9 @@
 /// Callers' connections at once for each stream that may run.
 const CONNECTIONS_PER_STREAM: usize = 2;
 
+/// Connections that wait to be accepted.
+const LISTEN_QUEUE: u32 = 4_096;
+
 /// Operators' connections at once.
 const OPERATOR_CONNECTIONS: usize = 64;
 
@@ -108,9 +112,9 @@
     pub async fn run(self) -> anyhow::Result<()> {
         let shared = self.shared;
         let listen = &shared.settings.listen;
-        let callers = bind(listen.callers, "callers").await?;
-        let operators = bind(listen.operators, "operators").await?;
-        let peers = bind(listen.peers, "peers").await?;
+        let callers = bind(listen.callers, "callers")?;
+        let operators = bind(listen.operators, "operators")?;
+        let peers = bind(listen.peers, "peers")?;
         shared.step_config(ConfigEvent::Restart);
         let mut tasks = JoinSet::new();
         tasks.spawn(task::run_housekeeping(Arc::clone(&shared)));
@@ -136,10 +140,21 @@
     }
 }
 
-async fn bind(address: std::net::SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("the {side}' address {address} can't be listened on"))
+/// Listens on an address, with a queue long enough for a burst of callers.
+///
+/// The usual queue of 128 overflows when some hundred callers come back at once, such as after an
+/// availability zone returns; their connections then wait for a second or are given up.
+fn bind(address: SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_QUEUE)
+    };
+    listen().with_context(|| format!("the {side}' address {address} can't be listened on"))
 }
 
 async fn serve_peer_side(shared: Arc<Shared>, listener: TcpListener) {
--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -64,11 +64,12 @@
 fn stores(shared: &Shared, configuration: &Configuration) -> Vec<Value> {
     shared.tiers.with(|tiers| {
         let rows = configuration.stores.values().map(|store| {
-            let incarnation = tiers.blocks().incarnation(&store.id);
+            let state = tiers.stores().get(&store.id);
+            let is_reachable = state.is_some_and(|state| state.is_reachable);
             json!({
                 "store": store.id,
-                "state": if incarnation.is_some() { "seen" } else { "unseen" },
-                "incarnation": incarnation,
+                "state": if is_reachable { "seen" } else { "unseen" },
+                "incarnation": tiers.blocks().incarnation(&store.id),
             })
         });
         rows.collect()
--- a/crates/wisteriahitch-node/src/state/drain.rs
+++ b/crates/wisteriahitch-node/src/state/drain.rs
@@ -1,7 +1,7 @@
 //! Leaving without cutting off a request.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use parking_lot::Mutex;
 use wisteriahitch_core::fleet::{Drain, DrainPhase, MembershipEvent, OpenWork};
@@ -12,10 +12,14 @@
 /// How long other daemons may go on naming this one before the news of its draining is everywhere.
 const SPREAD_US: DurationUs = DurationUs::from_ms(2_000);
 
+/// Rounds of probes on which the word of a daemon that has left travels.
+const LEAVE_ROUNDS: u64 = 3;
+
 /// Holds how far this daemon's draining has come.
 #[derive(Default)]
 pub(crate) struct DrainState {
     accepted: AtomicU64,
+    has_left: AtomicBool,
     drain: Mutex<Drain>,
 }
 
@@ -62,6 +66,23 @@
         log::info!("draining");
     }
 
+    /// Tells the peers that this daemon has left, and ends the process soon after.
+    ///
+    /// Without its word they would take it for dead, and an operator would look for a failure.
+    fn leave(self: &Arc<Self>) {
+        if self.fleet.drain.has_left.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        log::info!("drained");
+        self.step_members(MembershipEvent::Leave);
+        let shared = Arc::clone(self);
+        tokio::spawn(async move {
+            let rounds = shared.settings.peers.probe_interval_us.get() * LEAVE_ROUNDS;
+            tokio::time::sleep(DurationUs::new(rounds).into()).await;
+            shared.stop.cancel();
+        });
+    }
+
     /// Ends the process once nothing would be cut off.
     pub(crate) fn tick_drain(self: &Arc<Self>) {
         if !self.is_draining() {
@@ -77,8 +98,7 @@
             }
         };
         if self.fleet.drain.drain.lock().tick(now, work) == DrainPhase::Drained {
-            log::info!("drained");
-            self.stop.cancel();
+            self.leave();
         }
     }
 }
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -112,9 +112,18 @@
         .lock()
         .directory
         .store_listing(&store.id, &readable);
+    let keys = readable.iter().map(|(key, _)| *key).collect();
     for block in listing.blocks {
         shared.note_tier(listed(&store.id, incarnation, block));
     }
+    // What the listing doesn't hold is gone: without this a block that another daemon freed would
+    // count as saved here for ever, and would never be saved again.
+    let (store, incarnation) = (store.id.clone(), incarnation.clone());
+    shared.note_tier(TierEvent::StoreListed {
+        store,
+        incarnation,
+        keys,
+    });
 }
 
 fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, RouteTier)> {
--- a/crates/wisteriahitch/tests/all/drain.rs
+++ b/crates/wisteriahitch/tests/all/drain.rs
@@ -41,6 +41,18 @@
     assert!(stream.is_ok(), "{stream:?}\n{}", site.logs());
     assert!(late.is_ok(), "{late:?}\n{}", site.logs());
     assert_eq!(booking.unwrap().status, 200);
+    wait_until("the other daemon to hear that it has left", async || {
+        let status = site
+            .operator(1, Method::GET, "/v1/status", "")
+            .await
+            .unwrap()
+            .json();
+        let daemons = status["daemons"].as_array().unwrap().clone();
+        daemons
+            .iter()
+            .any(|row| row["daemon"] == "entry-0" && row["state"] == "left")
+    })
+    .await;
     let status = site.daemons[0].process.wait_for_exit().await;
     assert!(status.success(), "{status}\n{}", site.logs());
 }
--- a/crates/wisteriahitch/tests/all/tiers.rs
+++ b/crates/wisteriahitch/tests/all/tiers.rs
@@ -177,7 +177,7 @@
         let blocks = locate(&site, &history).await;
         let is_on_disk = |block: &Value| {
             let stores = block["stores"].as_array().unwrap();
-            stores.iter().any(|place| place == "disk")
+            stores.iter().any(|place| place[1] == "disk")
         };
         blocks.iter().all(is_on_disk) && holds_none(&blocks, "endpoints")
     })
