refactor(node): part the run of a completion, the moving of blocks and the changes of a submission by job

Each job is a module of its own now; no line of logic is changed. Ruled out: parting by type, since all of it works on one Run.

--- a/crates/wisteriahitch-node/src/config/mod.rs
+++ b/crates/wisteriahitch-node/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! `docs/design/configuration-acceptance.md` gives the reasons.
 
 mod apply;
+mod changes;
 mod objects;
 mod peers;
 mod replica;
--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -7,15 +7,14 @@
 use chrono::Utc;
 use wisteriahitch_config::{Report, Sections};
 use wisteriahitch_core::fleet::{
-    ConfigEvent, HeadObject, Section, SectionHash, SectionName, Submission, SubmissionCommand,
-    SubmissionEvent, SubmissionOutcome,
+    ConfigEvent, HeadObject, Section, SectionHash, Submission, SubmissionCommand, SubmissionEvent,
+    SubmissionOutcome,
 };
 use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
 use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
 
-use super::objects::{
-    HEAD_NAME, build_sections, core_name, parse_head, read_section, write_section,
-};
+use super::changes::changes;
+use super::objects::{HEAD_NAME, build_sections, parse_head, read_section, write_section};
 use crate::shared::Shared;
 
 /// Time between two counts of the peers that hold an accepted version.
@@ -244,19 +243,3 @@
         }
     }
 }
-
-/// Returns what differs between the sections in force and those that are to be.
-fn changes(base: &Sections, merged: &Sections) -> BTreeMap<SectionName, Option<SectionHash>> {
-    let mut changes = BTreeMap::new();
-    for (name, _) in base.iter().filter(|(name, _)| merged.get(name).is_none()) {
-        changes.extend(core_name(name).map(|name| (name, None)));
-    }
-    for (name, section) in merged.iter() {
-        if base.get(name).map(|known| known.hash()) == Some(section.hash()) {
-            continue;
-        }
-        let hash = section.hash().to_string().parse().ok();
-        changes.extend(core_name(name).map(|name| (name, hash)));
-    }
-    changes
-}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/dispatch/completion_failure.rs
@@ -0,0 +1,68 @@
+//! What comes after an attempt that failed.
+
+use wisteriahitch_core::route::{Choice, Plan as RoutePlan};
+use wisteriahitch_core::stream::{BreakDecision, StreamBreak};
+use wisteriahitch_types::{Code, DurationUs};
+use wisteriahitch_wire::engine::EngineError;
+
+use super::completion_plan::{Plan, plan};
+use super::completion_run::Run;
+use crate::caller::Refusal;
+
+/// When a caller may come back after an endpoint failed.
+pub(super) const RETRY_AFTER_US: DurationUs = DurationUs::from_ms(500);
+
+/// Most attempts at one request.
+const MAX_ATTEMPTS: u64 = 4;
+
+impl Run<'_> {
+    /// Decides after a failed attempt how the next one runs, or that there is none.
+    pub(super) fn plan_next(&mut self, last: Plan, error: &EngineError) -> Result<Plan, Refusal> {
+        let endpoint = last.choice.endpoint.clone();
+        log::info!(
+            "request {} attempt {} at {endpoint}: {error}",
+            self.call.request_id,
+            self.check.attempt(),
+        );
+        self.may_have_run |= !error.is_not_run();
+        let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
+        // Where nothing has reached the caller, another endpoint may well do better than the one
+        // that just failed; only an answer that has begun depends on its own endpoint.
+        let endpoint_version = match self.has_sent_head {
+            true => self.shared.ready_version(&endpoint, &self.call.model.name),
+            false => None,
+        };
+        let decision = self.check.on_break(&StreamBreak {
+            code: error.code(),
+            endpoint_version,
+            may_restart: true,
+            may_retry: has_attempts && self.shared.try_retry(),
+        });
+        match decision {
+            Some(BreakDecision::Resume { .. }) => Ok(Plan {
+                choice: Choice {
+                    plan: RoutePlan::default(),
+                    ..last.choice
+                },
+                ..last
+            }),
+            Some(BreakDecision::RestartInvisible { .. }) => {
+                self.tried.push(endpoint);
+                let next = self.plan_elsewhere()?;
+                self.check
+                    .moved_to(next.choice.endpoint.clone(), next.weight_version.clone());
+                Ok(next)
+            }
+            Some(BreakDecision::Incomplete(code)) => {
+                Err(Refusal::new(code).with_retry_after_us(RETRY_AFTER_US))
+            }
+            None => Err(Refusal::new(Code::Internal)),
+        }
+    }
+
+    /// Plans at an endpoint that wasn't tried yet or, where there is none, at any.
+    fn plan_elsewhere(&self) -> Result<Plan, Refusal> {
+        let elsewhere = plan(self.shared, self.call, &self.tried);
+        elsewhere.or_else(|_| plan(self.shared, self.call, &[]))
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/dispatch/completion_plan.rs
@@ -0,0 +1,87 @@
+//! Where an attempt at a completion runs.
+
+use wisteriahitch_core::route::{Choice, Estimate, PieceChain, Plan as RoutePlan, RouteRequest};
+use wisteriahitch_types::{Code, EndpointId, WeightVersion};
+
+use super::completion_call::{CompletionCall, Resumption};
+use super::completion_failure::RETRY_AFTER_US;
+use crate::caller::Refusal;
+use crate::shared::Shared;
+
+/// Holds where and how an attempt runs.
+pub(super) struct Plan {
+    pub(super) choice: Choice,
+    pub(super) chain: PieceChain,
+    pub(super) weight_version: WeightVersion,
+}
+
+/// Chooses endpoint and weight version; of two versions in use during a rollout the faster one.
+pub(super) fn plan(
+    shared: &Shared,
+    call: &CompletionCall,
+    tried: &[EndpointId],
+) -> Result<Plan, Refusal> {
+    let mut best: Option<Plan> = None;
+    let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
+    for weight_version in shared.candidate_versions(&call.route.service, &call.model) {
+        let chain = call.chain(&weight_version);
+        let request = route_request(shared, call, &chain, &weight_version, tried);
+        match shared.choose(&request) {
+            Ok(choice) => {
+                let is_better = best.as_ref().is_none_or(|best| {
+                    choice.estimate.first_token_us < best.choice.estimate.first_token_us
+                });
+                if is_better {
+                    best = Some(Plan {
+                        choice,
+                        chain,
+                        weight_version,
+                    });
+                }
+            }
+            Err(refusal) => refused = refusal,
+        }
+    }
+    best.ok_or(refused)
+}
+
+/// Plans to go on where an answer began: only there the same answer goes on.
+pub(super) fn resume(call: &CompletionCall, resumption: &Resumption) -> Plan {
+    let choice = Choice {
+        endpoint: resumption.endpoint.clone(),
+        plan: RoutePlan::default(),
+        estimate: Estimate::default(),
+        weighed: Vec::new(),
+    };
+    let weight_version = resumption.weight_version.clone();
+    Plan {
+        choice,
+        chain: call.chain(&weight_version),
+        weight_version,
+    }
+}
+
+fn route_request(
+    shared: &Shared,
+    call: &CompletionCall,
+    chain: &PieceChain,
+    weight_version: &WeightVersion,
+    tried: &[EndpointId],
+) -> RouteRequest {
+    let waited_us = shared.clock.now().since(call.arrived_us);
+    RouteRequest {
+        service: call.route.service.clone(),
+        model: Some(call.model.name.clone()),
+        adapter: call.adapter.clone(),
+        weight_version: Some(weight_version.clone()),
+        chain: chain.clone(),
+        max_tokens: call.max_tokens,
+        first_token_weight: call.route.first_token_weight,
+        priority: call.route.priority,
+        deadline_us: call.route.deadline_us - waited_us,
+        availability_zone: shared.settings.availability_zone.clone(),
+        exclude: tried.to_vec(),
+        explain: false,
+        bytes_per_token: call.model.bytes_per_token,
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-node/src/dispatch/engine_calls.rs
@@ -0,0 +1,103 @@
+//! The calls to engines that import and export blocks.
+
+use wisteriahitch_core::tier::{ExportReceipt, TierCommand, TierEvent, TransferFailure};
+use wisteriahitch_wire::engine::{EngineError, EngineErrorKind, ExportRequest, ImportRequest};
+
+use crate::shared::Shared;
+
+pub(super) async fn import(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
+    let TierCommand::Import {
+        transfer,
+        endpoint,
+        store,
+        key,
+        generation,
+        pin,
+        weight_version,
+        bytes,
+        crc32c,
+    } = command
+    else {
+        return None;
+    };
+    let addresses = shared
+        .endpoint_address(&endpoint)
+        .zip(shared.store_address(&store));
+    let Some((endpoint_address, store_address)) = addresses else {
+        return Some(TierEvent::Imported {
+            transfer,
+            result: Err(TransferFailure::Lost),
+        });
+    };
+    let from = shared.outside.store.block_url(store_address, key);
+    let request = ImportRequest {
+        key,
+        from,
+        generation,
+        pin,
+        weight_version,
+        bytes,
+        crc32c,
+    };
+    let result = shared
+        .outside
+        .engine
+        .import(endpoint_address, request)
+        .await;
+    if result.is_ok() {
+        shared.router.lock().directory.stored(&endpoint, &key);
+    }
+    let result = result.map_err(|error| engine_failure(&error));
+    Some(TierEvent::Imported { transfer, result })
+}
+
+pub(super) async fn export(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
+    let TierCommand::Export {
+        transfer,
+        endpoint,
+        store,
+        key,
+        generation,
+        weight_version,
+    } = command
+    else {
+        return None;
+    };
+    let addresses = shared
+        .endpoint_address(&endpoint)
+        .zip(shared.store_address(&store));
+    let Some((endpoint_address, store_address)) = addresses else {
+        return Some(TierEvent::Exported {
+            transfer,
+            result: Err(TransferFailure::Lost),
+        });
+    };
+    let to = shared.outside.store.block_url(store_address, key);
+    let request = ExportRequest {
+        key,
+        to,
+        generation,
+        weight_version,
+    };
+    let result = shared
+        .outside
+        .engine
+        .export(endpoint_address, request)
+        .await;
+    let result = result
+        .map(|done| ExportReceipt {
+            bytes: done.bytes,
+            crc32c: done.crc32c,
+        })
+        .map_err(|error| engine_failure(&error));
+    Some(TierEvent::Exported { transfer, result })
+}
+
+fn engine_failure(error: &EngineError) -> TransferFailure {
+    match error.kind() {
+        EngineErrorKind::Gone => TransferFailure::Gone,
+        EngineErrorKind::Corrupt => TransferFailure::Corrupt,
+        EngineErrorKind::OtherVersion => TransferFailure::OtherVersion,
+        _ => TransferFailure::Lost,
+    }
+}
