fix(caller): say `not run` only of requests that the daemon itself decides for

Cause: refusals before the look at the key (no configuration yet, unknown caller's key, slow or large body) carried the meaning of their code, `not run`, also for keyed calls, whose earlier copy may have run at another daemon; every refusal of a resumption did so of a request that has run; a handed-over call was decided for a workspace that isn't in force. Ruled out: new codes, since the code says why and the meaning is a field of its own; looking into the table of keys first, since another daemon or another life may be the one that decides. Change: keyed calls and resumptions that are refused unseen get `outcome unknown`; a handed-over call needs its workspace in force. Before: the four tests of tests/all/refusals.rs failed (not_run; a claim was decided for a workspace that nobody has). After: all four pass. No timing was measured.

--- a/crates/wisteriahitch-node/src/caller/handler.rs
+++ b/crates/wisteriahitch-node/src/caller/handler.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use bytes::Bytes;
+use http::request::Parts;
 use http::{Method, Request, Response};
 use hyper::body::Incoming;
 use wisteriahitch_types::{Code, RequestId};
 
 use super::body::{ResponseBody, read_body};
-use super::identity::{identify, new_request_id};
+use super::identity::{Identity, identify, new_request_id};
+use super::plain::KEY_HEADER;
 use super::{Refusal, completion, entries, plain, resume, tickets};
 use crate::server::Handler;
 use crate::shared::Shared;
@@ -38,11 +41,12 @@
     ) -> Result<Response<ResponseBody>, Refusal> {
         let _accepted = self.shared.accept();
         let (parts, body) = request.into_parts();
-        let identity = identify(&self.shared, &parts.headers)?;
-        let limits = &self.shared.settings.limits;
-        let body = read_body(body, limits.body_bytes, limits.body_timeout_us.into())
-            .await
-            .map_err(Refusal::new)?;
+        let taken_in = self.take_in(&parts, body).await;
+        // What is refused here was never looked for, neither its key nor its stream.
+        let (identity, body) = match is_decided_elsewhere(&parts) {
+            true => taken_in.map_err(Refusal::with_outcome_unknown)?,
+            false => taken_in?,
+        };
         let path = parts.uri.path().to_owned();
         self.count(&path);
         match (&parts.method, path.as_str()) {
@@ -59,6 +63,16 @@
         }
     }
 
+    /// Finds out whose request it is and reads its body.
+    async fn take_in(&self, parts: &Parts, body: Incoming) -> Result<(Identity, Bytes), Refusal> {
+        let identity = identify(&self.shared, &parts.headers)?;
+        let limits = &self.shared.settings.limits;
+        let body = read_body(body, limits.body_bytes, limits.body_timeout_us.into())
+            .await
+            .map_err(Refusal::new)?;
+        Ok((identity, body))
+    }
+
     fn count(&self, path: &str) {
         let label = match path {
             ENTRIES_PATH => "entries",
@@ -75,6 +89,17 @@
     }
 }
 
+/// Returns whether a request names one that may have run at another daemon or in another life.
+///
+/// A copy of a keyed request, or the rest of a stream, can reach a daemon that has only just
+/// started. That one knows nothing of it; were it to say `not run`, a caller whose booking stands
+/// would book again (`docs/design/at-most-once.md`).
+fn is_decided_elsewhere(parts: &Parts) -> bool {
+    let path = parts.uri.path();
+    let is_keyed = !path.starts_with(OWN_PREFIX) && parts.headers.contains_key(KEY_HEADER);
+    is_keyed || path.starts_with(REQUESTS_PREFIX)
+}
+
 #[async_trait]
 impl Handler for CallerHandler {
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -17,7 +17,8 @@
 use crate::dispatch::plain_call::{PlainCall, RunMode, run_plain};
 use crate::shared::Shared;
 
-const KEY_HEADER: &str = "idempotency-key";
+/// Header that carries a ticket or the caller's own key.
+pub(super) const KEY_HEADER: &str = "idempotency-key";
 
 /// Answers a call to a plain service.
 pub(crate) async fn answer(
--- a/crates/wisteriahitch-node/src/caller/resume.rs
+++ b/crates/wisteriahitch-node/src/caller/resume.rs
@@ -18,11 +18,21 @@
 /// Answers `GET /v1/requests/{id}/stream?position=N`.
 ///
 /// The rest comes from the same endpoint and weight version, which alone can go on with the same
-/// answer; where they are gone the caller is told that its answer stays incomplete.
+/// answer; where they are gone the caller is told that its answer stays incomplete. No refusal
+/// says `not run`: it would be read as speaking of the request that is to go on, which did run.
 pub(crate) async fn answer(
     shared: &Arc<Shared>,
     identity: &Identity,
     parts: &Parts,
+) -> Result<Response<ResponseBody>, Refusal> {
+    let resumed = resume(shared, identity, parts).await;
+    resumed.map_err(Refusal::with_outcome_unknown)
+}
+
+async fn resume(
+    shared: &Arc<Shared>,
+    identity: &Identity,
+    parts: &Parts,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let unknown = || Refusal::new(Code::UnknownRequest);
     let id = parts
--- a/crates/wisteriahitch-node/src/peering/forward.rs
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -141,6 +141,11 @@
         .workspace
         .parse()
         .map_err(|_| Refusal::new(Code::BadKey))?;
+    // The sender's configuration may be older than ours. Without this look a workspace that an
+    // operator has removed would go on booking through the daemons that haven't heard of it.
+    if !in_force.configuration.workspaces.contains_key(&workspace) {
+        return Err(ask_again(Code::UnknownKey));
+    }
     let identity = Identity {
         in_force,
         workspace,
