fix(admission): share quotas anew when daemons come or go, and put configurations in force in order

Cause: the part of a quota was worked out only when a configuration came into force, so daemons that were alone then granted the whole of it for ever. While mending it: two appliers could look at the version in force before either stored its own, and the lower one could store last; the daemon would have gone back until the next version. Ruled out: sharing at every request (a lock of the members for each); only sharing again without a lock, since an older configuration's quotas could then come back. Change: the capacity task shares the quotas when the number of daemons differs; one lock is held while a configuration is put in force. Before: tests/all/quotas.rs let 60 of 60 requests through at one daemon of three (part: a burst of 20). After: it passes (at most 50 with several seconds' refill). The race of two appliers was found by reading and has no test: nothing outside the process can order the two.

--- a/crates/wisteriahitch-node/src/config/apply.rs
+++ b/crates/wisteriahitch-node/src/config/apply.rs
@@ -38,14 +38,16 @@
         sections: Sections,
         configuration: Configuration,
     ) {
+        // Two appliers may finish in the other order than they began. Without the lock the lower one
+        // could look before the higher one has stored and store after it: the daemon would go back,
+        // and stay there until the next version. Under it the higher version stays.
+        let _applying = self.config.applying.lock();
         let current = self.in_force.load_full();
-        // Two appliers may finish in the other order than they began; the higher version stays.
         if current.is_some_and(|current| current.version >= version) {
             return;
         }
         let now = self.clock.now();
-        let daemons = self.fleet.members.lock().workers().count();
-        let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
+        let daemons = self.count_daemons();
         self.router.lock().endpoints.configured(&configuration, now);
         self.tiers.with(|tiers| tiers.configured(&configuration));
         self.admission.configured(&configuration, daemons, now);
@@ -61,4 +63,26 @@
         self.step_members(MembershipEvent::ConfigApplied(version));
         log::info!("configuration {version} is in force");
     }
+
+    /// Shares the quotas anew where daemons have come or gone.
+    ///
+    /// A daemon that was alone when its configuration came into force would otherwise grant the
+    /// whole of every quota for as long as that one is in force, and so would each of its peers.
+    pub(crate) fn share_quotas(&self) {
+        let _applying = self.config.applying.lock();
+        let daemons = self.count_daemons();
+        let Some(in_force) = self.in_force.load_full() else {
+            return;
+        };
+        if self.admission.is_shared_by_others(daemons) {
+            let now = self.clock.now();
+            self.admission
+                .configured(&in_force.configuration, daemons, now);
+        }
+    }
+
+    fn count_daemons(&self) -> u32 {
+        let daemons = self.fleet.members.lock().workers().count();
+        u32::try_from(daemons).unwrap_or(u32::MAX).max(1)
+    }
 }
--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -25,6 +25,8 @@
 pub(crate) struct ConfigState {
     /// Versions held and in force.
     pub(crate) replica: Mutex<ConfigReplica>,
+    /// Held while a configuration is put in force.
+    pub(super) applying: Mutex<()>,
     watch: Mutex<Option<CancellationToken>>,
 }
 
@@ -34,6 +36,7 @@
         let replica = ConfigReplica::new(ConfigSettings::default());
         Self {
             replica: Mutex::new(replica),
+            applying: Mutex::new(()),
             watch: Mutex::new(None),
         }
     }
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -49,7 +49,8 @@
 ///
 /// Locks are held only for a step of a table, never across a wait. Where two are needed, `router`
 /// is taken before `tiers`, and the replica of `config` before the members, and the members
-/// before the leases; no other pair is held at once.
+/// before the leases; the lock of `config` under which a configuration is put in force is taken
+/// before any other; no other pair is held at once.
 pub(crate) struct Shared {
     /// Settings of this daemon.
     pub(crate) settings: Settings,
--- a/crates/wisteriahitch-node/src/state/admission.rs
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -27,6 +27,8 @@
 struct Inner {
     admission: Admission,
     budget: RetryBudget,
+    /// How many daemons the quotas are shared by now.
+    daemons: u32,
     waiters: HashMap<RequestId, oneshot::Sender<Turn>>,
 }
 
@@ -36,6 +38,7 @@
         let inner = Inner {
             admission: Admission::default(),
             budget: RetryBudget::new(retry_share),
+            daemons: 0,
             waiters: HashMap::new(),
         };
         Self {
@@ -69,10 +72,16 @@
     /// Takes over a configuration that `daemons` daemons share.
     pub(crate) fn configured(&self, configuration: &Configuration, daemons: u32, now: TimeUs) {
         let mut inner = self.inner.lock();
+        inner.daemons = daemons;
         inner.budget.set_share(configuration.limits.retry_share);
         inner.admission.configured(configuration, daemons, now);
     }
 
+    /// Returns whether the quotas are shared by another number of daemons.
+    pub(crate) fn is_shared_by_others(&self, daemons: u32) -> bool {
+        self.inner.lock().daemons != daemons
+    }
+
     /// Shows the gates, for the dump.
     pub(crate) fn snapshot(&self) -> Vec<GateSnapshot> {
         self.inner.lock().admission.snapshot()
--- a/crates/wisteriahitch-node/src/task/capacity.rs
+++ b/crates/wisteriahitch-node/src/task/capacity.rs
@@ -26,6 +26,7 @@
     let Some(in_force) = shared.in_force.load_full() else {
         return;
     };
+    shared.share_quotas();
     let now = shared.clock.now();
     for (name, capacity) in capacities(shared, &in_force.configuration) {
         shared
