fix(caller): refuse completions of no tokens before an engine counts them as its failure

Cause: max_tokens = 0 (and a resumption at the last position) went to the engines, whose refusal counted as the endpoint's failure and was tried again elsewhere. The log line of a failed attempt also carried the engine's own words at info, which may quote a prompt. Ruled out: taking every 400 of an engine for the request's fault, which needs another kind of error in wisteriahitch-wire; left open. Change: the body is refused with BadJson, such a position as unknown; the engine's words go to debug. Before: tests/all/poison.rs got W3003. After: W1002 for all 20, and every endpoint stays ready.

--- a/crates/wisteriahitch-node/src/caller/completion_body.rs
+++ b/crates/wisteriahitch-node/src/caller/completion_body.rs
@@ -40,9 +40,18 @@
 
 impl CompletionBody {
     /// Reads the JSON of a request.
+    ///
+    /// An answer of no tokens is refused here: an engine's refusal of it would count as the
+    /// endpoint's failure, and one workspace's mistake would eject endpoints for all others.
     pub(crate) fn try_parse(body: &[u8]) -> Result<Self, Refusal> {
-        serde_json::from_slice(body)
-            .map_err(|error| Refusal::new(Code::BadJson).with_message(error.to_string()))
+        let parsed: Self = serde_json::from_slice(body)
+            .map_err(|error| Refusal::new(Code::BadJson).with_message(error.to_string()))?;
+        match parsed.max_tokens {
+            TokenCount::ZERO => {
+                Err(Refusal::new(Code::BadJson).with_message("max_tokens must be at least 1"))
+            }
+            _ => Ok(parsed),
+        }
     }
 }
 
--- a/crates/wisteriahitch-node/src/dispatch/completion_failure.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_failure.rs
@@ -19,11 +19,14 @@
     /// Decides after a failed attempt how the next one runs, or that there is none.
     pub(super) fn plan_next(&mut self, last: Plan, error: &EngineError) -> Result<Plan, Refusal> {
         let endpoint = last.choice.endpoint.clone();
+        // The engine's own words may quote the prompt, so they are told to no shared log.
         log::info!(
-            "request {} attempt {} at {endpoint}: {error}",
+            "request {} attempt {} at {endpoint}: {}",
             self.call.request_id,
             self.check.attempt(),
+            error.code(),
         );
+        log::debug!("attempt at {endpoint}: {error}");
         self.may_have_run |= !error.is_not_run();
         let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
         // Where nothing has reached the caller, another endpoint may well do better than the one
--- a/crates/wisteriahitch-node/src/state/resume.rs
+++ b/crates/wisteriahitch-node/src/state/resume.rs
@@ -75,8 +75,10 @@
         let mut kept = self.resume.kept.lock();
         let found = kept.get_mut(request)?;
         let is_late = now.since(found.broke_at_us) > KEPT_US;
-        if is_late || found.call.identity.workspace != *workspace || position > found.next_position
-        {
+        let is_foreign = found.call.identity.workspace != *workspace;
+        // An engine refuses a position after the last token, which would count as its failure.
+        let is_beyond = position > found.next_position || position >= found.call.max_tokens.get();
+        if is_late || is_foreign || is_beyond {
             return None;
         }
         // Every resumption counts on, so that tokens of an earlier one can't be taken for its own.
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod harness;
 mod input;
 mod leaving;
+mod poison;
 mod quotas;
 mod refusals;
 mod stream;
