fix(dispatch): let one deadline cover the queue, every attempt and the way over a peer

Cause: a plain call's attempt got the whole deadline anew after its turn and for each endpoint, a prompt's wait for its first token as well, and a handed-over call at its second daemon; the wait for a token began again with each dropped one, so that an endpoint that sends nothing but foreign tokens would hold its caller for ever (found by reading, no test: the stand-in has no such fault). Ruled out: one timer around the whole run, since it can't say what was sent by then. Change: a call carries when it is due; queue, choice, attempt, import and handing over use what is left. A turn has an id of its own, so that two resumptions of one request don't share one.

--- a/crates/wisteriahitch-node/src/caller/plain.rs
+++ b/crates/wisteriahitch-node/src/caller/plain.rs
@@ -36,7 +36,7 @@
         Some(_) if refusal.meaning() == Meaning::NotRun => refusal.with_outcome_unknown(),
         _ => refusal,
     })?;
-    let call = build_call(&identity, route, request_id, parts, body);
+    let call = build_call(shared, &identity, route, request_id, parts, body);
     match key {
         Some(key) => {
             let key = key.to_str().map_err(|_| Refusal::new(Code::BadKey))?;
@@ -62,6 +62,7 @@
 }
 
 fn build_call(
+    shared: &Shared,
     identity: &Identity,
     route: Route,
     request_id: &RequestId,
@@ -74,6 +75,7 @@
         .map_or_else(|| "/".to_owned(), ToString::to_string);
     PlainCall {
         identity: identity.clone(),
+        due_us: shared.clock.now() + route.deadline_us,
         route,
         request_id: request_id.clone(),
         method: parts.method.clone(),
--- a/crates/wisteriahitch-node/src/dispatch/completion_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_call.rs
@@ -58,6 +58,11 @@
 }
 
 impl CompletionCall {
+    /// Returns when the first token must be there, whatever the call waits for until then.
+    pub(crate) fn due_us(&self) -> TimeUs {
+        self.arrived_us + self.route.deadline_us
+    }
+
     /// Returns the chain of the prompt's pieces for a weight version.
     pub(crate) fn chain(&self, weight_version: &WeightVersion) -> PieceChain {
         let scope = ChainScope {
--- a/crates/wisteriahitch-node/src/dispatch/completion_plan.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_plan.rs
@@ -68,7 +68,6 @@
     weight_version: &WeightVersion,
     tried: &[EndpointId],
 ) -> RouteRequest {
-    let waited_us = shared.clock.now().since(call.arrived_us);
     RouteRequest {
         service: call.route.service.clone(),
         model: Some(call.model.name.clone()),
@@ -78,7 +77,7 @@
         max_tokens: call.max_tokens,
         first_token_weight: call.route.first_token_weight,
         priority: call.route.priority,
-        deadline_us: call.route.deadline_us - waited_us,
+        deadline_us: call.due_us().since(shared.clock.now()),
         availability_zone: shared.settings.availability_zone.clone(),
         exclude: tried.to_vec(),
         explain: false,
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -52,7 +52,7 @@
     let turn = shared.enter(
         &call.identity,
         &call.route,
-        &call.request_id,
+        call.due_us(),
         call.prompt_tokens,
         cost_tokens,
     );
--- a/crates/wisteriahitch-node/src/dispatch/completion_stream.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_stream.rs
@@ -1,7 +1,9 @@
 //! Following the tokens of one attempt.
 
+use std::time::Duration;
+
 use tokio::sync::mpsc::error::SendError;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 use tokio_stream::StreamExt;
 use wisteriahitch_core::stream::{HeadVerdict, StreamHead, StreamToken, TokenVerdict};
 use wisteriahitch_types::DurationUs;
@@ -35,10 +37,13 @@
         if let Err(error) = self.check_head(&head) {
             return Ended::Failed(error);
         }
-        let mut wait_us = self.first_token_wait(plan.choice.estimate.first_token_us);
+        let wait_us = self.first_token_wait(plan.choice.estimate.first_token_us);
+        let mut due = Instant::now() + Duration::from(wait_us);
         loop {
+            // The time runs on over tokens that are dropped: an endpoint that sends nothing but
+            // another request's tokens would otherwise hold the caller for ever.
             let next = tokio::select! {
-                next = timeout(wait_us.into(), stream.next()) => next,
+                next = timeout_at(due, stream.next()) => next,
                 () = self.pieces.closed() => return Ended::CallerGone,
             };
             let token = match next {
@@ -55,10 +60,10 @@
                     return failed(EngineErrorKind::Nonsense, "a token is missing");
                 }
             }
-            wait_us = TOKEN_STALL_US;
             if self.pass_on(flight, &head, token).await.is_err() {
                 return Ended::CallerGone;
             }
+            due = Instant::now() + Duration::from(TOKEN_STALL_US);
             if verdict == TokenVerdict::PassLast {
                 return Ended::Whole;
             }
@@ -100,9 +105,12 @@
     /// would use up the time in which another one could answer.
     pub(super) fn first_token_wait(&self, expected_us: DurationUs) -> DurationUs {
         let patient_us = DurationUs::new(expected_us.get().saturating_mul(FIRST_TOKEN_SLACK));
-        patient_us
-            .max(MIN_FIRST_TOKEN_WAIT_US)
-            .min(self.call.route.deadline_us)
+        let patient_us = patient_us.max(MIN_FIRST_TOKEN_WAIT_US);
+        match self.has_sent_head {
+            // The deadline is that of the first token, which the caller has.
+            true => patient_us,
+            false => patient_us.min(self.call.due_us().since(self.shared.clock.now())),
+        }
     }
 
     fn note_first_token(&self, flight: &Flight, head: &CompletionHead) {
--- a/crates/wisteriahitch-node/src/dispatch/import.rs
+++ b/crates/wisteriahitch-node/src/dispatch/import.rs
@@ -49,5 +49,6 @@
 fn recompute_time(shared: &Shared, call: &CompletionCall, choice: &Choice) -> DurationUs {
     let tokens: TokenCount = choice.plan.import.iter().map(|step| step.tokens).sum();
     let rate = shared.prefill_rate(&choice.endpoint);
-    rate.time_for(tokens).min(call.route.deadline_us)
+    let left_us = call.due_us().since(shared.clock.now());
+    rate.time_for(tokens).min(left_us)
 }
--- a/crates/wisteriahitch-node/src/dispatch/plain_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/plain_call.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method};
 use wisteriahitch_config::Route;
 use wisteriahitch_core::route::{FlightFailure, PieceChain, RouteRequest};
-use wisteriahitch_types::{ByteCount, Code, DurationUs, EndpointId, RequestId, TokenCount};
+use wisteriahitch_types::{ByteCount, Code, DurationUs, EndpointId, RequestId, TimeUs, TokenCount};
 use wisteriahitch_wire::service::{
     ServiceError, ServiceErrorKind, ServiceRequest, ServiceResponse,
 };
@@ -29,6 +29,8 @@
     pub(crate) route: Route,
     /// Name of the request.
     pub(crate) request_id: RequestId,
+    /// When the whole answer must be there, whatever it waits for until then.
+    pub(crate) due_us: TimeUs,
     /// Method as sent.
     pub(crate) method: Method,
     /// Path and query as sent.
@@ -48,6 +50,29 @@
     Once,
 }
 
+/// Remembers the attempts at one call.
+#[derive(Debug, Default)]
+struct Attempts {
+    tried: Vec<EndpointId>,
+    may_have_run: bool,
+}
+
+impl Attempts {
+    fn note(&mut self, endpoint: EndpointId, error: &ServiceError) {
+        self.tried.push(endpoint);
+        self.may_have_run |= !error.is_not_run();
+    }
+
+    /// Makes a refusal true: an endpoint that was tried before may have run the call, and then the
+    /// refusal of the next choice can't say that it was not run.
+    fn refuse(&self, refusal: Refusal) -> Refusal {
+        match self.may_have_run {
+            true => refusal.with_outcome_unknown(),
+            false => refusal,
+        }
+    }
+}
+
 /// Runs a call and returns the whole answer, or why there is none.
 ///
 /// `may_send` is asked once, right before the first byte may leave; without its word nothing is
@@ -62,22 +87,16 @@
         .enter(
             &call.identity,
             &call.route,
-            &call.request_id,
+            call.due_us,
             TokenCount::ZERO,
             TokenCount::ZERO,
         )
         .await?;
     let mut permission = Some(may_send);
-    let mut tried: Vec<EndpointId> = Vec::new();
-    let mut may_have_run = false;
+    let mut attempts = Attempts::default();
     loop {
-        let chosen = choose(shared, call, &tried);
-        // An endpoint that was tried before may have run the call, and then the refusal of the
-        // next choice can't say that it was not run.
-        let endpoint = match may_have_run {
-            true => chosen.map_err(Refusal::with_outcome_unknown)?,
-            false => chosen?,
-        };
+        let chosen = choose(shared, call, &attempts.tried);
+        let endpoint = chosen.map_err(|refusal| attempts.refuse(refusal))?;
         if permission.take().is_some_and(|may_send| !may_send()) {
             return Err(Refusal::new(Code::KeyRefused));
         }
@@ -85,15 +104,11 @@
             Ok(response) => return Ok(response),
             Err(error) => error,
         };
-        tried.push(endpoint);
-        may_have_run |= !error.is_not_run();
-        let is_last = tried.len() >= MAX_ATTEMPTS;
+        attempts.note(endpoint, &error);
+        let is_last = attempts.tried.len() >= MAX_ATTEMPTS;
         if is_last || !may_try_again(shared, mode, &error) {
             let refusal = Refusal::new(error.code()).with_retry_after_us(RETRY_AFTER_US);
-            return match may_have_run {
-                true => Err(refusal.with_outcome_unknown()),
-                false => Err(refusal),
-            };
+            return Err(attempts.refuse(refusal));
         }
     }
 }
@@ -109,7 +124,13 @@
     }
 }
 
+/// Chooses an endpoint that wasn't tried yet, while there is time left for an answer.
 fn choose(shared: &Shared, call: &PlainCall, tried: &[EndpointId]) -> Result<EndpointId, Refusal> {
+    let left_us = call.due_us.since(shared.clock.now());
+    if left_us == DurationUs::ZERO {
+        let refusal = Refusal::new(Code::DeadlineUnreachable);
+        return Err(refusal.with_retry_after_us(RETRY_AFTER_US));
+    }
     let request = RouteRequest {
         service: call.route.service.clone(),
         model: None,
@@ -119,7 +140,7 @@
         max_tokens: TokenCount::ZERO,
         first_token_weight: call.route.first_token_weight,
         priority: call.route.priority,
-        deadline_us: call.route.deadline_us,
+        deadline_us: left_us,
         availability_zone: shared.settings.availability_zone.clone(),
         exclude: tried.to_vec(),
         explain: false,
@@ -143,7 +164,7 @@
         path_and_query: call.path_and_query.clone(),
         headers: call.headers.clone(),
         body: call.body.clone(),
-        timeout_us: call.route.deadline_us,
+        timeout_us: call.due_us.since(shared.clock.now()),
         answer_limit_bytes: shared.settings.limits.answer_bytes,
     };
     let result = shared.outside.service.call(flight.address(), request).await;
--- a/crates/wisteriahitch-node/src/peering/forward.rs
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -10,7 +10,7 @@
 use wisteriahitch_peer::{
     ForwardMeaning, ForwardReply, ForwardRequest, Header, KeyKind, PeerErrorKind,
 };
-use wisteriahitch_types::{Code, Incarnation, Meaning};
+use wisteriahitch_types::{Code, DurationUs, Incarnation, Meaning};
 
 use crate::caller::gate::{decide, labels};
 use crate::caller::keyed::{ForwardPolicy, Outcome, ask_again, submit, submit_ticket};
@@ -76,7 +76,7 @@
                 })
                 .collect(),
             body: call.body.clone(),
-            deadline_us: call.route.deadline_us.get(),
+            deadline_us: call.due_us.since(self.clock.now()).get(),
         }
     }
 
@@ -88,7 +88,8 @@
         request: ForwardRequest,
         lost: Code,
     ) -> Outcome {
-        let timeout = Duration::from(call.route.deadline_us) + FORWARD_SLACK;
+        let left_us = call.due_us.since(self.clock.now());
+        let timeout = Duration::from(left_us) + FORWARD_SLACK;
         match self.outside.peers.forward(address, request, timeout).await {
             Ok(reply) => read_reply(reply),
             Err(error) => {
@@ -163,8 +164,11 @@
         ..RequestFacts::default()
     };
     let route = decide(&identity, &facts).map_err(Refusal::with_outcome_unknown)?;
+    // The caller's time runs since its arrival at the sender, which waits no longer than that.
+    let left_us = DurationUs::new(request.deadline_us).min(route.deadline_us);
     Ok(PlainCall {
         identity,
+        due_us: shared.clock.now() + left_us,
         route,
         request_id: new_request_id(shared),
         method,
--- a/crates/wisteriahitch-node/src/state/admission.rs
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -11,7 +11,7 @@
 };
 use wisteriahitch_types::{Code, DurationUs, RequestId, TimeUs, TokenCount};
 
-use crate::caller::{Identity, Refusal};
+use crate::caller::{Identity, Refusal, new_request_id};
 use crate::shared::Shared;
 
 type Turn = Result<(), Refusal>;
@@ -111,24 +111,28 @@
 }
 
 impl Shared {
-    /// Waits for a request's turn, or returns why it gets none.
+    /// Waits for a request's turn until `due_us`, or returns why it gets none.
+    ///
+    /// The turn has an id of its own: two resumptions of one request would otherwise share an
+    /// entry, and the end of the first would take the turn of the second.
     pub(crate) async fn enter(
         self: &Arc<Self>,
         identity: &Identity,
         route: &Route,
-        request_id: &RequestId,
+        due_us: TimeUs,
         prompt_tokens: TokenCount,
         cost_tokens: TokenCount,
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
+        let turn_id = new_request_id(self);
         let request = AdmissionRequest {
-            request: request_id.clone(),
+            request: turn_id.clone(),
             workspace: identity.workspace.clone(),
             service: route.service.clone(),
             priority: route.priority,
             prompt_tokens,
             cost_tokens,
-            deadline_us: now + route.deadline_us,
+            deadline_us: due_us,
         };
         let (sender, receiver) = oneshot::channel();
         {
@@ -139,13 +143,13 @@
                 let refusal = Refusal::new(Code::QueueFull);
                 return Err(refusal.with_retry_after_us(QUEUE_FULL_RETRY_US));
             }
-            inner.waiters.insert(request_id.clone(), sender);
+            inner.waiters.insert(turn_id.clone(), sender);
         }
         // The permit exists from the arrival on, so that a caller that leaves while it waits, or
         // in the very moment of its start, gives its place back.
         let permit = Permit {
             shared: Arc::clone(self),
-            request: request_id.clone(),
+            request: turn_id,
         };
         self.admission
             .step(|admission| admission.arrive(request, now));
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,6 +9,7 @@
 
 mod booking;
 mod configuration;
+mod deadlines;
 mod drain;
 mod harness;
 mod input;
