--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,10 +9,14 @@
 
 mod booking;
 mod configuration;
+mod deadlines;
 mod drain;
 mod harness;
 mod input;
 mod leaving;
+mod poison;
+mod quotas;
+mod refusals;
 mod stream;
 mod tiers;
 mod weights;
