test(wire): hand a request to a connection that closes at that moment

The library gives such a request back; with its own retry on it would send it again on another connection, behind the back of the one who decides. The earlier tests let the server read the request first, where the library never retries, so that they didn't notice the retry.

--- a/crates/wisteriahitch-wire/tests/all/main.rs
+++ b/crates/wisteriahitch-wire/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod http_client;
 mod platform;
+mod sent_once;
 mod service;
 mod sse;
 mod store;
--- /dev/null
+++ b/crates/wisteriahitch-wire/tests/all/sent_once.rs
@@ -0,0 +1,148 @@
+//! The HTTP client sends a request at most once, whatever becomes of a kept connection.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use tokio::io::AsyncReadExt;
+use wisteriahitch_types::{ByteCount, DurationUs};
+use wisteriahitch_wire::http_client::{HttpClient, HttpClientOptions, HttpErrorKind};
+
+const ROUNDS: usize = 20;
+const TIMEOUT_US: DurationUs = DurationUs::from_ms(30_000);
+const LIMIT_BYTES: ByteCount = ByteCount::new(1_000);
+
+/// How long the client is given to put a connection back into its pool.
+const POOL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Server that keeps its first connection until it is told to close it.
+struct ClosingServer {
+    address: SocketAddr,
+    close: Sender<()>,
+    closed: Receiver<()>,
+    /// Becomes readable right before the kept connection closes.
+    closing: tokio::net::UnixStream,
+    thread: JoinHandle<Vec<String>>,
+}
+
+impl ClosingServer {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (close, close_rx) = channel();
+        let (closed_tx, closed) = channel();
+        let (closing, notice) = UnixStream::pair().unwrap();
+        closing.set_nonblocking(true).unwrap();
+        let closing = tokio::net::UnixStream::from_std(closing).unwrap();
+        let close_kept = move |kept: TcpStream| {
+            close_rx.recv().unwrap();
+            (&notice).write_all(b"x").unwrap();
+            drop(kept);
+            closed_tx.send(()).unwrap();
+        };
+        let thread = std::thread::spawn(move || serve(&listener, close_kept));
+        Self {
+            address,
+            close,
+            closed,
+            closing,
+            thread,
+        }
+    }
+
+    /// Closes the kept connection, and returns before the client has looked at it.
+    ///
+    /// The runtime's only thread is blocked until the connection is closed. After that the
+    /// runtime learns of two events at once, and of the notice to this task first: the next
+    /// request is handed to the connection between its close and the client's look at it.
+    async fn close_kept(&mut self) {
+        self.close.send(()).unwrap();
+        self.closed.recv().unwrap();
+        self.closing.read_u8().await.unwrap();
+    }
+
+    /// Stops the server and returns the first line of each request that arrived.
+    fn stop(self) -> Vec<String> {
+        drop(TcpStream::connect(self.address).unwrap());
+        self.thread.join().unwrap()
+    }
+}
+
+fn serve(listener: &TcpListener, close_kept: impl FnOnce(TcpStream)) -> Vec<String> {
+    let (mut first, _) = listener.accept().unwrap();
+    let mut arrived = vec![answer(&mut first).unwrap()];
+    close_kept(first);
+    loop {
+        let (mut next, _) = listener.accept().unwrap();
+        match answer(&mut next) {
+            Some(line) => arrived.push(line),
+            // A connection without a request is the sign to stop.
+            None => return arrived,
+        }
+    }
+}
+
+fn answer(stream: &mut TcpStream) -> Option<String> {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        stream.read_exact(&mut byte).ok()?;
+        text.push(byte[0]);
+    }
+    let reply = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+    stream.write_all(reply).unwrap();
+    let text = String::from_utf8(text).unwrap();
+    text.lines().next().map(str::to_owned)
+}
+
+fn request(path: &str) -> Request<Bytes> {
+    Request::get(path).body(Bytes::new()).unwrap()
+}
+
+/// Returns how the second request ended and how often it arrived.
+async fn run_round() -> (Result<(), HttpErrorKind>, usize) {
+    let mut server = ClosingServer::start();
+    let client = HttpClient::new(HttpClientOptions::default());
+    let first = client
+        .fetch(server.address, request("/first"), TIMEOUT_US, LIMIT_BYTES)
+        .await;
+    assert_eq!(first.unwrap().body(), "ok");
+    tokio::time::sleep(POOL_PAUSE).await;
+    server.close_kept().await;
+    let second = client
+        .fetch(server.address, request("/second"), TIMEOUT_US, LIMIT_BYTES)
+        .await;
+    let arrived = server.stop();
+    let count = arrived
+        .iter()
+        .filter(|line| line.contains("/second"))
+        .count();
+    (second.map(drop).map_err(|error| error.kind()), count)
+}
+
+/// Symptom: a request goes out again although nobody decided that. Sequence of events: a server
+/// closes a kept connection at the moment when the next request is handed to it. Cause: the
+/// library takes the request back and sends it on a connection of its own choice, behind the back
+/// of the one who decides whether a request may be sent again.
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_handed_to_a_closing_connection_is_given_back_and_not_sent_again() {
+    let mut given_back = 0;
+    for round in 0..ROUNDS {
+        let (outcome, arrived) = run_round().await;
+        match outcome {
+            // The connection wasn't in the pool yet, so that a new one was opened.
+            Ok(()) => assert_eq!(arrived, 1, "round {round}"),
+            Err(HttpErrorKind::NotSent) => {
+                assert_eq!(arrived, 0, "round {round}");
+                given_back += 1;
+            }
+            Err(_) => assert!(arrived <= 1, "round {round}"),
+        }
+    }
+    assert!(given_back > 0, "no request met the close");
+}
