fix(node): end the time of a head with the head

Generated calls over kept connections to a real daemon: bodies, heads, framing and targets of callers, questions and configurations of operators, about 1,600 cases from a fixed seed. Every answer must be a valid one or carry a numbered code, a good request on the same connection must be answered before and after, memory stays bounded, and nothing panics.

They met a connection that closed with a request on its way. Cause: a request that is answered in one go is begun and ended between two reads, so the guard never saw the mark and counted on from the first byte of a head that had long been answered. Ruled out: the library's own idle time and the stall guard. The guard now also looks at how many heads were whole.

Seen failing first: kept_connections_outlive_the_time_of_a_head got no answer to its second request; it passes with the change.

--- a/crates/wisteriahitch-node/src/server/head_guard.rs
+++ b/crates/wisteriahitch-node/src/server/head_guard.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -13,21 +13,32 @@
 
 /// Tells the guard of a connection whether a request is being answered on it.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct RequestMark(Arc<AtomicBool>);
+pub(crate) struct RequestMark(Arc<RequestState>);
+
+#[derive(Debug, Default)]
+struct RequestState {
+    is_answering: AtomicBool,
+    whole_heads: AtomicU64,
+}
 
 impl RequestMark {
     /// Notes that a head has arrived whole.
     pub(crate) fn begin(&self) {
-        self.0.store(true, Ordering::Release);
+        self.0.whole_heads.fetch_add(1, Ordering::Release);
+        self.0.is_answering.store(true, Ordering::Release);
     }
 
     /// Notes that the next bytes begin a new head.
     pub(crate) fn end(&self) {
-        self.0.store(false, Ordering::Release);
+        self.0.is_answering.store(false, Ordering::Release);
     }
 
     fn is_set(&self) -> bool {
-        self.0.load(Ordering::Acquire)
+        self.0.is_answering.load(Ordering::Acquire)
+    }
+
+    fn whole_heads(&self) -> u64 {
+        self.0.whole_heads.load(Ordering::Acquire)
     }
 }
 
@@ -44,6 +55,7 @@
     mark: RequestMark,
     timer: Pin<Box<Sleep>>,
     has_begun: bool,
+    whole_heads: u64,
 }
 
 impl<S> HeadGuard<S> {
@@ -55,6 +67,20 @@
             mark,
             timer: Box::pin(sleep(limit)),
             has_begun: false,
+            whole_heads: 0,
+        }
+    }
+
+    /// Stops counting once the head that began is whole.
+    ///
+    /// A request that is answered in one go is begun and ended between two reads, so that the mark
+    /// alone doesn't show it: the time of its head would go on and end the kept connection, perhaps
+    /// with the next request on its way.
+    fn note_whole_heads(&mut self) {
+        let whole_heads = self.mark.whole_heads();
+        if whole_heads != self.whole_heads {
+            self.whole_heads = whole_heads;
+            self.has_begun = false;
         }
     }
 
@@ -73,6 +99,7 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        self.note_whole_heads();
         let filled = buf.filled().len();
         let progress = Pin::new(&mut self.inner).poll_read(cx, buf);
         if self.mark.is_set() {
--- a/crates/wisteriahitch/tests/all/harness/process.rs
+++ b/crates/wisteriahitch/tests/all/harness/process.rs
@@ -81,6 +81,14 @@
         status.unwrap()
     }
 
+    /// Returns the memory that the process holds now.
+    pub(crate) fn resident_bytes(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.unwrap().trim().trim_end_matches(" kB");
+        kib.parse::<u64>().unwrap() * 1_024
+    }
+
     /// Returns what the process has logged.
     pub(crate) fn read_log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod booking;
 mod configuration;
 mod drain;
+mod generated;
 mod harness;
 mod input;
 mod leaving;
