fix(node): number the refusal of targets that the library finds too long

The HTTP library refuses targets of more than 65,534 bytes by itself with a bare 414, which comes up when the settings allow heads that long (up to 1 MiB). It now becomes W1004 like any other head that is too large.

--- a/crates/wisteriahitch-node/src/server/numbered_refusal.rs
+++ b/crates/wisteriahitch-node/src/server/numbered_refusal.rs
@@ -11,6 +11,9 @@
 const BAD_HEAD: &[u8] = b"HTTP/1.1 400 Bad Request\r\n";
 /// Start of the library's answer to a head that is too large.
 const LARGE_HEAD: &[u8] = b"HTTP/1.1 431 Request Header Fields Too Large\r\n";
+/// Start of the library's answer to a target beyond a limit of its own, which holds even where the
+/// settings allow a longer head.
+const LONG_TARGET: &[u8] = b"HTTP/1.1 414 URI Too Long\r\n";
 /// Header that every answer of the daemon carries and no answer of the library does.
 const OWN_MARK: &[u8] = b"x-request-id";
 /// Header by which the library says that it closes the connection.
@@ -46,6 +49,7 @@
     let code = match bytes {
         bytes if bytes.starts_with(BAD_HEAD) => Code::BadHttp,
         bytes if bytes.starts_with(LARGE_HEAD) => Code::HeaderTooLarge,
+        bytes if bytes.starts_with(LONG_TARGET) => Code::HeaderTooLarge,
         _ => return None,
     };
     let contains = |mark: &[u8]| bytes.windows(mark.len()).any(|window| window == mark);
