--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod deadlines;
 mod drain;
+mod generated;
 mod harness;
 mod input;
 mod leaving;
