--- a/crates/wisteriahitch-core/src/route/endpoint/leaving.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/leaving.rs
@@ -35,6 +35,11 @@
         self.is_confirmed |= *source != LeavingSource::VmList;
     }
 
+    /// Returns whether the endpoint itself or a peer says so of the present life.
+    pub(crate) fn is_confirmed(&self) -> bool {
+        self.is_leaving && self.is_confirmed
+    }
+
     /// Records a new life, told by the endpoint itself.
     pub(crate) fn reborn(&mut self) {
         *self = Self {
--- a/crates/wisteriahitch-core/src/route/endpoint/lookup.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/lookup.rs
@@ -13,6 +13,22 @@
         Some(self.rows[row].state())
     }
 
+    /// Returns each endpoint that it itself or a peer said is leaving, with the life that is.
+    ///
+    /// One of which only the VM list says so isn't among them: every daemon reads that list, and
+    /// what a peer repeated of it could not be taken back with it.
+    pub fn confirmed_leaving(&self) -> impl Iterator<Item = (&EndpointId, Option<&str>)> {
+        self.by_id.iter().filter_map(|(id, &row)| {
+            let record = &self.rows[row];
+            let life = record
+                .report
+                .as_ref()
+                .and_then(|held| held.load.life.as_deref());
+            let is_leaving = record.state() == LifeState::Leaving;
+            (is_leaving && record.leaving.is_confirmed()).then_some((id, life))
+        })
+    }
+
     /// Returns the endpoint's address.
     pub fn get_address(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         let row = *self.by_id.get(endpoint)?;
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod tier;
 mod tier_block;
 mod tier_block_runs;
+mod tier_generation;
 mod tier_import;
 mod tier_link;
 mod tier_room;
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -26,7 +26,7 @@
 use crate::observe::Metrics;
 use crate::operator::OperatorHandler;
 use crate::orders::{OrderState, run_orders};
-use crate::peering::{PeerSide, run_membership};
+use crate::peering::{PeerSide, run_leaving_news, run_membership};
 use crate::server::{ConnectionLimits, serve};
 use crate::shared::{Outside, Shared};
 use crate::state::{AdmissionState, FleetState, OnceState, ResumeState, TierState};
@@ -116,6 +116,7 @@
         tasks.spawn(task::run_vm_list(Arc::clone(&shared)));
         tasks.spawn(run_orders(Arc::clone(&shared)));
         tasks.spawn(run_membership(Arc::clone(&shared)));
+        tasks.spawn(run_leaving_news(Arc::clone(&shared)));
         tasks.spawn(serve_peer_side(Arc::clone(&shared), peers));
         let operator_side = Arc::new(OperatorHandler::new(Arc::clone(&shared)));
         let limits = limits(&shared.settings, OPERATOR_CONNECTIONS);
--- /dev/null
+++ b/crates/wisteriahitch-node/src/peering/leaving.rs
@@ -0,0 +1,99 @@
+//! Telling peers that an endpoint leaves.
+//!
+//! A report may reach one daemon and not the others, and the VM list lags. Without this news the
+//! others would go on sending work to an endpoint that goes away, seen as requests that fail there;
+//! `docs/design/membership.md` gives the reasons for news between peers.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriahitch_peer::{BlockHint, HintKind, PublishBlocksRequest};
+use wisteriahitch_types::{EndpointId, Incarnation};
+
+use crate::shared::Shared;
+
+/// Time between two looks at what is leaving.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Longest wait for a peer's answer.
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Peers that each daemon tells, once, what it has learned; each of these that didn't know tells
+/// as many, so that the news reaches all while no daemon sends more than this.
+const TOLD_PEERS: usize = 6;
+
+/// Endpoints whose leaving has been told, with the life that leaves.
+type Told = HashMap<EndpointId, Option<String>>;
+
+/// Tells peers of endpoints that begin to leave until the process stops.
+pub(crate) async fn run_leaving_news(shared: Arc<Shared>) {
+    let mut told = Told::new();
+    let mut ticks = tokio::time::interval(PAUSE);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = shared.stop.cancelled() => return,
+            _ = ticks.tick() => tell_new(&shared, &mut told),
+        }
+    }
+}
+
+fn tell_new(shared: &Arc<Shared>, told: &mut Told) {
+    let leaving = find_leaving(shared);
+    let is_new = |(id, life): &(&EndpointId, &Option<String>)| told.get(*id) != Some(*life);
+    let hints: Vec<BlockHint> = leaving.iter().filter(is_new).map(hint).collect();
+    *told = leaving;
+    if hints.is_empty() {
+        return;
+    }
+    for (peer, address) in choose_peers(shared) {
+        tokio::spawn(tell(Arc::clone(shared), peer, address, hints.clone()));
+    }
+}
+
+fn find_leaving(shared: &Shared) -> Told {
+    let router = shared.router.lock();
+    let leaving = router.endpoints.confirmed_leaving();
+    leaving
+        .map(|(id, life)| (id.clone(), life.map(str::to_owned)))
+        .collect()
+}
+
+fn hint((id, life): (&EndpointId, &Option<String>)) -> BlockHint {
+    BlockHint {
+        holder: id.to_string(),
+        holder_incarnation: life.clone().unwrap_or_default(),
+        kind: HintKind::Leaving.into(),
+        ..BlockHint::default()
+    }
+}
+
+fn choose_peers(shared: &Shared) -> Vec<(Incarnation, SocketAddr)> {
+    let members = shared.fleet.members.lock();
+    let present = members.peers().filter(|peer| peer.state.is_present());
+    let mut peers: Vec<(Incarnation, SocketAddr)> = present
+        .map(|peer| (peer.incarnation, peer.addresses.peer))
+        .collect();
+    peers.sort_by_cached_key(|_| rand::random::<u64>());
+    peers.truncate(TOLD_PEERS);
+    peers
+}
+
+/// Tells one peer; one that doesn't answer hears of it from others or sees it by itself.
+async fn tell(shared: Arc<Shared>, peer: Incarnation, address: SocketAddr, hints: Vec<BlockHint>) {
+    let request = PublishBlocksRequest {
+        envelope: shared.envelope(Some(peer)),
+        batch_number: 0,
+        hints,
+    };
+    let answer = shared
+        .outside
+        .peers
+        .publish_blocks(address, request, TIMEOUT)
+        .await;
+    if let Err(error) = answer {
+        log::debug!("{peer} wasn't told of a leaving endpoint: {error}");
+    }
+}
--- a/crates/wisteriahitch-node/src/peering/mod.rs
+++ b/crates/wisteriahitch-node/src/peering/mod.rs
@@ -2,8 +2,10 @@
 
 mod forward;
 mod handler;
+mod leaving;
 mod news;
 mod probe;
 
 pub(crate) use handler::PeerSide;
+pub(crate) use leaving::run_leaving_news;
 pub(crate) use probe::run_membership;
--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -60,6 +60,7 @@
 pub(crate) struct DaemonHandle {
     pub(crate) process: Process,
     pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) operators: SocketAddr,
     settings: std::path::PathBuf,
     name: String,
@@ -149,6 +150,7 @@
             self.daemons.push(DaemonHandle {
                 process,
                 callers,
+                peers,
                 operators,
                 settings,
                 name,
--- a/crates/wisteriahitch/tests/all/leaving.rs
+++ b/crates/wisteriahitch/tests/all/leaving.rs
@@ -62,7 +62,7 @@
     }
 }
 
-async fn state_of(site: &Site, daemon: usize, endpoint: &str) -> String {
+pub(crate) async fn state_of(site: &Site, daemon: usize, endpoint: &str) -> String {
     let status = site
         .operator(daemon, Method::GET, "/v1/status", "")
         .await
--- a/crates/wisteriahitch/tests/all/stream.rs
+++ b/crates/wisteriahitch/tests/all/stream.rs
@@ -127,7 +127,7 @@
 }
 
 /// Reads a few tokens of a stream, breaks the connection, and returns what came.
-async fn read_some(
+pub(crate) async fn read_some(
     site: &Site,
     completion: &wisteriahitch_bench::caller::Completion,
     tokens: u64,
@@ -150,7 +150,7 @@
     (request_id, text, next)
 }
 
-async fn resume(site: &Site, request_id: &str, position: u64) -> String {
+pub(crate) async fn resume(site: &Site, request_id: &str, position: u64) -> String {
     let path = format!("/v1/requests/{request_id}/stream?position={position}");
     let mut text = String::new();
     let mut is_whole = false;
--- a/crates/wisteriahitch/tests/all/tiers.rs
+++ b/crates/wisteriahitch/tests/all/tiers.rs
@@ -6,16 +6,16 @@
 
 use crate::harness::{SECRET, Site, SiteOptions, ask, post_json, prompt, wait_until};
 
-const HISTORY_TOKENS: u64 = 800;
+pub(crate) const HISTORY_TOKENS: u64 = 800;
 
-fn options() -> SiteOptions {
+pub(crate) fn options() -> SiteOptions {
     SiteOptions {
         engine_flags: vec!["--kv-capacity-tokens".to_owned(), "1000".to_owned()],
         ..SiteOptions::default()
     }
 }
 
-async fn locate(site: &Site, completion: &Completion) -> Vec<Value> {
+pub(crate) async fn locate(site: &Site, completion: &Completion) -> Vec<Value> {
     let question = json!({
         "workspace": "kandy-central",
         "model": "hist-7b",
@@ -27,20 +27,20 @@
     answer.unwrap().json()["blocks"].as_array().unwrap().clone()
 }
 
-fn holds_all(blocks: &[Value], name: &str) -> bool {
+pub(crate) fn holds_all(blocks: &[Value], name: &str) -> bool {
     blocks
         .iter()
         .all(|block| !block[name].as_array().unwrap().is_empty())
 }
 
-fn holds_none(blocks: &[Value], name: &str) -> bool {
+pub(crate) fn holds_none(blocks: &[Value], name: &str) -> bool {
     blocks
         .iter()
         .all(|block| block[name].as_array().unwrap().is_empty())
 }
 
 /// Brings a prompt into the tier and out of the engine's memory.
-async fn save_and_evict(site: &Site, history: &Completion) {
+pub(crate) async fn save_and_evict(site: &Site, history: &Completion) {
     ask(site, 0, SECRET, history).await.unwrap();
     wait_until("the blocks to be saved", async || {
         holds_all(&locate(site, history).await, "stores")
--- a/crates/wisteriahitch/tests/all/weights.rs
+++ b/crates/wisteriahitch/tests/all/weights.rs
@@ -45,7 +45,7 @@
     }
 }
 
-async fn is_complete(site: &Site) -> bool {
+pub(crate) async fn is_complete(site: &Site) -> bool {
     let status = site
         .operator(0, http::Method::GET, "/v1/status", "")
         .await
