--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -66,6 +66,7 @@
 pub(crate) struct DaemonHandle {
     pub(crate) process: Process,
     pub(crate) callers: SocketAddr,
+    pub(crate) peers: SocketAddr,
     pub(crate) operators: SocketAddr,
     settings: std::path::PathBuf,
     name: String,
@@ -156,6 +157,7 @@
             self.daemons.push(DaemonHandle {
                 process,
                 callers,
+                peers,
                 operators,
                 settings,
                 name,
