fix(core): name sections by the one type of the configuration

Section, SectionName and SectionHash stood in config and in core, with a mapping of names between them. The core's name counted its prefix into the bound of 128 bytes: a workspace whose id has 119 to 128 bytes had no name there, and the node left it out of the accepted head.

The core now uses config's types, so a name is `site` or `workspace/ID` everywhere and the mapping is gone. A Section is made by Section::new or Section::try_checked alone; Sections::insert takes it as it is. The head's digest is over the names' and hashes' text as before.

Seen failing first: a_head_names_a_workspace_of_the_longest_id (the name didn't parse).

--- a/crates/wisteriahitch-config/src/sections/section_hash.rs
+++ b/crates/wisteriahitch-config/src/sections/section_hash.rs
@@ -16,8 +16,8 @@
 
 impl SectionHash {
     /// Returns the name of a text.
-    pub fn of(text: &str) -> Self {
-        Self(blake3::hash(text.as_bytes()).into())
+    pub fn of(text: impl AsRef<[u8]>) -> Self {
+        Self(blake3::hash(text.as_ref()).into())
     }
 }
 
--- a/crates/wisteriahitch-config/src/sections/sections.rs
+++ b/crates/wisteriahitch-config/src/sections/sections.rs
@@ -1,12 +1,11 @@
 //! All sections of a configuration.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use wisteriahitch_types::WorkspaceId;
 
 use super::submission::split_read;
-use super::{Change, Section, SectionHash, SectionMismatch, SectionName};
+use super::{Change, Section, SectionName};
 use crate::check::{check, check_defined_once};
 use crate::draft::Draft;
 use crate::read::{ProblemLog, Source};
@@ -126,28 +125,9 @@
         changes
     }
 
-    /// Adds a section that was fetched under a hash.
-    ///
-    /// # Errors
-    ///
-    /// The text doesn't have that hash; the section is not added.
-    pub fn insert(
-        &mut self,
-        name: SectionName,
-        expected: SectionHash,
-        text: impl Into<Arc<str>>,
-    ) -> Result<(), SectionMismatch> {
-        let section = Section::new(text);
-        let found = section.hash();
-        if found != expected {
-            return Err(SectionMismatch {
-                name,
-                expected,
-                found,
-            });
-        }
+    /// Adds a section, or replaces the one of that name.
+    pub fn insert(&mut self, name: SectionName, section: Section) {
         self.sections.insert(name, section);
-        Ok(())
     }
 
     /// Removes a section and returns it.
--- a/crates/wisteriahitch-config/tests/all/sections.rs
+++ b/crates/wisteriahitch-config/tests/all/sections.rs
@@ -1,6 +1,8 @@
 //! Splitting, merging and assembling sections.
 
-use wisteriahitch_config::{Change, Configuration, Report, SectionHash, SectionName, Sections};
+use wisteriahitch_config::{
+    Change, Configuration, Report, Section, SectionHash, SectionName, Sections,
+};
 use wisteriahitch_types::Code;
 
 const WHOLE: &str = r#"
@@ -228,10 +230,10 @@
     let mut fetched = Sections::default();
     for (name, section) in whole.iter() {
         let other = format!("{}# changed\n", section.text());
-        let refused = fetched.insert(name.clone(), section.hash(), other);
+        let refused = Section::try_checked(section.hash(), other);
         assert_eq!(refused.unwrap_err().expected, section.hash());
-        let added = fetched.insert(name.clone(), section.hash(), section.text());
-        assert!(added.is_ok());
+        let checked = Section::try_checked(section.hash(), section.text());
+        fetched.insert(name.clone(), checked.unwrap());
     }
     assert_eq!(fetched, whole);
 }
--- a/crates/wisteriahitch-core/src/fleet/configuration/config_event.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/config_event.rs
@@ -1,9 +1,10 @@
 //! What the replica of the configuration is told and what it asks its shell to do.
 
 use serde::Serialize;
+use wisteriahitch_config::{Section, SectionHash};
 use wisteriahitch_types::{Code, ConfigVersion, Incarnation};
 
-use super::{HeadChange, HeadObject, Section, SectionHash};
+use super::{HeadChange, HeadObject};
 
 /// Tells the replica what has happened.
 #[derive(Clone, Debug)]
@@ -22,8 +23,8 @@
     SectionRead {
         /// Hash under which it was asked for.
         hash: SectionHash,
-        /// Content that came.
-        content: Vec<u8>,
+        /// Text that came.
+        text: String,
     },
     /// A section can't be read from the store now, or isn't there.
     SectionFailed(SectionHash),
--- a/crates/wisteriahitch-core/src/fleet/configuration/config_replica.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/config_replica.rs
@@ -2,13 +2,14 @@
 
 use statig::blocking::StateMachine;
 use statig::prelude::*;
+use wisteriahitch_config::{Section, SectionHash};
 use wisteriahitch_types::{Code, ConfigVersion, Incarnation, TimeUs};
 
 use super::phase::{PhaseEvent, PhaseMachine, PhaseTurn};
 use super::replication::Replication;
 use super::{
     ConfigCommand, ConfigEvent, ConfigPhase, ConfigSettings, ConfigTable, HeadChange, HeadObject,
-    Holders, PullAnswer, PushAnswer, Section, SectionHash,
+    Holders, PullAnswer, PushAnswer,
 };
 use crate::fleet::Membership;
 
@@ -55,7 +56,7 @@
             ConfigEvent::StoreHead(head) => self.store_answered(head, now),
             ConfigEvent::StoreFailed => {}
             ConfigEvent::StoreHeadCorrupt => self.report_corrupt(self.table.known_version()),
-            ConfigEvent::SectionRead { hash, content } => self.section_read(hash, content),
+            ConfigEvent::SectionRead { hash, text } => self.section_read(hash, text),
             ConfigEvent::SectionFailed(_) => {}
             ConfigEvent::PeerHead { from, head } => self.peer_head(from, head, now),
             ConfigEvent::PeerSections { from: _, sections } => self.sections_pulled(sections),
@@ -96,7 +97,7 @@
         let missing = missing.filter(|c| c.head.version == change.version);
         let answer = PushAnswer {
             held_version: self.table.held_version(),
-            missing: missing.map_or(Vec::new(), |c| c.missing.iter().cloned().collect()),
+            missing: missing.map_or(Vec::new(), |c| c.missing.iter().copied().collect()),
         };
         (answer, std::mem::take(&mut self.commands))
     }
@@ -170,10 +171,10 @@
         self.table.try_learn(head, source);
     }
 
-    pub(super) fn section_read(&mut self, hash: SectionHash, content: Vec<u8>) {
-        match Section::try_checked(hash, content) {
-            Some(section) => self.table.keep(section),
-            None => self.report_corrupt(self.table.known_version()),
+    pub(super) fn section_read(&mut self, hash: SectionHash, text: String) {
+        match Section::try_checked(hash, text) {
+            Ok(section) => self.table.keep(section),
+            Err(_) => self.report_corrupt(self.table.known_version()),
         }
     }
 
@@ -239,7 +240,7 @@
                 .find(|peer| peer.config_version >= version)
                 .map(|peer| peer.incarnation)
         });
-        let wanted = candidate.missing.iter().cloned();
+        let wanted = candidate.missing.iter().copied();
         let wanted: Vec<SectionHash> = wanted.take(self.settings.max_asked_sections).collect();
         match source.filter(|_| candidate.tries % 2 == 1) {
             Some(peer) => self
--- a/crates/wisteriahitch-core/src/fleet/configuration/config_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/config_table.rs
@@ -1,13 +1,13 @@
 //! What a daemon holds of the configuration.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 
 use serde::Serialize;
+use wisteriahitch_config::{Section, SectionHash};
 use wisteriahitch_types::{ConfigVersion, DurationUs, Incarnation, TimeUs};
 
+use super::HeadObject;
 use super::replication::Replication;
-use super::{HeadObject, Section, SectionHash};
 
 /// Holds the times and bounds of the configuration's way through the fleet.
 #[derive(Clone, Debug, Serialize)]
@@ -74,7 +74,7 @@
     pub(super) replication: Option<Replication>,
     pub(super) gathering: Option<Gathering>,
     #[serde(skip)]
-    pub(super) sections: BTreeMap<SectionHash, Arc<[u8]>>,
+    pub(super) sections: BTreeMap<SectionHash, Section>,
 }
 
 /// Holds a version whose sections are being read.
@@ -118,7 +118,7 @@
         let missing = head.sections.values();
         let missing = missing
             .filter(|hash| !self.sections.contains_key(*hash))
-            .cloned()
+            .copied()
             .collect();
         self.candidate = Some(Candidate {
             head,
@@ -135,8 +135,8 @@
         let Some(candidate) = &mut self.candidate else {
             return;
         };
-        if candidate.missing.remove(&section.hash) {
-            self.sections.insert(section.hash, section.content);
+        if candidate.missing.remove(&section.hash()) {
+            self.sections.insert(section.hash(), section);
         }
     }
 
@@ -163,12 +163,7 @@
         &self,
         hashes: impl IntoIterator<Item = &'a SectionHash>,
     ) -> Vec<Section> {
-        let find = |hash: &SectionHash| {
-            self.sections.get(hash).map(|content| Section {
-                hash: hash.clone(),
-                content: content.clone(),
-            })
-        };
+        let find = |hash| self.sections.get(hash).cloned();
         hashes.into_iter().filter_map(find).collect()
     }
 
--- a/crates/wisteriahitch-core/src/fleet/configuration/handing_on.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/handing_on.rs
@@ -52,7 +52,7 @@
         let mut sections = self.table.find(changed);
         let mut room_bytes = self.settings.max_push_bytes;
         sections.retain(|section| {
-            let size = section.content.len();
+            let size = section.text().len();
             let fits = size <= room_bytes;
             room_bytes = room_bytes.saturating_sub(if fits { size } else { 0 });
             fits
--- a/crates/wisteriahitch-core/src/fleet/configuration/head_change.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/head_change.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_types::ConfigVersion;
 
-use super::{HeadObject, HistoryEntry, SectionHash, SectionName};
+use super::{HeadObject, HistoryEntry};
 
 /// Takes a head from one version to a later one.
 ///
@@ -32,7 +33,7 @@
             .sections
             .iter()
             .filter(|(name, hash)| base.sections.get(*name) != Some(*hash))
-            .map(|(name, hash)| (name.clone(), Some(hash.clone())));
+            .map(|(name, hash)| (name.clone(), Some(*hash)));
         let removed = base
             .sections
             .keys()
@@ -65,7 +66,7 @@
         next.version = self.version;
         for (name, hash) in &self.sections {
             match hash {
-                Some(hash) => next.sections.insert(name.clone(), hash.clone()),
+                Some(hash) => next.sections.insert(name.clone(), *hash),
                 None => next.sections.remove(name),
             };
         }
--- a/crates/wisteriahitch-core/src/fleet/configuration/head_object.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/head_object.rs
@@ -3,17 +3,17 @@
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
-use super::{SectionHash, SectionName};
-
 /// Names the sections of an accepted configuration.
 ///
 /// ```
-/// use wisteriahitch_core::fleet::{HeadObject, Section};
+/// use wisteriahitch_config::{Section, SectionName};
+/// use wisteriahitch_core::fleet::HeadObject;
 ///
-/// let rules = Section::new(b"[[rules]]".to_vec());
-/// let changes = [("rules".parse()?, Some(rules.hash))];
+/// let site = Section::new("[[rules]]");
+/// let changes = [(SectionName::Site, Some(site.hash()))];
 /// let head = HeadObject::default().with_changes(changes, "s-1".parse()?, 1_700_000_000_000);
 /// assert_eq!(head.version.get(), 1);
 /// assert!(head.find_submission(&"s-1".parse()?).is_some());
@@ -87,20 +87,20 @@
 
     /// Returns a hash of the whole head, by which two daemons compare theirs.
     pub fn digest(&self) -> SectionHash {
-        let mut hasher = blake3::Hasher::new();
+        let mut bytes = Vec::new();
         let mut add = |part: &[u8]| {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+            bytes.extend((part.len() as u64).to_le_bytes());
+            bytes.extend(part);
         };
         add(&self.version.get().to_le_bytes());
         for (name, hash) in &self.sections {
-            add(name.as_str().as_bytes());
-            add(hash.as_str().as_bytes());
+            add(name.to_string().as_bytes());
+            add(hash.to_string().as_bytes());
         }
         for entry in &self.history {
             add(&entry.version.get().to_le_bytes());
             add(entry.submission.as_str().as_bytes());
         }
-        SectionHash::from_digest(hasher.finalize())
+        SectionHash::of(bytes)
     }
 }
--- a/crates/wisteriahitch-core/src/fleet/configuration/submission.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission.rs
@@ -5,11 +5,12 @@
 use serde::Serialize;
 use statig::blocking::StateMachine;
 use statig::prelude::*;
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
 use super::submission_machine::SubmissionMachine;
 use super::submission_table::SubmissionTable;
-use super::{SectionHash, SectionName, SubmissionCommand, SubmissionEvent, SubmissionOutcome};
+use super::{SubmissionCommand, SubmissionEvent, SubmissionOutcome};
 
 /// Names the state of a submission.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
@@ -61,7 +62,7 @@
         submitted_at_unix_ms: u64,
     ) -> Self {
         let changes: BTreeMap<_, _> = changes.into_iter().collect();
-        let unwritten = changes.values().flatten().cloned().collect();
+        let unwritten = changes.values().flatten().copied().collect();
         let table = SubmissionTable {
             id: Some(id),
             changes,
--- a/crates/wisteriahitch-core/src/fleet/configuration/submission_event.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_event.rs
@@ -1,9 +1,10 @@
 //! What a submission is told, asks for and ends with.
 
 use serde::Serialize;
+use wisteriahitch_config::SectionHash;
 use wisteriahitch_types::{Code, ConfigVersion};
 
-use super::{HeadObject, Holders, SectionHash};
+use super::{HeadObject, Holders};
 
 /// Tells a submission what has happened.
 #[derive(Clone, Debug)]
--- a/crates/wisteriahitch-core/src/fleet/configuration/submission_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_machine.rs
@@ -37,7 +37,7 @@
                 Self::start_reading_if_written(context)
             }
             SubmissionEvent::SectionFailed(hash) if context.try_again() => {
-                context.ask(SubmissionCommand::WriteSection(hash.clone()));
+                context.ask(SubmissionCommand::WriteSection(*hash));
                 Handled
             }
             SubmissionEvent::SectionFailed(_) => {
--- a/crates/wisteriahitch-core/src/fleet/configuration/submission_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_table.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
-use super::{HeadObject, SectionHash, SectionName, SubmissionCommand, SubmissionOutcome};
+use super::{HeadObject, SubmissionCommand, SubmissionOutcome};
 
 /// Tries at the store over the whole life of a submission.
 const MAX_TRIES: u32 = 8;
--- a/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
@@ -5,9 +5,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use wisteriahitch_config::{Section, SectionHash, SectionName};
 use wisteriahitch_core::fleet::{
     ConfigCommand, ConfigEvent, ConfigPhase, ConfigReplica, ConfigSettings, HeadChange, HeadObject,
-    Membership, Section, SectionHash, head_watchers,
+    Membership, head_watchers,
 };
 use wisteriahitch_types::{Code, ConfigVersion, DurationUs, Incarnation, TimeUs};
 
@@ -53,7 +54,7 @@
     lives: Vec<u64>,
     flights: Vec<Flight>,
     head: HeadObject,
-    objects: BTreeMap<SectionHash, Vec<u8>>,
+    objects: BTreeMap<SectionHash, String>,
     is_store_up: bool,
     now: TimeUs,
 }
@@ -89,12 +90,14 @@
             return;
         }
         let number = self.head.version.next();
-        let section = Section::new(format!("version = {number}").into_bytes());
+        let section = Section::new(format!("version = {number}"));
         self.objects
-            .insert(section.hash.clone(), section.content.to_vec());
-        let name = format!("workspace:w-{}", number.get() % 3).parse().unwrap();
+            .insert(section.hash(), section.text().to_owned());
+        let name = format!("workspace/w-{}", number.get() % 3).parse().unwrap();
         let id = format!("s-{number}").parse().unwrap();
-        self.head = self.head.with_changes([(name, Some(section.hash))], id, 0);
+        self.head = self
+            .head
+            .with_changes([(name, Some(section.hash()))], id, 0);
         for index in 0..DAEMONS {
             if self.nodes[index].is_up && self.nodes[index].replica.is_watching() {
                 let head = Some(self.head.clone());
@@ -284,8 +287,8 @@
             None => ConfigEvent::StoreHead(Some(self.head.clone())),
             Some(hash) if !self.is_store_up => ConfigEvent::SectionFailed(hash),
             Some(hash) => {
-                let content = self.objects[&hash].clone();
-                ConfigEvent::SectionRead { hash, content }
+                let text = self.objects[&hash].clone();
+                ConfigEvent::SectionRead { hash, text }
             }
         }
     }
@@ -509,14 +512,14 @@
 fn a_version_is_put_in_force_although_no_peer_answers() {
     let mut replica = ConfigReplica::new(ConfigSettings::default());
     let members = membership_of(3);
-    let section = Section::new(b"a".to_vec());
-    let changes = [("rules".parse().unwrap(), Some(section.hash.clone()))];
+    let section = Section::new("a");
+    let changes = [(SectionName::Site, Some(section.hash()))];
     let head = HeadObject::default().with_changes(changes, "s-1".parse().unwrap(), 0);
     replica.handle(ConfigEvent::Restart, TimeUs::ZERO, &members);
     replica.handle(ConfigEvent::StoreHead(Some(head)), TimeUs::ZERO, &members);
     let read = ConfigEvent::SectionRead {
-        hash: section.hash,
-        content: b"a".to_vec(),
+        hash: section.hash(),
+        text: "a".to_owned(),
     };
     let commands = replica.handle(read, TimeUs::ZERO, &members);
     assert!(matches!(commands[0], ConfigCommand::Push { .. }));
@@ -538,8 +541,8 @@
     let rejects: [fn(&mut Site) -> ConfigEvent; 2] = [
         |_| ConfigEvent::StoreHeadCorrupt,
         |_| ConfigEvent::SectionRead {
-            hash: SectionHash::of(b"good"),
-            content: b"bad".to_vec(),
+            hash: SectionHash::of("good"),
+            text: "bad".to_owned(),
         },
     ];
     for reject in rejects {
@@ -565,15 +568,15 @@
 
 #[test]
 fn a_change_leads_from_one_head_to_the_next() {
-    let hash = |text: &str| Some(SectionHash::of(text.as_bytes()));
-    let name = |text: &str| text.parse().unwrap();
+    let hash = |text: &str| Some(SectionHash::of(text));
+    let other = SectionName::Workspace("kandy-01".parse().unwrap());
     let base = HeadObject::default().with_changes(
-        [(name("rules"), hash("a")), (name("models"), hash("b"))],
+        [(SectionName::Site, hash("a")), (other.clone(), hash("b"))],
         "s-1".parse().unwrap(),
         1,
     );
     let next = base.with_changes(
-        [(name("rules"), hash("c")), (name("models"), None)],
+        [(SectionName::Site, hash("c")), (other, None)],
         "s-2".parse().unwrap(),
         2,
     );
@@ -600,3 +603,17 @@
         assert_eq!(&member.availability_zone, zone);
     }
 }
+
+/// Symptom: a submission is accepted, but a workspace in it never comes in force.
+/// Sequence: an operator submits a workspace whose id has the greatest length.
+/// Cause: the head's own type for section names counted the prefix into the bound, so the section
+/// had no name there and was left out.
+#[test]
+fn a_head_names_a_workspace_of_the_longest_id() {
+    let id = "w".repeat(128);
+    let name: SectionName = format!("workspace/{id}").parse().unwrap();
+    let changes = [(name.clone(), Some(SectionHash::of("a")))];
+    let head = HeadObject::default().with_changes(changes, "s-1".parse().unwrap(), 0);
+    let read: HeadObject = serde_json::from_value(serde_json::to_value(&head).unwrap()).unwrap();
+    assert!(read.sections.contains_key(&name));
+}
--- a/crates/wisteriahitch-core/tests/all/fleet_submission.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_submission.rs
@@ -2,9 +2,10 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed, TestRunner};
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_core::fleet::{
-    HeadObject, Holders, SectionHash, Submission, SubmissionCommand, SubmissionEvent,
-    SubmissionOutcome, SubmissionStep,
+    HeadObject, Holders, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
+    SubmissionStep,
 };
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
@@ -45,8 +46,8 @@
     fn race(&mut self) {
         self.rivals += 1;
         let id = format!("rival-{}", self.rivals).parse().unwrap();
-        let name = "rules".parse().unwrap();
-        let hash = SectionHash::of(format!("{}", self.rivals).as_bytes());
+        let name = SectionName::Site;
+        let hash = SectionHash::of(self.rivals.to_string());
         let head = self.head.clone().unwrap_or_default();
         let next = head.with_changes([(name, Some(hash))], id, 0);
         self.update(&next, self.object_version);
@@ -104,8 +105,8 @@
     expected: Option<u64>,
     fates: &mut impl Iterator<Item = Fate>,
 ) -> SubmissionOutcome {
-    let hash = SectionHash::of(b"mine");
-    let changes = [("rules".parse().unwrap(), Some(hash))];
+    let hash = SectionHash::of("mine");
+    let changes = [(SectionName::Site, Some(hash))];
     let expected = expected.map(ConfigVersion::new);
     let mut submission = Submission::new(id.clone(), changes, expected, 0);
     let mut commands = submission.handle(&SubmissionEvent::Start);
--- a/crates/wisteriahitch-node/src/config/apply.rs
+++ b/crates/wisteriahitch-node/src/config/apply.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use wisteriahitch_config::{Configuration, Sections};
-use wisteriahitch_core::fleet::{ConfigEvent, HeadObject, MembershipEvent, Section};
+use wisteriahitch_config::{Configuration, Section, Sections};
+use wisteriahitch_core::fleet::{ConfigEvent, HeadObject, MembershipEvent};
 use wisteriahitch_types::ConfigVersion;
 
 use super::objects::build_sections;
--- a/crates/wisteriahitch-node/src/config/objects.rs
+++ b/crates/wisteriahitch-node/src/config/objects.rs
@@ -1,8 +1,8 @@
 //! The platform's objects that hold the configuration.
 
 use serde_json::json;
-use wisteriahitch_config::{SectionName, Sections};
-use wisteriahitch_core::fleet::{HeadObject, Section, SectionHash, SectionName as CoreName};
+use wisteriahitch_config::{Section, SectionHash, SectionName, Sections};
+use wisteriahitch_core::fleet::HeadObject;
 use wisteriahitch_wire::platform::{
     Object, ObjectKind, Platform, PlatformError, PlatformErrorKind,
 };
@@ -13,19 +13,10 @@
 /// Field of a section object that holds its text.
 const TEXT_FIELD: &str = "text";
 
-/// Reports sections that don't fit their head.
+/// Reports a section that the head names and that wasn't read.
 #[derive(Clone, Debug, thiserror::Error)]
-pub(crate) enum SectionsError {
-    /// A name is not a section's.
-    #[error("the head names the section {0:?}")]
-    BadName(String),
-    /// A section's text isn't there.
-    #[error("the section {0} is missing")]
-    Missing(String),
-    /// A section isn't text, or doesn't fit its hash.
-    #[error("the section {0} is damaged")]
-    Damaged(String),
-}
+#[error("the section {0} is missing")]
+pub(crate) struct SectionMissing(SectionName);
 
 /// Reads a head; an error means that it doesn't parse.
 pub(crate) fn parse_head(object: &Object) -> Result<HeadObject, serde_json::Error> {
@@ -35,10 +26,10 @@
 /// Reads a section's text; nothing where it isn't there.
 pub(crate) async fn read_section(
     platform: &dyn Platform,
-    hash: &SectionHash,
+    hash: SectionHash,
 ) -> Result<Option<String>, PlatformError> {
     let object = platform
-        .get(ObjectKind::ConfigSection, hash.as_str())
+        .get(ObjectKind::ConfigSection, &hash.to_string())
         .await?;
     let text = object.and_then(|object| object.spec[TEXT_FIELD].as_str().map(str::to_owned));
     Ok(text)
@@ -47,12 +38,12 @@
 /// Writes a section; one that is there already has the same text, since its hash names it.
 pub(crate) async fn write_section(
     platform: &dyn Platform,
-    hash: &SectionHash,
+    hash: SectionHash,
     text: &str,
 ) -> Result<(), PlatformError> {
     let spec = json!({ TEXT_FIELD: text });
     match platform
-        .create(ObjectKind::ConfigSection, hash.as_str(), spec)
+        .create(ObjectKind::ConfigSection, &hash.to_string(), spec)
         .await
     {
         Err(error) if error.kind() != PlatformErrorKind::AlreadyExists => Err(error),
@@ -64,28 +55,12 @@
 pub(crate) fn build_sections(
     head: &HeadObject,
     sections: &[Section],
-) -> Result<Sections, SectionsError> {
+) -> Result<Sections, SectionMissing> {
     let mut built = Sections::default();
     for (name, hash) in &head.sections {
-        let section = sections.iter().find(|section| section.hash == *hash);
-        let section = section.ok_or_else(|| SectionsError::Missing(name.to_string()))?;
-        let damaged = || SectionsError::Damaged(name.to_string());
-        let text = std::str::from_utf8(&section.content).map_err(|_| damaged())?;
-        let expected = hash.as_str().parse().map_err(|_| damaged())?;
-        built
-            .insert(site_name(name)?, expected, text)
-            .map_err(|_| damaged())?;
+        let section = sections.iter().find(|section| section.hash() == *hash);
+        let section = section.ok_or_else(|| SectionMissing(name.clone()))?;
+        built.insert(name.clone(), section.clone());
     }
     Ok(built)
 }
-
-/// Returns the core's name of a section, which uses no slash.
-pub(crate) fn core_name(name: &SectionName) -> Option<CoreName> {
-    name.to_string().replace('/', ":").parse().ok()
-}
-
-fn site_name(name: &CoreName) -> Result<SectionName, SectionsError> {
-    let text = name.as_str().replacen(':', "/", 1);
-    text.parse()
-        .map_err(|_| SectionsError::BadName(name.to_string()))
-}
--- a/crates/wisteriahitch-node/src/config/peers.rs
+++ b/crates/wisteriahitch-node/src/config/peers.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wisteriahitch_core::fleet::{
-    ConfigEvent, HeadChange, HeadObject, PushAnswer, Section, SectionHash,
-};
+use wisteriahitch_config::{Section, SectionHash};
+use wisteriahitch_core::fleet::{ConfigEvent, HeadChange, HeadObject, PushAnswer};
 use wisteriahitch_peer::{
     PullConfigurationReply, PullConfigurationRequest, PushConfigurationReply,
     PushConfigurationRequest, Section as WireSection,
@@ -163,8 +162,8 @@
 
 fn write_sections(sections: &[Section]) -> Vec<WireSection> {
     let write = |section: &Section| WireSection {
-        hash: section.hash.to_string(),
-        content: section.content.to_vec().into(),
+        hash: section.hash().to_string(),
+        content: section.text().to_owned().into(),
     };
     sections.iter().map(write).collect()
 }
@@ -173,7 +172,8 @@
 fn read_sections(sections: &[WireSection]) -> Vec<Section> {
     let read = |section: &WireSection| {
         let hash = section.hash.parse().ok()?;
-        Section::try_checked(hash, section.content.to_vec())
+        let text = str::from_utf8(&section.content).ok()?;
+        Section::try_checked(hash, text).ok()
     };
     sections.iter().filter_map(read).collect()
 }
--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -141,12 +141,9 @@
             shared.note_head(read);
         }
         ConfigCommand::ReadSection(hash) => {
-            let read = read_section(&*shared.outside.platform, &hash).await;
+            let read = read_section(&*shared.outside.platform, hash).await;
             let event = match read {
-                Ok(Some(text)) => ConfigEvent::SectionRead {
-                    hash,
-                    content: text.into_bytes(),
-                },
+                Ok(Some(text)) => ConfigEvent::SectionRead { hash, text },
                 Ok(None) | Err(_) => ConfigEvent::SectionFailed(hash),
             };
             shared.step_config(event);
--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -5,17 +5,14 @@
 use std::time::Duration;
 
 use chrono::Utc;
-use wisteriahitch_config::{Report, Sections};
+use wisteriahitch_config::{Report, Section, SectionHash, SectionName, Sections};
 use wisteriahitch_core::fleet::{
-    ConfigEvent, HeadObject, Section, SectionHash, SectionName, Submission, SubmissionCommand,
-    SubmissionEvent, SubmissionOutcome,
+    ConfigEvent, HeadObject, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
 };
 use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
 use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
 
-use super::objects::{
-    HEAD_NAME, build_sections, core_name, parse_head, read_section, write_section,
-};
+use super::objects::{HEAD_NAME, build_sections, parse_head, read_section, write_section};
 use crate::shared::Shared;
 
 /// Time between two counts of the peers that hold an accepted version.
@@ -61,10 +58,7 @@
     ) -> Result<SubmissionOutcome, SubmitError> {
         let changes = changes(&submitted.base, &submitted.merged);
         let texts = submitted.merged.iter();
-        let texts = texts.filter_map(|(_, section)| {
-            let hash = section.hash().to_string().parse().ok()?;
-            Some((hash, section.text().to_owned()))
-        });
+        let texts = texts.map(|(_, section)| (section.hash(), section.text().to_owned()));
         let mut run = Run {
             shared: self,
             texts: texts.collect(),
@@ -115,7 +109,7 @@
             .get(&hash)
             .map(String::as_str)
             .unwrap_or_default();
-        match write_section(&*self.shared.outside.platform, &hash, text).await {
+        match write_section(&*self.shared.outside.platform, hash, text).await {
             Ok(()) => SubmissionEvent::SectionWritten(hash),
             Err(error) => {
                 log::warn!("a section can't be written: {error}");
@@ -181,11 +175,11 @@
         let mut sections = Vec::new();
         for hash in head.sections.values() {
             if !self.texts.contains_key(hash) {
-                let read = read_section(&*self.shared.outside.platform, hash).await;
-                self.texts.insert(hash.clone(), read.ok()??);
+                let read = read_section(&*self.shared.outside.platform, *hash).await;
+                self.texts.insert(*hash, read.ok()??);
             }
             let text = self.texts.get(hash)?;
-            sections.push(Section::new(text.as_bytes().to_vec()));
+            sections.push(Section::new(text.as_str()));
         }
         Some(sections)
     }
@@ -247,16 +241,10 @@
 
 /// Returns what differs between the sections in force and those that are to be.
 fn changes(base: &Sections, merged: &Sections) -> BTreeMap<SectionName, Option<SectionHash>> {
-    let mut changes = BTreeMap::new();
-    for (name, _) in base.iter().filter(|(name, _)| merged.get(name).is_none()) {
-        changes.extend(core_name(name).map(|name| (name, None)));
-    }
-    for (name, section) in merged.iter() {
-        if base.get(name).map(|known| known.hash()) == Some(section.hash()) {
-            continue;
-        }
-        let hash = section.hash().to_string().parse().ok();
-        changes.extend(core_name(name).map(|name| (name, hash)));
-    }
-    changes
+    let names = base.iter().chain(merged.iter()).map(|(name, _)| name);
+    let hash_in = |sections: &Sections, name| sections.get(name).map(Section::hash);
+    names
+        .filter(|name| hash_in(base, name) != hash_in(merged, name))
+        .map(|name| (name.clone(), hash_in(merged, name)))
+        .collect()
 }
