refactor(core): give a store's tier and a block's state one type each

Tier and BlockState move to wisteriahitch-types; wire and the router use them, and the node's mapping between the two goes. EndpointOrder and the two ImportSteps stay apart; comments say why.

--- a/crates/wisteriahitch-core/benches/route.rs
+++ b/crates/wisteriahitch-core/benches/route.rs
@@ -17,11 +17,11 @@
 use wisteriahitch_config::{Configuration, Endpoint, Service, ServiceKind, Workspace};
 use wisteriahitch_core::route::{
     Admission, AdmissionCommand, AdmissionRequest, ChainScope, CostPolicy, Directory, EndpointLoad,
-    LinkView, LoadedModel, Piece, PieceChain, RouteRequest, Router, Tier, piece_chain,
+    LinkView, LoadedModel, Piece, PieceChain, RouteRequest, Router, piece_chain,
 };
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, DurationUs, EndpointId, Share, StoreId, TimeUs, TokenCount,
-    TokenRate,
+    BlockKey, ByteCount, ByteRate, DurationUs, EndpointId, Share, StoreId, Tier, TimeUs,
+    TokenCount, TokenRate,
 };
 
 const NOW: TimeUs = TimeUs::new(1_000_000_000);
--- a/crates/wisteriahitch-core/src/fleet/orders/endpoint_order.rs
+++ b/crates/wisteriahitch-core/src/fleet/orders/endpoint_order.rs
@@ -4,6 +4,9 @@
 use wisteriahitch_types::{AdapterName, EndpointId, ModelName, WeightVersion};
 
 /// Tells an endpoint what to change.
+///
+/// The engine's protocol has an `Order` of its own, whose JSON form is for engines to say; the
+/// two are kept apart, so that another protocol can be put there without touching a decision.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum EndpointOrder {
--- a/crates/wisteriahitch-core/src/route/directory/chain_holders.rs
+++ b/crates/wisteriahitch-core/src/route/directory/chain_holders.rs
@@ -1,8 +1,8 @@
 //! The holders of one prompt's pieces, read once for a decision.
 
-use wisteriahitch_types::{EndpointId, StoreId};
+use wisteriahitch_types::{EndpointId, StoreId, Tier};
 
-use super::{Holder, Holders, PlaceId, Places, Spill, Tier};
+use super::{Holder, Holders, PlaceId, Places, Spill};
 
 /// Holds who has which piece of one prompt.
 #[derive(Debug)]
--- a/crates/wisteriahitch-core/src/route/directory/mod.rs
+++ b/crates/wisteriahitch-core/src/route/directory/mod.rs
@@ -8,7 +8,6 @@
 mod shard;
 mod table;
 
-pub use place::Tier;
 pub use shard::shard_owner;
 pub use table::{Directory, DirectorySnapshot};
 
--- a/crates/wisteriahitch-core/src/route/directory/place.rs
+++ b/crates/wisteriahitch-core/src/route/directory/place.rs
@@ -3,21 +3,10 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
-use serde::{Deserialize, Serialize};
-use wisteriahitch_types::{EndpointId, StoreId};
+use wisteriahitch_types::{EndpointId, StoreId, Tier};
 
 use super::numbers::{Numbers, Place, SWEEPS_TO_FREE};
 
-/// Names where in a store VM a block lies.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Tier {
-    /// The VM's memory.
-    Memory,
-    /// The VM's disk.
-    Disk,
-}
-
 /// Names one holder of blocks.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Holder {
--- a/crates/wisteriahitch-core/src/route/directory/table.rs
+++ b/crates/wisteriahitch-core/src/route/directory/table.rs
@@ -1,10 +1,10 @@
 //! The directory: which endpoint and which tier holds which block, as a hint.
 
 use serde::Serialize;
-use wisteriahitch_types::{BlockKey, EndpointId, StoreId, TokenCount};
+use wisteriahitch_types::{BlockKey, EndpointId, StoreId, Tier, TokenCount};
 
 use super::segment::{Fingerprint, SEGMENTS, Segment, segment_of};
-use super::{ChainHolders, Holder, Holders, PlaceId, Places, Spill, Tier};
+use super::{ChainHolders, Holder, Holders, PlaceId, Places, Spill};
 use crate::route::PieceChain;
 
 /// Room that the hash table takes for one slot, in bytes: key, holders and a control byte.
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -12,7 +12,7 @@
 mod router;
 
 pub use admission::{Admission, AdmissionCommand, AdmissionRequest, GateSnapshot};
-pub use directory::{Directory, DirectorySnapshot, Tier, shard_owner};
+pub use directory::{Directory, DirectorySnapshot, shard_owner};
 pub use endpoint::{
     EndpointChange, EndpointLoad, EndpointOptions, EndpointSnapshot, EndpointTable, FlightFailure,
     FlightId, LeavingSource, LifeState, LoadedModel, Served, Slowness,
--- a/crates/wisteriahitch-core/src/route/policy/choice.rs
+++ b/crates/wisteriahitch-core/src/route/policy/choice.rs
@@ -1,9 +1,7 @@
 //! What a policy decides.
 
 use serde::Serialize;
-use wisteriahitch_types::{BlockKey, Code, DurationUs, EndpointId, StoreId, TokenCount};
-
-use crate::route::Tier;
+use wisteriahitch_types::{BlockKey, Code, DurationUs, EndpointId, StoreId, Tier, TokenCount};
 
 /// Says where a request runs and what is done before.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -30,6 +28,9 @@
 }
 
 /// Names one piece to import.
+///
+/// The router knows pieces by their tokens and tiers; the bytes that cross a link are added for
+/// [`tier::ImportStep`](crate::tier::ImportStep) by the shell, which knows the model's size.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct ImportStep {
     /// Block.
--- a/crates/wisteriahitch-core/src/route/policy/request.rs
+++ b/crates/wisteriahitch-core/src/route/policy/request.rs
@@ -2,10 +2,10 @@
 
 use wisteriahitch_types::{
     AdapterName, AvailabilityZone, ByteCount, DurationUs, EndpointId, ModelName, ServiceName,
-    Share, StoreId, TimeUs, TokenCount, WeightVersion,
+    Share, StoreId, Tier, TimeUs, TokenCount, WeightVersion,
 };
 
-use crate::route::{Directory, EndpointTable, PieceChain, Served, Tier};
+use crate::route::{Directory, EndpointTable, PieceChain, Served};
 
 /// Asks where a request is to run.
 #[derive(Clone, Debug)]
--- a/crates/wisteriahitch-core/src/route/policy/sources.rs
+++ b/crates/wisteriahitch-core/src/route/policy/sources.rs
@@ -1,9 +1,8 @@
 //! Where each piece of a prompt can be imported from.
 
-use wisteriahitch_types::{ByteCount, DurationUs, StoreId, TimeUs};
+use wisteriahitch_types::{ByteCount, DurationUs, StoreId, Tier, TimeUs};
 
 use super::{LinkView, RouteRequest};
-use crate::route::Tier;
 use crate::route::directory::ChainHolders;
 
 /// Names where one piece is imported from.
--- a/crates/wisteriahitch-core/tests/all/route_directory.rs
+++ b/crates/wisteriahitch-core/tests/all/route_directory.rs
@@ -4,8 +4,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use wisteriahitch_core::route::{Directory, Piece, PieceChain, Tier, shard_owner};
-use wisteriahitch_types::{BlockKey, DaemonId, TokenCount};
+use wisteriahitch_core::route::{Directory, Piece, PieceChain, shard_owner};
+use wisteriahitch_types::{BlockKey, DaemonId, Tier, TokenCount};
 
 use crate::route_fixture::{chain, endpoint, store, words};
 
--- a/crates/wisteriahitch-core/tests/all/route_fixture.rs
+++ b/crates/wisteriahitch-core/tests/all/route_fixture.rs
@@ -5,10 +5,11 @@
 use wisteriahitch_config::{Configuration, Endpoint, Service, ServiceKind};
 use wisteriahitch_core::route::{
     ChainScope, CostPolicy, EndpointLoad, LinkView, LoadedModel, PieceChain, Policy, RouteRequest,
-    Router, Tier, piece_chain,
+    Router, piece_chain,
 };
 use wisteriahitch_types::{
-    ByteCount, ByteRate, DurationUs, EndpointId, Share, StoreId, TimeUs, TokenCount, TokenRate,
+    ByteCount, ByteRate, DurationUs, EndpointId, Share, StoreId, Tier, TimeUs, TokenCount,
+    TokenRate,
 };
 
 pub(crate) const PIECE_TOKENS: u64 = 10;
--- a/crates/wisteriahitch-core/tests/all/route_policy.rs
+++ b/crates/wisteriahitch-core/tests/all/route_policy.rs
@@ -5,10 +5,10 @@
 use wisteriahitch_config::ServiceKind;
 use wisteriahitch_core::route::{
     Affinity, Choice, CostPolicy, EndpointLoad, FlightFailure, LeastLoaded, LeavingSource, NoLinks,
-    ParsePolicyError, Policy, PolicyKind, RoundRobin, RouteRequest, Router, Tier,
+    ParsePolicyError, Policy, PolicyKind, RoundRobin, RouteRequest, Router,
 };
 use wisteriahitch_types::{
-    BlockKey, ByteRate, Code, DurationUs, EndpointId, Share, TokenCount, TokenRate,
+    BlockKey, ByteRate, Code, DurationUs, EndpointId, Share, Tier, TokenCount, TokenRate,
 };
 
 use crate::route_fixture::{
--- a/crates/wisteriahitch-node/src/state/route.rs
+++ b/crates/wisteriahitch-node/src/state/route.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use wisteriahitch_core::route::{Choice, FlightFailure, FlightId, LinkView, RouteRequest, Tier};
-use wisteriahitch_types::{ByteCount, DurationUs, EndpointId, StoreId, TimeUs, TokenCount};
+use wisteriahitch_core::route::{Choice, FlightFailure, FlightId, LinkView, RouteRequest};
+use wisteriahitch_types::{ByteCount, DurationUs, EndpointId, StoreId, Tier, TimeUs, TokenCount};
 
 use crate::caller::Refusal;
 use crate::shared::Shared;
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -6,7 +6,6 @@
 
 use tokio::task::JoinSet;
 use wisteriahitch_config::Store;
-use wisteriahitch_core::route::Tier as RouteTier;
 use wisteriahitch_core::tier::{BlockState, TierEvent};
 use wisteriahitch_types::{BlockKey, StoreId, StoreIncarnation};
 use wisteriahitch_wire::store::{
@@ -106,7 +105,7 @@
     if listing.incarnation != *incarnation {
         return;
     }
-    let readable: Vec<(BlockKey, RouteTier)> = readable(&listing).collect();
+    let readable: Vec<(BlockKey, Tier)> = readable(&listing).collect();
     shared
         .router
         .lock()
@@ -117,17 +116,11 @@
     }
 }
 
-fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, RouteTier)> {
+fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, Tier)> {
     let blocks = listing.blocks.iter();
     blocks
         .filter(|block| block.state == WireState::Readable)
-        .map(|block| {
-            let tier = match block.tier {
-                Tier::Memory => RouteTier::Memory,
-                Tier::Disk => RouteTier::Disk,
-            };
-            (block.key, tier)
-        })
+        .map(|block| (block.key, block.tier))
 }
 
 fn listed(store: &StoreId, incarnation: &StoreIncarnation, block: StoredBlock) -> TierEvent {
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -3,11 +3,14 @@
 //! Every other crate speaks in these types, so that an identifier is never mistaken for another
 //! one and a number never loses its unit. The words are explained in `docs/GLOSSARY.md`.
 
+mod block_state;
 mod code;
 mod id;
 mod key;
+mod tier;
 mod unit;
 
+pub use block_state::BlockState;
 pub use code::{Code, Meaning};
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
@@ -15,6 +18,7 @@
     StoreId, StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
 };
 pub use key::{BlockKey, KeyHash, ParseKeyError};
+pub use tier::Tier;
 pub use unit::{
     ByteCount, ByteRate, DurationUs, ParseUnitError, Share, TimeUs, TokenCount, TokenRate,
 };
--- a/crates/wisteriahitch-wire/src/store/message.rs
+++ b/crates/wisteriahitch-wire/src/store/message.rs
@@ -2,38 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, Generation, StoreIncarnation, TokenCount, WeightVersion,
-    WorkspaceId,
+    BlockKey, BlockState, ByteCount, ByteRate, Generation, StoreIncarnation, Tier, TokenCount,
+    WeightVersion, WorkspaceId,
 };
 
-/// Names where in a store VM a block lies.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Tier {
-    /// The VM's memory.
-    Memory,
-    /// The VM's disk.
-    Disk,
-}
-
-/// Names the steps of a block's life.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum BlockState {
-    /// Room is taken.
-    Reserved,
-    /// Content is arriving.
-    Writing,
-    /// Length and checksum are fixed.
-    Sealed,
-    /// Readers may pin it.
-    Readable,
-    /// No new reader may pin it.
-    Draining,
-    /// It is gone.
-    Freed,
-}
-
 /// Holds the room of one tier.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TierReport {
--- a/crates/wisteriahitch-wire/src/store/mod.rs
+++ b/crates/wisteriahitch-wire/src/store/mod.rs
@@ -9,9 +9,9 @@
 pub use error::{StoreError, StoreErrorKind};
 pub use http_store::HttpStore;
 pub use message::{
-    BlockListing, BlockState, LinkReport, Pin, ReserveRequest, Reserved, StoreReport, StoredBlock,
-    Tier, TierReport,
+    BlockListing, LinkReport, Pin, ReserveRequest, Reserved, StoreReport, StoredBlock, TierReport,
 };
+pub use wisteriahitch_types::{BlockState, Tier};
 
 use std::net::SocketAddr;
 
