--- a/crates/wisteriahitch-node/src/operator/explain.rs
+++ b/crates/wisteriahitch-node/src/operator/explain.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde_json::{Value, json};
 use wisteriahitch_config::{Action, Model, RequestFacts, Route};
-use wisteriahitch_core::route::{ChainScope, PieceChain, RouteRequest, piece_chain};
+use wisteriahitch_core::route::{ChainScope, PieceChain, RouteRequest, Weighed, piece_chain};
 use wisteriahitch_types::{ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId};
 
 use super::handler::parse;
@@ -32,6 +32,12 @@
     labels: BTreeMap<String, String>,
 }
 
+impl Question {
+    fn find_model<'a>(&self, in_force: &'a InForce) -> Option<&'a Model> {
+        in_force.configuration.models.get(self.model.as_ref()?)
+    }
+}
+
 const COMPLETIONS_PATH: &str = "/v1/completions";
 
 /// Answers `POST /v1/explain`; nothing is sent to an endpoint.
@@ -39,11 +45,7 @@
     shared: &Arc<Shared>,
     body: &Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let question: Question = parse(body)?;
-    let in_force = shared
-        .in_force
-        .load_full()
-        .ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let (question, in_force) = read_question(shared, body)?;
     let facts = facts(shared, &question);
     let traces = in_force.configuration.explain(&facts);
     let rule = in_force.configuration.decide(&facts);
@@ -58,6 +60,15 @@
     Ok(json_response(&answer))
 }
 
+fn read_question(shared: &Shared, body: &Bytes) -> Result<(Question, Arc<InForce>), Refusal> {
+    let question = parse(body)?;
+    let in_force = shared
+        .in_force
+        .load_full()
+        .ok_or_else(|| Refusal::new(Code::NotReady))?;
+    Ok((question, in_force))
+}
+
 fn facts(shared: &Shared, question: &Question) -> RequestFacts {
     let prompt_tokens = question
         .prompt
@@ -85,10 +96,23 @@
     route: &Route,
     answer: &mut Value,
 ) {
-    let model = question
-        .model
-        .as_ref()
-        .and_then(|model| in_force.configuration.models.get(model));
+    let request = route_request(shared, question.find_model(in_force), question, route);
+    match shared.choose(&request) {
+        Ok(choice) => {
+            answer["endpoint"] = json!(choice.endpoint);
+            answer["plan"] = json!(choice.plan);
+            answer["weighed"] = choice.weighed.iter().map(weighed_json).collect();
+        }
+        Err(refusal) => answer["refusal"] = json!(refusal.code()),
+    }
+}
+
+fn route_request(
+    shared: &Shared,
+    model: Option<&Model>,
+    question: &Question,
+    route: &Route,
+) -> RouteRequest {
     let version = model.and_then(|model| {
         let mut versions = shared.candidate_versions(&route.service, model);
         versions.pop()
@@ -97,7 +121,7 @@
         (Some(model), Some(version)) => chain(question, model, version),
         _ => PieceChain::default(),
     };
-    let request = RouteRequest {
+    RouteRequest {
         service: route.service.clone(),
         model: model.map(|model| model.name.clone()),
         adapter: route.adapter.clone(),
@@ -111,30 +135,20 @@
         exclude: Vec::new(),
         explain: true,
         bytes_per_token: model.map_or(ByteCount::ZERO, |model| model.bytes_per_token),
-    };
-    match shared.choose(&request) {
-        Ok(choice) => {
-            answer["endpoint"] = json!(choice.endpoint);
-            answer["plan"] = json!(choice.plan);
-            answer["weighed"] = choice
-                .weighed
-                .iter()
-                .map(|weighed| {
-                    json!({
-                        "endpoint": weighed.endpoint,
-                        "cost": weighed.cost_us,
-                        "first_token_us": weighed.estimate.first_token_us,
-                        "queue_us": weighed.estimate.queue_us,
-                        "transfer_us": weighed.estimate.transfer_us,
-                        "prefill_us": weighed.estimate.prefill_us,
-                    })
-                })
-                .collect();
-        }
-        Err(refusal) => answer["refusal"] = json!(refusal.code()),
     }
 }
 
+fn weighed_json(weighed: &Weighed) -> Value {
+    json!({
+        "endpoint": weighed.endpoint,
+        "cost": weighed.cost_us,
+        "first_token_us": weighed.estimate.first_token_us,
+        "queue_us": weighed.estimate.queue_us,
+        "transfer_us": weighed.estimate.transfer_us,
+        "prefill_us": weighed.estimate.prefill_us,
+    })
+}
+
 fn chain(question: &Question, model: &Model, weight_version: &WeightVersion) -> PieceChain {
     let scope = ChainScope {
         secret: &[],
@@ -152,15 +166,9 @@
     shared: &Arc<Shared>,
     body: &Bytes,
 ) -> Result<Response<ResponseBody>, Refusal> {
-    let question: Question = parse(body)?;
-    let in_force = shared
-        .in_force
-        .load_full()
-        .ok_or_else(|| Refusal::new(Code::NotReady))?;
+    let (question, in_force) = read_question(shared, body)?;
     let model = question
-        .model
-        .as_ref()
-        .and_then(|model| in_force.configuration.models.get(model))
+        .find_model(&in_force)
         .ok_or_else(|| Refusal::new(Code::UnknownModel))?;
     let chain = chain(&question, model, &model.weight_version);
     let router = shared.router.lock();
