--- /dev/null
+++ b/crates/wisteriahitch-core/src/route/admission/ending.rs
@@ -0,0 +1,77 @@
+//! How requests leave: they end, are taken back, or wait too long.
+
+use wisteriahitch_types::{Code, DurationUs, RequestId, TimeUs};
+
+use super::entry::{Entry, Standing};
+use super::refusal::refuse;
+use super::{Admission, AdmissionCommand};
+
+impl Admission {
+    /// Records that a started request has ended, in whatever way, and starts the next.
+    pub fn finished(&mut self, request: &RequestId, now: TimeUs) -> Vec<AdmissionCommand> {
+        let is_running = |entry: &Entry| matches!(entry.standing, Standing::Running);
+        if !self.entries.get(request).is_some_and(is_running) {
+            return Vec::new();
+        }
+        let Some(entry) = self.entries.remove(request) else {
+            return Vec::new();
+        };
+        if let Some(gate) = self.gates.get_mut(&entry.service) {
+            gate.ended(now);
+        }
+        self.start_next(&entry.service, now)
+    }
+
+    /// Takes a request back that waits, and returns whether it did; it was not run.
+    ///
+    /// One that was started stays counted until [`Admission::finished`].
+    pub fn cancel(&mut self, request: &RequestId) -> bool {
+        let Some(entry) = self.entries.get(request) else {
+            return false;
+        };
+        let Standing::Waiting { rank, deadline_us } = entry.standing else {
+            return false;
+        };
+        let (workspace, service) = (entry.workspace.clone(), entry.service.clone());
+        if let Some(gate) = self.gates.get_mut(&service) {
+            gate.queue.remove(&workspace, rank);
+            gate.requests.remove(&rank);
+        }
+        self.deadlines.remove(&(deadline_us, request.clone()));
+        self.entries.remove(request);
+        true
+    }
+
+    /// Refuses requests whose deadline has passed while they waited, and forgets idle workspaces.
+    pub fn tick(&mut self, now: TimeUs) -> Vec<AdmissionCommand> {
+        for gate in self.gates.values_mut() {
+            gate.queue.forget_idle();
+        }
+        self.expire(now)
+    }
+
+    pub(super) fn expire(&mut self, now: TimeUs) -> Vec<AdmissionCommand> {
+        let mut commands = Vec::new();
+        while let Some((deadline, request)) = self.deadlines.first().cloned() {
+            if deadline > now {
+                break;
+            }
+            let service = self.entries.get(&request).map(|entry| &entry.service);
+            let drain = service.map_or(DurationUs::ZERO, |service| self.drain_time(service));
+            self.cancel(&request);
+            self.deadlines.remove(&(deadline, request.clone()));
+            commands.push(refuse(request, Code::DeadlineUnreachable, drain));
+        }
+        commands
+    }
+
+    /// Refuses every request that waits, such as when nothing can be started any more.
+    pub fn refuse_waiting(&mut self, code: Code) -> Vec<AdmissionCommand> {
+        let waiting: Vec<RequestId> = self.deadlines.iter().map(|(_, id)| id.clone()).collect();
+        waiting
+            .into_iter()
+            .filter(|request| self.cancel(request))
+            .map(|request| refuse(request, code, DurationUs::ZERO))
+            .collect()
+    }
+}
--- a/crates/wisteriahitch-core/src/route/admission/mod.rs
+++ b/crates/wisteriahitch-core/src/route/admission/mod.rs
@@ -1,8 +1,11 @@
 //! Admission: quotas, bounded queues and fair shares among workspaces.
 
+mod ending;
+mod entry;
 mod fair_queue;
 mod gate;
 mod quota;
+mod refusal;
 mod request;
 mod snapshot;
 mod table;
--- a/crates/wisteriahitch-core/src/route/admission/table.rs
+++ b/crates/wisteriahitch-core/src/route/admission/table.rs
@@ -5,30 +5,14 @@
 use wisteriahitch_config::Configuration;
 use wisteriahitch_types::{Code, DurationUs, RequestId, ServiceName, TimeUs, WorkspaceId};
 
-use super::fair_queue::Rank;
+use super::entry::{Entry, Standing};
 use super::gate::Gate;
 use super::quota::Quota;
+use super::refusal::refuse;
 use super::{AdmissionCommand, AdmissionRequest};
 
 /// Requests of a service that run at once until its capacity is told.
 const DEFAULT_CAPACITY: usize = 64;
-/// Shortest time after which a caller is told to come back.
-const MIN_RETRY_AFTER_US: DurationUs = DurationUs::from_ms(100);
-/// Longest time after which a caller is told to come back.
-const MAX_RETRY_AFTER_US: DurationUs = DurationUs::from_ms(60_000);
-
-#[derive(Clone, Debug)]
-enum Standing {
-    Waiting { rank: Rank, deadline_us: TimeUs },
-    Running,
-}
-
-#[derive(Clone, Debug)]
-struct Entry {
-    workspace: WorkspaceId,
-    service: ServiceName,
-    standing: Standing,
-}
 
 /// Shares each service among the workspaces by their weights, within their quotas.
 ///
@@ -39,8 +23,8 @@
     quotas: HashMap<WorkspaceId, Quota>,
     pub(super) gates: HashMap<ServiceName, Gate>,
     capacities: HashMap<ServiceName, usize>,
-    entries: HashMap<RequestId, Entry>,
-    deadlines: BTreeSet<(TimeUs, RequestId)>,
+    pub(super) entries: HashMap<RequestId, Entry>,
+    pub(super) deadlines: BTreeSet<(TimeUs, RequestId)>,
 }
 
 impl Admission {
@@ -106,102 +90,31 @@
     }
 
     fn check(&mut self, request: &AdmissionRequest, now: TimeUs) -> Result<(), AdmissionCommand> {
+        let id = request.request.clone();
         if request.deadline_us <= now {
-            return Err(refuse(request, Code::DeadlineUnreachable, DurationUs::ZERO));
+            return Err(refuse(id, Code::DeadlineUnreachable, DurationUs::ZERO));
         }
         let drain = self.drain_time(&request.service);
         let waiting = self.waiting_of(request);
         let Some(quota) = self.quotas.get_mut(&request.workspace) else {
-            return Err(refuse(request, Code::UnknownKey, DurationUs::ZERO));
+            return Err(refuse(id, Code::UnknownKey, DurationUs::ZERO));
         };
         if waiting >= quota.max_queued {
-            return Err(refuse(request, Code::QueueFull, drain));
+            return Err(refuse(id, Code::QueueFull, drain));
         }
         let wait = quota.take(request.prompt_tokens, now);
         if wait > DurationUs::ZERO {
-            return Err(refuse(request, Code::QuotaExceeded, wait));
+            return Err(refuse(id, Code::QuotaExceeded, wait));
         }
         Ok(())
     }
 
-    /// Records that a started request has ended, in whatever way, and starts the next.
-    pub fn finished(&mut self, request: &RequestId, now: TimeUs) -> Vec<AdmissionCommand> {
-        let is_running = |entry: &Entry| matches!(entry.standing, Standing::Running);
-        if !self.entries.get(request).is_some_and(is_running) {
-            return Vec::new();
-        }
-        let Some(entry) = self.entries.remove(request) else {
-            return Vec::new();
-        };
-        if let Some(gate) = self.gates.get_mut(&entry.service) {
-            gate.ended(now);
-        }
-        self.start_next(&entry.service, now)
-    }
-
-    /// Takes a request back that waits, and returns whether it did; it was not run.
-    ///
-    /// One that was started stays counted until [`Admission::finished`].
-    pub fn cancel(&mut self, request: &RequestId) -> bool {
-        let Some(entry) = self.entries.get(request) else {
-            return false;
-        };
-        let Standing::Waiting { rank, deadline_us } = entry.standing else {
-            return false;
-        };
-        let (workspace, service) = (entry.workspace.clone(), entry.service.clone());
-        if let Some(gate) = self.gates.get_mut(&service) {
-            gate.queue.remove(&workspace, rank);
-            gate.requests.remove(&rank);
-        }
-        self.deadlines.remove(&(deadline_us, request.clone()));
-        self.entries.remove(request);
-        true
-    }
-
-    /// Refuses requests whose deadline has passed while they waited, and forgets idle workspaces.
-    pub fn tick(&mut self, now: TimeUs) -> Vec<AdmissionCommand> {
-        for gate in self.gates.values_mut() {
-            gate.queue.forget_idle();
-        }
-        self.expire(now)
-    }
-
-    fn expire(&mut self, now: TimeUs) -> Vec<AdmissionCommand> {
-        let mut commands = Vec::new();
-        while let Some((deadline, request)) = self.deadlines.first().cloned() {
-            if deadline > now {
-                break;
-            }
-            let service = self.entries.get(&request).map(|entry| &entry.service);
-            let drain = service.map_or(DurationUs::ZERO, |service| self.drain_time(service));
-            self.cancel(&request);
-            self.deadlines.remove(&(deadline, request.clone()));
-            commands.push(AdmissionCommand::Refuse {
-                request,
-                code: Code::DeadlineUnreachable,
-                retry_after_us: drain.clamp(MIN_RETRY_AFTER_US, MAX_RETRY_AFTER_US),
-            });
-        }
-        commands
-    }
-
-    /// Refuses every request that waits, such as when nothing can be started any more.
-    pub fn refuse_waiting(&mut self, code: Code) -> Vec<AdmissionCommand> {
-        let waiting: Vec<RequestId> = self.deadlines.iter().map(|(_, id)| id.clone()).collect();
-        waiting
-            .into_iter()
-            .filter(|request| self.cancel(request))
-            .map(|request| AdmissionCommand::Refuse {
-                request,
-                code,
-                retry_after_us: MIN_RETRY_AFTER_US,
-            })
-            .collect()
-    }
-
     /// Starts what fits; requests that nobody waits for any more are refused before.
-    fn start_next(&mut self, service: &ServiceName, now: TimeUs) -> Vec<AdmissionCommand> {
+    pub(super) fn start_next(
+        &mut self,
+        service: &ServiceName,
+        now: TimeUs,
+    ) -> Vec<AdmissionCommand> {
         let mut commands = self.expire(now);
         let Some(gate) = self.gates.get_mut(service) else {
             return commands;
@@ -232,7 +145,7 @@
         told.unwrap_or(DEFAULT_CAPACITY)
     }
 
-    fn drain_time(&self, service: &ServiceName) -> DurationUs {
+    pub(super) fn drain_time(&self, service: &ServiceName) -> DurationUs {
         let gate = self.gates.get(service);
         gate.map_or(DurationUs::ZERO, Gate::drain_time)
     }
@@ -242,11 +155,3 @@
         self.gates.values().map(of_gate).sum()
     }
 }
-
-fn refuse(request: &AdmissionRequest, code: Code, after: DurationUs) -> AdmissionCommand {
-    AdmissionCommand::Refuse {
-        request: request.request.clone(),
-        code,
-        retry_after_us: after.clamp(MIN_RETRY_AFTER_US, MAX_RETRY_AFTER_US),
-    }
-}
