refactor(types): drop codes that nothing gives, and a count that nobody reads

SlowReader (1006), KeyRequired (1012), OrderFailed (5008) and CacheEventGap (6005) stand in no crate: a caller that reads too slowly has its connection cut, a request without a key is sent once, a failed order is logged under its endpoint, and a gap makes the endpoint be listed again.

--- a/crates/wisteriahitch-core/src/fleet/members/membership.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/membership.rs
@@ -194,9 +194,4 @@
     pub fn highest_peer_config(&self) -> Option<ConfigVersion> {
         self.peers().map(|member| member.config_version).max()
     }
-
-    /// Returns how many members' news is still to be told, for the metrics.
-    pub fn queued_news(&self) -> usize {
-        self.queue.len()
-    }
 }
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -86,8 +86,6 @@
     HeaderTooLarge = 1004, NotRun, 431;
     /// The caller sent its request too slowly.
     SlowSender = 1005, NotRun, 408;
-    /// The caller read its answer too slowly.
-    SlowReader = 1006, OutcomeUnknown, 0;
     /// The path or method is not served here.
     UnknownPath = 1007, NotRun, 404;
     /// No workspace has the key that the caller sent.
@@ -98,8 +96,6 @@
     ForeignTicket = 1010, NotRun, 403;
     /// The same key came with a different request.
     KeyReused = 1011, NotRun, 422;
-    /// The request needs a ticket or an idempotency key, because it may not be repeated.
-    KeyRequired = 1012, NotRun, 428;
     /// The operator's key is missing or wrong.
     OperatorKey = 1013, NotRun, 403;
     /// No request with this id is under way or kept here.
@@ -196,8 +192,6 @@
     LeaseLapsed = 5006, Notice, 409;
     /// The endpoint refused the order, because its fencing number is old.
     OrderFenced = 5007, Notice, 409;
-    /// The order failed at the endpoint.
-    OrderFailed = 5008, Notice, 502;
 
     /// The block is not at the store any more.
     BlockGone = 6001, Notice, 410;
@@ -207,8 +201,6 @@
     StoreFull = 6003, Notice, 507;
     /// The store can't be reached.
     StoreLost = 6004, Notice, 502;
-    /// The cache events of an endpoint have a gap.
-    CacheEventGap = 6005, Notice, 0;
 }
 
 impl Code {
