--- a/crates/wisteriahitch-core/src/fleet/members/news_queue.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/news_queue.rs
@@ -24,10 +24,6 @@
         self.sends.remove(&incarnation);
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.sends.len()
-    }
-
     /// Returns the members with news, those told least often first.
     pub(crate) fn by_urgency(&self) -> Vec<Incarnation> {
         let mut order: Vec<(u32, Incarnation)> = self
