--- a/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
@@ -8,6 +8,7 @@
 mod head_change;
 mod head_object;
 mod phase;
+mod reading;
 mod replication;
 mod starting;
 mod submission;
--- a/crates/wisteriahitch-core/src/once/claim/mod.rs
+++ b/crates/wisteriahitch-core/src/once/claim/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod object;
 mod request;
+mod results;
 mod shard;
 mod work;
 
--- a/crates/wisteriahitch-core/src/once/table.rs
+++ b/crates/wisteriahitch-core/src/once/table.rs
@@ -1,5 +1,6 @@
 //! All keys that a process knows.
 
+mod claims;
 mod retention;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -12,7 +13,7 @@
 use super::life::Event;
 use super::{
     ClaimNonce, ClaimState, Decision, Delivery, EntrySnapshot, Fingerprint, KeptAnswer, OnceKey,
-    StandingClaim, TableLimits, TableSnapshot, WaiterId,
+    TableLimits, TableSnapshot, WaiterId,
 };
 
 /// Lets each key start at most one dispatch in this process, and keeps outcomes for repeats.
@@ -110,47 +111,6 @@
         decision
     }
 
-    /// Notes that our claim on the key stands, and names the caller whose copy runs.
-    ///
-    /// Returns nothing where the key wasn't being decided, or where all callers have left: then
-    /// the next copy finds our claim and runs.
-    pub fn claim_written(&mut self, key: &OnceKey) -> Option<Delivery> {
-        let entry = self.entries.get_mut(key)?;
-        if !entry.is_deciding() {
-            return None;
-        }
-        let Some(runner) = entry.runner() else {
-            // A claimed key without a caller would count as under way for ever, and keep a
-            // draining process from its end.
-            self.settle(key, &Event::Lost(Code::CallerGone), self.last_seen);
-            return None;
-        };
-        entry.handle(&Event::ClaimWritten).then(|| Delivery {
-            waiters: vec![runner],
-            decision: Decision::Run,
-        })
-    }
-
-    /// Notes that another claim on the key stands, and tells the callers what that one says.
-    ///
-    /// The key is forgotten at once, so that each repeat reads the claim again: its holder may
-    /// have died since, or have written down the answer.
-    pub fn claim_lost(&mut self, key: &OnceKey, claim: &StandingClaim) -> Option<Delivery> {
-        let entry = self.entries.get_mut(key)?;
-        if !entry.handle(&Event::ClaimLost) {
-            return None;
-        }
-        let decision = claim.decide(entry.fingerprint(), self.incarnation);
-        let delivery = entry.deliver_as(decision);
-        self.entries.remove(key);
-        Some(delivery)
-    }
-
-    /// Notes that the object store couldn't decide; a repeat will ask it again.
-    pub fn claim_undecided(&mut self, key: &OnceKey, now: TimeUs) -> Option<Delivery> {
-        self.settle(key, &Event::Lost(Code::ClaimUndecided), now)
-    }
-
     /// Asks for the one permission to send the key's request to an endpoint.
     ///
     /// Without `true` no byte may leave.
--- a/crates/wisteriahitch-core/src/stream/check.rs
+++ b/crates/wisteriahitch-core/src/stream/check.rs
@@ -4,36 +4,13 @@
 use wisteriahitch_types::{AttemptNumber, Code, EndpointId, RequestId, WeightVersion};
 
 use super::life::{Event, StreamLife, StreamState};
-use super::{BreakDecision, DropCounts, DropReason, StreamBreak, StreamHead, StreamToken};
+use super::{
+    BreakDecision, DropCounts, DropReason, HeadVerdict, StreamBreak, StreamHead, StreamToken,
+    TokenVerdict,
+};
 
 const FIRST_ATTEMPT: AttemptNumber = AttemptNumber::new(1);
 
-/// Says what to do with the head of an endpoint's answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum HeadVerdict {
-    /// It is the awaited one: tokens may follow.
-    Pass,
-    /// It is not the awaited one: read no more of this answer.
-    Drop(DropReason),
-    /// The endpoint uses other weights than the request was decided for: cancel this attempt and
-    /// call [`StreamCheck::on_break`].
-    WrongVersion,
-}
-
-/// Says what to do with a token.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum TokenVerdict {
-    /// Pass it on.
-    Pass,
-    /// Pass it on and end the answer: it is whole.
-    PassLast,
-    /// Leave it out; the stream goes on.
-    Drop(DropReason),
-    /// A token before it is missing: cancel this attempt and call [`StreamCheck::on_break`], which
-    /// may ask for the rest again.
-    Missing,
-}
-
 /// Lets each token of one request pass to its caller once and in order.
 ///
 /// ```
--- a/crates/wisteriahitch-core/src/stream/mod.rs
+++ b/crates/wisteriahitch-core/src/stream/mod.rs
@@ -7,7 +7,9 @@
 mod check;
 mod life;
 mod token;
+mod verdict;
 
 pub use broken::{BreakDecision, StreamBreak};
-pub use check::{HeadVerdict, StreamCheck, TokenVerdict};
+pub use check::StreamCheck;
 pub use token::{DropCounts, DropReason, StreamHead, StreamToken};
+pub use verdict::{HeadVerdict, TokenVerdict};
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -7,18 +7,20 @@
 mod code;
 mod id;
 mod key;
+mod meaning;
+mod share;
 mod tier;
 mod unit;
 
 pub use block_state::BlockState;
-pub use code::{Code, Meaning};
+pub use code::Code;
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
     Generation, Incarnation, LinkName, ModelName, ParseIdError, RequestId, RuleName, ServiceName,
     StoreId, StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
 };
 pub use key::{BlockKey, KeyHash, ParseKeyError};
+pub use meaning::Meaning;
+pub use share::Share;
 pub use tier::Tier;
-pub use unit::{
-    ByteCount, ByteRate, DurationUs, ParseUnitError, Share, TimeUs, TokenCount, TokenRate,
-};
+pub use unit::{ByteCount, ByteRate, DurationUs, ParseUnitError, TimeUs, TokenCount, TokenRate};
