--- a/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/mod.rs
@@ -26,4 +26,4 @@
 pub use replication::Holders;
 pub use submission::{Submission, SubmissionStep};
 pub use submission_event::{SubmissionCommand, SubmissionEvent, SubmissionOutcome};
-pub use watchers::{head_watchers, is_head_watcher};
+pub use watchers::head_watchers;
--- a/crates/wisteriahitch-core/src/fleet/configuration/starting.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/starting.rs
@@ -6,7 +6,8 @@
 
 use super::config_table::Gathering;
 use super::phase::PhaseEvent;
-use super::{ConfigCommand, ConfigReplica, ConfigTable, is_head_watcher};
+use super::watchers::is_head_watcher;
+use super::{ConfigCommand, ConfigReplica, ConfigTable};
 use crate::fleet::{Membership, Rendezvous};
 
 impl ConfigReplica {
--- a/crates/wisteriahitch-core/src/fleet/configuration/watchers.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/watchers.rs
@@ -25,7 +25,7 @@
 }
 
 /// Returns whether this daemon watches the head.
-pub fn is_head_watcher(members: &Membership, count: usize) -> bool {
+pub(super) fn is_head_watcher(members: &Membership, count: usize) -> bool {
     let me = members.me();
     head_watchers(members, &me.availability_zone, count).contains(&me.incarnation)
 }
--- a/crates/wisteriahitch-core/src/fleet/mod.rs
+++ b/crates/wisteriahitch-core/src/fleet/mod.rs
@@ -11,7 +11,6 @@
     ConfigCommand, ConfigEvent, ConfigPhase, ConfigReplica, ConfigSettings, ConfigTable,
     HeadChange, HeadObject, HistoryEntry, Holders, PullAnswer, PushAnswer, Submission,
     SubmissionCommand, SubmissionEvent, SubmissionOutcome, SubmissionStep, head_watchers,
-    is_head_watcher,
 };
 pub use drain::{Drain, DrainPhase, OpenWork};
 pub use leases::{
--- a/crates/wisteriahitch-types/src/id.rs
+++ b/crates/wisteriahitch-types/src/id.rs
@@ -143,8 +143,6 @@
     EndpointId,
     /// Identifies one store VM by its configured name.
     StoreId,
-    /// Identifies a limited link to a store VM.
-    LinkName,
     /// Identifies a model.
     ModelName,
     /// Identifies an adapter on top of a model.
