refactor(core): let a reader follow from the state machines to the models

The lease's state Lapsed is Expired, as in specs/orders.pml; each machine names its model, and says which of the model's names it has under another one, or that it has none.

--- a/crates/wisteriahitch-core/src/fleet/configuration/phase.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/phase.rs
@@ -1,4 +1,5 @@
-//! Life of the configuration at one daemon: the states and events that `specs/` model too.
+//! Life of the configuration at one daemon: states and events by the names of the model
+//! `specs/configuration_spread.pml`.
 
 #![allow(
     missing_docs,
--- a/crates/wisteriahitch-core/src/fleet/configuration/submission_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/configuration/submission_machine.rs
@@ -1,4 +1,9 @@
 //! Life of a submission, as a state machine over [`SubmissionTable`].
+//!
+//! The model `specs/configuration_history.pml` knows what an operator can tell apart, and none of
+//! the calls between: `Ready` is a submission that hasn't started, `Sent` is every step from there
+//! to the outcome, and also an outcome that is unknown, which the operator asks for again under
+//! the same id. `Accepted` and `NotAccepted` are the outcomes told.
 
 #![allow(
     missing_docs,
--- a/crates/wisteriahitch-core/src/fleet/drain.rs
+++ b/crates/wisteriahitch-core/src/fleet/drain.rs
@@ -1,4 +1,6 @@
 //! Graceful shutdown: no new callers, and no request cut off.
+//!
+//! It has no model in `specs/`: what it waits for is this daemon's own.
 
 #![allow(
     missing_docs,
--- a/crates/wisteriahitch-core/src/fleet/leases/lease.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease.rs
@@ -155,7 +155,7 @@
         if self.is_owned() && !is_mine {
             self.dispatch(PhaseEvent::ReadBack, now);
         }
-        if self.phase() == LeasePhase::Lapsed && !is_mine {
+        if self.phase() == LeasePhase::Expired && !is_mine {
             self.dispatch(PhaseEvent::ReadBack, now);
         }
     }
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
@@ -1,4 +1,8 @@
-//! Life of a lease: the states and events that `specs/` model too.
+//! Life of a lease: states and events by the names of the model `specs/orders.pml`.
+//!
+//! The model has no clock. Its step from `Waiting` to `Held` is [`PhaseEvent::Lapse`] here, once
+//! the wait is over; its orders that are `Checked` or `Sent` are those that [`PhaseEvent::Order`]
+//! granted and that no [`PhaseEvent::OrderDone`] has ended.
 
 #![allow(
     missing_docs,
@@ -21,7 +25,7 @@
     /// This daemon holds it and may give orders.
     Held,
     /// This daemon held it; its term has run out.
-    Lapsed,
+    Expired,
 }
 
 /// Moves a lease on.
@@ -97,7 +101,7 @@
     }
 
     #[state(superstate = "known")]
-    fn lapsed(context: &mut LeaseTimes, event: &PhaseEvent) -> Outcome<State> {
+    fn expired(context: &mut LeaseTimes, event: &PhaseEvent) -> Outcome<State> {
         match event {
             PhaseEvent::ReadBack => Transition(State::vacant()),
             _ => Self::acquire(context, event),
@@ -113,7 +117,7 @@
                 context.renew(*sent_at_us);
                 Handled
             }
-            PhaseEvent::Lapse if context.is_expired() => Transition(State::lapsed()),
+            PhaseEvent::Lapse if context.is_expired() => Transition(State::expired()),
             PhaseEvent::ReadBack => Transition(State::vacant()),
             _ => Super,
         }
@@ -178,7 +182,7 @@
             State::Vacant {} => LeasePhase::Vacant,
             State::Waiting {} => LeasePhase::Waiting,
             State::Held {} => LeasePhase::Held,
-            State::Lapsed {} => LeasePhase::Lapsed,
+            State::Expired {} => LeasePhase::Expired,
         }
     }
 }
--- a/crates/wisteriahitch-core/src/once/life.rs
+++ b/crates/wisteriahitch-core/src/once/life.rs
@@ -1,7 +1,8 @@
 //! The life cycle of one key.
 //!
-//! States and events have the names of the model in `specs/`, so that the two can be read side by
-//! side. What an event does not change in a state, it leaves alone: a late answer, a second
+//! States and events have the names of the models `specs/at_most_once_ticket.pml` and
+//! `specs/at_most_once_claim.pml`, so that they can be read side by side; the models' `Restart` is
+//! a new [`KeyedTable`](super::KeyedTable). What an event does not change in a state, it leaves alone: a late answer, a second
 //! dispatch or a refusal after dispatch has no effect here, whatever the shell asks for.
 
 use std::sync::Arc;
--- a/crates/wisteriahitch-core/src/route/endpoint/life.rs
+++ b/crates/wisteriahitch-core/src/route/endpoint/life.rs
@@ -1,4 +1,6 @@
 //! The life cycle of an endpoint as this daemon sees it.
+//!
+//! It has no model in `specs/`; generated runs in the crate's tests hold it to its promises.
 
 use serde::{Deserialize, Serialize};
 use statig::prelude::*;
--- a/crates/wisteriahitch-core/src/stream/life.rs
+++ b/crates/wisteriahitch-core/src/stream/life.rs
@@ -1,4 +1,7 @@
 //! The life cycle of a token stream.
+//!
+//! It has no model in `specs/`, since one process alone decides each stream; generated runs in the
+//! crate's tests hold it to its promises.
 
 use statig::prelude::*;
 
