--- a/crates/wisteriahitch-config/tests/all/mistakes.rs
+++ b/crates/wisteriahitch-config/tests/all/mistakes.rs
@@ -4,7 +4,7 @@
 use wisteriahitch_config::{Configuration, Sections};
 use wisteriahitch_types::Code;
 
-use crate::support::{codes_and_lines, example, line_of};
+use crate::support::{Edit, codes_and_lines, edit, example};
 
 const MANY: &str = r#"availability_zones = ["colombo-a", "colombo-b"]
 region = "lk-west"
@@ -170,67 +170,46 @@
     expect!["galle.toml:4:15: W4005 workspaces[0].key_hashes[0]: the key hash be16f3f41cddf07a36e8295882866f0d is given before, at workspaces[0].key_hashes[0] of workspace/kandy-central (in force)"].assert_eq(&report.in_file("galle.toml").to_string());
 }
 
-/// One edit of a right configuration, and the one problem that it must bring.
-struct Case {
-    replace: &'static str,
-    by: &'static str,
-    code: Code,
-    /// Text at whose first place the problem is to be reported.
-    at: &'static str,
-}
-
-const fn case(replace: &'static str, by: &'static str, code: Code, at: &'static str) -> Case {
-    Case {
-        replace,
-        by,
-        code,
-        at,
-    }
-}
-
 #[rustfmt::skip]
-const CASES: &[Case] = &[
-    case("[limits]", "[limits", Code::ConfigSyntax, "[limits"),
-    case("retry_share =", "retry_shares =", Code::ConfigUnknownKey, "retry_shares"),
-    case("retry_share = 0.1", "retry_share = 1.5", Code::ConfigBadValue, "retry_share"),
-    case("retry_share = 0.1", "retry_share = nan", Code::ConfigBadValue, "retry_share"),
-    case("entries_ttl_s = 10", "entries_ttl_s = 0", Code::ConfigBadValue, "entries_ttl_s"),
-    case("entries_ttl_s = 10", "entries_ttl_us = 10", Code::ConfigUnknownKey, "entries_ttl_us"),
-    case("entries_ttl_s = 10", "entries_ttl_s = 10\nentries_ttl_ms = 10_000", Code::ConfigContradiction, "entries_ttl_s"),
-    case("answer_kept_s = 86_400", "answer_kept_s = 10", Code::ConfigContradiction, "[limits]"),
-    case("max_prompt_tokens = 128_000", "max_prompt_tokens = 1_999", Code::ConfigContradiction, "max_prompt_tokens"),
-    case("weight_version = \"2026-05\"\n", "", Code::ConfigMissingKey, "[[models]]"),
-    case("address = \"127.0.0.1:7202\"", "address = \"127.0.0.1:7201\"", Code::ConfigDuplicateName, "\"127.0.0.1:7201\"\navailability_zone = \"colombo-b\""),
-    case("address = \"127.0.0.1:7101\"", "address = \"0.0.0.0:7101\"", Code::ConfigBadValue, "\"0.0.0.0:7101\""),
-    case("id = \"till-2\"", "id = \"assistant-2\"", Code::ConfigDuplicateName, "\"assistant-2\"\naddress = \"127.0.0.1:7302\""),
-    case("stores = [\"hub-cache\"]", "stores = [\"hub\"]", Code::ConfigUnknownName, "[\"hub\"]"),
-    case("models = [\"hist-7b\"]", "models = []", Code::ConfigMissingKey, "models = []"),
-    case("path_prefix = \"/stock\"", "path_prefix = \"/stock/../x\"", Code::ConfigBadValue, "\"/stock/../x\""),
-    case("path_prefix = \"/stock\"", "path_prefix = \"/bookings\"", Code::ConfigDuplicateName, "    { method = \"GET\", path_prefix = \"/bookings\" },\n]"),
-    case("service = \"till\", priority = 6", "service = \"till\", save = \"always\"", Code::ConfigContradiction, "save = \"always\""),
-    case("when = { adapters = [\"parts\"] }", "when = { adapters = [\"parts\"], methods = [\"GET\"] }", Code::ConfigContradiction, "methods = [\"GET\"] }"),
-    case("when = { adapters = [\"parts\"] }", "when = { adapters = [\"parts\"], models = [\"hist-7b\"], min_prompt_tokens = 128_001 }", Code::ConfigContradiction, "min_prompt_tokens"),
-    case("when = { adapters = [\"parts\"] }", "when = { adapters = [\"history\"] }", Code::ConfigUnreachableRule, "[[rules]]\nname = \"counter-parts\""),
-    case("name = \"default\"", "name = \"default\"\nwhen.stream = false", Code::ConfigNoDefault, "when.stream"),
-    case("then.refuse", "then.reject", Code::ConfigUnknownKey, "then.reject"),
+const EDITS: &[Edit] = &[
+    edit("[limits]", "[limits", Code::ConfigSyntax, "[limits"),
+    edit("retry_share =", "retry_shares =", Code::ConfigUnknownKey, "retry_shares"),
+    edit("retry_share = 0.1", "retry_share = 1.5", Code::ConfigBadValue, "retry_share"),
+    edit("retry_share = 0.1", "retry_share = nan", Code::ConfigBadValue, "retry_share"),
+    edit("entries_ttl_s = 10", "entries_ttl_s = 0", Code::ConfigBadValue, "entries_ttl_s"),
+    edit("entries_ttl_s = 10", "entries_ttl_us = 10", Code::ConfigUnknownKey, "entries_ttl_us"),
+    edit("entries_ttl_s = 10", "entries_ttl_s = 10\nentries_ttl_ms = 10_000", Code::ConfigContradiction, "entries_ttl_s"),
+    edit("answer_kept_s = 86_400", "answer_kept_s = 10", Code::ConfigContradiction, "[limits]"),
+    edit("max_prompt_tokens = 128_000", "max_prompt_tokens = 1_999", Code::ConfigContradiction, "max_prompt_tokens"),
+    edit("weight_version = \"2026-05\"\n", "", Code::ConfigMissingKey, "[[models]]"),
+    edit("address = \"127.0.0.1:7202\"", "address = \"127.0.0.1:7201\"", Code::ConfigDuplicateName, "\"127.0.0.1:7201\"\navailability_zone = \"colombo-b\""),
+    edit("address = \"127.0.0.1:7101\"", "address = \"0.0.0.0:7101\"", Code::ConfigBadValue, "\"0.0.0.0:7101\""),
+    edit("id = \"till-2\"", "id = \"assistant-2\"", Code::ConfigDuplicateName, "\"assistant-2\"\naddress = \"127.0.0.1:7302\""),
+    edit("stores = [\"hub-cache\"]", "stores = [\"hub\"]", Code::ConfigUnknownName, "[\"hub\"]"),
+    edit("models = [\"hist-7b\"]", "models = []", Code::ConfigMissingKey, "models = []"),
+    edit("path_prefix = \"/stock\"", "path_prefix = \"/stock/../x\"", Code::ConfigBadValue, "\"/stock/../x\""),
+    edit("path_prefix = \"/stock\"", "path_prefix = \"/bookings\"", Code::ConfigDuplicateName, "    { method = \"GET\", path_prefix = \"/bookings\" },\n]"),
+    edit("service = \"till\", priority = 6", "service = \"till\", save = \"always\"", Code::ConfigContradiction, "save = \"always\""),
+    edit("when = { adapters = [\"parts\"] }", "when = { adapters = [\"parts\"], methods = [\"GET\"] }", Code::ConfigContradiction, "methods = [\"GET\"] }"),
+    edit("when = { adapters = [\"parts\"] }", "when = { adapters = [\"parts\"], models = [\"hist-7b\"], min_prompt_tokens = 128_001 }", Code::ConfigContradiction, "min_prompt_tokens"),
+    edit("when = { adapters = [\"parts\"] }", "when = { adapters = [\"history\"] }", Code::ConfigUnreachableRule, "[[rules]]\nname = \"counter-parts\""),
+    edit("name = \"default\"", "name = \"default\"\nwhen.stream = false", Code::ConfigNoDefault, "when.stream"),
+    edit("then.refuse", "then.reject", Code::ConfigUnknownKey, "then.reject"),
 ];
 
 #[test]
 fn each_mistake_brings_its_own_code_and_line_alone() {
     let right = example("chainline.toml");
-    for case in CASES {
-        let text = right.replacen(case.replace, case.by, 1);
-        assert_ne!(text, right, "{} is not in the example", case.replace);
+    for edit in EDITS {
+        let (text, line) = edit.apply(&right);
         let report = Configuration::check(&text).unwrap_err();
         let found = codes_and_lines(&report);
-        let line = line_of(&text, case.at);
         assert!(
-            found.contains(&(case.code, line)),
-            "{}: line {line}: {report}",
-            case.by
+            found.contains(&(edit.code, line)),
+            "{edit}: line {line}: {report}"
         );
-        let codes = found.iter().filter(|(code, _)| *code == case.code);
-        assert_eq!(codes.count(), 1, "{}: {report}", case.by);
+        let codes = found.iter().filter(|(code, _)| *code == edit.code);
+        assert_eq!(codes.count(), 1, "{edit}: {report}");
     }
 }
 
--- a/crates/wisteriahitch-config/tests/all/settings.rs
+++ b/crates/wisteriahitch-config/tests/all/settings.rs
@@ -4,7 +4,7 @@
 use wisteriahitch_config::{LogLevel, Settings};
 use wisteriahitch_types::{Code, DurationUs};
 
-use crate::support::{codes_and_lines, example, line_of};
+use crate::support::{Edit, codes_and_lines, edit, example};
 
 const MANY: &str = r#"id = "entry 1"
 zone = "colombo-a"
@@ -95,50 +95,31 @@
     assert!(LogLevel::Error < LogLevel::Trace);
 }
 
-struct Case {
-    replace: &'static str,
-    by: &'static str,
-    code: Code,
-    at: &'static str,
-}
-
-const fn case(replace: &'static str, by: &'static str, code: Code, at: &'static str) -> Case {
-    Case {
-        replace,
-        by,
-        code,
-        at,
-    }
-}
-
 #[rustfmt::skip]
-const CASES: &[Case] = &[
-    case("id = \"entry-1\"\n", "", Code::ConfigMissingKey, "#"),
-    case("peers = \"127.0.0.1:7002\"\n", "", Code::ConfigMissingKey, "[listen]"),
-    case("peers = \"127.0.0.1:7002\"", "peers = \"127.0.0.1:7001\"", Code::ConfigDuplicateName, "peers = \"127.0.0.1:7001\""),
-    case("addresses = [\"127.0.0.1:7000\"]", "addresses = [\"127.0.0.1:7003\"]", Code::ConfigDuplicateName, "addresses = "),
-    case("seeds = [\"127.0.0.1:7002\"", "seeds = [\"127.0.0.1:7001\"", Code::ConfigContradiction, "seeds = "),
-    case("key_hashes = [\"c3", "key_hashes = [\"+3", Code::ConfigBadValue, "key_hashes = "),
-    case("body_timeout_s = 30", "body_timeout_s = 4", Code::ConfigContradiction, "[limits]"),
-    case("answer_bytes = 524_288", "answer_bytes = 900_000", Code::ConfigBadValue, "answer_bytes"),
-    case("cores = 2", "core = 2", Code::ConfigUnknownKey, "core = 2"),
-    case("[run]", "[runs]", Code::ConfigUnknownKey, "[runs]"),
-    case("[run]", "[log]", Code::ConfigSyntax, "[log]\ncores"),
+const EDITS: &[Edit] = &[
+    edit("id = \"entry-1\"\n", "", Code::ConfigMissingKey, "#"),
+    edit("peers = \"127.0.0.1:7002\"\n", "", Code::ConfigMissingKey, "[listen]"),
+    edit("peers = \"127.0.0.1:7002\"", "peers = \"127.0.0.1:7001\"", Code::ConfigDuplicateName, "peers = \"127.0.0.1:7001\""),
+    edit("addresses = [\"127.0.0.1:7000\"]", "addresses = [\"127.0.0.1:7003\"]", Code::ConfigDuplicateName, "addresses = "),
+    edit("seeds = [\"127.0.0.1:7002\"", "seeds = [\"127.0.0.1:7001\"", Code::ConfigContradiction, "seeds = "),
+    edit("key_hashes = [\"c3", "key_hashes = [\"+3", Code::ConfigBadValue, "key_hashes = "),
+    edit("body_timeout_s = 30", "body_timeout_s = 4", Code::ConfigContradiction, "[limits]"),
+    edit("answer_bytes = 524_288", "answer_bytes = 900_000", Code::ConfigBadValue, "answer_bytes"),
+    edit("cores = 2", "core = 2", Code::ConfigUnknownKey, "core = 2"),
+    edit("[run]", "[runs]", Code::ConfigUnknownKey, "[runs]"),
+    edit("[run]", "[log]", Code::ConfigSyntax, "[log]\ncores"),
 ];
 
 #[test]
 fn each_mistake_brings_its_own_code_and_line_alone() {
     let right = example("settings.toml");
-    for case in CASES {
-        let text = right.replacen(case.replace, case.by, 1);
-        assert_ne!(text, right, "{} is not in the example", case.replace);
+    for edit in EDITS {
+        let (text, line) = edit.apply(&right);
         let report = Settings::check(&text).unwrap_err();
-        let line = line_of(&text, case.at);
         assert_eq!(
             codes_and_lines(&report),
-            [(case.code, line)],
-            "{}: {report}",
-            case.by
+            [(edit.code, line)],
+            "{edit}: {report}"
         );
     }
 }
--- a/crates/wisteriahitch-core/tests/all/fleet.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet.rs
@@ -7,6 +7,9 @@
 };
 use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs};
 
+/// Seed of every generated run of the fleet, so that a failure comes back.
+pub(crate) const SEED: u64 = 0x5eed;
+
 /// Zones of the daemons by turns.
 pub(crate) const ZONES: [&str; 3] = ["colombo-a", "colombo-b", "negombo-c"];
 
--- a/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_configuration.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use wisteriahitch_config::{Section, SectionHash, SectionName};
 use wisteriahitch_core::fleet::{
@@ -12,10 +11,10 @@
 };
 use wisteriahitch_types::{Code, ConfigVersion, DurationUs, Incarnation, TimeUs};
 
-use crate::fleet::{full_membership, incarnation, membership_of};
+use crate::fleet::{SEED, full_membership, incarnation, membership_of};
+use crate::generated::generated;
 
 const DAEMONS: usize = 5;
-const SEED: u64 = 0x5eed;
 const STEP_US: DurationUs = DurationUs::from_ms(250);
 
 /// A message under way, or an answer that is still to come.
@@ -293,6 +292,14 @@
         }
     }
 
+    /// Lets time pass so often, and everything land that is under way.
+    fn pass_rounds(&mut self, count: usize) {
+        for _ in 0..count {
+            self.pass();
+            self.land_all();
+        }
+    }
+
     /// Lets time pass; the news of probes goes along.
     fn pass(&mut self) {
         self.now = self.now + STEP_US;
@@ -428,12 +435,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 200,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(generated(200, SEED))]
 
     /// Symptom: rules that were in force are replaced by older ones.
     /// Sequence: versions are accepted while daemons die and start, the store goes away, and
@@ -453,10 +455,7 @@
     site.settle();
     site.nodes[3].is_frozen = true;
     site.accept();
-    for _ in 0..8 {
-        site.pass();
-        site.land_all();
-    }
+    site.pass_rounds(8);
     assert_eq!(
         site.nodes[0].replica.in_force(),
         Some(ConfigVersion::new(2))
@@ -475,10 +474,7 @@
         site.feed(0, ConfigEvent::Tick);
     }
     assert_eq!(site.nodes[0].replica.in_force(), None);
-    for _ in 0..40 {
-        site.pass();
-        site.land_all();
-    }
+    site.pass_rounds(40);
     site.assert_all_have(ConfigVersion::new(2));
 }
 
@@ -493,10 +489,7 @@
         site.kill(index);
         site.start(index);
     }
-    for _ in 0..40 {
-        site.pass();
-        site.land_all();
-    }
+    site.pass_rounds(40);
     for node in &site.nodes {
         assert_eq!(node.replica.in_force(), None);
         assert_eq!(node.replica.phase(), ConfigPhase::Empty);
@@ -554,10 +547,7 @@
         assert_eq!(node.replica.in_force(), in_force);
     }
     site.accept();
-    for _ in 0..8 {
-        site.pass();
-        site.land_all();
-    }
+    site.pass_rounds(8);
     assert_eq!(
         site.nodes[0].replica.in_force(),
         Some(ConfigVersion::new(2))
--- a/crates/wisteriahitch-core/tests/all/fleet_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_leases.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use wisteriahitch_core::fleet::{
     LeaseCommand, LeaseEvent, LeaseGroup, LeaseHolder, LeaseObject, LeasePhase, LeaseSettings,
@@ -11,10 +10,10 @@
 };
 use wisteriahitch_types::{Code, DurationUs, FenceNumber, TimeUs};
 
-use crate::fleet::{full_membership, member};
+use crate::fleet::{SEED, full_membership, member};
+use crate::generated::generated;
 
 const DAEMONS: usize = 3;
-const SEED: u64 = 0x5eed;
 
 /// The lease's object in the platform.
 #[derive(Default)]
@@ -68,6 +67,14 @@
 }
 
 impl Site {
+    /// Starts and runs until a daemon holds the lease, which is returned too.
+    fn with_holder() -> (Self, usize) {
+        let mut site = Self::new();
+        site.run(5_000);
+        let holder = site.holder().unwrap();
+        (site, holder)
+    }
+
     fn new() -> Self {
         let group = LeaseGroup::Endpoints {
             service: "assistant".parse().unwrap(),
@@ -348,12 +355,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(Config {
-        cases: 300,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    })]
+    #![proptest_config(generated(300, SEED))]
 
     /// Symptom: two daemons give an endpoint contradicting orders at the same time.
     /// Sequence: writes and answers are lost or late, daemons pause, and views of membership
@@ -368,9 +370,7 @@
 /// Cause: its timers haven't run, so nothing has told it that the lease lapsed.
 #[test]
 fn a_paused_holder_gives_no_order() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let holder = site.holder().unwrap();
+    let (mut site, holder) = Site::with_holder();
     assert!(site.order(holder).is_ok());
     site.now_us += 15_000_000;
     assert_eq!(site.order(holder), Err(Code::LeaseLapsed));
@@ -381,9 +381,7 @@
 /// Cause: without renewals the term runs out.
 #[test]
 fn without_the_store_orders_end_with_the_term() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let holder = site.holder().unwrap();
+    let (mut site, holder) = Site::with_holder();
     for _ in 0..200 {
         site.now_us += 100_000;
         site.tick(holder);
@@ -411,9 +409,7 @@
 /// Cause: a time-out that doesn't look at what is left.
 #[test]
 fn an_order_gets_less_time_than_the_lease_has_left() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let holder = site.holder().unwrap();
+    let (mut site, holder) = Site::with_holder();
     let settings = LeaseSettings::default();
     let first = site.order(holder).unwrap();
     assert_eq!(first.timeout_us, settings.order_timeout_us);
@@ -565,9 +561,7 @@
 /// Cause: it gives the lease up, and a released lease is taken without a wait.
 #[test]
 fn a_lease_is_not_released_while_an_order_is_under_way() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let holder = site.holder().unwrap();
+    let (mut site, holder) = Site::with_holder();
     site.order(holder).unwrap();
     site.nodes[holder].leases.want([]);
     let object_holder = |site: &Site| {
@@ -588,9 +582,7 @@
 /// Cause: an order that nobody waits for any more may still be on its way.
 #[test]
 fn a_lease_is_not_released_right_after_an_order() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let holder = site.holder().unwrap();
+    let (mut site, holder) = Site::with_holder();
     site.order(holder).unwrap();
     let done = LeaseEvent::OrderDone(site.group.clone());
     site.feed(holder, done);
@@ -607,9 +599,7 @@
 /// Cause: the new holder begins at once.
 #[test]
 fn a_new_holder_waits_for_the_orders_before() {
-    let mut site = Site::new();
-    site.run(5_000);
-    let before = site.holder().unwrap();
+    let (mut site, before) = Site::with_holder();
     site.order(before).unwrap();
     site.nodes[before].is_frozen = true;
     for index in (0..DAEMONS).filter(|index| *index != before) {
--- a/crates/wisteriahitch-core/tests/all/fleet_membership.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_membership.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use wisteriahitch_core::fleet::{
     MemberState, Membership, MembershipCommand, MembershipEvent, News, VmNotice,
 };
 use wisteriahitch_types::{ConfigVersion, DurationUs, Incarnation, TimeUs};
 
-use crate::fleet::{ZONES, incarnation, member, membership, membership_of};
+use crate::fleet::{SEED, ZONES, incarnation, member, membership, membership_of};
+use crate::generated::generated;
 
-const SEED: u64 = 0x5eed;
 /// Twice `max_round_news_bytes`, which nothing exceeds.
 const HARD_ROUND_BYTES: usize = 4_096;
 const ROUND_US: DurationUs = DurationUs::from_ms(1_000);
@@ -240,12 +240,7 @@
 
 #[test]
 fn generated_kills_starts_and_cuts_end_in_agreement() {
-    let config = Config {
-        cases: 24,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = generated(24, SEED);
     let step = (0_u8..4, 1_u16..8, 1_u16..8, 0_usize..6);
     let steps = prop::collection::vec(step, 1..20);
     TestRunner::new(config)
--- a/crates/wisteriahitch-core/tests/all/fleet_orders.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_orders.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use wisteriahitch_core::fleet::{
     Blocked, EndpointOrder, EndpointReport, ModelOnEndpoint, OrderPlanner, PlannedOrder,
     PlannerSettings, RolloutPhase, RolloutProgress, SiteView, WantedEndpoint, WantedModel,
@@ -11,7 +11,8 @@
 };
 use wisteriahitch_types::{EndpointId, ModelName, TimeUs};
 
-const SEED: u64 = 0x5eed;
+use crate::fleet::SEED;
+use crate::generated::generated;
 
 /// Runners that load in two steps of time.
 struct Site {
@@ -366,12 +367,7 @@
 
 #[test]
 fn generated_sites_keep_the_bounds_and_arrive() {
-    let config = Config {
-        cases: 200,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = generated(200, SEED);
     let busy = prop::collection::vec(0_u64..8, 2..12);
     TestRunner::new(config)
         .run(&(busy, 0_usize..12), |(busy, changes_at)| {
--- a/crates/wisteriahitch-core/tests/all/fleet_submission.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_submission.rs
@@ -1,7 +1,7 @@
 //! What an operator is told of a submission is true, whatever is lost.
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
 use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_core::fleet::{
     HeadObject, Holders, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
@@ -9,7 +9,8 @@
 };
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
-const SEED: u64 = 0x5eed;
+use crate::fleet::SEED;
+use crate::generated::generated;
 
 /// What the store does with the next call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -140,12 +141,7 @@
         1 => Just(Fate::Race),
     ];
     let fates = prop::collection::vec(fate, 0..30);
-    let config = Config {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = generated(2_000, SEED);
     TestRunner::new(config)
         .run(&(fates, prop::option::of(0_u64..3)), |(fates, expected)| {
             let id: SubmissionId = "mine".parse().unwrap();
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod fleet_membership;
 mod fleet_orders;
 mod fleet_submission;
+mod generated;
 mod once_claim;
 mod once_model;
 mod once_table;
--- a/crates/wisteriahitch-core/tests/all/once_model.rs
+++ b/crates/wisteriahitch-core/tests/all/once_model.rs
@@ -5,10 +5,10 @@
 //! same ones, since the seed is fixed.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 use wisteriahitch_types::{DurationUs, TimeUs};
 
+use crate::generated::generated;
 use crate::once_world::{DAEMONS, End, Fate, OWN_KEYS, TICKET_LIFETIME, World};
 
 const CASES_VARIABLE: &str = "WISTERIAHITCH_MODEL_CASES";
@@ -17,14 +17,8 @@
 
 fn config() -> ProptestConfig {
     let wanted = std::env::var(CASES_VARIABLE).ok();
-    ProptestConfig {
-        cases: wanted
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(USUAL_CASES),
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
+    let wanted = wanted.and_then(|text| text.parse().ok());
+    generated(wanted.unwrap_or(USUAL_CASES), SEED)
 }
 
 /// What may happen next.
--- a/crates/wisteriahitch-core/tests/all/route_admission.rs
+++ b/crates/wisteriahitch-core/tests/all/route_admission.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use wisteriahitch_config::{Configuration, Workspace};
 use wisteriahitch_core::route::{Admission, AdmissionCommand, AdmissionRequest};
 use wisteriahitch_types::{
     ByteCount, Code, DurationUs, RequestId, ServiceName, TimeUs, TokenCount, TokenRate, WorkspaceId,
 };
 
+use crate::generated::generated;
 use crate::route_fixture::{START, after_ms};
 
 fn service() -> ServiceName {
@@ -186,7 +186,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(9), cases: 64, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generated(64, 9))]
 
     /// While two workspaces always wait, their work over weight differs by no more than one
     /// request of each, which is the bound of start-time fair queueing; so none starves.
--- a/crates/wisteriahitch-core/tests/all/route_directory.rs
+++ b/crates/wisteriahitch-core/tests/all/route_directory.rs
@@ -3,10 +3,10 @@
 use std::collections::{HashMap, HashSet};
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use wisteriahitch_core::route::{Directory, Piece, PieceChain, shard_owner};
 use wisteriahitch_types::{BlockKey, DaemonId, Tier, TokenCount};
 
+use crate::generated::generated;
 use crate::route_fixture::{chain, endpoint, store, words};
 
 const KEYS: u8 = 24;
@@ -148,7 +148,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(5), cases: 128, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generated(128, 5))]
 
     #[test]
     fn answers_like_a_plain_map(events in proptest::collection::vec(event(), 1..60)) {
--- a/crates/wisteriahitch-core/tests/all/route_endpoint.rs
+++ b/crates/wisteriahitch-core/tests/all/route_endpoint.rs
@@ -1,13 +1,13 @@
 //! The endpoint table: leaving, load correction, ejection and probing.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use wisteriahitch_config::ServiceKind;
 use wisteriahitch_core::route::{
     EndpointLoad, EndpointOptions, EndpointTable, FlightFailure, LeavingSource, LifeState, NoLinks,
 };
 use wisteriahitch_types::{BlockKey, DurationUs, TimeUs, TokenCount};
 
+use crate::generated::generated;
 use crate::route_fixture::{START, after_ms, configuration, endpoint, idle, request, router};
 
 const EXPECTED: DurationUs = DurationUs::from_ms(100);
@@ -434,11 +434,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(13),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(generated(ProptestConfig::default().cases, 13))]
 
     /// Whatever the order of reports, late ones among them, and of the sources: once a life is
     /// said to be leaving, its endpoint is not chosen before its own report of a later life.
--- a/crates/wisteriahitch-core/tests/all/route_pieces.rs
+++ b/crates/wisteriahitch-core/tests/all/route_pieces.rs
@@ -4,6 +4,7 @@
 use wisteriahitch_core::route::{ChainScope, Piece, PieceChain, piece_chain};
 use wisteriahitch_types::{AdapterName, TokenCount};
 
+use crate::generated::generated;
 use crate::route_fixture::words;
 
 #[derive(Clone, Copy)]
@@ -106,7 +107,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { rng_seed: proptest::test_runner::RngSeed::Fixed(3), failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(generated(ProptestConfig::default().cases, 3))]
 
     /// Two prompts share exactly the keys of the whole pieces before their first difference.
     #[test]
--- a/crates/wisteriahitch-core/tests/all/stream.rs
+++ b/crates/wisteriahitch-core/tests/all/stream.rs
@@ -1,13 +1,14 @@
 //! Token streams: what passes, what is dropped, and what follows a break.
 
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use wisteriahitch_core::stream::{
     BreakDecision, DropReason, HeadVerdict, StreamBreak, StreamCheck, StreamHead, StreamToken,
     TokenVerdict,
 };
 use wisteriahitch_types::{AttemptNumber, Code, EndpointId, WeightVersion};
 
+use crate::generated::generated;
+
 fn version(name: &str) -> WeightVersion {
     name.parse().unwrap()
 }
@@ -301,11 +302,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig {
-        rng_seed: RngSeed::Fixed(4_711),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    })]
+    #![proptest_config(generated(ProptestConfig::default().cases, 4_711))]
 
     /// Whatever comes in whatever order, the caller gets the answer's beginning, each token once.
     #[test]
