--- a/crates/wisteriahitch-core/tests/all/fleet_submission.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_submission.rs
@@ -1,14 +1,16 @@
 //! What an operator is told of a submission is true, whatever is lost.
 
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngSeed, TestRunner};
+use proptest::test_runner::TestRunner;
+use wisteriahitch_config::{SectionHash, SectionName};
 use wisteriahitch_core::fleet::{
-    HeadObject, Holders, SectionHash, Submission, SubmissionCommand, SubmissionEvent,
-    SubmissionOutcome, SubmissionStep,
+    HeadObject, Holders, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
+    SubmissionStep,
 };
 use wisteriahitch_types::{ConfigVersion, SubmissionId};
 
-const SEED: u64 = 0x5eed;
+use crate::fleet::SEED;
+use crate::generated::generated;
 
 /// What the store does with the next call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -45,8 +47,8 @@
     fn race(&mut self) {
         self.rivals += 1;
         let id = format!("rival-{}", self.rivals).parse().unwrap();
-        let name = "rules".parse().unwrap();
-        let hash = SectionHash::of(format!("{}", self.rivals).as_bytes());
+        let name = SectionName::Site;
+        let hash = SectionHash::of(self.rivals.to_string());
         let head = self.head.clone().unwrap_or_default();
         let next = head.with_changes([(name, Some(hash))], id, 0);
         self.update(&next, self.object_version);
@@ -104,8 +106,8 @@
     expected: Option<u64>,
     fates: &mut impl Iterator<Item = Fate>,
 ) -> SubmissionOutcome {
-    let hash = SectionHash::of(b"mine");
-    let changes = [("rules".parse().unwrap(), Some(hash))];
+    let hash = SectionHash::of("mine");
+    let changes = [(SectionName::Site, Some(hash))];
     let expected = expected.map(ConfigVersion::new);
     let mut submission = Submission::new(id.clone(), changes, expected, 0);
     let mut commands = submission.handle(&SubmissionEvent::Start);
@@ -139,12 +141,7 @@
         1 => Just(Fate::Race),
     ];
     let fates = prop::collection::vec(fate, 0..30);
-    let config = Config {
-        cases: 2_000,
-        rng_seed: RngSeed::Fixed(SEED),
-        failure_persistence: None,
-        ..Config::default()
-    };
+    let config = generated(2_000, SEED);
     TestRunner::new(config)
         .run(&(fates, prop::option::of(0_u64..3)), |(fates, expected)| {
             let id: SubmissionId = "mine".parse().unwrap();
--- a/crates/wisteriahitch-node/src/config/changes.rs
+++ b/crates/wisteriahitch-node/src/config/changes.rs
@@ -2,26 +2,17 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_config::Sections;
-use wisteriahitch_core::fleet::{SectionHash, SectionName};
-
-use super::objects::core_name;
+use wisteriahitch_config::{Section, SectionHash, SectionName, Sections};
 
 /// Returns what differs between the sections in force and those that are to be.
 pub(super) fn changes(
     base: &Sections,
     merged: &Sections,
 ) -> BTreeMap<SectionName, Option<SectionHash>> {
-    let mut changes = BTreeMap::new();
-    for (name, _) in base.iter().filter(|(name, _)| merged.get(name).is_none()) {
-        changes.extend(core_name(name).map(|name| (name, None)));
-    }
-    for (name, section) in merged.iter() {
-        if base.get(name).map(|known| known.hash()) == Some(section.hash()) {
-            continue;
-        }
-        let hash = section.hash().to_string().parse().ok();
-        changes.extend(core_name(name).map(|name| (name, hash)));
-    }
-    changes
+    let names = base.iter().chain(merged.iter()).map(|(name, _)| name);
+    let hash_in = |sections: &Sections, name| sections.get(name).map(Section::hash);
+    names
+        .filter(|name| hash_in(base, name) != hash_in(merged, name))
+        .map(|name| (name.clone(), hash_in(merged, name)))
+        .collect()
 }
--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -5,10 +5,9 @@
 use std::time::Duration;
 
 use chrono::Utc;
-use wisteriahitch_config::{Report, Sections};
+use wisteriahitch_config::{Report, Section, SectionHash, Sections};
 use wisteriahitch_core::fleet::{
-    ConfigEvent, HeadObject, Section, SectionHash, Submission, SubmissionCommand, SubmissionEvent,
-    SubmissionOutcome,
+    ConfigEvent, HeadObject, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
 };
 use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
 use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
@@ -60,10 +59,7 @@
     ) -> Result<SubmissionOutcome, SubmitError> {
         let changes = changes(&submitted.base, &submitted.merged);
         let texts = submitted.merged.iter();
-        let texts = texts.filter_map(|(_, section)| {
-            let hash = section.hash().to_string().parse().ok()?;
-            Some((hash, section.text().to_owned()))
-        });
+        let texts = texts.map(|(_, section)| (section.hash(), section.text().to_owned()));
         let mut run = Run {
             shared: self,
             texts: texts.collect(),
@@ -114,7 +110,7 @@
             .get(&hash)
             .map(String::as_str)
             .unwrap_or_default();
-        match write_section(&*self.shared.outside.platform, &hash, text).await {
+        match write_section(&*self.shared.outside.platform, hash, text).await {
             Ok(()) => SubmissionEvent::SectionWritten(hash),
             Err(error) => {
                 log::warn!("a section can't be written: {error}");
@@ -180,11 +176,11 @@
         let mut sections = Vec::new();
         for hash in head.sections.values() {
             if !self.texts.contains_key(hash) {
-                let read = read_section(&*self.shared.outside.platform, hash).await;
-                self.texts.insert(hash.clone(), read.ok()??);
+                let read = read_section(&*self.shared.outside.platform, *hash).await;
+                self.texts.insert(*hash, read.ok()??);
             }
             let text = self.texts.get(hash)?;
-            sections.push(Section::new(text.as_bytes().to_vec()));
+            sections.push(Section::new(text.as_str()));
         }
         Some(sections)
     }
