feat(config): let a daemon's settings choose the routing policy for experiments

Cause: the baselines stand in the core as policies, but a daemon always ran the cost policy, so that nothing could be measured against them. Ruled out: a section of the submitted configuration (a site's operators must not meet it by accident, and a run must not change it half-way). Change: [run] policy = "cost" | "round-robin" | "least-loaded" | "affinity"; the default stays cost. The table of mistakes has a wrong name of a policy.

--- a/crates/wisteriahitch-config/src/lib.rs
+++ b/crates/wisteriahitch-config/src/lib.rs
@@ -21,5 +21,5 @@
 pub use sections::{Change, Section, SectionHash, SectionMismatch, SectionName, Sections};
 pub use settings::{
     ListenSettings, LogLevel, LogSettings, OperatorSettings, PeerSettings, PlatformSettings,
-    RequestLimits, RunSettings, Settings,
+    PolicyName, RequestLimits, RunSettings, Settings,
 };
--- a/crates/wisteriahitch-config/src/settings/read.rs
+++ b/crates/wisteriahitch-config/src/settings/read.rs
@@ -193,8 +193,10 @@
 
 fn read_run(table: &TableReader<'_, '_>) -> RunSettings {
     let cores = table.small("cores", 1..=MAX_CORES);
+    let policy = table.optional("policy");
     let default = RunSettings::default();
     RunSettings {
         cores: cores.unwrap_or(default.cores),
+        policy: policy.unwrap_or(default.policy),
     }
 }
--- a/crates/wisteriahitch-config/src/settings/settings.rs
+++ b/crates/wisteriahitch-config/src/settings/settings.rs
@@ -5,7 +5,7 @@
 use serde::Serialize;
 use wisteriahitch_types::{AvailabilityZone, ByteCount, DaemonId, DurationUs, KeyHash};
 
-use super::LogLevel;
+use super::{LogLevel, PolicyName};
 
 /// Holds the settings of one daemon; `docs/SETTINGS.md` explains each.
 ///
@@ -145,10 +145,15 @@
 pub struct RunSettings {
     /// Threads that run requests.
     pub cores: u32,
+    /// Routing policy; the others than the default are for experiments.
+    pub policy: PolicyName,
 }
 
 impl Default for RunSettings {
     fn default() -> Self {
-        Self { cores: 2 }
+        Self {
+            cores: 2,
+            policy: PolicyName::default(),
+        }
     }
 }
--- a/crates/wisteriahitch-config/tests/all/settings.rs
+++ b/crates/wisteriahitch-config/tests/all/settings.rs
@@ -38,6 +38,7 @@
 
 [run]
 cores = 0
+policy = "fastest"
 threads = 4
 "#;
 
@@ -63,7 +64,8 @@
         settings.toml:28:9: W4003 log.level: "loud" is not one of error, warn, info, debug, trace
         settings.toml:29:8: W4003 log.file: the path is empty
         settings.toml:32:9: W4003 run.cores: must be from 1 to 1024, found 0
-        settings.toml:33:1: W4002 run.threads: no key is named `threads`"#]].assert_eq(&report.in_file("settings.toml").to_string());
+        settings.toml:33:10: W4003 run.policy: "fastest" is not one of cost, round-robin, least-loaded, affinity
+        settings.toml:34:1: W4002 run.threads: no key is named `threads`"#]].assert_eq(&report.in_file("settings.toml").to_string());
 }
 
 #[test]
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -8,10 +8,10 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
-use wisteriahitch_config::Settings;
+use wisteriahitch_config::{PolicyName, Settings};
 use wisteriahitch_core::fleet::{ConfigEvent, LeaseHolder};
 use wisteriahitch_core::once::ClaimHolder;
-use wisteriahitch_core::route::{CostPolicy, Router};
+use wisteriahitch_core::route::{Affinity, CostPolicy, LeastLoaded, Policy, RoundRobin, Router};
 use wisteriahitch_peer::{PeerClient, serve_peers};
 use wisteriahitch_types::Incarnation;
 use wisteriahitch_wire::engine::HttpEngine;
@@ -71,10 +71,7 @@
             clock: Clock::new(),
             in_force: ArcSwapOption::empty(),
             outside: outside(&settings),
-            router: Mutex::new(Router::new(
-                Box::new(CostPolicy::default()),
-                incarnation.get(),
-            )),
+            router: Mutex::new(Router::new(policy(settings.run.policy), incarnation.get())),
             tiers: TierState::new(),
             once: Mutex::new(OnceState::new(holder)),
             resume: ResumeState::new(),
@@ -161,6 +158,15 @@
     }
 }
 
+fn policy(name: PolicyName) -> Box<dyn Policy> {
+    match name {
+        PolicyName::Cost => Box::new(CostPolicy::default()),
+        PolicyName::RoundRobin => Box::new(RoundRobin::default()),
+        PolicyName::LeastLoaded => Box::new(LeastLoaded),
+        PolicyName::Affinity => Box::new(Affinity),
+    }
+}
+
 fn outside(settings: &Settings) -> Outside {
     let platform = HttpPlatformOptions {
         addresses: settings.platform.addresses.clone(),
