feat(bench): open-loop run with checked answers, report and table

Cause: nothing said what the policy is worth, or whether promises hold under load. Faults are asked of the stand-ins or done by signals to pids that the script has noted.

--- a/crates/wisteriahitch-bench/src/caller/answer.rs
+++ b/crates/wisteriahitch-bench/src/caller/answer.rs
@@ -1,6 +1,6 @@
 //! Answers as a caller gets them.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use wisteriahitch::types::{TokenCount, WeightVersion};
 
@@ -19,6 +19,8 @@
     pub completion_tokens: TokenCount,
     /// Time from sending to the first token.
     pub first_token: Duration,
+    /// When the first token came.
+    pub first_token_at: Option<Instant>,
     /// Pauses between two tokens.
     pub gaps: Vec<Duration>,
 }
--- a/crates/wisteriahitch-bench/src/caller/client.rs
+++ b/crates/wisteriahitch-bench/src/caller/client.rs
@@ -194,6 +194,7 @@
         code,
         meaning,
         retry_after_us,
+        request_id: error["request_id"].as_str().map(str::to_owned),
     }
 }
 
@@ -232,7 +233,7 @@
     }
     match reader.is_done {
         true => Ok(reader.answer),
-        false => Err(CallError::Broken("the stream ended early".to_owned())),
+        false => Err(CallError::CutOff),
     }
 }
 
@@ -245,6 +246,7 @@
             cached_tokens: TokenCount::ZERO,
             completion_tokens: TokenCount::ZERO,
             first_token: Duration::ZERO,
+            first_token_at: None,
             gaps: Vec::new(),
         };
         Self {
@@ -266,7 +268,10 @@
         }
         let now = Instant::now();
         match self.last {
-            None => self.answer.first_token = now - self.sent,
+            None => {
+                self.answer.first_token = now - self.sent;
+                self.answer.first_token_at = Some(now);
+            }
             Some(last) => self.answer.gaps.push(now - last),
         }
         self.last = Some(now);
--- a/crates/wisteriahitch-bench/src/caller/error.rs
+++ b/crates/wisteriahitch-bench/src/caller/error.rs
@@ -14,10 +14,15 @@
         meaning: Meaning,
         /// When to come back, if that was said.
         retry_after_us: Option<DurationUs>,
+        /// Id that the system gave the request.
+        request_id: Option<String>,
     },
     /// No connection could be opened, so that nothing was sent.
     #[error("not sent: {0}")]
     NotSent(String),
+    /// The answer ended as if it were whole, but is not.
+    #[error("cut off: the stream ended early")]
+    CutOff,
     /// The connection broke, or the answer isn't one.
     #[error("broken: {0}")]
     Broken(String),
--- a/crates/wisteriahitch-bench/src/demo/mod.rs
+++ b/crates/wisteriahitch-bench/src/demo/mod.rs
@@ -5,6 +5,7 @@
 mod site;
 
 pub use site::Site;
+pub(crate) use site::poll;
 
 /// Shows both cases and fails if either does.
 ///
--- a/crates/wisteriahitch-bench/src/lib.rs
+++ b/crates/wisteriahitch-bench/src/lib.rs
@@ -4,3 +4,7 @@
 
 pub mod caller;
 pub mod demo;
+pub mod load;
+pub mod report;
+pub mod run;
+pub mod site;
--- /dev/null
+++ b/crates/wisteriahitch-bench/src/load/mod.rs
@@ -0,0 +1,9 @@
+//! The load: who asks what and when, drawn from a seed before the first request is sent.
+
+mod arrival;
+mod capacity;
+mod schedule;
+
+pub use arrival::{Arrival, Ask, PlainKind, PromptAsk};
+pub use capacity::Capacity;
+pub use schedule::{LoadOptions, Schedule, Surge};
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -4,8 +4,19 @@
 
 use std::process::ExitCode;
 
-use flags::{WisteriahitchBench, WisteriahitchBenchCmd};
-use wisteriahitch_bench::demo;
+use anyhow::{Context, ensure};
+use flags::{Layout, Run, WisteriahitchBench, WisteriahitchBenchCmd};
+use wisteriahitch_bench::load::Capacity;
+use wisteriahitch_bench::report::{Report, compare, plot_run, print_table, sweep};
+use wisteriahitch_bench::run::{FaultName, RunOptions};
+use wisteriahitch_bench::site::{LayoutOptions, SiteAddresses, write_layout};
+use wisteriahitch_bench::{demo, run};
+
+const DEFAULT_FIRST_PORT: u16 = 28_000;
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_DURATION_S: u64 = 60;
+const DEFAULT_WARM_UP_S: u64 = 15;
+const DEFAULT_LOAD_SHARE: f64 = 0.7;
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -19,6 +30,10 @@
             };
             demo::run(&site).await
         }
+        WisteriahitchBenchCmd::Layout(flags) => write_layout(&layout_options(flags)),
+        WisteriahitchBenchCmd::Run(flags) => run_and_report(flags).await,
+        WisteriahitchBenchCmd::Compare(flags) => compare(&flags.first, &flags.second),
+        WisteriahitchBenchCmd::Sweep(flags) => sweep(&flags.report, flags.plot.as_deref()),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -28,3 +43,60 @@
         }
     }
 }
+
+fn layout_options(flags: Layout) -> LayoutOptions {
+    LayoutOptions {
+        site: flags.site,
+        policy: flags.policy,
+        first_port: flags.first_port.unwrap_or(DEFAULT_FIRST_PORT),
+        daemons: flags.daemons,
+        engines: flags.engines,
+        directory: flags.directory,
+    }
+}
+
+async fn run_and_report(flags: Run) -> anyhow::Result<()> {
+    check_expected(&flags)?;
+    let options = RunOptions {
+        directory: flags.directory,
+        fault: flags.faults.unwrap_or(FaultName::None),
+        seed: flags.seed.unwrap_or(DEFAULT_SEED),
+        duration_s: flags.duration_s.unwrap_or(DEFAULT_DURATION_S),
+        warm_up_s: flags.warm_up_s.unwrap_or(DEFAULT_WARM_UP_S),
+        load_share: flags.load.unwrap_or(DEFAULT_LOAD_SHARE),
+        capacity: flags.capacity.unwrap_or(Capacity::Computed),
+        is_idle: flags.idle,
+    };
+    ensure!(
+        options.warm_up_s < options.duration_s,
+        "nothing is measured: the run is no longer than its beginning"
+    );
+    let result = run::run(options).await?;
+    let report = Report::new(&result);
+    print_table(&report);
+    if let Some(path) = &flags.report {
+        let text = serde_json::to_string_pretty(&report)?;
+        std::fs::write(path, text).context("the report can't be written")?;
+    }
+    match &flags.plot {
+        Some(path) => plot_run(&report, path),
+        None => Ok(()),
+    }
+}
+
+/// Refuses a run against another site than is asked for, whose figures would carry a wrong name.
+fn check_expected(flags: &Run) -> anyhow::Result<()> {
+    let found = SiteAddresses::read(&flags.directory)?;
+    if let Some(site) = flags.site {
+        ensure!(site == found.site, "the site there is {}", found.site);
+    }
+    if let Some(policy) = flags.policy {
+        let policy = policy.to_string();
+        ensure!(
+            policy == found.policy,
+            "the policy there is {}",
+            found.policy
+        );
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wisteriahitch-bench/src/report/mod.rs
@@ -0,0 +1,22 @@
+//! What a run showed: for machines as JSON, for people as a table and a drawing.
+
+mod aggregate;
+mod compare;
+mod plot;
+mod quantiles;
+#[expect(clippy::module_inception, reason = "the file is named after its type")]
+mod report;
+mod sections;
+mod sweep;
+mod table;
+
+pub use compare::compare;
+pub use plot::{plot_policies, plot_run};
+pub use quantiles::Quantiles;
+pub use report::Report;
+pub use sections::{
+    DaemonSection, FaultSection, FloorSection, LinkSection, PromiseSection, RecomputedSection,
+    RequestSection, Window,
+};
+pub use sweep::sweep;
+pub use table::print_table;
--- /dev/null
+++ b/crates/wisteriahitch-bench/src/run/requester.rs
@@ -0,0 +1,226 @@
+//! Sends one request, as a caller would, and checks its answer.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use wisteriahitch::types::{Code, ModelName};
+
+use super::entry_list::EntryList;
+use super::plain_checker::PlainChecker;
+use super::{Outcome, Record, Subject};
+use crate::caller::{CallError, Caller, Completion, CompletionAnswer};
+use crate::load::{Arrival, Ask, PlainKind, PromptAsk};
+use crate::site::SiteSizes;
+
+/// Addresses that a caller tries when connections break.
+const MAX_TRIES: usize = 4;
+
+/// Pause before the second copy of a doubled call.
+const DOUBLE_PAUSE: std::time::Duration = std::time::Duration::from_millis(10);
+
+/// Sends the requests of one workspace.
+pub(crate) struct Requester {
+    pub(crate) workspace: usize,
+    pub(crate) caller: Caller,
+    pub(crate) entries: Arc<EntryList>,
+    pub(crate) model: ModelName,
+    pub(crate) sizes: Arc<SiteSizes>,
+    pub(crate) plain: Arc<PlainChecker>,
+    /// Start of the run.
+    pub(crate) start: Instant,
+}
+
+impl Requester {
+    /// Sends one request now and follows it to its end.
+    pub(crate) async fn send(&self, arrival: Arrival) -> Record {
+        match arrival.ask {
+            Ask::Prompt(ask) => self.complete(arrival.at_us, ask).await,
+            Ask::Plain {
+                kind,
+                is_doubled,
+                path,
+            } => self.call_plain(arrival.at_us, kind, is_doubled, path).await,
+        }
+    }
+
+    async fn complete(&self, at_us: u64, ask: PromptAsk) -> Record {
+        let class = self.sizes.classes.iter();
+        let class = class.clone().find(|class| class.name == ask.class);
+        let completion = Completion {
+            model: self.model.clone(),
+            adapter: class.and_then(|class| class.adapter.parse().ok()),
+            prompt: ask.prompt(),
+            max_tokens: ask.answer_tokens,
+        };
+        let mut broken_tries = 0;
+        let mut outcome = Outcome::Lost("no entry VM is known".to_owned());
+        for entry in self
+            .entries
+            .of_some_caller()
+            .into_iter()
+            .cycle()
+            .take(MAX_TRIES)
+        {
+            let result = self.caller.complete(entry, &completion).await;
+            outcome = match result {
+                Ok(answer) => self.answered(at_us, &completion, &answer),
+                Err(error) if is_of_connection(&error) => {
+                    broken_tries += 1;
+                    Outcome::Lost(error.to_string())
+                }
+                Err(error) => self.failed(at_us, error),
+            };
+            if !matches!(outcome, Outcome::Lost(_)) {
+                break;
+            }
+        }
+        self.record(at_us, Subject::Prompt(ask), outcome, broken_tries)
+    }
+
+    fn answered(&self, at_us: u64, completion: &Completion, answer: &CompletionAnswer) -> Outcome {
+        let first_token_at = answer.first_token_at.unwrap_or_else(Instant::now);
+        let first_token_us = micros(first_token_at - self.start).saturating_sub(at_us);
+        Outcome::Answered {
+            first_token_us,
+            gaps_us: answer.gaps.iter().copied().map(micros).collect(),
+            cached_tokens: answer.cached_tokens.get(),
+            is_right: completion.is_answer(answer),
+        }
+    }
+
+    fn failed(&self, at_us: u64, error: CallError) -> Outcome {
+        match error {
+            CallError::Refused {
+                code,
+                meaning,
+                retry_after_us,
+                request_id,
+            } => Outcome::Refused {
+                code,
+                meaning,
+                retry_after_us,
+                request_id,
+                after_us: self.now_us().saturating_sub(at_us),
+            },
+            CallError::CutOff => Outcome::CutOff,
+            error => Outcome::Lost(error.to_string()),
+        }
+    }
+
+    async fn call_plain(
+        &self,
+        at_us: u64,
+        kind: PlainKind,
+        is_doubled: bool,
+        path: usize,
+    ) -> Record {
+        let key = match kind {
+            PlainKind::Lookup => None,
+            PlainKind::OwnKey => Some(self.plain.new_key()),
+            PlainKind::Ticket => self.ticket().await.or_else(|| Some(self.plain.new_key())),
+        };
+        let path = match kind {
+            PlainKind::Lookup => self.sizes.lookup_path,
+            _ => self.sizes.order_paths[path],
+        };
+        let first = self.call_once(at_us, key.as_deref(), path);
+        let (outcome, broken_tries) = match is_doubled {
+            false => first.await,
+            true => {
+                let second = async {
+                    tokio::time::sleep(DOUBLE_PAUSE).await;
+                    self.call_once(at_us, key.as_deref(), path).await
+                };
+                let (one, (other, broken)) = tokio::join!(first, second);
+                // Either copy's answer is the caller's; a wrong one counts before a right one.
+                match (&one.0, &other) {
+                    (
+                        _,
+                        Outcome::Answered {
+                            is_right: false, ..
+                        },
+                    ) => (other, one.1 + broken),
+                    (Outcome::Answered { .. }, _) => (one.0, one.1 + broken),
+                    _ => (other, one.1 + broken),
+                }
+            }
+        };
+        self.record(at_us, Subject::Plain, outcome, broken_tries)
+    }
+
+    async fn call_once(&self, at_us: u64, key: Option<&str>, path: &str) -> (Outcome, u64) {
+        let (method, body) = match key {
+            Some(key) => (Method::POST, Bytes::from(format!("order {key}"))),
+            None => (Method::GET, Bytes::new()),
+        };
+        let mut broken_tries = 0;
+        let mut outcome = Outcome::Lost("no entry VM is known".to_owned());
+        for entry in self
+            .entries
+            .of_some_caller()
+            .into_iter()
+            .cycle()
+            .take(MAX_TRIES)
+        {
+            let call = self
+                .caller
+                .plain(entry, method.clone(), path, key, body.clone());
+            outcome = match call.await {
+                Ok(answer) => Outcome::Answered {
+                    first_token_us: self.now_us().saturating_sub(at_us),
+                    gaps_us: Vec::new(),
+                    cached_tokens: 0,
+                    is_right: self.plain.is_right(&answer, path, &body),
+                },
+                Err(error) if is_of_connection(&error) => {
+                    broken_tries += 1;
+                    Outcome::Lost(error.to_string())
+                }
+                Err(error) => self.failed(at_us, error),
+            };
+            if !matches!(outcome, Outcome::Lost(_)) {
+                break;
+            }
+        }
+        if let Some(key) = key {
+            self.plain.note(key, &outcome);
+        }
+        (outcome, broken_tries)
+    }
+
+    async fn ticket(&self) -> Option<String> {
+        let entry = *self.entries.of_some_caller().first()?;
+        let tickets = self.caller.tickets(entry, 1).await.ok()?;
+        tickets.into_iter().next()
+    }
+
+    fn record(&self, at_us: u64, subject: Subject, outcome: Outcome, broken_tries: u64) -> Record {
+        Record {
+            at_us,
+            workspace: self.workspace,
+            subject,
+            outcome,
+            ended_us: self.now_us(),
+            broken_tries,
+        }
+    }
+
+    fn now_us(&self) -> u64 {
+        micros(self.start.elapsed())
+    }
+}
+
+/// Returns whether another entry VM may do better: the daemon went away or takes nothing new.
+fn is_of_connection(error: &CallError) -> bool {
+    match error {
+        CallError::NotSent(_) | CallError::Broken(_) => true,
+        CallError::Refused { code, .. } => matches!(code, Code::Draining | Code::NotReady),
+        CallError::CutOff => false,
+    }
+}
+
+fn micros(span: std::time::Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
