--- a/crates/wisteriahitch-bench/src/flags.rs
+++ b/crates/wisteriahitch-bench/src/flags.rs
@@ -60,6 +60,8 @@
             optional --capacity name: Capacity
             /// Sends nothing at all, to see what the daemons use by themselves.
             optional --idle
+            /// File for one line of CSV for each request.
+            optional --records path: PathBuf
             /// File for the report as JSON.
             optional --report path: PathBuf
             /// File for the drawing.
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -7,7 +7,7 @@
 use anyhow::{Context, ensure};
 use flags::{Layout, Run, WisteriahitchBench, WisteriahitchBenchCmd};
 use wisteriahitch_bench::load::Capacity;
-use wisteriahitch_bench::report::{Report, compare, plot_run, print_table, sweep};
+use wisteriahitch_bench::report::{Report, compare, plot_run, print_table, sweep, write_records};
 use wisteriahitch_bench::run::{FaultName, RunOptions};
 use wisteriahitch_bench::site::{LayoutOptions, SiteAddresses, write_layout};
 use wisteriahitch_bench::{demo, run};
@@ -78,6 +78,9 @@
         let text = serde_json::to_string_pretty(&report)?;
         std::fs::write(path, text).context("the report can't be written")?;
     }
+    if let Some(path) = &flags.records {
+        write_records(&result, path)?;
+    }
     match &flags.plot {
         Some(path) => plot_run(&report, path),
         None => Ok(()),
--- a/crates/wisteriahitch-bench/src/report/aggregate.rs
+++ b/crates/wisteriahitch-bench/src/report/aggregate.rs
@@ -6,7 +6,7 @@
 use wisteriahitch::types::{ByteCount, TokenCount};
 
 use super::{
-    DaemonSection, FaultSection, FloorSection, LinkSection, PromiseSection, Quantiles,
+    DaemonSection, FaultSection, FloorSection, LinkSection, PartSection, PromiseSection, Quantiles,
     RecomputedSection, Report, RequestSection, Window,
 };
 use crate::load::PromptAsk;
@@ -14,6 +14,9 @@
 use crate::site::SiteSizes;
 
 const US_PER_S: f64 = 1_000_000.0;
+/// The slowest returns that are looked at: one in so many.
+const SLOWEST_PART: usize = 20;
+
 const WINDOW_US: u64 = 2_000_000;
 
 /// Time after a fault's end by which everything is to be as before.
@@ -54,6 +57,7 @@
             plain_calls: view.plain_calls(),
             recomputed: view.recomputed(),
             floor: view.floor(&first_token_returns),
+            slowest_returns: view.slowest_returns(),
             prefill_used_share: view.prefill_used_share(),
             links: view.links(),
             refusals: view.refusals(),
@@ -207,6 +211,45 @@
         }
     }
 
+    fn slowest_returns(&self) -> PartSection {
+        let sizes = &self.result.sizes;
+        let mut rows: Vec<&Answered<'_>> = self
+            .answered
+            .iter()
+            .filter(|row| row.ask.is_return)
+            .collect();
+        rows.sort_by_key(|row| std::cmp::Reverse(row.first_token_us));
+        rows.truncate(rows.len().div_ceil(SLOWEST_PART));
+        let mean_ms = |span_us: &dyn Fn(&Answered<'_>) -> u64| {
+            let sum: u64 = rows.iter().map(|row| span_us(row)).sum();
+            sum as f64 / rows.len().max(1) as f64 / 1_000.0
+        };
+        let prefill = |row: &Answered<'_>| {
+            prefill_us(
+                row.ask.prompt_tokens.saturating_sub(row.cached_tokens),
+                sizes,
+            )
+        };
+        let transfer = |row: &Answered<'_>| transfer_us(row.cached_tokens, sizes);
+        let (first_token_ms, prefill_ms, transfer_ms) = (
+            mean_ms(&|row| row.first_token_us),
+            mean_ms(&prefill),
+            mean_ms(&transfer),
+        );
+        let kept: u64 = rows.iter().map(|row| row.ask.kept_tokens).sum();
+        let again = rows
+            .iter()
+            .map(|row| row.ask.kept_tokens.saturating_sub(row.cached_tokens));
+        PartSection {
+            count: rows.len() as u64,
+            first_token_ms,
+            prefill_ms,
+            transfer_ms,
+            wait_ms: first_token_ms - prefill_ms - transfer_ms,
+            computed_again_share: share(again.sum(), kept),
+        }
+    }
+
     fn prefill_used_share(&self) -> f64 {
         let tokens = |value: &Value| value["prefilled_tokens"].as_f64().unwrap_or(0.0);
         let sum = |rows: &BTreeMap<String, Value>| rows.values().map(tokens).sum::<f64>();
@@ -433,14 +476,19 @@
 
 /// Returns the time of the best single option for a return, if it were alone at the site.
 fn floor_us(ask: &PromptAsk, sizes: &SiteSizes) -> u64 {
-    let prefill = |tokens: u64| {
-        let span = sizes.prefill_tokens_per_s.time_for(TokenCount::new(tokens));
-        span.get()
-    };
-    let bytes = ByteCount::new(ask.kept_tokens * sizes.bytes_per_token.get());
-    let import = sizes.link_bytes_per_s[0].time_for(bytes).get();
-    let rest = prefill(ask.prompt_tokens - ask.kept_tokens);
-    prefill(ask.prompt_tokens).min(import + rest)
+    let import_us = transfer_us(ask.kept_tokens, sizes);
+    let rest_us = prefill_us(ask.prompt_tokens - ask.kept_tokens, sizes);
+    prefill_us(ask.prompt_tokens, sizes).min(import_us + rest_us)
+}
+
+fn prefill_us(tokens: u64, sizes: &SiteSizes) -> u64 {
+    let rate = sizes.prefill_tokens_per_s;
+    rate.time_for(TokenCount::new(tokens)).get()
+}
+
+fn transfer_us(tokens: u64, sizes: &SiteSizes) -> u64 {
+    let bytes = ByteCount::new(tokens * sizes.bytes_per_token.get());
+    sizes.link_bytes_per_s[0].time_for(bytes).get()
 }
 
 fn share(part: u64, whole: u64) -> f64 {
--- a/crates/wisteriahitch-bench/src/report/mod.rs
+++ b/crates/wisteriahitch-bench/src/report/mod.rs
@@ -4,6 +4,7 @@
 mod compare;
 mod plot;
 mod quantiles;
+mod records;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
 mod report;
 mod sections;
@@ -13,10 +14,11 @@
 pub use compare::compare;
 pub use plot::{plot_policies, plot_run};
 pub use quantiles::Quantiles;
+pub use records::write_records;
 pub use report::Report;
 pub use sections::{
-    DaemonSection, FaultSection, FloorSection, LinkSection, PromiseSection, RecomputedSection,
-    RequestSection, Window,
+    DaemonSection, FaultSection, FloorSection, LinkSection, PartSection, PromiseSection,
+    RecomputedSection, RequestSection, Window,
 };
 pub use sweep::sweep;
 pub use table::print_table;
--- a/crates/wisteriahitch-bench/src/report/report.rs
+++ b/crates/wisteriahitch-bench/src/report/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    DaemonSection, FaultSection, FloorSection, LinkSection, PromiseSection, Quantiles,
+    DaemonSection, FaultSection, FloorSection, LinkSection, PartSection, PromiseSection, Quantiles,
     RecomputedSection, RequestSection, Window,
 };
 use crate::load::Capacity;
@@ -51,6 +51,8 @@
     pub recomputed: RecomputedSection,
     /// What the same returns would take without queues.
     pub floor: FloorSection,
+    /// What the slowest twentieth of the returns spent their time on.
+    pub slowest_returns: PartSection,
     /// Part of the endpoints' prefill capacity that was used.
     pub prefill_used_share: f64,
     /// Links.
--- a/crates/wisteriahitch-bench/src/report/sections.rs
+++ b/crates/wisteriahitch-bench/src/report/sections.rs
@@ -53,6 +53,23 @@
     pub p95_ratio: f64,
 }
 
+/// Says what the slowest twentieth of the returns spent their time on, as means.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+pub struct PartSection {
+    /// Returns that are counted.
+    pub count: u64,
+    /// First token.
+    pub first_token_ms: f64,
+    /// Computing what was not cached, alone at the endpoint.
+    pub prefill_ms: f64,
+    /// Bringing the cached pieces over an idle link; 0 where they may have been resident, too.
+    pub transfer_ms: f64,
+    /// The rest: waiting for the endpoint, the link and the daemon.
+    pub wait_ms: f64,
+    /// Part of the tokens in whole pieces of an earlier visit that were computed again.
+    pub computed_again_share: f64,
+}
+
 /// Holds the use of one store VM's link.
 #[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
 pub struct LinkSection {
--- a/crates/wisteriahitch-bench/src/report/table.rs
+++ b/crates/wisteriahitch-bench/src/report/table.rs
@@ -62,6 +62,16 @@
     print_row("between tokens", &report.token_gap);
     print_row("plain calls", &report.plain_calls);
     print_row("refusals after", &report.refusal_after);
+    let slowest = &report.slowest_returns;
+    println!(
+        "slowest returns {}: {:.0} ms = prefill {:.0} + transfer {:.0} + wait {:.0}; {} of kept pieces computed again",
+        slowest.count,
+        slowest.first_token_ms,
+        slowest.prefill_ms,
+        slowest.transfer_ms,
+        slowest.wait_ms,
+        percent(slowest.computed_again_share)
+    );
     println!("p95 of returns over floor  {:.2}", report.floor.p95_ratio);
 }
 
