--- a/crates/wisteriahitch-core/src/fleet/leases/lease_group.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_group.rs
@@ -17,7 +17,7 @@
         /// Number of the shard.
         shard: u32,
     },
-    /// One of the loads that may run at once at the site.
+    /// A part of the loads of weights that may run at once at the whole site.
     RolloutSlot(u32),
 }
 
--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -15,12 +15,13 @@
 pub use directory::{Directory, DirectorySnapshot, Tier, shard_owner};
 pub use endpoint::{
     EndpointChange, EndpointLoad, EndpointOptions, EndpointSnapshot, EndpointTable, FlightFailure,
-    FlightId, LeavingSource, LifeState, LoadedModel, Served,
+    FlightId, LeavingSource, LifeState, LoadedModel, Served, Slowness,
 };
 pub use pieces::{ChainScope, Piece, PieceChain, piece_chain};
 pub use policy::{
     Affinity, Choice, CostOptions, CostPolicy, Estimate, ImportStep, LeastLoaded, LinkView,
-    NoLinks, Plan, Policy, RoundRobin, RouteRefusal, RouteRequest, View, Weighed,
+    NoLinks, ParsePolicyError, Plan, Policy, PolicyKind, RoundRobin, RouteRefusal, RouteRequest,
+    View, Weighed,
 };
 pub use retry::{FailedAttempt, RetryBudget, RetryDecision, retry_decision};
 pub use router::{Router, RouterSnapshot};
--- a/crates/wisteriahitch-node/src/task/mod.rs
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -1,7 +1,10 @@
 //! What a daemon does on its own, again and again.
 
+mod capacity;
+mod endpoint_news;
 mod endpoints;
 mod housekeeping;
+mod shares;
 mod stores;
 mod vm_list;
 
