refactor(tasks): drop what two others do as well

Cause: quotas and news of leaving endpoints were each written twice by work that went on side by side. Change: one of each stays; the room at store VMs and the log of changes are what is left here.

--- /dev/null
+++ b/crates/wisteriahitch-node/src/task/endpoint_changes.rs
@@ -0,0 +1,16 @@
+//! Logging what becomes of endpoints.
+
+use crate::shared::Shared;
+
+/// Logs the endpoints' changes of state since the last call.
+pub(crate) fn log_changes(shared: &Shared) {
+    let changes = shared.router.lock().endpoints.take_changes();
+    for change in changes {
+        log::info!(
+            "endpoint {}: {:?} to {:?}",
+            change.endpoint,
+            change.from,
+            change.to
+        );
+    }
+}
--- a/crates/wisteriahitch-node/src/task/housekeeping.rs
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::capacity::update_capacity;
-use super::endpoint_news::tell_changes;
-use super::shares::{QuotaSplit, update_shares};
+use super::endpoint_changes::log_changes;
+use super::shares::update_shares;
 use crate::shared::Shared;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -17,7 +17,6 @@
 pub(crate) async fn run_housekeeping(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let split = QuotaSplit::default();
     let mut count: u64 = 0;
     loop {
         tokio::select! {
@@ -26,7 +25,7 @@
         }
         if count.is_multiple_of(TICKS_PER_CAPACITY) {
             update_capacity(&shared);
-            update_shares(&shared, &split);
+            update_shares(&shared);
         }
         count += 1;
     }
@@ -45,5 +44,5 @@
     shared.tick_claims();
     shared.tick_config();
     shared.tick_drain();
-    tell_changes(shared);
+    log_changes(shared);
 }
--- a/crates/wisteriahitch-node/src/task/mod.rs
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -1,7 +1,7 @@
 //! What a daemon does on its own, again and again.
 
 mod capacity;
-mod endpoint_news;
+mod endpoint_changes;
 mod endpoints;
 mod housekeeping;
 mod shares;
--- a/crates/wisteriahitch-node/src/task/shares.rs
+++ b/crates/wisteriahitch-node/src/task/shares.rs
@@ -1,8 +1,6 @@
-//! What falls to this daemon as its share of the site's work.
+//! Which store VMs' full tiers fall to this daemon.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 use wisteriahitch_config::Configuration;
 use wisteriahitch_core::fleet::{Membership, Rendezvous};
@@ -13,32 +11,16 @@
 /// Separates this share from every other use of the rendezvous hash.
 const ROOM_KEEPER: &str = "room-keeper";
 
-/// Remembers among how many daemons the quotas are split.
-#[derive(Debug, Default)]
-pub(crate) struct QuotaSplit {
-    daemons: AtomicU32,
-}
-
 /// Takes over this daemon's share after the other daemons have changed.
-pub(crate) fn update_shares(shared: &Arc<Shared>, split: &QuotaSplit) {
+pub(crate) fn update_shares(shared: &Shared) {
     let Some(in_force) = shared.in_force.load_full() else {
         return;
     };
-    let configuration = &in_force.configuration;
-    let (daemons, stores) = {
+    let stores = {
         let members = shared.fleet.members.lock();
-        let daemons = u32::try_from(members.workers().count())
-            .unwrap_or(u32::MAX)
-            .max(1);
-        (daemons, stores_to_keep(configuration, &members))
+        stores_to_keep(&in_force.configuration, &members)
     };
     shared.tiers.with(|tiers| tiers.keep_room_at(stores));
-    // Each daemon grants its part of a workspace's quota. With the count of an earlier moment the
-    // parts wouldn't add up: a workspace would get less, or more, than its operators allow.
-    if split.daemons.swap(daemons, Ordering::AcqRel) != daemons {
-        let now = shared.clock.now();
-        shared.admission.configured(configuration, daemons, now);
-    }
 }
 
 /// Returns the store VMs whose full tiers this daemon empties; each has one daemon at a time.
@@ -53,10 +35,6 @@
         let name = |incarnation: &Incarnation| incarnation.get().to_le_bytes().to_vec();
         rank.top(workers, 1, name).contains(&me)
     };
-    configuration
-        .stores
-        .keys()
-        .filter(|store| is_mine(store))
-        .cloned()
-        .collect()
+    let stores = configuration.stores.keys();
+    stores.filter(|store| is_mine(store)).cloned().collect()
 }
--- a/crates/wisteriahitch/tests/all/refusals.rs
+++ b/crates/wisteriahitch/tests/all/refusals.rs
@@ -79,7 +79,7 @@
     let site = Site::start(SiteOptions::default()).await;
     let dump = site.dump(0).await;
     let incarnation = dump["incarnation"].as_u64().unwrap();
-    let address = dump["settings"]["listen"]["peers"].as_str().unwrap();
+    let address = dump["listen"]["peers"].as_str().unwrap();
     let address = address.parse().unwrap();
     let me = PeerIdentity::new("entry-9".parse().unwrap(), Incarnation::new(9));
     let request = ForwardRequest {
