fix(wire): refuse load reports with counts that no endpoint can have

An engine, a service and a store answer every question with generated nonsense: wrong types, the largest numbers, cut off, deeply nested, no HTTP. Callers must get right answers or numbered refusals, the rest of the site serves on, and no daemon panics or grows.

It met an overflow: running + queued of a report of 2^64 - 1 requests panicked in the task that follows the endpoint (orders/state.rs), and in a release build would have made it look idle. The same sum stands at three more places, so the bound is where reports come in: a count above 2^32 - 1 makes the report malformed, and the endpoint isn't used.

Seen failing first: "attempt to add with overflow" in a daemon's log.

--- a/crates/wisteriahitch-wire/src/engine/message.rs
+++ b/crates/wisteriahitch-wire/src/engine/message.rs
@@ -87,10 +87,13 @@
     /// When the report was made, in milliseconds on the engine's own clock.
     pub made_at_ms: u64,
     /// Requests that run now.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub running: u64,
     /// Requests that can run at once.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub batch_slots: u64,
     /// Requests that wait.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub queued: u64,
     /// Prompt tokens that wait to be computed.
     pub queued_tokens: TokenCount,
--- a/crates/wisteriahitch-wire/src/service/mod.rs
+++ b/crates/wisteriahitch-wire/src/service/mod.rs
@@ -53,10 +53,13 @@
     /// When the report was made, in milliseconds on the service's own clock.
     pub made_at_ms: u64,
     /// Requests that run now.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub running: u64,
     /// Requests that can run at once.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub slots: u64,
     /// Requests that wait.
+    #[serde(deserialize_with = "crate::count::deserialize")]
     pub queued: u64,
     /// Whether the endpoint will go away soon.
     pub leaving: bool,
--- a/crates/wisteriahitch-wire/tests/all/service.rs
+++ b/crates/wisteriahitch-wire/tests/all/service.rs
@@ -264,6 +264,11 @@
             reply: Reply::whole("200 OK", "", "busy"),
             expected: Err(ServiceErrorKind::Nonsense),
         },
+        Case {
+            name: "more than any endpoint runs",
+            reply: Reply::whole("200 OK", "", &report.replace('2', "4294967296")),
+            expected: Err(ServiceErrorKind::Nonsense),
+        },
         Case {
             name: "refusal",
             reply: Reply::whole("503 Service Unavailable", "", report),
