fix(node): report entries of the VM list that don't parse

An entry of the VM list that didn't parse was dropped without a word, though it may be the one that says that a VM is leaving. Each is now reported once, and so is a list that doesn't parse as a whole.

--- a/crates/wisteriahitch-node/src/task/vm_list.rs
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -1,32 +1,38 @@
 //! Reading the platform's lagging list of VMs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use wisteriahitch_core::fleet::{MembershipEvent, VmNotice};
 use wisteriahitch_core::route::LeavingSource;
-use wisteriahitch_wire::platform::{ObjectKind, Platform, VirtualMachine, VmPhase};
+use wisteriahitch_wire::platform::{
+    Object, ObjectKind, ObjectVersion, Platform, PlatformErrorKind, VirtualMachine, VmPhase,
+};
 
 use crate::shared::Shared;
 
 /// Time between two readings; each is one call of the platform.
 const PAUSE: Duration = Duration::from_secs(2);
 
+/// Entries that were reported as damaged, so that each one is reported once.
+type Damaged = HashSet<(String, ObjectVersion)>;
+
 /// Reads the list until the process stops.
 pub(crate) async fn run_vm_list(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(PAUSE);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut damaged = Damaged::new();
     loop {
         tokio::select! {
             () = shared.stop.cancelled() => return,
-            _ = ticks.tick() => read(&shared).await,
+            _ = ticks.tick() => read(&shared, &mut damaged).await,
         }
     }
 }
 
-async fn read(shared: &Arc<Shared>) {
+async fn read(shared: &Arc<Shared>, damaged: &mut Damaged) {
     let listing = match shared
         .outside
         .platform
@@ -34,16 +40,16 @@
         .await
     {
         Ok(listing) => listing,
+        Err(error) if error.kind() == PlatformErrorKind::Malformed => {
+            log::warn!("the VM list doesn't parse: {error}");
+            return;
+        }
         Err(error) => {
             log::debug!("the VM list can't be read: {error}");
             return;
         }
     };
-    let vms: Vec<VirtualMachine> = listing
-        .items
-        .into_iter()
-        .filter_map(|object| serde_json::from_value(object.spec).ok())
-        .collect();
+    let vms = parse(listing.items, damaged);
     let notices = vms.iter().filter_map(|vm| {
         let address: IpAddr = vm.address.parse().ok()?;
         Some(VmNotice {
@@ -55,6 +61,34 @@
     note_endpoints(shared, &vms);
 }
 
+/// Takes the entries that parse, and reports each other one once.
+///
+/// An entry that is dropped without a word may be the one that says that a VM is leaving; new work
+/// would go there, and nothing would show why.
+fn parse(items: Vec<Object>, damaged: &mut Damaged) -> Vec<VirtualMachine> {
+    let mut vms = Vec::new();
+    let mut found = Damaged::new();
+    for object in items {
+        let Object {
+            name,
+            version,
+            spec,
+        } = object;
+        match serde_json::from_value(spec) {
+            Ok(vm) => vms.push(vm),
+            Err(error) => {
+                let entry = (name, version);
+                if !damaged.contains(&entry) {
+                    log::warn!("VM list: the entry {} doesn't parse: {error}", entry.0);
+                }
+                found.insert(entry);
+            }
+        }
+    }
+    *damaged = found;
+    vms
+}
+
 /// Tells the endpoint table which endpoints' VMs are leaving.
 ///
 /// An entry names a VM by its IP address; where several endpoints share one, as in tests on one
