fix(node): report a section that is missing or isn't text

A daemon that starts with such an object in the platform isn't ready, which is right, but it told nobody why: only a section whose text doesn't fit its name was reported.

Seen failing first: waited in vain for the damage to be reported (sections with null, numbers and lists for their text).

--- a/crates/wisteriahitch-node/src/config/objects.rs
+++ b/crates/wisteriahitch-node/src/config/objects.rs
@@ -3,6 +3,7 @@
 use serde_json::json;
 use wisteriahitch_config::{SectionName, Sections};
 use wisteriahitch_core::fleet::{HeadObject, Section, SectionHash, SectionName as CoreName};
+use wisteriahitch_types::Code;
 use wisteriahitch_wire::platform::{
     Object, ObjectKind, Platform, PlatformError, PlatformErrorKind,
 };
@@ -32,7 +33,10 @@
     serde_json::from_value(object.spec.clone())
 }
 
-/// Reads a section's text; nothing where it isn't there.
+/// Reads a section's text; nothing where it isn't there or isn't text.
+///
+/// Either is reported: a daemon that starts with such an object isn't ready, and nothing else would
+/// tell the operators which object to mend.
 pub(crate) async fn read_section(
     platform: &dyn Platform,
     hash: &SectionHash,
@@ -41,6 +45,10 @@
         .get(ObjectKind::ConfigSection, hash.as_str())
         .await?;
     let text = object.and_then(|object| object.spec[TEXT_FIELD].as_str().map(str::to_owned));
+    if text.is_none() {
+        let code = Code::ConfigCorrupt;
+        log::error!("{code} the section {hash} is missing or isn't text");
+    }
     Ok(text)
 }
 
