--- a/crates/wisteriahitch-config/tests/all/settings.rs
+++ b/crates/wisteriahitch-config/tests/all/settings.rs
@@ -4,7 +4,7 @@
 use wisteriahitch_config::{LogLevel, Settings};
 use wisteriahitch_types::{Code, DurationUs};
 
-use crate::support::{codes_and_lines, example, line_of};
+use crate::support::{Edit, codes_and_lines, edit, example};
 
 const MANY: &str = r#"id = "entry 1"
 zone = "colombo-a"
@@ -38,6 +38,7 @@
 
 [run]
 cores = 0
+policy = "fastest"
 threads = 4
 "#;
 
@@ -63,7 +64,8 @@
         settings.toml:28:9: W4003 log.level: "loud" is not one of error, warn, info, debug, trace
         settings.toml:29:8: W4003 log.file: the path is empty
         settings.toml:32:9: W4003 run.cores: must be from 1 to 1024, found 0
-        settings.toml:33:1: W4002 run.threads: no key is named `threads`"#]].assert_eq(&report.in_file("settings.toml").to_string());
+        settings.toml:33:10: W4003 run.policy: "fastest" is not one of cost, round-robin, least-loaded, affinity
+        settings.toml:34:1: W4002 run.threads: no key is named `threads`"#]].assert_eq(&report.in_file("settings.toml").to_string());
 }
 
 #[test]
@@ -95,50 +97,31 @@
     assert!(LogLevel::Error < LogLevel::Trace);
 }
 
-struct Case {
-    replace: &'static str,
-    by: &'static str,
-    code: Code,
-    at: &'static str,
-}
-
-const fn case(replace: &'static str, by: &'static str, code: Code, at: &'static str) -> Case {
-    Case {
-        replace,
-        by,
-        code,
-        at,
-    }
-}
-
 #[rustfmt::skip]
-const CASES: &[Case] = &[
-    case("id = \"entry-1\"\n", "", Code::ConfigMissingKey, "#"),
-    case("peers = \"127.0.0.1:7002\"\n", "", Code::ConfigMissingKey, "[listen]"),
-    case("peers = \"127.0.0.1:7002\"", "peers = \"127.0.0.1:7001\"", Code::ConfigDuplicateName, "peers = \"127.0.0.1:7001\""),
-    case("addresses = [\"127.0.0.1:7000\"]", "addresses = [\"127.0.0.1:7003\"]", Code::ConfigDuplicateName, "addresses = "),
-    case("seeds = [\"127.0.0.1:7002\"", "seeds = [\"127.0.0.1:7001\"", Code::ConfigContradiction, "seeds = "),
-    case("key_hashes = [\"c3", "key_hashes = [\"+3", Code::ConfigBadValue, "key_hashes = "),
-    case("body_timeout_s = 30", "body_timeout_s = 4", Code::ConfigContradiction, "[limits]"),
-    case("answer_bytes = 524_288", "answer_bytes = 900_000", Code::ConfigBadValue, "answer_bytes"),
-    case("cores = 2", "core = 2", Code::ConfigUnknownKey, "core = 2"),
-    case("[run]", "[runs]", Code::ConfigUnknownKey, "[runs]"),
-    case("[run]", "[log]", Code::ConfigSyntax, "[log]\ncores"),
+const EDITS: &[Edit] = &[
+    edit("id = \"entry-1\"\n", "", Code::ConfigMissingKey, "#"),
+    edit("peers = \"127.0.0.1:7002\"\n", "", Code::ConfigMissingKey, "[listen]"),
+    edit("peers = \"127.0.0.1:7002\"", "peers = \"127.0.0.1:7001\"", Code::ConfigDuplicateName, "peers = \"127.0.0.1:7001\""),
+    edit("addresses = [\"127.0.0.1:7000\"]", "addresses = [\"127.0.0.1:7003\"]", Code::ConfigDuplicateName, "addresses = "),
+    edit("seeds = [\"127.0.0.1:7002\"", "seeds = [\"127.0.0.1:7001\"", Code::ConfigContradiction, "seeds = "),
+    edit("key_hashes = [\"c3", "key_hashes = [\"+3", Code::ConfigBadValue, "key_hashes = "),
+    edit("body_timeout_s = 30", "body_timeout_s = 4", Code::ConfigContradiction, "[limits]"),
+    edit("answer_bytes = 524_288", "answer_bytes = 900_000", Code::ConfigBadValue, "answer_bytes"),
+    edit("cores = 2", "core = 2", Code::ConfigUnknownKey, "core = 2"),
+    edit("[run]", "[runs]", Code::ConfigUnknownKey, "[runs]"),
+    edit("[run]", "[log]", Code::ConfigSyntax, "[log]\ncores"),
 ];
 
 #[test]
 fn each_mistake_brings_its_own_code_and_line_alone() {
     let right = example("settings.toml");
-    for case in CASES {
-        let text = right.replacen(case.replace, case.by, 1);
-        assert_ne!(text, right, "{} is not in the example", case.replace);
+    for edit in EDITS {
+        let (text, line) = edit.apply(&right);
         let report = Settings::check(&text).unwrap_err();
-        let line = line_of(&text, case.at);
         assert_eq!(
             codes_and_lines(&report),
-            [(case.code, line)],
-            "{}: {report}",
-            case.by
+            [(edit.code, line)],
+            "{edit}: {report}"
         );
     }
 }
--- a/crates/wisteriahitch-node/src/state/admission.rs
+++ b/crates/wisteriahitch-node/src/state/admission.rs
@@ -11,7 +11,7 @@
 };
 use wisteriahitch_types::{Code, DurationUs, RequestId, TimeUs, TokenCount};
 
-use crate::caller::{Identity, Refusal};
+use crate::caller::{Identity, Refusal, new_request_id};
 use crate::shared::Shared;
 
 type Turn = Result<(), Refusal>;
@@ -27,6 +27,8 @@
 struct Inner {
     admission: Admission,
     budget: RetryBudget,
+    /// How many daemons the quotas are shared by now.
+    daemons: u32,
     waiters: HashMap<RequestId, oneshot::Sender<Turn>>,
 }
 
@@ -36,6 +38,7 @@
         let inner = Inner {
             admission: Admission::default(),
             budget: RetryBudget::new(retry_share),
+            daemons: 0,
             waiters: HashMap::new(),
         };
         Self {
@@ -69,10 +72,16 @@
     /// Takes over a configuration that `daemons` daemons share.
     pub(crate) fn configured(&self, configuration: &Configuration, daemons: u32, now: TimeUs) {
         let mut inner = self.inner.lock();
+        inner.daemons = daemons;
         inner.budget.set_share(configuration.limits.retry_share);
         inner.admission.configured(configuration, daemons, now);
     }
 
+    /// Returns whether the quotas are shared by another number of daemons.
+    pub(crate) fn is_shared_by_others(&self, daemons: u32) -> bool {
+        self.inner.lock().daemons != daemons
+    }
+
     /// Shows the gates, for the dump.
     pub(crate) fn snapshot(&self) -> Vec<GateSnapshot> {
         self.inner.lock().admission.snapshot()
@@ -102,24 +111,28 @@
 }
 
 impl Shared {
-    /// Waits for a request's turn, or returns why it gets none.
+    /// Waits for a request's turn until `due_us`, or returns why it gets none.
+    ///
+    /// The turn has an id of its own: two resumptions of one request would otherwise share an
+    /// entry, and the end of the first would take the turn of the second.
     pub(crate) async fn enter(
         self: &Arc<Self>,
         identity: &Identity,
         route: &Route,
-        request_id: &RequestId,
+        due_us: TimeUs,
         prompt_tokens: TokenCount,
         cost_tokens: TokenCount,
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
+        let turn_id = new_request_id(self);
         let request = AdmissionRequest {
-            request: request_id.clone(),
+            request: turn_id.clone(),
             workspace: identity.workspace.clone(),
             service: route.service.clone(),
             priority: route.priority,
             prompt_tokens,
             cost_tokens,
-            deadline_us: now + route.deadline_us,
+            deadline_us: due_us,
         };
         let (sender, receiver) = oneshot::channel();
         {
@@ -130,13 +143,13 @@
                 let refusal = Refusal::new(Code::QueueFull);
                 return Err(refusal.with_retry_after_us(QUEUE_FULL_RETRY_US));
             }
-            inner.waiters.insert(request_id.clone(), sender);
+            inner.waiters.insert(turn_id.clone(), sender);
         }
         // The permit exists from the arrival on, so that a caller that leaves while it waits, or
         // in the very moment of its start, gives its place back.
         let permit = Permit {
             shared: Arc::clone(self),
-            request: request_id.clone(),
+            request: turn_id,
         };
         self.admission
             .step(|admission| admission.arrive(request, now));
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -6,7 +6,6 @@
 
 use tokio::task::JoinSet;
 use wisteriahitch_config::Store;
-use wisteriahitch_core::route::Tier as RouteTier;
 use wisteriahitch_core::tier::{BlockState, TierEvent};
 use wisteriahitch_types::{BlockKey, StoreId, StoreIncarnation};
 use wisteriahitch_wire::store::{
@@ -106,28 +105,31 @@
     if listing.incarnation != *incarnation {
         return;
     }
-    let readable: Vec<(BlockKey, RouteTier)> = readable(&listing).collect();
+    let readable: Vec<(BlockKey, Tier)> = readable(&listing).collect();
     shared
         .router
         .lock()
         .directory
         .store_listing(&store.id, &readable);
+    let keys = readable.iter().map(|(key, _)| *key).collect();
     for block in listing.blocks {
         shared.note_tier(listed(&store.id, incarnation, block));
     }
+    // What the listing doesn't hold is gone: without this a block that another daemon freed would
+    // count as saved here for ever, and would never be saved again.
+    let (store, incarnation) = (store.id.clone(), incarnation.clone());
+    shared.note_tier(TierEvent::StoreListed {
+        store,
+        incarnation,
+        keys,
+    });
 }
 
-fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, RouteTier)> {
+fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, Tier)> {
     let blocks = listing.blocks.iter();
     blocks
         .filter(|block| block.state == WireState::Readable)
-        .map(|block| {
-            let tier = match block.tier {
-                Tier::Memory => RouteTier::Memory,
-                Tier::Disk => RouteTier::Disk,
-            };
-            (block.key, tier)
-        })
+        .map(|block| (block.key, block.tier))
 }
 
 fn listed(store: &StoreId, incarnation: &StoreIncarnation, block: StoredBlock) -> TierEvent {
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -5,29 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ParseIdError;
-
-/// Says what a refusal means for the request that it answers.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Meaning {
-    /// The request certainly was not run, and a late copy of it will not be run either.
-    NotRun,
-    /// The request may have run; a keyed request may be asked for again with the same key.
-    OutcomeUnknown,
-    /// The code doesn't speak of a caller's request.
-    Notice,
-}
-
-impl fmt::Display for Meaning {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Meaning::NotRun => "not run",
-            Meaning::OutcomeUnknown => "outcome unknown",
-            Meaning::Notice => "notice",
-        })
-    }
-}
+use crate::{Meaning, ParseIdError};
 
 macro_rules! codes {
     ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $meaning:ident, $status:literal;)+) => {
@@ -86,8 +64,6 @@
     HeaderTooLarge = 1004, NotRun, 431;
     /// The caller sent its request too slowly.
     SlowSender = 1005, NotRun, 408;
-    /// The caller read its answer too slowly.
-    SlowReader = 1006, OutcomeUnknown, 0;
     /// The path or method is not served here.
     UnknownPath = 1007, NotRun, 404;
     /// No workspace has the key that the caller sent.
@@ -98,8 +74,6 @@
     ForeignTicket = 1010, NotRun, 403;
     /// The same key came with a different request.
     KeyReused = 1011, NotRun, 422;
-    /// The request needs a ticket or an idempotency key, because it may not be repeated.
-    KeyRequired = 1012, NotRun, 428;
     /// The operator's key is missing or wrong.
     OperatorKey = 1013, NotRun, 403;
     /// No request with this id is under way or kept here.
@@ -196,8 +170,6 @@
     LeaseLapsed = 5006, Notice, 409;
     /// The endpoint refused the order, because its fencing number is old.
     OrderFenced = 5007, Notice, 409;
-    /// The order failed at the endpoint.
-    OrderFailed = 5008, Notice, 502;
 
     /// The block is not at the store any more.
     BlockGone = 6001, Notice, 410;
@@ -207,8 +179,6 @@
     StoreFull = 6003, Notice, 507;
     /// The store can't be reached.
     StoreLost = 6004, Notice, 502;
-    /// The cache events of an endpoint have a gap.
-    CacheEventGap = 6005, Notice, 0;
 }
 
 impl Code {
