--- a/crates/wisteriahitch-wire/tests/all/main.rs
+++ b/crates/wisteriahitch-wire/tests/all/main.rs
@@ -5,6 +5,7 @@
 
 mod canned;
 mod engine;
+mod generated;
 mod http_client;
 mod platform;
 mod sent_once;
