fix(drain): tell kept connections to leave, write outcomes down, wait for no frozen peer

Causes: nothing told callers on kept connections to leave, so that one had a request on its way when the process ended; the listener's backlog was reset with it. A draining daemon waited for requests but not for the writing of their outcomes. Its peers' side waited without a bound for a frozen peer to confirm the end of its connection. The ticks also stopped with the sides, so that a request of the last moment had no time-outs any more (found by reading). Ruled out: refusing requests while draining, since callers keep an answer of /v1/entries for a while; closing idle connections at the start of the drain, which cuts off the same requests sooner. Change: every answer of a draining daemon says `connection: close`; the backlog is accepted before the listener closes, and idle connections stay open 300 ms longer; outcomes count as open work unless the platform is away; the ticks and the peers' side end last, the latter within 2 s. Left: a caller that keeps an idle connection through the whole drain and sends on it in the very moment of its end can't be told before; HTTP/1.1 has no word for it.

--- a/crates/wisteriahitch-core/src/once/claim/batcher.rs
+++ b/crates/wisteriahitch-core/src/once/claim/batcher.rs
@@ -163,6 +163,13 @@
         self.away_until
     }
 
+    /// Returns whether something is being claimed or written down that the platform can take now.
+    ///
+    /// A draining process waits for it, but not for a platform that is away.
+    pub fn has_open_work(&self, now: TimeUs) -> bool {
+        now >= self.away_until && !self.shards.is_empty()
+    }
+
     /// Returns what a dump shows.
     pub fn snapshot(&self) -> ClaimSnapshot {
         let shards = self.shards.iter();
--- a/crates/wisteriahitch-node/src/caller/handler.rs
+++ b/crates/wisteriahitch-node/src/caller/handler.rs
@@ -4,8 +4,9 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use http::header::CONNECTION;
 use http::request::Parts;
-use http::{Method, Request, Response};
+use http::{HeaderValue, Method, Request, Response};
 use hyper::body::Incoming;
 use wisteriahitch_types::{Code, RequestId};
 
@@ -105,9 +106,16 @@
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let request_id = new_request_id(&self.shared);
         let answered = self.answer(&request_id, request).await;
-        answered.unwrap_or_else(|refusal| {
+        let mut response = answered.unwrap_or_else(|refusal| {
             self.shared.metrics.count_refusal(refusal.code());
             refusal.to_response(&request_id)
-        })
+        });
+        // A caller that sends one request after the other on a kept connection would have one on
+        // its way when the process ends, and get no answer to it. This tells it to leave before.
+        if self.shared.is_draining() {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        response
     }
 }
--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -80,7 +80,7 @@
             running.cancel();
         }
         if is_wanted {
-            let token = self.stop.child_token();
+            let token = self.end.child_token();
             *watch = Some(token.clone());
             tokio::spawn(watch_until(Arc::clone(self), token));
         }
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -38,6 +38,9 @@
 /// Longest wait for a connection to a peer.
 const PEER_CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 
+/// Longest wait for the connections of peers to end, once nothing is asked on them.
+const LONGEST_GOODBYE: std::time::Duration = std::time::Duration::from_secs(2);
+
 /// Callers' connections at once for each stream that may run.
 const CONNECTIONS_PER_STREAM: usize = 2;
 
@@ -87,6 +90,7 @@
             fleet: FleetState::new(&settings, incarnation),
             metrics: Metrics::new().context("the metrics can't be registered")?,
             stop: CancellationToken::new(),
+            end: CancellationToken::new(),
             settings,
         };
         Ok(Self {
@@ -113,6 +117,7 @@
         let peers = bind(listen.peers, "peers").await?;
         shared.step_config(ConfigEvent::Restart);
         let mut tasks = JoinSet::new();
+        let mut sides = JoinSet::new();
         tasks.spawn(task::run_housekeeping(Arc::clone(&shared)));
         tasks.spawn(task::run_endpoints(Arc::clone(&shared)));
         tasks.spawn(task::run_stores(Arc::clone(&shared)));
@@ -122,16 +127,24 @@
         tasks.spawn(serve_peer_side(Arc::clone(&shared), peers));
         let operator_side = Arc::new(OperatorHandler::new(Arc::clone(&shared)));
         let limits = limits(&shared.settings, OPERATOR_CONNECTIONS);
-        tasks.spawn(serve(operators, limits, operator_side, shared.stop.clone()));
+        sides.spawn(serve(operators, limits, operator_side, shared.stop.clone()));
         let caller_side = Arc::new(CallerHandler::new(Arc::clone(&shared)));
         let limits = limits_for_callers(&shared.settings);
-        tasks.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
+        sides.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
         log::info!(
             "daemon {} incarnation {}",
             shared.settings.id,
             shared.incarnation
         );
-        while tasks.join_next().await.is_some() {}
+        while sides.join_next().await.is_some() {}
+        shared.wait_for_late_work().await;
+        shared.end.cancel();
+        // A peer that is frozen never confirms the end of its connection, and nothing that it
+        // could still want is left here. Without a bound one such peer would hold up an update.
+        let ended = async { while tasks.join_next().await.is_some() {} };
+        if tokio::time::timeout(LONGEST_GOODBYE, ended).await.is_err() {
+            log::warn!("a connection to a peer didn't end in time");
+        }
         Ok(())
     }
 }
@@ -144,7 +157,7 @@
 
 async fn serve_peer_side(shared: Arc<Shared>, listener: TcpListener) {
     let handler = Arc::new(PeerSide::new(Arc::clone(&shared)));
-    let stop = shared.stop.clone();
+    let stop = shared.end.clone();
     if let Err(error) = serve_peers(listener, handler, stop.cancelled_owned()).await {
         log::error!("the peers' side ended: {error}");
     }
--- a/crates/wisteriahitch-node/src/orders/planning.rs
+++ b/crates/wisteriahitch-node/src/orders/planning.rs
@@ -22,7 +22,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => {}
         }
         if let Some(in_force) = shared.in_force.load_full() {
--- a/crates/wisteriahitch-node/src/peering/probe.rs
+++ b/crates/wisteriahitch-node/src/peering/probe.rs
@@ -25,7 +25,7 @@
     let mut ticks = tokio::time::interval(TICK);
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => shared.step_members(MembershipEvent::Tick),
         }
     }
--- a/crates/wisteriahitch-node/src/server/connection.rs
+++ b/crates/wisteriahitch-node/src/server/connection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use futures_util::FutureExt;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -24,6 +25,9 @@
 /// How long the listener rests after an accept fails, such as for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// How long a connection without a request stays open after the stop, for one that is on its way.
+const LAST_REQUEST_GRACE: Duration = Duration::from_millis(300);
+
 /// Smallest header buffer that the HTTP library takes.
 const MIN_HEADER_BYTES: u64 = 8_192;
 
@@ -79,10 +83,31 @@
             }
         }
     }
+    take_backlog(&listener, &permits, limits, &handler, &stop);
     drop(listener);
     wait_for_all(&permits, limits.connections).await;
 }
 
+/// Takes the connections that are open already and haven't been accepted yet.
+///
+/// Closing the listener would reset them, with the requests that callers have sent on them.
+fn take_backlog(
+    listener: &TcpListener,
+    permits: &Arc<Semaphore>,
+    limits: ConnectionLimits,
+    handler: &Arc<dyn Handler>,
+    stop: &CancellationToken,
+) {
+    while let Ok(permit) = Arc::clone(permits).try_acquire_owned() {
+        let Some(Ok((stream, peer))) = listener.accept().now_or_never() else {
+            return;
+        };
+        let handler = Arc::clone(handler);
+        let connection = serve_connection(stream, peer, limits, handler, stop.clone());
+        tokio::spawn(hold_permit(permit, connection));
+    }
+}
+
 async fn hold_permit(permit: OwnedSemaphorePermit, connection: impl Future<Output = ()>) {
     connection.await;
     drop(permit);
@@ -123,9 +148,13 @@
         .max_buf_size(limits.header_bytes.get().max(MIN_HEADER_BYTES) as usize)
         .serve_connection(io, service);
     tokio::pin!(connection);
+    let stopped = async {
+        stop.cancelled().await;
+        tokio::time::sleep(LAST_REQUEST_GRACE).await;
+    };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop.cancelled() => {
+        () = stopped => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -80,6 +80,8 @@
     pub(crate) fleet: FleetState,
     /// Counters.
     pub(crate) metrics: Metrics,
-    /// Ends the process's tasks.
+    /// Ends the callers' and the operators' side, each connection with the request that it is at.
     pub(crate) stop: CancellationToken,
+    /// Ends everything else, once both sides have ended and no work is left.
+    pub(crate) end: CancellationToken,
 }
--- a/crates/wisteriahitch-node/src/state/drain.rs
+++ b/crates/wisteriahitch-node/src/state/drain.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use wisteriahitch_core::fleet::{Drain, DrainPhase, MembershipEvent, OpenWork};
-use wisteriahitch_types::DurationUs;
+use wisteriahitch_types::{DurationUs, TimeUs};
 
 use crate::shared::Shared;
 
 /// How long other daemons may go on naming this one before the news of its draining is everywhere.
 const SPREAD_US: DurationUs = DurationUs::from_ms(2_000);
 
+/// Time between two looks at the work that is left.
+const LATE_WORK_PAUSE: Duration = Duration::from_millis(20);
+
 /// Holds how far this daemon's draining has come.
 #[derive(Default)]
 pub(crate) struct DrainState {
@@ -64,21 +68,42 @@
 
     /// Ends the process once nothing would be cut off.
     pub(crate) fn tick_drain(self: &Arc<Self>) {
-        if !self.is_draining() {
+        if !self.is_draining() || self.stop.is_cancelled() {
             return;
         }
         let now = self.clock.now();
-        let work = {
-            let once = self.once.lock();
-            let under_way = once.table.under_way() as u64;
-            OpenWork {
-                requests: self.fleet.drain.accepted.load(Ordering::Acquire) + under_way,
-                tickets: u64::from(once.issuer.has_live_tickets(now)),
-            }
-        };
+        let work = self.open_work(now);
         if self.fleet.drain.drain.lock().tick(now, work) == DrainPhase::Drained {
             log::info!("drained");
             self.stop.cancel();
         }
     }
+
+    /// Waits for work that a request left behind which came in the last moment.
+    ///
+    /// Whatever this waits for is bounded: a keyed run by its deadline, an outcome that is to be
+    /// written down by the platform's time-out.
+    pub(crate) async fn wait_for_late_work(&self) {
+        loop {
+            let work = self.open_work(self.clock.now());
+            if work.requests == 0 {
+                return;
+            }
+            tokio::time::sleep(LATE_WORK_PAUSE).await;
+        }
+    }
+
+    /// Counts what still needs this daemon.
+    ///
+    /// Outcomes of claims belong to it: a repeat of a finished request finds its answer nowhere
+    /// else once this process has ended.
+    fn open_work(&self, now: TimeUs) -> OpenWork {
+        let once = self.once.lock();
+        let under_way = once.table.under_way() as u64;
+        let claims = u64::from(once.claims.has_open_work(now));
+        OpenWork {
+            requests: self.fleet.drain.accepted.load(Ordering::Acquire) + under_way + claims,
+            tickets: u64::from(once.issuer.has_live_tickets(now)),
+        }
+    }
 }
--- a/crates/wisteriahitch-node/src/task/endpoints.rs
+++ b/crates/wisteriahitch-node/src/task/endpoints.rs
@@ -34,7 +34,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => ask_all(&shared, &places).await,
         }
     }
--- a/crates/wisteriahitch-node/src/task/housekeeping.rs
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -21,7 +21,7 @@
     let mut count: u64 = 0;
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => tick(&shared),
         }
         if count.is_multiple_of(TICKS_PER_CAPACITY) {
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -30,7 +30,7 @@
     let mut looks = 0;
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => {}
         }
         ask_all(&shared, &mut lives, looks % LOOKS_PER_LISTING == 0).await;
--- a/crates/wisteriahitch-node/src/task/vm_list.rs
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -20,7 +20,7 @@
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => read(&shared).await,
         }
     }
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -17,6 +17,7 @@
 mod poison;
 mod quotas;
 mod refusals;
+mod shutdown;
 mod stream;
 mod tiers;
 mod weights;
