--- a/crates/wisteriahitch-node/src/task/vm_list.rs
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -26,7 +26,7 @@
     let mut damaged = Damaged::new();
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => read(&shared, &mut damaged).await,
         }
     }
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod refusals;
 mod settling;
 mod shutdown;
+mod shutdown_ticket;
 mod stream;
 mod swap;
 mod tiers;
