--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -28,6 +28,8 @@
     pub(crate) engine_flags: Vec<String>,
     /// Further flags of the plain service.
     pub(crate) service_flags: Vec<String>,
+    /// Length of the KV cache of one token.
+    pub(crate) bytes_per_token: u64,
     /// Further flags of the store VM.
     pub(crate) store_flags: Vec<String>,
     /// Memory of the store VM, as configured.
@@ -51,6 +53,7 @@
             engines: 1,
             engine_flags: Vec::new(),
             service_flags: Vec::new(),
+            bytes_per_token: 64,
             store_flags: Vec::new(),
             store_memory_bytes: 64_000_000,
             limits: "ticket_lifetime_s = 60\nentries_ttl_s = 1\n".to_owned(),
@@ -193,11 +196,11 @@
             "availability_zones = [\"colombo-a\", \"colombo-b\", \"negombo-c\"]\n\
              [limits]\n{}\n\
              [[models]]\nname = \"hist-7b\"\nweight_version = \"{weight_version}\"\n\
-             piece_tokens = 100\nbytes_per_token = 64\nmax_prompt_tokens = 64_000\n\
+             piece_tokens = 100\nbytes_per_token = {}\nmax_prompt_tokens = 64_000\n\
              [[stores]]\nid = \"hub-cache\"\naddress = \"{}\"\navailability_zone = \"colombo-a\"\n\
              link_rate_bytes_per_s = 20_000_000\nmemory_bytes = {}\ndisk_bytes = 64_000_000\n\
              [[services]]\nname = \"assistant\"\nkind = \"engine\"\nmodels = [\"hist-7b\"]\nstores = [\"hub-cache\"]\n",
-            options.limits, self.store.address, options.store_memory_bytes
+            options.limits, options.bytes_per_token, self.store.address, options.store_memory_bytes
         );
         for (number, engine) in self.engines.iter().enumerate() {
             text += &format!(
@@ -365,7 +368,7 @@
         "--model".to_owned(),
         "hist-7b@v1".to_owned(),
         "--kv-bytes-per-token".to_owned(),
-        "64".to_owned(),
+        options.bytes_per_token.to_string(),
     ];
     if options.checks_fence {
         flags.push("--checks-fence".to_owned());
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,14 +9,17 @@
 
 mod booking;
 mod configuration;
+mod crossed;
 mod drain;
 mod harness;
+mod import_faults;
 mod input;
 mod isolation;
 mod leases;
 mod leaving;
 mod leaving_peer;
 mod outage;
+mod refusals;
 mod settling;
 mod shutdown;
 mod stream;
