--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -25,6 +25,8 @@
 pub(crate) struct ConfigState {
     /// Versions held and in force.
     pub(crate) replica: Mutex<ConfigReplica>,
+    /// Held while a configuration is put in force.
+    pub(super) applying: Mutex<()>,
     watch: Mutex<Option<CancellationToken>>,
 }
 
@@ -34,6 +36,7 @@
         let replica = ConfigReplica::new(ConfigSettings::default());
         Self {
             replica: Mutex::new(replica),
+            applying: Mutex::new(()),
             watch: Mutex::new(None),
         }
     }
@@ -141,12 +144,9 @@
             shared.note_head(read);
         }
         ConfigCommand::ReadSection(hash) => {
-            let read = read_section(&*shared.outside.platform, &hash).await;
+            let read = read_section(&*shared.outside.platform, hash).await;
             let event = match read {
-                Ok(Some(text)) => ConfigEvent::SectionRead {
-                    hash,
-                    content: text.into_bytes(),
-                },
+                Ok(Some(text)) => ConfigEvent::SectionRead { hash, text },
                 Ok(None) | Err(_) => ConfigEvent::SectionFailed(hash),
             };
             shared.step_config(event);
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -3,18 +3,24 @@
 //! Every other crate speaks in these types, so that an identifier is never mistaken for another
 //! one and a number never loses its unit. The words are explained in `docs/GLOSSARY.md`.
 
+mod block_state;
 mod code;
 mod id;
 mod key;
+mod meaning;
+mod share;
+mod tier;
 mod unit;
 
-pub use code::{Code, Meaning};
+pub use block_state::BlockState;
+pub use code::Code;
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
-    Generation, Incarnation, LinkName, ModelName, ParseIdError, RequestId, RuleName, ServiceName,
-    StoreId, StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
+    Generation, Incarnation, ModelName, ParseIdError, RequestId, RuleName, ServiceName, StoreId,
+    StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
 };
 pub use key::{BlockKey, KeyHash, ParseKeyError};
-pub use unit::{
-    ByteCount, ByteRate, DurationUs, ParseUnitError, Share, TimeUs, TokenCount, TokenRate,
-};
+pub use meaning::Meaning;
+pub use share::Share;
+pub use tier::Tier;
+pub use unit::{ByteCount, ByteRate, DurationUs, ParseUnitError, TimeUs, TokenCount, TokenRate};
