--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,12 +9,15 @@
 
 mod booking;
 mod configuration;
+mod crossed;
 mod deadlines;
 mod drain;
 mod generated;
 mod harness;
+mod import_faults;
 mod input;
 mod isolation;
+mod last_word;
 mod leases;
 mod leaving;
 mod leaving_peer;
