--- a/crates/wisteriahitch-core/benches/links/simulation.rs
+++ b/crates/wisteriahitch-core/benches/links/simulation.rs
@@ -10,13 +10,12 @@
     Configuration, Endpoint, SavePolicy, Service, ServiceKind, Store, Workspace,
 };
 use wisteriahitch_core::tier::{
-    BlockState, ChainBlock, ExportReceipt, FinishedRequest, ImportPlan, ImportStep, LinkOrder,
-    PinGrant, Place, Reader, ReservedRoom, TierCommand, TierEvent, TierName, Tiers,
-    TransferFailure, TransferId,
+    ChainBlock, ExportReceipt, FinishedRequest, ImportPlan, ImportStep, LinkOrder, PinGrant, Place,
+    Reader, ReservedRoom, TierCommand, TierEvent, Tiers, TransferFailure, TransferId,
 };
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, EndpointId, Generation, RequestId, StoreId, TimeUs, TokenCount,
-    TokenRate,
+    BlockKey, BlockState, ByteCount, ByteRate, EndpointId, Generation, RequestId, StoreId, Tier,
+    TimeUs, TokenCount, TokenRate,
 };
 
 use crate::statistics::Statistics;
@@ -69,7 +68,7 @@
 
 struct Stored {
     generation: Generation,
-    tier: TierName,
+    tier: Tier,
 }
 
 pub(crate) struct Simulation {
@@ -82,7 +81,7 @@
     queue: BTreeMap<(u64, u64), Happening>,
     endpoints: Vec<LruCache<BlockKey, ()>>,
     store: BTreeMap<BlockKey, Stored>,
-    used: BTreeMap<TierName, u64>,
+    used: BTreeMap<Tier, u64>,
     running: BTreeMap<RequestId, Running>,
     statistics: Statistics,
 }
@@ -240,8 +239,8 @@
                 let event = TierEvent::StoreSeen {
                     store: store_id(),
                     incarnation: name("i-1"),
-                    memory_free_bytes: free(TierName::Memory, MEMORY_BLOCKS),
-                    disk_free_bytes: free(TierName::Disk, DISK_BLOCKS),
+                    memory_free_bytes: free(Tier::Memory, MEMORY_BLOCKS),
+                    disk_free_bytes: free(Tier::Disk, DISK_BLOCKS),
                     queued_bytes: ByteCount::ZERO,
                     is_leaving: false,
                 };
@@ -380,7 +379,7 @@
                 ..
             } => {
                 let tier = self.store.get(&key).map(|stored| stored.tier);
-                let factor = if tier == Some(TierName::Disk) {
+                let factor = if tier == Some(Tier::Disk) {
                     DISK_FACTOR
                 } else {
                     1.0
@@ -447,10 +446,10 @@
         })
     }
 
-    fn reserve(&mut self, key: BlockKey, tier: TierName) -> Result<ReservedRoom, TransferFailure> {
+    fn reserve(&mut self, key: BlockKey, tier: Tier) -> Result<ReservedRoom, TransferFailure> {
         let capacity = match tier {
-            TierName::Memory => MEMORY_BLOCKS,
-            TierName::Disk => DISK_BLOCKS,
+            Tier::Memory => MEMORY_BLOCKS,
+            Tier::Disk => DISK_BLOCKS,
         };
         let used = self.used.entry(tier).or_default();
         if *used >= capacity {
@@ -483,7 +482,7 @@
         self.wire.add(BLOCK_BYTES.as_f64(), event, self.now_us);
     }
 
-    fn move_to(&mut self, key: BlockKey, tier: TierName) -> Result<(), TransferFailure> {
+    fn move_to(&mut self, key: BlockKey, tier: Tier) -> Result<(), TransferFailure> {
         let stored = self.store.get_mut(&key).ok_or(TransferFailure::Gone)?;
         if stored.tier != tier {
             *self.used.entry(stored.tier).or_default() -= 1;
--- a/crates/wisteriahitch-core/src/tier/block.rs
+++ b/crates/wisteriahitch-core/src/tier/block.rs
@@ -2,12 +2,11 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    BlockKey, ByteCount, Generation, StoreId, StoreIncarnation, TimeUs, TokenCount, WeightVersion,
-    WorkspaceId,
+    BlockKey, BlockState, ByteCount, Generation, StoreId, StoreIncarnation, Tier, TimeUs,
+    TokenCount, WeightVersion, WorkspaceId,
 };
 
 use super::block_life::LifeCycle;
-use super::{BlockState, TierName};
 
 /// Names a block at a store, whatever the generation.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -61,14 +60,14 @@
 #[derive(Debug)]
 pub struct Block {
     identity: BlockIdentity,
-    tier: TierName,
+    tier: Tier,
     crc32c: Option<u32>,
     suspect_until_us: TimeUs,
     life: LifeCycle,
 }
 
 impl Block {
-    pub(crate) fn new(identity: BlockIdentity, tier: TierName) -> Self {
+    pub(crate) fn new(identity: BlockIdentity, tier: Tier) -> Self {
         Self {
             identity,
             tier,
@@ -84,7 +83,7 @@
     }
 
     /// Returns the tier it lies in.
-    pub fn tier(&self) -> TierName {
+    pub fn tier(&self) -> Tier {
         self.tier
     }
 
@@ -131,7 +130,7 @@
         self.crc32c = Some(crc32c);
     }
 
-    pub(crate) fn set_tier(&mut self, tier: TierName) {
+    pub(crate) fn set_tier(&mut self, tier: Tier) {
         self.tier = tier;
     }
 
--- a/crates/wisteriahitch-core/src/tier/block_error.rs
+++ b/crates/wisteriahitch-core/src/tier/block_error.rs
@@ -1,8 +1,6 @@
 //! Why a block can't be used or changed.
 
-use wisteriahitch_types::Code;
-
-use super::BlockState;
+use wisteriahitch_types::{BlockState, Code};
 
 /// Reports a step that a block's life or its identity doesn't allow.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- a/crates/wisteriahitch-core/src/tier/block_life.rs
+++ b/crates/wisteriahitch-core/src/tier/block_life.rs
@@ -1,12 +1,11 @@
 //! The life cycle of one block as a state machine.
 
 use std::fmt;
+use wisteriahitch_types::BlockState;
 
 use serde::Serialize;
 use statig::prelude::*;
 
-use super::BlockState;
-
 /// Names what may happen to a block, by the names of the model in `specs/`.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/wisteriahitch-core/src/tier/block_table.rs
+++ b/crates/wisteriahitch-core/src/tier/block_table.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_types::{BlockKey, ByteCount, StoreId, StoreIncarnation, TimeUs, WorkspaceId};
-
-use super::{
-    Block, BlockError, BlockHandle, BlockIdentity, BlockState, LifeEvent, Place, Reader, TierName,
+use wisteriahitch_types::{
+    BlockKey, BlockState, ByteCount, StoreId, StoreIncarnation, Tier, TimeUs, WorkspaceId,
 };
 
+use super::{Block, BlockError, BlockHandle, BlockIdentity, LifeEvent, Place, Reader};
+
 /// Bounds the table at about 50 MB: with 380 daemons that share 4.7 million prompts it holds
 /// some twenty blocks of each of a daemon's own.
 const MAX_BLOCKS: usize = 262_144;
@@ -19,8 +19,8 @@
 /// workspace (`docs/design/blocks.md`).
 ///
 /// ```
-/// use wisteriahitch_core::tier::{BlockIdentity, BlockTable, Place, Reader, TierName};
-/// use wisteriahitch_types::{BlockKey, ByteCount, Generation, TokenCount};
+/// use wisteriahitch_core::tier::{BlockIdentity, BlockTable, Place, Reader};
+/// use wisteriahitch_types::{BlockKey, ByteCount, Generation, Tier, TokenCount};
 ///
 /// let mut table = BlockTable::default();
 /// let store: wisteriahitch_types::StoreId = "hub-cache".parse()?;
@@ -36,7 +36,7 @@
 /// };
 /// let reader = Reader { workspace: "kandy".parse()?, weight_version: "v1".parse()? };
 ///
-/// let handle = table.reserve(place.clone(), identity, TierName::Memory)?;
+/// let handle = table.reserve(place.clone(), identity, Tier::Memory)?;
 /// table.write(&handle)?;
 /// assert!(table.pin(&place, &reader).is_err(), "a partly written block has no reader");
 /// table.seal(&handle, ByteCount::new(4_096), 0x1234)?;
@@ -102,7 +102,7 @@
         &mut self,
         place: Place,
         identity: BlockIdentity,
-        tier: TierName,
+        tier: Tier,
     ) -> Result<BlockHandle, BlockError> {
         if self.incarnations.get(&place.store) != Some(&identity.incarnation) {
             return Err(BlockError::Gone);
@@ -133,7 +133,7 @@
         &mut self,
         place: Place,
         identity: BlockIdentity,
-        tier: TierName,
+        tier: Tier,
         crc32c: Option<u32>,
     ) -> Result<BlockHandle, BlockError> {
         let known = self.blocks.get(&place).map(Block::identity);
@@ -312,7 +312,7 @@
     /// # Errors
     ///
     /// [`BlockError::Gone`].
-    pub fn moved(&mut self, handle: &BlockHandle, tier: TierName) -> Result<(), BlockError> {
+    pub fn moved(&mut self, handle: &BlockHandle, tier: Tier) -> Result<(), BlockError> {
         self.block_mut(handle)?.set_tier(tier);
         Ok(())
     }
--- a/crates/wisteriahitch-core/src/tier/command.rs
+++ b/crates/wisteriahitch-core/src/tier/command.rs
@@ -2,11 +2,11 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    BlockKey, ByteCount, EndpointId, Generation, RequestId, StoreId, StoreIncarnation, TokenCount,
-    WeightVersion, WorkspaceId,
+    BlockKey, ByteCount, EndpointId, Generation, RequestId, StoreId, StoreIncarnation, Tier,
+    TokenCount, WeightVersion, WorkspaceId,
 };
 
-use super::{TierName, TransferId};
+use super::TransferId;
 
 /// Asks the shell for one call, or tells it that a request goes on.
 ///
@@ -80,7 +80,7 @@
         /// Weight version that it was computed with.
         weight_version: WeightVersion,
         /// Tier to write to.
-        tier: TierName,
+        tier: Tier,
         /// Workspace that it counts against.
         workspace: WorkspaceId,
     },
@@ -110,7 +110,7 @@
         /// Generation.
         generation: Generation,
         /// Tier to move to.
-        tier: TierName,
+        tier: Tier,
     },
     /// Give back a block's room; needs no answer, since the store drains it by itself.
     Free {
--- a/crates/wisteriahitch-core/src/tier/context.rs
+++ b/crates/wisteriahitch-core/src/tier/context.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeSet;
 
-use wisteriahitch_types::{BlockKey, DurationUs, StoreId, StoreIncarnation, TimeUs};
+use wisteriahitch_types::{
+    BlockKey, BlockState, DurationUs, StoreId, StoreIncarnation, Tier, TimeUs,
+};
 
 use super::{
-    BlockHandle, BlockState, BlockTable, EvictionIndex, LinkTable, Place, StoreTable, TierCommand,
-    TierName, TransferFailure, TransferId,
+    BlockHandle, BlockTable, EvictionIndex, LinkTable, Place, StoreTable, TierCommand,
+    TransferFailure, TransferId,
 };
 
 /// How long a block is left alone after a call for it got no answer.
@@ -70,7 +72,7 @@
     pub(crate) fn move_failed(
         &mut self,
         handle: &BlockHandle,
-        tier: TierName,
+        tier: Tier,
         failure: TransferFailure,
     ) {
         let place = &handle.place;
--- a/crates/wisteriahitch-core/src/tier/event.rs
+++ b/crates/wisteriahitch-core/src/tier/event.rs
@@ -4,10 +4,11 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    BlockKey, ByteCount, Code, Generation, StoreId, StoreIncarnation, TokenCount, WeightVersion,
+    BlockKey, BlockState, ByteCount, Code, Generation, StoreId, StoreIncarnation, Tier, TokenCount,
+    WeightVersion,
 };
 
-use super::{BlockState, TierName, TransferId};
+use super::TransferId;
 
 /// Says why a call for a transfer failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
@@ -53,7 +54,7 @@
     /// Weight version that the block was computed with.
     pub weight_version: WeightVersion,
     /// Tier that the block lies in.
-    pub tier: TierName,
+    pub tier: Tier,
 }
 
 /// Holds an engine's word on what it wrote to a store.
@@ -106,7 +107,7 @@
         /// Weight version.
         weight_version: WeightVersion,
         /// Tier.
-        tier: TierName,
+        tier: Tier,
         /// Step of its life.
         state: BlockState,
     },
--- a/crates/wisteriahitch-core/src/tier/eviction_index.rs
+++ b/crates/wisteriahitch-core/src/tier/eviction_index.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
-use wisteriahitch_types::{BlockKey, StoreId};
+use wisteriahitch_types::{BlockKey, StoreId, Tier};
 
-use super::{Place, TierName};
+use super::Place;
 
 /// Ranks a block: its value when last used, above the rank of the last block that was freed.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    tier: TierName,
+    tier: Tier,
     rank: Rank,
     depth: u32,
 }
@@ -40,7 +40,7 @@
 #[derive(Debug, Default)]
 pub struct EvictionIndex {
     entries: BTreeMap<Place, Entry>,
-    orders: BTreeMap<(StoreId, TierName), Order>,
+    orders: BTreeMap<(StoreId, Tier), Order>,
     /// Rank of the last block that was freed, by store: an unused block ages against it.
     clocks: BTreeMap<StoreId, f64>,
 }
@@ -51,7 +51,7 @@
     }
 
     /// Ranks a block that was used or saved now.
-    pub(crate) fn touch(&mut self, place: &Place, tier: TierName, value: f64, depth: u32) {
+    pub(crate) fn touch(&mut self, place: &Place, tier: Tier, value: f64, depth: u32) {
         let clock = self.clocks.get(&place.store).copied().unwrap_or(0.0);
         let known = self.remove(place);
         let rank = Rank::new(clock + value);
@@ -67,7 +67,7 @@
     ///
     /// A listing knows neither depth nor use; were it to rank known blocks, the front of a chain
     /// would go before its end, seen as imports that stop at the first block.
-    pub(crate) fn listed(&mut self, place: &Place, tier: TierName) {
+    pub(crate) fn listed(&mut self, place: &Place, tier: Tier) {
         match self.entries.get(place).map(|entry| entry.tier) {
             None => self.touch(place, tier, 0.0, 0),
             Some(known) if known != tier => self.moved(place, tier),
@@ -84,7 +84,7 @@
     }
 
     /// Notes that a block lies in another tier.
-    pub(crate) fn moved(&mut self, place: &Place, tier: TierName) {
+    pub(crate) fn moved(&mut self, place: &Place, tier: Tier) {
         if let Some(entry) = self.remove(place) {
             self.insert(place.clone(), Entry { tier, ..entry });
         }
@@ -120,7 +120,7 @@
     }
 
     /// Returns the blocks of a tier, the one that is worth least first.
-    pub(crate) fn lowest(&self, store: &StoreId, tier: TierName) -> impl Iterator<Item = Place> {
+    pub(crate) fn lowest(&self, store: &StoreId, tier: Tier) -> impl Iterator<Item = Place> {
         self.orders
             .get(&(store.clone(), tier))
             .into_iter()
--- a/crates/wisteriahitch-core/src/tier/import_right.rs
+++ b/crates/wisteriahitch-core/src/tier/import_right.rs
@@ -2,9 +2,8 @@
 
 use super::context::{Context, PinName};
 use super::import_transfer::{HeldPin, ImportTransfer};
-use super::{
-    BlockError, BlockState, PinGrant, Place, Reader, TierCommand, TransferFailure, TransferId,
-};
+use super::{BlockError, PinGrant, Place, Reader, TierCommand, TransferFailure, TransferId};
+use wisteriahitch_types::BlockState;
 
 /// Returns whether a block may be pinned as far as this daemon knows; the store has the last word.
 pub(crate) fn is_worth_a_pin(place: &Place, reader: &Reader, cx: &Context<'_>) -> bool {
--- a/crates/wisteriahitch-core/src/tier/planners.rs
+++ b/crates/wisteriahitch-core/src/tier/planners.rs
@@ -2,9 +2,10 @@
 
 use super::context::Context;
 use super::{
-    BlockIdentity, BlockState, FinishedRequest, ImportPlanner, Place, Prefetcher, RoomKeeper,
-    SavePlanner, TierEvent, TransferFailure, UseTable,
+    BlockIdentity, FinishedRequest, ImportPlanner, Place, Prefetcher, RoomKeeper, SavePlanner,
+    TierEvent, TransferFailure, UseTable,
 };
+use wisteriahitch_types::BlockState;
 
 /// Stale entries that the index of ranks may hold before it is cleaned.
 const MAX_STALE_RANKS: usize = 1_024;
--- a/crates/wisteriahitch-core/src/tier/prefetcher.rs
+++ b/crates/wisteriahitch-core/src/tier/prefetcher.rs
@@ -3,12 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
-use wisteriahitch_types::{BlockKey, DurationUs, StoreId, TimeUs};
+use wisteriahitch_types::{BlockKey, BlockState, DurationUs, StoreId, Tier, TimeUs};
 
 use super::context::Context;
 use super::{
-    BlockHandle, BlockState, BlockUse, FinishedRequest, Place, TierCommand, TierName,
-    TransferClass, TransferFailure, TransferId,
+    BlockHandle, BlockUse, FinishedRequest, Place, TierCommand, TransferClass, TransferFailure,
+    TransferId,
 };
 
 /// Part of the gap by which a move comes before the foreseen return.
@@ -117,8 +117,7 @@
                 continue;
             };
             let bytes = block.identity().bytes;
-            let is_promotable =
-                block.tier() == TierName::Disk && block.state() == BlockState::Readable;
+            let is_promotable = block.tier() == Tier::Disk && block.state() == BlockState::Readable;
             let Some(handle) = cx.blocks.handle(&place).filter(|_| is_promotable) else {
                 continue;
             };
@@ -153,7 +152,7 @@
             .map(|block| block.identity().bytes);
         let has_room = bytes.is_some_and(|bytes| {
             cx.stores
-                .has_room(&place.store, TierName::Memory, bytes, cx.now)
+                .has_room(&place.store, Tier::Memory, bytes, cx.now)
         });
         if !has_room {
             self.remove(id, cx);
@@ -165,7 +164,7 @@
             store: place.store.clone(),
             key: place.key,
             generation: handle.generation,
-            tier: TierName::Memory,
+            tier: Tier::Memory,
         });
     }
 
@@ -182,16 +181,16 @@
         let handle = &promotion.handle;
         if let Err(failure) = result {
             self.counts.failed += 1;
-            cx.move_failed(handle, TierName::Memory, failure);
+            cx.move_failed(handle, Tier::Memory, failure);
             return true;
         }
-        if cx.blocks.moved(handle, TierName::Memory).is_ok() {
+        if cx.blocks.moved(handle, Tier::Memory).is_ok() {
             let place = &handle.place;
             let block = cx.blocks.get(place).map(|block| block.identity().bytes);
             let bytes = block.unwrap_or_default();
-            cx.ranks.moved(place, TierName::Memory);
-            cx.stores.take(&place.store, TierName::Memory, bytes);
-            cx.stores.give(&place.store, TierName::Disk, bytes);
+            cx.ranks.moved(place, Tier::Memory);
+            cx.stores.take(&place.store, Tier::Memory, bytes);
+            cx.stores.give(&place.store, Tier::Disk, bytes);
             self.counts.promoted += 1;
             if self.unused.len() < MAX_FORESEEN {
                 self.unused.insert(place.key);
--- a/crates/wisteriahitch-core/src/tier/room_keeper.rs
+++ b/crates/wisteriahitch-core/src/tier/room_keeper.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
-use wisteriahitch_types::{ByteCount, DurationUs, StoreId, TimeUs};
+use wisteriahitch_types::{ByteCount, DurationUs, StoreId, Tier, TimeUs};
 
 use super::context::Context;
-use super::{BlockHandle, Place, TierCommand, TierName, TransferFailure, TransferId, UseTable};
+use super::{BlockHandle, Place, TierCommand, TransferFailure, TransferId, UseTable};
 
 /// Part of a tier that is kept free, so that a save seldom meets a full store.
 const FREE_PART: f64 = 0.1;
@@ -95,7 +95,7 @@
         uses: &mut UseTable,
         cx: &mut Context<'_>,
     ) {
-        self.free_lowest(store, TierName::Disk, room.disk_bytes, uses, cx);
+        self.free_lowest(store, Tier::Disk, room.disk_bytes, uses, cx);
     }
 
     fn empty_memory(
@@ -106,7 +106,7 @@
         cx: &mut Context<'_>,
     ) {
         if room.disk_bytes == ByteCount::ZERO {
-            return self.free_lowest(store, TierName::Memory, room.memory_bytes, uses, cx);
+            return self.free_lowest(store, Tier::Memory, room.memory_bytes, uses, cx);
         }
         let moving: ByteCount = self
             .demotions
@@ -114,8 +114,8 @@
             .filter(|demotion| demotion.handle.place.store == *store)
             .map(|demotion| demotion.bytes)
             .sum();
-        let mut free = free_bytes(store, TierName::Memory, cx) + moving;
-        for place in idle_lowest(store, TierName::Memory, cx) {
+        let mut free = free_bytes(store, Tier::Memory, cx) + moving;
+        for place in idle_lowest(store, Tier::Memory, cx) {
             let is_low = free.as_f64() < room.memory_bytes.as_f64() * FREE_PART;
             if !is_low || self.moves_at(store) >= MAX_MOVES {
                 return;
@@ -136,20 +136,17 @@
             .blocks
             .get(place)
             .map_or(ByteCount::ZERO, |block| block.identity().bytes);
-        if !cx
-            .stores
-            .has_room(&place.store, TierName::Disk, bytes, cx.now)
-        {
+        if !cx.stores.has_room(&place.store, Tier::Disk, bytes, cx.now) {
             return ByteCount::ZERO;
         }
-        cx.stores.take(&place.store, TierName::Disk, bytes);
+        cx.stores.take(&place.store, Tier::Disk, bytes);
         let id = cx.new_transfer();
         cx.send(TierCommand::Move {
             transfer: id,
             store: place.store.clone(),
             key: place.key,
             generation: handle.generation,
-            tier: TierName::Disk,
+            tier: Tier::Disk,
         });
         let demotion = Demotion {
             handle,
@@ -163,7 +160,7 @@
     fn free_lowest(
         &mut self,
         store: &StoreId,
-        tier: TierName,
+        tier: Tier,
         capacity: ByteCount,
         uses: &mut UseTable,
         cx: &mut Context<'_>,
@@ -192,14 +189,13 @@
         let place = &demotion.handle.place;
         if let Err(failure) = result {
             self.counts.failed += 1;
-            cx.stores.give(&place.store, TierName::Disk, demotion.bytes);
-            cx.move_failed(&demotion.handle, TierName::Disk, failure);
+            cx.stores.give(&place.store, Tier::Disk, demotion.bytes);
+            cx.move_failed(&demotion.handle, Tier::Disk, failure);
             return true;
         }
-        if cx.blocks.moved(&demotion.handle, TierName::Disk).is_ok() {
-            cx.ranks.moved(place, TierName::Disk);
-            cx.stores
-                .give(&place.store, TierName::Memory, demotion.bytes);
+        if cx.blocks.moved(&demotion.handle, Tier::Disk).is_ok() {
+            cx.ranks.moved(place, Tier::Disk);
+            cx.stores.give(&place.store, Tier::Memory, demotion.bytes);
             self.counts.demoted += 1;
         }
         true
@@ -230,14 +226,14 @@
     }
 }
 
-fn free_bytes(store: &StoreId, tier: TierName, cx: &Context<'_>) -> ByteCount {
+fn free_bytes(store: &StoreId, tier: Tier, cx: &Context<'_>) -> ByteCount {
     cx.stores
         .get(store)
         .map_or(ByteCount::MAX, |state| state.free_bytes(tier))
 }
 
 /// Returns the least valuable blocks of a tier that nobody reads.
-fn idle_lowest(store: &StoreId, tier: TierName, cx: &Context<'_>) -> Vec<Place> {
+fn idle_lowest(store: &StoreId, tier: Tier, cx: &Context<'_>) -> Vec<Place> {
     cx.ranks
         .lowest(store, tier)
         .filter(|place| cx.blocks.get(place).is_none_or(|block| block.pins() == 0))
--- a/crates/wisteriahitch-core/src/tier/save_job.rs
+++ b/crates/wisteriahitch-core/src/tier/save_job.rs
@@ -4,10 +4,10 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    EndpointId, Generation, StoreId, StoreIncarnation, TimeUs, WeightVersion, WorkspaceId,
+    EndpointId, Generation, StoreId, StoreIncarnation, Tier, TimeUs, WeightVersion, WorkspaceId,
 };
 
-use super::{BlockHandle, BlockIdentity, ChainBlock, Place, TierName};
+use super::{BlockHandle, BlockIdentity, ChainBlock, Place};
 
 /// Holds one block of a job.
 #[derive(Clone, Copy, Debug, Serialize)]
@@ -36,9 +36,9 @@
     /// It waits for the link.
     Queued,
     /// The store was asked for room.
-    Reserving(TierName),
+    Reserving(Tier),
     /// The endpoint writes.
-    Exporting(BlockHandle, TierName),
+    Exporting(BlockHandle, Tier),
 }
 
 /// Holds the save of the front block of a job.
--- a/crates/wisteriahitch-core/src/tier/save_planner.rs
+++ b/crates/wisteriahitch-core/src/tier/save_planner.rs
@@ -4,7 +4,8 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    ByteCount, DurationUs, EndpointId, Generation, StoreId, StoreIncarnation, TimeUs, WorkspaceId,
+    ByteCount, DurationUs, EndpointId, Generation, StoreId, StoreIncarnation, Tier, TimeUs,
+    WorkspaceId,
 };
 
 use super::context::Context;
@@ -15,7 +16,7 @@
 use super::save_value::{is_worth_saving, value};
 use super::{
     BlockHandle, BlockUse, ExportReceipt, FinishedRequest, Place, ReservedRoom, TierCommand,
-    TierName, TransferClass, TransferFailure, TransferId, UseTable,
+    TransferClass, TransferFailure, TransferId, UseTable,
 };
 
 /// Bounds the chains that are being saved; a further one is left out until its next use.
@@ -208,7 +209,7 @@
         }
     }
 
-    fn reserve(&mut self, id: TransferId, tier: TierName, cx: &mut Context<'_>) {
+    fn reserve(&mut self, id: TransferId, tier: Tier, cx: &mut Context<'_>) {
         let Some(transfer) = self.transfers.get_mut(&id) else {
             return;
         };
@@ -258,28 +259,22 @@
         }
     }
 
-    fn other_tier(&mut self, id: TransferId, full: TierName, cx: &mut Context<'_>) {
+    fn other_tier(&mut self, id: TransferId, full: Tier, cx: &mut Context<'_>) {
         let Some(transfer) = self.transfers.get(&id) else {
             return;
         };
         let bytes = transfer.front.block.bytes;
         let has_disk = cx
             .stores
-            .has_room(&transfer.job.store, TierName::Disk, bytes, cx.now);
-        if full == TierName::Memory && has_disk {
-            return self.reserve(id, TierName::Disk, cx);
+            .has_room(&transfer.job.store, Tier::Disk, bytes, cx.now);
+        if full == Tier::Memory && has_disk {
+            return self.reserve(id, Tier::Disk, cx);
         }
         self.counts.full += 1;
         self.end(id, cx);
     }
 
-    fn export(
-        &mut self,
-        id: TransferId,
-        generation: Generation,
-        tier: TierName,
-        cx: &mut Context<'_>,
-    ) {
+    fn export(&mut self, id: TransferId, generation: Generation, tier: Tier, cx: &mut Context<'_>) {
         let Some(transfer) = self.transfers.get_mut(&id) else {
             return;
         };
@@ -309,7 +304,7 @@
         &mut self,
         id: TransferId,
         generation: Generation,
-        tier: TierName,
+        tier: Tier,
         cx: &mut Context<'_>,
     ) {
         let Some(transfer) = self.remove(id, false, cx) else {
@@ -356,7 +351,7 @@
         &mut self,
         id: TransferId,
         handle: &BlockHandle,
-        tier: TierName,
+        tier: Tier,
         receipt: ExportReceipt,
         cx: &mut Context<'_>,
     ) {
--- a/crates/wisteriahitch-core/src/tier/save_room.rs
+++ b/crates/wisteriahitch-core/src/tier/save_room.rs
@@ -1,10 +1,10 @@
 //! Room for saves at a store: quotas, reservations, and what is given back.
 
-use wisteriahitch_types::{ByteCount, Generation, StoreId, StoreIncarnation};
+use wisteriahitch_types::{BlockState, ByteCount, Generation, StoreId, StoreIncarnation, Tier};
 
 use super::context::Context;
 use super::save_job::SaveTransfer;
-use super::{BlockHandle, BlockState, Place, ReservedRoom, TierCommand, TierName, TransferFailure};
+use super::{BlockHandle, Place, ReservedRoom, TierCommand, TransferFailure};
 
 /// Blocks of a tier that are looked at to make room within a workspace's quota.
 const MAX_QUOTA_SCAN: usize = 256;
@@ -17,7 +17,7 @@
         return false;
     }
     let store = &transfer.job.store;
-    let candidates: Vec<Place> = [TierName::Disk, TierName::Memory]
+    let candidates: Vec<Place> = [Tier::Disk, Tier::Memory]
         .into_iter()
         .flat_map(|tier| cx.ranks.lowest(store, tier).take(MAX_QUOTA_SCAN))
         .collect();
@@ -37,7 +37,7 @@
 }
 
 /// Returns the tier of a block that readers may pin.
-pub(crate) fn readable_tier(place: &Place, cx: &Context<'_>) -> Option<TierName> {
+pub(crate) fn readable_tier(place: &Place, cx: &Context<'_>) -> Option<Tier> {
     cx.blocks
         .get(place)
         .filter(|block| block.state() == BlockState::Readable)
@@ -45,8 +45,8 @@
 }
 
 /// Returns the first tier that has room.
-pub(crate) fn room(store: &StoreId, bytes: ByteCount, cx: &Context<'_>) -> Option<TierName> {
-    [TierName::Memory, TierName::Disk]
+pub(crate) fn room(store: &StoreId, bytes: ByteCount, cx: &Context<'_>) -> Option<Tier> {
+    [Tier::Memory, Tier::Disk]
         .into_iter()
         .find(|tier| cx.stores.has_room(store, *tier, bytes, cx.now))
 }
@@ -56,7 +56,7 @@
     transfer: &SaveTransfer,
     incarnation: StoreIncarnation,
     generation: Generation,
-    tier: TierName,
+    tier: Tier,
     cx: &mut Context<'_>,
 ) -> Option<BlockHandle> {
     let identity = transfer.identity(incarnation, generation);
--- a/crates/wisteriahitch-core/src/tier/snapshot.rs
+++ b/crates/wisteriahitch-core/src/tier/snapshot.rs
@@ -4,13 +4,13 @@
 
 use serde::Serialize;
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, Generation, StoreId, StoreIncarnation, TimeUs, WeightVersion,
-    WorkspaceId,
+    BlockKey, BlockState, ByteCount, ByteRate, Generation, StoreId, StoreIncarnation, Tier, TimeUs,
+    WeightVersion, WorkspaceId,
 };
 
 use super::{
-    Block, BlockState, ImportCounts, Link, Place, PrefetchCounts, RoomCounts, RunningTransfer,
-    SaveCounts, StoreState, TierName, Tiers, Transfer,
+    Block, ImportCounts, Link, Place, PrefetchCounts, RoomCounts, RunningTransfer, SaveCounts,
+    StoreState, Tiers, Transfer,
 };
 
 /// Bounds the blocks that a dump lists; the counts by state cover all of them.
@@ -74,7 +74,7 @@
     /// Step of its life.
     pub state: BlockState,
     /// Tier.
-    pub tier: TierName,
+    pub tier: Tier,
     /// Weight version.
     pub weight_version: WeightVersion,
     /// Length.
--- a/crates/wisteriahitch-core/src/tier/store_table.rs
+++ b/crates/wisteriahitch-core/src/tier/store_table.rs
@@ -3,9 +3,7 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
-use wisteriahitch_types::{ByteCount, DurationUs, StoreId, TimeUs};
-
-use super::TierName;
+use wisteriahitch_types::{ByteCount, DurationUs, StoreId, Tier, TimeUs};
 
 /// How long a tier that answered `full` is left alone.
 const FULL_BACKOFF_US: DurationUs = DurationUs::from_ms(5_000);
@@ -29,43 +27,43 @@
 
 impl StoreState {
     /// Returns the room left in a tier.
-    pub fn free_bytes(&self, tier: TierName) -> ByteCount {
+    pub fn free_bytes(&self, tier: Tier) -> ByteCount {
         match tier {
-            TierName::Memory => self.memory_free_bytes,
-            TierName::Disk => self.disk_free_bytes,
+            Tier::Memory => self.memory_free_bytes,
+            Tier::Disk => self.disk_free_bytes,
         }
     }
 
     /// Returns whether a tier may be asked for room.
-    pub fn has_room(&self, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+    pub fn has_room(&self, tier: Tier, bytes: ByteCount, now: TimeUs) -> bool {
         let full_until = match tier {
-            TierName::Memory => self.memory_full_until_us,
-            TierName::Disk => self.disk_full_until_us,
+            Tier::Memory => self.memory_full_until_us,
+            Tier::Disk => self.disk_full_until_us,
         };
         now >= full_until && self.free_bytes(tier) >= bytes
     }
 
-    fn take(&mut self, tier: TierName, bytes: ByteCount) {
+    fn take(&mut self, tier: Tier, bytes: ByteCount) {
         let free = self.free_bytes_mut(tier);
         *free = *free - bytes;
     }
 
-    fn give(&mut self, tier: TierName, bytes: ByteCount) {
+    fn give(&mut self, tier: Tier, bytes: ByteCount) {
         *self.free_bytes_mut(tier) += bytes;
     }
 
-    fn set_full(&mut self, tier: TierName, now: TimeUs) {
+    fn set_full(&mut self, tier: Tier, now: TimeUs) {
         *self.free_bytes_mut(tier) = ByteCount::ZERO;
         match tier {
-            TierName::Memory => self.memory_full_until_us = now + FULL_BACKOFF_US,
-            TierName::Disk => self.disk_full_until_us = now + FULL_BACKOFF_US,
+            Tier::Memory => self.memory_full_until_us = now + FULL_BACKOFF_US,
+            Tier::Disk => self.disk_full_until_us = now + FULL_BACKOFF_US,
         }
     }
 
-    fn free_bytes_mut(&mut self, tier: TierName) -> &mut ByteCount {
+    fn free_bytes_mut(&mut self, tier: Tier) -> &mut ByteCount {
         match tier {
-            TierName::Memory => &mut self.memory_free_bytes,
-            TierName::Disk => &mut self.disk_free_bytes,
+            Tier::Memory => &mut self.memory_free_bytes,
+            Tier::Disk => &mut self.disk_free_bytes,
         }
     }
 }
@@ -99,24 +97,24 @@
     }
 
     /// Returns whether a store's tier may be asked for room.
-    pub fn has_room(&self, store: &StoreId, tier: TierName, bytes: ByteCount, now: TimeUs) -> bool {
+    pub fn has_room(&self, store: &StoreId, tier: Tier, bytes: ByteCount, now: TimeUs) -> bool {
         self.get(store)
             .is_some_and(|state| state.has_room(tier, bytes, now))
     }
 
-    pub(crate) fn take(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+    pub(crate) fn take(&mut self, store: &StoreId, tier: Tier, bytes: ByteCount) {
         if let Some(state) = self.stores.get_mut(store) {
             state.take(tier, bytes);
         }
     }
 
-    pub(crate) fn give(&mut self, store: &StoreId, tier: TierName, bytes: ByteCount) {
+    pub(crate) fn give(&mut self, store: &StoreId, tier: Tier, bytes: ByteCount) {
         if let Some(state) = self.stores.get_mut(store) {
             state.give(tier, bytes);
         }
     }
 
-    pub(crate) fn set_full(&mut self, store: &StoreId, tier: TierName, now: TimeUs) {
+    pub(crate) fn set_full(&mut self, store: &StoreId, tier: Tier, now: TimeUs) {
         if let Some(state) = self.stores.get_mut(store) {
             state.set_full(tier, now);
         }
--- a/crates/wisteriahitch-core/tests/all/tier.rs
+++ b/crates/wisteriahitch-core/tests/all/tier.rs
@@ -7,10 +7,11 @@
 };
 use wisteriahitch_core::tier::{
     ChainBlock, FinishedRequest, ImportPlan, ImportStep, PinGrant, Reader, TierCommand, TierEvent,
-    TierName, Tiers, TransferId,
+    Tiers, TransferId,
 };
 use wisteriahitch_types::{
-    BlockKey, ByteCount, ByteRate, DurationUs, Generation, StoreId, TimeUs, TokenCount, TokenRate,
+    BlockKey, ByteCount, ByteRate, DurationUs, Generation, StoreId, Tier, TimeUs, TokenCount,
+    TokenRate,
 };
 
 pub(crate) const BLOCK_BYTES: ByteCount = ByteCount::new(1_000_000);
@@ -150,7 +151,7 @@
         bytes: BLOCK_BYTES,
         crc32c: CRC32C,
         weight_version: name("v1"),
-        tier: TierName::Memory,
+        tier: Tier::Memory,
     }
 }
 
--- a/crates/wisteriahitch-core/tests/all/tier_block.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_block.rs
@@ -1,8 +1,8 @@
 //! Who may read a block, by table.
 
 use expect_test::expect;
-use wisteriahitch_core::tier::{BlockError, BlockIdentity, BlockTable, Place, TierName};
-use wisteriahitch_types::{BlockKey, ByteCount, Code, Generation};
+use wisteriahitch_core::tier::{BlockError, BlockIdentity, BlockTable, Place};
+use wisteriahitch_types::{BlockKey, ByteCount, Code, Generation, Tier};
 
 use crate::tier::{
     BLOCK_BYTES, BLOCK_TOKENS, CRC32C, at_ms, imported, key, name, pinned, plan, reader, tiers,
@@ -31,9 +31,9 @@
     table.store_seen(&name("hub-cache"), &name("i-1"));
     let own = identity(3, Some("kandy"), BLOCK_BYTES);
     let listed = identity(4, None, BLOCK_BYTES);
-    let adopted = table.adopt(place(1), own, TierName::Memory, Some(CRC32C));
+    let adopted = table.adopt(place(1), own, Tier::Memory, Some(CRC32C));
     assert!(adopted.is_ok());
-    assert!(table.adopt(place(2), listed, TierName::Disk, None).is_ok());
+    assert!(table.adopt(place(2), listed, Tier::Disk, None).is_ok());
     table
 }
 
@@ -152,7 +152,7 @@
         let reader = reader("kandy", "v1");
         let held = table.pin(&place(1), &reader).expect("readable");
         let later = case.identity.generation > held.generation;
-        let result = table.adopt(place(1), case.identity, TierName::Memory, case.crc32c);
+        let result = table.adopt(place(1), case.identity, Tier::Memory, case.crc32c);
         assert_eq!(result.map(drop), case.expected, "{}", case.name);
         let is_replaced = later && case.expected.is_ok();
         assert_eq!(table.is_held(&held), !is_replaced, "{}", case.name);
--- a/crates/wisteriahitch-core/tests/all/tier_block_runs.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_block_runs.rs
@@ -5,10 +5,8 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
-use wisteriahitch_core::tier::{
-    BlockHandle, BlockIdentity, BlockState, BlockTable, LifeEvent, Place, Reader, TierName,
-};
-use wisteriahitch_types::{Generation, StoreId};
+use wisteriahitch_core::tier::{BlockHandle, BlockIdentity, BlockTable, LifeEvent, Place, Reader};
+use wisteriahitch_types::{BlockState, Generation, StoreId, Tier};
 
 use crate::tier::{BLOCK_BYTES, BLOCK_TOKENS, CRC32C, key, name, reader};
 
@@ -282,7 +280,7 @@
             tokens: BLOCK_TOKENS,
             bytes: BLOCK_BYTES,
         };
-        let result = self.table.reserve(place(key), identity, TierName::Memory);
+        let result = self.table.reserve(place(key), identity, Tier::Memory);
         assert_eq!(result.is_err(), was_taken);
     }
 
--- a/crates/wisteriahitch-core/tests/all/tier_room.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_room.rs
@@ -4,10 +4,9 @@
 
 use wisteriahitch_config::SavePolicy;
 use wisteriahitch_core::tier::{
-    BlockState, ExportReceipt, ReservedRoom, TierCommand, TierEvent, TierName, Tiers,
-    TransferFailure, TransferId,
+    ExportReceipt, ReservedRoom, TierCommand, TierEvent, Tiers, TransferFailure, TransferId,
 };
-use wisteriahitch_types::{BlockKey, ByteCount, Generation, TimeUs};
+use wisteriahitch_types::{BlockKey, BlockState, ByteCount, Generation, Tier, TimeUs};
 
 use crate::tier::{
     BLOCK_BYTES, BLOCK_TOKENS, CRC32C, at_ms, briefs, configuration_with, finished, key, name,
@@ -63,14 +62,14 @@
     }
 }
 
-fn moved_key(commands: &[TierCommand]) -> Option<(BlockKey, TierName)> {
+fn moved_key(commands: &[TierCommand]) -> Option<(BlockKey, Tier)> {
     match commands {
         [TierCommand::Move { key, tier, .. }] => Some((*key, *tier)),
         _ => None,
     }
 }
 
-fn tier_of(tiers: &Tiers, number: u8) -> Option<TierName> {
+fn tier_of(tiers: &Tiers, number: u8) -> Option<Tier> {
     let mut blocks = tiers.blocks().iter();
     let found = blocks.find(|(place, _)| place.key == key(number));
     found.map(|(_, block)| block.tier())
@@ -117,7 +116,7 @@
         let (memory, disk) = case.free_blocks;
         tiers.on(seen_with(memory, disk), at_ms(10));
         let commands = tiers.tick(at_ms(20));
-        let expected = case.expected.map(|number| (key(number), TierName::Disk));
+        let expected = case.expected.map(|number| (key(number), Tier::Disk));
         assert_eq!(moved_key(&commands), expected, "{}", case.name);
     }
 }
@@ -132,7 +131,7 @@
             bytes: BLOCK_BYTES,
             tokens: BLOCK_TOKENS,
             weight_version: name("v1"),
-            tier: TierName::Memory,
+            tier: Tier::Memory,
             state: BlockState::Readable,
         };
         assert_eq!(tiers.on(event, now), []);
@@ -148,7 +147,7 @@
     listed(&mut tiers, &[3, 2, 1], at_ms(5));
     tiers.on(seen_with(0, 50), at_ms(10));
     let commands = tiers.tick(at_ms(20));
-    assert_eq!(moved_key(&commands), Some((key(3), TierName::Disk)));
+    assert_eq!(moved_key(&commands), Some((key(3), Tier::Disk)));
 }
 
 /// Symptom: a chain that returns often is never saved again. Sequence: it is saved, another daemon
@@ -171,7 +170,7 @@
 struct MoveCase {
     name: &'static str,
     result: Result<(), TransferFailure>,
-    expected: Option<TierName>,
+    expected: Option<Tier>,
 }
 
 #[test]
@@ -180,12 +179,12 @@
         MoveCase {
             name: "moved",
             result: Ok(()),
-            expected: Some(TierName::Disk),
+            expected: Some(Tier::Disk),
         },
         MoveCase {
             name: "the disk is full",
             result: Err(TransferFailure::Full),
-            expected: Some(TierName::Memory),
+            expected: Some(Tier::Memory),
         },
         MoveCase {
             name: "the block is gone",
@@ -199,7 +198,7 @@
         assert_eq!(briefs(&tiers.tick(at_ms(20))), ["move t3 disk"]);
         assert_eq!(tiers.on(moved(3, case.result), at_ms(30)), []);
         assert_eq!(tier_of(&tiers, 2), case.expected, "{}", case.name);
-        assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory), "{}", case.name);
+        assert_eq!(tier_of(&tiers, 1), Some(Tier::Memory), "{}", case.name);
     }
 }
 
@@ -213,7 +212,7 @@
     tiers.on(seen_with(5, 0), at_ms(40));
     assert_eq!(briefs(&tiers.tick(at_ms(50))), ["free generation 2"]);
     assert_eq!(tier_of(&tiers, 2), None);
-    assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory));
+    assert_eq!(tier_of(&tiers, 1), Some(Tier::Memory));
 }
 
 struct PrefetchCase {
@@ -262,7 +261,7 @@
         assert_eq!(briefs(&commands), case.expected, "{}", case.name);
         if !commands.is_empty() {
             tiers.on(moved(3, Ok(())), at_ms(292_100));
-            assert_eq!(tier_of(&tiers, 1), Some(TierName::Memory));
+            assert_eq!(tier_of(&tiers, 1), Some(Tier::Memory));
         }
     }
 }
--- a/crates/wisteriahitch-core/tests/all/tier_save.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_save.rs
@@ -2,9 +2,9 @@
 
 use wisteriahitch_config::SavePolicy;
 use wisteriahitch_core::tier::{
-    BlockState, ExportReceipt, Place, ReservedRoom, TierEvent, Tiers, TransferFailure, TransferId,
+    ExportReceipt, Place, ReservedRoom, TierEvent, Tiers, TransferFailure, TransferId,
 };
-use wisteriahitch_types::{ByteCount, Generation};
+use wisteriahitch_types::{BlockState, ByteCount, Generation};
 
 use crate::tier::{
     BLOCK_BYTES, CRC32C, at_ms, briefs, configuration_with, finished, key, name, store_seen,
--- a/crates/wisteriahitch-node/src/dispatch/transfer.rs
+++ b/crates/wisteriahitch-node/src/dispatch/transfer.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 
 use wisteriahitch_core::tier::{
-    ExportReceipt, PinGrant, ReservedRoom, TierCommand, TierEvent, TierName, TransferFailure,
+    ExportReceipt, PinGrant, ReservedRoom, TierCommand, TierEvent, TransferFailure,
 };
 use wisteriahitch_wire::engine::{EngineError, EngineErrorKind, ExportRequest, ImportRequest};
-use wisteriahitch_wire::store::{ReserveRequest, Reserved, StoreError, StoreErrorKind, Tier};
+use wisteriahitch_wire::store::{ReserveRequest, Reserved, StoreError, StoreErrorKind};
 
 use crate::shared::Shared;
 
@@ -65,7 +65,7 @@
             bytes: pin.bytes,
             crc32c: pin.crc32c,
             weight_version: pin.weight_version,
-            tier: tier_name(pin.tier),
+            tier: pin.tier,
         })
         .map_err(|error| store_failure(&error));
     Some(TierEvent::Pinned { transfer, result })
@@ -136,7 +136,7 @@
         tokens,
         bytes,
         weight_version,
-        tier: wire_tier(tier),
+        tier,
         workspace,
     };
     let result = match shared.store_address(&store) {
@@ -213,7 +213,7 @@
             shared
                 .outside
                 .store
-                .move_to(address, key, generation, wire_tier(tier))
+                .move_to(address, key, generation, tier)
                 .await
         }
         None => Err(StoreError::new(
@@ -254,21 +254,6 @@
     }
 }
 
-/// Turns the wire's name of a tier into the core's.
-pub(crate) fn tier_name(tier: Tier) -> TierName {
-    match tier {
-        Tier::Memory => TierName::Memory,
-        Tier::Disk => TierName::Disk,
-    }
-}
-
-fn wire_tier(tier: TierName) -> Tier {
-    match tier {
-        TierName::Memory => Tier::Memory,
-        TierName::Disk => Tier::Disk,
-    }
-}
-
 fn store_failure(error: &StoreError) -> TransferFailure {
     match error.kind() {
         StoreErrorKind::Gone => TransferFailure::Gone,
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -6,13 +6,10 @@
 
 use tokio::task::JoinSet;
 use wisteriahitch_config::Store;
-use wisteriahitch_core::tier::{BlockState, TierEvent};
-use wisteriahitch_types::{BlockKey, StoreId, StoreIncarnation};
-use wisteriahitch_wire::store::{
-    BlockListing, BlockState as WireState, StoreReport, StoredBlock, Tier,
-};
+use wisteriahitch_core::tier::TierEvent;
+use wisteriahitch_types::{BlockKey, BlockState, StoreId, StoreIncarnation, Tier};
+use wisteriahitch_wire::store::{BlockListing, StoreReport, StoredBlock};
 
-use crate::dispatch::transfer::tier_name;
 use crate::shared::Shared;
 
 /// Time between two looks at every store VM.
@@ -119,7 +116,7 @@
 fn readable(listing: &BlockListing) -> impl Iterator<Item = (BlockKey, Tier)> {
     let blocks = listing.blocks.iter();
     blocks
-        .filter(|block| block.state == WireState::Readable)
+        .filter(|block| block.state == BlockState::Readable)
         .map(|block| (block.key, block.tier))
 }
 
@@ -132,18 +129,7 @@
         bytes: block.bytes,
         tokens: block.tokens,
         weight_version: block.weight_version,
-        tier: tier_name(block.tier),
-        state: block_state(block.state),
-    }
-}
-
-fn block_state(state: WireState) -> BlockState {
-    match state {
-        WireState::Reserved => BlockState::Reserved,
-        WireState::Writing => BlockState::Writing,
-        WireState::Sealed => BlockState::Sealed,
-        WireState::Readable => BlockState::Readable,
-        WireState::Draining => BlockState::Draining,
-        WireState::Freed => BlockState::Freed,
+        tier: block.tier,
+        state: block.state,
     }
 }
