refactor(tier): part the block table, the planners and the link by job

The block table's adoption, steps and look-ups, what a save chooses and does by each answer, the requests that wait for imports, the counts and a link's view have files of their own.

--- a/crates/wisteriahitch-core/src/tier/block_life.rs
+++ b/crates/wisteriahitch-core/src/tier/block_life.rs
@@ -1,4 +1,8 @@
 //! The life cycle of one block as a state machine.
+//!
+//! Its start stands for the model's `Reserved` step. The model's writer is the
+//! [`SavePlanner`](super::SavePlanner); its readers, from `Found` to `Running`, are the transfers
+//! of the [`ImportPlanner`](super::ImportPlanner), whose last step is the endpoint's own.
 
 use std::fmt;
 use wisteriahitch_types::BlockState;
@@ -6,7 +10,7 @@
 use serde::Serialize;
 use statig::prelude::*;
 
-/// Names what may happen to a block, by the names of the model in `specs/`.
+/// Names what may happen to a block, by the names of the model `specs/block_life.pml`.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LifeEvent {
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/block_table/adopting.rs
@@ -0,0 +1,95 @@
+//! Taking over blocks that their store says are readable.
+
+use wisteriahitch_types::{BlockState, ByteCount, Tier, TimeUs};
+
+use super::BlockTable;
+use crate::tier::{Block, BlockError, BlockHandle, BlockIdentity, LifeEvent, Place};
+
+impl BlockTable {
+    /// Adds a block that its store says is readable, in place of any older generation.
+    ///
+    /// # Errors
+    ///
+    /// As [`BlockTable::reserve`]; also [`BlockError::Gone`] for a generation that is older than
+    /// the known one, and [`BlockError::State`] while the known one drains.
+    pub fn adopt(
+        &mut self,
+        place: Place,
+        identity: BlockIdentity,
+        tier: Tier,
+        crc32c: Option<u32>,
+    ) -> Result<BlockHandle, BlockError> {
+        let known = self.blocks.get(&place).map(Block::identity);
+        let known_generation = known.map(|known| known.generation);
+        let bytes = identity.bytes;
+        if known.is_some_and(|known| known.incarnation != identity.incarnation) {
+            return Err(BlockError::Gone);
+        }
+        if known_generation.is_some_and(|known| known > identity.generation) {
+            return Err(BlockError::Gone);
+        }
+        if known_generation.is_some_and(|known| known < identity.generation) {
+            // The store has given the place to new content, so the old generation is gone there.
+            self.end_life(&place);
+        }
+        let handle = if self.blocks.contains_key(&place) {
+            self.adopt_known(&place, identity)?
+        } else {
+            self.reserve(place, identity, tier)?
+        };
+        self.publish_adopted(&handle, bytes, crc32c)?;
+        Ok(handle)
+    }
+
+    fn adopt_known(
+        &mut self,
+        place: &Place,
+        identity: BlockIdentity,
+    ) -> Result<BlockHandle, BlockError> {
+        let block = self.blocks.get_mut(place).ok_or(BlockError::Gone)?;
+        if block.identity().weight_version != identity.weight_version {
+            return Err(BlockError::Foreign);
+        }
+        if block.identity().bytes != identity.bytes {
+            return Err(BlockError::Corrupt);
+        }
+        if let Some(workspace) = identity.workspace {
+            let was_unknown = block.identity().workspace.is_none();
+            block.set_workspace(workspace.clone());
+            if was_unknown {
+                self.count(Some(&workspace), identity.bytes);
+            }
+        }
+        Ok(BlockHandle {
+            place: place.clone(),
+            incarnation: identity.incarnation,
+            generation: identity.generation,
+        })
+    }
+
+    fn publish_adopted(
+        &mut self,
+        handle: &BlockHandle,
+        bytes: ByteCount,
+        crc32c: Option<u32>,
+    ) -> Result<(), BlockError> {
+        let block = self.block_mut(handle)?;
+        if let Some(crc32c) = crc32c {
+            if block.crc32c().is_some_and(|known| known != crc32c) {
+                return Err(BlockError::Corrupt);
+            }
+            block.set_crc32c(crc32c);
+        }
+        if bytes != block.identity().bytes {
+            return Err(BlockError::Corrupt);
+        }
+        block.set_suspect_until(TimeUs::ZERO);
+        for event in [LifeEvent::Write, LifeEvent::Seal, LifeEvent::Publish] {
+            block.life_mut().apply(event);
+        }
+        match block.state() {
+            BlockState::Readable => Ok(()),
+            state => Err(BlockError::State(state)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/block_table/lookup.rs
@@ -0,0 +1,63 @@
+//! What is known of blocks.
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_types::{BlockKey, ByteCount, StoreId, WorkspaceId};
+
+use super::BlockTable;
+use crate::tier::{Block, BlockHandle, Place};
+
+impl BlockTable {
+    /// Returns the block at `place`.
+    pub fn get(&self, place: &Place) -> Option<&Block> {
+        self.blocks.get(place)
+    }
+
+    /// Returns the present generation at `place`.
+    pub fn handle(&self, place: &Place) -> Option<BlockHandle> {
+        self.blocks.get(place).map(|block| BlockHandle {
+            place: place.clone(),
+            incarnation: block.identity().incarnation.clone(),
+            generation: block.identity().generation,
+        })
+    }
+
+    /// Returns every block, ordered by store and key.
+    pub fn iter(&self) -> impl Iterator<Item = (&Place, &Block)> {
+        self.blocks.iter()
+    }
+
+    /// Returns how many blocks are known.
+    pub fn len(&self) -> usize {
+        self.blocks.len()
+    }
+
+    /// Returns whether no block is known.
+    pub fn is_empty(&self) -> bool {
+        self.blocks.is_empty()
+    }
+
+    /// Returns the bytes that the known blocks of a workspace take.
+    pub fn workspace_bytes(&self, workspace: &WorkspaceId) -> ByteCount {
+        self.workspace_bytes
+            .get(workspace)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the bytes that known blocks take, by workspace.
+    pub fn bytes_by_workspace(&self) -> &BTreeMap<WorkspaceId, ByteCount> {
+        &self.workspace_bytes
+    }
+
+    /// Returns the blocks of one store, ordered by key.
+    pub fn blocks_at(&self, store: &StoreId) -> impl Iterator<Item = (&Place, &Block)> {
+        let first = Place {
+            store: store.clone(),
+            key: BlockKey::from_bytes([0; 16]),
+        };
+        self.blocks
+            .range(first..)
+            .take_while(move |(place, _)| place.store == *store)
+    }
+}
--- a/crates/wisteriahitch-core/src/tier/import_planner.rs
+++ b/crates/wisteriahitch-core/src/tier/import_planner.rs
@@ -1,51 +1,20 @@
 //! Imports that requests wait for, from the pin to the engine's word that it holds the block.
 
+mod requests;
+
 use std::collections::BTreeMap;
 
-use serde::Serialize;
 use wisteriahitch_types::{BlockKey, DurationUs, EndpointId, RequestId, StoreId, TimeUs};
 
 use super::context::Context;
 use super::import_request::{ImportRequest, StepState};
-use super::import_right::{
-    end_if_same, failure_of, free_corrupt, give_up_pin, hold, is_worth_a_pin, release,
-};
+use super::import_right::{end_if_same, failure_of, free_corrupt, give_up_pin, hold, release};
 use super::import_transfer::{ImportPhase, ImportTransfer};
-use super::{
-    ImportPlan, ImportStep, PinGrant, Place, TierCommand, TransferClass, TransferFailure,
-    TransferId,
-};
-
-/// Bounds the imports under way; a request beyond it recomputes.
-const MAX_TRANSFERS: usize = 4_096;
-
-/// Bounds the steps of one plan.
-const MAX_STEPS: usize = 256;
+use super::{ImportCounts, PinGrant, TierCommand, TransferClass, TransferFailure, TransferId};
 
 /// Longest wait for the answer to one call; afterwards the answer counts as lost.
 const ANSWER_LIMIT_US: DurationUs = DurationUs::from_ms(60_000);
 
-/// Counts how imports ended.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize)]
-pub struct ImportCounts {
-    /// Imports that were started.
-    pub started: u64,
-    /// Steps that joined an import already under way.
-    pub joined: u64,
-    /// Imports after which the endpoint held the block.
-    pub finished: u64,
-    /// Blocks that were gone.
-    pub gone: u64,
-    /// Blocks that were corrupt or of another version, and were freed.
-    pub corrupt: u64,
-    /// Imports that failed since the store or endpoint was lost.
-    pub lost: u64,
-    /// Imports that found no room in a queue.
-    pub refused: u64,
-    /// Requests that went on because computing was faster.
-    pub late: u64,
-}
-
 /// Runs the imports of requests, and lets each request go on as soon as it can.
 ///
 /// No request waits longer than its plan's limit, nor behind the pace of computing: whatever
@@ -74,79 +43,6 @@
         self.transfers.len()
     }
 
-    /// Starts a request's imports; a plan that was under way under the same id is given up.
-    pub(crate) fn plan(&mut self, plan: ImportPlan, cx: &mut Context<'_>) {
-        self.cancel(&plan.request, cx);
-        let mut request = ImportRequest {
-            started_at_us: cx.now,
-            limit_us: plan.limit_us,
-            planned_steps: plan.steps.len(),
-            steps: Vec::new(),
-        };
-        for (index, step) in plan.steps.iter().take(MAX_STEPS).enumerate() {
-            let Some(id) = self.join_or_start(&plan, step, index, cx) else {
-                break;
-            };
-            request.steps.push(StepState::Waiting(id));
-        }
-        self.requests.insert(plan.request.clone(), request);
-        self.proceed_if_done(&plan.request, cx);
-    }
-
-    fn join_or_start(
-        &mut self,
-        plan: &ImportPlan,
-        step: &ImportStep,
-        index: usize,
-        cx: &mut Context<'_>,
-    ) -> Option<TransferId> {
-        let target = (plan.endpoint.clone(), step.key);
-        let waiter = (plan.request.clone(), index);
-        if let Some(id) = self.by_target.get(&target) {
-            let transfer = self.transfers.get_mut(id)?;
-            if transfer.reader != plan.reader {
-                return None;
-            }
-            transfer.waiters.push(waiter);
-            self.counts.joined += 1;
-            return Some(*id);
-        }
-        if self.transfers.len() >= MAX_TRANSFERS {
-            self.counts.refused += 1;
-            return None;
-        }
-        let place = Place {
-            store: step.store.clone(),
-            key: step.key,
-        };
-        if !is_worth_a_pin(&place, &plan.reader, cx) {
-            return None;
-        }
-        let incarnation = cx.blocks.incarnation(&step.store)?.clone();
-        let id = cx.new_transfer();
-        cx.send(TierCommand::Pin {
-            transfer: id,
-            store: step.store.clone(),
-            incarnation: incarnation.clone(),
-            key: step.key,
-        });
-        let transfer = ImportTransfer {
-            endpoint: plan.endpoint.clone(),
-            place,
-            incarnation,
-            reader: plan.reader.clone(),
-            tokens: step.tokens,
-            bytes: step.bytes,
-            phase: ImportPhase::Pinning,
-            asked_at_us: cx.now,
-            waiters: vec![waiter],
-        };
-        self.counts.started += 1;
-        self.by_target.insert(target, id);
-        self.transfers.insert(id, transfer);
-        Some(id)
-    }
-
     pub(crate) fn pinned(
         &mut self,
         id: TransferId,
@@ -289,49 +185,6 @@
         }
     }
 
-    /// Cuts a request's plan, and gives up the imports that nobody waits for any more.
-    fn cut(&mut self, request: &RequestId, len: usize, cx: &mut Context<'_>) {
-        let Some(waiting) = self.requests.get_mut(request) else {
-            return;
-        };
-        for id in waiting.truncate(len) {
-            let Some(transfer) = self.transfers.get_mut(&id) else {
-                continue;
-            };
-            transfer.waiters.retain(|(waiter, _)| waiter != request);
-            let is_queued = matches!(transfer.phase, ImportPhase::Queued(_));
-            if is_queued && transfer.waiters.is_empty() {
-                let idle = self.remove(id);
-                idle.iter()
-                    .for_each(|transfer| release(transfer, id, false, cx));
-            }
-        }
-    }
-
-    fn proceed_if_done(&mut self, request: &RequestId, cx: &mut Context<'_>) {
-        if !self
-            .requests
-            .get(request)
-            .is_some_and(ImportRequest::is_done)
-        {
-            return;
-        }
-        let Some(done) = self.requests.remove(request) else {
-            return;
-        };
-        cx.send(TierCommand::Proceed {
-            request: request.clone(),
-            imported_steps: done.steps.len(),
-            recomputed_steps: done.planned_steps - done.steps.len(),
-        });
-    }
-
-    /// Forgets a request whose caller went away; it gets no `Proceed`.
-    pub(crate) fn cancel(&mut self, request: &RequestId, cx: &mut Context<'_>) {
-        self.cut(request, 0, cx);
-        self.requests.remove(request);
-    }
-
     /// Ends every import from a store that died or can't be reached.
     pub(crate) fn store_lost(
         &mut self,
--- /dev/null
+++ b/crates/wisteriahitch-core/src/tier/import_planner/requests.rs
@@ -0,0 +1,155 @@
+//! Requests that wait for imports, from their plan to the word that they may go on.
+
+use wisteriahitch_types::RequestId;
+
+use super::ImportPlanner;
+use crate::tier::context::Context;
+use crate::tier::import_request::{ImportRequest, StepState};
+use crate::tier::import_right::{is_worth_a_pin, release};
+use crate::tier::import_transfer::{ImportPhase, ImportTransfer};
+use crate::tier::{ImportPlan, ImportStep, Place, TierCommand, TransferId};
+
+/// Bounds the imports under way; a request beyond it recomputes.
+const MAX_TRANSFERS: usize = 4_096;
+
+/// Bounds the steps of one plan.
+const MAX_STEPS: usize = 256;
+
+impl ImportPlanner {
+    /// Starts a request's imports; a plan that was under way under the same id is given up.
+    pub(crate) fn plan(&mut self, plan: ImportPlan, cx: &mut Context<'_>) {
+        self.cancel(&plan.request, cx);
+        let mut request = ImportRequest {
+            started_at_us: cx.now,
+            limit_us: plan.limit_us,
+            planned_steps: plan.steps.len(),
+            steps: Vec::new(),
+        };
+        for (index, step) in plan.steps.iter().take(MAX_STEPS).enumerate() {
+            let Some(id) = self.join_or_start(&plan, step, index, cx) else {
+                break;
+            };
+            request.steps.push(StepState::Waiting(id));
+        }
+        self.requests.insert(plan.request.clone(), request);
+        self.proceed_if_done(&plan.request, cx);
+    }
+
+    /// Returns the transfer that a step waits for, or nothing where it is to be computed.
+    fn join_or_start(
+        &mut self,
+        plan: &ImportPlan,
+        step: &ImportStep,
+        index: usize,
+        cx: &mut Context<'_>,
+    ) -> Option<TransferId> {
+        let target = (plan.endpoint.clone(), step.key);
+        let waiter = (plan.request.clone(), index);
+        if let Some(id) = self.by_target.get(&target).copied() {
+            return self.join(id, plan, waiter);
+        }
+        if self.transfers.len() >= MAX_TRANSFERS {
+            self.counts.refused += 1;
+            return None;
+        }
+        let (id, transfer) = ask_for_pin(plan, step, waiter, cx)?;
+        self.counts.started += 1;
+        self.by_target.insert(target, id);
+        self.transfers.insert(id, transfer);
+        Some(id)
+    }
+
+    fn join(
+        &mut self,
+        id: TransferId,
+        plan: &ImportPlan,
+        waiter: (RequestId, usize),
+    ) -> Option<TransferId> {
+        let transfer = self.transfers.get_mut(&id)?;
+        if transfer.reader != plan.reader {
+            return None;
+        }
+        transfer.waiters.push(waiter);
+        self.counts.joined += 1;
+        Some(id)
+    }
+
+    /// Cuts a request's plan, and gives up the imports that nobody waits for any more.
+    pub(super) fn cut(&mut self, request: &RequestId, len: usize, cx: &mut Context<'_>) {
+        let Some(waiting) = self.requests.get_mut(request) else {
+            return;
+        };
+        for id in waiting.truncate(len) {
+            let Some(transfer) = self.transfers.get_mut(&id) else {
+                continue;
+            };
+            transfer.waiters.retain(|(waiter, _)| waiter != request);
+            let is_queued = matches!(transfer.phase, ImportPhase::Queued(_));
+            if is_queued && transfer.waiters.is_empty() {
+                let idle = self.remove(id);
+                idle.iter()
+                    .for_each(|transfer| release(transfer, id, false, cx));
+            }
+        }
+    }
+
+    pub(super) fn proceed_if_done(&mut self, request: &RequestId, cx: &mut Context<'_>) {
+        if !self
+            .requests
+            .get(request)
+            .is_some_and(ImportRequest::is_done)
+        {
+            return;
+        }
+        let Some(done) = self.requests.remove(request) else {
+            return;
+        };
+        cx.send(TierCommand::Proceed {
+            request: request.clone(),
+            imported_steps: done.steps.len(),
+            recomputed_steps: done.planned_steps - done.steps.len(),
+        });
+    }
+
+    /// Forgets a request whose caller went away; it gets no `Proceed`.
+    pub(crate) fn cancel(&mut self, request: &RequestId, cx: &mut Context<'_>) {
+        self.cut(request, 0, cx);
+        self.requests.remove(request);
+    }
+}
+
+/// Asks the store for a pin, if the block that it is known to hold is worth one.
+fn ask_for_pin(
+    plan: &ImportPlan,
+    step: &ImportStep,
+    waiter: (RequestId, usize),
+    cx: &mut Context<'_>,
+) -> Option<(TransferId, ImportTransfer)> {
+    let place = Place {
+        store: step.store.clone(),
+        key: step.key,
+    };
+    if !is_worth_a_pin(&place, &plan.reader, cx) {
+        return None;
+    }
+    let incarnation = cx.blocks.incarnation(&step.store)?.clone();
+    let id = cx.new_transfer();
+    cx.send(TierCommand::Pin {
+        transfer: id,
+        store: step.store.clone(),
+        incarnation: incarnation.clone(),
+        key: step.key,
+    });
+    let transfer = ImportTransfer {
+        endpoint: plan.endpoint.clone(),
+        place,
+        incarnation,
+        reader: plan.reader.clone(),
+        tokens: step.tokens,
+        bytes: step.bytes,
+        phase: ImportPhase::Pinning,
+        asked_at_us: cx.now,
+        waiters: vec![waiter],
+    };
+    Some((id, transfer))
+}
--- a/crates/wisteriahitch-core/src/tier/link.rs
+++ b/crates/wisteriahitch-core/src/tier/link.rs
@@ -2,10 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use serde::Serialize;
 use wisteriahitch_types::{ByteCount, ByteRate, DurationUs, TimeUs};
 
-use super::{Transfer, TransferClass, TransferId};
+use super::{LinkView, RunningTransfer, Transfer, TransferClass, TransferId};
 
 /// Weighs a new sample of the link's rate: a slowed link shows after about five transfers.
 const RATE_SAMPLE_WEIGHT: f64 = 0.25;
@@ -22,45 +21,6 @@
 /// Floor of the measured rate, so that an estimate stays finite.
 const MIN_RATE_BYTES_PER_S: f64 = 1.0;
 
-/// Holds a transfer that crosses the link now.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct RunningTransfer {
-    /// The transfer.
-    pub transfer: Transfer,
-    /// When it was started.
-    pub started_at_us: TimeUs,
-    #[serde(skip)]
-    work_at_start_us: f64,
-}
-
-/// Shows a link to a [`LinkOrder`](super::LinkOrder).
-#[derive(Clone, Copy, Debug)]
-pub struct LinkView<'a> {
-    /// Transfers that wait, oldest first.
-    pub waiting: &'a [Transfer],
-    /// Transfers that cross the link.
-    pub running: &'a BTreeMap<TransferId, RunningTransfer>,
-    /// Rate of the link as measured.
-    pub rate_bytes_per_s: ByteRate,
-    /// Mean time between two imports, once two have come.
-    pub import_gap_us: Option<DurationUs>,
-}
-
-impl LinkView<'_> {
-    /// Returns how many transfers of background classes cross the link.
-    pub fn running_background(&self) -> usize {
-        self.running
-            .values()
-            .filter(|running| running.transfer.class != TransferClass::Wait)
-            .count()
-    }
-
-    /// Returns how many imports cross the link.
-    pub fn running_imports(&self) -> usize {
-        self.running.len() - self.running_background()
-    }
-}
-
 /// Holds the queue, the running transfers and the measured rate of one link.
 #[derive(Debug)]
 pub struct Link {
