--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use chrono::Utc;
-use wisteriahitch_config::{Report, Section, SectionHash, SectionName, Sections};
+use wisteriahitch_config::{Report, Section, SectionHash, Sections};
 use wisteriahitch_core::fleet::{
     ConfigEvent, HeadObject, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
 };
 use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
 use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
 
+use super::changes::changes;
 use super::objects::{HEAD_NAME, build_sections, parse_head, read_section, write_section};
 use crate::shared::Shared;
 
@@ -238,13 +239,3 @@
         }
     }
 }
-
-/// Returns what differs between the sections in force and those that are to be.
-fn changes(base: &Sections, merged: &Sections) -> BTreeMap<SectionName, Option<SectionHash>> {
-    let names = base.iter().chain(merged.iter()).map(|(name, _)| name);
-    let hash_in = |sections: &Sections, name| sections.get(name).map(Section::hash);
-    names
-        .filter(|name| hash_in(base, name) != hash_in(merged, name))
-        .map(|name| (name.clone(), hash_in(merged, name)))
-        .collect()
-}
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,11 +9,24 @@
 
 mod booking;
 mod configuration;
+mod deadlines;
 mod drain;
+mod generated;
 mod harness;
 mod input;
+mod isolation;
+mod leases;
 mod leaving;
+mod leaving_peer;
+mod outage;
+mod poison;
+mod quotas;
+mod refusals;
+mod settling;
+mod shutdown;
 mod stream;
+mod swap;
 mod tiers;
+mod together;
 mod weights;
 mod workspaces;
