--- a/crates/wisteriahitch-core/tests/all/tier_generation.rs
+++ b/crates/wisteriahitch-core/tests/all/tier_generation.rs
@@ -1,7 +1,7 @@
 //! Readers of one generation against those of the next.
 
-use wisteriahitch_core::tier::{BlockError, BlockIdentity, BlockTable, Place, TierName};
-use wisteriahitch_types::Generation;
+use wisteriahitch_core::tier::{BlockError, BlockIdentity, BlockTable, Place};
+use wisteriahitch_types::{Generation, Tier};
 
 use crate::tier::{BLOCK_BYTES, BLOCK_TOKENS, CRC32C, key, name, reader};
 
@@ -32,7 +32,7 @@
     let mut pinned = Vec::new();
     for generation in [1, 2] {
         let identity = identity(generation);
-        let adopted = table.adopt(place.clone(), identity, TierName::Memory, Some(CRC32C));
+        let adopted = table.adopt(place.clone(), identity, Tier::Memory, Some(CRC32C));
         assert!(adopted.is_ok(), "{adopted:?}");
         pinned.push(table.pin(&place, &reader).expect("readable"));
     }
--- a/crates/wisteriahitch-node/src/dispatch/store_calls.rs
+++ b/crates/wisteriahitch-node/src/dispatch/store_calls.rs
@@ -1,11 +1,8 @@
 //! The calls to store VMs that hold, move and release blocks.
 
-use wisteriahitch_core::tier::{
-    PinGrant, ReservedRoom, TierCommand, TierEvent, TierName, TransferFailure,
-};
-use wisteriahitch_wire::store::{ReserveRequest, Reserved, StoreError, StoreErrorKind, Tier};
+use wisteriahitch_core::tier::{PinGrant, ReservedRoom, TierCommand, TierEvent, TransferFailure};
+use wisteriahitch_wire::store::{ReserveRequest, Reserved, StoreError, StoreErrorKind};
 
-use super::transfer::tier_name;
 use crate::shared::Shared;
 
 pub(super) async fn pin(shared: &Shared, command: TierCommand) -> Option<TierEvent> {
@@ -32,7 +29,7 @@
             bytes: pin.bytes,
             crc32c: pin.crc32c,
             weight_version: pin.weight_version,
-            tier: tier_name(pin.tier),
+            tier: pin.tier,
         })
         .map_err(|error| store_failure(&error));
     Some(TierEvent::Pinned { transfer, result })
@@ -57,7 +54,7 @@
         tokens,
         bytes,
         weight_version,
-        tier: wire_tier(tier),
+        tier,
         workspace,
     };
     let result = match shared.store_address(&store) {
@@ -92,7 +89,7 @@
             shared
                 .outside
                 .store
-                .move_to(address, key, generation, wire_tier(tier))
+                .move_to(address, key, generation, tier)
                 .await
         }
         None => Err(StoreError::new(
@@ -133,13 +130,6 @@
     }
 }
 
-fn wire_tier(tier: TierName) -> Tier {
-    match tier {
-        TierName::Memory => Tier::Memory,
-        TierName::Disk => Tier::Disk,
-    }
-}
-
 fn store_failure(error: &StoreError) -> TransferFailure {
     match error.kind() {
         StoreErrorKind::Gone => TransferFailure::Gone,
--- a/crates/wisteriahitch-node/src/dispatch/transfer.rs
+++ b/crates/wisteriahitch-node/src/dispatch/transfer.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use wisteriahitch_core::tier::{TierCommand, TierEvent, TierName};
-use wisteriahitch_wire::store::Tier;
+use wisteriahitch_core::tier::{TierCommand, TierEvent};
 
 use super::engine_calls::{export, import};
 use super::store_calls::{move_block, pin, release, reserve};
@@ -39,11 +38,3 @@
     };
     shared.metrics.transfers.with_label_values(&[outcome]).inc();
 }
-
-/// Turns the wire's name of a tier into the core's.
-pub(crate) fn tier_name(tier: Tier) -> TierName {
-    match tier {
-        Tier::Memory => TierName::Memory,
-        Tier::Disk => TierName::Disk,
-    }
-}
