fix(route): count on no beginning of a chain whose end is being evicted

Cause: engines evict a chain from its end. An endpoint that still held the beginning looked like the cheapest place; the plan imported the end there, and that import evicted the beginning, which was the oldest. The return then found no prefix and computed its whole prompt, though every piece was saved. Ruled out: failed saves (every queued one finished), late imports (0), refusals (0); the lag of cache events alone, which explains fewer; importing the beginning again, which an engine that holds it answers at once and which evicts it all the same. Change: such a beginning is used as it is, or everything is imported, at whichever endpoint is best.

--- a/crates/wisteriahitch-core/src/route/policy/sources.rs
+++ b/crates/wisteriahitch-core/src/route/policy/sources.rs
@@ -32,6 +32,16 @@
     pub(crate) transfer_us: DurationUs,
 }
 
+impl Cut {
+    /// Imports nothing where so many pieces are resident.
+    pub(crate) const fn none(resident: usize) -> Self {
+        Self {
+            end: resident,
+            transfer_us: DurationUs::ZERO,
+        }
+    }
+}
+
 /// Adds up what is imported from one tier.
 struct Load<'a> {
     source: Source<'a>,
@@ -61,7 +71,7 @@
     }
 
     /// Returns the end of the run of importable pieces that begins at `start`.
-    fn run_end(&self, start: usize) -> usize {
+    pub(super) fn run_end(&self, start: usize) -> usize {
         self.run_ends.get(start).copied().unwrap_or(start)
     }
 
@@ -84,10 +94,7 @@
         let len = self.run_end(start) - start;
         let count = len.min(MAX_CUTS);
         let mut loads: Vec<Load<'_>> = Vec::new();
-        let mut cuts = vec![Cut {
-            end: start,
-            transfer_us: DurationUs::ZERO,
-        }];
+        let mut cuts = vec![Cut::none(start)];
         let mut from = start;
         for step in 1..=count {
             let end = start + len * step / count;
--- a/crates/wisteriahitch-core/src/route/policy/weigh.rs
+++ b/crates/wisteriahitch-core/src/route/policy/weigh.rs
@@ -60,17 +60,38 @@
     /// Rows that hold equally much share the estimates of the imports.
     pub(crate) fn offers(&self, rows: &[usize]) -> Vec<Offer> {
         let mut cuts_by_start: BTreeMap<usize, Vec<Cut>> = BTreeMap::new();
-        let offer = |row: &usize| {
-            let resident = self.resident_pieces(*row);
-            let cuts = cuts_by_start.entry(resident).or_insert_with(|| {
+        let mut offer_from = |row: usize, start: usize| {
+            let cuts = cuts_by_start.entry(start).or_insert_with(|| {
                 self.sources
-                    .cuts(resident, self.request, self.view.links, self.now)
+                    .cuts(start, self.request, self.view.links, self.now)
             });
-            self.offer(*row, resident, cuts)
+            self.offer(row, start, cuts)
+        };
+        let offer = |row: &usize| {
+            let resident = self.resident_pieces(*row);
+            if !self.is_being_evicted(resident) {
+                return offer_from(*row, resident);
+            }
+            let without_import = self.offer(*row, resident, &[Cut::none(resident)]);
+            let anew = offer_from(*row, 0);
+            let both = without_import.into_iter().chain(anew);
+            both.min_by(|a, b| self.compare(a, b))
         };
         rows.iter().filter_map(offer).collect()
     }
 
+    /// Returns whether an endpoint that holds so many pieces is about to lose them.
+    ///
+    /// Engines evict a chain from its end. Where an endpoint holds only the beginning of what a
+    /// store holds, its eviction is under way, and importing the end there would evict the
+    /// beginning, which is the oldest: the endpoint would then compute the whole prompt again. One
+    /// would notice returns without any cached token although all their pieces were saved. So
+    /// such a beginning is used as it is, or everything is imported, at whichever endpoint.
+    fn is_being_evicted(&self, resident: usize) -> bool {
+        let is_rest_saved = self.sources.run_end(resident) > resident;
+        resident > 0 && is_rest_saved && self.sources.run_end(0) > resident
+    }
+
     fn resident_pieces(&self, row: usize) -> usize {
         let id = &self.view.endpoints.rows[row].id;
         let place = self.view.directory.place_of(id);
