fix(tasks): ask each VM once at a time, and forget removed ones

Cause: every round asked every endpoint again while its last call still waited for its time-out, so a frozen one cost ten calls at once, and a slow listing of a cache was read several times side by side, to be applied in any order; one frozen store VM held up the reports of all others for its time-out (found by reading); reports and places of removed endpoints stayed for ever. Ruled out: a shorter time-out, which would take slow VMs for dead ones. Change: a set of whom a call is under way to; rounds no longer wait for calls; what is no longer configured is forgotten at each round. Before: tests/all/frozen.rs saw three calls at once after three calls.

--- a/crates/wisteriahitch-node/src/task/endpoints.rs
+++ b/crates/wisteriahitch-node/src/task/endpoints.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::task::JoinSet;
-use wisteriahitch_config::{Endpoint, ServiceKind};
+use wisteriahitch_config::{Configuration, Endpoint, ServiceKind};
 use wisteriahitch_core::route::{EndpointLoad, LeavingSource, LoadedModel};
 use wisteriahitch_core::tier::TierEvent;
 use wisteriahitch_types::EndpointId;
 use wisteriahitch_wire::engine::{CacheEventKind, CacheEvents, LoadReport};
 use wisteriahitch_wire::service::ServiceLoad;
 
+use super::in_flight::InFlight;
 use crate::shared::Shared;
 
 /// Time between two looks at every endpoint.
@@ -30,36 +30,47 @@
 /// Asks every endpoint for its load and its cache events until the process stops.
 pub(crate) async fn run_endpoints(shared: Arc<Shared>) {
     let places = Arc::new(CachePlaces::default());
+    let asked = InFlight::default();
     let mut ticks = tokio::time::interval(PAUSE);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             () = shared.end.cancelled() => return,
-            _ = ticks.tick() => ask_all(&shared, &places).await,
+            _ = ticks.tick() => ask_all(&shared, &places, &asked),
         }
     }
 }
 
-/// Asks all at once: a frozen endpoint delays only its own answer and the next round.
-async fn ask_all(shared: &Arc<Shared>, places: &Arc<CachePlaces>) {
+/// Asks all that aren't being asked; a frozen endpoint holds up no other's report.
+fn ask_all(shared: &Arc<Shared>, places: &Arc<CachePlaces>, asked: &InFlight<EndpointId>) {
     let Some(in_force) = shared.in_force.load_full() else {
         return;
     };
-    let mut calls = JoinSet::new();
-    for service in in_force.configuration.services.values() {
+    let configuration = &in_force.configuration;
+    forget_removed(shared, places, configuration);
+    for service in configuration.services.values() {
         for endpoint in &service.endpoints {
-            let (shared, endpoint) = (Arc::clone(shared), endpoint.clone());
-            let places = Arc::clone(places);
-            match service.kind {
-                ServiceKind::Engine => calls.spawn(ask_engine(shared, endpoint, places)),
-                ServiceKind::Plain => calls.spawn(ask_service(shared, endpoint)),
+            let Some(asking) = asked.try_begin(&endpoint.id) else {
+                continue;
             };
+            let (shared, endpoint) = (Arc::clone(shared), endpoint.clone());
+            let (kind, places) = (service.kind, Arc::clone(places));
+            tokio::spawn(async move {
+                match kind {
+                    ServiceKind::Engine => ask_engine(shared, endpoint, places).await,
+                    ServiceKind::Plain => ask_service(shared, endpoint).await,
+                }
+                drop(asking);
+            });
         }
     }
-    // A frozen endpoint must not hold up the others' reports, which would all look old then.
-    let all = async { while calls.join_next().await.is_some() {} };
-    let _ = tokio::time::timeout(PAUSE, all).await;
-    calls.detach_all();
+}
+
+/// Forgets what was read of endpoints that are no longer configured.
+fn forget_removed(shared: &Shared, places: &CachePlaces, configuration: &Configuration) {
+    let is_known = |id: &EndpointId| configuration.endpoint(id).is_some();
+    places.lock().retain(|id, _| is_known(id));
+    shared.orders.reports.lock().retain(|id, _| is_known(id));
 }
 
 async fn ask_engine(shared: Arc<Shared>, endpoint: Endpoint, places: Arc<CachePlaces>) {
--- a/crates/wisteriahitch-node/src/task/mod.rs
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint_changes;
 mod endpoints;
 mod housekeeping;
+mod in_flight;
 mod shares;
 mod stores;
 mod vm_list;
--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -4,12 +4,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::task::JoinSet;
+use parking_lot::Mutex;
 use wisteriahitch_config::Store;
 use wisteriahitch_core::tier::TierEvent;
 use wisteriahitch_types::{BlockKey, BlockState, StoreId, StoreIncarnation, Tier};
 use wisteriahitch_wire::store::{BlockListing, StoreReport, StoredBlock};
 
+use super::in_flight::InFlight;
 use crate::shared::Shared;
 
 /// Time between two looks at every store VM.
@@ -18,9 +19,13 @@
 /// Looks after which the blocks are listed again, for what other daemons saved or freed.
 const LOOKS_PER_LISTING: u64 = 4;
 
+/// The life that each store VM was last seen in.
+type Lives = Mutex<HashMap<StoreId, StoreIncarnation>>;
+
 /// Asks every store VM for its state until the process stops.
 pub(crate) async fn run_stores(shared: Arc<Shared>) {
-    let mut lives: HashMap<StoreId, StoreIncarnation> = HashMap::new();
+    let lives = Arc::new(Lives::default());
+    let asked = InFlight::default();
     let mut ticks = tokio::time::interval(PAUSE);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut looks = 0;
@@ -29,59 +34,54 @@
             () = shared.end.cancelled() => return,
             _ = ticks.tick() => {}
         }
-        ask_all(&shared, &mut lives, looks % LOOKS_PER_LISTING == 0).await;
+        ask_all(&shared, &lives, &asked, looks % LOOKS_PER_LISTING == 0);
         looks += 1;
     }
 }
 
-async fn ask_all(
+/// Asks all that aren't being asked; a frozen store VM holds up no other's report.
+fn ask_all(
     shared: &Arc<Shared>,
-    lives: &mut HashMap<StoreId, StoreIncarnation>,
+    lives: &Arc<Lives>,
+    asked: &InFlight<StoreId>,
     is_listing_due: bool,
 ) {
     let Some(in_force) = shared.in_force.load_full() else {
         return;
     };
-    let mut calls = JoinSet::new();
-    for store in in_force.configuration.stores.values() {
-        let known = lives.get(&store.id).cloned();
-        calls.spawn(ask(
-            Arc::clone(shared),
-            store.clone(),
-            known,
-            is_listing_due,
-        ));
-    }
-    while let Some(answer) = calls.join_next().await {
-        if let Ok((store, Some(life))) = answer {
-            lives.insert(store, life);
-        }
+    let stores = &in_force.configuration.stores;
+    lives.lock().retain(|id, _| stores.contains_key(id));
+    for store in stores.values() {
+        let Some(asking) = asked.try_begin(&store.id) else {
+            continue;
+        };
+        let (shared, store, lives) = (Arc::clone(shared), store.clone(), Arc::clone(lives));
+        tokio::spawn(async move {
+            ask(&shared, &store, &lives, is_listing_due).await;
+            drop(asking);
+        });
     }
 }
 
-/// Asks one store VM and returns the life that it is in.
-async fn ask(
-    shared: Arc<Shared>,
-    store: Store,
-    known: Option<StoreIncarnation>,
-    is_listing_due: bool,
-) -> (StoreId, Option<StoreIncarnation>) {
+/// Asks one store VM and notes the life that it is in.
+async fn ask(shared: &Arc<Shared>, store: &Store, lives: &Lives, is_listing_due: bool) {
     let Ok(report) = shared.outside.store.report(store.address).await else {
         shared.note_tier(TierEvent::StoreLost {
             store: store.id.clone(),
         });
         shared.router.lock().directory.store_gone(&store.id);
-        return (store.id, None);
+        return;
     };
-    let is_new_life = known.as_ref() != Some(&report.incarnation);
+    let life = report.incarnation.clone();
+    let known = lives.lock().insert(store.id.clone(), life.clone());
+    let is_new_life = known.as_ref() != Some(&life);
     if is_new_life {
         shared.router.lock().directory.store_gone(&store.id);
     }
     shared.note_tier(seen(&store.id, &report));
     if is_new_life || is_listing_due {
-        list(&shared, &store, &report.incarnation).await;
+        list(shared, store, &life).await;
     }
-    (store.id, Some(report.incarnation))
 }
 
 fn seen(store: &StoreId, report: &StoreReport) -> TierEvent {
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod crossed;
 mod deadlines;
 mod drain;
+mod frozen;
 mod generated;
 mod harness;
 mod import_faults;
