fix(caller): count resumptions and moments of crowding against the bound on streams

Cause: only new completions were compared with the bound, before they were counted and in another task, so that resumptions passed it and many that came at once did too; a panic of a task would have left its count for ever. Ruled out: a semaphore beside the metric, which would be a second count of the same thing. Change: an answer is counted before it is compared, by a guard that its task drops. Before: in tests/all/stream_limit.rs a third stream ran where two may.

--- a/crates/wisteriahitch-node/src/caller/completion.rs
+++ b/crates/wisteriahitch-node/src/caller/completion.rs
@@ -7,7 +7,7 @@
 use http::{HeaderValue, Response, header};
 use tokio::sync::mpsc;
 use wisteriahitch_config::{Model, RequestFacts};
-use wisteriahitch_types::{Code, DurationUs, RequestId, TokenCount};
+use wisteriahitch_types::{Code, RequestId, TokenCount};
 use wisteriahitch_wire::engine::{CompletionHead, Token};
 
 use super::Refusal;
@@ -20,13 +20,11 @@
 use crate::dispatch::completion_call::{CompletionCall, Piece};
 use crate::dispatch::completion_run;
 use crate::shared::Shared;
+use crate::state::OpenStream;
 
 /// Tokens that wait for their caller before the attempt's reading waits too.
 const PIECE_BUFFER: usize = 64;
 
-/// When a caller may come back to a daemon that holds as many streams as it may.
-const STREAMS_FULL_RETRY_US: DurationUs = DurationUs::from_ms(1_000);
-
 /// Answers `POST /v1/completions`.
 pub(crate) async fn answer(
     shared: &Arc<Shared>,
@@ -37,18 +35,16 @@
 ) -> Result<Response<ResponseBody>, Refusal> {
     let body = CompletionBody::try_parse(&body)?;
     let is_stream = body.stream;
-    let streams = shared.metrics.streams.get();
-    if streams >= i64::from(shared.settings.limits.streams) {
-        return Err(Refusal::new(Code::StreamsFull).with_retry_after_us(STREAMS_FULL_RETRY_US));
-    }
+    let opened = shared.try_open_stream()?;
     let call = build_call(shared, identity, request_id, parts, body)?;
-    run(shared, call, is_stream).await
+    run(shared, call, opened, is_stream).await
 }
 
 /// Starts a completion and answers with its tokens.
 pub(crate) async fn run(
     shared: &Arc<Shared>,
     call: CompletionCall,
+    opened: OpenStream,
     is_stream: bool,
 ) -> Result<Response<ResponseBody>, Refusal> {
     let request_id = call.request_id.clone();
@@ -59,9 +55,8 @@
     tokio::spawn(async move {
         // The answer's head is sent long before its end; draining waits for the end.
         let _accepted = task_shared.accept();
-        task_shared.metrics.streams.inc();
         completion_run::run(&task_shared, &call, &sender).await;
-        task_shared.metrics.streams.dec();
+        drop(opened);
     });
     let head = get_head(&mut pieces).await?;
     let name = AnswerName {
--- a/crates/wisteriahitch-node/src/caller/resume.rs
+++ b/crates/wisteriahitch-node/src/caller/resume.rs
@@ -42,11 +42,12 @@
         .and_then(|rest| rest.strip_suffix(SUFFIX));
     let id: RequestId = id.and_then(|id| id.parse().ok()).ok_or_else(unknown)?;
     let position = parse_position(parts.uri.query().unwrap_or_default())?;
+    let opened = shared.try_open_stream()?;
     // A request of another workspace is as unknown as one that never was.
     let call = shared
         .resumable(&id, &identity.workspace, position)
         .ok_or_else(unknown)?;
-    completion::run(shared, call, true).await
+    completion::run(shared, call, opened, true).await
 }
 
 fn parse_position(query: &str) -> Result<u64, Refusal> {
--- a/crates/wisteriahitch-node/src/state/mod.rs
+++ b/crates/wisteriahitch-node/src/state/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod once;
 mod resume;
 mod route;
+mod streams;
 mod tiers;
 
 pub(crate) use admission::AdmissionState;
@@ -15,4 +16,5 @@
 pub(crate) use once::OnceState;
 pub(crate) use resume::ResumeState;
 pub(crate) use route::Flight;
+pub(crate) use streams::OpenStream;
 pub(crate) use tiers::TierState;
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -30,6 +30,7 @@
 mod shutdown;
 mod shutdown_ticket;
 mod stream;
+mod stream_limit;
 mod swap;
 mod tiers;
 mod together;
