fix(node): take no news with numbers that can't be counted on from

Generated messages of every kind at the peers' address of a real daemon, and random bytes and frames. Both daemons must serve callers, keep their version and take a new configuration afterwards, without a panic.

News of the receiver itself with the number 2^64 - 1 panicked where it is answered with the next number (learning.rs), with the members locked. News with a number or version above 2^62 is now dropped where it comes in.

Seen failing first: "attempt to add with overflow" in a daemon's log.

--- a/crates/wisteriahitch-node/src/peering/news.rs
+++ b/crates/wisteriahitch-node/src/peering/news.rs
@@ -36,7 +36,18 @@
     news.iter().filter_map(try_from_wire).collect()
 }
 
+/// Highest number that news may carry; counting on from it never reaches the end of its type.
+const MAX_NUMBER: u64 = 1 << 62;
+
+/// Takes one item of news; nothing where it breaks the protocol.
+///
+/// Its numbers are counted on from: a daemon answers a wrong belief about itself with the next
+/// number. One broken peer that tells the largest number would stop it doing so, and with it every
+/// task that looks at the members.
 fn try_from_wire(news: &MemberNews) -> Option<News> {
+    if news.news_number > MAX_NUMBER || news.config_version > MAX_NUMBER {
+        return None;
+    }
     let addresses = match news.is_short() {
         true => None,
         false => Some(MemberAddresses {
