--- a/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at a completion, from its sending to its end.
 
-use wisteriahitch_core::route::FlightFailure;
+use wisteriahitch_core::route::{FlightFailure, engine_priority};
 use wisteriahitch_wire::engine::{BlockRef, CompletionRequest, EngineError, EngineErrorKind};
 
 use super::completion_plan::Plan;
@@ -60,7 +60,11 @@
             weight_version: plan.weight_version.clone(),
             prompt: self.call.prompt.clone(),
             max_tokens: self.call.max_tokens,
-            priority: self.call.route.priority,
+            priority: engine_priority(
+                self.call.route.priority,
+                plan.choice.plan.recompute_tokens,
+                self.call.model.piece_tokens,
+            ),
             position: self.check.next_position(),
             blocks: blocks
                 .map(|b| BlockRef {
