fix(fleet): name daemons without a configuration to no caller

Cause: whoever is alive was named by /v1/entries, also a daemon that has just started and, with the platform away, waits 3 to 33 s for its peers' versions and refuses every caller until then. Ruled out: a state of membership of its own, which would change the precedence of news. Change: entries name daemons with a version in force, others only where nobody else is; the first version of a daemon is fresh news, so that its listing waits for no direct probe. Before: tests/all/readiness.rs got W2006 from a daemon that was listed. After: it passes, as do the 45 core tests of fleet*.

--- a/crates/wisteriahitch-core/src/fleet/members/entries.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/entries.rs
@@ -31,14 +31,18 @@
     /// Each answer is shuffled by its own `seed`, weighted by zone and load: callers keep an
     /// answer a while, so one order for all of them would send all to one daemon. A workspace is
     /// spread over a fixed few daemons of a large fleet, so that its mistakes reach only these.
-    /// Draining, leaving and suspect daemons are left out at once.
+    /// Draining, leaving, suspect and starting daemons are left out at once.
     pub fn entries(
         &self,
         zone: Option<&AvailabilityZone>,
         workspace: &WorkspaceId,
         seed: u64,
     ) -> Vec<EntryAddress> {
-        let listed: Vec<&Member> = self.workers().collect();
+        let (ready, starting): (Vec<&Member>, Vec<&Member>) =
+            self.workers().partition(|member| member.is_ready());
+        // A daemon that starts answers nothing but `not ready`, in an outage for many seconds. It is
+        // named only where nobody else is, since its readiness may not have been heard of yet.
+        let listed = if ready.is_empty() { starting } else { ready };
         let candidates = if listed.is_empty() {
             // An empty answer would cut the callers off although some daemon may well answer:
             // this daemon drains and all others are suspect.
--- a/crates/wisteriahitch-core/src/fleet/members/learning.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/learning.rs
@@ -1,6 +1,6 @@
 //! What news and notices change in the table.
 
-use wisteriahitch_types::{Incarnation, TimeUs};
+use wisteriahitch_types::{ConfigVersion, Incarnation, TimeUs};
 
 use super::{Member, MemberState, Membership, MembershipCommand, News, VmNotice};
 
@@ -141,6 +141,19 @@
         }
     }
 
+    /// Notes the version that this daemon has in force.
+    ///
+    /// The first one is news of its own: until the others hear of it they name this daemon to no
+    /// caller. Later ones travel with the daemon's own messages alone.
+    pub(super) fn take_config(&mut self, version: ConfigVersion) {
+        let is_first = !self.me().is_ready();
+        self.update_me(|me| me.config_version = version);
+        if is_first {
+            self.update_me(|me| me.news_number += 1);
+            self.queue.push(self.me);
+        }
+    }
+
     pub(super) fn announce(
         &mut self,
         state: MemberState,
--- a/crates/wisteriahitch-core/src/fleet/members/member.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/member.rs
@@ -65,6 +65,11 @@
 }
 
 impl Member {
+    /// Returns whether it has a configuration in force, as far as is known.
+    pub fn is_ready(&self) -> bool {
+        self.config_version > ConfigVersion::new(0)
+    }
+
     /// Returns whether callers may be sent to it.
     pub fn is_entry(&self) -> bool {
         self.state == MemberState::Alive && !self.is_vm_leaving
--- a/crates/wisteriahitch-core/src/fleet/members/membership.rs
+++ b/crates/wisteriahitch-core/src/fleet/members/membership.rs
@@ -124,9 +124,7 @@
             }
             MembershipEvent::VmList(vms) => self.take_vm_list(&vms),
             MembershipEvent::Load(permille) => self.take_load(permille, now),
-            MembershipEvent::ConfigApplied(version) => self.update_me(|me| {
-                me.config_version = version;
-            }),
+            MembershipEvent::ConfigApplied(version) => self.take_config(version),
             MembershipEvent::Drain => self.announce(MemberState::Draining, now, &mut commands),
             MembershipEvent::Leave => self.announce(MemberState::Left, now, &mut commands),
         }
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -25,6 +25,7 @@
 mod outage;
 mod poison;
 mod quotas;
+mod readiness;
 mod refusals;
 mod settling;
 mod shutdown;
