feat(explain): describe adapter and stream, and watch a rollout where its orders are given

Cause: a request with an adapter could not be explained; a watch through a daemon without the lease never learned that a rollout had failed; the block key had a secret that nobody set.

--- a/crates/wisteriahitch-cli/src/client.rs
+++ b/crates/wisteriahitch-cli/src/client.rs
@@ -51,6 +51,13 @@
         })
     }
 
+    /// Returns a client that asks the daemon at this operators' address first.
+    pub(crate) fn preferring(mut self, address: SocketAddr) -> Self {
+        self.addresses.retain(|other| *other != address);
+        self.addresses.insert(0, address);
+        self
+    }
+
     /// Sends a call to the first daemon that can be reached.
     ///
     /// Another daemon is asked only where no byte of the call has left, so that nothing is
--- a/crates/wisteriahitch-cli/src/command/explain.rs
+++ b/crates/wisteriahitch-cli/src/command/explain.rs
@@ -35,6 +35,8 @@
         "method": explain.method.as_deref().unwrap_or("POST"),
         "path": explain.path.as_deref().unwrap_or("/v1/completions"),
         "model": explain.model,
+        "adapter": explain.adapter,
+        "stream": explain.stream,
         "prompt": prompt,
         "labels": labels,
     }))
--- a/crates/wisteriahitch-cli/src/command/status.rs
+++ b/crates/wisteriahitch-cli/src/command/status.rs
@@ -1,5 +1,6 @@
 //! Prints the state of the site as the daemons report it.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Method;
@@ -17,7 +18,7 @@
 
 /// Runs `wisteriahitch status`, once or until no rollout is under way or one has failed.
 pub(crate) async fn run(flags: &Wisteriahitch, status: &Status) -> anyhow::Result<bool> {
-    let client = Client::from_flags(flags)?;
+    let mut client = Client::from_flags(flags)?;
     loop {
         let answer = client.call(Method::GET, "/v1/status", "").await?;
         let is_success = print_answer(&answer, flags.json, render::status)?;
@@ -31,10 +32,18 @@
         if !is_rollout_under_way(&value) {
             return Ok(true);
         }
+        // Only the daemon that gives the orders knows whether a rollout has failed.
+        if let Some(orderer) = find_orderer(&value) {
+            client = client.preferring(orderer);
+        }
         tokio::time::sleep(WATCH_PAUSE).await;
     }
 }
 
+fn find_orderer(value: &Value) -> Option<SocketAddr> {
+    value["rollout"]["ordered_by"].as_str()?.parse().ok()
+}
+
 fn is_rollout_under_way(value: &Value) -> bool {
     value["rollout"]["pending"].as_u64().unwrap_or(0) > 0
 }
--- a/crates/wisteriahitch-cli/src/flags.rs
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -49,6 +49,10 @@
             optional --path path: String
             /// Model that the request names.
             optional --model name: String
+            /// Adapter that the request names.
+            optional --adapter name: String
+            /// The answer is to be streamed.
+            optional --stream
             /// File with the prompt.
             optional --prompt-file path: PathBuf
             /// Label of the request, NAME=VALUE; may be given several times.
--- a/crates/wisteriahitch-core/src/route/pieces.rs
+++ b/crates/wisteriahitch-core/src/route/pieces.rs
@@ -16,8 +16,6 @@
 /// Holds everything besides the text that a block key binds.
 #[derive(Clone, Copy, Debug)]
 pub struct ChainScope<'a> {
-    /// Secret of the site or the workspace, so that a key can't be guessed from a known text.
-    pub secret: &'a [u8],
     /// Workspace that the request belongs to.
     pub workspace: &'a WorkspaceId,
     /// Model that computes the blocks.
@@ -37,7 +35,6 @@
             None => (NO_ADAPTER, ""),
         };
         let parts = [
-            self.secret,
             self.workspace.as_str().as_bytes(),
             self.model.as_str().as_bytes(),
             marker,
--- a/crates/wisteriahitch-node/src/dispatch/completion_call.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_call.rs
@@ -66,7 +66,6 @@
     /// Returns the chain of the prompt's pieces for a weight version.
     pub(crate) fn chain(&self, weight_version: &WeightVersion) -> PieceChain {
         let scope = ChainScope {
-            secret: &[],
             workspace: &self.identity.workspace,
             model: &self.model.name,
             adapter: self.adapter.as_ref(),
--- a/crates/wisteriahitch-node/src/operator/explain.rs
+++ b/crates/wisteriahitch-node/src/operator/explain.rs
@@ -9,7 +9,9 @@
 use serde_json::{Value, json};
 use wisteriahitch_config::{Action, Model, RequestFacts, Route};
 use wisteriahitch_core::route::{ChainScope, PieceChain, RouteRequest, Weighed, piece_chain};
-use wisteriahitch_types::{ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId};
+use wisteriahitch_types::{
+    AdapterName, ByteCount, Code, ModelName, TokenCount, WeightVersion, WorkspaceId,
+};
 
 use super::handler::parse;
 use crate::caller::body::ResponseBody;
@@ -27,6 +29,10 @@
     #[serde(default)]
     model: Option<ModelName>,
     #[serde(default)]
+    adapter: Option<AdapterName>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
     prompt: Option<String>,
     #[serde(default)]
     labels: BTreeMap<String, String>,
@@ -82,10 +88,11 @@
             .clone()
             .unwrap_or_else(|| COMPLETIONS_PATH.to_owned()),
         model: question.model.clone(),
+        adapter: question.adapter.clone(),
+        stream: question.stream,
         prompt_tokens,
         labels: question.labels.clone(),
         availability_zone: Some(shared.settings.availability_zone.clone()),
-        ..RequestFacts::default()
     }
 }
 
@@ -117,14 +124,15 @@
         let mut versions = shared.candidate_versions(&route.service, model);
         versions.pop()
     });
+    let adapter = route.adapter.clone().or(question.adapter.clone());
     let chain = match (model, &version) {
-        (Some(model), Some(version)) => chain(question, model, version),
+        (Some(model), Some(version)) => chain(question, adapter.as_ref(), model, version),
         _ => PieceChain::default(),
     };
     RouteRequest {
         service: route.service.clone(),
         model: model.map(|model| model.name.clone()),
-        adapter: route.adapter.clone(),
+        adapter,
         weight_version: version,
         chain,
         max_tokens: TokenCount::new(1),
@@ -149,12 +157,16 @@
     })
 }
 
-fn chain(question: &Question, model: &Model, weight_version: &WeightVersion) -> PieceChain {
+fn chain(
+    question: &Question,
+    adapter: Option<&AdapterName>,
+    model: &Model,
+    weight_version: &WeightVersion,
+) -> PieceChain {
     let scope = ChainScope {
-        secret: &[],
         workspace: &question.workspace,
         model: &model.name,
-        adapter: None,
+        adapter,
         weight_version,
         piece_tokens: model.piece_tokens,
     };
@@ -170,7 +182,8 @@
     let model = question
         .find_model(&in_force)
         .ok_or_else(|| Refusal::new(Code::UnknownModel))?;
-    let chain = chain(&question, model, &model.weight_version);
+    let adapter = question.adapter.as_ref();
+    let chain = chain(&question, adapter, model, &model.weight_version);
     let router = shared.router.lock();
     let tiers = router.directory.tier_prefix(&chain);
     let mut start = TokenCount::ZERO;
--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -1,5 +1,7 @@
 //! The state of the site as this daemon sees it.
 
+use std::net::SocketAddr;
+
 use serde_json::{Value, json};
 use wisteriahitch_config::Configuration;
 
@@ -98,6 +100,20 @@
         }
     }
     drop(router);
-    let progress = shared.orders.progress.lock();
-    json!({ "done": done, "pending": pending, "progress": *progress })
+    json!({
+        "done": done,
+        "pending": pending,
+        "progress": *shared.orders.progress.lock(),
+        "ordered_by": find_orderer(shared),
+    })
+}
+
+/// Returns the operators' address of the daemon that gives the orders, as far as it is known.
+///
+/// Only that one knows how far a rollout has come and whether it has failed.
+fn find_orderer(shared: &Shared) -> Option<SocketAddr> {
+    let leases = shared.orders.leases.lock().status();
+    let holder = leases.first()?.holder?;
+    let members = shared.fleet.members.lock();
+    Some(members.by_incarnation(holder)?.addresses.operator)
 }
