--- a/crates/wisteriahitch-node/src/dispatch/engine_calls.rs
+++ b/crates/wisteriahitch-node/src/dispatch/engine_calls.rs
@@ -1,6 +1,9 @@
 //! The calls to engines that import and export blocks.
 
+use std::net::SocketAddr;
+
 use wisteriahitch_core::tier::{ExportReceipt, TierCommand, TierEvent, TransferFailure};
+use wisteriahitch_types::{BlockKey, EndpointId, StoreId};
 use wisteriahitch_wire::engine::{EngineError, EngineErrorKind, ExportRequest, ImportRequest};
 
 use crate::shared::Shared;
@@ -20,16 +23,12 @@
     else {
         return None;
     };
-    let addresses = shared
-        .endpoint_address(&endpoint)
-        .zip(shared.store_address(&store));
-    let Some((endpoint_address, store_address)) = addresses else {
+    let Some((address, from)) = find_ends(shared, &endpoint, &store, key) else {
         return Some(TierEvent::Imported {
             transfer,
             result: Err(TransferFailure::Lost),
         });
     };
-    let from = shared.outside.store.block_url(store_address, key);
     let request = ImportRequest {
         key,
         from,
@@ -39,11 +38,7 @@
         bytes,
         crc32c,
     };
-    let result = shared
-        .outside
-        .engine
-        .import(endpoint_address, request)
-        .await;
+    let result = shared.outside.engine.import(address, request).await;
     if result.is_ok() {
         shared.router.lock().directory.stored(&endpoint, &key);
     }
@@ -63,27 +58,19 @@
     else {
         return None;
     };
-    let addresses = shared
-        .endpoint_address(&endpoint)
-        .zip(shared.store_address(&store));
-    let Some((endpoint_address, store_address)) = addresses else {
+    let Some((address, to)) = find_ends(shared, &endpoint, &store, key) else {
         return Some(TierEvent::Exported {
             transfer,
             result: Err(TransferFailure::Lost),
         });
     };
-    let to = shared.outside.store.block_url(store_address, key);
     let request = ExportRequest {
         key,
         to,
         generation,
         weight_version,
     };
-    let result = shared
-        .outside
-        .engine
-        .export(endpoint_address, request)
-        .await;
+    let result = shared.outside.engine.export(address, request).await;
     let result = result
         .map(|done| ExportReceipt {
             bytes: done.bytes,
@@ -93,6 +80,18 @@
     Some(TierEvent::Exported { transfer, result })
 }
 
+/// Returns the endpoint's address and the block's at its store, if both are configured.
+fn find_ends(
+    shared: &Shared,
+    endpoint: &EndpointId,
+    store: &StoreId,
+    key: BlockKey,
+) -> Option<(SocketAddr, String)> {
+    let address = shared.endpoint_address(endpoint)?;
+    let store = shared.store_address(store)?;
+    Some((address, shared.outside.store.block_url(store, key)))
+}
+
 fn engine_failure(error: &EngineError) -> TransferFailure {
     match error.kind() {
         EngineErrorKind::Gone => TransferFailure::Gone,
--- a/crates/wisteriahitch-node/src/dispatch/store_calls.rs
+++ b/crates/wisteriahitch-node/src/dispatch/store_calls.rs
@@ -1,6 +1,9 @@
 //! The calls to store VMs that hold, move and release blocks.
 
+use std::net::SocketAddr;
+
 use wisteriahitch_core::tier::{PinGrant, ReservedRoom, TierCommand, TierEvent, TransferFailure};
+use wisteriahitch_types::StoreId;
 use wisteriahitch_wire::store::{ReserveRequest, Reserved, StoreError, StoreErrorKind};
 
 use crate::shared::Shared;
@@ -15,13 +18,8 @@
     else {
         return None;
     };
-    let result = match shared.store_address(&store) {
-        Some(address) => shared.outside.store.pin(address, key, &incarnation).await,
-        None => Err(StoreError::new(
-            StoreErrorKind::Gone,
-            "the store isn't configured",
-        )),
-    };
+    let pin = async |address| shared.outside.store.pin(address, key, &incarnation).await;
+    let result = ask(shared, &store, pin).await;
     let result = result
         .map(|pin| PinGrant {
             pin: pin.pin,
@@ -57,14 +55,8 @@
         tier,
         workspace,
     };
-    let result = match shared.store_address(&store) {
-        Some(address) => shared.outside.store.reserve(address, request).await,
-        None => Err(StoreError::new(
-            StoreErrorKind::Gone,
-            "the store isn't configured",
-        )),
-    };
-    let result = match result {
+    let reserve = async |address| shared.outside.store.reserve(address, request).await;
+    let result = match ask(shared, &store, reserve).await {
         Ok(Reserved::Room(generation)) => Ok(ReservedRoom::Room(generation)),
         Ok(Reserved::AlreadyReadable(generation)) => Ok(ReservedRoom::AlreadyReadable(generation)),
         Ok(Reserved::InProgress) => Err(TransferFailure::InProgress),
@@ -84,19 +76,9 @@
     else {
         return None;
     };
-    let result = match shared.store_address(&store) {
-        Some(address) => {
-            shared
-                .outside
-                .store
-                .move_to(address, key, generation, tier)
-                .await
-        }
-        None => Err(StoreError::new(
-            StoreErrorKind::Gone,
-            "the store isn't configured",
-        )),
-    };
+    let outside = &shared.outside;
+    let move_to = async |address| outside.store.move_to(address, key, generation, tier).await;
+    let result = ask(shared, &store, move_to).await;
     Some(TierEvent::Moved {
         transfer,
         result: result.map_err(|error| store_failure(&error)),
@@ -105,24 +87,20 @@
 
 /// Gives something back at a store; one that fails runs out there by itself.
 pub(super) async fn release(shared: &Shared, command: TierCommand) {
-    let store = &shared.outside.store;
+    let calls = &shared.outside.store;
     let result = match command {
-        TierCommand::Unpin {
-            store: id,
-            key,
-            pin,
-        } => match shared.store_address(&id) {
-            Some(address) => store.unpin(address, key, &pin).await,
-            None => Ok(()),
-        },
+        TierCommand::Unpin { store, key, pin } => {
+            let unpin = async |address| calls.unpin(address, key, &pin).await;
+            ask(shared, &store, unpin).await
+        }
         TierCommand::Free {
-            store: id,
+            store,
             key,
             generation,
-        } => match shared.store_address(&id) {
-            Some(address) => store.free(address, key, generation).await,
-            None => Ok(()),
-        },
+        } => {
+            let free = async |address| calls.free(address, key, generation).await;
+            ask(shared, &store, free).await
+        }
         _ => Ok(()),
     };
     if let Err(error) = result {
@@ -130,6 +108,21 @@
     }
 }
 
+/// Calls a store; what lay at one that isn't configured any more is gone.
+async fn ask<T>(
+    shared: &Shared,
+    store: &StoreId,
+    call: impl AsyncFnOnce(SocketAddr) -> Result<T, StoreError>,
+) -> Result<T, StoreError> {
+    match shared.store_address(store) {
+        Some(address) => call(address).await,
+        None => Err(StoreError::new(
+            StoreErrorKind::Gone,
+            "the store isn't configured",
+        )),
+    }
+}
+
 fn store_failure(error: &StoreError) -> TransferFailure {
     match error.kind() {
         StoreErrorKind::Gone => TransferFailure::Gone,
