--- a/crates/wisteriahitch-node/src/task/mod.rs
+++ b/crates/wisteriahitch-node/src/task/mod.rs
@@ -1,9 +1,10 @@
 //! What a daemon does on its own, again and again.
 
 mod capacity;
-mod endpoint_news;
+mod endpoint_changes;
 mod endpoints;
 mod housekeeping;
+mod in_flight;
 mod shares;
 mod stores;
 mod vm_list;
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -9,12 +9,16 @@
 
 mod booking;
 mod configuration;
+mod crossed;
 mod deadlines;
 mod drain;
+mod frozen;
 mod generated;
 mod harness;
+mod import_faults;
 mod input;
 mod isolation;
+mod last_word;
 mod leases;
 mod leaving;
 mod leaving_peer;
@@ -24,6 +28,7 @@
 mod refusals;
 mod settling;
 mod shutdown;
+mod shutdown_ticket;
 mod stream;
 mod swap;
 mod tiers;
