--- a/crates/wisteriahitch-core/tests/all/once_claim.rs
+++ b/crates/wisteriahitch-core/tests/all/once_claim.rs
@@ -449,6 +449,6 @@
 #[test]
 fn shards_have_names_of_their_own() {
     let names: std::collections::BTreeSet<_> = ClaimShard::all().map(|s| s.to_string()).collect();
-    assert_eq!(names.len(), 64);
-    assert!(names.contains("claims-07"));
+    assert_eq!(names.len(), 256);
+    assert!(names.contains("claims-007"));
 }
