--- a/crates/wisteriahitch-node/src/task/housekeeping.rs
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -26,6 +26,7 @@
         if count.is_multiple_of(TICKS_PER_CAPACITY) {
             update_capacity(&shared);
             update_shares(&shared);
+            shared.forget_late_streams();
         }
         count += 1;
     }
--- a/crates/wisteriahitch/tests/all/harness/site.rs
+++ b/crates/wisteriahitch/tests/all/harness/site.rs
@@ -348,6 +348,17 @@
         answer.json()["tickets"][0].as_str().unwrap().to_owned()
     }
 
+    /// Returns how many answers run at a daemon.
+    pub(crate) async fn streams(&self, daemon: usize) -> u64 {
+        let address = self.daemons[daemon].operators;
+        let page = call(address, Method::GET, "/metrics", &[], "").await;
+        let text = page.unwrap().text();
+        let line = text
+            .lines()
+            .find_map(|line| line.strip_prefix("wisteriahitch_streams "));
+        line.unwrap().parse().unwrap()
+    }
+
     /// Returns every log, for the message of a failed test.
     pub(crate) fn logs(&self) -> String {
         let logs = self.daemons.iter().map(|daemon| daemon.process.read_log());
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod quotas;
 mod readiness;
 mod refusals;
+mod resume_room;
 mod settling;
 mod shutdown;
 mod shutdown_ticket;
--- a/crates/wisteriahitch/tests/all/stream_limit.rs
+++ b/crates/wisteriahitch/tests/all/stream_limit.rs
@@ -2,7 +2,7 @@
 
 use http::Method;
 
-use crate::harness::{SECRET, Site, SiteOptions, ask, call, prompt, wait_until};
+use crate::harness::{SECRET, Site, SiteOptions, ask, prompt, wait_until};
 use crate::stream::read_some;
 
 #[tokio::test]
@@ -20,7 +20,7 @@
     let broken = prompt("broken", 20, 200);
     let (request_id, _, next) = read_some(&site, &broken, 3).await;
     wait_until("the break to be noticed", async || {
-        streams(&site).await == 0
+        site.streams(0).await == 0
     })
     .await;
     let long = [prompt("one", 20, 200), prompt("other", 20, 200)];
@@ -33,7 +33,7 @@
         both.1.unwrap();
     };
     let resuming = async {
-        wait_until("both streams to run", async || streams(&site).await == 2).await;
+        wait_until("both streams to run", async || site.streams(0).await == 2).await;
         let path = format!("/v1/requests/{request_id}/stream?position={next}");
         site.send(0, Method::GET, &path, None, "").await.unwrap()
     };
@@ -42,15 +42,3 @@
     assert_eq!(refused.meaning(), "outcome_unknown");
     assert!(refused.headers.contains_key("retry-after"));
 }
-
-async fn streams(site: &Site) -> u64 {
-    let address = site.daemons[0].operators;
-    let page = call(address, Method::GET, "/metrics", &[], "")
-        .await
-        .unwrap();
-    let text = page.text();
-    let line = text
-        .lines()
-        .find_map(|l| l.strip_prefix("wisteriahitch_streams "));
-    line.unwrap().parse().unwrap()
-}
