fix(caller): tell when to come back also in refusals of which only the code is known

Cause: the protocol between daemons, and the table of keys to copies that waited, carry a code alone. Ruled out: a field in the message for now, since every such refusal passes within seconds. Change: a refusal with status 429 or 503 that is rebuilt from its code says one second; a peer's `not run` counts only for a code that means it. Before: forwarded_refusal_says_when_to_come_back got no retry-after.

--- a/crates/wisteriahitch-node/src/caller/keyed.rs
+++ b/crates/wisteriahitch-node/src/caller/keyed.rs
@@ -18,6 +18,9 @@
 /// When a caller may ask again about a key that nobody can decide now.
 const ASK_AGAIN_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Statuses of refusals that pass with time.
+const BUSY_STATUSES: [u16; 2] = [429, 503];
+
 /// Holds a call with the key that its caller gave it.
 pub(crate) struct KeyedCall {
     /// The call.
@@ -176,9 +179,15 @@
     }
 }
 
-fn refuse(code: Code) -> Refusal {
+/// Builds a refusal of which only the code is known: of a copy that waited, or of a peer.
+pub(crate) fn refuse(code: Code) -> Refusal {
     match code.meaning() {
         Meaning::OutcomeUnknown => ask_again(code),
+        // A refusal for want of room or of an endpoint passes; without a time callers would come
+        // back at once.
+        Meaning::NotRun | Meaning::Notice if BUSY_STATUSES.contains(&code.http_status()) => {
+            Refusal::new(code).with_retry_after_us(ASK_AGAIN_US)
+        }
         Meaning::NotRun | Meaning::Notice => Refusal::new(code),
     }
 }
--- a/crates/wisteriahitch-node/src/peering/forward.rs
+++ b/crates/wisteriahitch-node/src/peering/forward.rs
@@ -13,7 +13,7 @@
 use wisteriahitch_types::{Code, DurationUs, Incarnation, Meaning};
 
 use crate::caller::gate::{decide, labels};
-use crate::caller::keyed::{ForwardPolicy, Outcome, ask_again, submit, submit_ticket};
+use crate::caller::keyed::{ForwardPolicy, Outcome, ask_again, refuse, submit, submit_ticket};
 use crate::caller::{Identity, Refusal, new_request_id};
 use crate::dispatch::plain_call::PlainCall;
 use crate::shared::Shared;
@@ -234,7 +234,7 @@
     }
     let code = reply.result_code().unwrap_or(Code::Internal);
     match reply.meaning() {
-        ForwardMeaning::NotRun => Err(Refusal::new(code)),
+        ForwardMeaning::NotRun if code.meaning() == Meaning::NotRun => Err(refuse(code)),
         _ => Err(ask_again(code)),
     }
 }
--- a/crates/wisteriahitch/tests/all/refusals.rs
+++ b/crates/wisteriahitch/tests/all/refusals.rs
@@ -102,6 +102,22 @@
     assert_eq!(reply.meaning(), ForwardMeaning::OutcomeUnknown);
 }
 
+#[tokio::test]
+async fn forwarded_refusal_says_when_to_come_back() {
+    // Symptom: a till that is refused at a peer's word tries again at once, and again. Sequence of
+    // events: a ticket comes to another daemon than its issuer; the service refuses the call.
+    // Cause: the protocol between daemons carries the code alone.
+    let site = Site::start(SiteOptions::default()).await;
+    let ticket = site.ticket(0).await;
+    let control = json!({ "mode": "refuse_not_run", "count": 1 });
+    post_json(site.service.address, "/control", &control).await;
+    let refused = site.send(1, Method::POST, "/bookings", Some(&ticket), BODY);
+    let refused = refused.await.unwrap();
+    assert_eq!(refused.code(), "W2011", "{}", refused.text());
+    assert_eq!(refused.meaning(), "not_run");
+    assert!(refused.headers.contains_key("retry-after"), "{refused:?}");
+}
+
 async fn send(site: &Site, key: &str) -> Answer {
     let answer = site.send(0, Method::POST, "/bookings", Some(key), BODY);
     answer.await.unwrap()
