fix(tasks): forget the blocks of store VMs that are no longer configured

Cause: nobody told the directory of a removed store, so its blocks counted as readable for ever, and prompts were sent where their prefix seemed cheap to fetch. Ruled out: asking the configuration at each choice, which is on the way of every prompt. Change: the rounds over the stores forget what is no longer configured. Before: removed_store_holds_no_block_any_more waited 60 s in vain. After: it passes with the other tests of tiers.rs.

--- a/crates/wisteriahitch-node/src/task/stores.rs
+++ b/crates/wisteriahitch-node/src/task/stores.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use wisteriahitch_config::Store;
+use wisteriahitch_config::{Configuration, Store};
 use wisteriahitch_core::tier::TierEvent;
 use wisteriahitch_types::{BlockKey, BlockState, StoreId, StoreIncarnation, Tier};
 use wisteriahitch_wire::store::{BlockListing, StoreReport, StoredBlock};
@@ -53,7 +53,7 @@
         return;
     };
     let stores = &in_force.configuration.stores;
-    lives.lock().retain(|id, _| stores.contains_key(id));
+    forget_removed(shared, lives, &in_force.configuration);
     for store in stores.values() {
         let Some(asking) = asked.try_begin(&store.id) else {
             continue;
@@ -66,6 +66,20 @@
     }
 }
 
+/// Forgets the blocks of store VMs that are no longer configured.
+///
+/// They would go on counting as readable: prompts would be sent where they seem cheap, and computed
+/// again there.
+fn forget_removed(shared: &Shared, lives: &Lives, configuration: &Configuration) {
+    let mut lives = lives.lock();
+    let is_known = |id: &StoreId| configuration.stores.contains_key(id);
+    let removed: Vec<StoreId> = lives.keys().filter(|id| !is_known(id)).cloned().collect();
+    for store in removed {
+        lives.remove(&store);
+        shared.router.lock().directory.store_gone(&store);
+    }
+}
+
 /// Asks one store VM and notes the life that it is in.
 async fn ask(shared: &Arc<Shared>, store: &Store, lives: &Lives, is_listing_due: bool) {
     let Ok(report) = shared.outside.store.report(store.address).await else {
--- a/crates/wisteriahitch/tests/all/tiers.rs
+++ b/crates/wisteriahitch/tests/all/tiers.rs
@@ -175,3 +175,24 @@
     let back = ask(&site, 0, SECRET, &history).await.unwrap();
     assert_eq!(back.cached_tokens.get(), HISTORY_TOKENS, "{}", site.logs());
 }
+
+#[tokio::test]
+async fn removed_store_holds_no_block_any_more() {
+    // Symptom: after a store VM was taken out of the configuration, prompts go where their blocks
+    // seem to be read soon, and are computed again. Sequence of events: blocks are saved; the store
+    // is removed. Cause: nobody tells the directory.
+    let site = Site::start(options()).await;
+    let history = prompt("history", HISTORY_TOKENS, 4);
+    save_and_evict(&site, &history).await;
+    let configuration = site.configuration("v1");
+    let start = configuration.find("[[stores]]").unwrap();
+    let end = configuration.find("[[services]]").unwrap();
+    let without = format!("{}{}", &configuration[..start], &configuration[end..]);
+    let without = without.replace("stores = [\"hub-cache\"]\n", "");
+    let answer = site.submit(0, &without, "no-store").await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    wait_until("the store's blocks to be forgotten", async || {
+        holds_none(&locate(&site, &history).await, "stores")
+    })
+    .await;
+}
