--- a/crates/wisteriahitch-config/src/sections/change.rs
+++ b/crates/wisteriahitch-config/src/sections/change.rs
@@ -18,6 +18,15 @@
     Removed(SectionName),
 }
 
+impl Change {
+    /// Returns the section's name.
+    pub fn into_name(self) -> SectionName {
+        match self {
+            Change::Added(name) | Change::Changed(name) | Change::Removed(name) => name,
+        }
+    }
+}
+
 impl fmt::Display for Change {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/wisteriahitch-node/src/config/changes.rs
+++ b/crates/wisteriahitch-node/src/config/changes.rs
@@ -4,15 +4,17 @@
 
 use wisteriahitch_config::{Section, SectionHash, SectionName, Sections};
 
-/// Returns what differs between the sections in force and those that are to be.
+/// Returns the sections that differ from those in force, with the hashes that they are to have.
 pub(super) fn changes(
     base: &Sections,
     merged: &Sections,
 ) -> BTreeMap<SectionName, Option<SectionHash>> {
-    let names = base.iter().chain(merged.iter()).map(|(name, _)| name);
-    let hash_in = |sections: &Sections, name| sections.get(name).map(Section::hash);
-    names
-        .filter(|name| hash_in(base, name) != hash_in(merged, name))
-        .map(|name| (name.clone(), hash_in(merged, name)))
+    let changes = base.changes_to(merged).into_iter();
+    changes
+        .map(|change| {
+            let name = change.into_name();
+            let hash = merged.get(&name).map(Section::hash);
+            (name, hash)
+        })
         .collect()
 }
