--- /dev/null
+++ b/crates/wisteriahitch-bench/tests/all/schedule.rs
@@ -0,0 +1,123 @@
+//! The load that a seed gives.
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_bench::load::{Ask, Capacity, LoadOptions, PromptAsk, Schedule, Surge};
+use wisteriahitch_bench::site::{SiteName, SiteSizes};
+
+const DURATION_S: u64 = 600;
+
+fn options(capacity: Capacity) -> LoadOptions {
+    LoadOptions {
+        seed: 7,
+        duration_us: DURATION_S * 1_000_000,
+        load_share: 0.7,
+        capacity,
+        engines: 9,
+        workspaces: vec![0.5, 0.3, 0.2],
+        surge: None,
+    }
+}
+
+fn prompts(schedule: &Schedule) -> Vec<(u64, usize, PromptAsk)> {
+    let arrivals = schedule.arrivals.iter();
+    let prompts = arrivals.filter_map(|arrival| match arrival.ask {
+        Ask::Prompt(ask) => Some((arrival.at_us, arrival.workspace, ask)),
+        Ask::Plain { .. } => None,
+    });
+    prompts.collect()
+}
+
+#[test]
+fn the_load_is_the_asked_part_of_the_capacity() {
+    let cases = [
+        (SiteName::Chainline, Capacity::Computed),
+        (SiteName::Chainline, Capacity::Kept),
+        (SiteName::Lanyu, Capacity::Computed),
+        (SiteName::Lanyu, Capacity::Kept),
+    ];
+    for (site, capacity) in cases {
+        let sizes = SiteSizes::of(site);
+        let schedule = Schedule::draw(&options(capacity), &sizes);
+        let tokens = prompts(&schedule)
+            .into_iter()
+            .map(|(_, _, ask)| match capacity {
+                Capacity::Computed => ask.prompt_tokens,
+                Capacity::Kept => ask.prompt_tokens - ask.kept_tokens,
+            });
+        let per_s = tokens.sum::<u64>() as f64 / DURATION_S as f64;
+        let wanted = 0.7 * 9.0 * sizes.prefill_tokens_per_s.as_f64();
+        let ratio = per_s / wanted;
+        // Conversations that began before the run count their first visit in it as computed, which
+        // the kept capacity doesn't know of; ten minutes make that and the spread small.
+        assert!((0.9..1.1).contains(&ratio), "{site} {capacity}: {ratio}");
+    }
+}
+
+#[test]
+fn equal_seeds_give_equal_loads_and_others_do_not() {
+    let sizes = SiteSizes::of(SiteName::Chainline);
+    let times = |seed| {
+        let options = LoadOptions {
+            seed,
+            ..options(Capacity::Computed)
+        };
+        let schedule = Schedule::draw(&options, &sizes);
+        let arrivals = schedule.arrivals.iter();
+        arrivals.map(|arrival| arrival.at_us).collect::<Vec<_>>()
+    };
+    assert_eq!(times(1), times(1));
+    assert_ne!(times(1), times(2));
+    assert!(times(1).is_sorted());
+}
+
+#[test]
+fn a_return_begins_with_the_text_of_the_visit_before() {
+    let sizes = SiteSizes::of(SiteName::Chainline);
+    let schedule = Schedule::draw(&options(Capacity::Computed), &sizes);
+    let mut last: BTreeMap<u64, PromptAsk> = BTreeMap::new();
+    let mut returns = 0;
+    for (_, _, ask) in prompts(&schedule).into_iter().take(2_000) {
+        match last.insert(ask.conversation, ask) {
+            None => assert!(!ask.is_return),
+            Some(before) => {
+                returns += 1;
+                assert!(ask.is_return);
+                assert_eq!(ask.kept_tokens, before.prompt_tokens / 2_000 * 2_000);
+                assert!(ask.prompt_tokens > before.prompt_tokens);
+                if returns <= 20 {
+                    assert!(ask.prompt().starts_with(&before.prompt()));
+                }
+            }
+        }
+    }
+    assert!(returns > 100, "{returns}");
+}
+
+#[test]
+fn a_surge_multiplies_one_workspace_for_its_time_alone() {
+    let sizes = SiteSizes::of(SiteName::Chainline);
+    let (from_us, until_us) = (200_000_000, 400_000_000);
+    let options = LoadOptions {
+        surge: Some(Surge {
+            workspace: 2,
+            factor: 10.0,
+            from_us,
+            until_us,
+        }),
+        ..options(Capacity::Computed)
+    };
+    let schedule = Schedule::draw(&options, &sizes);
+    let count = |workspace, from_us: u64, until_us: u64| {
+        let first_visits = prompts(&schedule)
+            .into_iter()
+            .filter(|(at_us, owner, ask)| {
+                !ask.is_return && *owner == workspace && (from_us..until_us).contains(at_us)
+            });
+        first_visits.count() as f64
+    };
+    let grown = count(2, from_us, until_us) / count(2, 0, from_us);
+    let others = count(0, from_us, until_us) / count(0, 0, from_us);
+    assert!((7.0..13.0).contains(&grown), "{grown}");
+    assert!((0.8..1.25).contains(&others), "{others}");
+}
