fix(claims): keep what a damaged object of claims holds out of the log

Cause: the parser's message quotes what it found, and claims hold kept answers of callers. Ruled out: the debug level, since operators may turn it on for all. Change: the log names the object and the sort of error. Before: damaged_claims_put_no_answer_into_the_log found the text of the object in the log. After: it passes.

--- a/crates/wisteriahitch-node/src/state/claims.rs
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -148,7 +148,8 @@
     match serde_json::from_value::<ClaimObject>(object.spec) {
         Ok(content) => ReadResult::Found(version, content),
         Err(error) => {
-            log::error!("the claims {} don't parse: {error}", object.name);
+            // The message would quote what stands in the object, which may be a kept answer.
+            log::error!("{} don't parse: {:?} error", object.name, error.classify());
             ReadResult::Unavailable
         }
     }
--- a/crates/wisteriahitch/tests/all/workspaces.rs
+++ b/crates/wisteriahitch/tests/all/workspaces.rs
@@ -2,8 +2,9 @@
 
 use http::Method;
 use serde_json::json;
+use wisteriahitch::core::once::ClaimShard;
 
-use crate::harness::{OTHER_SECRET, SECRET, Site, SiteOptions, ask, call, prompt};
+use crate::harness::{OTHER_SECRET, SECRET, Site, SiteOptions, ask, call, post_json, prompt};
 
 #[tokio::test]
 async fn equal_prompts_of_two_workspaces() {
@@ -88,3 +89,27 @@
             .contains("wisteriahitch_prompt_tokens_total 120")
     );
 }
+
+#[tokio::test]
+async fn damaged_claims_put_no_answer_into_the_log() {
+    // Symptom: who reads a daemon's log reads a seller's order. Sequence of events: an object of
+    // claims is damaged; a keyed request needs it. Cause: the parser's message quotes what it found
+    // in place of what it wanted.
+    let site = Site::start(SiteOptions::default()).await;
+    for shard in ClaimShard::all() {
+        let object = json!({
+            "apiVersion": "wisteriahitch.example/v1",
+            "kind": "claims",
+            "metadata": { "name": shard.to_string() },
+            "spec": { "entries": "two trucks to Hualien" },
+        });
+        let path = "/apis/wisteriahitch.example/v1/claims";
+        post_json(site.platform.address, path, &object).await;
+    }
+    let refused = site.send(0, Method::POST, "/bookings", Some("k-9"), "{}");
+    let refused = refused.await.unwrap();
+    assert_eq!(refused.code(), "W3007", "{}", refused.text());
+    let logs = site.logs();
+    assert!(logs.contains("claims-"), "{logs}");
+    assert!(!logs.contains("Hualien"), "{logs}");
+}
