fix(once): bound the keyed requests that wait for a claim

Cause: each waits in a task of its own that outlives its caller; while the platform was slow nothing bounded them but the callers' pace. Ruled out: ending the task with its caller, since its repeat is to find the key decided. Change: with as many copies waiting as requests may queue, a key that isn't known yet gets ClaimUndecided at once, which is true of it. Before: in tests/all/keyed_crowd.rs fewer than half of 60 were refused at once where 8 may wait. After: it passes, and a later key is claimed again.

--- a/crates/wisteriahitch-node/src/state/once.rs
+++ b/crates/wisteriahitch-node/src/state/once.rs
@@ -45,6 +45,16 @@
         }
     }
 
+    /// Returns whether a key that isn't known yet would be one claim too many.
+    ///
+    /// Each waits in a task of its own, with its body, also after its caller has left. While the
+    /// platform is slow, callers that leave and come back would fill the memory with them. Nothing
+    /// is known of the key, so its refusal says just that.
+    fn is_crowded(&self, key: &OnceKey, room: usize) -> bool {
+        let needs_claim = matches!(key, OnceKey::Claimed { .. });
+        needs_claim && self.waiters.len() >= room && self.table.nonce(key).is_none()
+    }
+
     fn open_waiter(&mut self) -> (WaiterId, oneshot::Receiver<Decision>) {
         self.next_waiter += 1;
         let waiter = WaiterId::new(self.next_waiter);
@@ -80,6 +90,9 @@
     ) -> WaitedDecision {
         let now = self.clock.now();
         let mut once = self.once.lock();
+        if once.is_crowded(key, self.settings.limits.queued_requests as usize) {
+            return WaitedDecision::Now(Decision::Refuse(Code::ClaimUndecided));
+        }
         let (waiter, receiver) = once.open_waiter();
         let decision = once.table.submit(key, fingerprint, waiter, now);
         once.issuer.note_used(key);
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -18,6 +18,7 @@
 mod import_faults;
 mod input;
 mod isolation;
+mod keyed_crowd;
 mod last_word;
 mod leases;
 mod leaving;
