--- a/crates/wisteriahitch-bench/src/flags.rs
+++ b/crates/wisteriahitch-bench/src/flags.rs
@@ -58,6 +58,8 @@
             optional --load share: f64
             /// What that capacity counts: computed or kept.
             optional --capacity name: Capacity
+            /// Tokens of every answer, in place of what the site has.
+            optional --answer-tokens count: u64
             /// Sends nothing at all, to see what the daemons use by themselves.
             optional --idle
             /// File for one line of CSV for each request.
--- a/crates/wisteriahitch-bench/src/load/schedule.rs
+++ b/crates/wisteriahitch-bench/src/load/schedule.rs
@@ -37,6 +37,8 @@
     pub engines: usize,
     /// Workspaces' parts of the load.
     pub workspaces: Vec<f64>,
+    /// Tokens of every answer, or nothing for what the site has.
+    pub answer_tokens: Option<u64>,
     /// A workspace that asks for more for a while.
     pub surge: Option<Surge>,
 }
@@ -160,7 +162,9 @@
                     prompt_tokens: visit.prompt_tokens,
                     kept_tokens,
                     is_return: kept_tokens > 0,
-                    answer_tokens: TokenCount::new(visit.answer_tokens),
+                    answer_tokens: TokenCount::new(
+                        options.answer_tokens.unwrap_or(visit.answer_tokens),
+                    ),
                 }),
             });
             kept_tokens = whole_pieces(visit.prompt_tokens);
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -65,6 +65,7 @@
         warm_up_s: flags.warm_up_s.unwrap_or(DEFAULT_WARM_UP_S),
         load_share: flags.load.unwrap_or(DEFAULT_LOAD_SHARE),
         capacity: flags.capacity.unwrap_or(Capacity::Computed),
+        answer_tokens: flags.answer_tokens,
         is_idle: flags.idle,
     };
     ensure!(
--- a/crates/wisteriahitch-bench/src/run/options.rs
+++ b/crates/wisteriahitch-bench/src/run/options.rs
@@ -22,6 +22,8 @@
     pub load_share: f64,
     /// What that capacity counts.
     pub capacity: Capacity,
+    /// Tokens of every answer, or nothing for what the site has.
+    pub answer_tokens: Option<u64>,
     /// Whether nothing at all is sent.
     pub is_idle: bool,
 }
--- a/crates/wisteriahitch-bench/src/run/runner.rs
+++ b/crates/wisteriahitch-bench/src/run/runner.rs
@@ -235,6 +235,7 @@
         capacity: options.capacity,
         engines: site.engines.len(),
         workspaces: site.workspaces.iter().map(|row| row.share).collect(),
+        answer_tokens: options.answer_tokens,
         surge: (options.fault == FaultName::Tenfold).then_some(surge),
     }
 }
--- a/crates/wisteriahitch-bench/tests/all/schedule.rs
+++ b/crates/wisteriahitch-bench/tests/all/schedule.rs
@@ -15,6 +15,7 @@
         capacity,
         engines: 9,
         workspaces: vec![0.5, 0.3, 0.2],
+        answer_tokens: None,
         surge: None,
     }
 }
