fix(dispatch): let no late cancellation end a later attempt

A flake of crossed_answer_is_asked_for_again (once in an own run of the process tests on a loaded machine): W3001 after four attempts, the last two of which broke within milliseconds at an engine that was well. Cause: a failed attempt is cancelled without waiting, and an engine cancels by the request's id alone, so the cancellation of attempt 1 ended attempt 3 at the same engine, and that of attempt 3 attempt 4. Ruled out: the engine's fault, which was set to happen once.

--- a/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt at a completion, from its sending to its end.
 
+use std::net::SocketAddr;
+
+use tokio::task::JoinHandle;
 use wisteriahitch_core::route::{FlightFailure, engine_priority};
 use wisteriahitch_wire::engine::{BlockRef, CompletionRequest, EngineError, EngineErrorKind};
 
@@ -27,6 +30,7 @@
             () = imported => {}
             () = self.pieces.closed() => return self.cancel_import(),
         }
+        self.wait_for_cancellations(flight.address()).await;
         let request = self.completion_request(plan);
         let head_timeout_us = self.first_token_wait(choice.estimate.first_token_us);
         let opening =
@@ -50,6 +54,21 @@
         Ended::CallerGone
     }
 
+    /// Waits until no cancellation of an earlier attempt is on its way to this endpoint.
+    ///
+    /// An engine cancels by the request's id alone. A cancellation that arrives late would end the
+    /// new attempt, seen as a retry that breaks at once at an endpoint that is well.
+    async fn wait_for_cancellations(&mut self, address: SocketAddr) {
+        let cancelling = std::mem::take(&mut self.cancelling);
+        let (here, elsewhere) = cancelling.into_iter().partition(|(to, _)| *to == address);
+        self.cancelling = elsewhere;
+        let here: Vec<(SocketAddr, JoinHandle<()>)> = here;
+        for (_, cancellation) in here {
+            // A task that panicked has nothing on its way either.
+            let _ = cancellation.await;
+        }
+    }
+
     fn completion_request(&self, plan: &Plan) -> CompletionRequest {
         let blocks = plan.chain.blocks.iter();
         CompletionRequest {
@@ -76,7 +95,7 @@
     }
 
     /// Ends the flight as the attempt ended, and lets go of what it still holds at the endpoint.
-    fn land(&self, flight: Flight, plan: &Plan, ended: Ended) -> Ended {
+    fn land(&mut self, flight: Flight, plan: &Plan, ended: Ended) -> Ended {
         let outcome = match &ended {
             Ended::Whole => "answered",
             Ended::CallerGone => "caller_gone",
@@ -101,13 +120,15 @@
             Ended::CallerGone => {
                 flight.failed(FlightFailure::Cancelled);
                 self.keep_for_resumption(plan);
-                self.shared.cancel_at(address, &self.call.request_id);
+                // There is no further attempt that this could end.
+                drop(self.shared.cancel_at(address, &self.call.request_id));
             }
             Ended::Failed(error) => {
                 flight.failed(failure(error.kind()));
                 let may_still_run = !error.is_not_run();
                 if may_still_run && !self.has_sent_head {
-                    self.shared.cancel_at(address, &self.call.request_id);
+                    let cancellation = self.shared.cancel_at(address, &self.call.request_id);
+                    self.cancelling.push((address, cancellation));
                 }
             }
         }
--- a/crates/wisteriahitch-node/src/dispatch/completion_run.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_run.rs
@@ -1,8 +1,10 @@
 //! Running a completion: attempts, restarts and resumption until the answer is whole.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use wisteriahitch_core::stream::StreamCheck;
 use wisteriahitch_types::{Code, EndpointId};
 use wisteriahitch_wire::engine::EngineError;
@@ -33,6 +35,8 @@
     pub(super) has_sent_head: bool,
     /// Whether some attempt may have run, so that `not run` would no longer be true.
     pub(super) may_have_run: bool,
+    /// Cancellations of earlier attempts that may still be on their way.
+    pub(super) cancelling: Vec<(SocketAddr, JoinHandle<()>)>,
 }
 
 /// Runs a completion to its end and sends what the caller is to get.
@@ -82,6 +86,7 @@
         tried: Vec::new(),
         has_sent_head: false,
         may_have_run: false,
+        cancelling: Vec::new(),
     };
     let result = run.follow_attempts(first).await;
     run.count_dropped();
--- a/crates/wisteriahitch-node/src/state/models.rs
+++ b/crates/wisteriahitch-node/src/state/models.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use tokio::task::JoinHandle;
 use wisteriahitch_config::Model;
 use wisteriahitch_core::route::PieceChain;
 use wisteriahitch_core::tier::{ChainBlock, FinishedRequest};
@@ -86,14 +87,18 @@
         self.step_tiers(|tiers, now| tiers.finished(&finished, now));
     }
 
-    /// Cancels a request at an endpoint, without waiting for the answer.
-    pub(crate) fn cancel_at(self: &Arc<Self>, address: SocketAddr, request: &RequestId) {
+    /// Cancels a request at an endpoint, without waiting for the answer; the task ends with it.
+    pub(crate) fn cancel_at(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        request: &RequestId,
+    ) -> JoinHandle<()> {
         let shared = Arc::clone(self);
         let request = request.clone();
         tokio::spawn(async move {
             if let Err(error) = shared.outside.engine.cancel(address, &request).await {
                 log::debug!("cancelling {request} failed: {error}");
             }
-        });
+        })
     }
 }
