test(configuration): let two operators name the version that they looked at

Cause: the test's two submissions named no base; the second daemon had put the first one's version 2 in force before it took its own submission, which it then rightly accepted as version 3. Both now name version 1 as their base, so one of them must be refused with W4009 whatever the order; the check itself is unchanged.

--- a/crates/wisteriahitch/tests/all/configuration.rs
+++ b/crates/wisteriahitch/tests/all/configuration.rs
@@ -19,7 +19,12 @@
     // at the same time through two daemons. Cause: the second update overwrites the first.
     let site = Site::start(SiteOptions::default()).await;
     let (one, other) = (workspace_change(3), workspace_change(5));
-    let (one, other) = tokio::join!(site.submit(0, &one, "one"), site.submit(1, &other, "other"));
+    // Both name the version that they looked at: without it, the second daemon may have taken the
+    // first one's version over before its own submission comes, and then both are right.
+    let (one, other) = tokio::join!(
+        site.submit(0, &one, "one&base=1"),
+        site.submit(1, &other, "other&base=1"),
+    );
     let mut statuses = [one.status, other.status];
     statuses.sort_unstable();
     assert_eq!(statuses, [200, 409], "{} {}", one.text(), other.text());
