--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -8,7 +8,7 @@
     ConfigCommand, ConfigEvent, ConfigReplica, ConfigSettings, HeadObject,
 };
 use wisteriahitch_types::DurationUs;
-use wisteriahitch_wire::platform::{Object, ObjectKind, ObjectVersion, Platform, PlatformError};
+use wisteriahitch_wire::platform::{Object, ObjectKind, ObjectVersion, PlatformError};
 
 use super::objects::{HEAD_NAME, parse_head, read_section};
 use crate::shared::Shared;
--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -10,7 +10,7 @@
     ConfigEvent, HeadObject, Submission, SubmissionCommand, SubmissionEvent, SubmissionOutcome,
 };
 use wisteriahitch_types::{Code, ConfigVersion, SubmissionId};
-use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, Platform, PlatformErrorKind};
+use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, PlatformErrorKind};
 
 use super::changes::changes;
 use super::objects::{HEAD_NAME, build_sections, parse_head, read_section, write_section};
--- a/crates/wisteriahitch-node/src/orders/lease.rs
+++ b/crates/wisteriahitch-node/src/orders/lease.rs
@@ -3,9 +3,7 @@
 use std::sync::Arc;
 
 use wisteriahitch_core::fleet::{LeaseCommand, LeaseEvent, LeaseGroup, LeaseObject, WriteFailure};
-use wisteriahitch_wire::platform::{
-    ObjectKind, ObjectVersion, Platform, PlatformError, PlatformErrorKind,
-};
+use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, PlatformError, PlatformErrorKind};
 
 use crate::shared::Shared;
 
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -10,7 +10,7 @@
 use wisteriahitch_peer::PeerClient;
 use wisteriahitch_types::{ConfigVersion, Incarnation};
 use wisteriahitch_wire::engine::Engine;
-use wisteriahitch_wire::platform::HttpPlatform;
+use wisteriahitch_wire::platform::Platform;
 use wisteriahitch_wire::service::Service;
 use wisteriahitch_wire::store::Store;
 
@@ -34,7 +34,7 @@
 /// Holds the outside systems behind their traits.
 pub(crate) struct Outside {
     /// Object API.
-    pub(crate) platform: Arc<HttpPlatform>,
+    pub(crate) platform: Arc<dyn Platform>,
     /// Model engines.
     pub(crate) engine: Arc<dyn Engine>,
     /// Plain services.
--- a/crates/wisteriahitch-node/src/state/claims.rs
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -9,7 +9,7 @@
     Fingerprint, OnceKey, ReadResult, WriteResult,
 };
 use wisteriahitch_wire::platform::{
-    Object, ObjectKind, ObjectVersion, Platform, PlatformError, PlatformErrorKind,
+    Object, ObjectKind, ObjectVersion, PlatformError, PlatformErrorKind,
 };
 
 use crate::shared::Shared;
--- a/crates/wisteriahitch-node/src/task/vm_list.rs
+++ b/crates/wisteriahitch-node/src/task/vm_list.rs
@@ -8,7 +8,7 @@
 use wisteriahitch_core::fleet::{MembershipEvent, VmNotice};
 use wisteriahitch_core::route::LeavingSource;
 use wisteriahitch_wire::platform::{
-    Object, ObjectKind, ObjectVersion, Platform, PlatformErrorKind, VirtualMachine, VmPhase,
+    Object, ObjectKind, ObjectVersion, PlatformErrorKind, VirtualMachine, VmPhase,
 };
 
 use crate::shared::Shared;
--- a/crates/wisteriahitch-wire/src/platform/http_platform.rs
+++ b/crates/wisteriahitch-wire/src/platform/http_platform.rs
@@ -83,11 +83,6 @@
         }
     }
 
-    /// Returns how many calls were sent since the client was built.
-    pub fn counts(&self) -> CallCounts {
-        self.counter.counts()
-    }
-
     /// Sends a call to one address after another and returns a successful answer.
     async fn send(
         &self,
@@ -164,6 +159,10 @@
 
 #[async_trait]
 impl Platform for HttpPlatform {
+    fn counts(&self) -> CallCounts {
+        self.counter.counts()
+    }
+
     async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<Object>, PlatformError> {
         let call = Call::get(kind, name);
         match self.send(&call, self.options.call_timeout_us).await {
--- a/crates/wisteriahitch-wire/src/platform/mod.rs
+++ b/crates/wisteriahitch-wire/src/platform/mod.rs
@@ -25,6 +25,9 @@
 /// [`Platform::update`] taking effect at most once and only against the expected version.
 #[async_trait]
 pub trait Platform: Send + Sync {
+    /// Returns how many calls were sent since the client was built.
+    fn counts(&self) -> CallCounts;
+
     /// Returns the object, or nothing where it doesn't exist.
     async fn get(&self, kind: ObjectKind, name: &str) -> Result<Option<Object>, PlatformError>;
 
