--- a/crates/wisteriahitch/tests/all/drain.rs
+++ b/crates/wisteriahitch/tests/all/drain.rs
@@ -57,7 +57,7 @@
     assert!(status.success(), "{status}\n{}", site.logs());
 }
 
-async fn is_listed(site: &Site) -> bool {
+pub(crate) async fn is_listed(site: &Site) -> bool {
     let answer = site
         .send(1, Method::GET, "/v1/entries", None, "")
         .await
--- a/crates/wisteriahitch/tests/all/main.rs
+++ b/crates/wisteriahitch/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod crossed;
 mod deadlines;
 mod drain;
+mod drain_listing;
 mod frozen;
 mod generated;
 mod harness;
