fix(dispatch): take a rejected request for no failure of its endpoint

Cause: an engine's 400 counted as the endpoint's failure and was tried again elsewhere, so that one workspace's wrong requests could eject an endpoint that all use and spend everybody's retries. Ruled out: taking 400 for the engine's word that nothing ran; it doesn't say so.

--- a/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_attempt.rs
@@ -163,7 +163,9 @@
 
 fn failure(kind: EngineErrorKind) -> FlightFailure {
     match kind {
-        EngineErrorKind::NotRun | EngineErrorKind::OtherVersion => FlightFailure::Refused,
+        EngineErrorKind::NotRun | EngineErrorKind::OtherVersion | EngineErrorKind::Rejected => {
+            FlightFailure::Refused
+        }
         _ => FlightFailure::Broken,
     }
 }
--- a/crates/wisteriahitch-node/src/dispatch/completion_failure.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_failure.rs
@@ -3,7 +3,7 @@
 use wisteriahitch_core::route::{Choice, Plan as RoutePlan};
 use wisteriahitch_core::stream::{BreakDecision, StreamBreak};
 use wisteriahitch_types::{Code, DurationUs};
-use wisteriahitch_wire::engine::EngineError;
+use wisteriahitch_wire::engine::{EngineError, EngineErrorKind};
 
 use super::completion_plan::{Plan, plan};
 use super::completion_run::Run;
@@ -28,7 +28,10 @@
         );
         log::debug!("attempt at {endpoint}: {error}");
         self.may_have_run |= !error.is_not_run();
-        let has_attempts = self.check.attempt().get() < MAX_ATTEMPTS;
+        // A request that is wrong is so everywhere. Trying it at one endpoint after the other would
+        // use up the retries of everybody, and could take the endpoints out one by one.
+        let is_hopeless = error.kind() == EngineErrorKind::Rejected;
+        let has_attempts = !is_hopeless && self.check.attempt().get() < MAX_ATTEMPTS;
         // Where nothing has reached the caller, another endpoint may well do better than the one
         // that just failed; only an answer that has begun depends on its own endpoint.
         let endpoint_version = match self.has_sent_head {
--- a/crates/wisteriahitch-standin/src/engine/completion.rs
+++ b/crates/wisteriahitch-standin/src/engine/completion.rs
@@ -39,6 +39,13 @@
         return Ok(refuse(StatusCode::BAD_REQUEST, false, reason));
     }
     let fault = state.fault.lock().take_for_completion();
+    if fault == EngineFault::Reject {
+        return Ok(refuse(
+            StatusCode::BAD_REQUEST,
+            false,
+            "the request is wrong",
+        ));
+    }
     if fault == EngineFault::RefuseNotRun {
         return Ok(refuse(
             StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/wisteriahitch-standin/src/engine/control.rs
+++ b/crates/wisteriahitch-standin/src/engine/control.rs
@@ -30,6 +30,8 @@
     Nonsense,
     /// A request is refused as not run.
     RefuseNotRun,
+    /// Answers 400, as to a request that is wrong.
+    Reject,
     /// An exported block names another block than its own.
     CorruptExport,
     /// An exported block lacks its second half.
--- a/crates/wisteriahitch-standin/src/engine/mod.rs
+++ b/crates/wisteriahitch-standin/src/engine/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! `POST /control` takes [`EngineControl`]: `{"fault":F,"count":N}` with F one of `"none"`,
 //! `"freeze"`, `{"late_ms":N}`, `"wrong_request_id"`, `"repeat_position"`, `"skip_position"`,
-//! `"close_midway"`, `"nonsense"`, `"refuse_not_run"`, `"corrupt_export"` and `"short_export"`, or
+//! `"close_midway"`, `"nonsense"`, `"refuse_not_run"`, `"reject"`, `"corrupt_export"` and `"short_export"`, or
 //! `{"leaving":bool}`; `GET /control` gives [`EngineCounters`].
 
 mod answer;
--- a/crates/wisteriahitch-wire/src/engine/error.rs
+++ b/crates/wisteriahitch-wire/src/engine/error.rs
@@ -13,6 +13,9 @@
     NotRun,
     /// The engine has another weight version, and said that it did not run the request.
     OtherVersion,
+    /// The engine found fault with the request itself, which says nothing of the engine's health;
+    /// it did not say that it ran nothing.
+    Rejected,
     /// The connection broke after a byte may have left.
     Lost,
     /// No answer came in time.
@@ -63,7 +66,7 @@
             EngineErrorKind::NotRun | EngineErrorKind::OtherVersion => Code::EndpointRefused,
             EngineErrorKind::Lost => Code::EndpointLost,
             EngineErrorKind::Timeout => Code::EndpointTimeout,
-            EngineErrorKind::Nonsense => Code::EndpointNonsense,
+            EngineErrorKind::Nonsense | EngineErrorKind::Rejected => Code::EndpointNonsense,
             EngineErrorKind::Gone => Code::BlockGone,
             EngineErrorKind::Corrupt => Code::BlockCorrupt,
             EngineErrorKind::Fenced => Code::OrderFenced,
--- a/crates/wisteriahitch-wire/src/engine/http_engine.rs
+++ b/crates/wisteriahitch-wire/src/engine/http_engine.rs
@@ -261,6 +261,9 @@
 fn completion_refusal(status: StatusCode, body: &[u8]) -> EngineError {
     let refusal: RefusalBody = serde_json::from_slice(body).unwrap_or_default();
     let kind = match status {
+        StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::UNPROCESSABLE_ENTITY => EngineErrorKind::Rejected,
         _ if !refusal.not_run => EngineErrorKind::Nonsense,
         StatusCode::CONFLICT => EngineErrorKind::OtherVersion,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::NOT_FOUND => EngineErrorKind::NotRun,
--- a/crates/wisteriahitch-wire/tests/all/engine.rs
+++ b/crates/wisteriahitch-wire/tests/all/engine.rs
@@ -118,6 +118,12 @@
             EngineErrorKind::Nonsense,
             false,
         ),
+        case(
+            "a fault of the request",
+            refusal("400 Bad Request", ""),
+            EngineErrorKind::Rejected,
+            false,
+        ),
         case(
             "says that it did run",
             refusal("503 Service Unavailable", r#"{"not_run":false}"#),
