--- a/crates/wisteriahitch-core/src/tier/eviction_index.rs
+++ b/crates/wisteriahitch-core/src/tier/eviction_index.rs
@@ -4,11 +4,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::Serialize;
-use wisteriahitch_types::{BlockKey, StoreId};
+use wisteriahitch_types::{BlockKey, StoreId, Tier};
 
-use super::{Place, TierName};
+use super::Place;
 
-/// Ranks a block: its value when last used, above the rank of the last block that was freed.
+/// Ranks a block: its value when last used, above the ranks of the blocks that had to go before.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub(crate) struct Rank(u64);
 
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
-    tier: TierName,
+    tier: Tier,
     rank: Rank,
     depth: u32,
 }
@@ -40,8 +40,9 @@
 #[derive(Debug, Default)]
 pub struct EvictionIndex {
     entries: BTreeMap<Place, Entry>,
-    orders: BTreeMap<(StoreId, TierName), Order>,
-    /// Rank of the last block that was freed, by store: an unused block ages against it.
+    orders: BTreeMap<(StoreId, Tier), Order>,
+    /// Highest rank of a block that was freed or left memory for room, by store: an unused block
+    /// ages against it.
     clocks: BTreeMap<StoreId, f64>,
 }
 
@@ -51,7 +52,7 @@
     }
 
     /// Ranks a block that was used or saved now.
-    pub(crate) fn touch(&mut self, place: &Place, tier: TierName, value: f64, depth: u32) {
+    pub(crate) fn touch(&mut self, place: &Place, tier: Tier, value: f64, depth: u32) {
         let clock = self.clocks.get(&place.store).copied().unwrap_or(0.0);
         let known = self.remove(place);
         let rank = Rank::new(clock + value);
@@ -67,7 +68,7 @@
     ///
     /// A listing knows neither depth nor use; were it to rank known blocks, the front of a chain
     /// would go before its end, seen as imports that stop at the first block.
-    pub(crate) fn listed(&mut self, place: &Place, tier: TierName) {
+    pub(crate) fn listed(&mut self, place: &Place, tier: Tier) {
         match self.entries.get(place).map(|entry| entry.tier) {
             None => self.touch(place, tier, 0.0, 0),
             Some(known) if known != tier => self.moved(place, tier),
@@ -84,20 +85,35 @@
     }
 
     /// Notes that a block lies in another tier.
-    pub(crate) fn moved(&mut self, place: &Place, tier: TierName) {
+    pub(crate) fn moved(&mut self, place: &Place, tier: Tier) {
         if let Some(entry) = self.remove(place) {
             self.insert(place.clone(), Entry { tier, ..entry });
         }
     }
 
+    /// Notes that a block left memory for room, and ages all others against it.
+    ///
+    /// As long as the disk has room nothing is freed. Were only freed blocks counted, a block that
+    /// was once worth much would stay in memory for ever, and all later ones would go to disk.
+    pub(crate) fn demoted(&mut self, place: &Place) {
+        self.moved(place, Tier::Disk);
+        if let Some(entry) = self.entries.get(place).copied() {
+            self.age(place, entry.rank);
+        }
+    }
+
     /// Forgets a block that was freed for room, and ages all others against it.
     pub(crate) fn evicted(&mut self, place: &Place) {
         if let Some(entry) = self.remove(place) {
-            let clock = self.clocks.entry(place.store.clone()).or_default();
-            *clock = clock.max(entry.rank.get());
+            self.age(place, entry.rank);
         }
     }
 
+    fn age(&mut self, place: &Place, rank: Rank) {
+        let clock = self.clocks.entry(place.store.clone()).or_default();
+        *clock = clock.max(rank.get());
+    }
+
     pub(crate) fn forget(&mut self, place: &Place) {
         self.remove(place);
     }
@@ -120,7 +136,7 @@
     }
 
     /// Returns the blocks of a tier, the one that is worth least first.
-    pub(crate) fn lowest(&self, store: &StoreId, tier: TierName) -> impl Iterator<Item = Place> {
+    pub(crate) fn lowest(&self, store: &StoreId, tier: Tier) -> impl Iterator<Item = Place> {
         self.orders
             .get(&(store.clone(), tier))
             .into_iter()
--- a/crates/wisteriahitch-node/src/config/replica.rs
+++ b/crates/wisteriahitch-node/src/config/replica.rs
@@ -8,7 +8,7 @@
     ConfigCommand, ConfigEvent, ConfigReplica, ConfigSettings, HeadObject,
 };
 use wisteriahitch_types::DurationUs;
-use wisteriahitch_wire::platform::{Object, ObjectKind, ObjectVersion, Platform, PlatformError};
+use wisteriahitch_wire::platform::{Object, ObjectKind, ObjectVersion, PlatformError};
 
 use super::objects::{HEAD_NAME, parse_head, read_section};
 use crate::shared::Shared;
@@ -25,6 +25,8 @@
 pub(crate) struct ConfigState {
     /// Versions held and in force.
     pub(crate) replica: Mutex<ConfigReplica>,
+    /// Held while a configuration is put in force.
+    pub(super) applying: Mutex<()>,
     watch: Mutex<Option<CancellationToken>>,
 }
 
@@ -34,6 +36,7 @@
         let replica = ConfigReplica::new(ConfigSettings::default());
         Self {
             replica: Mutex::new(replica),
+            applying: Mutex::new(()),
             watch: Mutex::new(None),
         }
     }
@@ -77,7 +80,7 @@
             running.cancel();
         }
         if is_wanted {
-            let token = self.stop.child_token();
+            let token = self.end.child_token();
             *watch = Some(token.clone());
             tokio::spawn(watch_until(Arc::clone(self), token));
         }
@@ -141,12 +144,9 @@
             shared.note_head(read);
         }
         ConfigCommand::ReadSection(hash) => {
-            let read = read_section(&*shared.outside.platform, &hash).await;
+            let read = read_section(&*shared.outside.platform, hash).await;
             let event = match read {
-                Ok(Some(text)) => ConfigEvent::SectionRead {
-                    hash,
-                    content: text.into_bytes(),
-                },
+                Ok(Some(text)) => ConfigEvent::SectionRead { hash, text },
                 Ok(None) | Err(_) => ConfigEvent::SectionFailed(hash),
             };
             shared.step_config(event);
--- a/crates/wisteriahitch-node/src/daemon.rs
+++ b/crates/wisteriahitch-node/src/daemon.rs
@@ -1,11 +1,12 @@
 //! A daemon: every role in one process.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use anyhow::Context;
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_config::{PolicyName, Settings};
@@ -26,7 +27,7 @@
 use crate::observe::Metrics;
 use crate::operator::OperatorHandler;
 use crate::orders::{OrderState, run_orders};
-use crate::peering::{PeerSide, run_membership};
+use crate::peering::{PeerSide, run_leaving_news, run_membership};
 use crate::server::{ConnectionLimits, serve};
 use crate::shared::{Outside, Shared};
 use crate::state::{AdmissionState, FleetState, OnceState, ResumeState, TierState};
@@ -38,9 +39,15 @@
 /// Longest wait for a connection to a peer.
 const PEER_CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(300);
 
+/// Longest wait for the connections of peers to end, once nothing is asked on them.
+const LONGEST_GOODBYE: std::time::Duration = std::time::Duration::from_secs(2);
+
 /// Callers' connections at once for each stream that may run.
 const CONNECTIONS_PER_STREAM: usize = 2;
 
+/// Connections that wait to be accepted.
+const LISTEN_QUEUE: u32 = 4_096;
+
 /// Operators' connections at once.
 const OPERATOR_CONNECTIONS: usize = 64;
 
@@ -84,6 +91,7 @@
             fleet: FleetState::new(&settings, incarnation),
             metrics: Metrics::new().context("the metrics can't be registered")?,
             stop: CancellationToken::new(),
+            end: CancellationToken::new(),
             settings,
         };
         Ok(Self {
@@ -105,43 +113,64 @@
     pub async fn run(self) -> anyhow::Result<()> {
         let shared = self.shared;
         let listen = &shared.settings.listen;
-        let callers = bind(listen.callers, "callers").await?;
-        let operators = bind(listen.operators, "operators").await?;
-        let peers = bind(listen.peers, "peers").await?;
+        let callers = bind(listen.callers, "callers")?;
+        let operators = bind(listen.operators, "operators")?;
+        let peers = bind(listen.peers, "peers")?;
         shared.step_config(ConfigEvent::Restart);
         let mut tasks = JoinSet::new();
+        let mut sides = JoinSet::new();
         tasks.spawn(task::run_housekeeping(Arc::clone(&shared)));
         tasks.spawn(task::run_endpoints(Arc::clone(&shared)));
         tasks.spawn(task::run_stores(Arc::clone(&shared)));
         tasks.spawn(task::run_vm_list(Arc::clone(&shared)));
         tasks.spawn(run_orders(Arc::clone(&shared)));
         tasks.spawn(run_membership(Arc::clone(&shared)));
+        tasks.spawn(run_leaving_news(Arc::clone(&shared)));
         tasks.spawn(serve_peer_side(Arc::clone(&shared), peers));
         let operator_side = Arc::new(OperatorHandler::new(Arc::clone(&shared)));
         let limits = limits(&shared.settings, OPERATOR_CONNECTIONS);
-        tasks.spawn(serve(operators, limits, operator_side, shared.stop.clone()));
+        sides.spawn(serve(operators, limits, operator_side, shared.stop.clone()));
         let caller_side = Arc::new(CallerHandler::new(Arc::clone(&shared)));
         let limits = limits_for_callers(&shared.settings);
-        tasks.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
+        sides.spawn(serve(callers, limits, caller_side, shared.stop.clone()));
         log::info!(
             "daemon {} incarnation {}",
             shared.settings.id,
             shared.incarnation
         );
-        while tasks.join_next().await.is_some() {}
+        while sides.join_next().await.is_some() {}
+        shared.wait_for_late_work().await;
+        shared.end.cancel();
+        // A peer that is frozen never confirms the end of its connection, and nothing that it
+        // could still want is left here. Without a bound one such peer would hold up an update.
+        let ended = async { while tasks.join_next().await.is_some() {} };
+        if tokio::time::timeout(LONGEST_GOODBYE, ended).await.is_err() {
+            log::warn!("a connection to a peer didn't end in time");
+        }
         Ok(())
     }
 }
 
-async fn bind(address: std::net::SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("the {side}' address {address} can't be listened on"))
+/// Listens on an address, with a queue long enough for a burst of callers.
+///
+/// The usual queue of 128 overflows when some hundred callers come back at once, such as after an
+/// availability zone returns; their connections then wait for a second or are given up.
+fn bind(address: SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
+    let listen = || {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_QUEUE)
+    };
+    listen().with_context(|| format!("the {side}' address {address} can't be listened on"))
 }
 
 async fn serve_peer_side(shared: Arc<Shared>, listener: TcpListener) {
     let handler = Arc::new(PeerSide::new(Arc::clone(&shared)));
-    let stop = shared.stop.clone();
+    let stop = shared.end.clone();
     if let Err(error) = serve_peers(listener, handler, stop.cancelled_owned()).await {
         log::error!("the peers' side ended: {error}");
     }
--- a/crates/wisteriahitch-node/src/operator/status.rs
+++ b/crates/wisteriahitch-node/src/operator/status.rs
@@ -1,5 +1,7 @@
 //! The state of the site as this daemon sees it.
 
+use std::net::SocketAddr;
+
 use serde_json::{Value, json};
 use wisteriahitch_config::Configuration;
 
@@ -64,11 +66,12 @@
 fn stores(shared: &Shared, configuration: &Configuration) -> Vec<Value> {
     shared.tiers.with(|tiers| {
         let rows = configuration.stores.values().map(|store| {
-            let incarnation = tiers.blocks().incarnation(&store.id);
+            let state = tiers.stores().get(&store.id);
+            let is_reachable = state.is_some_and(|state| state.is_reachable);
             json!({
                 "store": store.id,
-                "state": if incarnation.is_some() { "seen" } else { "unseen" },
-                "incarnation": incarnation,
+                "state": if is_reachable { "seen" } else { "unseen" },
+                "incarnation": tiers.blocks().incarnation(&store.id),
             })
         });
         rows.collect()
@@ -97,6 +100,20 @@
         }
     }
     drop(router);
-    let progress = shared.orders.progress.lock();
-    json!({ "done": done, "pending": pending, "progress": *progress })
+    json!({
+        "done": done,
+        "pending": pending,
+        "progress": *shared.orders.progress.lock(),
+        "ordered_by": find_orderer(shared),
+    })
+}
+
+/// Returns the operators' address of the daemon that gives the orders, as far as it is known.
+///
+/// Only that one knows how far a rollout has come and whether it has failed.
+fn find_orderer(shared: &Shared) -> Option<SocketAddr> {
+    let leases = shared.orders.leases.lock().status();
+    let holder = leases.first()?.holder?;
+    let members = shared.fleet.members.lock();
+    Some(members.by_incarnation(holder)?.addresses.operator)
 }
--- a/crates/wisteriahitch-node/src/shared.rs
+++ b/crates/wisteriahitch-node/src/shared.rs
@@ -10,7 +10,7 @@
 use wisteriahitch_peer::PeerClient;
 use wisteriahitch_types::{ConfigVersion, Incarnation};
 use wisteriahitch_wire::engine::Engine;
-use wisteriahitch_wire::platform::HttpPlatform;
+use wisteriahitch_wire::platform::Platform;
 use wisteriahitch_wire::service::Service;
 use wisteriahitch_wire::store::Store;
 
@@ -34,7 +34,7 @@
 /// Holds the outside systems behind their traits.
 pub(crate) struct Outside {
     /// Object API.
-    pub(crate) platform: Arc<HttpPlatform>,
+    pub(crate) platform: Arc<dyn Platform>,
     /// Model engines.
     pub(crate) engine: Arc<dyn Engine>,
     /// Plain services.
@@ -49,7 +49,8 @@
 ///
 /// Locks are held only for a step of a table, never across a wait. Where two are needed, `router`
 /// is taken before `tiers`, and the replica of `config` before the members, and the members
-/// before the leases; no other pair is held at once.
+/// before the leases; the lock of `config` under which a configuration is put in force is taken
+/// before any other; no other pair is held at once.
 pub(crate) struct Shared {
     /// Settings of this daemon.
     pub(crate) settings: Settings,
@@ -79,6 +80,8 @@
     pub(crate) fleet: FleetState,
     /// Counters.
     pub(crate) metrics: Metrics,
-    /// Ends the process's tasks.
+    /// Ends the callers' and the operators' side, each connection with the request that it is at.
     pub(crate) stop: CancellationToken,
+    /// Ends everything else, once both sides have ended and no work is left.
+    pub(crate) end: CancellationToken,
 }
--- a/crates/wisteriahitch-node/src/task/housekeeping.rs
+++ b/crates/wisteriahitch-node/src/task/housekeeping.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use super::capacity::update_capacity;
-use super::endpoint_news::tell_changes;
-use super::shares::{QuotaSplit, update_shares};
+use super::endpoint_changes::log_changes;
+use super::shares::update_shares;
 use crate::shared::Shared;
 
 const TICK: Duration = Duration::from_millis(50);
@@ -17,16 +17,16 @@
 pub(crate) async fn run_housekeeping(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let split = QuotaSplit::default();
     let mut count: u64 = 0;
     loop {
         tokio::select! {
-            () = shared.stop.cancelled() => return,
+            () = shared.end.cancelled() => return,
             _ = ticks.tick() => tick(&shared),
         }
         if count.is_multiple_of(TICKS_PER_CAPACITY) {
             update_capacity(&shared);
-            update_shares(&shared, &split);
+            update_shares(&shared);
+            shared.forget_late_streams();
         }
         count += 1;
     }
@@ -45,5 +45,5 @@
     shared.tick_claims();
     shared.tick_config();
     shared.tick_drain();
-    tell_changes(shared);
+    log_changes(shared);
 }
--- a/crates/wisteriahitch-core/src/tier/block_state.rs
+++ b/crates/wisteriahitch-types/src/block_state.rs
@@ -1,4 +1,4 @@
-//! The steps of a block's life, by the names of the model in `specs/`.
+//! The steps of a block's life, by the names of the model `specs/block_life.pml`.
 
 use std::fmt;
 
--- a/crates/wisteriahitch-wire/tests/all/main.rs
+++ b/crates/wisteriahitch-wire/tests/all/main.rs
@@ -5,8 +5,10 @@
 
 mod canned;
 mod engine;
+mod generated;
 mod http_client;
 mod platform;
+mod sent_once;
 mod service;
 mod sse;
 mod store;
