--- a/crates/wisteriahitch/tests/all/weights.rs
+++ b/crates/wisteriahitch/tests/all/weights.rs
@@ -57,3 +57,33 @@
         .into_iter()
         .all(|row| row["versions"][0] == "hist-7b@v2" && row["state"] == "ready")
 }
+
+#[tokio::test]
+async fn adapter_is_loaded_and_unloaded_by_configuration() {
+    // Symptom: an operator adds an adapter and its prompts are refused for ever, or removes one
+    // that goes on answering. Sequence of events: the configuration names an adapter, then no
+    // longer. Cause: nobody orders the engines to load and unload it.
+    let site = Site::start(SiteOptions {
+        engines: 2,
+        ..SiteOptions::default()
+    })
+    .await;
+    let without = site.configuration("v1");
+    let with = without.replace(
+        "piece_tokens = 100",
+        "adapters = [\"history\"]\npiece_tokens = 100",
+    );
+    let mut completion = prompt("adapter", 30, 4);
+    completion.adapter = Some("history".parse().unwrap());
+    assert!(ask(&site, 0, SECRET, &completion).await.is_err());
+    for (submission, text, is_served) in [("with", &with, true), ("without", &without, false)] {
+        let accepted = site.submit(0, text, submission).await;
+        assert_eq!(accepted.status, 200, "{}", accepted.text());
+        wait_until("the adapter to follow the configuration", async || {
+            let first = ask(&site, 0, SECRET, &completion).await;
+            let second = ask(&site, 1, SECRET, &completion).await;
+            first.is_ok() == is_served && second.is_ok() == is_served
+        })
+        .await;
+    }
+}
