fix(admission): refuse at arrival what could not start in time

A request that is given up gets its answer at once. Ruled out: a bound on the queue alone, which knows no deadline; the mean time between ends at all times, which a quiet hour makes hours long (a test of its own). Change: requests ahead by rank, over the workspace's share, times the pace measured while something waits; something always may wait, so that a bad estimate mends itself. The test was seen failing with the check taken out.

--- a/crates/wisteriahitch-core/src/route/admission/fair_queue.rs
+++ b/crates/wisteriahitch-core/src/route/admission/fair_queue.rs
@@ -8,6 +8,10 @@
 /// Virtual time, in cost over weight, scaled to whole numbers so that it can be ordered.
 type VirtualTime = u128;
 
+/// Workspaces whose weights stand for those of all that wait, so that a step costs no more with
+/// thousands of them.
+const MAX_LOOKED_AT: usize = 64;
+
 /// Virtual time of one unit of cost at weight one.
 const SCALE: u128 = 1 << 20;
 
@@ -106,6 +110,38 @@
         self.len
     }
 
+    /// Returns how many requests of a workspace go before one more of this priority.
+    pub(crate) fn ahead_of(&self, workspace: &WorkspaceId, priority: u8) -> usize {
+        let lowest = Rank {
+            priority: Reverse(priority),
+            number: u64::MAX,
+        };
+        let flow = self.flows.get(workspace);
+        flow.map_or(0, |flow| flow.waiting.range(..lowest).count())
+    }
+
+    /// Returns the part of the service that a workspace gets beside those that wait now.
+    pub(crate) fn share_of(
+        &self,
+        workspace: &WorkspaceId,
+        weight: impl Fn(&WorkspaceId) -> u32,
+    ) -> f64 {
+        let own = f64::from(weight(workspace).max(1));
+        let others = self.order.iter().filter(|(_, other)| other != workspace);
+        let looked_at = others.take(MAX_LOOKED_AT);
+        let weights: Vec<f64> = looked_at
+            .map(|(_, other)| f64::from(weight(other).max(1)))
+            .collect();
+        if weights.is_empty() {
+            return 1.0;
+        }
+        let flow = self.flows.get(workspace);
+        let is_own_waiting = flow.is_some_and(|flow| flow.start.is_some());
+        let count = (self.order.len() - usize::from(is_own_waiting)) as f64;
+        let mean = weights.iter().sum::<f64>() / weights.len() as f64;
+        own / (own + mean * count)
+    }
+
     /// Returns how many requests of a workspace wait.
     pub(crate) fn waiting_of(&self, workspace: &WorkspaceId) -> usize {
         let flow = self.flows.get(workspace);
--- a/crates/wisteriahitch-core/src/route/admission/gate.rs
+++ b/crates/wisteriahitch-core/src/route/admission/gate.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use wisteriahitch_types::{DurationUs, RequestId, TimeUs};
+use wisteriahitch_types::{DurationUs, RequestId, TimeUs, WorkspaceId};
 
 use super::fair_queue::{FairQueue, Rank};
 
@@ -40,13 +40,39 @@
     }
 
     /// Records the end of a running request.
+    ///
+    /// The time between two ends tells how fast the queue moves only while there is one: the pauses
+    /// of a quiet hour would make the next burst look as if it could never be served.
     pub(crate) fn ended(&mut self, now: TimeUs) {
         self.running = self.running.saturating_sub(1);
         if let Some(last) = self.last_end_at_us {
             let sample = now.since(last).as_f64();
-            self.end_interval_us += SAMPLE_WEIGHT * (sample - self.end_interval_us);
+            self.end_interval_us = match self.end_interval_us {
+                0.0 => sample,
+                mean => mean + SAMPLE_WEIGHT * (sample - mean),
+            };
         }
-        self.last_end_at_us = Some(now);
+        let is_waited_for = self.queue.len() > 0;
+        self.last_end_at_us = is_waited_for.then_some(now);
+    }
+
+    /// Estimates how long one more request of a workspace would wait behind those that rank before
+    /// it, at the workspace's share; zero while nothing waits.
+    ///
+    /// Something always may wait, so that a bad estimate is put right by the next ends.
+    pub(crate) fn wait_time(
+        &self,
+        workspace: &WorkspaceId,
+        priority: u8,
+        weight: impl Fn(&WorkspaceId) -> u32,
+    ) -> DurationUs {
+        if self.has_room() || self.queue.len() == 0 {
+            return DurationUs::ZERO;
+        }
+        let ahead = self.queue.ahead_of(workspace, priority) as f64 + 1.0;
+        let ends =
+            (ahead / self.queue.share_of(workspace, weight)).min(self.queue.len() as f64 + 1.0);
+        DurationUs::new((ends * self.end_interval_us) as u64)
     }
 
     /// Estimates when the requests that wait will have started.
--- a/crates/wisteriahitch-core/src/route/admission/table.rs
+++ b/crates/wisteriahitch-core/src/route/admission/table.rs
@@ -96,17 +96,47 @@
         }
         let drain = self.drain_time(&request.service);
         let waiting = self.waiting_of(request);
-        let Some(quota) = self.quotas.get_mut(&request.workspace) else {
+        let Some(quota) = self.quotas.get(&request.workspace) else {
             return Err(refuse(id, Code::UnknownKey, DurationUs::ZERO));
         };
         if waiting >= quota.max_queued {
             return Err(refuse(id, Code::QueueFull, drain));
         }
-        let wait = quota.take(request.prompt_tokens, now);
-        if wait > DurationUs::ZERO {
-            return Err(refuse(id, Code::QuotaExceeded, wait));
+        self.check_wait(request, now)?;
+        self.check_quota(request, now)
+    }
+
+    /// Takes the request out of its workspace's quota; last of all, since a refusal costs nothing.
+    fn check_quota(
+        &mut self,
+        request: &AdmissionRequest,
+        now: TimeUs,
+    ) -> Result<(), AdmissionCommand> {
+        let quota = self.quotas.get_mut(&request.workspace);
+        let wait = quota.map_or(DurationUs::ZERO, |q| q.take(request.prompt_tokens, now));
+        match wait > DurationUs::ZERO {
+            true => Err(refuse(request.request.clone(), Code::QuotaExceeded, wait)),
+            false => Ok(()),
+        }
+    }
+
+    /// Refuses a request that could not start in time.
+    ///
+    /// Let into the queue, it would be told so only at its deadline, when its caller could long
+    /// have asked elsewhere or come back later.
+    fn check_wait(&self, request: &AdmissionRequest, now: TimeUs) -> Result<(), AdmissionCommand> {
+        let Some(gate) = self.gates.get(&request.service) else {
+            return Ok(());
+        };
+        let quotas = &self.quotas;
+        let weight = |id: &WorkspaceId| quotas.get(id).map_or(1, |quota| quota.weight);
+        let wait = gate.wait_time(&request.workspace, request.priority, weight);
+        let left = request.deadline_us.since(now);
+        if wait <= left {
+            return Ok(());
         }
-        Ok(())
+        let id = request.request.clone();
+        Err(refuse(id, Code::DeadlineUnreachable, wait - left))
     }
 
     /// Starts what fits; requests that nobody waits for any more are refused before.
--- a/crates/wisteriahitch-core/tests/all/route_admission.rs
+++ b/crates/wisteriahitch-core/tests/all/route_admission.rs
@@ -454,3 +454,72 @@
     let gate = admission.snapshot().remove(0);
     assert_eq!((gate.running, gate.waiting, gate.capacity), (0, 0, 2));
 }
+
+/// Lets `count` requests of one workspace wait behind a running one and end a second apart, so
+/// that the table learns how fast the service is; one request stays and runs at the end.
+fn learn_pace(admission: &mut Admission, workspace: &str, start_ms: u64, count: u64) -> u64 {
+    let name = |number| format!("{workspace}-{start_ms}-{number}");
+    for number in 0..=count {
+        admission.arrive(ask(&name(number), workspace, 1), after_ms(start_ms));
+    }
+    for number in 0..count {
+        let now = after_ms(start_ms + 1_000 * (number + 1));
+        admission.finished(&name(number).parse().unwrap(), now);
+    }
+    start_ms + 1_000 * count
+}
+
+fn ask_within(id: &str, workspace: &str, now_ms: u64, deadline_ms: u64) -> AdmissionRequest {
+    AdmissionRequest {
+        deadline_us: after_ms(now_ms + deadline_ms),
+        ..ask(id, workspace, 1)
+    }
+}
+
+#[test]
+fn a_request_that_could_not_start_in_time_is_refused_at_its_arrival() {
+    // Symptom: callers wait for their whole deadline to hear that they were refused. Sequence of
+    // events: the service ends one request a second; five wait; one arrives that can wait for
+    // three seconds. Cause: it is let into the queue whatever the queue's length.
+    let mut admission = admission(&[workspace("kandy", 1), workspace("galle", 1)], 1);
+    let now_ms = learn_pace(&mut admission, "kandy", 0, 20);
+    let now = after_ms(now_ms);
+    for number in 0..5 {
+        let waits = ask_within(&format!("w{number}"), "kandy", now_ms, 60_000);
+        assert!(admission.arrive(waits, now).is_empty());
+    }
+    let commands = admission.arrive(ask_within("late", "kandy", now_ms, 3_000), now);
+    let expected = ("late".to_owned(), Code::DeadlineUnreachable);
+    assert_eq!(refused(&commands), [expected]);
+    // One that can wait longer, goes first by its priority, or has its own share is let in.
+    let patient = ask_within("patient", "kandy", now_ms, 10_000);
+    assert!(admission.arrive(patient, now).is_empty());
+    let urgent = AdmissionRequest {
+        priority: 9,
+        ..ask_within("urgent", "kandy", now_ms, 3_000)
+    };
+    assert!(admission.arrive(urgent, now).is_empty());
+    let other = ask_within("other", "galle", now_ms, 3_000);
+    assert!(admission.arrive(other, now).is_empty());
+}
+
+#[test]
+fn a_quiet_hour_makes_no_burst_unreachable() {
+    // Symptom: the first burst of the morning is refused while the endpoints are idle. Sequence of
+    // events: requests end minutes apart through the night. Cause: these pauses are taken for the
+    // pace of the service.
+    let mut admission = admission(&[workspace("kandy", 1)], 1);
+    let mut now_ms = learn_pace(&mut admission, "kandy", 0, 20);
+    admission.finished(&"kandy-0-20".parse().unwrap(), after_ms(now_ms));
+    for number in 0..20 {
+        now_ms += 600_000;
+        let id = format!("night-{number}");
+        admission.arrive(ask(&id, "kandy", 1), after_ms(now_ms));
+        admission.finished(&id.parse().unwrap(), after_ms(now_ms + 500));
+    }
+    for number in 0..4 {
+        let id = format!("morning-{number}");
+        let commands = admission.arrive(ask_within(&id, "kandy", now_ms, 8_000), after_ms(now_ms));
+        assert!(refused(&commands).is_empty(), "{commands:?}");
+    }
+}
