refactor(route): drop a decision about retries that the daemon never asked

Cause: when a failed attempt is repeated stood twice, and the copy in the core said otherwise than what the daemon does (a keyed call may go on where no connection opened). Ruled out: letting the daemon ask it; that would change behaviour which process tests hold (settling::booking_is_not_tried_at_another_endpoint).

--- a/crates/wisteriahitch-core/src/route/mod.rs
+++ b/crates/wisteriahitch-core/src/route/mod.rs
@@ -25,5 +25,5 @@
     NoLinks, ParsePolicyError, Plan, Policy, PolicyKind, RoundRobin, RouteRefusal, RouteRequest,
     View, Weighed,
 };
-pub use retry::{FailedAttempt, RetryBudget, RetryDecision, retry_decision};
+pub use retry::RetryBudget;
 pub use router::{Router, RouterSnapshot};
--- a/crates/wisteriahitch-core/src/route/retry.rs
+++ b/crates/wisteriahitch-core/src/route/retry.rs
@@ -1,7 +1,6 @@
-//! When the system itself repeats a request, and how often in all.
+//! How often the system itself repeats requests.
 
-use serde::{Deserialize, Serialize};
-use wisteriahitch_types::Code;
+use serde::Serialize;
 
 /// Retries that may follow a quiet start before requests have paid for them.
 const FIRST_RETRIES: f64 = 3.0;
@@ -54,48 +53,3 @@
         is_granted
     }
 }
-
-/// Says what is known when an attempt has failed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct FailedAttempt {
-    /// Whether a byte of an answer has reached the caller.
-    pub reached_caller: bool,
-    /// Whether the endpoint itself said that it did not run the request, or nothing was sent.
-    pub was_not_run: bool,
-    /// Whether the request may be repeated.
-    pub may_repeat: bool,
-    /// Whether the caller brought a ticket or an idempotency key.
-    pub is_keyed: bool,
-    /// Attempts made so far.
-    pub attempts: u32,
-    /// Most attempts at one request.
-    pub max_attempts: u32,
-    /// Whether the deadline still leaves time.
-    pub has_time: bool,
-    /// What the caller is told where there is no retry.
-    pub code: Code,
-}
-
-/// Says what follows from a failed attempt.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RetryDecision {
-    /// Another endpoint is tried, if the budget has a retry left.
-    Retry,
-    /// The caller gets this code.
-    GiveUp(Code),
-}
-
-/// Decides whether the system repeats a request; the budget is asked only after this says so.
-///
-/// A keyed request is never repeated, even where the endpoint said that it was not run: whoever
-/// decides for its key may send it once (`docs/design/routing.md`).
-pub fn retry_decision(failed: &FailedAttempt) -> RetryDecision {
-    let is_safe = failed.was_not_run || failed.may_repeat;
-    let is_wanted = failed.has_time && failed.attempts < failed.max_attempts;
-    let is_unseen = !failed.reached_caller;
-    if is_safe && is_wanted && is_unseen && !failed.is_keyed {
-        return RetryDecision::Retry;
-    }
-    RetryDecision::GiveUp(failed.code)
-}
