--- a/crates/wisteriahitch-bench/src/report/mod.rs
+++ b/crates/wisteriahitch-bench/src/report/mod.rs
@@ -7,9 +7,13 @@
 mod records;
 #[expect(clippy::module_inception, reason = "the file is named after its type")]
 mod report;
+mod run_view;
 mod sections;
 mod sweep;
 mod table;
+mod view_promises;
+mod view_times;
+mod view_work;
 
 pub use compare::compare;
 pub use plot::{plot_policies, plot_run};
