refactor(node): copy no chain for a decision, count the daemons in one place

Cause: each completion copied the keys of its whole prompt once for each weight version, only to keep the original; capacity and quotas each counted the daemons that share the work. Change: the plan takes the chain back from the request; both ask count_daemons.

--- a/crates/wisteriahitch-node/src/config/apply.rs
+++ b/crates/wisteriahitch-node/src/config/apply.rs
@@ -81,7 +81,8 @@
         }
     }
 
-    fn count_daemons(&self) -> u32 {
+    /// Counts the daemons that share the site's work, this one among them.
+    pub(crate) fn count_daemons(&self) -> u32 {
         let daemons = self.fleet.members.lock().workers().count();
         u32::try_from(daemons).unwrap_or(u32::MAX).max(1)
     }
--- a/crates/wisteriahitch-node/src/dispatch/completion_plan.rs
+++ b/crates/wisteriahitch-node/src/dispatch/completion_plan.rs
@@ -25,7 +25,7 @@
     let mut refused = Refusal::new(Code::NoEndpoint).with_retry_after_us(RETRY_AFTER_US);
     for weight_version in shared.candidate_versions(&call.route.service, &call.model) {
         let chain = call.chain(&weight_version);
-        let request = route_request(shared, call, &chain, &weight_version, tried);
+        let request = route_request(shared, call, chain, &weight_version, tried);
         match shared.choose(&request) {
             Ok(choice) => {
                 let is_better = best.as_ref().is_none_or(|best| {
@@ -34,7 +34,7 @@
                 if is_better {
                     best = Some(Plan {
                         choice,
-                        chain,
+                        chain: request.chain,
                         weight_version,
                     });
                 }
@@ -64,7 +64,7 @@
 fn route_request(
     shared: &Shared,
     call: &CompletionCall,
-    chain: &PieceChain,
+    chain: PieceChain,
     weight_version: &WeightVersion,
     tried: &[EndpointId],
 ) -> RouteRequest {
@@ -73,7 +73,7 @@
         model: Some(call.model.name.clone()),
         adapter: call.adapter.clone(),
         weight_version: Some(weight_version.clone()),
-        chain: chain.clone(),
+        chain,
         max_tokens: call.max_tokens,
         first_token_weight: call.route.first_token_weight,
         priority: call.route.priority,
--- a/crates/wisteriahitch-node/src/task/capacity.rs
+++ b/crates/wisteriahitch-node/src/task/capacity.rs
@@ -45,13 +45,13 @@
 }
 
 fn capacities(shared: &Shared, configuration: &Configuration) -> Vec<(ServiceName, usize)> {
-    let daemons = shared.fleet.members.lock().workers().count().max(1);
+    let daemons = f64::from(shared.count_daemons());
     let router = shared.router.lock();
     let services = configuration.services.keys();
     services
         .map(|name| {
             let slots = router.endpoints.ready_slots(name) as f64;
-            let share = slots * SLOT_FACTOR / daemons as f64;
+            let share = slots * SLOT_FACTOR / daemons;
             (name.clone(), (share.ceil() as usize).max(MIN_CAPACITY))
         })
         .collect()
