--- a/crates/wisteriahitch-core/src/route/retry.rs
+++ b/crates/wisteriahitch-core/src/route/retry.rs
@@ -15,6 +15,7 @@
 pub struct RetryBudget {
     share: f64,
     saved: f64,
+    max_saved: f64,
     granted: u64,
     denied: u64,
 }
@@ -25,11 +26,33 @@
         Self {
             share: share.clamp(0.0, 1.0),
             saved: FIRST_RETRIES,
+            max_saved: MAX_SAVED,
             granted: 0,
             denied: 0,
         }
     }
 
+    /// Sets how many retries can be saved up, and starts with none of them.
+    ///
+    /// Where several daemons share a budget, each may save up its part of the whole; a daemon that
+    /// started with a full one after each restart would let the whole be exceeded.
+    pub fn with_max_saved(mut self, max_saved: f64) -> Self {
+        self.set_max_saved(max_saved);
+        self.saved = 0.0;
+        self
+    }
+
+    /// Takes over another bound on saved retries.
+    pub fn set_max_saved(&mut self, max_saved: f64) {
+        self.max_saved = max_saved.max(0.0);
+        self.saved = self.saved.min(self.max_saved);
+    }
+
+    /// Returns how many retries are left.
+    pub fn left(&self) -> f64 {
+        self.saved
+    }
+
     /// Takes over another share.
     pub fn set_share(&mut self, share: f64) {
         self.share = share.clamp(0.0, 1.0);
@@ -37,7 +60,7 @@
 
     /// Records a request of a caller; retries are not counted here.
     pub fn request(&mut self) {
-        self.saved = (self.saved + self.share).min(MAX_SAVED);
+        self.saved = (self.saved + self.share).min(self.max_saved);
     }
 
     /// Takes one retry out of the budget, if there is one left.
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -0,0 +1,108 @@
+//! How calls and their answers look.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, request, response};
+use wisteriahitch_types::{DurationUs, EndpointId, RequestId, WeightNumber, WorkspaceId};
+
+use super::Refusal;
+use crate::decide::backlog::LoadReport;
+use crate::site::PromptShape;
+
+/// What a caller says of its call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CallHead {
+    /// Id of this call; each of a caller's own repeats has another one.
+    pub request_id: RequestId,
+    /// Host that the caller asks for.
+    pub host: String,
+    /// How long the caller will wait.
+    pub deadline_us: Option<DurationUs>,
+    /// Key that names the caller's workspace.
+    pub key: Option<String>,
+    /// Prompt, if the call carries one.
+    pub prompt: Option<PromptShape>,
+    /// Last event that the caller has, if it asks for the rest of a stream.
+    pub resume_after: Option<u64>,
+}
+
+/// What the daemon tells an endpoint besides the caller's own message.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OutgoingCall {
+    /// Endpoint that the call is for; any other one must refuse it.
+    pub endpoint: EndpointId,
+    /// Time that is left for the call.
+    pub deadline_us: DurationUs,
+    /// Workspace that the caller's key belongs to.
+    pub workspace: Option<WorkspaceId>,
+    /// Rank in the endpoint's queue, 0 first.
+    pub priority: Option<u8>,
+    /// Weights that the call was decided for; an endpoint with others must refuse it.
+    pub weights: Option<WeightNumber>,
+    /// Text under which the endpoint finds and keeps cached parts.
+    pub cache_scope: Option<String>,
+    /// Endpoint that has cached parts of the prompt to fetch.
+    pub fetch_from: Option<SocketAddr>,
+    /// Last event that the caller has, if the rest of a stream is asked for.
+    pub resume_after: Option<u64>,
+}
+
+/// What an endpoint says in the head of its answer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// Request that the answer is for.
+    pub request_id: Option<RequestId>,
+    /// Whether the endpoint says that it didn't run the request.
+    pub is_not_run: bool,
+    /// Load that it tells.
+    pub load: Option<LoadReport>,
+    /// Weights that it answered with.
+    pub weights: Option<WeightNumber>,
+    /// How long it keeps the connection when it is idle.
+    pub keep: Option<Duration>,
+    /// Whether it closes the connection after this answer.
+    pub is_closing: bool,
+}
+
+/// What a caller asks that wants to know where to connect.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EntryQuery {
+    /// Availability zone that the caller is in.
+    pub zone: Option<String>,
+}
+
+/// Reads calls and writes answers in a site's format.
+pub trait CallCodec: Send + Sync {
+    /// Reads the head of a caller's call.
+    fn call(&self, parts: &request::Parts) -> Result<CallHead, Refusal>;
+
+    /// Returns the headers for an endpoint: the caller's own, without those that are the system's
+    /// to set, and with what `call` says.
+    fn outgoing(&self, headers: &HeaderMap, call: &OutgoingCall) -> HeaderMap;
+
+    /// Reads the head of an endpoint's answer.
+    fn answer(&self, parts: &response::Parts) -> AnswerHead;
+
+    /// Returns the headers of an endpoint's answer that go on to the caller.
+    fn passed_back(&self, headers: &HeaderMap) -> HeaderMap;
+
+    /// Writes a refusal.
+    fn refusal(&self, refusal: &Refusal) -> Response<Bytes>;
+
+    /// Reads a question for entry addresses.
+    fn entry_query(&self, query: Option<&str>) -> EntryQuery;
+
+    /// Writes the entry addresses, which count for `valid`.
+    fn entries(&self, addresses: &[SocketAddr], valid: Duration) -> Response<Bytes>;
+
+    /// Returns the path at which the platform asks whether the daemon is ready.
+    fn ready_path(&self) -> &'static str;
+
+    /// Returns the path at which callers ask for entry addresses.
+    fn entries_path(&self) -> &'static str;
+
+    /// Reads the weight version from the first line of an event, if it names one.
+    fn event_weights(&self, event: &[u8]) -> Option<WeightNumber>;
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -0,0 +1,11 @@
+//! The traits behind which a site's wire formats stand.
+
+mod call_codec;
+mod engine_control;
+mod refusal;
+mod site_codec;
+
+pub use call_codec::{AnswerHead, CallCodec, CallHead, EntryQuery, OutgoingCall};
+pub use engine_control::{EngineControl, EngineReport, OrderOutcome, WeightOrder};
+pub use refusal::Refusal;
+pub use site_codec::{DecodeError, SiteCodec};
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/border/site_codec.rs
@@ -0,0 +1,27 @@
+//! How a site's objects look.
+
+use wisteriahitch_wire::object_store::StoredObject;
+
+use crate::site::{Endpoint, SiteConfig, WantedWeights};
+
+/// Reports an object whose content isn't what its kind should hold.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("object {name} can't be read: {reason}")]
+pub struct DecodeError {
+    /// Name of the object.
+    pub name: String,
+    /// What is wrong.
+    pub reason: String,
+}
+
+/// Reads a site's objects.
+pub trait SiteCodec: Send + Sync {
+    /// Reads the configuration.
+    fn configuration(&self, object: &StoredObject) -> Result<SiteConfig, DecodeError>;
+
+    /// Reads an endpoint's registration.
+    fn endpoint(&self, object: &StoredObject) -> Result<Endpoint, DecodeError>;
+
+    /// Reads what weights are wanted.
+    fn weights(&self, object: &StoredObject) -> Result<WantedWeights, DecodeError>;
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -0,0 +1,10 @@
+//! Decisions without input or output: events and a time go in, a choice or commands come out.
+
+pub(crate) mod backlog;
+pub(crate) mod endpoint_table;
+pub(crate) mod members;
+pub(crate) mod outlier;
+pub(crate) mod parts;
+pub(crate) mod placement;
+pub(crate) mod rollout;
+pub(crate) mod stream_events;
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/outlier.rs
@@ -0,0 +1,100 @@
+//! Tells an endpoint that fails from the others of its service.
+
+use wisteriahitch_types::{DurationUs, TimeUs};
+
+/// Bounds of outlier ejection.
+#[derive(Clone, Copy, Debug)]
+pub struct OutlierOptions {
+    /// Weight of the newest outcome in the moving failure rate.
+    pub sample_weight: f64,
+    /// Failure rate above which an endpoint is ejected; two failures in a row reach it.
+    pub max_failure_rate: f64,
+    /// First ejection; each further one lasts twice as long.
+    pub first_ejection_us: DurationUs,
+    /// Longest ejection.
+    pub longest_ejection_us: DurationUs,
+}
+
+impl Default for OutlierOptions {
+    fn default() -> Self {
+        Self {
+            sample_weight: 0.2,
+            max_failure_rate: 0.35,
+            first_ejection_us: DurationUs::from_ms(1_000),
+            longest_ejection_us: DurationUs::from_ms(4_000),
+        }
+    }
+}
+
+/// Moving failure rate of one endpoint, and its ejection.
+///
+/// An endpoint's own health answers are not asked: one that fails half of its requests may call
+/// itself healthy, and callers would go on losing every second one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outlier {
+    failure_rate: f64,
+    ejections_in_row: u32,
+    ejected_until_us: Option<TimeUs>,
+    probe_since_us: Option<TimeUs>,
+}
+
+/// After this time without an outcome another request may probe an ejected endpoint.
+const PROBE_TIMEOUT_US: DurationUs = DurationUs::from_ms(1_000);
+
+impl Outlier {
+    /// Notes an answer that ended well, and returns whether that ended an ejection.
+    pub fn succeeded(&mut self, options: &OutlierOptions) -> bool {
+        self.failure_rate *= 1.0 - options.sample_weight;
+        let was_ejected = self.ejected_until_us.take().is_some();
+        self.probe_since_us = None;
+        if was_ejected {
+            self.failure_rate = 0.0;
+        } else if self.failure_rate < options.sample_weight / 2.0 {
+            self.ejections_in_row = 0;
+        }
+        was_ejected
+    }
+
+    /// Notes a failure, and returns whether the endpoint is ejected by it.
+    pub fn failed(&mut self, options: &OutlierOptions, now: TimeUs) -> bool {
+        let kept = 1.0 - options.sample_weight;
+        self.failure_rate = self.failure_rate * kept + options.sample_weight;
+        self.probe_since_us = None;
+        let is_ejected = self.ejected_until_us.is_some();
+        if !is_ejected && self.failure_rate <= options.max_failure_rate {
+            return false;
+        }
+        self.eject(options, now);
+        !is_ejected
+    }
+
+    /// Ejects the endpoint at once, as after a connection that it refused.
+    pub fn eject(&mut self, options: &OutlierOptions, now: TimeUs) {
+        let doublings = self.ejections_in_row.min(8);
+        let span_us = options.first_ejection_us.get() << doublings;
+        let span = DurationUs::new(span_us).min(options.longest_ejection_us);
+        self.ejected_until_us = Some(now + span);
+        self.ejections_in_row += 1;
+    }
+
+    /// Returns whether the endpoint should get no requests now.
+    pub fn is_ejected(&self, now: TimeUs) -> bool {
+        let Some(until) = self.ejected_until_us else {
+            return false;
+        };
+        let is_probed = |since: TimeUs| now.since(since) < PROBE_TIMEOUT_US;
+        until > now || self.probe_since_us.is_some_and(is_probed)
+    }
+
+    /// Notes that a request was sent; after an ejection it is the one that probes the endpoint.
+    pub fn sent(&mut self, now: TimeUs) {
+        if self.ejected_until_us.is_some() {
+            self.probe_since_us = Some(now);
+        }
+    }
+
+    /// Returns the moving failure rate, from 0 to 1.
+    pub fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -0,0 +1,88 @@
+//! Which parts of prompts an endpoint is believed to have in its memory.
+
+use lru::LruCache;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::site::PromptShape;
+
+/// Share of an engine's memory that cached parts are believed to keep; running requests use the
+/// rest.
+const CACHED_SHARE: f64 = 0.7;
+
+/// Names a cached part with everything that binds it: model, weights, wall and the part itself.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct PartKey(pub u64);
+
+/// Returns the keys of a prompt's parts under `scope`, with their sizes.
+pub(crate) fn part_keys(scope: &str, prompt: &PromptShape) -> Vec<(PartKey, u64)> {
+    let mut base = Xxh3::new();
+    base.update(prompt.model.as_str().as_bytes());
+    base.update(&[0]);
+    base.update(scope.as_bytes());
+    base.update(&[0]);
+    let key = |id: u64| {
+        let mut hasher = base.clone();
+        hasher.update(&id.to_le_bytes());
+        PartKey(hasher.digest())
+    };
+    let parts = prompt.parts.iter();
+    parts
+        .map(|part| (key(part.id), part.tokens.get()))
+        .collect()
+}
+
+/// Guesses what one endpoint keeps, from what it was sent.
+///
+/// It is a hint: a wrong guess costs a prompt that is read again, never a wrong answer.
+#[derive(Debug)]
+pub struct PartCache {
+    parts: LruCache<PartKey, u64>,
+    held_tokens: u64,
+    room_tokens: u64,
+}
+
+impl PartCache {
+    /// Starts empty for an engine with so much memory.
+    pub fn new(memory_tokens: u64) -> Self {
+        Self {
+            parts: LruCache::unbounded(),
+            held_tokens: 0,
+            room_tokens: (memory_tokens as f64 * CACHED_SHARE) as u64,
+        }
+    }
+
+    /// Returns how many tokens at the start of a prompt are there, in parts without a gap.
+    pub fn prefix_tokens(&self, keys: &[(PartKey, u64)]) -> u64 {
+        let held = keys.iter().take_while(|(key, _)| self.parts.contains(key));
+        held.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// Notes that a part was used; the least recently used ones yield to it.
+    pub fn used(&mut self, key: PartKey, tokens: u64) {
+        if self.parts.put(key, tokens).is_none() {
+            self.held_tokens += tokens;
+        }
+        while self.held_tokens > self.room_tokens {
+            let Some((_, freed)) = self.parts.pop_lru() else {
+                return;
+            };
+            self.held_tokens = self.held_tokens.saturating_sub(freed);
+        }
+    }
+
+    /// Forgets everything, as the endpoint does when its weights change.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+        self.held_tokens = 0;
+    }
+
+    /// Returns how many parts it is believed to keep.
+    pub fn len(&self) -> usize {
+        self.parts.len()
+    }
+
+    /// Returns whether it is believed to keep nothing.
+    pub fn is_empty(&self) -> bool {
+        self.parts.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -0,0 +1,311 @@
+//! Where a call runs.
+//!
+//! For each endpoint the time until its first event is estimated: what it still has to read, what
+//! of this prompt it doesn't keep, how full it is. The least one is taken.
+//! `docs/design/platform.md` gives the reasons and the figures.
+
+use rand::{Rng, RngExt};
+use wisteriahitch_core::fleet::Rendezvous;
+use wisteriahitch_types::{
+    AvailabilityZone, Code, DurationUs, EndpointId, ServiceName, TimeUs, WeightNumber, WorkspaceId,
+};
+
+use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
+use super::parts::part_keys;
+use crate::border::Refusal;
+use crate::site::{EngineTraits, PromptShape};
+
+/// Prompt tokens that an engine reads in a millisecond while it also answers others. Engines of
+/// the deployments read 61 when they do nothing else.
+const READ_TOKENS_PER_MS: f64 = 50.0;
+/// What each running request adds to the first event of another one, in milliseconds: it lengthens
+/// every step of the batch a little.
+const RUNNING_MS: f64 = 0.4;
+/// Time that a full memory keeps a request waiting for each whole memory that is wanted beyond it,
+/// in milliseconds; requests of the deployments last about half a second.
+const MEMORY_WAIT_MS: f64 = 1_200.0;
+/// Cost of an endpoint in another availability zone, in milliseconds: the way there and back, and
+/// what the bytes between zones cost.
+const OTHER_ZONE_MS: f64 = 12.0;
+/// Cost of weights that are about to be replaced, in milliseconds, from [`OLD_WEIGHTS_AFTER_US`] on.
+const OLD_WEIGHTS_MS: f64 = 150.0;
+/// How long weights that are no longer wanted are as good as the wanted ones.
+const OLD_WEIGHTS_AFTER_US: DurationUs = DurationUs::from_ms(900);
+/// How long after newer ones were named weights may be used at all. The platform allows eight
+/// seconds; the rest is for a request that waits at its endpoint.
+const OLD_WEIGHTS_UNTIL_US: DurationUs = DurationUs::from_ms(7_000);
+/// Milliseconds that a call of a service without an engine takes, as long as nothing better is known.
+const PLAIN_CALL_MS: f64 = 40.0;
+/// Milliseconds by which endpoints count as equal; one of them is drawn, so that daemons with the
+/// same news don't all send to the same one.
+const NEAR_MS: f64 = 2.0;
+/// Head start, in milliseconds, of the endpoint that the prompt's hash ranks first. It lets daemons
+/// that haven't heard of each other's requests send equal prompts to the same endpoint.
+const AFFINITY_MS: f64 = 6.0;
+/// How long a told load counts.
+const TOLD_LIFE_US: DurationUs = DurationUs::from_ms(300);
+/// When a caller may come back where no endpoint takes requests.
+const NO_ENDPOINT_RETRY_US: DurationUs = DurationUs::from_ms(400);
+/// Shortest wait that a refused caller is told.
+const MIN_RETRY_US: DurationUs = DurationUs::from_ms(150);
+
+/// What a placement is for.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// What its engines are, if it has engines.
+    pub engine: Option<&'a EngineTraits>,
+    /// Prompt, if the call carries one.
+    pub prompt: Option<&'a PromptShape>,
+    /// Workspace, where it shares cached parts with nobody.
+    pub wall: Option<&'a WorkspaceId>,
+    /// Availability zone of this daemon.
+    pub zone: &'a AvailabilityZone,
+    /// Time within which a first event is of any use.
+    pub patience_us: DurationUs,
+    /// Endpoints that won't do.
+    pub excluded: &'a [EndpointId],
+    /// Weights that the call must run on, as a stream that goes on does.
+    pub required_weights: Option<WeightNumber>,
+    /// Weights that the model is to run, and since when this is known.
+    pub wanted_weights: Option<(WeightNumber, TimeUs)>,
+}
+
+/// Where a call runs, and what that was decided by.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// Weights that it has.
+    pub weights: Option<WeightNumber>,
+    /// Text under which it keeps parts.
+    pub cache_scope: Option<String>,
+    /// Prompt tokens that it is believed to keep.
+    pub cached_tokens: u64,
+    /// Prompt tokens that it has to read.
+    pub unread_tokens: u64,
+    /// Estimated time until the first event.
+    pub expected_us: DurationUs,
+    /// Endpoints that were compared.
+    pub candidates: usize,
+}
+
+struct Offer<'a> {
+    row: &'a EndpointRow,
+    weights: Option<WeightNumber>,
+    scope: Option<String>,
+    cached_tokens: u64,
+    wait_ms: f64,
+    cost_ms: f64,
+}
+
+/// Chooses an endpoint.
+///
+/// # Errors
+///
+/// Refuses where no endpoint takes requests, or where none would give a first event in time: such
+/// a call is told so at once instead of waiting until its deadline has passed.
+pub fn place(
+    table: &EndpointTable,
+    request: &PlacementRequest<'_>,
+    now: TimeUs,
+    rng: &mut impl Rng,
+) -> Result<Placement, Refusal> {
+    let rows = candidates(table, request, now);
+    let affinity = affinity(request);
+    let offers: Vec<Offer<'_>> = rows
+        .iter()
+        .map(|row| offer(row, request, affinity.as_ref(), now))
+        .collect();
+    let least = offers
+        .iter()
+        .map(|offer| offer.cost_ms)
+        .min_by(f64::total_cmp);
+    let Some(least) = least else {
+        return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US));
+    };
+    let near: Vec<&Offer<'_>> = offers
+        .iter()
+        .filter(|offer| offer.cost_ms <= least + NEAR_MS)
+        .collect();
+    let chosen = near[rng.random_range(0..near.len())];
+    let expected_us = DurationUs::from_secs_f64(chosen.wait_ms / 1_000.0);
+    if expected_us > request.patience_us {
+        let late_us = expected_us - request.patience_us;
+        let refusal = Refusal::new(Code::DeadlineUnreachable);
+        return Err(refusal.retry_after(late_us.max(MIN_RETRY_US)));
+    }
+    let prompt_tokens = request
+        .prompt
+        .map_or(0, |prompt| prompt.prompt_tokens.get());
+    Ok(Placement {
+        endpoint: chosen.row.endpoint.id.clone(),
+        address: chosen.row.endpoint.address,
+        weights: chosen.weights,
+        cache_scope: chosen.scope.clone(),
+        cached_tokens: chosen.cached_tokens,
+        unread_tokens: prompt_tokens.saturating_sub(chosen.cached_tokens),
+        expected_us,
+        candidates: offers.len(),
+    })
+}
+
+/// Returns the endpoints that may take the call.
+///
+/// Those that are ejected or under an order are left out as long as others are there: an ejection
+/// is a suspicion, and a service whose endpoints are all suspected still has to be tried.
+fn candidates<'a>(
+    table: &'a EndpointTable,
+    request: &PlacementRequest<'_>,
+    now: TimeUs,
+) -> Vec<&'a EndpointRow> {
+    let usable: Vec<&EndpointRow> = table
+        .iter()
+        .filter(|row| row.endpoint.service == *request.service)
+        .filter(|row| row.life != EndpointLife::Draining)
+        .filter(|row| !request.excluded.contains(&row.endpoint.id))
+        .filter(|row| has_right_weights(row, request, now))
+        .collect();
+    let is_free = |row: &&EndpointRow| row.reserved_until_us <= now;
+    let is_good = |row: &&EndpointRow| !row.outlier.is_ejected(now);
+    let is_there = |row: &&EndpointRow| row.life == EndpointLife::Ready;
+    let best: Vec<&EndpointRow> = usable
+        .iter()
+        .copied()
+        .filter(|row| is_free(row) && is_good(row) && is_there(row))
+        .collect();
+    if !best.is_empty() {
+        return best;
+    }
+    let free: Vec<&EndpointRow> = usable.iter().copied().filter(is_free).collect();
+    match free.is_empty() {
+        true => usable,
+        false => free,
+    }
+}
+
+fn has_right_weights(row: &EndpointRow, request: &PlacementRequest<'_>, now: TimeUs) -> bool {
+    let Some(prompt) = request.prompt else {
+        return true;
+    };
+    let Some(has) = row.weights(&prompt.model) else {
+        return false;
+    };
+    if request
+        .required_weights
+        .is_some_and(|required| required != has)
+    {
+        return false;
+    }
+    match request.wanted_weights {
+        Some((wanted, since)) if has < wanted => now.since(since) < OLD_WEIGHTS_UNTIL_US,
+        _ => true,
+    }
+}
+
+/// Returns what ranks endpoints for a prompt: its last part that others share.
+fn affinity(request: &PlacementRequest<'_>) -> Option<Rendezvous> {
+    let parts = &request.prompt?.parts;
+    let shared = parts
+        .len()
+        .checked_sub(2)
+        .and_then(|index| parts.get(index));
+    let part = shared.or(parts.first())?;
+    Some(Rendezvous::new("prompt", &part.id.to_string()))
+}
+
+fn offer<'a>(
+    row: &'a EndpointRow,
+    request: &PlacementRequest<'_>,
+    affinity: Option<&Rendezvous>,
+    now: TimeUs,
+) -> Offer<'a> {
+    let mut offer = match (request.prompt, request.engine) {
+        (Some(prompt), Some(engine)) => engine_offer(row, request, prompt, engine, now),
+        _ => plain_offer(row, now),
+    };
+    if row.endpoint.zone != *request.zone {
+        offer.cost_ms += OTHER_ZONE_MS;
+    }
+    if let Some(affinity) = affinity {
+        // The score is spread evenly; the best of a few comes close to the whole head start.
+        let score = affinity.score(row.endpoint.id.as_str().as_bytes());
+        offer.cost_ms -= AFFINITY_MS * (score as f64 / u64::MAX as f64);
+    }
+    offer.cost_ms += row.outlier.failure_rate() * offer.wait_ms.max(50.0);
+    offer
+}
+
+fn engine_offer<'a>(
+    row: &'a EndpointRow,
+    request: &PlacementRequest<'_>,
+    prompt: &PromptShape,
+    engine: &EngineTraits,
+    now: TimeUs,
+) -> Offer<'a> {
+    let weights = row.weights(&prompt.model);
+    let scope = weights.map(|weights| cache_scope(weights, request.wall));
+    let keys = scope.as_deref().map(|scope| part_keys(scope, prompt));
+    let cached_tokens = keys.map_or(0, |keys| row.parts.prefix_tokens(&keys));
+    let prompt_tokens = prompt.prompt_tokens.get();
+    let unread = prompt_tokens.saturating_sub(cached_tokens);
+    let load = row.load();
+    let mut wait_ms = (load.unread_tokens + unread) as f64 / READ_TOKENS_PER_MS;
+    wait_ms += f64::from(load.running) * RUNNING_MS;
+    let memory = engine.memory_tokens.as_f64().max(1.0);
+    let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
+    wait_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
+    wait_ms += slot_wait_ms(load.running, engine.slots);
+    let is_old = request.wanted_weights.is_some_and(|(wanted, since)| {
+        weights < Some(wanted) && now.since(since) > OLD_WEIGHTS_AFTER_US
+    });
+    let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
+    Offer {
+        row,
+        weights,
+        scope,
+        cached_tokens,
+        wait_ms,
+        cost_ms: wait_ms + old_ms,
+    }
+}
+
+/// Half a second is what requests of the deployments last in a full batch.
+fn slot_wait_ms(running: u32, slots: u32) -> f64 {
+    const FULL_BATCH_MS: f64 = 500.0;
+    let beyond = (running + 1).saturating_sub(slots.max(1));
+    f64::from(beyond) / f64::from(slots.max(1)) * FULL_BATCH_MS
+}
+
+fn plain_offer(row: &EndpointRow, now: TimeUs) -> Offer<'_> {
+    let slots = row.endpoint.slots.max(1);
+    let known = row.load().running;
+    let told = row.told.filter(|(_, at)| now.since(*at) < TOLD_LIFE_US);
+    let told = told.map_or(0, |(report, _)| report.running + report.waiting);
+    let busy = known.max(told);
+    let rounds = f64::from(busy) / f64::from(slots);
+    let wait_ms = PLAIN_CALL_MS * (1.0 + rounds.max(0.0) * 0.5 + (rounds - 1.0).max(0.0));
+    Offer {
+        row,
+        weights: None,
+        scope: None,
+        cached_tokens: 0,
+        wait_ms,
+        cost_ms: wait_ms,
+    }
+}
+
+/// Returns the text under which engines keep and find parts.
+///
+/// It holds the weights, since engines don't check under which ones a part was made: one that was
+/// made before a change of weights would be used after it, and answers would be subtly wrong. It
+/// holds the workspace where that shares nothing with others.
+pub(crate) fn cache_scope(weights: WeightNumber, wall: Option<&WorkspaceId>) -> String {
+    match wall {
+        Some(workspace) => format!("w{weights}.{workspace}"),
+        None => format!("w{weights}"),
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -0,0 +1,211 @@
+//! Brings engines to wanted weights, a few at a time.
+//!
+//! The daemon that holds the lease runs it. An engine is first announced to the other daemons, so
+//! that they send it nothing; then it gets the order, finishes what it runs and loads.
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_types::{DurationUs, EndpointId, ModelName, TimeUs, WeightNumber};
+
+use crate::border::{EngineReport, OrderOutcome};
+
+/// Time between an announcement and the order: the other daemons' next messages, with room for a
+/// late one. Requests that cross an order are refused by the engine.
+const ANNOUNCE_US: DurationUs = DurationUs::from_ms(150);
+/// Time between two reports of an engine that loads. Reports lag by some hundred milliseconds.
+const REPORT_US: DurationUs = DurationUs::from_ms(250);
+/// Time after which an order that was accepted and shows no effect is given again.
+const LOAD_TIMEOUT_US: DurationUs = DurationUs::from_ms(4_000);
+/// Pause after a failure.
+const PAUSE_US: DurationUs = DurationUs::from_ms(300);
+
+/// One engine as the rollout sees it.
+#[derive(Clone, Debug)]
+pub struct RolloutRow {
+    /// Endpoint.
+    pub endpoint: EndpointId,
+    /// Model.
+    pub model: ModelName,
+    /// Weights that it has.
+    pub has: WeightNumber,
+    /// Weights that it is to have.
+    pub wanted: WeightNumber,
+    /// Requests that it runs.
+    pub running: u32,
+}
+
+/// Asks the shell to do something.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RolloutStep {
+    /// Read an engine's report, and tell [`Rollout::reported`].
+    Report(EndpointId),
+    /// Give an order, if the lease allows it now, and tell [`Rollout::ordered`].
+    Order {
+        /// Endpoint.
+        endpoint: EndpointId,
+        /// Model.
+        model: ModelName,
+        /// Version.
+        version: WeightNumber,
+        /// Orders that the engine has accepted so far.
+        expected_orders: u64,
+    },
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Phase {
+    /// The next report is due at this time.
+    AskAt(TimeUs),
+    Asking,
+    /// The order may be given; the engine has accepted so many.
+    MayOrder(u64),
+    Ordering,
+}
+
+#[derive(Clone, Debug)]
+struct Active {
+    model: ModelName,
+    wanted: WeightNumber,
+    phase: Phase,
+    accepted_at_us: Option<TimeUs>,
+}
+
+/// Follows the engines that are being brought to wanted weights.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    parallel: usize,
+    active: BTreeMap<EndpointId, Active>,
+}
+
+impl Rollout {
+    /// Starts without any; at most `parallel` engines load at once, since more take longer.
+    pub fn new(parallel: usize) -> Self {
+        Self {
+            parallel: parallel.max(1),
+            active: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the engines that take no requests because of it.
+    pub fn reserved(&self) -> impl Iterator<Item = &EndpointId> {
+        self.active.keys()
+    }
+
+    /// Returns whether there is nothing under way.
+    pub fn is_idle(&self) -> bool {
+        self.active.is_empty()
+    }
+
+    /// Drops everything, since another daemon holds the lease.
+    pub fn clear(&mut self) {
+        self.active.clear();
+    }
+
+    /// Takes the engines that are behind, and returns what is due.
+    pub fn tick(&mut self, behind: &[RolloutRow], now: TimeUs) -> Vec<RolloutStep> {
+        self.drop_finished(behind);
+        self.take_next(behind, now);
+        let mut steps = Vec::new();
+        for (endpoint, active) in &mut self.active {
+            match active.phase {
+                Phase::AskAt(at) if at <= now => {
+                    active.phase = Phase::Asking;
+                    steps.push(RolloutStep::Report(endpoint.clone()));
+                }
+                Phase::MayOrder(expected_orders) => {
+                    active.phase = Phase::Ordering;
+                    steps.push(RolloutStep::Order {
+                        endpoint: endpoint.clone(),
+                        model: active.model.clone(),
+                        version: active.wanted,
+                        expected_orders,
+                    });
+                }
+                _ => {}
+            }
+        }
+        steps
+    }
+
+    /// Takes an engine's report; nothing where it couldn't be read.
+    pub fn reported(&mut self, endpoint: &EndpointId, report: Option<&EngineReport>, now: TimeUs) {
+        let Some(active) = self.active.get_mut(endpoint) else {
+            return;
+        };
+        let Some(report) = report else {
+            active.phase = Phase::AskAt(now + PAUSE_US);
+            return;
+        };
+        let has = report
+            .weights
+            .get(&active.model)
+            .copied()
+            .unwrap_or_default();
+        if has >= active.wanted {
+            self.active.remove(endpoint);
+            return;
+        }
+        let is_loading = active
+            .accepted_at_us
+            .is_some_and(|at| now.since(at) < LOAD_TIMEOUT_US);
+        active.phase = match is_loading || report.is_busy {
+            true => Phase::AskAt(now + REPORT_US),
+            false => Phase::MayOrder(report.accepted_orders),
+        };
+    }
+
+    /// Takes what became of an order.
+    pub fn ordered(&mut self, endpoint: &EndpointId, outcome: &OrderOutcome, now: TimeUs) {
+        let Some(active) = self.active.get_mut(endpoint) else {
+            return;
+        };
+        match outcome {
+            OrderOutcome::Accepted => {
+                active.accepted_at_us = Some(now);
+                active.phase = Phase::AskAt(now + REPORT_US);
+            }
+            OrderOutcome::AlreadyDone => {
+                self.active.remove(endpoint);
+            }
+            // The same number goes with the next order, so that only one of the two is carried
+            // out, whichever the engine sees first.
+            _ => active.phase = Phase::AskAt(now + PAUSE_US),
+        }
+    }
+
+    /// Notes that an order wasn't given, since the lease doesn't allow it now.
+    pub fn withheld(&mut self, endpoint: &EndpointId, now: TimeUs) {
+        if let Some(active) = self.active.get_mut(endpoint) {
+            active.phase = Phase::AskAt(now + PAUSE_US);
+        }
+    }
+
+    fn drop_finished(&mut self, behind: &[RolloutRow]) {
+        self.active.retain(|endpoint, active| {
+            let row = behind.iter().find(|row| row.endpoint == *endpoint);
+            if let Some(row) = row {
+                active.wanted = row.wanted;
+            }
+            row.is_some()
+        });
+    }
+
+    /// Takes the engines with the least work first: they are empty soonest.
+    fn take_next(&mut self, behind: &[RolloutRow], now: TimeUs) {
+        let mut waiting: Vec<&RolloutRow> = behind
+            .iter()
+            .filter(|row| !self.active.contains_key(&row.endpoint))
+            .collect();
+        waiting.sort_by_key(|row| row.running);
+        let free = self.parallel.saturating_sub(self.active.len());
+        for row in waiting.into_iter().take(free) {
+            let active = Active {
+                model: row.model.clone(),
+                wanted: row.wanted,
+                phase: Phase::AskAt(now + ANNOUNCE_US),
+                accepted_at_us: None,
+            };
+            self.active.insert(row.endpoint.clone(), active);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -0,0 +1,34 @@
+//! Passes opaque calls and streams of callers to endpoints that a platform lists.
+//!
+//! The crate holds the decisions (`decide`), which do no input or output, and the shell (`shell`)
+//! that carries them out. What a site's wire looks like is behind the traits of `border`, so that
+//! an adapter can be put there. `docs/design/platform.md` follows a call through the modules.
+
+mod border;
+mod clock;
+mod decide;
+mod observe;
+mod settings;
+mod shell;
+mod site;
+
+pub use border::{
+    AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, EntryQuery,
+    OrderOutcome, OutgoingCall, Refusal, SiteCodec, WeightOrder,
+};
+pub use clock::BootClock;
+pub use decide::backlog::{Load, LoadReport};
+pub use decide::endpoint_table::{EndpointLife, EndpointTable};
+pub use decide::members::{Beacon, EndpointNews, MemberPhase, PartNews, PeerTable};
+pub use decide::outlier::{Outlier, OutlierOptions};
+pub use decide::parts::PartCache;
+pub use decide::placement::{Placement, PlacementRequest, place};
+pub use decide::rollout::{Rollout, RolloutStep};
+pub use decide::stream_events::{EventFramer, Framed};
+pub use observe::{CallEnded, Event, EventLog, LogBudget};
+pub use settings::{RelaySettings, SettingsError};
+pub use shell::daemon::{Borders, Daemon};
+pub use site::{
+    CallKind, CallerLimits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape, Route,
+    RouteTable, Service, SiteConfig, WantedWeights, Workspace,
+};
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -0,0 +1,176 @@
+//! Every line that the log can hold.
+
+use serde::Serialize;
+
+/// One event; `docs/LOGS.md` explains each.
+///
+/// An event is a decision that touches a request, or a change of what the daemon believes. Its
+/// fields are the inputs that decided, with their age or version, and the outcome.
+#[derive(Clone, Debug, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+#[allow(missing_docs, reason = "docs/LOGS.md explains the fields")]
+pub enum Event {
+    /// The process has started.
+    Started {
+        daemon: String,
+        incarnation: u64,
+        zone: String,
+        ignored_settings: Vec<String>,
+    },
+    /// The process is told to leave.
+    DrainStarted { in_flight: usize },
+    /// The process ends.
+    Stopped { in_flight: usize, waited_ms: u64 },
+    /// The settings were read again.
+    SettingsReloaded { is_valid: bool, detail: String },
+    /// The daemon has all it needs to serve, or no longer.
+    ReadyChanged { is_ready: bool, endpoints: usize },
+    /// A call has ended, however it did.
+    CallEnded(CallEnded),
+    /// An attempt at a call failed, and what was decided about the next one.
+    AttemptFailed {
+        request: String,
+        endpoint: String,
+        attempt: u32,
+        reason: &'static str,
+        detail: String,
+        may_have_run: bool,
+        next: &'static str,
+        budget_left: f64,
+    },
+    /// A stream goes on at another endpoint.
+    StreamResumed {
+        request: String,
+        endpoint: String,
+        after_event: Option<u64>,
+    },
+    /// What is known of an endpoint has changed.
+    EndpointChanged {
+        endpoint: String,
+        change: &'static str,
+        service: String,
+        revision: u64,
+    },
+    /// An endpoint gets no requests for a while, or gets them again.
+    EndpointEjected {
+        endpoint: String,
+        is_ejected: bool,
+        failure_rate: f64,
+    },
+    /// A configuration is in force.
+    ConfigAdopted {
+        version: u64,
+        revision: u64,
+        source: String,
+        routes: usize,
+    },
+    /// An object can't be read; what was known before stays in force.
+    ObjectUnreadable {
+        kind: &'static str,
+        name: String,
+        detail: String,
+    },
+    /// New weights are wanted.
+    WeightsWanted { model: String, version: u64 },
+    /// Another daemon is heard, or is no longer.
+    MemberChanged {
+        member: String,
+        change: &'static str,
+    },
+    /// The store answers again, or no longer does.
+    StoreReachable {
+        kind: &'static str,
+        is_reachable: bool,
+        detail: String,
+    },
+    /// Objects were taken over from another daemon, since the store didn't tell them.
+    CaughtUp {
+        kind: &'static str,
+        from: String,
+        revision: u64,
+    },
+    /// The right to give orders changed hands.
+    LeaseChanged { phase: String, fence: u64 },
+    /// An order was given.
+    OrderGiven {
+        endpoint: String,
+        model: String,
+        version: u64,
+        expected_orders: u64,
+        fence: u64,
+        outcome: String,
+    },
+    /// Lines were counted instead of written.
+    LinesOmitted { counts: Vec<(String, u64)> },
+    /// Something that has no line of its own failed.
+    Failure { what: &'static str, detail: String },
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, Default, Serialize)]
+#[allow(missing_docs, reason = "docs/LOGS.md explains the fields")]
+pub struct CallEnded {
+    pub request: String,
+    pub route: String,
+    pub kind: &'static str,
+    pub workspace: String,
+    pub config_version: u64,
+    pub outcome: &'static str,
+    pub code: Option<u16>,
+    pub status: u16,
+    pub retry_after_ms: Option<u64>,
+    pub attempts: u32,
+    pub endpoint: String,
+    pub weights: u64,
+    pub candidates: usize,
+    pub cached_tokens: u64,
+    pub unread_tokens: u64,
+    pub expected_ms: u64,
+    pub first_event_ms: Option<u64>,
+    pub total_ms: u64,
+    pub deadline_ms: u64,
+}
+
+impl CallEnded {
+    /// Returns whether the caller got a whole answer of an endpoint.
+    pub fn is_good(&self) -> bool {
+        self.outcome == "answered"
+    }
+}
+
+impl Event {
+    /// Returns the name under which omitted lines are counted.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Event::Started { .. } => "started",
+            Event::DrainStarted { .. } => "drain_started",
+            Event::Stopped { .. } => "stopped",
+            Event::SettingsReloaded { .. } => "settings_reloaded",
+            Event::ReadyChanged { .. } => "ready_changed",
+            Event::CallEnded(_) => "call_ended",
+            Event::AttemptFailed { .. } => "attempt_failed",
+            Event::StreamResumed { .. } => "stream_resumed",
+            Event::EndpointChanged { .. } => "endpoint_changed",
+            Event::EndpointEjected { .. } => "endpoint_ejected",
+            Event::ConfigAdopted { .. } => "config_adopted",
+            Event::ObjectUnreadable { .. } => "object_unreadable",
+            Event::WeightsWanted { .. } => "weights_wanted",
+            Event::MemberChanged { .. } => "member_changed",
+            Event::StoreReachable { .. } => "store_reachable",
+            Event::CaughtUp { .. } => "caught_up",
+            Event::LeaseChanged { .. } => "lease_changed",
+            Event::OrderGiven { .. } => "order_given",
+            Event::LinesOmitted { .. } => "lines_omitted",
+            Event::Failure { .. } => "failure",
+        }
+    }
+
+    fn is_success(&self) -> bool {
+        matches!(self, Event::CallEnded(ended) if ended.is_good())
+    }
+
+    /// Returns whether the line may be left out among many others like it.
+    pub fn is_sampled(&self) -> bool {
+        self.is_success()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/observe/event_log.rs
@@ -0,0 +1,166 @@
+//! The log: JSON lines on standard output, bounded, and never in the way of a request.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use parking_lot::Mutex;
+use serde::Serialize;
+use wisteriahitch_types::TimeUs;
+
+use super::Event;
+use crate::clock::BootClock;
+
+/// Batches that wait for a reader; with batches of a fifth of a second, some seconds of a reader
+/// that has stopped.
+const QUEUED_BATCHES: usize = 32;
+
+/// Time for the last lines to be written at the end.
+const LAST_LINES_WAIT: Duration = Duration::from_millis(50);
+
+/// How much may be written a second.
+#[derive(Clone, Copy, Debug)]
+pub struct LogBudget {
+    /// Bytes of all lines.
+    pub bytes_per_s: u32,
+    /// Lines of calls that ended well.
+    pub successes_per_s: u32,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    began_at_us: TimeUs,
+    bytes: u32,
+    successes: u32,
+    omitted: BTreeMap<&'static str, u64>,
+    lines: Vec<u8>,
+}
+
+/// Writes events.
+///
+/// Lines are gathered and handed to a thread a few times a second. A reader of standard output
+/// that stops reading blocks that thread alone; on the thread of the requests one would notice by
+/// every caller waiting for the log's reader.
+#[derive(Debug)]
+pub struct EventLog {
+    clock: BootClock,
+    budget: LogBudget,
+    window: Mutex<Window>,
+    writer: SyncSender<Vec<u8>>,
+    dropped_lines: prometheus::IntCounter,
+}
+
+#[derive(Serialize)]
+struct Line<'a> {
+    ts_ms: u64,
+    up_ms: u64,
+    #[serde(flatten)]
+    event: &'a Event,
+}
+
+impl EventLog {
+    /// Starts the writer's thread; `output` is standard output but for tests.
+    pub fn start(
+        budget: LogBudget,
+        dropped_lines: prometheus::IntCounter,
+        mut output: impl Write + Send + 'static,
+    ) -> Self {
+        let (writer, batches) = sync_channel::<Vec<u8>>(QUEUED_BATCHES);
+        std::thread::spawn(move || {
+            for batch in batches {
+                // There is nowhere left to tell of a log that can't be written.
+                let _ = output.write_all(&batch).and_then(|()| output.flush());
+            }
+        });
+        Self {
+            clock: BootClock,
+            budget,
+            window: Mutex::new(Window::default()),
+            writer,
+            dropped_lines,
+        }
+    }
+
+    /// Takes an event; it is written with the next batch, or counted where the budget is used up.
+    pub fn write(&self, event: &Event) {
+        let now = self.clock.now();
+        let mut window = self.window.lock();
+        window.roll(now);
+        if event.is_sampled() && window.successes >= self.budget.successes_per_s {
+            *window.omitted.entry(event.name()).or_default() += 1;
+            return;
+        }
+        if window.bytes >= self.budget.bytes_per_s {
+            *window.omitted.entry(event.name()).or_default() += 1;
+            self.dropped_lines.inc();
+            return;
+        }
+        window.successes += u32::from(event.is_sampled());
+        window.append(event, now);
+    }
+
+    /// Hands the gathered lines to the writer.
+    pub fn flush(&self) {
+        let mut window = self.window.lock();
+        window.roll(self.clock.now());
+        if window.lines.is_empty() {
+            return;
+        }
+        let batch = std::mem::take(&mut window.lines);
+        if let Err(TrySendError::Full(batch)) = self.writer.try_send(batch) {
+            let lines = batch.iter().filter(|byte| **byte == b'\n').count();
+            self.dropped_lines.inc_by(lines as u64);
+        }
+    }
+
+    /// Hands over the last lines and gives the writer a moment for them.
+    pub fn finish(&self) {
+        self.flush();
+        std::thread::sleep(LAST_LINES_WAIT);
+    }
+}
+
+impl Window {
+    /// Begins the next second, and tells what was left out in the last one.
+    fn roll(&mut self, now: TimeUs) {
+        if now.since(self.began_at_us).as_ms() < 1_000 {
+            return;
+        }
+        self.began_at_us = now;
+        self.bytes = 0;
+        self.successes = 0;
+        let omitted = std::mem::take(&mut self.omitted);
+        if omitted.is_empty() {
+            return;
+        }
+        let counts = omitted
+            .into_iter()
+            .map(|(name, count)| (name.to_owned(), count));
+        let event = Event::LinesOmitted {
+            counts: counts.collect(),
+        };
+        self.append(&event, now);
+    }
+
+    fn append(&mut self, event: &Event, now: TimeUs) {
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let line = Line {
+            ts_ms: u64::try_from(wall.as_millis()).unwrap_or(u64::MAX),
+            up_ms: now.get() / 1_000,
+            event,
+        };
+        let before = self.lines.len();
+        if serde_json::to_writer(&mut self.lines, &line).is_err() {
+            self.lines.truncate(before);
+            return;
+        }
+        self.lines.push(b'\n');
+        let written = self.lines.len() - before;
+        self.bytes = self
+            .bytes
+            .saturating_add(u32::try_from(written).unwrap_or(u32::MAX));
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -0,0 +1,115 @@
+//! Counters and histograms; `docs/METRICS.md` explains each.
+
+use prometheus::{
+    Gauge, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// Bounds of latency buckets, in seconds: from a call that is served at once to the longest route.
+const LATENCY_BUCKETS_S: [f64; 12] = [
+    0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.4, 0.8, 1.6, 3.2, 8.0, 15.0,
+];
+
+/// All metrics of a daemon.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Calls by kind and outcome.
+    pub(crate) calls: IntCounterVec,
+    /// Time to the first event or the answer, by kind.
+    pub(crate) first_event_s: HistogramVec,
+    /// Refusals by code.
+    pub(crate) refusals: IntCounterVec,
+    /// Attempts by outcome.
+    pub(crate) attempts: IntCounterVec,
+    /// Retries by whether the budget allowed them.
+    pub(crate) retries: IntCounterVec,
+    /// Connections to endpoints, opened and used again.
+    pub(crate) connections: IntCounterVec,
+    /// Endpoints by life.
+    pub(crate) endpoints: IntGaugeVec,
+    /// Calls under way.
+    pub(crate) in_flight: IntGauge,
+    /// Calls of the store by kind and result.
+    pub(crate) store_calls: IntCounterVec,
+    /// Orders by outcome.
+    pub(crate) orders: IntCounterVec,
+    /// Prompt tokens that were kept, and that had to be read.
+    pub(crate) prompt_tokens: IntCounterVec,
+    /// Version of the configuration in force.
+    pub(crate) config_version: IntGauge,
+    /// Time since the store last answered, in seconds.
+    pub(crate) store_age_s: Gauge,
+    /// Log lines that the budget or a slow reader left out.
+    pub(crate) dropped_lines: IntCounter,
+}
+
+impl Metrics {
+    /// Registers everything.
+    pub(crate) fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let vec = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(vec.clone()))?;
+            Ok::<_, prometheus::Error>(vec)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let first_event_s = HistogramVec::new(
+            HistogramOpts::new(
+                "relay_first_event_seconds",
+                "Time to the first event or answer.",
+            )
+            .buckets(LATENCY_BUCKETS_S.to_vec()),
+            &["kind"],
+        )?;
+        registry.register(Box::new(first_event_s.clone()))?;
+        let endpoints = IntGaugeVec::new(
+            Opts::new("relay_endpoints", "Endpoints by life."),
+            &["life"],
+        )?;
+        registry.register(Box::new(endpoints.clone()))?;
+        let store_age_s = Gauge::new("relay_store_age_seconds", "Time since the store answered.")?;
+        registry.register(Box::new(store_age_s.clone()))?;
+        let dropped_lines = IntCounter::new(
+            "relay_log_dropped_lines_total",
+            "Log lines that were left out.",
+        )?;
+        registry.register(Box::new(dropped_lines.clone()))?;
+        Ok(Self {
+            calls: counters(
+                "relay_calls_total",
+                "Calls that ended.",
+                &["kind", "outcome"],
+            )?,
+            refusals: counters("relay_refusals_total", "Refusals.", &["code"])?,
+            attempts: counters("relay_attempts_total", "Attempts.", &["outcome"])?,
+            retries: counters("relay_retries_total", "Retries asked for.", &["granted"])?,
+            connections: counters("relay_connections_total", "Connections.", &["how"])?,
+            in_flight: gauge("relay_calls_in_flight", "Calls under way.")?,
+            store_calls: counters(
+                "relay_store_calls_total",
+                "Store calls.",
+                &["kind", "result"],
+            )?,
+            orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
+            prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
+            config_version: gauge("relay_config_version", "Configuration in force.")?,
+            first_event_s,
+            endpoints,
+            store_age_s,
+            dropped_lines,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_else(|error| format!("# {error}\n"))
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -0,0 +1,341 @@
+//! One attempt at a call, up to the head of the endpoint's answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
+use hyper::body::Incoming;
+use tokio::time::{Instant, timeout_at};
+use wisteriahitch_types::{Code, DurationUs, TimeUs, WorkspaceId};
+use wisteriahitch_wire::connection_pool::Connection;
+use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
+
+use std::sync::Arc;
+
+use super::flight::{Flight, Landing};
+use super::shared::Shared;
+use crate::border::{AnswerHead, CallHead, OutgoingCall};
+use crate::decide::placement::Placement;
+
+/// Longest wait for a connection to an endpoint. One takes some milliseconds; an opening packet
+/// that is lost is sent again after a second, and another endpoint is there sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest time for which a kept connection was idle that a call which may run only once is sent
+/// on. If the endpoint closes it just then, nobody knows whether the call has run.
+const MAX_IDLE_ONCE: Duration = Duration::from_millis(2_500);
+
+/// The same for calls that may be repeated.
+const MAX_IDLE_REPEATABLE: Duration = Duration::from_millis(8_000);
+
+/// What stays the same over all attempts at a call.
+pub(crate) struct Call {
+    /// What the caller says of it.
+    pub(crate) head: CallHead,
+    /// Method.
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) uri: Uri,
+    /// The caller's headers.
+    pub(crate) headers: HeaderMap,
+    /// Whole body.
+    pub(crate) body: Bytes,
+    /// Workspace.
+    pub(crate) workspace: Option<WorkspaceId>,
+    /// Rank in the endpoint's queue.
+    pub(crate) priority: u8,
+    /// When the answer must be there.
+    pub(crate) due: Instant,
+    /// Whether it may run more than once.
+    pub(crate) may_repeat: bool,
+}
+
+/// An answer whose head has come.
+pub(crate) struct Opened {
+    pub(crate) parts: response::Parts,
+    pub(crate) body: Incoming,
+    pub(crate) connection: Connection,
+    pub(crate) flight: Flight,
+}
+
+/// Says what is known of an attempt that brought no answer to pass on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FailureKind {
+    /// No byte of it left.
+    NotSent,
+    /// The endpoint says that it didn't run it.
+    NotRun,
+    /// Another endpoint, or other weights, are at that address; it wasn't run.
+    Misdirected,
+    /// The connection broke; it may have run.
+    Lost,
+    /// No answer came in time; it may have run.
+    Timeout,
+    /// The answer is no answer to it; it may have run.
+    Nonsense,
+    /// The endpoint failed; it has run.
+    EndpointFailed,
+}
+
+impl FailureKind {
+    /// Returns whether the call certainly has not run.
+    pub(crate) const fn is_not_run(self) -> bool {
+        matches!(
+            self,
+            FailureKind::NotSent | FailureKind::NotRun | FailureKind::Misdirected
+        )
+    }
+
+    /// Returns the code for a caller where this was the last attempt.
+    pub(crate) const fn code(self) -> Code {
+        match self {
+            FailureKind::NotSent => Code::NoEndpoint,
+            FailureKind::NotRun | FailureKind::Misdirected => Code::EndpointRefused,
+            FailureKind::Lost | FailureKind::EndpointFailed => Code::EndpointLost,
+            FailureKind::Timeout => Code::EndpointTimeout,
+            FailureKind::Nonsense => Code::EndpointNonsense,
+        }
+    }
+
+    /// Returns the word for logs and metrics.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            FailureKind::NotSent => "not_sent",
+            FailureKind::NotRun => "not_run",
+            FailureKind::Misdirected => "misdirected",
+            FailureKind::Lost => "lost",
+            FailureKind::Timeout => "timeout",
+            FailureKind::Nonsense => "nonsense",
+            FailureKind::EndpointFailed => "endpoint_failed",
+        }
+    }
+}
+
+/// A failed attempt.
+#[derive(Clone, Debug)]
+pub(crate) struct Failure {
+    pub(crate) kind: FailureKind,
+    pub(crate) detail: String,
+}
+
+impl Failure {
+    pub(crate) fn new(kind: FailureKind, detail: impl Into<String>) -> Self {
+        Self {
+            kind,
+            detail: detail.into(),
+        }
+    }
+
+    /// Sorts a failed exchange by what may be concluded about the call.
+    pub(crate) fn of_exchange(error: &HttpError) -> Self {
+        let kind = match error.kind() {
+            HttpErrorKind::NotSent => FailureKind::NotSent,
+            HttpErrorKind::Timeout => FailureKind::Timeout,
+            HttpErrorKind::Lost => FailureKind::Lost,
+            HttpErrorKind::Malformed | HttpErrorKind::TooLarge => FailureKind::Nonsense,
+        };
+        Self::new(kind, error.detail())
+    }
+}
+
+/// Sends a call to the endpoint of a placement and waits for the head of its answer until `until`.
+///
+/// Dropping the future closes the connection, which is what tells the endpoint to stop.
+pub(crate) async fn open(
+    shared: &Arc<Shared>,
+    call: &Call,
+    placement: &Placement,
+    resume_after: Option<u64>,
+    until: Instant,
+) -> Result<Opened, Failure> {
+    let flight = Flight::take_off(shared, placement, call.head.prompt.as_ref());
+    let result = exchange(shared, call, placement, resume_after, until).await;
+    let (parts, body, connection) = match result {
+        Ok(answer) => answer,
+        Err(failure) => {
+            note_failure(shared, placement, &flight, failure.kind);
+            return Err(failure);
+        }
+    };
+    let answer = shared.borders.calls.answer(&parts);
+    note_answer(shared, call, placement, &answer);
+    match check_answer(call, &parts, &answer) {
+        Ok(()) => Ok(Opened {
+            parts,
+            body,
+            connection,
+            flight,
+        }),
+        Err(failure) => {
+            note_failure(shared, placement, &flight, failure.kind);
+            keep_after_refusal(shared, placement, &answer, failure.kind, body, connection);
+            Err(failure)
+        }
+    }
+}
+
+async fn exchange(
+    shared: &Shared,
+    call: &Call,
+    placement: &Placement,
+    resume_after: Option<u64>,
+    until: Instant,
+) -> Result<(response::Parts, Incoming, Connection), Failure> {
+    let max_idle = match call.may_repeat {
+        true => MAX_IDLE_REPEATABLE,
+        false => MAX_IDLE_ONCE,
+    };
+    // A kept connection that had closed tells that nothing left, and a new one is opened.
+    let mut kept = shared.pool.take(&placement.endpoint, max_idle).await;
+    loop {
+        let (mut connection, is_kept) = match kept.take() {
+            Some(connection) => (connection, true),
+            None => (connect(shared, placement, until).await?, false),
+        };
+        let how = if is_kept { "reused" } else { "opened" };
+        shared.metrics.connections.with_label_values(&[how]).inc();
+        let request = build_request(shared, call, placement, resume_after);
+        match timeout_at(until, connection.send(request)).await {
+            Ok(Ok(response)) => {
+                let (parts, body) = response.into_parts();
+                return Ok((parts, body, connection));
+            }
+            Ok(Err(error)) if is_kept && error.kind() == HttpErrorKind::NotSent => {}
+            Ok(Err(error)) => return Err(Failure::of_exchange(&error)),
+            Err(_) => return Err(Failure::new(FailureKind::Timeout, "no head of an answer")),
+        }
+    }
+}
+
+async fn connect(
+    shared: &Shared,
+    placement: &Placement,
+    until: Instant,
+) -> Result<Connection, Failure> {
+    let left = until.saturating_duration_since(Instant::now());
+    let wait = left.min(CONNECT_TIMEOUT);
+    let opened = Connection::open(placement.address, wait).await;
+    opened.map_err(|error| {
+        let label = ["failed"];
+        shared.metrics.connections.with_label_values(&label).inc();
+        Failure::of_exchange(&error)
+    })
+}
+
+/// Builds the message; the time that is left is taken now, when its bytes leave.
+fn build_request(
+    shared: &Shared,
+    call: &Call,
+    placement: &Placement,
+    resume_after: Option<u64>,
+) -> Request<Bytes> {
+    let left = call.due.saturating_duration_since(Instant::now());
+    let outgoing = OutgoingCall {
+        endpoint: placement.endpoint.clone(),
+        deadline_us: DurationUs::from(left),
+        workspace: call.workspace.clone(),
+        priority: call.head.prompt.is_some().then_some(call.priority),
+        weights: placement.weights,
+        cache_scope: placement.cache_scope.clone(),
+        fetch_from: None,
+        resume_after,
+    };
+    let mut request = Request::new(call.body.clone());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = shared.borders.calls.outgoing(&call.headers, &outgoing);
+    request
+}
+
+/// Decides whether an answer may be passed on.
+fn check_answer(call: &Call, parts: &response::Parts, answer: &AnswerHead) -> Result<(), Failure> {
+    let echoed = answer.request_id.as_ref();
+    if echoed.is_some_and(|id| *id != call.head.request_id) {
+        // The late answer to an earlier request on this connection: what became of this request
+        // isn't known, and the connection must not be used again.
+        return Err(Failure::new(
+            FailureKind::Nonsense,
+            "answer to another request",
+        ));
+    }
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(Failure::new(
+            FailureKind::Misdirected,
+            "another endpoint or other weights",
+        ));
+    }
+    let is_promise = matches!(parts.status.as_u16(), 408 | 429 | 503);
+    if answer.is_not_run && is_promise {
+        return Err(Failure::new(FailureKind::NotRun, parts.status.to_string()));
+    }
+    if is_promise {
+        // A caller would read this status as a promise that the call has not run. The endpoint
+        // doesn't promise it.
+        return Err(Failure::new(
+            FailureKind::EndpointFailed,
+            parts.status.to_string(),
+        ));
+    }
+    if parts.status.is_server_error() && call.may_repeat {
+        return Err(Failure::new(
+            FailureKind::EndpointFailed,
+            parts.status.to_string(),
+        ));
+    }
+    let is_foreign = echoed.is_none() || parts.headers.contains_key(http::header::CONTENT_ENCODING);
+    if parts.status.is_success() && is_foreign {
+        return Err(Failure::new(
+            FailureKind::Nonsense,
+            "not the endpoint's own answer",
+        ));
+    }
+    Ok(())
+}
+
+fn note_answer(shared: &Shared, call: &Call, placement: &Placement, answer: &AnswerHead) {
+    let now = shared.now();
+    let mut endpoints = shared.endpoints.lock();
+    if let (Some(prompt), Some(weights)) = (&call.head.prompt, answer.weights) {
+        endpoints.saw_weights(&placement.endpoint, &prompt.model, weights);
+    }
+    if let (Some(row), Some(load)) = (endpoints.get_mut(&placement.endpoint), answer.load) {
+        row.told = Some((load, now));
+    }
+}
+
+/// Time for which an endpoint that refused gets no further requests, unless there is no other.
+const AFTER_REFUSAL_US: DurationUs = DurationUs::from_ms(120);
+
+fn note_failure(shared: &Shared, placement: &Placement, flight: &Flight, kind: FailureKind) {
+    shared
+        .metrics
+        .attempts
+        .with_label_values(&[kind.label()])
+        .inc();
+    match kind {
+        FailureKind::NotSent => flight.land(Landing::Unreachable),
+        FailureKind::NotRun | FailureKind::Misdirected => {
+            let until: TimeUs = shared.now() + AFTER_REFUSAL_US;
+            let mut endpoints = shared.endpoints.lock();
+            if let Some(row) = endpoints.get_mut(&placement.endpoint) {
+                row.reserved_until_us = row.reserved_until_us.max(until);
+            }
+        }
+        _ => flight.land(Landing::Failed),
+    }
+}
+
+/// Keeps the connection of an endpoint that refused, whose answer is short.
+fn keep_after_refusal(
+    shared: &Arc<Shared>,
+    placement: &Placement,
+    answer: &AnswerHead,
+    kind: FailureKind,
+    body: Incoming,
+    connection: Connection,
+) {
+    use hyper::body::Body as _;
+    if kind == FailureKind::NotRun && !answer.is_closing && body.is_end_stream() {
+        shared.pool.put(&placement.endpoint, connection);
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -0,0 +1,256 @@
+//! A daemon: every role in one process.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::time::Duration;
+
+use anyhow::Context;
+use parking_lot::Mutex;
+use serde_json::json;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+use wisteriahitch_types::Incarnation;
+use wisteriahitch_wire::connection_pool::ConnectionPool;
+
+pub use super::shared::Borders;
+
+use super::budgets::Budgets;
+use super::drain::Drain;
+use super::entries::EntrySide;
+use super::orders::{lease_table, run_orders, wanted_snapshot};
+use super::peers::{PeerSide, PeerState, run_beacons};
+use super::pipeline::CallerSide;
+use super::registration::run_registration;
+use super::server::{bind, serve};
+use super::shared::Shared;
+use super::site_state::SiteState;
+use super::watch::{WATCHED, WatchStates, run_watch};
+use crate::clock::BootClock;
+use crate::decide::endpoint_table::EndpointTable;
+use crate::decide::members::MemberPhase;
+use crate::decide::rollout::Rollout;
+use crate::observe::{Event, EventLog, LogBudget, Metrics};
+use crate::settings::RelaySettings;
+
+/// Time between two rounds of housekeeping: gathered log lines, idle connections, lapsed endpoints.
+const HOUSEKEEPING: Duration = Duration::from_millis(200);
+
+/// One life of a daemon process.
+///
+/// It keeps nothing that must last: what must lies in the platform's store, and the rest is learnt
+/// again at the next start.
+pub struct Daemon {
+    shared: Arc<Shared>,
+    settings_path: PathBuf,
+}
+
+impl Daemon {
+    /// Builds a daemon that knows nothing yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the metrics can't be registered.
+    pub fn new(
+        settings: RelaySettings,
+        settings_path: PathBuf,
+        ignored_settings: Vec<String>,
+        borders: Borders,
+    ) -> anyhow::Result<Self> {
+        let incarnation = Incarnation::new(rand::random_range(1..u64::MAX));
+        let metrics = Metrics::new().context("the metrics can't be registered")?;
+        let budget = LogBudget {
+            bytes_per_s: settings.log.bytes_per_s,
+            successes_per_s: settings.log.successes_per_s,
+        };
+        let log = EventLog::start(budget, metrics.dropped_lines.clone(), std::io::stdout());
+        log.write(&Event::Started {
+            daemon: settings.id.to_string(),
+            incarnation: incarnation.get(),
+            zone: settings.zone.to_string(),
+            ignored_settings,
+        });
+        let shared = Shared {
+            clock: BootClock,
+            incarnation,
+            borders,
+            site: SiteState::default(),
+            endpoints: Mutex::new(EndpointTable::default()),
+            peers: PeerState::default(),
+            pool: ConnectionPool::default(),
+            budgets: Budgets::new(settings.retry.clone()),
+            watches: WatchStates::default(),
+            leases: Mutex::new(lease_table(&settings, incarnation)),
+            rollout: Mutex::new(Rollout::new(settings.rollout.parallel)),
+            drain: Drain::default(),
+            body_bytes: AtomicUsize::new(0),
+            log,
+            metrics,
+            settings,
+        };
+        Ok(Self {
+            shared: Arc::new(shared),
+            settings_path,
+        })
+    }
+
+    /// Serves until the process has been told to leave and has finished its calls.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address can't be listened on.
+    pub async fn run(self) -> anyhow::Result<()> {
+        let shared = self.shared;
+        let now = shared.now();
+        for seed in &shared.settings.seeds {
+            if let SocketAddr::V4(seed) = seed {
+                shared.peers.table().know(*seed.ip(), now);
+            }
+        }
+        start_servers(&shared).await?;
+        for role in WATCHED {
+            tokio::spawn(run_watch(Arc::clone(&shared), role));
+        }
+        tokio::spawn(run_registration(Arc::clone(&shared)));
+        tokio::spawn(run_orders(Arc::clone(&shared)));
+        tokio::spawn(run_housekeeping(Arc::clone(&shared)));
+        tokio::spawn(run_reloads(Arc::clone(&shared), self.settings_path));
+        wait_for_end(&shared).await
+    }
+}
+
+async fn start_servers(shared: &Arc<Shared>) -> anyhow::Result<()> {
+    let listen = &shared.settings.listen;
+    let peer_address = SocketAddr::from((shared.settings.ip, listen.peer_port));
+    let socket = UdpSocket::bind(peer_address).await;
+    let socket = socket.with_context(|| format!("peers can't be heard on {peer_address}"))?;
+    tokio::spawn(run_beacons(Arc::clone(shared), socket));
+    let callers = Arc::new(CallerSide {
+        shared: Arc::clone(shared),
+    });
+    let entries = Arc::new(EntrySide {
+        shared: Arc::clone(shared),
+    });
+    let peers = Arc::new(PeerSide {
+        shared: Arc::clone(shared),
+    });
+    // Only callers' connections are closed when the daemon leaves: the others go on asking it.
+    let stay = CancellationToken::new();
+    let leaving = shared.drain.started.clone();
+    tokio::spawn(serve(
+        bind(listen.callers, "the callers' side")?,
+        callers,
+        leaving,
+    ));
+    let ready = bind(listen.ready, "the readiness side")?;
+    tokio::spawn(serve(ready, Arc::clone(&entries), stay.clone()));
+    let entry = bind(listen.entries, "the entry side")?;
+    tokio::spawn(serve(entry, entries, stay.clone()));
+    let inner = bind(peer_address, "the peers' side")?;
+    tokio::spawn(serve(inner, Arc::clone(&peers), stay.clone()));
+    if let Some(control) = listen.control {
+        tokio::spawn(serve(bind(control, "the control side")?, peers, stay));
+    }
+    Ok(())
+}
+
+async fn wait_for_end(shared: &Arc<Shared>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    let begun = tokio::time::Instant::now();
+    shared.drain.start();
+    shared.peers.hurry.notify_one();
+    let in_flight = shared.drain.in_flight();
+    shared.log.write(&Event::DrainStarted { in_flight });
+    shared.drain.finished(&shared.settings).await;
+    shared.log.write(&Event::Stopped {
+        in_flight: shared.drain.in_flight(),
+        waited_ms: u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX),
+    });
+    shared.log.finish();
+    Ok(())
+}
+
+async fn run_housekeeping(shared: Arc<Shared>) {
+    let mut was_ready = false;
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        let changes = shared.endpoints.lock().tick(shared.now());
+        shared.note_changes(changes, 0);
+        shared.pool.sweep();
+        let is_ready = shared.phase() == MemberPhase::Ready;
+        if is_ready != was_ready {
+            was_ready = is_ready;
+            let endpoints = shared.endpoints.lock().len();
+            shared.log.write(&Event::ReadyChanged {
+                is_ready,
+                endpoints,
+            });
+        }
+        shared.log.flush();
+    }
+}
+
+/// Reads the settings again when it is told to. What is in force stays in force until the next
+/// start; a faulty file is told of at once instead of then.
+async fn run_reloads(shared: Arc<Shared>, path: PathBuf) {
+    let Ok(mut hangup) = signal(SignalKind::hangup()) else {
+        return;
+    };
+    while hangup.recv().await.is_some() {
+        let reloaded = RelaySettings::load(&path, |_| {});
+        shared.log.write(&Event::SettingsReloaded {
+            is_valid: reloaded.is_ok(),
+            detail: reloaded
+                .err()
+                .map_or(String::new(), |error| error.to_string()),
+        });
+    }
+}
+
+/// Shows the whole state as JSON.
+pub(crate) fn dump(shared: &Shared) -> String {
+    let now = shared.now();
+    let endpoints = shared.endpoints.lock();
+    let rows = endpoints.iter().map(|row| {
+        json!({
+            "endpoint": row.endpoint.id,
+            "service": row.endpoint.service,
+            "address": row.endpoint.address,
+            "life": format!("{:?}", row.life),
+            "own_running": row.own.running,
+            "peers_running": row.peers.running,
+            "unread_tokens": row.load().unread_tokens,
+            "parts": row.parts.len(),
+            "is_ejected": row.outlier.is_ejected(now),
+            "failure_rate": row.outlier.failure_rate(),
+        })
+    });
+    let rows: Vec<_> = rows.collect();
+    drop(endpoints);
+    let peers: Vec<_> = shared
+        .peers
+        .table()
+        .alive(now)
+        .map(|peer| json!({"ip": peer.ip, "zone": peer.zone, "phase": format!("{:?}", peer.phase)}))
+        .collect();
+    let leases = shared.leases.lock().status();
+    let dump = json!({
+        "daemon": shared.settings.id,
+        "incarnation": shared.incarnation,
+        "phase": format!("{:?}", shared.phase()),
+        "config_version": shared.site.config().map(|config| config.version),
+        "wanted_weights": wanted_snapshot(shared),
+        "in_flight": shared.drain.in_flight(),
+        "endpoints": rows,
+        "peers": peers,
+        "leases": leases,
+    });
+    dump.to_string()
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/flight.rs
@@ -0,0 +1,126 @@
+//! The accounting of one attempt at an endpoint.
+
+use std::sync::Arc;
+
+use wisteriahitch_types::EndpointId;
+
+use super::shared::Shared;
+use crate::decide::backlog::Load;
+use crate::decide::members::PartNews;
+use crate::decide::parts::part_keys;
+use crate::decide::placement::Placement;
+use crate::observe::Event;
+use crate::site::PromptShape;
+
+/// Counts an attempt as load of its endpoint until it is dropped.
+pub(crate) struct Flight {
+    shared: Arc<Shared>,
+    endpoint: EndpointId,
+    load: Load,
+}
+
+/// Says how an attempt ended, as far as its endpoint's good name is concerned.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Landing {
+    /// It answered.
+    Good,
+    /// It failed.
+    Failed,
+    /// It can't be reached.
+    Unreachable,
+}
+
+impl Flight {
+    /// Counts an attempt that is about to be sent.
+    pub(crate) fn take_off(
+        shared: &Arc<Shared>,
+        placement: &Placement,
+        prompt: Option<&PromptShape>,
+    ) -> Self {
+        let tokens = prompt.map_or(0, |p| p.prompt_tokens.get() + p.output_tokens.get());
+        let load = Load {
+            running: 1,
+            unread_tokens: placement.unread_tokens,
+            memory_tokens: tokens,
+        };
+        let now = shared.now();
+        let mut endpoints = shared.endpoints.lock();
+        if let Some(row) = endpoints.get_mut(&placement.endpoint) {
+            row.own.add(load);
+            row.outlier.sent(now);
+        }
+        Self {
+            shared: Arc::clone(shared),
+            endpoint: placement.endpoint.clone(),
+            load,
+        }
+    }
+
+    /// Notes the first event: the prompt has been read, and its parts are kept now.
+    pub(crate) fn has_read(&mut self, placement: &Placement, prompt: Option<&PromptShape>) {
+        let read = Load {
+            unread_tokens: std::mem::take(&mut self.load.unread_tokens),
+            ..Load::default()
+        };
+        let mut endpoints = self.shared.endpoints.lock();
+        let Some(row) = endpoints.get_mut(&self.endpoint) else {
+            return;
+        };
+        row.own.sub(read);
+        let (Some(prompt), Some(scope)) = (prompt, &placement.cache_scope) else {
+            return;
+        };
+        // A change of weights in between has emptied the endpoint's memory.
+        if row.weights(&prompt.model) != placement.weights {
+            return;
+        }
+        let mut news = Vec::new();
+        for (key, tokens) in part_keys(scope, prompt) {
+            row.parts.used(key, tokens);
+            news.push(PartNews {
+                endpoint: row.hash(),
+                part: key.0,
+                tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            });
+        }
+        drop(endpoints);
+        self.shared.peers.tell_parts(news);
+    }
+
+    /// Notes how the attempt ended.
+    pub(crate) fn land(&self, landing: Landing) {
+        let now = self.shared.now();
+        let mut endpoints = self.shared.endpoints.lock();
+        let options = endpoints.outlier_options;
+        let Some(row) = endpoints.get_mut(&self.endpoint) else {
+            return;
+        };
+        let is_changed = match landing {
+            Landing::Good => row.outlier.succeeded(&options),
+            Landing::Failed => row.outlier.failed(&options, now),
+            Landing::Unreachable => {
+                let was_ejected = row.outlier.is_ejected(now);
+                row.outlier.eject(&options, now);
+                !was_ejected
+            }
+        };
+        let failure_rate = row.outlier.failure_rate();
+        drop(endpoints);
+        if is_changed {
+            self.shared.log.write(&Event::EndpointEjected {
+                endpoint: self.endpoint.to_string(),
+                is_ejected: landing != Landing::Good,
+                failure_rate,
+            });
+        }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        let mut endpoints = self.shared.endpoints.lock();
+        if let Some(row) = endpoints.get_mut(&self.endpoint) {
+            row.own.sub(self.load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -0,0 +1,411 @@
+//! Giving orders for new weights, under a lease.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wisteriahitch_core::fleet::{
+    LeaseCommand, LeaseEvent, LeaseGroup, LeaseHolder, LeaseObject, LeaseSettings, LeaseTable,
+    Member, MemberAddresses, MemberState, Membership, MembershipSettings, Rendezvous, WriteFailure,
+};
+use wisteriahitch_types::{ConfigVersion, DurationUs, EndpointId, Incarnation, TimeUs};
+use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
+use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
+
+use super::shared::Shared;
+use crate::border::{OrderOutcome, WeightOrder};
+use crate::decide::endpoint_table::{EndpointLife, EndpointRow};
+use crate::decide::rollout::{RolloutRow, RolloutStep};
+use crate::observe::Event;
+use crate::settings::RelaySettings;
+
+/// Time between two looks while orders are to be given.
+const BUSY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two looks while nothing is to be done.
+const IDLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long the lease lasts. A holder that dies is replaced after this time and the time that must
+/// lie between orders of two holders; both have to fit into the eight seconds in which requests
+/// may still begin on old weights.
+const LEASE_TERM_US: DurationUs = DurationUs::from_ms(2_000);
+
+/// What must be left of the lease when it is renewed.
+const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(1_200);
+
+/// Part of the term that isn't used, for the way of an order to its endpoint.
+const LEASE_MARGIN_US: DurationUs = DurationUs::from_ms(400);
+
+/// Time between two reads of a lease that another daemon holds.
+const LEASE_READ_US: DurationUs = DurationUs::from_ms(400);
+
+/// Added to the time that must lie between orders of two holders.
+const HANDOVER_SLACK_MS: u64 = 400;
+
+/// Longest wait for an engine's report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The one group of orders: few daemons and engines, and the bound on loads at once then needs no
+/// agreement of its own.
+const GROUP: LeaseGroup = LeaseGroup::RolloutSlot(0);
+
+/// Builds the daemon's leases.
+pub(crate) fn lease_table(settings: &RelaySettings, incarnation: Incarnation) -> LeaseTable {
+    let holder = LeaseHolder {
+        daemon: settings.id.clone(),
+        incarnation,
+    };
+    let settings = LeaseSettings {
+        term_us: LEASE_TERM_US,
+        renew_before_us: RENEW_BEFORE_US,
+        // A new holder waits for so long after a lease that wasn't released.
+        order_timeout_us: DurationUs::from_ms(settings.rollout.lease_ms + HANDOVER_SLACK_MS),
+        margin_us: LEASE_MARGIN_US,
+        read_us: LEASE_READ_US,
+    };
+    LeaseTable::new(holder, settings)
+}
+
+/// The table of leases asks a membership who is responsible; here that is told to it directly.
+fn lone_member(shared: &Shared) -> Membership {
+    let listen = &shared.settings.listen;
+    let me = Member {
+        daemon: shared.settings.id.clone(),
+        incarnation: shared.incarnation,
+        news_number: 1,
+        state: MemberState::Alive,
+        addresses: MemberAddresses {
+            caller: listen.callers,
+            peer: listen.callers,
+            operator: listen.callers,
+        },
+        availability_zone: shared.settings.zone.clone(),
+        config_version: ConfigVersion::new(0),
+        load_permille: 0,
+        changed_at_us: TimeUs::ZERO,
+        is_vm_leaving: false,
+    };
+    Membership::new(
+        MembershipSettings::default(),
+        me,
+        ChaCha8Rng::seed_from_u64(0),
+    )
+}
+
+/// Gives orders while they are wanted, for as long as the process lives.
+pub(crate) async fn run_orders(shared: Arc<Shared>) {
+    let members = Arc::new(lone_member(&shared));
+    let mut phase = String::new();
+    loop {
+        let behind = behind(&shared);
+        let has_lease = shared.leases.lock().held().next().is_some();
+        let is_busy = !behind.is_empty() || has_lease;
+        if is_busy {
+            step(&shared, &members, &behind);
+            note_phase(&shared, &mut phase);
+        }
+        let interval = if is_busy {
+            BUSY_INTERVAL
+        } else {
+            IDLE_INTERVAL
+        };
+        tokio::time::sleep(interval).await;
+    }
+}
+
+/// Lists the engines whose weights are older than wanted.
+fn behind(shared: &Shared) -> Vec<RolloutRow> {
+    let wanted = shared.site.all_wanted();
+    if wanted.is_empty() {
+        return Vec::new();
+    }
+    let endpoints = shared.endpoints.lock();
+    let stays = |row: &&EndpointRow| row.life != EndpointLife::Draining;
+    let mut behind = Vec::new();
+    for row in endpoints.iter().filter(stays) {
+        for (model, has) in &row.endpoint.weights {
+            let Some((version, _)) = wanted.get(model) else {
+                continue;
+            };
+            if has < version {
+                behind.push(RolloutRow {
+                    endpoint: row.endpoint.id.clone(),
+                    model: model.clone(),
+                    has: *has,
+                    wanted: *version,
+                    running: row.load().running,
+                });
+            }
+        }
+    }
+    behind
+}
+
+fn step(shared: &Arc<Shared>, members: &Arc<Membership>, behind: &[RolloutRow]) {
+    let now = shared.now();
+    let is_mine = !behind.is_empty() && leader(shared, now) == Some(shared.incarnation);
+    let commands = {
+        let mut leases = shared.leases.lock();
+        let wanted = is_mine.then_some(GROUP);
+        leases.want(wanted);
+        leases.set_rollout_owner(is_mine.then_some(shared.incarnation));
+        leases.handle(LeaseEvent::Tick, now, members)
+    };
+    for command in commands {
+        tokio::spawn(call(Arc::clone(shared), Arc::clone(members), command));
+    }
+    let is_held = shared.leases.lock().held().next().is_some();
+    if !is_held {
+        shared.rollout.lock().clear();
+        return;
+    }
+    let steps = shared.rollout.lock().tick(behind, now);
+    if !steps.is_empty() {
+        shared.peers.hurry.notify_one();
+    }
+    for step in steps {
+        tokio::spawn(carry_out(Arc::clone(shared), Arc::clone(members), step));
+    }
+}
+
+/// Returns the daemon that should hold the lease: the first by hash among those that serve and
+/// reach the store.
+fn leader(shared: &Shared, now: TimeUs) -> Option<Incarnation> {
+    let table = shared.peers.table();
+    let peers = table.ready(now).filter(|peer| peer.is_store_reachable);
+    let mut candidates: Vec<Incarnation> = peers.map(|peer| peer.incarnation).collect();
+    if shared.watches.is_store_reachable() && !shared.drain.is_draining() {
+        candidates.push(shared.incarnation);
+    }
+    let rank = Rendezvous::new("orders", "");
+    let first = rank.top(candidates, 1, |incarnation| {
+        incarnation.get().to_le_bytes().to_vec()
+    });
+    first.first().copied()
+}
+
+fn note_phase(shared: &Shared, known: &mut String) {
+    let status = shared.leases.lock().status();
+    let Some(lease) = status.first() else { return };
+    let phase = format!("{:?}", lease.phase).to_lowercase();
+    if phase != *known {
+        known.clone_from(&phase);
+        shared.log.write(&Event::LeaseChanged {
+            phase,
+            fence: lease.fence.get(),
+        });
+    }
+}
+
+async fn carry_out(shared: Arc<Shared>, members: Arc<Membership>, step: RolloutStep) {
+    match step {
+        RolloutStep::Report(endpoint) => report(&shared, &endpoint).await,
+        RolloutStep::Order {
+            endpoint,
+            model,
+            version,
+            expected_orders,
+        } => {
+            let order = |address, fence| WeightOrder {
+                endpoint: endpoint.clone(),
+                address,
+                model,
+                version,
+                holder: shared.settings.id.to_string(),
+                fence,
+                expected_orders,
+            };
+            give(&shared, &members, &endpoint, order).await;
+        }
+    }
+}
+
+async fn report(shared: &Shared, endpoint: &EndpointId) {
+    let address = shared
+        .endpoints
+        .lock()
+        .get(endpoint)
+        .map(|row| row.endpoint.address);
+    let report = match address {
+        Some(address) => {
+            let engines = &shared.borders.engines;
+            let report = engines.report(endpoint, address, REPORT_TIMEOUT).await;
+            if let Err(error) = &report {
+                shared.log.write(&Event::Failure {
+                    what: "reading an engine's report",
+                    detail: format!("{endpoint}: {error}"),
+                });
+            }
+            report.ok()
+        }
+        None => None,
+    };
+    if let Some(report) = &report {
+        let mut endpoints = shared.endpoints.lock();
+        for (model, version) in &report.weights {
+            endpoints.saw_weights(endpoint, model, *version);
+        }
+    }
+    let now = shared.now();
+    shared
+        .rollout
+        .lock()
+        .reported(endpoint, report.as_ref(), now);
+}
+
+async fn give(
+    shared: &Shared,
+    members: &Membership,
+    endpoint: &EndpointId,
+    order: impl FnOnce(std::net::SocketAddr, wisteriahitch_types::FenceNumber) -> WeightOrder,
+) {
+    let address = shared
+        .endpoints
+        .lock()
+        .get(endpoint)
+        .map(|row| row.endpoint.address);
+    // The clock is looked at right before the order leaves: the process may have been suspended.
+    let grant = shared.leases.lock().try_order(&GROUP, shared.now());
+    let (Some(address), Ok(grant)) = (address, grant) else {
+        shared.rollout.lock().withheld(endpoint, shared.now());
+        return;
+    };
+    let order = order(address, grant.fence);
+    let outcome = shared
+        .borders
+        .engines
+        .order(&order, grant.timeout_us.into())
+        .await;
+    let now = shared.now();
+    shared
+        .leases
+        .lock()
+        .handle(LeaseEvent::OrderDone(GROUP), now, members);
+    shared.rollout.lock().ordered(endpoint, &outcome, now);
+    let label = outcome_label(&outcome);
+    shared.metrics.orders.with_label_values(&[label]).inc();
+    shared.log.write(&Event::OrderGiven {
+        endpoint: endpoint.to_string(),
+        model: order.model.to_string(),
+        version: order.version.get(),
+        expected_orders: order.expected_orders,
+        fence: order.fence.get(),
+        outcome: format!("{outcome:?}"),
+    });
+}
+
+const fn outcome_label(outcome: &OrderOutcome) -> &'static str {
+    match outcome {
+        OrderOutcome::Accepted => "accepted",
+        OrderOutcome::AlreadyDone => "already_done",
+        OrderOutcome::Conflict => "conflict",
+        OrderOutcome::Fenced => "fenced",
+        OrderOutcome::Refused(_) => "refused",
+        OrderOutcome::NotSent(_) => "not_sent",
+        OrderOutcome::Unknown(_) => "unknown",
+    }
+}
+
+async fn call(shared: Arc<Shared>, members: Arc<Membership>, command: LeaseCommand) {
+    let event = match command {
+        LeaseCommand::Read(group) => read(&shared, group).await,
+        LeaseCommand::Write {
+            group,
+            object,
+            expected,
+        } => write(&shared, group, object, expected).await,
+    };
+    shared.leases.lock().handle(event, shared.now(), &members);
+}
+
+async fn read(shared: &Shared, group: LeaseGroup) -> LeaseEvent {
+    let read = shared
+        .borders
+        .store
+        .get(ObjectRole::Leases, &group.to_string())
+        .await;
+    let parsed = read.map(|object| object.map(parse).transpose());
+    match parsed {
+        Ok(Ok(object)) => LeaseEvent::Read { group, object },
+        Ok(Err(error)) => {
+            shared.log.write(&Event::ObjectUnreadable {
+                kind: "leases",
+                name: group.to_string(),
+                detail: error.to_string(),
+            });
+            LeaseEvent::ReadFailed(group)
+        }
+        Err(error) => {
+            shared.log.write(&Event::Failure {
+                what: "reading the lease",
+                detail: error.to_string(),
+            });
+            LeaseEvent::ReadFailed(group)
+        }
+    }
+}
+
+fn parse(object: StoredObject) -> serde_json::Result<(LeaseObject, u64)> {
+    let lease = serde_json::from_value(object.content)?;
+    Ok((lease, object.revision.0))
+}
+
+async fn write(
+    shared: &Shared,
+    group: LeaseGroup,
+    object: LeaseObject,
+    expected: u64,
+) -> LeaseEvent {
+    let write_number = object.write_number;
+    let name = group.to_string();
+    let content = serde_json::to_value(&object).unwrap_or_default();
+    let store = &shared.borders.store;
+    let written = match expected {
+        0 => store.create(ObjectRole::Leases, &name, content).await,
+        _ => {
+            let expected = Revision(expected);
+            store
+                .replace(ObjectRole::Leases, &name, content, expected)
+                .await
+        }
+    };
+    match written {
+        Ok(object) => LeaseEvent::Written {
+            group,
+            write_number,
+            object_version: object.revision.0,
+        },
+        Err(error) => {
+            shared.log.write(&Event::Failure {
+                what: "writing the lease",
+                detail: error.to_string(),
+            });
+            LeaseEvent::WriteFailed {
+                group,
+                write_number,
+                failure: failure(&error),
+            }
+        }
+    }
+}
+
+fn failure(error: &PlatformError) -> WriteFailure {
+    match error.kind() {
+        PlatformErrorKind::AlreadyExists
+        | PlatformErrorKind::Conflict
+        | PlatformErrorKind::NotFound => WriteFailure::Conflict,
+        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteFailure::Lost,
+        _ => WriteFailure::Unavailable,
+    }
+}
+
+/// Shows the wanted weights, for the dump.
+pub(crate) fn wanted_snapshot(shared: &Shared) -> BTreeMap<String, u64> {
+    let wanted = shared.site.all_wanted();
+    let shown = wanted
+        .iter()
+        .map(|(model, (version, _))| (model.to_string(), version.get()));
+    shown.collect()
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -0,0 +1,113 @@
+//! How daemons find each other: each registers in the platform's store once.
+
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::{DurationUs, Incarnation};
+use wisteriahitch_wire::object_store::{ObjectRole, StoredObject};
+use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
+
+use super::shared::Shared;
+use crate::observe::Event;
+
+/// Pause after a call of the store failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Time between two looks at the registrations. Daemons tell each other of themselves; the list
+/// only heals what that missed.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Silence of a registered daemon after which its registration is removed by another one.
+const REMOVE_AFTER_US: DurationUs = DurationUs::from_ms(20_000);
+
+/// What a daemon's registration holds.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+struct Registration {
+    ip: Ipv4Addr,
+    incarnation: Incarnation,
+}
+
+/// Registers this daemon and learns of the others, for as long as the process lives.
+pub(crate) async fn run_registration(shared: Arc<Shared>) {
+    while let Err(error) = register(&shared).await {
+        shared.log.write(&Event::Failure {
+            what: "registering this daemon",
+            detail: error.to_string(),
+        });
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+    // Two daemons that start at once both write first, so that at least one sees the other.
+    let mut is_first = true;
+    loop {
+        match shared
+            .borders
+            .store
+            .list(ObjectRole::Members, !is_first)
+            .await
+        {
+            Ok(listing) => {
+                is_first = false;
+                learn(&shared, listing.objects).await;
+                tokio::time::sleep(LIST_INTERVAL).await;
+            }
+            Err(error) => {
+                shared.log.write(&Event::Failure {
+                    what: "listing the daemons",
+                    detail: error.to_string(),
+                });
+                tokio::time::sleep(RETRY_PAUSE * 2).await;
+            }
+        }
+    }
+}
+
+async fn register(shared: &Shared) -> Result<(), PlatformError> {
+    let store = &shared.borders.store;
+    let name = shared.settings.id.as_str();
+    let registration = Registration {
+        ip: shared.settings.ip,
+        incarnation: shared.incarnation,
+    };
+    let content = serde_json::to_value(&registration).unwrap_or_default();
+    let created = store
+        .create(ObjectRole::Members, name, content.clone())
+        .await;
+    match created {
+        Err(error) if error.kind() == PlatformErrorKind::AlreadyExists => {}
+        created => return created.map(|_| ()),
+    }
+    let Some(old) = store.get(ObjectRole::Members, name).await? else {
+        return Ok(());
+    };
+    let replaced = store
+        .replace(ObjectRole::Members, name, content, old.revision)
+        .await;
+    replaced.map(|_| ())
+}
+
+async fn learn(shared: &Shared, objects: Vec<StoredObject>) {
+    let now = shared.now();
+    for object in objects {
+        let Ok(registration) = serde_json::from_value::<Registration>(object.content) else {
+            continue;
+        };
+        if registration.ip == shared.settings.ip {
+            continue;
+        }
+        let silence = shared.peers.table().silence(registration.ip, now);
+        if silence.is_some_and(|silence| silence > REMOVE_AFTER_US) {
+            let role = ObjectRole::Members;
+            // Another daemon may have removed it first, or its own may have just come back.
+            let _ = shared
+                .borders
+                .store
+                .delete(role, &object.name, object.revision)
+                .await;
+        } else {
+            shared.peers.table().know(registration.ip, now);
+        }
+    }
+    shared.peers.hurry.notify_one();
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -0,0 +1,111 @@
+//! What all tasks of a daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use parking_lot::Mutex;
+use wisteriahitch_core::fleet::LeaseTable;
+use wisteriahitch_types::{Incarnation, TimeUs};
+use wisteriahitch_wire::connection_pool::ConnectionPool;
+use wisteriahitch_wire::object_store::ObjectStore;
+
+use super::budgets::Budgets;
+use super::drain::Drain;
+use super::peers::PeerState;
+use super::site_state::SiteState;
+use super::watch::WatchStates;
+use crate::border::{CallCodec, EngineControl, SiteCodec};
+use crate::clock::BootClock;
+use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
+use crate::decide::members::MemberPhase;
+use crate::decide::rollout::Rollout;
+use crate::observe::{Event, EventLog, Metrics};
+use crate::settings::RelaySettings;
+
+/// The implementations of the traits of `border`.
+pub struct Borders {
+    /// Calls and answers.
+    pub calls: Box<dyn CallCodec>,
+    /// Objects.
+    pub site: Box<dyn SiteCodec>,
+    /// The platform's store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Engines' orders and reports.
+    pub engines: Box<dyn EngineControl>,
+}
+
+pub(crate) struct Shared {
+    pub(crate) settings: RelaySettings,
+    pub(crate) clock: BootClock,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) borders: Borders,
+    pub(crate) site: SiteState,
+    /// Locked for one step at a time and never across an await, as every table here.
+    pub(crate) endpoints: Mutex<EndpointTable>,
+    pub(crate) peers: PeerState,
+    pub(crate) pool: ConnectionPool,
+    pub(crate) budgets: Budgets,
+    pub(crate) watches: WatchStates,
+    pub(crate) leases: Mutex<LeaseTable>,
+    pub(crate) rollout: Mutex<Rollout>,
+    pub(crate) drain: Drain,
+    /// Bytes of requests' bodies that are held now.
+    pub(crate) body_bytes: AtomicUsize,
+    pub(crate) log: EventLog,
+    pub(crate) metrics: Metrics,
+}
+
+impl Shared {
+    /// Returns what this daemon tells of itself.
+    pub(crate) fn phase(&self) -> MemberPhase {
+        if self.drain.is_draining() {
+            return MemberPhase::Draining;
+        }
+        match self.site.config().is_some() && self.watches.has_listed_all() {
+            true => MemberPhase::Ready,
+            false => MemberPhase::Starting,
+        }
+    }
+
+    /// Takes room for a body, or returns false where too many are held.
+    pub(crate) fn try_hold_body(&self, bytes: usize) -> bool {
+        let limit = self.settings.body_bytes();
+        let held = self.body_bytes.fetch_add(bytes, Ordering::Relaxed);
+        if held + bytes <= limit {
+            return true;
+        }
+        self.body_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        false
+    }
+
+    /// Logs changes of endpoints and closes the connections of those that are gone.
+    pub(crate) fn note_changes(&self, changes: Vec<EndpointChange>, revision: u64) {
+        for change in changes {
+            let (id, change) = match change {
+                EndpointChange::Seen(id) => (id, "seen"),
+                EndpointChange::Draining(id) => (id, "draining"),
+                EndpointChange::Lapsed(id) => (id, "lapsed"),
+                EndpointChange::Gone(id) => {
+                    self.pool.forget(&id);
+                    (id, "gone")
+                }
+            };
+            let service = {
+                let endpoints = self.endpoints.lock();
+                let row = endpoints.get(&id);
+                row.map_or(String::new(), |row| row.endpoint.service.to_string())
+            };
+            self.log.write(&Event::EndpointChanged {
+                endpoint: id.to_string(),
+                change,
+                service,
+                revision,
+            });
+        }
+    }
+
+    /// Returns the time now.
+    pub(crate) fn now(&self) -> TimeUs {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -0,0 +1,214 @@
+//! Passing a stream on, event by event.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use http::Response;
+use http_body_util::BodyExt;
+use tokio::time::timeout_at;
+use wisteriahitch_types::Code;
+
+use super::answer_body::{AnswerBody, BrokenOff};
+use super::attempt::{Failure, FailureKind, Opened, open};
+use super::flight::Landing;
+use super::pipeline::{Routed, keep_connection};
+use super::shared::Shared;
+use super::trace::CallTrace;
+use crate::decide::placement::Placement;
+use crate::decide::stream_events::EventFramer;
+use crate::observe::Event;
+use crate::site::CallKind;
+
+/// A stream whose first bytes have come.
+pub(crate) struct StreamStart {
+    pub(crate) routed: Routed,
+    pub(crate) placement: Placement,
+    pub(crate) opened: Opened,
+    pub(crate) first: Option<Bytes>,
+}
+
+struct Streaming {
+    shared: Arc<Shared>,
+    routed: Routed,
+    placement: Placement,
+    /// Nothing once the stream has ended.
+    opened: Option<Opened>,
+    first: Option<Bytes>,
+    framer: Option<EventFramer>,
+    trace: CallTrace,
+    status: u16,
+}
+
+/// Builds the answer that passes a stream on.
+///
+/// The stream is polled by the caller's connection itself: when the caller leaves, everything is
+/// dropped with it, and the endpoint's connection closes at once.
+pub(crate) fn stream(
+    shared: &Arc<Shared>,
+    start: StreamStart,
+    trace: CallTrace,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(());
+    *response.status_mut() = start.opened.parts.status;
+    *response.headers_mut() = shared
+        .borders
+        .calls
+        .passed_back(&start.opened.parts.headers);
+    let status = start.opened.parts.status.as_u16();
+    let has_events = start.routed.route.kind == CallKind::Stream;
+    let resume_after = start.routed.call.head.resume_after;
+    let streaming = Streaming {
+        shared: Arc::clone(shared),
+        routed: start.routed,
+        placement: start.placement,
+        opened: Some(start.opened),
+        first: start.first,
+        framer: has_events.then(|| EventFramer::after(resume_after)),
+        trace,
+        status,
+    };
+    let pieces = stream::unfold(streaming, |mut streaming| async move {
+        let piece = streaming.next().await?;
+        Some((piece, streaming))
+    });
+    response.map(|()| AnswerBody::Stream(Box::pin(pieces)))
+}
+
+impl Streaming {
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        loop {
+            self.opened.as_ref()?;
+            match self.whole_events().await {
+                Ok(Some(events)) => return Some(Ok(events)),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(failure) => {
+                    if let Err(code) = self.resume(failure).await {
+                        self.trace.broken_off(code);
+                        self.opened = None;
+                        return Some(Err(BrokenOff));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the next whole events, or nothing at the stream's end.
+    async fn whole_events(&mut self) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let Some(bytes) = self.bytes().await? else {
+                let is_cut = self.framer.as_ref().is_some_and(|f| !f.is_between_events());
+                return match is_cut {
+                    true => Err(Failure::new(
+                        FailureKind::Lost,
+                        "the stream ended in an event",
+                    )),
+                    false => Ok(None),
+                };
+            };
+            let Some(framer) = &mut self.framer else {
+                return Ok(Some(bytes));
+            };
+            let framed = framer.push(bytes);
+            match framed.map_err(|error| Failure::new(FailureKind::Nonsense, error.to_string()))? {
+                Some(framed) => return Ok(Some(framed.events)),
+                None => continue,
+            }
+        }
+    }
+
+    async fn bytes(&mut self) -> Result<Option<Bytes>, Failure> {
+        if let Some(first) = self.first.take() {
+            return Ok(Some(first));
+        }
+        let due = self.routed.call.due;
+        let Some(opened) = &mut self.opened else {
+            return Ok(None);
+        };
+        loop {
+            match timeout_at(due, opened.body.frame()).await {
+                Ok(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(bytes) => return Ok(Some(bytes)),
+                    Err(_) => continue,
+                },
+                Ok(Some(Err(error))) => {
+                    return Err(Failure::new(FailureKind::Lost, error.to_string()));
+                }
+                Ok(None) => return Ok(None),
+                Err(_) => return Err(Failure::new(FailureKind::Timeout, "the stream isn't whole")),
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(opened) = self.opened.take() else {
+            return;
+        };
+        opened.flight.land(Landing::Good);
+        keep_connection(
+            &self.shared,
+            &self.placement,
+            &opened.parts,
+            opened.connection,
+        );
+        self.trace.answered(self.status);
+    }
+
+    /// Goes on at another endpoint after the last whole event, where the route allows it.
+    ///
+    /// The rest must come from the same weights: joined from two versions, the answer would be
+    /// neither's.
+    async fn resume(&mut self, failure: Failure) -> Result<(), Code> {
+        let opened = self.opened.take().ok_or(Code::StreamIncomplete)?;
+        opened.flight.land(Landing::Failed);
+        drop(opened);
+        let next = self.next_step(failure.kind);
+        let placement = self.placement.clone();
+        self.routed
+            .log_failure(&self.shared, &placement, &failure, next);
+        if next != "again" {
+            return Err(Code::StreamIncomplete);
+        }
+        self.routed.tried.push(placement.endpoint);
+        let placed = self.routed.place(&self.shared, placement.weights);
+        let placement = placed.map_err(|refusal| refusal.code)?;
+        let last_id = self.framer.as_ref().and_then(EventFramer::last_id);
+        let due = self.routed.call.due;
+        self.routed.sent += 1;
+        let opened = open(&self.shared, &self.routed.call, &placement, last_id, due).await;
+        let mut opened = opened.map_err(|failure| failure.kind.code())?;
+        if !opened.parts.status.is_success() {
+            return Err(Code::StreamIncomplete);
+        }
+        let prompt = self.routed.call.head.prompt.as_ref();
+        opened.flight.has_read(&placement, prompt);
+        self.shared.log.write(&Event::StreamResumed {
+            request: self.routed.call.head.request_id.to_string(),
+            endpoint: placement.endpoint.to_string(),
+            after_event: last_id,
+        });
+        self.framer = Some(EventFramer::after(last_id));
+        self.placement = placement;
+        self.opened = Some(opened);
+        Ok(())
+    }
+
+    fn next_step(&self, kind: FailureKind) -> &'static str {
+        if !self.routed.route.is_resumable || self.framer.is_none() {
+            return "may_have_run";
+        }
+        if kind == FailureKind::Timeout {
+            return "no_time_left";
+        }
+        if self.routed.sent >= self.routed.route.max_attempts {
+            return "attempts_used_up";
+        }
+        match self.shared.budgets.try_take(&self.routed.service) {
+            true => "again",
+            false => "budget_used_up",
+        }
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -0,0 +1,395 @@
+//! Following the store's objects.
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_wire::object_store::{
+    Change, Listing, ObjectRole, Revision, StoredObject, Watched,
+};
+use wisteriahitch_wire::platform::PlatformError;
+
+use super::shared::Shared;
+use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US};
+use crate::observe::Event;
+
+/// Kinds of objects that every daemon follows.
+pub(crate) const WATCHED: [ObjectRole; 3] = [
+    ObjectRole::Endpoints,
+    ObjectRole::Configuration,
+    ObjectRole::Weights,
+];
+
+/// Longest time for which the store may keep a watch waiting. Each return is a call that is paid
+/// for; each second of waiting is one in which a silent store isn't noticed.
+const WATCH_WAIT: Duration = Duration::from_millis(6_000);
+
+/// Pauses after a call of the store failed, from the first one on.
+const RETRY_PAUSES: [Duration; 4] = [
+    Duration::from_millis(100),
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(800),
+];
+
+/// What is known of one kind of objects.
+#[derive(Debug, Default)]
+pub(crate) struct WatchState {
+    /// Revision to watch from.
+    revision: Revision,
+    /// Revision at which something last changed.
+    changed: Revision,
+    is_listed: bool,
+    failing_since_us: Option<TimeUs>,
+    recovered_at_us: Option<TimeUs>,
+    answered_at_us: Option<TimeUs>,
+    objects: BTreeMap<String, StoredObject>,
+    /// Since when a peer has been known to know more.
+    behind: Option<(TimeUs, Ipv4Addr)>,
+}
+
+/// The state of all followed kinds, in the order of [`WATCHED`].
+#[derive(Debug, Default)]
+pub(crate) struct WatchStates([Mutex<WatchState>; WATCHED.len()]);
+
+impl WatchStates {
+    fn of(&self, role: ObjectRole) -> &Mutex<WatchState> {
+        let index = WATCHED.iter().position(|watched| *watched == role);
+        &self.0[index.unwrap_or(0)]
+    }
+
+    /// Returns whether every kind was listed at least once.
+    pub(crate) fn has_listed_all(&self) -> bool {
+        self.0.iter().all(|state| state.lock().is_listed)
+    }
+
+    /// Returns whether the configuration is as new as the store's, as far as can be seen.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let state = self.of(ObjectRole::Configuration).lock();
+        state.failing_since_us.is_none() && state.behind.is_none()
+    }
+
+    /// Returns whether the store answers.
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        self.0
+            .iter()
+            .all(|state| state.lock().failing_since_us.is_none())
+    }
+
+    /// Returns the time since the store last answered.
+    pub(crate) fn age(&self, now: TimeUs) -> DurationUs {
+        let ages = self
+            .0
+            .iter()
+            .filter_map(|state| state.lock().answered_at_us);
+        ages.max().map_or(DurationUs::ZERO, |at| now.since(at))
+    }
+
+    /// Returns the revisions of the last changes, for the other daemons.
+    pub(crate) fn changed(&self) -> Vec<u64> {
+        self.0.iter().map(|state| state.lock().changed.0).collect()
+    }
+
+    /// Notes what a peer knows.
+    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) {
+        for (state, known) in self.0.iter().zip(revisions) {
+            let mut state = state.lock();
+            if *known > state.changed.0 && state.behind.is_none() {
+                state.behind = Some((now, ip));
+            }
+        }
+    }
+
+    /// Returns the kinds of which a peer has known more for `patience`, and that peer.
+    pub(crate) fn behind(&self, patience: DurationUs, now: TimeUs) -> Vec<(ObjectRole, Ipv4Addr)> {
+        let mut behind = Vec::new();
+        for (role, state) in WATCHED.iter().zip(&self.0) {
+            let mut state = state.lock();
+            if let Some((since, ip)) = state.behind {
+                if now.since(since) >= patience {
+                    state.behind = None;
+                    behind.push((*role, ip));
+                }
+            }
+        }
+        behind
+    }
+
+    /// Returns all objects of a kind, for a peer.
+    pub(crate) fn listing(&self, role: ObjectRole) -> Listing {
+        let state = self.of(role).lock();
+        Listing {
+            revision: state.changed,
+            objects: state.objects.values().cloned().collect(),
+        }
+    }
+}
+
+/// Follows one kind of objects for as long as the process lives.
+pub(crate) async fn run_watch(shared: Arc<Shared>, role: ObjectRole) {
+    let mut failures = 0;
+    let mut is_history_gone = true;
+    loop {
+        let step = match is_history_gone {
+            true => list(&shared, role).await,
+            false => watch_once(&shared, role).await,
+        };
+        match step {
+            Ok(gone) => {
+                failures = 0;
+                is_history_gone = gone;
+            }
+            Err(error) => {
+                let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
+                failures += 1;
+                note_failure(&shared, role, &error);
+                tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
+            }
+        }
+    }
+}
+
+async fn list(shared: &Shared, role: ObjectRole) -> Result<bool, PlatformError> {
+    let listing = shared.borders.store.list(role, false).await;
+    count(shared, role, listing.is_ok());
+    let listing = listing?;
+    note_answer(shared, role);
+    apply_listing(shared, role, listing, "store");
+    Ok(false)
+}
+
+/// Waits for changes once, and returns whether the history is gone.
+async fn watch_once(shared: &Shared, role: ObjectRole) -> Result<bool, PlatformError> {
+    let after = shared.watches.of(role).lock().revision;
+    let watched = shared.borders.store.watch(role, after, WATCH_WAIT).await;
+    count(shared, role, watched.is_ok());
+    let watched = watched?;
+    note_answer(shared, role);
+    match watched {
+        Watched::Changes(changes, revision) => {
+            apply_changes(shared, role, changes, revision);
+            Ok(false)
+        }
+        Watched::HistoryGone => Ok(true),
+    }
+}
+
+fn count(shared: &Shared, role: ObjectRole, is_ok: bool) {
+    let result = if is_ok { "ok" } else { "failed" };
+    let labels = [kind_name(role), result];
+    shared.metrics.store_calls.with_label_values(&labels).inc();
+}
+
+fn note_answer(shared: &Shared, role: ObjectRole) {
+    let now = shared.now();
+    let mut state = shared.watches.of(role).lock();
+    state.answered_at_us = Some(now);
+    if state.failing_since_us.take().is_none() {
+        return;
+    }
+    state.recovered_at_us = Some(now);
+    drop(state);
+    shared.log.write(&Event::StoreReachable {
+        kind: kind_name(role),
+        is_reachable: true,
+        detail: String::new(),
+    });
+}
+
+fn note_failure(shared: &Shared, role: ObjectRole, error: &PlatformError) {
+    let now = shared.now();
+    let mut state = shared.watches.of(role).lock();
+    if state.failing_since_us.is_some() {
+        return;
+    }
+    state.failing_since_us = Some(now);
+    drop(state);
+    shared.log.write(&Event::StoreReachable {
+        kind: kind_name(role),
+        is_reachable: false,
+        detail: error.to_string(),
+    });
+}
+
+/// Says what an absence means now: right after an outage registrations may only have lapsed.
+fn absence(state: &WatchState, now: TimeUs) -> Absence {
+    let is_recent = |at: TimeUs| now.since(at) < REGISTER_AGAIN_US;
+    let is_after_outage = state.recovered_at_us.is_some_and(is_recent);
+    match state.failing_since_us.is_some() || is_after_outage {
+        true => Absence::MayHaveLapsed,
+        false => Absence::Left,
+    }
+}
+
+/// Takes over a whole listing, from the store or from a peer that knows more.
+pub(crate) fn apply_listing(shared: &Shared, role: ObjectRole, listing: Listing, source: &str) {
+    let now = shared.now();
+    let absence = {
+        let mut state = shared.watches.of(role).lock();
+        if listing.revision < state.changed {
+            return;
+        }
+        let named = |object: &StoredObject| (object.name.clone(), object.clone());
+        let objects: BTreeMap<String, StoredObject> = listing.objects.iter().map(named).collect();
+        if objects != state.objects {
+            state.changed = listing.revision;
+            state.objects = objects;
+        }
+        state.revision = state.revision.max(listing.revision);
+        state.is_listed = true;
+        state.behind = None;
+        absence(&state, now)
+    };
+    match role {
+        ObjectRole::Endpoints => {
+            let decoded = listing.objects.iter().filter_map(|object| {
+                let endpoint = shared.borders.site.endpoint(object);
+                readable(shared, role, object, endpoint)
+            });
+            let endpoints = decoded.collect();
+            let changes = shared.endpoints.lock().listed(endpoints, absence, now);
+            shared.note_changes(changes, listing.revision.0);
+        }
+        _ => {
+            for object in &listing.objects {
+                put(shared, role, object, source);
+            }
+        }
+    }
+}
+
+fn apply_changes(shared: &Shared, role: ObjectRole, changes: Vec<Change>, revision: Revision) {
+    for change in changes {
+        let absence = {
+            let mut state = shared.watches.of(role).lock();
+            if !is_news(&state, &change) {
+                continue;
+            }
+            state.changed = state.changed.max(revision);
+            match &change {
+                Change::Put(object) => {
+                    state.objects.insert(object.name.clone(), object.clone());
+                }
+                Change::Deleted(name) => {
+                    state.objects.remove(name);
+                }
+            }
+            absence(&state, shared.now())
+        };
+        match change {
+            Change::Put(object) => put(shared, role, &object, "store"),
+            Change::Deleted(name) => deleted(shared, role, &name, absence, revision),
+        }
+    }
+    let mut state = shared.watches.of(role).lock();
+    state.revision = state.revision.max(revision);
+    if state.revision >= state.changed {
+        state.behind = None;
+    }
+}
+
+/// Returns whether a change says more than what is known, which a peer may have told before.
+fn is_news(state: &WatchState, change: &Change) -> bool {
+    match change {
+        Change::Put(object) => {
+            let known = state.objects.get(&object.name);
+            known.is_none_or(|known| object.revision > known.revision)
+        }
+        Change::Deleted(name) => state.objects.contains_key(name),
+    }
+}
+
+fn put(shared: &Shared, role: ObjectRole, object: &StoredObject, source: &str) {
+    let site = &shared.borders.site;
+    let now = shared.now();
+    match role {
+        ObjectRole::Endpoints => {
+            let endpoint = readable(shared, role, object, site.endpoint(object));
+            if let Some(endpoint) = endpoint {
+                let change = shared.endpoints.lock().registered(endpoint);
+                shared.note_changes(change.into_iter().collect(), object.revision.0);
+            }
+        }
+        ObjectRole::Configuration => {
+            let config = readable(shared, role, object, site.configuration(object));
+            if let Some(config) = config {
+                adopt(shared, config, object.revision, source);
+            }
+        }
+        ObjectRole::Weights => {
+            let wanted = readable(shared, role, object, site.weights(object));
+            let Some(wanted) = wanted else { return };
+            let (model, version) = (wanted.model.to_string(), wanted.version.get());
+            if shared.site.want(wanted, now) {
+                shared.log.write(&Event::WeightsWanted { model, version });
+            }
+        }
+        ObjectRole::Members | ObjectRole::Leases => {}
+    }
+}
+
+fn deleted(shared: &Shared, role: ObjectRole, name: &str, absence: Absence, revision: Revision) {
+    let ObjectRole::Endpoints = role else { return };
+    let Ok(id) = name.parse() else { return };
+    let change = shared
+        .endpoints
+        .lock()
+        .unregistered(&id, absence, shared.now());
+    shared.note_changes(change.into_iter().collect(), revision.0);
+}
+
+fn adopt(shared: &Shared, config: crate::site::SiteConfig, revision: Revision, source: &str) {
+    let version = config.version;
+    let routes = config.routes.iter().count();
+    let engines = config.services.values().filter_map(|service| {
+        let engine = service.engine.as_ref()?;
+        Some((service.name.clone(), engine.memory_tokens.get()))
+    });
+    let memory_tokens = engines.collect();
+    if !shared.site.adopt(config) {
+        return;
+    }
+    shared.endpoints.lock().set_memory(memory_tokens);
+    let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
+    shared.metrics.config_version.set(gauge);
+    shared.log.write(&Event::ConfigAdopted {
+        version: version.get(),
+        revision: revision.0,
+        source: source.to_owned(),
+        routes,
+    });
+}
+
+/// Passes on what could be read; of the rest the last good one stays in force.
+fn readable<T>(
+    shared: &Shared,
+    role: ObjectRole,
+    object: &StoredObject,
+    decoded: Result<T, crate::border::DecodeError>,
+) -> Option<T> {
+    match decoded {
+        Ok(value) => Some(value),
+        Err(error) => {
+            shared.log.write(&Event::ObjectUnreadable {
+                kind: kind_name(role),
+                name: object.name.clone(),
+                detail: error.reason,
+            });
+            None
+        }
+    }
+}
+
+/// Returns the word for logs, metrics and paths between daemons.
+pub(crate) const fn kind_name(role: ObjectRole) -> &'static str {
+    match role {
+        ObjectRole::Endpoints => "endpoints",
+        ObjectRole::Configuration => "configuration",
+        ObjectRole::Weights => "weights",
+        ObjectRole::Members => "members",
+        ObjectRole::Leases => "leases",
+    }
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/site/prompt.rs
@@ -0,0 +1,25 @@
+//! What a caller declares of its prompt.
+
+use wisteriahitch_types::{ModelName, TokenCount};
+
+/// One part of a prompt, which other prompts may share.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PromptPart {
+    /// Id; equal parts of two prompts have the same one.
+    pub id: u64,
+    /// Size.
+    pub tokens: TokenCount,
+}
+
+/// The shape of a prompt, as far as decisions need it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PromptShape {
+    /// Model that it is for.
+    pub model: ModelName,
+    /// Size of the whole prompt.
+    pub prompt_tokens: TokenCount,
+    /// Most tokens of the answer.
+    pub output_tokens: TokenCount,
+    /// Parts in order; the last one belongs to this request or its session alone.
+    pub parts: Vec<PromptPart>,
+}
--- a/crates/wisteriahitch-types/src/id.rs
+++ b/crates/wisteriahitch-types/src/id.rs
@@ -155,6 +155,8 @@
     DaemonId,
     /// Identifies an availability zone.
     AvailabilityZone,
+    /// Identifies a route of a configuration that the platform holds.
+    RouteName,
     /// Identifies a rule of the configuration.
     RuleName,
     /// Identifies one submission of configuration, chosen by the submitting operator's tool.
@@ -174,4 +176,6 @@
     AttemptNumber,
     /// Names one life of a daemon process by a random number drawn at its start.
     Incarnation,
+    /// Numbers the versions of a model's weights, where a site counts them upwards.
+    WeightNumber,
 }
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -16,8 +16,8 @@
 pub use code::Code;
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
-    Generation, Incarnation, ModelName, ParseIdError, RequestId, RuleName, ServiceName, StoreId,
-    StoreIncarnation, SubmissionId, WeightVersion, WorkspaceId,
+    Generation, Incarnation, ModelName, ParseIdError, RequestId, RouteName, RuleName, ServiceName,
+    StoreId, StoreIncarnation, SubmissionId, WeightNumber, WeightVersion, WorkspaceId,
 };
 pub use key::{BlockKey, KeyHash, ParseKeyError};
 pub use meaning::Meaning;
--- a/crates/wisteriahitch-wire/src/http_client/error.rs
+++ b/crates/wisteriahitch-wire/src/http_client/error.rs
@@ -56,7 +56,7 @@
     }
 
     /// Sorts a failure that was met after a byte may have left.
-    pub(super) fn after_send(error: &(dyn StdError + 'static)) -> Self {
+    pub(crate) fn after_send(error: &(dyn StdError + 'static)) -> Self {
         let is_parse = get_hyper_error(error).is_some_and(hyper::Error::is_parse);
         let kind = if is_parse {
             HttpErrorKind::Malformed
--- a/crates/wisteriahitch-wire/src/service/headers.rs
+++ b/crates/wisteriahitch-wire/src/service/headers.rs
@@ -1,10 +1,9 @@
 //! Headers that are passed on, and those that aren't.
 
-use http::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, COOKIE, EXPECT, HOST, HeaderName,
-    PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
-};
-use http::{HeaderMap, HeaderValue};
+use http::HeaderMap;
+use http::header::{AUTHORIZATION, COOKIE, HOST, HeaderName, PROXY_AUTHORIZATION};
+
+use crate::headers::without_hop_by_hop;
 
 /// Names the request in both directions.
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
@@ -15,20 +14,6 @@
 /// Carries the service's own word that it did not run the request.
 pub(crate) const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 
-/// Headers that speak of one connection or of the body's way over it.
-const HOP_BY_HOP: [HeaderName; 10] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    EXPECT,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    PROXY_AUTHENTICATE,
-    TE,
-    TRAILER,
-    TRANSFER_ENCODING,
-    UPGRADE,
-];
-
 /// Headers that are the system's own business with the caller.
 ///
 /// A credential that reached a service could be used there in the caller's name.
@@ -71,22 +56,3 @@
     }
     headers
 }
-
-fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = headers.clone();
-    for name in HOP_BY_HOP.into_iter().chain(named_by_connection(headers)) {
-        passed.remove(name);
-    }
-    passed
-}
-
-/// Returns the headers that a `Connection` header declares as its own.
-fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
-    headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value: &HeaderValue| value.to_str().ok())
-        .flat_map(|text| text.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
