feat(relay): keep shared parts of prompts in stores, and fetch them from there

Change: parts that are read are saved at a store chosen by their hash; parts that a store says it has whole are fetched, on news no older than 1.5 s and with a deadline for the fetch. Parts of replaced weights are freed. Reading again weighs in placement.

--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -43,8 +43,12 @@
     pub weights: Option<WeightNumber>,
     /// Text under which the endpoint finds and keeps cached parts.
     pub cache_scope: Option<String>,
-    /// Endpoint that has cached parts of the prompt to fetch.
-    pub fetch_from: Option<SocketAddr>,
+    /// For each part of the prompt where it can be fetched; empty where none can.
+    pub fetch_from: Vec<Option<SocketAddr>>,
+    /// For each part of the prompt the store that is to keep it; empty where none is.
+    pub save_to: Vec<Option<SocketAddr>>,
+    /// When a fetch that hasn't ended is thrown away, on the clock of stores and engines.
+    pub fetch_until_ms: Option<u64>,
     /// Last event that the caller has, if the rest of a stream is asked for.
     pub resume_after: Option<u64>,
 }
--- a/crates/wisteriahitch-relay/src/border/mod.rs
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -2,10 +2,12 @@
 
 mod call_codec;
 mod engine_control;
+mod part_store_control;
 mod refusal;
 mod site_codec;
 
 pub use call_codec::{AnswerHead, CallCodec, CallHead, EntryQuery, OutgoingCall};
 pub use engine_control::{EngineControl, EngineReport, OrderOutcome, WeightOrder};
+pub use part_store_control::{KeptPart, PartChanges, PartEvent, PartListing, PartStoreControl};
 pub use refusal::Refusal;
 pub use site_codec::{DecodeError, SiteCodec};
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -1,6 +1,7 @@
 //! Which parts of prompts an endpoint is believed to have in its memory.
 
 use lru::LruCache;
+use wisteriahitch_types::ModelName;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::site::PromptShape;
@@ -13,21 +14,35 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct PartKey(pub u64);
 
+/// Makes the keys of parts of one model under one scope.
+#[derive(Clone)]
+pub(crate) struct PartNamer(Xxh3);
+
+impl PartNamer {
+    /// Makes keys for parts of `model` that are kept under `scope`.
+    pub(crate) fn new(model: &ModelName, scope: &str) -> Self {
+        let mut base = Xxh3::new();
+        base.update(model.as_str().as_bytes());
+        base.update(&[0]);
+        base.update(scope.as_bytes());
+        base.update(&[0]);
+        Self(base)
+    }
+
+    /// Returns the key of a part.
+    pub(crate) fn key(&self, part_id: u64) -> PartKey {
+        let mut hasher = self.0.clone();
+        hasher.update(&part_id.to_le_bytes());
+        PartKey(hasher.digest())
+    }
+}
+
 /// Returns the keys of a prompt's parts under `scope`, with their sizes.
 pub(crate) fn part_keys(scope: &str, prompt: &PromptShape) -> Vec<(PartKey, u64)> {
-    let mut base = Xxh3::new();
-    base.update(prompt.model.as_str().as_bytes());
-    base.update(&[0]);
-    base.update(scope.as_bytes());
-    base.update(&[0]);
-    let key = |id: u64| {
-        let mut hasher = base.clone();
-        hasher.update(&id.to_le_bytes());
-        PartKey(hasher.digest())
-    };
+    let namer = PartNamer::new(&prompt.model, scope);
     let parts = prompt.parts.iter();
     parts
-        .map(|part| (key(part.id), part.tokens.get()))
+        .map(|part| (namer.key(part.id), part.tokens.get()))
         .collect()
 }
 
@@ -51,10 +66,11 @@
         }
     }
 
-    /// Returns how many tokens at the start of a prompt are there, in parts without a gap.
-    pub fn prefix_tokens(&self, keys: &[(PartKey, u64)]) -> u64 {
-        let held = keys.iter().take_while(|(key, _)| self.parts.contains(key));
-        held.map(|(_, tokens)| tokens).sum()
+    /// Returns how many parts at the start of a prompt are there without a gap.
+    pub fn held_prefix(&self, keys: &[(PartKey, u64)]) -> usize {
+        keys.iter()
+            .take_while(|(key, _)| self.parts.contains(key))
+            .count()
     }
 
     /// Notes that a part was used; the least recently used ones yield to it.
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -11,13 +11,17 @@
 };
 
 use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
-use super::parts::part_keys;
+use super::part_stores::PartStores;
+use super::parts::{PartKey, part_keys};
 use crate::border::Refusal;
 use crate::site::{EngineTraits, PromptShape};
 
 /// Prompt tokens that an engine reads in a millisecond while it also answers others. Engines of
 /// the deployments read 61 when they do nothing else.
 const READ_TOKENS_PER_MS: f64 = 50.0;
+/// What reading a shared part again costs beyond its time, in milliseconds a token: the work was
+/// done before, and every engine that reads it again is busy with it for others too.
+const REREAD_MS_PER_TOKEN: f64 = 0.03;
 /// What each running request adds to the first event of another one, in milliseconds: it lengthens
 /// every step of the batch a little.
 const RUNNING_MS: f64 = 0.4;
@@ -79,12 +83,16 @@
     pub endpoint: EndpointId,
     /// Its address.
     pub address: std::net::SocketAddr,
+    /// Availability zone that it is in.
+    pub zone: AvailabilityZone,
     /// Weights that it has.
     pub weights: Option<WeightNumber>,
     /// Text under which it keeps parts.
     pub cache_scope: Option<String>,
     /// Prompt tokens that it is believed to keep.
     pub cached_tokens: u64,
+    /// Prompt tokens that it fetches from stores.
+    pub fetched_tokens: u64,
     /// Prompt tokens that it has to read.
     pub unread_tokens: u64,
     /// Estimated time until the first event.
@@ -98,6 +106,7 @@
     weights: Option<WeightNumber>,
     scope: Option<String>,
     cached_tokens: u64,
+    fetched_tokens: u64,
     wait_ms: f64,
     cost_ms: f64,
 }
@@ -110,6 +119,7 @@
 /// a call is told so at once instead of waiting until its deadline has passed.
 pub fn place(
     table: &EndpointTable,
+    stores: &PartStores,
     request: &PlacementRequest<'_>,
     now: TimeUs,
     rng: &mut impl Rng,
@@ -118,7 +128,7 @@
     let affinity = affinity(request);
     let offers: Vec<Offer<'_>> = rows
         .iter()
-        .map(|row| offer(row, request, affinity.as_ref(), now))
+        .map(|row| offer(row, stores, request, affinity.as_ref(), now))
         .collect();
     let least = offers
         .iter()
@@ -144,10 +154,12 @@
     Ok(Placement {
         endpoint: chosen.row.endpoint.id.clone(),
         address: chosen.row.endpoint.address,
+        zone: chosen.row.endpoint.zone.clone(),
         weights: chosen.weights,
         cache_scope: chosen.scope.clone(),
         cached_tokens: chosen.cached_tokens,
-        unread_tokens: prompt_tokens.saturating_sub(chosen.cached_tokens),
+        fetched_tokens: chosen.fetched_tokens,
+        unread_tokens: prompt_tokens.saturating_sub(chosen.cached_tokens + chosen.fetched_tokens),
         expected_us,
         candidates: offers.len(),
     })
@@ -219,12 +231,13 @@
 
 fn offer<'a>(
     row: &'a EndpointRow,
+    stores: &PartStores,
     request: &PlacementRequest<'_>,
     affinity: Option<&Rendezvous>,
     now: TimeUs,
 ) -> Offer<'a> {
     let mut offer = match (request.prompt, request.engine) {
-        (Some(prompt), Some(engine)) => engine_offer(row, request, prompt, engine, now),
+        (Some(prompt), Some(engine)) => engine_offer(row, stores, request, prompt, engine, now),
         _ => plain_offer(row, now),
     };
     if row.endpoint.zone != *request.zone {
@@ -241,6 +254,7 @@
 
 fn engine_offer<'a>(
     row: &'a EndpointRow,
+    stores: &PartStores,
     request: &PlacementRequest<'_>,
     prompt: &PromptShape,
     engine: &EngineTraits,
@@ -248,12 +262,18 @@
 ) -> Offer<'a> {
     let weights = row.weights(&prompt.model);
     let scope = weights.map(|weights| cache_scope(weights, request.wall));
-    let keys = scope.as_deref().map(|scope| part_keys(scope, prompt));
-    let cached_tokens = keys.map_or(0, |keys| row.parts.prefix_tokens(&keys));
+    let keys = scope
+        .as_deref()
+        .map(|scope| part_keys(scope, prompt))
+        .unwrap_or_default();
+    let held = row.parts.held_prefix(&keys);
+    let cached_tokens = keys[..held].iter().map(|(_, tokens)| tokens).sum();
+    let (fetched_tokens, fetch_ms) = fetchable(row, stores, &keys[held..], engine, now);
     let prompt_tokens = prompt.prompt_tokens.get();
-    let unread = prompt_tokens.saturating_sub(cached_tokens);
+    let unread = prompt_tokens.saturating_sub(cached_tokens + fetched_tokens);
+    let shared_unread = unread.saturating_sub(keys.last().map_or(0, |(_, tokens)| *tokens));
     let load = row.load();
-    let mut wait_ms = (load.unread_tokens + unread) as f64 / READ_TOKENS_PER_MS;
+    let mut wait_ms = fetch_ms + (load.unread_tokens + unread) as f64 / READ_TOKENS_PER_MS;
     wait_ms += f64::from(load.running) * RUNNING_MS;
     let memory = engine.memory_tokens.as_f64().max(1.0);
     let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
@@ -268,11 +288,32 @@
         weights,
         scope,
         cached_tokens,
+        fetched_tokens,
         wait_ms,
-        cost_ms: wait_ms + old_ms,
+        cost_ms: wait_ms + old_ms + shared_unread as f64 * REREAD_MS_PER_TOKEN,
     }
 }
 
+/// Returns how many tokens of the next parts stores can give in a row, and how long that takes.
+fn fetchable(
+    row: &EndpointRow,
+    stores: &PartStores,
+    keys: &[(PartKey, u64)],
+    engine: &EngineTraits,
+    now: TimeUs,
+) -> (u64, f64) {
+    let mut fetched_tokens = 0;
+    let mut fetch_ms = 0.0;
+    for (key, tokens) in keys {
+        let Some(fetch) = stores.fetch(*key, *tokens, engine, &row.endpoint.zone, now) else {
+            break;
+        };
+        fetched_tokens += tokens;
+        fetch_ms += fetch.took_ms;
+    }
+    (fetched_tokens, fetch_ms)
+}
+
 /// Half a second is what requests of the deployments last in a full batch.
 fn slot_wait_ms(running: u32, slots: u32) -> f64 {
     const FULL_BATCH_MS: f64 = 500.0;
@@ -293,11 +334,18 @@
         weights: None,
         scope: None,
         cached_tokens: 0,
+        fetched_tokens: 0,
         wait_ms,
         cost_ms: wait_ms,
     }
 }
 
+/// Returns the weights that a scope was made for; nothing where it isn't one of ours.
+pub(crate) fn weights_of_scope(scope: &str) -> Option<WeightNumber> {
+    let weights = scope.strip_prefix('w')?.split('.').next()?;
+    weights.parse().ok()
+}
+
 /// Returns the text under which engines keep and find parts.
 ///
 /// It holds the weights, since engines don't check under which ones a part was made: one that was
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -14,7 +14,8 @@
 
 pub use border::{
     AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, EntryQuery,
-    OrderOutcome, OutgoingCall, Refusal, SiteCodec, WeightOrder,
+    KeptPart, OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl,
+    Refusal, SiteCodec, WeightOrder,
 };
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -100,6 +100,18 @@
         fence: u64,
         outcome: String,
     },
+    /// A store of prompt parts answers again, or no longer does.
+    PartStoreReachable {
+        store: String,
+        is_reachable: bool,
+        detail: String,
+    },
+    /// Parts of replaced weights were freed at a store.
+    PartsFreed {
+        store: String,
+        parts: usize,
+        outcome: String,
+    },
     /// Lines were counted instead of written.
     LinesOmitted { counts: Vec<(String, u64)> },
     /// Something that has no line of its own failed.
@@ -124,6 +136,7 @@
     pub weights: u64,
     pub candidates: usize,
     pub cached_tokens: u64,
+    pub fetched_tokens: u64,
     pub unread_tokens: u64,
     pub expected_ms: u64,
     pub first_event_ms: Option<u64>,
@@ -160,6 +173,8 @@
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
             Event::OrderGiven { .. } => "order_given",
+            Event::PartStoreReachable { .. } => "part_store_reachable",
+            Event::PartsFreed { .. } => "parts_freed",
             Event::LinesOmitted { .. } => "lines_omitted",
             Event::Failure { .. } => "failure",
         }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt at a call, up to the head of the endpoint's answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,7 +16,9 @@
 use super::flight::{Flight, Landing};
 use super::shared::Shared;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
+use crate::decide::parts::part_keys;
 use crate::decide::placement::Placement;
+use crate::site::EngineTraits;
 
 /// Longest wait for a connection to an endpoint. One takes some milliseconds; an opening packet
 /// that is lost is sent again after a second, and another endpoint is there sooner.
@@ -48,6 +51,8 @@
     pub(crate) due: Instant,
     /// Whether it may run more than once.
     pub(crate) may_repeat: bool,
+    /// What the engines of its service are, if it has engines.
+    pub(crate) engine: Option<EngineTraits>,
 }
 
 /// An answer whose head has come.
@@ -230,6 +235,7 @@
     resume_after: Option<u64>,
 ) -> Request<Bytes> {
     let left = call.due.saturating_duration_since(Instant::now());
+    let transfers = Transfers::plan(shared, call, placement);
     let outgoing = OutgoingCall {
         endpoint: placement.endpoint.clone(),
         deadline_us: DurationUs::from(left),
@@ -237,7 +243,9 @@
         priority: call.head.prompt.is_some().then_some(call.priority),
         weights: placement.weights,
         cache_scope: placement.cache_scope.clone(),
-        fetch_from: None,
+        fetch_from: transfers.fetch_from,
+        save_to: transfers.save_to,
+        fetch_until_ms: transfers.until_ms,
         resume_after,
     };
     let mut request = Request::new(call.body.clone());
@@ -247,6 +255,54 @@
     request
 }
 
+/// What the engine is to fetch and to save for a call.
+#[derive(Default)]
+struct Transfers {
+    fetch_from: Vec<Option<SocketAddr>>,
+    save_to: Vec<Option<SocketAddr>>,
+    until_ms: Option<u64>,
+}
+
+impl Transfers {
+    /// Names for each shared part where it can be fetched, or else where it is to be saved.
+    ///
+    /// That holds also for parts that the engine is believed to keep: it fetches only what it
+    /// doesn't, and what is believed here may be wrong. Parts are fetched only for the weights
+    /// that are wanted, since those of older ones may be freed at any moment.
+    fn plan(shared: &Shared, call: &Call, placement: &Placement) -> Self {
+        let (Some(prompt), Some(scope)) = (&call.head.prompt, &placement.cache_scope) else {
+            return Self::default();
+        };
+        let now = shared.now();
+        let wanted = shared.site.wanted(&prompt.model).map(|(wanted, _)| wanted);
+        if wanted.is_some_and(|wanted| placement.weights != Some(wanted)) {
+            return Self::default();
+        }
+        let Some(engine) = &call.engine else {
+            return Self::default();
+        };
+        let zone = &placement.zone;
+        let keys = part_keys(scope, prompt);
+        let shared_parts = keys.len().saturating_sub(1);
+        let mut stores = shared.part_stores.lock();
+        let mut transfers = Self::default();
+        for (index, (key, tokens)) in keys.iter().enumerate() {
+            let is_shared = index < shared_parts;
+            let fetch = is_shared
+                .then(|| stores.fetch(*key, *tokens, engine, zone, now))
+                .flatten();
+            let save = match is_shared && fetch.is_none() {
+                true => stores.save(*key, *tokens, now),
+                false => None,
+            };
+            transfers.fetch_from.push(fetch.map(|fetch| fetch.from));
+            transfers.save_to.push(save);
+        }
+        transfers.until_ms = stores.fetch_until_ms(now);
+        transfers
+    }
+}
+
 /// Decides whether an answer may be passed on.
 fn check_answer(call: &Call, parts: &response::Parts, answer: &AnswerHead) -> Result<(), Failure> {
     let echoed = answer.request_id.as_ref();
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -21,6 +21,7 @@
 use super::drain::Drain;
 use super::entries::EntrySide;
 use super::orders::{lease_table, run_orders, wanted_snapshot};
+use super::part_news::run_freeing;
 use super::peers::{PeerSide, PeerState, run_beacons};
 use super::pipeline::CallerSide;
 use super::registration::run_registration;
@@ -31,6 +32,7 @@
 use crate::clock::BootClock;
 use crate::decide::endpoint_table::EndpointTable;
 use crate::decide::members::MemberPhase;
+use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
 use crate::observe::{Event, EventLog, LogBudget, Metrics};
 use crate::settings::RelaySettings;
@@ -78,6 +80,7 @@
             borders,
             site: SiteState::default(),
             endpoints: Mutex::new(EndpointTable::default()),
+            part_stores: Mutex::new(PartStores::default()),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
             budgets: Budgets::new(settings.retry.clone()),
@@ -115,6 +118,7 @@
         }
         tokio::spawn(run_registration(Arc::clone(&shared)));
         tokio::spawn(run_orders(Arc::clone(&shared)));
+        tokio::spawn(run_freeing(Arc::clone(&shared)));
         tokio::spawn(run_housekeeping(Arc::clone(&shared)));
         tokio::spawn(run_reloads(Arc::clone(&shared), self.settings_path));
         wait_for_end(&shared).await
@@ -250,6 +254,7 @@
         "in_flight": shared.drain.in_flight(),
         "endpoints": rows,
         "peers": peers,
+        "part_stores": shared.part_stores.lock().snapshot(),
         "leases": leases,
     });
     dump.to_string()
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -8,6 +8,7 @@
 mod entries;
 mod flight;
 mod orders;
+mod part_news;
 mod peers;
 mod pipeline;
 mod registration;
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/part_news.rs
@@ -0,0 +1,143 @@
+//! Following what the stores of prompt parts keep, and freeing what nobody uses any more.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use wisteriahitch_core::fleet::Rendezvous;
+use wisteriahitch_types::{ModelName, WeightNumber};
+
+use super::shared::Shared;
+use crate::decide::endpoint_table::EndpointLife;
+use crate::decide::part_stores::FreeOrder;
+use crate::decide::placement::weights_of_scope;
+use crate::observe::Event;
+
+/// Longest wait of one question for changes; the stores' own bound.
+const CHANGES_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a store didn't answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time between two looks for parts to free.
+const FREE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Follows one store until the configuration no longer names it.
+pub(crate) async fn run_part_news(shared: Arc<Shared>, store: SocketAddr) {
+    let mut since = None;
+    let mut was_reachable = true;
+    while shared.part_stores.lock().is_configured(store) {
+        let step = match since {
+            None => list(&shared, store).await.map(Some),
+            Some(since) => changes(&shared, store, since).await,
+        };
+        let is_reachable = step.is_ok();
+        if is_reachable != was_reachable {
+            was_reachable = is_reachable;
+            shared.log.write(&Event::PartStoreReachable {
+                store: store.to_string(),
+                is_reachable,
+                detail: step.as_ref().err().cloned().unwrap_or_default(),
+            });
+        }
+        match step {
+            Ok(next) => since = next,
+            Err(_) => {
+                since = None;
+                shared.part_stores.lock().lost(store);
+                tokio::time::sleep(RETRY_PAUSE.mul_f64(rand::random_range(0.8..1.2))).await;
+            }
+        }
+    }
+}
+
+async fn list(shared: &Shared, store: SocketAddr) -> Result<u64, String> {
+    let listing = shared.borders.part_stores.list(store).await;
+    let listing = listing.map_err(|error| error.to_string())?;
+    let next = listing.next;
+    shared
+        .part_stores
+        .lock()
+        .listed(store, listing, shared.now());
+    Ok(next)
+}
+
+async fn changes(shared: &Shared, store: SocketAddr, since: u64) -> Result<Option<u64>, String> {
+    let changes = shared
+        .borders
+        .part_stores
+        .changes(store, since, CHANGES_WAIT)
+        .await;
+    let changes = changes.map_err(|error| error.to_string())?;
+    let next = changes.next;
+    let follows = shared
+        .part_stores
+        .lock()
+        .changed(store, changes, shared.now());
+    Ok(follows.then_some(next))
+}
+
+/// Frees parts of replaced weights, for as long as the process lives.
+///
+/// One daemon does it. Two that both believe it is theirs free the same parts, which is harmless.
+pub(crate) async fn run_freeing(shared: Arc<Shared>) {
+    loop {
+        tokio::time::sleep(FREE_INTERVAL).await;
+        let now = shared.now();
+        let lowest = lowest_weights(&shared);
+        let orders = {
+            let mut stores = shared.part_stores.lock();
+            stores.saw_lowest_weights(&lowest, now);
+            stores.to_free(weights_of_scope, now)
+        };
+        if !orders.is_empty() && is_mine(&shared) {
+            for order in orders {
+                free(&shared, order).await;
+            }
+        }
+    }
+}
+
+/// Returns the lowest weights that any engine has; one that is about to leave counts too.
+fn lowest_weights(shared: &Shared) -> BTreeMap<ModelName, WeightNumber> {
+    let mut lowest = BTreeMap::new();
+    let endpoints = shared.endpoints.lock();
+    for row in endpoints.iter() {
+        for (model, weights) in &row.endpoint.weights {
+            let known = lowest.entry(model.clone()).or_insert(*weights);
+            *known = (*known).min(*weights);
+        }
+    }
+    let lapsed = endpoints
+        .iter()
+        .any(|row| matches!(row.life, EndpointLife::Lapsed(_)));
+    // One that has only lapsed may come back with weights that aren't known here.
+    if lapsed { BTreeMap::new() } else { lowest }
+}
+
+fn is_mine(shared: &Shared) -> bool {
+    let now = shared.now();
+    let table = shared.peers.table();
+    let mut candidates: Vec<_> = table.ready(now).map(|peer| peer.incarnation).collect();
+    candidates.push(shared.incarnation);
+    let rank = Rendezvous::new("free", "");
+    let first = rank.top(candidates, 1, |i| i.get().to_le_bytes().to_vec());
+    first.first() == Some(&shared.incarnation) && !shared.drain.is_draining()
+}
+
+async fn free(shared: &Shared, order: FreeOrder) {
+    let control = &shared.borders.part_stores;
+    let freed = control.free(order.store, &order.parts, order.epoch).await;
+    shared.log.write(&Event::PartsFreed {
+        store: order.store.to_string(),
+        parts: order.parts.len(),
+        outcome: freed
+            .as_ref()
+            .err()
+            .map_or("freed".to_owned(), ToString::to_string),
+    });
+    if freed.is_ok() {
+        shared.part_stores.lock().freed(&order);
+    }
+}
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -169,6 +169,10 @@
             priority: workspace_rank.unwrap_or(route.priority),
             due,
             may_repeat: route.may_repeat(),
+            engine: config
+                .services
+                .get(&service)
+                .and_then(|service| service.engine.clone()),
             head,
         },
         config,
@@ -321,7 +325,6 @@
             return Err(Refusal::new(Code::DeadlineUnreachable));
         }
         let prompt = self.call.head.prompt.as_ref();
-        let service = self.config.services.get(&self.service);
         let is_stream = self.route.kind == CallKind::Stream;
         let patience_us = match is_stream {
             true => DurationUs::from(left).min(patience(&self.route)),
@@ -333,7 +336,7 @@
             .filter(|workspace| workspace.is_isolated);
         let request = PlacementRequest {
             service: &self.service,
-            engine: service.and_then(|service| service.engine.as_ref()),
+            engine: self.call.engine.as_ref(),
             prompt,
             wall: wall.map(|workspace| &workspace.id),
             zone: &shared.settings.zone,
@@ -342,7 +345,9 @@
             required_weights,
             wanted_weights: prompt.and_then(|prompt| shared.site.wanted(&prompt.model)),
         };
-        place(&shared.endpoints.lock(), &request, now, &mut rand::rng())
+        let endpoints = shared.endpoints.lock();
+        let stores = shared.part_stores.lock();
+        place(&endpoints, &stores, &request, now, &mut rand::rng())
     }
 
     async fn attempt(
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -14,10 +14,11 @@
 use super::peers::PeerState;
 use super::site_state::SiteState;
 use super::watch::WatchStates;
-use crate::border::{CallCodec, EngineControl, SiteCodec};
+use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
 use crate::decide::members::MemberPhase;
+use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
 use crate::observe::{Event, EventLog, Metrics};
 use crate::settings::RelaySettings;
@@ -32,6 +33,8 @@
     pub store: Arc<dyn ObjectStore>,
     /// Engines' orders and reports.
     pub engines: Box<dyn EngineControl>,
+    /// Stores of prompt parts.
+    pub part_stores: Box<dyn PartStoreControl>,
 }
 
 pub(crate) struct Shared {
@@ -42,6 +45,7 @@
     pub(crate) site: SiteState,
     /// Locked for one step at a time and never across an await, as every table here.
     pub(crate) endpoints: Mutex<EndpointTable>,
+    pub(crate) part_stores: Mutex<PartStores>,
     pub(crate) peers: PeerState,
     pub(crate) pool: ConnectionPool,
     pub(crate) budgets: Budgets,
--- a/crates/wisteriahitch-relay/src/shell/trace.rs
+++ b/crates/wisteriahitch-relay/src/shell/trace.rs
@@ -49,6 +49,7 @@
         self.ended.weights = placement.weights.map_or(0, |weights| weights.get());
         self.ended.candidates = placement.candidates;
         self.ended.cached_tokens = placement.cached_tokens;
+        self.ended.fetched_tokens = placement.fetched_tokens;
         self.ended.unread_tokens = placement.unread_tokens;
         self.ended.expected_ms = placement.expected_us.as_ms();
         let tokens = &self.shared.metrics.prompt_tokens;
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -12,6 +12,7 @@
 };
 use wisteriahitch_wire::platform::PlatformError;
 
+use super::part_news::run_part_news;
 use super::shared::Shared;
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US};
 use crate::observe::Event;
@@ -152,7 +153,7 @@
     }
 }
 
-async fn list(shared: &Shared, role: ObjectRole) -> Result<bool, PlatformError> {
+async fn list(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let listing = shared.borders.store.list(role, false).await;
     count(shared, role, listing.is_ok());
     let listing = listing?;
@@ -162,7 +163,7 @@
 }
 
 /// Waits for changes once, and returns whether the history is gone.
-async fn watch_once(shared: &Shared, role: ObjectRole) -> Result<bool, PlatformError> {
+async fn watch_once(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let after = shared.watches.of(role).lock().revision;
     let watched = shared.borders.store.watch(role, after, WATCH_WAIT).await;
     count(shared, role, watched.is_ok());
@@ -225,7 +226,12 @@
 }
 
 /// Takes over a whole listing, from the store or from a peer that knows more.
-pub(crate) fn apply_listing(shared: &Shared, role: ObjectRole, listing: Listing, source: &str) {
+pub(crate) fn apply_listing(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    listing: Listing,
+    source: &str,
+) {
     let now = shared.now();
     let absence = {
         let mut state = shared.watches.of(role).lock();
@@ -234,10 +240,9 @@
         }
         let named = |object: &StoredObject| (object.name.clone(), object.clone());
         let objects: BTreeMap<String, StoredObject> = listing.objects.iter().map(named).collect();
-        if objects != state.objects {
-            state.changed = listing.revision;
-            state.objects = objects;
-        }
+        state.objects = objects;
+        // Even without a difference: the one who told it would else seem to know more for ever.
+        state.changed = listing.revision;
         state.revision = state.revision.max(listing.revision);
         state.is_listed = true;
         state.behind = None;
@@ -261,7 +266,7 @@
     }
 }
 
-fn apply_changes(shared: &Shared, role: ObjectRole, changes: Vec<Change>, revision: Revision) {
+fn apply_changes(shared: &Arc<Shared>, role: ObjectRole, changes: Vec<Change>, revision: Revision) {
     for change in changes {
         let absence = {
             let mut state = shared.watches.of(role).lock();
@@ -302,7 +307,7 @@
     }
 }
 
-fn put(shared: &Shared, role: ObjectRole, object: &StoredObject, source: &str) {
+fn put(shared: &Arc<Shared>, role: ObjectRole, object: &StoredObject, source: &str) {
     let site = &shared.borders.site;
     let now = shared.now();
     match role {
@@ -331,7 +336,13 @@
     }
 }
 
-fn deleted(shared: &Shared, role: ObjectRole, name: &str, absence: Absence, revision: Revision) {
+fn deleted(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    name: &str,
+    absence: Absence,
+    revision: Revision,
+) {
     let ObjectRole::Endpoints = role else { return };
     let Ok(id) = name.parse() else { return };
     let change = shared
@@ -341,7 +352,7 @@
     shared.note_changes(change.into_iter().collect(), revision.0);
 }
 
-fn adopt(shared: &Shared, config: crate::site::SiteConfig, revision: Revision, source: &str) {
+fn adopt(shared: &Arc<Shared>, config: crate::site::SiteConfig, revision: Revision, source: &str) {
     let version = config.version;
     let routes = config.routes.iter().count();
     let engines = config.services.values().filter_map(|service| {
@@ -349,10 +360,19 @@
         Some((service.name.clone(), engine.memory_tokens.get()))
     });
     let memory_tokens = engines.collect();
+    let stores: Vec<_> = config
+        .services
+        .values()
+        .filter_map(|s| s.store.clone())
+        .collect();
     if !shared.site.adopt(config) {
         return;
     }
     shared.endpoints.lock().set_memory(memory_tokens);
+    let new_stores = shared.part_stores.lock().configured(stores.into_iter());
+    for store in new_stores {
+        tokio::spawn(run_part_news(Arc::clone(shared), store));
+    }
     let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
     shared.metrics.config_version.set(gauge);
     shared.log.write(&Event::ConfigAdopted {
