fix(relay): count weights as replaced from the first newer version, and roll out three at a time

Change: versions are remembered with the time of their naming; old ones are used for six seconds at most; three engines empty themselves at once, the oldest weights first.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -9,3 +9,4 @@
 pub(crate) mod placement;
 pub(crate) mod rollout;
 pub(crate) mod stream_events;
+pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -26,7 +26,7 @@
 pub(crate) const FETCH_TIMEOUT_MS: u64 = 2_000;
 
 /// Time after which weights that every engine has replaced are certainly no longer fetched for.
-const FREE_AFTER_US: DurationUs = DurationUs::from_ms(4_000);
+const FREE_AFTER_US: DurationUs = DurationUs::from_ms(2_000);
 
 /// Time for which a save that was asked for is taken to be on its way. One that was lost, as for
 /// want of room, is asked for again after that.
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -13,6 +13,7 @@
 use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
 use super::part_stores::PartStores;
 use super::parts::{PartKey, part_keys};
+use super::wanted_weights::WantedVersions;
 use crate::border::Refusal;
 use crate::site::{EngineTraits, PromptShape};
 
@@ -36,8 +37,8 @@
 /// How long weights that are no longer wanted are as good as the wanted ones.
 const OLD_WEIGHTS_AFTER_US: DurationUs = DurationUs::from_ms(900);
 /// How long after newer ones were named weights may be used at all. The platform allows eight
-/// seconds; the rest is for a request that waits at its endpoint.
-const OLD_WEIGHTS_UNTIL_US: DurationUs = DurationUs::from_ms(7_000);
+/// seconds; the rest is for the news to come and for a request that waits at its endpoint.
+const OLD_WEIGHTS_UNTIL_US: DurationUs = DurationUs::from_ms(6_000);
 /// Milliseconds that a call of a service without an engine takes, as long as nothing better is known.
 const PLAIN_CALL_MS: f64 = 40.0;
 /// Milliseconds by which endpoints count as equal; one of them is drawn, so that daemons with the
@@ -72,8 +73,8 @@
     pub excluded: &'a [EndpointId],
     /// Weights that the call must run on, as a stream that goes on does.
     pub required_weights: Option<WeightNumber>,
-    /// Weights that the model is to run, and since when this is known.
-    pub wanted_weights: Option<(WeightNumber, TimeUs)>,
+    /// Weights that the model is to run.
+    pub wanted_weights: Option<&'a WantedVersions>,
 }
 
 /// Where a call runs, and what that was decided by.
@@ -212,12 +213,16 @@
     {
         return false;
     }
-    match request.wanted_weights {
-        Some((wanted, since)) if has < wanted => now.since(since) < OLD_WEIGHTS_UNTIL_US,
-        _ => true,
+    match replaced_at(request, has) {
+        Some(at) => now.since(at) < OLD_WEIGHTS_UNTIL_US,
+        None => true,
     }
 }
 
+fn replaced_at(request: &PlacementRequest<'_>, has: WeightNumber) -> Option<TimeUs> {
+    request.wanted_weights?.replaced_at(has)
+}
+
 /// Returns what ranks endpoints for a prompt: its last part that others share.
 fn affinity(request: &PlacementRequest<'_>) -> Option<Rendezvous> {
     let parts = &request.prompt?.parts;
@@ -279,9 +284,8 @@
     let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
     wait_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
     wait_ms += slot_wait_ms(load.running, engine.slots);
-    let is_old = request.wanted_weights.is_some_and(|(wanted, since)| {
-        weights < Some(wanted) && now.since(since) > OLD_WEIGHTS_AFTER_US
-    });
+    let replaced_at = weights.and_then(|weights| replaced_at(request, weights));
+    let is_old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_AFTER_US);
     let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
     Offer {
         row,
--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -13,7 +13,7 @@
 /// late one. Requests that cross an order are refused by the engine.
 const ANNOUNCE_US: DurationUs = DurationUs::from_ms(150);
 /// Time between two reports of an engine that loads. Reports lag by some hundred milliseconds.
-const REPORT_US: DurationUs = DurationUs::from_ms(250);
+const REPORT_US: DurationUs = DurationUs::from_ms(200);
 /// Time after which an order that was accepted and shows no effect is given again.
 const LOAD_TIMEOUT_US: DurationUs = DurationUs::from_ms(4_000);
 /// Pause after a failure.
@@ -66,8 +66,11 @@
 struct Active {
     model: ModelName,
     wanted: WeightNumber,
+    /// Version of the order that was given last.
+    ordering: WeightNumber,
     phase: Phase,
-    accepted_at_us: Option<TimeUs>,
+    /// The order that the engine accepted last, and when.
+    accepted: Option<(WeightNumber, TimeUs)>,
 }
 
 /// Follows the engines that are being brought to wanted weights.
@@ -114,6 +117,7 @@
                 }
                 Phase::MayOrder(expected_orders) => {
                     active.phase = Phase::Ordering;
+                    active.ordering = active.wanted;
                     steps.push(RolloutStep::Order {
                         endpoint: endpoint.clone(),
                         model: active.model.clone(),
@@ -145,9 +149,11 @@
             self.active.remove(endpoint);
             return;
         }
+        // Another version may have been named since the order: once it is carried out, the next
+        // one can follow.
         let is_loading = active
-            .accepted_at_us
-            .is_some_and(|at| now.since(at) < LOAD_TIMEOUT_US);
+            .accepted
+            .is_some_and(|(ordered, at)| has < ordered && now.since(at) < LOAD_TIMEOUT_US);
         active.phase = match is_loading || report.is_busy {
             true => Phase::AskAt(now + REPORT_US),
             false => Phase::MayOrder(report.accepted_orders),
@@ -161,7 +167,7 @@
         };
         match outcome {
             OrderOutcome::Accepted => {
-                active.accepted_at_us = Some(now);
+                active.accepted = Some((active.ordering, now));
                 active.phase = Phase::AskAt(now + REPORT_US);
             }
             OrderOutcome::AlreadyDone => {
@@ -190,20 +196,22 @@
         });
     }
 
-    /// Takes the engines with the least work first: they are empty soonest.
+    /// Takes the engines with the oldest weights first, and of those the ones with the least work:
+    /// they are empty soonest.
     fn take_next(&mut self, behind: &[RolloutRow], now: TimeUs) {
         let mut waiting: Vec<&RolloutRow> = behind
             .iter()
             .filter(|row| !self.active.contains_key(&row.endpoint))
             .collect();
-        waiting.sort_by_key(|row| row.running);
+        waiting.sort_by_key(|row| (row.has, row.running));
         let free = self.parallel.saturating_sub(self.active.len());
         for row in waiting.into_iter().take(free) {
             let active = Active {
                 model: row.model.clone(),
                 wanted: row.wanted,
                 phase: Phase::AskAt(now + ANNOUNCE_US),
-                accepted_at_us: None,
+                ordering: row.wanted,
+                accepted: None,
             };
             self.active.insert(row.endpoint.clone(), active);
         }
--- a/crates/wisteriahitch-relay/src/settings.rs
+++ b/crates/wisteriahitch-relay/src/settings.rs
@@ -174,7 +174,7 @@
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
-            parallel: 2,
+            parallel: 3,
             lease_ms: 3_000,
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -274,8 +274,9 @@
             return Self::default();
         };
         let now = shared.now();
-        let wanted = shared.site.wanted(&prompt.model).map(|(wanted, _)| wanted);
-        if wanted.is_some_and(|wanted| placement.weights != Some(wanted)) {
+        let wanted = shared.site.wanted(&prompt.model);
+        let newest = wanted.and_then(|wanted| wanted.newest());
+        if newest.is_some_and(|newest| placement.weights != Some(newest)) {
             return Self::default();
         }
         let Some(engine) = &call.engine else {
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -126,7 +126,7 @@
     let mut behind = Vec::new();
     for row in endpoints.iter().filter(stays) {
         for (model, has) in &row.endpoint.weights {
-            let Some((version, _)) = wanted.get(model) else {
+            let Some(version) = wanted.get(model) else {
                 continue;
             };
             if has < version {
@@ -406,6 +406,6 @@
     let wanted = shared.site.all_wanted();
     let shown = wanted
         .iter()
-        .map(|(model, (version, _))| (model.to_string(), version.get()));
+        .map(|(model, version)| (model.to_string(), version.get()));
     shown.collect()
 }
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -117,7 +117,6 @@
 /// A call with what was decided about it before its first attempt.
 pub(crate) struct Routed {
     pub(crate) call: Call,
-    pub(crate) config: Arc<SiteConfig>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<Arc<Workspace>>,
@@ -175,7 +174,6 @@
                 .and_then(|service| service.engine.clone()),
             head,
         },
-        config,
         route,
         service,
         workspace,
@@ -334,6 +332,7 @@
             .workspace
             .as_ref()
             .filter(|workspace| workspace.is_isolated);
+        let wanted = prompt.and_then(|prompt| shared.site.wanted(&prompt.model));
         let request = PlacementRequest {
             service: &self.service,
             engine: self.call.engine.as_ref(),
@@ -343,7 +342,7 @@
             patience_us,
             excluded: &self.tried,
             required_weights,
-            wanted_weights: prompt.and_then(|prompt| shared.site.wanted(&prompt.model)),
+            wanted_weights: wanted.as_ref(),
         };
         let endpoints = shared.endpoints.lock();
         let stores = shared.part_stores.lock();
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -5,15 +5,16 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use wisteriahitch_types::{ModelName, TimeUs, WeightNumber};
+use wisteriahitch_types::{DurationUs, ModelName, TimeUs, WeightNumber};
 
+use crate::decide::wanted_weights::WantedVersions;
 use crate::site::{SiteConfig, WantedWeights};
 
 /// Holds what operators want.
 #[derive(Default)]
 pub(crate) struct SiteState {
     config: ArcSwapOption<SiteConfig>,
-    wanted: Mutex<BTreeMap<ModelName, (WeightNumber, TimeUs)>>,
+    wanted: Mutex<BTreeMap<ModelName, WantedVersions>>,
 }
 
 impl SiteState {
@@ -39,23 +40,28 @@
     }
 
     /// Notes which weights are wanted, and returns whether that is new.
-    pub(crate) fn want(&self, wanted: WantedWeights, now: TimeUs) -> bool {
+    ///
+    /// `age_us` is how long ago they may have been named at most; it isn't known at the start.
+    pub(crate) fn want(&self, wanted: WantedWeights, age_us: DurationUs, now: TimeUs) -> bool {
         let mut all = self.wanted.lock();
-        let known = all.get(&wanted.model).map(|(version, _)| *version);
-        let is_newer = known.is_none_or(|known| wanted.version > known);
-        if is_newer {
-            all.insert(wanted.model, (wanted.version, now));
-        }
-        is_newer
+        let versions = all.entry(wanted.model).or_default();
+        versions.named(
+            wanted.version,
+            TimeUs::new(now.get().saturating_sub(age_us.get())),
+        )
     }
 
-    /// Returns the weights that are wanted for a model, and since when.
-    pub(crate) fn wanted(&self, model: &ModelName) -> Option<(WeightNumber, TimeUs)> {
-        self.wanted.lock().get(model).copied()
+    /// Returns the weights that were wanted for a model lately.
+    pub(crate) fn wanted(&self, model: &ModelName) -> Option<WantedVersions> {
+        self.wanted.lock().get(model).cloned()
     }
 
     /// Lists the weights that are wanted.
-    pub(crate) fn all_wanted(&self) -> BTreeMap<ModelName, (WeightNumber, TimeUs)> {
-        self.wanted.lock().clone()
+    pub(crate) fn all_wanted(&self) -> BTreeMap<ModelName, WeightNumber> {
+        let wanted = self.wanted.lock();
+        let newest = wanted
+            .iter()
+            .filter_map(|(model, versions)| Some((model.clone(), versions.newest()?)));
+        newest.collect()
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -28,6 +28,14 @@
 /// for; each second of waiting is one in which a silent store isn't noticed.
 const WATCH_WAIT: Duration = Duration::from_millis(6_000);
 
+/// How long ago what the first listing holds is taken to have been written.
+///
+/// A process that starts doesn't know. Taken for new, weights that were named long before would
+/// leave old ones in use for as long again after each restart. This leaves three seconds until old
+/// weights may not be used any more: the time for which a machine that has just started isn't held
+/// to the platform's bound.
+const FIRST_AGE_US: DurationUs = DurationUs::from_ms(3_000);
+
 /// Pauses after a call of the store failed, from the first one on.
 const RETRY_PAUSES: [Duration; 4] = [
     Duration::from_millis(100),
@@ -233,7 +241,7 @@
     source: &str,
 ) {
     let now = shared.now();
-    let absence = {
+    let (absence, age_us) = {
         let mut state = shared.watches.of(role).lock();
         if listing.revision < state.changed {
             return;
@@ -244,9 +252,14 @@
         // Even without a difference: the one who told it would else seem to know more for ever.
         state.changed = listing.revision;
         state.revision = state.revision.max(listing.revision);
-        state.is_listed = true;
+        let was_listed = std::mem::replace(&mut state.is_listed, true);
         state.behind = None;
-        absence(&state, now)
+        let age_us = if was_listed {
+            DurationUs::ZERO
+        } else {
+            FIRST_AGE_US
+        };
+        (absence(&state, now), age_us)
     };
     match role {
         ObjectRole::Endpoints => {
@@ -260,7 +273,7 @@
         }
         _ => {
             for object in &listing.objects {
-                put(shared, role, object, source);
+                put(shared, role, object, source, age_us);
             }
         }
     }
@@ -285,7 +298,7 @@
             absence(&state, shared.now())
         };
         match change {
-            Change::Put(object) => put(shared, role, &object, "store"),
+            Change::Put(object) => put(shared, role, &object, "store", DurationUs::ZERO),
             Change::Deleted(name) => deleted(shared, role, &name, absence, revision),
         }
     }
@@ -307,7 +320,13 @@
     }
 }
 
-fn put(shared: &Arc<Shared>, role: ObjectRole, object: &StoredObject, source: &str) {
+fn put(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    object: &StoredObject,
+    source: &str,
+    age_us: DurationUs,
+) {
     let site = &shared.borders.site;
     let now = shared.now();
     match role {
@@ -328,7 +347,7 @@
             let wanted = readable(shared, role, object, site.weights(object));
             let Some(wanted) = wanted else { return };
             let (model, version) = (wanted.model.to_string(), wanted.version.get());
-            if shared.site.want(wanted, now) {
+            if shared.site.want(wanted, age_us, now) {
                 shared.log.write(&Event::WeightsWanted { model, version });
             }
         }
