fix(relay): refuse what can't be finished before the end, ask for the lease when the connection is open

Ruled out: ending later; the grace is the platform's. Change: late streams are refused with 'not run' and come back elsewhere; entry lists live 1.2 s; a holder keeps the lease while there is work; the permit is asked again right before the order's first byte.

--- a/crates/wisteriahitch-relay/src/border/engine_control.rs
+++ b/crates/wisteriahitch-relay/src/border/engine_control.rs
@@ -64,8 +64,16 @@
 /// Gives orders to engines and reads their reports.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
-    /// Gives an order and waits at most `wait` for its answer.
-    async fn order(&self, order: &WeightOrder, wait: Duration) -> OrderOutcome;
+    /// Gives an order, if `permit` still allows it right before its first byte leaves, and waits for
+    /// its answer for as long as the permit says.
+    ///
+    /// The process may be suspended while the connection opens. An order that was allowed before
+    /// that would reach the engine after another daemon has taken over.
+    async fn order(
+        &self,
+        order: &WeightOrder,
+        permit: &(dyn Fn() -> Option<Duration> + Send + Sync),
+    ) -> OrderOutcome;
 
     /// Reads an engine's report.
     async fn report(
--- a/crates/wisteriahitch-relay/src/settings.rs
+++ b/crates/wisteriahitch-relay/src/settings.rs
@@ -189,7 +189,7 @@
 impl Default for EntrySettings {
     fn default() -> Self {
         Self {
-            ttl_s: 2.0,
+            ttl_s: 1.2,
             ttl_max_s: 5.0,
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -145,12 +145,14 @@
 
 /// Sends a call to the endpoint of a placement and waits for the head of its answer until `until`.
 ///
-/// Dropping the future closes the connection, which is what tells the endpoint to stop.
+/// Dropping the future closes the connection, which is what tells the endpoint to stop. Of the last
+/// attempt (`is_last`) an endpoint's failure is passed on as it is.
 pub(crate) async fn open(
     shared: &Arc<Shared>,
     call: &Call,
     placement: &Placement,
     resume_after: Option<u64>,
+    is_last: bool,
     until: Instant,
 ) -> Result<Opened, Failure> {
     let flight = Flight::take_off(shared, placement, call.head.prompt.as_ref());
@@ -164,7 +166,7 @@
     };
     let answer = shared.borders.calls.answer(&parts);
     note_answer(shared, call, placement, &answer);
-    match check_answer(call, &parts, &answer) {
+    match check_answer(call, &parts, &answer, is_last) {
         Ok(()) => Ok(Opened {
             parts,
             body,
@@ -305,7 +307,12 @@
 }
 
 /// Decides whether an answer may be passed on.
-fn check_answer(call: &Call, parts: &response::Parts, answer: &AnswerHead) -> Result<(), Failure> {
+fn check_answer(
+    call: &Call,
+    parts: &response::Parts,
+    answer: &AnswerHead,
+    is_last: bool,
+) -> Result<(), Failure> {
     let echoed = answer.request_id.as_ref();
     if echoed.is_some_and(|id| *id != call.head.request_id) {
         // The late answer to an earlier request on this connection: what became of this request
@@ -333,7 +340,7 @@
             parts.status.to_string(),
         ));
     }
-    if parts.status.is_server_error() && call.may_repeat {
+    if parts.status.is_server_error() && !is_last {
         return Err(Failure::new(
             FailureKind::EndpointFailed,
             parts.status.to_string(),
--- a/crates/wisteriahitch-relay/src/shell/drain.rs
+++ b/crates/wisteriahitch-relay/src/shell/drain.rs
@@ -1,6 +1,7 @@
 //! Leaving without cutting anybody off.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use tokio::sync::Notify;
@@ -18,10 +19,17 @@
 /// Time for a request that is on its way when the last list naming this daemon runs out.
 const LATE_REQUEST: Duration = Duration::from_millis(300);
 
+/// Time that a stream takes at most, but for a few: long prompts under full load.
+const STREAM_TIME: Duration = Duration::from_millis(3_900);
+
+/// Time that a plain call takes at most, but for a few.
+const CALL_TIME: Duration = Duration::from_millis(1_000);
+
 /// Counts calls and tells when the process may end.
 #[derive(Debug, Default)]
 pub(crate) struct Drain {
-    is_draining: AtomicBool,
+    /// When it began.
+    begun: OnceLock<Instant>,
     in_flight: AtomicUsize,
     idle: Notify,
     /// Cancelled when the process leaves.
@@ -31,7 +39,20 @@
 impl Drain {
     /// Returns whether the process is leaving.
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.begun.get().is_some()
+    }
+
+    /// Returns whether a new call can still be finished before the process is killed.
+    ///
+    /// Callers come for a while with lists from before. One whose answer would be cut off by the
+    /// end is better told at once that it hasn't run.
+    pub(crate) fn accepts(&self, settings: &RelaySettings, is_stream: bool) -> bool {
+        let Some(begun) = self.begun.get() else {
+            return true;
+        };
+        let needed = if is_stream { STREAM_TIME } else { CALL_TIME };
+        let grace = Duration::from_secs_f64(settings.drain.grace_s);
+        begun.elapsed() + needed + LAST_MOMENT < grace
     }
 
     /// Counts a call.
@@ -53,7 +74,7 @@
 
     /// Begins to leave: callers are told of other daemons, and those that come are still served.
     pub(crate) fn start(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+        self.begun.get_or_init(Instant::now);
         self.started.cancel();
     }
 
@@ -62,7 +83,7 @@
     /// Callers go on using a list that they were given before. If the process ended with its last
     /// request, they would meet a closed port for seconds.
     pub(crate) async fn finished(&self, settings: &RelaySettings) {
-        let begun = Instant::now();
+        let begun = *self.begun.get_or_init(Instant::now);
         let grace = Duration::from_secs_f64(settings.drain.grace_s);
         let end = begun + grace.saturating_sub(LAST_MOMENT);
         let lists_over = begun + settings.entry_ttl() * LIST_LIVES + LATE_REQUEST;
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -33,7 +33,7 @@
 const LEASE_TERM_US: DurationUs = DurationUs::from_ms(2_000);
 
 /// What must be left of the lease when it is renewed.
-const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(1_200);
+const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(1_400);
 
 /// Part of the term that isn't used, for the way of an order to its endpoint.
 const LEASE_MARGIN_US: DurationUs = DurationUs::from_ms(400);
@@ -145,9 +145,14 @@
 
 fn step(shared: &Arc<Shared>, members: &Arc<Membership>, behind: &[RolloutRow]) {
     let now = shared.now();
-    let is_mine = !behind.is_empty() && leader(shared, now) == Some(shared.incarnation);
     let commands = {
         let mut leases = shared.leases.lock();
+        // A holder keeps the lease as long as there is work, whoever would be the first now: each
+        // change of hands costs seconds in which no order may be given.
+        let is_held = leases.held().next().is_some();
+        let is_first = leader(shared, now) == Some(shared.incarnation);
+        let may_hold = !shared.drain.is_draining() && !behind.is_empty();
+        let is_mine = may_hold && (is_held || is_first);
         let wanted = is_mine.then_some(GROUP);
         leases.want(wanted);
         leases.set_rollout_owner(is_mine.then_some(shared.incarnation));
@@ -266,18 +271,20 @@
         .lock()
         .get(endpoint)
         .map(|row| row.endpoint.address);
-    // The clock is looked at right before the order leaves: the process may have been suspended.
+    // This grant numbers the order; the one that counts is asked for once the connection is open.
     let grant = shared.leases.lock().try_order(&GROUP, shared.now());
     let (Some(address), Ok(grant)) = (address, grant) else {
         shared.rollout.lock().withheld(endpoint, shared.now());
         return;
     };
     let order = order(address, grant.fence);
-    let outcome = shared
-        .borders
-        .engines
-        .order(&order, grant.timeout_us.into())
-        .await;
+    let permit = || {
+        let mut leases = shared.leases.lock();
+        let again = leases.try_order(&GROUP, shared.now()).ok()?;
+        leases.handle(LeaseEvent::OrderDone(GROUP), shared.now(), members);
+        (again.fence >= grant.fence).then(|| Duration::from(again.timeout_us))
+    };
+    let outcome = shared.borders.engines.order(&order, &permit).await;
     let now = shared.now();
     shared
         .leases
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -45,6 +45,9 @@
 /// When a caller may come back after endpoints refused its call.
 const REFUSED_RETRY_US: DurationUs = DurationUs::from_ms(250);
 
+/// When a caller may come back to another daemon after this one has nearly left.
+const DRAINING_RETRY_US: DurationUs = DurationUs::from_ms(20);
+
 /// Gap after which callers give a stream up: the longest of two seconds, four times the target
 /// and eight times the longest good pause.
 fn patience(route: &Route) -> DurationUs {
@@ -144,6 +147,12 @@
     let route = route.ok_or_else(|| unknown(shared, Code::UnknownPath))?;
     trace.story().route = route.name.to_string();
     trace.story().kind = route.kind.label();
+    if !shared
+        .drain
+        .accepts(&shared.settings, route.kind == CallKind::Stream)
+    {
+        return Err(Refusal::new(Code::Draining).retry_after(DRAINING_RETRY_US));
+    }
     let workspace = workspace_of(shared, &config, &route, head.key.as_deref())?;
     let deadline_us = head
         .deadline_us
@@ -356,14 +365,9 @@
         trace: &mut CallTrace,
     ) -> Result<Attempted, Failure> {
         let until = self.attempt_end(shared, placement);
-        let opened = open(
-            shared,
-            &self.call,
-            placement,
-            self.call.head.resume_after,
-            until,
-        )
-        .await;
+        let resume_after = self.call.head.resume_after;
+        let is_last = !self.may_go_on(shared);
+        let opened = open(shared, &self.call, placement, resume_after, is_last, until).await;
         if !matches!(&opened, Err(failure) if failure.kind == FailureKind::NotSent) {
             self.sent += 1;
             trace.story().attempts = self.sent;
@@ -385,10 +389,7 @@
     /// as it could still be sent to another one.
     fn attempt_end(&self, shared: &Shared, placement: &Placement) -> Instant {
         let due = self.call.due;
-        let may_go_on = self.call.may_repeat
-            && self.sent + 1 < self.route.max_attempts
-            && shared.budgets.left(&self.service) >= 1.0;
-        if !may_go_on {
+        if !self.may_go_on(shared) {
             return due;
         }
         let now = Instant::now();
@@ -398,6 +399,13 @@
         due.min(now + wait.max(left.mul_f64(MIN_ATTEMPT_SHARE)))
     }
 
+    /// Returns whether the call could be sent to another endpoint after the next attempt.
+    fn may_go_on(&self, shared: &Shared) -> bool {
+        self.call.may_repeat
+            && self.sent + 1 < self.route.max_attempts
+            && shared.budgets.left(&self.service) >= 1.0
+    }
+
     async fn whole_answer(
         &self,
         shared: &Arc<Shared>,
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -178,7 +178,15 @@
         let last_id = self.framer.as_ref().and_then(EventFramer::last_id);
         let due = self.routed.call.due;
         self.routed.sent += 1;
-        let opened = open(&self.shared, &self.routed.call, &placement, last_id, due).await;
+        let opened = open(
+            &self.shared,
+            &self.routed.call,
+            &placement,
+            last_id,
+            true,
+            due,
+        )
+        .await;
         let mut opened = opened.map_err(|failure| failure.kind.code())?;
         if !opened.parts.status.is_success() {
             return Err(Code::StreamIncomplete);
