feat(relay): refuse at arrival what would wait too long, the less urgent first

Change: a call joins only a queue of 1.5 targets, the least urgent of 0.9, and never a longer one than a more urgent call; returns are spread.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod endpoint_table;
 pub(crate) mod members;
 pub(crate) mod outlier;
+pub(crate) mod overload;
 pub(crate) mod part_stores;
 pub(crate) mod parts;
 pub(crate) mod placement;
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -11,6 +11,7 @@
 };
 
 use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
+use super::overload::retry_after;
 use super::part_stores::PartStores;
 use super::parts::{PartKey, part_keys};
 use super::wanted_weights::WantedVersions;
@@ -51,8 +52,6 @@
 const TOLD_LIFE_US: DurationUs = DurationUs::from_ms(300);
 /// When a caller may come back where no endpoint takes requests.
 const NO_ENDPOINT_RETRY_US: DurationUs = DurationUs::from_ms(400);
-/// Shortest wait that a refused caller is told.
-const MIN_RETRY_US: DurationUs = DurationUs::from_ms(150);
 
 /// What a placement is for.
 #[derive(Clone, Debug)]
@@ -69,6 +68,8 @@
     pub zone: &'a AvailabilityZone,
     /// Time within which a first event is of any use.
     pub patience_us: DurationUs,
+    /// Longest wait for the work of others.
+    pub longest_queue_us: DurationUs,
     /// Endpoints that won't do.
     pub excluded: &'a [EndpointId],
     /// Weights that the call must run on, as a stream that goes on does.
@@ -108,6 +109,9 @@
     scope: Option<String>,
     cached_tokens: u64,
     fetched_tokens: u64,
+    /// Wait for the work of others.
+    queue_ms: f64,
+    /// Wait for the first event.
     wait_ms: f64,
     cost_ms: f64,
 }
@@ -144,10 +148,12 @@
         .collect();
     let chosen = near[rng.random_range(0..near.len())];
     let expected_us = DurationUs::from_secs_f64(chosen.wait_ms / 1_000.0);
-    if expected_us > request.patience_us {
-        let late_us = expected_us - request.patience_us;
+    let queue_us = DurationUs::from_secs_f64(chosen.queue_ms / 1_000.0);
+    let late_us = expected_us - request.patience_us;
+    let excess_us = late_us.max(queue_us - request.longest_queue_us);
+    if excess_us > DurationUs::ZERO {
         let refusal = Refusal::new(Code::DeadlineUnreachable);
-        return Err(refusal.retry_after(late_us.max(MIN_RETRY_US)));
+        return Err(refusal.retry_after(retry_after(excess_us, rng)));
     }
     let prompt_tokens = request
         .prompt
@@ -278,12 +284,13 @@
     let unread = prompt_tokens.saturating_sub(cached_tokens + fetched_tokens);
     let shared_unread = unread.saturating_sub(keys.last().map_or(0, |(_, tokens)| *tokens));
     let load = row.load();
-    let mut wait_ms = fetch_ms + (load.unread_tokens + unread) as f64 / READ_TOKENS_PER_MS;
-    wait_ms += f64::from(load.running) * RUNNING_MS;
+    let mut queue_ms = load.unread_tokens as f64 / READ_TOKENS_PER_MS;
+    queue_ms += f64::from(load.running) * RUNNING_MS;
     let memory = engine.memory_tokens.as_f64().max(1.0);
     let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
-    wait_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
-    wait_ms += slot_wait_ms(load.running, engine.slots);
+    queue_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
+    queue_ms += slot_wait_ms(load.running, engine.slots);
+    let wait_ms = queue_ms + fetch_ms + unread as f64 / READ_TOKENS_PER_MS;
     let replaced_at = weights.and_then(|weights| replaced_at(request, weights));
     let is_old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_AFTER_US);
     let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
@@ -293,6 +300,7 @@
         scope,
         cached_tokens,
         fetched_tokens,
+        queue_ms,
         wait_ms,
         cost_ms: wait_ms + old_ms + shared_unread as f64 * REREAD_MS_PER_TOKEN,
     }
@@ -339,6 +347,7 @@
         scope: None,
         cached_tokens: 0,
         fetched_tokens: 0,
+        queue_ms: wait_ms - PLAIN_CALL_MS,
         wait_ms,
         cost_ms: wait_ms,
     }
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub use decide::endpoint_table::{EndpointLife, EndpointTable};
 pub use decide::members::{Beacon, EndpointNews, MemberPhase, PartNews, PeerTable};
 pub use decide::outlier::{Outlier, OutlierOptions};
+pub use decide::overload::{UrgencyLevel, UrgencyLevels};
 pub use decide::parts::PartCache;
 pub use decide::placement::{Placement, PlacementRequest, place};
 pub use decide::rollout::{Rollout, RolloutStep};
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -123,6 +123,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<Arc<Workspace>>,
+    /// Longest queue that the call joins.
+    longest_queue_us: DurationUs,
     /// Endpoints that were tried.
     pub(crate) tried: Vec<EndpointId>,
     /// Attempts that an endpoint got to see.
@@ -167,6 +169,13 @@
     let workspace_rank = workspace.as_ref().and_then(|workspace| workspace.priority);
     let id = workspace.as_ref().map(|workspace| workspace.id.clone());
     trace.story().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
+    let priority = workspace_rank.unwrap_or(route.priority);
+    let longest_queue_us = match route.kind {
+        CallKind::Stream => config
+            .urgency
+            .longest_queue(&service, priority, route.target_us),
+        _ => DurationUs::MAX,
+    };
     let mut routed = Routed {
         call: Call {
             method: parts.method,
@@ -174,7 +183,7 @@
             headers: parts.headers,
             body: body.bytes.clone(),
             workspace: id,
-            priority: workspace_rank.unwrap_or(route.priority),
+            priority,
             due,
             may_repeat: route.may_repeat(),
             engine: config
@@ -186,6 +195,7 @@
         route,
         service,
         workspace,
+        longest_queue_us,
         tried: Vec::new(),
         sent: 0,
         _body: body,
@@ -349,6 +359,7 @@
             wall: wall.map(|workspace| &workspace.id),
             zone: &shared.settings.zone,
             patience_us,
+            longest_queue_us: self.longest_queue_us,
             excluded: &self.tried,
             required_weights,
             wanted_weights: wanted.as_ref(),
--- a/crates/wisteriahitch-relay/src/site/configuration.rs
+++ b/crates/wisteriahitch-relay/src/site/configuration.rs
@@ -11,6 +11,7 @@
 };
 
 use super::RouteTable;
+use crate::decide::overload::UrgencyLevels;
 
 /// What all engines of a service have in common.
 #[derive(Clone, Debug, PartialEq)]
@@ -86,6 +87,8 @@
     pub version: ConfigVersion,
     /// Routes.
     pub routes: RouteTable,
+    /// Ranks of the routes of each service.
+    pub urgency: UrgencyLevels,
     /// Services by name.
     pub services: HashMap<ServiceName, Service>,
     /// Workspaces by their callers' keys; without it callers need no key.
