--- a/crates/wisteriahitch-relay/src/decide/overload.rs
+++ b/crates/wisteriahitch-relay/src/decide/overload.rs
@@ -15,7 +15,7 @@
 
 /// Longest queue that the most urgent calls join, in multiples of their target. Above it they would
 /// certainly be late, and what they displace would be too.
-const MOST_URGENT_TARGETS: f64 = 1.5;
+const MOST_URGENT_TARGETS: f64 = 1.0;
 
 /// The same for the least urgent calls. They are refused earlier: prompts that are less urgent are
 /// the long ones, and one of them occupies an endpoint for as long as several urgent ones.
