fix(orders): replace a silent holder sooner

Change: the lease lasts 1.1 s, two daemons watch it, and a holder that takes its own lapsed lease again doesn't wait for itself.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
@@ -66,8 +66,11 @@
             .as_ref()
             .map_or(DurationUs::ZERO, |o| o.order_timeout_us);
         let is_over = now.since(seen.first_seen_at_us) >= term_us;
-        let is_mine = holder.incarnation == self.me.incarnation;
-        if is_over || is_mine {
+        if holder.incarnation == self.me.incarnation {
+            // Nobody else has held it since: there is no other holder's order to wait for.
+            return self.write(WriteKind::Acquire, DurationUs::ZERO, now);
+        }
+        if is_over {
             return self.write(WriteKind::Acquire, order_us, now);
         }
         self.read_if_due(now)
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -30,16 +30,20 @@
 /// How long the lease lasts. A holder that dies is replaced after this time and the time that must
 /// lie between orders of two holders; both have to fit into the eight seconds in which requests
 /// may still begin on old weights.
-const LEASE_TERM_US: DurationUs = DurationUs::from_ms(2_000);
+const LEASE_TERM_US: DurationUs = DurationUs::from_ms(1_100);
 
-/// What must be left of the lease when it is renewed.
-const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(1_400);
+/// What must be left of the lease when it is renewed. A slow store answers within 330 ms.
+const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(700);
 
 /// Part of the term that isn't used, for the way of an order to its endpoint.
-const LEASE_MARGIN_US: DurationUs = DurationUs::from_ms(400);
+const LEASE_MARGIN_US: DurationUs = DurationUs::from_ms(250);
 
 /// Time between two reads of a lease that another daemon holds.
-const LEASE_READ_US: DurationUs = DurationUs::from_ms(400);
+const LEASE_READ_US: DurationUs = DurationUs::from_ms(300);
+
+/// Daemons that try to hold the lease: the first by hash, and one that already watches it when the
+/// first falls silent.
+const CANDIDATES: usize = 2;
 
 /// Added to the time that must lie between orders of two holders.
 const HANDOVER_SLACK_MS: u64 = 400;
@@ -150,9 +154,9 @@
         // A holder keeps the lease as long as there is work, whoever would be the first now: each
         // change of hands costs seconds in which no order may be given.
         let is_held = leases.held().next().is_some();
-        let is_first = leader(shared, now) == Some(shared.incarnation);
+        let is_candidate = candidates(shared, now).contains(&shared.incarnation);
         let may_hold = !shared.drain.is_draining() && !behind.is_empty();
-        let is_mine = may_hold && (is_held || is_first);
+        let is_mine = may_hold && (is_held || is_candidate);
         let wanted = is_mine.then_some(GROUP);
         leases.want(wanted);
         leases.set_rollout_owner(is_mine.then_some(shared.incarnation));
@@ -175,20 +179,19 @@
     }
 }
 
-/// Returns the daemon that should hold the lease: the first by hash among those that serve and
+/// Returns the daemons that should hold the lease: the first by hash among those that serve and
 /// reach the store.
-fn leader(shared: &Shared, now: TimeUs) -> Option<Incarnation> {
+fn candidates(shared: &Shared, now: TimeUs) -> Vec<Incarnation> {
     let table = shared.peers.table();
     let peers = table.ready(now).filter(|peer| peer.is_store_reachable);
-    let mut candidates: Vec<Incarnation> = peers.map(|peer| peer.incarnation).collect();
+    let mut all: Vec<Incarnation> = peers.map(|peer| peer.incarnation).collect();
     if shared.watches.is_store_reachable() && !shared.drain.is_draining() {
-        candidates.push(shared.incarnation);
+        all.push(shared.incarnation);
     }
     let rank = Rendezvous::new("orders", "");
-    let first = rank.top(candidates, 1, |incarnation| {
+    rank.top(all, CANDIDATES, |incarnation| {
         incarnation.get().to_le_bytes().to_vec()
-    });
-    first.first().copied()
+    })
 }
 
 fn note_phase(shared: &Shared, known: &mut String) {
