--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -70,13 +70,6 @@
     pub is_closing: bool,
 }
 
-/// What a caller asks that wants to know where to connect.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct EntryQuery {
-    /// Availability zone that the caller is in.
-    pub zone: Option<String>,
-}
-
 /// Reads calls and writes answers in a site's format.
 pub trait CallCodec: Send + Sync {
     /// Reads the head of a caller's call.
@@ -95,9 +88,6 @@
     /// Writes a refusal.
     fn refusal(&self, refusal: &Refusal) -> Response<Bytes>;
 
-    /// Reads a question for entry addresses.
-    fn entry_query(&self, query: Option<&str>) -> EntryQuery;
-
     /// Writes the entry addresses, which count for `valid`.
     fn entries(&self, addresses: &[SocketAddr], valid: Duration) -> Response<Bytes>;
 
--- a/crates/wisteriahitch-relay/src/border/mod.rs
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -6,7 +6,7 @@
 mod refusal;
 mod site_codec;
 
-pub use call_codec::{AnswerHead, CallCodec, CallHead, EntryQuery, OutgoingCall};
+pub use call_codec::{AnswerHead, CallCodec, CallHead, OutgoingCall};
 pub use engine_control::{EngineControl, EngineReport, OrderOutcome, WeightOrder};
 pub use part_store_control::{KeptPart, PartChanges, PartEvent, PartListing, PartStoreControl};
 pub use refusal::Refusal;
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -16,11 +16,11 @@
 
 /// Makes the keys of parts of one model under one scope.
 #[derive(Clone)]
-pub(crate) struct PartNamer(Xxh3);
+pub struct PartNamer(Xxh3);
 
 impl PartNamer {
     /// Makes keys for parts of `model` that are kept under `scope`.
-    pub(crate) fn new(model: &ModelName, scope: &str) -> Self {
+    pub fn new(model: &ModelName, scope: &str) -> Self {
         let mut base = Xxh3::new();
         base.update(model.as_str().as_bytes());
         base.update(&[0]);
@@ -30,7 +30,7 @@
     }
 
     /// Returns the key of a part.
-    pub(crate) fn key(&self, part_id: u64) -> PartKey {
+    pub fn key(&self, part_id: u64) -> PartKey {
         let mut hasher = self.0.clone();
         hasher.update(&part_id.to_le_bytes());
         PartKey(hasher.digest())
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -13,20 +13,22 @@
 mod site;
 
 pub use border::{
-    AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, EntryQuery,
-    KeptPart, OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl,
-    Refusal, SiteCodec, WeightOrder,
+    AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, KeptPart,
+    OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl, Refusal,
+    SiteCodec, WeightOrder,
 };
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
-pub use decide::endpoint_table::{EndpointLife, EndpointTable};
-pub use decide::members::{Beacon, EndpointNews, MemberPhase, PartNews, PeerTable};
+pub use decide::endpoint_table::{Absence, EndpointChange, EndpointLife, EndpointTable};
+pub use decide::members::{Beacon, EndpointNews, Heard, MemberPhase, PartNews, PeerTable};
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
-pub use decide::parts::PartCache;
+pub use decide::part_stores::{Fetch, FreeOrder, PartStores};
+pub use decide::parts::{PartCache, PartKey, PartNamer};
 pub use decide::placement::{Placement, PlacementRequest, place};
-pub use decide::rollout::{Rollout, RolloutStep};
-pub use decide::stream_events::{EventFramer, Framed};
+pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
+pub use decide::stream_events::{EventFramer, Framed, FramingError};
+pub use decide::wanted_weights::WantedVersions;
 pub use observe::{CallEnded, Event, EventLog, LogBudget};
 pub use settings::{RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
--- a/crates/wisteriahitch-relay/src/settings.rs
+++ b/crates/wisteriahitch-relay/src/settings.rs
@@ -198,8 +198,8 @@
 impl Default for LogSettings {
     fn default() -> Self {
         Self {
-            bytes_per_s: 2_000_000,
-            successes_per_s: 400,
+            bytes_per_s: 24_000,
+            successes_per_s: 4,
         }
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -61,6 +61,8 @@
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) flight: Flight,
+    /// Where it runs.
+    pub(crate) placement: Placement,
 }
 
 /// Says what is known of an attempt that brought no answer to pass on.
@@ -172,6 +174,7 @@
             body,
             connection,
             flight,
+            placement: placement.clone(),
         }),
         Err(failure) => {
             note_failure(shared, placement, &flight, failure.kind);
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -30,7 +30,6 @@
         let response = if path == calls.ready_path() {
             ready(shared)
         } else if path == calls.entries_path() {
-            let _query = calls.entry_query(request.uri().query());
             calls.entries(&entries(shared), shared.settings.entry_ttl())
         } else {
             status(StatusCode::NOT_FOUND)
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -203,10 +203,9 @@
     let answered = routed.run(shared, trace).await?;
     Ok(match answered {
         Attempted::Whole(response, status) => Answered::Whole(response, status),
-        Attempted::Stream(first, placement, opened) => Answered::Stream(Box::new(StreamStart {
+        Attempted::Stream(first, opened) => Answered::Stream(Box::new(StreamStart {
             routed,
-            placement,
-            opened,
+            opened: *opened,
             first,
         })),
     })
@@ -214,7 +213,7 @@
 
 enum Attempted {
     Whole(Response<AnswerBody>, u16),
-    Stream(Option<Bytes>, Placement, Opened),
+    Stream(Option<Bytes>, Box<Opened>),
 }
 
 /// Refuses what this daemon doesn't know.
@@ -389,7 +388,7 @@
         }
         let size = opened.body.size_hint().exact();
         if size.is_some_and(|size| size > WHOLE_ANSWER_BYTES) {
-            return Ok(Attempted::Stream(None, placement.clone(), opened));
+            return Ok(Attempted::Stream(None, Box::new(opened)));
         }
         self.whole_answer(shared, placement, opened, until).await
     }
@@ -429,6 +428,7 @@
             body,
             connection,
             flight,
+            ..
         } = opened;
         let limit = wisteriahitch_types::ByteCount::new(WHOLE_ANSWER_BYTES);
         let whole = wisteriahitch_wire::http_client::read_body(body, limit);
@@ -496,7 +496,7 @@
             .with_label_values(&["answered"])
             .inc();
         let first = frame.into_data().ok();
-        Ok(Attempted::Stream(first, placement.clone(), opened))
+        Ok(Attempted::Stream(first, Box::new(opened)))
     }
 
     /// Decides what follows a failed attempt; `again` or the reason why there is no other.
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -23,7 +23,6 @@
 /// A stream whose first bytes have come.
 pub(crate) struct StreamStart {
     pub(crate) routed: Routed,
-    pub(crate) placement: Placement,
     pub(crate) opened: Opened,
     pub(crate) first: Option<Bytes>,
 }
@@ -61,7 +60,7 @@
     let streaming = Streaming {
         shared: Arc::clone(shared),
         routed: start.routed,
-        placement: start.placement,
+        placement: start.opened.placement.clone(),
         opened: Some(start.opened),
         first: start.first,
         framer: has_events.then(|| EventFramer::after(resume_after)),
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -117,11 +117,9 @@
         let mut behind = Vec::new();
         for (role, state) in WATCHED.iter().zip(&self.0) {
             let mut state = state.lock();
-            if let Some((since, ip)) = state.behind {
-                if now.since(since) >= patience {
-                    state.behind = None;
-                    behind.push((*role, ip));
-                }
+            let is_due = |(since, _): &mut (TimeUs, Ipv4Addr)| now.since(*since) >= patience;
+            if let Some((_, ip)) = state.behind.take_if(is_due) {
+                behind.push((*role, ip));
             }
         }
         behind
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -0,0 +1,136 @@
+//! The life of endpoints.
+
+use std::collections::HashMap;
+
+use wisteriahitch_relay::{Absence, EndpointChange, EndpointLife, EndpointTable, Load};
+use wisteriahitch_types::{Incarnation, WeightNumber};
+
+use crate::fixture::{at_ms, draining, engine, id, model};
+
+/// Symptom: for two seconds after an outage of the store, every call is refused for want of an
+/// endpoint. Sequence: registrations lapse while the store is away; the store returns and lists
+/// none; endpoints register again. Cause: a lapsed registration was taken for an endpoint's end.
+#[test]
+fn registrations_that_lapse_in_an_outage_are_waited_for() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    let changes = table.listed(vec![], Absence::MayHaveLapsed, at_ms(1_000));
+    assert_eq!(changes, [EndpointChange::Lapsed(id("a"))]);
+    assert!(table.tick(at_ms(3_000)).is_empty());
+    table.registered(engine("a"));
+    assert_eq!(table.get(&id("a")).unwrap().life, EndpointLife::Ready);
+    assert!(table.tick(at_ms(9_000)).is_empty());
+}
+
+#[test]
+fn one_that_doesn_t_come_back_is_gone() {
+    struct Case {
+        absence: Absence,
+        gone_by_ms: u64,
+        there_at_ms: u64,
+    }
+    let cases = [
+        Case {
+            absence: Absence::MayHaveLapsed,
+            there_at_ms: 3_200,
+            gone_by_ms: 3_400,
+        },
+        // Shorter than the two seconds within which a leaving endpoint may still get requests.
+        Case {
+            absence: Absence::Left,
+            there_at_ms: 1_900,
+            gone_by_ms: 2_100,
+        },
+    ];
+    for case in cases {
+        let mut table = EndpointTable::default();
+        table.registered(engine("a"));
+        table.unregistered(&id("a"), case.absence, at_ms(1_000));
+        assert!(
+            table.tick(at_ms(case.there_at_ms)).is_empty(),
+            "{:?}",
+            case.absence
+        );
+        let changes = table.tick(at_ms(case.gone_by_ms));
+        assert_eq!(
+            changes,
+            [EndpointChange::Gone(id("a"))],
+            "{:?}",
+            case.absence
+        );
+    }
+}
+
+/// Symptom: a leaving endpoint gets new requests again. Sequence: it registers as draining, and an
+/// older registration of it arrives late. Cause: the later arrival was taken for the newer state.
+#[test]
+fn a_draining_endpoint_stays_draining() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    assert_eq!(
+        table.registered(draining("a")),
+        Some(EndpointChange::Draining(id("a")))
+    );
+    table.registered(engine("a"));
+    assert_eq!(table.get(&id("a")).unwrap().life, EndpointLife::Draining);
+    // Its end is at once: it has said so before.
+    let change = table.unregistered(&id("a"), Absence::Left, at_ms(1));
+    assert_eq!(change, Some(EndpointChange::Gone(id("a"))));
+}
+
+/// Symptom: a request runs on weights that the endpoint no longer has. Sequence: an answer names
+/// new weights; a late registration names the old ones. Cause: the later arrival won.
+#[test]
+fn weights_never_go_back() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    table.saw_weights(&id("a"), &model(), WeightNumber::new(3));
+    table.registered(engine("a"));
+    let row = table.get(&id("a")).unwrap();
+    assert_eq!(row.weights(&model()), Some(WeightNumber::new(3)));
+}
+
+#[test]
+fn loads_of_peers_replace_each_other_and_grow_old() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    let hash = table.get(&id("a")).unwrap().hash();
+    let peer = Incarnation::new(7);
+    let load = |running| Load {
+        running,
+        unread_tokens: 10,
+        memory_tokens: 20,
+    };
+    table.peer_load(peer, HashMap::from([(hash, load(3))]), at_ms(0));
+    table.peer_load(
+        Incarnation::new(8),
+        HashMap::from([(hash, load(1))]),
+        at_ms(0),
+    );
+    table.peer_load(peer, HashMap::from([(hash, load(5))]), at_ms(900));
+    let running = |table: &EndpointTable| table.get(&id("a")).unwrap().load().running;
+    assert_eq!(running(&table), 6);
+    table.tick(at_ms(1_500));
+    assert_eq!(
+        running(&table),
+        5,
+        "the one that fell silent no longer counts"
+    );
+    table.tick(at_ms(2_500));
+    assert_eq!(running(&table), 0);
+}
+
+#[test]
+fn what_peers_told_before_counts_for_an_endpoint_that_is_seen_later() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    let hash = table.get(&id("a")).unwrap().hash();
+    let mut late = EndpointTable::default();
+    let load = Load {
+        running: 2,
+        ..Load::default()
+    };
+    late.peer_load(Incarnation::new(7), HashMap::from([(hash, load)]), at_ms(0));
+    late.registered(engine("a"));
+    assert_eq!(late.get(&id("a")).unwrap().load().running, 2);
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -0,0 +1,115 @@
+//! Endpoints, prompts and times for the tables of cases.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use wisteriahitch_relay::{
+    CallKind, Endpoint, EngineTraits, PromptPart, PromptShape, Route, UrgencyLevels,
+};
+use wisteriahitch_types::{
+    ByteCount, DurationUs, EndpointId, ModelName, ServiceName, TimeUs, TokenCount, WeightNumber,
+};
+
+pub(crate) const SERVICE: &str = "engines";
+pub(crate) const MODEL: &str = "m";
+pub(crate) const MEMORY_TOKENS: u64 = 100_000;
+
+pub(crate) fn at_ms(ms: u64) -> TimeUs {
+    TimeUs::new(ms * 1_000)
+}
+
+pub(crate) fn ms(ms: u64) -> DurationUs {
+    DurationUs::from_ms(ms)
+}
+
+pub(crate) fn id(name: &str) -> EndpointId {
+    name.parse().unwrap()
+}
+
+pub(crate) fn model() -> ModelName {
+    MODEL.parse().unwrap()
+}
+
+pub(crate) fn service() -> ServiceName {
+    SERVICE.parse().unwrap()
+}
+
+pub(crate) fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// An engine with weights of version 1.
+pub(crate) fn engine(name: &str) -> Endpoint {
+    Endpoint {
+        id: id(name),
+        service: service(),
+        address: address(9_000),
+        zone: "a".parse().unwrap(),
+        slots: 64,
+        is_draining: false,
+        weights: BTreeMap::from([(model(), WeightNumber::new(1))]),
+    }
+}
+
+pub(crate) fn draining(name: &str) -> Endpoint {
+    Endpoint {
+        is_draining: true,
+        ..engine(name)
+    }
+}
+
+pub(crate) fn traits() -> EngineTraits {
+    EngineTraits {
+        slots: 64,
+        memory_tokens: TokenCount::new(MEMORY_TOKENS),
+        token_bytes: ByteCount::new(163_840),
+        link_mbps: 260_000.0,
+        models: vec![model()],
+    }
+}
+
+/// A prompt of a shared part and one of its own.
+pub(crate) fn prompt(shared: u64, own: u64) -> PromptShape {
+    PromptShape {
+        model: model(),
+        prompt_tokens: TokenCount::new(shared + own),
+        output_tokens: TokenCount::new(64),
+        parts: vec![
+            PromptPart {
+                id: 0xaa,
+                tokens: TokenCount::new(shared),
+            },
+            PromptPart {
+                id: 0xbb,
+                tokens: TokenCount::new(own),
+            },
+        ],
+    }
+}
+
+pub(crate) fn route(name: &str, priority: u8, target_ms: u64) -> Route {
+    Route {
+        name: name.parse().unwrap(),
+        host: "shop.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        kind: CallKind::Stream,
+        timeout_us: ms(10_000),
+        target_us: ms(target_ms),
+        max_gap_us: ms(400),
+        targets: vec![(service(), 1)],
+        max_attempts: 2,
+        priority,
+        is_public: false,
+        is_resumable: false,
+    }
+}
+
+/// Three routes as a site has them: short urgent ones, and long ones that aren't.
+pub(crate) fn levels() -> UrgencyLevels {
+    let routes = [
+        route("short", 0, 400),
+        route("tag", 1, 400),
+        route("long", 2, 800),
+    ];
+    UrgencyLevels::of_routes(routes.iter())
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -0,0 +1,15 @@
+//! Tests of the decisions, without input or output.
+
+mod endpoint_table;
+mod event_log;
+mod fixture;
+mod members;
+mod outlier;
+mod overload;
+mod part_stores;
+mod placement;
+mod rollout;
+mod routes;
+mod settings;
+mod stream_events;
+mod wanted_weights;
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -0,0 +1,322 @@
+//! Which endpoint is chosen, and when none is.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wisteriahitch_relay::{
+    EndpointTable, Load, PartNamer, PartStores, Placement, PlacementRequest, PromptShape, Refusal,
+    WantedVersions, place,
+};
+use wisteriahitch_types::{Code, DurationUs, EndpointId, TimeUs, WeightNumber, WorkspaceId};
+
+use crate::fixture::{at_ms, draining, engine, id, model, ms, prompt, service, traits};
+
+const NOW: TimeUs = TimeUs::new(50_000_000);
+
+struct Site {
+    table: EndpointTable,
+    stores: PartStores,
+    wanted: WantedVersions,
+    excluded: Vec<EndpointId>,
+    required: Option<WeightNumber>,
+    wall: Option<WorkspaceId>,
+    longest_queue: DurationUs,
+}
+
+impl Site {
+    fn new(names: &[&str]) -> Self {
+        let mut table = EndpointTable::default();
+        for name in names {
+            table.registered(engine(name));
+        }
+        Self {
+            table,
+            stores: PartStores::default(),
+            wanted: WantedVersions::default(),
+            excluded: vec![],
+            required: None,
+            wall: None,
+            longest_queue: DurationUs::MAX,
+        }
+    }
+
+    fn load(&mut self, name: &str, unread_tokens: u64) {
+        let row = self.table.get_mut(&id(name)).unwrap();
+        row.own.add(Load {
+            running: 1,
+            unread_tokens,
+            memory_tokens: unread_tokens,
+        });
+    }
+
+    fn keep(&mut self, name: &str, prompt: &PromptShape, scope: &str) {
+        let namer = PartNamer::new(&model(), scope);
+        let row = self.table.get_mut(&id(name)).unwrap();
+        for part in &prompt.parts {
+            row.parts.used(namer.key(part.id), part.tokens.get());
+        }
+    }
+
+    fn place(&self, prompt: &PromptShape, seed: u64) -> Result<Placement, Refusal> {
+        let engine = traits();
+        let service = service();
+        let zone = "a".parse().unwrap();
+        let request = PlacementRequest {
+            service: &service,
+            engine: Some(&engine),
+            prompt: Some(prompt),
+            wall: self.wall.as_ref(),
+            zone: &zone,
+            patience_us: ms(3_200),
+            longest_queue_us: self.longest_queue,
+            excluded: &self.excluded,
+            required_weights: self.required,
+            wanted_weights: Some(&self.wanted),
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        place(&self.table, &self.stores, &request, NOW, &mut rng)
+    }
+
+    fn chosen(&self, prompt: &PromptShape) -> String {
+        self.place(prompt, 1).unwrap().endpoint.to_string()
+    }
+}
+
+#[test]
+fn an_endpoint_is_chosen_by_the_time_until_the_first_event() {
+    struct Case {
+        what: &'static str,
+        change: fn(&mut Site),
+        expected: &'static str,
+    }
+    let cases = [
+        Case {
+            what: "the one with less to read",
+            change: |site| site.load("a", 40_000),
+            expected: "b",
+        },
+        Case {
+            what: "the one that keeps the shared part",
+            change: |site| site.keep("b", &prompt(9_000, 1_000), "w1"),
+            expected: "b",
+        },
+        Case {
+            what: "the one that keeps the part, although it has some work",
+            change: |site| {
+                site.keep("b", &prompt(9_000, 1_000), "w1");
+                site.load("b", 5_000);
+            },
+            expected: "b",
+        },
+        Case {
+            what: "not the one that keeps the part but is full",
+            change: |site| {
+                site.keep("b", &prompt(9_000, 1_000), "w1");
+                site.load("b", 60_000);
+            },
+            expected: "a",
+        },
+        Case {
+            what: "parts of other weights count for nothing",
+            change: |site| {
+                site.keep("b", &prompt(9_000, 1_000), "w2");
+                site.load("b", 2_000);
+            },
+            expected: "a",
+        },
+        Case {
+            what: "not the one that was tried",
+            change: |site| site.excluded = vec![id("a")],
+            expected: "b",
+        },
+        Case {
+            what: "not the one that is about to leave",
+            change: |site| {
+                site.table.registered(draining("a"));
+            },
+            expected: "b",
+        },
+        Case {
+            what: "not the one under an order",
+            change: |site| site.table.get_mut(&id("a")).unwrap().reserved_until_us = at_ms(60_000),
+            expected: "b",
+        },
+        Case {
+            what: "not the one that failed",
+            change: |site| {
+                let options = site.table.outlier_options;
+                let row = site.table.get_mut(&id("a")).unwrap();
+                row.outlier.failed(&options, NOW);
+                row.outlier.failed(&options, NOW);
+            },
+            expected: "b",
+        },
+    ];
+    for case in cases {
+        let mut site = Site::new(&["a", "b"]);
+        (case.change)(&mut site);
+        assert_eq!(
+            site.chosen(&prompt(9_000, 1_000)),
+            case.expected,
+            "{}",
+            case.what
+        );
+    }
+}
+
+/// Symptom: a service whose endpoints had all failed a moment before refused every call, although
+/// they answered again. Sequence: a fault of all endpoints; each is ejected. Cause: ejection took
+/// the last one away too.
+#[test]
+fn ejection_leaves_a_service_with_endpoints() {
+    let mut site = Site::new(&["a", "b"]);
+    let options = site.table.outlier_options;
+    for name in ["a", "b"] {
+        let row = site.table.get_mut(&id(name)).unwrap();
+        row.outlier.eject(&options, NOW);
+    }
+    assert!(site.place(&prompt(100, 100), 1).is_ok());
+}
+
+/// Symptom: an answer was made from cached parts of old weights, or of another workspace.
+/// Sequence: weights change, or an isolated workspace asks, while an engine keeps an equal part.
+/// Cause: engines find parts by the scope text alone.
+#[test]
+fn the_scope_binds_weights_and_walls() {
+    let mut site = Site::new(&["a"]);
+    let scope = |site: &Site| site.place(&prompt(100, 100), 1).unwrap().cache_scope;
+    assert_eq!(scope(&site).as_deref(), Some("w1"));
+    site.wall = Some("dispatch".parse().unwrap());
+    assert_eq!(scope(&site).as_deref(), Some("w1.dispatch"));
+    site.table
+        .saw_weights(&id("a"), &model(), WeightNumber::new(2));
+    assert_eq!(scope(&site).as_deref(), Some("w2.dispatch"));
+}
+
+#[test]
+fn weights_bound_where_a_call_runs() {
+    struct Case {
+        what: &'static str,
+        change: fn(&mut Site),
+        expected: Option<&'static str>,
+    }
+    let cases = [
+        Case {
+            what: "old weights are as good as new ones at first",
+            change: |site| {
+                site.table
+                    .saw_weights(&id("b"), &model(), WeightNumber::new(2));
+                site.wanted.named(WeightNumber::new(2), at_ms(49_800));
+                site.load("b", 3_000);
+            },
+            expected: Some("a"),
+        },
+        Case {
+            what: "later new ones go first",
+            change: |site| {
+                site.table
+                    .saw_weights(&id("b"), &model(), WeightNumber::new(2));
+                site.wanted.named(WeightNumber::new(2), at_ms(48_000));
+                site.load("b", 3_000);
+            },
+            expected: Some("b"),
+        },
+        Case {
+            what: "old ones aren't used for ever",
+            change: |site| {
+                site.wanted.named(WeightNumber::new(2), at_ms(43_000));
+            },
+            expected: None,
+        },
+        Case {
+            what: "nor kept in use by a series of versions",
+            change: |site| {
+                site.wanted.named(WeightNumber::new(2), at_ms(43_000));
+                site.wanted.named(WeightNumber::new(3), at_ms(49_000));
+            },
+            expected: None,
+        },
+        Case {
+            what: "a stream goes on with the weights that it began on",
+            change: |site| {
+                site.table
+                    .saw_weights(&id("b"), &model(), WeightNumber::new(2));
+                site.required = Some(WeightNumber::new(1));
+                site.load("a", 30_000);
+            },
+            expected: Some("a"),
+        },
+    ];
+    for case in cases {
+        let mut site = Site::new(&["a", "b"]);
+        (case.change)(&mut site);
+        let placed = site.place(&prompt(1_000, 1_000), 1);
+        let chosen = placed.map(|placement| placement.endpoint.to_string()).ok();
+        assert_eq!(chosen.as_deref(), case.expected, "{}", case.what);
+    }
+}
+
+/// Load pattern: engines have more to read than they can in a target. A call that would wait longer
+/// than its bound is refused now, with the time by which the queue has shrunk; one that wouldn't is
+/// let in, however long its own prompt is.
+#[test]
+fn a_full_queue_refuses_at_once_and_says_when_to_come_back() {
+    struct Case {
+        what: &'static str,
+        queued_tokens: u64,
+        own_tokens: u64,
+        refused: bool,
+    }
+    let cases = [
+        Case {
+            what: "an empty queue",
+            queued_tokens: 0,
+            own_tokens: 1_000,
+            refused: false,
+        },
+        Case {
+            what: "a queue below the bound",
+            queued_tokens: 15_000,
+            own_tokens: 1_000,
+            refused: false,
+        },
+        Case {
+            what: "a long prompt of its own",
+            queued_tokens: 0,
+            own_tokens: 30_000,
+            refused: false,
+        },
+        Case {
+            what: "a queue above the bound",
+            queued_tokens: 45_000,
+            own_tokens: 1_000,
+            refused: true,
+        },
+    ];
+    for case in cases {
+        let mut site = Site::new(&["a"]);
+        site.longest_queue = ms(400);
+        site.load("a", case.queued_tokens);
+        let placed = site.place(&prompt(100, case.own_tokens), 1);
+        assert_eq!(placed.is_err(), case.refused, "{}", case.what);
+        if let Err(refusal) = placed {
+            assert_eq!(refusal.code, Code::DeadlineUnreachable);
+            let wait = refusal.retry_after_us.unwrap();
+            assert!(wait >= ms(500) && wait < ms(1_400), "{wait}");
+        }
+    }
+}
+
+/// Symptom: right after a report all daemons send to the same endpoint. Cause: equal news and a
+/// choice of the least alone. Daemons with different draws spread over endpoints that are as good
+/// as equal, and keep equal prompts together.
+#[test]
+fn equal_endpoints_share_different_prompts() {
+    let site = Site::new(&["a", "b", "c", "d"]);
+    let mut seen = std::collections::BTreeSet::new();
+    for part in 0..40 {
+        let mut prompt = prompt(2_000, 100);
+        prompt.parts[0].id = part;
+        seen.insert(site.chosen(&prompt));
+    }
+    assert_eq!(seen.len(), 4);
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/stream_events.rs
@@ -0,0 +1,89 @@
+//! Whole events out of pieces.
+
+use bytes::Bytes;
+use wisteriahitch_relay::{EventFramer, FramingError};
+
+/// Symptom: a caller gets half an event, and then the rest of the stream from elsewhere. Sequence:
+/// an endpoint breaks off in the middle of an event; the stream goes on at another one. Cause:
+/// bytes were passed on as they came.
+#[test]
+fn only_whole_events_pass() {
+    struct Case {
+        pieces: &'static [&'static str],
+        passed: &'static [&'static str],
+        last_id: Option<u64>,
+        whole: bool,
+    }
+    let cases = [
+        Case {
+            pieces: &["id: 1\ndata: x\n\n"],
+            passed: &["id: 1\ndata: x\n\n"],
+            last_id: Some(1),
+            whole: true,
+        },
+        Case {
+            pieces: &["id: 1\nda", "ta: x\n\n"],
+            passed: &["id: 1\ndata: x\n\n"],
+            last_id: Some(1),
+            whole: true,
+        },
+        Case {
+            pieces: &["id: 1\n\nid: 2\n\nid: 3\nda"],
+            passed: &["id: 1\n\nid: 2\n\n"],
+            last_id: Some(2),
+            whole: false,
+        },
+        Case {
+            pieces: &["id: 1\n", "\n"],
+            passed: &["id: 1\n\n"],
+            last_id: Some(1),
+            whole: true,
+        },
+        Case {
+            pieces: &["id: 7"],
+            passed: &[],
+            last_id: None,
+            whole: false,
+        },
+        Case {
+            pieces: &["data: no id\n\n"],
+            passed: &["data: no id\n\n"],
+            last_id: None,
+            whole: true,
+        },
+    ];
+    for case in cases {
+        let mut framer = EventFramer::default();
+        let mut passed = Vec::new();
+        for piece in case.pieces {
+            let framed = framer.push(Bytes::from_static(piece.as_bytes())).unwrap();
+            passed.extend(framed.map(|framed| framed.events));
+        }
+        assert_eq!(passed, case.passed, "{:?}", case.pieces);
+        assert_eq!(framer.last_id(), case.last_id, "{:?}", case.pieces);
+        assert_eq!(framer.is_between_events(), case.whole, "{:?}", case.pieces);
+    }
+}
+
+/// Symptom: an event comes twice, or one is missing, after a stream went on elsewhere. Cause: the
+/// second endpoint didn't go on where it was asked to.
+#[test]
+fn events_that_don_t_go_on_are_refused() {
+    for (after, events) in [
+        (5, "id: 5\n\n"),
+        (5, "id: 3\n\n"),
+        (5, "id: 6\n\nid: 6\n\n"),
+    ] {
+        let mut framer = EventFramer::after(Some(after));
+        let pushed = framer.push(Bytes::from(events.to_owned()));
+        assert_eq!(pushed, Err(FramingError::OutOfOrder), "{events:?}");
+    }
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut framer = EventFramer::default();
+    let piece = Bytes::from(vec![b'x'; 200 * 1024]);
+    assert_eq!(framer.push(piece.clone()), Ok(None));
+    assert_eq!(framer.push(piece), Err(FramingError::TooLarge));
+}
