--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions, without input or output.
 
+#![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
+
 mod endpoint_table;
 mod event_log;
 mod fixture;
