--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -58,7 +58,7 @@
     pub parts: PartCache,
     /// Until when an order keeps it from taking requests.
     pub reserved_until_us: TimeUs,
-    hash: u64,
+    hash: u32,
 }
 
 impl EndpointRow {
@@ -75,7 +75,7 @@
     }
 
     /// Returns the short name under which daemons tell each other of it.
-    pub fn hash(&self) -> u64 {
+    pub fn hash(&self) -> u32 {
         self.hash
     }
 }
@@ -84,7 +84,7 @@
 #[derive(Debug)]
 struct PeerLoad {
     told_at_us: TimeUs,
-    loads: HashMap<u64, Load>,
+    loads: HashMap<u32, Load>,
 }
 
 /// Says how much an absence from the store means.
@@ -113,7 +113,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     rows: BTreeMap<EndpointId, EndpointRow>,
-    by_hash: HashMap<u64, EndpointId>,
+    by_hash: HashMap<u32, EndpointId>,
     peer_loads: HashMap<Incarnation, PeerLoad>,
     /// Memory of the engines of each service, from the configuration.
     memory_tokens: HashMap<wisteriahitch_types::ServiceName, u64>,
@@ -232,7 +232,7 @@
     }
 
     /// Takes over what a peer has sent to endpoints.
-    pub fn peer_load(&mut self, peer: Incarnation, loads: HashMap<u64, Load>, now: TimeUs) {
+    pub fn peer_load(&mut self, peer: Incarnation, loads: HashMap<u32, Load>, now: TimeUs) {
         let old = self.peer_loads.remove(&peer);
         for (hash, load) in old.iter().flat_map(|old| &old.loads) {
             if let Some(row) = self.row_by_hash(*hash) {
@@ -251,18 +251,27 @@
         self.peer_loads.insert(peer, told);
     }
 
+    /// Returns what a peer has sent, by the endpoints' short names.
+    pub fn load_of(&self, peer: Incarnation) -> Option<&HashMap<u32, Load>> {
+        self.peer_loads.get(&peer).map(|told| &told.loads)
+    }
+
     /// Notes that an endpoint with this short name has read a part.
-    pub fn has_part(&mut self, hash: u64, key: PartKey, tokens: u64) {
+    pub fn has_part(&mut self, hash: u32, key: PartKey, tokens: u64) {
         if let Some(row) = self.row_by_hash(hash) {
             row.parts.used(key, tokens);
         }
     }
 
-    /// Notes that an order keeps an endpoint from taking requests until `until`.
-    pub fn reserve(&mut self, hash: u64, until: TimeUs) {
-        if let Some(row) = self.row_by_hash(hash) {
-            row.reserved_until_us = until;
-        }
+    /// Notes that an order keeps an endpoint from taking requests until `until`, and returns
+    /// whether that is new.
+    pub fn reserve(&mut self, hash: u32, until: TimeUs, now: TimeUs) -> bool {
+        let Some(row) = self.row_by_hash(hash) else {
+            return false;
+        };
+        let is_new = row.reserved_until_us <= now;
+        row.reserved_until_us = row.reserved_until_us.max(until);
+        is_new
     }
 
     /// Notes the weights that an endpoint was seen with; they never go back within its life.
@@ -317,7 +326,7 @@
     }
 
     fn insert(&mut self, endpoint: Endpoint, life: EndpointLife) {
-        let hash = xxh3_64(endpoint.id.as_str().as_bytes());
+        let hash = short_name(endpoint.id.as_str());
         let memory = self.memory_tokens.get(&endpoint.service).copied();
         let mut peers = Load::default();
         for told in self.peer_loads.values() {
@@ -347,8 +356,16 @@
         }
     }
 
-    fn row_by_hash(&mut self, hash: u64) -> Option<&mut EndpointRow> {
+    fn row_by_hash(&mut self, hash: u32) -> Option<&mut EndpointRow> {
         let id = self.by_hash.get(&hash)?;
         self.rows.get_mut(id)
     }
 }
+
+/// Returns the short name under which daemons tell each other of something.
+///
+/// Two things with the same one would share their load; with some thousand names that happens in
+/// one fleet of some thousand, and costs a little balance.
+pub(crate) fn short_name(name: &str) -> u32 {
+    (xxh3_64(name.as_bytes()) >> u32::BITS) as u32
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/hubs.rs
@@ -0,0 +1,106 @@
+//! Who tells whom: a few daemons of each availability zone gather the news of the others.
+//!
+//! Told by everybody to everybody, news grows with the square of the fleet; at some dozen daemons on
+//! slow links it would crowd out the callers' own bytes. In a small fleet everybody is a hub, and
+//! news takes one step. In a larger one each daemon tells its hub, hubs tell each other and their
+//! own, and news takes three. `docs/design/platform.md` has the figures.
+
+use std::net::Ipv4Addr;
+
+use wisteriahitch_core::fleet::Rendezvous;
+
+/// Fleets up to this size tell everything directly.
+pub(crate) const SMALL_FLEET: usize = 12;
+
+/// Daemons of a zone that follow the platform's store and the part stores in a larger fleet. A part
+/// store serves about a dozen such questions at once, and each return of a watch is paid for.
+const FOLLOWERS_OF_STORES: usize = 2;
+
+/// One daemon as far as it matters here.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HubCandidate {
+    /// Address.
+    pub ip: Ipv4Addr,
+    /// Availability zone.
+    pub zone: String,
+}
+
+/// The hubs of a fleet as one daemon sees them.
+///
+/// They follow from the members' addresses alone. A daemon that is a hub among all is one in every
+/// part of the fleet too, so that daemons which don't know of each other yet still meet at a hub.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct HubPlan {
+    /// All hubs with their zones.
+    pub hubs: Vec<HubCandidate>,
+    /// Whether the fleet is small, so that everybody is a hub.
+    pub is_small: bool,
+}
+
+impl HubPlan {
+    /// Makes the plan of a fleet.
+    pub fn of(members: &[HubCandidate]) -> Self {
+        if members.len() <= SMALL_FLEET {
+            return Self {
+                hubs: members.to_vec(),
+                is_small: true,
+            };
+        }
+        let mut zones: Vec<&str> = members.iter().map(|member| member.zone.as_str()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        let mut hubs = Vec::new();
+        for zone in zones {
+            hubs.extend(hubs_of(zone, members));
+        }
+        Self {
+            hubs,
+            is_small: false,
+        }
+    }
+
+    /// Returns whether a daemon is a hub.
+    pub fn is_hub(&self, ip: Ipv4Addr) -> bool {
+        self.hubs.iter().any(|hub| hub.ip == ip)
+    }
+
+    /// Returns the hub of a daemon that isn't one.
+    pub fn hub_of(&self, member: &HubCandidate) -> Option<Ipv4Addr> {
+        let same_zone = |hub: &&HubCandidate| hub.zone == member.zone;
+        let near: Vec<Ipv4Addr> = self
+            .hubs
+            .iter()
+            .filter(same_zone)
+            .map(|hub| hub.ip)
+            .collect();
+        let rank = Rendezvous::new("hub-of", &member.ip.to_string());
+        rank.top(near, 1, |ip| ip.octets().to_vec())
+            .first()
+            .copied()
+    }
+
+    /// Returns whether a daemon follows the stores itself instead of hearing of them.
+    pub fn follows_stores(&self, member: &HubCandidate) -> bool {
+        if self.is_small {
+            return true;
+        }
+        let near = self.hubs.iter().filter(|hub| hub.zone == member.zone);
+        near.take(FOLLOWERS_OF_STORES)
+            .any(|hub| hub.ip == member.ip)
+    }
+}
+
+/// Returns the hubs of one zone, the first by hash first: as many as the root of its daemons, so
+/// that a hub has about as many daemons as other hubs of its zone.
+fn hubs_of(zone: &str, members: &[HubCandidate]) -> Vec<HubCandidate> {
+    let near: Vec<HubCandidate> = members
+        .iter()
+        .filter(|member| member.zone == zone)
+        .cloned()
+        .collect();
+    let count = (near.len() as f64).sqrt().ceil() as usize;
+    let rank = Rendezvous::new("hub", zone);
+    rank.top(near, count.max(FOLLOWERS_OF_STORES), |member| {
+        member.ip.octets().to_vec()
+    })
+}
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -1,7 +1,7 @@
 //! The other daemons, as their own messages tell.
 //!
-//! Each daemon sends a small datagram to the others several times a second. What they believe of
-//! each other makes the fleet faster, never wrong; what must be right rests on the platform's store.
+//! Each daemon sends small datagrams several times a second. What they believe of each other makes
+//! the fleet faster, never wrong; what must be right rests on the platform's store.
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -10,12 +10,19 @@
 use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
 
 use super::backlog::Load;
+use super::hubs::{HubCandidate, HubPlan};
 
-/// Silence after which a member is no longer named to callers. Members send at least every 250 ms,
-/// so that a few lost datagrams don't count.
+/// Silence after which a member is no longer named to callers. Members send at least four times a
+/// second, so that a few lost datagrams don't count.
 const SILENCE_US: DurationUs = DurationUs::from_ms(900);
+/// The same for a member that a hub tells of.
+const TOLD_LIFE_US: DurationUs = DurationUs::from_ms(2_500);
+/// Age up to which what a hub has told is told on; each step adds its own.
+const TELL_ON_US: DurationUs = DurationUs::from_ms(1_200);
 /// Silence after which a member is forgotten.
 const FORGET_US: DurationUs = DurationUs::from_ms(30_000);
+/// Time for which an address that was never heard is still taken for a daemon's.
+const NEVER_HEARD_US: DurationUs = DurationUs::from_ms(3_000);
 
 /// Says what a member does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -28,14 +35,14 @@
     Draining,
 }
 
-/// Work that the sender has at one endpoint.
+/// Work at one endpoint that the receiver doesn't know from elsewhere.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct EndpointNews {
     /// Short name of the endpoint.
-    pub endpoint: u64,
+    pub endpoint: u32,
     /// Work.
     pub load: Load,
-    /// Whether the sender gives it an order now, so that it takes no requests.
+    /// Whether an order keeps the endpoint from taking requests.
     pub is_reserved: bool,
 }
 
@@ -43,14 +50,51 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PartNews {
     /// Short name of the endpoint.
-    pub endpoint: u64,
+    pub endpoint: u32,
     /// Key of the part.
     pub part: u64,
     /// Size.
     pub tokens: u32,
 }
 
-/// What one daemon tells the others.
+/// How fresh the sender's news of a store of prompt parts is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StoreNews {
+    /// Short name of the store.
+    pub store: u32,
+    /// Life of the store.
+    pub epoch: u64,
+    /// Age of the news.
+    pub age_ms: u32,
+    /// The clock of stores and engines at the sending, if it is known.
+    pub clock_ms: Option<u64>,
+}
+
+/// A part that a store has whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KeptNews {
+    /// Short name of the store.
+    pub store: u32,
+    /// Key of the part.
+    pub part: u64,
+    /// Size.
+    pub tokens: u32,
+}
+
+/// A daemon that the sender hears.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct MemberNews {
+    /// Address.
+    pub ip: Ipv4Addr,
+    /// Place of its zone in the message's list of zones.
+    pub zone: u8,
+    /// What it does.
+    pub phase: MemberPhase,
+    /// What it can carry.
+    pub capacity: u16,
+}
+
+/// What one daemon tells another.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Beacon {
     /// Life of the sender.
@@ -63,20 +107,32 @@
     pub zone: String,
     /// What the sender does.
     pub phase: MemberPhase,
-    /// Whether the store answers the sender.
+    /// What the sender can carry, in thousandths of a core.
+    pub capacity: u16,
+    /// Whether the sender is a hub, whose news include those of others.
+    pub is_hub: bool,
+    /// Whether the sender asks the stores itself.
+    pub follows_stores: bool,
+    /// Whether the store answers the sender, or one that it hears.
     pub is_store_reachable: bool,
     /// Revision of the last change of each kind of object that the sender knows, in the order
     /// in which daemons follow the kinds.
     pub revisions: Vec<u64>,
-    /// Work of the sender.
+    /// Work of the sender, and of others where it is a hub.
     pub endpoints: Vec<EndpointNews>,
-    /// Parts that were read for the sender since its last message.
+    /// Parts that were read since the last message.
     pub parts: Vec<PartNews>,
-    /// Other daemons that the sender hears from.
-    pub heard: Vec<Ipv4Addr>,
+    /// Stores of prompt parts of which the sender has news.
+    pub stores: Vec<StoreNews>,
+    /// Parts that stores have got since the last message.
+    pub kept: Vec<KeptNews>,
+    /// Names of the zones in `members`.
+    pub zones: Vec<String>,
+    /// Daemons that the sender hears.
+    pub members: Vec<MemberNews>,
 }
 
-/// One other daemon.
+/// One other daemon that is heard directly.
 #[derive(Clone, Debug)]
 pub struct PeerRow {
     /// Life.
@@ -87,18 +143,51 @@
     pub zone: String,
     /// What it does.
     pub phase: MemberPhase,
-    /// Whether the store answers it.
+    /// What it can carry.
+    pub capacity: u16,
+    /// Whether it is a hub.
+    pub is_hub: bool,
+    /// Whether it asks the stores itself.
+    pub follows_stores: bool,
+    /// Whether the store answers it, or one that it hears.
     pub is_store_reachable: bool,
     number: u64,
     heard_at_us: TimeUs,
 }
 
+/// One daemon that a hub tells of.
+#[derive(Clone, Debug)]
+struct ToldRow {
+    zone: String,
+    phase: MemberPhase,
+    capacity: u16,
+    told_at_us: TimeUs,
+}
+
+/// A daemon that callers may be sent to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Address.
+    pub ip: Ipv4Addr,
+    /// Availability zone.
+    pub zone: String,
+    /// What it can carry.
+    pub capacity: u16,
+}
+
+/// An address that is known from elsewhere: the settings, the store, or other daemons.
+#[derive(Clone, Debug)]
+struct KnownRow {
+    zone: Option<String>,
+    since_us: TimeUs,
+}
+
 /// The other daemons by address.
 #[derive(Debug, Default)]
 pub struct PeerTable {
     peers: BTreeMap<Ipv4Addr, PeerRow>,
-    /// Addresses that are known from elsewhere: the settings, the store, or other daemons.
-    known: BTreeMap<Ipv4Addr, TimeUs>,
+    told: BTreeMap<Ipv4Addr, ToldRow>,
+    known: BTreeMap<Ipv4Addr, KnownRow>,
 }
 
 /// What a message changed.
@@ -113,72 +202,205 @@
 }
 
 impl PeerTable {
-    /// Notes an address that may be a daemon's.
-    pub fn know(&mut self, ip: Ipv4Addr, now: TimeUs) {
-        self.known.entry(ip).or_insert(now);
+    /// Notes an address that may be a daemon's, with its zone if that is known.
+    pub fn know(&mut self, ip: Ipv4Addr, zone: Option<String>, now: TimeUs) {
+        let row = self.known.entry(ip).or_insert(KnownRow {
+            zone: None,
+            since_us: now,
+        });
+        if zone.is_some() {
+            row.zone = zone;
+        }
     }
 
     /// Takes a message in.
     pub fn heard(&mut self, beacon: &Beacon, now: TimeUs) -> Heard {
-        for ip in &beacon.heard {
-            self.know(*ip, now);
-        }
         let old = self.peers.get(&beacon.ip);
         let is_same_life = old.is_some_and(|old| old.incarnation == beacon.incarnation);
         if is_same_life && old.is_some_and(|old| old.number >= beacon.number) {
             return Heard::Old;
         }
         let was_there = old.is_some_and(|old| is_same_life && !is_silent(old, now));
-        self.known.insert(beacon.ip, now);
+        for member in &beacon.members {
+            self.told(beacon, member, now);
+        }
         let row = PeerRow {
             incarnation: beacon.incarnation,
             ip: beacon.ip,
             zone: beacon.zone.clone(),
             phase: beacon.phase,
+            capacity: beacon.capacity,
+            is_hub: beacon.is_hub,
+            follows_stores: beacon.follows_stores,
             is_store_reachable: beacon.is_store_reachable,
             number: beacon.number,
             heard_at_us: now,
         };
         self.peers.insert(beacon.ip, row);
+        self.known.insert(
+            beacon.ip,
+            KnownRow {
+                zone: Some(beacon.zone.clone()),
+                since_us: now,
+            },
+        );
         match was_there {
             true => Heard::Again,
             false => Heard::Joined,
         }
     }
 
+    fn told(&mut self, beacon: &Beacon, member: &MemberNews, now: TimeUs) {
+        let Some(zone) = beacon.zones.get(usize::from(member.zone)) else {
+            return;
+        };
+        let row = ToldRow {
+            zone: zone.clone(),
+            phase: member.phase,
+            capacity: member.capacity,
+            told_at_us: now,
+        };
+        self.told.insert(member.ip, row);
+        self.know(member.ip, Some(zone.clone()), now);
+    }
+
     /// Forgets those that have been silent for long, and returns those that fell silent since
     /// `last`.
     pub fn tick(&mut self, last: TimeUs, now: TimeUs) -> Vec<Incarnation> {
         self.peers
             .retain(|_, peer| now.since(peer.heard_at_us) < FORGET_US);
-        self.known.retain(|_, since| now.since(*since) < FORGET_US);
+        self.told
+            .retain(|_, told| now.since(told.told_at_us) < TOLD_LIFE_US);
+        let (peers, told) = (&self.peers, &self.told);
+        self.known.retain(|ip, known| {
+            let life = match peers.contains_key(ip) || told.contains_key(ip) {
+                true => FORGET_US,
+                false => NEVER_HEARD_US,
+            };
+            now.since(known.since_us) < life || told.contains_key(ip)
+        });
         let fell_silent = |peer: &&PeerRow| is_silent(peer, now) && !is_silent(peer, last);
         let silent = self.peers.values().filter(fell_silent);
         silent.map(|peer| peer.incarnation).collect()
     }
 
-    /// Lists the daemons that are heard.
+    /// Lists the daemons that are heard directly.
     pub fn alive(&self, now: TimeUs) -> impl Iterator<Item = &PeerRow> {
         self.peers
             .values()
             .filter(move |peer| !is_silent(peer, now))
     }
 
-    /// Lists the daemons that callers may be sent to.
+    /// Lists the daemons that serve and are heard directly.
     pub fn ready(&self, now: TimeUs) -> impl Iterator<Item = &PeerRow> {
         self.alive(now)
             .filter(|peer| peer.phase == MemberPhase::Ready)
     }
 
-    /// Lists every address that may be a daemon's.
-    pub fn addresses(&self) -> Vec<Ipv4Addr> {
-        self.known.keys().copied().collect()
+    /// Lists the daemons that callers may be sent to: those that are heard, and those that a hub
+    /// tells of.
+    pub fn entries(&self, now: TimeUs) -> Vec<Entry> {
+        let direct = self.ready(now).map(|peer| Entry {
+            ip: peer.ip,
+            zone: peer.zone.clone(),
+            capacity: peer.capacity,
+        });
+        let mut entries: Vec<Entry> = direct.collect();
+        for (ip, told) in &self.told {
+            // What is heard of a daemon itself goes before what another one tells of it.
+            let is_heard = self.peers.contains_key(ip);
+            if !is_heard && told.phase == MemberPhase::Ready {
+                entries.push(Entry {
+                    ip: *ip,
+                    zone: told.zone.clone(),
+                    capacity: told.capacity,
+                });
+            }
+        }
+        entries
+    }
+
+    /// Lists the daemons that a hub has told of a moment ago, to be told on.
+    pub fn freshly_told(&self, now: TimeUs) -> impl Iterator<Item = (Entry, MemberPhase)> + '_ {
+        let fresh = self.told.iter().filter(move |(ip, told)| {
+            now.since(told.told_at_us) < TELL_ON_US && !self.peers.contains_key(ip)
+        });
+        fresh.map(|(ip, told)| {
+            let entry = Entry {
+                ip: *ip,
+                zone: told.zone.clone(),
+                capacity: told.capacity,
+            };
+            (entry, told.phase)
+        })
+    }
+
+    /// Returns how many other daemons there seem to be.
+    pub fn count(&self, now: TimeUs) -> usize {
+        let alive = self.alive(now).count();
+        let told = self.told.keys().filter(|ip| !self.peers.contains_key(ip));
+        alive + told.count()
+    }
+
+    /// Makes the plan of hubs for a fleet with `me` in it.
+    pub fn hub_plan(&self, me: &HubCandidate, now: TimeUs) -> HubPlan {
+        let mut members = vec![me.clone()];
+        for (ip, known) in &self.known {
+            let is_gone = self
+                .peers
+                .get(ip)
+                .is_some_and(|peer| is_silent(peer, now) || peer.phase == MemberPhase::Draining);
+            if *ip == me.ip || (is_gone && !self.told.contains_key(ip)) {
+                continue;
+            }
+            members.push(HubCandidate {
+                ip: *ip,
+                zone: known.zone.clone().unwrap_or_default(),
+            });
+        }
+        HubPlan::of(&members)
+    }
+
+    /// Returns the addresses that a daemon tells its news.
+    pub fn targets(&self, me: &HubCandidate, plan: &HubPlan, now: TimeUs) -> Vec<Ipv4Addr> {
+        let others = self.known.keys().copied().filter(|ip| *ip != me.ip);
+        if plan.is_small {
+            return others.collect();
+        }
+        if !plan.is_hub(me.ip) {
+            return plan.hub_of(me).into_iter().collect();
+        }
+        let mut targets: Vec<Ipv4Addr> = plan.hubs.iter().map(|hub| hub.ip).collect();
+        for ip in others {
+            let zone = self.known.get(&ip).and_then(|known| known.zone.clone());
+            let member = HubCandidate {
+                ip,
+                zone: zone.unwrap_or_default(),
+            };
+            let is_mine = plan.hub_of(&member) == Some(me.ip);
+            let tells_me = self.alive(now).any(|peer| peer.ip == ip && !peer.is_hub);
+            if (is_mine || tells_me) && !targets.contains(&ip) {
+                targets.push(ip);
+            }
+        }
+        targets.retain(|ip| *ip != me.ip);
+        targets
+    }
+
+    /// Returns a daemon that is heard directly.
+    pub fn get(&self, ip: Ipv4Addr) -> Option<&PeerRow> {
+        self.peers.get(&ip)
     }
 
     /// Returns how long ago anything was heard from an address.
     pub fn silence(&self, ip: Ipv4Addr, now: TimeUs) -> Option<DurationUs> {
         self.peers.get(&ip).map(|peer| now.since(peer.heard_at_us))
     }
+
+    /// Returns whether a hub tells of an address.
+    pub fn is_told(&self, ip: Ipv4Addr) -> bool {
+        self.told.contains_key(&ip)
+    }
 }
 
 fn is_silent(peer: &PeerRow, now: TimeUs) -> bool {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod backlog;
 pub(crate) mod endpoint_table;
+pub(crate) mod hubs;
 pub(crate) mod members;
 pub(crate) mod outlier;
 pub(crate) mod overload;
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -13,13 +13,17 @@
     AvailabilityZone, ByteCount, DurationUs, ModelName, TimeUs, WeightNumber,
 };
 
+use super::endpoint_table::short_name;
+use super::members::{KeptNews, StoreNews};
 use super::parts::{PartKey, PartNamer};
 use crate::border::{KeptPart, PartChanges, PartListing};
 use crate::site::{EngineTraits, PartStore};
 
 /// Age of a store's news after which nothing is fetched from it. Its news is asked for without a
-/// pause and comes at least once a second.
-const NEWS_LIFE_US: DurationUs = DurationUs::from_ms(1_500);
+/// pause and comes at least twice a second; in a large fleet it is told on over up to three steps
+/// of a quarter of a second. A store that is down is noticed at once by its broken connection; the
+/// age only bounds what a daemon does that is cut off.
+const NEWS_LIFE_US: DurationUs = DurationUs::from_ms(2_000);
 
 /// Longest time for a fetch from the sending of its request. A fetch that takes longer is thrown
 /// away by the engine.
@@ -38,6 +42,9 @@
 /// Share of a store's room that is filled; its own accounting rounds each part up to whole blocks.
 const FILLED_SHARE: f64 = 0.97;
 
+/// Most parts that wait to be told; one that is never told is read again or asked for again.
+const MAX_WAITING_NEWS: usize = 2_000;
+
 /// Bits in a byte, over the microseconds in a millisecond: megabits a second are bits a
 /// microsecond.
 const BITS_PER_BYTE: f64 = 8.0;
@@ -53,7 +60,8 @@
     /// Nothing until the store was listed in this life.
     news_at_us: Option<TimeUs>,
     clock: Option<(u64, TimeUs)>,
-    kept: HashMap<PartKey, KeptPart>,
+    /// Parts that are whole there; without their names where another daemon told of them.
+    kept: HashMap<PartKey, Kept>,
     kept_tokens: u64,
     partial_tokens: u64,
     pending: HashMap<PartKey, (u64, TimeUs)>,
@@ -84,20 +92,27 @@
         used as f64 <= self.spec.room_tokens.as_f64() * FILLED_SHARE
     }
 
-    fn keep(&mut self, key: PartKey, part: KeptPart) {
+    /// Notes a part, and returns whether it is new.
+    fn keep(&mut self, key: PartKey, kept: Kept) -> bool {
         self.pending.remove(&key);
-        let tokens = part.tokens.get();
-        if self.kept.insert(key, part).is_none() {
+        let tokens = kept.tokens;
+        let is_new = self.kept.insert(key, kept).is_none();
+        if is_new {
             self.kept_tokens += tokens;
         }
+        is_new
     }
 
     fn forget(&mut self, key: PartKey) {
         if let Some(part) = self.kept.remove(&key) {
-            self.kept_tokens = self.kept_tokens.saturating_sub(part.tokens.get());
+            self.kept_tokens = self.kept_tokens.saturating_sub(part.tokens);
         }
     }
 
+    fn named(&self) -> impl Iterator<Item = &KeptPart> {
+        self.kept.values().filter_map(|kept| kept.name.as_ref())
+    }
+
     fn clear(&mut self) {
         self.kept.clear();
         self.pending.clear();
@@ -107,9 +122,27 @@
     }
 }
 
+/// One part that a store keeps.
+#[derive(Clone, Debug)]
+struct Kept {
+    tokens: u64,
+    name: Option<KeptPart>,
+}
+
+impl From<KeptPart> for Kept {
+    fn from(part: KeptPart) -> Self {
+        Self {
+            tokens: part.tokens.get(),
+            name: Some(part),
+        }
+    }
+}
+
 /// All stores.
 #[derive(Debug, Default)]
 pub struct PartStores {
+    /// Parts to tell other daemons of.
+    news: Vec<KeptNews>,
     rows: BTreeMap<SocketAddr, StoreRow>,
     /// Since when no engine has weights below these, by model.
     lowest_weights: BTreeMap<ModelName, (WeightNumber, TimeUs)>,
@@ -169,7 +202,7 @@
         row.partial_tokens = listing.partial_tokens;
         for part in listing.parts {
             let key = PartNamer::new(&part.model, &part.scope).key(part.id);
-            row.keep(key, part);
+            row.keep(key, part.into());
         }
         row.news_at_us = Some(now);
     }
@@ -192,7 +225,12 @@
             let part = event.part;
             let key = PartNamer::new(&part.model, &part.scope).key(part.id);
             match event.is_kept {
-                true => row.keep(key, part),
+                true => {
+                    let tokens = part.tokens.get();
+                    if row.keep(key, part.into()) {
+                        self.news.push(kept_news(store, key, tokens));
+                    }
+                }
                 false => row.forget(key),
             }
         }
@@ -208,6 +246,111 @@
         }
     }
 
+    /// Takes over how fresh another daemon's news of the stores is, and returns those of which it
+    /// tells and nothing is known here.
+    ///
+    /// Nobody's news is fresher than that of the one who asked the store: the age adds up on its way.
+    pub fn told(&mut self, news: &[StoreNews], now: TimeUs) -> Vec<SocketAddr> {
+        let mut unknown = Vec::new();
+        for row in self.rows.values_mut() {
+            let name = short_name(&row.spec.address.to_string());
+            let Some(told) = news.iter().find(|told| told.store == name) else {
+                continue;
+            };
+            if told.epoch != row.epoch || row.news_at_us.is_none() {
+                row.clear();
+                unknown.push(row.spec.address);
+                continue;
+            }
+            let age_us = u64::from(told.age_ms) * 1_000;
+            let made_at_us = TimeUs::new(now.get().saturating_sub(age_us));
+            row.news_at_us = row.news_at_us.max(Some(made_at_us));
+            row.clock = told.clock_ms.map(|clock_ms| (clock_ms, now)).or(row.clock);
+        }
+        unknown
+    }
+
+    /// Clears what is known of stores that a daemon which told of them no longer tells of.
+    pub fn no_longer_told(&mut self, news: &[StoreNews]) {
+        for row in self.rows.values_mut() {
+            let name = short_name(&row.spec.address.to_string());
+            if !news.iter().any(|told| told.store == name) {
+                row.clear();
+            }
+        }
+    }
+
+    /// Notes parts that another daemon tells of.
+    pub fn told_kept(&mut self, news: &[KeptNews]) {
+        for told in news {
+            let is_it = |row: &&mut StoreRow| {
+                short_name(&row.spec.address.to_string()) == told.store && row.news_at_us.is_some()
+            };
+            let Some(row) = self.rows.values_mut().find(is_it) else {
+                continue;
+            };
+            let kept = Kept {
+                tokens: u64::from(told.tokens),
+                name: None,
+            };
+            if row.keep(PartKey(told.part), kept) {
+                self.news.push(*told);
+            }
+        }
+    }
+
+    /// Returns how fresh the news of each store is, for other daemons.
+    pub fn store_news(&self, now: TimeUs) -> Vec<StoreNews> {
+        let readable = self.rows.values().filter(|row| row.is_readable(now));
+        let news = readable.filter_map(|row| {
+            let age_us = now.since(row.news_at_us?);
+            Some(StoreNews {
+                store: short_name(&row.spec.address.to_string()),
+                epoch: row.epoch,
+                age_ms: u32::try_from(age_us.as_ms()).unwrap_or(u32::MAX),
+                clock_ms: row
+                    .clock
+                    .map(|(clock_ms, at)| clock_ms + now.since(at).as_ms()),
+            })
+        });
+        news.collect()
+    }
+
+    /// Takes at most `most` parts to tell other daemons of; the rest goes with the next message.
+    pub fn take_news(&mut self, most: usize) -> Vec<KeptNews> {
+        let count = self.news.len().min(most);
+        let overflow = self.news.len().saturating_sub(MAX_WAITING_NEWS);
+        self.news.drain(..overflow);
+        let count = count.min(self.news.len());
+        self.news.drain(..count).collect()
+    }
+
+    /// Returns everything that is kept at one store, for a daemon that has just heard of it.
+    pub fn kept_at(&self, store: SocketAddr) -> Option<(u64, Vec<(u64, u64)>)> {
+        let row = self.rows.get(&store)?;
+        row.news_at_us?;
+        let kept = row.kept.iter().map(|(key, kept)| (key.0, kept.tokens));
+        Some((row.epoch, kept.collect()))
+    }
+
+    /// Takes over everything that is kept at one store, as another daemon told it.
+    pub fn told_all(&mut self, store: SocketAddr, epoch: u64, kept: &[(u64, u64)], now: TimeUs) {
+        let Some(row) = self.rows.get_mut(&store) else {
+            return;
+        };
+        row.clear();
+        row.epoch = epoch;
+        for (key, tokens) in kept {
+            let kept = Kept {
+                tokens: *tokens,
+                name: None,
+            };
+            row.keep(PartKey(*key), kept);
+        }
+        // Old enough that nothing is fetched until the teller's next news says how fresh it is.
+        row.news_at_us = Some(TimeUs::new(now.get().saturating_sub(NEWS_LIFE_US.get())));
+    }
+
     /// Returns the quickest fetch of a part for an engine in `zone`.
     pub fn fetch(
         &self,
@@ -311,8 +454,7 @@
                 store: row.spec.address,
                 epoch: row.epoch,
                 parts: row
-                    .kept
-                    .values()
+                    .named()
                     .filter(|part| is_unused(part))
                     .cloned()
                     .collect(),
@@ -338,6 +480,14 @@
     }
 }
 
+fn kept_news(store: SocketAddr, key: PartKey, tokens: u64) -> KeptNews {
+    KeptNews {
+        store: short_name(&store.to_string()),
+        part: key.0,
+        tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+    }
+}
+
 /// Returns how long so many tokens take over a link, in milliseconds.
 pub(crate) fn transfer_ms(tokens: u64, token_bytes: ByteCount, link_mbps: f64) -> f64 {
     if link_mbps <= 0.0 {
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -73,17 +73,20 @@
             .count()
     }
 
-    /// Notes that a part was used; the least recently used ones yield to it.
-    pub fn used(&mut self, key: PartKey, tokens: u64) {
-        if self.parts.put(key, tokens).is_none() {
+    /// Notes that a part was used, and returns whether that is new; the least recently used ones
+    /// yield to it.
+    pub fn used(&mut self, key: PartKey, tokens: u64) -> bool {
+        let is_new = self.parts.put(key, tokens).is_none();
+        if is_new {
             self.held_tokens += tokens;
         }
         while self.held_tokens > self.room_tokens {
             let Some((_, freed)) = self.parts.pop_lru() else {
-                return;
+                break;
             };
             self.held_tokens = self.held_tokens.saturating_sub(freed);
         }
+        is_new
     }
 
     /// Forgets everything, as the endpoint does when its weights change.
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -42,9 +42,15 @@
 const OLD_WEIGHTS_UNTIL_US: DurationUs = DurationUs::from_ms(6_000);
 /// Milliseconds that a call of a service without an engine takes, as long as nothing better is known.
 const PLAIN_CALL_MS: f64 = 40.0;
-/// Milliseconds by which endpoints count as equal; one of them is drawn, so that daemons with the
-/// same news don't all send to the same one.
-const NEAR_MS: f64 = 2.0;
+/// Milliseconds by which endpoints count as about equal in a small fleet; one of them is drawn.
+const MIN_SPREAD_MS: f64 = 2.0;
+/// The same for each daemon of a large fleet: the more daemons choose by the same news, and the
+/// older it is, the more of them would send to the same endpoint before they hear of each other.
+const SPREAD_MS_PER_DAEMON: f64 = 0.35;
+/// Most that it grows to.
+const MAX_SPREAD_MS: f64 = 40.0;
+/// Endpoints that cost so many times the spread more than the least one aren't drawn.
+const MAX_SPREADS: f64 = 4.0;
 /// Head start, in milliseconds, of the endpoint that the prompt's hash ranks first. It lets daemons
 /// that haven't heard of each other's requests send equal prompts to the same endpoint.
 const AFFINITY_MS: f64 = 6.0;
@@ -66,6 +72,10 @@
     pub wall: Option<&'a WorkspaceId>,
     /// Availability zone of this daemon.
     pub zone: &'a AvailabilityZone,
+    /// Daemons of the fleet.
+    pub daemons: usize,
+    /// How long a call of the service lasts once it has begun, as seen lately.
+    pub duration_us: DurationUs,
     /// Time within which a first event is of any use.
     pub patience_us: DurationUs,
     /// Longest wait for the work of others.
@@ -142,11 +152,7 @@
     let Some(least) = least else {
         return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US));
     };
-    let near: Vec<&Offer<'_>> = offers
-        .iter()
-        .filter(|offer| offer.cost_ms <= least + NEAR_MS)
-        .collect();
-    let chosen = near[rng.random_range(0..near.len())];
+    let chosen = draw(&offers, least, spread_ms(request.daemons), rng);
     let expected_us = DurationUs::from_secs_f64(chosen.wait_ms / 1_000.0);
     let queue_us = DurationUs::from_secs_f64(chosen.queue_ms / 1_000.0);
     let late_us = expected_us - request.patience_us;
@@ -172,6 +178,43 @@
     })
 }
 
+fn spread_ms(daemons: usize) -> f64 {
+    (daemons as f64 * SPREAD_MS_PER_DAEMON).clamp(MIN_SPREAD_MS, MAX_SPREAD_MS)
+}
+
+/// Draws one of the offers that are about as good as the least one, the better the likelier.
+///
+/// Load pattern: many daemons with the same news, some hundred milliseconds old. Taken by all, the
+/// least one gets a hundred requests before anybody hears of them, and refuses what its queue can't
+/// hold; one would notice by refusals of single endpoints while others are idle.
+fn draw<'a, 'b>(
+    offers: &'a [Offer<'b>],
+    least: f64,
+    spread_ms: f64,
+    rng: &mut impl Rng,
+) -> &'a Offer<'b> {
+    let weight = |offer: &Offer<'_>| {
+        let spreads = (offer.cost_ms - least) / spread_ms;
+        if spreads > MAX_SPREADS {
+            0.0
+        } else {
+            (-spreads).exp()
+        }
+    };
+    let total: f64 = offers.iter().map(weight).sum();
+    let mut left = rng.random_range(0.0..total.max(f64::MIN_POSITIVE));
+    for offer in offers {
+        let weight = weight(offer);
+        if weight > 0.0 && left < weight {
+            return offer;
+        }
+        left -= weight;
+    }
+    // Rounding alone comes here; the least one is as good an answer as any.
+    let by_cost = |a: &&Offer<'_>, b: &&Offer<'_>| a.cost_ms.total_cmp(&b.cost_ms);
+    offers.iter().min_by(by_cost).unwrap_or(&offers[0])
+}
+
 /// Returns the endpoints that may take the call.
 ///
 /// Those that are ejected or under an order are left out as long as others are there: an ejection
@@ -289,7 +332,7 @@
     let memory = engine.memory_tokens.as_f64().max(1.0);
     let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
     queue_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
-    queue_ms += slot_wait_ms(load.running, engine.slots);
+    queue_ms += slot_wait_ms(busy(row, now), engine.slots, request.duration_us);
     let wait_ms = queue_ms + fetch_ms + unread as f64 / READ_TOKENS_PER_MS;
     let replaced_at = weights.and_then(|weights| replaced_at(request, weights));
     let is_old = replaced_at.is_some_and(|at| now.since(at) > OLD_WEIGHTS_AFTER_US);
@@ -326,20 +369,23 @@
     (fetched_tokens, fetch_ms)
 }
 
-/// Half a second is what requests of the deployments last in a full batch.
-fn slot_wait_ms(running: u32, slots: u32) -> f64 {
-    const FULL_BATCH_MS: f64 = 500.0;
-    let beyond = (running + 1).saturating_sub(slots.max(1));
-    f64::from(beyond) / f64::from(slots.max(1)) * FULL_BATCH_MS
+/// Returns how many requests an endpoint has: as this daemon counts, or as it has told itself.
+fn busy(row: &EndpointRow, now: TimeUs) -> u32 {
+    let told = row.told.filter(|(_, at)| now.since(*at) < TOLD_LIFE_US);
+    let told = told.map_or(0, |(report, _)| report.running + report.waiting);
+    row.load().running.max(told)
+}
+
+/// Returns the wait for a free slot: one becomes free each time one of the running calls ends.
+fn slot_wait_ms(busy: u32, slots: u32, duration_us: DurationUs) -> f64 {
+    let slots = slots.max(1);
+    let before = (busy + 1).saturating_sub(slots);
+    f64::from(before) / f64::from(slots) * duration_us.as_secs_f64() * 1_000.0
 }
 
 fn plain_offer(row: &EndpointRow, now: TimeUs) -> Offer<'_> {
     let slots = row.endpoint.slots.max(1);
-    let known = row.load().running;
-    let told = row.told.filter(|(_, at)| now.since(*at) < TOLD_LIFE_US);
-    let told = told.map_or(0, |(report, _)| report.running + report.waiting);
-    let busy = known.max(told);
-    let rounds = f64::from(busy) / f64::from(slots);
+    let rounds = f64::from(busy(row, now)) / f64::from(slots);
     let wait_ms = PLAIN_CALL_MS * (1.0 + rounds.max(0.0) * 0.5 + (rounds - 1.0).max(0.0));
     Offer {
         row,
--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -9,9 +9,13 @@
 
 use crate::border::{EngineReport, OrderOutcome};
 
-/// Time between an announcement and the order: the other daemons' next messages, with room for a
-/// late one. Requests that cross an order are refused by the engine.
+/// Time between an announcement and the order in a small fleet: the other daemons' next messages.
+/// Requests that cross an order are refused by the engine.
 const ANNOUNCE_US: DurationUs = DurationUs::from_ms(150);
+/// The same in a large fleet, where news takes three steps.
+const LARGE_ANNOUNCE_US: DurationUs = DurationUs::from_ms(600);
+/// Engines above which a fleet counts as large here.
+const LARGE_FLEET: usize = 30;
 /// Time between two reports of an engine that loads. Reports lag by some hundred milliseconds.
 const REPORT_US: DurationUs = DurationUs::from_ms(200);
 /// Time after which an order that was accepted and shows no effect is given again.
@@ -76,15 +80,18 @@
 /// Follows the engines that are being brought to wanted weights.
 #[derive(Clone, Debug)]
 pub struct Rollout {
-    parallel: usize,
+    parallel_min: usize,
+    parallel_share: f64,
     active: BTreeMap<EndpointId, Active>,
 }
 
 impl Rollout {
-    /// Starts without any; at most `parallel` engines load at once, since more take longer.
-    pub fn new(parallel: usize) -> Self {
+    /// Starts without any; at most `parallel_share` of the engines load at once, since more take
+    /// longer, but `parallel_min` of them may in any case.
+    pub fn new(parallel_min: usize, parallel_share: f64) -> Self {
         Self {
-            parallel: parallel.max(1),
+            parallel_min: parallel_min.max(1),
+            parallel_share,
             active: BTreeMap::new(),
         }
     }
@@ -104,10 +111,10 @@
         self.active.clear();
     }
 
-    /// Takes the engines that are behind, and returns what is due.
-    pub fn tick(&mut self, behind: &[RolloutRow], now: TimeUs) -> Vec<RolloutStep> {
+    /// Takes the engines that are behind, of so many in all, and returns what is due.
+    pub fn tick(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) -> Vec<RolloutStep> {
         self.drop_finished(behind);
-        self.take_next(behind, now);
+        self.take_next(behind, engines, now);
         let mut steps = Vec::new();
         for (endpoint, active) in &mut self.active {
             match active.phase {
@@ -198,18 +205,24 @@
 
     /// Takes the engines with the oldest weights first, and of those the ones with the least work:
     /// they are empty soonest.
-    fn take_next(&mut self, behind: &[RolloutRow], now: TimeUs) {
+    fn take_next(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) {
+        let share = (engines as f64 * self.parallel_share) as usize;
+        let parallel = self.parallel_min.max(share);
         let mut waiting: Vec<&RolloutRow> = behind
             .iter()
             .filter(|row| !self.active.contains_key(&row.endpoint))
             .collect();
         waiting.sort_by_key(|row| (row.has, row.running));
-        let free = self.parallel.saturating_sub(self.active.len());
+        let announce_us = match engines > LARGE_FLEET {
+            true => LARGE_ANNOUNCE_US,
+            false => ANNOUNCE_US,
+        };
+        let free = parallel.saturating_sub(self.active.len());
         for row in waiting.into_iter().take(free) {
             let active = Active {
                 model: row.model.clone(),
                 wanted: row.wanted,
-                phase: Phase::AskAt(now + ANNOUNCE_US),
+                phase: Phase::AskAt(now + announce_us),
                 ordering: row.wanted,
                 accepted: None,
             };
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -20,7 +20,11 @@
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointLife, EndpointTable};
-pub use decide::members::{Beacon, EndpointNews, Heard, MemberPhase, PartNews, PeerTable};
+pub use decide::hubs::{HubCandidate, HubPlan};
+pub use decide::members::{
+    Beacon, EndpointNews, Entry, Heard, KeptNews, MemberNews, MemberPhase, PartNews, PeerRow,
+    PeerTable, StoreNews,
+};
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
 pub use decide::part_stores::{Fetch, FreeOrder, PartStores};
--- a/crates/wisteriahitch-relay/src/settings.rs
+++ b/crates/wisteriahitch-relay/src/settings.rs
@@ -94,7 +94,9 @@
 pub struct LimitSettings {
     /// Memory of the process.
     pub memory_mb: f64,
-    /// Share of it that bodies of requests may take while they wait.
+    /// Part of a core that the daemon has.
+    pub cores: f64,
+    /// Share of the memory that bodies of requests may take while they wait.
     pub body_share: f64,
 }
 
@@ -119,8 +121,10 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
 pub struct RolloutSettings {
-    /// Engines that load at once; more at once each take longer.
-    pub parallel: usize,
+    /// Share of the engines that are emptied and load at once; more at once each take longer.
+    pub parallel_share: f64,
+    /// Engines that may do so however few there are.
+    pub parallel_min: usize,
     /// Time that must lie between orders of two holders.
     pub lease_ms: u64,
 }
@@ -157,6 +161,7 @@
     fn default() -> Self {
         Self {
             memory_mb: 256.0,
+            cores: 1.0,
             body_share: 0.2,
         }
     }
@@ -174,7 +179,8 @@
 impl Default for RolloutSettings {
     fn default() -> Self {
         Self {
-            parallel: 3,
+            parallel_share: 0.2,
+            parallel_min: 3,
             lease_ms: 3_000,
         }
     }
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -0,0 +1,200 @@
+//! What a daemon tells another one.
+
+use std::net::Ipv4Addr;
+
+use wisteriahitch_types::{EndpointId, TimeUs};
+
+use super::shared::Shared;
+use crate::decide::backlog::Load;
+use crate::decide::endpoint_table::EndpointRow;
+use crate::decide::hubs::HubPlan;
+use crate::decide::members::{
+    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
+};
+
+/// Largest message; a network breaks it into a few packets, and one lost packet loses one message.
+const MAX_BEACON_BYTES: usize = 4 * 1024;
+
+/// Most parts in a message; of more, the newest go first.
+const MAX_PARTS: usize = 120;
+
+/// Most news of part stores in a message; the rest goes with the next one.
+const MAX_KEPT: usize = 80;
+
+/// Most daemons in a message; messages of a larger fleet take turns.
+const MAX_MEMBERS: usize = 60;
+
+/// What goes to several targets of one round.
+pub(super) struct Relayed {
+    near_parts: Vec<PartNews>,
+    far_parts: Vec<PartNews>,
+    kept: Vec<KeptNews>,
+    reserved: Vec<EndpointId>,
+}
+
+impl Relayed {
+    /// Gathers it.
+    pub(super) fn new(
+        shared: &Shared,
+        plan: &HubPlan,
+        near_parts: Vec<PartNews>,
+        far_parts: Vec<PartNews>,
+    ) -> Self {
+        // In a small fleet everybody asks the stores.
+        let news = shared.part_stores.lock().take_news(MAX_KEPT);
+        let kept = if plan.is_small { Vec::new() } else { news };
+        Self {
+            near_parts,
+            far_parts,
+            kept,
+            reserved: shared.rollout.lock().reserved().cloned().collect(),
+        }
+    }
+}
+
+/// Encodes the message for `own`, one of this hub's daemons, or else for everybody else.
+pub(super) fn encode(
+    shared: &Shared,
+    plan: &HubPlan,
+    relayed: &Relayed,
+    own: Option<Ipv4Addr>,
+    now: TimeUs,
+) -> Vec<u8> {
+    let mut beacon = base(shared, plan, now);
+    beacon.endpoints = endpoint_news(shared, plan, relayed, own, now);
+    beacon.parts = relayed.near_parts.clone();
+    if own.is_some() {
+        beacon.parts.extend(&relayed.far_parts);
+    }
+    let surplus = beacon.parts.len().saturating_sub(MAX_PARTS);
+    beacon.parts.drain(..surplus);
+    if !plan.is_small && beacon.is_hub {
+        beacon.stores = store_news(shared, now);
+        // Hubs that only hear of the stores tell their own daemons alone.
+        if own.is_some() || shared.peers.follows_stores() {
+            beacon.kept.clone_from(&relayed.kept);
+        }
+        add_members(shared, &mut beacon, own, now);
+    }
+    fit(beacon)
+}
+
+fn base(shared: &Shared, plan: &HubPlan, now: TimeUs) -> Beacon {
+    let is_store_reachable = match shared.peers.follows_stores() {
+        true => shared.watches.is_store_reachable(),
+        false => shared.peers.hears_of_store(shared.settings.ip, now),
+    };
+    Beacon {
+        incarnation: shared.incarnation,
+        number: shared.peers.next_number(),
+        ip: shared.settings.ip,
+        zone: shared.settings.zone.to_string(),
+        phase: shared.phase(),
+        capacity: shared.peers.capacity(shared.settings.limits.cores),
+        is_hub: plan.is_hub(shared.settings.ip),
+        follows_stores: shared.peers.follows_stores(),
+        is_store_reachable,
+        revisions: shared.watches.changed(),
+        endpoints: Vec::new(),
+        parts: Vec::new(),
+        stores: Vec::new(),
+        kept: Vec::new(),
+        zones: Vec::new(),
+        members: Vec::new(),
+    }
+}
+
+/// Returns the work that the receiver doesn't know from elsewhere.
+///
+/// One of this hub's daemons hears of everybody's but its own; other hubs hear of this daemon's and
+/// of its daemons'; in a small fleet, and from one that is no hub, everybody hears of its own.
+fn endpoint_news(
+    shared: &Shared,
+    plan: &HubPlan,
+    relayed: &Relayed,
+    own: Option<Ipv4Addr>,
+    now: TimeUs,
+) -> Vec<EndpointNews> {
+    let is_hub = !plan.is_small && plan.is_hub(shared.settings.ip);
+    let peers: Vec<(bool, wisteriahitch_types::Incarnation, bool)> = {
+        let table = shared.peers.table();
+        let alive = table.alive(now);
+        alive
+            .map(|peer| (peer.is_hub, peer.incarnation, Some(peer.ip) == own))
+            .collect()
+    };
+    let endpoints = shared.endpoints.lock();
+    let counted = peers.iter().filter(|(peer_is_hub, _, is_receiver)| {
+        is_hub && !is_receiver && (own.is_some() || !peer_is_hub)
+    });
+    let loads: Vec<_> = counted
+        .filter_map(|(_, peer, _)| endpoints.load_of(*peer))
+        .collect();
+    let news = |row: &EndpointRow| {
+        let mut load = row.own;
+        for told in &loads {
+            load.add(told.get(&row.hash()).copied().unwrap_or_default());
+        }
+        let is_told = own.is_some() && row.reserved_until_us > now;
+        EndpointNews {
+            endpoint: row.hash(),
+            load,
+            is_reserved: is_told || relayed.reserved.contains(&row.endpoint.id),
+        }
+    };
+    let says_something = |news: &EndpointNews| news.is_reserved || news.load != Load::default();
+    endpoints.iter().map(news).filter(says_something).collect()
+}
+
+fn store_news(shared: &Shared, now: TimeUs) -> Vec<StoreNews> {
+    shared.part_stores.lock().store_news(now)
+}
+
+/// Adds the daemons that are heard: for other hubs those of this hub, for its own all.
+fn add_members(shared: &Shared, beacon: &mut Beacon, own: Option<Ipv4Addr>, now: TimeUs) {
+    let table = shared.peers.table();
+    let mut rows: Vec<(Ipv4Addr, String, MemberPhase, u16)> = table
+        .alive(now)
+        .filter(|peer| own.is_some() || !peer.is_hub)
+        .map(|peer| (peer.ip, peer.zone.clone(), peer.phase, peer.capacity))
+        .collect();
+    if own.is_some() {
+        let told = table.freshly_told(now);
+        rows.extend(told.map(|(entry, phase)| (entry.ip, entry.zone, phase, entry.capacity)));
+    }
+    drop(table);
+    let pages = rows.len().div_ceil(MAX_MEMBERS).max(1);
+    let page = usize::try_from(now.get() / 200_000).unwrap_or(0) % pages;
+    for (ip, zone, phase, capacity) in rows.into_iter().skip(page * MAX_MEMBERS).take(MAX_MEMBERS) {
+        let known = beacon.zones.iter().position(|known| *known == zone);
+        let zone = known.unwrap_or_else(|| {
+            beacon.zones.push(zone);
+            beacon.zones.len() - 1
+        });
+        beacon.members.push(MemberNews {
+            ip,
+            zone: u8::try_from(zone).unwrap_or(u8::MAX),
+            phase,
+            capacity,
+        });
+    }
+}
+
+/// Encodes a message, leaving out the least useful news where it is too large.
+fn fit(mut beacon: Beacon) -> Vec<u8> {
+    loop {
+        let message = postcard::to_stdvec(&beacon).unwrap_or_default();
+        if message.len() <= MAX_BEACON_BYTES {
+            return message;
+        }
+        let shorter = beacon.parts.len() / 2;
+        match (beacon.parts.is_empty(), beacon.kept.is_empty()) {
+            (false, _) => beacon.parts.truncate(shorter),
+            (true, false) => beacon.kept.clear(),
+            (true, true) if beacon.endpoints.is_empty() => return message,
+            (true, true) => {
+                beacon.endpoints.pop();
+            }
+        }
+    }
+}
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -19,6 +19,7 @@
 
 use super::budgets::Budgets;
 use super::drain::Drain;
+use super::durations::Durations;
 use super::entries::EntrySide;
 use super::orders::{lease_table, run_orders, wanted_snapshot};
 use super::part_news::run_freeing;
@@ -84,9 +85,13 @@
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
             budgets: Budgets::new(settings.retry.clone()),
+            durations: Durations::default(),
             watches: WatchStates::default(),
             leases: Mutex::new(lease_table(&settings, incarnation)),
-            rollout: Mutex::new(Rollout::new(settings.rollout.parallel)),
+            rollout: Mutex::new(Rollout::new(
+                settings.rollout.parallel_min,
+                settings.rollout.parallel_share,
+            )),
             drain: Drain::default(),
             body_bytes: AtomicUsize::new(0),
             log,
@@ -109,7 +114,7 @@
         let now = shared.now();
         for seed in &shared.settings.seeds {
             if let SocketAddr::V4(seed) = seed {
-                shared.peers.table().know(*seed.ip(), now);
+                shared.peers.table().know(*seed.ip(), None, now);
             }
         }
         start_servers(&shared).await?;
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -1,6 +1,6 @@
 //! Where callers connect, and whether this daemon is ready.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,14 +8,19 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::seq::SliceRandom;
+use rand::{Rng, RngExt};
 
 use super::answer_body::AnswerBody;
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
-use crate::decide::members::MemberPhase;
+use crate::decide::members::{Entry, MemberPhase};
 
-/// Most addresses in an answer.
-const MAX_ENTRIES: usize = 64;
+/// Up to so many daemons are all named in an answer.
+const ALL_NAMED: usize = 12;
+
+/// Daemons that are named of a larger fleet: enough for a caller to find one that lives after many
+/// have died at once.
+const DRAWN: usize = 10;
 
 /// Answers the questions of callers that want to connect, and of the platform.
 pub(crate) struct EntrySide {
@@ -60,23 +65,43 @@
 
 /// Returns the daemons that are alive and stay, in an order of chance.
 ///
-/// Callers keep an answer for a while; in the same order for all they would all go to the first.
-/// This daemon names itself where it knows nobody, since no address at all helps nobody.
+/// Callers keep an answer for a while and choose among its addresses alike. In a small fleet they are
+/// told of all. In a larger one each answer names some, drawn by what each can carry, so that a VM
+/// with a tenth of a core isn't given as many callers as one with half. This daemon names itself
+/// where it knows nobody, since no address at all helps nobody.
 fn entries(shared: &Shared) -> Vec<SocketAddr> {
-    let now = shared.now();
     let port = shared.settings.listen.callers.port();
-    let mut ips: Vec<Ipv4Addr> = shared
-        .peers
-        .table()
-        .ready(now)
-        .map(|peer| peer.ip)
-        .collect();
-    if shared.phase() == MemberPhase::Ready || ips.is_empty() {
-        ips.push(shared.settings.ip);
+    let mut entries = shared.peers.table().entries(shared.now());
+    if shared.phase() == MemberPhase::Ready || entries.is_empty() {
+        entries.push(Entry {
+            ip: shared.settings.ip,
+            zone: shared.settings.zone.to_string(),
+            capacity: shared.peers.capacity(shared.settings.limits.cores),
+        });
     }
-    ips.shuffle(&mut rand::rng());
-    ips.truncate(MAX_ENTRIES);
-    ips.into_iter()
-        .map(|ip| SocketAddr::from((ip, port)))
-        .collect()
+    let mut rng = rand::rng();
+    let named: Vec<Entry> = match entries.len() > ALL_NAMED {
+        true => draw(entries, &mut rng),
+        false => entries,
+    };
+    let mut addresses: Vec<SocketAddr> = named
+        .iter()
+        .map(|entry| SocketAddr::from((entry.ip, port)))
+        .collect();
+    addresses.shuffle(&mut rng);
+    addresses
+}
+
+/// Draws some entries, each with a chance in proportion to its capacity.
+fn draw(entries: Vec<Entry>, rng: &mut impl Rng) -> Vec<Entry> {
+    let mut scored: Vec<(f64, Entry)> = entries
+        .into_iter()
+        .map(|entry| {
+            let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+            (-uniform.ln() / f64::from(entry.capacity.max(1)), entry)
+        })
+        .collect();
+    scored.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    scored.truncate(DRAWN);
+    scored.into_iter().map(|(_, entry)| entry).collect()
 }
--- a/crates/wisteriahitch-relay/src/shell/flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/flight.rs
@@ -76,7 +76,9 @@
         }
         let mut news = Vec::new();
         for (key, tokens) in part_keys(scope, prompt) {
-            row.parts.used(key, tokens);
+            if !row.parts.used(key, tokens) {
+                continue;
+            }
             news.push(PartNews {
                 endpoint: row.hash(),
                 part: key.0,
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -2,9 +2,11 @@
 
 mod answer_body;
 mod attempt;
+mod beacons;
 mod budgets;
 pub(crate) mod daemon;
 mod drain;
+mod durations;
 mod entries;
 mod flight;
 mod orders;
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -147,6 +147,15 @@
     behind
 }
 
+/// Returns how many engines there are.
+fn engines(shared: &Shared) -> usize {
+    let endpoints = shared.endpoints.lock();
+    endpoints
+        .iter()
+        .filter(|row| !row.endpoint.weights.is_empty())
+        .count()
+}
+
 fn step(shared: &Arc<Shared>, members: &Arc<Membership>, behind: &[RolloutRow]) {
     let now = shared.now();
     let commands = {
@@ -170,7 +179,7 @@
         shared.rollout.lock().clear();
         return;
     }
-    let steps = shared.rollout.lock().tick(behind, now);
+    let steps = shared.rollout.lock().tick(behind, engines(shared), now);
     if !steps.is_empty() {
         shared.peers.hurry.notify_one();
     }
@@ -183,9 +192,12 @@
 /// reach the store.
 fn candidates(shared: &Shared, now: TimeUs) -> Vec<Incarnation> {
     let table = shared.peers.table();
-    let peers = table.ready(now).filter(|peer| peer.is_store_reachable);
+    let peers = table
+        .ready(now)
+        .filter(|peer| peer.follows_stores && peer.is_store_reachable);
     let mut all: Vec<Incarnation> = peers.map(|peer| peer.incarnation).collect();
-    if shared.watches.is_store_reachable() && !shared.drain.is_draining() {
+    let may_hold = shared.peers.follows_stores() && shared.watches.is_store_reachable();
+    if may_hold && !shared.drain.is_draining() {
         all.push(shared.incarnation);
     }
     let rank = Rendezvous::new("orders", "");
--- a/crates/wisteriahitch-relay/src/shell/part_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/part_news.rs
@@ -14,8 +14,12 @@
 use crate::decide::placement::weights_of_scope;
 use crate::observe::Event;
 
-/// Longest wait of one question for changes; the stores' own bound.
-const CHANGES_WAIT: Duration = Duration::from_millis(1_000);
+/// Longest wait of one question for changes. Stores allow a second; shorter ones keep the news
+/// fresh for those who hear it from others.
+const CHANGES_WAIT: Duration = Duration::from_millis(500);
+
+/// Time between two looks whether this daemon is to follow the stores itself.
+const ROLE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Pause after a store didn't answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -28,6 +32,12 @@
     let mut since = None;
     let mut was_reachable = true;
     while shared.part_stores.lock().is_configured(store) {
+        if !shared.peers.follows_stores() {
+            // Another daemon's news says how fresh its own is; what was known here goes on with it.
+            since = None;
+            tokio::time::sleep(ROLE_INTERVAL).await;
+            continue;
+        }
         let step = match since {
             None => list(&shared, store).await.map(Some),
             Some(since) => changes(&shared, store, since).await,
@@ -119,8 +129,11 @@
 fn is_mine(shared: &Shared) -> bool {
     let now = shared.now();
     let table = shared.peers.table();
-    let mut candidates: Vec<_> = table.ready(now).map(|peer| peer.incarnation).collect();
-    candidates.push(shared.incarnation);
+    let followers = table.ready(now).filter(|peer| peer.follows_stores);
+    let mut candidates: Vec<_> = followers.map(|peer| peer.incarnation).collect();
+    if shared.peers.follows_stores() {
+        candidates.push(shared.incarnation);
+    }
     let rank = Rendezvous::new("free", "");
     let first = rank.top(candidates, 1, |i| i.get().to_le_bytes().to_vec());
     first.first() == Some(&shared.incarnation) && !shared.drain.is_draining()
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -3,64 +3,83 @@
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use parking_lot::{Mutex, MutexGuard};
+use serde::de::DeserializeOwned;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use wisteriahitch_types::{ByteCount, DurationUs, TimeUs};
 use wisteriahitch_wire::connection_pool::Connection;
-use wisteriahitch_wire::object_store::{Listing, ObjectRole};
+use wisteriahitch_wire::object_store::{ObjectRole, Revision};
 
 use super::answer_body::AnswerBody;
+use super::beacons::{Relayed, encode};
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
-use super::watch::{WATCHED, apply_listing, kind_name};
-use crate::decide::members::{Beacon, EndpointNews, Heard, PartNews, PeerTable};
+use super::watch::{Delta, WATCHED, apply_delta, kind_name};
+use crate::decide::hubs::{HubCandidate, HubPlan};
+use crate::decide::members::{Beacon, Heard, PartNews, PeerRow, PeerTable};
 use crate::decide::parts::PartKey;
 use crate::observe::Event;
 
-/// Time between two messages. Placement rests on what the others have sent meanwhile; one costs a
-/// system call for each other daemon.
+/// Time between two messages in a small fleet. Placement rests on what the others have sent
+/// meanwhile; one costs a system call for each other daemon.
 const BEACON_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Largest message; it fits into one packet, so that one lost packet loses one message.
-const MAX_BEACON_BYTES: usize = 1_400;
+/// The same in a large fleet, whose daemons have slower links and more to tell.
+const LARGE_BEACON_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Most parts in a message; the rest goes with the next one.
-const MAX_PARTS: usize = 40;
+/// Largest datagram that is taken.
+const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
 
 /// Most parts that wait to be told. Parts that are never told cost a prompt that is read again.
 const MAX_WAITING_PARTS: usize = 400;
 
-/// Most addresses of other daemons in a message.
-const MAX_HEARD: usize = 16;
-
 /// How long a told order keeps an endpoint from taking requests, if nothing more is heard.
-const RESERVED_US: DurationUs = DurationUs::from_ms(500);
+const RESERVED_US: DurationUs = DurationUs::from_ms(600);
 
 /// How long the store's own news may lag behind a peer's before the peer is asked.
 const BEHIND_PATIENCE_US: DurationUs = DurationUs::from_ms(250);
 
 /// Longest wait for a peer's objects.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(700);
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Largest answer of a peer.
-const SNAPSHOT_BYTES: ByteCount = ByteCount::new(4 * 1024 * 1024);
+const PEER_ANSWER_BYTES: ByteCount = ByteCount::new(8 * 1024 * 1024);
 
 /// Start of the paths of peers' objects.
-const SNAPSHOT_PATH: &str = "/v1/snapshot/";
+const OBJECTS_PATH: &str = "/v1/objects/";
+
+/// Start of the paths of what peers know of part stores.
+const PARTS_PATH: &str = "/v1/parts/";
+
+/// Lateness of a timer, in milliseconds, at which a daemon counts as half as strong as it is.
+const HALF_STRENGTH_LAG_MS: f64 = 60.0;
+
+/// Weight of the newest lateness in its moving mean.
+const LAG_WEIGHT: f64 = 0.2;
 
 /// What a daemon keeps of its peers.
 #[derive(Default)]
 pub(crate) struct PeerState {
     table: Mutex<PeerTable>,
-    waiting_parts: Mutex<Vec<PartNews>>,
+    plan: Mutex<HubPlan>,
+    follows_stores: AtomicBool,
+    daemons: AtomicUsize,
+    /// Parts that were read for this daemon, or told by daemons whose hub it is.
+    near_parts: Mutex<Vec<PartNews>>,
+    /// Parts that other hubs have told.
+    far_parts: Mutex<Vec<PartNews>>,
+    /// Part stores whose contents are being asked for.
+    asked_stores: Mutex<Vec<SocketAddr>>,
     number: AtomicU64,
+    lag_ms: Mutex<f64>,
     /// Sends a message at once.
     pub(crate) hurry: Notify,
 }
@@ -71,18 +90,64 @@
         self.table.lock()
     }
 
+    /// Returns whether this daemon follows the stores itself instead of hearing of them.
+    pub(crate) fn follows_stores(&self) -> bool {
+        self.follows_stores.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many daemons there seem to be, this one included.
+    pub(crate) fn daemons(&self) -> usize {
+        self.daemons.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Returns whether a daemon that the store answers is heard, so that this one need not ask.
+    pub(crate) fn hears_of_store(&self, me: Ipv4Addr, now: TimeUs) -> bool {
+        let table = self.table.lock();
+        let is_hub = self.plan.lock().is_hub(me);
+        // Hubs believe only those who ask the store: two that believed each other would go on for
+        // ever after the store has gone.
+        let counts = |peer: &PeerRow| peer.is_hub && (!is_hub || peer.follows_stores);
+        table
+            .alive(now)
+            .any(|peer| counts(peer) && peer.is_store_reachable)
+    }
+
     /// Tells parts that were read with the next messages.
     pub(crate) fn tell_parts(&self, news: Vec<PartNews>) {
-        let mut waiting = self.waiting_parts.lock();
-        if waiting.len() < MAX_WAITING_PARTS {
-            waiting.extend(news);
-        }
+        add_parts(&self.near_parts, news);
     }
 
-    fn take_parts(&self) -> Vec<PartNews> {
-        let mut waiting = self.waiting_parts.lock();
-        let count = waiting.len().min(MAX_PARTS);
-        waiting.drain(..count).collect()
+    /// Returns the number of the next message.
+    pub(super) fn next_number(&self) -> u64 {
+        self.number.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns how strong this daemon is, in thousandths of a core: less where its timers fire late.
+    ///
+    /// A VM that has turned slow looks healthy to itself and to others; callers that are sent to it
+    /// wait. Its own lateness shows it first.
+    pub(super) fn capacity(&self, cores: f64) -> u16 {
+        let strength = 1.0 / (1.0 + *self.lag_ms.lock() / HALF_STRENGTH_LAG_MS);
+        (cores * 1_000.0 * strength).clamp(1.0, f64::from(u16::MAX)) as u16
+    }
+
+    fn note_lag(&self, lag: Duration) {
+        let mut mean = self.lag_ms.lock();
+        *mean += (lag.as_secs_f64() * 1_000.0 - *mean) * LAG_WEIGHT;
+    }
+}
+
+fn add_parts(waiting: &Mutex<Vec<PartNews>>, news: Vec<PartNews>) {
+    let mut waiting = waiting.lock();
+    waiting.extend(news);
+    let overflow = waiting.len().saturating_sub(MAX_WAITING_PARTS);
+    waiting.drain(..overflow);
+}
+
+fn me(shared: &Shared) -> HubCandidate {
+    HubCandidate {
+        ip: shared.settings.ip,
+        zone: shared.settings.zone.to_string(),
     }
 }
 
@@ -96,86 +161,83 @@
 async fn send(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
     let mut last = shared.now();
     loop {
+        let interval = match shared.peers.plan.lock().is_small {
+            true => BEACON_INTERVAL,
+            false => LARGE_BEACON_INTERVAL,
+        };
+        let due = Instant::now() + interval;
         // The pause is over early where something can't wait.
-        let _ = tokio::time::timeout(BEACON_INTERVAL, shared.peers.hurry.notified()).await;
+        if tokio::time::timeout_at(due, shared.peers.hurry.notified())
+            .await
+            .is_err()
+        {
+            shared.peers.note_lag(due.elapsed());
+        }
         let now = shared.now();
         tick(&shared, last, now);
         last = now;
-        let addresses = shared.peers.table().addresses();
-        let others = addresses.into_iter().filter(|ip| *ip != shared.settings.ip);
-        let message = encode(&shared, now);
-        for ip in others {
-            let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
-            // A message that can't be sent is one that is lost; the next one follows soon.
-            let _ = socket.try_send_to(&message, to);
-        }
+        tell(&shared, &socket, now);
     }
 }
 
 fn tick(shared: &Arc<Shared>, last: TimeUs, now: TimeUs) {
-    let silent = shared.peers.table().tick(last, now);
+    let me = me(shared);
+    let (silent, plan, count) = {
+        let mut table = shared.peers.table();
+        let silent = table.tick(last, now);
+        (silent, table.hub_plan(&me, now), table.count(now))
+    };
     for incarnation in silent {
         shared.log.write(&Event::MemberChanged {
             member: incarnation.to_string(),
             change: "silent",
         });
     }
-    let daemons = shared.peers.table().alive(now).count() + 1;
-    shared.budgets.set_daemons(daemons);
-    for (role, ip) in shared.watches.behind(BEHIND_PATIENCE_US, now) {
+    let follows = plan.follows_stores(&me);
+    shared
+        .peers
+        .follows_stores
+        .store(follows, Ordering::Relaxed);
+    *shared.peers.plan.lock() = plan;
+    shared.peers.daemons.store(count + 1, Ordering::Relaxed);
+    shared.budgets.set_daemons(count + 1);
+    // One that follows the store itself soon hears the same from it.
+    let patience = if follows {
+        BEHIND_PATIENCE_US
+    } else {
+        DurationUs::ZERO
+    };
+    for (role, ip) in shared.watches.behind(patience, now) {
         tokio::spawn(catch_up(Arc::clone(shared), role, ip));
     }
 }
 
-fn encode(shared: &Shared, now: TimeUs) -> Vec<u8> {
-    let mut beacon = Beacon {
-        incarnation: shared.incarnation,
-        number: shared.peers.number.fetch_add(1, Ordering::Relaxed),
-        ip: shared.settings.ip,
-        zone: shared.settings.zone.to_string(),
-        phase: shared.phase(),
-        is_store_reachable: shared.watches.is_store_reachable(),
-        revisions: shared.watches.changed(),
-        endpoints: endpoint_news(shared),
-        parts: shared.peers.take_parts(),
-        heard: shared
-            .peers
-            .table()
-            .alive(now)
-            .map(|peer| peer.ip)
-            .take(MAX_HEARD)
-            .collect(),
-    };
-    loop {
-        let message = postcard::to_stdvec(&beacon).unwrap_or_default();
-        if message.len() <= MAX_BEACON_BYTES
-            || beacon.parts.is_empty() && beacon.endpoints.is_empty()
-        {
-            return message;
-        }
-        // The least useful news goes first.
-        if beacon.parts.pop().is_none() {
-            beacon.endpoints.pop();
-        }
+/// Sends each target what it doesn't know from elsewhere.
+fn tell(shared: &Shared, socket: &UdpSocket, now: TimeUs) {
+    let me = me(shared);
+    let plan = shared.peers.plan.lock().clone();
+    let targets = shared.peers.table().targets(&me, &plan, now);
+    let near = std::mem::take(&mut *shared.peers.near_parts.lock());
+    let far = std::mem::take(&mut *shared.peers.far_parts.lock());
+    let relayed = Relayed::new(shared, &plan, near, far);
+    let mut to_all: Option<Vec<u8>> = None;
+    for ip in targets {
+        let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
+        // Hubs tell their own daemons each something else; all others tell everybody the same.
+        let is_own = !plan.is_small && plan.is_hub(me.ip) && !plan.is_hub(ip);
+        let message = match is_own {
+            true => encode(shared, &plan, &relayed, Some(ip), now),
+            false => to_all
+                .get_or_insert_with(|| encode(shared, &plan, &relayed, None, now))
+                .clone(),
+        };
+        // A message that can't be sent is one that is lost; the next one follows soon.
+        let _ = socket.try_send_to(&message, to);
     }
 }
 
-fn endpoint_news(shared: &Shared) -> Vec<EndpointNews> {
-    let rollout = shared.rollout.lock();
-    let reserved: Vec<_> = rollout.reserved().cloned().collect();
-    drop(rollout);
-    let endpoints = shared.endpoints.lock();
-    let news = endpoints.iter().map(|row| EndpointNews {
-        endpoint: row.hash(),
-        load: row.own,
-        is_reserved: reserved.contains(&row.endpoint.id),
-    });
-    let says_something = |news: &EndpointNews| news.is_reserved || news.load.running > 0;
-    news.filter(says_something).collect()
-}
-
 async fn receive(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
-    let mut buffer = vec![0; 2 * MAX_BEACON_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((length, from)) => heard(&shared, &buffer[..length], from),
@@ -190,7 +252,7 @@
     }
 }
 
-fn heard(shared: &Shared, message: &[u8], from: SocketAddr) {
+fn heard(shared: &Arc<Shared>, message: &[u8], from: SocketAddr) {
     let now = shared.now();
     let Ok(beacon) = postcard::from_bytes::<Beacon>(message) else {
         shared.log.write(&Event::Failure {
@@ -210,7 +272,16 @@
             change: "heard",
         }),
     }
-    shared.watches.peer_knows(beacon.ip, &beacon.revisions, now);
+    let is_behind = shared.watches.peer_knows(beacon.ip, &beacon.revisions, now);
+    if is_behind && !shared.peers.follows_stores() {
+        shared.peers.hurry.notify_one();
+    }
+    take_load(shared, &beacon, now);
+    take_store_news(shared, &beacon, now);
+    relay(shared, beacon);
+}
+
+fn take_load(shared: &Shared, beacon: &Beacon, now: TimeUs) {
     let mut endpoints = shared.endpoints.lock();
     let loads: HashMap<_, _> = beacon
         .endpoints
@@ -218,25 +289,94 @@
         .map(|n| (n.endpoint, n.load))
         .collect();
     endpoints.peer_load(beacon.incarnation, loads, now);
+    let mut is_new = false;
     for news in beacon.endpoints.iter().filter(|news| news.is_reserved) {
-        endpoints.reserve(news.endpoint, now + RESERVED_US);
+        is_new |= endpoints.reserve(news.endpoint, now + RESERVED_US, now);
+    }
+    if is_new {
+        // A hub tells it on at once: what is sent there until the others know is refused.
+        shared.peers.hurry.notify_one();
     }
-    for part in beacon.parts {
+    for part in &beacon.parts {
         endpoints.has_part(part.endpoint, PartKey(part.part), u64::from(part.tokens));
     }
 }
 
-/// Takes a kind of objects over from a peer that knows more than the store has told.
+fn take_store_news(shared: &Arc<Shared>, beacon: &Beacon, now: TimeUs) {
+    if !beacon.is_hub || shared.peers.follows_stores() {
+        return;
+    }
+    let unknown = {
+        let mut stores = shared.part_stores.lock();
+        // A hub hears of the stores from several; other daemons from their hub alone.
+        if !shared.peers.plan.lock().is_hub(shared.settings.ip) {
+            stores.no_longer_told(&beacon.stores);
+        }
+        let unknown = stores.told(&beacon.stores, now);
+        stores.told_kept(&beacon.kept);
+        unknown
+    };
+    let mut asked = shared.peers.asked_stores.lock();
+    for store in unknown {
+        if !asked.contains(&store) {
+            asked.push(store);
+            tokio::spawn(ask_parts(Arc::clone(shared), store, beacon.ip));
+        }
+    }
+}
+
+/// Tells on what a hub has heard.
+fn relay(shared: &Shared, beacon: Beacon) {
+    let is_hub = {
+        let plan = shared.peers.plan.lock();
+        !plan.is_small && plan.is_hub(shared.settings.ip)
+    };
+    match (is_hub, beacon.is_hub) {
+        (false, _) => {}
+        (true, false) => add_parts(&shared.peers.near_parts, beacon.parts),
+        (true, true) => add_parts(&shared.peers.far_parts, beacon.parts),
+    }
+}
+
+/// Asks a peer for all that a part store keeps.
+async fn ask_parts(shared: Arc<Shared>, store: SocketAddr, ip: Ipv4Addr) {
+    /// Life of the store, and keys of its parts with their sizes.
+    type Kept = Option<(u64, Vec<(u64, u64)>)>;
+
+    let path = format!("{PARTS_PATH}{store}");
+    match ask::<Kept>(&shared, ip, &path).await {
+        Ok(Some((epoch, kept))) => {
+            let now = shared.now();
+            shared.part_stores.lock().told_all(store, epoch, &kept, now);
+        }
+        Ok(None) => {}
+        Err(detail) => shared.log.write(&Event::Failure {
+            what: "asking a peer for the parts of a store",
+            detail: format!("{ip}: {detail}"),
+        }),
+    }
+    shared
+        .peers
+        .asked_stores
+        .lock()
+        .retain(|asked| *asked != store);
+}
+
+/// Takes over from a peer what it knows more of a kind of objects.
 async fn catch_up(shared: Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) {
-    match fetch(&shared, role, ip).await {
-        Ok(listing) => {
-            let revision = listing.revision.0;
-            apply_listing(&shared, role, listing, "peer");
-            shared.log.write(&Event::CaughtUp {
-                kind: kind_name(role),
-                from: ip.to_string(),
-                revision,
-            });
+    let since = shared.watches.changed_revision(role);
+    let path = format!("{OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
+    match ask::<Delta>(&shared, ip, &path).await {
+        Ok(delta) => {
+            let revision = delta.revision.0;
+            apply_delta(&shared, role, delta);
+            if shared.peers.follows_stores() {
+                shared.log.write(&Event::CaughtUp {
+                    kind: kind_name(role),
+                    from: ip.to_string(),
+                    revision,
+                });
+            }
         }
         Err(detail) => shared.log.write(&Event::Failure {
             what: "asking a peer for objects",
@@ -245,15 +385,15 @@
     }
 }
 
-async fn fetch(shared: &Shared, role: ObjectRole, ip: Ipv4Addr) -> Result<Listing, String> {
+async fn ask<T: DeserializeOwned>(shared: &Shared, ip: Ipv4Addr, path: &str) -> Result<T, String> {
     let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
     let text = |error: wisteriahitch_wire::http_client::HttpError| error.to_string();
-    let mut connection = Connection::open(to, SNAPSHOT_TIMEOUT).await.map_err(text)?;
-    let request = Request::get(format!("{SNAPSHOT_PATH}{}", kind_name(role)))
+    let mut connection = Connection::open(to, PEER_TIMEOUT).await.map_err(text)?;
+    let request = Request::get(path)
         .header(http::header::HOST, to.to_string())
         .body(Bytes::new())
         .map_err(|error| error.to_string())?;
-    let fetched = connection.fetch(request, SNAPSHOT_TIMEOUT, SNAPSHOT_BYTES);
+    let fetched = connection.fetch(request, PEER_TIMEOUT, PEER_ANSWER_BYTES);
     let response = fetched.await.map_err(text)?;
     if response.status() != StatusCode::OK {
         return Err(response.status().to_string());
@@ -268,13 +408,7 @@
 
 impl Answers for PeerSide {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let path = request.uri().path();
-        let body = match path.strip_prefix(SNAPSHOT_PATH) {
-            Some(kind) => snapshot(&self.shared, kind),
-            None if path == "/metrics" => Some(metrics(&self.shared).into()),
-            None if path == "/v1/dump" => Some(super::daemon::dump(&self.shared).into()),
-            None => None,
-        };
+        let body = self.body(request.uri().path(), request.uri().query());
         let status = match &body {
             Some(_) => StatusCode::OK,
             None => StatusCode::NOT_FOUND,
@@ -292,10 +426,33 @@
     }
 }
 
-fn snapshot(shared: &Shared, kind: &str) -> Option<Bytes> {
+impl PeerSide {
+    fn body(&self, path: &str, query: Option<&str>) -> Option<Bytes> {
+        let shared = &self.shared;
+        if let Some(kind) = path.strip_prefix(OBJECTS_PATH) {
+            return objects(shared, kind, query);
+        }
+        if let Some(store) = path.strip_prefix(PARTS_PATH) {
+            let store: SocketAddr = store.parse().ok()?;
+            return json(&shared.part_stores.lock().kept_at(store));
+        }
+        match path {
+            "/metrics" => Some(metrics(shared).into()),
+            "/v1/dump" => Some(super::daemon::dump(shared).into()),
+            _ => None,
+        }
+    }
+}
+
+fn json<T: serde::Serialize>(value: &T) -> Option<Bytes> {
+    serde_json::to_vec(value).ok().map(Bytes::from)
+}
+
+fn objects(shared: &Shared, kind: &str, query: Option<&str>) -> Option<Bytes> {
     let role = WATCHED.iter().find(|role| kind_name(**role) == kind)?;
-    let listing = shared.watches.listing(*role);
-    serde_json::to_vec(&listing).ok().map(Bytes::from)
+    let since = query.and_then(|query| query.strip_prefix("since="));
+    let since = since.and_then(|since| since.parse().ok()).unwrap_or(0);
+    json(&shared.watches.delta(*role, Revision(since)))
 }
 
 fn metrics(shared: &Shared) -> String {
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -357,6 +357,8 @@
             prompt,
             wall: wall.map(|workspace| &workspace.id),
             zone: &shared.settings.zone,
+            daemons: shared.peers.daemons(),
+            duration_us: shared.durations.of(&self.service),
             patience_us,
             longest_queue_us: self.longest_queue_us,
             excluded: &self.tried,
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -26,6 +26,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 struct Registration {
     ip: Ipv4Addr,
+    zone: String,
     incarnation: Incarnation,
 }
 
@@ -68,6 +69,7 @@
     let name = shared.settings.id.as_str();
     let registration = Registration {
         ip: shared.settings.ip,
+        zone: shared.settings.zone.to_string(),
         incarnation: shared.incarnation,
     };
     let content = serde_json::to_value(&registration).unwrap_or_default();
@@ -97,7 +99,8 @@
             continue;
         }
         let silence = shared.peers.table().silence(registration.ip, now);
-        if silence.is_some_and(|silence| silence > REMOVE_AFTER_US) {
+        let is_told = shared.peers.table().is_told(registration.ip);
+        if !is_told && silence.is_some_and(|silence| silence > REMOVE_AFTER_US) {
             let role = ObjectRole::Members;
             // Another daemon may have removed it first, or its own may have just come back.
             let _ = shared
@@ -106,7 +109,8 @@
                 .delete(role, &object.name, object.revision)
                 .await;
         } else {
-            shared.peers.table().know(registration.ip, now);
+            let zone = Some(registration.zone);
+            shared.peers.table().know(registration.ip, zone, now);
         }
     }
     shared.peers.hurry.notify_one();
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -11,6 +11,7 @@
 
 use super::budgets::Budgets;
 use super::drain::Drain;
+use super::durations::Durations;
 use super::peers::PeerState;
 use super::site_state::SiteState;
 use super::watch::WatchStates;
@@ -49,6 +50,7 @@
     pub(crate) peers: PeerState,
     pub(crate) pool: ConnectionPool,
     pub(crate) budgets: Budgets,
+    pub(crate) durations: Durations,
     pub(crate) watches: WatchStates,
     pub(crate) leases: Mutex<LeaseTable>,
     pub(crate) rollout: Mutex<Rollout>,
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -147,6 +147,8 @@
             return;
         };
         opened.flight.land(Landing::Good);
+        let taken = self.trace.began().elapsed();
+        self.shared.durations.note(&self.routed.service, taken);
         keep_connection(
             &self.shared,
             &self.placement,
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -1,11 +1,12 @@
 //! Following the store's objects.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{
     Change, Listing, ObjectRole, Revision, StoredObject, Watched,
@@ -24,6 +25,10 @@
     ObjectRole::Weights,
 ];
 
+/// Where news comes from, for the log.
+const STORE: &str = "store";
+const PEER: &str = "peer";
+
 /// Longest time for which the store may keep a watch waiting. Each return is a call that is paid
 /// for; each second of waiting is one in which a silent store isn't noticed.
 const WATCH_WAIT: Duration = Duration::from_millis(6_000);
@@ -36,6 +41,12 @@
 /// to the platform's bound.
 const FIRST_AGE_US: DurationUs = DurationUs::from_ms(3_000);
 
+/// Time between two looks whether this daemon is to ask the store itself.
+const ROLE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Deletions that are remembered for peers; one that has missed more is told everything.
+const REMEMBERED_DELETIONS: usize = 1_000;
+
 /// Pauses after a call of the store failed, from the first one on.
 const RETRY_PAUSES: [Duration; 4] = [
     Duration::from_millis(100),
@@ -56,6 +67,10 @@
     recovered_at_us: Option<TimeUs>,
     answered_at_us: Option<TimeUs>,
     objects: BTreeMap<String, StoredObject>,
+    /// Names of deleted objects, the newest last.
+    deleted: VecDeque<(Revision, String)>,
+    /// Up to this revision deletions may have been forgotten.
+    forgotten: Revision,
     /// Since when a peer has been known to know more.
     behind: Option<(TimeUs, Ipv4Addr)>,
 }
@@ -102,14 +117,17 @@
         self.0.iter().map(|state| state.lock().changed.0).collect()
     }
 
-    /// Notes what a peer knows.
-    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) {
+    /// Notes what a peer knows, and returns whether that is more.
+    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) -> bool {
+        let mut is_behind = false;
         for (state, known) in self.0.iter().zip(revisions) {
             let mut state = state.lock();
             if *known > state.changed.0 && state.behind.is_none() {
                 state.behind = Some((now, ip));
+                is_behind = true;
             }
         }
+        is_behind
     }
 
     /// Returns the kinds of which a peer has known more for `patience`, and that peer.
@@ -125,12 +143,48 @@
         behind
     }
 
-    /// Returns all objects of a kind, for a peer.
-    pub(crate) fn listing(&self, role: ObjectRole) -> Listing {
+    /// Returns the revision of the last known change of a kind.
+    pub(crate) fn changed_revision(&self, role: ObjectRole) -> Revision {
+        self.of(role).lock().changed
+    }
+
+    /// Returns what has changed of a kind since a revision, for a peer.
+    pub(crate) fn delta(&self, role: ObjectRole, since: Revision) -> Delta {
         let state = self.of(role).lock();
-        Listing {
+        let is_full = since < state.forgotten || since == Revision::default();
+        let is_new = |object: &&StoredObject| is_full || object.revision > since;
+        let gone = state
+            .deleted
+            .iter()
+            .filter(|(revision, _)| !is_full && *revision > since);
+        Delta {
             revision: state.changed,
-            objects: state.objects.values().cloned().collect(),
+            is_full,
+            objects: state.objects.values().filter(is_new).cloned().collect(),
+            deleted: gone.map(|(_, name)| name.clone()).collect(),
+        }
+    }
+}
+
+/// What one daemon tells another of a kind of objects.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Delta {
+    /// Revision up to which it tells.
+    pub(crate) revision: Revision,
+    /// Whether it holds all objects instead of the changes.
+    is_full: bool,
+    objects: Vec<StoredObject>,
+    deleted: Vec<String>,
+}
+
+impl WatchState {
+    /// Remembers a deletion for peers.
+    fn note_deleted(&mut self, name: String, revision: Revision) {
+        self.deleted.push_back((revision, name));
+        if self.deleted.len() > REMEMBERED_DELETIONS {
+            if let Some((revision, _)) = self.deleted.pop_front() {
+                self.forgotten = revision;
+            }
         }
     }
 }
@@ -140,6 +194,10 @@
     let mut failures = 0;
     let mut is_history_gone = true;
     loop {
+        if hears_instead(&shared, role) {
+            tokio::time::sleep(ROLE_INTERVAL).await;
+            continue;
+        }
         let step = match is_history_gone {
             true => list(&shared, role).await,
             false => watch_once(&shared, role).await,
@@ -159,12 +217,22 @@
     }
 }
 
+/// Returns whether this daemon hears of the kind from others and need not ask the store.
+///
+/// In a large fleet few ask: each change would else cost a call of every daemon, and the store's
+/// rates grow more slowly than fleets do.
+fn hears_instead(shared: &Shared, role: ObjectRole) -> bool {
+    let is_listed = shared.watches.of(role).lock().is_listed;
+    let me = shared.settings.ip;
+    is_listed && !shared.peers.follows_stores() && shared.peers.hears_of_store(me, shared.now())
+}
+
 async fn list(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let listing = shared.borders.store.list(role, false).await;
     count(shared, role, listing.is_ok());
     let listing = listing?;
     note_answer(shared, role);
-    apply_listing(shared, role, listing, "store");
+    apply_listing(shared, role, listing, STORE);
     Ok(false)
 }
 
@@ -177,7 +245,7 @@
     note_answer(shared, role);
     match watched {
         Watched::Changes(changes, revision) => {
-            apply_changes(shared, role, changes, revision);
+            apply_changes(shared, role, changes, revision, STORE);
             Ok(false)
         }
         Watched::HistoryGone => Ok(true),
@@ -277,26 +345,34 @@
     }
 }
 
-fn apply_changes(shared: &Arc<Shared>, role: ObjectRole, changes: Vec<Change>, revision: Revision) {
+fn apply_changes(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    changes: Vec<Change>,
+    revision: Revision,
+    source: &str,
+) {
     for change in changes {
         let absence = {
             let mut state = shared.watches.of(role).lock();
             if !is_news(&state, &change) {
                 continue;
             }
-            state.changed = state.changed.max(revision);
             match &change {
                 Change::Put(object) => {
+                    state.changed = state.changed.max(object.revision);
                     state.objects.insert(object.name.clone(), object.clone());
                 }
                 Change::Deleted(name) => {
+                    state.changed = state.changed.max(revision);
                     state.objects.remove(name);
+                    state.note_deleted(name.clone(), revision);
                 }
             }
             absence(&state, shared.now())
         };
         match change {
-            Change::Put(object) => put(shared, role, &object, "store", DurationUs::ZERO),
+            Change::Put(object) => put(shared, role, &object, source, DurationUs::ZERO),
             Change::Deleted(name) => deleted(shared, role, &name, absence, revision),
         }
     }
@@ -307,6 +383,29 @@
     }
 }
 
+/// Takes over what a peer tells.
+pub(crate) fn apply_delta(shared: &Arc<Shared>, role: ObjectRole, delta: Delta) {
+    if delta.is_full {
+        let listing = Listing {
+            revision: delta.revision,
+            objects: delta.objects,
+        };
+        apply_listing(shared, role, listing, PEER);
+        return;
+    }
+    let puts = delta.objects.into_iter().map(Change::Put);
+    let gone = delta.deleted.into_iter().map(Change::Deleted);
+    apply_changes(
+        shared,
+        role,
+        puts.chain(gone).collect(),
+        delta.revision,
+        PEER,
+    );
+    let mut state = shared.watches.of(role).lock();
+    state.changed = state.changed.max(delta.revision);
+}
+
 /// Returns whether a change says more than what is known, which a peer may have told before.
 fn is_news(state: &WatchState, change: &Change) -> bool {
     match change {
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -2,7 +2,9 @@
 
 use std::net::Ipv4Addr;
 
-use wisteriahitch_relay::{Beacon, Heard, MemberPhase, PeerTable};
+use wisteriahitch_relay::{
+    Beacon, Heard, HubCandidate, HubPlan, MemberNews, MemberPhase, PeerTable,
+};
 use wisteriahitch_types::Incarnation;
 
 use crate::fixture::at_ms;
@@ -14,11 +16,17 @@
         ip: Ipv4Addr::new(10, 0, 0, last),
         zone: "a".to_owned(),
         phase,
+        capacity: 250,
+        is_hub: true,
+        follows_stores: true,
         is_store_reachable: true,
         revisions: vec![],
         endpoints: vec![],
         parts: vec![],
-        heard: vec![Ipv4Addr::new(10, 0, 0, 9)],
+        stores: vec![],
+        kept: vec![],
+        zones: vec![],
+        members: vec![],
     }
 }
 
@@ -50,23 +58,122 @@
 }
 
 #[test]
-fn daemons_learn_of_each_other_and_forget() {
+fn a_silent_daemon_is_told_once() {
     let mut table = PeerTable::default();
     table.heard(&beacon(1, 11, 1, MemberPhase::Ready), at_ms(0));
-    assert_eq!(
-        table.addresses().len(),
-        2,
-        "the sender and the one that it hears"
+    let fell_silent = table.tick(at_ms(0), at_ms(1_000));
+    assert_eq!(fell_silent, [Incarnation::new(11)]);
+    assert!(table.tick(at_ms(1_000), at_ms(1_100)).is_empty());
+}
+
+fn candidate(number: u8, zone: &str) -> HubCandidate {
+    HubCandidate {
+        ip: Ipv4Addr::new(10, 0, 1, number),
+        zone: zone.to_owned(),
+    }
+}
+
+fn fleet(size: u8) -> Vec<HubCandidate> {
+    let zones = ["a", "b", "c"];
+    (0..size)
+        .map(|number| candidate(number, zones[usize::from(number) % 3]))
+        .collect()
+}
+
+#[test]
+fn in_a_small_fleet_everybody_is_a_hub() {
+    let plan = HubPlan::of(&fleet(9));
+    assert!(plan.is_small);
+    assert!(
+        fleet(9)
+            .iter()
+            .all(|member| plan.is_hub(member.ip) && plan.follows_stores(member))
     );
+}
+
+#[test]
+fn in_a_large_fleet_news_go_through_a_few() {
+    let members = fleet(75);
+    let plan = HubPlan::of(&members);
+    assert!(!plan.is_small);
+    assert_eq!(plan.hubs.len(), 15, "the root of 25 in each of three zones");
+    let followers = members
+        .iter()
+        .filter(|member| plan.follows_stores(member))
+        .count();
+    assert_eq!(followers, 6);
+    let mut of_hub = std::collections::BTreeMap::new();
+    for member in members.iter().filter(|member| !plan.is_hub(member.ip)) {
+        *of_hub.entry(plan.hub_of(member).unwrap()).or_insert(0) += 1;
+    }
+    assert!(of_hub.values().all(|count| *count <= 12), "{of_hub:?}");
+}
+
+/// Symptom: after a start of all at once, parts of a fleet never meet. Sequence: each daemon has
+/// listed only those that registered before it. Cause: each part had chosen other hubs.
+#[test]
+fn a_hub_of_all_is_a_hub_of_every_part() {
+    let members = fleet(75);
+    let whole = HubPlan::of(&members);
+    for known in [14, 30, 60] {
+        let part = HubPlan::of(&members[..known]);
+        for member in &members[..known] {
+            assert!(
+                !whole.is_hub(member.ip) || part.is_hub(member.ip),
+                "{known}: {member:?}"
+            );
+        }
+    }
+}
+
+/// Symptom: callers are sent to a daemon that has died, or not to one that lives in another part of
+/// a large fleet. Cause: what a hub told was kept for ever, or not at all.
+#[test]
+fn a_hub_tells_of_daemons_that_aren_t_heard() {
+    let mut table = PeerTable::default();
+    let mut news = beacon(1, 11, 1, MemberPhase::Ready);
+    news.zones = vec!["b".to_owned()];
+    let told = |number, phase| MemberNews {
+        ip: Ipv4Addr::new(10, 0, 2, number),
+        zone: 0,
+        phase,
+        capacity: 120,
+    };
+    news.members = vec![told(1, MemberPhase::Ready), told(2, MemberPhase::Draining)];
+    table.heard(&news, at_ms(0));
+    let entries = table.entries(at_ms(100));
+    let ips: Vec<Ipv4Addr> = entries.iter().map(|entry| entry.ip).collect();
     assert_eq!(
-        table.tick(at_ms(0), at_ms(1_000)),
-        [Incarnation::new(11)],
-        "it fell silent"
+        ips,
+        [Ipv4Addr::new(10, 0, 0, 1), Ipv4Addr::new(10, 0, 2, 1)]
     );
-    assert!(
-        table.tick(at_ms(1_000), at_ms(1_100)).is_empty(),
-        "which is told once"
-    );
-    table.tick(at_ms(1_100), at_ms(40_000));
-    assert!(table.addresses().is_empty());
+    table.tick(at_ms(100), at_ms(3_000));
+    assert!(table.entries(at_ms(3_000)).is_empty());
+}
+
+/// Everybody's news reaches everybody in three steps, whoever is asked.
+#[test]
+fn targets_join_a_large_fleet() {
+    let members = fleet(40);
+    let mut table = PeerTable::default();
+    for member in &members {
+        table.know(member.ip, Some(member.zone.clone()), at_ms(0));
+    }
+    let plan = HubPlan::of(&members);
+    for member in &members {
+        let targets = table.targets(member, &plan, at_ms(10));
+        match plan.is_hub(member.ip) {
+            true => {
+                let hubs = plan.hubs.iter().filter(|hub| hub.ip != member.ip);
+                assert!(hubs.into_iter().all(|hub| targets.contains(&hub.ip)));
+            }
+            false => assert_eq!(targets, [plan.hub_of(member).unwrap()]),
+        }
+    }
+    let told: std::collections::BTreeSet<Ipv4Addr> = plan
+        .hubs
+        .iter()
+        .flat_map(|hub| table.targets(hub, &plan, at_ms(10)))
+        .collect();
+    assert_eq!(told.len(), 40, "each daemon is told by some hub");
 }
--- a/crates/wisteriahitch-relay/tests/all/part_stores.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_stores.rs
@@ -86,7 +86,7 @@
         Case {
             what: "listed, too long ago",
             change: |_| {},
-            now_ms: 1_600,
+            now_ms: 2_100,
             expected: false,
         },
         Case {
@@ -94,7 +94,7 @@
             change: |stores| {
                 assert!(stores.changed(address(1), changes(5, vec![]), at_ms(1_000)));
             },
-            now_ms: 1_600,
+            now_ms: 2_100,
             expected: true,
         },
         Case {
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -20,6 +20,7 @@
     required: Option<WeightNumber>,
     wall: Option<WorkspaceId>,
     longest_queue: DurationUs,
+    daemons: usize,
 }
 
 impl Site {
@@ -36,6 +37,7 @@
             required: None,
             wall: None,
             longest_queue: DurationUs::MAX,
+            daemons: 6,
         }
     }
 
@@ -66,6 +68,8 @@
             prompt: Some(prompt),
             wall: self.wall.as_ref(),
             zone: &zone,
+            daemons: self.daemons,
+            duration_us: ms(800),
             patience_us: ms(3_200),
             longest_queue_us: self.longest_queue,
             excluded: &self.excluded,
@@ -320,3 +324,66 @@
     }
     assert_eq!(seen.len(), 4);
 }
+
+/// Load pattern: many daemons choose by the same news. All of them would take the least endpoint
+/// until they hear of each other, some hundred milliseconds later.
+#[test]
+fn many_daemons_spread_over_endpoints_that_are_about_equal() {
+    struct Case {
+        daemons: usize,
+        most_at_one: usize,
+    }
+    let cases = [
+        Case {
+            daemons: 6,
+            most_at_one: 100,
+        },
+        Case {
+            daemons: 76,
+            most_at_one: 50,
+        },
+    ];
+    for case in cases {
+        let mut site = Site::new(&["a", "b", "c", "d", "e"]);
+        site.daemons = case.daemons;
+        for (name, tokens) in [("b", 500), ("c", 500), ("d", 600), ("e", 600)] {
+            site.load(name, tokens);
+        }
+        let mut at_each = std::collections::BTreeMap::new();
+        for seed in 0..100 {
+            let chosen = site.place(&prompt(100, 100), seed).unwrap().endpoint;
+            *at_each.entry(chosen).or_insert(0) += 1;
+        }
+        let most = *at_each.values().max().unwrap();
+        assert!(
+            most <= case.most_at_one,
+            "{} daemons: {at_each:?}",
+            case.daemons
+        );
+        assert_eq!(case.daemons > 12, at_each.len() > 3, "{at_each:?}");
+    }
+}
+
+/// Load pattern: streams fill every slot. A slot becomes free each time one of them ends, so that
+/// the wait grows with how long they last; with a wait that is taken too short, endpoints are sent
+/// more than their queues hold.
+#[test]
+fn an_endpoint_without_a_free_slot_costs_the_wait_for_one() {
+    let mut site = Site::new(&["a", "b"]);
+    let row = site.table.get_mut(&id("a")).unwrap();
+    row.own.running = 80;
+    row.endpoint.slots = 64;
+    assert_eq!(site.chosen(&prompt(100, 100)), "b");
+    let row = site.table.get_mut(&id("b")).unwrap();
+    let report = wisteriahitch_relay::LoadReport {
+        running: 64,
+        waiting: 60,
+        slots: 64,
+    };
+    row.told = Some((report, NOW));
+    assert_eq!(
+        site.chosen(&prompt(100, 100)),
+        "a",
+        "b has told that it is fuller"
+    );
+}
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -7,6 +7,9 @@
 
 use crate::fixture::{at_ms, id, model};
 
+/// So few that the least number at once counts.
+const ENGINES: usize = 3;
+
 fn row(name: &str, has: u64, wanted: u64, running: u32) -> RolloutRow {
     RolloutRow {
         endpoint: id(name),
@@ -36,34 +39,49 @@
 
 #[test]
 fn engines_are_announced_first_and_few_at_once() {
-    let mut rollout = Rollout::new(2);
+    let mut rollout = Rollout::new(2, 0.2);
     let behind = [row("a", 1, 2, 5), row("b", 1, 2, 0), row("c", 1, 2, 2)];
     assert!(
-        rollout.tick(&behind, at_ms(0)).is_empty(),
+        rollout.tick(&behind, ENGINES, at_ms(0)).is_empty(),
         "nothing is ordered yet"
     );
     let reserved: Vec<_> = rollout.reserved().cloned().collect();
     assert_eq!(reserved, [id("b"), id("c")], "those with the least work");
-    let steps = rollout.tick(&behind, at_ms(150));
+    let steps = rollout.tick(&behind, ENGINES, at_ms(150));
     assert_eq!(
         steps,
         [RolloutStep::Report(id("b")), RolloutStep::Report(id("c"))]
     );
     rollout.reported(&id("b"), Some(&report(1, 4)), at_ms(160));
-    assert_eq!(rollout.tick(&behind, at_ms(170)), [order("b", 2, 4)]);
-    assert!(rollout.tick(&behind, at_ms(180)).is_empty(), "given once");
+    assert_eq!(
+        rollout.tick(&behind, ENGINES, at_ms(170)),
+        [order("b", 2, 4)]
+    );
+    assert!(
+        rollout.tick(&behind, ENGINES, at_ms(180)).is_empty(),
+        "given once"
+    );
     rollout.ordered(&id("b"), &OrderOutcome::Accepted, at_ms(190));
     rollout.reported(&id("b"), Some(&report(2, 5)), at_ms(900));
     let behind = [row("a", 1, 2, 5), row("c", 1, 2, 2)];
-    rollout.tick(&behind, at_ms(910));
+    rollout.tick(&behind, ENGINES, at_ms(910));
     let reserved: Vec<_> = rollout.reserved().cloned().collect();
     assert_eq!(reserved, [id("a"), id("c")], "the next one's turn");
 }
 
+#[test]
+fn of_many_engines_a_share_is_taken_at_once() {
+    let mut rollout = Rollout::new(3, 0.2);
+    let names: Vec<String> = (0..90).map(|number| format!("i-{number}")).collect();
+    let behind: Vec<RolloutRow> = names.iter().map(|name| row(name, 1, 2, 0)).collect();
+    rollout.tick(&behind, behind.len(), at_ms(0));
+    assert_eq!(rollout.reserved().count(), 18);
+}
+
 #[test]
 fn the_oldest_weights_go_first() {
-    let mut rollout = Rollout::new(1);
-    rollout.tick(&[row("a", 2, 3, 0), row("b", 1, 3, 9)], at_ms(0));
+    let mut rollout = Rollout::new(1, 0.2);
+    rollout.tick(&[row("a", 2, 3, 0), row("b", 1, 3, 9)], ENGINES, at_ms(0));
     assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
 }
 
@@ -72,30 +90,36 @@
 /// second order didn't say how many orders it expects to come after.
 #[test]
 fn an_order_without_an_answer_is_given_again_with_the_same_number() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::new(1, 0.2);
     let behind = [row("a", 1, 2, 0)];
-    rollout.tick(&behind, at_ms(0));
-    rollout.tick(&behind, at_ms(200));
+    rollout.tick(&behind, ENGINES, at_ms(0));
+    rollout.tick(&behind, ENGINES, at_ms(200));
     rollout.reported(&id("a"), Some(&report(1, 0)), at_ms(210));
-    assert_eq!(rollout.tick(&behind, at_ms(220)), [order("a", 2, 0)]);
+    assert_eq!(
+        rollout.tick(&behind, ENGINES, at_ms(220)),
+        [order("a", 2, 0)]
+    );
     rollout.ordered(
         &id("a"),
         &OrderOutcome::Unknown("lost".to_owned()),
         at_ms(900),
     );
     assert!(
-        rollout.tick(&behind, at_ms(1_000)).is_empty(),
+        rollout.tick(&behind, ENGINES, at_ms(1_000)).is_empty(),
         "it is looked at first"
     );
     assert_eq!(
-        rollout.tick(&behind, at_ms(1_300)),
+        rollout.tick(&behind, ENGINES, at_ms(1_300)),
         [RolloutStep::Report(id("a"))]
     );
     rollout.reported(&id("a"), Some(&report(1, 0)), at_ms(1_310));
-    assert_eq!(rollout.tick(&behind, at_ms(1_320)), [order("a", 2, 0)]);
+    assert_eq!(
+        rollout.tick(&behind, ENGINES, at_ms(1_320)),
+        [order("a", 2, 0)]
+    );
     // The first one came before it after all.
     rollout.ordered(&id("a"), &OrderOutcome::Conflict, at_ms(1_330));
-    rollout.tick(&behind, at_ms(1_700));
+    rollout.tick(&behind, ENGINES, at_ms(1_700));
     rollout.reported(&id("a"), Some(&report(2, 1)), at_ms(1_710));
     assert!(rollout.is_idle());
 }
@@ -105,30 +129,33 @@
 /// be still under way, because it didn't have the newest version.
 #[test]
 fn a_version_named_during_a_load_follows_at_once() {
-    let mut rollout = Rollout::new(1);
+    let mut rollout = Rollout::new(1, 0.2);
     let behind = [row("a", 1, 2, 0)];
-    rollout.tick(&behind, at_ms(0));
-    rollout.tick(&behind, at_ms(200));
+    rollout.tick(&behind, ENGINES, at_ms(0));
+    rollout.tick(&behind, ENGINES, at_ms(200));
     rollout.reported(&id("a"), Some(&report(1, 0)), at_ms(210));
-    rollout.tick(&behind, at_ms(220));
+    rollout.tick(&behind, ENGINES, at_ms(220));
     rollout.ordered(&id("a"), &OrderOutcome::Accepted, at_ms(230));
     let behind = [row("a", 1, 3, 0)];
-    rollout.tick(&behind, at_ms(440));
+    rollout.tick(&behind, ENGINES, at_ms(440));
     rollout.reported(&id("a"), Some(&report(1, 1)), at_ms(450));
     assert!(
-        rollout.tick(&behind, at_ms(460)).is_empty(),
+        rollout.tick(&behind, ENGINES, at_ms(460)).is_empty(),
         "still loading"
     );
-    rollout.tick(&behind, at_ms(700));
+    rollout.tick(&behind, ENGINES, at_ms(700));
     rollout.reported(&id("a"), Some(&report(2, 1)), at_ms(710));
-    assert_eq!(rollout.tick(&behind, at_ms(720)), [order("a", 3, 1)]);
+    assert_eq!(
+        rollout.tick(&behind, ENGINES, at_ms(720)),
+        [order("a", 3, 1)]
+    );
 }
 
 #[test]
 fn an_engine_that_is_gone_or_done_is_dropped() {
-    let mut rollout = Rollout::new(2);
-    rollout.tick(&[row("a", 1, 2, 0), row("b", 1, 2, 0)], at_ms(0));
-    rollout.tick(&[row("b", 1, 2, 0)], at_ms(10));
+    let mut rollout = Rollout::new(2, 0.2);
+    rollout.tick(&[row("a", 1, 2, 0), row("b", 1, 2, 0)], ENGINES, at_ms(0));
+    rollout.tick(&[row("b", 1, 2, 0)], ENGINES, at_ms(10));
     assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
     rollout.clear();
     assert!(rollout.is_idle());
