--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -27,9 +27,6 @@
 /// What each running request adds to the first event of another one, in milliseconds: it lengthens
 /// every step of the batch a little.
 const RUNNING_MS: f64 = 0.4;
-/// Time that a full memory keeps a request waiting for each whole memory that is wanted beyond it,
-/// in milliseconds; requests of the deployments last about half a second.
-const MEMORY_WAIT_MS: f64 = 1_200.0;
 /// Cost of an endpoint in another availability zone, in milliseconds: the way there and back, and
 /// what the bytes between zones cost.
 const OTHER_ZONE_MS: f64 = 12.0;
@@ -76,6 +73,8 @@
     pub daemons: usize,
     /// How long a call of the service lasts once it has begun, as seen lately.
     pub duration_us: DurationUs,
+    /// How long a token of the service stays in an engine's memory.
+    pub memory_duration_us: DurationUs,
     /// Time within which a first event is of any use.
     pub patience_us: DurationUs,
     /// Longest wait for the work of others.
@@ -331,7 +330,8 @@
     queue_ms += f64::from(load.running) * RUNNING_MS;
     let memory = engine.memory_tokens.as_f64().max(1.0);
     let wanted = load.memory_tokens as f64 + prompt_tokens as f64 + prompt.output_tokens.as_f64();
-    queue_ms += ((wanted - memory) / memory).max(0.0) * MEMORY_WAIT_MS;
+    let beyond = ((wanted - memory) / memory).max(0.0);
+    queue_ms += beyond * request.memory_duration_us.as_secs_f64() * 1_000.0;
     queue_ms += slot_wait_ms(busy(row, now), engine.slots, request.duration_us);
     let wait_ms = queue_ms + fetch_ms + unread as f64 / READ_TOKENS_PER_MS;
     let replaced_at = weights.and_then(|weights| replaced_at(request, weights));
--- a/crates/wisteriahitch-relay/src/shell/durations.rs
+++ b/crates/wisteriahitch-relay/src/shell/durations.rs
@@ -14,24 +14,43 @@
 
 /// Moving means by service, from the sending of a call to its end.
 #[derive(Debug, Default)]
-pub(crate) struct Durations(Mutex<HashMap<ServiceName, f64>>);
+pub(crate) struct Durations(Mutex<HashMap<ServiceName, Means>>);
+
+#[derive(Clone, Copy, Debug)]
+struct Means {
+    call_us: f64,
+    /// Mean in which a call counts by the tokens that it keeps in an engine's memory.
+    token_us: f64,
+    tokens: f64,
+}
+
+impl Default for Means {
+    fn default() -> Self {
+        Self {
+            call_us: FIRST_GUESS_US,
+            token_us: FIRST_GUESS_US,
+            tokens: 1.0,
+        }
+    }
+}
 
 impl Durations {
-    /// Notes a call that has ended well.
-    pub(crate) fn note(&self, service: &ServiceName, taken: Duration) {
+    /// Notes a call that has ended well and kept so many tokens in memory.
+    pub(crate) fn note(&self, service: &ServiceName, taken: Duration, tokens: u64) {
+        let taken_us = taken.as_micros() as f64;
+        let tokens = tokens as f64 + 1.0;
         let mut means = self.0.lock();
-        let mean = means.entry(service.clone()).or_insert(FIRST_GUESS_US);
-        *mean += (taken.as_micros() as f64 - *mean) * NEWEST_WEIGHT;
+        let mean = means.entry(service.clone()).or_default();
+        mean.call_us += (taken_us - mean.call_us) * NEWEST_WEIGHT;
+        mean.tokens += (tokens - mean.tokens) * NEWEST_WEIGHT;
+        let weight = (NEWEST_WEIGHT * tokens / mean.tokens).min(1.0);
+        mean.token_us += (taken_us - mean.token_us) * weight;
     }
 
-    /// Returns the mean of a service.
-    pub(crate) fn of(&self, service: &ServiceName) -> DurationUs {
-        let mean_us = self
-            .0
-            .lock()
-            .get(service)
-            .copied()
-            .unwrap_or(FIRST_GUESS_US);
-        DurationUs::from_secs_f64(mean_us / 1_000_000.0)
+    /// Returns how long a call keeps a slot, and how long a token stays in memory.
+    pub(crate) fn of(&self, service: &ServiceName) -> (DurationUs, DurationUs) {
+        let mean = self.0.lock().get(service).copied().unwrap_or_default();
+        let span = |us: f64| DurationUs::from_secs_f64(us / 1_000_000.0);
+        (span(mean.call_us), span(mean.token_us))
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -33,7 +33,7 @@
 const BEACON_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The same in a large fleet, whose daemons have slower links and more to tell.
-const LARGE_BEACON_INTERVAL: Duration = Duration::from_millis(200);
+const LARGE_BEACON_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Largest datagram that is taken.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -350,6 +350,7 @@
             .workspace
             .as_ref()
             .filter(|workspace| workspace.is_isolated);
+        let (duration_us, memory_duration_us) = shared.durations.of(&self.service);
         let wanted = prompt.and_then(|prompt| shared.site.wanted(&prompt.model));
         let request = PlacementRequest {
             service: &self.service,
@@ -358,7 +359,8 @@
             wall: wall.map(|workspace| &workspace.id),
             zone: &shared.settings.zone,
             daemons: shared.peers.daemons(),
-            duration_us: shared.durations.of(&self.service),
+            duration_us,
+            memory_duration_us,
             patience_us,
             longest_queue_us: self.longest_queue_us,
             excluded: &self.tried,
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -148,7 +148,10 @@
         };
         opened.flight.land(Landing::Good);
         let taken = self.trace.began().elapsed();
-        self.shared.durations.note(&self.routed.service, taken);
+        let prompt = self.routed.call.head.prompt.as_ref();
+        let tokens = prompt.map_or(0, |p| p.prompt_tokens.get() + p.output_tokens.get());
+        let durations = &self.shared.durations;
+        durations.note(&self.routed.service, taken, tokens);
         keep_connection(
             &self.shared,
             &self.placement,
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -70,6 +70,7 @@
             zone: &zone,
             daemons: self.daemons,
             duration_us: ms(800),
+            memory_duration_us: ms(1_200),
             patience_us: ms(3_200),
             longest_queue_us: self.longest_queue,
             excluded: &self.excluded,
