--- a/crates/wisteriahitch-relay/src/decide/hubs.rs
+++ b/crates/wisteriahitch-relay/src/decide/hubs.rs
@@ -23,6 +23,8 @@
     pub ip: Ipv4Addr,
     /// Availability zone.
     pub zone: String,
+    /// Rate of its VM's link.
+    pub link_mbps: u16,
 }
 
 /// The hubs of a fleet as one daemon sees them.
@@ -92,6 +94,9 @@
 
 /// Returns the hubs of one zone, the first by hash first: as many as the root of its daemons, so
 /// that a hub has about as many daemons as other hubs of its zone.
+///
+/// Wide links go first: a hub sends a few megabits a second, and on a link of ten its callers' own
+/// bytes would wait behind them.
 fn hubs_of(zone: &str, members: &[HubCandidate]) -> Vec<HubCandidate> {
     let near: Vec<HubCandidate> = members
         .iter()
@@ -100,7 +105,14 @@
         .collect();
     let count = (near.len() as f64).sqrt().ceil() as usize;
     let rank = Rendezvous::new("hub", zone);
-    rank.top(near, count.max(FOLLOWERS_OF_STORES), |member| {
-        member.ip.octets().to_vec()
-    })
+    let mut scored: Vec<(f64, HubCandidate)> = near
+        .into_iter()
+        .map(|member| {
+            let weight = f64::from(member.link_mbps.max(1));
+            (rank.weighted_score(&member.ip.octets(), weight), member)
+        })
+        .collect();
+    scored.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+    scored.truncate(count.max(FOLLOWERS_OF_STORES));
+    scored.into_iter().map(|(_, member)| member).collect()
 }
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -92,6 +92,8 @@
     pub phase: MemberPhase,
     /// What it can carry.
     pub capacity: u16,
+    /// Rate of its VM's link.
+    pub link_mbps: u16,
 }
 
 /// What one daemon tells another.
@@ -109,6 +111,8 @@
     pub phase: MemberPhase,
     /// What the sender can carry, in thousandths of a core.
     pub capacity: u16,
+    /// Rate of the sender's link.
+    pub link_mbps: u16,
     /// Whether the sender is a hub, whose news include those of others.
     pub is_hub: bool,
     /// Whether the sender asks the stores itself.
@@ -145,6 +149,8 @@
     pub phase: MemberPhase,
     /// What it can carry.
     pub capacity: u16,
+    /// Rate of its VM's link.
+    pub link_mbps: u16,
     /// Whether it is a hub.
     pub is_hub: bool,
     /// Whether it asks the stores itself.
@@ -155,12 +161,25 @@
     heard_at_us: TimeUs,
 }
 
+impl PeerRow {
+    /// Returns it as callers are told of it.
+    pub fn entry(&self) -> Entry {
+        Entry {
+            ip: self.ip,
+            zone: self.zone.clone(),
+            capacity: self.capacity,
+            link_mbps: self.link_mbps,
+        }
+    }
+}
+
 /// One daemon that a hub tells of.
 #[derive(Clone, Debug)]
 struct ToldRow {
     zone: String,
     phase: MemberPhase,
     capacity: u16,
+    link_mbps: u16,
     told_at_us: TimeUs,
 }
 
@@ -173,12 +192,15 @@
     pub zone: String,
     /// What it can carry.
     pub capacity: u16,
+    /// Rate of its VM's link.
+    pub link_mbps: u16,
 }
 
 /// An address that is known from elsewhere: the settings, the store, or other daemons.
 #[derive(Clone, Debug)]
 struct KnownRow {
     zone: Option<String>,
+    link_mbps: u16,
     since_us: TimeUs,
 }
 
@@ -202,14 +224,16 @@
 }
 
 impl PeerTable {
-    /// Notes an address that may be a daemon's, with its zone if that is known.
-    pub fn know(&mut self, ip: Ipv4Addr, zone: Option<String>, now: TimeUs) {
+    /// Notes an address that may be a daemon's, with its zone and link if those are known.
+    pub fn know(&mut self, ip: Ipv4Addr, place: Option<(String, u16)>, now: TimeUs) {
         let row = self.known.entry(ip).or_insert(KnownRow {
             zone: None,
+            link_mbps: 0,
             since_us: now,
         });
-        if zone.is_some() {
-            row.zone = zone;
+        if let Some((zone, link_mbps)) = place {
+            row.zone = Some(zone);
+            row.link_mbps = link_mbps;
         }
     }
 
@@ -230,6 +254,7 @@
             zone: beacon.zone.clone(),
             phase: beacon.phase,
             capacity: beacon.capacity,
+            link_mbps: beacon.link_mbps,
             is_hub: beacon.is_hub,
             follows_stores: beacon.follows_stores,
             is_store_reachable: beacon.is_store_reachable,
@@ -241,6 +266,7 @@
             beacon.ip,
             KnownRow {
                 zone: Some(beacon.zone.clone()),
+                link_mbps: beacon.link_mbps,
                 since_us: now,
             },
         );
@@ -258,10 +284,11 @@
             zone: zone.clone(),
             phase: member.phase,
             capacity: member.capacity,
+            link_mbps: member.link_mbps,
             told_at_us: now,
         };
         self.told.insert(member.ip, row);
-        self.know(member.ip, Some(zone.clone()), now);
+        self.know(member.ip, Some((zone.clone(), member.link_mbps)), now);
     }
 
     /// Forgets those that have been silent for long, and returns those that fell silent since
@@ -300,11 +327,7 @@
     /// Lists the daemons that callers may be sent to: those that are heard, and those that a hub
     /// tells of.
     pub fn entries(&self, now: TimeUs) -> Vec<Entry> {
-        let direct = self.ready(now).map(|peer| Entry {
-            ip: peer.ip,
-            zone: peer.zone.clone(),
-            capacity: peer.capacity,
-        });
+        let direct = self.ready(now).map(PeerRow::entry);
         let mut entries: Vec<Entry> = direct.collect();
         for (ip, told) in &self.told {
             // What is heard of a daemon itself goes before what another one tells of it.
@@ -314,6 +337,7 @@
                     ip: *ip,
                     zone: told.zone.clone(),
                     capacity: told.capacity,
+                    link_mbps: told.link_mbps,
                 });
             }
         }
@@ -330,6 +354,7 @@
                 ip: *ip,
                 zone: told.zone.clone(),
                 capacity: told.capacity,
+                link_mbps: told.link_mbps,
             };
             (entry, told.phase)
         })
@@ -356,6 +381,7 @@
             members.push(HubCandidate {
                 ip: *ip,
                 zone: known.zone.clone().unwrap_or_default(),
+                link_mbps: known.link_mbps,
             });
         }
         HubPlan::of(&members)
@@ -376,6 +402,7 @@
             let member = HubCandidate {
                 ip,
                 zone: zone.unwrap_or_default(),
+                link_mbps: 0,
             };
             let is_mine = plan.hub_of(&member) == Some(me.ip);
             let tells_me = self.alive(now).any(|peer| peer.ip == ip && !peer.is_hub);
--- a/crates/wisteriahitch-relay/src/settings.rs
+++ b/crates/wisteriahitch-relay/src/settings.rs
@@ -96,6 +96,8 @@
     pub memory_mb: f64,
     /// Part of a core that the daemon has.
     pub cores: f64,
+    /// Rate of the VM's link.
+    pub link_mbps: f64,
     /// Share of the memory that bodies of requests may take while they wait.
     pub body_share: f64,
 }
@@ -162,6 +164,7 @@
         Self {
             memory_mb: 256.0,
             cores: 1.0,
+            link_mbps: 1_000.0,
             body_share: 0.2,
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -9,14 +9,14 @@
 use crate::decide::endpoint_table::EndpointRow;
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::{
-    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
+    Beacon, EndpointNews, Entry, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
 };
 
 /// Largest message; a network breaks it into a few packets, and one lost packet loses one message.
 const MAX_BEACON_BYTES: usize = 4 * 1024;
 
 /// Most parts in a message; of more, the newest go first.
-const MAX_PARTS: usize = 120;
+const MAX_PARTS: usize = 60;
 
 /// Most news of part stores in a message; the rest goes with the next one.
 const MAX_KEPT: usize = 80;
@@ -91,6 +91,7 @@
         zone: shared.settings.zone.to_string(),
         phase: shared.phase(),
         capacity: shared.peers.capacity(shared.settings.limits.cores),
+        link_mbps: shared.link_mbps(),
         is_hub: plan.is_hub(shared.settings.ip),
         follows_stores: shared.peers.follows_stores(),
         is_store_reachable,
@@ -153,29 +154,31 @@
 /// Adds the daemons that are heard: for other hubs those of this hub, for its own all.
 fn add_members(shared: &Shared, beacon: &mut Beacon, own: Option<Ipv4Addr>, now: TimeUs) {
     let table = shared.peers.table();
-    let mut rows: Vec<(Ipv4Addr, String, MemberPhase, u16)> = table
+    let mut rows: Vec<(Entry, MemberPhase)> = table
         .alive(now)
         .filter(|peer| own.is_some() || !peer.is_hub)
-        .map(|peer| (peer.ip, peer.zone.clone(), peer.phase, peer.capacity))
+        .map(|peer| (peer.entry(), peer.phase))
         .collect();
     if own.is_some() {
         let told = table.freshly_told(now);
-        rows.extend(told.map(|(entry, phase)| (entry.ip, entry.zone, phase, entry.capacity)));
+        rows.extend(told);
     }
     drop(table);
     let pages = rows.len().div_ceil(MAX_MEMBERS).max(1);
     let page = usize::try_from(now.get() / 200_000).unwrap_or(0) % pages;
-    for (ip, zone, phase, capacity) in rows.into_iter().skip(page * MAX_MEMBERS).take(MAX_MEMBERS) {
-        let known = beacon.zones.iter().position(|known| *known == zone);
+    let rows = rows.into_iter().skip(page * MAX_MEMBERS).take(MAX_MEMBERS);
+    for (entry, phase) in rows {
+        let known = beacon.zones.iter().position(|known| *known == entry.zone);
         let zone = known.unwrap_or_else(|| {
-            beacon.zones.push(zone);
+            beacon.zones.push(entry.zone);
             beacon.zones.len() - 1
         });
         beacon.members.push(MemberNews {
-            ip,
+            ip: entry.ip,
             zone: u8::try_from(zone).unwrap_or(u8::MAX),
             phase,
-            capacity,
+            capacity: entry.capacity,
+            link_mbps: entry.link_mbps,
         });
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -77,6 +77,7 @@
             ip: shared.settings.ip,
             zone: shared.settings.zone.to_string(),
             capacity: shared.peers.capacity(shared.settings.limits.cores),
+            link_mbps: shared.link_mbps(),
         });
     }
     let mut rng = rand::rng();
--- a/crates/wisteriahitch-relay/src/shell/flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/flight.rs
@@ -75,8 +75,11 @@
             return;
         }
         let mut news = Vec::new();
-        for (key, tokens) in part_keys(scope, prompt) {
-            if !row.parts.used(key, tokens) {
+        let keys = part_keys(scope, prompt);
+        let last = keys.len().saturating_sub(1);
+        for (index, (key, tokens)) in keys.into_iter().enumerate() {
+            // The last part is this request's or its session's own, which others don't ask for.
+            if !row.parts.used(key, tokens) || index == last {
                 continue;
             }
             news.push(PartNews {
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -148,6 +148,7 @@
     HubCandidate {
         ip: shared.settings.ip,
         zone: shared.settings.zone.to_string(),
+        link_mbps: shared.link_mbps(),
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -27,6 +27,7 @@
 struct Registration {
     ip: Ipv4Addr,
     zone: String,
+    link_mbps: u16,
     incarnation: Incarnation,
 }
 
@@ -70,6 +71,7 @@
     let registration = Registration {
         ip: shared.settings.ip,
         zone: shared.settings.zone.to_string(),
+        link_mbps: shared.link_mbps(),
         incarnation: shared.incarnation,
     };
     let content = serde_json::to_value(&registration).unwrap_or_default();
@@ -109,8 +111,8 @@
                 .delete(role, &object.name, object.revision)
                 .await;
         } else {
-            let zone = Some(registration.zone);
-            shared.peers.table().know(registration.ip, zone, now);
+            let place = Some((registration.zone, registration.link_mbps));
+            shared.peers.table().know(registration.ip, place, now);
         }
     }
     shared.peers.hurry.notify_one();
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Returns the rate of the VM's link, as it is told to others.
+    pub(crate) fn link_mbps(&self) -> u16 {
+        self.settings
+            .limits
+            .link_mbps
+            .clamp(1.0, f64::from(u16::MAX)) as u16
+    }
+
     /// Returns the time now.
     pub(crate) fn now(&self) -> TimeUs {
         self.clock.now()
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -17,6 +17,7 @@
         zone: "a".to_owned(),
         phase,
         capacity: 250,
+        link_mbps: 100,
         is_hub: true,
         follows_stores: true,
         is_store_reachable: true,
@@ -70,6 +71,7 @@
     HubCandidate {
         ip: Ipv4Addr::new(10, 0, 1, number),
         zone: zone.to_owned(),
+        link_mbps: 100,
     }
 }
 
@@ -138,6 +140,7 @@
         zone: 0,
         phase,
         capacity: 120,
+        link_mbps: 10,
     };
     news.members = vec![told(1, MemberPhase::Ready), told(2, MemberPhase::Draining)];
     table.heard(&news, at_ms(0));
@@ -157,7 +160,8 @@
     let members = fleet(40);
     let mut table = PeerTable::default();
     for member in &members {
-        table.know(member.ip, Some(member.zone.clone()), at_ms(0));
+        let place = Some((member.zone.clone(), member.link_mbps));
+        table.know(member.ip, place, at_ms(0));
     }
     let plan = HubPlan::of(&members);
     for member in &members {
