fix(relay): notice the store's return at once

Test: configuration::the_first_watch_after_an_outage_is_a_short_one, seen failing with waits of 6000 ms before the change.

--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -41,6 +41,11 @@
 /// to the platform's bound.
 const FIRST_AGE_US: DurationUs = DurationUs::from_ms(3_000);
 
+/// The same for the first watch after a failure. With the usual wait a daemon would count as cut off
+/// from the store for as long after its return: it would refuse unknown keys, take no lease, and let
+/// its peers ask elsewhere.
+const RETURN_WAIT: Duration = Duration::from_millis(300);
+
 /// Time between two looks whether this daemon is to ask the store itself.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -248,8 +253,13 @@
 
 /// Waits for changes once, and returns whether the history is gone.
 async fn watch_once(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
-    let after = shared.watches.of(role).lock().revision;
-    let watched = shared.borders.store.watch(role, after, WATCH_WAIT).await;
+    let (after, is_failing) = {
+        let state = shared.watches.of(role).lock();
+        (state.revision, state.failing_since_us.is_some())
+    };
+    // Only an answer shows that the store is back, and a watch is answered when it is over.
+    let wait = if is_failing { RETURN_WAIT } else { WATCH_WAIT };
+    let watched = shared.borders.store.watch(role, after, wait).await;
     count(shared, role, watched.is_ok());
     let watched = watched?;
     note_answer(shared, role);
