--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -196,10 +196,10 @@
     /// Remembers a deletion for peers.
     fn note_deleted(&mut self, name: String, revision: Revision) {
         self.deleted.push_back((revision, name));
-        if self.deleted.len() > REMEMBERED_DELETIONS {
-            if let Some((revision, _)) = self.deleted.pop_front() {
-                self.forgotten = revision;
-            }
+        let is_full = self.deleted.len() > REMEMBERED_DELETIONS;
+        let oldest = is_full.then(|| self.deleted.pop_front()).flatten();
+        if let Some((revision, _)) = oldest {
+            self.forgotten = revision;
         }
     }
 }
