--- a/crates/wisteriahitch-cli/src/command/mod.rs
+++ b/crates/wisteriahitch-cli/src/command/mod.rs
@@ -6,3 +6,4 @@
 pub(crate) mod explain;
 pub(crate) mod locate;
 pub(crate) mod status;
+pub(crate) mod story;
--- a/crates/wisteriahitch-cli/src/command_line.rs
+++ b/crates/wisteriahitch-cli/src/command_line.rs
@@ -59,6 +59,7 @@
         match &flags.subcommand {
             WisteriahitchCmd::Config(config) => command::config::run(flags, config).await,
             WisteriahitchCmd::Explain(explain) => command::explain::run(flags, explain).await,
+            WisteriahitchCmd::Story(story) => command::story::run(flags, story),
             WisteriahitchCmd::Locate(locate) => command::locate::run(flags, locate).await,
             WisteriahitchCmd::Dump(_) => command::dump::run(flags).await,
             WisteriahitchCmd::Status(status) => command::status::run(flags, status).await,
--- a/crates/wisteriahitch-cli/src/flags.rs
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -58,6 +58,14 @@
             /// Label of the request, NAME=VALUE; may be given several times.
             repeated --label label: String
         }
+        /// Tells a request's story from the collected logs of all machines. Exits with 1 where no line
+        /// names it.
+        cmd story {
+            /// Id of the request.
+            required id: String
+            /// Log files; without any, standard input is read.
+            repeated files: PathBuf
+        }
         /// Tells where the cache blocks of a prompt are.
         cmd locate {
             /// Workspace of the prompt.
--- a/crates/wisteriahitch-cli/src/render/mod.rs
+++ b/crates/wisteriahitch-cli/src/render/mod.rs
@@ -7,6 +7,7 @@
 mod help;
 mod locate;
 mod status;
+mod story;
 
 pub use config::{accepted, ask_again, history};
 pub use explain::explain;
@@ -15,3 +16,4 @@
 pub use help::help_of;
 pub use locate::locate;
 pub use status::status;
+pub use story::{LogLine, story, story_lines};
--- a/crates/wisteriahitch-cli/tests/all/main.rs
+++ b/crates/wisteriahitch-cli/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod docs;
 mod flags;
 mod render;
+mod story;
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -195,6 +195,8 @@
     site.table
         .saw_weights(&id("a"), &model(), WeightNumber::new(2));
     assert_eq!(scope(&site).as_deref(), Some("w2.dispatch"));
+    site.wall = None;
+    assert_eq!(scope(&site).as_deref(), Some("w2"));
 }
 
 #[test]
