--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -4,22 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
-use wisteriahitch_core::fleet::{
-    LeaseCommand, LeaseEvent, LeaseGroup, LeaseHolder, LeaseObject, LeaseSettings, LeaseTable,
-    Member, MemberAddresses, MemberState, Membership, MembershipSettings, Rendezvous, WriteFailure,
-};
-use wisteriahitch_types::{ConfigVersion, DurationUs, EndpointId, Incarnation, TimeUs};
-use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
-use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
+use wisteriahitch_core::fleet::{LeaseEvent, LeaseGroup, Membership, Rendezvous};
+use wisteriahitch_types::{EndpointId, Incarnation, TimeUs};
 
+use super::lease::{call, lone_member};
 use super::shared::Shared;
 use crate::border::{OrderOutcome, WeightOrder};
 use crate::decide::endpoint_table::{EndpointLife, EndpointRow};
 use crate::decide::rollout::{RolloutRow, RolloutStep};
 use crate::observe::Event;
-use crate::settings::RelaySettings;
 
 /// Time between two looks while orders are to be given.
 const BUSY_INTERVAL: Duration = Duration::from_millis(50);
@@ -27,27 +20,10 @@
 /// Time between two looks while nothing is to be done.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// How long the lease lasts. A holder that dies is replaced after this time and the time that must
-/// lie between orders of two holders; both have to fit into the eight seconds in which requests
-/// may still begin on old weights.
-const LEASE_TERM_US: DurationUs = DurationUs::from_ms(1_100);
-
-/// What must be left of the lease when it is renewed. A slow store answers within 330 ms.
-const RENEW_BEFORE_US: DurationUs = DurationUs::from_ms(700);
-
-/// Part of the term that isn't used, for the way of an order to its endpoint.
-const LEASE_MARGIN_US: DurationUs = DurationUs::from_ms(250);
-
-/// Time between two reads of a lease that another daemon holds.
-const LEASE_READ_US: DurationUs = DurationUs::from_ms(300);
-
 /// Daemons that try to hold the lease: the first by hash, and one that already watches it when the
 /// first falls silent.
 const CANDIDATES: usize = 2;
 
-/// Added to the time that must lie between orders of two holders.
-const HANDOVER_SLACK_MS: u64 = 400;
-
 /// Longest wait for an engine's report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -55,49 +31,6 @@
 /// agreement of its own.
 const GROUP: LeaseGroup = LeaseGroup::RolloutSlot(0);
 
-/// Builds the daemon's leases.
-pub(crate) fn lease_table(settings: &RelaySettings, incarnation: Incarnation) -> LeaseTable {
-    let holder = LeaseHolder {
-        daemon: settings.id.clone(),
-        incarnation,
-    };
-    let settings = LeaseSettings {
-        term_us: LEASE_TERM_US,
-        renew_before_us: RENEW_BEFORE_US,
-        // A new holder waits for so long after a lease that wasn't released.
-        order_timeout_us: DurationUs::from_ms(settings.rollout.lease_ms + HANDOVER_SLACK_MS),
-        margin_us: LEASE_MARGIN_US,
-        read_us: LEASE_READ_US,
-    };
-    LeaseTable::new(holder, settings)
-}
-
-/// The table of leases asks a membership who is responsible; here that is told to it directly.
-fn lone_member(shared: &Shared) -> Membership {
-    let listen = &shared.settings.listen;
-    let me = Member {
-        daemon: shared.settings.id.clone(),
-        incarnation: shared.incarnation,
-        news_number: 1,
-        state: MemberState::Alive,
-        addresses: MemberAddresses {
-            caller: listen.callers,
-            peer: listen.callers,
-            operator: listen.callers,
-        },
-        availability_zone: shared.settings.zone.clone(),
-        config_version: ConfigVersion::new(0),
-        load_permille: 0,
-        changed_at_us: TimeUs::ZERO,
-        is_vm_leaving: false,
-    };
-    Membership::new(
-        MembershipSettings::default(),
-        me,
-        ChaCha8Rng::seed_from_u64(0),
-    )
-}
-
 /// Gives orders while they are wanted, for as long as the process lives.
 pub(crate) async fn run_orders(shared: Arc<Shared>) {
     let members = Arc::new(lone_member(&shared));
@@ -330,99 +263,6 @@
     }
 }
 
-async fn call(shared: Arc<Shared>, members: Arc<Membership>, command: LeaseCommand) {
-    let event = match command {
-        LeaseCommand::Read(group) => read(&shared, group).await,
-        LeaseCommand::Write {
-            group,
-            object,
-            expected,
-        } => write(&shared, group, object, expected).await,
-    };
-    shared.leases.lock().handle(event, shared.now(), &members);
-}
-
-async fn read(shared: &Shared, group: LeaseGroup) -> LeaseEvent {
-    let read = shared
-        .borders
-        .store
-        .get(ObjectRole::Leases, &group.to_string())
-        .await;
-    let parsed = read.map(|object| object.map(parse).transpose());
-    match parsed {
-        Ok(Ok(object)) => LeaseEvent::Read { group, object },
-        Ok(Err(error)) => {
-            shared.log.write(&Event::ObjectUnreadable {
-                kind: "leases",
-                name: group.to_string(),
-                detail: error.to_string(),
-            });
-            LeaseEvent::ReadFailed(group)
-        }
-        Err(error) => {
-            shared.log.write(&Event::Failure {
-                what: "reading the lease",
-                detail: error.to_string(),
-            });
-            LeaseEvent::ReadFailed(group)
-        }
-    }
-}
-
-fn parse(object: StoredObject) -> serde_json::Result<(LeaseObject, u64)> {
-    let lease = serde_json::from_value(object.content)?;
-    Ok((lease, object.revision.0))
-}
-
-async fn write(
-    shared: &Shared,
-    group: LeaseGroup,
-    object: LeaseObject,
-    expected: u64,
-) -> LeaseEvent {
-    let write_number = object.write_number;
-    let name = group.to_string();
-    let content = serde_json::to_value(&object).unwrap_or_default();
-    let store = &shared.borders.store;
-    let written = match expected {
-        0 => store.create(ObjectRole::Leases, &name, content).await,
-        _ => {
-            let expected = Revision(expected);
-            store
-                .replace(ObjectRole::Leases, &name, content, expected)
-                .await
-        }
-    };
-    match written {
-        Ok(object) => LeaseEvent::Written {
-            group,
-            write_number,
-            object_version: object.revision.0,
-        },
-        Err(error) => {
-            shared.log.write(&Event::Failure {
-                what: "writing the lease",
-                detail: error.to_string(),
-            });
-            LeaseEvent::WriteFailed {
-                group,
-                write_number,
-                failure: failure(&error),
-            }
-        }
-    }
-}
-
-fn failure(error: &PlatformError) -> WriteFailure {
-    match error.kind() {
-        PlatformErrorKind::AlreadyExists
-        | PlatformErrorKind::Conflict
-        | PlatformErrorKind::NotFound => WriteFailure::Conflict,
-        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteFailure::Lost,
-        _ => WriteFailure::Unavailable,
-    }
-}
-
 /// Shows the wanted weights, for the dump.
 pub(crate) fn wanted_snapshot(shared: &Shared) -> BTreeMap<String, u64> {
     let wanted = shared.site.all_wanted();
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -1,61 +1,30 @@
-//! The way of a call: route, workspace, placement, attempts.
+//! The way of a call up to its first attempt: route, workspace, body.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
-use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout_at};
-use wisteriahitch_types::{Code, DurationUs, EndpointId, ServiceName};
+use hyper::body::Incoming;
+use wisteriahitch_types::{Code, DurationUs};
 
 use super::answer_body::AnswerBody;
-use super::attempt::{Call, Failure, FailureKind, Opened, open};
-use super::flight::Landing;
+use super::attempt::Call;
+use super::request_body::read_body;
+use super::routed::{Attempted, Routed};
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
 use super::stream_body::{StreamStart, stream};
 use super::trace::CallTrace;
 use crate::border::Refusal;
-use crate::decide::placement::{Placement, PlacementRequest, place};
-use crate::observe::Event;
 use crate::site::{CallKind, Route, SiteConfig, Workspace};
 
-/// Largest answer that is taken in whole before it is passed on. What is not yet passed on can
-/// still be asked for again where it breaks.
-const WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
-
-/// Endpoints that one call tries to connect to; an attempt that sends nothing costs an endpoint
-/// nothing, but the caller waits.
-const MAX_CONNECTS: u32 = 4;
-
-/// Time that the first attempt at a repeatable call gets, in multiples of its target, while another
-/// attempt is left.
-const FIRST_ATTEMPT_TARGETS: f64 = 2.5;
-
-/// Least part of the time left that an attempt gets.
-const MIN_ATTEMPT_SHARE: f64 = 0.35;
-
 /// When a caller may come back to a daemon that knows too little yet.
 const NOT_READY_RETRY_US: DurationUs = DurationUs::from_ms(300);
 
-/// When a caller may come back after endpoints refused its call.
-const REFUSED_RETRY_US: DurationUs = DurationUs::from_ms(250);
-
 /// When a caller may come back to another daemon after this one has nearly left.
 const DRAINING_RETRY_US: DurationUs = DurationUs::from_ms(20);
 
-/// Gap after which callers give a stream up: the longest of two seconds, four times the target
-/// and eight times the longest good pause.
-fn patience(route: &Route) -> DurationUs {
-    let targets = route.target_us.get().saturating_mul(4);
-    let gaps = route.max_gap_us.get().saturating_mul(8);
-    DurationUs::new(targets.max(gaps)).max(DurationUs::from_ms(2_000))
-}
-
 /// Answers callers.
 pub(crate) struct CallerSide {
     pub(crate) shared: Arc<Shared>,
@@ -117,22 +86,6 @@
     Stream(Box<StreamStart>),
 }
 
-/// A call with what was decided about it before its first attempt.
-pub(crate) struct Routed {
-    pub(crate) call: Call,
-    pub(crate) route: Arc<Route>,
-    pub(crate) service: ServiceName,
-    pub(crate) workspace: Option<Arc<Workspace>>,
-    /// Longest queue that the call joins.
-    longest_queue_us: DurationUs,
-    /// Endpoints that were tried.
-    pub(crate) tried: Vec<EndpointId>,
-    /// Attempts that an endpoint got to see.
-    pub(crate) sent: u32,
-    /// The body that `call` sends; counted as held for as long as it may be sent again.
-    _body: HeldBody,
-}
-
 async fn run(
     shared: &Arc<Shared>,
     request: Request<Incoming>,
@@ -211,11 +164,6 @@
     })
 }
 
-enum Attempted {
-    Whole(Response<AnswerBody>, u16),
-    Stream(Option<Bytes>, Box<Opened>),
-}
-
 /// Refuses what this daemon doesn't know.
 ///
 /// While the store can't be reached a newer configuration may name the route or the key. A caller
@@ -243,341 +191,3 @@
         None => Err(unknown(shared, Code::UnknownKey)),
     }
 }
-
-/// A request's body, counted as held until it is dropped.
-struct HeldBody {
-    shared: Arc<Shared>,
-    bytes: Bytes,
-    held: usize,
-}
-
-impl Drop for HeldBody {
-    fn drop(&mut self) {
-        self.shared
-            .body_bytes
-            .fetch_sub(self.held, Ordering::Relaxed);
-    }
-}
-
-async fn read_body(
-    shared: &Arc<Shared>,
-    mut body: Incoming,
-    limit: usize,
-    due: Instant,
-) -> Result<HeldBody, Refusal> {
-    let mut held = HeldBody {
-        shared: Arc::clone(shared),
-        bytes: Bytes::new(),
-        held: 0,
-    };
-    if body.is_end_stream() {
-        return Ok(held);
-    }
-    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if announced > limit {
-        return Err(Refusal::new(Code::BodyTooLarge));
-    }
-    let mut gathered = BytesMut::new();
-    loop {
-        let frame = timeout_at(due, body.frame()).await;
-        let frame = frame.map_err(|_| Refusal::new(Code::SlowSender))?;
-        let Some(frame) = frame else { break };
-        let frame = frame.map_err(|_| Refusal::new(Code::BadHttp))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if gathered.len() + data.len() > limit {
-            return Err(Refusal::new(Code::BodyTooLarge));
-        }
-        if !shared.try_hold_body(data.len()) {
-            return Err(Refusal::new(Code::StreamsFull).retry_after(NOT_READY_RETRY_US));
-        }
-        held.held += data.len();
-        gathered.extend_from_slice(&data);
-    }
-    held.bytes = gathered.freeze();
-    Ok(held)
-}
-
-impl Routed {
-    async fn run(
-        &mut self,
-        shared: &Arc<Shared>,
-        trace: &mut CallTrace,
-    ) -> Result<Attempted, Refusal> {
-        let mut connects = 0;
-        let mut last: Option<FailureKind> = None;
-        loop {
-            let placement = match self.place(shared, None) {
-                Ok(placement) => placement,
-                Err(refusal) => return Err(self.final_refusal(refusal, last)),
-            };
-            trace.placed(&placement);
-            let failure = match self.attempt(shared, &placement, trace).await {
-                Ok(attempted) => return Ok(attempted),
-                Err(failure) => failure,
-            };
-            self.tried.push(placement.endpoint.clone());
-            connects += 1;
-            let next = self.next(shared, failure.kind, connects);
-            self.log_failure(shared, &placement, &failure, next);
-            last = Some(worse(last, failure.kind));
-            if next != "again" {
-                let refusal = Refusal::new(failure.kind.code()).retry_after(REFUSED_RETRY_US);
-                return Err(self.final_refusal(refusal, last));
-            }
-        }
-    }
-
-    /// Chooses an endpoint for the next attempt.
-    pub(crate) fn place(
-        &self,
-        shared: &Shared,
-        required_weights: Option<wisteriahitch_types::WeightNumber>,
-    ) -> Result<Placement, Refusal> {
-        let now = shared.now();
-        let left = self.call.due.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Refusal::new(Code::DeadlineUnreachable));
-        }
-        let prompt = self.call.head.prompt.as_ref();
-        let is_stream = self.route.kind == CallKind::Stream;
-        let patience_us = match is_stream {
-            true => DurationUs::from(left).min(patience(&self.route)),
-            false => DurationUs::from(left),
-        };
-        let wall = self
-            .workspace
-            .as_ref()
-            .filter(|workspace| workspace.is_isolated);
-        let (duration_us, memory_duration_us) = shared.durations.of(&self.service);
-        let wanted = prompt.and_then(|prompt| shared.site.wanted(&prompt.model));
-        let request = PlacementRequest {
-            service: &self.service,
-            engine: self.call.engine.as_ref(),
-            prompt,
-            wall: wall.map(|workspace| &workspace.id),
-            zone: &shared.settings.zone,
-            daemons: shared.peers.daemons(),
-            duration_us,
-            memory_duration_us,
-            patience_us,
-            longest_queue_us: self.longest_queue_us,
-            excluded: &self.tried,
-            required_weights,
-            wanted_weights: wanted.as_ref(),
-        };
-        let endpoints = shared.endpoints.lock();
-        let stores = shared.part_stores.lock();
-        place(&endpoints, &stores, &request, now, &mut rand::rng())
-    }
-
-    async fn attempt(
-        &mut self,
-        shared: &Arc<Shared>,
-        placement: &Placement,
-        trace: &mut CallTrace,
-    ) -> Result<Attempted, Failure> {
-        let until = self.attempt_end(shared, placement);
-        let resume_after = self.call.head.resume_after;
-        let is_last = !self.may_go_on(shared);
-        let opened = open(shared, &self.call, placement, resume_after, is_last, until).await;
-        if !matches!(&opened, Err(failure) if failure.kind == FailureKind::NotSent) {
-            self.sent += 1;
-            trace.story().attempts = self.sent;
-        }
-        let opened = opened?;
-        if self.route.kind == CallKind::Stream && opened.parts.status.is_success() {
-            return self.first_event(shared, placement, opened, until).await;
-        }
-        let size = opened.body.size_hint().exact();
-        if size.is_some_and(|size| size > WHOLE_ANSWER_BYTES) {
-            return Ok(Attempted::Stream(None, Box::new(opened)));
-        }
-        self.whole_answer(shared, placement, opened, until).await
-    }
-
-    /// Returns when an attempt is given up.
-    ///
-    /// A repeatable call doesn't wait its whole time for an endpoint that doesn't answer, as long
-    /// as it could still be sent to another one.
-    fn attempt_end(&self, shared: &Shared, placement: &Placement) -> Instant {
-        let due = self.call.due;
-        if !self.may_go_on(shared) {
-            return due;
-        }
-        let now = Instant::now();
-        let left = due.saturating_duration_since(now);
-        let target = Duration::from(self.route.target_us).mul_f64(FIRST_ATTEMPT_TARGETS);
-        let wait = Duration::from(placement.expected_us) + target;
-        due.min(now + wait.max(left.mul_f64(MIN_ATTEMPT_SHARE)))
-    }
-
-    /// Returns whether the call could be sent to another endpoint after the next attempt.
-    fn may_go_on(&self, shared: &Shared) -> bool {
-        self.call.may_repeat
-            && self.sent + 1 < self.route.max_attempts
-            && shared.budgets.left(&self.service) >= 1.0
-    }
-
-    async fn whole_answer(
-        &self,
-        shared: &Arc<Shared>,
-        placement: &Placement,
-        opened: Opened,
-        until: Instant,
-    ) -> Result<Attempted, Failure> {
-        let Opened {
-            parts,
-            body,
-            connection,
-            flight,
-            ..
-        } = opened;
-        let limit = wisteriahitch_types::ByteCount::new(WHOLE_ANSWER_BYTES);
-        let whole = wisteriahitch_wire::http_client::read_body(body, limit);
-        let bytes = match timeout_at(until, whole).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(error)) => {
-                flight.land(Landing::Failed);
-                return Err(Failure::of_exchange(&error));
-            }
-            Err(_) => {
-                flight.land(Landing::Failed);
-                return Err(Failure::new(FailureKind::Timeout, "the answer isn't whole"));
-            }
-        };
-        flight.land(match parts.status.is_server_error() {
-            true => Landing::Failed,
-            false => Landing::Good,
-        });
-        shared
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
-        keep_connection(shared, placement, &parts, connection);
-        let status = parts.status.as_u16();
-        let mut response = Response::new(AnswerBody::whole(bytes));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = shared.borders.calls.passed_back(&parts.headers);
-        Ok(Attempted::Whole(response, status))
-    }
-
-    /// Waits for the first bytes of a stream before its head is passed on: until then a failure
-    /// can still be told by a status of its own, and where it may be, the call sent elsewhere.
-    async fn first_event(
-        &self,
-        shared: &Arc<Shared>,
-        placement: &Placement,
-        mut opened: Opened,
-        until: Instant,
-    ) -> Result<Attempted, Failure> {
-        let frame = match timeout_at(until, opened.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
-                opened.flight.land(Landing::Failed);
-                return Err(Failure::new(FailureKind::Lost, error.to_string()));
-            }
-            Ok(None) => {
-                opened.flight.land(Landing::Failed);
-                return Err(Failure::new(
-                    FailureKind::Lost,
-                    "the stream ended before an event",
-                ));
-            }
-            Err(_) => {
-                opened.flight.land(Landing::Failed);
-                return Err(Failure::new(FailureKind::Timeout, "no first event"));
-            }
-        };
-        opened
-            .flight
-            .has_read(placement, self.call.head.prompt.as_ref());
-        shared
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
-        let first = frame.into_data().ok();
-        Ok(Attempted::Stream(first, Box::new(opened)))
-    }
-
-    /// Decides what follows a failed attempt; `again` or the reason why there is no other.
-    fn next(&self, shared: &Shared, kind: FailureKind, connects: u32) -> &'static str {
-        if self.call.due <= Instant::now() {
-            return "no_time_left";
-        }
-        if kind == FailureKind::NotSent {
-            return if connects < MAX_CONNECTS {
-                "again"
-            } else {
-                "too_many_connects"
-            };
-        }
-        if !kind.is_not_run() && !self.call.may_repeat {
-            return "may_have_run";
-        }
-        if self.sent >= self.route.max_attempts {
-            return "attempts_used_up";
-        }
-        if !shared.budgets.try_take(&self.service) {
-            shared.metrics.retries.with_label_values(&["no"]).inc();
-            return "budget_used_up";
-        }
-        shared.metrics.retries.with_label_values(&["yes"]).inc();
-        "again"
-    }
-
-    /// Makes a refusal true: where an attempt may have run, it can't say "not run".
-    fn final_refusal(&self, refusal: Refusal, worst: Option<FailureKind>) -> Refusal {
-        match worst {
-            Some(kind) if !kind.is_not_run() => Refusal::new(kind.code()),
-            _ => refusal,
-        }
-    }
-
-    pub(crate) fn log_failure(
-        &self,
-        shared: &Shared,
-        placement: &Placement,
-        failure: &Failure,
-        next: &'static str,
-    ) {
-        shared.log.write(&Event::AttemptFailed {
-            request: self.call.head.request_id.to_string(),
-            endpoint: placement.endpoint.to_string(),
-            attempt: self.sent,
-            reason: failure.kind.label(),
-            detail: failure.detail.clone(),
-            may_have_run: !failure.kind.is_not_run(),
-            next,
-            budget_left: shared.budgets.left(&self.service),
-        });
-    }
-}
-
-/// Returns which of two failures says less about what hasn't run.
-fn worse(known: Option<FailureKind>, new: FailureKind) -> FailureKind {
-    match known {
-        Some(known) if !known.is_not_run() => known,
-        _ => new,
-    }
-}
-
-/// Keeps a connection whose answer was read to its end, unless the endpoint closes it.
-pub(crate) fn keep_connection(
-    shared: &Shared,
-    placement: &Placement,
-    parts: &http::response::Parts,
-    mut connection: wisteriahitch_wire::connection_pool::Connection,
-) {
-    let answer = shared.borders.calls.answer(parts);
-    if answer.is_closing {
-        return;
-    }
-    if let Some(keep) = answer.keep {
-        connection.set_keep(keep);
-    }
-    shared.pool.put(&placement.endpoint, connection);
-}
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -14,7 +14,7 @@
 use super::durations::Durations;
 use super::peers::PeerState;
 use super::site_state::SiteState;
-use super::watch::WatchStates;
+use super::watch_state::WatchStates;
 use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -12,7 +12,7 @@
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
 use super::flight::Landing;
-use super::pipeline::{Routed, keep_connection};
+use super::routed::{Routed, keep_connection};
 use super::shared::Shared;
 use super::trace::CallTrace;
 use crate::decide::placement::Placement;
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -1,12 +1,9 @@
 //! Following the store's objects.
 
-use std::collections::{BTreeMap, VecDeque};
-use std::net::Ipv4Addr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{
     Change, Listing, ObjectRole, Revision, StoredObject, Watched,
@@ -15,16 +12,10 @@
 
 use super::part_news::run_part_news;
 use super::shared::Shared;
+use super::watch_state::{Delta, WatchState, kind_name};
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US};
 use crate::observe::Event;
 
-/// Kinds of objects that every daemon follows.
-pub(crate) const WATCHED: [ObjectRole; 3] = [
-    ObjectRole::Endpoints,
-    ObjectRole::Configuration,
-    ObjectRole::Weights,
-];
-
 /// Where news comes from, for the log.
 const STORE: &str = "store";
 const PEER: &str = "peer";
@@ -49,9 +40,6 @@
 /// Time between two looks whether this daemon is to ask the store itself.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Deletions that are remembered for peers; one that has missed more is told everything.
-const REMEMBERED_DELETIONS: usize = 1_000;
-
 /// Pauses after a call of the store failed, from the first one on.
 const RETRY_PAUSES: [Duration; 4] = [
     Duration::from_millis(100),
@@ -60,150 +48,6 @@
     Duration::from_millis(800),
 ];
 
-/// What is known of one kind of objects.
-#[derive(Debug, Default)]
-pub(crate) struct WatchState {
-    /// Revision to watch from.
-    revision: Revision,
-    /// Revision at which something last changed.
-    changed: Revision,
-    is_listed: bool,
-    failing_since_us: Option<TimeUs>,
-    recovered_at_us: Option<TimeUs>,
-    answered_at_us: Option<TimeUs>,
-    objects: BTreeMap<String, StoredObject>,
-    /// Names of deleted objects, the newest last.
-    deleted: VecDeque<(Revision, String)>,
-    /// Up to this revision deletions may have been forgotten.
-    forgotten: Revision,
-    /// Since when a peer has been known to know more.
-    behind: Option<(TimeUs, Ipv4Addr)>,
-    /// Whether a peer is being asked. Asked again by each of its messages, one that answers late
-    /// would have to answer ever more.
-    is_catching_up: bool,
-}
-
-/// The state of all followed kinds, in the order of [`WATCHED`].
-#[derive(Debug, Default)]
-pub(crate) struct WatchStates([Mutex<WatchState>; WATCHED.len()]);
-
-impl WatchStates {
-    fn of(&self, role: ObjectRole) -> &Mutex<WatchState> {
-        let index = WATCHED.iter().position(|watched| *watched == role);
-        &self.0[index.unwrap_or(0)]
-    }
-
-    /// Returns whether every kind was listed at least once.
-    pub(crate) fn has_listed_all(&self) -> bool {
-        self.0.iter().all(|state| state.lock().is_listed)
-    }
-
-    /// Returns whether the configuration is as new as the store's, as far as can be seen.
-    pub(crate) fn is_fresh(&self) -> bool {
-        let state = self.of(ObjectRole::Configuration).lock();
-        state.failing_since_us.is_none() && state.behind.is_none()
-    }
-
-    /// Returns whether the store answers.
-    pub(crate) fn is_store_reachable(&self) -> bool {
-        self.0
-            .iter()
-            .all(|state| state.lock().failing_since_us.is_none())
-    }
-
-    /// Returns the time since the store last answered.
-    pub(crate) fn age(&self, now: TimeUs) -> DurationUs {
-        let ages = self
-            .0
-            .iter()
-            .filter_map(|state| state.lock().answered_at_us);
-        ages.max().map_or(DurationUs::ZERO, |at| now.since(at))
-    }
-
-    /// Returns the revisions of the last changes, for the other daemons.
-    pub(crate) fn changed(&self) -> Vec<u64> {
-        self.0.iter().map(|state| state.lock().changed.0).collect()
-    }
-
-    /// Notes what a peer knows, and returns whether that is more.
-    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) -> bool {
-        let mut is_behind = false;
-        for (state, known) in self.0.iter().zip(revisions) {
-            let mut state = state.lock();
-            let is_free = state.behind.is_none() && !state.is_catching_up;
-            if *known > state.changed.0 && is_free {
-                state.behind = Some((now, ip));
-                is_behind = true;
-            }
-        }
-        is_behind
-    }
-
-    /// Returns the kinds of which a peer has known more for `patience`, and that peer.
-    pub(crate) fn behind(&self, patience: DurationUs, now: TimeUs) -> Vec<(ObjectRole, Ipv4Addr)> {
-        let mut behind = Vec::new();
-        for (role, state) in WATCHED.iter().zip(&self.0) {
-            let mut state = state.lock();
-            let is_due = |(since, _): &mut (TimeUs, Ipv4Addr)| now.since(*since) >= patience;
-            if let Some((_, ip)) = state.behind.take_if(is_due) {
-                state.is_catching_up = true;
-                behind.push((*role, ip));
-            }
-        }
-        behind
-    }
-
-    /// Notes that a peer has answered, or won't.
-    pub(crate) fn caught_up(&self, role: ObjectRole) {
-        self.of(role).lock().is_catching_up = false;
-    }
-
-    /// Returns the revision of the last known change of a kind.
-    pub(crate) fn changed_revision(&self, role: ObjectRole) -> Revision {
-        self.of(role).lock().changed
-    }
-
-    /// Returns what has changed of a kind since a revision, for a peer.
-    pub(crate) fn delta(&self, role: ObjectRole, since: Revision) -> Delta {
-        let state = self.of(role).lock();
-        let is_full = since < state.forgotten || since == Revision::default();
-        let is_new = |object: &&StoredObject| is_full || object.revision > since;
-        let gone = state
-            .deleted
-            .iter()
-            .filter(|(revision, _)| !is_full && *revision > since);
-        Delta {
-            revision: state.changed,
-            is_full,
-            objects: state.objects.values().filter(is_new).cloned().collect(),
-            deleted: gone.map(|(_, name)| name.clone()).collect(),
-        }
-    }
-}
-
-/// What one daemon tells another of a kind of objects.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct Delta {
-    /// Revision up to which it tells.
-    pub(crate) revision: Revision,
-    /// Whether it holds all objects instead of the changes.
-    is_full: bool,
-    objects: Vec<StoredObject>,
-    deleted: Vec<String>,
-}
-
-impl WatchState {
-    /// Remembers a deletion for peers.
-    fn note_deleted(&mut self, name: String, revision: Revision) {
-        self.deleted.push_back((revision, name));
-        let is_full = self.deleted.len() > REMEMBERED_DELETIONS;
-        let oldest = is_full.then(|| self.deleted.pop_front()).flatten();
-        if let Some((revision, _)) = oldest {
-            self.forgotten = revision;
-        }
-    }
-}
-
 /// Follows one kind of objects for as long as the process lives.
 pub(crate) async fn run_watch(shared: Arc<Shared>, role: ObjectRole) {
     let mut failures = 0;
@@ -538,14 +382,3 @@
         }
     }
 }
-
-/// Returns the word for logs, metrics and paths between daemons.
-pub(crate) const fn kind_name(role: ObjectRole) -> &'static str {
-    match role {
-        ObjectRole::Endpoints => "endpoints",
-        ObjectRole::Configuration => "configuration",
-        ObjectRole::Weights => "weights",
-        ObjectRole::Members => "members",
-        ObjectRole::Leases => "leases",
-    }
-}
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -0,0 +1,174 @@
+//! What is known of the store's objects, and how fresh that is.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
+
+/// Kinds of objects that every daemon follows.
+pub(crate) const WATCHED: [ObjectRole; 3] = [
+    ObjectRole::Endpoints,
+    ObjectRole::Configuration,
+    ObjectRole::Weights,
+];
+
+/// Deletions that are remembered for peers; one that has missed more is told everything.
+const REMEMBERED_DELETIONS: usize = 1_000;
+
+/// What is known of one kind of objects.
+#[derive(Debug, Default)]
+pub(crate) struct WatchState {
+    /// Revision to watch from.
+    pub(super) revision: Revision,
+    /// Revision at which something last changed.
+    pub(super) changed: Revision,
+    pub(super) is_listed: bool,
+    pub(super) failing_since_us: Option<TimeUs>,
+    pub(super) recovered_at_us: Option<TimeUs>,
+    pub(super) answered_at_us: Option<TimeUs>,
+    pub(super) objects: BTreeMap<String, StoredObject>,
+    /// Names of deleted objects, the newest last.
+    pub(super) deleted: VecDeque<(Revision, String)>,
+    /// Up to this revision deletions may have been forgotten.
+    pub(super) forgotten: Revision,
+    /// Since when a peer has been known to know more.
+    pub(super) behind: Option<(TimeUs, Ipv4Addr)>,
+    /// Whether a peer is being asked. Asked again by each of its messages, one that answers late
+    /// would have to answer ever more.
+    pub(super) is_catching_up: bool,
+}
+
+/// The state of all followed kinds, in the order of [`WATCHED`].
+#[derive(Debug, Default)]
+pub(crate) struct WatchStates([Mutex<WatchState>; WATCHED.len()]);
+
+impl WatchStates {
+    pub(super) fn of(&self, role: ObjectRole) -> &Mutex<WatchState> {
+        let index = WATCHED.iter().position(|watched| *watched == role);
+        &self.0[index.unwrap_or(0)]
+    }
+
+    /// Returns whether every kind was listed at least once.
+    pub(crate) fn has_listed_all(&self) -> bool {
+        self.0.iter().all(|state| state.lock().is_listed)
+    }
+
+    /// Returns whether the configuration is as new as the store's, as far as can be seen.
+    pub(crate) fn is_fresh(&self) -> bool {
+        let state = self.of(ObjectRole::Configuration).lock();
+        state.failing_since_us.is_none() && state.behind.is_none()
+    }
+
+    /// Returns whether the store answers.
+    pub(crate) fn is_store_reachable(&self) -> bool {
+        self.0
+            .iter()
+            .all(|state| state.lock().failing_since_us.is_none())
+    }
+
+    /// Returns the time since the store last answered.
+    pub(crate) fn age(&self, now: TimeUs) -> DurationUs {
+        let ages = self
+            .0
+            .iter()
+            .filter_map(|state| state.lock().answered_at_us);
+        ages.max().map_or(DurationUs::ZERO, |at| now.since(at))
+    }
+
+    /// Returns the revisions of the last changes, for the other daemons.
+    pub(crate) fn changed(&self) -> Vec<u64> {
+        self.0.iter().map(|state| state.lock().changed.0).collect()
+    }
+
+    /// Notes what a peer knows, and returns whether that is more.
+    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) -> bool {
+        let mut is_behind = false;
+        for (state, known) in self.0.iter().zip(revisions) {
+            let mut state = state.lock();
+            let is_free = state.behind.is_none() && !state.is_catching_up;
+            if *known > state.changed.0 && is_free {
+                state.behind = Some((now, ip));
+                is_behind = true;
+            }
+        }
+        is_behind
+    }
+
+    /// Returns the kinds of which a peer has known more for `patience`, and that peer.
+    pub(crate) fn behind(&self, patience: DurationUs, now: TimeUs) -> Vec<(ObjectRole, Ipv4Addr)> {
+        let mut behind = Vec::new();
+        for (role, state) in WATCHED.iter().zip(&self.0) {
+            let mut state = state.lock();
+            let is_due = |(since, _): &mut (TimeUs, Ipv4Addr)| now.since(*since) >= patience;
+            if let Some((_, ip)) = state.behind.take_if(is_due) {
+                state.is_catching_up = true;
+                behind.push((*role, ip));
+            }
+        }
+        behind
+    }
+
+    /// Notes that a peer has answered, or won't.
+    pub(crate) fn caught_up(&self, role: ObjectRole) {
+        self.of(role).lock().is_catching_up = false;
+    }
+
+    /// Returns the revision of the last known change of a kind.
+    pub(crate) fn changed_revision(&self, role: ObjectRole) -> Revision {
+        self.of(role).lock().changed
+    }
+
+    /// Returns what has changed of a kind since a revision, for a peer.
+    pub(crate) fn delta(&self, role: ObjectRole, since: Revision) -> Delta {
+        let state = self.of(role).lock();
+        let is_full = since < state.forgotten || since == Revision::default();
+        let is_new = |object: &&StoredObject| is_full || object.revision > since;
+        let gone = state
+            .deleted
+            .iter()
+            .filter(|(revision, _)| !is_full && *revision > since);
+        Delta {
+            revision: state.changed,
+            is_full,
+            objects: state.objects.values().filter(is_new).cloned().collect(),
+            deleted: gone.map(|(_, name)| name.clone()).collect(),
+        }
+    }
+}
+
+/// What one daemon tells another of a kind of objects.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct Delta {
+    /// Revision up to which it tells.
+    pub(crate) revision: Revision,
+    /// Whether it holds all objects instead of the changes.
+    pub(super) is_full: bool,
+    pub(super) objects: Vec<StoredObject>,
+    pub(super) deleted: Vec<String>,
+}
+
+impl WatchState {
+    /// Remembers a deletion for peers.
+    pub(super) fn note_deleted(&mut self, name: String, revision: Revision) {
+        self.deleted.push_back((revision, name));
+        let is_full = self.deleted.len() > REMEMBERED_DELETIONS;
+        let oldest = is_full.then(|| self.deleted.pop_front()).flatten();
+        if let Some((revision, _)) = oldest {
+            self.forgotten = revision;
+        }
+    }
+}
+
+/// Returns the word for logs, metrics and paths between daemons.
+pub(crate) const fn kind_name(role: ObjectRole) -> &'static str {
+    match role {
+        ObjectRole::Endpoints => "endpoints",
+        ObjectRole::Configuration => "configuration",
+        ObjectRole::Weights => "weights",
+        ObjectRole::Members => "members",
+        ObjectRole::Leases => "leases",
+    }
+}
