refactor(relay): remove code that nothing calls

Cause: `CallCodec::event_weights`, its implementation and `Connection::is_reused` with its field had no caller. Ruled out: a use in tests or tools; none found by search, and the workspace builds with all targets. Change: removed. Nothing else is touched. Conclusion: behaviour is unchanged.

--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -96,7 +96,4 @@
 
     /// Returns the path at which callers ask for entry addresses.
     fn entries_path(&self) -> &'static str;
-
-    /// Reads the weight version from the first line of an event, if it names one.
-    fn event_weights(&self, event: &[u8]) -> Option<WeightNumber>;
 }
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -52,7 +52,6 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     keep: Duration,
-    is_reused: bool,
 }
 
 impl Drop for Connection {
@@ -86,15 +85,9 @@
             sender,
             driver: driver.abort_handle(),
             keep: DEFAULT_KEEP,
-            is_reused: false,
         })
     }
 
-    /// Returns whether a request has been answered on this connection before.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
-    }
-
     /// Takes over how long the endpoint says it keeps the connection when it is idle.
     pub fn set_keep(&mut self, keep: Duration) {
         self.keep = keep.mul_f64(KEEP_SHARE);
@@ -187,11 +180,10 @@
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn put(&self, endpoint: &EndpointId, mut connection: Connection) {
+    pub fn put(&self, endpoint: &EndpointId, connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
-        connection.is_reused = true;
         let mut idle = self.idle.lock();
         let kept = idle.entry(endpoint.clone()).or_default();
         if kept.len() >= MAX_IDLE_PER_ENDPOINT {
