fix(relay): take a deployment's bounds from its settings

Cause: replaced weights were used for six seconds because one deployment allows eight. Five more constants stood for bounds (age of a first listing, last resort, patience with the store, wait of a watch), and the daemon that gives orders sent its own calls to engines it had taken out, since it hears of them from others only.

Ruled out: a margin alone. With the time from the settings 4 calls still began too late: not urgent, they waited at their engine for three seconds while urgent ones went before them. They are taken back now, also where weights are replaced while they wait.

Change: [bounds], without defaults; settings/bounds.rs derives each limit with its margin; a rollout that can't end in time is told of in log and metrics.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -18,11 +18,6 @@
 /// platform promises two seconds; the rest covers the way of the news.
 pub(crate) const REGISTER_AGAIN_US: DurationUs = DurationUs::from_ms(2_300);
 
-/// Time for which an endpoint that has left without a word still gets requests where its service
-/// has no other one. It goes on serving for a while, and a silent outage of the store that nobody
-/// has noticed looks the same.
-pub(crate) const LAST_RESORT_US: DurationUs = DurationUs::from_ms(1_000);
-
 /// Time after which what a peer told of its load no longer counts.
 const PEER_LOAD_LIFE_US: DurationUs = DurationUs::from_ms(1_000);
 
@@ -134,9 +129,21 @@
     pub links: LinkPaces,
     /// Bounds of ejection.
     pub outlier_options: OutlierOptions,
+    /// Time for which an endpoint that has left without a word still gets requests where its
+    /// service has no other one. It goes on serving for a while, and a silent outage of the store
+    /// that nobody has noticed looks the same.
+    last_resort_us: DurationUs,
 }
 
 impl EndpointTable {
+    /// Takes over how long an endpoint that has left without a word still gets requests where its
+    /// service has no other one.
+    #[must_use]
+    pub fn with_last_resort(mut self, last_resort_us: DurationUs) -> Self {
+        self.last_resort_us = last_resort_us;
+        self
+    }
+
     /// Takes over how much memory the engines of each service have.
     pub fn set_memory(&mut self, memory_tokens: HashMap<wisteriahitch_types::ServiceName, u64>) {
         self.memory_tokens = memory_tokens;
@@ -205,7 +212,7 @@
         match row.life {
             EndpointLife::Ready => {
                 let grace = match absence {
-                    Absence::Left => LAST_RESORT_US,
+                    Absence::Left => self.last_resort_us,
                     Absence::MayHaveLapsed => REGISTER_AGAIN_US,
                 };
                 row.life = EndpointLife::Lapsed(now + grace);
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -15,5 +15,6 @@
 pub(crate) mod placement;
 pub(crate) mod placement_request;
 pub(crate) mod rollout;
+pub(crate) mod rollout_pace;
 pub(crate) mod stream_events;
 pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -7,6 +7,7 @@
 
 use wisteriahitch_types::{DurationUs, EndpointId, ModelName, TimeUs, WeightNumber};
 
+use super::rollout_pace::{Overrun, PaceOptions, Remaining, RolloutPace};
 use crate::border::{EngineReport, OrderOutcome};
 
 /// Time between an announcement and the order in a small fleet: the other daemons' next messages.
@@ -34,6 +35,8 @@
     pub has: WeightNumber,
     /// Weights that it is to have.
     pub wanted: WeightNumber,
+    /// Since when the weights that it has are no longer wanted.
+    pub replaced_at_us: TimeUs,
     /// Requests that it runs.
     pub running: u32,
 }
@@ -73,6 +76,8 @@
     /// Version of the order that was given last.
     ordering: WeightNumber,
     phase: Phase,
+    /// When it was taken out.
+    taken_at_us: TimeUs,
     /// The order that the engine accepted last, and when.
     accepted: Option<(WeightNumber, TimeUs)>,
 }
@@ -80,18 +85,15 @@
 /// Follows the engines that are being brought to wanted weights.
 #[derive(Clone, Debug)]
 pub struct Rollout {
-    parallel_min: usize,
-    parallel_share: f64,
+    pace: RolloutPace,
     active: BTreeMap<EndpointId, Active>,
 }
 
 impl Rollout {
-    /// Starts without any; at most `parallel_share` of the engines load at once, since more take
-    /// longer, but `parallel_min` of them may in any case.
-    pub fn new(parallel_min: usize, parallel_share: f64) -> Self {
+    /// Starts without any.
+    pub fn new(options: PaceOptions) -> Self {
         Self {
-            parallel_min: parallel_min.max(1),
-            parallel_share,
+            pace: RolloutPace::new(options),
             active: BTreeMap::new(),
         }
     }
@@ -101,6 +103,11 @@
         self.active.keys()
     }
 
+    /// Returns what keeps the rollout from ending in time; nothing where it is expected to.
+    pub fn overrun(&self, behind: &[RolloutRow], engines: usize, now: TimeUs) -> Option<Overrun> {
+        self.pace.overrun(remaining(behind, engines)?, now)
+    }
+
     /// Returns whether there is nothing under way.
     pub fn is_idle(&self) -> bool {
         self.active.is_empty()
@@ -153,6 +160,7 @@
             .copied()
             .unwrap_or_default();
         if has >= active.wanted {
+            self.pace.returned(now.since(active.taken_at_us));
             self.active.remove(endpoint);
             return;
         }
@@ -206,8 +214,7 @@
     /// Takes the engines with the oldest weights first, and of those the ones with the least work:
     /// they are empty soonest.
     fn take_next(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) {
-        let share = (engines as f64 * self.parallel_share) as usize;
-        let parallel = self.parallel_min.max(share);
+        let parallel = self.pace.parallel(engines);
         let mut waiting: Vec<&RolloutRow> = behind
             .iter()
             .filter(|row| !self.active.contains_key(&row.endpoint))
@@ -223,6 +230,7 @@
                 model: row.model.clone(),
                 wanted: row.wanted,
                 phase: Phase::AskAt(now + announce_us),
+                taken_at_us: now,
                 ordering: row.wanted,
                 accepted: None,
             };
@@ -230,3 +238,12 @@
         }
     }
 }
+
+fn remaining(behind: &[RolloutRow], engines: usize) -> Option<Remaining> {
+    let replaced_at_us = behind.iter().map(|row| row.replaced_at_us).min()?;
+    Some(Remaining {
+        behind: behind.len(),
+        engines,
+        replaced_at_us,
+    })
+}
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -34,10 +34,11 @@
 pub use decide::placement::{Placement, place};
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
+pub use decide::rollout_pace::{Overrun, PaceOptions, Remaining, RolloutPace};
 pub use decide::stream_events::{EventFramer, Framed, FramingError};
-pub use decide::wanted_weights::WantedVersions;
+pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 pub use observe::{BoundedLabel, CallEnded, Event, EventLog, LogBudget, ProcessUse};
-pub use settings::{RelaySettings, SettingsError};
+pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
 pub use site::{
     CallKind, CallerLimits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape, Route,
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -101,6 +101,14 @@
         fence: u64,
         outcome: String,
     },
+    /// A rollout isn't expected to end within its bound.
+    RolloutLate {
+        behind: usize,
+        parallel: usize,
+        turnaround_ms: u64,
+        left_ms: u64,
+        needed_ms: u64,
+    },
     /// A store of prompt parts answers again, or no longer does.
     PartStoreReachable {
         store: String,
@@ -176,6 +184,7 @@
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
             Event::OrderGiven { .. } => "order_given",
+            Event::RolloutLate { .. } => "rollout_late",
             Event::PartStoreReachable { .. } => "part_store_reachable",
             Event::PartsFreed { .. } => "parts_freed",
             Event::LinesOmitted { .. } => "lines_omitted",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -56,6 +56,8 @@
     pub(crate) store_calls: IntCounterVec,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
+    /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
+    pub(crate) rollout_late_s: Gauge,
     /// Prompt tokens that were kept, and that had to be read.
     pub(crate) prompt_tokens: IntCounterVec,
     /// Version of the configuration in force.
@@ -91,6 +93,11 @@
         registry.register(Box::new(endpoints.clone()))?;
         let store_age_s = Gauge::new("relay_store_age_seconds", "Time since the store answered.")?;
         registry.register(Box::new(store_age_s.clone()))?;
+        let rollout_late_s = Gauge::new(
+            "relay_rollout_late_seconds",
+            "Time by which a rollout is expected to miss its bound.",
+        )?;
+        registry.register(Box::new(rollout_late_s.clone()))?;
         let dropped_lines = IntCounter::new(
             "relay_log_dropped_lines_total",
             "Log lines that were left out.",
@@ -143,6 +150,7 @@
             first_event_s,
             endpoints,
             store_age_s,
+            rollout_late_s,
             dropped_lines,
             registry,
         })
--- a/crates/wisteriahitch-relay/src/settings/mod.rs
+++ b/crates/wisteriahitch-relay/src/settings/mod.rs
@@ -3,6 +3,8 @@
 //! `docs/SETTINGS.md` lists the keys. Unknown keys are ignored, since a platform that fills in the
 //! file may add some; a known key with a faulty value stops the start.
 
+mod bounds;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
@@ -10,6 +12,8 @@
 use serde::Deserialize;
 use wisteriahitch_types::{AvailabilityZone, DaemonId};
 
+pub use bounds::{BoundSettings, Bounds};
+
 /// Reports settings that can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
@@ -24,6 +28,14 @@
     /// The text isn't TOML, lacks a key or holds a faulty value.
     #[error("the settings are faulty: {0}")]
     Faulty(#[from] toml::de::Error),
+    /// A value that has no default is absent.
+    #[error("the setting {key} is absent; allowed is {allowed}")]
+    Absent {
+        /// Key.
+        key: &'static str,
+        /// Range in words.
+        allowed: &'static str,
+    },
     /// A value is out of range.
     #[error("the setting {key} is {value}; allowed is {allowed}")]
     OutOfRange {
@@ -55,6 +67,9 @@
     pub limits: LimitSettings,
     /// The platform's store.
     pub store: StoreSettings,
+    /// Bounds of the deployment.
+    #[serde(default)]
+    pub bounds: BoundSettings,
     /// Retries.
     #[serde(default)]
     pub retry: RetrySettings,
@@ -252,7 +267,17 @@
         (self.limits.memory_mb * 1_000_000.0 * self.limits.body_share) as usize
     }
 
+    /// Returns the bounds of the deployment.
+    ///
+    /// # Errors
+    ///
+    /// Names the key that is absent or out of range.
+    pub fn bounds(&self) -> Result<Bounds, SettingsError> {
+        self.bounds.checked()
+    }
+
     fn check(&self) -> Result<(), SettingsError> {
+        self.bounds()?;
         let positive = [
             ("limits.memory_mb", self.limits.memory_mb),
             ("drain.grace_s", self.drain.grace_s),
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -38,8 +38,10 @@
 use crate::decide::endpoint_table::EndpointTable;
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
+use crate::decide::rollout_pace::PaceOptions;
+use crate::decide::wanted_weights::OldWeightsLimits;
 use crate::observe::{Event, EventLog, LogBudget, Metrics};
-use crate::settings::RelaySettings;
+use crate::settings::{Bounds, RelaySettings};
 
 /// Time between two rounds of housekeeping: gathered log lines, idle connections, lapsed endpoints.
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
@@ -58,7 +60,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the metrics can't be registered.
+    /// Fails when the metrics can't be registered or a bound of the deployment makes no sense.
     pub fn new(
         settings: RelaySettings,
         settings_path: PathBuf,
@@ -79,12 +81,18 @@
             peer_port: settings.listen.peer_port,
             ignored_settings,
         });
+        let bounds = settings.bounds()?;
+        let endpoints = EndpointTable::default().with_last_resort(bounds.last_resort());
         let shared = Shared {
             clock: BootClock,
             incarnation,
             borders,
-            site: SiteState::default(),
-            endpoints: Mutex::new(EndpointTable::default()),
+            bounds,
+            site: SiteState::new(OldWeightsLimits {
+                until_us: bounds.old_weights_until(),
+                begun_by_us: bounds.old_weights_begun_by(),
+            }),
+            endpoints: Mutex::new(endpoints),
             part_stores: Mutex::new(PartStores::default()),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
@@ -92,10 +100,7 @@
             durations: Durations::default(),
             watches: WatchStates::default(),
             leases: Mutex::new(lease_table(&settings, incarnation)),
-            rollout: Mutex::new(Rollout::new(
-                settings.rollout.parallel_min,
-                settings.rollout.parallel_share,
-            )),
+            rollout: Mutex::new(Rollout::new(pace_options(&settings, &bounds))),
             drain: Drain::default(),
             body_bytes: AtomicUsize::new(0),
             log,
@@ -134,6 +139,14 @@
     }
 }
 
+fn pace_options(settings: &RelaySettings, bounds: &Bounds) -> PaceOptions {
+    PaceOptions {
+        parallel_min: settings.rollout.parallel_min,
+        parallel_share: settings.rollout.parallel_share,
+        all_weights_within_us: bounds.all_weights_within(),
+    }
+}
+
 async fn start_servers(shared: &Arc<Shared>) -> anyhow::Result<()> {
     let listen = &shared.settings.listen;
     let peer_address = SocketAddr::from((shared.settings.ip, listen.peer_port));
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use wisteriahitch_core::fleet::{LeaseEvent, LeaseGroup, Membership, Rendezvous};
-use wisteriahitch_types::{EndpointId, Incarnation, TimeUs};
+use wisteriahitch_types::{DurationUs, EndpointId, Incarnation, TimeUs};
 
 use super::lease::{call, lone_member};
 use super::shared::Shared;
@@ -20,6 +20,10 @@
 /// Time between two looks while nothing is to be done.
 const IDLE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which an engine that this daemon has taken out gets none of its calls: a few looks at what
+/// is due, so that a busy daemon doesn't let go of it in between.
+const OWN_RESERVED_US: DurationUs = DurationUs::from_ms(200);
+
 /// Daemons that try to hold the lease: the first by hash, and one that already watches it when the
 /// first falls silent.
 const CANDIDATES: usize = 2;
@@ -35,6 +39,7 @@
 pub(crate) async fn run_orders(shared: Arc<Shared>) {
     let members = Arc::new(lone_member(&shared));
     let mut phase = String::new();
+    let mut is_late = false;
     loop {
         let behind = behind(&shared);
         let has_lease = shared.leases.lock().held().next().is_some();
@@ -43,6 +48,7 @@
             step(&shared, &members, &behind);
             note_phase(&shared, &mut phase);
         }
+        note_overrun(&shared, &behind, has_lease, &mut is_late);
         let interval = if is_busy {
             BUSY_INTERVAL
         } else {
@@ -63,18 +69,22 @@
     let mut behind = Vec::new();
     for row in endpoints.iter().filter(stays) {
         for (model, has) in &row.endpoint.weights {
-            let Some(version) = wanted.get(model) else {
+            let Some(versions) = wanted.get(model) else {
                 continue;
             };
-            if has < version {
-                behind.push(RolloutRow {
-                    endpoint: row.endpoint.id.clone(),
-                    model: model.clone(),
-                    has: *has,
-                    wanted: *version,
-                    running: row.load().running,
-                });
-            }
+            let (Some(newest), Some(replaced_at_us)) =
+                (versions.newest(), versions.replaced_at(*has))
+            else {
+                continue;
+            };
+            behind.push(RolloutRow {
+                endpoint: row.endpoint.id.clone(),
+                model: model.clone(),
+                has: *has,
+                wanted: newest,
+                replaced_at_us,
+                running: row.load().running,
+            });
         }
     }
     behind
@@ -113,6 +123,7 @@
         return;
     }
     let steps = shared.rollout.lock().tick(behind, engines(shared), now);
+    reserve_own(shared, now);
     if !steps.is_empty() {
         shared.peers.hurry.notify_one();
     }
@@ -121,6 +132,21 @@
     }
 }
 
+/// Keeps this daemon's own calls from the engines that it has taken out.
+///
+/// The others hear of them by its messages, which it doesn't send to itself. Without this it goes on
+/// sending to engines that load, which refuse: one would notice by refusals of calls that may be sent
+/// once only, all of them at one daemon, while other engines are idle.
+fn reserve_own(shared: &Shared, now: TimeUs) {
+    let reserved: Vec<EndpointId> = shared.rollout.lock().reserved().cloned().collect();
+    let mut endpoints = shared.endpoints.lock();
+    for endpoint in reserved {
+        if let Some(hash) = endpoints.get(&endpoint).map(EndpointRow::hash) {
+            endpoints.reserve(hash, now + OWN_RESERVED_US, now);
+        }
+    }
+}
+
 /// Returns the daemons that should hold the lease: the first by hash among those that serve and
 /// reach the store.
 fn candidates(shared: &Shared, now: TimeUs) -> Vec<Incarnation> {
@@ -152,6 +178,30 @@
     }
 }
 
+/// Tells once of each rollout that its holder doesn't expect to end in time.
+fn note_overrun(shared: &Shared, behind: &[RolloutRow], is_holder: bool, is_late: &mut bool) {
+    let overrun = match is_holder {
+        true => shared
+            .rollout
+            .lock()
+            .overrun(behind, engines(shared), shared.now()),
+        false => None,
+    };
+    let late_us = overrun.map_or(DurationUs::ZERO, |o| o.needed_us - o.left_us);
+    shared.metrics.rollout_late_s.set(late_us.as_secs_f64());
+    let was_late = std::mem::replace(is_late, overrun.is_some());
+    let Some(overrun) = overrun.filter(|_| !was_late) else {
+        return;
+    };
+    shared.log.write(&Event::RolloutLate {
+        behind: overrun.behind,
+        parallel: overrun.parallel,
+        turnaround_ms: overrun.turnaround_us.as_ms(),
+        left_ms: overrun.left_us.as_ms(),
+        needed_ms: overrun.needed_us.as_ms(),
+    });
+}
+
 async fn carry_out(shared: Arc<Shared>, members: Arc<Membership>, step: RolloutStep) {
     match step {
         RolloutStep::Report(endpoint) => report(&shared, &endpoint).await,
@@ -265,6 +315,6 @@
     let wanted = shared.site.all_wanted();
     let shown = wanted
         .iter()
-        .map(|(model, version)| (model.to_string(), version.get()));
+        .filter_map(|(model, versions)| Some((model.to_string(), versions.newest()?.get())));
     shown.collect()
 }
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -42,9 +42,6 @@
 /// How long a told order keeps an endpoint from taking requests, if nothing more is heard.
 const RESERVED_US: DurationUs = DurationUs::from_ms(600);
 
-/// How long the store's own news may lag behind a peer's before the peer is asked.
-const BEHIND_PATIENCE_US: DurationUs = DurationUs::from_ms(250);
-
 /// Longest wait for a peer's objects.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -118,7 +115,7 @@
     shared.budgets.set_daemons(count + 1);
     // One that follows the store itself soon hears the same from it.
     let patience = if follows {
-        BEHIND_PATIENCE_US
+        shared.bounds.behind_patience()
     } else {
         DurationUs::ZERO
     };
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -8,7 +8,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
-use wisteriahitch_types::{Code, DurationUs, EndpointId, ServiceName};
+use wisteriahitch_types::{Code, DurationUs, EndpointId, ModelName, ServiceName, WeightNumber};
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
@@ -146,11 +146,37 @@
         place(&endpoints, &stores, &request, now, &mut rand::rng())
     }
 
+    /// Makes one attempt, and takes it back where the endpoint's weights go out of use before it
+    /// has begun.
     async fn attempt(
         &mut self,
         shared: &Arc<Shared>,
         placement: &Placement,
         trace: &mut CallTrace,
+    ) -> Result<Attempted, Failure> {
+        let prompt = self.call.head.prompt.as_ref();
+        let prompt = prompt.filter(|_| self.route.kind == CallKind::Stream);
+        let model = prompt.map(|prompt| prompt.model.clone());
+        let sent_before = self.sent;
+        tokio::select! {
+            result = self.exchange(shared, placement, trace) => return result,
+            () = Self::weights_over(shared, model.as_ref(), placement.weights) => {}
+        }
+        self.sent = sent_before + 1;
+        trace.story().attempts = self.sent;
+        let metrics = &shared.metrics.attempts;
+        metrics.with_label_values(&["weights_over"]).inc();
+        Err(Failure::new(
+            FailureKind::Timeout,
+            "its weights went out of use",
+        ))
+    }
+
+    async fn exchange(
+        &mut self,
+        shared: &Arc<Shared>,
+        placement: &Placement,
+        trace: &mut CallTrace,
     ) -> Result<Attempted, Failure> {
         let until = self.attempt_end(shared, placement);
         let resume_after = self.call.head.resume_after;
@@ -187,6 +213,32 @@
         due.min(now + wait.max(left.mul_f64(MIN_ATTEMPT_SHARE)))
     }
 
+    /// Waits until a stream must have begun at its endpoint, if the weights there are or get replaced.
+    ///
+    /// Calls that are less urgent may wait there for seconds longer than was expected. Without this
+    /// one would begin on weights that are out of use by then; taken back, it begins at another
+    /// endpoint, or where it may not be sent again its caller is told so at once.
+    async fn weights_over(
+        shared: &Shared,
+        model: Option<&ModelName>,
+        weights: Option<WeightNumber>,
+    ) {
+        let (Some(model), Some(weights)) = (model, weights) else {
+            return std::future::pending().await;
+        };
+        loop {
+            let changed = shared.site.wanted_changed();
+            let wanted = shared.site.wanted(model);
+            let by = wanted.and_then(|wanted| wanted.must_begin_by(weights));
+            match by {
+                Some(by) => {
+                    return tokio::time::sleep(by.since(shared.now()).into()).await;
+                }
+                None => changed.await,
+            }
+        }
+    }
+
     /// Returns whether the call could be sent to another endpoint after the next attempt.
     fn may_go_on(&self, shared: &Shared) -> bool {
         self.call.may_repeat
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -22,7 +22,7 @@
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
 use crate::observe::{Event, EventLog, Metrics};
-use crate::settings::RelaySettings;
+use crate::settings::{Bounds, RelaySettings};
 
 /// The implementations of the traits of `border`.
 pub struct Borders {
@@ -40,6 +40,8 @@
 
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
+    /// What decisions take from the deployment's bounds.
+    pub(crate) bounds: Bounds,
     pub(crate) clock: BootClock,
     pub(crate) incarnation: Incarnation,
     pub(crate) borders: Borders,
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -5,19 +5,32 @@
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
-use wisteriahitch_types::{DurationUs, ModelName, TimeUs, WeightNumber};
+use tokio::sync::Notify;
+use tokio::sync::futures::Notified;
+use wisteriahitch_types::{DurationUs, ModelName, TimeUs};
 
-use crate::decide::wanted_weights::WantedVersions;
+use crate::decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 use crate::site::{SiteConfig, WantedWeights};
 
 /// Holds what operators want.
-#[derive(Default)]
 pub(crate) struct SiteState {
     config: ArcSwapOption<SiteConfig>,
+    old_weights: OldWeightsLimits,
     wanted: Mutex<BTreeMap<ModelName, WantedVersions>>,
+    wanted_changed: Notify,
 }
 
 impl SiteState {
+    /// Starts without any.
+    pub(crate) fn new(old_weights: OldWeightsLimits) -> Self {
+        Self {
+            config: ArcSwapOption::default(),
+            old_weights,
+            wanted: Mutex::default(),
+            wanted_changed: Notify::new(),
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn config(&self) -> Option<Arc<SiteConfig>> {
         self.config.load_full()
@@ -44,11 +57,21 @@
     /// `age_us` is how long ago they may have been named at most; it isn't known at the start.
     pub(crate) fn want(&self, wanted: WantedWeights, age_us: DurationUs, now: TimeUs) -> bool {
         let mut all = self.wanted.lock();
-        let versions = all.entry(wanted.model).or_default();
-        versions.named(
-            wanted.version,
-            TimeUs::new(now.get().saturating_sub(age_us.get())),
-        )
+        let versions = all
+            .entry(wanted.model)
+            .or_insert_with(|| WantedVersions::new(self.old_weights));
+        let named_at_us = TimeUs::new(now.get().saturating_sub(age_us.get()));
+        let is_new = versions.named(wanted.version, named_at_us);
+        drop(all);
+        if is_new {
+            self.wanted_changed.notify_waiters();
+        }
+        is_new
+    }
+
+    /// Waits for other weights to be wanted; what is named after this was called isn't missed.
+    pub(crate) fn wanted_changed(&self) -> Notified<'_> {
+        self.wanted_changed.notified()
     }
 
     /// Returns the weights that were wanted for a model lately.
@@ -56,12 +79,8 @@
         self.wanted.lock().get(model).cloned()
     }
 
-    /// Lists the weights that are wanted.
-    pub(crate) fn all_wanted(&self) -> BTreeMap<ModelName, WeightNumber> {
-        let wanted = self.wanted.lock();
-        let newest = wanted
-            .iter()
-            .filter_map(|(model, versions)| Some((model.clone(), versions.newest()?)));
-        newest.collect()
+    /// Returns the weights that were wanted lately, by model.
+    pub(crate) fn all_wanted(&self) -> BTreeMap<ModelName, WantedVersions> {
+        self.wanted.lock().clone()
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -20,19 +20,7 @@
 const STORE: &str = "store";
 const PEER: &str = "peer";
 
-/// Longest time for which the store may keep a watch waiting. Each return is a call that is paid
-/// for; each second of waiting is one in which a silent store isn't noticed.
-const WATCH_WAIT: Duration = Duration::from_millis(6_000);
-
-/// How long ago what the first listing holds is taken to have been written.
-///
-/// A process that starts doesn't know. Taken for new, weights that were named long before would
-/// leave old ones in use for as long again after each restart. This leaves three seconds until old
-/// weights may not be used any more: the time for which a machine that has just started isn't held
-/// to the platform's bound.
-const FIRST_AGE_US: DurationUs = DurationUs::from_ms(3_000);
-
-/// The same for the first watch after a failure. With the usual wait a daemon would count as cut off
+/// Wait of the first watch after a failure. With the usual wait a daemon would count as cut off
 /// from the store for as long after its return: it would refuse unknown keys, take no lease, and let
 /// its peers ask elsewhere.
 const RETURN_WAIT: Duration = Duration::from_millis(300);
@@ -102,7 +90,11 @@
         (state.revision, state.failing_since_us.is_some())
     };
     // Only an answer shows that the store is back, and a watch is answered when it is over.
-    let wait = if is_failing { RETURN_WAIT } else { WATCH_WAIT };
+    let wait = if is_failing {
+        RETURN_WAIT
+    } else {
+        shared.bounds.watch_wait()
+    };
     let watched = shared.borders.store.watch(role, after, wait).await;
     count(shared, role, watched.is_ok());
     let watched = watched?;
@@ -187,7 +179,7 @@
         let age_us = if was_listed {
             DurationUs::ZERO
         } else {
-            FIRST_AGE_US
+            shared.bounds.first_age()
         };
         (absence(&state, now), age_us)
     };
--- a/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -5,7 +5,7 @@
 use wisteriahitch_relay::{Absence, EndpointChange, EndpointLife, EndpointTable, Load};
 use wisteriahitch_types::{Incarnation, WeightNumber};
 
-use crate::fixture::{at_ms, draining, engine, id, model};
+use crate::fixture::{at_ms, draining, engine, id, model, ms};
 
 /// Symptom: for two seconds after an outage of the store, every call is refused for want of an
 /// endpoint. Sequence: registrations lapse while the store is away; the store returns and lists
@@ -43,7 +43,7 @@
         },
     ];
     for case in cases {
-        let mut table = EndpointTable::default();
+        let mut table = EndpointTable::default().with_last_resort(ms(1_000));
         table.registered(engine("a"));
         table.unregistered(&id("a"), case.absence, at_ms(1_000));
         assert!(
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 
 use wisteriahitch_relay::{
-    CallKind, Endpoint, EngineTraits, PromptPart, PromptShape, Route, UrgencyLevels,
+    CallKind, Endpoint, EngineTraits, OldWeightsLimits, PromptPart, PromptShape, Route,
+    UrgencyLevels, WantedVersions,
 };
 use wisteriahitch_types::{
     ByteCount, DurationUs, EndpointId, ModelName, ServiceName, TimeUs, TokenCount, WeightNumber,
@@ -118,3 +119,11 @@
     ];
     UrgencyLevels::of_routes(routes.iter())
 }
+
+/// No versions yet; replaced ones are used for six seconds.
+pub(crate) fn wanted_versions() -> WantedVersions {
+    WantedVersions::new(OldWeightsLimits {
+        until_us: ms(6_000),
+        begun_by_us: ms(7_200),
+    })
+}
--- a/crates/wisteriahitch-relay/tests/all/part_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_sources.rs
@@ -12,6 +12,7 @@
 
 use crate::fixture::{
     address, draining, engine, engine_address, id, model, ms, prompt, service, traits,
+    wanted_versions,
 };
 
 const NOW: TimeUs = TimeUs::new(50_000_000);
@@ -40,7 +41,7 @@
         Self {
             table,
             stores: PartStores::default(),
-            wanted: WantedVersions::default(),
+            wanted: wanted_versions(),
             wall: None,
         }
     }
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -8,7 +8,9 @@
 };
 use wisteriahitch_types::{Code, DurationUs, EndpointId, TimeUs, WeightNumber, WorkspaceId};
 
-use crate::fixture::{at_ms, draining, engine, id, model, ms, prompt, service, traits};
+use crate::fixture::{
+    at_ms, draining, engine, id, model, ms, prompt, service, traits, wanted_versions,
+};
 
 const NOW: TimeUs = TimeUs::new(50_000_000);
 
@@ -32,7 +34,7 @@
         Self {
             table,
             stores: PartStores::default(),
-            wanted: WantedVersions::default(),
+            wanted: wanted_versions(),
             excluded: vec![],
             required: None,
             wall: None,
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_relay::{EngineReport, OrderOutcome, Rollout, RolloutRow, RolloutStep};
+use wisteriahitch_relay::{
+    EngineReport, OrderOutcome, PaceOptions, Remaining, Rollout, RolloutPace, RolloutRow,
+    RolloutStep,
+};
 use wisteriahitch_types::WeightNumber;
 
-use crate::fixture::{at_ms, id, model};
+use crate::fixture::{at_ms, id, model, ms};
 
 /// So few that the least number at once counts.
 const ENGINES: usize = 3;
@@ -16,10 +19,20 @@
         model: model(),
         has: WeightNumber::new(has),
         wanted: WeightNumber::new(wanted),
+        replaced_at_us: at_ms(0),
         running,
     }
 }
 
+/// A fifth of the engines are out at once, but so many in any case.
+fn rollout(parallel_min: usize) -> Rollout {
+    Rollout::new(PaceOptions {
+        parallel_min,
+        parallel_share: 0.2,
+        all_weights_within_us: ms(11_000),
+    })
+}
+
 fn report(version: u64, accepted_orders: u64) -> EngineReport {
     EngineReport {
         weights: BTreeMap::from([(model(), WeightNumber::new(version))]),
@@ -39,7 +52,7 @@
 
 #[test]
 fn engines_are_announced_first_and_few_at_once() {
-    let mut rollout = Rollout::new(2, 0.2);
+    let mut rollout = rollout(2);
     let behind = [row("a", 1, 2, 5), row("b", 1, 2, 0), row("c", 1, 2, 2)];
     assert!(
         rollout.tick(&behind, ENGINES, at_ms(0)).is_empty(),
@@ -71,7 +84,7 @@
 
 #[test]
 fn of_many_engines_a_share_is_taken_at_once() {
-    let mut rollout = Rollout::new(3, 0.2);
+    let mut rollout = rollout(3);
     let names: Vec<String> = (0..90).map(|number| format!("i-{number}")).collect();
     let behind: Vec<RolloutRow> = names.iter().map(|name| row(name, 1, 2, 0)).collect();
     rollout.tick(&behind, behind.len(), at_ms(0));
@@ -80,7 +93,7 @@
 
 #[test]
 fn the_oldest_weights_go_first() {
-    let mut rollout = Rollout::new(1, 0.2);
+    let mut rollout = rollout(1);
     rollout.tick(&[row("a", 2, 3, 0), row("b", 1, 3, 9)], ENGINES, at_ms(0));
     assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
 }
@@ -90,7 +103,7 @@
 /// second order didn't say how many orders it expects to come after.
 #[test]
 fn an_order_without_an_answer_is_given_again_with_the_same_number() {
-    let mut rollout = Rollout::new(1, 0.2);
+    let mut rollout = rollout(1);
     let behind = [row("a", 1, 2, 0)];
     rollout.tick(&behind, ENGINES, at_ms(0));
     rollout.tick(&behind, ENGINES, at_ms(200));
@@ -129,7 +142,7 @@
 /// be still under way, because it didn't have the newest version.
 #[test]
 fn a_version_named_during_a_load_follows_at_once() {
-    let mut rollout = Rollout::new(1, 0.2);
+    let mut rollout = rollout(1);
     let behind = [row("a", 1, 2, 0)];
     rollout.tick(&behind, ENGINES, at_ms(0));
     rollout.tick(&behind, ENGINES, at_ms(200));
@@ -153,10 +166,76 @@
 
 #[test]
 fn an_engine_that_is_gone_or_done_is_dropped() {
-    let mut rollout = Rollout::new(2, 0.2);
+    let mut rollout = rollout(2);
     rollout.tick(&[row("a", 1, 2, 0), row("b", 1, 2, 0)], ENGINES, at_ms(0));
     rollout.tick(&[row("b", 1, 2, 0)], ENGINES, at_ms(10));
     assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
     rollout.clear();
     assert!(rollout.is_idle());
 }
+
+/// Symptom: engines still had old weights when all of them had to have new ones, and nothing said so.
+/// Sequence: weights that take long to load are named at a deployment with many engines. Cause: how
+/// many are out at once doesn't follow from the bound, so the bound may be too short.
+#[test]
+fn a_rollout_that_cannot_end_in_time_is_told_of() {
+    struct Case {
+        what: &'static str,
+        behind: usize,
+        taken_ms: u64,
+        now_ms: u64,
+        needed_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            what: "nine engines in three rounds of the first guess",
+            behind: 9,
+            taken_ms: 1_500,
+            now_ms: 0,
+            needed_ms: None,
+        },
+        Case {
+            what: "so many that the rounds take longer",
+            behind: 30,
+            taken_ms: 1_500,
+            now_ms: 0,
+            needed_ms: Some(15_000),
+        },
+        Case {
+            what: "engines that take long to load",
+            behind: 9,
+            taken_ms: 6_000,
+            now_ms: 0,
+            needed_ms: Some(17_000),
+        },
+        Case {
+            what: "little time left",
+            behind: 9,
+            taken_ms: 1_500,
+            now_ms: 8_000,
+            needed_ms: Some(4_500),
+        },
+    ];
+    for case in cases {
+        let mut pace = RolloutPace::new(PaceOptions {
+            parallel_min: 3,
+            parallel_share: 0.0,
+            all_weights_within_us: ms(11_000),
+        });
+        for _ in 0..8 {
+            pace.returned(ms(case.taken_ms));
+        }
+        let remaining = Remaining {
+            behind: case.behind,
+            engines: 30,
+            replaced_at_us: at_ms(0),
+        };
+        let overrun = pace.overrun(remaining, at_ms(case.now_ms));
+        let needed_ms = overrun.map(|overrun| overrun.needed_us.as_ms());
+        let is_about = match (needed_ms, case.needed_ms) {
+            (Some(is), Some(expected)) => is.abs_diff(expected) < expected / 10,
+            (is, expected) => is == expected,
+        };
+        assert!(is_about, "{}: {needed_ms:?}", case.what);
+    }
+}
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -1,7 +1,12 @@
 //! Settings that are read, ignored or refused.
 
 use expect_test::{Expect, expect};
-use wisteriahitch_relay::RelaySettings;
+use std::time::Duration;
+
+use wisteriahitch_relay::{BoundSettings, Bounds, RelaySettings};
+use wisteriahitch_types::DurationUs;
+
+use crate::fixture::ms;
 
 const GOOD: &str = r#"
 id = "entry-1"
@@ -12,6 +17,13 @@
 ready = "10.0.0.1:8001"
 entries = "10.0.0.1:8002"
 peer_port = 7700
+[bounds]
+old_weights_ms = 8000
+all_weights_ms = 11000
+endpoint_drain_ms = 2000
+configuration_ms = 2000
+contact_ms = 3000
+store_history_s = 20
 [store]
 address = "10.0.0.9:8007"
 "#;
@@ -61,3 +73,121 @@
     let error = RelaySettings::parse(&text, |_| {}).unwrap_err().to_string();
     assert!(error.contains("peer_port"), "{error}");
 }
+
+/// Symptom: a daemon guessed a bound that its deployment doesn't have. Sequence: the platform's file
+/// lacks one, or holds seconds where milliseconds are due. Cause: the value had a default.
+#[test]
+fn a_bound_that_is_absent_or_absurd_stops_the_start() {
+    struct Case {
+        from: &'static str,
+        to: &'static str,
+        expected: Expect,
+    }
+    let cases = [
+        Case {
+            from: "contact_ms = 3000\n",
+            to: "",
+            expected: expect!["the setting bounds.contact_ms is absent; allowed is 100 to 3600000"],
+        },
+        Case {
+            from: "old_weights_ms = 8000",
+            to: "old_weights_ms = 8",
+            expected: expect!["the setting bounds.old_weights_ms is 8; allowed is 100 to 3600000"],
+        },
+        Case {
+            from: "endpoint_drain_ms = 2000",
+            to: "endpoint_drain_ms = -1",
+            expected: expect![
+                "the setting bounds.endpoint_drain_ms is -1; allowed is 100 to 3600000"
+            ],
+        },
+    ];
+    for case in cases {
+        let text = GOOD.replace(case.from, case.to);
+        let error = RelaySettings::parse(&text, |_| {}).unwrap_err();
+        case.expected.assert_eq(&error.to_string());
+    }
+}
+
+/// Each limit follows its bound, down to bounds that leave little to use.
+#[test]
+fn limits_follow_the_bounds_of_the_deployment() {
+    /// Bounds times this.
+    struct Case {
+        factor: f64,
+        old_weights_until: DurationUs,
+        all_weights_within: DurationUs,
+        first_age: DurationUs,
+        last_resort: DurationUs,
+        behind_patience: DurationUs,
+        watch_wait: Duration,
+    }
+    let cases = [
+        Case {
+            factor: 0.25,
+            old_weights_until: ms(1_000),
+            all_weights_within: ms(2_750),
+            first_age: ms(250),
+            last_resort: ms(250),
+            behind_patience: DurationUs::new(62_500),
+            watch_wait: Duration::from_millis(1_500),
+        },
+        Case {
+            factor: 0.5,
+            old_weights_until: ms(2_000),
+            all_weights_within: ms(5_500),
+            first_age: ms(500),
+            last_resort: ms(500),
+            behind_patience: ms(125),
+            watch_wait: Duration::from_millis(3_000),
+        },
+        Case {
+            factor: 1.0,
+            old_weights_until: ms(6_000),
+            all_weights_within: ms(11_000),
+            first_age: ms(3_000),
+            last_resort: ms(1_000),
+            behind_patience: ms(250),
+            watch_wait: Duration::from_millis(6_000),
+        },
+        Case {
+            factor: 2.0,
+            old_weights_until: ms(14_000),
+            all_weights_within: ms(22_000),
+            first_age: ms(8_000),
+            last_resort: ms(2_000),
+            behind_patience: ms(500),
+            watch_wait: Duration::from_millis(6_000),
+        },
+    ];
+    for case in cases {
+        let bounds = bounds(case.factor);
+        let factor = case.factor;
+        assert_eq!(
+            bounds.old_weights_until(),
+            case.old_weights_until,
+            "{factor}"
+        );
+        assert_eq!(
+            bounds.all_weights_within(),
+            case.all_weights_within,
+            "{factor}"
+        );
+        assert_eq!(bounds.first_age(), case.first_age, "{factor}");
+        assert_eq!(bounds.last_resort(), case.last_resort, "{factor}");
+        assert_eq!(bounds.behind_patience(), case.behind_patience, "{factor}");
+        assert_eq!(bounds.watch_wait(), case.watch_wait, "{factor}");
+    }
+}
+
+fn bounds(factor: f64) -> Bounds {
+    let settings = BoundSettings {
+        old_weights_ms: Some(8_000.0 * factor),
+        all_weights_ms: Some(11_000.0 * factor),
+        endpoint_drain_ms: Some(2_000.0 * factor),
+        configuration_ms: Some(2_000.0 * factor),
+        contact_ms: Some(3_000.0 * factor),
+        store_history_s: Some(20.0 * factor),
+    };
+    settings.checked().unwrap()
+}
--- a/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
@@ -1,14 +1,13 @@
 //! Since when weights are no longer wanted.
 
-use wisteriahitch_relay::WantedVersions;
 use wisteriahitch_types::WeightNumber;
 
-use crate::fixture::at_ms;
+use crate::fixture::{at_ms, wanted_versions};
 
 #[test]
 fn a_version_is_replaced_by_the_first_newer_one() {
     let version = WeightNumber::new;
-    let mut wanted = WantedVersions::default();
+    let mut wanted = wanted_versions();
     assert!(wanted.named(version(1), at_ms(0)));
     assert!(wanted.named(version(2), at_ms(10)));
     assert!(wanted.named(version(5), at_ms(20)));
@@ -61,7 +60,7 @@
         },
     ];
     let (old, new) = (WeightNumber::new(1), WeightNumber::new(2));
-    let mut wanted = WantedVersions::default();
+    let mut wanted = wanted_versions();
     wanted.named(new, at_ms(0));
     for case in cases {
         let now = at_ms(case.now_ms);
