--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -91,13 +91,7 @@
             &["life"],
         )?;
         registry.register(Box::new(endpoints.clone()))?;
-        let store_age_s = Gauge::new("relay_store_age_seconds", "Time since the store answered.")?;
-        registry.register(Box::new(store_age_s.clone()))?;
-        let rollout_late_s = Gauge::new(
-            "relay_rollout_late_seconds",
-            "Time by which a rollout is expected to miss its bound.",
-        )?;
-        registry.register(Box::new(rollout_late_s.clone()))?;
+        let seconds = |name: &str, help: &str| seconds_gauge(&registry, name, help);
         let dropped_lines = IntCounter::new(
             "relay_log_dropped_lines_total",
             "Log lines that were left out.",
@@ -149,8 +143,11 @@
             config_version: gauge("relay_config_version", "Configuration in force.")?,
             first_event_s,
             endpoints,
-            store_age_s,
-            rollout_late_s,
+            store_age_s: seconds("relay_store_age_seconds", "Time since the store answered.")?,
+            rollout_late_s: seconds(
+                "relay_rollout_late_seconds",
+                "Time by which a rollout is expected to miss its bound.",
+            )?,
             dropped_lines,
             registry,
         })
@@ -199,6 +196,12 @@
     Ok(gauge)
 }
 
+fn seconds_gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<Gauge> {
+    let gauge = Gauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
 fn histogram(
     registry: &Registry,
     name: &str,
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -107,7 +107,7 @@
     pub(crate) fn place(
         &self,
         shared: &Shared,
-        required_weights: Option<wisteriahitch_types::WeightNumber>,
+        required_weights: Option<WeightNumber>,
     ) -> Result<Placement, Refusal> {
         let now = shared.now();
         let left = self.call.due.saturating_duration_since(Instant::now());
