feat(bench): play loads against a model of the fleet

The daemons' decisions as they are, with news delayed and lost, before engines that read in chunks, keep parts by memory and lose them, and part stores; discrete events, seeded, no sockets.

--- a/crates/wisteriahitch-bench/src/flags.rs
+++ b/crates/wisteriahitch-bench/src/flags.rs
@@ -70,6 +70,18 @@
             optional --plot path: PathBuf
         }
 
+        /// Plays a load against a model of the fleet, without sockets.
+        cmd simulate {
+            /// Load file.
+            required load: PathBuf
+            /// First seed.
+            optional --seed seed: u64
+            /// Seeds that are played, one after the other.
+            optional --runs count: u64
+            /// Switches a decision off: urgent-news or refusals.
+            repeated --without name: String
+        }
+
         /// Prints each number of two reports, and the second over the first.
         cmd compare {
             /// First report.
--- /dev/null
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -0,0 +1,210 @@
+//! A daemon of the model: the product's decisions with what it knows.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use rand_chacha::ChaCha8Rng;
+use wisteriahitch_relay::{
+    Absence, Endpoint, EndpointTable, EngineTraits, KeptPart, Load, NewsPace, PartChanges,
+    PartEvent, PartKey, PartListing, PartNamer, PartStore, PartStores, Placement, PlacementRequest,
+    PromptShape, Refusal, place,
+};
+use wisteriahitch_types::{
+    AvailabilityZone, DurationUs, EndpointId, Incarnation, ModelName, ServiceName, TimeUs,
+};
+
+/// Time between two messages that nothing hurries, as daemons of a small fleet have it.
+pub(super) const NEWS_INTERVAL_US: DurationUs = DurationUs::from_ms(100);
+
+/// How long a call lasts as long as none has ended.
+const FIRST_DURATION_MS: f64 = 800.0;
+
+/// Weight of the newest call in the moving means.
+const NEWEST_WEIGHT: f64 = 0.05;
+
+/// What all daemons know from the configuration.
+pub(super) struct Names {
+    pub(super) service: ServiceName,
+    pub(super) model: ModelName,
+    pub(super) zone: AvailabilityZone,
+    pub(super) engine: EngineTraits,
+}
+
+/// What one daemon tells the others.
+#[derive(Clone, Debug)]
+pub(super) struct News {
+    pub(super) from: Incarnation,
+    pub(super) loads: HashMap<u32, Load>,
+    pub(super) parts: Vec<(u32, PartKey, u64)>,
+}
+
+/// What a placement is asked for.
+pub(super) struct Ask<'a> {
+    pub(super) prompt: &'a PromptShape,
+    pub(super) patience_us: DurationUs,
+    pub(super) longest_queue_us: DurationUs,
+}
+
+/// One daemon.
+pub(super) struct Daemon {
+    incarnation: Incarnation,
+    table: EndpointTable,
+    stores: PartStores,
+    pub(super) pace: NewsPace,
+    untold_parts: Vec<(u32, PartKey, u64)>,
+    duration_ms: f64,
+    /// When its next message is due.
+    pub(super) tell_at: TimeUs,
+}
+
+impl Daemon {
+    pub(super) fn new(number: usize, memory_tokens: u64, service: &ServiceName) -> Self {
+        let mut table = EndpointTable::default();
+        table.set_memory(HashMap::from([(service.clone(), memory_tokens)]));
+        Self {
+            incarnation: Incarnation::new(number as u64 + 1),
+            table,
+            stores: PartStores::default(),
+            pace: NewsPace::default(),
+            untold_parts: Vec::new(),
+            duration_ms: FIRST_DURATION_MS,
+            tell_at: TimeUs::ZERO,
+        }
+    }
+
+    pub(super) fn engine_came(&mut self, endpoint: Endpoint) {
+        self.table.registered(endpoint);
+    }
+
+    pub(super) fn engine_left(&mut self, id: &EndpointId, now: TimeUs) {
+        self.table.unregistered(id, Absence::Left, now);
+        self.table.tick(now);
+    }
+
+    pub(super) fn place(
+        &self,
+        names: &Names,
+        ask: &Ask<'_>,
+        daemons: usize,
+        now: TimeUs,
+        rng: &mut ChaCha8Rng,
+    ) -> Result<Placement, Refusal> {
+        let duration_us = DurationUs::from_secs_f64(self.duration_ms / 1_000.0);
+        let request = PlacementRequest {
+            service: &names.service,
+            engine: Some(&names.engine),
+            prompt: Some(ask.prompt),
+            wall: None,
+            zone: &names.zone,
+            daemons,
+            duration_us,
+            memory_duration_us: duration_us,
+            patience_us: ask.patience_us,
+            longest_queue_us: ask.longest_queue_us,
+            excluded: &[],
+            required_weights: None,
+            wanted_weights: None,
+        };
+        place(&self.table, &self.stores, &request, now, rng)
+    }
+
+    /// Counts a call that is sent, and returns whether the others must hear of it sooner.
+    pub(super) fn sent(&mut self, id: &EndpointId, load: Load) -> bool {
+        if let Some(row) = self.table.get_mut(id) {
+            row.own.add(load);
+        }
+        self.pace.sent(load.unread_tokens)
+    }
+
+    pub(super) fn has_read(
+        &mut self,
+        id: &EndpointId,
+        load: Load,
+        keys: &[(PartKey, u64)],
+        now: TimeUs,
+    ) {
+        let Some(row) = self.table.get_mut(id) else {
+            return;
+        };
+        row.own.sub(Load {
+            unread_tokens: load.unread_tokens,
+            ..Load::default()
+        });
+        let hash = row.hash();
+        for (index, (key, tokens)) in keys.iter().enumerate() {
+            let is_own = index + 1 == keys.len();
+            if row.parts.used(*key, *tokens, now) && !is_own {
+                self.untold_parts.push((hash, *key, *tokens));
+            }
+        }
+    }
+
+    pub(super) fn ended(&mut self, id: &EndpointId, load: Load, took_ms: f64) {
+        self.duration_ms += (took_ms - self.duration_ms) * NEWEST_WEIGHT;
+        if let Some(row) = self.table.get_mut(id) {
+            row.own.sub(Load {
+                unread_tokens: 0,
+                ..load
+            });
+        }
+    }
+
+    /// Returns what it tells the others now.
+    pub(super) fn tell(&mut self, now: TimeUs) -> News {
+        self.pace.told(now);
+        let rows = self.table.iter().filter(|row| row.own != Load::default());
+        News {
+            from: self.incarnation,
+            loads: rows.map(|row| (row.hash(), row.own)).collect(),
+            parts: std::mem::take(&mut self.untold_parts),
+        }
+    }
+
+    /// Takes over which stores there are; they are empty.
+    pub(super) fn stores_came(&mut self, stores: &[PartStore], now: TimeUs) {
+        self.stores.configured(stores.iter().cloned());
+        for store in stores {
+            self.stores
+                .listed(store.address, PartListing::default(), now);
+        }
+    }
+
+    /// Takes over what a store has got.
+    pub(super) fn store_told(&mut self, store: SocketAddr, parts: Vec<KeptPart>, now: TimeUs) {
+        let events = parts.into_iter().map(|part| PartEvent {
+            is_kept: true,
+            part,
+        });
+        let changes = PartChanges {
+            events: events.collect(),
+            ..PartChanges::default()
+        };
+        self.stores.changed(store, changes, now);
+    }
+
+    /// Returns the store that is to keep a part, if one is to.
+    pub(super) fn save(&mut self, key: PartKey, tokens: u64, now: TimeUs) -> Option<SocketAddr> {
+        self.stores.save(key, tokens, now)
+    }
+
+    pub(super) fn heard(&mut self, news: News, now: TimeUs) {
+        self.table.peer_load(news.from, news.loads, now);
+        for (hash, key, tokens) in news.parts {
+            self.table.has_part(hash, key, tokens, now);
+        }
+    }
+}
+
+/// Returns the keys of a prompt's parts as engines keep them.
+pub(super) fn keys_of(
+    names: &Names,
+    placement: &Placement,
+    prompt: &PromptShape,
+) -> Vec<(PartKey, u64)> {
+    let scope = placement.cache_scope.as_deref().unwrap_or_default();
+    let namer = PartNamer::new(&names.model, scope);
+    let parts = prompt.parts.iter();
+    parts
+        .map(|part| (namer.key(part.id), part.tokens.get()))
+        .collect()
+}
--- a/crates/wisteriahitch-bench/src/lib.rs
+++ b/crates/wisteriahitch-bench/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod demo;
+pub mod fleet;
 pub mod load;
 pub mod report;
 pub mod run;
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -4,8 +4,9 @@
 
 use std::process::ExitCode;
 
-use anyhow::{Context, ensure};
-use flags::{Layout, Run, WisteriahitchBench, WisteriahitchBenchCmd};
+use anyhow::{Context, bail, ensure};
+use flags::{Layout, Run, Simulate, WisteriahitchBench, WisteriahitchBenchCmd};
+use wisteriahitch_bench::fleet::{Plan, Policy, simulate};
 use wisteriahitch_bench::load::Capacity;
 use wisteriahitch_bench::report::{Report, compare, plot_run, print_table, sweep, write_records};
 use wisteriahitch_bench::run::{FaultName, RunOptions};
@@ -32,6 +33,7 @@
         }
         WisteriahitchBenchCmd::Layout(flags) => write_layout(&layout_options(flags)),
         WisteriahitchBenchCmd::Run(flags) => run_and_report(flags).await,
+        WisteriahitchBenchCmd::Simulate(flags) => simulate_and_print(&flags),
         WisteriahitchBenchCmd::Compare(flags) => compare(&flags.first, &flags.second),
         WisteriahitchBenchCmd::Sweep(flags) => sweep(&flags.report, flags.plot.as_deref()),
     };
@@ -88,6 +90,28 @@
     }
 }
 
+fn simulate_and_print(flags: &Simulate) -> anyhow::Result<()> {
+    let plan = Plan::load(&flags.load)?;
+    let policy = policy_without(&flags.without)?;
+    let first = flags.seed.unwrap_or(DEFAULT_SEED);
+    for seed in first..first + flags.runs.unwrap_or(1) {
+        println!("seed {seed}\n{}", simulate(&plan, policy, seed)?);
+    }
+    Ok(())
+}
+
+fn policy_without(names: &[String]) -> anyhow::Result<Policy> {
+    let mut policy = Policy::default();
+    for name in names {
+        match name.as_str() {
+            "urgent-news" => policy.has_urgent_news = false,
+            "refusals" => policy.has_refusals = false,
+            _ => bail!("--without {name}: there are urgent-news and refusals"),
+        }
+    }
+    Ok(policy)
+}
+
 /// Refuses a run against another site than is asked for, whose figures would carry a wrong name.
 fn check_expected(flags: &Run) -> anyhow::Result<()> {
     let found = SiteAddresses::read(&flags.directory)?;
--- a/crates/wisteriahitch-bench/tests/all/main.rs
+++ b/crates/wisteriahitch-bench/tests/all/main.rs
@@ -2,5 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod fleet;
 mod layout;
 mod schedule;
