--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod outlier;
 pub(crate) mod overload;
 pub(crate) mod part_sources;
+mod part_store_row;
 pub(crate) mod part_stores;
 pub(crate) mod parts;
 pub(crate) mod placement;
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -5,7 +5,7 @@
 //! is fetched on news that is older than [`NEWS_LIFE_US`]; and only parts of weights that nobody
 //! uses any more are freed, after longer than a fetch may take (`docs/design/platform.md`).
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use wisteriahitch_core::fleet::Rendezvous;
@@ -15,16 +15,11 @@
 
 use super::beacon::{KeptNews, StoreNews};
 use super::endpoint_table::short_name;
+use super::part_store_row::{Kept, NEWS_LIFE_US, StoreRow};
 use super::parts::{PartKey, PartNamer};
 use crate::border::{KeptPart, PartChanges, PartListing};
 use crate::site::{EngineTraits, PartStore};
 
-/// Age of a store's news after which nothing is fetched from it. Its news is asked for without a
-/// pause and comes at least twice a second; in a large fleet it is told on over up to three steps
-/// of a quarter of a second. A store that is down is noticed at once by its broken connection; the
-/// age only bounds what a daemon does that is cut off.
-const NEWS_LIFE_US: DurationUs = DurationUs::from_ms(2_000);
-
 /// Longest time for a fetch from the sending of its request. A fetch that takes longer is thrown
 /// away by the engine.
 pub(crate) const FETCH_TIMEOUT_US: DurationUs = DurationUs::from_ms(2_000);
@@ -40,9 +35,6 @@
 /// prompts, and without them nothing that follows is of use to an engine.
 const MIN_SAVED_TOKENS: u64 = 32;
 
-/// Share of a store's room that is filled; its own accounting rounds each part up to whole blocks.
-const FILLED_SHARE: f64 = 0.97;
-
 /// Most parts that wait to be told; one that is never told is read again or asked for again.
 const MAX_WAITING_NEWS: usize = 2_000;
 
@@ -53,92 +45,6 @@
 /// Factor on a transfer between availability zones.
 pub(super) const OTHER_ZONE_FACTOR: f64 = 2.0;
 
-/// One store.
-#[derive(Debug)]
-struct StoreRow {
-    spec: PartStore,
-    epoch: u64,
-    /// Nothing until the store was listed in this life.
-    news_at_us: Option<TimeUs>,
-    clock: Option<(u64, TimeUs)>,
-    /// Parts that are whole there; without their names where another daemon told of them.
-    kept: HashMap<PartKey, Kept>,
-    kept_tokens: u64,
-    partial_tokens: u64,
-    pending: HashMap<PartKey, (u64, TimeUs)>,
-}
-
-impl StoreRow {
-    fn new(spec: PartStore) -> Self {
-        Self {
-            spec,
-            epoch: 0,
-            news_at_us: None,
-            clock: None,
-            kept: HashMap::new(),
-            kept_tokens: 0,
-            partial_tokens: 0,
-            pending: HashMap::new(),
-        }
-    }
-
-    fn is_readable(&self, now: TimeUs) -> bool {
-        self.news_at_us
-            .is_some_and(|at| now.since(at) < NEWS_LIFE_US)
-    }
-
-    fn has_room(&self, tokens: u64) -> bool {
-        let pending: u64 = self.pending.values().map(|(tokens, _)| tokens).sum();
-        let used = self.kept_tokens + self.partial_tokens + pending + tokens;
-        used as f64 <= self.spec.room_tokens.as_f64() * FILLED_SHARE
-    }
-
-    /// Notes a part, and returns whether it is new.
-    fn keep(&mut self, key: PartKey, kept: Kept) -> bool {
-        self.pending.remove(&key);
-        let tokens = kept.tokens;
-        let is_new = self.kept.insert(key, kept).is_none();
-        if is_new {
-            self.kept_tokens += tokens;
-        }
-        is_new
-    }
-
-    fn forget(&mut self, key: PartKey) {
-        if let Some(part) = self.kept.remove(&key) {
-            self.kept_tokens = self.kept_tokens.saturating_sub(part.tokens);
-        }
-    }
-
-    fn named(&self) -> impl Iterator<Item = &KeptPart> {
-        self.kept.values().filter_map(|kept| kept.name.as_ref())
-    }
-
-    fn clear(&mut self) {
-        self.kept.clear();
-        self.pending.clear();
-        self.kept_tokens = 0;
-        self.partial_tokens = 0;
-        self.news_at_us = None;
-    }
-}
-
-/// One part that a store keeps.
-#[derive(Clone, Debug)]
-struct Kept {
-    tokens: u64,
-    name: Option<KeptPart>,
-}
-
-impl From<KeptPart> for Kept {
-    fn from(part: KeptPart) -> Self {
-        Self {
-            tokens: part.tokens.get(),
-            name: Some(part),
-        }
-    }
-}
-
 /// All stores.
 #[derive(Debug, Default)]
 pub struct PartStores {
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -10,6 +10,7 @@
 mod entries;
 mod flight;
 mod lease;
+mod next_step;
 mod orders;
 mod part_news;
 mod peer_state;
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -13,6 +13,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
 use super::flight::Landing;
+use super::next_step::NextStep;
 use super::request_body::HeldBody;
 use super::shared::Shared;
 use super::trace::CallTrace;
@@ -96,7 +97,7 @@
             let next = self.next(shared, failure.kind, connects);
             self.log_failure(shared, &placement, &failure, next);
             last = Some(worse(last, failure.kind));
-            if next != "again" {
+            if next != NextStep::Again {
                 let refusal = Refusal::new(failure.kind.code()).retry_after(REFUSED_RETRY_US);
                 return Err(self.final_refusal(refusal, last));
             }
@@ -329,30 +330,29 @@
         Ok(Attempted::Stream(first, Box::new(opened)))
     }
 
-    /// Decides what follows a failed attempt; `again` or the reason why there is no other.
-    fn next(&self, shared: &Shared, kind: FailureKind, connects: u32) -> &'static str {
+    /// Decides what follows a failed attempt.
+    fn next(&self, shared: &Shared, kind: FailureKind, connects: u32) -> NextStep {
         if self.call.due <= Instant::now() {
-            return "no_time_left";
+            return NextStep::NoTimeLeft;
         }
         if kind == FailureKind::NotSent {
-            return if connects < MAX_CONNECTS {
-                "again"
-            } else {
-                "too_many_connects"
+            return match connects < MAX_CONNECTS {
+                true => NextStep::Again,
+                false => NextStep::TooManyConnects,
             };
         }
         if !kind.is_not_run() && !self.call.may_repeat {
-            return "may_have_run";
+            return NextStep::MayHaveRun;
         }
         if self.sent >= self.route.max_attempts {
-            return "attempts_used_up";
+            return NextStep::AttemptsUsedUp;
         }
         if !shared.budgets.try_take(&self.service) {
             shared.metrics.retries.with_label_values(&["no"]).inc();
-            return "budget_used_up";
+            return NextStep::BudgetUsedUp;
         }
         shared.metrics.retries.with_label_values(&["yes"]).inc();
-        "again"
+        NextStep::Again
     }
 
     /// Makes a refusal true: where an attempt may have run, it can't say "not run".
@@ -368,7 +368,7 @@
         shared: &Shared,
         placement: &Placement,
         failure: &Failure,
-        next: &'static str,
+        next: NextStep,
     ) {
         shared.log.write(&Event::AttemptFailed {
             request: self.call.head.request_id.to_string(),
@@ -377,7 +377,7 @@
             reason: failure.kind.label(),
             detail: failure.detail.clone(),
             may_have_run: !failure.kind.is_not_run(),
-            next,
+            next: next.label(),
             budget_left: shared.budgets.left(&self.service),
         });
     }
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -12,6 +12,7 @@
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
 use super::flight::Landing;
+use super::next_step::NextStep;
 use super::routed::{Routed, keep_connection};
 use super::shared::Shared;
 use super::trace::CallTrace;
@@ -184,7 +185,7 @@
         let placement = self.placement.clone();
         self.routed
             .log_failure(&self.shared, &placement, &failure, next);
-        if next != "again" {
+        if next != NextStep::Again {
             return Err(Code::StreamIncomplete);
         }
         self.routed.tried.push(placement.endpoint);
@@ -219,19 +220,19 @@
         Ok(())
     }
 
-    fn next_step(&self, kind: FailureKind) -> &'static str {
+    fn next_step(&self, kind: FailureKind) -> NextStep {
         if !self.routed.route.is_resumable || self.framer.is_none() {
-            return "may_have_run";
+            return NextStep::MayHaveRun;
         }
         if kind == FailureKind::Timeout {
-            return "no_time_left";
+            return NextStep::NoTimeLeft;
         }
         if self.routed.sent >= self.routed.route.max_attempts {
-            return "attempts_used_up";
+            return NextStep::AttemptsUsedUp;
         }
         match self.shared.budgets.try_take(&self.routed.service) {
-            true => "again",
-            false => "budget_used_up",
+            true => NextStep::Again,
+            false => NextStep::BudgetUsedUp,
         }
     }
 }
