--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -362,7 +362,8 @@
 
     fn sent(&mut self, index: usize, placement: &Placement) {
         let engine = engine_at(placement.address);
-        let saves = self.saves(index, placement);
+        let keys = keys_of(&self.names, placement, &self.calls[index].prompt);
+        let saves = self.saves(index, &keys);
         let call = &mut self.calls[index];
         let load = Load {
             running: 1,
@@ -386,7 +387,7 @@
         call.sent = Some(Sent {
             endpoint: placement.endpoint.clone(),
             load,
-            keys: keys_of(&self.names, placement, &call.prompt),
+            keys,
             sent_at: self.now,
         });
         let daemon = call.daemon;
@@ -401,16 +402,15 @@
     }
 
     /// Names the store for each shared part that is to be saved.
-    fn saves(&mut self, index: usize, placement: &Placement) -> Vec<(u64, u64, SocketAddr)> {
+    fn saves(&mut self, index: usize, keys: &[(PartKey, u64)]) -> Vec<(u64, u64, SocketAddr)> {
         let call = &self.calls[index];
-        let keys = keys_of(&self.names, placement, &call.prompt);
         let shared = call.prompt.parts.iter().zip(keys);
         let daemon = &mut self.daemons[call.daemon];
         let saves = shared.take(call.prompt.parts.len() - 1);
         saves
             .filter_map(|(part, (key, tokens))| {
-                let store = daemon.save(key, tokens, self.now)?;
-                Some((part.id, tokens, store))
+                let store = daemon.save(*key, *tokens, self.now)?;
+                Some((part.id, *tokens, store))
             })
             .collect()
     }
@@ -460,8 +460,7 @@
             if !is_there {
                 break;
             }
-            let bits = *tokens as f64 * engines.token_bytes as f64 * 8.0;
-            took_ms += bits / link_mbps / 1_000.0;
+            took_ms += transfer_ms(*tokens, engines.token_bytes, link_mbps);
             job.fetched.push(*part);
         }
         (job, took_ms)
@@ -536,8 +535,8 @@
     fn save_parts(&mut self, job: &Job) {
         for (part, tokens, address) in &job.saves {
             let store = usize::from(address.port() - FIRST_STORE_PORT);
-            let bits = *tokens as f64 * self.plan.engines.token_bytes as f64 * 8.0;
-            let took_ms = bits / self.stores[store].plan.link_mbps / 1_000.0;
+            let link_mbps = self.stores[store].plan.link_mbps;
+            let took_ms = transfer_ms(*tokens, self.plan.engines.token_bytes, link_mbps);
             let kept = KeptPart {
                 scope: SCOPE.to_owned(),
                 id: *part,
@@ -697,6 +696,13 @@
     now + DurationUs::from_secs_f64(ms / 1_000.0)
 }
 
+/// Returns how long so many tokens take over a link, in milliseconds; megabits a second are bits a
+/// microsecond.
+fn transfer_ms(tokens: u64, token_bytes: u64, link_mbps: f64) -> f64 {
+    let bits = tokens as f64 * token_bytes as f64 * 8.0;
+    bits / link_mbps / 1_000.0
+}
+
 /// Draws a pause whose mean is this.
 fn exponential(rng: &mut ChaCha8Rng, mean: f64) -> f64 {
     let unit: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
