--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -1,6 +1,6 @@
 //! A daemon of the model: the product's decisions with what it knows.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use rand_chacha::ChaCha8Rng;
@@ -10,7 +10,7 @@
     PromptShape, Refusal, place,
 };
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointId, Incarnation, ModelName, ServiceName, TimeUs,
+    AvailabilityZone, DurationUs, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
 };
 
 /// Time between two messages that nothing hurries, as daemons of a small fleet have it.
@@ -60,7 +60,8 @@
 impl Daemon {
     pub(super) fn new(number: usize, memory_tokens: u64, service: &ServiceName) -> Self {
         let mut table = EndpointTable::default();
-        table.set_memory(HashMap::from([(service.clone(), memory_tokens)]));
+        let services = HashSet::from([service.clone()]);
+        table.set_services(services, HashMap::from([(service.clone(), memory_tokens)]));
         Self {
             incarnation: Incarnation::new(number as u64 + 1),
             table,
@@ -76,8 +77,8 @@
         self.table.registered(endpoint);
     }
 
-    pub(super) fn engine_left(&mut self, id: &EndpointId, now: TimeUs) {
-        self.table.unregistered(id, Absence::Left, now);
+    pub(super) fn engine_left(&mut self, id: &EndpointInstance, now: TimeUs) {
+        self.table.unregistered(&id.id, Absence::Left, now);
         self.table.tick(now);
     }
 
@@ -109,7 +110,7 @@
     }
 
     /// Counts a call that is sent, and returns whether the others must hear of it sooner.
-    pub(super) fn sent(&mut self, id: &EndpointId, load: Load) -> bool {
+    pub(super) fn sent(&mut self, id: &EndpointInstance, load: Load) -> bool {
         if let Some(row) = self.table.get_mut(id) {
             row.own.add(load);
         }
@@ -118,7 +119,7 @@
 
     pub(super) fn has_read(
         &mut self,
-        id: &EndpointId,
+        id: &EndpointInstance,
         load: Load,
         keys: &[(PartKey, u64)],
         now: TimeUs,
@@ -130,7 +131,7 @@
             unread_tokens: load.unread_tokens,
             ..Load::default()
         });
-        let hash = row.hash();
+        let hash = row.short_name;
         for (index, (key, tokens)) in keys.iter().enumerate() {
             let is_own = index + 1 == keys.len();
             if row.parts.used(*key, *tokens, now) && !is_own {
@@ -139,7 +140,7 @@
         }
     }
 
-    pub(super) fn ended(&mut self, id: &EndpointId, load: Load, took_ms: f64) {
+    pub(super) fn ended(&mut self, id: &EndpointInstance, load: Load, took_ms: f64) {
         self.duration_ms += (took_ms - self.duration_ms) * NEWEST_WEIGHT;
         if let Some(row) = self.table.get_mut(id) {
             row.own.sub(Load {
@@ -155,7 +156,7 @@
         let rows = self.table.iter().filter(|row| row.own != Load::default());
         News {
             from: self.incarnation,
-            loads: rows.map(|row| (row.hash(), row.own)).collect(),
+            loads: rows.map(|row| (row.short_name, row.own)).collect(),
             parts: std::mem::take(&mut self.untold_parts),
         }
     }
--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -10,7 +10,10 @@
     CallKind, Endpoint, EngineTraits, KeptPart, Load, PartKey, PartStore, Placement, PromptPart,
     PromptShape, Route, UrgencyLevels,
 };
-use wisteriahitch_types::{ByteCount, DurationUs, EndpointId, TimeUs, TokenCount, WeightNumber};
+use wisteriahitch_types::{
+    ByteCount, DurationUs, EndpointInstance, TimeUs, TokenCount, WeightNumber,
+};
+use wisteriahitch_wire::object_store::Revision;
 
 use super::daemon::{Ask, Daemon, NEWS_INTERVAL_US, Names, News, keys_of};
 use super::engine::{Due, Engine, Job};
@@ -74,7 +77,7 @@
 }
 
 struct Sent {
-    endpoint: EndpointId,
+    endpoint: EndpointInstance,
     load: Load,
     keys: Vec<(PartKey, u64)>,
     sent_at: TimeUs,
@@ -581,7 +584,8 @@
             return;
         }
         let endpoint = Endpoint {
-            id: self.endpoint_id(engine),
+            instance: self.instance(engine),
+            revision: Revision::default(),
             service: self.names.service.clone(),
             address: address_of(engine),
             zone: self.names.zone.clone(),
@@ -594,7 +598,7 @@
         }
     }
 
-    fn endpoint_id(&self, engine: usize) -> EndpointId {
+    fn instance(&self, engine: usize) -> EndpointInstance {
         let life = self.engines[engine].life;
         let name = format!("e-{engine}-{life}");
         name.parse()
@@ -622,7 +626,7 @@
     }
 
     fn lose(&mut self, engine: usize) {
-        let id = self.endpoint_id(engine);
+        let id = self.instance(engine);
         for call in self.engines[engine].stop() {
             let call = &mut self.calls[call];
             if !std::mem::replace(&mut call.is_done, true) {
--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -60,6 +60,8 @@
     pub request_id: Option<RequestId>,
     /// Whether the endpoint says that it didn't run the request.
     pub is_not_run: bool,
+    /// Endpoint that answered, where it says so.
+    pub endpoint: Option<EndpointId>,
     /// Load that it tells.
     pub load: Option<LoadReport>,
     /// Weights that it answered with.
--- a/crates/wisteriahitch-relay/src/border/engine_control.rs
+++ b/crates/wisteriahitch-relay/src/border/engine_control.rs
@@ -5,12 +5,16 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use wisteriahitch_types::{EndpointId, FenceNumber, ModelName, WeightNumber};
+use wisteriahitch_types::{
+    EndpointId, EndpointInstance, EndpointStart, FenceNumber, ModelName, WeightNumber,
+};
 use wisteriahitch_wire::http_client::HttpError;
 
 /// What an engine reports of itself; it lags by some hundred milliseconds.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EngineReport {
+    /// Start of the life that reports, where it tells it.
+    pub start: Option<EndpointStart>,
     /// Weights of each model.
     pub weights: BTreeMap<ModelName, WeightNumber>,
     /// Whether it carries out an order.
@@ -23,6 +27,13 @@
     pub running: u32,
 }
 
+impl EngineReport {
+    /// Returns whether it speaks of this life, as far as both say which one they mean.
+    pub(crate) fn is_of(&self, instance: &EndpointInstance) -> bool {
+        self.start.is_none() || instance.start.is_none() || self.start == instance.start
+    }
+}
+
 /// An order to load new weights.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WeightOrder {
--- a/crates/wisteriahitch-relay/src/border/site_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/site_codec.rs
@@ -1,6 +1,6 @@
 //! How a site's objects look.
 
-use wisteriahitch_wire::object_store::StoredObject;
+use wisteriahitch_wire::object_store::{StoredObject, UnreadableKind};
 
 use crate::site::{Endpoint, SiteConfig, WantedWeights};
 
@@ -10,6 +10,8 @@
 pub struct DecodeError {
     /// Name of the object.
     pub name: String,
+    /// Kind of the fault.
+    pub kind: UnreadableKind,
     /// What is wrong.
     pub reason: String,
 }
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -0,0 +1,90 @@
+//! One endpoint: its life, its load and what it keeps.
+
+use wisteriahitch_types::{DurationUs, EndpointInstance, ModelName, TimeUs, WeightNumber};
+
+use super::backlog::{Load, LoadReport};
+use super::outlier::Outlier;
+use super::parts::{PartCache, kept_for};
+use crate::site::Endpoint;
+
+/// Says whether an endpoint gets new requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EndpointLife {
+    /// It does.
+    Ready,
+    /// It is about to leave.
+    Draining,
+    /// Its registration lapsed in an outage of the store; it does until this time.
+    Lapsed(TimeUs),
+    /// Its registration can't be read, so that nobody knows what is there. It gets none until its
+    /// registration can be read again; what it runs goes on.
+    Unreadable,
+}
+
+/// One life of an endpoint, with all that is believed of it.
+///
+/// A restart replaces the whole row: what a field holds was learnt of a process that is gone.
+/// `docs/design/endpoint-lives.md` says for each field what that means.
+#[derive(Debug)]
+pub struct EndpointRow {
+    /// What it registered.
+    pub endpoint: Endpoint,
+    /// Life.
+    pub life: EndpointLife,
+    /// Whether another endpoint has its address now, as that one has registered or an answer shows.
+    ///
+    /// Its registration stays for seconds after a crash. One would notice by calls that are sent there
+    /// again and again and refused as meant for somebody else, while other endpoints are free.
+    pub is_displaced: bool,
+    /// Work sent by this daemon.
+    pub own: Load,
+    /// Work sent by the other daemons, as they told last.
+    pub peers: Load,
+    /// Load that it told itself, and when.
+    pub told: Option<(LoadReport, TimeUs)>,
+    /// Failures.
+    pub outlier: Outlier,
+    /// Parts of prompts that it is believed to keep.
+    pub parts: PartCache,
+    /// Until when an order keeps it from taking requests.
+    pub reserved_until_us: TimeUs,
+    /// Short name under which daemons tell each other of this life.
+    pub short_name: u32,
+}
+
+impl EndpointRow {
+    /// Returns which life of which endpoint it is.
+    pub fn instance(&self) -> &EndpointInstance {
+        &self.endpoint.instance
+    }
+
+    /// Returns the weights that it has for a model.
+    pub fn weights(&self, model: &ModelName) -> Option<WeightNumber> {
+        self.endpoint.weights.get(model).copied()
+    }
+
+    /// Returns whether it may get requests at all. One that has said that it leaves, or whose
+    /// registration can't be read, gets none even where there is no other.
+    pub fn takes_requests(&self) -> bool {
+        matches!(self.life, EndpointLife::Ready | EndpointLife::Lapsed(_))
+    }
+
+    /// Returns all work that is known to be sent to it.
+    pub fn load(&self) -> Load {
+        let mut load = self.own;
+        load.add(self.peers);
+        load
+    }
+
+    /// Returns since when a part must have been used to be still there, if a token stays in the
+    /// endpoint's memory for `duration_us` while its request runs.
+    pub fn parts_kept_since(
+        &self,
+        memory_tokens: u64,
+        duration_us: DurationUs,
+        now: TimeUs,
+    ) -> TimeUs {
+        let kept_us = kept_for(memory_tokens, self.load().memory_tokens, duration_us);
+        TimeUs::new(now.get().saturating_sub(kept_us.get()))
+    }
+}
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -1,14 +1,19 @@
-//! Endpoints: their life, their load and what they keep.
+//! Endpoints and which of their lives each one is in.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-use wisteriahitch_types::{DurationUs, EndpointId, Incarnation, ModelName, TimeUs, WeightNumber};
+use wisteriahitch_types::{
+    DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
+    WeightNumber,
+};
+use wisteriahitch_wire::object_store::Revision;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::backlog::{Load, LoadReport};
+use super::backlog::Load;
+use super::endpoint_row::{EndpointLife, EndpointRow};
 use super::link_paces::LinkPaces;
 use super::outlier::{Outlier, OutlierOptions};
-use super::parts::{PartCache, PartKey, kept_for};
+use super::parts::{PartCache, PartKey};
 use crate::site::Endpoint;
 
 /// Time after the store's return within which endpoints that live have registered again.
@@ -24,70 +29,6 @@
 /// Weights that are taken for the memory of an engine which doesn't say how much it has.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
-/// Says whether an endpoint gets new requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum EndpointLife {
-    /// It does.
-    Ready,
-    /// It is about to leave.
-    Draining,
-    /// Its registration lapsed in an outage of the store; it does until this time.
-    Lapsed(TimeUs),
-}
-
-/// One endpoint.
-#[derive(Debug)]
-pub struct EndpointRow {
-    /// What it registered.
-    pub endpoint: Endpoint,
-    /// Life.
-    pub life: EndpointLife,
-    /// Work sent by this daemon.
-    pub own: Load,
-    /// Work sent by the other daemons, as they told last.
-    pub peers: Load,
-    /// Load that it told itself, and when.
-    pub told: Option<(LoadReport, TimeUs)>,
-    /// Failures.
-    pub outlier: Outlier,
-    /// Parts of prompts that it is believed to keep.
-    pub parts: PartCache,
-    /// Until when an order keeps it from taking requests.
-    pub reserved_until_us: TimeUs,
-    hash: u32,
-}
-
-impl EndpointRow {
-    /// Returns the weights that it has for a model.
-    pub fn weights(&self, model: &ModelName) -> Option<WeightNumber> {
-        self.endpoint.weights.get(model).copied()
-    }
-
-    /// Returns all work that is known to be sent to it.
-    pub fn load(&self) -> Load {
-        let mut load = self.own;
-        load.add(self.peers);
-        load
-    }
-
-    /// Returns since when a part must have been used to be still there, if a token stays in the
-    /// endpoint's memory for `duration_us` while its request runs.
-    pub fn parts_kept_since(
-        &self,
-        memory_tokens: u64,
-        duration_us: DurationUs,
-        now: TimeUs,
-    ) -> TimeUs {
-        let kept_us = kept_for(memory_tokens, self.load().memory_tokens, duration_us);
-        TimeUs::new(now.get().saturating_sub(kept_us.get()))
-    }
-
-    /// Returns the short name under which daemons tell each other of it.
-    pub fn hash(&self) -> u32 {
-        self.hash
-    }
-}
-
 /// What a peer told of its load.
 #[derive(Debug)]
 struct PeerLoad {
@@ -106,17 +47,47 @@
     MayHaveLapsed,
 }
 
+/// A registration as the store holds it.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Registration {
+    /// One that can be read.
+    Good(Endpoint),
+    /// One that can't. Something else than the endpoint may have written it.
+    Unreadable(EndpointId, Revision),
+}
+
+impl From<Endpoint> for Registration {
+    fn from(endpoint: Endpoint) -> Self {
+        Registration::Good(endpoint)
+    }
+}
+
+impl Registration {
+    fn id(&self) -> &EndpointId {
+        match self {
+            Registration::Good(endpoint) => &endpoint.instance.id,
+            Registration::Unreadable(id, _) => id,
+        }
+    }
+}
+
 /// A change that the log and the connections need to know.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EndpointChange {
     /// A new one was seen.
-    Seen(EndpointId),
+    Seen(EndpointInstance),
+    /// This life has ended: another one has registered under its id.
+    Ended(EndpointInstance),
     /// One is about to leave.
-    Draining(EndpointId),
+    Draining(EndpointInstance),
     /// One is gone.
-    Gone(EndpointId),
+    Gone(EndpointInstance),
     /// One has lapsed.
-    Lapsed(EndpointId),
+    Lapsed(EndpointInstance),
+    /// The registration of one can't be read.
+    Unreadable(EndpointInstance),
+    /// Another one has its address.
+    Displaced(EndpointInstance),
 }
 
 /// All endpoints of the site.
@@ -126,7 +97,9 @@
     by_hash: HashMap<u32, EndpointId>,
     peer_loads: HashMap<Incarnation, PeerLoad>,
     /// Memory of the engines of each service, from the configuration.
-    memory_tokens: HashMap<wisteriahitch_types::ServiceName, u64>,
+    memory_tokens: HashMap<ServiceName, u64>,
+    /// Services that the configuration names.
+    services: HashSet<ServiceName>,
     /// How fast parts come over the endpoints' and the stores' links.
     pub links: LinkPaces,
     /// Bounds of ejection.
@@ -146,29 +119,37 @@
         self
     }
 
-    /// Takes over how much memory the engines of each service have.
-    pub fn set_memory(&mut self, memory_tokens: HashMap<wisteriahitch_types::ServiceName, u64>) {
+    /// Takes over which services there are, and how much memory the engines of each have.
+    pub fn set_services(
+        &mut self,
+        services: HashSet<ServiceName>,
+        memory_tokens: HashMap<ServiceName, u64>,
+    ) {
+        self.services = services;
         self.memory_tokens = memory_tokens;
     }
 
+    /// Returns whether the configuration names an endpoint's service. A registration with another
+    /// one names nothing that can be used or given orders.
+    pub fn has_known_service(&self, row: &EndpointRow) -> bool {
+        self.services.contains(&row.endpoint.service)
+    }
+
     /// Takes over a whole listing.
     pub fn listed(
         &mut self,
-        endpoints: Vec<Endpoint>,
+        registrations: Vec<Registration>,
         absence: Absence,
         now: TimeUs,
     ) -> Vec<EndpointChange> {
-        let ids: Vec<EndpointId> = endpoints.iter().map(|e| e.id.clone()).collect();
+        let named = registrations.iter().map(|r| r.id().clone());
+        let ids: HashSet<EndpointId> = named.collect();
         let mut changes = Vec::new();
-        for endpoint in endpoints {
-            changes.extend(self.registered(endpoint));
+        for registration in registrations {
+            changes.extend(self.registered(registration));
         }
-        let missing: Vec<EndpointId> = self
-            .rows
-            .keys()
-            .filter(|id| !ids.contains(id))
-            .cloned()
-            .collect();
+        let is_missing = |id: &&EndpointId| !ids.contains(id);
+        let missing: Vec<EndpointId> = self.rows.keys().filter(is_missing).cloned().collect();
         for id in missing {
             changes.extend(self.unregistered(&id, absence, now));
         }
@@ -176,31 +157,107 @@
     }
 
     /// Takes over a registration.
-    pub fn registered(&mut self, endpoint: Endpoint) -> Option<EndpointChange> {
-        let id = endpoint.id.clone();
-        let life = match endpoint.is_draining {
-            true => EndpointLife::Draining,
-            false => EndpointLife::Ready,
+    ///
+    /// Of two registrations of one id the one with the higher revision is the newer one. Their starts
+    /// don't say: a clock that was set back before a restart gives the later life the earlier start, and
+    /// ordered by starts it would be shut out for good.
+    pub fn registered(&mut self, registration: impl Into<Registration>) -> Vec<EndpointChange> {
+        let endpoint = match registration.into() {
+            Registration::Good(endpoint) => endpoint,
+            Registration::Unreadable(id, revision) => return self.unreadable(&id, revision),
         };
-        let Some(row) = self.rows.get_mut(&id) else {
-            self.insert(endpoint, life);
-            return Some(EndpointChange::Seen(id));
+        let id = endpoint.instance.id.clone();
+        let Some(row) = self.rows.get(&id) else {
+            return self.begin(endpoint);
+        };
+        if endpoint.revision < row.endpoint.revision {
+            return Vec::new();
+        }
+        let known = row.instance();
+        if known.start.is_some() && endpoint.instance.start.is_none() {
+            // Where starts are told all registrations tell them; somebody else has written this one.
+            return self.unreadable(&id, endpoint.revision);
+        }
+        match *known == endpoint.instance {
+            true => self.renewed(endpoint),
+            false => self.restarted(endpoint),
+        }
+    }
+
+    /// Takes over a registration of the life that is known.
+    fn renewed(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+        let instance = endpoint.instance.clone();
+        let Some(row) = self.rows.get_mut(&instance.id) else {
+            return Vec::new();
         };
         let was = row.life;
-        // An endpoint that has announced its leaving doesn't come back under the same id; a
+        let life = life_of(&endpoint);
+        // An endpoint that has announced its leaving doesn't come back in the same life; a
         // registration that says so is an old one.
         if was != EndpointLife::Draining {
             row.life = life;
         }
+        if endpoint.revision > row.endpoint.revision {
+            row.is_displaced = false;
+        }
+        let has_moved = endpoint.address != row.endpoint.address;
         let told = endpoint.weights.clone();
         let known = std::mem::take(&mut row.endpoint.weights);
         row.endpoint = endpoint;
         row.endpoint.weights = known;
         for (model, version) in told {
-            self.saw_weights(&id, &model, version);
+            self.saw_weights(&instance, &model, version);
+        }
+        let mut changes = Vec::new();
+        if has_moved {
+            changes.extend(self.claim_address(&instance));
+        }
+        if life == EndpointLife::Draining && was != EndpointLife::Draining {
+            changes.push(EndpointChange::Draining(instance));
+        }
+        changes
+    }
+
+    /// Replaces all that is believed of one life by what the next one says of itself.
+    ///
+    /// The new process holds and knows nothing. Without this, calls would be sent to it for parts that
+    /// it doesn't keep, or none at all because the life before had said that it leaves.
+    fn restarted(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+        let mut changes = Vec::new();
+        if let Some(before) = self.remove(&endpoint.instance.id) {
+            self.links.forget(before.endpoint.address);
+            changes.push(EndpointChange::Ended(before.endpoint.instance));
         }
-        let is_new = life == EndpointLife::Draining && was != EndpointLife::Draining;
-        is_new.then_some(EndpointChange::Draining(id))
+        changes.extend(self.begin(endpoint));
+        changes
+    }
+
+    /// Takes in a life that wasn't known.
+    fn begin(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+        let instance = endpoint.instance.clone();
+        let life = life_of(&endpoint);
+        self.insert(endpoint, life);
+        let mut changes = vec![EndpointChange::Seen(instance.clone())];
+        changes.extend(self.claim_address(&instance));
+        changes
+    }
+
+    /// Notes that a registration can't be read.
+    fn unreadable(&mut self, id: &EndpointId, revision: Revision) -> Vec<EndpointChange> {
+        let Some(row) = self.rows.get_mut(id) else {
+            return Vec::new();
+        };
+        if revision < row.endpoint.revision {
+            return Vec::new();
+        }
+        row.endpoint.revision = revision;
+        if !row.takes_requests() {
+            return Vec::new();
+        }
+        row.life = EndpointLife::Unreadable;
+        let instance = row.endpoint.instance.clone();
+        self.release_address(&instance);
+        vec![EndpointChange::Unreadable(instance)]
     }
 
     /// Notes that a registration is gone.
@@ -218,16 +275,44 @@
                     Absence::MayHaveLapsed => REGISTER_AGAIN_US,
                 };
                 row.life = EndpointLife::Lapsed(now + grace);
-                Some(EndpointChange::Lapsed(id.clone()))
+                Some(EndpointChange::Lapsed(row.endpoint.instance.clone()))
             }
             EndpointLife::Lapsed(_) => None,
-            EndpointLife::Draining => {
-                self.remove(id);
-                Some(EndpointChange::Gone(id.clone()))
+            EndpointLife::Draining | EndpointLife::Unreadable => {
+                let row = self.remove(id)?;
+                Some(EndpointChange::Gone(row.endpoint.instance))
             }
         }
     }
 
+    /// Notes that an endpoint refused a call as meant for somebody else, and who is at its address.
+    ///
+    /// The answer shows what registrations only claim: who isn't there gets no more calls, and who is
+    /// there gets them again if another registration had claimed its address.
+    pub fn misdirected(
+        &mut self,
+        instance: &EndpointInstance,
+        found: &EndpointId,
+    ) -> Option<EndpointChange> {
+        if instance.id == *found {
+            return None;
+        }
+        let row = self.get_mut(instance)?;
+        let address = row.endpoint.address;
+        let was_displaced = std::mem::replace(&mut row.is_displaced, true);
+        let there = self.rows.get_mut(found);
+        if let Some(there) = there.filter(|there| there.endpoint.address == address) {
+            there.is_displaced = false;
+        }
+        (!was_displaced).then(|| EndpointChange::Displaced(instance.clone()))
+    }
+
+    /// Returns whether this life is known to have ended: another one has registered under its id.
+    pub fn has_ended(&self, instance: &EndpointInstance) -> bool {
+        let row = self.rows.get(&instance.id);
+        row.is_some_and(|row| row.instance() != instance)
+    }
+
     /// Removes endpoints whose registration lapsed and didn't come back, and old news of peers.
     pub fn tick(&mut self, now: TimeUs) -> Vec<EndpointChange> {
         self.links.tick(now);
@@ -239,9 +324,11 @@
             .filter(|(_, row)| is_over(row))
             .map(|(id, _)| id.clone())
             .collect();
-        for id in &over {
-            self.remove(id);
-        }
+        let gone: Vec<EndpointChange> = over
+            .iter()
+            .filter_map(|id| self.remove(id))
+            .map(|row| EndpointChange::Gone(row.endpoint.instance))
+            .collect();
         let is_old = |load: &PeerLoad| now.since(load.told_at_us) > PEER_LOAD_LIFE_US;
         let old: Vec<Incarnation> = self
             .peer_loads
@@ -253,7 +340,7 @@
             self.peer_load(peer, HashMap::new(), now);
             self.peer_loads.remove(&peer);
         }
-        over.into_iter().map(EndpointChange::Gone).collect()
+        gone
     }
 
     /// Takes over what a peer has sent to endpoints.
@@ -334,8 +421,13 @@
     }
 
     /// Notes the weights that an endpoint was seen with; they never go back within its life.
-    pub fn saw_weights(&mut self, id: &EndpointId, model: &ModelName, version: WeightNumber) {
-        let Some(row) = self.rows.get_mut(id) else {
+    pub fn saw_weights(
+        &mut self,
+        instance: &EndpointInstance,
+        model: &ModelName,
+        version: WeightNumber,
+    ) {
+        let Some(row) = self.get_mut(instance) else {
             return;
         };
         let known = row.endpoint.weights.entry(model.clone()).or_default();
@@ -345,14 +437,22 @@
         }
     }
 
-    /// Returns an endpoint.
-    pub fn get(&self, id: &EndpointId) -> Option<&EndpointRow> {
-        self.rows.get(id)
+    /// Returns an endpoint, if it is still in this life: what is learnt late of one life must not
+    /// touch the next.
+    pub fn get(&self, instance: &EndpointInstance) -> Option<&EndpointRow> {
+        let row = self.rows.get(&instance.id)?;
+        (row.instance() == instance).then_some(row)
     }
 
-    /// Returns an endpoint to change.
-    pub fn get_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointRow> {
-        self.rows.get_mut(id)
+    /// Returns an endpoint to change, if it is still in this life.
+    pub fn get_mut(&mut self, instance: &EndpointInstance) -> Option<&mut EndpointRow> {
+        let row = self.rows.get_mut(&instance.id)?;
+        (*row.instance() == *instance).then_some(row)
+    }
+
+    /// Returns an endpoint, whichever life it is in.
+    pub fn by_id(&self, id: &EndpointId) -> Option<&EndpointRow> {
+        self.rows.get(id)
     }
 
     /// Lists all endpoints in the order of their ids.
@@ -361,7 +461,7 @@
     }
 
     /// Counts endpoints by life, for the metrics.
-    pub fn count_by_life(&self) -> [(&'static str, usize); 3] {
+    pub fn count_by_life(&self) -> [(&'static str, usize); 4] {
         let count =
             |is: fn(&EndpointLife) -> bool| self.rows.values().filter(|row| is(&row.life)).count();
         [
@@ -371,6 +471,10 @@
                 "lapsed",
                 count(|life| matches!(life, EndpointLife::Lapsed(_))),
             ),
+            (
+                "unreadable",
+                count(|life| *life == EndpointLife::Unreadable),
+            ),
         ]
     }
 
@@ -385,33 +489,72 @@
     }
 
     fn insert(&mut self, endpoint: Endpoint, life: EndpointLife) {
-        let hash = short_name(endpoint.id.as_str());
+        let short_name = short_name(&endpoint.instance.to_string());
         let memory = self.memory_tokens.get(&endpoint.service).copied();
         let mut peers = Load::default();
         for told in self.peer_loads.values() {
-            if let Some(load) = told.loads.get(&hash) {
+            if let Some(load) = told.loads.get(&short_name) {
                 peers.add(*load);
             }
         }
-        let id = endpoint.id.clone();
-        self.by_hash.insert(hash, id.clone());
+        let id = endpoint.instance.id.clone();
+        self.by_hash.insert(short_name, id.clone());
         let row = EndpointRow {
             endpoint,
             life,
+            is_displaced: false,
             own: Load::default(),
             peers,
             told: None,
             outlier: Outlier::default(),
             parts: PartCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
             reserved_until_us: TimeUs::ZERO,
-            hash,
+            short_name,
         };
         self.rows.insert(id, row);
     }
 
-    fn remove(&mut self, id: &EndpointId) {
-        if let Some(row) = self.rows.remove(id) {
-            self.by_hash.remove(&row.hash);
+    fn remove(&mut self, id: &EndpointId) -> Option<EndpointRow> {
+        let instance = self.rows.get(id)?.instance().clone();
+        self.release_address(&instance);
+        let row = self.rows.remove(id)?;
+        self.by_hash.remove(&row.short_name);
+        Some(row)
+    }
+
+    /// Takes the address of an endpoint that has just registered there from the others.
+    ///
+    /// Addresses are used again soon after a crash, and the registration of the one that crashed stays
+    /// for some heartbeats. One with an unknown service claims nothing: nobody would ever find out by
+    /// a call whether it is there.
+    fn claim_address(&mut self, instance: &EndpointInstance) -> Vec<EndpointChange> {
+        let Some(row) = self.get(instance) else {
+            return Vec::new();
+        };
+        if !self.has_known_service(row) || !row.takes_requests() {
+            return Vec::new();
+        }
+        let address = row.endpoint.address;
+        let loses = |row: &&mut EndpointRow| {
+            row.endpoint.address == address && row.instance() != instance && !row.is_displaced
+        };
+        let mut changes = Vec::new();
+        for row in self.rows.values_mut().filter(loses) {
+            row.is_displaced = true;
+            changes.push(EndpointChange::Displaced(row.endpoint.instance.clone()));
+        }
+        changes
+    }
+
+    /// Gives the address of an endpoint that is no longer used back to others that name it.
+    fn release_address(&mut self, instance: &EndpointInstance) {
+        let Some(address) = self.by_id(&instance.id).map(|row| row.endpoint.address) else {
+            return;
+        };
+        let gains =
+            |row: &&mut EndpointRow| row.endpoint.address == address && row.instance() != instance;
+        for row in self.rows.values_mut().filter(gains) {
+            row.is_displaced = false;
         }
     }
 
@@ -421,6 +564,13 @@
     }
 }
 
+fn life_of(endpoint: &Endpoint) -> EndpointLife {
+    match endpoint.is_draining {
+        true => EndpointLife::Draining,
+        false => EndpointLife::Ready,
+    }
+}
+
 /// Returns the short name under which daemons tell each other of something.
 ///
 /// Two things with the same one would share their load; with some thousand names that happens in
--- a/crates/wisteriahitch-relay/src/decide/link_paces.rs
+++ b/crates/wisteriahitch-relay/src/decide/link_paces.rs
@@ -80,6 +80,11 @@
         (slower / self.usual.max(1.0)).max(1.0)
     }
 
+    /// Forgets a link whose end has been replaced by another process.
+    pub fn forget(&mut self, link: SocketAddr) {
+        self.links.remove(&link);
+    }
+
     /// Forgets links that nothing was fetched over for long.
     pub fn tick(&mut self, now: TimeUs) {
         self.links
--- a/crates/wisteriahitch-relay/src/decide/offer.rs
+++ b/crates/wisteriahitch-relay/src/decide/offer.rs
@@ -5,7 +5,7 @@
 
 use wisteriahitch_types::{AvailabilityZone, DurationUs, TimeUs};
 
-use super::endpoint_table::EndpointRow;
+use super::endpoint_row::EndpointRow;
 use super::part_sources::PartSources;
 use super::placement_request::{EngineCall, READ_TOKENS_PER_MS, REREAD_MS_PER_TOKEN};
 
@@ -74,7 +74,7 @@
     }
     if let Some(affinity) = call.and_then(|call| call.affinity.as_ref()) {
         // The score is spread evenly; the best of a few comes close to the whole head start.
-        let score = affinity.score(row.endpoint.id.as_str().as_bytes());
+        let score = affinity.score(row.instance().id.as_str().as_bytes());
         offer.cost_ms -= AFFINITY_MS * (score as f64 / u64::MAX as f64);
     }
     offer.cost_ms += row.outlier.failure_rate() * offer.wait_ms.max(50.0);
--- a/crates/wisteriahitch-relay/src/decide/part_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_sources.rs
@@ -12,7 +12,8 @@
 use rand::seq::SliceRandom;
 use wisteriahitch_types::{TimeUs, WeightNumber};
 
-use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
+use super::endpoint_row::{EndpointLife, EndpointRow};
+use super::endpoint_table::EndpointTable;
 use super::link_paces::LinkPaces;
 use super::part_stores::{Fetch, OTHER_ZONE_FACTOR, transfer_ms};
 use super::parts::{PartKey, cache_scope, part_keys};
@@ -133,7 +134,7 @@
         let is_worth_it = |fetch: &PacedFetch| fetch.paced_ms < fetch.longest_ms(tokens);
         let from_engine = holders
             .iter()
-            .filter(|holder| holder.endpoint.id != row.endpoint.id)
+            .filter(|holder| holder.instance() != row.instance())
             .map(|holder| paced(engine_fetch(holder, row, tokens, call.engine)))
             .min_by(|a, b| a.paced_ms.total_cmp(&b.paced_ms))
             .filter(is_worth_it);
@@ -168,7 +169,8 @@
 /// Returns whether an engine may be asked for parts. One that is about to leave, fails or gets new
 /// weights soon has nothing to give, and a source that is dead costs some hundred milliseconds.
 fn is_source(row: &EndpointRow, now: TimeUs) -> bool {
-    row.life == EndpointLife::Ready && row.reserved_until_us <= now && !row.outlier.is_ejected(now)
+    let is_there = row.life == EndpointLife::Ready && !row.is_displaced;
+    is_there && row.reserved_until_us <= now && !row.outlier.is_ejected(now)
 }
 
 fn holders_of<'a>(rows: &[(&'a EndpointRow, TimeUs)], key: PartKey) -> Vec<&'a EndpointRow> {
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -8,9 +8,10 @@
 use std::net::SocketAddr;
 
 use rand::{Rng, RngExt};
-use wisteriahitch_types::{Code, DurationUs, EndpointId, TimeUs, WeightNumber};
+use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber};
 
-use super::endpoint_table::{EndpointLife, EndpointRow, EndpointTable};
+use super::endpoint_row::{EndpointLife, EndpointRow};
+use super::endpoint_table::EndpointTable;
 use super::offer::{MainFetch, Offer, offer};
 use super::overload::retry_after;
 use super::part_sources::PartSources;
@@ -33,8 +34,8 @@
 /// Where a call runs, and what that was decided by.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
-    /// Endpoint.
-    pub endpoint: EndpointId,
+    /// Endpoint, in the life that the decision was made for.
+    pub endpoint: EndpointInstance,
     /// Its address.
     pub address: SocketAddr,
     /// Weights that it has.
@@ -105,7 +106,7 @@
         _ => Vec::new(),
     };
     Ok(Placement {
-        endpoint: chosen.row.endpoint.id.clone(),
+        endpoint: chosen.row.instance().clone(),
         address: chosen.row.endpoint.address,
         weights: chosen.parts.map(|parts| parts.weights),
         cache_scope: chosen.parts.map(|parts| parts.scope.clone()),
@@ -169,7 +170,7 @@
     let usable = usable(table, request, now);
     let is_free = |row: &&EndpointRow| row.reserved_until_us <= now;
     let is_good = |row: &&EndpointRow| !row.outlier.is_ejected(now);
-    let is_there = |row: &&EndpointRow| row.life == EndpointLife::Ready;
+    let is_there = |row: &&EndpointRow| row.life == EndpointLife::Ready && !row.is_displaced;
     let best: Vec<&EndpointRow> = usable
         .iter()
         .copied()
@@ -200,8 +201,8 @@
     let (right, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = table
         .iter()
         .filter(|row| row.endpoint.service == *request.service)
-        .filter(|row| row.life != EndpointLife::Draining)
-        .filter(|row| !request.excluded.contains(&row.endpoint.id))
+        .filter(|row| row.takes_requests())
+        .filter(|row| !request.excluded.contains(row.instance()))
         .partition(|row| has_right_weights(row, request, now));
     if !right.is_empty() {
         return right;
--- a/crates/wisteriahitch-relay/src/decide/placement_request.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement_request.rs
@@ -2,10 +2,10 @@
 
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointId, ServiceName, TimeUs, WeightNumber, WorkspaceId,
+    AvailabilityZone, DurationUs, EndpointInstance, ServiceName, TimeUs, WeightNumber, WorkspaceId,
 };
 
-use super::endpoint_table::EndpointRow;
+use super::endpoint_row::EndpointRow;
 use super::part_stores::PartStores;
 use super::wanted_weights::WantedVersions;
 use crate::site::{EngineTraits, PromptShape};
@@ -44,7 +44,7 @@
     /// Longest wait for the work of others.
     pub longest_queue_us: DurationUs,
     /// Endpoints that won't do.
-    pub excluded: &'a [EndpointId],
+    pub excluded: &'a [EndpointInstance],
     /// Weights that the call must run on, as a stream that goes on does.
     pub required_weights: Option<WeightNumber>,
     /// Weights that the model is to run.
--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 
-use wisteriahitch_types::{DurationUs, EndpointId, ModelName, TimeUs, WeightNumber};
+use wisteriahitch_types::{DurationUs, EndpointInstance, ModelName, TimeUs, WeightNumber};
 
 use super::rollout_pace::{Overrun, PaceOptions, Remaining, RolloutPace};
 use crate::border::{EngineReport, OrderOutcome};
@@ -27,8 +27,8 @@
 /// One engine as the rollout sees it.
 #[derive(Clone, Debug)]
 pub struct RolloutRow {
-    /// Endpoint.
-    pub endpoint: EndpointId,
+    /// Endpoint. Orders that were given to one life say nothing of the next.
+    pub endpoint: EndpointInstance,
     /// Model.
     pub model: ModelName,
     /// Weights that it has.
@@ -45,11 +45,11 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RolloutStep {
     /// Read an engine's report, and tell [`Rollout::reported`].
-    Report(EndpointId),
+    Report(EndpointInstance),
     /// Give an order, if the lease allows it now, and tell [`Rollout::ordered`].
     Order {
         /// Endpoint.
-        endpoint: EndpointId,
+        endpoint: EndpointInstance,
         /// Model.
         model: ModelName,
         /// Version.
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug)]
 pub struct Rollout {
     pace: RolloutPace,
-    active: BTreeMap<EndpointId, Active>,
+    active: BTreeMap<EndpointInstance, Active>,
 }
 
 impl Rollout {
@@ -99,7 +99,7 @@
     }
 
     /// Returns the engines that take no requests because of it.
-    pub fn reserved(&self) -> impl Iterator<Item = &EndpointId> {
+    pub fn reserved(&self) -> impl Iterator<Item = &EndpointInstance> {
         self.active.keys()
     }
 
@@ -146,7 +146,12 @@
     }
 
     /// Takes an engine's report; nothing where it couldn't be read.
-    pub fn reported(&mut self, endpoint: &EndpointId, report: Option<&EngineReport>, now: TimeUs) {
+    pub fn reported(
+        &mut self,
+        endpoint: &EndpointInstance,
+        report: Option<&EngineReport>,
+        now: TimeUs,
+    ) {
         let Some(active) = self.active.get_mut(endpoint) else {
             return;
         };
@@ -176,7 +181,7 @@
     }
 
     /// Takes what became of an order.
-    pub fn ordered(&mut self, endpoint: &EndpointId, outcome: &OrderOutcome, now: TimeUs) {
+    pub fn ordered(&mut self, endpoint: &EndpointInstance, outcome: &OrderOutcome, now: TimeUs) {
         let Some(active) = self.active.get_mut(endpoint) else {
             return;
         };
@@ -195,7 +200,7 @@
     }
 
     /// Notes that an order wasn't given, since the lease doesn't allow it now.
-    pub fn withheld(&mut self, endpoint: &EndpointId, now: TimeUs) {
+    pub fn withheld(&mut self, endpoint: &EndpointInstance, now: TimeUs) {
         if let Some(active) = self.active.get_mut(endpoint) {
             active.phase = Phase::AskAt(now + PAUSE_US);
         }
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -22,7 +22,8 @@
 pub use decide::beacon::{
     Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
 };
-pub use decide::endpoint_table::{Absence, EndpointChange, EndpointLife, EndpointTable};
+pub use decide::endpoint_row::{EndpointLife, EndpointRow};
+pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -65,10 +65,12 @@
         source: String,
         routes: usize,
     },
-    /// An object can't be read; what was known before stays in force.
+    /// An object can't be read. A configuration and wanted weights stay in force as they were; an
+    /// endpoint of this name gets no new calls.
     ObjectUnreadable {
         kind: &'static str,
         name: String,
+        reason: &'static str,
         detail: String,
     },
     /// New weights are wanted.
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) in_flight: IntGauge,
     /// Calls of the store by kind and result.
     pub(crate) store_calls: IntCounterVec,
+    /// Objects that couldn't be read, by kind and reason.
+    pub(crate) unreadable_objects: IntCounterVec,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
     /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
@@ -77,20 +79,6 @@
         let gauge = |name: &str, help: &str| gauge(&registry, name, help);
         let histogram =
             |name: &str, help: &str, buckets: &[f64]| histogram(&registry, name, help, buckets);
-        let first_event_s = HistogramVec::new(
-            HistogramOpts::new(
-                "relay_first_event_seconds",
-                "Time to the first event or answer.",
-            )
-            .buckets(LATENCY_BUCKETS_S.to_vec()),
-            &["kind"],
-        )?;
-        registry.register(Box::new(first_event_s.clone()))?;
-        let endpoints = IntGaugeVec::new(
-            Opts::new("relay_endpoints", "Endpoints by life."),
-            &["life"],
-        )?;
-        registry.register(Box::new(endpoints.clone()))?;
         let seconds = |name: &str, help: &str| seconds_gauge(&registry, name, help);
         let dropped_lines = IntCounter::new(
             "relay_log_dropped_lines_total",
@@ -138,11 +126,16 @@
                 "Store calls.",
                 &["kind", "result"],
             )?,
+            unreadable_objects: counters(
+                "relay_unreadable_objects_total",
+                "Objects that couldn't be read.",
+                &["kind", "reason"],
+            )?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
             config_version: gauge("relay_config_version", "Configuration in force.")?,
-            first_event_s,
-            endpoints,
+            first_event_s: first_event_s(&registry)?,
+            endpoints: endpoints(&registry)?,
             store_age_s: seconds("relay_store_age_seconds", "Time since the store answered.")?,
             rollout_late_s: seconds(
                 "relay_rollout_late_seconds",
@@ -190,6 +183,24 @@
     Ok(vec)
 }
 
+fn first_event_s(registry: &Registry) -> prometheus::Result<HistogramVec> {
+    let options = HistogramOpts::new(
+        "relay_first_event_seconds",
+        "Time to the first event or answer.",
+    );
+    let options = options.buckets(LATENCY_BUCKETS_S.to_vec());
+    let histograms = HistogramVec::new(options, &["kind"])?;
+    registry.register(Box::new(histograms.clone()))?;
+    Ok(histograms)
+}
+
+fn endpoints(registry: &Registry) -> prometheus::Result<IntGaugeVec> {
+    let options = Opts::new("relay_endpoints", "Endpoints by life.");
+    let gauges = IntGaugeVec::new(options, &["life"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -176,6 +176,7 @@
         }),
         Err(failure) => {
             note_failure(shared, placement, &flight, failure.kind);
+            note_misdirection(shared, placement, &answer, failure.kind);
             keep_after_refusal(shared, placement, &answer, failure.kind, body, connection);
             Err(failure)
         }
@@ -240,7 +241,7 @@
     let left = call.due.saturating_duration_since(Instant::now());
     let transfers = Transfers::plan(shared, call, placement);
     let outgoing = OutgoingCall {
-        endpoint: placement.endpoint.clone(),
+        endpoint: placement.endpoint.id.clone(),
         deadline_us: DurationUs::from(left),
         workspace: call.workspace.clone(),
         priority: call.head.prompt.is_some().then_some(call.priority),
@@ -341,6 +342,30 @@
     }
 }
 
+/// Notes who is at an endpoint's address, where a refusal tells that it is another one.
+fn note_misdirection(
+    shared: &Shared,
+    placement: &Placement,
+    answer: &AnswerHead,
+    kind: FailureKind,
+) {
+    let Some(found) = answer.endpoint.as_ref() else {
+        return;
+    };
+    if kind != FailureKind::Misdirected {
+        return;
+    }
+    let change = {
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.misdirected(&placement.endpoint, found)
+    };
+    if change.is_some() {
+        // The others would find out by a refused call each.
+        shared.peers.hurry.notify_one();
+    }
+    shared.note_changes(change.into_iter().collect(), 0);
+}
+
 /// Keeps the connection of an endpoint that refused, whose answer is short.
 fn keep_after_refusal(
     shared: &Arc<Shared>,
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -2,14 +2,14 @@
 
 use std::net::Ipv4Addr;
 
-use wisteriahitch_types::{EndpointId, TimeUs};
+use wisteriahitch_types::{EndpointInstance, TimeUs};
 
 use super::shared::Shared;
 use crate::decide::backlog::Load;
 use crate::decide::beacon::{
     Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
 };
-use crate::decide::endpoint_table::EndpointRow;
+use crate::decide::endpoint_row::EndpointRow;
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::Entry;
 
@@ -31,7 +31,7 @@
     near_parts: Vec<PartNews>,
     far_parts: Vec<PartNews>,
     kept: Vec<KeptNews>,
-    reserved: Vec<EndpointId>,
+    reserved: Vec<EndpointInstance>,
 }
 
 impl Relayed {
@@ -136,13 +136,13 @@
     let news = |row: &EndpointRow| {
         let mut load = row.own;
         for told in &loads {
-            load.add(told.get(&row.hash()).copied().unwrap_or_default());
+            load.add(told.get(&row.short_name).copied().unwrap_or_default());
         }
         let is_told = own.is_some() && row.reserved_until_us > now;
         EndpointNews {
-            endpoint: row.hash(),
+            endpoint: row.short_name,
             load,
-            is_reserved: is_told || relayed.reserved.contains(&row.endpoint.id),
+            is_reserved: is_told || row.is_displaced || relayed.reserved.contains(row.instance()),
         }
     };
     let says_something = |news: &EndpointNews| news.is_reserved || news.load != Load::default();
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -11,6 +11,7 @@
 use serde_json::json;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_types::Incarnation;
 use wisteriahitch_wire::connection_pool::ConnectionPool;
@@ -96,6 +97,7 @@
             part_stores: Mutex::new(PartStores::default()),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
+            life_ended: Notify::new(),
             budgets: Budgets::new(settings.retry.clone()),
             durations: Durations::default(),
             watches: WatchStates::default(),
@@ -252,10 +254,11 @@
     let endpoints = shared.endpoints.lock();
     let rows = endpoints.iter().map(|row| {
         json!({
-            "endpoint": row.endpoint.id,
+            "endpoint": row.instance(),
             "service": row.endpoint.service,
             "address": row.endpoint.address,
             "life": format!("{:?}", row.life),
+            "is_displaced": row.is_displaced,
             "own_running": row.own.running,
             "peers_running": row.peers.running,
             "unread_tokens": row.load().unread_tokens,
--- a/crates/wisteriahitch-relay/src/shell/flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/flight.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wisteriahitch_types::{DurationUs, EndpointId, TimeUs};
+use wisteriahitch_types::{DurationUs, EndpointInstance, TimeUs};
 
 use super::shared::Shared;
 use crate::decide::backlog::Load;
@@ -18,7 +18,7 @@
 /// Counts an attempt as load of its endpoint until it is dropped.
 pub(crate) struct Flight {
     shared: Arc<Shared>,
-    endpoint: EndpointId,
+    endpoint: EndpointInstance,
     load: Load,
     began: Instant,
 }
@@ -95,7 +95,7 @@
                 continue;
             }
             news.push(PartNews {
-                endpoint: row.hash(),
+                endpoint: row.short_name,
                 part: key.0,
                 tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
             });
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -9,10 +9,11 @@
     Member, MemberAddresses, MemberState, Membership, MembershipSettings, WriteFailure,
 };
 use wisteriahitch_types::{ConfigVersion, DurationUs, Incarnation, TimeUs};
-use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
+use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject, UnreadableKind};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
+use super::watch::note_unreadable;
 use crate::observe::Event;
 use crate::settings::RelaySettings;
 
@@ -30,6 +31,13 @@
 /// Time between two reads of a lease that another daemon holds.
 const LEASE_READ_US: DurationUs = DurationUs::from_ms(300);
 
+/// Longest times that a lease in the store is believed to have. All daemons use about the same ones, a
+/// tenth of this and less, and a lease that never ends would end all orders.
+const LONGEST_BELIEVED_US: DurationUs = DurationUs::from_ms(30_000);
+
+/// Name of a holder that can't be read.
+const UNKNOWN_HOLDER: &str = "unknown";
+
 /// Added to the time that must lie between orders of two holders.
 const HANDOVER_SLACK_MS: u64 = 400;
 
@@ -43,7 +51,7 @@
         term_us: LEASE_TERM_US,
         renew_before_us: RENEW_BEFORE_US,
         // A new holder waits for so long after a lease that wasn't released.
-        order_timeout_us: DurationUs::from_ms(settings.rollout.lease_ms + HANDOVER_SLACK_MS),
+        order_timeout_us: order_timeout(settings),
         margin_us: LEASE_MARGIN_US,
         read_us: LEASE_READ_US,
     };
@@ -95,16 +103,10 @@
         .store
         .get(ObjectRole::Leases, &group.to_string())
         .await;
-    let parsed = read.map(|object| object.map(parse).transpose());
-    match parsed {
-        Ok(Ok(object)) => LeaseEvent::Read { group, object },
-        Ok(Err(error)) => {
-            shared.log.write(&Event::ObjectUnreadable {
-                kind: "leases",
-                name: group.to_string(),
-                detail: error.to_string(),
-            });
-            LeaseEvent::ReadFailed(group)
+    match read {
+        Ok(object) => {
+            let object = object.map(|object| parse(shared, &group, object));
+            LeaseEvent::Read { group, object }
         }
         Err(error) => {
             shared.log.write(&Event::Failure {
@@ -116,9 +118,45 @@
     }
 }
 
-fn parse(object: StoredObject) -> serde_json::Result<(LeaseObject, u64)> {
-    let lease = serde_json::from_value(object.content)?;
-    Ok((lease, object.revision.0))
+/// Reads a lease.
+///
+/// One that can't be read is taken for that of a holder nobody knows, with the usual times: it is
+/// taken over like that of a holder which has died, and no sooner. Its fencing number is the object's
+/// revision, which is known all the same. Taken for a failed call, it would end all orders for as
+/// long as it lies there.
+fn parse(shared: &Shared, group: &LeaseGroup, object: StoredObject) -> (LeaseObject, u64) {
+    let order_timeout_us = order_timeout(&shared.settings);
+    let lease = match serde_json::from_value::<LeaseObject>(object.content) {
+        Ok(lease) => LeaseObject {
+            term_us: lease.term_us.min(LONGEST_BELIEVED_US),
+            order_timeout_us: lease.order_timeout_us.min(LONGEST_BELIEVED_US),
+            ..lease
+        },
+        Err(error) => {
+            let kind = UnreadableKind::Field;
+            let name = group.to_string();
+            note_unreadable(shared, ObjectRole::Leases, &name, kind, error.to_string());
+            LeaseObject {
+                holder: unknown_holder(),
+                write_number: 0,
+                term_us: LEASE_TERM_US,
+                order_timeout_us,
+            }
+        }
+    };
+    (lease, object.revision.0)
+}
+
+fn unknown_holder() -> Option<LeaseHolder> {
+    Some(LeaseHolder {
+        daemon: UNKNOWN_HOLDER.parse().ok()?,
+        incarnation: Incarnation::new(0),
+    })
+}
+
+/// Returns the time that must lie between orders of two holders.
+fn order_timeout(settings: &RelaySettings) -> DurationUs {
+    DurationUs::from_ms(settings.rollout.lease_ms + HANDOVER_SLACK_MS)
 }
 
 async fn write(
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use wisteriahitch_core::fleet::{LeaseEvent, LeaseGroup, Membership, Rendezvous};
-use wisteriahitch_types::{DurationUs, EndpointId, Incarnation, TimeUs};
+use wisteriahitch_types::{DurationUs, EndpointInstance, Incarnation, TimeUs};
 
 use super::lease::{call, lone_member};
 use super::shared::Shared;
 use crate::border::{OrderOutcome, WeightOrder};
-use crate::decide::endpoint_table::{EndpointLife, EndpointRow};
+use crate::decide::endpoint_row::EndpointRow;
 use crate::decide::rollout::{RolloutRow, RolloutStep};
 use crate::observe::Event;
 
@@ -65,7 +65,7 @@
         return Vec::new();
     }
     let endpoints = shared.endpoints.lock();
-    let stays = |row: &&EndpointRow| row.life != EndpointLife::Draining;
+    let stays = |row: &&EndpointRow| row.takes_requests() && endpoints.has_known_service(row);
     let mut behind = Vec::new();
     for row in endpoints.iter().filter(stays) {
         for (model, has) in &row.endpoint.weights {
@@ -78,7 +78,7 @@
                 continue;
             };
             behind.push(RolloutRow {
-                endpoint: row.endpoint.id.clone(),
+                endpoint: row.instance().clone(),
                 model: model.clone(),
                 has: *has,
                 wanted: newest,
@@ -138,11 +138,11 @@
 /// sending to engines that load, which refuse: one would notice by refusals of calls that may be sent
 /// once only, all of them at one daemon, while other engines are idle.
 fn reserve_own(shared: &Shared, now: TimeUs) {
-    let reserved: Vec<EndpointId> = shared.rollout.lock().reserved().cloned().collect();
+    let reserved: Vec<EndpointInstance> = shared.rollout.lock().reserved().cloned().collect();
     let mut endpoints = shared.endpoints.lock();
     for endpoint in reserved {
-        if let Some(hash) = endpoints.get(&endpoint).map(EndpointRow::hash) {
-            endpoints.reserve(hash, now + OWN_RESERVED_US, now);
+        if let Some(short_name) = endpoints.get(&endpoint).map(|row| row.short_name) {
+            endpoints.reserve(short_name, now + OWN_RESERVED_US, now);
         }
     }
 }
@@ -212,7 +212,7 @@
             expected_orders,
         } => {
             let order = |address, fence| WeightOrder {
-                endpoint: endpoint.clone(),
+                endpoint: endpoint.id.clone(),
                 address,
                 model,
                 version,
@@ -225,24 +225,26 @@
     }
 }
 
-fn address_of(shared: &Shared, endpoint: &EndpointId) -> Option<std::net::SocketAddr> {
+fn address_of(shared: &Shared, endpoint: &EndpointInstance) -> Option<std::net::SocketAddr> {
     let endpoints = shared.endpoints.lock();
     endpoints.get(endpoint).map(|row| row.endpoint.address)
 }
 
-async fn report(shared: &Shared, endpoint: &EndpointId) {
+async fn report(shared: &Shared, endpoint: &EndpointInstance) {
     let address = address_of(shared, endpoint);
     let report = match address {
         Some(address) => {
             let engines = &shared.borders.engines;
-            let report = engines.report(endpoint, address, REPORT_TIMEOUT).await;
+            let report = engines.report(&endpoint.id, address, REPORT_TIMEOUT).await;
             if let Err(error) = &report {
                 shared.log.write(&Event::Failure {
                     what: "reading an engine's report",
                     detail: format!("{endpoint}: {error}"),
                 });
             }
-            report.ok()
+            // Another life's report counts its own orders. By its numbers an order that was decided
+            // for this one could be carried out there, or never.
+            report.ok().filter(|report| report.is_of(endpoint))
         }
         None => None,
     };
@@ -262,7 +264,7 @@
 async fn give(
     shared: &Shared,
     members: &Membership,
-    endpoint: &EndpointId,
+    endpoint: &EndpointInstance,
     order: impl FnOnce(std::net::SocketAddr, wisteriahitch_types::FenceNumber) -> WeightOrder,
 ) {
     let address = address_of(shared, endpoint);
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -1,15 +1,18 @@
 //! How daemons find each other: each registers in the platform's store once.
 
+use std::collections::HashSet;
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 use wisteriahitch_types::{DurationUs, Incarnation};
-use wisteriahitch_wire::object_store::{ObjectRole, StoredObject};
+use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject, UnreadableKind};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
+use super::watch::{note_skipped, note_unreadable};
 use crate::observe::Event;
 
 /// Pause after a call of the store failed.
@@ -22,6 +25,9 @@
 /// Silence of a registered daemon after which its registration is removed by another one.
 const REMOVE_AFTER_US: DurationUs = DurationUs::from_ms(20_000);
 
+/// Unreadable registrations that are remembered as told of.
+const MAX_TOLD: usize = 1_000;
+
 /// What a daemon's registration holds.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 struct Registration {
@@ -42,6 +48,7 @@
     }
     // Two daemons that start at once both write first, so that at least one sees the other.
     let mut is_first = true;
+    let mut told = HashSet::new();
     loop {
         match shared
             .borders
@@ -51,7 +58,8 @@
         {
             Ok(listing) => {
                 is_first = false;
-                learn(&shared, listing.objects).await;
+                note_skipped(&shared, ObjectRole::Members, &listing.skipped);
+                learn(&shared, listing.objects, &mut told).await;
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
@@ -65,6 +73,17 @@
     }
 }
 
+fn read(content: Value) -> Result<Registration, (UnreadableKind, String)> {
+    let registration: Registration = serde_json::from_value(content)
+        .map_err(|error| (UnreadableKind::Field, error.to_string()))?;
+    let ip = registration.ip;
+    // Messages would go there several times a second.
+    match ip.is_unspecified() || ip.is_multicast() || ip.is_broadcast() {
+        true => Err((UnreadableKind::Value, format!("no VM has the address {ip}"))),
+        false => Ok(registration),
+    }
+}
+
 async fn register(shared: &Shared) -> Result<(), PlatformError> {
     let store = &shared.borders.store;
     let name = shared.settings.id.as_str();
@@ -91,11 +110,26 @@
     replaced.map(|_| ())
 }
 
-async fn learn(shared: &Shared, objects: Vec<StoredObject>) {
+/// Takes over who is registered. Registrations that can't be read name nobody, and are told of once
+/// each: `told` keeps their names and revisions, and is emptied before it grows large.
+async fn learn(
+    shared: &Shared,
+    objects: Vec<StoredObject>,
+    told: &mut HashSet<(String, Revision)>,
+) {
     let now = shared.now();
+    if told.len() > MAX_TOLD {
+        told.clear();
+    }
     for object in objects {
-        let Ok(registration) = serde_json::from_value::<Registration>(object.content) else {
-            continue;
+        let registration = match read(object.content) {
+            Ok(registration) => registration,
+            Err((kind, detail)) => {
+                if told.insert((object.name.clone(), object.revision)) {
+                    note_unreadable(shared, ObjectRole::Members, &object.name, kind, detail);
+                }
+                continue;
+            }
         };
         if registration.ip == shared.settings.ip {
             continue;
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -8,7 +8,9 @@
 use http_body_util::BodyExt;
 use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
-use wisteriahitch_types::{Code, DurationUs, EndpointId, ModelName, ServiceName, WeightNumber};
+use wisteriahitch_types::{
+    Code, DurationUs, EndpointInstance, ModelName, ServiceName, WeightNumber,
+};
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
@@ -58,7 +60,7 @@
     /// Longest queue that the call joins.
     pub(super) longest_queue_us: DurationUs,
     /// Endpoints that were tried.
-    pub(crate) tried: Vec<EndpointId>,
+    pub(crate) tried: Vec<EndpointInstance>,
     /// Attempts that an endpoint got to see.
     pub(crate) sent: u32,
     /// The body that `call` sends; counted as held for as long as it may be sent again.
@@ -159,18 +161,22 @@
         let prompt = prompt.filter(|_| self.route.kind == CallKind::Stream);
         let model = prompt.map(|prompt| prompt.model.clone());
         let sent_before = self.sent;
-        tokio::select! {
+        let failure = tokio::select! {
             result = self.exchange(shared, placement, trace) => return result,
-            () = Self::weights_over(shared, model.as_ref(), placement.weights) => {}
-        }
+            () = Self::weights_over(shared, model.as_ref(), placement.weights) => {
+                let metrics = &shared.metrics.attempts;
+                metrics.with_label_values(&["weights_over"]).inc();
+                Failure::new(FailureKind::Timeout, "its weights went out of use")
+            }
+            () = shared.life_over(&placement.endpoint) => {
+                let metrics = &shared.metrics.attempts;
+                metrics.with_label_values(&["life_over"]).inc();
+                Failure::new(FailureKind::Lost, "the endpoint has started again")
+            }
+        };
         self.sent = sent_before + 1;
         trace.story().attempts = self.sent;
-        let metrics = &shared.metrics.attempts;
-        metrics.with_label_values(&["weights_over"]).inc();
-        Err(Failure::new(
-            FailureKind::Timeout,
-            "its weights went out of use",
-        ))
+        Err(failure)
     }
 
     async fn exchange(
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use parking_lot::Mutex;
+use tokio::sync::Notify;
 use wisteriahitch_core::fleet::LeaseTable;
-use wisteriahitch_types::{Incarnation, TimeUs};
+use wisteriahitch_types::{EndpointInstance, Incarnation, TimeUs};
 use wisteriahitch_wire::connection_pool::ConnectionPool;
 use wisteriahitch_wire::object_store::ObjectStore;
 
@@ -50,7 +51,10 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) part_stores: Mutex<PartStores>,
     pub(crate) peers: PeerState,
-    pub(crate) pool: ConnectionPool,
+    /// Connections to endpoints, each to one life.
+    pub(crate) pool: ConnectionPool<EndpointInstance>,
+    /// Wakes those who wait for the end of an endpoint's life.
+    pub(crate) life_ended: Notify,
     pub(crate) budgets: Budgets,
     pub(crate) durations: Durations,
     pub(crate) watches: WatchStates,
@@ -89,22 +93,32 @@
     /// Logs changes of endpoints and closes the connections of those that are gone.
     pub(crate) fn note_changes(&self, changes: Vec<EndpointChange>, revision: u64) {
         for change in changes {
-            let (id, change) = match change {
-                EndpointChange::Seen(id) => (id, "seen"),
-                EndpointChange::Draining(id) => (id, "draining"),
-                EndpointChange::Lapsed(id) => (id, "lapsed"),
-                EndpointChange::Gone(id) => {
-                    self.pool.forget(&id);
-                    (id, "gone")
+            let (instance, change) = match change {
+                EndpointChange::Seen(instance) => (instance, "seen"),
+                EndpointChange::Draining(instance) => (instance, "draining"),
+                EndpointChange::Lapsed(instance) => (instance, "lapsed"),
+                EndpointChange::Unreadable(instance) => (instance, "unreadable"),
+                EndpointChange::Displaced(instance) => {
+                    self.pool.forget(&instance);
+                    (instance, "displaced")
+                }
+                EndpointChange::Ended(instance) => {
+                    self.pool.forget(&instance);
+                    self.life_ended.notify_waiters();
+                    (instance, "ended")
+                }
+                EndpointChange::Gone(instance) => {
+                    self.pool.forget(&instance);
+                    (instance, "gone")
                 }
             };
             let service = {
                 let endpoints = self.endpoints.lock();
-                let row = endpoints.get(&id);
+                let row = endpoints.get(&instance);
                 row.map_or(String::new(), |row| row.endpoint.service.to_string())
             };
             self.log.write(&Event::EndpointChanged {
-                endpoint: id.to_string(),
+                endpoint: instance.to_string(),
                 change,
                 service,
                 revision,
@@ -112,6 +126,21 @@
         }
     }
 
+    /// Waits until the life of an endpoint that a call was sent to is known to have ended.
+    ///
+    /// A process that crashed behind a partition closes no connection: a call there would hang until
+    /// its own deadline although the next life of the endpoint has registered, and its caller would be
+    /// told nothing that wasn't known long before.
+    pub(crate) async fn life_over(&self, instance: &EndpointInstance) {
+        loop {
+            let ended = self.life_ended.notified();
+            if self.endpoints.lock().has_ended(instance) {
+                return;
+            }
+            ended.await;
+        }
+    }
+
     /// Returns the rate of the VM's link, as it is told to others.
     pub(crate) fn link_mbps(&self) -> u16 {
         self.settings
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -140,7 +140,14 @@
             return Ok(None);
         };
         loop {
-            match timeout_at(due, opened.body.frame()).await {
+            let frame = tokio::select! {
+                frame = timeout_at(due, opened.body.frame()) => frame,
+                () = self.shared.life_over(&self.placement.endpoint) => {
+                    let detail = "the endpoint has started again";
+                    return Err(Failure::new(FailureKind::Lost, detail));
+                }
+            };
+            match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(bytes) => return Ok(Some(bytes)),
                     Err(_) => continue,
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -6,14 +6,14 @@
 
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{
-    Change, Listing, ObjectRole, Revision, StoredObject, Watched,
+    Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind, Watched,
 };
 use wisteriahitch_wire::platform::PlatformError;
 
 use super::part_news::run_part_news;
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
-use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US};
+use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
 use crate::observe::Event;
 
 /// Where news comes from, for the log.
@@ -36,6 +36,9 @@
     Duration::from_millis(800),
 ];
 
+/// Longest text of others in a log line. Who can write an entry could else fill the log with it.
+const MAX_TOLD_CHARS: usize = 200;
+
 /// Follows one kind of objects for as long as the process lives.
 pub(crate) async fn run_watch(shared: Arc<Shared>, role: ObjectRole) {
     let mut failures = 0;
@@ -79,6 +82,7 @@
     count(shared, role, listing.is_ok());
     let listing = listing?;
     note_answer(shared, role);
+    note_skipped(shared, role, &listing.skipped);
     apply_listing(shared, role, listing, STORE);
     Ok(false)
 }
@@ -100,7 +104,12 @@
     let watched = watched?;
     note_answer(shared, role);
     match watched {
-        Watched::Changes(changes, revision) => {
+        Watched::Changes {
+            changes,
+            skipped,
+            revision,
+        } => {
+            note_skipped(shared, role, &skipped);
             apply_changes(shared, role, changes, revision, STORE);
             Ok(false)
         }
@@ -185,12 +194,10 @@
     };
     match role {
         ObjectRole::Endpoints => {
-            let decoded = listing.objects.iter().filter_map(|object| {
-                let endpoint = shared.borders.site.endpoint(object);
-                readable(shared, role, object, endpoint)
-            });
-            let endpoints = decoded.collect();
-            let changes = shared.endpoints.lock().listed(endpoints, absence, now);
+            let objects = listing.objects.iter();
+            let registrations = objects.filter_map(|object| registration(shared, object));
+            let registrations = registrations.collect();
+            let changes = shared.endpoints.lock().listed(registrations, absence, now);
             shared.note_changes(changes, listing.revision.0);
         }
         _ => {
@@ -219,17 +226,19 @@
                     state.changed = state.changed.max(object.revision);
                     state.objects.insert(object.name.clone(), object.clone());
                 }
-                Change::Deleted(name) => {
-                    state.changed = state.changed.max(revision);
+                Change::Deleted(name, deleted_at) => {
+                    state.changed = state.changed.max(*deleted_at);
                     state.objects.remove(name);
-                    state.note_deleted(name.clone(), revision);
+                    state.note_deleted(name.clone(), *deleted_at);
                 }
             }
             absence(&state, shared.now())
         };
         match change {
             Change::Put(object) => put(shared, role, &object, source, DurationUs::ZERO),
-            Change::Deleted(name) => deleted(shared, role, &name, absence, revision),
+            Change::Deleted(name, deleted_at) => {
+                deleted(shared, role, &name, absence, deleted_at);
+            }
         }
     }
     let mut state = shared.watches.of(role).lock();
@@ -245,12 +254,14 @@
         let listing = Listing {
             revision: delta.revision,
             objects: delta.objects,
+            skipped: Vec::new(),
         };
         apply_listing(shared, role, listing, PEER);
         return;
     }
     let puts = delta.objects.into_iter().map(Change::Put);
-    let gone = delta.deleted.into_iter().map(Change::Deleted);
+    let gone = delta.deleted.into_iter();
+    let gone = gone.map(|(name, revision)| Change::Deleted(name, revision));
     apply_changes(
         shared,
         role,
@@ -269,7 +280,11 @@
             let known = state.objects.get(&object.name);
             known.is_none_or(|known| object.revision > known.revision)
         }
-        Change::Deleted(name) => state.objects.contains_key(name),
+        // One that was created again since is still there, whichever news comes last.
+        Change::Deleted(name, revision) => {
+            let known = state.objects.get(name);
+            known.is_some_and(|known| known.revision <= *revision)
+        }
     }
 }
 
@@ -284,10 +299,9 @@
     let now = shared.now();
     match role {
         ObjectRole::Endpoints => {
-            let endpoint = readable(shared, role, object, site.endpoint(object));
-            if let Some(endpoint) = endpoint {
-                let change = shared.endpoints.lock().registered(endpoint);
-                shared.note_changes(change.into_iter().collect(), object.revision.0);
+            if let Some(registration) = registration(shared, object) {
+                let changes = shared.endpoints.lock().registered(registration);
+                shared.note_changes(changes, object.revision.0);
             }
         }
         ObjectRole::Configuration => {
@@ -332,6 +346,7 @@
         Some((service.name.clone(), engine.memory_tokens.get()))
     });
     let memory_tokens = engines.collect();
+    let services = config.services.keys().cloned().collect();
     let stores: Vec<_> = config
         .services
         .values()
@@ -340,7 +355,10 @@
     if !shared.site.adopt(config) {
         return;
     }
-    shared.endpoints.lock().set_memory(memory_tokens);
+    shared
+        .endpoints
+        .lock()
+        .set_services(services, memory_tokens);
     let new_stores = shared.part_stores.lock().configured(stores.into_iter());
     for store in new_stores {
         tokio::spawn(run_part_news(Arc::clone(shared), store));
@@ -355,7 +373,20 @@
     });
 }
 
-/// Passes on what could be read; of the rest the last good one stays in force.
+/// Reads a registration. One that can't be read still tells that the endpoint of its name is no
+/// longer registered as it was; one under a name that no endpoint can have tells nothing.
+fn registration(shared: &Shared, object: &StoredObject) -> Option<Registration> {
+    let endpoint = shared.borders.site.endpoint(object);
+    match readable(shared, ObjectRole::Endpoints, object, endpoint) {
+        Some(endpoint) => Some(Registration::Good(endpoint)),
+        None => {
+            let id = object.name.parse().ok()?;
+            Some(Registration::Unreadable(id, object.revision))
+        }
+    }
+}
+
+/// Passes on what could be read, and tells of the rest.
 fn readable<T>(
     shared: &Shared,
     role: ObjectRole,
@@ -365,12 +396,34 @@
     match decoded {
         Ok(value) => Some(value),
         Err(error) => {
-            shared.log.write(&Event::ObjectUnreadable {
-                kind: kind_name(role),
-                name: object.name.clone(),
-                detail: error.reason,
-            });
+            note_unreadable(shared, role, &object.name, error.kind, error.reason);
             None
         }
     }
 }
+
+/// Tells of objects that were passed over in an answer of the store.
+pub(super) fn note_skipped(shared: &Shared, role: ObjectRole, skipped: &[Skipped]) {
+    for skipped in skipped {
+        note_unreadable(shared, role, "", skipped.kind, skipped.detail.clone());
+    }
+}
+
+/// Counts an object that can't be read, and writes a line of bounded length.
+pub(super) fn note_unreadable(
+    shared: &Shared,
+    role: ObjectRole,
+    name: &str,
+    kind: UnreadableKind,
+    detail: String,
+) {
+    let labels = [kind_name(role), kind.label()];
+    let counter = &shared.metrics.unreadable_objects;
+    counter.with_label_values(&labels).inc();
+    shared.log.write(&Event::ObjectUnreadable {
+        kind: kind_name(role),
+        name: name.chars().take(MAX_TOLD_CHARS).collect(),
+        reason: kind.label(),
+        detail: detail.chars().take(MAX_TOLD_CHARS).collect(),
+    });
+}
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -134,7 +134,9 @@
             revision: state.changed,
             is_full,
             objects: state.objects.values().filter(is_new).cloned().collect(),
-            deleted: gone.map(|(_, name)| name.clone()).collect(),
+            deleted: gone
+                .map(|(revision, name)| (name.clone(), *revision))
+                .collect(),
         }
     }
 }
@@ -147,7 +149,8 @@
     /// Whether it holds all objects instead of the changes.
     pub(super) is_full: bool,
     pub(super) objects: Vec<StoredObject>,
-    pub(super) deleted: Vec<String>,
+    /// Names of deleted objects, and when they were.
+    pub(super) deleted: Vec<(String, Revision)>,
 }
 
 impl WatchState {
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -1,17 +1,24 @@
-//! One incarnation of an endpoint.
+//! One life of an endpoint.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
-use wisteriahitch_types::{AvailabilityZone, EndpointId, ModelName, ServiceName, WeightNumber};
+use wisteriahitch_types::{
+    AvailabilityZone, EndpointInstance, ModelName, ServiceName, WeightNumber,
+};
+use wisteriahitch_wire::object_store::Revision;
 
 /// One life of an endpoint, as it registered itself.
 ///
-/// A restarted endpoint is another one, with another id; its address may be the same.
+/// One that has restarted is another life, with the same address and, where the platform tells
+/// starts, the same id.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
-    /// Id of this life.
-    pub id: EndpointId,
+    /// Which life of which endpoint it is.
+    pub instance: EndpointInstance,
+    /// Revision of the store at which it registered so. It only grows, and so tells which of two
+    /// registrations is the newer one.
+    pub revision: Revision,
     /// Service that it belongs to.
     pub service: ServiceName,
     /// Address.
--- a/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -45,7 +45,7 @@
     for case in cases {
         let mut table = EndpointTable::default().with_last_resort(ms(1_000));
         table.registered(engine("a"));
-        table.unregistered(&id("a"), case.absence, at_ms(1_000));
+        table.unregistered(&id("a").id, case.absence, at_ms(1_000));
         assert!(
             table.tick(at_ms(case.there_at_ms)).is_empty(),
             "{:?}",
@@ -69,12 +69,12 @@
     table.registered(engine("a"));
     assert_eq!(
         table.registered(draining("a")),
-        Some(EndpointChange::Draining(id("a")))
+        [EndpointChange::Draining(id("a"))]
     );
     table.registered(engine("a"));
     assert_eq!(table.get(&id("a")).unwrap().life, EndpointLife::Draining);
     // Its end is at once: it has said so before.
-    let change = table.unregistered(&id("a"), Absence::Left, at_ms(1));
+    let change = table.unregistered(&id("a").id, Absence::Left, at_ms(1));
     assert_eq!(change, Some(EndpointChange::Gone(id("a"))));
 }
 
@@ -94,7 +94,7 @@
 fn loads_of_peers_replace_each_other_and_grow_old() {
     let mut table = EndpointTable::default();
     table.registered(engine("a"));
-    let hash = table.get(&id("a")).unwrap().hash();
+    let hash = table.get(&id("a")).unwrap().short_name;
     let peer = Incarnation::new(7);
     let load = |running| Load {
         running,
@@ -124,7 +124,7 @@
 fn what_peers_told_before_counts_for_an_endpoint_that_is_seen_later() {
     let mut table = EndpointTable::default();
     table.registered(engine("a"));
-    let hash = table.get(&id("a")).unwrap().hash();
+    let hash = table.get(&id("a")).unwrap().short_name;
     let mut late = EndpointTable::default();
     let load = Load {
         running: 2,
@@ -166,7 +166,7 @@
     for case in cases {
         let mut table = EndpointTable::default();
         table.registered(engine("a"));
-        let hash = table.get(&id("a")).unwrap().hash();
+        let hash = table.get(&id("a")).unwrap().short_name;
         for (peer, is_named, now_ms) in case.messages {
             let (peer, now) = (Incarnation::new(*peer), at_ms(*now_ms));
             table.peer_load(peer, HashMap::new(), now);
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -8,8 +8,10 @@
     UrgencyLevels, WantedVersions,
 };
 use wisteriahitch_types::{
-    ByteCount, DurationUs, EndpointId, ModelName, ServiceName, TimeUs, TokenCount, WeightNumber,
+    ByteCount, DurationUs, EndpointInstance, ModelName, ServiceName, TimeUs, TokenCount,
+    WeightNumber,
 };
+use wisteriahitch_wire::object_store::Revision;
 
 pub(crate) const SERVICE: &str = "engines";
 pub(crate) const MODEL: &str = "m";
@@ -23,7 +25,7 @@
     DurationUs::from_ms(ms)
 }
 
-pub(crate) fn id(name: &str) -> EndpointId {
+pub(crate) fn id(name: &str) -> EndpointInstance {
     name.parse().unwrap()
 }
 
@@ -47,7 +49,8 @@
 /// An engine with weights of version 1.
 pub(crate) fn engine(name: &str) -> Endpoint {
     Endpoint {
-        id: id(name),
+        instance: id(name),
+        revision: Revision::default(),
         service: service(),
         address: engine_address(name),
         zone: "a".parse().unwrap(),
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -4,6 +4,7 @@
 
 mod beacon;
 mod docs;
+mod endpoint_lives;
 mod endpoint_table;
 mod event_log;
 mod fixture;
--- a/crates/wisteriahitch-relay/tests/all/part_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_sources.rs
@@ -179,7 +179,7 @@
             what: "an engine that gets new weights",
             change: |site| {
                 site.keep("b", "w1");
-                let hash = site.table.get(&id("b")).unwrap().hash();
+                let hash = site.table.get(&id("b")).unwrap().short_name;
                 site.table.reserve(hash, NOW + ms(500), NOW);
             },
             expected: None,
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -6,7 +6,7 @@
     EndpointTable, Load, PartNamer, PartStores, Placement, PlacementRequest, PromptShape, Refusal,
     WantedVersions, place,
 };
-use wisteriahitch_types::{Code, DurationUs, EndpointId, TimeUs, WeightNumber, WorkspaceId};
+use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber, WorkspaceId};
 
 use crate::fixture::{
     at_ms, draining, engine, id, model, ms, prompt, service, traits, wanted_versions,
@@ -18,7 +18,7 @@
     table: EndpointTable,
     stores: PartStores,
     wanted: WantedVersions,
-    excluded: Vec<EndpointId>,
+    excluded: Vec<EndpointInstance>,
     required: Option<WeightNumber>,
     wall: Option<WorkspaceId>,
     longest_queue: DurationUs,
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod block_state;
 mod code;
+mod endpoint_instance;
 mod id;
 mod key;
 mod meaning;
@@ -14,6 +15,7 @@
 
 pub use block_state::BlockState;
 pub use code::Code;
+pub use endpoint_instance::{EndpointInstance, EndpointStart};
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
     Generation, Incarnation, ModelName, ParseIdError, RequestId, RouteName, RuleName, ServiceName,
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -1,10 +1,11 @@
-//! Connections to endpoints, kept for the incarnation that they were opened to.
+//! Connections, kept for the peer that they were opened to.
 //!
-//! An address may pass from one endpoint to another. Connections are therefore kept under the
-//! endpoint's id, and never handed to a request that was decided for somebody else
-//! (`docs/design/platform.md`).
+//! An address may pass from one endpoint to another, and an endpoint's id from one life to the next.
+//! Connections are therefore kept under what names the life, and never handed to a request that was
+//! decided for somebody else (`docs/design/platform.md`).
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -19,7 +20,6 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
-use wisteriahitch_types::EndpointId;
 
 use crate::http_client::{HttpError, HttpErrorKind};
 
@@ -38,8 +38,8 @@
 /// run only once can't be sent again.
 const KEEP_SHARE: f64 = 0.6;
 
-/// Most idle connections kept for one endpoint.
-const MAX_IDLE_PER_ENDPOINT: usize = 16;
+/// Most idle connections kept for one peer.
+const MAX_IDLE_PER_PEER: usize = 16;
 
 /// Time for a connection that was just used to become ready for the next request.
 const READY_TIMEOUT: Duration = Duration::from_millis(5);
@@ -146,17 +146,25 @@
     since: Instant,
 }
 
-/// Keeps idle connections by endpoint.
-#[derive(Debug, Default)]
-pub struct ConnectionPool {
-    idle: Mutex<HashMap<EndpointId, Vec<Idle>>>,
+/// Keeps idle connections by the key of the peer that they were opened to.
+#[derive(Debug)]
+pub struct ConnectionPool<K> {
+    idle: Mutex<HashMap<K, Vec<Idle>>>,
+}
+
+impl<K> Default for ConnectionPool<K> {
+    fn default() -> Self {
+        Self {
+            idle: Mutex::default(),
+        }
+    }
 }
 
-impl ConnectionPool {
+impl<K: Clone + Eq + Hash> ConnectionPool<K> {
     /// Takes the connection that was used last, if one is open that was idle for at most `max_idle`.
-    pub async fn take(&self, endpoint: &EndpointId, max_idle: Duration) -> Option<Connection> {
+    pub async fn take(&self, peer: &K, max_idle: Duration) -> Option<Connection> {
         loop {
-            let mut connection = self.pop(endpoint, max_idle)?;
+            let mut connection = self.pop(peer, max_idle)?;
             if connection.sender.is_closed() {
                 continue;
             }
@@ -167,9 +175,9 @@
         }
     }
 
-    fn pop(&self, endpoint: &EndpointId, max_idle: Duration) -> Option<Connection> {
+    fn pop(&self, peer: &K, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.lock();
-        let kept = idle.get_mut(endpoint)?;
+        let kept = idle.get_mut(peer)?;
         while let Some(candidate) = kept.pop() {
             let age = candidate.since.elapsed();
             if age <= max_idle.min(candidate.connection.keep) {
@@ -180,13 +188,13 @@
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn put(&self, endpoint: &EndpointId, connection: Connection) {
+    pub fn put(&self, peer: &K, connection: Connection) {
         if connection.sender.is_closed() {
             return;
         }
         let mut idle = self.idle.lock();
-        let kept = idle.entry(endpoint.clone()).or_default();
-        if kept.len() >= MAX_IDLE_PER_ENDPOINT {
+        let kept = idle.entry(peer.clone()).or_default();
+        if kept.len() >= MAX_IDLE_PER_PEER {
             kept.remove(0);
         }
         kept.push(Idle {
@@ -195,9 +203,9 @@
         });
     }
 
-    /// Closes the idle connections of an endpoint that is gone.
-    pub fn forget(&self, endpoint: &EndpointId) {
-        self.idle.lock().remove(endpoint);
+    /// Closes the idle connections of a peer that is gone.
+    pub fn forget(&self, peer: &K) {
+        self.idle.lock().remove(peer);
     }
 
     /// Closes connections that were idle for too long, and returns how many are left.
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -45,13 +45,55 @@
     pub content: Value,
 }
 
+/// Says why an object that others can write can't be used.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum UnreadableKind {
+    /// Its bytes aren't text of the store's format, or nest deeper than is read.
+    Syntax,
+    /// It is larger than any good one of its kind.
+    TooLarge,
+    /// It has no name, or one that no object of ours can have.
+    Name,
+    /// A field is missing or holds something of another type.
+    Field,
+    /// A field holds a value that makes no sense.
+    Value,
+}
+
+impl UnreadableKind {
+    /// Returns the word for logs and metrics.
+    pub const fn label(self) -> &'static str {
+        match self {
+            UnreadableKind::Syntax => "syntax",
+            UnreadableKind::TooLarge => "too_large",
+            UnreadableKind::Name => "name",
+            UnreadableKind::Field => "field",
+            UnreadableKind::Value => "value",
+        }
+    }
+}
+
+/// An object that was passed over, since not even its name can be read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Skipped {
+    /// Kind of the fault.
+    pub kind: UnreadableKind,
+    /// What is wrong.
+    pub detail: String,
+}
+
 /// All objects of a kind at one revision of the store.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+///
+/// An object with a name and without readable content is among them with the content `null`, so that
+/// whoever knew it before sees that it changed.
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Listing {
     /// Revision of the store that the listing shows.
     pub revision: Revision,
     /// Objects.
     pub objects: Vec<StoredObject>,
+    /// Objects without a name.
+    pub skipped: Vec<Skipped>,
 }
 
 /// One change of an object.
@@ -59,15 +101,23 @@
 pub enum Change {
     /// The object was created or replaced.
     Put(StoredObject),
-    /// The object was deleted.
-    Deleted(String),
+    /// The object of this name was deleted at this revision. It may have been created again since, and
+    /// the news of both may come in either order.
+    Deleted(String, Revision),
 }
 
 /// What a watch returned.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Watched {
-    /// Changes since the revision asked for, and the revision to go on from.
-    Changes(Vec<Change>, Revision),
+    /// Changes since the revision asked for.
+    Changes {
+        /// The changes, the oldest first.
+        changes: Vec<Change>,
+        /// Changes of objects without a name.
+        skipped: Vec<Skipped>,
+        /// Revision to go on from.
+        revision: Revision,
+    },
     /// The store has dropped that part of its history; only a listing helps.
     HistoryGone,
 }
