fix(rollout): give the place of an engine that can't be reached to the next one

Cause: few engines are taken out at once, and one that had crashed kept its place, with an order or a question every 300 ms that failed, until its registration lapsed after three to four seconds.

Change: a report that can't be read, an order that isn't sent or is refused end the turn of an engine that isn't loading; for a second others go first. Endpoints whose address another one has get no turn.

Test: rollout::an_engine_that_is_gone_gives_its_place_to_the_next, seen failing on the code before (the place was still a's).

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -23,6 +23,10 @@
 const LOAD_TIMEOUT_US: DurationUs = DurationUs::from_ms(4_000);
 /// Pause after a failure.
 const PAUSE_US: DurationUs = DurationUs::from_ms(300);
+/// Time for which an engine that couldn't be reached lets others go first. Engines that crash are back
+/// in one or two seconds, mostly under another name; the registration of one that isn't lapses after
+/// three to four.
+const REST_US: DurationUs = DurationUs::from_ms(1_000);
 
 /// One engine as the rollout sees it.
 #[derive(Clone, Debug)]
@@ -82,11 +86,22 @@
     accepted: Option<(WeightNumber, TimeUs)>,
 }
 
+impl Active {
+    /// Returns the version that it has accepted and may still be loading.
+    fn loads(&self, now: TimeUs) -> Option<WeightNumber> {
+        let accepted = self.accepted;
+        let accepted = accepted.filter(|(_, at)| now.since(*at) < LOAD_TIMEOUT_US);
+        accepted.map(|(version, _)| version)
+    }
+}
+
 /// Follows the engines that are being brought to wanted weights.
 #[derive(Clone, Debug)]
 pub struct Rollout {
     pace: RolloutPace,
     active: BTreeMap<EndpointInstance, Active>,
+    /// Engines that couldn't be reached, and until when others go first.
+    resting: BTreeMap<EndpointInstance, TimeUs>,
 }
 
 impl Rollout {
@@ -95,6 +110,7 @@
         Self {
             pace: RolloutPace::new(options),
             active: BTreeMap::new(),
+            resting: BTreeMap::new(),
         }
     }
 
@@ -156,7 +172,10 @@
             return;
         };
         let Some(report) = report else {
-            active.phase = Phase::AskAt(now + PAUSE_US);
+            match active.loads(now) {
+                Some(_) => active.phase = Phase::AskAt(now + PAUSE_US),
+                None => self.rest(endpoint, now),
+            }
             return;
         };
         let has = report
@@ -171,9 +190,7 @@
         }
         // Another version may have been named since the order: once it is carried out, the next
         // one can follow.
-        let is_loading = active
-            .accepted
-            .is_some_and(|(ordered, at)| has < ordered && now.since(at) < LOAD_TIMEOUT_US);
+        let is_loading = active.loads(now).is_some_and(|ordered| has < ordered);
         active.phase = match is_loading || report.is_busy {
             true => Phase::AskAt(now + REPORT_US),
             false => Phase::MayOrder(report.accepted_orders),
@@ -193,6 +210,7 @@
             OrderOutcome::AlreadyDone => {
                 self.active.remove(endpoint);
             }
+            OrderOutcome::NotSent(_) | OrderOutcome::Refused(_) => self.rest(endpoint, now),
             // The same number goes with the next order, so that only one of the two is carried
             // out, whichever the engine sees first.
             _ => active.phase = Phase::AskAt(now + PAUSE_US),
@@ -206,6 +224,16 @@
         }
     }
 
+    /// Gives the place of an engine that can't be reached to another one for a while.
+    ///
+    /// Few engines are out at once. Kept by those that are gone, the places leave the living ones on
+    /// weights that go out of use; one would notice by calls that all engines refuse, seconds after new
+    /// weights were named.
+    fn rest(&mut self, endpoint: &EndpointInstance, now: TimeUs) {
+        self.active.remove(endpoint);
+        self.resting.insert(endpoint.clone(), now + REST_US);
+    }
+
     fn drop_finished(&mut self, behind: &[RolloutRow]) {
         self.active.retain(|endpoint, active| {
             let row = behind.iter().find(|row| row.endpoint == *endpoint);
@@ -220,10 +248,11 @@
     /// they are empty soonest.
     fn take_next(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) {
         let parallel = self.pace.parallel(engines);
-        let mut waiting: Vec<&RolloutRow> = behind
-            .iter()
-            .filter(|row| !self.active.contains_key(&row.endpoint))
-            .collect();
+        self.resting.retain(|_, until| *until > now);
+        let is_free = |row: &&RolloutRow| {
+            !self.active.contains_key(&row.endpoint) && !self.resting.contains_key(&row.endpoint)
+        };
+        let mut waiting: Vec<&RolloutRow> = behind.iter().filter(is_free).collect();
         waiting.sort_by_key(|row| (row.has, row.running));
         let announce_us = match engines > LARGE_FLEET {
             true => LARGE_ANNOUNCE_US,
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -65,7 +65,9 @@
         return Vec::new();
     }
     let endpoints = shared.endpoints.lock();
-    let stays = |row: &&EndpointRow| row.takes_requests() && endpoints.has_known_service(row);
+    let stays = |row: &&EndpointRow| {
+        row.takes_requests() && !row.is_displaced && endpoints.has_known_service(row)
+    };
     let mut behind = Vec::new();
     for row in endpoints.iter().filter(stays) {
         for (model, has) in &row.endpoint.weights {
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -82,6 +82,65 @@
     assert_eq!(reserved, [id("a"), id("c")], "the next one's turn");
 }
 
+/// Symptom: new weights stay away for seconds while few engines crash; then calls are refused, since the
+/// weights that engines have are out of use. Sequence: engines that are to get an order crash; their
+/// registrations stay for some heartbeats, and each order or question to them fails. Cause: an engine that
+/// couldn't be reached kept its place among the few that are taken out at once.
+#[test]
+fn an_engine_that_is_gone_gives_its_place_to_the_next() {
+    struct Case {
+        what: &'static str,
+        /// What becomes of the question for a report, and of the order where one is given.
+        fails: fn(&mut Rollout),
+    }
+    let cases = [
+        Case {
+            what: "its report can't be read",
+            fails: |rollout| rollout.reported(&id("a"), None, at_ms(230)),
+        },
+        Case {
+            what: "another one has its address",
+            fails: |rollout| order_fails(rollout, &OrderOutcome::Refused(421)),
+        },
+        Case {
+            what: "nobody listens",
+            fails: |rollout| order_fails(rollout, &OrderOutcome::NotSent(String::new())),
+        },
+    ];
+    for case in cases {
+        let mut rollout = rollout(1);
+        let behind = [row("a", 1, 2, 0), row("b", 1, 2, 5)];
+        rollout.tick(&behind, ENGINES, at_ms(0));
+        rollout.tick(&behind, ENGINES, at_ms(200));
+        (case.fails)(&mut rollout);
+        rollout.tick(&behind, ENGINES, at_ms(250));
+        let reserved: Vec<_> = rollout.reserved().cloned().collect();
+        assert_eq!(reserved, [id("b")], "{}", case.what);
+        // It may be back: it is tried again once there is a place.
+        rollout.tick(&[row("a", 1, 2, 0)], ENGINES, at_ms(2_000));
+        let reserved: Vec<_> = rollout.reserved().cloned().collect();
+        assert_eq!(reserved, [id("a")], "{}", case.what);
+    }
+    // One that has accepted an order is loading: its place stays taken while nothing is heard of it.
+    let mut rollout = rollout(1);
+    let behind = [row("a", 1, 2, 0), row("b", 1, 2, 5)];
+    rollout.tick(&behind, ENGINES, at_ms(0));
+    rollout.tick(&behind, ENGINES, at_ms(200));
+    order_fails(&mut rollout, &OrderOutcome::Accepted);
+    rollout.tick(&behind, ENGINES, at_ms(450));
+    rollout.reported(&id("a"), None, at_ms(500));
+    rollout.tick(&behind, ENGINES, at_ms(550));
+    let reserved: Vec<_> = rollout.reserved().cloned().collect();
+    assert_eq!(reserved, [id("a")]);
+}
+
+/// Gives the order for `a`, with this outcome.
+fn order_fails(rollout: &mut Rollout, outcome: &OrderOutcome) {
+    rollout.reported(&id("a"), Some(&report(1, 0)), at_ms(210));
+    rollout.tick(&[row("a", 1, 2, 0), row("b", 1, 2, 5)], ENGINES, at_ms(220));
+    rollout.ordered(&id("a"), outcome, at_ms(230));
+}
+
 #[test]
 fn of_many_engines_a_share_is_taken_at_once() {
     let mut rollout = rollout(3);
