feat(relay): follow what engines tell of their memory; take it over after a start

Cause: what an engine keeps was guessed from the calls sent to it and the load that it has.

Hypothesis: the engines' own events, which cost nothing where they are waited for, followed by one daemon for each engine and passed on, replace the guess; a daemon that starts takes over what others know.

Ruled out: listings of the engines (they stall the engine's work); every daemon following every engine (questions grow with the square of the fleet).

Change: one daemon for each engine by hash, among those that gather news, asks for events every quarter of a second; what is news goes with the messages between daemons, evictions too; parts of a followed engine are believed for up to 20 s instead of the guessed time. A daemon that starts asks up to five others, one after the other over three seconds, until one that has been up for four has answered; no step of the start waits for it.

--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -36,7 +36,7 @@
     pub endpoint: u32,
     /// Key of the part.
     pub part: u64,
-    /// Size.
+    /// Size; zero where the part is gone.
     pub tokens: u32,
 }
 
@@ -107,6 +107,8 @@
     pub revisions: Vec<u64>,
     /// Work of the sender, and of others where it is a hub.
     pub endpoints: Vec<EndpointNews>,
+    /// Short names of the engines whose memory the sender follows, or knows to be followed.
+    pub followed: Vec<u32>,
     /// Parts that were read since the last message.
     pub parts: Vec<PartNews>,
     /// Stores of prompt parts of which the sender has news.
@@ -122,8 +124,8 @@
 impl Beacon {
     /// Encodes the message in at most `max_bytes`, leaving out what is missed least.
     ///
-    /// First go parts that engines have read, which are a hint; then parts that stores have got, and
-    /// last the load. What stores have got is told once only, and whoever misses it has the part
+    /// First go parts that engines have read, which are a hint; then parts that stores have got, which
+    /// engines are followed, and last the load. What stores have got is told once only, and whoever misses it has the part
     /// read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead
     /// of 20.2 million tokens of shared parts that were read again (a day of 34 s, one run each).
     pub fn encoded(mut self, max_bytes: usize) -> Vec<u8> {
@@ -136,6 +138,8 @@
                 self.parts.truncate(self.parts.len() / 2);
             } else if !self.kept.is_empty() {
                 self.kept.truncate(self.kept.len() / 2);
+            } else if !self.followed.is_empty() {
+                self.followed.truncate(self.followed.len() / 2);
             } else if self.endpoints.pop().is_none() {
                 return message;
             }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -4,7 +4,7 @@
 
 use super::backlog::{Load, LoadReport};
 use super::outlier::Outlier;
-use super::parts::{PartCache, kept_for};
+use super::parts::{MAX_KEPT_US, PartCache, kept_for};
 use crate::site::Endpoint;
 
 /// Says whether an endpoint gets new requests.
@@ -46,6 +46,8 @@
     pub outlier: Outlier,
     /// Parts of prompts that it is believed to keep.
     pub parts: PartCache,
+    /// Until when `parts` follows what the engine itself tells of its memory.
+    pub followed_until_us: TimeUs,
     /// Until when an order keeps it from taking requests.
     pub reserved_until_us: TimeUs,
     /// Short name under which daemons tell each other of this life.
@@ -84,7 +86,10 @@
         duration_us: DurationUs,
         now: TimeUs,
     ) -> TimeUs {
-        let kept_us = kept_for(memory_tokens, self.load().memory_tokens, duration_us);
+        let kept_us = match self.followed_until_us > now {
+            true => MAX_KEPT_US,
+            false => kept_for(memory_tokens, self.load().memory_tokens, duration_us),
+        };
         TimeUs::new(now.get().saturating_sub(kept_us.get()))
     }
 }
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -1,6 +1,7 @@
 //! Which parts of prompts an endpoint is believed to have in its memory.
 
 use lru::LruCache;
+use serde::{Deserialize, Serialize};
 use wisteriahitch_types::{DurationUs, ModelName, TimeUs, WeightNumber, WorkspaceId};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -15,7 +16,7 @@
 
 /// Longest time, for an engine that is nearly idle. Other daemons' requests for it are known by
 /// their load only, and the longer ago a part was used, the more of them have come and gone.
-const MAX_KEPT_US: DurationUs = DurationUs::from_ms(20_000);
+pub(super) const MAX_KEPT_US: DurationUs = DurationUs::from_ms(20_000);
 
 /// Names a cached part with everything that binds it: model, weights, wall and the part itself.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -89,6 +90,30 @@
     kept_us.clamp(MIN_KEPT_US, MAX_KEPT_US)
 }
 
+/// Parts of one engine that a daemon tells another one which has just started: the ones that were used
+/// last. More are kept only by engines with much memory, and asked for less.
+const MAX_TAKEN_OVER: usize = 100;
+
+/// A part that an engine is believed to keep, as daemons tell those that start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct HeldPart {
+    /// Key of the part.
+    pub part: u64,
+    /// Size.
+    pub tokens: u64,
+    /// Time since its last use.
+    pub age_ms: u64,
+}
+
+/// What one engine is believed to keep, as daemons tell those that start.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct EngineMemory {
+    /// Short name of the engine's life.
+    pub endpoint: u32,
+    /// Parts, the one that was used last first.
+    pub parts: Vec<HeldPart>,
+}
+
 /// A part that an endpoint has read.
 #[derive(Clone, Copy, Debug)]
 struct UsedPart {
@@ -150,6 +175,47 @@
         before.is_none_or(|before| now.since(before.used_at_us) >= TELL_AGAIN_US)
     }
 
+    /// Notes that the engine says it keeps a part, and returns whether that is news.
+    pub fn kept(&mut self, key: PartKey, tokens: u64, now: TimeUs) -> bool {
+        match self.parts.peek_mut(&key) {
+            Some(part) => {
+                part.tokens = tokens;
+                false
+            }
+            None => self.used(key, tokens, now),
+        }
+    }
+
+    /// Notes that the engine says it keeps no more of a part, and returns whether that is news.
+    pub fn evicted(&mut self, key: PartKey) -> bool {
+        let Some(part) = self.parts.pop(&key) else {
+            return false;
+        };
+        self.held_tokens = self.held_tokens.saturating_sub(part.tokens);
+        true
+    }
+
+    /// Lists the parts that were used last, the newest first.
+    pub fn newest(&self, now: TimeUs) -> Vec<HeldPart> {
+        let parts = self.parts.iter().take(MAX_TAKEN_OVER);
+        let held = parts.map(|(key, part)| HeldPart {
+            part: key.0,
+            tokens: part.tokens,
+            age_ms: now.since(part.used_at_us).as_ms(),
+        });
+        held.collect()
+    }
+
+    /// Takes over what another daemon knows of a part, unless more is known of it here.
+    pub fn take_over(&mut self, held: &HeldPart, now: TimeUs) {
+        let age_us = DurationUs::from_ms(held.age_ms);
+        let used_at_us = TimeUs::new(now.get().saturating_sub(age_us.get()));
+        let key = PartKey(held.part);
+        if self.parts.peek(&key).is_none() {
+            self.used(key, held.tokens, used_at_us);
+        }
+    }
+
     /// Forgets everything, as the endpoint does when its weights change.
     pub fn clear(&mut self) {
         self.parts.clear();
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -32,7 +32,7 @@
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
 pub use decide::part_stores::{Fetch, FreeOrder, PartStores};
-pub use decide::parts::{PartCache, PartKey, PartNamer};
+pub use decide::parts::{EngineMemory, HeldPart, PartCache, PartKey, PartNamer};
 pub use decide::placement::{Placement, place};
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -64,6 +64,7 @@
 ) -> Vec<u8> {
     let mut beacon = base(shared, plan, now);
     beacon.endpoints = endpoint_news(shared, plan, relayed, own, now);
+    beacon.followed = followed(shared, own, now);
     beacon.parts = relayed.near_parts.clone();
     if own.is_some() {
         beacon.parts.extend(&relayed.far_parts);
@@ -99,6 +100,7 @@
         is_store_reachable,
         revisions: shared.watches.changed(),
         endpoints: Vec::new(),
+        followed: Vec::new(),
         parts: Vec::new(),
         stores: Vec::new(),
         kept: Vec::new(),
@@ -149,6 +151,17 @@
     endpoints.iter().map(news).filter(says_something).collect()
 }
 
+/// Returns the engines whose memory this daemon follows; for `own` all that are followed.
+fn followed(shared: &Shared, own: Option<Ipv4Addr>, now: TimeUs) -> Vec<u32> {
+    let endpoints = shared.endpoints.lock();
+    let is_told = |row: &&EndpointRow| match own {
+        Some(_) => row.followed_until_us > now,
+        None => row.followed_until_us > now && shared.follows_engine(row.instance()),
+    };
+    let told = endpoints.iter().filter(is_told);
+    told.map(|row| row.short_name).collect()
+}
+
 fn store_news(shared: &Shared, now: TimeUs) -> Vec<StoreNews> {
     shared.part_stores.lock().store_news(now)
 }
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -21,6 +21,7 @@
 use super::budgets::Budgets;
 use super::drain::Drain;
 use super::durations::Durations;
+use super::engine_news::{run_engine_news, take_over};
 use super::entries::EntrySide;
 use super::lease::lease_table;
 use super::orders::{run_orders, wanted_snapshot};
@@ -85,6 +86,7 @@
         let bounds = settings.bounds()?;
         let endpoints = EndpointTable::default().with_last_resort(bounds.last_resort());
         let shared = Shared {
+            started_at_us: BootClock.now(),
             clock: BootClock,
             incarnation,
             borders,
@@ -98,6 +100,7 @@
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
             life_ended: Notify::new(),
+            followed_engines: Mutex::default(),
             budgets: Budgets::new(settings.retry.clone()),
             durations: Durations::default(),
             watches: WatchStates::default(),
@@ -135,6 +138,8 @@
         tokio::spawn(run_registration(Arc::clone(&shared)));
         tokio::spawn(run_orders(Arc::clone(&shared)));
         tokio::spawn(run_freeing(Arc::clone(&shared)));
+        tokio::spawn(run_engine_news(Arc::clone(&shared)));
+        tokio::spawn(take_over(Arc::clone(&shared)));
         tokio::spawn(run_housekeeping(Arc::clone(&shared)));
         tokio::spawn(run_reloads(Arc::clone(&shared), self.settings_path));
         wait_for_end(&shared).await
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod daemon;
 mod drain;
 mod durations;
+mod engine_news;
 mod entries;
 mod flight;
 mod lease;
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -10,6 +10,7 @@
 use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::time::Instant;
 use wisteriahitch_types::{ByteCount, DurationUs, TimeUs};
@@ -26,7 +27,7 @@
 use crate::decide::beacon::Beacon;
 use crate::decide::hubs::HubCandidate;
 use crate::decide::members::Heard;
-use crate::decide::parts::PartKey;
+use crate::decide::parts::{EngineMemory, PartKey};
 use crate::observe::Event;
 
 /// Time between two messages. Placement rests on what the others have sent meanwhile; one costs a
@@ -42,6 +43,9 @@
 /// How long a told order keeps an endpoint from taking requests, if nothing more is heard.
 const RESERVED_US: DurationUs = DurationUs::from_ms(600);
 
+/// How long a told following of an engine's memory counts, if nothing more is heard.
+const FOLLOWED_US: DurationUs = DurationUs::from_ms(800);
+
 /// Longest wait for a peer's objects.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -54,6 +58,9 @@
 /// Start of the paths of what peers know of part stores.
 const PARTS_PATH: &str = "/v1/parts/";
 
+/// Path of what peers believe that engines keep.
+const ENGINES_PATH: &str = "/v1/engine-memory";
+
 fn me(shared: &Shared) -> HubCandidate {
     HubCandidate {
         ip: shared.settings.ip,
@@ -215,6 +222,9 @@
     let reserved = beacon.endpoints.iter().filter(|news| news.is_reserved);
     let reserved = reserved.map(|news| news.endpoint).collect();
     let is_new = endpoints.peer_reserved(beacon.incarnation, reserved, now + RESERVED_US, now);
+    for short_name in &beacon.followed {
+        endpoints.followed(*short_name, now + FOLLOWED_US);
+    }
     if is_new {
         // A hub tells it on at once: what is sent there until the others know is refused.
         shared.peers.hurry.notify_one();
@@ -313,6 +323,27 @@
     }
 }
 
+/// What a daemon tells one that has just started of the engines.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Takeover {
+    /// Time since the sender's start.
+    pub(super) up_ms: u64,
+    pub(super) engines: Vec<EngineMemory>,
+}
+
+fn takeover(shared: &Shared) -> Takeover {
+    let now = shared.now();
+    Takeover {
+        up_ms: now.since(shared.started_at_us).as_ms(),
+        engines: shared.endpoints.lock().engine_memory(now),
+    }
+}
+
+/// Asks a daemon what it knows of the engines.
+pub(super) async fn ask_takeover(shared: &Shared, ip: Ipv4Addr) -> Result<Takeover, String> {
+    ask(shared, ip, ENGINES_PATH).await
+}
+
 async fn ask<T: DeserializeOwned>(shared: &Shared, ip: Ipv4Addr, path: &str) -> Result<T, String> {
     let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
     let text = |error: wisteriahitch_wire::http_client::HttpError| error.to_string();
@@ -365,6 +396,7 @@
             return json(&shared.part_stores.lock().kept_at(store));
         }
         match path {
+            ENGINES_PATH => json(&takeover(shared)),
             "/metrics" => Some(metrics(shared).into()),
             "/v1/dump" => Some(super::daemon::dump(shared).into()),
             _ => None,
@@ -372,7 +404,7 @@
     }
 }
 
-fn json<T: serde::Serialize>(value: &T) -> Option<Bytes> {
+fn json<T: Serialize>(value: &T) -> Option<Bytes> {
     serde_json::to_vec(value).ok().map(Bytes::from)
 }
 
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -1,5 +1,6 @@
 //! What all tasks of a daemon share.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -45,6 +46,7 @@
     pub(crate) bounds: Bounds,
     pub(crate) clock: BootClock,
     pub(crate) incarnation: Incarnation,
+    pub(crate) started_at_us: TimeUs,
     pub(crate) borders: Borders,
     pub(crate) site: SiteState,
     /// Locked for one step at a time and never across an await, as every table here.
@@ -53,6 +55,8 @@
     pub(crate) peers: PeerState,
     /// Connections to endpoints, each to one life.
     pub(crate) pool: ConnectionPool<EndpointInstance>,
+    /// Engines whose memory this daemon follows for all.
+    pub(crate) followed_engines: Mutex<HashSet<EndpointInstance>>,
     /// Wakes those who wait for the end of an endpoint's life.
     pub(crate) life_ended: Notify,
     pub(crate) budgets: Budgets,
@@ -126,6 +130,11 @@
         }
     }
 
+    /// Returns whether this daemon follows an engine's memory for all.
+    pub(crate) fn follows_engine(&self, instance: &EndpointInstance) -> bool {
+        self.followed_engines.lock().contains(instance)
+    }
+
     /// Waits until the life of an endpoint that a call was sent to is known to have ended.
     ///
     /// A process that crashed behind a partition closes no connection: a call there would hang until
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/beacon.rs
@@ -36,6 +36,7 @@
         is_store_reachable: true,
         revisions: vec![],
         endpoints: (0..endpoints).map(work).collect(),
+        followed: vec![],
         parts: (0..parts).map(part).collect(),
         stores: vec![],
         kept: (0..kept).map(keep).collect(),
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -81,6 +81,7 @@
         ));
         row.outlier.eject(&options, at_ms(0));
         row.parts.used(PartKey(1), 100, at_ms(0));
+        row.followed_until_us = at_ms(60_000);
         row.reserved_until_us = at_ms(60_000);
     }
     table.saw_weights(&before, &model(), WeightNumber::new(9));
@@ -96,10 +97,11 @@
     assert!(table.get(&before).is_none() && table.has_ended(&before));
     let row = table.get(&after).unwrap();
     let (parts, names) = fields!(row;
-        endpoint, life, is_displaced, own, peers, told, outlier, parts, reserved_until_us,
-        short_name,
+        endpoint, life, is_displaced, own, peers, told, outlier, parts, followed_until_us,
+        reserved_until_us, short_name,
     );
-    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, reserved, name) = parts;
+    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, followed, reserved, name) =
+        parts;
     assert_eq!(*endpoint, born("a", 2_000, 11), "its weights among them");
     assert_eq!(*life, EndpointLife::Ready);
     assert!(!is_displaced);
@@ -107,6 +109,7 @@
     assert!(told.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
+    assert_eq!(*followed, TimeUs::ZERO);
     assert_eq!(*reserved, TimeUs::ZERO);
     assert_ne!(*name, short_name_before);
 
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod docs;
 mod endpoint_lives;
 mod endpoint_table;
+mod engine_memory;
 mod event_log;
 mod fixture;
 mod link_paces;
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -23,6 +23,7 @@
         is_store_reachable: true,
         revisions: vec![],
         endpoints: vec![],
+        followed: vec![],
         parts: vec![],
         stores: vec![],
         kept: vec![],
