fix(relay): take absurd loads and foreign senders of messages for what they are

Loads that peers tell were added up as they stood; beyond all numbers they panicked in builds that check and wrapped to an idle engine in others. A message counts only if it comes from the address that it names.

--- a/crates/wisteriahitch-relay/src/decide/backlog.rs
+++ b/crates/wisteriahitch-relay/src/decide/backlog.rs
@@ -14,11 +14,11 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load, up to the most that can be written.
     pub fn add(&mut self, other: Load) {
-        self.running += other.running;
-        self.unread_tokens += other.unread_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.running = self.running.saturating_add(other.running);
+        self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
 
     /// Takes another load away, as far as it is there.
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -191,7 +191,8 @@
         });
         return;
     };
-    if beacon.ip == shared.settings.ip {
+    // What it says of itself is told on, and messages are sent where it says it is.
+    if beacon.ip == shared.settings.ip || from.ip() != beacon.ip {
         return;
     }
     match shared.peers.table().heard(&beacon, now) {
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/beacon.rs
@@ -1,5 +1,7 @@
 //! Messages that are too large.
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use wisteriahitch_relay::{Beacon, EndpointNews, KeptNews, Load, MemberPhase, PartNews};
 use wisteriahitch_types::Incarnation;
 
@@ -91,3 +93,40 @@
         assert_eq!(left, case.left, "{}", case.what);
     }
 }
+
+/// Cases in a usual run; `WISTERIAHITCH_DECODE_CASES` asks for others.
+const CASES: u32 = 300;
+
+/// Symptom: a daemon ends for a message that isn't one. Any bytes, and a good message with some bytes
+/// changed, are read as a message or refused.
+#[test]
+fn any_message_is_read_or_refused() {
+    let cases = std::env::var("WISTERIAHITCH_DECODE_CASES");
+    let config = Config {
+        cases: cases.map_or(CASES, |cases| cases.parse().unwrap()),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let good = postcard::to_stdvec(&beacon(3, 2, 4)).unwrap();
+    let changes = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
+    let strategy = (prop::collection::vec(any::<u8>(), 0..200), changes);
+    let test = |(bytes, changes): (Vec<u8>, Vec<(prop::sample::Index, u8)>)| {
+        let mut changed = good.clone();
+        for (place, byte) in changes {
+            let place = place.index(changed.len());
+            changed[place] = byte;
+        }
+        for message in [bytes, changed] {
+            if let Ok(beacon) = postcard::from_bytes::<Beacon>(&message) {
+                // Nothing in it is longer than the message.
+                prop_assert!(beacon.endpoints.len() <= message.len());
+                prop_assert!(beacon.parts.len() <= message.len());
+                prop_assert!(beacon.zone.len() <= message.len());
+            }
+        }
+        Ok(())
+    };
+    runner.run(&strategy, test).unwrap();
+}
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -152,6 +152,25 @@
     assert_eq!(row.weights(&model()), Some(WeightNumber::new(1)));
 }
 
+/// Symptom: a daemon ends, or takes a full engine for an idle one. Sequence: messages name loads beyond all
+/// numbers. Cause: they were added up as they stood.
+#[test]
+fn absurd_loads_of_peers_add_up_to_the_most() {
+    let mut table = site();
+    table.registered(born("a", 1_000, 10));
+    let name = table.get(&life("a", 1_000)).unwrap().short_name;
+    let most = Load {
+        running: u32::MAX,
+        unread_tokens: u64::MAX,
+        memory_tokens: u64::MAX,
+    };
+    for peer in [7, 8] {
+        let loads = HashMap::from([(name, most)]);
+        table.peer_load(Incarnation::new(peer), loads, at_ms(0));
+    }
+    assert_eq!(table.get(&life("a", 1_000)).unwrap().load(), most);
+}
+
 /// Symptom: an engine that restarted is shut out for good, or one that is gone is used again.
 /// Sequence: its clock was set back before the restart, or an old registration arrives late. Cause:
 /// its start was taken for an order in time. The store's revision is one.
