fix(rollout): let engines with older weights go before a second load

Cause: an engine that had just loaded one version got the next one at once in the same place, while others waited for their first.

Test: an_engine_with_older_weights_goes_before_a_second_load, seen failing (the place was still a's); a_version_named_during_a_load_follows_at_once holds.

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -100,6 +100,8 @@
 pub struct Rollout {
     pace: RolloutPace,
     active: BTreeMap<EndpointInstance, Active>,
+    /// Oldest weights of the engines that wait for their turn.
+    oldest_waiting: Option<WeightNumber>,
     /// Engines that couldn't be reached, and until when others go first.
     resting: BTreeMap<EndpointInstance, TimeUs>,
 }
@@ -110,6 +112,7 @@
         Self {
             pace: RolloutPace::new(options),
             active: BTreeMap::new(),
+            oldest_waiting: None,
             resting: BTreeMap::new(),
         }
     }
@@ -189,7 +192,13 @@
             return;
         }
         // Another version may have been named since the order: once it is carried out, the next
-        // one can follow.
+        // one can follow, unless engines with still older weights wait. Their time runs out first.
+        let has_loaded = active.accepted.is_some_and(|(ordered, _)| has >= ordered);
+        if has_loaded && self.oldest_waiting.is_some_and(|oldest| oldest < has) {
+            self.pace.returned(now.since(active.taken_at_us));
+            self.active.remove(endpoint);
+            return;
+        }
         let is_loading = active.loads(now).is_some_and(|ordered| has < ordered);
         active.phase = match is_loading || report.is_busy {
             true => Phase::AskAt(now + REPORT_US),
@@ -259,6 +268,7 @@
             false => ANNOUNCE_US,
         };
         let free = parallel.saturating_sub(self.active.len());
+        self.oldest_waiting = waiting.get(free).map(|row| row.has);
         for row in waiting.into_iter().take(free) {
             let active = Active {
                 model: row.model.clone(),
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -157,6 +157,25 @@
     assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
 }
 
+/// Symptom: some engines still have weights that were replaced twice when all must have new ones, and others
+/// have loaded twice. Sequence: the next version is named while engines load the one before; those get
+/// their second order at once, while others wait for their first. Cause: an engine kept its place among the
+/// few that are taken out at once.
+#[test]
+fn an_engine_with_older_weights_goes_before_a_second_load() {
+    let mut rollout = rollout(1);
+    let behind = |has_a, wanted| [row("a", has_a, wanted, 0), row("b", 1, wanted, 9)];
+    rollout.tick(&behind(1, 2), ENGINES, at_ms(0));
+    rollout.tick(&behind(1, 2), ENGINES, at_ms(200));
+    rollout.reported(&id("a"), Some(&report(1, 0)), at_ms(210));
+    rollout.tick(&behind(1, 2), ENGINES, at_ms(220));
+    rollout.ordered(&id("a"), &OrderOutcome::Accepted, at_ms(230));
+    rollout.tick(&behind(1, 3), ENGINES, at_ms(440));
+    rollout.reported(&id("a"), Some(&report(2, 1)), at_ms(450));
+    rollout.tick(&behind(2, 3), ENGINES, at_ms(460));
+    assert_eq!(rollout.reserved().cloned().collect::<Vec<_>>(), [id("b")]);
+}
+
 /// Symptom: an engine carries out an order twice, or ends with the older one. Sequence: an order's
 /// answer is lost; the next order follows; the first one is carried out seconds later. Cause: the
 /// second order didn't say how many orders it expects to come after.
