perf(watch): let daemons that hear of the store ask it seldom while it is away

Ruled out: not asking at all (the store may turn away just those that follow it for others).

Change: daemons that only hear of the store, and have heard all they need, wait 50 ms for each daemon of the fleet, 10 s at most; those that follow it ask as before. Members are listed again after the usual five seconds also where a listing failed.

Fleets of up to twelve daemons are as before.

Test: store_retry::a_large_fleet_asks_a_store_that_is_away_at_a_bounded_rate, a table of the decision; the function is new with it, so that it wasn't seen failing on the code before.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -19,5 +19,6 @@
 pub(crate) mod placement_request;
 pub(crate) mod rollout;
 pub(crate) mod rollout_pace;
+pub(crate) mod store_retry;
 pub(crate) mod stream_events;
 pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -37,6 +37,7 @@
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
 pub use decide::rollout_pace::{Overrun, PaceOptions, Remaining, RolloutPace};
+pub use decide::store_retry::retry_pause;
 pub use decide::stream_events::{EventFramer, Framed, FramingError};
 pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 pub use observe::{BoundedLabel, CallEnded, Event, EventLog, LogBudget, ProcessUse};
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -67,7 +67,13 @@
                     what: "listing the daemons",
                     detail: error.to_string(),
                 });
-                tokio::time::sleep(RETRY_PAUSE * 2).await;
+                // Whoever has seen the others once hears of them; the list only heals what that missed.
+                let pause = if is_first {
+                    RETRY_PAUSE * 2
+                } else {
+                    LIST_INTERVAL
+                };
+                tokio::time::sleep(pause).await;
             }
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -14,6 +14,7 @@
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
+use crate::decide::store_retry::retry_pause;
 use crate::observe::Event;
 
 /// Where news comes from, for the log.
@@ -28,14 +29,6 @@
 /// Time between two looks whether this daemon is to ask the store itself.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Pauses after a call of the store failed, from the first one on.
-const RETRY_PAUSES: [Duration; 4] = [
-    Duration::from_millis(100),
-    Duration::from_millis(200),
-    Duration::from_millis(400),
-    Duration::from_millis(800),
-];
-
 /// Longest text of others in a log line. Who can write an entry could else fill the log with it.
 const MAX_TOLD_CHARS: usize = 200;
 
@@ -58,7 +51,7 @@
                 is_history_gone = gone;
             }
             Err(error) => {
-                let pause = RETRY_PAUSES[failures.min(RETRY_PAUSES.len() - 1)];
+                let pause = pause_after_failure(&shared, role, failures);
                 failures += 1;
                 note_failure(&shared, role, &error);
                 tokio::time::sleep(pause.mul_f64(rand::random_range(0.8..1.2))).await;
@@ -77,6 +70,13 @@
     is_listed && !shared.peers.follows_stores() && shared.peers.hears_of_store(me, shared.now())
 }
 
+/// Returns how long to wait before the store is asked again.
+fn pause_after_failure(shared: &Shared, role: ObjectRole, failures: usize) -> Duration {
+    let is_listed = shared.watches.of(role).lock().is_listed;
+    let hears = is_listed && !shared.peers.follows_stores();
+    retry_pause(failures, hears, shared.peers.daemons()).into()
+}
+
 async fn list(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let listing = shared.borders.store.list(role, false).await;
     count(shared, role, listing.is_ok());
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -22,5 +22,6 @@
 mod rollout;
 mod routes;
 mod settings;
+mod store_retry;
 mod stream_events;
 mod wanted_weights;
