fix(relay): of two listed at one address the later registration has it

Cause: a daemon that starts lists the registrations of an endpoint that is gone and of the one that has its address now; the one that was read last counted as the later one. Change: revisions decide, as between two registrations of one id. Test: of_two_listed_at_one_address_the_later_registration_has_it, seen failing for both names.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -96,7 +96,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     rows: BTreeMap<EndpointId, EndpointRow>,
-    by_hash: HashMap<u32, EndpointId>,
+    by_short_name: HashMap<u32, EndpointId>,
     peer_loads: HashMap<Incarnation, PeerLoad>,
     /// Memory of the engines of each service, from the configuration.
     memory_tokens: HashMap<ServiceName, u64>,
@@ -350,12 +350,12 @@
         let old = self.peer_loads.remove(&peer);
         let reserved = old.as_ref().map(|old| old.reserved.clone());
         for (hash, load) in old.iter().flat_map(|old| &old.loads) {
-            if let Some(row) = self.row_by_hash(*hash) {
+            if let Some(row) = self.row_by_short_name(*hash) {
                 row.peers.sub(*load);
             }
         }
         for (hash, load) in &loads {
-            if let Some(row) = self.row_by_hash(*hash) {
+            if let Some(row) = self.row_by_short_name(*hash) {
                 row.peers.add(*load);
             }
         }
@@ -392,7 +392,7 @@
             if peers.any(|told| told.reserved.contains(&hash)) {
                 continue;
             }
-            if let Some(row) = self.row_by_hash(hash) {
+            if let Some(row) = self.row_by_short_name(hash) {
                 row.reserved_until_us = row.reserved_until_us.min(now);
             }
         }
@@ -406,7 +406,7 @@
 
     /// Notes that an endpoint with this short name has read a part; one of no tokens is gone.
     pub fn has_part(&mut self, hash: u32, key: PartKey, tokens: u64, now: TimeUs) {
-        if let Some(row) = self.row_by_hash(hash) {
+        if let Some(row) = self.row_by_short_name(hash) {
             match tokens {
                 0 => row.parts.evicted(key),
                 _ => row.parts.used(key, tokens, now),
@@ -448,7 +448,7 @@
 
     /// Notes until when somebody follows an engine's memory, as a peer tells.
     pub fn followed(&mut self, short_name: u32, until: TimeUs) {
-        if let Some(row) = self.row_by_hash(short_name) {
+        if let Some(row) = self.row_by_short_name(short_name) {
             row.followed_until_us = row.followed_until_us.max(until);
         }
     }
@@ -466,7 +466,7 @@
     /// Takes over which parts engines keep, from a daemon that has been there for longer.
     pub fn take_over(&mut self, memory: &[EngineMemory], now: TimeUs) {
         for engine in memory {
-            let Some(row) = self.row_by_hash(engine.endpoint) else {
+            let Some(row) = self.row_by_short_name(engine.endpoint) else {
                 continue;
             };
             // The oldest first, so that the order of last uses is theirs.
@@ -479,7 +479,7 @@
     /// Notes that an order keeps an endpoint from taking requests until `until`, and returns
     /// whether that is new.
     pub fn reserve(&mut self, hash: u32, until: TimeUs, now: TimeUs) -> bool {
-        let Some(row) = self.row_by_hash(hash) else {
+        let Some(row) = self.row_by_short_name(hash) else {
             return false;
         };
         let is_new = row.reserved_until_us <= now;
@@ -565,7 +565,7 @@
             }
         }
         let id = endpoint.instance.id.clone();
-        self.by_hash.insert(short_name, id.clone());
+        self.by_short_name.insert(short_name, id.clone());
         let row = EndpointRow {
             endpoint,
             life,
@@ -586,11 +586,12 @@
         let instance = self.rows.get(id)?.instance().clone();
         self.release_address(&instance);
         let row = self.rows.remove(id)?;
-        self.by_hash.remove(&row.short_name);
+        self.by_short_name.remove(&row.short_name);
         Some(row)
     }
 
-    /// Takes the address of an endpoint that has just registered there from the others.
+    /// Takes the address of an endpoint that has just been seen there from the others that registered
+    /// before it, or from itself where another one registered later.
     ///
     /// Addresses are used again soon after a crash, and the registration of the one that crashed stays
     /// for some heartbeats. One with an unknown service claims nothing: nobody would ever find out by
@@ -602,15 +603,24 @@
         if !self.has_known_service(row) || !row.takes_requests() {
             return Vec::new();
         }
-        let address = row.endpoint.address;
-        let loses = |row: &&mut EndpointRow| {
+        let (address, revision) = (row.endpoint.address, row.endpoint.revision);
+        let others = self.rows.values_mut().filter(|row| {
             row.endpoint.address == address && row.instance() != instance && !row.is_displaced
-        };
+        });
         let mut changes = Vec::new();
-        for row in self.rows.values_mut().filter(loses) {
+        let mut is_late = false;
+        for row in others {
+            if row.takes_requests() && row.endpoint.revision > revision {
+                is_late = true;
+                continue;
+            }
             row.is_displaced = true;
             changes.push(EndpointChange::Displaced(row.endpoint.instance.clone()));
         }
+        if let Some(row) = self.get_mut(instance).filter(|_| is_late) {
+            row.is_displaced = true;
+            changes.push(EndpointChange::Displaced(instance.clone()));
+        }
         changes
     }
 
@@ -626,8 +636,8 @@
         }
     }
 
-    fn row_by_hash(&mut self, hash: u32) -> Option<&mut EndpointRow> {
-        let id = self.by_hash.get(&hash)?;
+    fn row_by_short_name(&mut self, short_name: u32) -> Option<&mut EndpointRow> {
+        let id = self.by_short_name.get(&short_name)?;
         self.rows.get_mut(id)
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -333,6 +333,43 @@
     assert!(!is_displaced(&table, "a"));
 }
 
+/// Symptom: a daemon that starts sends calls to an engine that is gone, and none to the one at its address.
+/// Sequence: both registrations are listed at once. Cause: the one that was read last counted as the later
+/// one.
+#[test]
+fn of_two_listed_at_one_address_the_later_registration_has_it() {
+    struct Case {
+        gone: (&'static str, u64),
+        there: (&'static str, u64),
+    }
+    let cases = [
+        Case {
+            gone: ("a", 10),
+            there: ("b", 11),
+        },
+        Case {
+            gone: ("b", 10),
+            there: ("a", 11),
+        },
+    ];
+    for case in cases {
+        let at_one_address = |(name, revision): (&str, u64)| {
+            let endpoint = Endpoint {
+                address: engine_address("a"),
+                ..born(name, 1_000, revision)
+            };
+            Registration::Good(endpoint)
+        };
+        let mut table = site();
+        let mut listing = vec![at_one_address(case.gone), at_one_address(case.there)];
+        listing.sort_by_key(|registration| format!("{registration:?}"));
+        table.listed(listing, Absence::Left, at_ms(0));
+        let is_displaced = |name| table.get(&life(name, 1_000)).unwrap().is_displaced;
+        assert!(is_displaced(case.gone.0), "{}", case.gone.0);
+        assert!(!is_displaced(case.there.0), "{}", case.there.0);
+    }
+}
+
 /// Symptom: an engine that crashed while it loaded new weights keeps the old ones for seconds.
 /// Sequence: its order is accepted, it crashes and is back at once with the weights of before. Cause:
 /// the order was still believed to be under way.
