feat(relay): suspect an endpoint that several daemons can't connect to

Cause: when engines fall silent each daemon finds out about each of them by calls of its own that wait for a connection; with 195 daemons and 20 silent engines that is some thousand calls.

Ruled out: believing one daemon (it may be the one that is cut off); handing on a verdict of a hub as evidence (two hubs would confirm each other for ever).

Change: daemons tell which endpoints they couldn't connect to lately. Two such witnesses, own failure included, make an endpoint suspected for 0.8 s; hubs tell their verdict on. Suspected endpoints are passed over like ejected ones, as long as others are there.

--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -109,6 +109,9 @@
     pub endpoints: Vec<EndpointNews>,
     /// Short names of the engines whose memory the sender follows, or knows to be followed.
     pub followed: Vec<u32>,
+    /// Short names of the endpoints that the sender couldn't connect to lately; of a hub those that
+    /// several daemons couldn't.
+    pub unreachable: Vec<u32>,
     /// Parts that were read since the last message.
     pub parts: Vec<PartNews>,
     /// Stores of prompt parts of which the sender has news.
@@ -138,6 +141,8 @@
                 self.parts.truncate(self.parts.len() / 2);
             } else if !self.kept.is_empty() {
                 self.kept.truncate(self.kept.len() / 2);
+            } else if !self.unreachable.is_empty() {
+                self.unreachable.truncate(self.unreachable.len() / 2);
             } else if !self.followed.is_empty() {
                 self.followed.truncate(self.followed.len() / 2);
             } else if self.endpoints.pop().is_none() {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -48,6 +48,12 @@
     pub parts: PartCache,
     /// Until when `parts` follows what the engine itself tells of its memory.
     pub followed_until_us: TimeUs,
+    /// Until when this daemon's own failure to connect counts as evidence.
+    pub unreachable_until_us: TimeUs,
+    /// Until when several daemons say to this one that it can't be reached.
+    pub weighed_until_us: TimeUs,
+    /// The same, or a hub says so that has heard it from several.
+    pub suspected_until_us: TimeUs,
     /// Until when an order keeps it from taking requests.
     pub reserved_until_us: TimeUs,
     /// Short name under which daemons tell each other of this life.
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -28,6 +28,15 @@
 /// Time after which what a peer told of its load no longer counts.
 const PEER_LOAD_LIFE_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Daemons that must have failed to connect to an endpoint before it is suspected by all.
+const MIN_WITNESSES: usize = 2;
+
+/// How long a failure to connect counts as evidence: some messages, so that others hear of it.
+const EVIDENCE_LIFE_US: DurationUs = DurationUs::from_ms(1_200);
+
+/// How long an endpoint is suspected after the last evidence was weighed. Then calls try it again.
+const VERDICT_LIFE_US: DurationUs = DurationUs::from_ms(800);
+
 /// Weights that are taken for the memory of an engine which doesn't say how much it has.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
@@ -38,6 +47,8 @@
     loads: HashMap<u32, Load>,
     /// Endpoints that it says an order keeps from taking requests.
     reserved: HashSet<u32>,
+    /// Endpoints that it couldn't connect to lately.
+    unreachable: HashSet<u32>,
 }
 
 /// Says how much an absence from the store means.
@@ -349,6 +360,7 @@
     pub fn peer_load(&mut self, peer: Incarnation, loads: HashMap<u32, Load>, now: TimeUs) {
         let old = self.peer_loads.remove(&peer);
         let reserved = old.as_ref().map(|old| old.reserved.clone());
+        let unreachable = old.as_ref().map(|old| old.unreachable.clone());
         for (hash, load) in old.iter().flat_map(|old| &old.loads) {
             if let Some(row) = self.row_by_short_name(*hash) {
                 row.peers.sub(*load);
@@ -363,6 +375,7 @@
             told_at_us: now,
             loads,
             reserved: reserved.unwrap_or_default(),
+            unreachable: unreachable.unwrap_or_default(),
         };
         self.peer_loads.insert(peer, told);
     }
@@ -414,6 +427,57 @@
         }
     }
 
+    /// Notes that this daemon couldn't connect to an endpoint.
+    pub fn unreachable(&mut self, instance: &EndpointInstance, now: TimeUs) {
+        if let Some(row) = self.get_mut(instance) {
+            row.unreachable_until_us = now + EVIDENCE_LIFE_US;
+            let short_name = row.short_name;
+            self.weigh_evidence(short_name, now);
+        }
+    }
+
+    /// Takes over which endpoints a peer couldn't connect to lately. `is_verdict` says that the peer has
+    /// weighed what several daemons said.
+    pub fn peer_unreachable(
+        &mut self,
+        peer: Incarnation,
+        unreachable: HashSet<u32>,
+        is_verdict: bool,
+        now: TimeUs,
+    ) {
+        for short_name in unreachable.iter().filter(|_| is_verdict) {
+            if let Some(row) = self.row_by_short_name(*short_name) {
+                row.suspected_until_us = now + VERDICT_LIFE_US;
+            }
+        }
+        let Some(told) = self.peer_loads.get_mut(&peer) else {
+            return;
+        };
+        told.unreachable.clone_from(&unreachable);
+        for short_name in unreachable {
+            self.weigh_evidence(short_name, now);
+        }
+    }
+
+    /// Suspects an endpoint that two daemons couldn't connect to.
+    ///
+    /// Load pattern: engines fall silent, and each daemon of a large fleet finds out about each of them by
+    /// a call that waits for nothing. One daemon alone may itself be cut off; so may two, but then the
+    /// others lose at most what those two can't reach, and where all are suspected none counts as such.
+    fn weigh_evidence(&mut self, short_name: u32, now: TimeUs) {
+        let peers = self.peer_loads.values();
+        let peers = peers.filter(|told| told.unreachable.contains(&short_name));
+        let peers = peers.take(MIN_WITNESSES).count();
+        let Some(row) = self.row_by_short_name(short_name) else {
+            return;
+        };
+        let own = usize::from(row.unreachable_until_us > now);
+        if peers + own >= MIN_WITNESSES {
+            row.weighed_until_us = now + VERDICT_LIFE_US;
+            row.suspected_until_us = now + VERDICT_LIFE_US;
+        }
+    }
+
     /// Takes over what an engine tells of its memory, and returns what is news to the other daemons.
     pub fn part_events(
         &mut self,
@@ -576,6 +640,9 @@
             outlier: Outlier::default(),
             parts: PartCache::new(memory.unwrap_or(DEFAULT_MEMORY_TOKENS)),
             followed_until_us: TimeUs::ZERO,
+            unreachable_until_us: TimeUs::ZERO,
+            weighed_until_us: TimeUs::ZERO,
+            suspected_until_us: TimeUs::ZERO,
             reserved_until_us: TimeUs::ZERO,
             short_name,
         };
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -175,7 +175,8 @@
 ) -> Vec<&'a EndpointRow> {
     let usable = usable(table, request, now);
     let is_free = |row: &&EndpointRow| row.reserved_until_us <= now;
-    let is_good = |row: &&EndpointRow| !row.outlier.is_ejected(now);
+    let is_good =
+        |row: &&EndpointRow| !row.outlier.is_ejected(now) && row.suspected_until_us <= now;
     let is_there = |row: &&EndpointRow| row.life == EndpointLife::Ready && !row.is_displaced;
     let best: Vec<&EndpointRow> = usable
         .iter()
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -65,6 +65,7 @@
     let mut beacon = base(shared, plan, now);
     beacon.endpoints = endpoint_news(shared, plan, relayed, own, now);
     beacon.followed = followed(shared, own, now);
+    beacon.unreachable = unreachable(shared, plan, own, now);
     beacon.parts = relayed.near_parts.clone();
     if own.is_some() {
         beacon.parts.extend(&relayed.far_parts);
@@ -101,6 +102,7 @@
         revisions: shared.watches.changed(),
         endpoints: Vec::new(),
         followed: Vec::new(),
+        unreachable: Vec::new(),
         parts: Vec::new(),
         stores: Vec::new(),
         kept: Vec::new(),
@@ -162,6 +164,20 @@
     told.map(|row| row.short_name).collect()
 }
 
+/// Returns the endpoints that can't be reached: what this daemon found itself; as a hub of a large fleet
+/// what it has heard from several, and for `own` also what other hubs have.
+fn unreachable(shared: &Shared, plan: &HubPlan, own: Option<Ipv4Addr>, now: TimeUs) -> Vec<u32> {
+    let is_hub = !plan.is_small && plan.is_hub(shared.settings.ip);
+    let endpoints = shared.endpoints.lock();
+    let is_told = |row: &&EndpointRow| match (is_hub, own) {
+        (true, Some(_)) => row.suspected_until_us > now,
+        (true, None) => row.weighed_until_us > now,
+        (false, _) => row.unreachable_until_us > now,
+    };
+    let told = endpoints.iter().filter(is_told);
+    told.map(|row| row.short_name).collect()
+}
+
 fn store_news(shared: &Shared, now: TimeUs) -> Vec<StoreNews> {
     shared.part_stores.lock().store_news(now)
 }
--- a/crates/wisteriahitch-relay/src/shell/flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/flight.rs
@@ -122,6 +122,9 @@
             }
         };
         let failure_rate = row.outlier.failure_rate();
+        if landing == Landing::Unreachable {
+            endpoints.unreachable(&self.endpoint, now);
+        }
         drop(endpoints);
         if is_changed {
             self.shared.log.write(&Event::EndpointEjected {
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -223,6 +223,9 @@
     let reserved = beacon.endpoints.iter().filter(|news| news.is_reserved);
     let reserved = reserved.map(|news| news.endpoint).collect();
     let is_new = endpoints.peer_reserved(beacon.incarnation, reserved, now + RESERVED_US, now);
+    let unreachable = beacon.unreachable.iter().copied().collect();
+    let is_verdict = beacon.is_hub && !shared.peers.plan.lock().is_small;
+    endpoints.peer_unreachable(beacon.incarnation, unreachable, is_verdict, now);
     for short_name in &beacon.followed {
         endpoints.followed(*short_name, now + FOLLOWED_US);
     }
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/beacon.rs
@@ -39,6 +39,7 @@
         revisions: vec![],
         endpoints: (0..endpoints).map(work).collect(),
         followed: vec![],
+        unreachable: vec![],
         parts: (0..parts).map(part).collect(),
         stores: vec![],
         kept: (0..kept).map(keep).collect(),
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -43,9 +43,10 @@
 /// Takes a row apart, so that a new field doesn't compile before it is named here, and returns the
 /// names with the parts.
 macro_rules! fields {
-    ($row:expr; $($field:ident),+ $(,)?) => {{
-        let EndpointRow { $($field),+ } = $row;
-        (($($field),+), BTreeSet::from([$(stringify!($field)),+]))
+    ($row:expr; $($field:ident),+; times: $($time:ident),+; $name:ident) => {{
+        let EndpointRow { $($field),+, $($time),+, $name } = $row;
+        let names = [$(stringify!($field)),+, $(stringify!($time)),+, stringify!($name)];
+        (($($field),+, [$(*$time),+], $name), BTreeSet::from(names))
     }};
 }
 
@@ -82,6 +83,9 @@
         row.outlier.eject(&options, at_ms(0));
         row.parts.used(PartKey(1), 100, at_ms(0));
         row.followed_until_us = at_ms(60_000);
+        row.unreachable_until_us = at_ms(60_000);
+        row.weighed_until_us = at_ms(60_000);
+        row.suspected_until_us = at_ms(60_000);
         row.reserved_until_us = at_ms(60_000);
     }
     table.saw_weights(&before, &model(), WeightNumber::new(9));
@@ -97,11 +101,11 @@
     assert!(table.get(&before).is_none() && table.has_ended(&before));
     let row = table.get(&after).unwrap();
     let (parts, names) = fields!(row;
-        endpoint, life, is_displaced, own, peers, told, outlier, parts, followed_until_us,
-        reserved_until_us, short_name,
+        endpoint, life, is_displaced, own, peers, told, outlier, parts;
+        times: followed_until_us, unreachable_until_us, weighed_until_us, suspected_until_us,
+        reserved_until_us; short_name
     );
-    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, followed, reserved, name) =
-        parts;
+    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, times, name) = parts;
     assert_eq!(*endpoint, born("a", 2_000, 11), "its weights among them");
     assert_eq!(*life, EndpointLife::Ready);
     assert!(!is_displaced);
@@ -109,8 +113,10 @@
     assert!(told.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
-    assert_eq!(*followed, TimeUs::ZERO);
-    assert_eq!(*reserved, TimeUs::ZERO);
+    assert!(
+        times.iter().all(|until| *until == TimeUs::ZERO),
+        "{times:?}"
+    );
     assert_ne!(*name, short_name_before);
 
     let told: BTreeSet<&str> = LIVES_PAGE
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -24,4 +24,5 @@
 mod settings;
 mod store_retry;
 mod stream_events;
+mod suspicion;
 mod wanted_weights;
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -24,6 +24,7 @@
         revisions: vec![],
         endpoints: vec![],
         followed: vec![],
+        unreachable: vec![],
         parts: vec![],
         stores: vec![],
         kept: vec![],
