--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -84,6 +84,8 @@
     StoreReachable {
         kind: &'static str,
         is_reachable: bool,
+        /// Time since its last answer for this kind, if there was one.
+        silent_ms: Option<u64>,
         detail: String,
     },
     /// Objects were taken over from another daemon, since the store didn't tell them.
@@ -138,6 +140,7 @@
     pub kind: &'static str,
     pub workspace: String,
     pub config_version: u64,
+    pub config_age_ms: Option<u64>,
     pub outcome: &'static str,
     pub code: Option<u16>,
     pub status: u16,
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and histograms; `docs/METRICS.md` explains each.
 
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Gauge, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
@@ -64,8 +64,8 @@
     pub(crate) prompt_tokens: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
-    /// Time since the store last answered, in seconds.
-    pub(crate) store_age_s: Gauge,
+    /// Time since the store last answered for each kind, in seconds.
+    pub(crate) store_age_s: GaugeVec,
     /// Log lines that the budget or a slow reader left out.
     pub(crate) dropped_lines: IntCounter,
 }
@@ -136,7 +136,7 @@
             config_version: gauge("relay_config_version", "Configuration in force.")?,
             first_event_s: first_event_s(&registry)?,
             endpoints: endpoints(&registry)?,
-            store_age_s: seconds("relay_store_age_seconds", "Time since the store answered.")?,
+            store_age_s: store_age_s(&registry)?,
             rollout_late_s: seconds(
                 "relay_rollout_late_seconds",
                 "Time by which a rollout is expected to miss its bound.",
@@ -201,6 +201,13 @@
     Ok(gauges)
 }
 
+fn store_age_s(registry: &Registry) -> prometheus::Result<GaugeVec> {
+    let options = Opts::new("relay_store_age_seconds", "Time since the store answered.");
+    let gauges = GaugeVec::new(options, &["kind"])?;
+    registry.register(Box::new(gauges.clone()))?;
+    Ok(gauges)
+}
+
 fn gauge(registry: &Registry, name: &str, help: &str) -> prometheus::Result<IntGauge> {
     let gauge = IntGauge::new(name, help)?;
     registry.register(Box::new(gauge.clone()))?;
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -420,8 +420,14 @@
 }
 
 fn metrics(shared: &Shared) -> String {
-    let age = shared.watches.age(shared.now());
-    shared.metrics.store_age_s.set(age.as_secs_f64());
+    for role in WATCHED {
+        let Some(silent_ms) = shared.watches.silent_ms(role, shared.now()) else {
+            continue;
+        };
+        let ages = &shared.metrics.store_age_s;
+        let gauge = ages.with_label_values(&[kind_name(role)]);
+        gauge.set(DurationUs::from_ms(silent_ms).as_secs_f64());
+    }
     let endpoints = shared.endpoints.lock();
     for (life, count) in endpoints.count_by_life() {
         let gauge = shared.metrics.endpoints.with_label_values(&[life]);
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -7,6 +7,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use wisteriahitch_types::{Code, DurationUs};
+use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::answer_body::AnswerBody;
 use super::attempt::Call;
@@ -98,6 +99,9 @@
     let config = shared.site.config();
     let config = config.ok_or(Refusal::new(Code::NotReady).retry_after(NOT_READY_RETRY_US))?;
     trace.story().config_version = config.version.get();
+    trace.story().config_age_ms = shared
+        .watches
+        .silent_ms(ObjectRole::Configuration, shared.now());
     let route = config.routes.find(&head.host, parts.uri.path()).cloned();
     let route = route.ok_or_else(|| unknown(shared, Code::UnknownPath))?;
     trace.story().route = route.name.to_string();
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -126,6 +126,7 @@
 fn note_answer(shared: &Shared, role: ObjectRole) {
     let now = shared.now();
     let mut state = shared.watches.of(role).lock();
+    let silent_ms = state.silent_ms(now);
     state.answered_at_us = Some(now);
     if state.failing_since_us.take().is_none() {
         return;
@@ -135,6 +136,7 @@
     shared.log.write(&Event::StoreReachable {
         kind: kind_name(role),
         is_reachable: true,
+        silent_ms,
         detail: String::new(),
     });
 }
@@ -146,10 +148,12 @@
         return;
     }
     state.failing_since_us = Some(now);
+    let silent_ms = state.silent_ms(now);
     drop(state);
     shared.log.write(&Event::StoreReachable {
         kind: kind_name(role),
         is_reachable: false,
+        silent_ms,
         detail: error.to_string(),
     });
 }
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -69,13 +69,9 @@
             .all(|state| state.lock().failing_since_us.is_none())
     }
 
-    /// Returns the time since the store last answered.
-    pub(crate) fn age(&self, now: TimeUs) -> DurationUs {
-        let ages = self
-            .0
-            .iter()
-            .filter_map(|state| state.lock().answered_at_us);
-        ages.max().map_or(DurationUs::ZERO, |at| now.since(at))
+    /// Returns the time since the store last answered for a kind, in milliseconds.
+    pub(crate) fn silent_ms(&self, role: ObjectRole, now: TimeUs) -> Option<u64> {
+        self.of(role).lock().silent_ms(now)
     }
 
     /// Returns the revisions of the last changes, for the other daemons.
@@ -154,6 +150,11 @@
 }
 
 impl WatchState {
+    /// Returns the time since the store last answered, in milliseconds.
+    pub(super) fn silent_ms(&self, now: TimeUs) -> Option<u64> {
+        self.answered_at_us.map(|at| now.since(at).as_ms())
+    }
+
     /// Remembers a deletion for peers.
     pub(super) fn note_deleted(&mut self, name: String, revision: Revision) {
         self.deleted.push_back((revision, name));
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -51,6 +51,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    opened: Instant,
     keep: Duration,
 }
 
@@ -84,10 +85,16 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            opened: Instant::now(),
             keep: DEFAULT_KEEP,
         })
     }
 
+    /// Returns for how long it has been open.
+    pub fn age(&self) -> Duration {
+        self.opened.elapsed()
+    }
+
     /// Takes over how long the endpoint says it keeps the connection when it is idle.
     pub fn set_keep(&mut self, keep: Duration) {
         self.keep = keep.mul_f64(KEEP_SHARE);
--- a/crates/wisteriahitch-wire/src/platform/error.rs
+++ b/crates/wisteriahitch-wire/src/platform/error.rs
@@ -57,6 +57,12 @@
         }
     }
 
+    /// Adds where it happened, for the log.
+    pub fn context(mut self, context: &str) -> Self {
+        self.detail = format!("{}, {context}", self.detail);
+        self
+    }
+
     /// Adds when the platform wants to be asked again.
     pub fn with_retry_after_us(mut self, retry_after_us: DurationUs) -> Self {
         self.retry_after_us = Some(retry_after_us);
