fix(watch): never take a watch that says nothing for a store in which nothing changes

Cause: a daemon whose watch was open took what it knew for the newest as long as no call had failed. When the open connections of all daemons fell silent, or answers were held up, 404 and 401 were given, and endpoints, keys and weights used, by news of up to 6.7 s ago. Class: the absence of news was taken for news.

--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use serde::{Deserialize, Serialize};
-use wisteriahitch_types::Incarnation;
+use wisteriahitch_types::{Incarnation, TimeUs};
 
 use super::backlog::Load;
 
@@ -64,6 +64,15 @@
     pub tokens: u32,
 }
 
+/// How much the sender knows of a kind of object in the platform's store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct KindNews {
+    /// Revision of the last change that it knows.
+    pub revision: u64,
+    /// Time since the store was known to hold nothing newer; none where it never was.
+    pub age_ms: Option<u32>,
+}
+
 /// A daemon that the sender hears.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct MemberNews {
@@ -102,9 +111,10 @@
     pub follows_stores: bool,
     /// Whether the store answers the sender, or one that it hears.
     pub is_store_reachable: bool,
-    /// Revision of the last change of each kind of object that the sender knows, in the order
-    /// in which daemons follow the kinds.
-    pub revisions: Vec<u64>,
+    /// When it was sent, by the sender's clock.
+    pub sent_at: TimeUs,
+    /// What the sender knows of each kind of object, in the order in which daemons follow the kinds.
+    pub kinds: Vec<KindNews>,
     /// Work of the sender, and of others where it is a hub.
     pub endpoints: Vec<EndpointNews>,
     /// Short names of the engines whose memory the sender follows, or knows to be followed.
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -6,10 +6,12 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
+use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
 
 use super::beacon::{Beacon, MemberNews, MemberPhase};
 use super::hubs::{HubCandidate, HubPlan};
+use super::message_delay::MessageDelay;
 
 /// Silence after which a member is no longer named to callers. Members send at least four times a
 /// second, so that a few lost datagrams don't count.
@@ -44,6 +46,9 @@
     pub follows_stores: bool,
     /// Whether the store answers it, or one that it hears.
     pub is_store_reachable: bool,
+    /// For how long its last message was held up on the way.
+    pub held_up_us: DurationUs,
+    delay: MessageDelay,
     number: u64,
     heard_at_us: TimeUs,
 }
@@ -132,6 +137,11 @@
             return Heard::Old;
         }
         let was_there = old.is_some_and(|old| is_same_life && !is_silent(old, now));
+        let mut delay = match old {
+            Some(old) if is_same_life => old.delay,
+            _ => MessageDelay::default(),
+        };
+        let held_up_us = delay.received(beacon.sent_at, now);
         for member in &beacon.members {
             self.told(beacon, member, now);
         }
@@ -145,6 +155,8 @@
             is_hub: beacon.is_hub,
             follows_stores: beacon.follows_stores,
             is_store_reachable: beacon.is_store_reachable,
+            held_up_us,
+            delay,
             number: beacon.number,
             heard_at_us: now,
         };
@@ -301,6 +313,26 @@
         targets
     }
 
+    /// Returns how many daemons ask the store before this one does, each of which confirms for all what
+    /// is known of the objects that `kind` names.
+    ///
+    /// One that doesn't follow the store asks after those that do, and its turn is drawn from the size
+    /// of the fleet: most of those that don't hear of each other.
+    pub fn place_in_turn(&self, kind: &str, me: Ipv4Addr, follows: bool, now: TimeUs) -> usize {
+        let rank = Rendezvous::new("confirms", kind);
+        let mine = rank.score(&me.octets());
+        let followers = self.alive(now).filter(|peer| {
+            let is_asking = peer.follows_stores && peer.is_store_reachable;
+            is_asking && peer.phase != MemberPhase::Draining
+        });
+        if follows {
+            let before = followers.filter(|peer| rank.score(&peer.ip.octets()) > mine);
+            return before.count();
+        }
+        let daemons = self.count(now) + 1;
+        1 + followers.count() + usize::try_from(mine).unwrap_or(0) % daemons
+    }
+
     /// Returns a daemon that is heard directly.
     pub fn get(&self, ip: Ipv4Addr) -> Option<&PeerRow> {
         self.peers.get(&ip)
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -20,13 +20,14 @@
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::beacon::{
-    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
+    Beacon, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase, PartNews, StoreNews,
 };
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
+pub use decide::message_delay::MessageDelay;
 pub use decide::news_pace::NewsPace;
 pub use decide::offer::MainFetch;
 pub use decide::outlier::{Outlier, OutlierOptions};
@@ -37,6 +38,7 @@
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
 pub use decide::rollout_pace::{Overrun, PaceOptions, Remaining, RolloutPace};
+pub use decide::staleness::{StalenessLimits, answered_as_of};
 pub use decide::store_retry::retry_pause;
 pub use decide::stream_events::{EventFramer, Framed, FramingError};
 pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -64,7 +64,7 @@
     pub(crate) prompt_tokens: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
-    /// Time since the store last answered for each kind, in seconds.
+    /// Time since the store was known to hold nothing newer of a kind, in seconds.
     pub(crate) store_age_s: GaugeVec,
     /// Log lines that the budget or a slow reader left out.
     pub(crate) dropped_lines: IntCounter,
@@ -202,7 +202,8 @@
 }
 
 fn store_age_s(registry: &Registry) -> prometheus::Result<GaugeVec> {
-    let options = Opts::new("relay_store_age_seconds", "Time since the store answered.");
+    let help = "Time since the store was known to hold nothing newer.";
+    let options = Opts::new("relay_store_age_seconds", help);
     let gauges = GaugeVec::new(options, &["kind"])?;
     registry.register(Box::new(gauges.clone()))?;
     Ok(gauges)
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -9,8 +9,10 @@
 
 use serde::Deserialize;
 use wisteriahitch_types::DurationUs;
+use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::SettingsError;
+use crate::decide::staleness::StalenessLimits;
 
 /// Part of the bound on replaced weights that isn't used: the news of newer ones takes up to 0.6 s
 /// to reach every daemon, a call waits up to a second at its engine before it begins, and estimates
@@ -42,9 +44,26 @@
 const WATCH_SHARE: f64 = 0.3;
 
 /// Longest wait of a watch. Each return is a call that is paid for; each second of waiting is one in
-/// which a silent store isn't noticed.
+/// which a daemon that hears of no other one doesn't know whether its watch is alive.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(6_000);
 
+/// Share of the time in which a change is to be known after which the daemon that confirms for all what is
+/// known has it confirmed again. The other half is for noticing that an answer doesn't come (0.7 s), for
+/// asking anew, and for telling the others (0.6 s through the hubs of a large fleet).
+const CONFIRM_SHARE: f64 = 0.5;
+
+/// Shortest time between two such confirmations: a tight bound would else cost more calls of the store
+/// than everything besides.
+const MIN_CONFIRM_US: DurationUs = DurationUs::from_ms(300);
+
+/// Share of the time in which a change is to be known up to which what is known counts as the newest. The
+/// rest is for the call itself.
+const FINAL_SHARE: f64 = 0.9;
+
+/// Share of the bound on replaced weights in which the news of them is to be known; the rest is for
+/// loading them.
+const WEIGHTS_NEWS_SHARE: f64 = 0.25;
+
 /// Bounds of a deployment. None has a default: a daemon that guessed one would break the promise
 /// that it stands for and nobody would notice before a failure.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -174,6 +193,25 @@
     pub fn watch_wait(&self) -> Duration {
         Duration::from_secs_f64(self.store_history_s * WATCH_SHARE).min(MAX_WATCH_WAIT)
     }
+
+    /// Returns how old what is known of a kind of object may become.
+    pub fn staleness(&self, role: ObjectRole) -> StalenessLimits {
+        let known_within_ms = match role {
+            ObjectRole::Endpoints => self.endpoint_drain_ms,
+            ObjectRole::Weights => self.old_weights_ms * WEIGHTS_NEWS_SHARE,
+            // Who may give orders and which daemons there are isn't followed by watches.
+            ObjectRole::Configuration | ObjectRole::Members | ObjectRole::Leases => {
+                self.configuration_ms
+            }
+        };
+        let wait_us = DurationUs::from(self.watch_wait());
+        let confirm_us = ms(known_within_ms * CONFIRM_SHARE);
+        StalenessLimits {
+            confirm_us: confirm_us.max(MIN_CONFIRM_US).min(wait_us),
+            wait_us,
+            final_us: ms(known_within_ms * FINAL_SHARE),
+        }
+    }
 }
 
 fn ms(ms: f64) -> DurationUs {
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -7,6 +7,9 @@
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::Notify;
 use wisteriahitch_types::TimeUs;
+use wisteriahitch_wire::object_store::ObjectRole;
+
+use super::watch_state::kind_name;
 
 use crate::decide::beacon::PartNews;
 use crate::decide::hubs::HubPlan;
@@ -70,6 +73,12 @@
             .any(|peer| counts(peer) && peer.is_store_reachable)
     }
 
+    /// Returns how many daemons ask the store for a kind of object before this one does.
+    pub(super) fn place_in_turn(&self, role: ObjectRole, me: Ipv4Addr, now: TimeUs) -> usize {
+        let table = self.table.lock();
+        table.place_in_turn(kind_name(role), me, self.follows_stores(), now)
+    }
+
     /// Notes a call that was sent, which the others may have to hear of at once.
     pub(crate) fn sent(&self, unread_tokens: u64) {
         if self.pace.lock().sent(unread_tokens) {
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -203,7 +203,13 @@
             change: "heard",
         }),
     }
-    let is_behind = shared.watches.peer_knows(beacon.ip, &beacon.revisions, now);
+    let held_up_us = {
+        let table = shared.peers.table();
+        table.get(beacon.ip).map(|peer| peer.held_up_us)
+    };
+    let held_up_us = held_up_us.unwrap_or_default();
+    let watches = &shared.watches;
+    let is_behind = watches.peer_knows(beacon.ip, &beacon.kinds, held_up_us, now);
     if is_behind && !shared.peers.follows_stores() {
         shared.peers.hurry.notify_one();
     }
@@ -421,12 +427,12 @@
 
 fn metrics(shared: &Shared) -> String {
     for role in WATCHED {
-        let Some(silent_ms) = shared.watches.silent_ms(role, shared.now()) else {
+        let Some(age_ms) = shared.watches.age_ms(role, shared.now()) else {
             continue;
         };
         let ages = &shared.metrics.store_age_s;
         let gauge = ages.with_label_values(&[kind_name(role)]);
-        gauge.set(DurationUs::from_ms(silent_ms).as_secs_f64());
+        gauge.set(DurationUs::from_ms(age_ms).as_secs_f64());
     }
     let endpoints = shared.endpoints.lock();
     for (life, count) in endpoints.count_by_life() {
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -101,7 +101,7 @@
     trace.story().config_version = config.version.get();
     trace.story().config_age_ms = shared
         .watches
-        .silent_ms(ObjectRole::Configuration, shared.now());
+        .age_ms(ObjectRole::Configuration, shared.now());
     let route = config.routes.find(&head.host, parts.uri.path()).cloned();
     let route = route.ok_or_else(|| unknown(shared, Code::UnknownPath))?;
     trace.story().route = route.name.to_string();
@@ -170,10 +170,11 @@
 
 /// Refuses what this daemon doesn't know.
 ///
-/// While the store can't be reached a newer configuration may name the route or the key. A caller
-/// that is told "unknown" doesn't come back; so it is asked to.
+/// A newer configuration may name the route or the key where nobody has confirmed for a while that there is
+/// none. A caller that is told "unknown" doesn't come back; so it is asked to.
 fn unknown(shared: &Shared, code: Code) -> Refusal {
-    match shared.watches.is_fresh() {
+    let limits = shared.bounds.staleness(ObjectRole::Configuration);
+    match shared.watches.is_final(&limits, shared.now()) {
         true => Refusal::new(code),
         false => Refusal::new(Code::NotReady).retry_after(NOT_READY_RETRY_US),
     }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -8,12 +8,13 @@
 use wisteriahitch_wire::object_store::{
     Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind, Watched,
 };
-use wisteriahitch_wire::platform::PlatformError;
+use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::part_news::run_part_news;
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
+use crate::decide::staleness::answered_as_of;
 use crate::decide::store_retry::retry_pause;
 use crate::observe::Event;
 
@@ -67,7 +68,14 @@
 fn hears_instead(shared: &Shared, role: ObjectRole) -> bool {
     let is_listed = shared.watches.of(role).lock().is_listed;
     let me = shared.settings.ip;
-    is_listed && !shared.peers.follows_stores() && shared.peers.hears_of_store(me, shared.now())
+    if !is_listed || shared.peers.follows_stores() {
+        return false;
+    }
+    let now = shared.now();
+    let limits = shared.bounds.staleness(role);
+    // One that follows the store may be asking it anew at this moment, and will be heard of in time.
+    let is_confirmed = limits.is_final(shared.watches.as_of(role), now);
+    is_confirmed || shared.peers.hears_of_store(me, now)
 }
 
 /// Returns how long to wait before the store is asked again.
@@ -78,10 +86,11 @@
 }
 
 async fn list(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
+    let asked_at = shared.now();
     let listing = shared.borders.store.list(role, false).await;
     count(shared, role, listing.is_ok());
     let listing = listing?;
-    note_answer(shared, role);
+    note_answer(shared, role, asked_at);
     note_skipped(shared, role, &listing.skipped);
     apply_listing(shared, role, listing, STORE);
     Ok(false)
@@ -89,43 +98,79 @@
 
 /// Waits for changes once, and returns whether the history is gone.
 async fn watch_once(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
-    let (after, is_failing) = {
-        let state = shared.watches.of(role).lock();
-        (state.revision, state.failing_since_us.is_some())
+    let asked_at = shared.now();
+    let (after, wait) = next_watch(shared, role, asked_at);
+    let watched = tokio::select! {
+        watched = shared.borders.store.watch(role, after, wait) => watched,
+        () = nothing_is_confirmed(shared, role, asked_at) => Err(unconfirmed()),
     };
-    // Only an answer shows that the store is back, and a watch is answered when it is over.
-    let wait = if is_failing {
-        RETURN_WAIT
-    } else {
-        shared.bounds.watch_wait()
-    };
-    let watched = shared.borders.store.watch(role, after, wait).await;
     count(shared, role, watched.is_ok());
-    let watched = watched?;
-    note_answer(shared, role);
-    match watched {
+    match watched? {
         Watched::Changes {
             changes,
             skipped,
             revision,
         } => {
+            let has_changes = !changes.is_empty() || !skipped.is_empty();
+            let as_of = answered_as_of(asked_at, wait.into(), has_changes, shared.now());
+            note_answer(shared, role, as_of);
             note_skipped(shared, role, &skipped);
             apply_changes(shared, role, changes, revision, STORE);
             Ok(false)
         }
-        Watched::HistoryGone => Ok(true),
+        Watched::HistoryGone => {
+            // It says that the store is there, and not what it holds.
+            note_answer(shared, role, TimeUs::ZERO);
+            Ok(true)
+        }
     }
 }
 
+/// Returns the revision to watch from, and how long the store may keep the watch waiting.
+fn next_watch(shared: &Shared, role: ObjectRole, now: TimeUs) -> (Revision, Duration) {
+    let place = shared.peers.place_in_turn(role, shared.settings.ip, now);
+    let state = shared.watches.of(role).lock();
+    // Only an answer shows that the store is back, and a watch is answered when it is over.
+    let wait = match state.failing_since_us {
+        Some(_) => RETURN_WAIT,
+        None => {
+            let limits = shared.bounds.staleness(role);
+            limits.wait(place, state.as_of, now).into()
+        }
+    };
+    (state.revision, wait)
+}
+
+/// Waits until it is this daemon's turn to ask anew because nobody confirms any more what is known.
+async fn nothing_is_confirmed(shared: &Shared, role: ObjectRole, asked_at: TimeUs) {
+    let limits = shared.bounds.staleness(role);
+    loop {
+        let now = shared.now();
+        let place = shared.peers.place_in_turn(role, shared.settings.ip, now);
+        let give_up_at = limits.give_up_at(place, shared.watches.as_of(role), asked_at);
+        if give_up_at <= now {
+            return;
+        }
+        tokio::time::sleep(give_up_at.since(now).into()).await;
+    }
+}
+
+fn unconfirmed() -> PlatformError {
+    let detail = "the watch says nothing, and nobody confirms what is known";
+    PlatformError::new(PlatformErrorKind::AnswerLost, detail)
+}
+
 fn count(shared: &Shared, role: ObjectRole, is_ok: bool) {
     let result = if is_ok { "ok" } else { "failed" };
     let labels = [kind_name(role), result];
     shared.metrics.store_calls.with_label_values(&labels).inc();
 }
 
-fn note_answer(shared: &Shared, role: ObjectRole) {
+/// Notes an answer of the store, and as of when everything is known by it.
+fn note_answer(shared: &Shared, role: ObjectRole, as_of: TimeUs) {
     let now = shared.now();
     let mut state = shared.watches.of(role).lock();
+    state.confirmed(as_of);
     let silent_ms = state.silent_ms(now);
     state.answered_at_us = Some(now);
     if state.failing_since_us.take().is_none() {
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -8,6 +8,9 @@
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
 
+use crate::decide::beacon::KindNews;
+use crate::decide::staleness::StalenessLimits;
+
 /// Kinds of objects that every daemon follows.
 pub(crate) const WATCHED: [ObjectRole; 3] = [
     ObjectRole::Endpoints,
@@ -29,6 +32,8 @@
     pub(super) failing_since_us: Option<TimeUs>,
     pub(super) recovered_at_us: Option<TimeUs>,
     pub(super) answered_at_us: Option<TimeUs>,
+    /// As of when everything is known, by the store's word to this daemon or to another.
+    pub(super) as_of: Option<TimeUs>,
     pub(super) objects: BTreeMap<String, StoredObject>,
     /// Names of deleted objects, the newest last.
     pub(super) deleted: VecDeque<(Revision, String)>,
@@ -56,10 +61,26 @@
         self.0.iter().all(|state| state.lock().is_listed)
     }
 
-    /// Returns whether the configuration is as new as the store's, as far as can be seen.
-    pub(crate) fn is_fresh(&self) -> bool {
+    /// Returns whether what the configuration doesn't hold may be called unknown.
+    pub(crate) fn is_final(&self, limits: &StalenessLimits, now: TimeUs) -> bool {
         let state = self.of(ObjectRole::Configuration).lock();
-        state.failing_since_us.is_none() && state.behind.is_none()
+        let is_newest_known = state.behind.is_none() && !state.is_catching_up;
+        // While the store turns this daemon away, others may confirm what it knows.
+        let is_confirmed = state
+            .failing_since_us
+            .is_none_or(|since| state.as_of > Some(since));
+        is_newest_known && is_confirmed && limits.is_final(state.as_of, now)
+    }
+
+    /// Returns as of when everything of a kind is known.
+    pub(crate) fn as_of(&self, role: ObjectRole) -> Option<TimeUs> {
+        self.of(role).lock().as_of
+    }
+
+    /// Returns the time since then, in milliseconds.
+    pub(crate) fn age_ms(&self, role: ObjectRole, now: TimeUs) -> Option<u64> {
+        let as_of = self.as_of(role);
+        as_of.map(|as_of| now.since(as_of).as_ms())
     }
 
     /// Returns whether the store answers.
@@ -69,23 +90,34 @@
             .all(|state| state.lock().failing_since_us.is_none())
     }
 
-    /// Returns the time since the store last answered for a kind, in milliseconds.
-    pub(crate) fn silent_ms(&self, role: ObjectRole, now: TimeUs) -> Option<u64> {
-        self.of(role).lock().silent_ms(now)
-    }
-
-    /// Returns the revisions of the last changes, for the other daemons.
-    pub(crate) fn changed(&self) -> Vec<u64> {
-        self.0.iter().map(|state| state.lock().changed.0).collect()
+    /// Returns what is known of each kind, for the other daemons.
+    pub(crate) fn news(&self, now: TimeUs) -> Vec<KindNews> {
+        let news = |state: &Mutex<WatchState>| {
+            let state = state.lock();
+            let age_ms = state.as_of.map(|as_of| now.since(as_of).as_ms());
+            KindNews {
+                revision: state.changed.0,
+                age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
+            }
+        };
+        self.0.iter().map(news).collect()
     }
 
-    /// Notes what a peer knows, and returns whether that is more.
-    pub(crate) fn peer_knows(&self, ip: Ipv4Addr, revisions: &[u64], now: TimeUs) -> bool {
+    /// Notes what a peer knows, and returns whether that is more. Its message was held up for so long.
+    pub(crate) fn peer_knows(
+        &self,
+        ip: Ipv4Addr,
+        kinds: &[KindNews],
+        held_up_us: DurationUs,
+        now: TimeUs,
+    ) -> bool {
         let mut is_behind = false;
-        for (state, known) in self.0.iter().zip(revisions) {
+        for (state, news) in self.0.iter().zip(kinds) {
             let mut state = state.lock();
             let is_free = state.behind.is_none() && !state.is_catching_up;
-            if *known > state.changed.0 && is_free {
+            if news.revision <= state.changed.0 {
+                state.confirmed_by_peer(news, held_up_us, now);
+            } else if is_free {
                 state.behind = Some((now, ip));
                 is_behind = true;
             }
@@ -150,6 +182,17 @@
 }
 
 impl WatchState {
+    /// Notes as of when everything is known.
+    pub(super) fn confirmed(&mut self, as_of: TimeUs) {
+        self.as_of = self.as_of.max(Some(as_of));
+    }
+
+    fn confirmed_by_peer(&mut self, news: &KindNews, held_up_us: DurationUs, now: TimeUs) {
+        let Some(age_ms) = news.age_ms else { return };
+        let age_us = DurationUs::from_ms(u64::from(age_ms)) + held_up_us;
+        self.confirmed(TimeUs::new(now.get().saturating_sub(age_us.get())));
+    }
+
     /// Returns the time since the store last answered, in milliseconds.
     pub(super) fn silent_ms(&self, now: TimeUs) -> Option<u64> {
         self.answered_at_us.map(|at| now.since(at).as_ms())
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/beacon.rs
@@ -3,7 +3,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use wisteriahitch_relay::{Beacon, EndpointNews, KeptNews, Load, MemberPhase, PartNews};
-use wisteriahitch_types::Incarnation;
+use wisteriahitch_types::{Incarnation, TimeUs};
 
 fn beacon(parts: u32, kept: u32, endpoints: u32) -> Beacon {
     let part = |endpoint| PartNews {
@@ -36,7 +36,8 @@
         is_hub: true,
         follows_stores: true,
         is_store_reachable: true,
-        revisions: vec![],
+        sent_at: TimeUs::ZERO,
+        kinds: vec![],
         endpoints: (0..endpoints).map(work).collect(),
         followed: vec![],
         unreachable: vec![],
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -21,7 +21,7 @@
     TimeUs::new(ms * 1_000)
 }
 
-pub(crate) fn ms(ms: u64) -> DurationUs {
+pub(crate) const fn ms(ms: u64) -> DurationUs {
     DurationUs::from_ms(ms)
 }
 
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -22,6 +22,7 @@
 mod rollout;
 mod routes;
 mod settings;
+mod staleness;
 mod store_retry;
 mod stream_events;
 mod suspicion;
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -5,11 +5,11 @@
 use wisteriahitch_relay::{
     Beacon, Heard, HubCandidate, HubPlan, MemberNews, MemberPhase, PeerTable,
 };
-use wisteriahitch_types::Incarnation;
+use wisteriahitch_types::{Incarnation, TimeUs};
 
 use crate::fixture::at_ms;
 
-fn beacon(last: u8, incarnation: u64, number: u64, phase: MemberPhase) -> Beacon {
+pub(crate) fn beacon(last: u8, incarnation: u64, number: u64, phase: MemberPhase) -> Beacon {
     Beacon {
         incarnation: Incarnation::new(incarnation),
         number,
@@ -21,7 +21,8 @@
         is_hub: true,
         follows_stores: true,
         is_store_reachable: true,
-        revisions: vec![],
+        sent_at: TimeUs::ZERO,
+        kinds: vec![],
         endpoints: vec![],
         followed: vec![],
         unreachable: vec![],
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -5,6 +5,7 @@
 
 use wisteriahitch_relay::{BoundSettings, Bounds, RelaySettings};
 use wisteriahitch_types::DurationUs;
+use wisteriahitch_wire::object_store::ObjectRole;
 
 use crate::fixture::ms;
 
@@ -121,6 +122,8 @@
         last_resort: DurationUs,
         behind_patience: DurationUs,
         watch_wait: Duration,
+        /// For the configuration: confirmed again at, final up to.
+        staleness: (DurationUs, DurationUs),
     }
     let cases = [
         Case {
@@ -131,6 +134,7 @@
             last_resort: ms(250),
             behind_patience: DurationUs::new(62_500),
             watch_wait: Duration::from_millis(1_500),
+            staleness: (ms(300), ms(450)),
         },
         Case {
             factor: 0.5,
@@ -140,6 +144,7 @@
             last_resort: ms(500),
             behind_patience: ms(125),
             watch_wait: Duration::from_millis(3_000),
+            staleness: (ms(500), ms(900)),
         },
         Case {
             factor: 1.0,
@@ -149,6 +154,7 @@
             last_resort: ms(1_000),
             behind_patience: ms(250),
             watch_wait: Duration::from_millis(6_000),
+            staleness: (ms(1_000), ms(1_800)),
         },
         Case {
             factor: 2.0,
@@ -158,6 +164,7 @@
             last_resort: ms(2_000),
             behind_patience: ms(500),
             watch_wait: Duration::from_millis(6_000),
+            staleness: (ms(2_000), ms(3_600)),
         },
     ];
     for case in cases {
@@ -177,6 +184,9 @@
         assert_eq!(bounds.last_resort(), case.last_resort, "{factor}");
         assert_eq!(bounds.behind_patience(), case.behind_patience, "{factor}");
         assert_eq!(bounds.watch_wait(), case.watch_wait, "{factor}");
+        let limits = bounds.staleness(ObjectRole::Configuration);
+        let staleness = (limits.confirm_us, limits.final_us);
+        assert_eq!(staleness, case.staleness, "{factor}");
     }
 }
 
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/staleness.rs
@@ -0,0 +1,452 @@
+//! How old what is known of the store may become.
+
+use std::net::Ipv4Addr;
+
+use wisteriahitch_relay::{
+    Beacon, BoundSettings, MemberPhase, MessageDelay, PeerTable, StalenessLimits, answered_as_of,
+};
+use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_wire::object_store::ObjectRole;
+
+use crate::fixture::{at_ms, ms};
+use crate::members::beacon;
+
+const LIMITS: StalenessLimits = StalenessLimits {
+    confirm_us: ms(1_000),
+    wait_us: ms(6_000),
+    final_us: ms(1_800),
+};
+
+/// The first of the fleet has its watch answered so often that what all know is confirmed in time; the
+/// watches of the others may wait.
+#[test]
+fn one_daemon_asks_often_for_all() {
+    struct Case {
+        what: &'static str,
+        place: usize,
+        as_of: Option<TimeUs>,
+        wait: DurationUs,
+    }
+    let cases = [
+        Case {
+            what: "the first, at its start",
+            place: 0,
+            as_of: None,
+            wait: ms(1_000),
+        },
+        Case {
+            what: "the first, right after an answer",
+            place: 0,
+            as_of: Some(at_ms(10_000)),
+            wait: ms(1_000),
+        },
+        Case {
+            what: "the first, after an answer with changes",
+            place: 0,
+            as_of: Some(at_ms(9_300)),
+            wait: ms(300),
+        },
+        Case {
+            what: "the first, when a confirmation is due",
+            place: 0,
+            as_of: Some(at_ms(8_000)),
+            wait: ms(50),
+        },
+        Case {
+            what: "another one",
+            place: 1,
+            as_of: Some(at_ms(9_300)),
+            wait: ms(6_000),
+        },
+    ];
+    for case in cases {
+        let wait = LIMITS.wait(case.place, case.as_of, at_ms(10_000));
+        assert_eq!(wait, case.wait, "{}", case.what);
+    }
+}
+
+/// Symptom: a daemon says for seconds that it knows the newest. Sequence: the connection of its watch
+/// falls silent. Cause: a watch that says nothing was taken for a store in which nothing changes.
+#[test]
+fn watches_that_nobody_confirms_are_given_up_in_turn() {
+    struct Case {
+        what: &'static str,
+        place: usize,
+        as_of: Option<TimeUs>,
+        asked_at: TimeUs,
+        give_up_at: TimeUs,
+    }
+    let cases = [
+        Case {
+            what: "the first",
+            place: 0,
+            as_of: Some(at_ms(10_000)),
+            asked_at: at_ms(10_000),
+            give_up_at: at_ms(11_700),
+        },
+        Case {
+            what: "the third",
+            place: 2,
+            as_of: Some(at_ms(10_000)),
+            asked_at: at_ms(7_000),
+            give_up_at: at_ms(12_100),
+        },
+        Case {
+            what: "one whose watch has just begun",
+            place: 0,
+            as_of: Some(at_ms(5_000)),
+            asked_at: at_ms(10_000),
+            give_up_at: at_ms(10_700),
+        },
+        Case {
+            what: "one that was never told anything",
+            place: 0,
+            as_of: None,
+            asked_at: at_ms(10_000),
+            give_up_at: at_ms(11_700),
+        },
+    ];
+    for case in cases {
+        let give_up_at = LIMITS.give_up_at(case.place, case.as_of, case.asked_at);
+        assert_eq!(give_up_at, case.give_up_at, "{}", case.what);
+    }
+}
+
+/// Symptom: what the store has acknowledged seconds ago is called unknown right after an answer. Sequence:
+/// an answer is held up on the way. Cause: it counted as of its arrival.
+#[test]
+fn an_answer_counts_as_of_its_question_or_the_end_of_its_wait() {
+    struct Case {
+        what: &'static str,
+        has_changes: bool,
+        answered_at: TimeUs,
+        as_of: TimeUs,
+    }
+    let cases = [
+        Case {
+            what: "no changes, at the end of the wait",
+            has_changes: false,
+            answered_at: at_ms(11_004),
+            as_of: at_ms(11_000),
+        },
+        Case {
+            what: "no changes, and held up",
+            has_changes: false,
+            answered_at: at_ms(15_000),
+            as_of: at_ms(11_000),
+        },
+        Case {
+            what: "no changes, and earlier than the wait",
+            has_changes: false,
+            answered_at: at_ms(10_500),
+            as_of: at_ms(10_000),
+        },
+        Case {
+            what: "changes, which may have been held up",
+            has_changes: true,
+            answered_at: at_ms(15_000),
+            as_of: at_ms(10_000),
+        },
+    ];
+    for case in cases {
+        let as_of = answered_as_of(at_ms(10_000), ms(1_000), case.has_changes, case.answered_at);
+        assert_eq!(as_of, case.as_of, "{}", case.what);
+    }
+}
+
+#[test]
+fn unknown_is_final_only_by_what_was_confirmed_lately() {
+    assert!(!LIMITS.is_final(None, at_ms(10_000)));
+    assert!(LIMITS.is_final(Some(at_ms(8_200)), at_ms(10_000)));
+    assert!(!LIMITS.is_final(Some(at_ms(8_199)), at_ms(10_000)));
+}
+
+/// Symptom: a daemon that wakes after a suspension calls unknown what was added meanwhile. Sequence: the
+/// others' messages of that time wait for it, each of which says that everything was confirmed a moment
+/// ago. Cause: their ages counted as of their arrival.
+#[test]
+fn a_message_that_was_held_up_is_told_from_one_that_came_at_once() {
+    struct Case {
+        what: &'static str,
+        sent_ms: u64,
+        received_ms: u64,
+        held_up: DurationUs,
+    }
+    // The sender's clock is behind by 50 s.
+    let cases = [
+        Case {
+            what: "the first",
+            sent_ms: 10_000,
+            received_ms: 60_003,
+            held_up: ms(0),
+        },
+        Case {
+            what: "a quicker one",
+            sent_ms: 10_100,
+            received_ms: 60_101,
+            held_up: ms(0),
+        },
+        Case {
+            what: "one that waited for a suspended process",
+            sent_ms: 10_200,
+            received_ms: 65_000,
+            held_up: ms(4_799),
+        },
+        Case {
+            what: "the last one of that time",
+            sent_ms: 14_900,
+            received_ms: 65_000,
+            held_up: ms(99),
+        },
+        Case {
+            what: "one after a long suspension",
+            sent_ms: 15_000,
+            received_ms: 95_000,
+            held_up: ms(29_999),
+        },
+        Case {
+            what: "a while later, after clocks have drifted apart",
+            sent_ms: 60_000,
+            received_ms: 110_041,
+            held_up: ms(0),
+        },
+    ];
+    let mut delay = MessageDelay::default();
+    for case in cases {
+        let held_up = delay.received(at_ms(case.sent_ms), at_ms(case.received_ms));
+        assert_eq!(held_up, case.held_up, "{}", case.what);
+    }
+}
+
+const ME: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 9);
+
+/// Whoever the store turns away, leaves or isn't heard confirms nothing, and holds up nobody's turn.
+#[test]
+fn those_that_can_t_ask_the_store_have_no_turn() {
+    let change = |change: fn(&mut Beacon)| {
+        let mut table = PeerTable::default();
+        for last in 1..=8 {
+            let mut message = beacon(last, u64::from(last), 1, MemberPhase::Ready);
+            change(&mut message);
+            table.heard(&message, at_ms(0));
+        }
+        table
+    };
+    let place = |table: &PeerTable, follows, now_ms| {
+        table.place_in_turn("endpoints", ME, follows, at_ms(now_ms))
+    };
+    let all = change(|_| ());
+    assert!(place(&all, true, 100) <= 8);
+    assert!(
+        place(&all, false, 100) > 8,
+        "one that only hears of it is after them"
+    );
+    assert_eq!(place(&all, true, 2_000), 0, "nobody is heard any more");
+    let turned_away = change(|message| message.is_store_reachable = false);
+    assert_eq!(place(&turned_away, true, 100), 0);
+    let hearing = change(|message| message.follows_stores = false);
+    assert_eq!(place(&hearing, true, 100), 0);
+    let leaving = change(|message| message.phase = MemberPhase::Draining);
+    assert_eq!(place(&leaving, true, 100), 0);
+}
+
+/// A fleet that follows one kind of objects on a store that answers at once, by a clock of its own.
+struct Fleet {
+    limits: StalenessLimits,
+    /// Time until what one daemon knows is known to the others.
+    telling: DurationUs,
+    daemons: Vec<Follower>,
+    /// What was confirmed and is on its way to the others, and when it is there.
+    told: Vec<(TimeUs, TimeUs)>,
+    calls: usize,
+}
+
+struct Follower {
+    as_of: TimeUs,
+    asked_at: TimeUs,
+    wait: DurationUs,
+    /// Whether the answer never comes.
+    is_silent: bool,
+    /// Whether it does nothing any more.
+    is_gone: bool,
+}
+
+/// Step of the clock.
+const STEP: DurationUs = ms(10);
+
+/// Wait of a watch that takes the place of one that was given up.
+const SHORT_WAIT: DurationUs = ms(300);
+
+impl Fleet {
+    fn new(limits: StalenessLimits, telling: DurationUs, size: usize) -> Self {
+        let daemons = (0..size).map(|place| Follower {
+            as_of: TimeUs::ZERO,
+            asked_at: TimeUs::ZERO,
+            wait: limits.wait(place, Some(TimeUs::ZERO), TimeUs::ZERO),
+            is_silent: false,
+            is_gone: false,
+        });
+        Self {
+            limits,
+            telling,
+            daemons: daemons.collect(),
+            told: Vec::new(),
+            calls: 0,
+        }
+    }
+
+    /// What happens up to `now`, in the order in which daemons have their turns.
+    fn step(&mut self, now: TimeUs) {
+        let mut place = 0;
+        for daemon in &mut self.daemons {
+            if daemon.is_gone {
+                continue;
+            }
+            let end_at = daemon.asked_at + daemon.wait;
+            if !daemon.is_silent && now >= end_at {
+                daemon.as_of = daemon.as_of.max(end_at);
+                self.told.push((now + self.telling, end_at));
+                daemon.asked_at = now;
+                daemon.wait = self.limits.wait(place, Some(daemon.as_of), now);
+                self.calls += 1;
+            } else if now
+                >= self
+                    .limits
+                    .give_up_at(place, Some(daemon.as_of), daemon.asked_at)
+            {
+                daemon.asked_at = now;
+                daemon.wait = SHORT_WAIT;
+                daemon.is_silent = false;
+                self.calls += 1;
+            }
+            place += 1;
+        }
+        let there = self.told.extract_if(.., |(there_at, _)| *there_at <= now);
+        let newest = there.map(|(_, as_of)| as_of).max().unwrap_or_default();
+        for daemon in &mut self.daemons {
+            daemon.as_of = daemon.as_of.max(newest);
+        }
+    }
+
+    /// Returns the calls of a time in which nothing changes.
+    fn calm_calls(&self, time: DurationUs) -> usize {
+        let calls = |wait: DurationUs| usize::try_from(time.get().div_ceil(wait.get())).unwrap();
+        let others = self.daemons.len() - 1;
+        calls(self.limits.confirm_us) + others * calls(self.limits.wait_us)
+    }
+
+    fn run(&mut self, from: TimeUs, until: TimeUs) {
+        let mut now = from;
+        while now < until {
+            now = now + STEP;
+            self.step(now);
+        }
+    }
+
+    /// Returns as of when the one who knows least knows everything.
+    fn as_of(&self) -> TimeUs {
+        let there = self.daemons.iter().filter(|daemon| !daemon.is_gone);
+        there.map(|daemon| daemon.as_of).min().unwrap()
+    }
+}
+
+/// Deployments by the size of their fleets of followers, and what they demand.
+struct Deployment {
+    followers: usize,
+    known_within: DurationUs,
+    contact: DurationUs,
+    telling: DurationUs,
+}
+
+const DEPLOYMENTS: [Deployment; 4] = [
+    Deployment {
+        followers: 1,
+        known_within: ms(2_000),
+        contact: ms(3_000),
+        telling: ms(0),
+    },
+    Deployment {
+        followers: 9,
+        known_within: ms(2_000),
+        contact: ms(3_000),
+        telling: ms(100),
+    },
+    Deployment {
+        followers: 6,
+        known_within: ms(3_000),
+        contact: ms(4_000),
+        telling: ms(600),
+    },
+    Deployment {
+        followers: 10,
+        known_within: ms(4_000),
+        contact: ms(5_000),
+        telling: ms(600),
+    },
+];
+
+impl Deployment {
+    fn fleet(&self) -> Fleet {
+        let known_within_ms = self.known_within.as_ms() as f64;
+        let bounds = BoundSettings {
+            old_weights_ms: Some(8_000.0),
+            all_weights_ms: Some(11_000.0),
+            endpoint_drain_ms: Some(known_within_ms),
+            configuration_ms: Some(known_within_ms),
+            contact_ms: Some(self.contact.as_ms() as f64),
+            store_history_s: Some(20.0),
+        };
+        let bounds = bounds.checked().unwrap();
+        let limits = bounds.staleness(ObjectRole::Configuration);
+        Fleet::new(limits, self.telling, self.followers)
+    }
+}
+
+/// Load pattern: nothing changes for a minute. The store is asked by one daemon as often as the bound
+/// demands and by the others as seldom as before; what isn't known can be called unknown all the time.
+#[test]
+fn a_calm_fleet_asks_little_and_always_knows() {
+    for deployment in DEPLOYMENTS {
+        let mut fleet = deployment.fleet();
+        for second in 1..=60 {
+            fleet.run(at_ms((second - 1) * 1_000), at_ms(second * 1_000));
+            let as_of = Some(fleet.as_of());
+            assert!(
+                fleet.limits.is_final(as_of, at_ms(second * 1_000)),
+                "{second}"
+            );
+        }
+        let expected = fleet.calm_calls(ms(60_000));
+        assert!(fleet.calls <= expected, "{} of {expected}", fleet.calls);
+    }
+}
+
+/// Load pattern: all watches begin at one moment, by a change that all were waiting for; at any moment
+/// after, the connections of all fall silent, or the one that confirms for all dies. Everything that the store
+/// had acknowledged by then is known when daemons are held to it, and the calls of the fleet stay few.
+#[test]
+fn a_fleet_whose_watches_fall_silent_knows_again_in_time() {
+    for deployment in DEPLOYMENTS {
+        for harmed_ms in (0..6_000).step_by(50) {
+            for is_first_gone in [false, true] {
+                if is_first_gone && deployment.followers == 1 {
+                    continue;
+                }
+                let mut fleet = deployment.fleet();
+                fleet.run(TimeUs::ZERO, at_ms(harmed_ms));
+                for daemon in &mut fleet.daemons {
+                    daemon.is_silent = true;
+                }
+                fleet.daemons[0].is_gone = is_first_gone;
+                fleet.calls = 0;
+                let harmed_at = at_ms(harmed_ms);
+                let held_to_it_at = harmed_at + deployment.contact;
+                fleet.run(harmed_at, held_to_it_at);
+                let as_of = fleet.as_of();
+                assert!(as_of >= harmed_at, "{harmed_ms}: {as_of}");
+                let expected = fleet.calm_calls(deployment.contact) + deployment.followers;
+                assert!(fleet.calls <= expected, "{} of {expected}", fleet.calls);
+            }
+        }
+    }
+}
