--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -90,9 +90,10 @@
     let listing = shared.borders.store.list(role, false).await;
     count(shared, role, listing.is_ok());
     let listing = listing?;
-    note_answer(shared, role, asked_at);
+    note_answer(shared, role);
     note_skipped(shared, role, &listing.skipped);
     apply_listing(shared, role, listing, STORE);
+    shared.watches.confirm(role, asked_at);
     Ok(false)
 }
 
@@ -105,7 +106,9 @@
         () = nothing_is_confirmed(shared, role, asked_at) => Err(unconfirmed()),
     };
     count(shared, role, watched.is_ok());
-    match watched? {
+    let watched = watched?;
+    note_answer(shared, role);
+    match watched {
         Watched::Changes {
             changes,
             skipped,
@@ -113,16 +116,12 @@
         } => {
             let has_changes = !changes.is_empty() || !skipped.is_empty();
             let as_of = answered_as_of(asked_at, wait.into(), has_changes, shared.now());
-            note_answer(shared, role, as_of);
             note_skipped(shared, role, &skipped);
             apply_changes(shared, role, changes, revision, STORE);
+            shared.watches.confirm(role, as_of);
             Ok(false)
         }
-        Watched::HistoryGone => {
-            // It says that the store is there, and not what it holds.
-            note_answer(shared, role, TimeUs::ZERO);
-            Ok(true)
-        }
+        Watched::HistoryGone => Ok(true),
     }
 }
 
@@ -166,11 +165,9 @@
     shared.metrics.store_calls.with_label_values(&labels).inc();
 }
 
-/// Notes an answer of the store, and as of when everything is known by it.
-fn note_answer(shared: &Shared, role: ObjectRole, as_of: TimeUs) {
+fn note_answer(shared: &Shared, role: ObjectRole) {
     let now = shared.now();
     let mut state = shared.watches.of(role).lock();
-    state.confirmed(as_of);
     let silent_ms = state.silent_ms(now);
     state.answered_at_us = Some(now);
     if state.failing_since_us.take().is_none() {
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -72,6 +72,11 @@
         is_newest_known && is_confirmed && limits.is_final(state.as_of, now)
     }
 
+    /// Notes as of when everything of a kind is known, once what the store told has been taken over.
+    pub(super) fn confirm(&self, role: ObjectRole, as_of: TimeUs) {
+        self.of(role).lock().confirm(as_of);
+    }
+
     /// Returns as of when everything of a kind is known.
     pub(crate) fn as_of(&self, role: ObjectRole) -> Option<TimeUs> {
         self.of(role).lock().as_of
@@ -116,7 +121,7 @@
             let mut state = state.lock();
             let is_free = state.behind.is_none() && !state.is_catching_up;
             if news.revision <= state.changed.0 {
-                state.confirmed_by_peer(news, held_up_us, now);
+                state.confirm_by_peer(news, held_up_us, now);
             } else if is_free {
                 state.behind = Some((now, ip));
                 is_behind = true;
@@ -182,15 +187,14 @@
 }
 
 impl WatchState {
-    /// Notes as of when everything is known.
-    pub(super) fn confirmed(&mut self, as_of: TimeUs) {
+    fn confirm(&mut self, as_of: TimeUs) {
         self.as_of = self.as_of.max(Some(as_of));
     }
 
-    fn confirmed_by_peer(&mut self, news: &KindNews, held_up_us: DurationUs, now: TimeUs) {
+    fn confirm_by_peer(&mut self, news: &KindNews, held_up_us: DurationUs, now: TimeUs) {
         let Some(age_ms) = news.age_ms else { return };
         let age_us = DurationUs::from_ms(u64::from(age_ms)) + held_up_us;
-        self.confirmed(TimeUs::new(now.get().saturating_sub(age_us.get())));
+        self.confirm(TimeUs::new(now.get().saturating_sub(age_us.get())));
     }
 
     /// Returns the time since the store last answered, in milliseconds.
