perf(engine-news): follow engines' memories only once other daemons would have been heard

Cause: a daemon that hears no other one takes all engines for its own. Where all daemons of a large fleet lose power at once, each engine was asked by each of them for all that it had ever told. Test seen failing: with four daemons that know of each other after 0.9 s six engines were asked 4 times each, now once.

--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -6,6 +6,7 @@
 
 use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 use wisteriahitch_types::TimeUs;
 use wisteriahitch_wire::object_store::ObjectRole;
 
@@ -32,6 +33,8 @@
     pub(super) plan: Mutex<HubPlan>,
     pub(super) follows_stores: AtomicBool,
     pub(super) daemons: AtomicUsize,
+    /// Cancelled once the registered daemons are known.
+    pub(super) others_listed: CancellationToken,
     /// Parts that were read for this daemon, or told by daemons whose hub it is.
     pub(super) near_parts: Mutex<Vec<PartNews>>,
     /// Parts that other hubs have told.
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -60,6 +60,7 @@
                 is_first = false;
                 note_skipped(&shared, ObjectRole::Members, &listing.skipped);
                 learn(&shared, listing.objects, &mut told).await;
+                shared.peers.others_listed.cancel();
                 tokio::time::sleep(LIST_INTERVAL).await;
             }
             Err(error) => {
