refactor(watch): taking over what is told stands apart from asking for it; fields carry their unit

watch.rs had grown to 470 lines with two jobs: asking the store, and taking over what it or a peer tells (store_news.rs). No behaviour changes.

--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -112,7 +112,7 @@
     /// Whether the store answers the sender, or one that it hears.
     pub is_store_reachable: bool,
     /// When it was sent, by the sender's clock.
-    pub sent_at: TimeUs,
+    pub sent_at_us: TimeUs,
     /// What the sender knows of each kind of object, in the order in which daemons follow the kinds.
     pub kinds: Vec<KindNews>,
     /// Work of the sender, and of others where it is a hub.
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -141,7 +141,7 @@
             Some(old) if is_same_life => old.delay,
             _ => MessageDelay::default(),
         };
-        let held_up_us = delay.received(beacon.sent_at, now);
+        let held_up_us = delay.received(beacon.sent_at_us, now);
         for member in &beacon.members {
             self.told(beacon, member, now);
         }
--- a/crates/wisteriahitch-relay/src/decide/message_delay.rs
+++ b/crates/wisteriahitch-relay/src/decide/message_delay.rs
@@ -12,7 +12,7 @@
 /// carries its sender's time, and its lag counts above the least one of the last seconds.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct MessageDelay {
-    began_at: TimeUs,
+    began_at_us: TimeUs,
     least_lag_us: Option<i64>,
     /// The least lag of the time before.
     last_least_lag_us: Option<i64>,
@@ -21,8 +21,8 @@
 impl MessageDelay {
     /// Notes a message, by its sender's clock and by the own one, and returns for how long it was held up.
     pub fn received(&mut self, sent_at: TimeUs, now: TimeUs) -> DurationUs {
-        if now.since(self.began_at) >= WINDOW_US {
-            self.began_at = now;
+        if now.since(self.began_at_us) >= WINDOW_US {
+            self.began_at_us = now;
             self.last_least_lag_us = self.least_lag_us.take();
         }
         let lag_us = now.get().cast_signed() - sent_at.get().cast_signed();
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -99,7 +99,7 @@
         is_hub: plan.is_hub(shared.settings.ip),
         follows_stores: shared.peers.follows_stores(),
         is_store_reachable,
-        sent_at: now,
+        sent_at_us: now,
         kinds: shared.watches.news(now),
         endpoints: Vec::new(),
         followed: Vec::new(),
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -23,6 +23,7 @@
 mod server;
 mod shared;
 mod site_state;
+mod store_news;
 mod stream_body;
 mod trace;
 mod transfers;
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -22,7 +22,7 @@
 use super::peer_state::add_parts;
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
-use super::watch::apply_delta;
+use super::store_news::apply_delta;
 use super::watch_state::{Delta, WATCHED, kind_name};
 use crate::decide::beacon::Beacon;
 use crate::decide::hubs::HubCandidate;
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -0,0 +1,296 @@
+//! Taking over what the store, or another daemon, tells of objects.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_wire::object_store::{
+    Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind,
+};
+
+use super::part_news::run_part_news;
+use super::shared::Shared;
+use super::watch_state::{Delta, WatchState, kind_name};
+use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
+use crate::observe::Event;
+
+/// Where news comes from, for the log.
+pub(super) const STORE: &str = "store";
+const PEER: &str = "peer";
+
+/// Longest text of others in a log line. Who can write an entry could else fill the log with it.
+const MAX_TOLD_CHARS: usize = 200;
+
+/// Says what an absence means now: right after an outage registrations may only have lapsed.
+fn absence(state: &WatchState, now: TimeUs) -> Absence {
+    let is_recent = |at: TimeUs| now.since(at) < REGISTER_AGAIN_US;
+    let is_after_outage = state.recovered_at_us.is_some_and(is_recent);
+    match state.failing_since_us.is_some() || is_after_outage {
+        true => Absence::MayHaveLapsed,
+        false => Absence::Left,
+    }
+}
+
+/// Takes over a whole listing, from the store or from a peer that knows more.
+pub(super) fn apply_listing(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    listing: Listing,
+    source: &str,
+) {
+    let now = shared.now();
+    let (absence, age_us) = {
+        let mut state = shared.watches.of(role).lock();
+        if listing.revision < state.changed {
+            return;
+        }
+        let named = |object: &StoredObject| (object.name.clone(), object.clone());
+        let objects: BTreeMap<String, StoredObject> = listing.objects.iter().map(named).collect();
+        state.objects = objects;
+        // Even without a difference: the one who told it would else seem to know more for ever.
+        state.changed = listing.revision;
+        state.revision = state.revision.max(listing.revision);
+        let was_listed = std::mem::replace(&mut state.is_listed, true);
+        state.behind = None;
+        let age_us = if was_listed {
+            DurationUs::ZERO
+        } else {
+            shared.bounds.first_age()
+        };
+        (absence(&state, now), age_us)
+    };
+    match role {
+        ObjectRole::Endpoints => {
+            let objects = listing.objects.iter();
+            let registrations = objects.filter_map(|object| registration(shared, object));
+            let registrations = registrations.collect();
+            let changes = shared.endpoints.lock().listed(registrations, absence, now);
+            shared.note_changes(changes, listing.revision.0);
+        }
+        _ => {
+            for object in &listing.objects {
+                put(shared, role, object, source, age_us);
+            }
+        }
+    }
+}
+
+pub(super) fn apply_changes(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    changes: Vec<Change>,
+    revision: Revision,
+    source: &str,
+) {
+    for change in changes {
+        let absence = {
+            let mut state = shared.watches.of(role).lock();
+            if !is_news(&state, &change) {
+                continue;
+            }
+            match &change {
+                Change::Put(object) => {
+                    state.changed = state.changed.max(object.revision);
+                    state.objects.insert(object.name.clone(), object.clone());
+                }
+                Change::Deleted(name, deleted_at) => {
+                    state.changed = state.changed.max(*deleted_at);
+                    state.objects.remove(name);
+                    state.note_deleted(name.clone(), *deleted_at);
+                }
+            }
+            absence(&state, shared.now())
+        };
+        match change {
+            Change::Put(object) => put(shared, role, &object, source, DurationUs::ZERO),
+            Change::Deleted(name, deleted_at) => {
+                deleted(shared, role, &name, absence, deleted_at);
+            }
+        }
+    }
+    let mut state = shared.watches.of(role).lock();
+    state.revision = state.revision.max(revision);
+    if state.revision >= state.changed {
+        state.behind = None;
+    }
+}
+
+/// Takes over what a peer tells.
+pub(super) fn apply_delta(shared: &Arc<Shared>, role: ObjectRole, delta: Delta) {
+    if delta.is_full {
+        let listing = Listing {
+            revision: delta.revision,
+            objects: delta.objects,
+            skipped: Vec::new(),
+        };
+        apply_listing(shared, role, listing, PEER);
+        return;
+    }
+    let puts = delta.objects.into_iter().map(Change::Put);
+    let gone = delta.deleted.into_iter();
+    let gone = gone.map(|(name, revision)| Change::Deleted(name, revision));
+    apply_changes(
+        shared,
+        role,
+        puts.chain(gone).collect(),
+        delta.revision,
+        PEER,
+    );
+    let mut state = shared.watches.of(role).lock();
+    state.changed = state.changed.max(delta.revision);
+}
+
+/// Returns whether a change says more than what is known, which a peer may have told before.
+fn is_news(state: &WatchState, change: &Change) -> bool {
+    match change {
+        Change::Put(object) => {
+            let known = state.objects.get(&object.name);
+            known.is_none_or(|known| object.revision > known.revision)
+        }
+        // One that was created again since is still there, whichever news comes last.
+        Change::Deleted(name, revision) => {
+            let known = state.objects.get(name);
+            known.is_some_and(|known| known.revision <= *revision)
+        }
+    }
+}
+
+fn put(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    object: &StoredObject,
+    source: &str,
+    age_us: DurationUs,
+) {
+    let site = &shared.borders.site;
+    let now = shared.now();
+    match role {
+        ObjectRole::Endpoints => {
+            if let Some(registration) = registration(shared, object) {
+                let changes = shared.endpoints.lock().registered(registration);
+                shared.note_changes(changes, object.revision.0);
+            }
+        }
+        ObjectRole::Configuration => {
+            let config = readable(shared, role, object, site.configuration(object));
+            if let Some(config) = config {
+                adopt(shared, config, object.revision, source);
+            }
+        }
+        ObjectRole::Weights => {
+            let wanted = readable(shared, role, object, site.weights(object));
+            let Some(wanted) = wanted else { return };
+            let (model, version) = (wanted.model.to_string(), wanted.version.get());
+            if shared.site.want(wanted, age_us, now) {
+                shared.log.write(&Event::WeightsWanted { model, version });
+            }
+        }
+        ObjectRole::Members | ObjectRole::Leases => {}
+    }
+}
+
+fn deleted(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    name: &str,
+    absence: Absence,
+    revision: Revision,
+) {
+    let ObjectRole::Endpoints = role else { return };
+    let Ok(id) = name.parse() else { return };
+    let change = shared
+        .endpoints
+        .lock()
+        .unregistered(&id, absence, shared.now());
+    shared.note_changes(change.into_iter().collect(), revision.0);
+}
+
+fn adopt(shared: &Arc<Shared>, config: crate::site::SiteConfig, revision: Revision, source: &str) {
+    let version = config.version;
+    let routes = config.routes.iter().count();
+    let engines = config.services.values().filter_map(|service| {
+        let engine = service.engine.as_ref()?;
+        Some((service.name.clone(), engine.memory_tokens.get()))
+    });
+    let memory_tokens = engines.collect();
+    let services = config.services.keys().cloned().collect();
+    let stores: Vec<_> = config
+        .services
+        .values()
+        .filter_map(|s| s.store.clone())
+        .collect();
+    if !shared.site.adopt(config) {
+        return;
+    }
+    shared
+        .endpoints
+        .lock()
+        .set_services(services, memory_tokens);
+    let new_stores = shared.part_stores.lock().configured(stores.into_iter());
+    for store in new_stores {
+        tokio::spawn(run_part_news(Arc::clone(shared), store));
+    }
+    let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
+    shared.metrics.config_version.set(gauge);
+    shared.log.write(&Event::ConfigAdopted {
+        version: version.get(),
+        revision: revision.0,
+        source: source.to_owned(),
+        routes,
+    });
+}
+
+/// Reads a registration. One that can't be read still tells that the endpoint of its name is no
+/// longer registered as it was; one under a name that no endpoint can have tells nothing.
+fn registration(shared: &Shared, object: &StoredObject) -> Option<Registration> {
+    let endpoint = shared.borders.site.endpoint(object);
+    match readable(shared, ObjectRole::Endpoints, object, endpoint) {
+        Some(endpoint) => Some(Registration::Good(endpoint)),
+        None => {
+            let id = object.name.parse().ok()?;
+            Some(Registration::Unreadable(id, object.revision))
+        }
+    }
+}
+
+/// Passes on what could be read, and tells of the rest.
+fn readable<T>(
+    shared: &Shared,
+    role: ObjectRole,
+    object: &StoredObject,
+    decoded: Result<T, crate::border::DecodeError>,
+) -> Option<T> {
+    match decoded {
+        Ok(value) => Some(value),
+        Err(error) => {
+            note_unreadable(shared, role, &object.name, error.kind, error.reason);
+            None
+        }
+    }
+}
+
+/// Tells of objects that were passed over in an answer of the store.
+pub(super) fn note_skipped(shared: &Shared, role: ObjectRole, skipped: &[Skipped]) {
+    for skipped in skipped {
+        note_unreadable(shared, role, "", skipped.kind, skipped.detail.clone());
+    }
+}
+
+/// Counts an object that can't be read, and writes a line of bounded length.
+pub(super) fn note_unreadable(
+    shared: &Shared,
+    role: ObjectRole,
+    name: &str,
+    kind: UnreadableKind,
+    detail: String,
+) {
+    let labels = [kind_name(role), kind.label()];
+    let counter = &shared.metrics.unreadable_objects;
+    counter.with_label_values(&labels).inc();
+    shared.log.write(&Event::ObjectUnreadable {
+        kind: kind_name(role),
+        name: name.chars().take(MAX_TOLD_CHARS).collect(),
+        reason: kind.label(),
+        detail: detail.chars().take(MAX_TOLD_CHARS).collect(),
+    });
+}
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -33,7 +33,7 @@
     pub(super) recovered_at_us: Option<TimeUs>,
     pub(super) answered_at_us: Option<TimeUs>,
     /// As of when everything is known, by the store's word to this daemon or to another.
-    pub(super) as_of: Option<TimeUs>,
+    pub(super) as_of_us: Option<TimeUs>,
     pub(super) objects: BTreeMap<String, StoredObject>,
     /// Names of deleted objects, the newest last.
     pub(super) deleted: VecDeque<(Revision, String)>,
@@ -68,8 +68,8 @@
         // While the store turns this daemon away, others may confirm what it knows.
         let is_confirmed = state
             .failing_since_us
-            .is_none_or(|since| state.as_of > Some(since));
-        is_newest_known && is_confirmed && limits.is_final(state.as_of, now)
+            .is_none_or(|since| state.as_of_us > Some(since));
+        is_newest_known && is_confirmed && limits.is_final(state.as_of_us, now)
     }
 
     /// Notes as of when everything of a kind is known, once what the store told has been taken over.
@@ -79,7 +79,7 @@
 
     /// Returns as of when everything of a kind is known.
     pub(crate) fn as_of(&self, role: ObjectRole) -> Option<TimeUs> {
-        self.of(role).lock().as_of
+        self.of(role).lock().as_of_us
     }
 
     /// Returns the time since then, in milliseconds.
@@ -99,7 +99,7 @@
     pub(crate) fn news(&self, now: TimeUs) -> Vec<KindNews> {
         let news = |state: &Mutex<WatchState>| {
             let state = state.lock();
-            let age_ms = state.as_of.map(|as_of| now.since(as_of).as_ms());
+            let age_ms = state.as_of_us.map(|as_of| now.since(as_of).as_ms());
             KindNews {
                 revision: state.changed.0,
                 age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
@@ -188,7 +188,7 @@
 
 impl WatchState {
     fn confirm(&mut self, as_of: TimeUs) {
-        self.as_of = self.as_of.max(Some(as_of));
+        self.as_of_us = self.as_of_us.max(Some(as_of));
     }
 
     fn confirm_by_peer(&mut self, news: &KindNews, held_up_us: DurationUs, now: TimeUs) {
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/beacon.rs
@@ -36,7 +36,7 @@
         is_hub: true,
         follows_stores: true,
         is_store_reachable: true,
-        sent_at: TimeUs::ZERO,
+        sent_at_us: TimeUs::ZERO,
         kinds: vec![],
         endpoints: (0..endpoints).map(work).collect(),
         followed: vec![],
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -21,7 +21,7 @@
         is_hub: true,
         follows_stores: true,
         is_store_reachable: true,
-        sent_at: TimeUs::ZERO,
+        sent_at_us: TimeUs::ZERO,
         kinds: vec![],
         endpoints: vec![],
         followed: vec![],
