fix(watch): a daemon that has just listed says what there is, not only what has changed

Cause: a listing holds nothing of what was removed before it. A daemon that had listed told a peer that asked for the changes since a revision of no removal, and the peer went on from the later revision with endpoints that were gone; it took them for ready for good. Removals of objects that a daemon had never known were not passed on either. Ruled out: the watch after the store's return (it begins at the revision that the peer had told, and had to). Change: such an answer names all objects; the receiver takes what it misses there for removed at that revision. Removals are remembered for peers also where the object was never known.

--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -47,6 +47,8 @@
         let named = |object: &StoredObject| (object.name.clone(), object.clone());
         let objects: BTreeMap<String, StoredObject> = listing.objects.iter().map(named).collect();
         state.objects = objects;
+        // What was deleted before isn't told by a listing.
+        state.forgotten = state.forgotten.max(listing.revision);
         // Even without a difference: the one who told it would else seem to know more for ever.
         state.changed = listing.revision;
         state.revision = state.revision.max(listing.revision);
@@ -86,6 +88,10 @@
         let absence = {
             let mut state = shared.watches.of(role).lock();
             if !is_news(&state, &change) {
+                if let Change::Deleted(name, deleted_at) = change {
+                    state.changed = state.changed.max(deleted_at);
+                    state.note_deleted(name, deleted_at);
+                }
                 continue;
             }
             match &change {
@@ -126,9 +132,18 @@
         apply_listing(shared, role, listing, PEER);
         return;
     }
-    let puts = delta.objects.into_iter().map(Change::Put);
-    let gone = delta.deleted.into_iter();
+    let missing = {
+        let mut state = shared.watches.of(role).lock();
+        let names = delta.names.as_ref();
+        if names.is_some() {
+            state.forgotten = state.forgotten.max(delta.revision);
+        }
+        names.map_or(Vec::new(), |names| state.missing_from(names))
+    };
+    let missing = missing.into_iter().map(|name| (name, delta.revision));
+    let gone = delta.deleted.into_iter().chain(missing);
     let gone = gone.map(|(name, revision)| Change::Deleted(name, revision));
+    let puts = delta.objects.into_iter().map(Change::Put);
     apply_changes(
         shared,
         role,
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -1,6 +1,6 @@
 //! What is known of the store's objects, and how fresh that is.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
 use parking_lot::Mutex;
@@ -37,7 +37,7 @@
     pub(super) objects: BTreeMap<String, StoredObject>,
     /// Names of deleted objects, the newest last.
     pub(super) deleted: VecDeque<(Revision, String)>,
-    /// Up to this revision deletions may have been forgotten.
+    /// Up to this revision deletions may be missing: they were forgotten, or came before a listing.
     pub(super) forgotten: Revision,
     /// Since when a peer has been known to know more.
     pub(super) behind: Option<(TimeUs, Ipv4Addr)>,
@@ -157,15 +157,18 @@
     /// Returns what has changed of a kind since a revision, for a peer.
     pub(crate) fn delta(&self, role: ObjectRole, since: Revision) -> Delta {
         let state = self.of(role).lock();
-        let is_full = since < state.forgotten || since == Revision::default();
+        let is_full = since == Revision::default();
+        let misses_deletions = !is_full && since < state.forgotten;
         let is_new = |object: &&StoredObject| is_full || object.revision > since;
         let gone = state
             .deleted
             .iter()
             .filter(|(revision, _)| !is_full && *revision > since);
+        let names = || state.objects.keys().cloned().collect();
         Delta {
             revision: state.changed,
             is_full,
+            names: misses_deletions.then(names),
             objects: state.objects.values().filter(is_new).cloned().collect(),
             deleted: gone
                 .map(|(revision, name)| (name.clone(), *revision))
@@ -184,6 +187,10 @@
     pub(super) objects: Vec<StoredObject>,
     /// Names of deleted objects, and when they were.
     pub(super) deleted: Vec<(String, Revision)>,
+    /// Names of all objects, where not all deletions are known. What a listing doesn't hold may have been
+    /// there before it: told as a change like any other, nothing would be said of it, and a daemon
+    /// that knows it would keep it for good.
+    pub(super) names: Option<BTreeSet<String>>,
 }
 
 impl WatchState {
@@ -202,15 +209,28 @@
         self.answered_at_us.map(|at| now.since(at).as_ms())
     }
 
-    /// Remembers a deletion for peers.
+    /// Remembers a deletion for peers, also of an object that was never known here: they may know it.
     pub(super) fn note_deleted(&mut self, name: String, revision: Revision) {
-        self.deleted.push_back((revision, name));
+        let deletion = (revision, name);
+        if self.deleted.contains(&deletion) {
+            return;
+        }
+        self.deleted.push_back(deletion);
         let is_full = self.deleted.len() > REMEMBERED_DELETIONS;
         let oldest = is_full.then(|| self.deleted.pop_front()).flatten();
         if let Some((revision, _)) = oldest {
-            self.forgotten = revision;
+            self.forgotten = self.forgotten.max(revision);
         }
     }
+
+    /// Returns the names of known objects that are not among all those there are.
+    pub(super) fn missing_from(&self, names: &BTreeSet<String>) -> Vec<String> {
+        let known = self.objects.keys();
+        known
+            .filter(|name| !names.contains(*name))
+            .cloned()
+            .collect()
+    }
 }
 
 /// Returns the word for logs, metrics and paths between daemons.
