fix(watch): a late answer brings back nothing that has left

Cause: an object that wasn't known counted as news whatever its revision. The answer of a watch, held up on the way, told of an endpoint that a peer had meanwhile told to have left; it was taken for ready again, and the next watch began after the removal. Change: what isn't known at a revision up to which everything is known has been removed.

--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -84,10 +84,11 @@
     revision: Revision,
     source: &str,
 ) {
+    let known_up_to = shared.watches.changed_revision(role);
     for change in changes {
         let absence = {
             let mut state = shared.watches.of(role).lock();
-            if !is_news(&state, &change) {
+            if !is_news(&state, &change, known_up_to) {
                 if let Change::Deleted(name, deleted_at) = change {
                     state.changed = state.changed.max(deleted_at);
                     state.note_deleted(name, deleted_at);
@@ -156,12 +157,15 @@
 }
 
 /// Returns whether a change says more than what is known, which a peer may have told before.
-fn is_news(state: &WatchState, change: &Change) -> bool {
+///
+/// Up to `known_up_to` everything is known: an object of an earlier revision that isn't has been removed since, and
+/// a late answer that tells of it would bring it back for good.
+fn is_news(state: &WatchState, change: &Change, known_up_to: Revision) -> bool {
     match change {
-        Change::Put(object) => {
-            let known = state.objects.get(&object.name);
-            known.is_none_or(|known| object.revision > known.revision)
-        }
+        Change::Put(object) => match state.objects.get(&object.name) {
+            Some(known) => object.revision > known.revision,
+            None => object.revision > known_up_to,
+        },
         // One that was created again since is still there, whichever news comes last.
         Change::Deleted(name, revision) => {
             let known = state.objects.get(name);
