feat(observe): tell which request broke, and that its endpoint crashed

Nothing in the log said that calls which broke one after the other were the same request: the id of each is new, and workspace, route and size fit others too. Nor did it say whether an endpoint's process had ended or only a connection.

- attempt_failed names the request by a fingerprint of workspace, path and body.
- endpoint_crashed tells that calls were on board when a process ended.
A break alone proves nothing; a connection that is refused right after it does, or the next start at the address.

Nothing is decided by it yet. Cost: one connection, refused in the case looked for, for each endpoint at which calls broke, at most one in half a second.

Tests: crash_evidence::*.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod backlog;
 pub(crate) mod beacon;
+pub(crate) mod crash_evidence;
 pub(crate) mod endpoint_row;
 pub(crate) mod endpoint_table;
 pub(crate) mod hubs;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub use decide::beacon::{
     Beacon, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase, PartNews, StoreNews,
 };
+pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::hubs::{HubCandidate, HubPlan};
@@ -46,6 +47,6 @@
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
 pub use site::{
-    CallKind, CallerLimits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape, Route,
-    RouteTable, Service, SiteConfig, WantedWeights, Workspace,
+    CallKind, CallerLimits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape,
+    RequestFingerprint, Route, RouteTable, Service, SiteConfig, WantedWeights, Workspace,
 };
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -31,6 +31,7 @@
     /// An attempt at a call failed, and what was decided about the next one.
     AttemptFailed {
         request: String,
+        fingerprint: String,
         endpoint: String,
         attempt: u32,
         reason: &'static str,
@@ -52,6 +53,12 @@
         service: String,
         revision: u64,
     },
+    /// An endpoint's process ended while calls of this daemon were under way there.
+    EndpointCrashed {
+        endpoint: String,
+        proof: &'static str,
+        calls: usize,
+    },
     /// An endpoint gets no requests for a while, or gets them again.
     EndpointEjected {
         endpoint: String,
@@ -180,6 +187,7 @@
             Event::AttemptFailed { .. } => "attempt_failed",
             Event::StreamResumed { .. } => "stream_resumed",
             Event::EndpointChanged { .. } => "endpoint_changed",
+            Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointEjected { .. } => "endpoint_ejected",
             Event::ConfigAdopted { .. } => "config_adopted",
             Event::ObjectUnreadable { .. } => "object_unreadable",
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -16,7 +16,7 @@
 use super::transfers::Transfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
 use crate::decide::placement::Placement;
-use crate::site::EngineTraits;
+use crate::site::{EngineTraits, RequestFingerprint};
 
 /// Longest wait for a connection to an endpoint. One takes some milliseconds; an opening packet
 /// that is lost is sent again after a second, and another endpoint is there sooner.
@@ -41,6 +41,8 @@
     pub(crate) headers: HeaderMap,
     /// Whole body.
     pub(crate) body: Bytes,
+    /// What stays the same when its caller repeats it.
+    pub(crate) fingerprint: RequestFingerprint,
     /// Workspace.
     pub(crate) workspace: Option<WorkspaceId>,
     /// Rank in the endpoint's queue.
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -97,6 +97,7 @@
             }),
             endpoints: Mutex::new(endpoints),
             part_stores: Mutex::new(PartStores::default()),
+            crash_evidence: Mutex::default(),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
             life_ended: Notify::new(),
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod beacons;
 mod budgets;
+mod crashes;
 pub(crate) mod daemon;
 mod drain;
 mod durations;
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -18,7 +18,7 @@
 use super::stream_body::{StreamStart, stream};
 use super::trace::CallTrace;
 use crate::border::Refusal;
-use crate::site::{CallKind, Route, SiteConfig, Workspace};
+use crate::site::{CallKind, RequestFingerprint, Route, SiteConfig, Workspace};
 
 /// When a caller may come back to a daemon that knows too little yet.
 const NOT_READY_RETRY_US: DurationUs = DurationUs::from_ms(300);
@@ -135,6 +135,7 @@
     };
     let mut routed = Routed {
         call: Call {
+            fingerprint: RequestFingerprint::of(id.as_ref(), parts.uri.path(), &body.bytes),
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -14,6 +14,7 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
+use super::crashes::note_broken;
 use super::flight::Landing;
 use super::next_step::NextStep;
 use super::request_body::HeldBody;
@@ -95,6 +96,7 @@
                 Err(failure) => failure,
             };
             self.tried.push(placement.endpoint.clone());
+            self.note_broken(shared, &placement, failure.kind);
             connects += 1;
             let next = self.next(shared, failure.kind, connects);
             self.log_failure(shared, &placement, &failure, next);
@@ -336,6 +338,18 @@
         Ok(Attempted::Stream(first, Box::new(opened)))
     }
 
+    /// Notes a connection that broke, which may tell of a crash.
+    pub(crate) fn note_broken(
+        &self,
+        shared: &Arc<Shared>,
+        placement: &Placement,
+        kind: FailureKind,
+    ) {
+        if kind == FailureKind::Lost {
+            note_broken(shared, &self.call, placement);
+        }
+    }
+
     /// Decides what follows a failed attempt.
     fn next(&self, shared: &Shared, kind: FailureKind, connects: u32) -> NextStep {
         if self.call.due <= Instant::now() {
@@ -378,6 +392,7 @@
     ) {
         shared.log.write(&Event::AttemptFailed {
             request: self.call.head.request_id.to_string(),
+            fingerprint: self.call.fingerprint.to_string(),
             endpoint: placement.endpoint.to_string(),
             attempt: self.sent,
             reason: failure.kind.label(),
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -12,6 +12,7 @@
 use wisteriahitch_wire::object_store::ObjectStore;
 
 use super::budgets::Budgets;
+use super::crashes::{Proof, note_crash};
 use super::drain::Drain;
 use super::durations::Durations;
 use super::peer_state::PeerState;
@@ -20,6 +21,7 @@
 use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
 use crate::decide::beacon::MemberPhase;
+use crate::decide::crash_evidence::CrashEvidence;
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
@@ -52,6 +54,7 @@
     /// Locked for one step at a time and never across an await, as every table here.
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) part_stores: Mutex<PartStores>,
+    pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) peers: PeerState,
     /// Connections to endpoints, each to one life.
     pub(crate) pool: ConnectionPool<EndpointInstance>,
@@ -104,10 +107,12 @@
                 EndpointChange::Unreadable(instance) => (instance, "unreadable"),
                 EndpointChange::Displaced(instance) => {
                     self.pool.forget(&instance);
+                    note_crash(self, &instance, Proof::Replaced);
                     (instance, "displaced")
                 }
                 EndpointChange::Ended(instance) => {
                     self.pool.forget(&instance);
+                    note_crash(self, &instance, Proof::Replaced);
                     self.life_ended.notify_waiters();
                     (instance, "ended")
                 }
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -188,8 +188,10 @@
         let opened = self.opened.take().ok_or(Code::StreamIncomplete)?;
         opened.flight.land(Landing::Failed);
         drop(opened);
-        let next = self.next_step(failure.kind);
         let placement = self.placement.clone();
+        self.routed
+            .note_broken(&self.shared, &placement, failure.kind);
+        let next = self.next_step(failure.kind);
         self.routed
             .log_failure(&self.shared, &placement, &failure, next);
         if next != NextStep::Again {
--- a/crates/wisteriahitch-relay/src/site/mod.rs
+++ b/crates/wisteriahitch-relay/src/site/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod endpoint;
+mod fingerprint;
 mod prompt;
 mod route;
 
@@ -9,5 +10,6 @@
     CallerLimits, EngineTraits, PartStore, Service, SiteConfig, WantedWeights, Workspace,
 };
 pub use endpoint::Endpoint;
+pub use fingerprint::RequestFingerprint;
 pub use prompt::{PromptPart, PromptShape};
 pub use route::{CallKind, Route, RouteTable};
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -3,6 +3,7 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod beacon;
+mod crash_evidence;
 mod docs;
 mod endpoint_lives;
 mod endpoint_table;
