fix(router): no daemon sends a request on under which three endpoints have crashed

What callers saw: engines ended one after the other, 31 in 35 s, each with 3 to 32 calls on board; a tenth to a third of the calls of one kind failed, in all workspaces. One request, sent again under another id each time, at any daemon, had ended them: it was sent on ten and six times more after three had ended.

Cause: nothing of a call outlasted it, and a crash was taken for a lost connection, held against the engine alone. Ruled out: attempts of one call that multiply (the lost calls had one attempt each); blaming by the moment (a request that comes everywhere at once ends as many as a loss of power); a block after two crashes; an agreement before each call.

Why this holds: what stays of a request (workspace, path, body) names it. A crash is proven by what a reset doesn't show: nothing listens at the address, or the next start registers. All on board are suspects, a whole answer clears, and whoever was on board of three crashes is sent on by nobody. Daemons add up what each saw and go on telling it; what must outlast all of them is written in the store, once for each.

--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -103,6 +103,7 @@
             patience_us: ask.patience_us,
             longest_queue_us: ask.longest_queue_us,
             excluded: &[],
+            is_isolated: false,
             required_weights: None,
             wanted_weights: None,
         };
--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -6,6 +6,7 @@
 use wisteriahitch_types::{Incarnation, TimeUs};
 
 use super::backlog::Load;
+use crate::site::RequestFingerprint;
 
 /// Says what a member does.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
@@ -73,6 +74,37 @@
     pub age_ms: Option<u32>,
 }
 
+/// An endpoint that crashed with a request on board.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct CrashNews {
+    /// Request.
+    pub request: RequestFingerprint,
+    /// Short name of the endpoint's life.
+    pub endpoint: u32,
+}
+
+/// A request that no daemon sends to an endpoint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct BlockedNews {
+    /// Request.
+    pub request: RequestFingerprint,
+    /// Time since it last came to a daemon.
+    pub absent_ms: u64,
+}
+
+/// What the sender knows of requests under which endpoints crash.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct RequestNews {
+    /// Crashes that it has just learnt of.
+    pub crashes: Vec<CrashNews>,
+    /// Requests that are blocked.
+    pub blocked: Vec<BlockedNews>,
+    /// Requests that an endpoint has answered, of those that were held to be suspect.
+    pub cleared: Vec<RequestFingerprint>,
+    /// Requests that an operator has ordered to be sent again.
+    pub lifted: Vec<RequestFingerprint>,
+}
+
 /// A daemon that the sender hears.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct MemberNews {
@@ -128,6 +160,8 @@
     pub stores: Vec<StoreNews>,
     /// Parts that stores have got since the last message.
     pub kept: Vec<KeptNews>,
+    /// Requests under which endpoints crash.
+    pub requests: RequestNews,
     /// Names of the zones in `members`.
     pub zones: Vec<String>,
     /// Daemons that the sender hears.
@@ -137,7 +171,8 @@
 impl Beacon {
     /// Encodes the message in at most `max_bytes`, leaving out what is missed least.
     ///
-    /// First go parts that engines have read, which are a hint; then parts that stores have got, which
+    /// First go parts that engines have read, which are a hint; then crashes of which other requests
+    /// are less suspect; then parts that stores have got, which
     /// endpoints can't be reached, which engines are followed, and last the load. What stores have got
     /// is told once only, and whoever misses it has the part read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead
     /// of 20.2 million tokens of shared parts that were read again (a day of 34 s, one run each).
@@ -149,6 +184,9 @@
             }
             if !self.parts.is_empty() {
                 self.parts.truncate(self.parts.len() / 2);
+            } else if !self.requests.crashes.is_empty() {
+                let crashes = &mut self.requests.crashes;
+                crashes.truncate(crashes.len() / 2);
             } else if !self.kept.is_empty() {
                 self.kept.truncate(self.kept.len() / 2);
             } else if !self.unreachable.is_empty() {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -24,4 +24,5 @@
 pub(crate) mod staleness;
 pub(crate) mod store_retry;
 pub(crate) mod stream_events;
+pub(crate) mod suspects;
 pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -89,7 +89,10 @@
     let Some(least) = least else {
         return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US));
     };
-    let chosen = draw(&offers, least, spread_ms(request.daemons), rng);
+    let chosen = match request.is_isolated {
+        true => least_loaded(&offers),
+        false => draw(&offers, least, spread_ms(request.daemons), rng),
+    };
     let expected_us = DurationUs::from_secs_f64(chosen.wait_ms / 1_000.0);
     let queue_us = DurationUs::from_secs_f64(chosen.queue_ms / 1_000.0);
     let late_us = expected_us - request.patience_us;
@@ -164,6 +167,18 @@
     offers.iter().min_by(by_cost).unwrap_or(&offers[0])
 }
 
+/// Returns the offer of the endpoint at which the fewest calls run, of several the one that costs least.
+///
+/// What the call is suspected of ends all that runs there: one of the others would be lost with it for each call.
+fn least_loaded<'a, 'b>(offers: &'a [Offer<'b>]) -> &'a Offer<'b> {
+    let running = |offer: &Offer<'_>| offer.row.load().running;
+    let by_loss = |a: &&Offer<'_>, b: &&Offer<'_>| {
+        let by_cost = || a.cost_ms.total_cmp(&b.cost_ms);
+        running(a).cmp(&running(b)).then_with(by_cost)
+    };
+    offers.iter().min_by(by_loss).unwrap_or(&offers[0])
+}
+
 /// Returns the endpoints that may take the call.
 ///
 /// Those that are ejected or under an order are left out as long as others are there: an ejection
--- a/crates/wisteriahitch-relay/src/decide/placement_request.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement_request.rs
@@ -45,6 +45,8 @@
     pub longest_queue_us: DurationUs,
     /// Endpoints that won't do.
     pub excluded: &'a [EndpointInstance],
+    /// Whether endpoints have crashed under the call, so that it is to go where little is lost with it.
+    pub is_isolated: bool,
     /// Weights that the call must run on, as a stream that goes on does.
     pub required_weights: Option<WeightNumber>,
     /// Weights that the model is to run.
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -20,7 +20,8 @@
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::beacon::{
-    Beacon, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase, PartNews, StoreNews,
+    Beacon, BlockedNews, CrashNews, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase,
+    PartNews, RequestNews, StoreNews,
 };
 pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
@@ -42,6 +43,7 @@
 pub use decide::staleness::{StalenessLimits, answered_as_of};
 pub use decide::store_retry::retry_pause;
 pub use decide::stream_events::{EventFramer, Framed, FramingError};
+pub use decide::suspects::{CRASHES_TO_BLOCK, CrashVerdict, RequestChanges, SuspectTable};
 pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 pub use observe::{BoundedLabel, CallEnded, Event, EventLog, LogBudget, ProcessUse};
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -59,6 +59,16 @@
         proof: &'static str,
         calls: usize,
     },
+    /// A request is sent to no endpoint any more, since endpoints crash under it.
+    RequestBlocked {
+        fingerprint: String,
+        source: &'static str,
+    },
+    /// A request is sent to endpoints again.
+    RequestUnblocked {
+        fingerprint: String,
+        reason: &'static str,
+    },
     /// An endpoint gets no requests for a while, or gets them again.
     EndpointEjected {
         endpoint: String,
@@ -149,6 +159,8 @@
     pub config_version: u64,
     pub config_age_ms: Option<u64>,
     pub outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub fingerprint: Option<String>,
     pub code: Option<u16>,
     pub status: u16,
     pub retry_after_ms: Option<u64>,
@@ -188,6 +200,8 @@
             Event::StreamResumed { .. } => "stream_resumed",
             Event::EndpointChanged { .. } => "endpoint_changed",
             Event::EndpointCrashed { .. } => "endpoint_crashed",
+            Event::RequestBlocked { .. } => "request_blocked",
+            Event::RequestUnblocked { .. } => "request_unblocked",
             Event::EndpointEjected { .. } => "endpoint_ejected",
             Event::ConfigAdopted { .. } => "config_adopted",
             Event::ObjectUnreadable { .. } => "object_unreadable",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -56,6 +56,10 @@
     pub(crate) store_calls: IntCounterVec,
     /// Objects that couldn't be read, by kind and reason.
     pub(crate) unreadable_objects: IntCounterVec,
+    /// Crashes of endpoints with calls of this daemon on board, by what proved them.
+    pub(crate) endpoint_crashes: IntCounterVec,
+    /// Requests that are sent to no endpoint.
+    pub(crate) blocked_requests: IntGauge,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
     /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
@@ -131,6 +135,15 @@
                 "Objects that couldn't be read.",
                 &["kind", "reason"],
             )?,
+            endpoint_crashes: counters(
+                "relay_endpoint_crashes_total",
+                "Crashes of endpoints with calls on board.",
+                &["proof"],
+            )?,
+            blocked_requests: gauge(
+                "relay_blocked_requests",
+                "Requests that are sent to no endpoint.",
+            )?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
             config_version: gauge("relay_config_version", "Configuration in force.")?,
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -199,10 +199,11 @@
         let known_within_ms = match role {
             ObjectRole::Endpoints => self.endpoint_drain_ms,
             ObjectRole::Weights => self.old_weights_ms * WEIGHTS_NEWS_SHARE,
-            // Who may give orders and which daemons there are isn't followed by watches.
-            ObjectRole::Configuration | ObjectRole::Members | ObjectRole::Leases => {
-                self.configuration_ms
-            }
+            // Who may give orders, which daemons there are and what is blocked isn't followed by watches.
+            ObjectRole::Configuration
+            | ObjectRole::Members
+            | ObjectRole::Leases
+            | ObjectRole::BlockedRequests => self.configuration_ms,
         };
         let wait_us = DurationUs::from(self.watch_wait());
         let confirm_us = ms(known_within_ms * CONFIRM_SHARE);
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -82,6 +82,8 @@
     Nonsense,
     /// The endpoint failed; it has run.
     EndpointFailed,
+    /// It was taken back, since endpoints crash under it; it may have run.
+    Blocked,
 }
 
 impl FailureKind {
@@ -101,6 +103,7 @@
             FailureKind::Lost | FailureKind::EndpointFailed => Code::EndpointLost,
             FailureKind::Timeout => Code::EndpointTimeout,
             FailureKind::Nonsense => Code::EndpointNonsense,
+            FailureKind::Blocked => Code::RequestBlocked,
         }
     }
 
@@ -114,6 +117,7 @@
             FailureKind::Timeout => "timeout",
             FailureKind::Nonsense => "nonsense",
             FailureKind::EndpointFailed => "endpoint_failed",
+            FailureKind::Blocked => "blocked",
         }
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -7,7 +7,7 @@
 use super::shared::Shared;
 use crate::decide::backlog::Load;
 use crate::decide::beacon::{
-    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, StoreNews,
+    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, RequestNews, StoreNews,
 };
 use crate::decide::endpoint_row::EndpointRow;
 use crate::decide::hubs::HubPlan;
@@ -32,6 +32,7 @@
     far_parts: Vec<PartNews>,
     kept: Vec<KeptNews>,
     reserved: Vec<EndpointInstance>,
+    requests: RequestNews,
 }
 
 impl Relayed {
@@ -41,7 +42,9 @@
         plan: &HubPlan,
         near_parts: Vec<PartNews>,
         far_parts: Vec<PartNews>,
+        now: TimeUs,
     ) -> Self {
+        let number = shared.peers.round();
         // In a small fleet everybody asks the stores.
         let news = shared.part_stores.lock().take_news(MAX_KEPT);
         let kept = if plan.is_small { Vec::new() } else { news };
@@ -50,6 +53,7 @@
             far_parts,
             kept,
             reserved: shared.rollout.lock().reserved().cloned().collect(),
+            requests: shared.suspects.lock().news(number, now),
         }
     }
 }
@@ -62,7 +66,7 @@
     own: Option<Ipv4Addr>,
     now: TimeUs,
 ) -> Vec<u8> {
-    let mut beacon = base(shared, plan, now);
+    let mut beacon = base(shared, plan, relayed, now);
     beacon.endpoints = endpoint_news(shared, plan, relayed, own, now);
     beacon.followed = followed(shared, own, now);
     beacon.unreachable = unreachable(shared, plan, own, now);
@@ -83,7 +87,7 @@
     beacon.encoded(MAX_BEACON_BYTES)
 }
 
-fn base(shared: &Shared, plan: &HubPlan, now: TimeUs) -> Beacon {
+fn base(shared: &Shared, plan: &HubPlan, relayed: &Relayed, now: TimeUs) -> Beacon {
     let is_store_reachable = match shared.peers.follows_stores() {
         true => shared.watches.is_store_reachable(),
         false => shared.peers.hears_of_store(shared.settings.ip, now),
@@ -107,6 +111,7 @@
         parts: Vec::new(),
         stores: Vec::new(),
         kept: Vec::new(),
+        requests: relayed.requests.clone(),
         zones: Vec::new(),
         members: Vec::new(),
     }
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -1,4 +1,4 @@
-//! Finding out whether an endpoint crashed with calls on board.
+//! Finding out whether an endpoint crashed with calls on board, and what that says of them.
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -10,12 +10,16 @@
 use wisteriahitch_types::EndpointInstance;
 
 use super::attempt::Call;
+use super::blocked_requests::{BlockSource, UnblockReason, note_blocked, note_unblocked};
 use super::shared::Shared;
+use crate::decide::beacon::RequestNews;
 use crate::decide::crash_evidence::BreakMeaning;
 use crate::decide::endpoint_row::EndpointLife;
 use crate::decide::endpoint_table::short_name;
 use crate::decide::placement::Placement;
+use crate::decide::suspects::CrashVerdict;
 use crate::observe::Event;
+use crate::site::RequestFingerprint;
 
 /// Longest wait for an endpoint to accept or refuse a connection. Either takes a round trip; what takes longer is a
 /// link that was cut, and proves nothing.
@@ -28,6 +32,8 @@
     Refused,
     /// Its next start has registered, or another endpoint at its address.
     Replaced,
+    /// Another daemon says so.
+    Told,
 }
 
 impl Proof {
@@ -36,6 +42,7 @@
         match self {
             Proof::Refused => "refused",
             Proof::Replaced => "replaced",
+            Proof::Told => "told",
         }
     }
 }
@@ -57,9 +64,13 @@
         let mut evidence = shared.crash_evidence.lock();
         evidence.broke(life, call.fingerprint, shared.now())
     };
-    if meaning == BreakMeaning::Look {
-        let (endpoint, address) = (placement.endpoint.clone(), placement.address);
-        tokio::spawn(look(Arc::clone(shared), endpoint, address));
+    match meaning {
+        BreakMeaning::Crashed => hold_against(shared, &[call.fingerprint], life),
+        BreakMeaning::Look => {
+            let (endpoint, address) = (placement.endpoint.clone(), placement.address);
+            tokio::spawn(look(Arc::clone(shared), endpoint, address));
+        }
+        BreakMeaning::Unknown => {}
     }
 }
 
@@ -75,14 +86,63 @@
 
 /// Notes that an endpoint's process has ended without a word.
 pub(super) fn note_crash(shared: &Shared, endpoint: &EndpointInstance, proof: Proof) {
-    let life = short_name(&endpoint.to_string());
+    let name = endpoint.to_string();
+    note_crash_of(shared, short_name(&name), &name, proof);
+}
+
+/// Holds a crash against all calls of this daemon that were on board.
+fn note_crash_of(shared: &Shared, life: u32, endpoint: &str, proof: Proof) {
     let on_board = shared.crash_evidence.lock().crashed(life, shared.now());
     let Some(on_board) = on_board.filter(|calls| !calls.is_empty()) else {
         return;
     };
+    let crashes = &shared.metrics.endpoint_crashes;
+    crashes.with_label_values(&[proof.label()]).inc();
     shared.log.write(&Event::EndpointCrashed {
-        endpoint: endpoint.to_string(),
+        endpoint: endpoint.to_owned(),
         proof: proof.label(),
         calls: on_board.len(),
     });
+    hold_against(shared, &on_board, life);
+}
+
+/// Holds a crash that this daemon saw against requests, and tells the others at once.
+fn hold_against(shared: &Shared, requests: &[RequestFingerprint], life: u32) {
+    let now = shared.now();
+    for request in requests {
+        let verdict = shared.suspects.lock().crashed(*request, life, true, now);
+        if let CrashVerdict::Blocked { .. } = verdict {
+            note_blocked(shared, *request, BlockSource::Own);
+        }
+    }
+    shared.peers.hurry.notify_one();
+}
+
+/// Takes over what another daemon tells of requests under which endpoints crash.
+///
+/// That an endpoint has crashed says the same of this daemon's calls that broke there.
+pub(super) fn take_request_news(shared: &Shared, news: &RequestNews) {
+    for crash in &news.crashes {
+        let endpoint = format!("{:08x}", crash.endpoint);
+        note_crash_of(shared, crash.endpoint, &endpoint, Proof::Told);
+    }
+    let changes = shared.suspects.lock().told(news, shared.now());
+    for (request, is_own) in changes.blocked {
+        let source = match is_own {
+            true => BlockSource::Own,
+            false => BlockSource::Peer,
+        };
+        note_blocked(shared, request, source);
+    }
+    for request in changes.unblocked {
+        note_unblocked(shared, request, UnblockReason::Peer);
+    }
+}
+
+/// Notes that an endpoint has answered a request with all it had to say.
+pub(super) fn note_answered(shared: &Shared, request: RequestFingerprint) {
+    let was_blocked = shared.suspects.lock().answered(request, shared.now());
+    if was_blocked {
+        note_unblocked(shared, request, UnblockReason::Answered);
+    }
 }
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -18,6 +18,7 @@
 
 pub use super::shared::Borders;
 
+use super::blocked_requests::{BlockedRequests, blocked_list, run_blocked_requests, tick};
 use super::budgets::Budgets;
 use super::drain::Drain;
 use super::durations::Durations;
@@ -98,6 +99,8 @@
             endpoints: Mutex::new(endpoints),
             part_stores: Mutex::new(PartStores::default()),
             crash_evidence: Mutex::default(),
+            suspects: Mutex::default(),
+            blocked_requests: BlockedRequests::default(),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
             life_ended: Notify::new(),
@@ -137,6 +140,7 @@
             tokio::spawn(run_watch(Arc::clone(&shared), role));
         }
         tokio::spawn(run_registration(Arc::clone(&shared)));
+        tokio::spawn(run_blocked_requests(Arc::clone(&shared)));
         tokio::spawn(run_orders(Arc::clone(&shared)));
         tokio::spawn(run_freeing(Arc::clone(&shared)));
         tokio::spawn(run_engine_news(Arc::clone(&shared)));
@@ -224,6 +228,7 @@
         let changes = shared.endpoints.lock().tick(shared.now());
         shared.note_changes(changes, 0);
         shared.pool.sweep();
+        tick(&shared);
         let is_ready = shared.phase() == MemberPhase::Ready;
         if is_ready != was_ready {
             was_ready = is_ready;
@@ -293,6 +298,8 @@
         "peers": peers,
         "part_stores": shared.part_stores.lock().snapshot(),
         "leases": leases,
+        "blocked_requests": blocked_list(shared),
+        "suspect_requests": shared.suspects.lock().suspect_count(),
     });
     dump.to_string()
 }
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod attempt;
 mod beacons;
+mod blocked_requests;
 mod budgets;
 mod crashes;
 pub(crate) mod daemon;
--- a/crates/wisteriahitch-relay/src/shell/next_step.rs
+++ b/crates/wisteriahitch-relay/src/shell/next_step.rs
@@ -13,6 +13,8 @@
     MayHaveRun,
     /// The route allows no more attempts.
     AttemptsUsedUp,
+    /// Endpoints have crashed under it before, and may crash under it again.
+    Suspect,
     /// All daemons together have made as many retries as they may.
     BudgetUsedUp,
 }
@@ -26,6 +28,7 @@
             NextStep::TooManyConnects => "too_many_connects",
             NextStep::MayHaveRun => "may_have_run",
             NextStep::AttemptsUsedUp => "attempts_used_up",
+            NextStep::Suspect => "suspect",
             NextStep::BudgetUsedUp => "budget_used_up",
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -42,6 +42,7 @@
     /// Part stores whose contents are being asked for.
     pub(super) asked_stores: Mutex<Vec<SocketAddr>>,
     number: AtomicU64,
+    rounds: AtomicU64,
     lag_ms: Mutex<f64>,
     /// Sends a message at once.
     pub(crate) hurry: Notify,
@@ -99,6 +100,11 @@
         self.number.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Begins a round of messages, and returns its number.
+    pub(super) fn round(&self) -> u64 {
+        self.rounds.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Returns how strong this daemon is, in thousandths of a core: less where its timers fire late.
     ///
     /// A VM that has turned slow looks healthy to itself and to others; callers that are sent to it
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -19,6 +19,8 @@
 
 use super::answer_body::AnswerBody;
 use super::beacons::{MAX_BEACON_BYTES, Relayed, encode};
+use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
+use super::crashes::take_request_news;
 use super::peer_state::add_parts;
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
@@ -149,7 +151,7 @@
     let targets = shared.peers.table().targets(&me, &plan, now);
     let near = std::mem::take(&mut *shared.peers.near_parts.lock());
     let far = std::mem::take(&mut *shared.peers.far_parts.lock());
-    let relayed = Relayed::new(shared, &plan, near, far);
+    let relayed = Relayed::new(shared, &plan, near, far, now);
     let mut to_all: Option<Vec<u8>> = None;
     for ip in targets {
         let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
@@ -214,6 +216,7 @@
         shared.peers.hurry.notify_one();
     }
     take_load(shared, &beacon, now);
+    take_request_news(shared, &beacon.requests);
     take_store_news(shared, &beacon, now);
     relay(shared, beacon);
 }
@@ -377,7 +380,11 @@
 
 impl Answers for PeerSide {
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
-        let body = self.body(request.uri().path(), request.uri().query());
+        let path = request.uri().path();
+        let body = match *request.method() {
+            Method::DELETE => lift(&self.shared, path),
+            _ => self.body(path, request.uri().query()),
+        };
         let status = match &body {
             Some(_) => StatusCode::OK,
             None => StatusCode::NOT_FOUND,
@@ -408,6 +415,7 @@
         match path {
             ENGINES_PATH => json(&takeover(shared)),
             "/metrics" => Some(metrics(shared).into()),
+            BLOCKED_PATH => json(&blocked_list(shared)),
             "/v1/dump" => Some(super::daemon::dump(shared).into()),
             _ => None,
         }
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -120,11 +120,13 @@
     trace.story().deadline_ms = deadline_us.as_ms();
     let due = began + Duration::from(deadline_us);
     let body = read_body(shared, body, config.limits.body_bytes, due).await?;
+    let id = workspace.as_ref().map(|workspace| workspace.id.clone());
+    let fingerprint = RequestFingerprint::of(id.as_ref(), parts.uri.path(), &body.bytes);
+    check_blocked(shared, fingerprint, trace)?;
     let service = route.target(rand::random()).cloned();
     let service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
     shared.budgets.request(&service);
     let workspace_rank = workspace.as_ref().and_then(|workspace| workspace.priority);
-    let id = workspace.as_ref().map(|workspace| workspace.id.clone());
     trace.story().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
     let priority = workspace_rank.unwrap_or(route.priority);
     let longest_queue_us = match route.kind {
@@ -135,7 +137,7 @@
     };
     let mut routed = Routed {
         call: Call {
-            fingerprint: RequestFingerprint::of(id.as_ref(), parts.uri.path(), &body.bytes),
+            fingerprint,
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
@@ -169,6 +171,22 @@
     })
 }
 
+/// Refuses a request under which endpoints crash, before anything is spent on it.
+///
+/// Sent on, it would end one more endpoint with all that runs there; one would notice by endpoints that go down one
+/// after the other, each with the same fingerprint among its broken calls.
+fn check_blocked(
+    shared: &Shared,
+    fingerprint: RequestFingerprint,
+    trace: &mut CallTrace,
+) -> Result<(), Refusal> {
+    if !shared.suspects.lock().came(fingerprint, shared.now()) {
+        return Ok(());
+    }
+    trace.story().fingerprint = Some(fingerprint.to_string());
+    Err(Refusal::new(Code::RequestBlocked))
+}
+
 /// Refuses what this daemon doesn't know.
 ///
 /// A newer configuration may name the route or the key where nobody has confirmed for a while that there is
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -14,13 +14,14 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
-use super::crashes::note_broken;
+use super::crashes::{note_answered, note_broken};
 use super::flight::Landing;
 use super::next_step::NextStep;
 use super::request_body::HeldBody;
 use super::shared::Shared;
 use super::trace::CallTrace;
 use crate::border::Refusal;
+use crate::decide::endpoint_table::short_name;
 use crate::decide::placement::{Placement, place};
 use crate::decide::placement_request::PlacementRequest;
 use crate::observe::Event;
@@ -86,6 +87,10 @@
         let mut connects = 0;
         let mut last: Option<FailureKind> = None;
         loop {
+            if shared.suspects.lock().is_blocked(self.call.fingerprint) {
+                let refusal = Refusal::new(Code::RequestBlocked);
+                return Err(self.final_refusal(refusal, last));
+            }
             let placement = match self.place(shared, None) {
                 Ok(placement) => placement,
                 Err(refusal) => return Err(self.final_refusal(refusal, last)),
@@ -98,7 +103,7 @@
             self.tried.push(placement.endpoint.clone());
             self.note_broken(shared, &placement, failure.kind);
             connects += 1;
-            let next = self.next(shared, failure.kind, connects);
+            let next = self.next(shared, &placement, failure.kind, connects);
             self.log_failure(shared, &placement, &failure, next);
             last = Some(worse(last, failure.kind));
             if next != NextStep::Again {
@@ -143,6 +148,7 @@
             patience_us,
             longest_queue_us: self.longest_queue_us,
             excluded: &self.tried,
+            is_isolated: shared.suspects.lock().is_isolated(self.call.fingerprint),
             required_weights,
             wanted_weights: wanted.as_ref(),
         };
@@ -163,6 +169,7 @@
         let prompt = prompt.filter(|_| self.route.kind == CallKind::Stream);
         let model = prompt.map(|prompt| prompt.model.clone());
         let sent_before = self.sent;
+        let fingerprint = self.call.fingerprint;
         let failure = tokio::select! {
             result = self.exchange(shared, placement, trace) => return result,
             () = Self::weights_over(shared, model.as_ref(), placement.weights) => {
@@ -175,6 +182,11 @@
                 metrics.with_label_values(&["life_over"]).inc();
                 Failure::new(FailureKind::Lost, "the endpoint has started again")
             }
+            () = shared.request_blocked(fingerprint) => {
+                let metrics = &shared.metrics.attempts;
+                metrics.with_label_values(&["blocked"]).inc();
+                Failure::new(FailureKind::Blocked, "endpoints crash under it")
+            }
         };
         self.sent = sent_before + 1;
         trace.story().attempts = self.sent;
@@ -282,6 +294,9 @@
                 return Err(Failure::new(FailureKind::Timeout, "the answer isn't whole"));
             }
         };
+        if parts.status.is_success() {
+            note_answered(shared, self.call.fingerprint);
+        }
         flight.land(match parts.status.is_server_error() {
             true => Landing::Failed,
             false => Landing::Good,
@@ -350,11 +365,41 @@
         }
     }
 
+    /// Returns whether another attempt might cost another endpoint.
+    ///
+    /// One crash is no reason: all that were on board have seen it, and most of them end well elsewhere. Of one under
+    /// which endpoints have crashed before, a further attempt of the same call would end one more before anybody knows.
+    pub(crate) fn is_suspect(
+        &self,
+        shared: &Shared,
+        placement: &Placement,
+        kind: FailureKind,
+    ) -> bool {
+        match kind {
+            FailureKind::Blocked => true,
+            FailureKind::Lost => {
+                let life = short_name(&placement.endpoint.to_string());
+                let suspects = shared.suspects.lock();
+                suspects.crashes_elsewhere(self.call.fingerprint, life) > 0
+            }
+            _ => false,
+        }
+    }
+
     /// Decides what follows a failed attempt.
-    fn next(&self, shared: &Shared, kind: FailureKind, connects: u32) -> NextStep {
+    fn next(
+        &self,
+        shared: &Shared,
+        placement: &Placement,
+        kind: FailureKind,
+        connects: u32,
+    ) -> NextStep {
         if self.call.due <= Instant::now() {
             return NextStep::NoTimeLeft;
         }
+        if self.is_suspect(shared, placement, kind) {
+            return NextStep::Suspect;
+        }
         if kind == FailureKind::NotSent {
             return match connects < MAX_CONNECTS {
                 true => NextStep::Again,
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -11,6 +11,7 @@
 use wisteriahitch_wire::connection_pool::ConnectionPool;
 use wisteriahitch_wire::object_store::ObjectStore;
 
+use super::blocked_requests::BlockedRequests;
 use super::budgets::Budgets;
 use super::crashes::{Proof, note_crash};
 use super::drain::Drain;
@@ -25,6 +26,7 @@
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
+use crate::decide::suspects::SuspectTable;
 use crate::observe::{Event, EventLog, Metrics};
 use crate::settings::{Bounds, RelaySettings};
 
@@ -55,6 +57,8 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) part_stores: Mutex<PartStores>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
+    pub(crate) suspects: Mutex<SuspectTable>,
+    pub(crate) blocked_requests: BlockedRequests,
     pub(crate) peers: PeerState,
     /// Connections to endpoints, each to one life.
     pub(crate) pool: ConnectionPool<EndpointInstance>,
--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -204,7 +204,7 @@
                 shared.log.write(&Event::WeightsWanted { model, version });
             }
         }
-        ObjectRole::Members | ObjectRole::Leases => {}
+        ObjectRole::Members | ObjectRole::Leases | ObjectRole::BlockedRequests => {}
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -11,6 +11,7 @@
 
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
+use super::crashes::note_answered;
 use super::flight::Landing;
 use super::next_step::NextStep;
 use super::routed::{Routed, keep_connection};
@@ -166,6 +167,9 @@
             return;
         };
         opened.flight.land(Landing::Good);
+        if opened.parts.status.is_success() {
+            note_answered(&self.shared, self.routed.call.fingerprint);
+        }
         let taken = self.trace.began().elapsed();
         let prompt = self.routed.call.head.prompt.as_ref();
         let tokens = prompt.map_or(0, PromptShape::memory_tokens);
@@ -191,7 +195,13 @@
         let placement = self.placement.clone();
         self.routed
             .note_broken(&self.shared, &placement, failure.kind);
-        let next = self.next_step(failure.kind);
+        let next = match self
+            .routed
+            .is_suspect(&self.shared, &placement, failure.kind)
+        {
+            true => NextStep::Suspect,
+            false => self.next_step(failure.kind),
+        };
         self.routed
             .log_failure(&self.shared, &placement, &failure, next);
         if next != NextStep::Again {
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -241,5 +241,6 @@
         ObjectRole::Weights => "weights",
         ObjectRole::Members => "members",
         ObjectRole::Leases => "leases",
+        ObjectRole::BlockedRequests => "blocked_requests",
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -26,5 +26,6 @@
 mod staleness;
 mod store_retry;
 mod stream_events;
+mod suspects;
 mod suspicion;
 mod wanted_weights;
--- a/crates/wisteriahitch-relay/tests/all/part_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_sources.rs
@@ -99,6 +99,7 @@
             patience_us: ms(3_200),
             longest_queue_us: ms(3_200),
             excluded: &[],
+            is_isolated: false,
             required_weights: None,
             wanted_weights: Some(&self.wanted),
         };
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -76,6 +76,7 @@
             patience_us: ms(3_200),
             longest_queue_us: self.longest_queue,
             excluded: &self.excluded,
+            is_isolated: false,
             required_weights: self.required,
             wanted_weights: Some(&self.wanted),
         };
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -128,6 +128,8 @@
     Internal = 3012, OutcomeUnknown, 500;
     /// The answer is larger than the limit for requests that may not be repeated.
     AnswerTooLarge = 3013, OutcomeUnknown, 502;
+    /// Endpoints crashed one after the other under this request, and it is sent to none any more.
+    RequestBlocked = 3014, OutcomeUnknown, 502;
 
     /// The text is not TOML.
     ConfigSyntax = 4001, Notice, 422;
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -25,6 +25,8 @@
     Members,
     /// The daemons' leases.
     Leases,
+    /// Requests that daemons no longer send to endpoints.
+    BlockedRequests,
 }
 
 /// Counts the changes of the whole store.
