fix(router): an endpoint that listens for a moment longer than its connections has crashed

What callers saw: one to three more endpoints ended under a request than the proof needs.

Cause: a process that ends closes its connections and its listener one after the other. A daemon that looked in between found somebody listening and took the break for a reset; the crash was proven only by the next start, 0.8 s later ("proof":"replaced"), and repeats came every 0.25 s. Ruled out: a lost message (one daemon has nobody to tell); a break that went unnoticed (each has its line). Why this holds: an accepted connection that closes at once belongs to a process that is ending or refuses everybody, so it is looked at again, five times in a tenth of a second. One that stays open proves that the endpoint lives, as before.

--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use wisteriahitch_types::EndpointInstance;
@@ -25,6 +26,16 @@
 /// link that was cut, and proves nothing.
 const LOOK_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time within which a process that is ending closes a connection that it has just accepted. Processes hold some
+/// thousand descriptors, which the system closes in some milliseconds.
+const CLOSES_WITHIN: Duration = Duration::from_millis(100);
+
+/// Pause before another connection is tried at a process that closes each.
+const LOOK_PAUSE: Duration = Duration::from_millis(25);
+
+/// Connections that are tried there: a tenth of a second, within which a process has ended.
+const MAX_LOOKS: u32 = 5;
+
 /// Says what proved that an endpoint's process has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Proof {
@@ -74,16 +85,37 @@
     }
 }
 
-/// Looks whether a process listens at an endpoint's address.
+/// Looks whether a process listens at an endpoint's address, for as long as it seems to be ending.
+///
+/// A process that ends closes its connections and its listener one after the other. Taken for alive by who looks in
+/// between, it would be known to have crashed only when it is back, and the request would end another one
+/// meanwhile; one would notice by `replaced` as the proof of every crash.
 async fn look(shared: Arc<Shared>, endpoint: EndpointInstance, address: SocketAddr) {
     let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-    match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Err(error)) if is_refused(&error) => note_crash(&shared, &endpoint, Proof::Refused),
-        // It lives, or nobody can tell.
-        _ => {}
+    for _ in 0..MAX_LOOKS {
+        match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
+            Ok(Ok(connection)) => {
+                if !closes_soon(connection).await {
+                    return;
+                }
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+            Ok(Err(error)) if is_refused(&error) => {
+                return note_crash(&shared, &endpoint, Proof::Refused);
+            }
+            // Nobody can tell.
+            _ => return,
+        }
     }
 }
 
+/// Returns whether an endpoint closes a connection on which nothing was sent.
+async fn closes_soon(mut connection: TcpStream) -> bool {
+    let mut byte = [0; 1];
+    let closed = timeout(CLOSES_WITHIN, connection.read(&mut byte)).await;
+    matches!(closed, Ok(Ok(0) | Err(_)))
+}
+
 /// Notes that an endpoint's process has ended without a word.
 pub(super) fn note_crash(shared: &Shared, endpoint: &EndpointInstance, proof: Proof) {
     let name = endpoint.to_string();
