perf(beacon): name blocked requests in every fifth message

Each message named up to 32 of them: 14 bytes each, ten times a second to eleven daemons, 50 KB a second where so many are blocked, against 5 KB a second for all control. What a daemon has just learnt it still tells for a second; the rest is a reminder for those that start or were cut off, who hear it within a second from each hub on the way.

--- a/crates/wisteriahitch-relay/src/decide/suspects.rs
+++ b/crates/wisteriahitch-relay/src/decide/suspects.rs
@@ -41,6 +41,10 @@
 /// Time for which a daemon tells on what it has just learnt: ten messages, so that lost ones don't count.
 const TOLD_FOR_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Messages of which one names the blocked requests again. A daemon that starts, or was cut off, hears of them within a
+/// second from each hub on the way; in every message 32 of them would cost a fleet of twelve 50 KB a second.
+const REMIND_EVERY: u64 = 5;
+
 /// Time for which a lifted block isn't taken over again from daemons that haven't heard of it.
 const LIFTED_FOR_US: DurationUs = DurationUs::from_ms(10_000);
 
@@ -82,6 +86,7 @@
 /// A request that no endpoint gets.
 #[derive(Clone, Copy, Debug)]
 struct Blocked {
+    learnt_at_us: TimeUs,
     last_came_at_us: TimeUs,
 }
 
@@ -230,7 +235,7 @@
             return CrashVerdict::Suspected;
         }
         let is_own = suspect.is_own;
-        self.block(request, now);
+        self.block(request, now, now);
         CrashVerdict::Blocked { is_own }
     }
 
@@ -279,7 +284,7 @@
         if self.is_blocked(request) || self.is_cleared(request, now) {
             return false;
         }
-        self.block(request, now);
+        self.block(request, now, now);
         true
     }
 
@@ -323,9 +328,13 @@
     }
 
     fn blocked_to_tell(&self, number: u64, now: TimeUs) -> Vec<BlockedNews> {
-        let pages = self.blocked.len().div_ceil(MAX_BLOCKED_TOLD).max(1);
-        let page = usize::try_from(number).unwrap_or(0) % pages;
-        let mut blocked: Vec<_> = self.blocked.iter().collect();
+        let is_reminder = number.is_multiple_of(REMIND_EVERY);
+        let is_told =
+            |blocked: &Blocked| is_reminder || now.since(blocked.learnt_at_us) < TOLD_FOR_US;
+        let told = self.blocked.iter().filter(|(_, b)| is_told(b));
+        let mut blocked: Vec<_> = told.collect();
+        let pages = blocked.len().div_ceil(MAX_BLOCKED_TOLD).max(1);
+        let page = usize::try_from(number / REMIND_EVERY).unwrap_or(0) % pages;
         blocked.sort_by_key(|(request, _)| **request);
         let told = blocked
             .into_iter()
@@ -389,12 +398,12 @@
             self.fresh_lifted.add(news.request, now);
             return false;
         }
-        self.block(news.request, came_at_us);
+        self.block(news.request, came_at_us, now);
         true
     }
 
     /// Blocks a request, and holds what it is blocked for against no other.
-    fn block(&mut self, request: RequestFingerprint, came_at_us: TimeUs) {
+    fn block(&mut self, request: RequestFingerprint, came_at_us: TimeUs, now: TimeUs) {
         let crashes = self.suspects.remove(&request).unwrap_or_default().crashes;
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|life| !crashes.contains(life));
@@ -411,6 +420,7 @@
             }
         }
         let blocked = Blocked {
+            learnt_at_us: now,
             last_came_at_us: came_at_us,
         };
         self.blocked.insert(request, blocked);
