--- a/crates/wisteriahitch-relay/src/decide/suspects.rs
+++ b/crates/wisteriahitch-relay/src/decide/suspects.rs
@@ -19,6 +19,7 @@
 use wisteriahitch_types::{DurationUs, TimeUs};
 
 use super::beacon::{BlockedNews, CrashNews, RequestNews};
+use super::fresh_news::{FreshNews, TOLD_FOR_US};
 use crate::site::RequestFingerprint;
 
 /// Crashes after which a request is blocked. The users allow three, and fewer would blame more innocents: one that
@@ -38,9 +39,6 @@
 /// endpoint again, three are lost in an hour.
 const REMEMBERED_FOR_US: DurationUs = DurationUs::from_ms(3_600_000);
 
-/// Time for which a daemon tells on what it has just learnt: ten messages, so that lost ones don't count.
-const TOLD_FOR_US: DurationUs = DurationUs::from_ms(1_000);
-
 /// Messages of which one names the blocked requests again. A daemon that starts, or was cut off, hears of them within a
 /// second from each hub on the way; in every message 32 of them would cost a fleet of twelve 50 KB a second.
 const REMIND_EVERY: u64 = 5;
@@ -64,9 +62,6 @@
 /// Crashes that are remembered as explained.
 const MAX_EXPLAINED: usize = 1_024;
 
-/// News of one kind that wait to be told: ten messages full.
-const MAX_FRESH: usize = 480;
-
 /// Most crashes in a message; the most suspect requests go first.
 const MAX_CRASHES_TOLD: usize = 48;
 
@@ -90,50 +85,6 @@
     last_came_at_us: TimeUs,
 }
 
-/// What a daemon tells on until a time.
-#[derive(Debug)]
-struct Fresh<T> {
-    news: VecDeque<(TimeUs, T)>,
-}
-
-impl<T> Default for Fresh<T> {
-    fn default() -> Self {
-        Self {
-            news: VecDeque::new(),
-        }
-    }
-}
-
-impl<T: Copy + PartialEq> Fresh<T> {
-    fn add(&mut self, news: T, now: TimeUs) {
-        self.news.retain(|(_, known)| *known != news);
-        if self.is_full() {
-            self.news.pop_front();
-        }
-        self.news.push_back((now + TOLD_FOR_US, news));
-    }
-
-    fn is_full(&self) -> bool {
-        self.news.len() >= MAX_FRESH
-    }
-
-    /// Leaves out the oldest news of those that matter least.
-    fn drop_least(&mut self, weight: impl Fn(&T) -> usize) {
-        let least = self.news.iter().enumerate();
-        let least = least.min_by_key(|(_, (_, news))| weight(news));
-        if let Some(index) = least.map(|(index, _)| index) {
-            self.news.remove(index);
-        }
-    }
-
-    fn now(&mut self, now: TimeUs) -> impl Iterator<Item = T> {
-        while self.news.front().is_some_and(|(until, _)| *until <= now) {
-            self.news.pop_front();
-        }
-        self.news.iter().map(|(_, news)| *news)
-    }
-}
-
 /// Returns how much a crash matters to the others: as many as its request has seen. Those of a blocked one are told
 /// with the block.
 fn weight(suspects: &HashMap<RequestFingerprint, Suspect>, news: &CrashNews) -> usize {
@@ -174,9 +125,9 @@
     lifted: HashMap<RequestFingerprint, TimeUs>,
     /// Crashes that a blocked request was on board of, the oldest first.
     explained: VecDeque<u32>,
-    fresh_crashes: Fresh<CrashNews>,
-    fresh_cleared: Fresh<RequestFingerprint>,
-    fresh_lifted: Fresh<RequestFingerprint>,
+    fresh_crashes: FreshNews<CrashNews>,
+    fresh_cleared: FreshNews<RequestFingerprint>,
+    fresh_lifted: FreshNews<RequestFingerprint>,
 }
 
 impl Default for SuspectTable {
@@ -187,9 +138,9 @@
             answered: LruCache::new(MAX_ANSWERED),
             lifted: HashMap::new(),
             explained: VecDeque::new(),
-            fresh_crashes: Fresh::default(),
-            fresh_cleared: Fresh::default(),
-            fresh_lifted: Fresh::default(),
+            fresh_crashes: FreshNews::default(),
+            fresh_cleared: FreshNews::default(),
+            fresh_lifted: FreshNews::default(),
         }
     }
 }
@@ -315,13 +266,13 @@
         RequestNews {
             crashes: self.crashes_to_tell(now),
             blocked: self.blocked_to_tell(number, now),
-            cleared: self.fresh_cleared.now(now).collect(),
-            lifted: self.fresh_lifted.now(now).collect(),
+            cleared: self.fresh_cleared.told_at(now).collect(),
+            lifted: self.fresh_lifted.told_at(now).collect(),
         }
     }
 
     fn crashes_to_tell(&mut self, now: TimeUs) -> Vec<CrashNews> {
-        let mut crashes: Vec<CrashNews> = self.fresh_crashes.now(now).collect();
+        let mut crashes: Vec<CrashNews> = self.fresh_crashes.told_at(now).collect();
         crashes.sort_by_key(|news| std::cmp::Reverse(weight(&self.suspects, news)));
         crashes.truncate(MAX_CRASHES_TOLD);
         crashes
