fix(router): look again at an endpoint whose connections break after it was found alive

What callers would see: one more endpoint ends under a request. Found by reading, shown by a unit test.

Cause: a break was looked at once in half a second, and a look that found the process alive answered for all breaks of that time, also for those after it. A reset and a crash within half a second left the crash without proof. Ruled out: looking at each break (a service behind a link that is reset all the time would get a connection for each call). Why this holds: a break after a look has another one follow, half a second after the last; a crash that is proven meanwhile needs none.

Test: crash_evidence::only_calls_that_broke_right_before_the_proof_were_on_board. Its case of three resets, the second of which nobody would look at, now says when it is looked at, and goes on with two more breaks.

--- a/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
@@ -15,8 +15,8 @@
 /// the next start registers after up to three heartbeats of some 1.2 s, and the news takes up to 0.6 s.
 const PROOF_WITHIN_US: DurationUs = DurationUs::from_ms(5_000);
 
-/// Time after which a further break at the same life is worth another look. Where the process lives, as after a
-/// reset, each look costs the endpoint a connection.
+/// Least time between two looks at the same life. Where the process lives, as after a reset, each look costs the
+/// endpoint a connection.
 const LOOK_AGAIN_US: DurationUs = DurationUs::from_ms(500);
 
 /// Lives that are remembered. Thirty in a hundred of 1,200 endpoints may end at once; of more, the oldest are
@@ -31,9 +31,9 @@
 pub enum BreakMeaning {
     /// The endpoint is known to have crashed.
     Crashed,
-    /// Nobody knows yet; it is time to look whether the process is there.
-    Look,
-    /// Nobody knows yet, and somebody is looking or has just looked.
+    /// Nobody knows yet; it is to be looked whether the process is there, after this time.
+    Look(DurationUs),
+    /// Nobody knows yet, and somebody will look.
     Unknown,
 }
 
@@ -41,10 +41,27 @@
 struct Life {
     broken: Vec<RequestFingerprint>,
     last_at_us: TimeUs,
+    /// When it was looked at last, or will be.
     looked_at_us: Option<TimeUs>,
     has_crashed: bool,
 }
 
+impl Life {
+    /// Has it looked at now, or as soon as that may be again.
+    ///
+    /// A look answers for the breaks before it alone: a process that lived when a link was reset may end a moment
+    /// later, and nobody would look any more.
+    fn next_look(&mut self, now: TimeUs) -> BreakMeaning {
+        if self.looked_at_us.is_some_and(|at| at > now) {
+            return BreakMeaning::Unknown;
+        }
+        let earliest = self.looked_at_us.map(|at| at + LOOK_AGAIN_US);
+        let at = earliest.map_or(now, |earliest| earliest.max(now));
+        self.looked_at_us = Some(at);
+        BreakMeaning::Look(at.since(now))
+    }
+}
+
 /// Calls that broke, by the short name of the endpoint's life.
 #[derive(Debug, Default)]
 pub struct CrashEvidence {
@@ -61,12 +78,12 @@
         if life.broken.len() < MAX_BROKEN {
             life.broken.push(request);
         }
-        let has_looked = |at: TimeUs| now.since(at) < LOOK_AGAIN_US;
-        if life.looked_at_us.is_some_and(has_looked) {
-            return BreakMeaning::Unknown;
-        }
-        life.looked_at_us = Some(now);
-        BreakMeaning::Look
+        life.next_look(now)
+    }
+
+    /// Returns whether a life is known to have crashed.
+    pub fn has_crashed(&self, life: u32) -> bool {
+        self.lives.get(&life).is_some_and(|life| life.has_crashed)
     }
 
     /// Notes proof that a life has ended, and returns the calls that broke there, if that is new.
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -77,9 +77,13 @@
     };
     match meaning {
         BreakMeaning::Crashed => hold_against(shared, &[call.fingerprint], life),
-        BreakMeaning::Look => {
+        BreakMeaning::Look(after_us) => {
             let (endpoint, address) = (placement.endpoint.clone(), placement.address);
-            tokio::spawn(look(Arc::clone(shared), endpoint, address));
+            let looking = look(Arc::clone(shared), endpoint, address);
+            tokio::spawn(async move {
+                tokio::time::sleep(after_us.into()).await;
+                looking.await;
+            });
         }
         BreakMeaning::Unknown => {}
     }
@@ -92,7 +96,11 @@
 /// meanwhile; one would notice by `replaced` as the proof of every crash.
 async fn look(shared: Arc<Shared>, endpoint: EndpointInstance, address: SocketAddr) {
     let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+    let life = short_name(&endpoint.to_string());
     for _ in 0..MAX_LOOKS {
+        if shared.crash_evidence.lock().has_crashed(life) {
+            return;
+        }
         match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(connection)) => {
                 if !closes_soon(connection).await {
--- a/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
@@ -3,12 +3,18 @@
 use wisteriahitch_relay::{BreakMeaning, CrashEvidence, RequestFingerprint};
 use wisteriahitch_types::WorkspaceId;
 
-use crate::fixture::at_ms;
+use crate::fixture::{at_ms, ms};
 
 fn request(body: &str) -> RequestFingerprint {
     RequestFingerprint::of(None, "/x/", body.as_bytes())
 }
 
+/// It is looked at once.
+const NOW: BreakMeaning = BreakMeaning::Look(ms(0));
+
+/// It is looked at when that may be again, one millisecond after the last time.
+const LATER: BreakMeaning = BreakMeaning::Look(ms(499));
+
 /// What happens at one life of an endpoint, and what follows.
 enum Step {
     Broke(&'static str, BreakMeaning),
@@ -20,7 +26,7 @@
 /// daemon learns of one crash in several ways.
 #[test]
 fn only_calls_that_broke_right_before_the_proof_were_on_board() {
-    use BreakMeaning::{Crashed, Look, Unknown};
+    use BreakMeaning::{Crashed, Unknown};
     struct Case {
         what: &'static str,
         steps: Vec<(u64, Step)>,
@@ -29,15 +35,15 @@
         Case {
             what: "two calls break, one look proves the crash",
             steps: vec![
-                (0, Step::Broke("a", Look)),
-                (1, Step::Broke("b", Unknown)),
+                (0, Step::Broke("a", NOW)),
+                (1, Step::Broke("b", LATER)),
                 (2, Step::Proven(Some(&["a", "b"]))),
             ],
         },
         Case {
             what: "a call whose break is noticed after the proof",
             steps: vec![
-                (0, Step::Broke("a", Look)),
+                (0, Step::Broke("a", NOW)),
                 (2, Step::Proven(Some(&["a"]))),
                 (3, Step::Broke("b", Crashed)),
             ],
@@ -45,33 +51,32 @@
         Case {
             what: "the same crash is proven again",
             steps: vec![
-                (0, Step::Broke("a", Look)),
+                (0, Step::Broke("a", NOW)),
                 (2, Step::Proven(Some(&["a"]))),
                 (1_500, Step::Proven(None)),
             ],
         },
         Case {
-            what: "resets that nothing proves to be a crash, each looked at once",
+            what: "resets that nothing proves to be a crash, looked at twice a second at most",
             steps: vec![
-                (0, Step::Broke("a", Look)),
-                (400, Step::Broke("b", Unknown)),
-                (600, Step::Broke("c", Look)),
+                (0, Step::Broke("a", NOW)),
+                (400, Step::Broke("b", BreakMeaning::Look(ms(100)))),
+                (450, Step::Broke("c", Unknown)),
+                (600, Step::Broke("d", BreakMeaning::Look(ms(400)))),
+                (2_000, Step::Broke("e", NOW)),
             ],
         },
         Case {
             what: "a reset long before the crash",
             steps: vec![
-                (0, Step::Broke("a", Look)),
-                (6_000, Step::Broke("b", Look)),
+                (0, Step::Broke("a", NOW)),
+                (6_000, Step::Broke("b", NOW)),
                 (6_001, Step::Proven(Some(&["b"]))),
             ],
         },
         Case {
             what: "a crash long after the only break",
-            steps: vec![
-                (0, Step::Broke("a", Look)),
-                (6_000, Step::Proven(Some(&[]))),
-            ],
+            steps: vec![(0, Step::Broke("a", NOW)), (6_000, Step::Proven(Some(&[])))],
         },
     ];
     for case in cases {
