fix(router): an answer that ends with its connection clears no request

What callers would see: a request that ends each endpoint is sent on for good, as if there were no protection. Found by asking what could clear it; shown by a test.

Cause: an answer without a length is whole when its connection closes, as it does when the process ends. Each endpoint that had begun such an answer seemed to have answered the request, which cleared it for a minute, and nothing broke that anybody would have looked at. Ruled out: holding such answers back or failing them (by the protocol they are whole, and callers are owed them). Why this holds: only an answer with a length or in chunks speaks for its request. The end of any other is looked at like a connection that broke; an endpoint that lives is found alive.

--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -179,8 +181,26 @@
     }
 }
 
-/// Notes that an endpoint has answered a request with all it had to say.
-pub(super) fn note_answered(shared: &Shared, request: RequestFingerprint) {
+/// Notes the end of an endpoint's good answer.
+///
+/// One without a length ends with its connection, as it does with its process: the request that ends endpoints would
+/// seem to be answered by each, and be cleared each time. So it says nothing for the request, and its end is looked at
+/// like a connection that broke.
+pub(super) fn note_answer_end(
+    shared: &Arc<Shared>,
+    call: &Call,
+    placement: &Placement,
+    headers: &HeaderMap,
+) {
+    let is_delimited =
+        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    match is_delimited {
+        true => note_answered(shared, call.fingerprint),
+        false => note_broken(shared, call, placement),
+    }
+}
+
+fn note_answered(shared: &Shared, request: RequestFingerprint) {
     let was_blocked = shared.suspects.lock().answered(request, shared.now());
     if was_blocked {
         note_unblocked(shared, request, UnblockReason::Answered);
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -14,7 +14,7 @@
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
-use super::crashes::{note_answered, note_broken};
+use super::crashes::{note_answer_end, note_broken};
 use super::flight::Landing;
 use super::next_step::NextStep;
 use super::request_body::HeldBody;
@@ -295,7 +295,7 @@
             }
         };
         if parts.status.is_success() {
-            note_answered(shared, self.call.fingerprint);
+            note_answer_end(shared, &self.call, placement, &parts.headers);
         }
         flight.land(match parts.status.is_server_error() {
             true => Landing::Failed,
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -11,7 +11,7 @@
 
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
-use super::crashes::note_answered;
+use super::crashes::note_answer_end;
 use super::flight::Landing;
 use super::next_step::NextStep;
 use super::routed::{Routed, keep_connection};
@@ -168,7 +168,8 @@
         };
         opened.flight.land(Landing::Good);
         if opened.parts.status.is_success() {
-            note_answered(&self.shared, self.routed.call.fingerprint);
+            let headers = &opened.parts.headers;
+            note_answer_end(&self.shared, &self.routed.call, &self.placement, headers);
         }
         let taken = self.trace.began().elapsed();
         let prompt = self.routed.call.head.prompt.as_ref();
