feat(cli): the story of all repeats of a request, by its fingerprint

Each repeat has an id of its own, so that the story of one said nothing of the others, nor of when and by whom the request was blocked. `wisteriahitch story FINGERPRINT` tells both.

Test: story::all_repeats_of_a_request_are_told_by_their_fingerprint.

--- a/crates/wisteriahitch-cli/src/flags.rs
+++ b/crates/wisteriahitch-cli/src/flags.rs
@@ -61,7 +61,7 @@
         /// Tells a request's story from the collected logs of all machines. Exits with 1 where no line
         /// names it.
         cmd story {
-            /// Id of the request.
+            /// Id of the request, or the fingerprint that its repeats share.
             required id: String
             /// Log files; without any, standard input is read.
             repeated files: PathBuf
--- a/crates/wisteriahitch-cli/src/render/story.rs
+++ b/crates/wisteriahitch-cli/src/render/story.rs
@@ -2,7 +2,7 @@
 
 use serde_json::Value;
 
-/// One line of a log that names the request.
+/// One line of a log that names the request, or its fingerprint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LogLine {
     /// Machine that wrote it, as far as is known.
@@ -11,7 +11,8 @@
     pub fields: Value,
 }
 
-/// Finds the lines of `text` that name a request.
+/// Finds the lines of `text` that name a request by its id, or all repeats of one by their fingerprint
+/// (`docs/design/crashing-requests.md`).
 ///
 /// What stands before the JSON of a line, as collectors put it there, is taken for the machine's
 /// name where `machine` gives none. Lines that aren't JSON are passed over: a log may have been cut
@@ -25,7 +26,8 @@
             "" => before.split_whitespace().next_back().unwrap_or(""),
             known => known,
         };
-        (fields["request"] == request).then(|| LogLine {
+        let is_named = fields["request"] == request || fields["fingerprint"] == request;
+        is_named.then(|| LogLine {
             machine: machine.to_owned(),
             fields,
         })
@@ -57,11 +59,24 @@
             text(fields, "endpoint"),
             text(fields, "after_event")
         ),
+        Some("request_blocked") => blocked(fields),
+        Some("request_unblocked") => {
+            format!("sent to endpoints again ({})", text(fields, "reason"))
+        }
         Some("call_ended") => ended(fields),
         _ => fields.to_string(),
     }
 }
 
+fn blocked(fields: &Value) -> String {
+    let source = match fields["source"].as_str() {
+        Some("own") => "a crash was seen here",
+        Some("peer") => "another daemon said so",
+        _ => "it was written in the store",
+    };
+    format!("sent to no endpoint any more, since endpoints crash under it: {source}")
+}
+
 fn attempt(fields: &Value) -> String {
     let ran = match fields["may_have_run"].as_bool() {
         Some(true) => "may have run there",
--- a/crates/wisteriahitch-cli/tests/all/story.rs
+++ b/crates/wisteriahitch-cli/tests/all/story.rs
@@ -25,6 +25,25 @@
     .assert_eq(&story(lines));
 }
 
+const REPEATS: &str = r#"
+{"ts_ms":1000,"event":"attempt_failed","request":"r-1","fingerprint":"5b1f0c2e97a4d310","endpoint":"i-3","attempt":1,"reason":"lost","detail":"connection closed","may_have_run":true,"next":"may_have_run","budget_left":4.0}
+{"ts_ms":1700,"event":"attempt_failed","request":"r-2","fingerprint":"5b1f0c2e97a4d310","endpoint":"i-4","attempt":1,"reason":"lost","detail":"connection closed","may_have_run":true,"next":"may_have_run","budget_left":4.0}
+{"ts_ms":1702,"event":"request_blocked","fingerprint":"5b1f0c2e97a4d310","source":"own"}
+{"ts_ms":2400,"event":"call_ended","request":"r-3","route":"plan","outcome":"refused","fingerprint":"5b1f0c2e97a4d310","code":3014,"status":502,"retry_after_ms":null,"queue_ms":null,"endpoint":"","first_event_ms":null,"total_ms":0,"deadline_ms":15000,"config_version":7}
+{"ts_ms":9000,"event":"request_unblocked","fingerprint":"5b1f0c2e97a4d310","reason":"lifted"}
+"#;
+
+#[test]
+fn all_repeats_of_a_request_are_told_by_their_fingerprint() {
+    expect![[r#"
+        0 ms       entry-1              attempt 1 at i-3 failed: lost (connection closed); may have run there; not tried again: may_have_run; 4.0 retries were left
+        700 ms     entry-1              attempt 1 at i-4 failed: lost (connection closed); may have run there; not tried again: may_have_run; 4.0 retries were left
+        702 ms     entry-1              sent to no endpoint any more, since endpoints crash under it: a crash was seen here
+        1400 ms    entry-1              refused with status 502 after 0 ms of 15000, route plan, configuration 7, code W3014
+        8000 ms    entry-1              sent to endpoints again (lifted)
+    "#]].assert_eq(&story(story_lines(REPEATS, "entry-1", "5b1f0c2e97a4d310")));
+}
+
 #[test]
 fn a_request_that_no_line_names_has_no_story() {
     assert!(story_lines(ENTRY_1, "entry-1", "r-9").is_empty());
