--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -23,6 +23,7 @@
     wall: Option<WorkspaceId>,
     longest_queue: DurationUs,
     daemons: usize,
+    is_isolated: bool,
 }
 
 impl Site {
@@ -40,6 +41,7 @@
             wall: None,
             longest_queue: DurationUs::MAX,
             daemons: 6,
+            is_isolated: false,
         }
     }
 
@@ -76,7 +78,7 @@
             patience_us: ms(3_200),
             longest_queue_us: self.longest_queue,
             excluded: &self.excluded,
-            is_isolated: false,
+            is_isolated: self.is_isolated,
             required_weights: self.required,
             wanted_weights: Some(&self.wanted),
         };
@@ -123,6 +125,23 @@
             },
             expected: "a",
         },
+        Case {
+            what: "the one where the fewest calls run, for a call under which endpoints have crashed",
+            change: |site| {
+                site.keep("b", &prompt(9_000, 1_000), "w1");
+                site.load("b", 0);
+                site.is_isolated = true;
+            },
+            expected: "a",
+        },
+        Case {
+            what: "the same call, if nothing is held against it",
+            change: |site| {
+                site.keep("b", &prompt(9_000, 1_000), "w1");
+                site.load("b", 0);
+            },
+            expected: "b",
+        },
         Case {
             what: "parts of other weights count for nothing",
             change: |site| {
