--- a/crates/wisteriahitch-relay/tests/all/suspects.rs
+++ b/crates/wisteriahitch-relay/tests/all/suspects.rs
@@ -35,7 +35,7 @@
     blocked: &'static [&'static str],
 }
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 14] = [
     Case {
         what: "three lives ended under it",
         steps: &[
@@ -69,6 +69,16 @@
         ],
         blocked: &[],
     },
+    Case {
+        what: "an answer between the crashes, and the last of them long after it",
+        steps: &[
+            (0, Crash("good", 1)),
+            (700, Crash("good", 2)),
+            (900, Answer("good")),
+            (90_000, Crash("good", 3)),
+        ],
+        blocked: &[],
+    },
     Case {
         what: "an answer that comes after the proof, of a copy that was under way",
         steps: &[
