fix(router): what broke at an endpoint that was then seen alive is held against nobody

What callers would see: a request that was never on board of a crash is a suspect.

Cause: streams at i-1 had ended in an event while it lived ("lost"); the look at it found it alive, and the calls were kept for five seconds all the same. Then it said that it leaves, ended as planned and started again, which proves an end, and the calls were taken to have been on board. Whether it shows depends on how soon after a break the restart comes. Ruled out: the planned end itself (calls that break after the announcement are passed over, as before); a look that failed (its proof would be "refused"). Why this holds: a process that accepts a connection and keeps it has not ended, so what broke before that has another cause and is dropped. A break after the look has another one follow.

Tests: crash_evidence::what_broke_before_a_process_was_seen_alive_was_not_on_board, deterministic; without the call found_alive it doesn't hold. The process test stays as it was.

--- a/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
@@ -39,7 +39,8 @@
 
 #[derive(Debug, Default)]
 struct Life {
-    broken: Vec<RequestFingerprint>,
+    /// Calls that broke, and when.
+    broken: Vec<(RequestFingerprint, TimeUs)>,
     last_at_us: TimeUs,
     /// When it was looked at last, or will be.
     looked_at_us: Option<TimeUs>,
@@ -76,7 +77,7 @@
             return BreakMeaning::Crashed;
         }
         if life.broken.len() < MAX_BROKEN {
-            life.broken.push(request);
+            life.broken.push((request, now));
         }
         life.next_look(now)
     }
@@ -90,7 +91,18 @@
     pub fn crashed(&mut self, life: u32, now: TimeUs) -> Option<Vec<RequestFingerprint>> {
         let life = self.life(life, now);
         let is_new = !std::mem::replace(&mut life.has_crashed, true);
-        is_new.then(|| std::mem::take(&mut life.broken))
+        let broken = std::mem::take(&mut life.broken).into_iter();
+        is_new.then(|| broken.map(|(request, _)| request).collect())
+    }
+
+    /// Notes that a process was there when it was looked at.
+    ///
+    /// What broke before has another cause. Kept, it would be held against the calls that the process ends as planned
+    /// some seconds later, and starts again.
+    pub fn found_alive(&mut self, life: u32, looked_at: TimeUs) {
+        if let Some(life) = self.lives.get_mut(&life) {
+            life.broken.retain(|(_, at)| *at > looked_at);
+        }
     }
 
     /// Returns the life, without what is too old to be proven.
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -103,10 +103,12 @@
         if shared.crash_evidence.lock().has_crashed(life) {
             return;
         }
+        let looked_at = shared.now();
         match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
             Ok(Ok(connection)) => {
                 if !closes_soon(connection).await {
-                    return;
+                    let mut evidence = shared.crash_evidence.lock();
+                    return evidence.found_alive(life, looked_at);
                 }
                 tokio::time::sleep(LOOK_PAUSE).await;
             }
--- a/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
@@ -98,6 +98,19 @@
     }
 }
 
+/// Symptom: calls are held to be on board of a planned end. Sequence: they break at a process that lives; it says that it
+/// leaves, ends and starts again, which proves the end. Cause: what a look had cleared up was kept until then.
+#[test]
+fn what_broke_before_a_process_was_seen_alive_was_not_on_board() {
+    let mut evidence = CrashEvidence::default();
+    evidence.broke(1, request("a"), at_ms(0));
+    evidence.found_alive(1, at_ms(1));
+    let later = evidence.broke(1, request("b"), at_ms(2));
+    assert_eq!(later, BreakMeaning::Look(ms(498)));
+    let on_board = evidence.crashed(1, at_ms(500));
+    assert_eq!(on_board, Some(vec![request("b")]));
+}
+
 #[test]
 fn lives_are_told_apart_and_bounded() {
     let mut evidence = CrashEvidence::default();
