refactor(relay): requests that end endpoints use what was there, and hold less

No behaviour changes.

- RequestFingerprint hashed its parts with their lengths by itself; KeyHash::derive does the same, and the fingerprint is the first 8 of its 16 bytes, as before.
- The short name of an endpoint's life was made in five places from its text; endpoint_table::life_name makes it.
- That endpoints have crashed under a stream is asked in its next_step, as in that of other calls, and not beside it.
- CrashVerdict::Suspected was read by nobody; a crash looked its suspect up twice; the number of blocked requests was counted by listing and sorting them; a set was built to be gone through once.

--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/beacon.rs
@@ -171,11 +171,11 @@
 impl Beacon {
     /// Encodes the message in at most `max_bytes`, leaving out what is missed least.
     ///
-    /// First go parts that engines have read, which are a hint; then crashes of which other requests
-    /// are less suspect; then parts that stores have got, which
-    /// endpoints can't be reached, which engines are followed, and last the load. What stores have got
-    /// is told once only, and whoever misses it has the part read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead
-    /// of 20.2 million tokens of shared parts that were read again (a day of 34 s, one run each).
+    /// First go parts that engines have read, which are a hint; then crashes, those of the least suspect
+    /// requests first; then parts that stores have got, which endpoints can't be reached, which engines are
+    /// followed, and last the load. What stores have got is told once only, and whoever misses it has the
+    /// part read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead of
+    /// 20.2 million tokens of shared parts that were read again (a day of 34 s, one run each).
     pub fn encoded(mut self, max_bytes: usize) -> Vec<u8> {
         loop {
             let message = postcard::to_stdvec(&self).unwrap_or_default();
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -620,7 +620,7 @@
     }
 
     fn insert(&mut self, endpoint: Endpoint, life: EndpointLife) {
-        let short_name = short_name(&endpoint.instance.to_string());
+        let short_name = life_name(&endpoint.instance);
         let memory = self.memory_tokens.get(&endpoint.service).copied();
         let mut peers = Load::default();
         for told in self.peer_loads.values() {
@@ -716,6 +716,11 @@
     }
 }
 
+/// Returns the short name of one life of an endpoint.
+pub(crate) fn life_name(instance: &EndpointInstance) -> u32 {
+    short_name(&instance.to_string())
+}
+
 /// Returns the short name under which daemons tell each other of something.
 ///
 /// Two things with the same one would share their load; with some thousand names that happens in
--- a/crates/wisteriahitch-relay/src/decide/suspects.rs
+++ b/crates/wisteriahitch-relay/src/decide/suspects.rs
@@ -12,7 +12,7 @@
 //!
 //! `docs/design/crashing-requests.md` gives the reasons of each limit.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::num::NonZeroUsize;
 
 use lru::LruCache;
@@ -95,10 +95,8 @@
 /// What follows from a crash.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CrashVerdict {
-    /// Nothing: it was known, has another cause, or the request is cleared or blocked.
+    /// Nothing is to be done. It may be held against the request, or was known, or has another cause.
     Nothing,
-    /// It is held against the request.
-    Suspected,
     /// The request is blocked from now on. Whether a call of this daemon is part of the proof says who writes it
     /// down.
     Blocked {
@@ -172,6 +170,7 @@
         if !suspect.crashes.insert(life) {
             return CrashVerdict::Nothing;
         }
+        let (crashes, is_own) = (suspect.crashes.len(), suspect.is_own);
         let news = CrashNews {
             request,
             endpoint: life,
@@ -181,11 +180,9 @@
                 .drop_least(|news| weight(&self.suspects, news));
         }
         self.fresh_crashes.add(news, now);
-        let suspect = self.suspects.entry(request).or_default();
-        if suspect.crashes.len() < CRASHES_TO_BLOCK {
-            return CrashVerdict::Suspected;
+        if crashes < CRASHES_TO_BLOCK {
+            return CrashVerdict::Nothing;
         }
-        let is_own = suspect.is_own;
         self.block(request, now, now);
         CrashVerdict::Blocked { is_own }
     }
@@ -393,8 +390,7 @@
             .map(|(request, suspect)| (suspect.crashes.len(), suspect.last_at_us, *request))
             .collect();
         known.sort_unstable();
-        let least: HashSet<_> = known.into_iter().take(MAX_SUSPECTS / 4).collect();
-        for (_, _, request) in least {
+        for (_, _, request) in known.into_iter().take(MAX_SUSPECTS / 4) {
             self.suspects.remove(&request);
         }
     }
@@ -411,6 +407,11 @@
         blocked
     }
 
+    /// Returns how many requests are blocked.
+    pub fn blocked_count(&self) -> usize {
+        self.blocked.len()
+    }
+
     /// Returns how many requests something is held against.
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
--- a/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
+++ b/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
@@ -149,7 +149,7 @@
 }
 
 fn count(shared: &Shared) {
-    let count = shared.suspects.lock().blocked(shared.now()).len();
+    let count = shared.suspects.lock().blocked_count();
     let gauge = &shared.metrics.blocked_requests;
     gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
 }
@@ -214,7 +214,7 @@
     match object.name.parse() {
         Ok(request) => Some(request),
         Err(error) => {
-            let detail = format!("{error}");
+            let detail = error.to_string();
             note_unreadable(shared, ROLE, &object.name, UnreadableKind::Name, detail);
             None
         }
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -18,7 +18,7 @@
 use crate::decide::beacon::RequestNews;
 use crate::decide::crash_evidence::BreakMeaning;
 use crate::decide::endpoint_row::EndpointLife;
-use crate::decide::endpoint_table::short_name;
+use crate::decide::endpoint_table::life_name;
 use crate::decide::placement::Placement;
 use crate::decide::suspects::CrashVerdict;
 use crate::observe::Event;
@@ -72,7 +72,7 @@
     if is_leaving {
         return;
     }
-    let life = short_name(&placement.endpoint.to_string());
+    let life = life_name(&placement.endpoint);
     let meaning = {
         let mut evidence = shared.crash_evidence.lock();
         evidence.broke(life, call.fingerprint, shared.now())
@@ -98,7 +98,7 @@
 /// meanwhile; one would notice by `replaced` as the proof of every crash.
 async fn look(shared: Arc<Shared>, endpoint: EndpointInstance, address: SocketAddr) {
     let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-    let life = short_name(&endpoint.to_string());
+    let life = life_name(&endpoint);
     for _ in 0..MAX_LOOKS {
         if shared.crash_evidence.lock().has_crashed(life) {
             return;
@@ -130,8 +130,7 @@
 
 /// Notes that an endpoint's process has ended without a word.
 pub(super) fn note_crash(shared: &Shared, endpoint: &EndpointInstance, proof: Proof) {
-    let name = endpoint.to_string();
-    note_crash_of(shared, short_name(&name), &name, proof);
+    note_crash_of(shared, life_name(endpoint), &endpoint.to_string(), proof);
 }
 
 /// Holds a crash against all calls of this daemon that were on board.
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -21,7 +21,7 @@
 use super::shared::Shared;
 use super::trace::CallTrace;
 use crate::border::Refusal;
-use crate::decide::endpoint_table::short_name;
+use crate::decide::endpoint_table::life_name;
 use crate::decide::placement::{Placement, place};
 use crate::decide::placement_request::PlacementRequest;
 use crate::observe::Event;
@@ -378,7 +378,7 @@
         match kind {
             FailureKind::Blocked => true,
             FailureKind::Lost => {
-                let life = short_name(&placement.endpoint.to_string());
+                let life = life_name(&placement.endpoint);
                 let suspects = shared.suspects.lock();
                 suspects.crashes_elsewhere(self.call.fingerprint, life) > 0
             }
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -196,13 +196,7 @@
         let placement = self.placement.clone();
         self.routed
             .note_broken(&self.shared, &placement, failure.kind);
-        let next = match self
-            .routed
-            .is_suspect(&self.shared, &placement, failure.kind)
-        {
-            true => NextStep::Suspect,
-            false => self.next_step(failure.kind),
-        };
+        let next = self.next_step(failure.kind);
         self.routed
             .log_failure(&self.shared, &placement, &failure, next);
         if next != NextStep::Again {
@@ -241,6 +235,9 @@
     }
 
     fn next_step(&self, kind: FailureKind) -> NextStep {
+        if self.routed.is_suspect(&self.shared, &self.placement, kind) {
+            return NextStep::Suspect;
+        }
         if !self.routed.route.is_resumable || self.framer.is_none() {
             return NextStep::MayHaveRun;
         }
--- a/crates/wisteriahitch-relay/src/site/fingerprint.rs
+++ b/crates/wisteriahitch-relay/src/site/fingerprint.rs
@@ -4,7 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
-use wisteriahitch_types::{ParseIdError, WorkspaceId};
+use wisteriahitch_types::{KeyHash, ParseIdError, WorkspaceId};
 
 /// Separates fingerprints from other hashes over the same bytes.
 const CONTEXT: &str = "wisteriahitch request fingerprint v1";
@@ -25,16 +25,10 @@
 impl RequestFingerprint {
     /// Hashes a request.
     pub fn of(workspace: Option<&WorkspaceId>, path: &str, body: &[u8]) -> Self {
-        let mut hasher = blake3::Hasher::new_derive_key(CONTEXT);
         let workspace = workspace.map_or("", WorkspaceId::as_str);
-        for part in [workspace.as_bytes(), path.as_bytes(), body] {
-            // With its length, so that no byte can move from one part to the next.
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        let mut bytes = [0; size_of::<u64>()];
-        hasher.finalize_xof().fill(&mut bytes);
-        Self(u64::from_le_bytes(bytes))
+        let key = KeyHash::derive(CONTEXT, &[workspace.as_bytes(), path.as_bytes(), body]);
+        let [a, b, c, d, e, f, g, h, ..] = *key.as_bytes();
+        Self(u64::from_le_bytes([a, b, c, d, e, f, g, h]))
     }
 }
 
