feat(relay): nothing more is sent to the endpoints of an evacuated zone

Cause: no daemon read the entries at all.

Change: evacuations are a fourth kind of object that daemons follow, in a deployment that states a bound for them. Placement, the choice of sources of prompt parts, and the last step before a call's bytes leave ask the same table. Refused where all zones are evacuated: 503, code 2013, with when to come back.

Ruled out: unreadable content taken for no entry (the name alone says which zone is meant); evacuated endpoints as a last resort.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -1,10 +1,10 @@
 //! Endpoints and which of their lives each one is in.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use wisteriahitch_types::{
-    DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
-    WeightNumber,
+    AvailabilityZone, DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName,
+    ServiceName, TimeUs, WeightNumber,
 };
 use wisteriahitch_wire::object_store::Revision;
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,6 +12,7 @@
 use super::backlog::Load;
 use super::beacon::PartNews;
 use super::endpoint_row::{EndpointLife, EndpointRow};
+use super::evacuated_zones::{EvacuatedZones, ZoneChange};
 use super::link_paces::LinkPaces;
 use super::outlier::{Outlier, OutlierOptions};
 use super::parts::{EngineMemory, PartCache, PartKey, PartNamer};
@@ -113,6 +114,7 @@
     memory_tokens: HashMap<ServiceName, u64>,
     /// Services that the configuration names.
     services: HashSet<ServiceName>,
+    evacuated: EvacuatedZones,
     /// How fast parts come over the endpoints' and the stores' links.
     pub links: LinkPaces,
     /// Bounds of ejection.
@@ -142,6 +144,28 @@
         self.memory_tokens = memory_tokens;
     }
 
+    /// Takes over which zones are evacuated, and returns what has changed.
+    pub fn set_evacuated(&mut self, zones: BTreeSet<AvailabilityZone>) -> Vec<ZoneChange> {
+        self.evacuated.replace(zones)
+    }
+
+    /// Lists the evacuated zones.
+    pub fn evacuated(&self) -> impl Iterator<Item = &AvailabilityZone> {
+        self.evacuated.iter()
+    }
+
+    /// Returns whether an endpoint's zone is evacuated.
+    pub fn is_evacuated(&self, row: &EndpointRow) -> bool {
+        self.evacuated.contains(&row.endpoint.zone)
+    }
+
+    /// Returns whether a call that was placed at an endpoint may still be sent there. One that is no longer known
+    /// gets it: nothing is held against it.
+    pub fn admits(&self, instance: &EndpointInstance) -> bool {
+        let row = self.get(instance);
+        row.is_none_or(|row| !self.is_evacuated(row))
+    }
+
     /// Returns whether the configuration names an endpoint's service. A registration with another
     /// one names nothing that can be used or given orders.
     pub fn has_known_service(&self, row: &EndpointRow) -> bool {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod crash_evidence;
 pub(crate) mod endpoint_row;
 pub(crate) mod endpoint_table;
+pub(crate) mod evacuated_zones;
 mod fresh_news;
 pub(crate) mod hubs;
 pub(crate) mod link_paces;
--- a/crates/wisteriahitch-relay/src/decide/part_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_sources.rs
@@ -97,7 +97,7 @@
             .iter()
             .filter(|row| row.endpoint.service == *call.request.service)
             .filter(|row| row.weights(&call.prompt.model) == Some(weights))
-            .filter(|row| is_source(row, call.now))
+            .filter(|row| is_source(row, call.now) && !table.is_evacuated(row))
             .map(|row| (row, call.parts_kept_since(row)))
             .collect();
         rows.shuffle(rng);
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -30,6 +30,8 @@
 const MAX_SPREADS: f64 = 4.0;
 /// When a caller may come back where no endpoint takes requests.
 const NO_ENDPOINT_RETRY_US: DurationUs = DurationUs::from_ms(400);
+/// The same where all zones are evacuated, the time in which the end of an evacuation is known everywhere.
+const EVACUATED_RETRY_US: DurationUs = DurationUs::from_ms(1_000);
 
 /// Where a call runs, and what that was decided by.
 #[derive(Clone, Debug, PartialEq)]
@@ -74,6 +76,9 @@
     rng: &mut impl Rng,
 ) -> Result<Placement, Refusal> {
     let rows = candidates(table, request, now);
+    if rows.is_empty() {
+        return Err(no_candidate(table, request));
+    }
     let call = EngineCall::new(request, stores, now);
     let call = call.as_ref();
     let sources = call.map_or_else(Vec::new, |call| part_sources(table, &rows, call, rng));
@@ -87,7 +92,7 @@
         .map(|offer| offer.cost_ms)
         .min_by(f64::total_cmp);
     let Some(least) = least else {
-        return Err(Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US));
+        return Err(no_candidate(table, request));
     };
     let chosen = match request.is_isolated {
         true => least_loaded(&offers),
@@ -125,6 +130,15 @@
     })
 }
 
+/// Says why no endpoint may take a call.
+fn no_candidate(table: &EndpointTable, request: &PlacementRequest<'_>) -> Refusal {
+    let mut rows = takers(table, request).peekable();
+    if rows.peek().is_some() && rows.all(|row| table.is_evacuated(row)) {
+        return Refusal::new(Code::ZonesEvacuated).retry_after(EVACUATED_RETRY_US);
+    }
+    Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US)
+}
+
 /// Returns how wide the draw is, from 0 where it is narrowest to 1.
 fn draw_width(daemons: usize) -> f64 {
     (spread_ms(daemons) - MIN_SPREAD_MS) / (MAX_SPREAD_MS - MIN_SPREAD_MS)
@@ -208,6 +222,17 @@
     }
 }
 
+/// Returns the endpoints of the call's service that take requests at all.
+fn takers<'a>(
+    table: &'a EndpointTable,
+    request: &PlacementRequest<'_>,
+) -> impl Iterator<Item = &'a EndpointRow> {
+    let service = request.service.clone();
+    table
+        .iter()
+        .filter(move |row| row.endpoint.service == service && row.takes_requests())
+}
+
 /// Returns the endpoints that have weights which the call may use.
 ///
 /// If none seems to, all that may have got the wanted ones since are tried. What is known of them
@@ -220,11 +245,9 @@
     request: &PlacementRequest<'_>,
     now: TimeUs,
 ) -> Vec<&'a EndpointRow> {
-    let (right, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = table
-        .iter()
-        .filter(|row| row.endpoint.service == *request.service)
-        .filter(|row| row.takes_requests())
+    let (right, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = takers(table, request)
         .filter(|row| !request.excluded.contains(row.instance()))
+        .filter(|row| !table.is_evacuated(row))
         .partition(|row| has_right_weights(row, request, now));
     if !right.is_empty() {
         return right;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
+pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -82,6 +82,12 @@
         source: String,
         routes: usize,
     },
+    /// An availability zone is evacuated, or no longer is.
+    EvacuationChanged {
+        zone: String,
+        is_evacuated: bool,
+        source: String,
+    },
     /// An object can't be read. A configuration and wanted weights stay in force as they were; an
     /// endpoint of this name gets no new calls.
     ObjectUnreadable {
@@ -204,6 +210,7 @@
             Event::RequestUnblocked { .. } => "request_unblocked",
             Event::EndpointEjected { .. } => "endpoint_ejected",
             Event::ConfigAdopted { .. } => "config_adopted",
+            Event::EvacuationChanged { .. } => "evacuation_changed",
             Event::ObjectUnreadable { .. } => "object_unreadable",
             Event::WeightsWanted { .. } => "weights_wanted",
             Event::MemberChanged { .. } => "member_changed",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -60,6 +60,8 @@
     pub(crate) endpoint_crashes: IntCounterVec,
     /// Requests that are sent to no endpoint.
     pub(crate) blocked_requests: IntGauge,
+    /// Availability zones whose endpoints get nothing more.
+    pub(crate) evacuated_zones: IntGauge,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
     /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
@@ -140,10 +142,8 @@
                 "Crashes of endpoints with calls on board.",
                 &["proof"],
             )?,
-            blocked_requests: gauge(
-                "relay_blocked_requests",
-                "Requests that are sent to no endpoint.",
-            )?,
+            blocked_requests: gauge("relay_blocked_requests", "Blocked requests.")?,
+            evacuated_zones: gauge("relay_evacuated_zones", "Evacuated zones.")?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
             config_version: gauge("relay_config_version", "Configuration in force.")?,
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -81,6 +81,9 @@
     pub contact_ms: Option<f64>,
     /// Time for which the store remembers changes.
     pub store_history_s: Option<f64>,
+    /// Time after its acceptance within which the evacuation of a zone is to be in force. Absent where operators
+    /// evacuate none.
+    pub evacuation_ms: Option<f64>,
 }
 
 /// Bounds that were checked.
@@ -92,6 +95,7 @@
     configuration_ms: f64,
     contact_ms: f64,
     store_history_s: f64,
+    evacuation_ms: Option<f64>,
 }
 
 /// Values that a bound may have.
@@ -145,6 +149,10 @@
             configuration_ms: MS.check("bounds.configuration_ms", self.configuration_ms)?,
             contact_ms: MS.check("bounds.contact_ms", self.contact_ms)?,
             store_history_s: S.check("bounds.store_history_s", self.store_history_s)?,
+            evacuation_ms: match self.evacuation_ms {
+                Some(_) => Some(MS.check("bounds.evacuation_ms", self.evacuation_ms)?),
+                None => None,
+            },
         };
         Ok(bounds)
     }
@@ -194,11 +202,17 @@
         Duration::from_secs_f64(self.store_history_s * WATCH_SHARE).min(MAX_WATCH_WAIT)
     }
 
+    /// Returns whether daemons follow a kind of object; one that no operator writes costs no call.
+    pub fn follows(&self, role: ObjectRole) -> bool {
+        role != ObjectRole::Evacuations || self.evacuation_ms.is_some()
+    }
+
     /// Returns how old what is known of a kind of object may become.
     pub fn staleness(&self, role: ObjectRole) -> StalenessLimits {
         let known_within_ms = match role {
             ObjectRole::Endpoints => self.endpoint_drain_ms,
             ObjectRole::Weights => self.old_weights_ms * WEIGHTS_NEWS_SHARE,
+            ObjectRole::Evacuations => self.evacuation_ms.unwrap_or(self.configuration_ms),
             // Who may give orders, which daemons there are and what is blocked isn't followed by watches.
             ObjectRole::Configuration
             | ObjectRole::Members
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -70,6 +70,8 @@
 pub(crate) enum FailureKind {
     /// No byte of it left.
     NotSent,
+    /// Its endpoint may get nothing more since it was placed there; no byte of it left.
+    NotAdmitted,
     /// The endpoint says that it didn't run it.
     NotRun,
     /// Another endpoint, or other weights, are at that address; it wasn't run.
@@ -91,14 +93,17 @@
     pub(crate) const fn is_not_run(self) -> bool {
         matches!(
             self,
-            FailureKind::NotSent | FailureKind::NotRun | FailureKind::Misdirected
+            FailureKind::NotSent
+                | FailureKind::NotAdmitted
+                | FailureKind::NotRun
+                | FailureKind::Misdirected
         )
     }
 
     /// Returns the code for a caller where this was the last attempt.
     pub(crate) const fn code(self) -> Code {
         match self {
-            FailureKind::NotSent => Code::NoEndpoint,
+            FailureKind::NotSent | FailureKind::NotAdmitted => Code::NoEndpoint,
             FailureKind::NotRun | FailureKind::Misdirected => Code::EndpointRefused,
             FailureKind::Lost | FailureKind::EndpointFailed => Code::EndpointLost,
             FailureKind::Timeout => Code::EndpointTimeout,
@@ -111,6 +116,7 @@
     pub(crate) const fn label(self) -> &'static str {
         match self {
             FailureKind::NotSent => "not_sent",
+            FailureKind::NotAdmitted => "not_admitted",
             FailureKind::NotRun => "not_run",
             FailureKind::Misdirected => "misdirected",
             FailureKind::Lost => "lost",
@@ -209,6 +215,10 @@
         };
         let how = if is_kept { "reused" } else { "opened" };
         shared.metrics.connections.with_label_values(&[how]).inc();
+        if !shared.endpoints.lock().admits(&placement.endpoint) {
+            let detail = "the endpoint may get nothing more";
+            return Err(Failure::new(FailureKind::NotAdmitted, detail));
+        }
         let request = build_request(shared, call, placement, resume_after);
         match timeout_at(until, connection.send(request)).await {
             Ok(Ok(response)) => {
@@ -337,6 +347,8 @@
         .inc();
     match kind {
         FailureKind::NotSent => flight.land(Landing::Unreachable),
+        // It tells nothing of the endpoint.
+        FailureKind::NotAdmitted => {}
         FailureKind::NotRun | FailureKind::Misdirected => {
             let until: TimeUs = shared.now() + AFTER_REFUSAL_US;
             let mut endpoints = shared.endpoints.lock();
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -136,7 +136,10 @@
             }
         }
         start_servers(&shared).await?;
-        for role in WATCHED {
+        let followed = WATCHED
+            .into_iter()
+            .filter(|role| shared.bounds.follows(*role));
+        for role in followed {
             tokio::spawn(run_watch(Arc::clone(&shared), role));
         }
         tokio::spawn(run_registration(Arc::clone(&shared)));
@@ -279,6 +282,7 @@
         })
     });
     let rows: Vec<_> = rows.collect();
+    let evacuated_zones: Vec<String> = endpoints.evacuated().map(ToString::to_string).collect();
     drop(endpoints);
     let peers: Vec<_> = shared
         .peers
@@ -294,6 +298,7 @@
         "config_version": shared.site.config().map(|config| config.version),
         "wanted_weights": wanted_snapshot(shared),
         "in_flight": shared.drain.in_flight(),
+        "evacuated_zones": evacuated_zones,
         "endpoints": rows,
         "peers": peers,
         "part_stores": shared.part_stores.lock().snapshot(),
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -203,7 +203,13 @@
         let resume_after = self.call.head.resume_after;
         let is_last = !self.may_go_on(shared);
         let opened = open(shared, &self.call, placement, resume_after, is_last, until).await;
-        if !matches!(&opened, Err(failure) if failure.kind == FailureKind::NotSent) {
+        let is_unsent = |failure: &Failure| {
+            matches!(
+                failure.kind,
+                FailureKind::NotSent | FailureKind::NotAdmitted
+            )
+        };
+        if !opened.as_ref().is_err_and(is_unsent) {
             self.sent += 1;
             trace.story().attempts = self.sent;
         }
@@ -400,7 +406,7 @@
         if self.is_suspect(shared, placement, kind) {
             return NextStep::Suspect;
         }
-        if kind == FailureKind::NotSent {
+        if matches!(kind, FailureKind::NotSent | FailureKind::NotAdmitted) {
             return match connects < MAX_CONNECTS {
                 true => NextStep::Again,
                 false => NextStep::TooManyConnects,
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -84,7 +84,7 @@
         if self.drain.is_draining() {
             return MemberPhase::Draining;
         }
-        match self.site.config().is_some() && self.watches.has_listed_all() {
+        match self.site.config().is_some() && self.watches.has_listed_all(&self.bounds) {
             true => MemberPhase::Ready,
             false => MemberPhase::Starting,
         }
--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -1,9 +1,9 @@
 //! Taking over what the store, or another daemon, tells of objects.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_types::{AvailabilityZone, DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{
     Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind,
 };
@@ -12,6 +12,7 @@
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
+use crate::decide::evacuated_zones::ZoneChange;
 use crate::observe::Event;
 
 /// Where news comes from, for the log.
@@ -69,6 +70,7 @@
             let changes = shared.endpoints.lock().listed(registrations, absence, now);
             shared.note_changes(changes, listing.revision.0);
         }
+        ObjectRole::Evacuations => apply_evacuations(shared, source),
         _ => {
             for object in &listing.objects {
                 put(shared, role, object, source, age_us);
@@ -115,6 +117,9 @@
             }
         }
     }
+    if role == ObjectRole::Evacuations {
+        apply_evacuations(shared, source);
+    }
     let mut state = shared.watches.of(role).lock();
     state.revision = state.revision.max(revision);
     if state.revision >= state.changed {
@@ -204,7 +209,48 @@
                 shared.log.write(&Event::WeightsWanted { model, version });
             }
         }
-        ObjectRole::Members | ObjectRole::Leases | ObjectRole::BlockedRequests => {}
+        // Evacuations are taken over all together.
+        ObjectRole::Members
+        | ObjectRole::Leases
+        | ObjectRole::BlockedRequests
+        | ObjectRole::Evacuations => {}
+    }
+}
+
+/// Puts in force what is known of evacuations.
+///
+/// That an entry is there is all that it says, so that one whose content can't be read is in force like any other.
+/// One under a name that no zone can have says nothing.
+fn apply_evacuations(shared: &Shared, source: &str) {
+    let role = ObjectRole::Evacuations;
+    let names: Vec<String> = {
+        let state = shared.watches.of(role).lock();
+        state.objects.keys().cloned().collect()
+    };
+    let mut zones = BTreeSet::new();
+    for name in names {
+        match name.parse::<AvailabilityZone>() {
+            Ok(zone) => {
+                zones.insert(zone);
+            }
+            Err(error) => {
+                note_unreadable(shared, role, &name, UnreadableKind::Name, error.to_string());
+            }
+        }
+    }
+    let count = i64::try_from(zones.len()).unwrap_or(i64::MAX);
+    shared.metrics.evacuated_zones.set(count);
+    let changes = shared.endpoints.lock().set_evacuated(zones);
+    for change in changes {
+        let (zone, is_evacuated) = match change {
+            ZoneChange::Evacuated(zone) => (zone, true),
+            ZoneChange::Restored(zone) => (zone, false),
+        };
+        shared.log.write(&Event::EvacuationChanged {
+            zone: zone.to_string(),
+            is_evacuated,
+            source: source.to_owned(),
+        });
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -10,12 +10,14 @@
 
 use crate::decide::beacon::KindNews;
 use crate::decide::staleness::StalenessLimits;
+use crate::settings::Bounds;
 
 /// Kinds of objects that every daemon follows.
-pub(crate) const WATCHED: [ObjectRole; 3] = [
+pub(crate) const WATCHED: [ObjectRole; 4] = [
     ObjectRole::Endpoints,
     ObjectRole::Configuration,
     ObjectRole::Weights,
+    ObjectRole::Evacuations,
 ];
 
 /// Deletions that are remembered for peers; one that has missed more is told everything.
@@ -56,9 +58,10 @@
         &self.0[index.unwrap_or(0)]
     }
 
-    /// Returns whether every kind was listed at least once.
-    pub(crate) fn has_listed_all(&self) -> bool {
-        self.0.iter().all(|state| state.lock().is_listed)
+    /// Returns whether every kind that `bounds` have daemons follow was listed at least once.
+    pub(crate) fn has_listed_all(&self, bounds: &Bounds) -> bool {
+        let mut followed = WATCHED.iter().filter(|role| bounds.follows(**role));
+        followed.all(|role| self.of(*role).lock().is_listed)
     }
 
     /// Returns whether what the configuration doesn't hold may be called unknown.
@@ -242,5 +245,6 @@
         ObjectRole::Members => "members",
         ObjectRole::Leases => "leases",
         ObjectRole::BlockedRequests => "blocked_requests",
+        ObjectRole::Evacuations => "evacuations",
     }
 }
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/evacuated_zones.rs
@@ -0,0 +1,145 @@
+//! Evacuated availability zones in the decisions.
+
+use std::collections::BTreeSet;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wisteriahitch_relay::{
+    Endpoint, EndpointTable, EvacuatedZones, PartStores, PlacementRequest, ZoneChange, place,
+};
+use wisteriahitch_types::{AvailabilityZone, Code, DurationUs, TimeUs};
+
+use crate::fixture::{engine, engine_address, id, model, ms, prompt, service, traits};
+
+const NOW: TimeUs = TimeUs::new(50_000_000);
+
+fn zones(names: &[&str]) -> BTreeSet<AvailabilityZone> {
+    names.iter().map(|name| name.parse().unwrap()).collect()
+}
+
+/// Guards against changes that are told twice or not at all.
+#[test]
+fn each_change_is_told_once() {
+    struct Case {
+        before: &'static [&'static str],
+        after: &'static [&'static str],
+        expected: Vec<ZoneChange>,
+    }
+    let evacuated = |name: &str| ZoneChange::Evacuated(name.parse().unwrap());
+    let restored = |name: &str| ZoneChange::Restored(name.parse().unwrap());
+    let cases = [
+        Case {
+            before: &[],
+            after: &["a"],
+            expected: vec![evacuated("a")],
+        },
+        Case {
+            before: &["a"],
+            after: &["a"],
+            expected: vec![],
+        },
+        Case {
+            before: &["a", "b"],
+            after: &["b", "c"],
+            expected: vec![evacuated("c"), restored("a")],
+        },
+    ];
+    for case in cases {
+        let mut known = EvacuatedZones::default();
+        known.replace(zones(case.before));
+        assert_eq!(known.replace(zones(case.after)), case.expected);
+    }
+}
+
+/// Guards against calls that are placed in an evacuated zone, or fetch parts from an engine there.
+#[test]
+fn nothing_is_placed_in_or_fetched_from_an_evacuated_zone() {
+    struct Case {
+        name: &'static str,
+        evacuated: &'static [&'static str],
+        expected: Result<&'static str, Code>,
+        fetches_from_a: bool,
+    }
+    let cases = [
+        Case {
+            name: "none",
+            evacuated: &[],
+            expected: Ok("a"),
+            fetches_from_a: false,
+        },
+        Case {
+            name: "the zone of the engine that keeps the prompt",
+            evacuated: &["zone-a"],
+            expected: Ok("b"),
+            fetches_from_a: false,
+        },
+        Case {
+            name: "the other zone",
+            evacuated: &["zone-b"],
+            expected: Ok("a"),
+            fetches_from_a: false,
+        },
+        Case {
+            name: "all",
+            evacuated: &["zone-a", "zone-b"],
+            expected: Err(Code::ZonesEvacuated),
+            fetches_from_a: false,
+        },
+    ];
+    for case in cases {
+        let mut table = EndpointTable::default();
+        for name in ["a", "b"] {
+            table.registered(Endpoint {
+                zone: format!("zone-{name}").parse().unwrap(),
+                ..engine(name)
+            });
+        }
+        let prompt = prompt(9_000, 1_000);
+        let namer = wisteriahitch_relay::PartNamer::new(&model(), "w1");
+        let row = table.get_mut(&id("a")).unwrap();
+        for part in &prompt.parts {
+            row.parts.used(namer.key(part.id), part.tokens.get(), NOW);
+        }
+        table.set_evacuated(zones(case.evacuated));
+        let (service, engine, zone) = (service(), traits(), "zone-a".parse().unwrap());
+        let request = PlacementRequest {
+            service: &service,
+            engine: Some(&engine),
+            prompt: Some(&prompt),
+            wall: None,
+            zone: &zone,
+            daemons: 6,
+            duration_us: ms(800),
+            memory_duration_us: ms(1_200),
+            patience_us: ms(3_200),
+            longest_queue_us: DurationUs::MAX,
+            excluded: &[],
+            is_isolated: false,
+            required_weights: None,
+            wanted_weights: None,
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let placed = place(&table, &PartStores::default(), &request, NOW, &mut rng);
+        let fetches = placed.as_ref().is_ok_and(|placed| {
+            let from_a = Some(engine_address("a"));
+            placed.fetch_from.contains(&from_a)
+        });
+        let placed = placed.map(|placed| placed.endpoint.to_string());
+        let placed = placed.map_err(|refusal| refusal.code);
+        let expected = case.expected.map(str::to_owned);
+        assert_eq!(placed, expected, "{}", case.name);
+        assert_eq!(fetches, case.fetches_from_a, "{}", case.name);
+    }
+}
+
+/// Guards against a call that was placed before an evacuation was known and is sent after.
+#[test]
+fn a_call_that_was_placed_before_is_no_longer_admitted() {
+    let mut table = EndpointTable::default();
+    table.registered(engine("a"));
+    assert!(table.admits(&id("a")));
+    table.set_evacuated(zones(&["a"]));
+    assert!(!table.admits(&id("a")));
+    table.set_evacuated(zones(&[]));
+    assert!(table.admits(&id("a")));
+}
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod endpoint_lives;
 mod endpoint_table;
 mod engine_memory;
+mod evacuated_zones;
 mod event_log;
 mod fixture;
 mod link_paces;
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -198,6 +198,7 @@
         configuration_ms: Some(2_000.0 * factor),
         contact_ms: Some(3_000.0 * factor),
         store_history_s: Some(20.0 * factor),
+        evacuation_ms: None,
     };
     settings.checked().unwrap()
 }
--- a/crates/wisteriahitch-relay/tests/all/staleness.rs
+++ b/crates/wisteriahitch-relay/tests/all/staleness.rs
@@ -395,6 +395,7 @@
             configuration_ms: Some(known_within_ms),
             contact_ms: Some(self.contact.as_ms() as f64),
             store_history_s: Some(20.0),
+            evacuation_ms: None,
         };
         let bounds = bounds.checked().unwrap();
         let limits = bounds.staleness(ObjectRole::Configuration);
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -101,6 +101,10 @@
     PromptTooLong = 2010, NotRun, 413;
     /// The endpoint itself said that it did not run the request.
     EndpointRefused = 2011, NotRun, 503;
+    /// All endpoints of the service have just started, and none may get another request yet.
+    EndpointsCold = 2012, NotRun, 503;
+    /// All availability zones with endpoints of the service are evacuated.
+    ZonesEvacuated = 2013, NotRun, 503;
 
     /// The connection to the endpoint broke before an answer came.
     EndpointLost = 3001, OutcomeUnknown, 502;
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -27,6 +27,8 @@
     Leases,
     /// Requests that daemons no longer send to endpoints.
     BlockedRequests,
+    /// Availability zones whose endpoints are to get nothing more, each under its name.
+    Evacuations,
 }
 
 /// Counts the changes of the whole store.
