--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -74,7 +74,7 @@
     }
 
     pub(super) fn engine_came(&mut self, endpoint: Endpoint) {
-        self.table.registered(endpoint);
+        self.table.registered(endpoint, TimeUs::ZERO);
     }
 
     pub(super) fn engine_left(&mut self, id: &EndpointInstance, now: TimeUs) {
--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -591,6 +591,7 @@
             zone: self.names.zone.clone(),
             slots: self.plan.engines.slots,
             is_draining: false,
+            cold_left_us: DurationUs::ZERO,
             weights: BTreeMap::from([(self.names.model.clone(), WeightNumber::new(1))]),
         };
         for daemon in &mut self.daemons {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -11,6 +11,8 @@
 
 use super::backlog::Load;
 use super::beacon::PartNews;
+use super::cold_limit::{ColdLimit, ColdState};
+use super::cold_shares::{ColdShares, LONGEST_GAP_US};
 use super::endpoint_row::{EndpointLife, EndpointRow};
 use super::evacuated_zones::{EvacuatedZones, ZoneChange};
 use super::link_paces::LinkPaces;
@@ -104,6 +106,42 @@
     Displaced(EndpointInstance),
 }
 
+/// What cold endpoints of a service bear.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServiceColdness {
+    /// Permits of each.
+    pub limit: ColdLimit,
+    /// How long one is cold after its start.
+    pub start_us: DurationUs,
+}
+
+/// How fresh the shares of permits are.
+#[derive(Clone, Copy, Debug)]
+struct SharesAsOf {
+    known_at_us: TimeUs,
+    usable_at_us: Option<TimeUs>,
+}
+
+/// Says whether an endpoint may get a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Open,
+    /// It is cold, and may get one under this permit.
+    Permit(usize),
+    /// It is cold, and may get none before this time.
+    Cold(TimeUs),
+    /// Its zone is evacuated.
+    Evacuated,
+}
+
+impl Admission {
+    /// Returns whether the endpoint may get a call now.
+    pub fn is_open(self) -> bool {
+        matches!(self, Admission::Open | Admission::Permit(_))
+    }
+}
+
 /// All endpoints of the site.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -115,6 +153,10 @@
     /// Services that the configuration names.
     services: HashSet<ServiceName>,
     evacuated: EvacuatedZones,
+    /// What cold endpoints of each service bear, where the deployment bounds it.
+    cold_limits: HashMap<ServiceName, ServiceColdness>,
+    /// As of when the shares of cold endpoints' permits are known, and from when on those of the newest view may be used.
+    shares: Option<SharesAsOf>,
     /// How fast parts come over the endpoints' and the stores' links.
     pub links: LinkPaces,
     /// Bounds of ejection.
@@ -145,8 +187,98 @@
     }
 
     /// Takes over which zones are evacuated, and returns what has changed.
-    pub fn set_evacuated(&mut self, zones: BTreeSet<AvailabilityZone>) -> Vec<ZoneChange> {
-        self.evacuated.replace(zones)
+    ///
+    /// Endpoints of a zone that may be used again count as cold from then on: operators restart them meanwhile, and
+    /// what they registered last may be older than that.
+    pub fn set_evacuated(
+        &mut self,
+        zones: BTreeSet<AvailabilityZone>,
+        now: TimeUs,
+    ) -> Vec<ZoneChange> {
+        let changes = self.evacuated.replace(zones);
+        for change in &changes {
+            if let ZoneChange::Restored(zone) = change {
+                self.assume_cold(zone, now);
+            }
+        }
+        changes
+    }
+
+    fn assume_cold(&mut self, zone: &AvailabilityZone, now: TimeUs) {
+        for row in self
+            .rows
+            .values_mut()
+            .filter(|row| row.endpoint.zone == *zone)
+        {
+            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
+                row.cold.assume_until(now + cold.start_us);
+            }
+        }
+    }
+
+    /// Takes over what cold endpoints of each service bear.
+    pub fn set_cold_limits(&mut self, limits: HashMap<ServiceName, ServiceColdness>) {
+        self.cold_limits = limits;
+    }
+
+    /// Takes over how many permits of each cold endpoint this daemon holds. To be called several times a second.
+    pub fn set_shares(&mut self, shares: &ColdShares, now: TimeUs) {
+        self.shares = Some(SharesAsOf {
+            known_at_us: now,
+            usable_at_us: shares.usable_at(),
+        });
+        for row in self.rows.values_mut().filter(|row| row.cold.is_cold(now)) {
+            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
+                let id = &row.endpoint.instance.id;
+                row.cold.share = shares.share(id, cold.limit.permits, now);
+            }
+        }
+    }
+
+    /// Returns how many endpoints are cold, for the metrics.
+    pub fn cold_count(&self, now: TimeUs) -> usize {
+        let is_cold = |row: &&EndpointRow| self.cold_limit(row, now).is_some();
+        self.rows.values().filter(is_cold).count()
+    }
+
+    /// Returns the limit that an endpoint is under; none where it isn't cold or the deployment has no bound.
+    fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&ColdLimit> {
+        let cold = self.cold_limits.get(&row.endpoint.service)?;
+        row.cold.is_cold(now).then_some(&cold.limit)
+    }
+
+    /// Says whether an endpoint may get a call now.
+    pub fn admission(&self, row: &EndpointRow, now: TimeUs) -> Admission {
+        if self.is_evacuated(row) {
+            return Admission::Evacuated;
+        }
+        let Some(limit) = self.cold_limit(row, now) else {
+            return Admission::Open;
+        };
+        let shares = self.fresh_shares(now);
+        if let Some(permit) = shares.and_then(|_| row.cold.free_permit(limit, now)) {
+            return Admission::Permit(permit);
+        }
+        let usable_at = shares.and_then(|shares| shares.usable_at_us);
+        let free_at = row
+            .cold
+            .next_free_at(limit)
+            .unwrap_or(now + limit.window_us);
+        let free_at = usable_at.map_or(row.cold.until_us, |usable_at| free_at.max(usable_at));
+        Admission::Cold(free_at.min(row.cold.until_us))
+    }
+
+    /// Returns as of when shares are known, unless that is too long ago to go by them.
+    fn fresh_shares(&self, now: TimeUs) -> Option<SharesAsOf> {
+        let is_fresh = |shares: &SharesAsOf| now.since(shares.known_at_us) <= LONGEST_GAP_US;
+        self.shares.filter(is_fresh)
+    }
+
+    /// Uses the permit under which a call was placed, so that no other call is placed under it.
+    pub fn use_permit(&mut self, instance: &EndpointInstance, permit: usize, now: TimeUs) {
+        if let Some(row) = self.get_mut(instance) {
+            row.cold.use_permit(permit, now);
+        }
     }
 
     /// Lists the evacuated zones.
@@ -159,11 +291,28 @@
         self.evacuated.contains(&row.endpoint.zone)
     }
 
-    /// Returns whether a call that was placed at an endpoint may still be sent there. One that is no longer known
-    /// gets it: nothing is held against it.
-    pub fn admits(&self, instance: &EndpointInstance) -> bool {
-        let row = self.get(instance);
-        row.is_none_or(|row| !self.is_evacuated(row))
+    /// Returns whether a call that was placed at an endpoint may be sent there now, and counts it against the
+    /// endpoint's permits as of now: between placement and sending a connection may have been opened. An endpoint that
+    /// is no longer known gets it: nothing is held against it.
+    pub fn admits(
+        &mut self,
+        instance: &EndpointInstance,
+        permit: Option<usize>,
+        now: TimeUs,
+    ) -> bool {
+        let Some(row) = self.get(instance) else {
+            return true;
+        };
+        let permit = match (self.admission(row, now), permit) {
+            (Admission::Evacuated, _) => return false,
+            (Admission::Open, _) => return true,
+            (_, Some(permit)) if self.fresh_shares(now).is_some() => permit,
+            // It has turned cold since.
+            (Admission::Permit(permit), None) => permit,
+            _ => return false,
+        };
+        let row = self.get_mut(instance);
+        row.is_some_and(|row| row.cold.use_permit(permit, now))
     }
 
     /// Returns whether the configuration names an endpoint's service. A registration with another
@@ -183,7 +332,7 @@
         let ids: HashSet<EndpointId> = named.collect();
         let mut changes = Vec::new();
         for registration in registrations {
-            changes.extend(self.registered(registration));
+            changes.extend(self.registered(registration, now));
         }
         let is_missing = |id: &&EndpointId| !ids.contains(id);
         let missing: Vec<EndpointId> = self.rows.keys().filter(is_missing).cloned().collect();
@@ -198,14 +347,18 @@
     /// Of two registrations of one id the one with the higher revision is the newer one. Their starts
     /// don't say: a clock that was set back before a restart gives the later life the earlier start, and
     /// ordered by starts it would be shut out for good.
-    pub fn registered(&mut self, registration: impl Into<Registration>) -> Vec<EndpointChange> {
+    pub fn registered(
+        &mut self,
+        registration: impl Into<Registration>,
+        now: TimeUs,
+    ) -> Vec<EndpointChange> {
         let endpoint = match registration.into() {
             Registration::Good(endpoint) => endpoint,
             Registration::Unreadable(id, revision) => return self.unreadable(&id, revision),
         };
         let id = endpoint.instance.id.clone();
         let Some(row) = self.rows.get(&id) else {
-            return self.begin(endpoint);
+            return self.begin(endpoint, now);
         };
         if endpoint.revision < row.endpoint.revision {
             return Vec::new();
@@ -216,17 +369,21 @@
             return self.unreadable(&id, endpoint.revision);
         }
         match *known == endpoint.instance {
-            true => self.renewed(endpoint),
-            false => self.restarted(endpoint),
+            true => self.renewed(endpoint, now),
+            false => self.restarted(endpoint, now),
         }
     }
 
     /// Takes over a registration of the life that is known.
-    fn renewed(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+    fn renewed(&mut self, endpoint: Endpoint, now: TimeUs) -> Vec<EndpointChange> {
         let instance = endpoint.instance.clone();
+        let limit = self.cold_limits.get(&endpoint.service);
         let Some(row) = self.rows.get_mut(&instance.id) else {
             return Vec::new();
         };
+        if endpoint.revision > row.endpoint.revision {
+            row.told_cold(endpoint.cold_left_us, limit.map(|cold| &cold.limit), now);
+        }
         let was = row.life;
         let life = life_of(&endpoint);
         // An endpoint that has announced its leaving doesn't come back in the same life; a
@@ -259,21 +416,21 @@
     ///
     /// The new process holds and knows nothing. Without this, calls would be sent to it for parts that
     /// it doesn't keep, or none at all because the life before had said that it leaves.
-    fn restarted(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+    fn restarted(&mut self, endpoint: Endpoint, now: TimeUs) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
         if let Some(before) = self.remove(&endpoint.instance.id) {
             self.links.forget(before.endpoint.address);
             changes.push(EndpointChange::Ended(before.endpoint.instance));
         }
-        changes.extend(self.begin(endpoint));
+        changes.extend(self.begin(endpoint, now));
         changes
     }
 
     /// Takes in a life that wasn't known.
-    fn begin(&mut self, endpoint: Endpoint) -> Vec<EndpointChange> {
+    fn begin(&mut self, endpoint: Endpoint, now: TimeUs) -> Vec<EndpointChange> {
         let instance = endpoint.instance.clone();
         let life = life_of(&endpoint);
-        self.insert(endpoint, life);
+        self.insert(endpoint, life, now);
         let mut changes = vec![EndpointChange::Seen(instance.clone())];
         changes.extend(self.claim_address(&instance));
         changes
@@ -643,7 +800,7 @@
         self.rows.is_empty()
     }
 
-    fn insert(&mut self, endpoint: Endpoint, life: EndpointLife) {
+    fn insert(&mut self, endpoint: Endpoint, life: EndpointLife, now: TimeUs) {
         let short_name = life_name(&endpoint.instance);
         let memory = self.memory_tokens.get(&endpoint.service).copied();
         let mut peers = Load::default();
@@ -655,6 +812,7 @@
         let id = endpoint.instance.id.clone();
         self.by_short_name.insert(short_name, id.clone());
         let row = EndpointRow {
+            cold: ColdState::until(now + endpoint.cold_left_us),
             endpoint,
             life,
             is_displaced: false,
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -3,13 +3,14 @@
 //! Each daemon sends small datagrams several times a second. What they believe of each other makes
 //! the fleet faster, never wrong; what must be right rests on the platform's store.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
 
 use super::beacon::{Beacon, MemberNews, MemberPhase};
+use super::cold_shares::Sighting;
 use super::hubs::{HubCandidate, HubPlan};
 use super::message_delay::MessageDelay;
 
@@ -20,6 +21,8 @@
 const TOLD_LIFE_US: DurationUs = DurationUs::from_ms(2_500);
 /// Age up to which what a hub has told is told on; each step adds its own.
 const TELL_ON_US: DurationUs = DurationUs::from_ms(1_200);
+/// Time for which a registration that was listed counts: two listings.
+const REGISTERED_LIFE_US: DurationUs = DurationUs::from_ms(10_000);
 /// Silence after which a member is forgotten.
 const FORGET_US: DurationUs = DurationUs::from_ms(30_000);
 /// Time for which an address that was never heard is still taken for a daemon's.
@@ -102,6 +105,8 @@
     peers: BTreeMap<Ipv4Addr, PeerRow>,
     told: BTreeMap<Ipv4Addr, ToldRow>,
     known: BTreeMap<Ipv4Addr, KnownRow>,
+    /// When each address was last seen registered in the store.
+    registered: BTreeMap<Ipv4Addr, TimeUs>,
 }
 
 /// What a message changed.
@@ -129,6 +134,35 @@
         }
     }
 
+    /// Notes that the store holds a registration of an address.
+    pub fn registered(&mut self, ip: Ipv4Addr, now: TimeUs) {
+        self.registered.insert(ip, now);
+    }
+
+    /// Returns what is seen of the members, for the permits of cold endpoints.
+    pub fn sighting(&self, me: Ipv4Addr, is_complete: bool, now: TimeUs) -> Sighting {
+        let stays = |phase: MemberPhase| phase != MemberPhase::Draining;
+        let direct = self.alive(now).map(|peer| (peer.ip, peer.phase));
+        let told = self
+            .told
+            .iter()
+            .filter(|(ip, _)| !self.peers.contains_key(ip));
+        let told = told.map(|(ip, told)| (*ip, told.phase));
+        let mut sighting = Sighting {
+            alive: BTreeSet::from([me]),
+            registered: self.registered.keys().copied().collect(),
+            leaving: BTreeSet::new(),
+            is_complete,
+        };
+        for (ip, phase) in direct.chain(told) {
+            match stays(phase) {
+                true => sighting.alive.insert(ip),
+                false => sighting.leaving.insert(ip),
+            };
+        }
+        sighting
+    }
+
     /// Takes a message in.
     pub fn heard(&mut self, beacon: &Beacon, now: TimeUs) -> Heard {
         let old = self.peers.get(&beacon.ip);
@@ -197,6 +231,8 @@
             .retain(|_, peer| now.since(peer.heard_at_us) < FORGET_US);
         self.told
             .retain(|_, told| now.since(told.told_at_us) < TOLD_LIFE_US);
+        self.registered
+            .retain(|_, seen_at| now.since(*seen_at) < REGISTERED_LIFE_US);
         let (peers, told) = (&self.peers, &self.told);
         self.known.retain(|ip, known| {
             let life = match peers.contains_key(ip) || told.contains_key(ip) {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -2,6 +2,8 @@
 
 pub(crate) mod backlog;
 pub(crate) mod beacon;
+pub(crate) mod cold_limit;
+pub(crate) mod cold_shares;
 pub(crate) mod crash_evidence;
 pub(crate) mod endpoint_row;
 pub(crate) mod endpoint_table;
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -11,7 +11,7 @@
 use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber};
 
 use super::endpoint_row::{EndpointLife, EndpointRow};
-use super::endpoint_table::EndpointTable;
+use super::endpoint_table::{Admission, EndpointTable};
 use super::offer::{Homes, MainFetch, Offer, offer};
 use super::overload::retry_after;
 use super::part_sources::PartSources;
@@ -60,6 +60,8 @@
     pub expected_us: DurationUs,
     /// Endpoints that were compared.
     pub candidates: usize,
+    /// Permit under which a cold endpoint gets the call.
+    pub permit: Option<usize>,
 }
 
 /// Chooses an endpoint.
@@ -77,7 +79,7 @@
 ) -> Result<Placement, Refusal> {
     let rows = candidates(table, request, now);
     if rows.is_empty() {
-        return Err(no_candidate(table, request));
+        return Err(no_candidate(table, request, now, rng));
     }
     let call = EngineCall::new(request, stores, now);
     let call = call.as_ref();
@@ -92,7 +94,7 @@
         .map(|offer| offer.cost_ms)
         .min_by(f64::total_cmp);
     let Some(least) = least else {
-        return Err(no_candidate(table, request));
+        return Err(no_candidate(table, request, now, rng));
     };
     let chosen = match request.is_isolated {
         true => least_loaded(&offers),
@@ -127,13 +129,32 @@
         queue_us,
         expected_us,
         candidates: offers.len(),
+        permit: match table.admission(chosen.row, now) {
+            Admission::Permit(permit) => Some(permit),
+            _ => None,
+        },
     })
 }
 
 /// Says why no endpoint may take a call.
-fn no_candidate(table: &EndpointTable, request: &PlacementRequest<'_>) -> Refusal {
-    let mut rows = takers(table, request).peekable();
-    if rows.peek().is_some() && rows.all(|row| table.is_evacuated(row)) {
+fn no_candidate(
+    table: &EndpointTable,
+    request: &PlacementRequest<'_>,
+    now: TimeUs,
+    rng: &mut impl Rng,
+) -> Refusal {
+    let rows = takers(table, request).filter(|row| !request.excluded.contains(row.instance()));
+    let admissions: Vec<Admission> = rows.map(|row| table.admission(row, now)).collect();
+    let free_at = admissions.iter().filter_map(|admission| match admission {
+        Admission::Cold(free_at) => Some(*free_at),
+        _ => None,
+    });
+    if let Some(free_at) = free_at.min() {
+        let refusal = Refusal::new(Code::EndpointsCold);
+        return refusal.retry_after(retry_after(free_at.since(now), rng));
+    }
+    let is_evacuated = |admission: &Admission| *admission == Admission::Evacuated;
+    if !admissions.is_empty() && admissions.iter().all(is_evacuated) {
         return Refusal::new(Code::ZonesEvacuated).retry_after(EVACUATED_RETRY_US);
     }
     Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US)
@@ -247,7 +268,7 @@
 ) -> Vec<&'a EndpointRow> {
     let (right, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = takers(table, request)
         .filter(|row| !request.excluded.contains(row.instance()))
-        .filter(|row| !table.is_evacuated(row))
+        .filter(|row| table.admission(row, now).is_open())
         .partition(|row| has_right_weights(row, request, now));
     if !right.is_empty() {
         return right;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -23,9 +23,13 @@
     Beacon, BlockedNews, CrashNews, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase,
     PartNews, RequestNews, StoreNews,
 };
+pub use decide::cold_limit::{ColdBound, ColdLimit, ColdState};
+pub use decide::cold_shares::{ColdShares, Sighting};
 pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
-pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
+pub use decide::endpoint_table::{
+    Absence, Admission, EndpointChange, EndpointTable, Registration, ServiceColdness,
+};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
@@ -50,6 +54,6 @@
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
 pub use site::{
-    CallKind, CallerLimits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape,
+    CallKind, CallerLimits, ColdTraits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape,
     RequestFingerprint, Route, RouteTable, Service, SiteConfig, WantedWeights, Workspace,
 };
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -62,6 +62,8 @@
     pub(crate) blocked_requests: IntGauge,
     /// Availability zones whose endpoints get nothing more.
     pub(crate) evacuated_zones: IntGauge,
+    /// Endpoints that bear few calls yet.
+    pub(crate) cold_endpoints: IntGauge,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
     /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
@@ -143,6 +145,7 @@
                 &["proof"],
             )?,
             blocked_requests: gauge("relay_blocked_requests", "Blocked requests.")?,
+            cold_endpoints: gauge("relay_cold_endpoints", "Cold endpoints.")?,
             evacuated_zones: gauge("relay_evacuated_zones", "Evacuated zones.")?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
--- a/crates/wisteriahitch-relay/src/settings/mod.rs
+++ b/crates/wisteriahitch-relay/src/settings/mod.rs
@@ -12,6 +12,8 @@
 use serde::Deserialize;
 use wisteriahitch_types::{AvailabilityZone, DaemonId};
 
+use crate::decide::cold_limit::ColdBound;
+
 pub use bounds::{BoundSettings, Bounds};
 
 /// Reports settings that can't be used.
@@ -70,6 +72,9 @@
     /// Bounds of the deployment.
     #[serde(default)]
     pub bounds: BoundSettings,
+    /// Endpoints right after their start.
+    #[serde(default)]
+    pub cold: ColdSettings,
     /// Retries.
     #[serde(default)]
     pub retry: RetrySettings,
@@ -127,6 +132,26 @@
     pub address: SocketAddr,
 }
 
+/// What all daemons together may send to an endpoint right after its start. Without both values there is no bound.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(default)]
+pub struct ColdSettings {
+    /// Multiple of the rate that the endpoint's service states.
+    pub rate_ratio: Option<f64>,
+    /// Calls beyond that in any second.
+    pub burst_calls: Option<f64>,
+}
+
+impl ColdSettings {
+    /// Returns the bound, if the deployment has one.
+    pub fn bound(&self) -> Option<ColdBound> {
+        Some(ColdBound {
+            rate_ratio: self.rate_ratio?,
+            burst_calls: self.burst_calls?,
+        })
+    }
+}
+
 /// Retries, over all daemons.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
@@ -294,6 +319,14 @@
         for (key, value) in shares {
             check_range(key, value, (0.0..=1.0).contains(&value), "0 to 1")?;
         }
+        let cold = [
+            ("cold.rate_ratio", self.cold.rate_ratio),
+            ("cold.burst_calls", self.cold.burst_calls),
+        ];
+        for (key, value) in cold {
+            let value = value.unwrap_or_default();
+            check_range(key, value, value >= 0.0 && value.is_finite(), "0 or more")?;
+        }
         let slack = self.retry.slack;
         check_range("retry.slack", slack, slack >= 0.0, "0 or more")
     }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -215,7 +215,7 @@
         };
         let how = if is_kept { "reused" } else { "opened" };
         shared.metrics.connections.with_label_values(&[how]).inc();
-        if !shared.endpoints.lock().admits(&placement.endpoint) {
+        if !is_admitted(shared, placement) {
             let detail = "the endpoint may get nothing more";
             return Err(Failure::new(FailureKind::NotAdmitted, detail));
         }
@@ -232,6 +232,11 @@
     }
 }
 
+fn is_admitted(shared: &Shared, placement: &Placement) -> bool {
+    let mut endpoints = shared.endpoints.lock();
+    endpoints.admits(&placement.endpoint, placement.permit, shared.now())
+}
+
 async fn connect(
     shared: &Shared,
     placement: &Placement,
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -38,6 +38,7 @@
 use super::watch_state::{WATCHED, WatchStates};
 use crate::clock::BootClock;
 use crate::decide::beacon::MemberPhase;
+use crate::decide::cold_shares::ColdShares;
 use crate::decide::endpoint_table::EndpointTable;
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
@@ -98,6 +99,7 @@
             }),
             endpoints: Mutex::new(endpoints),
             part_stores: Mutex::new(PartStores::default()),
+            cold_shares: Mutex::new(ColdShares::new(settings.ip, BootClock.now())),
             crash_evidence: Mutex::default(),
             suspects: Mutex::default(),
             blocked_requests: BlockedRequests::default(),
@@ -279,6 +281,8 @@
             "parts": row.parts.len(),
             "is_ejected": row.outlier.is_ejected(now),
             "failure_rate": row.outlier.failure_rate(),
+            "cold_left_ms": row.cold.until_us.since(now).as_ms(),
+            "cold_permits": row.cold.share,
         })
     });
     let rows: Vec<_> = rows.collect();
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -26,7 +26,7 @@
 use super::shared::Shared;
 use super::store_news::apply_delta;
 use super::watch_state::{Delta, WATCHED, kind_name};
-use crate::decide::beacon::Beacon;
+use crate::decide::beacon::{Beacon, MemberPhase};
 use crate::decide::hubs::HubCandidate;
 use crate::decide::members::Heard;
 use crate::decide::parts::{EngineMemory, PartKey};
@@ -131,6 +131,7 @@
         .follows_stores
         .store(follows, Ordering::Relaxed);
     *shared.peers.plan.lock() = plan;
+    share_cold_endpoints(shared, now);
     shared.peers.daemons.store(count + 1, Ordering::Relaxed);
     shared.budgets.set_daemons(count + 1);
     // One that follows the store itself soon hears the same from it.
@@ -144,6 +145,19 @@
     }
 }
 
+/// Finds out which permits of cold endpoints this daemon holds.
+fn share_cold_endpoints(shared: &Shared, now: TimeUs) {
+    let is_complete = shared.peers.others_listed.is_cancelled();
+    let me = shared.settings.ip;
+    let mut sighting = shared.peers.table().sighting(me, is_complete, now);
+    if shared.phase() == MemberPhase::Draining {
+        sighting.alive.remove(&me);
+    }
+    let mut shares = shared.cold_shares.lock();
+    shares.look(&sighting, now);
+    shared.endpoints.lock().set_shares(&shares, now);
+}
+
 /// Sends each target what it doesn't know from elsewhere.
 fn tell(shared: &Shared, socket: &UdpSocket, now: TimeUs) {
     let me = me(shared);
@@ -447,6 +461,8 @@
         let gauge = shared.metrics.endpoints.with_label_values(&[life]);
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
+    let cold = i64::try_from(endpoints.cold_count(shared.now()));
+    shared.metrics.cold_endpoints.set(cold.unwrap_or(i64::MAX));
     drop(endpoints);
     shared.metrics.text()
 }
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -153,7 +153,9 @@
                 .await;
         } else {
             let place = Some((registration.zone, registration.link_mbps));
-            shared.peers.table().know(registration.ip, place, now);
+            let mut peers = shared.peers.table();
+            peers.know(registration.ip, place, now);
+            peers.registered(registration.ip, now);
         }
     }
     shared.peers.hurry.notify_one();
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -152,9 +152,13 @@
             required_weights,
             wanted_weights: wanted.as_ref(),
         };
-        let endpoints = shared.endpoints.lock();
+        let mut endpoints = shared.endpoints.lock();
         let stores = shared.part_stores.lock();
-        place(&endpoints, &stores, &request, now, &mut rand::rng())
+        let placement = place(&endpoints, &stores, &request, now, &mut rand::rng())?;
+        if let Some(permit) = placement.permit {
+            endpoints.use_permit(&placement.endpoint, permit, now);
+        }
+        Ok(placement)
     }
 
     /// Makes one attempt, and takes it back where the endpoint's weights go out of use before it
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -22,6 +22,7 @@
 use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
 use crate::decide::beacon::MemberPhase;
+use crate::decide::cold_shares::ColdShares;
 use crate::decide::crash_evidence::CrashEvidence;
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
 use crate::decide::part_stores::PartStores;
@@ -56,6 +57,8 @@
     /// Locked for one step at a time and never across an await, as every table here.
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) part_stores: Mutex<PartStores>,
+    /// This daemon's part of what cold endpoints bear.
+    pub(crate) cold_shares: Mutex<ColdShares>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) blocked_requests: BlockedRequests,
--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_news.rs
@@ -1,9 +1,9 @@
 //! Taking over what the store, or another daemon, tells of objects.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use wisteriahitch_types::{AvailabilityZone, DurationUs, TimeUs};
+use wisteriahitch_types::{AvailabilityZone, DurationUs, ServiceName, TimeUs};
 use wisteriahitch_wire::object_store::{
     Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind,
 };
@@ -11,9 +11,11 @@
 use super::part_news::run_part_news;
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
-use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
+use crate::decide::cold_limit::ColdLimit;
+use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration, ServiceColdness};
 use crate::decide::evacuated_zones::ZoneChange;
 use crate::observe::Event;
+use crate::site::SiteConfig;
 
 /// Where news comes from, for the log.
 pub(super) const STORE: &str = "store";
@@ -191,7 +193,7 @@
     match role {
         ObjectRole::Endpoints => {
             if let Some(registration) = registration(shared, object) {
-                let changes = shared.endpoints.lock().registered(registration);
+                let changes = shared.endpoints.lock().registered(registration, now);
                 shared.note_changes(changes, object.revision.0);
             }
         }
@@ -240,7 +242,7 @@
     }
     let count = i64::try_from(zones.len()).unwrap_or(i64::MAX);
     shared.metrics.evacuated_zones.set(count);
-    let changes = shared.endpoints.lock().set_evacuated(zones);
+    let changes = shared.endpoints.lock().set_evacuated(zones, shared.now());
     for change in changes {
         let (zone, is_evacuated) = match change {
             ZoneChange::Evacuated(zone) => (zone, true),
@@ -270,7 +272,7 @@
     shared.note_changes(change.into_iter().collect(), revision.0);
 }
 
-fn adopt(shared: &Arc<Shared>, config: crate::site::SiteConfig, revision: Revision, source: &str) {
+fn adopt(shared: &Arc<Shared>, config: SiteConfig, revision: Revision, source: &str) {
     let version = config.version;
     let routes = config.routes.iter().count();
     let engines = config.services.values().filter_map(|service| {
@@ -279,6 +281,7 @@
     });
     let memory_tokens = engines.collect();
     let services = config.services.keys().cloned().collect();
+    let cold_limits = cold_limits(shared, &config);
     let stores: Vec<_> = config
         .services
         .values()
@@ -287,10 +290,11 @@
     if !shared.site.adopt(config) {
         return;
     }
-    shared
-        .endpoints
-        .lock()
-        .set_services(services, memory_tokens);
+    {
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.set_services(services, memory_tokens);
+        endpoints.set_cold_limits(cold_limits);
+    }
     let new_stores = shared.part_stores.lock().configured(stores.into_iter());
     for store in new_stores {
         tokio::spawn(run_part_news(Arc::clone(shared), store));
@@ -305,6 +309,22 @@
     });
 }
 
+/// Derives what cold endpoints of each service may get, where service and deployment both bound it.
+fn cold_limits(shared: &Shared, config: &SiteConfig) -> HashMap<ServiceName, ServiceColdness> {
+    let Some(bound) = shared.settings.cold.bound() else {
+        return HashMap::new();
+    };
+    let limits = config.services.values().filter_map(|service| {
+        let cold = service.cold?;
+        let coldness = ServiceColdness {
+            limit: ColdLimit::new(cold.calls_per_s, bound),
+            start_us: cold.start_us,
+        };
+        Some((service.name.clone(), coldness))
+    });
+    limits.collect()
+}
+
 /// Reads a registration. One that can't be read still tells that the endpoint of its name is no
 /// longer registered as it was; one under a name that no endpoint can have tells nothing.
 fn registration(shared: &Shared, object: &StoredObject) -> Option<Registration> {
--- a/crates/wisteriahitch-relay/src/site/configuration.rs
+++ b/crates/wisteriahitch-relay/src/site/configuration.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use wisteriahitch_types::{
-    AvailabilityZone, ByteCount, ConfigVersion, ModelName, ServiceName, TokenCount, WeightNumber,
-    WorkspaceId,
+    AvailabilityZone, ByteCount, ConfigVersion, DurationUs, ModelName, ServiceName, TokenCount,
+    WeightNumber, WorkspaceId,
 };
 
 use super::RouteTable;
@@ -54,6 +54,17 @@
     pub engine: Option<EngineTraits>,
     /// The store that it is, if it is one; a store has no endpoints.
     pub store: Option<PartStore>,
+    /// What its endpoints bear right after their start, if that is less than later.
+    pub cold: Option<ColdTraits>,
+}
+
+/// What an endpoint bears right after its start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdTraits {
+    /// How long it is cold.
+    pub start_us: DurationUs,
+    /// Calls a second that it bears meanwhile.
+    pub calls_per_s: f64,
 }
 
 /// A customer of the site.
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use wisteriahitch_types::{
-    AvailabilityZone, EndpointInstance, ModelName, ServiceName, WeightNumber,
+    AvailabilityZone, DurationUs, EndpointInstance, ModelName, ServiceName, WeightNumber,
 };
 use wisteriahitch_wire::object_store::Revision;
 
@@ -29,6 +29,8 @@
     pub slots: u32,
     /// Whether it is about to leave.
     pub is_draining: bool,
+    /// How much longer it said to stay cold.
+    pub cold_left_us: DurationUs,
     /// Weights that it said it has.
     pub weights: BTreeMap<ModelName, WeightNumber>,
 }
--- a/crates/wisteriahitch-relay/src/site/mod.rs
+++ b/crates/wisteriahitch-relay/src/site/mod.rs
@@ -7,7 +7,8 @@
 mod route;
 
 pub use configuration::{
-    CallerLimits, EngineTraits, PartStore, Service, SiteConfig, WantedWeights, Workspace,
+    CallerLimits, ColdTraits, EngineTraits, PartStore, Service, SiteConfig, WantedWeights,
+    Workspace,
 };
 pub use endpoint::Endpoint;
 pub use fingerprint::RequestFingerprint;
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -0,0 +1,336 @@
+//! What a cold endpoint may get, and when.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::Ipv4Addr;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use wisteriahitch_relay::{
+    Admission, ColdBound, ColdLimit, ColdShares, Endpoint, EndpointTable, PartStores,
+    PlacementRequest, ServiceColdness, Sighting, place,
+};
+use wisteriahitch_types::{Code, DurationUs, TimeUs};
+use wisteriahitch_wire::object_store::Revision;
+
+use crate::fixture::{at_ms, engine, id, ms, prompt, service, traits};
+
+const ME: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const BOUND: ColdBound = ColdBound {
+    rate_ratio: 1.5,
+    burst_calls: 5.0,
+};
+
+/// Guards against permits that go beyond the bound where two views of the members are in force.
+#[test]
+fn permits_of_two_views_stay_within_the_bound() {
+    struct Case {
+        calls_per_s: f64,
+        bound: ColdBound,
+        permits: u32,
+        window: DurationUs,
+    }
+    let no_slack = ColdBound {
+        rate_ratio: 1.0,
+        burst_calls: 0.0,
+    };
+    let cases = [
+        Case {
+            calls_per_s: 8.8,
+            bound: BOUND,
+            permits: 8,
+            window: ms(1_020),
+        },
+        Case {
+            calls_per_s: 9.0,
+            bound: no_slack,
+            permits: 4,
+            window: ms(1_020),
+        },
+        Case {
+            calls_per_s: 0.5,
+            bound: BOUND,
+            permits: 1,
+            window: ms(2_020),
+        },
+        Case {
+            calls_per_s: 0.5,
+            bound: no_slack,
+            permits: 0,
+            window: ms(1_000),
+        },
+        Case {
+            calls_per_s: 0.0,
+            bound: BOUND,
+            permits: 0,
+            window: ms(1_000),
+        },
+    ];
+    for case in cases {
+        let limit = ColdLimit::new(case.calls_per_s, case.bound);
+        let most_per_s = case.calls_per_s * case.bound.rate_ratio + case.bound.burst_calls;
+        assert_eq!(
+            (limit.permits, limit.window_us),
+            (case.permits, case.window)
+        );
+        assert!(f64::from(limit.permits * 2) <= most_per_s.max(2.0));
+    }
+}
+
+struct Daemon {
+    table: EndpointTable,
+    shares: ColdShares,
+}
+
+impl Daemon {
+    /// A daemon that is alone and has looked around until `now`.
+    fn alone(now: TimeUs) -> Self {
+        let mut daemon = Self {
+            table: EndpointTable::default(),
+            shares: ColdShares::new(ME, at_ms(0)),
+        };
+        let coldness = ServiceColdness {
+            limit: ColdLimit::new(8.8, BOUND),
+            start_us: ms(3_000),
+        };
+        let limits = HashMap::from([(service(), coldness)]);
+        daemon.table.set_cold_limits(limits);
+        let mut at = at_ms(0);
+        while at < now {
+            at = at + ms(100);
+            daemon.look(at);
+        }
+        daemon
+    }
+
+    fn look(&mut self, now: TimeUs) {
+        let sighting = Sighting {
+            alive: BTreeSet::from([ME]),
+            is_complete: true,
+            ..Sighting::default()
+        };
+        self.shares.look(&sighting, now);
+        self.table.set_shares(&self.shares, now);
+    }
+
+    fn registered(&mut self, cold_left_ms: u64, revision: u64, now: TimeUs) {
+        let endpoint = Endpoint {
+            cold_left_us: ms(cold_left_ms),
+            revision: Revision(revision),
+            ..engine("a")
+        };
+        self.table.registered(endpoint, now);
+        self.table.set_shares(&self.shares, now);
+    }
+
+    fn admission(&self, now: TimeUs) -> Admission {
+        self.table.admission(self.table.get(&id("a")).unwrap(), now)
+    }
+
+    /// Sends as many calls as are let through, and returns how many.
+    fn send_all(&mut self, now: TimeUs) -> usize {
+        let mut sent = 0;
+        while let Admission::Permit(permit) = self.admission(now) {
+            self.table.use_permit(&id("a"), permit, now);
+            assert!(self.table.admits(&id("a"), Some(permit), now));
+            sent += 1;
+        }
+        sent
+    }
+}
+
+/// Guards against a permit that is used twice in a window, and against one that is never free again.
+#[test]
+fn each_permit_is_good_for_one_call_in_a_window() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(60_000, 1, at_ms(5_000));
+    assert_eq!(daemon.send_all(at_ms(5_000)), 8);
+    for ms in [5_100, 5_300, 5_600, 6_000] {
+        daemon.look(at_ms(ms));
+        assert_eq!(daemon.send_all(at_ms(ms)), 0, "{ms}");
+    }
+    assert_eq!(
+        daemon.admission(at_ms(6_000)),
+        Admission::Cold(at_ms(6_020))
+    );
+    daemon.look(at_ms(6_020));
+    assert_eq!(daemon.send_all(at_ms(6_020)), 8);
+}
+
+/// Guards against a call that waits for its connection and is counted at its placement alone.
+#[test]
+fn a_call_counts_from_when_its_bytes_leave() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(60_000, 1, at_ms(5_000));
+    let Admission::Permit(permit) = daemon.admission(at_ms(5_000)) else {
+        panic!("no permit");
+    };
+    daemon.table.use_permit(&id("a"), permit, at_ms(5_000));
+    daemon.look(at_ms(5_400));
+    assert!(daemon.table.admits(&id("a"), Some(permit), at_ms(5_400)));
+    daemon.look(at_ms(6_020));
+    assert_eq!(daemon.send_all(at_ms(6_020)), 7);
+    daemon.look(at_ms(6_420));
+    assert_eq!(daemon.send_all(at_ms(6_420)), 1);
+}
+
+/// Guards against an endpoint that is taken for warm by an older registration, before its time, or after an
+/// evacuation whose restarts nobody has heard of yet; and against one that never counts as warm again.
+#[test]
+fn an_endpoint_is_cold_for_as_long_as_the_newest_says() {
+    struct Case {
+        name: &'static str,
+        /// Time, revision, and how much longer it says to stay cold.
+        told: &'static [(u64, u64, u64)],
+        /// When an evacuation of its zone ends.
+        restored_at: Option<u64>,
+        /// None where it never is.
+        cold_until: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "never",
+            told: &[(5_000, 1, 0)],
+            restored_at: None,
+            cold_until: None,
+        },
+        Case {
+            name: "at its start",
+            told: &[(5_000, 1, 3_000)],
+            restored_at: None,
+            cold_until: Some(8_000),
+        },
+        Case {
+            name: "listed again",
+            told: &[(5_000, 1, 3_000), (7_000, 1, 3_000)],
+            restored_at: None,
+            cold_until: Some(8_000),
+        },
+        Case {
+            name: "sooner warm",
+            told: &[(5_000, 1, 3_000), (6_000, 2, 100)],
+            restored_at: None,
+            cold_until: Some(6_100),
+        },
+        Case {
+            name: "an old registration",
+            told: &[(5_000, 5, 3_000), (6_000, 4, 0)],
+            restored_at: None,
+            cold_until: Some(8_000),
+        },
+        Case {
+            name: "cold again without a restart",
+            told: &[(5_000, 1, 0), (6_000, 2, 2_000)],
+            restored_at: None,
+            cold_until: Some(8_000),
+        },
+        Case {
+            name: "its zone is no longer evacuated",
+            told: &[(5_000, 1, 0)],
+            restored_at: Some(6_000),
+            cold_until: Some(9_000),
+        },
+        Case {
+            name: "the same, and an older state is told",
+            told: &[(5_000, 1, 0), (6_500, 2, 0)],
+            restored_at: Some(6_000),
+            cold_until: Some(9_000),
+        },
+    ];
+    for case in cases {
+        let mut daemon = Daemon::alone(at_ms(5_000));
+        let mut restored_at = case.restored_at;
+        for (ms, revision, left) in case.told {
+            if let Some(restored_at) = restored_at.take_if(|at| *at < *ms) {
+                restore(&mut daemon, restored_at);
+            }
+            daemon.registered(*left, *revision, at_ms(*ms));
+        }
+        if let Some(restored_at) = restored_at {
+            restore(&mut daemon, restored_at);
+        }
+        let row = daemon.table.get(&id("a")).unwrap();
+        let cold_at = |ms: u64| row.cold.is_cold(at_ms(ms));
+        let until = case.cold_until.unwrap_or(5_000);
+        assert!(!cold_at(until), "{}", case.name);
+        if case.cold_until.is_some() {
+            assert!(cold_at(until - 1), "{}", case.name);
+        }
+    }
+}
+
+fn restore(daemon: &mut Daemon, ms: u64) {
+    let zone = "a".parse().unwrap();
+    daemon
+        .table
+        .set_evacuated(BTreeSet::from([zone]), at_ms(ms - 500));
+    daemon.table.set_evacuated(BTreeSet::new(), at_ms(ms));
+}
+
+/// Guards against a herd at an endpoint that turns cold under its usual load, which no permit has counted.
+#[test]
+fn an_endpoint_that_turns_cold_gets_nothing_for_a_window() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(0, 1, at_ms(5_000));
+    assert_eq!(daemon.admission(at_ms(5_000)), Admission::Open);
+    daemon.registered(60_000, 2, at_ms(5_000));
+    daemon.look(at_ms(5_500));
+    assert_eq!(daemon.send_all(at_ms(5_500)), 0);
+    daemon.look(at_ms(6_020));
+    assert_eq!(daemon.send_all(at_ms(6_020)), 8);
+}
+
+/// Guards against calls that were placed at a warm endpoint and are sent after it has turned cold.
+#[test]
+fn what_was_placed_before_needs_a_permit() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(0, 1, at_ms(5_000));
+    assert!(daemon.table.admits(&id("a"), None, at_ms(5_000)));
+    daemon.registered(60_000, 2, at_ms(5_000));
+    assert!(!daemon.table.admits(&id("a"), None, at_ms(5_000)));
+    let mut admitted = 0;
+    daemon.look(at_ms(5_500));
+    daemon.look(at_ms(6_020));
+    while daemon.table.admits(&id("a"), None, at_ms(6_020)) {
+        admitted += 1;
+    }
+    assert_eq!(admitted, 8);
+}
+
+/// Guards against a caller that is sent away without a true time to return, or waits for nothing.
+#[test]
+fn callers_are_refused_until_a_permit_is_free() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(60_000, 1, at_ms(5_000));
+    daemon.send_all(at_ms(5_000));
+    let (service, engine, prompt) = (service(), traits(), prompt(100, 100));
+    let zone = "a".parse().unwrap();
+    let request = PlacementRequest {
+        service: &service,
+        engine: Some(&engine),
+        prompt: Some(&prompt),
+        wall: None,
+        zone: &zone,
+        daemons: 1,
+        duration_us: ms(800),
+        memory_duration_us: ms(1_200),
+        patience_us: ms(3_200),
+        longest_queue_us: DurationUs::MAX,
+        excluded: &[],
+        is_isolated: false,
+        required_weights: None,
+        wanted_weights: None,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let stores = PartStores::default();
+    let mut try_at =
+        |now: TimeUs, daemon: &Daemon| place(&daemon.table, &stores, &request, now, &mut rng);
+    daemon.look(at_ms(5_400));
+    let refused = try_at(at_ms(5_400), &daemon).unwrap_err();
+    assert_eq!(refused.code, Code::EndpointsCold);
+    let wait = refused.retry_after_us.unwrap();
+    let now = at_ms(5_400) + wait;
+    assert!(wait >= ms(620) && wait <= ms(1_200), "{wait}");
+    daemon.look(at_ms(5_900));
+    daemon.look(now);
+    assert!(try_at(now, &daemon).unwrap().permit.is_some());
+}
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/cold_shares.rs
@@ -0,0 +1,391 @@
+//! Permits of cold endpoints over a whole fleet, whatever its daemons see of each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use wisteriahitch_relay::{ColdShares, Sighting};
+use wisteriahitch_types::{DurationUs, EndpointId, TimeUs};
+
+use crate::fixture::{at_ms, ms};
+
+const PERMITS: u32 = 8;
+
+/// Calls in any second that the bound allows for these permits.
+const MOST_IN_A_SECOND: usize = 18;
+
+/// Time between two looks of a daemon.
+const LOOK_MS: u64 = 200;
+
+/// Time until a daemon has learnt that another one is gone, or is there.
+const GONE_AFTER_MS: u64 = 2_700;
+const THERE_AFTER_MS: u64 = 600;
+
+fn ip(number: usize) -> Ipv4Addr {
+    let number = u32::try_from(number).unwrap();
+    Ipv4Addr::from(u32::from(Ipv4Addr::new(10, 0, 0, 1)) + number)
+}
+
+fn endpoint(number: usize) -> EndpointId {
+    format!("i-{number}").parse().unwrap()
+}
+
+/// One daemon that uses each permit as often as it may.
+struct Member {
+    shares: ColdShares,
+    looked_at: TimeUs,
+    /// When each permit of each endpoint was last used.
+    used_at: BTreeMap<(usize, usize), TimeUs>,
+}
+
+impl Member {
+    fn new(number: usize, now: TimeUs) -> Self {
+        Self {
+            shares: ColdShares::new(ip(number), now),
+            looked_at: now,
+            used_at: BTreeMap::new(),
+        }
+    }
+}
+
+/// What happens to a fleet.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Those of these numbers start.
+    Start(usize, usize),
+    /// They end without a word.
+    Kill(usize, usize),
+    /// They stand still until this time.
+    Freeze(usize, usize, u64),
+    /// Each of them hears nobody else from now on, and still reaches endpoints and the store.
+    CutOff(usize, usize),
+    /// They hear each other, and nobody else.
+    Split(usize, usize),
+    /// All hear each other again.
+    Heal,
+}
+
+struct Fleet {
+    members: BTreeMap<usize, Member>,
+    /// Part of the fleet that each one is in.
+    part: BTreeMap<usize, usize>,
+    /// Since when each one hears each other one, or hasn't.
+    hears: BTreeMap<(usize, usize), (bool, u64)>,
+    frozen_until: BTreeMap<usize, u64>,
+    registered: BTreeSet<usize>,
+    /// Sent calls by endpoint.
+    sent: BTreeMap<usize, Vec<u64>>,
+    endpoints: usize,
+}
+
+impl Fleet {
+    fn new(endpoints: usize) -> Self {
+        Self {
+            members: BTreeMap::new(),
+            part: BTreeMap::new(),
+            hears: BTreeMap::new(),
+            frozen_until: BTreeMap::new(),
+            registered: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            endpoints,
+        }
+    }
+
+    fn apply(&mut self, event: Event, now_ms: u64) {
+        match event {
+            Event::Start(from, to) => (from..to).for_each(|number| {
+                self.members
+                    .insert(number, Member::new(number, at_ms(now_ms)));
+                self.part.insert(number, 0);
+                self.registered.insert(number);
+            }),
+            Event::Kill(from, to) => (from..to).for_each(|number| {
+                self.members.remove(&number);
+            }),
+            Event::Freeze(from, to, until) => (from..to).for_each(|number| {
+                self.frozen_until.insert(number, until);
+            }),
+            Event::CutOff(from, to) => (from..to).for_each(|number| {
+                self.part.insert(number, 1_000 + number);
+            }),
+            Event::Split(from, to) => (from..to).for_each(|number| {
+                self.part.insert(number, 1);
+            }),
+            Event::Heal => self.part.values_mut().for_each(|part| *part = 0),
+        }
+    }
+
+    fn is_frozen(&self, number: usize, now_ms: u64) -> bool {
+        let until = self.frozen_until.get(&number);
+        until.is_some_and(|until| *until > now_ms)
+    }
+
+    /// Returns whether one knows the other to be there, after the time that the news takes.
+    fn knows(&mut self, me: usize, other: usize, now_ms: u64) -> bool {
+        let hears = self.members.contains_key(&other)
+            && !self.is_frozen(other, now_ms)
+            && self.part[&me] == self.part[&other];
+        let entry = self.hears.entry((me, other)).or_insert((false, now_ms));
+        if entry.0 != hears {
+            *entry = (hears, now_ms);
+        }
+        let for_ms = now_ms - entry.1;
+        match hears {
+            true => for_ms >= THERE_AFTER_MS,
+            false => for_ms < GONE_AFTER_MS && entry.1 > 0,
+        }
+    }
+
+    fn step(&mut self, now_ms: u64) {
+        let numbers: Vec<usize> = self.members.keys().copied().collect();
+        for me in numbers {
+            let others: Vec<usize> = self.registered.iter().copied().collect();
+            let mut alive = BTreeSet::from([ip(me)]);
+            for other in others.into_iter().filter(|other| *other != me) {
+                if self.knows(me, other, now_ms) {
+                    alive.insert(ip(other));
+                }
+            }
+            if self.is_frozen(me, now_ms) {
+                continue;
+            }
+            let registered = self.registered.iter().map(|number| ip(*number)).collect();
+            let member = self.members.get_mut(&me).unwrap();
+            // Calls go on between two looks, and go first after a freeze.
+            use_permits(member, self.endpoints, now_ms, &mut self.sent);
+            let is_due = at_ms(now_ms).since(member.looked_at) >= ms(LOOK_MS);
+            if is_due || now_ms % LOOK_MS == (me as u64 * 50) % LOOK_MS {
+                member.looked_at = at_ms(now_ms);
+                let sighting = Sighting {
+                    alive,
+                    registered,
+                    leaving: BTreeSet::new(),
+                    is_complete: true,
+                };
+                member.shares.look(&sighting, at_ms(now_ms));
+            }
+        }
+    }
+
+    fn most_in_a_second(&self) -> usize {
+        let most = |times: &Vec<u64>| {
+            let in_second = |from: &u64| {
+                let until = from + 1_000;
+                times
+                    .iter()
+                    .filter(|at| (*from..until).contains(*at))
+                    .count()
+            };
+            times.iter().map(in_second).max().unwrap_or(0)
+        };
+        self.sent.values().map(most).max().unwrap_or(0)
+    }
+}
+
+fn use_permits(
+    member: &mut Member,
+    endpoints: usize,
+    now_ms: u64,
+    sent: &mut BTreeMap<usize, Vec<u64>>,
+) {
+    /// Window of a permit.
+    const WINDOW: DurationUs = DurationUs::from_ms(1_020);
+    let now = at_ms(now_ms);
+    for number in 0..endpoints {
+        let share = member.shares.share(&endpoint(number), PERMITS, now);
+        for permit in 0..share as usize {
+            let used_at = member.used_at.get(&(number, permit));
+            if used_at.is_some_and(|used_at| now.since(*used_at) < WINDOW) {
+                continue;
+            }
+            member.used_at.insert((number, permit), now);
+            sent.entry(number).or_default().push(now_ms);
+        }
+    }
+}
+
+/// What happens to a fleet, and what must be sent all the same.
+struct Case {
+    name: &'static str,
+    events: &'static [(u64, Event)],
+    /// Least calls a second at each endpoint in the last three seconds.
+    least_at_the_end: usize,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "one daemon",
+        events: &[(100, Event::Start(0, 1))],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "a calm fleet",
+        events: &[(100, Event::Start(0, 30))],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "all killed and started at once",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (8_000, Event::Kill(0, 30)),
+            (9_000, Event::Start(0, 30)),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "more than half killed, started again",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (6_000, Event::Kill(4, 22)),
+            (8_000, Event::Start(4, 22)),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "new ones join, old ones end",
+        events: &[
+            (100, Event::Start(0, 20)),
+            (6_000, Event::Start(20, 25)),
+            (7_000, Event::Kill(0, 3)),
+            (8_000, Event::Start(25, 30)),
+            (9_000, Event::Kill(3, 6)),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "frozen with permits in hand",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (6_000, Event::Freeze(0, 10, 11_000)),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "a third cut off one by one",
+        events: &[(100, Event::Start(0, 30)), (6_000, Event::CutOff(0, 10))],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "all cut off one by one, then healed",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (6_000, Event::CutOff(0, 30)),
+            (12_000, Event::Heal),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "split, healed and split again",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (6_000, Event::Split(0, 13)),
+            (9_000, Event::Heal),
+            (10_000, Event::Split(5, 20)),
+            (14_000, Event::Heal),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "cut off, restarted behind the cut",
+        events: &[
+            (100, Event::Start(0, 30)),
+            (6_000, Event::CutOff(0, 8)),
+            (8_000, Event::Kill(0, 8)),
+            (8_500, Event::Start(0, 8)),
+            (8_500, Event::CutOff(0, 8)),
+        ],
+        least_at_the_end: 6,
+    },
+    Case {
+        name: "half of two gone",
+        events: &[(100, Event::Start(0, 2)), (6_000, Event::Kill(0, 1))],
+        least_at_the_end: 0,
+    },
+];
+
+/// Guards against daemons that together send more than the bound while they see different members: as they start, end,
+/// stand still or are cut off from each other.
+#[test]
+fn all_daemons_together_stay_within_the_bound() {
+    for case in CASES {
+        let mut fleet = Fleet::new(2);
+        for now_ms in (0..22_000).step_by(50) {
+            let due = case.events.iter().filter(|(at, _)| *at == now_ms);
+            for (_, event) in due {
+                fleet.apply(*event, now_ms);
+            }
+            fleet.step(now_ms);
+        }
+        let most = fleet.most_in_a_second();
+        assert!(most <= MOST_IN_A_SECOND, "{}: {most}", case.name);
+        for (number, times) in &fleet.sent {
+            let late = times.iter().filter(|at| **at >= 19_000).count();
+            let least = case.least_at_the_end * 3;
+            assert!(late >= least, "{}: {late} at {number}", case.name);
+        }
+    }
+}
+
+/// Guards against a daemon that knows nothing yet, or hasn't read who is registered, and takes all for its own.
+#[test]
+fn who_knows_too_little_uses_no_permit() {
+    struct Case {
+        name: &'static str,
+        is_complete: bool,
+        registered: usize,
+        expected: u32,
+    }
+    let cases = [
+        Case {
+            name: "nobody listed yet",
+            is_complete: false,
+            registered: 0,
+            expected: 0,
+        },
+        Case {
+            name: "others are registered and not heard",
+            is_complete: true,
+            registered: 3,
+            expected: 0,
+        },
+        Case {
+            name: "alone",
+            is_complete: true,
+            registered: 1,
+            expected: PERMITS,
+        },
+    ];
+    for case in cases {
+        let mut shares = ColdShares::new(ip(0), at_ms(0));
+        let sighting = Sighting {
+            alive: BTreeSet::from([ip(0)]),
+            registered: (0..case.registered).map(ip).collect(),
+            leaving: BTreeSet::new(),
+            is_complete: case.is_complete,
+        };
+        for now_ms in (0..3_600).step_by(100) {
+            assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(now_ms)), 0);
+            shares.look(&sighting, at_ms(now_ms));
+        }
+        let share = shares.share(&endpoint(0), PERMITS, at_ms(3_600));
+        assert_eq!(share, case.expected, "{}", case.name);
+    }
+}
+
+/// Guards against members that left in order and keep the rest from using their permits.
+#[test]
+fn who_has_said_that_it_leaves_no_longer_counts() {
+    let mut shares = ColdShares::new(ip(0), at_ms(0));
+    let of = |alive: usize, leaving: &[usize]| Sighting {
+        alive: (0..alive).map(ip).collect(),
+        registered: BTreeSet::new(),
+        leaving: leaving.iter().map(|number| ip(*number)).collect(),
+        is_complete: true,
+    };
+    for now_ms in (0..5_000).step_by(100) {
+        shares.look(&of(4, &[]), at_ms(now_ms));
+    }
+    for now_ms in (5_000..9_000).step_by(100) {
+        shares.look(&of(1, &[1, 2, 3]), at_ms(now_ms));
+    }
+    assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(8_900)), PERMITS);
+}
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -56,7 +56,7 @@
 #[test]
 fn a_restart_leaves_nothing_of_the_life_before() {
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
     let before = life("a", 1_000);
     let short_name_before = table.get(&before).unwrap().short_name;
     let peer = Incarnation::new(7);
@@ -91,7 +91,7 @@
     table.saw_weights(&before, &model(), WeightNumber::new(9));
     table.get_mut(&before).unwrap().life = EndpointLife::Draining;
 
-    let changes = table.registered(born("a", 2_000, 11));
+    let changes = table.registered(born("a", 2_000, 11), TimeUs::ZERO);
     let after = life("a", 2_000);
     let expected = [
         EndpointChange::Ended(before.clone()),
@@ -101,11 +101,11 @@
     assert!(table.get(&before).is_none() && table.has_ended(&before));
     let row = table.get(&after).unwrap();
     let (parts, names) = fields!(row;
-        endpoint, life, is_displaced, own, peers, told, outlier, parts;
+        endpoint, life, is_displaced, own, peers, told, outlier, parts, cold;
         times: followed_until_us, unreachable_until_us, weighed_until_us, suspected_until_us,
         reserved_until_us; short_name
     );
-    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, times, name) = parts;
+    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, cold, times, name) = parts;
     assert_eq!(*endpoint, born("a", 2_000, 11), "its weights among them");
     assert_eq!(*life, EndpointLife::Ready);
     assert!(!is_displaced);
@@ -113,6 +113,7 @@
     assert!(told.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
+    assert!(!cold.is_cold(at_ms(0)) && cold.share == 0);
     assert!(
         times.iter().all(|until| *until == TimeUs::ZERO),
         "{times:?}"
@@ -134,10 +135,10 @@
 #[test]
 fn late_news_of_the_life_before_changes_nothing() {
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
     let (before, after) = (life("a", 1_000), life("a", 2_000));
     let name = table.get(&before).unwrap().short_name;
-    table.registered(born("a", 2_000, 11));
+    table.registered(born("a", 2_000, 11), TimeUs::ZERO);
 
     let peer = Incarnation::new(7);
     let load = Load {
@@ -163,7 +164,7 @@
 #[test]
 fn absurd_loads_of_peers_add_up_to_the_most() {
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
     let name = table.get(&life("a", 1_000)).unwrap().short_name;
     let most = Load {
         running: u32::MAX,
@@ -222,8 +223,8 @@
     ];
     for case in cases {
         let mut table = site();
-        table.registered(case.first);
-        table.registered(case.second);
+        table.registered(case.first, TimeUs::ZERO);
+        table.registered(case.second, TimeUs::ZERO);
         let row = table.by_id(&id("a").id).unwrap();
         assert_eq!(*row.instance(), case.lives, "{}", case.what);
         assert_eq!(row.life, EndpointLife::Ready, "{}", case.what);
@@ -235,16 +236,16 @@
 #[test]
 fn an_endpoint_that_left_and_starts_again_is_used() {
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
     let leaving = Endpoint {
         is_draining: true,
         ..born("a", 1_000, 11)
     };
-    table.registered(leaving);
-    table.registered(born("a", 1_000, 12));
+    table.registered(leaving, TimeUs::ZERO);
+    table.registered(born("a", 1_000, 12), TimeUs::ZERO);
     let takes = |table: &EndpointTable| table.by_id(&id("a").id).unwrap().takes_requests();
     assert!(!takes(&table), "it doesn't come back in the same life");
-    table.registered(born("a", 5_000, 13));
+    table.registered(born("a", 5_000, 13), TimeUs::ZERO);
     assert!(takes(&table));
 }
 
@@ -254,22 +255,30 @@
 #[test]
 fn an_unreadable_registration_names_nobody_until_it_is_good_again() {
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
-    table.registered(born("b", 1_000, 11));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
+    table.registered(born("b", 1_000, 11), TimeUs::ZERO);
     let a = life("a", 1_000);
     table.get_mut(&a).unwrap().own.running = 2;
-    let changes = table.registered(unreadable("a", 12));
+    let changes = table.registered(unreadable("a", 12), TimeUs::ZERO);
     assert_eq!(changes, [EndpointChange::Unreadable(a.clone())]);
     assert!(!table.get(&a).unwrap().takes_requests());
     // Told again, or in an older listing, it is no news.
-    assert!(table.registered(unreadable("a", 13)).is_empty());
-    assert!(table.registered(unreadable("b", 9)).is_empty());
+    assert!(
+        table
+            .registered(unreadable("a", 13), TimeUs::ZERO)
+            .is_empty()
+    );
+    assert!(
+        table
+            .registered(unreadable("b", 9), TimeUs::ZERO)
+            .is_empty()
+    );
     let b = table.get(&life("b", 1_000)).unwrap();
     assert!(b.takes_requests(), "the others hold");
     // In a listing it isn't missing: what runs there is still counted.
     let listing = vec![unreadable("a", 13), born("b", 1_000, 11).into()];
     assert!(table.listed(listing, Absence::Left, at_ms(1)).is_empty());
-    table.registered(born("a", 1_000, 14));
+    table.registered(born("a", 1_000, 14), TimeUs::ZERO);
     let row = table.get(&a).unwrap();
     assert!(row.takes_requests());
     assert_eq!(row.own.running, 2);
@@ -279,7 +288,7 @@
         ..engine("a")
     };
     assert_eq!(
-        table.registered(startless),
+        table.registered(startless, TimeUs::ZERO),
         [EndpointChange::Unreadable(a.clone())]
     );
     let gone = table.unregistered(&a.id, Absence::MayHaveLapsed, at_ms(2));
@@ -298,8 +307,8 @@
     let is_displaced =
         |table: &EndpointTable, name: &str| table.get(&life(name, 1_000)).unwrap().is_displaced;
     let mut table = site();
-    table.registered(born("a", 1_000, 10));
-    let changes = table.registered(at_a("b", 11));
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
+    let changes = table.registered(at_a("b", 11), TimeUs::ZERO);
     let displaced = EndpointChange::Displaced(life("a", 1_000));
     assert_eq!(
         changes,
@@ -315,18 +324,18 @@
         Some(displaced)
     );
     // Whoever no longer claims it gives it back.
-    table.registered(unreadable("b", 12));
+    table.registered(unreadable("b", 12), TimeUs::ZERO);
     assert!(!is_displaced(&table, "a"));
     // One whose service nobody knows claims nothing.
     let unknown = Endpoint {
         service: "elsewhere".parse().unwrap(),
         ..at_a("c", 13)
     };
-    table.registered(unknown);
+    table.registered(unknown, TimeUs::ZERO);
     assert!(!is_displaced(&table, "a"));
     // A new registration of its own says that it is there.
     table.misdirected(&life("a", 1_000), &id("d").id);
-    table.registered(born("a", 1_000, 14));
+    table.registered(born("a", 1_000, 14), TimeUs::ZERO);
     assert!(!is_displaced(&table, "a"));
     // One that leaves is no claim either.
     let leaving = Endpoint {
@@ -335,7 +344,7 @@
         revision: Revision(15),
         ..draining("e")
     };
-    table.registered(leaving);
+    table.registered(leaving, TimeUs::ZERO);
     assert!(!is_displaced(&table, "a"));
 }
 
--- a/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use wisteriahitch_relay::{Absence, EndpointChange, EndpointLife, EndpointTable, Load};
-use wisteriahitch_types::{Incarnation, WeightNumber};
+use wisteriahitch_types::{Incarnation, TimeUs, WeightNumber};
 
 use crate::fixture::{at_ms, draining, engine, id, model, ms};
 
@@ -13,11 +13,11 @@
 #[test]
 fn registrations_that_lapse_in_an_outage_are_waited_for() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     let changes = table.listed(vec![], Absence::MayHaveLapsed, at_ms(1_000));
     assert_eq!(changes, [EndpointChange::Lapsed(id("a"))]);
     assert!(table.tick(at_ms(3_000)).is_empty());
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     assert_eq!(table.get(&id("a")).unwrap().life, EndpointLife::Ready);
     assert!(table.tick(at_ms(9_000)).is_empty());
 }
@@ -44,7 +44,7 @@
     ];
     for case in cases {
         let mut table = EndpointTable::default().with_last_resort(ms(1_000));
-        table.registered(engine("a"));
+        table.registered(engine("a"), TimeUs::ZERO);
         table.unregistered(&id("a").id, case.absence, at_ms(1_000));
         assert!(
             table.tick(at_ms(case.there_at_ms)).is_empty(),
@@ -66,12 +66,12 @@
 #[test]
 fn a_draining_endpoint_stays_draining() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     assert_eq!(
-        table.registered(draining("a")),
+        table.registered(draining("a"), TimeUs::ZERO),
         [EndpointChange::Draining(id("a"))]
     );
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     assert_eq!(table.get(&id("a")).unwrap().life, EndpointLife::Draining);
     // Its end is at once: it has said so before.
     let change = table.unregistered(&id("a").id, Absence::Left, at_ms(1));
@@ -83,9 +83,9 @@
 #[test]
 fn weights_never_go_back() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     table.saw_weights(&id("a"), &model(), WeightNumber::new(3));
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     let row = table.get(&id("a")).unwrap();
     assert_eq!(row.weights(&model()), Some(WeightNumber::new(3)));
 }
@@ -93,7 +93,7 @@
 #[test]
 fn loads_of_peers_replace_each_other_and_grow_old() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     let hash = table.get(&id("a")).unwrap().short_name;
     let peer = Incarnation::new(7);
     let load = |running| Load {
@@ -123,7 +123,7 @@
 #[test]
 fn what_peers_told_before_counts_for_an_endpoint_that_is_seen_later() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     let hash = table.get(&id("a")).unwrap().short_name;
     let mut late = EndpointTable::default();
     let load = Load {
@@ -131,7 +131,7 @@
         ..Load::default()
     };
     late.peer_load(Incarnation::new(7), HashMap::from([(hash, load)]), at_ms(0));
-    late.registered(engine("a"));
+    late.registered(engine("a"), TimeUs::ZERO);
     assert_eq!(late.get(&id("a")).unwrap().load().running, 2);
 }
 
@@ -165,7 +165,7 @@
     ];
     for case in cases {
         let mut table = EndpointTable::default();
-        table.registered(engine("a"));
+        table.registered(engine("a"), TimeUs::ZERO);
         let hash = table.get(&id("a")).unwrap().short_name;
         for (peer, is_named, now_ms) in case.messages {
             let (peer, now) = (Incarnation::new(*peer), at_ms(*now_ms));
--- a/crates/wisteriahitch-relay/tests/all/engine_memory.rs
+++ b/crates/wisteriahitch-relay/tests/all/engine_memory.rs
@@ -25,7 +25,7 @@
 
 fn table() -> EndpointTable {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     table
 }
 
@@ -109,7 +109,7 @@
     assert!(row.parts.has(key(2), at_ms(50_000)));
     // Another life of the engine has another short name.
     let mut other = EndpointTable::default();
-    other.registered(engine("b"));
+    other.registered(engine("b"), TimeUs::ZERO);
     other.take_over(&memory, at_ms(50_000));
     assert!(other.get(&id("b")).unwrap().parts.is_empty());
 }
--- a/crates/wisteriahitch-relay/tests/all/evacuated_zones.rs
+++ b/crates/wisteriahitch-relay/tests/all/evacuated_zones.rs
@@ -89,10 +89,13 @@
     for case in cases {
         let mut table = EndpointTable::default();
         for name in ["a", "b"] {
-            table.registered(Endpoint {
-                zone: format!("zone-{name}").parse().unwrap(),
-                ..engine(name)
-            });
+            table.registered(
+                Endpoint {
+                    zone: format!("zone-{name}").parse().unwrap(),
+                    ..engine(name)
+                },
+                NOW,
+            );
         }
         let prompt = prompt(9_000, 1_000);
         let namer = wisteriahitch_relay::PartNamer::new(&model(), "w1");
@@ -100,7 +103,7 @@
         for part in &prompt.parts {
             row.parts.used(namer.key(part.id), part.tokens.get(), NOW);
         }
-        table.set_evacuated(zones(case.evacuated));
+        table.set_evacuated(zones(case.evacuated), NOW);
         let (service, engine, zone) = (service(), traits(), "zone-a".parse().unwrap());
         let request = PlacementRequest {
             service: &service,
@@ -136,10 +139,10 @@
 #[test]
 fn a_call_that_was_placed_before_is_no_longer_admitted() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
-    assert!(table.admits(&id("a")));
-    table.set_evacuated(zones(&["a"]));
-    assert!(!table.admits(&id("a")));
-    table.set_evacuated(zones(&[]));
-    assert!(table.admits(&id("a")));
+    table.registered(engine("a"), NOW);
+    assert!(table.admits(&id("a"), None, NOW));
+    table.set_evacuated(zones(&["a"]), NOW);
+    assert!(!table.admits(&id("a"), None, NOW));
+    table.set_evacuated(zones(&[]), NOW);
+    assert!(table.admits(&id("a"), None, NOW));
 }
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -56,6 +56,7 @@
         zone: "a".parse().unwrap(),
         slots: 64,
         is_draining: false,
+        cold_left_us: DurationUs::ZERO,
         weights: BTreeMap::from([(model(), WeightNumber::new(1))]),
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -3,6 +3,8 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod beacon;
+mod cold_limit;
+mod cold_shares;
 mod crash_evidence;
 mod docs;
 mod endpoint_lives;
--- a/crates/wisteriahitch-relay/tests/all/parts.rs
+++ b/crates/wisteriahitch-relay/tests/all/parts.rs
@@ -1,6 +1,7 @@
 //! What an engine is believed to keep.
 
 use wisteriahitch_relay::{EndpointTable, Load, PartNamer};
+use wisteriahitch_types::TimeUs;
 
 use crate::fixture::{MEMORY_TOKENS, at_ms, engine, id, model, ms};
 
@@ -56,7 +57,7 @@
     ];
     for case in cases {
         let (mut table, now) = (EndpointTable::default(), at_ms(60_000));
-        table.registered(engine("a"));
+        table.registered(engine("a"), TimeUs::ZERO);
         let row = table.get_mut(&id("a")).unwrap();
         row.own.add(Load {
             memory_tokens: case.running_tokens,
@@ -73,7 +74,7 @@
 #[test]
 fn a_use_is_news_once_a_second() {
     let mut table = EndpointTable::default();
-    table.registered(engine("a"));
+    table.registered(engine("a"), TimeUs::ZERO);
     let row = table.get_mut(&id("a")).unwrap();
     let key = PartNamer::new(&model(), "w1").key(1);
     let told: Vec<bool> = [0, 400, 800, 1_900]
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -30,7 +30,7 @@
     fn new(names: &[&str]) -> Self {
         let mut table = EndpointTable::default();
         for name in names {
-            table.registered(engine(name));
+            table.registered(engine(name), NOW);
         }
         Self {
             table,
@@ -169,7 +169,7 @@
         Case {
             what: "not the one that is about to leave",
             change: |site| {
-                site.table.registered(draining("a"));
+                site.table.registered(draining("a"), NOW);
             },
             expected: "b",
         },
@@ -377,7 +377,7 @@
     site.required = None;
     let mut newer = engine("b");
     newer.weights.insert(model(), WeightNumber::new(2));
-    site.table.registered(newer);
+    site.table.registered(newer, NOW);
     site.load("b", 20_000);
     assert_eq!(
         site.chosen(&prompt(100, 100)),
--- a/crates/wisteriahitch-relay/tests/all/suspicion.rs
+++ b/crates/wisteriahitch-relay/tests/all/suspicion.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use wisteriahitch_relay::EndpointTable;
-use wisteriahitch_types::Incarnation;
+use wisteriahitch_types::{Incarnation, TimeUs};
 
 use crate::fixture::{at_ms, engine, id};
 
@@ -58,8 +58,8 @@
     ];
     for case in cases {
         let mut table = EndpointTable::default();
-        table.registered(engine("a"));
-        table.registered(engine("b"));
+        table.registered(engine("a"), TimeUs::ZERO);
+        table.registered(engine("b"), TimeUs::ZERO);
         let short_name = table.get(&id("a")).unwrap().short_name;
         if case.own {
             table.unreachable(&id("a"), at_ms(0));
