feat(relay): calls stay in the regions that their route and workspace allow

What would be seen: a call of a workspace that is bound to one region runs in another, or its prompt is kept there. Cause: nothing read the regions that the configuration names.

Change: the zones in which a call may run are derived once for each call from route, workspace and the settings' map of zones, and bind placement (first attempts, repeats, resumed streams) and the stores at which its parts are saved. Entry lists name daemons of the caller's region where there are any. Refused where no endpoint is in an allowed region: 503, code 2014.

Ruled out: entry lists by the homes of a host's routes, which may differ.

Tests: regions::* with processes (both seen failing on the code before) and on the decisions.

--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -5,9 +5,9 @@
 
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Absence, Endpoint, EndpointTable, EngineTraits, KeptPart, Load, NewsPace, PartChanges,
-    PartEvent, PartKey, PartListing, PartNamer, PartStore, PartStores, Placement, PlacementRequest,
-    PromptShape, Refusal, place,
+    Absence, AllowedZones, Endpoint, EndpointTable, EngineTraits, KeptPart, Load, NewsPace,
+    PartChanges, PartEvent, PartKey, PartListing, PartNamer, PartStore, PartStores, Placement,
+    PlacementRequest, PromptShape, Refusal, place,
 };
 use wisteriahitch_types::{
     AvailabilityZone, DurationUs, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
@@ -102,6 +102,7 @@
             memory_duration_us: duration_us,
             patience_us: ask.patience_us,
             longest_queue_us: ask.longest_queue_us,
+            allowed_zones: &AllowedZones::default(),
             excluded: &[],
             is_isolated: false,
             required_weights: None,
@@ -186,7 +187,7 @@
 
     /// Returns the store that is to keep a part, if one is to.
     pub(super) fn save(&mut self, key: PartKey, tokens: u64, now: TimeUs) -> Option<SocketAddr> {
-        self.stores.save(key, tokens, now)
+        self.stores.save(key, tokens, &AllowedZones::default(), now)
     }
 
     pub(super) fn heard(&mut self, news: News, now: TimeUs) {
--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -165,6 +165,7 @@
                     priority: kind.priority,
                     is_public: true,
                     is_resumable: false,
+                    permitted_regions: Vec::new(),
                 })
             })
             .collect::<anyhow::Result<_>>()?;
--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, request, response};
-use wisteriahitch_types::{DurationUs, EndpointId, RequestId, WeightNumber, WorkspaceId};
+use wisteriahitch_types::{DurationUs, EndpointId, Region, RequestId, WeightNumber, WorkspaceId};
 
 use super::Refusal;
 use crate::decide::backlog::LoadReport;
@@ -90,6 +90,9 @@
     /// Writes a refusal.
     fn refusal(&self, refusal: &Refusal) -> Response<Bytes>;
 
+    /// Reads from the query of a question for entry addresses in which region its caller is, if it says so.
+    fn caller_region(&self, query: &str) -> Option<Region>;
+
     /// Writes the entry addresses, which count for `valid`.
     fn entries(&self, addresses: &[SocketAddr], valid: Duration) -> Response<Bytes>;
 
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -18,7 +18,7 @@
 use super::part_store_row::{Kept, NEWS_LIFE_US, StoreRow};
 use super::parts::{PartKey, PartNamer};
 use crate::border::{KeptPart, PartChanges, PartListing};
-use crate::site::{EngineTraits, PartStore};
+use crate::site::{AllowedZones, EngineTraits, PartStore};
 
 /// Longest time for a fetch from the sending of its request. A fetch that takes longer is thrown
 /// away by the engine.
@@ -289,7 +289,13 @@
 
     /// Returns the store that is to keep a part, and takes it to be on its way there; nothing where
     /// a store keeps it already, or where none has room.
-    pub fn save(&mut self, key: PartKey, tokens: u64, now: TimeUs) -> Option<SocketAddr> {
+    pub fn save(
+        &mut self,
+        key: PartKey,
+        tokens: u64,
+        allowed_zones: &AllowedZones,
+        now: TimeUs,
+    ) -> Option<SocketAddr> {
         if tokens < MIN_SAVED_TOKENS {
             return None;
         }
@@ -311,6 +317,7 @@
         let row = self
             .rows
             .values_mut()
+            .filter(|row| allowed_zones.contains(&row.spec.zone))
             .filter(|row| row.spec.is_managed && row.is_readable(now) && row.has_room(tokens))
             .min_by(|a, b| score(a).total_cmp(&score(b)))?;
         row.pending.insert(key, (tokens, now));
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -143,7 +143,14 @@
     now: TimeUs,
     rng: &mut impl Rng,
 ) -> Refusal {
-    let rows = takers(table, request).filter(|row| !request.excluded.contains(row.instance()));
+    let mut rows = takers(table, request).peekable();
+    let is_allowed = |row: &&EndpointRow| request.allowed_zones.contains(&row.endpoint.zone);
+    if rows.peek().is_some() && !rows.any(|row| is_allowed(&row)) {
+        return Refusal::new(Code::RegionUnavailable).retry_after(NO_ENDPOINT_RETRY_US);
+    }
+    let rows = takers(table, request)
+        .filter(is_allowed)
+        .filter(|row| !request.excluded.contains(row.instance()));
     let admissions: Vec<Admission> = rows.map(|row| table.admission(row, now)).collect();
     let free_at = admissions.iter().filter_map(|admission| match admission {
         Admission::Cold(free_at) => Some(*free_at),
@@ -268,6 +275,7 @@
 ) -> Vec<&'a EndpointRow> {
     let (right, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = takers(table, request)
         .filter(|row| !request.excluded.contains(row.instance()))
+        .filter(|row| request.allowed_zones.contains(&row.endpoint.zone))
         .filter(|row| table.admission(row, now).is_open())
         .partition(|row| has_right_weights(row, request, now));
     if !right.is_empty() {
--- a/crates/wisteriahitch-relay/src/decide/placement_request.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement_request.rs
@@ -8,7 +8,7 @@
 use super::endpoint_row::EndpointRow;
 use super::part_stores::PartStores;
 use super::wanted_weights::WantedVersions;
-use crate::site::{EngineTraits, PromptShape};
+use crate::site::{AllowedZones, EngineTraits, PromptShape};
 
 /// Prompt tokens that an engine reads in a millisecond while it also answers others. Engines of
 /// the deployments read 61 when they do nothing else.
@@ -43,6 +43,8 @@
     pub patience_us: DurationUs,
     /// Longest wait for the work of others.
     pub longest_queue_us: DurationUs,
+    /// Zones in which it may run.
+    pub allowed_zones: &'a AllowedZones,
     /// Endpoints that won't do.
     pub excluded: &'a [EndpointInstance],
     /// Whether endpoints have crashed under the call, so that it is to go where little is lost with it.
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -54,6 +54,7 @@
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
 pub use site::{
-    CallKind, CallerLimits, ColdTraits, Endpoint, EngineTraits, PartStore, PromptPart, PromptShape,
-    RequestFingerprint, Route, RouteTable, Service, SiteConfig, WantedWeights, Workspace,
+    AllowedZones, CallKind, CallerLimits, ColdTraits, Endpoint, EngineTraits, PartStore,
+    PromptPart, PromptShape, RegionMap, RequestFingerprint, Route, RouteTable, Service, SiteConfig,
+    WantedWeights, Workspace,
 };
--- a/crates/wisteriahitch-relay/src/settings/mod.rs
+++ b/crates/wisteriahitch-relay/src/settings/mod.rs
@@ -5,12 +5,13 @@
 
 mod bounds;
 
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::Path;
 use std::time::Duration;
 
 use serde::Deserialize;
-use wisteriahitch_types::{AvailabilityZone, DaemonId};
+use wisteriahitch_types::{AvailabilityZone, DaemonId, Region};
 
 use crate::decide::cold_limit::ColdBound;
 
@@ -59,6 +60,9 @@
     pub ip: Ipv4Addr,
     /// Availability zone that it is in.
     pub zone: AvailabilityZone,
+    /// Region of each availability zone. Empty where no call is bound to a region.
+    #[serde(default)]
+    pub regions: BTreeMap<AvailabilityZone, Region>,
     /// Addresses that it listens on.
     pub listen: ListenSettings,
     /// Addresses of VMs that may run other daemons.
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -16,7 +16,7 @@
 use super::transfers::Transfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
 use crate::decide::placement::Placement;
-use crate::site::{EngineTraits, RequestFingerprint};
+use crate::site::{AllowedZones, EngineTraits, RequestFingerprint};
 
 /// Longest wait for a connection to an endpoint. One takes some milliseconds; an opening packet
 /// that is lost is sent again after a second, and another endpoint is there sooner.
@@ -53,6 +53,8 @@
     pub(crate) may_repeat: bool,
     /// What the engines of its service are, if it has engines.
     pub(crate) engine: Option<EngineTraits>,
+    /// Zones in which it may run, and to whose stores parts of its prompt may be saved.
+    pub(crate) allowed_zones: AllowedZones,
 }
 
 /// An answer whose head has come.
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -46,6 +46,7 @@
 use crate::decide::wanted_weights::OldWeightsLimits;
 use crate::observe::{Event, EventLog, LogBudget, Metrics};
 use crate::settings::{Bounds, RelaySettings};
+use crate::site::RegionMap;
 
 /// Time between two rounds of housekeeping: gathered log lines, idle connections, lapsed endpoints.
 const HOUSEKEEPING: Duration = Duration::from_millis(200);
@@ -116,6 +117,7 @@
             body_bytes: AtomicUsize::new(0),
             log,
             metrics,
+            regions: RegionMap::new(settings.regions.clone()),
             settings,
         };
         Ok(Self {
@@ -281,7 +283,7 @@
             "parts": row.parts.len(),
             "is_ejected": row.outlier.is_ejected(now),
             "failure_rate": row.outlier.failure_rate(),
-            "cold_left_ms": row.cold.until_us.since(now).as_ms(),
+            "cold_for_ms": row.cold.until_us.since(now).as_ms(),
             "cold_permits": row.cold.share,
         })
     });
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -9,12 +9,14 @@
 use hyper::body::Incoming;
 use rand::seq::SliceRandom;
 use rand::{Rng, RngExt};
+use wisteriahitch_types::Region;
 
 use super::answer_body::AnswerBody;
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
 use crate::decide::beacon::MemberPhase;
 use crate::decide::members::Entry;
+use crate::site::RegionMap;
 
 /// Up to so many daemons are all named in an answer.
 const ALL_NAMED: usize = 12;
@@ -36,7 +38,14 @@
         let response = if path == calls.ready_path() {
             ready(shared)
         } else if path == calls.entries_path() {
-            calls.entries(&entries(shared), shared.settings.entry_ttl())
+            {
+                let region = request
+                    .uri()
+                    .query()
+                    .and_then(|query| calls.caller_region(query));
+                let entries = entries(shared, region.as_ref());
+                calls.entries(&entries, shared.settings.entry_ttl())
+            }
         } else {
             status(StatusCode::NOT_FOUND)
         };
@@ -70,7 +79,7 @@
 /// told of all. In a larger one each answer names some, drawn by what each can carry, so that a VM
 /// with a tenth of a core isn't given as many callers as one with half. This daemon names itself
 /// where it knows nobody, since no address at all helps nobody.
-fn entries(shared: &Shared) -> Vec<SocketAddr> {
+fn entries(shared: &Shared, region: Option<&Region>) -> Vec<SocketAddr> {
     let port = shared.settings.listen.callers.port();
     let mut entries = shared.peers.table().entries(shared.now());
     if shared.phase() == MemberPhase::Ready || entries.is_empty() {
@@ -81,6 +90,7 @@
             link_mbps: shared.link_mbps(),
         });
     }
+    let entries = in_region(entries, region, &shared.regions);
     let mut rng = rand::rng();
     let named: Vec<Entry> = match entries.len() > ALL_NAMED {
         true => draw(entries, &mut rng),
@@ -94,6 +104,22 @@
     addresses
 }
 
+/// Returns those in the caller's region, or all where there are none: calls of some routes may not leave it, and the way
+/// to another one is long.
+fn in_region(entries: Vec<Entry>, region: Option<&Region>, map: &RegionMap) -> Vec<Entry> {
+    let Some(region) = region else {
+        return entries;
+    };
+    let is_near = |entry: &Entry| {
+        let zone = entry.zone.parse().ok();
+        zone.and_then(|zone| map.region(&zone).cloned()).as_ref() == Some(region)
+    };
+    match entries.iter().any(is_near) {
+        true => entries.into_iter().filter(is_near).collect(),
+        false => entries,
+    }
+}
+
 /// Draws some entries, each with a chance in proportion to its capacity.
 fn draw(entries: Vec<Entry>, rng: &mut impl Rng) -> Vec<Entry> {
     let mut scored: Vec<(f64, Entry)> = entries
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -18,7 +18,7 @@
 use super::stream_body::{StreamStart, stream};
 use super::trace::CallTrace;
 use crate::border::Refusal;
-use crate::site::{CallKind, RequestFingerprint, Route, SiteConfig, Workspace};
+use crate::site::{AllowedZones, CallKind, RequestFingerprint, Route, SiteConfig, Workspace};
 
 /// When a caller may come back to a daemon that knows too little yet.
 const NOT_READY_RETRY_US: DurationUs = DurationUs::from_ms(300);
@@ -146,6 +146,7 @@
             priority,
             due,
             may_repeat: route.may_repeat(),
+            allowed_zones: allowed_zones(shared, &route, workspace.as_deref()),
             engine: config
                 .services
                 .get(&service)
@@ -171,6 +172,12 @@
     })
 }
 
+/// Returns the zones in which a call may run.
+fn allowed_zones(shared: &Shared, route: &Route, workspace: Option<&Workspace>) -> AllowedZones {
+    let of_workspace = workspace.map_or(&[][..], |workspace| &workspace.permitted_regions);
+    AllowedZones::of(&route.permitted_regions, of_workspace, &shared.regions)
+}
+
 /// Refuses a request under which endpoints crash, before anything is spent on it.
 ///
 /// Sent on, it would end one more endpoint with all that runs there; one would notice by endpoints that go down one
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -147,6 +147,7 @@
             memory_duration_us,
             patience_us,
             longest_queue_us: self.longest_queue_us,
+            allowed_zones: &self.call.allowed_zones,
             excluded: &self.tried,
             is_isolated: shared.suspects.lock().is_isolated(self.call.fingerprint),
             required_weights,
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -30,6 +30,7 @@
 use crate::decide::suspects::SuspectTable;
 use crate::observe::{Event, EventLog, Metrics};
 use crate::settings::{Bounds, RelaySettings};
+use crate::site::RegionMap;
 
 /// The implementations of the traits of `border`.
 pub struct Borders {
@@ -47,6 +48,8 @@
 
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
+    /// Regions of the zones.
+    pub(crate) regions: RegionMap,
     /// What decisions take from the deployment's bounds.
     pub(crate) bounds: Bounds,
     pub(crate) clock: BootClock,
--- a/crates/wisteriahitch-relay/src/shell/transfers.rs
+++ b/crates/wisteriahitch-relay/src/shell/transfers.rs
@@ -40,7 +40,7 @@
         let shared_parts = keys.len().saturating_sub(1);
         for (index, (key, tokens)) in keys.iter().enumerate() {
             let save = match index < shared_parts {
-                true => stores.save(*key, *tokens, now),
+                true => stores.save(*key, *tokens, &call.allowed_zones, now),
                 false => None,
             };
             transfers.save_to.push(save);
--- a/crates/wisteriahitch-relay/src/site/configuration.rs
+++ b/crates/wisteriahitch-relay/src/site/configuration.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use wisteriahitch_types::{
-    AvailabilityZone, ByteCount, ConfigVersion, DurationUs, ModelName, ServiceName, TokenCount,
-    WeightNumber, WorkspaceId,
+    AvailabilityZone, ByteCount, ConfigVersion, DurationUs, ModelName, Region, ServiceName,
+    TokenCount, WeightNumber, WorkspaceId,
 };
 
 use super::RouteTable;
@@ -76,6 +76,8 @@
     pub priority: Option<u8>,
     /// Whether it shares no cached part with any other.
     pub is_isolated: bool,
+    /// Regions in which its calls may run; empty where all may.
+    pub permitted_regions: Vec<Region>,
 }
 
 /// Bounds on what a caller may send.
--- a/crates/wisteriahitch-relay/src/site/mod.rs
+++ b/crates/wisteriahitch-relay/src/site/mod.rs
@@ -4,6 +4,7 @@
 mod endpoint;
 mod fingerprint;
 mod prompt;
+mod region;
 mod route;
 
 pub use configuration::{
@@ -13,4 +14,5 @@
 pub use endpoint::Endpoint;
 pub use fingerprint::RequestFingerprint;
 pub use prompt::{PromptPart, PromptShape};
+pub use region::{AllowedZones, RegionMap};
 pub use route::{CallKind, Route, RouteTable};
--- a/crates/wisteriahitch-relay/src/site/route.rs
+++ b/crates/wisteriahitch-relay/src/site/route.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use wisteriahitch_types::{DurationUs, RouteName, ServiceName};
+use wisteriahitch_types::{DurationUs, Region, RouteName, ServiceName};
 
 /// Says what may be done with a call that failed.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -54,6 +54,8 @@
     pub is_public: bool,
     /// Whether a stream may go on at another endpoint after its last event.
     pub is_resumable: bool,
+    /// Regions in which its calls may run; empty where all may.
+    pub permitted_regions: Vec<Region>,
 }
 
 impl Route {
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -6,7 +6,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Admission, ColdBound, ColdLimit, ColdShares, Endpoint, EndpointTable, PartStores,
+    Admission, AllowedZones, ColdBound, ColdLimit, ColdShares, Endpoint, EndpointTable, PartStores,
     PlacementRequest, ServiceColdness, Sighting, place,
 };
 use wisteriahitch_types::{Code, DurationUs, TimeUs};
@@ -112,9 +112,9 @@
         self.table.set_shares(&self.shares, now);
     }
 
-    fn registered(&mut self, cold_left_ms: u64, revision: u64, now: TimeUs) {
+    fn registered(&mut self, cold_ms: u64, revision: u64, now: TimeUs) {
         let endpoint = Endpoint {
-            cold_left_us: ms(cold_left_ms),
+            cold_left_us: ms(cold_ms),
             revision: Revision(revision),
             ..engine("a")
         };
@@ -315,6 +315,7 @@
         memory_duration_us: ms(1_200),
         patience_us: ms(3_200),
         longest_queue_us: DurationUs::MAX,
+        allowed_zones: &AllowedZones::default(),
         excluded: &[],
         is_isolated: false,
         required_weights: None,
--- a/crates/wisteriahitch-relay/tests/all/evacuated_zones.rs
+++ b/crates/wisteriahitch-relay/tests/all/evacuated_zones.rs
@@ -5,7 +5,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Endpoint, EndpointTable, EvacuatedZones, PartStores, PlacementRequest, ZoneChange, place,
+    AllowedZones, Endpoint, EndpointTable, EvacuatedZones, PartStores, PlacementRequest,
+    ZoneChange, place,
 };
 use wisteriahitch_types::{AvailabilityZone, Code, DurationUs, TimeUs};
 
@@ -116,6 +117,7 @@
             memory_duration_us: ms(1_200),
             patience_us: ms(3_200),
             longest_queue_us: DurationUs::MAX,
+            allowed_zones: &AllowedZones::default(),
             excluded: &[],
             is_isolated: false,
             required_weights: None,
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -111,6 +111,7 @@
         priority,
         is_public: false,
         is_resumable: false,
+        permitted_regions: vec![],
     }
 }
 
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod part_stores;
 mod parts;
 mod placement;
+mod regions;
 mod rollout;
 mod routes;
 mod settings;
--- a/crates/wisteriahitch-relay/tests/all/part_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_sources.rs
@@ -5,8 +5,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    EndpointTable, KeptPart, Load, PartListing, PartNamer, PartStore, PartStores, PlacementRequest,
-    PromptShape, WantedVersions, place,
+    AllowedZones, EndpointTable, KeptPart, Load, PartListing, PartNamer, PartStore, PartStores,
+    PlacementRequest, PromptShape, WantedVersions, place,
 };
 use wisteriahitch_types::{TimeUs, TokenCount, WeightNumber, WorkspaceId};
 
@@ -98,6 +98,7 @@
             memory_duration_us: ms(1_200),
             patience_us: ms(3_200),
             longest_queue_us: ms(3_200),
+            allowed_zones: &AllowedZones::default(),
             excluded: &[],
             is_isolated: false,
             required_weights: None,
--- a/crates/wisteriahitch-relay/tests/all/part_stores.rs
+++ b/crates/wisteriahitch-relay/tests/all/part_stores.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use wisteriahitch_relay::{
-    KeptPart, PartChanges, PartEvent, PartListing, PartNamer, PartStore, PartStores,
+    AllowedZones, KeptPart, PartChanges, PartEvent, PartListing, PartNamer, PartStore, PartStores,
 };
 use wisteriahitch_types::{TimeUs, TokenCount, WeightNumber};
 
@@ -151,9 +151,12 @@
 #[test]
 fn a_save_is_asked_for_once_and_fetched_when_it_is_whole() {
     let mut stores = listed(&[]);
-    assert_eq!(stores.save(key(1), 1_000, at_ms(10)), Some(address(1)));
     assert_eq!(
-        stores.save(key(1), 1_000, at_ms(20)),
+        stores.save(key(1), 1_000, &AllowedZones::default(), at_ms(10)),
+        Some(address(1))
+    );
+    assert_eq!(
+        stores.save(key(1), 1_000, &AllowedZones::default(), at_ms(20)),
         None,
         "it is on its way"
     );
@@ -164,28 +167,45 @@
     };
     stores.changed(address(1), changes(5, vec![event]), at_ms(40));
     assert!(can_fetch(&stores, 1, at_ms(50)));
-    assert_eq!(stores.save(key(1), 1_000, at_ms(60)), None);
+    assert_eq!(
+        stores.save(key(1), 1_000, &AllowedZones::default(), at_ms(60)),
+        None
+    );
 }
 
 #[test]
 fn a_save_that_was_lost_is_asked_for_again() {
     let mut stores = listed(&[]);
-    stores.save(key(1), 1_000, at_ms(10));
+    stores.save(key(1), 1_000, &AllowedZones::default(), at_ms(10));
     stores.changed(address(1), changes(5, vec![]), at_ms(3_000));
-    assert_eq!(stores.save(key(1), 1_000, at_ms(3_100)), Some(address(1)));
+    assert_eq!(
+        stores.save(key(1), 1_000, &AllowedZones::default(), at_ms(3_100)),
+        Some(address(1))
+    );
 }
 
 #[test]
 fn only_what_has_room_and_is_worth_it_is_saved() {
     let mut stores = listed(&[part(1, 90_000)]);
-    assert_eq!(stores.save(key(2), 9_000, at_ms(10)), None, "no room");
-    assert_eq!(stores.save(key(3), 5_000, at_ms(10)), Some(address(1)));
     assert_eq!(
-        stores.save(key(4), 5_000, at_ms(10)),
+        stores.save(key(2), 9_000, &AllowedZones::default(), at_ms(10)),
+        None,
+        "no room"
+    );
+    assert_eq!(
+        stores.save(key(3), 5_000, &AllowedZones::default(), at_ms(10)),
+        Some(address(1))
+    );
+    assert_eq!(
+        stores.save(key(4), 5_000, &AllowedZones::default(), at_ms(10)),
         None,
         "the last room is on its way to be used"
     );
-    assert_eq!(stores.save(key(5), 31, at_ms(10)), None, "too small");
+    assert_eq!(
+        stores.save(key(5), 31, &AllowedZones::default(), at_ms(10)),
+        None,
+        "too small"
+    );
 }
 
 /// Symptom: after a few changes of weights nothing is kept any more. Cause: parts of replaced
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -3,8 +3,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    EndpointTable, Load, PartNamer, PartStores, Placement, PlacementRequest, PromptShape, Refusal,
-    WantedVersions, place,
+    AllowedZones, EndpointTable, Load, PartNamer, PartStores, Placement, PlacementRequest,
+    PromptShape, Refusal, WantedVersions, place,
 };
 use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber, WorkspaceId};
 
@@ -77,6 +77,7 @@
             memory_duration_us: ms(1_200),
             patience_us: ms(3_200),
             longest_queue_us: self.longest_queue,
+            allowed_zones: &AllowedZones::default(),
             excluded: &self.excluded,
             is_isolated: self.is_isolated,
             required_weights: self.required,
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -105,6 +105,8 @@
     EndpointsCold = 2012, NotRun, 503;
     /// All availability zones with endpoints of the service are evacuated.
     ZonesEvacuated = 2013, NotRun, 503;
+    /// No endpoint that takes requests is in a region that the route and the workspace allow.
+    RegionUnavailable = 2014, NotRun, 503;
 
     /// The connection to the endpoint broke before an answer came.
     EndpointLost = 3001, OutcomeUnknown, 502;
--- a/crates/wisteriahitch-types/src/id.rs
+++ b/crates/wisteriahitch-types/src/id.rs
@@ -155,6 +155,8 @@
     DaemonId,
     /// Identifies an availability zone.
     AvailabilityZone,
+    /// Identifies a region: availability zones that lie close together and share laws.
+    Region,
     /// Identifies a route of a configuration that the platform holds.
     RouteName,
     /// Identifies a rule of the configuration.
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -18,8 +18,8 @@
 pub use endpoint_instance::{EndpointInstance, EndpointStart};
 pub use id::{
     AdapterName, AttemptNumber, AvailabilityZone, ConfigVersion, DaemonId, EndpointId, FenceNumber,
-    Generation, Incarnation, ModelName, ParseIdError, RequestId, RouteName, RuleName, ServiceName,
-    StoreId, StoreIncarnation, SubmissionId, WeightNumber, WeightVersion, WorkspaceId,
+    Generation, Incarnation, ModelName, ParseIdError, Region, RequestId, RouteName, RuleName,
+    ServiceName, StoreId, StoreIncarnation, SubmissionId, WeightNumber, WeightVersion, WorkspaceId,
 };
 pub use key::{BlockKey, KeyHash, ParseKeyError};
 pub use meaning::Meaning;
