fix(members): what hubs tell of a daemon counts once its own word is old

What was seen: 20 s after a common start of 70 daemons, 94 calls of the store took registrations of daemons out that were alive and well. Cause: when all start at once many are heard directly before each has a hub; the row of what a daemon once said itself hid what hubs told of it for 30 s after. So it was missing from entry lists, from the count of daemons (and with it from how retries are divided), from what hubs tell on, and from the views by which permits of cold endpoints are shared out.

Change: a daemon's own word, its silence among them, goes before what hubs tell for 4 s. Ruled out: dropping the row as it falls silent, since hubs go on telling of one that was killed for up to 2.7 s, and callers would be sent there.

Test seen failing first: members::who_is_told_of_counts_although_it_was_once_heard_directly.

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -19,6 +19,9 @@
 const SILENCE_US: DurationUs = DurationUs::from_ms(900);
 /// The same for a member that a hub tells of.
 const TOLD_LIFE_US: DurationUs = DurationUs::from_ms(2_500);
+/// Silence up to which what a daemon said itself goes before what hubs tell of it: the time after which no hub tells any
+/// more of one that fell silent, and as much again for its own silence.
+const OWN_WORD_LIFE_US: DurationUs = DurationUs::from_ms(4_000);
 /// Age up to which what a hub has told is told on; each step adds its own.
 const TELL_ON_US: DurationUs = DurationUs::from_ms(1_200);
 /// Time for which a registration that was listed counts: two listings.
@@ -143,11 +146,7 @@
     pub fn sighting(&self, me: Ipv4Addr, is_complete: bool, now: TimeUs) -> Sighting {
         let stays = |phase: MemberPhase| phase != MemberPhase::Draining;
         let direct = self.alive(now).map(|peer| (peer.ip, peer.phase));
-        let told = self
-            .told
-            .iter()
-            .filter(|(ip, _)| !self.peers.contains_key(ip));
-        let told = told.map(|(ip, told)| (*ip, told.phase));
+        let told = self.only_told(now).map(|(ip, told)| (*ip, told.phase));
         let mut sighting = Sighting {
             alive: BTreeSet::from([me]),
             registered: self.registered.keys().copied().collect(),
@@ -264,10 +263,8 @@
     pub fn entries(&self, now: TimeUs) -> Vec<Entry> {
         let direct = self.ready(now).map(PeerRow::entry);
         let mut entries: Vec<Entry> = direct.collect();
-        for (ip, told) in &self.told {
-            // What is heard of a daemon itself goes before what another one tells of it.
-            let is_heard = self.peers.contains_key(ip);
-            if !is_heard && told.phase == MemberPhase::Ready {
+        for (ip, told) in self.only_told(now) {
+            if told.phase == MemberPhase::Ready {
                 entries.push(Entry {
                     ip: *ip,
                     zone: told.zone.clone(),
@@ -279,11 +276,21 @@
         entries
     }
 
+    /// Lists the daemons that are known through hubs alone.
+    ///
+    /// What a daemon says itself goes before what others tell of it, also its silence, but only for a while: when all
+    /// start at once, many are heard directly before each has a hub, and never again.
+    fn only_told(&self, now: TimeUs) -> impl Iterator<Item = (&Ipv4Addr, &ToldRow)> {
+        self.told.iter().filter(move |(ip, _)| {
+            let silence = self.silence(**ip, now);
+            silence.is_none_or(|silence| silence > OWN_WORD_LIFE_US)
+        })
+    }
+
     /// Lists the daemons that a hub has told of a moment ago, to be told on.
     pub fn freshly_told(&self, now: TimeUs) -> impl Iterator<Item = (Entry, MemberPhase)> + '_ {
-        let fresh = self.told.iter().filter(move |(ip, told)| {
-            now.since(told.told_at_us) < TELL_ON_US && !self.peers.contains_key(ip)
-        });
+        let told = self.only_told(now);
+        let fresh = told.filter(move |(_, told)| now.since(told.told_at_us) < TELL_ON_US);
         fresh.map(|(ip, told)| {
             let entry = Entry {
                 ip: *ip,
@@ -298,8 +305,7 @@
     /// Returns how many other daemons there seem to be.
     pub fn count(&self, now: TimeUs) -> usize {
         let alive = self.alive(now).count();
-        let told = self.told.keys().filter(|ip| !self.peers.contains_key(ip));
-        alive + told.count()
+        alive + self.only_told(now).count()
     }
 
     /// Makes the plan of hubs for a fleet with `me` in it.
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -185,3 +185,90 @@
         .collect();
     assert_eq!(told.len(), 40, "each daemon is told by some hub");
 }
+
+/// A hub's message that tells of daemon 9.
+fn telling(number: u64, phase: MemberPhase) -> Beacon {
+    Beacon {
+        zones: vec!["b".to_owned()],
+        members: vec![MemberNews {
+            ip: Ipv4Addr::new(10, 0, 0, 9),
+            zone: 0,
+            phase,
+            capacity: 250,
+            link_mbps: 100,
+        }],
+        ..beacon(1, 11, number, MemberPhase::Ready)
+    }
+}
+
+/// Guards against a daemon that is missing from entry lists, from the count of daemons and from what hubs tell on, because
+/// it was once heard directly and is now heard of through a hub alone, as happens when all start at once.
+#[test]
+fn who_is_told_of_counts_although_it_was_once_heard_directly() {
+    struct Case {
+        name: &'static str,
+        /// What it said itself, at 0 ms.
+        said: MemberPhase,
+        told: MemberPhase,
+        /// Until when a hub tells of it, five times a second.
+        told_until_ms: u64,
+        asked_at_ms: u64,
+        is_named: bool,
+    }
+    let cases = [
+        Case {
+            name: "told of all the time",
+            said: MemberPhase::Starting,
+            told: MemberPhase::Ready,
+            told_until_ms: 8_000,
+            asked_at_ms: 8_000,
+            is_named: true,
+        },
+        Case {
+            name: "fell silent, and a hub hasn't noticed yet",
+            said: MemberPhase::Ready,
+            told: MemberPhase::Ready,
+            told_until_ms: 2_000,
+            asked_at_ms: 2_000,
+            is_named: false,
+        },
+        Case {
+            name: "fell silent for good",
+            said: MemberPhase::Ready,
+            told: MemberPhase::Ready,
+            told_until_ms: 2_400,
+            asked_at_ms: 5_000,
+            is_named: false,
+        },
+        Case {
+            name: "left, and a hub tells that it leaves",
+            said: MemberPhase::Ready,
+            told: MemberPhase::Draining,
+            told_until_ms: 8_000,
+            asked_at_ms: 8_000,
+            is_named: false,
+        },
+    ];
+    let me = Ipv4Addr::new(10, 0, 0, 50);
+    let ip = Ipv4Addr::new(10, 0, 0, 9);
+    for case in cases {
+        let mut table = PeerTable::default();
+        table.heard(&beacon(9, 19, 1, case.said), at_ms(0));
+        for ms in (200..=case.told_until_ms).step_by(200) {
+            table.heard(&telling(ms, case.told), at_ms(ms));
+            table.tick(at_ms(ms - 200), at_ms(ms));
+        }
+        table.tick(at_ms(case.asked_at_ms - 1), at_ms(case.asked_at_ms));
+        let now = at_ms(case.asked_at_ms);
+        let entries = table.entries(now);
+        let names_it = entries.iter().any(|entry| entry.ip == ip);
+        assert_eq!(names_it, case.is_named, "{}", case.name);
+        let sees_it = table.sighting(me, true, now).alive.contains(&ip);
+        assert_eq!(sees_it, case.is_named, "{}", case.name);
+        if case.is_named {
+            let tells_on = table.freshly_told(now).any(|(entry, _)| entry.ip == ip);
+            assert!(tells_on, "{}", case.name);
+            assert_eq!(table.count(now), 2, "{}", case.name);
+        }
+    }
+}
