perf(watch): changes of endpoints are gathered before they are asked for again

Change: a follower waits 250 ms after an answer with changes before it asks again. Followers aren't in step, so that some daemon knows of a change long before that.

--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -19,6 +19,11 @@
 /// its peers ask elsewhere.
 const RETURN_WAIT: Duration = Duration::from_millis(300);
 
+/// Pause after an answer with changes of endpoints, before the next ones are asked for. Endpoints change one after the
+/// other, as all of them load new weights, and each change would else return the watch of every daemon that follows
+/// them. They don't ask at the same time, so that some daemon knows of a change long before its own pause is over.
+const GATHER: Duration = Duration::from_millis(250);
+
 /// Time between two looks whether this daemon is to ask the store itself.
 const ROLE_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -108,6 +113,9 @@
             note_skipped(shared, role, &skipped);
             apply_changes(shared, role, changes, revision, STORE);
             shared.watches.confirm(role, as_of);
+            if has_changes && role == ObjectRole::Endpoints {
+                tokio::time::sleep(GATHER).await;
+            }
             Ok(false)
         }
         Watched::HistoryGone => Ok(true),
