perf(watch): a starting daemon of a large fleet waits to know whether it follows the store

Until it hears of the others a daemon takes itself for one that follows the store, so that each of 70 asked once for changes of three kinds at a common start. It now waits until it has read who is registered, and in a fleet of more than twelve until daemons that are there would have been heard (0.7 s). What changes meanwhile is told by peers, or by the first watch.

A wait in every fleet failed copies_that_wait_are_taken_back and the_scope_follows_the_weights: a lone daemon knew nothing new for 0.7 s. In a small fleet each daemon follows the store anyway, so there is none now.

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -142,6 +142,11 @@
         self.registered.insert(ip, now);
     }
 
+    /// Returns how many other addresses were registered lately.
+    pub fn registered_count(&self) -> usize {
+        self.registered.len()
+    }
+
     /// Returns what is seen of the members, for the permits of cold endpoints.
     pub fn sighting(&self, me: Ipv4Addr, is_complete: bool, now: TimeUs) -> Sighting {
         let stays = |phase: MemberPhase| phase != MemberPhase::Draining;
--- a/crates/wisteriahitch-relay/src/shell/engine_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/engine_news.rs
@@ -23,11 +23,11 @@
 const ROLE_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Longest wait after the start for the list of the other daemons; the store answers within a second.
-const LISTED_WITHIN: Duration = Duration::from_millis(3_000);
+pub(super) const LISTED_WITHIN: Duration = Duration::from_millis(3_000);
 
 /// Time in which daemons that are known are heard: they tell something at least every 0.2 s, and what
 /// hubs tell on takes three steps.
-const HEARD_WITHIN: Duration = Duration::from_millis(700);
+pub(super) const HEARD_WITHIN: Duration = Duration::from_millis(700);
 
 /// Longest wait of one question; engines allow a second.
 const CHANGES_WAIT: Duration = Duration::from_millis(500);
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -7,9 +7,11 @@
 use wisteriahitch_wire::object_store::{ObjectRole, Revision, Watched};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
+use super::engine_news::{HEARD_WITHIN, LISTED_WITHIN};
 use super::shared::Shared;
 use super::store_news::{STORE, apply_changes, apply_listing, note_skipped};
 use super::watch_state::kind_name;
+use crate::decide::hubs::SMALL_FLEET;
 use crate::decide::staleness::answered_as_of;
 use crate::decide::store_retry::retry_pause;
 use crate::observe::Event;
@@ -31,6 +33,7 @@
 pub(crate) async fn run_watch(shared: Arc<Shared>, role: ObjectRole) {
     let mut failures = 0;
     let mut is_history_gone = true;
+    let mut is_first = true;
     loop {
         if hears_instead(&shared, role) {
             tokio::time::sleep(ROLE_INTERVAL).await;
@@ -44,6 +47,9 @@
             Ok(gone) => {
                 failures = 0;
                 is_history_gone = gone;
+                if std::mem::take(&mut is_first) {
+                    wait_for_role(&shared).await;
+                }
             }
             Err(error) => {
                 let pause = pause_after_failure(&shared, role, failures);
@@ -55,6 +61,18 @@
     }
 }
 
+/// Waits until it is known whether another daemon follows the store for this one.
+///
+/// In a small fleet each follows it. In a large one most don't, and without this wait each of them would ask once for
+/// changes of every kind, also when all start at once.
+async fn wait_for_role(shared: &Shared) {
+    let listed = shared.peers.others_listed.cancelled();
+    let is_listed = tokio::time::timeout(LISTED_WITHIN, listed).await.is_ok();
+    if is_listed && shared.peers.table().registered_count() >= SMALL_FLEET {
+        tokio::time::sleep(HEARD_WITHIN).await;
+    }
+}
+
 /// Returns whether this daemon hears of the kind from others and need not ask the store.
 ///
 /// In a large fleet few ask: each change would else cost a call of every daemon, and the store's
