--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -164,15 +164,15 @@
     /// Time for which an endpoint that has left without a word still gets requests where its
     /// service has no other one. It goes on serving for a while, and a silent outage of the store
     /// that nobody has noticed looks the same.
-    last_resort_us: DurationUs,
+    drain_fallback_us: DurationUs,
 }
 
 impl EndpointTable {
     /// Takes over how long an endpoint that has left without a word still gets requests where its
     /// service has no other one.
     #[must_use]
-    pub fn with_last_resort(mut self, last_resort_us: DurationUs) -> Self {
-        self.last_resort_us = last_resort_us;
+    pub fn with_drain_fallback(mut self, drain_fallback_us: DurationUs) -> Self {
+        self.drain_fallback_us = drain_fallback_us;
         self
     }
 
@@ -465,7 +465,7 @@
         match row.life {
             EndpointLife::Ready => {
                 let grace = match absence {
-                    Absence::Left => self.last_resort_us,
+                    Absence::Left => self.drain_fallback_us,
                     Absence::MayHaveLapsed => REGISTER_AGAIN_US,
                 };
                 row.life = EndpointLife::Lapsed(now + grace);
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -151,7 +151,9 @@
     pub fn sighting(&self, me: Ipv4Addr, is_complete: bool, now: TimeUs) -> Sighting {
         let stays = |phase: MemberPhase| phase != MemberPhase::Draining;
         let direct = self.alive(now).map(|peer| (peer.ip, peer.phase));
-        let told = self.only_told(now).map(|(ip, told)| (*ip, told.phase));
+        let told = self
+            .known_by_gossip(now)
+            .map(|(ip, told)| (*ip, told.phase));
         let mut sighting = Sighting {
             alive: BTreeSet::from([me]),
             registered: self.registered.keys().copied().collect(),
@@ -268,7 +270,7 @@
     pub fn entries(&self, now: TimeUs) -> Vec<Entry> {
         let direct = self.ready(now).map(PeerRow::entry);
         let mut entries: Vec<Entry> = direct.collect();
-        for (ip, told) in self.only_told(now) {
+        for (ip, told) in self.known_by_gossip(now) {
             if told.phase == MemberPhase::Ready {
                 entries.push(Entry {
                     ip: *ip,
@@ -285,7 +287,7 @@
     ///
     /// What a daemon says itself goes before what others tell of it, also its silence, but only for a while: when all
     /// start at once, many are heard directly before each has a hub, and never again.
-    fn only_told(&self, now: TimeUs) -> impl Iterator<Item = (&Ipv4Addr, &ToldRow)> {
+    fn known_by_gossip(&self, now: TimeUs) -> impl Iterator<Item = (&Ipv4Addr, &ToldRow)> {
         self.told.iter().filter(move |(ip, _)| {
             let silence = self.silence(**ip, now);
             silence.is_none_or(|silence| silence > OWN_WORD_LIFE_US)
@@ -293,8 +295,11 @@
     }
 
     /// Lists the daemons that a hub has told of a moment ago, to be told on.
-    pub fn freshly_told(&self, now: TimeUs) -> impl Iterator<Item = (Entry, MemberPhase)> + '_ {
-        let told = self.only_told(now);
+    pub fn recently_gossiped(
+        &self,
+        now: TimeUs,
+    ) -> impl Iterator<Item = (Entry, MemberPhase)> + '_ {
+        let told = self.known_by_gossip(now);
         let fresh = told.filter(move |(_, told)| now.since(told.told_at_us) < TELL_ON_US);
         fresh.map(|(ip, told)| {
             let entry = Entry {
@@ -310,7 +315,7 @@
     /// Returns how many other daemons there seem to be.
     pub fn count(&self, now: TimeUs) -> usize {
         let alive = self.alive(now).count();
-        alive + self.only_told(now).count()
+        alive + self.known_by_gossip(now).count()
     }
 
     /// Makes the plan of hubs for a fleet with `me` in it.
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -178,7 +178,7 @@
     }
 
     /// Clears what is known of stores that a daemon which told of them no longer tells of.
-    pub fn no_longer_told(&mut self, news: &[StoreNews]) {
+    pub fn forget_unreported(&mut self, news: &[StoreNews]) {
         for row in self.rows.values_mut() {
             let name = short_name(&row.spec.address.to_string());
             if !news.iter().any(|told| told.store == name) {
@@ -188,7 +188,7 @@
     }
 
     /// Notes parts that another daemon tells of.
-    pub fn told_kept(&mut self, news: &[KeptNews]) {
+    pub fn apply_kept_parts(&mut self, news: &[KeptNews]) {
         for told in news {
             let is_it = |row: &&mut StoreRow| {
                 short_name(&row.spec.address.to_string()) == told.store && row.news_at_us.is_some()
@@ -241,7 +241,13 @@
     }
 
     /// Takes over everything that is kept at one store, as another daemon told it.
-    pub fn told_all(&mut self, store: SocketAddr, epoch: u64, kept: &[(u64, u64)], now: TimeUs) {
+    pub fn apply_snapshot(
+        &mut self,
+        store: SocketAddr,
+        epoch: u64,
+        kept: &[(u64, u64)],
+        now: TimeUs,
+    ) {
         let Some(row) = self.rows.get_mut(&store) else {
             return;
         };
--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -177,7 +177,7 @@
         let Some(report) = report else {
             match active.loads(now) {
                 Some(_) => active.phase = Phase::AskAt(now + PAUSE_US),
-                None => self.rest(endpoint, now),
+                None => self.back_off(endpoint, now),
             }
             return;
         };
@@ -219,7 +219,7 @@
             OrderOutcome::AlreadyDone => {
                 self.active.remove(endpoint);
             }
-            OrderOutcome::NotSent(_) | OrderOutcome::Refused(_) => self.rest(endpoint, now),
+            OrderOutcome::NotSent(_) | OrderOutcome::Refused(_) => self.back_off(endpoint, now),
             // The same number goes with the next order, so that only one of the two is carried
             // out, whichever the engine sees first.
             _ => active.phase = Phase::AskAt(now + PAUSE_US),
@@ -238,7 +238,7 @@
     /// Few engines are out at once. Kept by those that are gone, the places leave the living ones on
     /// weights that go out of use; one would notice by calls that all engines refuse, seconds after new
     /// weights were named.
-    fn rest(&mut self, endpoint: &EndpointInstance, now: TimeUs) {
+    fn back_off(&mut self, endpoint: &EndpointInstance, now: TimeUs) {
         self.active.remove(endpoint);
         self.resting.insert(endpoint.clone(), now + REST_US);
     }
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -188,12 +188,12 @@
 
     /// Returns how long an endpoint that has left without a word still gets calls where its service
     /// has no other one.
-    pub fn last_resort(&self) -> DurationUs {
+    pub fn drain_fallback(&self) -> DurationUs {
         ms(self.endpoint_drain_ms * LAST_RESORT_SHARE)
     }
 
     /// Returns how long a daemon that knows less than a peer waits for the store to tell it.
-    pub fn behind_patience(&self) -> DurationUs {
+    pub fn catch_up_delay(&self) -> DurationUs {
         ms(self.configuration_ms * BEHIND_SHARE)
     }
 
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -11,7 +11,7 @@
 use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
-use super::flight::{Flight, Landing};
+use super::in_flight::{AttemptOutcome, InFlightAttempt};
 use super::shared::Shared;
 use super::transfers::Transfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
@@ -62,7 +62,7 @@
     pub(crate) parts: response::Parts,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
-    pub(crate) flight: Flight,
+    pub(crate) flight: InFlightAttempt,
     /// Where it runs.
     pub(crate) placement: Placement,
 }
@@ -169,7 +169,7 @@
     is_last: bool,
     until: Instant,
 ) -> Result<Opened, Failure> {
-    let flight = Flight::take_off(shared, placement, call.head.prompt.as_ref());
+    let flight = InFlightAttempt::start(shared, placement, call.head.prompt.as_ref());
     let result = exchange(shared, call, placement, resume_after, until).await;
     let (parts, body, connection) = match result {
         Ok(answer) => answer,
@@ -346,14 +346,19 @@
 /// Time for which an endpoint that refused gets no further requests, unless there is no other.
 const AFTER_REFUSAL_US: DurationUs = DurationUs::from_ms(120);
 
-fn note_failure(shared: &Shared, placement: &Placement, flight: &Flight, kind: FailureKind) {
+fn note_failure(
+    shared: &Shared,
+    placement: &Placement,
+    flight: &InFlightAttempt,
+    kind: FailureKind,
+) {
     shared
         .metrics
         .attempts
         .with_label_values(&[kind.label()])
         .inc();
     match kind {
-        FailureKind::NotSent => flight.land(Landing::Unreachable),
+        FailureKind::NotSent => flight.finish(AttemptOutcome::Unreachable),
         // It tells nothing of the endpoint.
         FailureKind::NotAdmitted => {}
         FailureKind::NotRun | FailureKind::Misdirected => {
@@ -363,7 +368,7 @@
                 row.reserved_until_us = row.reserved_until_us.max(until);
             }
         }
-        _ => flight.land(Landing::Failed),
+        _ => flight.finish(AttemptOutcome::Failed),
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/beacons.rs
@@ -197,7 +197,7 @@
         .map(|peer| (peer.entry(), peer.phase))
         .collect();
     if own.is_some() {
-        let told = table.freshly_told(now);
+        let told = table.recently_gossiped(now);
         rows.extend(told);
     }
     drop(table);
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -78,7 +78,7 @@
         evidence.broke(life, call.fingerprint, shared.now())
     };
     match meaning {
-        BreakMeaning::Crashed => hold_against(shared, &[call.fingerprint], life),
+        BreakMeaning::Crashed => record_crash_suspects(shared, &[call.fingerprint], life),
         BreakMeaning::Look(after_us) => {
             let (endpoint, address) = (placement.endpoint.clone(), placement.address);
             let looking = look(Arc::clone(shared), endpoint, address);
@@ -146,11 +146,11 @@
         proof: proof.label(),
         calls: on_board.len(),
     });
-    hold_against(shared, &on_board, life);
+    record_crash_suspects(shared, &on_board, life);
 }
 
 /// Holds a crash that this daemon saw against requests, and tells the others at once.
-fn hold_against(shared: &Shared, requests: &[RequestFingerprint], life: u32) {
+fn record_crash_suspects(shared: &Shared, requests: &[RequestFingerprint], life: u32) {
     let now = shared.now();
     for request in requests {
         let verdict = shared.suspects.lock().crashed(*request, life, true, now);
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -87,7 +87,7 @@
             ignored_settings,
         });
         let bounds = settings.bounds()?;
-        let endpoints = EndpointTable::default().with_last_resort(bounds.last_resort());
+        let endpoints = EndpointTable::default().with_drain_fallback(bounds.drain_fallback());
         let shared = Shared {
             started_at_us: BootClock.now(),
             clock: BootClock,
--- a/crates/wisteriahitch-relay/src/shell/flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/in_flight.rs
@@ -16,7 +16,7 @@
 use crate::site::PromptShape;
 
 /// Counts an attempt as load of its endpoint until it is dropped.
-pub(crate) struct Flight {
+pub(crate) struct InFlightAttempt {
     shared: Arc<Shared>,
     endpoint: EndpointInstance,
     load: Load,
@@ -25,7 +25,7 @@
 
 /// Says how an attempt ended, as far as its endpoint's good name is concerned.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Landing {
+pub(crate) enum AttemptOutcome {
     /// It answered.
     Good,
     /// It failed.
@@ -34,9 +34,9 @@
     Unreachable,
 }
 
-impl Flight {
+impl InFlightAttempt {
     /// Counts an attempt that is about to be sent.
-    pub(crate) fn take_off(
+    pub(crate) fn start(
         shared: &Arc<Shared>,
         placement: &Placement,
         prompt: Option<&PromptShape>,
@@ -105,31 +105,31 @@
     }
 
     /// Notes how the attempt ended.
-    pub(crate) fn land(&self, landing: Landing) {
+    pub(crate) fn finish(&self, outcome: AttemptOutcome) {
         let now = self.shared.now();
         let mut endpoints = self.shared.endpoints.lock();
         let options = endpoints.outlier_options;
         let Some(row) = endpoints.get_mut(&self.endpoint) else {
             return;
         };
-        let is_changed = match landing {
-            Landing::Good => row.outlier.succeeded(&options),
-            Landing::Failed => row.outlier.failed(&options, now),
-            Landing::Unreachable => {
+        let is_changed = match outcome {
+            AttemptOutcome::Good => row.outlier.succeeded(&options),
+            AttemptOutcome::Failed => row.outlier.failed(&options, now),
+            AttemptOutcome::Unreachable => {
                 let was_ejected = row.outlier.is_ejected(now);
                 row.outlier.eject(&options, now);
                 !was_ejected
             }
         };
         let failure_rate = row.outlier.failure_rate();
-        if landing == Landing::Unreachable {
+        if outcome == AttemptOutcome::Unreachable {
             endpoints.unreachable(&self.endpoint, now);
         }
         drop(endpoints);
         if is_changed {
             self.shared.log.write(&Event::EndpointEjected {
                 endpoint: self.endpoint.to_string(),
-                is_ejected: landing != Landing::Good,
+                is_ejected: outcome != AttemptOutcome::Good,
                 failure_rate,
             });
         }
@@ -154,7 +154,7 @@
     );
 }
 
-impl Drop for Flight {
+impl Drop for InFlightAttempt {
     fn drop(&mut self) {
         let mut endpoints = self.shared.endpoints.lock();
         if let Some(row) = endpoints.get_mut(&self.endpoint) {
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -11,7 +11,7 @@
 mod durations;
 mod engine_news;
 mod entries;
-mod flight;
+mod in_flight;
 mod lease;
 mod next_step;
 mod orders;
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -136,7 +136,7 @@
     shared.budgets.set_daemons(count + 1);
     // One that follows the store itself soon hears the same from it.
     let patience = if follows {
-        shared.bounds.behind_patience()
+        shared.bounds.catch_up_delay()
     } else {
         DurationUs::ZERO
     };
@@ -270,10 +270,10 @@
         let mut stores = shared.part_stores.lock();
         // A hub hears of the stores from several; other daemons from their hub alone.
         if !shared.peers.plan.lock().is_hub(shared.settings.ip) {
-            stores.no_longer_told(&beacon.stores);
+            stores.forget_unreported(&beacon.stores);
         }
         let unknown = stores.told(&beacon.stores, now);
-        stores.told_kept(&beacon.kept);
+        stores.apply_kept_parts(&beacon.kept);
         unknown
     };
     let mut asked = shared.peers.asked_stores.lock();
@@ -307,7 +307,10 @@
     match ask::<Kept>(&shared, ip, &path).await {
         Ok(Some((epoch, kept))) => {
             let now = shared.now();
-            shared.part_stores.lock().told_all(store, epoch, &kept, now);
+            shared
+                .part_stores
+                .lock()
+                .apply_snapshot(store, epoch, &kept, now);
         }
         Ok(None) => {}
         Err(detail) => shared.log.write(&Event::Failure {
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -15,7 +15,7 @@
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
 use super::crashes::{note_answer_end, note_broken};
-use super::flight::Landing;
+use super::in_flight::AttemptOutcome;
 use super::next_step::NextStep;
 use super::request_body::HeldBody;
 use super::shared::Shared;
@@ -297,20 +297,20 @@
         let bytes = match timeout_at(until, whole).await {
             Ok(Ok(bytes)) => bytes,
             Ok(Err(error)) => {
-                flight.land(Landing::Failed);
+                flight.finish(AttemptOutcome::Failed);
                 return Err(Failure::of_exchange(&error));
             }
             Err(_) => {
-                flight.land(Landing::Failed);
+                flight.finish(AttemptOutcome::Failed);
                 return Err(Failure::new(FailureKind::Timeout, "the answer isn't whole"));
             }
         };
         if parts.status.is_success() {
             note_answer_end(shared, &self.call, placement, &parts.headers);
         }
-        flight.land(match parts.status.is_server_error() {
-            true => Landing::Failed,
-            false => Landing::Good,
+        flight.finish(match parts.status.is_server_error() {
+            true => AttemptOutcome::Failed,
+            false => AttemptOutcome::Good,
         });
         shared
             .metrics
@@ -337,18 +337,18 @@
         let frame = match timeout_at(until, opened.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) => {
-                opened.flight.land(Landing::Failed);
+                opened.flight.finish(AttemptOutcome::Failed);
                 return Err(Failure::new(FailureKind::Lost, error.to_string()));
             }
             Ok(None) => {
-                opened.flight.land(Landing::Failed);
+                opened.flight.finish(AttemptOutcome::Failed);
                 return Err(Failure::new(
                     FailureKind::Lost,
                     "the stream ended before an event",
                 ));
             }
             Err(_) => {
-                opened.flight.land(Landing::Failed);
+                opened.flight.finish(AttemptOutcome::Failed);
                 return Err(Failure::new(FailureKind::Timeout, "no first event"));
             }
         };
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -12,7 +12,7 @@
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
 use super::crashes::note_answer_end;
-use super::flight::Landing;
+use super::in_flight::AttemptOutcome;
 use super::next_step::NextStep;
 use super::routed::{Routed, keep_connection};
 use super::shared::Shared;
@@ -166,7 +166,7 @@
         let Some(opened) = self.opened.take() else {
             return;
         };
-        opened.flight.land(Landing::Good);
+        opened.flight.finish(AttemptOutcome::Good);
         if opened.parts.status.is_success() {
             let headers = &opened.parts.headers;
             note_answer_end(&self.shared, &self.routed.call, &self.placement, headers);
@@ -191,7 +191,7 @@
     /// neither's.
     async fn resume(&mut self, failure: Failure) -> Result<(), Code> {
         let opened = self.opened.take().ok_or(Code::StreamIncomplete)?;
-        opened.flight.land(Landing::Failed);
+        opened.flight.finish(AttemptOutcome::Failed);
         drop(opened);
         let placement = self.placement.clone();
         self.routed
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -35,7 +35,7 @@
     let mut is_history_gone = true;
     let mut is_first = true;
     loop {
-        if hears_instead(&shared, role) {
+        if relies_on_gossip(&shared, role) {
             tokio::time::sleep(ROLE_INTERVAL).await;
             continue;
         }
@@ -77,7 +77,7 @@
 ///
 /// In a large fleet few ask: each change would else cost a call of every daemon, and the store's
 /// rates grow more slowly than fleets do.
-fn hears_instead(shared: &Shared, role: ObjectRole) -> bool {
+fn relies_on_gossip(shared: &Shared, role: ObjectRole) -> bool {
     let is_listed = shared.watches.of(role).lock().is_listed;
     let me = shared.settings.ip;
     if !is_listed || shared.peers.follows_stores() {
@@ -115,7 +115,7 @@
     let (after, wait) = next_watch(shared, role, asked_at);
     let watched = tokio::select! {
         watched = shared.borders.store.watch(role, after, wait) => watched,
-        () = nothing_is_confirmed(shared, role, asked_at) => Err(unconfirmed()),
+        () = confirmation_overdue(shared, role, asked_at) => Err(unconfirmed()),
     };
     count(shared, role, watched.is_ok());
     let watched = watched?;
@@ -156,7 +156,7 @@
 }
 
 /// Waits until it is this daemon's turn to ask anew because nobody confirms any more what is known.
-async fn nothing_is_confirmed(shared: &Shared, role: ObjectRole, asked_at: TimeUs) {
+async fn confirmation_overdue(shared: &Shared, role: ObjectRole, asked_at: TimeUs) {
     let limits = shared.bounds.staleness(role);
     loop {
         let now = shared.now();
--- a/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -43,7 +43,7 @@
         },
     ];
     for case in cases {
-        let mut table = EndpointTable::default().with_last_resort(ms(1_000));
+        let mut table = EndpointTable::default().with_drain_fallback(ms(1_000));
         table.registered(engine("a"), TimeUs::ZERO);
         table.unregistered(&id("a").id, case.absence, at_ms(1_000));
         assert!(
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -266,7 +266,9 @@
         let sees_it = table.sighting(me, true, now).alive.contains(&ip);
         assert_eq!(sees_it, case.is_named, "{}", case.name);
         if case.is_named {
-            let tells_on = table.freshly_told(now).any(|(entry, _)| entry.ip == ip);
+            let tells_on = table
+                .recently_gossiped(now)
+                .any(|(entry, _)| entry.ip == ip);
             assert!(tells_on, "{}", case.name);
             assert_eq!(table.count(now), 2, "{}", case.name);
         }
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -119,8 +119,8 @@
         old_weights_until: DurationUs,
         all_weights_within: DurationUs,
         first_age: DurationUs,
-        last_resort: DurationUs,
-        behind_patience: DurationUs,
+        drain_fallback: DurationUs,
+        catch_up_delay: DurationUs,
         watch_wait: Duration,
         /// For the configuration: confirmed again at, final up to.
         staleness: (DurationUs, DurationUs),
@@ -131,8 +131,8 @@
             old_weights_until: ms(1_000),
             all_weights_within: ms(2_750),
             first_age: ms(250),
-            last_resort: ms(250),
-            behind_patience: DurationUs::new(62_500),
+            drain_fallback: ms(250),
+            catch_up_delay: DurationUs::new(62_500),
             watch_wait: Duration::from_millis(1_500),
             staleness: (ms(300), ms(450)),
         },
@@ -141,8 +141,8 @@
             old_weights_until: ms(2_000),
             all_weights_within: ms(5_500),
             first_age: ms(500),
-            last_resort: ms(500),
-            behind_patience: ms(125),
+            drain_fallback: ms(500),
+            catch_up_delay: ms(125),
             watch_wait: Duration::from_millis(3_000),
             staleness: (ms(500), ms(900)),
         },
@@ -151,8 +151,8 @@
             old_weights_until: ms(6_000),
             all_weights_within: ms(11_000),
             first_age: ms(3_000),
-            last_resort: ms(1_000),
-            behind_patience: ms(250),
+            drain_fallback: ms(1_000),
+            catch_up_delay: ms(250),
             watch_wait: Duration::from_millis(6_000),
             staleness: (ms(1_000), ms(1_800)),
         },
@@ -161,8 +161,8 @@
             old_weights_until: ms(14_000),
             all_weights_within: ms(22_000),
             first_age: ms(8_000),
-            last_resort: ms(2_000),
-            behind_patience: ms(500),
+            drain_fallback: ms(2_000),
+            catch_up_delay: ms(500),
             watch_wait: Duration::from_millis(6_000),
             staleness: (ms(2_000), ms(3_600)),
         },
@@ -181,8 +181,8 @@
             "{factor}"
         );
         assert_eq!(bounds.first_age(), case.first_age, "{factor}");
-        assert_eq!(bounds.last_resort(), case.last_resort, "{factor}");
-        assert_eq!(bounds.behind_patience(), case.behind_patience, "{factor}");
+        assert_eq!(bounds.drain_fallback(), case.drain_fallback, "{factor}");
+        assert_eq!(bounds.catch_up_delay(), case.catch_up_delay, "{factor}");
         assert_eq!(bounds.watch_wait(), case.watch_wait, "{factor}");
         let limits = bounds.staleness(ObjectRole::Configuration);
         let staleness = (limits.confirm_us, limits.final_us);
