--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -0,0 +1,178 @@
+//! Whether an endpoint may get a call now: evacuated zones, and endpoints right after their start.
+
+use std::collections::{BTreeSet, HashMap};
+
+use wisteriahitch_types::{AvailabilityZone, DurationUs, EndpointInstance, ServiceName, TimeUs};
+
+use super::cold_limit::ColdLimit;
+use super::cold_shares::{ColdShares, LONGEST_GAP_US};
+use super::endpoint_row::EndpointRow;
+use super::endpoint_table::EndpointTable;
+use super::evacuated_zones::ZoneChange;
+
+/// What cold endpoints of a service bear.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ServiceColdness {
+    /// Permits of each.
+    pub limit: ColdLimit,
+    /// How long one is cold after its start.
+    pub start_us: DurationUs,
+}
+
+/// How fresh the shares of permits are.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SharesAsOf {
+    known_at_us: TimeUs,
+    usable_at_us: Option<TimeUs>,
+}
+
+/// Says whether an endpoint may get a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may.
+    Open,
+    /// It is cold, and may get one under this permit.
+    Permit(usize),
+    /// It is cold, and may get none before this time.
+    Cold(TimeUs),
+    /// Its zone is evacuated.
+    Evacuated,
+}
+
+impl Admission {
+    /// Returns whether the endpoint may get a call now.
+    pub fn is_open(self) -> bool {
+        matches!(self, Admission::Open | Admission::Permit(_))
+    }
+}
+
+impl EndpointTable {
+    /// Takes over which zones are evacuated, and returns what has changed.
+    ///
+    /// Endpoints of a zone that may be used again count as cold from then on: operators restart them meanwhile, and
+    /// what they registered last may be older than that.
+    pub fn set_evacuated(
+        &mut self,
+        zones: BTreeSet<AvailabilityZone>,
+        now: TimeUs,
+    ) -> Vec<ZoneChange> {
+        let changes = self.evacuated.replace(zones);
+        for change in &changes {
+            if let ZoneChange::Restored(zone) = change {
+                self.assume_cold(zone, now);
+            }
+        }
+        changes
+    }
+
+    fn assume_cold(&mut self, zone: &AvailabilityZone, now: TimeUs) {
+        for row in self
+            .rows
+            .values_mut()
+            .filter(|row| row.endpoint.zone == *zone)
+        {
+            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
+                row.cold.assume_until(now + cold.start_us);
+            }
+        }
+    }
+
+    /// Takes over what cold endpoints of each service bear.
+    pub fn set_cold_limits(&mut self, limits: HashMap<ServiceName, ServiceColdness>) {
+        self.cold_limits = limits;
+    }
+
+    /// Takes over how many permits of each cold endpoint this daemon holds. To be called several times a second.
+    pub fn set_shares(&mut self, shares: &ColdShares, now: TimeUs) {
+        self.shares = Some(SharesAsOf {
+            known_at_us: now,
+            usable_at_us: shares.usable_at(),
+        });
+        for row in self.rows.values_mut().filter(|row| row.cold.is_cold(now)) {
+            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
+                let id = &row.endpoint.instance.id;
+                row.cold.share = shares.share(id, cold.limit.permits, now);
+            }
+        }
+    }
+
+    /// Returns how many endpoints are cold, for the metrics.
+    pub fn cold_count(&self, now: TimeUs) -> usize {
+        let is_cold = |row: &&EndpointRow| self.cold_limit(row, now).is_some();
+        self.rows.values().filter(is_cold).count()
+    }
+
+    /// Returns the limit that an endpoint is under; none where it isn't cold or the deployment has no bound.
+    fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&ColdLimit> {
+        let cold = self.cold_limits.get(&row.endpoint.service)?;
+        row.cold.is_cold(now).then_some(&cold.limit)
+    }
+
+    /// Says whether an endpoint may get a call now.
+    pub fn admission(&self, row: &EndpointRow, now: TimeUs) -> Admission {
+        if self.is_evacuated(row) {
+            return Admission::Evacuated;
+        }
+        let Some(limit) = self.cold_limit(row, now) else {
+            return Admission::Open;
+        };
+        let shares = self.fresh_shares(now);
+        if let Some(permit) = shares.and_then(|_| row.cold.free_permit(limit, now)) {
+            return Admission::Permit(permit);
+        }
+        let usable_at = shares.and_then(|shares| shares.usable_at_us);
+        let free_at = row
+            .cold
+            .next_free_at(limit)
+            .unwrap_or(now + limit.window_us);
+        let free_at = usable_at.map_or(row.cold.until_us, |usable_at| free_at.max(usable_at));
+        Admission::Cold(free_at.min(row.cold.until_us))
+    }
+
+    /// Returns as of when shares are known, unless that is too long ago to go by them.
+    fn fresh_shares(&self, now: TimeUs) -> Option<SharesAsOf> {
+        let is_fresh = |shares: &SharesAsOf| now.since(shares.known_at_us) <= LONGEST_GAP_US;
+        self.shares.filter(is_fresh)
+    }
+
+    /// Uses the permit under which a call was placed, so that no other call is placed under it.
+    pub fn use_permit(&mut self, instance: &EndpointInstance, permit: usize, now: TimeUs) {
+        if let Some(row) = self.get_mut(instance) {
+            row.cold.use_permit(permit, now);
+        }
+    }
+
+    /// Lists the evacuated zones.
+    pub fn evacuated(&self) -> impl Iterator<Item = &AvailabilityZone> {
+        self.evacuated.iter()
+    }
+
+    /// Returns whether an endpoint's zone is evacuated.
+    pub fn is_evacuated(&self, row: &EndpointRow) -> bool {
+        self.evacuated.contains(&row.endpoint.zone)
+    }
+
+    /// Returns whether a call that was placed at an endpoint may be sent there now, and counts it against the
+    /// endpoint's permits as of now: between placement and sending a connection may have been opened. An endpoint that
+    /// is no longer known gets it: nothing is held against it.
+    pub fn admits(
+        &mut self,
+        instance: &EndpointInstance,
+        permit: Option<usize>,
+        now: TimeUs,
+    ) -> bool {
+        let Some(row) = self.get(instance) else {
+            return true;
+        };
+        let permit = match (self.admission(row, now), permit) {
+            (Admission::Evacuated, _) => return false,
+            (Admission::Open, _) => return true,
+            (_, Some(permit)) if self.fresh_shares(now).is_some() => permit,
+            // It has turned cold since.
+            (Admission::Permit(permit), None) => permit,
+            _ => return false,
+        };
+        let row = self.get_mut(instance);
+        row.is_some_and(|row| row.cold.use_permit(permit, now))
+    }
+}
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -1,24 +1,23 @@
 //! Endpoints and which of their lives each one is in.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName,
-    ServiceName, TimeUs, WeightNumber,
+    DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
+    WeightNumber,
 };
 use wisteriahitch_wire::object_store::Revision;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backlog::Load;
-use super::beacon::PartNews;
-use super::cold_limit::{ColdLimit, ColdState};
-use super::cold_shares::{ColdShares, LONGEST_GAP_US};
+use super::cold_limit::ColdState;
+use super::endpoint_admission::{ServiceColdness, SharesAsOf};
+use super::endpoint_gossip::PeerLoad;
 use super::endpoint_row::{EndpointLife, EndpointRow};
-use super::evacuated_zones::{EvacuatedZones, ZoneChange};
+use super::evacuated_zones::EvacuatedZones;
 use super::link_paces::LinkPaces;
 use super::outlier::{Outlier, OutlierOptions};
-use super::parts::{EngineMemory, PartCache, PartKey, PartNamer};
-use crate::border::PartEvent;
+use super::parts::PartCache;
 use crate::site::Endpoint;
 
 /// Time after the store's return within which endpoints that live have registered again.
@@ -28,32 +27,9 @@
 /// platform promises two seconds; the rest covers the way of the news.
 pub(crate) const REGISTER_AGAIN_US: DurationUs = DurationUs::from_ms(2_300);
 
-/// Time after which what a peer told of its load no longer counts.
-const PEER_LOAD_LIFE_US: DurationUs = DurationUs::from_ms(1_000);
-
-/// Daemons that must have failed to connect to an endpoint before it is suspected by all.
-const MIN_WITNESSES: usize = 2;
-
-/// How long a failure to connect counts as evidence: some messages, so that others hear of it.
-const EVIDENCE_LIFE_US: DurationUs = DurationUs::from_ms(1_200);
-
-/// How long an endpoint is suspected after the last evidence was weighed. Then calls try it again.
-const VERDICT_LIFE_US: DurationUs = DurationUs::from_ms(800);
-
 /// Weights that are taken for the memory of an engine which doesn't say how much it has.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
-/// What a peer told of its load.
-#[derive(Debug)]
-struct PeerLoad {
-    told_at_us: TimeUs,
-    loads: HashMap<u32, Load>,
-    /// Endpoints that it says an order keeps from taking requests.
-    reserved: HashSet<u32>,
-    /// Endpoints that it couldn't connect to lately.
-    unreachable: HashSet<u32>,
-}
-
 /// Says how much an absence from the store means.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Absence {
@@ -106,57 +82,21 @@
     Displaced(EndpointInstance),
 }
 
-/// What cold endpoints of a service bear.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct ServiceColdness {
-    /// Permits of each.
-    pub limit: ColdLimit,
-    /// How long one is cold after its start.
-    pub start_us: DurationUs,
-}
-
-/// How fresh the shares of permits are.
-#[derive(Clone, Copy, Debug)]
-struct SharesAsOf {
-    known_at_us: TimeUs,
-    usable_at_us: Option<TimeUs>,
-}
-
-/// Says whether an endpoint may get a call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Admission {
-    /// It may.
-    Open,
-    /// It is cold, and may get one under this permit.
-    Permit(usize),
-    /// It is cold, and may get none before this time.
-    Cold(TimeUs),
-    /// Its zone is evacuated.
-    Evacuated,
-}
-
-impl Admission {
-    /// Returns whether the endpoint may get a call now.
-    pub fn is_open(self) -> bool {
-        matches!(self, Admission::Open | Admission::Permit(_))
-    }
-}
-
 /// All endpoints of the site.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    rows: BTreeMap<EndpointId, EndpointRow>,
-    by_short_name: HashMap<u32, EndpointId>,
-    peer_loads: HashMap<Incarnation, PeerLoad>,
+    pub(super) rows: BTreeMap<EndpointId, EndpointRow>,
+    pub(super) by_short_name: HashMap<u32, EndpointId>,
+    pub(super) peer_loads: HashMap<Incarnation, PeerLoad>,
     /// Memory of the engines of each service, from the configuration.
-    memory_tokens: HashMap<ServiceName, u64>,
+    pub(super) memory_tokens: HashMap<ServiceName, u64>,
     /// Services that the configuration names.
-    services: HashSet<ServiceName>,
-    evacuated: EvacuatedZones,
+    pub(super) services: HashSet<ServiceName>,
+    pub(super) evacuated: EvacuatedZones,
     /// What cold endpoints of each service bear, where the deployment bounds it.
-    cold_limits: HashMap<ServiceName, ServiceColdness>,
+    pub(super) cold_limits: HashMap<ServiceName, ServiceColdness>,
     /// As of when the shares of cold endpoints' permits are known, and from when on those of the newest view may be used.
-    shares: Option<SharesAsOf>,
+    pub(super) shares: Option<SharesAsOf>,
     /// How fast parts come over the endpoints' and the stores' links.
     pub links: LinkPaces,
     /// Bounds of ejection.
@@ -164,7 +104,7 @@
     /// Time for which an endpoint that has left without a word still gets requests where its
     /// service has no other one. It goes on serving for a while, and a silent outage of the store
     /// that nobody has noticed looks the same.
-    drain_fallback_us: DurationUs,
+    pub(super) drain_fallback_us: DurationUs,
 }
 
 impl EndpointTable {
@@ -186,135 +126,6 @@
         self.memory_tokens = memory_tokens;
     }
 
-    /// Takes over which zones are evacuated, and returns what has changed.
-    ///
-    /// Endpoints of a zone that may be used again count as cold from then on: operators restart them meanwhile, and
-    /// what they registered last may be older than that.
-    pub fn set_evacuated(
-        &mut self,
-        zones: BTreeSet<AvailabilityZone>,
-        now: TimeUs,
-    ) -> Vec<ZoneChange> {
-        let changes = self.evacuated.replace(zones);
-        for change in &changes {
-            if let ZoneChange::Restored(zone) = change {
-                self.assume_cold(zone, now);
-            }
-        }
-        changes
-    }
-
-    fn assume_cold(&mut self, zone: &AvailabilityZone, now: TimeUs) {
-        for row in self
-            .rows
-            .values_mut()
-            .filter(|row| row.endpoint.zone == *zone)
-        {
-            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
-                row.cold.assume_until(now + cold.start_us);
-            }
-        }
-    }
-
-    /// Takes over what cold endpoints of each service bear.
-    pub fn set_cold_limits(&mut self, limits: HashMap<ServiceName, ServiceColdness>) {
-        self.cold_limits = limits;
-    }
-
-    /// Takes over how many permits of each cold endpoint this daemon holds. To be called several times a second.
-    pub fn set_shares(&mut self, shares: &ColdShares, now: TimeUs) {
-        self.shares = Some(SharesAsOf {
-            known_at_us: now,
-            usable_at_us: shares.usable_at(),
-        });
-        for row in self.rows.values_mut().filter(|row| row.cold.is_cold(now)) {
-            if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
-                let id = &row.endpoint.instance.id;
-                row.cold.share = shares.share(id, cold.limit.permits, now);
-            }
-        }
-    }
-
-    /// Returns how many endpoints are cold, for the metrics.
-    pub fn cold_count(&self, now: TimeUs) -> usize {
-        let is_cold = |row: &&EndpointRow| self.cold_limit(row, now).is_some();
-        self.rows.values().filter(is_cold).count()
-    }
-
-    /// Returns the limit that an endpoint is under; none where it isn't cold or the deployment has no bound.
-    fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&ColdLimit> {
-        let cold = self.cold_limits.get(&row.endpoint.service)?;
-        row.cold.is_cold(now).then_some(&cold.limit)
-    }
-
-    /// Says whether an endpoint may get a call now.
-    pub fn admission(&self, row: &EndpointRow, now: TimeUs) -> Admission {
-        if self.is_evacuated(row) {
-            return Admission::Evacuated;
-        }
-        let Some(limit) = self.cold_limit(row, now) else {
-            return Admission::Open;
-        };
-        let shares = self.fresh_shares(now);
-        if let Some(permit) = shares.and_then(|_| row.cold.free_permit(limit, now)) {
-            return Admission::Permit(permit);
-        }
-        let usable_at = shares.and_then(|shares| shares.usable_at_us);
-        let free_at = row
-            .cold
-            .next_free_at(limit)
-            .unwrap_or(now + limit.window_us);
-        let free_at = usable_at.map_or(row.cold.until_us, |usable_at| free_at.max(usable_at));
-        Admission::Cold(free_at.min(row.cold.until_us))
-    }
-
-    /// Returns as of when shares are known, unless that is too long ago to go by them.
-    fn fresh_shares(&self, now: TimeUs) -> Option<SharesAsOf> {
-        let is_fresh = |shares: &SharesAsOf| now.since(shares.known_at_us) <= LONGEST_GAP_US;
-        self.shares.filter(is_fresh)
-    }
-
-    /// Uses the permit under which a call was placed, so that no other call is placed under it.
-    pub fn use_permit(&mut self, instance: &EndpointInstance, permit: usize, now: TimeUs) {
-        if let Some(row) = self.get_mut(instance) {
-            row.cold.use_permit(permit, now);
-        }
-    }
-
-    /// Lists the evacuated zones.
-    pub fn evacuated(&self) -> impl Iterator<Item = &AvailabilityZone> {
-        self.evacuated.iter()
-    }
-
-    /// Returns whether an endpoint's zone is evacuated.
-    pub fn is_evacuated(&self, row: &EndpointRow) -> bool {
-        self.evacuated.contains(&row.endpoint.zone)
-    }
-
-    /// Returns whether a call that was placed at an endpoint may be sent there now, and counts it against the
-    /// endpoint's permits as of now: between placement and sending a connection may have been opened. An endpoint that
-    /// is no longer known gets it: nothing is held against it.
-    pub fn admits(
-        &mut self,
-        instance: &EndpointInstance,
-        permit: Option<usize>,
-        now: TimeUs,
-    ) -> bool {
-        let Some(row) = self.get(instance) else {
-            return true;
-        };
-        let permit = match (self.admission(row, now), permit) {
-            (Admission::Evacuated, _) => return false,
-            (Admission::Open, _) => return true,
-            (_, Some(permit)) if self.fresh_shares(now).is_some() => permit,
-            // It has turned cold since.
-            (Admission::Permit(permit), None) => permit,
-            _ => return false,
-        };
-        let row = self.get_mut(instance);
-        row.is_some_and(|row| row.cold.use_permit(permit, now))
-    }
-
     /// Returns whether the configuration names an endpoint's service. A registration with another
     /// one names nothing that can be used or given orders.
     pub fn has_known_service(&self, row: &EndpointRow) -> bool {
@@ -523,215 +334,10 @@
             .filter_map(|id| self.remove(id))
             .map(|row| EndpointChange::Gone(row.endpoint.instance))
             .collect();
-        let is_old = |load: &PeerLoad| now.since(load.told_at_us) > PEER_LOAD_LIFE_US;
-        let old: Vec<Incarnation> = self
-            .peer_loads
-            .iter()
-            .filter(|(_, load)| is_old(load))
-            .map(|(peer, _)| *peer)
-            .collect();
-        for peer in old {
-            self.peer_load(peer, HashMap::new(), now);
-            self.peer_loads.remove(&peer);
-        }
+        self.forget_silent_peers(now);
         gone
     }
 
-    /// Takes over what a peer has sent to endpoints.
-    pub fn peer_load(&mut self, peer: Incarnation, loads: HashMap<u32, Load>, now: TimeUs) {
-        let old = self.peer_loads.remove(&peer);
-        let reserved = old.as_ref().map(|old| old.reserved.clone());
-        let unreachable = old.as_ref().map(|old| old.unreachable.clone());
-        for (hash, load) in old.iter().flat_map(|old| &old.loads) {
-            if let Some(row) = self.row_by_short_name(*hash) {
-                row.peers.sub(*load);
-            }
-        }
-        for (hash, load) in &loads {
-            if let Some(row) = self.row_by_short_name(*hash) {
-                row.peers.add(*load);
-            }
-        }
-        let told = PeerLoad {
-            told_at_us: now,
-            loads,
-            reserved: reserved.unwrap_or_default(),
-            unreachable: unreachable.unwrap_or_default(),
-        };
-        self.peer_loads.insert(peer, told);
-    }
-
-    /// Takes over which endpoints a peer says an order keeps from taking requests until `until`, and
-    /// returns whether one of them is new.
-    ///
-    /// One that it no longer names is free at once, unless another peer still names it: engines with
-    /// new weights are the ones that are missed most, and each was idle until the time was over.
-    pub fn peer_reserved(
-        &mut self,
-        peer: Incarnation,
-        reserved: HashSet<u32>,
-        until: TimeUs,
-        now: TimeUs,
-    ) -> bool {
-        let mut is_new = false;
-        for hash in &reserved {
-            is_new |= self.reserve(*hash, until, now);
-        }
-        let Some(told) = self.peer_loads.get_mut(&peer) else {
-            return is_new;
-        };
-        let before = std::mem::replace(&mut told.reserved, reserved);
-        for hash in before {
-            let mut peers = self.peer_loads.values();
-            if peers.any(|told| told.reserved.contains(&hash)) {
-                continue;
-            }
-            if let Some(row) = self.row_by_short_name(hash) {
-                row.reserved_until_us = row.reserved_until_us.min(now);
-            }
-        }
-        is_new
-    }
-
-    /// Returns what a peer has sent, by the endpoints' short names.
-    pub fn load_of(&self, peer: Incarnation) -> Option<&HashMap<u32, Load>> {
-        self.peer_loads.get(&peer).map(|told| &told.loads)
-    }
-
-    /// Notes that an endpoint with this short name has read a part; one of no tokens is gone.
-    pub fn has_part(&mut self, hash: u32, key: PartKey, tokens: u64, now: TimeUs) {
-        if let Some(row) = self.row_by_short_name(hash) {
-            match tokens {
-                0 => row.parts.evicted(key),
-                _ => row.parts.used(key, tokens, now),
-            };
-        }
-    }
-
-    /// Notes that this daemon couldn't connect to an endpoint.
-    pub fn unreachable(&mut self, instance: &EndpointInstance, now: TimeUs) {
-        if let Some(row) = self.get_mut(instance) {
-            row.unreachable_until_us = now + EVIDENCE_LIFE_US;
-            let short_name = row.short_name;
-            self.weigh_evidence(short_name, now);
-        }
-    }
-
-    /// Takes over which endpoints a peer couldn't connect to lately. `is_verdict` says that the peer has
-    /// weighed what several daemons said.
-    pub fn peer_unreachable(
-        &mut self,
-        peer: Incarnation,
-        unreachable: HashSet<u32>,
-        is_verdict: bool,
-        now: TimeUs,
-    ) {
-        for short_name in unreachable.iter().filter(|_| is_verdict) {
-            if let Some(row) = self.row_by_short_name(*short_name) {
-                row.suspected_until_us = now + VERDICT_LIFE_US;
-            }
-        }
-        let Some(told) = self.peer_loads.get_mut(&peer) else {
-            return;
-        };
-        told.unreachable.clone_from(&unreachable);
-        for short_name in unreachable {
-            self.weigh_evidence(short_name, now);
-        }
-    }
-
-    /// Suspects an endpoint that two daemons couldn't connect to.
-    ///
-    /// Load pattern: engines fall silent, and each daemon of a large fleet finds out about each of them by
-    /// a call that waits for nothing. One daemon alone may itself be cut off; so may two, but then the
-    /// others lose at most what those two can't reach, and where all are suspected none counts as such.
-    fn weigh_evidence(&mut self, short_name: u32, now: TimeUs) {
-        let peers = self.peer_loads.values();
-        let peers = peers.filter(|told| told.unreachable.contains(&short_name));
-        let peers = peers.take(MIN_WITNESSES).count();
-        let Some(row) = self.row_by_short_name(short_name) else {
-            return;
-        };
-        let own = usize::from(row.unreachable_until_us > now);
-        if peers + own >= MIN_WITNESSES {
-            row.weighed_until_us = now + VERDICT_LIFE_US;
-            row.suspected_until_us = now + VERDICT_LIFE_US;
-        }
-    }
-
-    /// Takes over what an engine tells of its memory, and returns what is news to the other daemons.
-    pub fn part_events(
-        &mut self,
-        instance: &EndpointInstance,
-        events: &[PartEvent],
-        until: TimeUs,
-        now: TimeUs,
-    ) -> Vec<PartNews> {
-        let Some(row) = self.get_mut(instance) else {
-            return Vec::new();
-        };
-        row.followed_until_us = until;
-        let mut news = Vec::new();
-        for event in events {
-            let part = &event.part;
-            let key = PartNamer::new(&part.model, &part.scope).key(part.id);
-            let tokens = if event.is_kept { part.tokens.get() } else { 0 };
-            let is_news = match event.is_kept {
-                true => row.parts.kept(key, tokens, now),
-                false => row.parts.evicted(key),
-            };
-            if is_news {
-                news.push(PartNews {
-                    endpoint: row.short_name,
-                    part: key.0,
-                    tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
-                });
-            }
-        }
-        news
-    }
-
-    /// Notes until when somebody follows an engine's memory, as a peer tells.
-    pub fn followed(&mut self, short_name: u32, until: TimeUs) {
-        if let Some(row) = self.row_by_short_name(short_name) {
-            row.followed_until_us = row.followed_until_us.max(until);
-        }
-    }
-
-    /// Lists which parts engines are believed to keep, for a daemon that has just started.
-    pub fn engine_memory(&self, now: TimeUs) -> Vec<EngineMemory> {
-        let rows = self.rows.values().filter(|row| !row.parts.is_empty());
-        let memory = rows.map(|row| EngineMemory {
-            endpoint: row.short_name,
-            parts: row.parts.newest(now),
-        });
-        memory.collect()
-    }
-
-    /// Takes over which parts engines keep, from a daemon that has been there for longer.
-    pub fn take_over(&mut self, memory: &[EngineMemory], now: TimeUs) {
-        for engine in memory {
-            let Some(row) = self.row_by_short_name(engine.endpoint) else {
-                continue;
-            };
-            // The oldest first, so that the order of last uses is theirs.
-            for part in engine.parts.iter().rev() {
-                row.parts.take_over(part, now);
-            }
-        }
-    }
-
-    /// Notes that an order keeps an endpoint from taking requests until `until`, and returns
-    /// whether that is new.
-    pub fn reserve(&mut self, hash: u32, until: TimeUs, now: TimeUs) -> bool {
-        let Some(row) = self.row_by_short_name(hash) else {
-            return false;
-        };
-        let is_new = row.reserved_until_us <= now;
-        row.reserved_until_us = row.reserved_until_us.max(until);
-        is_new
-    }
-
     /// Notes the weights that an endpoint was seen with; they never go back within its life.
     pub fn saw_weights(
         &mut self,
@@ -885,7 +491,7 @@
         }
     }
 
-    fn row_by_short_name(&mut self, short_name: u32) -> Option<&mut EndpointRow> {
+    pub(super) fn row_by_short_name(&mut self, short_name: u32) -> Option<&mut EndpointRow> {
         let id = self.by_short_name.get(&short_name)?;
         self.rows.get_mut(id)
     }
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -10,8 +10,9 @@
 use rand::{Rng, RngExt};
 use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber};
 
+use super::endpoint_admission::Admission;
 use super::endpoint_row::{EndpointLife, EndpointRow};
-use super::endpoint_table::{Admission, EndpointTable};
+use super::endpoint_table::EndpointTable;
 use super::offer::{Homes, MainFetch, Offer, offer};
 use super::overload::retry_after;
 use super::part_sources::PartSources;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -26,10 +26,9 @@
 pub use decide::cold_limit::{ColdBound, ColdLimit, ColdState};
 pub use decide::cold_shares::{ColdShares, Sighting};
 pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
+pub use decide::endpoint_admission::{Admission, ServiceColdness};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
-pub use decide::endpoint_table::{
-    Absence, Admission, EndpointChange, EndpointTable, Registration, ServiceColdness,
-};
+pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
