--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -104,8 +104,11 @@
 
     /// Returns the limit that an endpoint is under; none where it isn't cold or the deployment has no bound.
     fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&ColdLimit> {
+        if !row.cold.is_cold(now) {
+            return None;
+        }
         let cold = self.cold_limits.get(&row.endpoint.service)?;
-        row.cold.is_cold(now).then_some(&cold.limit)
+        Some(&cold.limit)
     }
 
     /// Says whether an endpoint may get a call now.
