fix(relay): callers come back to a cold service when a permit is really free

Refused again at the time it was told. A permit counts from 3.5 s after the view of the members began, but a daemon worked out its permits only at its next look, up to 0.2 s later; the spread of the time told hid this most times. Sent away for 60 s, until the endpoint is warm, by a daemon that hadn't read yet who is registered. It may have permits 3.5 s later; this is what it tells now.

Ruled out: a stall of the process (a gap of 0.7 s between looks), since single runs show it too and the failing runs lie within the look's 0.2 s; a change of the view, there is one daemon. Why this holds: a share is in force from its view's time on whether or not a look falls on it, and gets no older than before (0.7 s).

--- a/crates/wisteriahitch-relay/src/decide/cold_limit.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_limit.rs
@@ -74,8 +74,10 @@
     pub until_us: TimeUs,
     /// Until when it is taken to be cold, whatever it says.
     assumed_until_us: TimeUs,
-    /// How many of its permits this daemon holds.
+    /// How many of its permits this daemon may use.
     pub share: u32,
+    /// How many it may use from a time on, and that time.
+    pub later_share: Option<(TimeUs, u32)>,
     /// When each permit that this daemon holds was last used.
     used_at_us: Vec<Option<TimeUs>>,
 }
@@ -107,19 +109,26 @@
 
     /// Returns the first permit that may be used now.
     pub fn free_permit(&self, limit: &ColdLimit, now: TimeUs) -> Option<usize> {
-        (0..self.share as usize).find(|permit| self.free_at(*permit, limit) <= now)
+        (0..self.share_at(now)).find(|permit| self.free_at(*permit, limit) <= now)
     }
 
     /// Returns when the next permit may be used; none where this daemon holds none.
     pub fn next_free_at(&self, limit: &ColdLimit) -> Option<TimeUs> {
-        (0..self.share as usize)
-            .map(|permit| self.free_at(permit, limit))
-            .min()
+        let now_held = (0..self.share as usize).map(|permit| self.free_at(permit, limit));
+        let later = self.later_share.iter().flat_map(|(usable_at, share)| {
+            (0..*share as usize).map(|permit| self.free_at(permit, limit).max(*usable_at))
+        });
+        now_held.chain(later).min()
+    }
+
+    fn share_at(&self, now: TimeUs) -> usize {
+        let later = self.later_share.filter(|(usable_at, _)| *usable_at <= now);
+        later.map_or(self.share, |(_, share)| share) as usize
     }
 
     /// Uses a permit, or renews its use when the call's bytes leave. Returns whether this daemon still holds it.
     pub fn use_permit(&mut self, permit: usize, now: TimeUs) -> bool {
-        if permit >= self.share as usize {
+        if permit >= self.share_at(now) {
             return false;
         }
         if self.used_at_us.len() <= permit {
--- a/crates/wisteriahitch-relay/src/decide/cold_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_shares.rs
@@ -21,7 +21,7 @@
 /// Time for which a daemon must have held a permit before it uses it: the most by which daemons differ in learning that
 /// a member is gone (0.9 s after its last message, or 2.7 s through a hub) and that one is there (0.6 s), and the
 /// window of a permit.
-const HOLD_US: DurationUs = DurationUs::from_ms(3_500);
+pub(crate) const HOLD_US: DurationUs = DurationUs::from_ms(3_500);
 
 /// Time for which a member that has fallen silent still counts as one of all.
 const MEMORY_US: DurationUs = DurationUs::from_ms(60_000);
@@ -111,6 +111,15 @@
         shares.min().unwrap_or(0)
     }
 
+    /// Returns how many of an endpoint's permits this daemon may use from [`Self::usable_at`] on, unless its view of the
+    /// members changes before.
+    pub fn later_share(&self, endpoint: &EndpointId, permits: u32) -> u32 {
+        let rank = Rendezvous::new("cold", endpoint.as_str());
+        self.views
+            .back()
+            .map_or(0, |view| self.share_in(view, &rank, permits))
+    }
+
     /// Returns when the permits of the newest view may be used; none where it gives none.
     pub fn usable_at(&self) -> Option<TimeUs> {
         let newest = self.views.back()?;
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -5,7 +5,7 @@
 use wisteriahitch_types::{AvailabilityZone, DurationUs, EndpointInstance, ServiceName, TimeUs};
 
 use super::cold_limit::ColdLimit;
-use super::cold_shares::{ColdShares, LONGEST_GAP_US};
+use super::cold_shares::{ColdShares, HOLD_US, LONGEST_GAP_US};
 use super::endpoint_row::EndpointRow;
 use super::endpoint_table::EndpointTable;
 use super::evacuated_zones::ZoneChange;
@@ -91,7 +91,11 @@
         for row in self.rows.values_mut().filter(|row| row.cold.is_cold(now)) {
             if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
                 let id = &row.endpoint.instance.id;
-                row.cold.share = shares.share(id, cold.limit.permits, now);
+                let permits = cold.limit.permits;
+                row.cold.share = shares.share(id, permits, now);
+                row.cold.later_share = shares
+                    .usable_at()
+                    .map(|usable_at| (usable_at, shares.later_share(id, permits)));
             }
         }
     }
@@ -124,12 +128,13 @@
             return Admission::Permit(permit);
         }
         let usable_at = shares.and_then(|shares| shares.usable_at_us);
+        // Without a view of the members, one may begin now at the earliest.
+        let usable_at = usable_at.unwrap_or(now + HOLD_US);
         let free_at = row
             .cold
             .next_free_at(limit)
             .unwrap_or(now + limit.window_us);
-        let free_at = usable_at.map_or(row.cold.until_us, |usable_at| free_at.max(usable_at));
-        Admission::Cold(free_at.min(row.cold.until_us))
+        Admission::Cold(free_at.max(usable_at).min(row.cold.until_us))
     }
 
     /// Returns as of when shares are known, unless that is too long ago to go by them.
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -156,6 +156,53 @@
     assert_eq!(daemon.send_all(at_ms(6_020)), 8);
 }
 
+/// Guards against a caller that comes back at the time it was told and is sent away again, since the daemon hasn't
+/// looked at the members in that moment.
+#[test]
+fn permits_are_good_from_the_time_that_was_told() {
+    struct Case {
+        looked_at: u64,
+        told_at: u64,
+    }
+    let cases = [
+        Case {
+            looked_at: 300,
+            told_at: 300,
+        },
+        Case {
+            looked_at: 3_200,
+            told_at: 3_200,
+        },
+        Case {
+            looked_at: 3_500,
+            told_at: 3_550,
+        },
+    ];
+    for case in cases {
+        let mut daemon = Daemon::alone(at_ms(case.looked_at));
+        daemon.registered(60_000, 1, at_ms(case.looked_at));
+        let Admission::Cold(free_at) = daemon.admission(at_ms(case.told_at)) else {
+            panic!("it has just started");
+        };
+        assert_eq!(free_at, at_ms(3_600));
+        let mut at = at_ms(case.looked_at);
+        while at + ms(150) < free_at {
+            at = at + ms(150);
+            daemon.look(at);
+        }
+        assert_eq!(daemon.send_all(free_at), 8, "{}", case.told_at);
+    }
+}
+
+/// Guards against a caller that is sent away until the endpoint is warm, by a daemon that hasn't read yet who is
+/// registered and may use permits long before.
+#[test]
+fn a_daemon_that_has_just_started_tells_when_it_may_have_permits() {
+    let mut daemon = Daemon::alone(at_ms(0));
+    daemon.registered(60_000, 1, at_ms(50));
+    assert_eq!(daemon.admission(at_ms(50)), Admission::Cold(at_ms(3_550)));
+}
+
 /// Guards against a call that waits for its connection and is counted at its placement alone.
 #[test]
 fn a_call_counts_from_when_its_bytes_leave() {
