fix(relay): an endpoint that is just ending is looked at again

Reproduced by running the test itself, 40 at a time: 5 of 80, 8 of 120.

Cause, from the daemons' logs: after the third end no daemon knew of the crash until the runner had registered again, 0.8 s later (proof "replaced"), and the repeat met a fourth runner in between. The look at the address right after the break had met "Connection reset by peer": the system had accepted the connection for a listener that closed before the daemon looked. That counted as an error of which nobody can tell, and no further look followed. With the look's result logged, 4 of 4 failing runs in 80 show this error, and no passing one.

Ruled out: the time between two looks at one life (the runner's only break); a connection that is accepted and stays open for 0.1 s (not seen in any run).

Why this mend holds: the reset says that the process has just stopped listening; the next look, 25 ms later, is refused, which is the proof. A reset by anything else costs four more looks and concludes nothing, as before. What an error says is now decided apart from the connection, in a table of its own.

--- a/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/src/decide/crash_evidence.rs
@@ -6,6 +6,7 @@
 //! the word of another daemon.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 
 use wisteriahitch_types::{DurationUs, TimeUs};
 
@@ -37,6 +38,28 @@
     Unknown,
 }
 
+/// Says what a connection that can't be opened tells of the process at an endpoint's address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ConnectFailure {
+    /// No process listens there.
+    Gone,
+    /// A process has just stopped listening: the system had accepted the connection for it and took it back.
+    Ending,
+    /// It may be the link.
+    Unknown,
+}
+
+impl ConnectFailure {
+    /// Concludes from the error of the connection.
+    pub fn of(error: ErrorKind) -> Self {
+        match error {
+            ErrorKind::ConnectionRefused => Self::Gone,
+            ErrorKind::ConnectionReset => Self::Ending,
+            _ => Self::Unknown,
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Life {
     /// Calls that broke, and when.
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -25,7 +25,7 @@
 };
 pub use decide::cold_limit::{ColdBound, ColdLimit, ColdState};
 pub use decide::cold_shares::{ColdShares, Sighting};
-pub use decide::crash_evidence::{BreakMeaning, CrashEvidence};
+pub use decide::crash_evidence::{BreakMeaning, ConnectFailure, CrashEvidence};
 pub use decide::endpoint_admission::{Admission, ServiceColdness};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -1,6 +1,5 @@
 //! Finding out whether an endpoint crashed with calls on board, and what that says of them.
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +15,7 @@
 use super::blocked_requests::{BlockSource, UnblockReason, note_blocked, note_unblocked};
 use super::shared::Shared;
 use crate::decide::beacon::RequestNews;
-use crate::decide::crash_evidence::BreakMeaning;
+use crate::decide::crash_evidence::{BreakMeaning, ConnectFailure};
 use crate::decide::endpoint_row::EndpointLife;
 use crate::decide::endpoint_table::life_name;
 use crate::decide::placement::Placement;
@@ -97,27 +96,27 @@
 /// between, it would be known to have crashed only when it is back, and the request would end another one
 /// meanwhile; one would notice by `replaced` as the proof of every crash.
 async fn look(shared: Arc<Shared>, endpoint: EndpointInstance, address: SocketAddr) {
-    let is_refused = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
     let life = life_name(&endpoint);
     for _ in 0..MAX_LOOKS {
         if shared.crash_evidence.lock().has_crashed(life) {
             return;
         }
         let looked_at = shared.now();
-        match timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await {
-            Ok(Ok(connection)) => {
+        let Ok(opened) = timeout(LOOK_TIMEOUT, TcpStream::connect(address)).await else {
+            return;
+        };
+        match opened.map_err(|error| ConnectFailure::of(error.kind())) {
+            Ok(connection) => {
                 if !closes_soon(connection).await {
                     let mut evidence = shared.crash_evidence.lock();
                     return evidence.found_alive(life, looked_at);
                 }
-                tokio::time::sleep(LOOK_PAUSE).await;
-            }
-            Ok(Err(error)) if is_refused(&error) => {
-                return note_crash(&shared, &endpoint, Proof::Refused);
             }
-            // Nobody can tell.
-            _ => return,
+            Err(ConnectFailure::Gone) => return note_crash(&shared, &endpoint, Proof::Refused),
+            Err(ConnectFailure::Ending) => {}
+            Err(ConnectFailure::Unknown) => return,
         }
+        tokio::time::sleep(LOOK_PAUSE).await;
     }
 }
 
--- a/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
+++ b/crates/wisteriahitch-relay/tests/all/crash_evidence.rs
@@ -1,6 +1,8 @@
 //! What broken connections say of an endpoint, and what names a request.
 
-use wisteriahitch_relay::{BreakMeaning, CrashEvidence, RequestFingerprint};
+use std::io::ErrorKind;
+
+use wisteriahitch_relay::{BreakMeaning, ConnectFailure, CrashEvidence, RequestFingerprint};
 use wisteriahitch_types::WorkspaceId;
 
 use crate::fixture::{at_ms, ms};
@@ -140,3 +142,34 @@
     }
     assert_eq!(is.to_string().parse(), Ok(is));
 }
+
+/// Guards against a process that is just ending and is given up as one of which nobody can tell: its listener closes
+/// between the system's acceptance of a connection and the caller's look at it.
+#[test]
+fn a_process_that_is_ending_is_looked_at_again() {
+    struct Case {
+        error: ErrorKind,
+        means: ConnectFailure,
+    }
+    let cases = [
+        Case {
+            error: ErrorKind::ConnectionRefused,
+            means: ConnectFailure::Gone,
+        },
+        Case {
+            error: ErrorKind::ConnectionReset,
+            means: ConnectFailure::Ending,
+        },
+        Case {
+            error: ErrorKind::HostUnreachable,
+            means: ConnectFailure::Unknown,
+        },
+        Case {
+            error: ErrorKind::TimedOut,
+            means: ConnectFailure::Unknown,
+        },
+    ];
+    for case in cases {
+        assert_eq!(ConnectFailure::of(case.error), case.means);
+    }
+}
