fix(relay): an endpoint that starts again unread is cold before a call reaches it

What callers saw: an endpoint that started again under its id while the store was away got its usual load though it was cold, 374 to 380 requests in a second where 18 are allowed; a cold runner crashes at that.

Cause: coldness came from the registration alone. A daemon without open connections can't see a restart: idle connections close without a word, and the next one opens as if nothing had been.

Mend: a process can't take over another one's connections, so the life at the other end is settled once, when a connection is opened. Where endpoints tell their starts and the service states a limit, the new connection first asks for the start (the report, which needs no slot). Another start than the registered one, or none, makes the endpoint cold for the service's time; the call then needs a permit or goes elsewhere, and nothing of it has left. Why this holds: no call leaves on a connection whose process isn't known, however fast the restart, whoever has heard of it, with or without the store.

Ruled out: broken connections as the sign (tried before: not enough, and a reset link would make all endpoints cold); the epoch of an engine's memory (one daemon knows it, late, plain services have none). Cost: one report for each opened connection, there alone.

--- a/crates/wisteriahitch-relay/src/border/engine_control.rs
+++ b/crates/wisteriahitch-relay/src/border/engine_control.rs
@@ -8,6 +8,7 @@
 use wisteriahitch_types::{
     EndpointId, EndpointInstance, EndpointStart, FenceNumber, ModelName, WeightNumber,
 };
+use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::HttpError;
 
 /// What an engine reports of itself; it lags by some hundred milliseconds.
@@ -93,4 +94,12 @@
         address: SocketAddr,
         wait: Duration,
     ) -> Result<EngineReport, HttpError>;
+
+    /// Asks on an open connection for the start of the process at its other end; none where it tells none.
+    async fn start(
+        &self,
+        endpoint: &EndpointId,
+        connection: &mut Connection,
+        wait: Duration,
+    ) -> Result<Option<EndpointStart>, HttpError>;
 }
--- a/crates/wisteriahitch-relay/src/decide/cold_limit.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_limit.rs
@@ -5,7 +5,7 @@
 //! good for one call in a window, and each permit has one daemon ([`super::cold_shares`]).
 //! `docs/design/cold-endpoints.md` gives the reasons.
 
-use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_types::{DurationUs, EndpointStart, TimeUs};
 
 /// What a deployment allows beyond the rate that a service states.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -74,6 +74,8 @@
     pub until_us: TimeUs,
     /// Until when it is taken to be cold, whatever it says.
     assumed_until_us: TimeUs,
+    /// Start of the process that answered last, where it isn't the registered one or tells none.
+    other_start: Option<Option<EndpointStart>>,
     /// How many of its permits this daemon may use.
     pub share: u32,
     /// How many it may use from a time on, and that time.
@@ -107,6 +109,18 @@
         self.until_us = self.until_us.max(until_us);
     }
 
+    /// Notes the start of the process that answers there now, and returns whether it isn't known to be the one that
+    /// answered before.
+    pub(super) fn saw_start(
+        &mut self,
+        registered: Option<EndpointStart>,
+        seen: Option<EndpointStart>,
+    ) -> bool {
+        let known = self.other_start.unwrap_or(registered);
+        self.other_start = (seen != registered).then_some(seen);
+        seen.is_none() || seen != known
+    }
+
     /// Returns the first permit that may be used now.
     pub fn free_permit(&self, limit: &ColdLimit, now: TimeUs) -> Option<usize> {
         (0..self.share_at(now)).find(|permit| self.free_at(*permit, limit) <= now)
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use wisteriahitch_types::{AvailabilityZone, DurationUs, EndpointInstance, ServiceName, TimeUs};
+use wisteriahitch_types::{
+    AvailabilityZone, DurationUs, EndpointInstance, EndpointStart, ServiceName, TimeUs,
+};
 
 use super::cold_limit::ColdLimit;
 use super::cold_shares::{ColdShares, HOLD_US, LONGEST_GAP_US};
@@ -77,6 +79,43 @@
         }
     }
 
+    /// Returns whether a connection to an endpoint must first say which process is at its other end.
+    ///
+    /// One that has started again under its id is cold, and its registration may take seconds or, without the store,
+    /// minutes to be read. Where no start is told, an id names one process; where no limit is stated, it doesn't matter.
+    pub fn needs_start(&self, instance: &EndpointInstance) -> bool {
+        let row = self.get(instance).filter(|_| instance.start.is_some());
+        row.is_some_and(|row| self.cold_limits.contains_key(&row.endpoint.service))
+    }
+
+    /// Notes which start a process has told on a connection to an endpoint, and returns whether the endpoint counts as
+    /// cold since.
+    pub fn saw_start(
+        &mut self,
+        instance: &EndpointInstance,
+        seen: Option<EndpointStart>,
+        now: TimeUs,
+    ) -> bool {
+        let Some(row) = self.get(instance) else {
+            return false;
+        };
+        let Some(cold) = self.cold_limits.get(&row.endpoint.service).copied() else {
+            return false;
+        };
+        let Some(row) = self.get_mut(instance) else {
+            return false;
+        };
+        if !row.cold.saw_start(instance.start, seen) {
+            return false;
+        }
+        let was_cold = row.cold.is_cold(now);
+        row.cold.assume_until(now + cold.start_us);
+        if !was_cold {
+            row.cold.use_all(&cold.limit, now);
+        }
+        true
+    }
+
     /// Takes over what cold endpoints of each service bear.
     pub fn set_cold_limits(&mut self, limits: HashMap<ServiceName, ServiceColdness>) {
         self.cold_limits = limits;
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -59,6 +59,12 @@
         proof: &'static str,
         calls: usize,
     },
+    /// A process answers at an endpoint's address that has another start than the registered one, or tells none; the
+    /// endpoint counts as cold since.
+    EndpointRestartSeen {
+        endpoint: String,
+        start_unix_ms: Option<u64>,
+    },
     /// A request is sent to no endpoint any more, since endpoints crash under it.
     RequestBlocked {
         fingerprint: String,
@@ -206,6 +212,7 @@
             Event::StreamResumed { .. } => "stream_resumed",
             Event::EndpointChanged { .. } => "endpoint_changed",
             Event::EndpointCrashed { .. } => "endpoint_crashed",
+            Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
             Event::RequestBlocked { .. } => "request_blocked",
             Event::RequestUnblocked { .. } => "request_unblocked",
             Event::EndpointEjected { .. } => "endpoint_ejected",
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
-use wisteriahitch_types::{Code, DurationUs, TimeUs, WorkspaceId};
+use wisteriahitch_types::{Code, DurationUs, EndpointStart, TimeUs, WorkspaceId};
 use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
@@ -16,6 +16,7 @@
 use super::transfers::Transfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
 use crate::decide::placement::Placement;
+use crate::observe::Event;
 use crate::site::{AllowedZones, EngineTraits, RequestFingerprint};
 
 /// Longest wait for a connection to an endpoint. One takes some milliseconds; an opening packet
@@ -29,6 +30,10 @@
 /// The same for calls that may be repeated.
 const MAX_IDLE_REPEATABLE: Duration = Duration::from_millis(8_000);
 
+/// Connections that are opened at most until one stays open after its endpoint has told its start. Endpoints close
+/// some connections after an answer.
+const MAX_START_QUESTIONS: u32 = 3;
+
 /// What stays the same over all attempts at a call.
 pub(crate) struct Call {
     /// What the caller says of it.
@@ -243,16 +248,55 @@
     placement: &Placement,
     until: Instant,
 ) -> Result<Connection, Failure> {
-    let left = until.saturating_duration_since(Instant::now());
-    let wait = left.min(CONNECT_TIMEOUT);
-    let opened = Connection::open(placement.address, wait).await;
+    let needs_start = shared.endpoints.lock().needs_start(&placement.endpoint);
+    let opened = match needs_start {
+        true => connect_to_start(shared, placement, until).await,
+        false => Connection::open(placement.address, connect_wait(until)).await,
+    };
     opened.map_err(|error| {
         let label = ["failed"];
         shared.metrics.connections.with_label_values(&label).inc();
-        Failure::of_exchange(&error)
+        // Nothing of the call has left, whatever became of the question before it.
+        Failure::new(FailureKind::NotSent, error.detail())
     })
 }
 
+fn connect_wait(until: Instant) -> Duration {
+    let left = until.saturating_duration_since(Instant::now());
+    left.min(CONNECT_TIMEOUT)
+}
+
+/// Opens a connection and asks on it which process is at its other end, so that one which has started again unread is
+/// known to be cold before a call reaches it.
+async fn connect_to_start(
+    shared: &Shared,
+    placement: &Placement,
+    until: Instant,
+) -> Result<Connection, HttpError> {
+    let engines = &shared.borders.engines;
+    for _ in 0..MAX_START_QUESTIONS {
+        let mut connection = Connection::open(placement.address, connect_wait(until)).await?;
+        let (id, wait) = (&placement.endpoint.id, connect_wait(until));
+        let start = engines.start(id, &mut connection, wait).await?;
+        let now = shared.now();
+        let is_new = {
+            let mut endpoints = shared.endpoints.lock();
+            endpoints.saw_start(&placement.endpoint, start, now)
+        };
+        if is_new {
+            shared.log.write(&Event::EndpointRestartSeen {
+                endpoint: placement.endpoint.to_string(),
+                start_unix_ms: start.map(EndpointStart::unix_ms),
+            });
+        }
+        if connection.ready().await {
+            return Ok(connection);
+        }
+    }
+    let detail = "the connection is closed after each answer";
+    Err(HttpError::new(HttpErrorKind::NotSent, detail))
+}
+
 /// Builds the message; the time that is left is taken now, when its bytes leave.
 fn build_request(
     shared: &Shared,
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -9,7 +9,7 @@
     Admission, ColdBound, ColdLimit, ColdShares, Endpoint, EndpointTable, PartStores,
     PlacementRequest, ServiceColdness, Sighting, place,
 };
-use wisteriahitch_types::{Code, DurationUs, TimeUs};
+use wisteriahitch_types::{Code, DurationUs, EndpointInstance, EndpointStart, TimeUs};
 use wisteriahitch_wire::object_store::Revision;
 
 use crate::fixture::{CallSetting, at_ms, engine, id, ms, prompt, service};
@@ -313,6 +313,78 @@
     daemon.table.set_evacuated(BTreeSet::new(), at_ms(ms));
 }
 
+/// Guards against an endpoint that has started again under its id and counts as warm until its registration is read; and
+/// against one that counts as started again with each connection.
+#[test]
+fn a_process_with_another_start_is_cold() {
+    struct Case {
+        name: &'static str,
+        registered: Option<u64>,
+        /// Time, and the start that a process tells on a connection.
+        seen: &'static [(u64, Option<u64>)],
+        needs_start: bool,
+        cold_until: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "the registered one",
+            registered: Some(1),
+            seen: &[(5_000, Some(1)), (6_000, Some(1))],
+            needs_start: true,
+            cold_until: None,
+        },
+        Case {
+            name: "another one",
+            registered: Some(1),
+            seen: &[(5_000, Some(1)), (6_000, Some(2)), (7_000, Some(2))],
+            needs_start: true,
+            cold_until: Some(9_000),
+        },
+        Case {
+            name: "a third one",
+            registered: Some(1),
+            seen: &[(6_000, Some(2)), (7_000, Some(3)), (8_000, Some(3))],
+            needs_start: true,
+            cold_until: Some(10_000),
+        },
+        Case {
+            name: "one that tells none",
+            registered: Some(1),
+            seen: &[(6_000, None), (7_000, None)],
+            needs_start: true,
+            cold_until: Some(10_000),
+        },
+        Case {
+            name: "where no start is told, an id names one process",
+            registered: None,
+            seen: &[],
+            needs_start: false,
+            cold_until: None,
+        },
+    ];
+    for case in cases {
+        let mut daemon = Daemon::alone(at_ms(5_000));
+        let start = case.registered.map(EndpointStart::from_unix_ms);
+        let instance = EndpointInstance { start, ..id("a") };
+        let endpoint = Endpoint {
+            instance: instance.clone(),
+            ..engine("a")
+        };
+        daemon.table.registered(endpoint, at_ms(5_000));
+        assert_eq!(daemon.table.needs_start(&instance), case.needs_start);
+        for (ms, seen) in case.seen {
+            let seen = seen.map(EndpointStart::from_unix_ms);
+            daemon.table.saw_start(&instance, seen, at_ms(*ms));
+        }
+        let row = daemon.table.get(&instance).unwrap();
+        let until = case.cold_until.unwrap_or(5_000);
+        assert!(!row.cold.is_cold(at_ms(until)), "{}", case.name);
+        if case.cold_until.is_some() {
+            assert!(row.cold.is_cold(at_ms(until - 1)), "{}", case.name);
+        }
+    }
+}
+
 /// Guards against a herd at an endpoint that turns cold under its usual load, which no permit has counted.
 #[test]
 fn an_endpoint_that_turns_cold_gets_nothing_for_a_window() {
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -51,6 +51,7 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    address: SocketAddr,
     opened: Instant,
     keep: Duration,
 }
@@ -85,11 +86,17 @@
         Ok(Self {
             sender,
             driver: driver.abort_handle(),
+            address,
             opened: Instant::now(),
             keep: DEFAULT_KEEP,
         })
     }
 
+    /// Returns the address that it was opened to.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns for how long it has been open.
     pub fn age(&self) -> Duration {
         self.opened.elapsed()
@@ -100,6 +107,12 @@
         self.keep = keep.mul_f64(KEEP_SHARE);
     }
 
+    /// Waits until the next request can be sent after an answer was read to its end, and returns whether it can.
+    pub async fn ready(&mut self) -> bool {
+        let ready = timeout(READY_TIMEOUT, self.sender.ready()).await;
+        matches!(ready, Ok(Ok(())))
+    }
+
     /// Sends a request, whose URI is a path and a query, and waits for the head of its answer.
     ///
     /// # Errors
@@ -175,8 +188,7 @@
             if connection.sender.is_closed() {
                 continue;
             }
-            let ready = timeout(READY_TIMEOUT, connection.sender.ready()).await;
-            if matches!(ready, Ok(Ok(()))) {
+            if connection.ready().await {
                 return Some(connection);
             }
         }
