fix(relay): permits end with an endpoint's cold time

Found by reading: a daemon's share of an endpoint's permits was worked out only while the endpoint was cold, and stayed as it was then. One that turned cold again, after an evacuation say, got calls under a share of long ago until the next look at the members, up to 0.2 s later, though another daemon may hold those permits by now. With a share given up when the cold time is over, nobody uses a permit before it has been found out anew. Test of the decision, red before (8 calls where none is allowed).

--- a/crates/wisteriahitch-relay/src/decide/cold_limit.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_limit.rs
@@ -140,6 +140,12 @@
         later.map_or(self.share, |(_, share)| share) as usize
     }
 
+    /// Gives up all permits: whoever holds them when it turns cold again is found out anew.
+    pub(super) fn give_up_permits(&mut self) {
+        self.share = 0;
+        self.later_share = None;
+    }
+
     /// Uses a permit, or renews its use when the call's bytes leave. Returns whether this daemon still holds it.
     pub fn use_permit(&mut self, permit: usize, now: TimeUs) -> bool {
         if permit >= self.share_at(now) {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -127,7 +127,11 @@
             known_at_us: now,
             usable_at_us: shares.usable_at(),
         });
-        for row in self.rows.values_mut().filter(|row| row.cold.is_cold(now)) {
+        for row in self.rows.values_mut() {
+            if !row.cold.is_cold(now) {
+                row.cold.give_up_permits();
+                continue;
+            }
             if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
                 let id = &row.endpoint.instance.id;
                 let permits = cold.limit.permits;
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -79,6 +79,7 @@
 struct Daemon {
     table: EndpointTable,
     shares: ColdShares,
+    alive: BTreeSet<Ipv4Addr>,
 }
 
 impl Daemon {
@@ -87,6 +88,7 @@
         let mut daemon = Self {
             table: EndpointTable::default(),
             shares: ColdShares::new(ME, at_ms(0)),
+            alive: BTreeSet::from([ME]),
         };
         let coldness = ServiceColdness {
             limit: ColdLimit::new(8.8, BOUND),
@@ -104,7 +106,7 @@
 
     fn look(&mut self, now: TimeUs) {
         let sighting = Sighting {
-            alive: BTreeSet::from([ME]),
+            alive: self.alive.clone(),
             is_complete: true,
             ..Sighting::default()
         };
@@ -398,6 +400,24 @@
     assert_eq!(daemon.send_all(at_ms(6_020)), 8);
 }
 
+/// Guards against a permit of an earlier cold time that another daemon has held since.
+#[test]
+fn permits_end_with_the_cold_time() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    daemon.registered(1_000, 1, at_ms(5_000));
+    assert_eq!(daemon.send_all(at_ms(5_000)), 8);
+    let others = (2..12).map(|number| Ipv4Addr::new(10, 0, 0, number));
+    daemon.alive.extend(others);
+    let mut at = at_ms(6_000);
+    while at < at_ms(9_000) {
+        at = at + ms(100);
+        daemon.look(at);
+    }
+    // Nothing is looked up between the end of the evacuation and the next call.
+    restore(&mut daemon, 9_050);
+    assert_eq!(daemon.send_all(at_ms(9_050)), 0);
+}
+
 /// Guards against calls that were placed at a warm endpoint and are sent after it has turned cold.
 #[test]
 fn what_was_placed_before_needs_a_permit() {
