--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -5,7 +5,7 @@
 
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Absence, AllowedZones, Endpoint, EndpointTable, EngineTraits, KeptPart, Load, NewsPace,
+    Absence, AllowedZones, Endpoint, EndpointTable, EngineTraits, GossipPace, KeptPart, Load,
     PartChanges, PartEvent, PartKey, PartListing, PartNamer, PartStore, PartStores, Placement,
     PlacementRequest, PromptShape, Refusal, place,
 };
@@ -50,7 +50,7 @@
     incarnation: Incarnation,
     table: EndpointTable,
     stores: PartStores,
-    pub(super) pace: NewsPace,
+    pub(super) pace: GossipPace,
     untold_parts: Vec<(u32, PartKey, u64)>,
     duration_ms: f64,
     /// When its next message is due.
@@ -66,7 +66,7 @@
             incarnation: Incarnation::new(number as u64 + 1),
             table,
             stores: PartStores::default(),
-            pace: NewsPace::default(),
+            pace: GossipPace::default(),
             untold_parts: Vec::new(),
             duration_ms: FIRST_DURATION_MS,
             tell_at: TimeUs::ZERO,
--- a/crates/wisteriahitch-bench/src/fleet/plan.rs
+++ b/crates/wisteriahitch-bench/src/fleet/plan.rs
@@ -127,7 +127,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Policy {
     /// Whether long reads are told at once.
-    pub has_urgent_news: bool,
+    pub has_urgent_update: bool,
     /// Whether long queues are refused.
     pub has_refusals: bool,
 }
@@ -135,7 +135,7 @@
 impl Default for Policy {
     fn default() -> Self {
         Self {
-            has_urgent_news: true,
+            has_urgent_update: true,
             has_refusals: true,
         }
     }
--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -396,7 +396,7 @@
         });
         let daemon = call.daemon;
         let is_urgent = self.daemons[daemon].sent(&placement.endpoint, load);
-        if is_urgent && self.policy.has_urgent_news {
+        if is_urgent && self.policy.has_urgent_update {
             self.hurry(daemon);
         }
         let (job, fetch_ms) = self.fetched(engine, job, placement);
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -104,7 +104,7 @@
     let mut policy = Policy::default();
     for name in names {
         match name.as_str() {
-            "urgent-news" => policy.has_urgent_news = false,
+            "urgent-news" => policy.has_urgent_update = false,
             "refusals" => policy.has_refusals = false,
             _ => bail!("--without {name}: there are urgent-news and refusals"),
         }
--- a/crates/wisteriahitch-bench/tests/all/fleet.rs
+++ b/crates/wisteriahitch-bench/tests/all/fleet.rs
@@ -51,7 +51,7 @@
     for case in cases {
         let late = |policy| count(&play(case.load, policy), "question", |row| row.late);
         let before = late(Policy {
-            has_urgent_news: false,
+            has_urgent_update: false,
             ..Policy::default()
         });
         let now = late(Policy::default());
--- a/crates/wisteriahitch-relay/src/decide/endpoint_memory.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_memory.rs
@@ -2,8 +2,8 @@
 
 use wisteriahitch_types::{EndpointInstance, TimeUs};
 
-use super::beacon::PartNews;
 use super::endpoint_table::EndpointTable;
+use super::gossip_message::PartUpdate;
 use super::parts::{EngineMemory, PartKey, PartNamer};
 use crate::border::PartEvent;
 
@@ -25,7 +25,7 @@
         events: &[PartEvent],
         until: TimeUs,
         now: TimeUs,
-    ) -> Vec<PartNews> {
+    ) -> Vec<PartUpdate> {
         let Some(row) = self.get_mut(instance) else {
             return Vec::new();
         };
@@ -35,12 +35,12 @@
             let part = &event.part;
             let key = PartNamer::new(&part.model, &part.scope).key(part.id);
             let tokens = if event.is_kept { part.tokens.get() } else { 0 };
-            let is_news = match event.is_kept {
+            let is_update = match event.is_kept {
                 true => row.parts.kept(key, tokens, now),
                 false => row.parts.evicted(key),
             };
-            if is_news {
-                news.push(PartNews {
+            if is_update {
+                news.push(PartUpdate {
                     endpoint: row.short_name,
                     part: key.0,
                     tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
--- a/crates/wisteriahitch-relay/src/decide/beacon.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_message.rs
@@ -21,7 +21,7 @@
 
 /// Work at one endpoint that the receiver doesn't know from elsewhere.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct EndpointNews {
+pub struct EndpointUpdate {
     /// Short name of the endpoint.
     pub endpoint: u32,
     /// Work.
@@ -32,7 +32,7 @@
 
 /// A part that an endpoint has read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct PartNews {
+pub struct PartUpdate {
     /// Short name of the endpoint.
     pub endpoint: u32,
     /// Key of the part.
@@ -43,7 +43,7 @@
 
 /// How fresh the sender's news of a store of prompt parts is.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct StoreNews {
+pub struct StoreUpdate {
     /// Short name of the store.
     pub store: u32,
     /// Life of the store.
@@ -56,7 +56,7 @@
 
 /// A part that a store has whole.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct KeptNews {
+pub struct KeptPartUpdate {
     /// Short name of the store.
     pub store: u32,
     /// Key of the part.
@@ -67,7 +67,7 @@
 
 /// How much the sender knows of a kind of object in the platform's store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct KindNews {
+pub struct KindUpdate {
     /// Revision of the last change that it knows.
     pub revision: u64,
     /// Time since the store was known to hold nothing newer; none where it never was.
@@ -76,7 +76,7 @@
 
 /// An endpoint that crashed with a request on board.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct CrashNews {
+pub struct CrashUpdate {
     /// Request.
     pub request: RequestFingerprint,
     /// Short name of the endpoint's life.
@@ -85,7 +85,7 @@
 
 /// A request that no daemon sends to an endpoint.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct BlockedNews {
+pub struct BlockedUpdate {
     /// Request.
     pub request: RequestFingerprint,
     /// Time since it last came to a daemon.
@@ -94,11 +94,11 @@
 
 /// What the sender knows of requests under which endpoints crash.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
-pub struct RequestNews {
+pub struct RequestUpdate {
     /// Crashes that it has just learnt of.
-    pub crashes: Vec<CrashNews>,
+    pub crashes: Vec<CrashUpdate>,
     /// Requests that are blocked.
-    pub blocked: Vec<BlockedNews>,
+    pub blocked: Vec<BlockedUpdate>,
     /// Requests that an endpoint has answered, of those that were held to be suspect.
     pub cleared: Vec<RequestFingerprint>,
     /// Requests that an operator has ordered to be sent again.
@@ -107,7 +107,7 @@
 
 /// A daemon that the sender hears.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct MemberNews {
+pub struct MemberUpdate {
     /// Address.
     pub ip: Ipv4Addr,
     /// Place of its zone in the message's list of zones.
@@ -122,7 +122,7 @@
 
 /// What one daemon tells another.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Beacon {
+pub struct GossipMessage {
     /// Life of the sender.
     pub incarnation: Incarnation,
     /// Counts the sender's messages, so that a late one isn't taken for the newest.
@@ -146,29 +146,29 @@
     /// When it was sent, by the sender's clock.
     pub sent_at_us: TimeUs,
     /// What the sender knows of each kind of object, in the order in which daemons follow the kinds.
-    pub kinds: Vec<KindNews>,
+    pub kinds: Vec<KindUpdate>,
     /// Work of the sender, and of others where it is a hub.
-    pub endpoints: Vec<EndpointNews>,
+    pub endpoints: Vec<EndpointUpdate>,
     /// Short names of the engines whose memory the sender follows, or knows to be followed.
     pub followed: Vec<u32>,
     /// Short names of the endpoints that the sender couldn't connect to lately; of a hub those that
     /// several daemons couldn't.
     pub unreachable: Vec<u32>,
     /// Parts that were read since the last message.
-    pub parts: Vec<PartNews>,
+    pub parts: Vec<PartUpdate>,
     /// Stores of prompt parts of which the sender has news.
-    pub stores: Vec<StoreNews>,
+    pub stores: Vec<StoreUpdate>,
     /// Parts that stores have got since the last message.
-    pub kept: Vec<KeptNews>,
+    pub kept: Vec<KeptPartUpdate>,
     /// Requests under which endpoints crash.
-    pub requests: RequestNews,
+    pub requests: RequestUpdate,
     /// Names of the zones in `members`.
     pub zones: Vec<String>,
     /// Daemons that the sender hears.
-    pub members: Vec<MemberNews>,
+    pub members: Vec<MemberUpdate>,
 }
 
-impl Beacon {
+impl GossipMessage {
     /// Encodes the message in at most `max_bytes`, leaving out what is missed least.
     ///
     /// First go parts that engines have read, which are a hint; then crashes, those of the least suspect
--- a/crates/wisteriahitch-relay/src/decide/news_pace.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_pace.rs
@@ -19,13 +19,13 @@
 
 /// Says when the next message is due.
 #[derive(Clone, Debug, Default)]
-pub struct NewsPace {
+pub struct GossipPace {
     /// Nothing was told before the first message, which is due at once.
     told_at_us: TimeUs,
     untold_tokens: u64,
 }
 
-impl NewsPace {
+impl GossipPace {
     /// Notes a call that was sent, and returns whether the next message is due earlier by it.
     pub fn sent(&mut self, unread_tokens: u64) -> bool {
         let was_urgent = self.is_urgent();
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -9,8 +9,8 @@
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
 
-use super::beacon::{Beacon, MemberNews, MemberPhase};
 use super::cold_shares::Sighting;
+use super::gossip_message::{GossipMessage, MemberPhase, MemberUpdate};
 use super::hubs::{HubCandidate, HubPlan};
 use super::message_delay::MessageDelay;
 
@@ -170,10 +170,10 @@
     }
 
     /// Takes a message in.
-    pub fn heard(&mut self, beacon: &Beacon, now: TimeUs) -> Heard {
-        let old = self.peers.get(&beacon.ip);
-        let is_same_life = old.is_some_and(|old| old.incarnation == beacon.incarnation);
-        if is_same_life && old.is_some_and(|old| old.number >= beacon.number) {
+    pub fn heard(&mut self, message: &GossipMessage, now: TimeUs) -> Heard {
+        let old = self.peers.get(&message.ip);
+        let is_same_life = old.is_some_and(|old| old.incarnation == message.incarnation);
+        if is_same_life && old.is_some_and(|old| old.number >= message.number) {
             return Heard::Old;
         }
         let was_there = old.is_some_and(|old| is_same_life && !is_silent(old, now));
@@ -181,31 +181,31 @@
             Some(old) if is_same_life => old.delay,
             _ => MessageDelay::default(),
         };
-        let held_up_us = delay.received(beacon.sent_at_us, now);
-        for member in &beacon.members {
-            self.told(beacon, member, now);
+        let held_up_us = delay.received(message.sent_at_us, now);
+        for member in &message.members {
+            self.told(message, member, now);
         }
         let row = PeerRow {
-            incarnation: beacon.incarnation,
-            ip: beacon.ip,
-            zone: beacon.zone.clone(),
-            phase: beacon.phase,
-            capacity: beacon.capacity,
-            link_mbps: beacon.link_mbps,
-            is_hub: beacon.is_hub,
-            follows_stores: beacon.follows_stores,
-            is_store_reachable: beacon.is_store_reachable,
+            incarnation: message.incarnation,
+            ip: message.ip,
+            zone: message.zone.clone(),
+            phase: message.phase,
+            capacity: message.capacity,
+            link_mbps: message.link_mbps,
+            is_hub: message.is_hub,
+            follows_stores: message.follows_stores,
+            is_store_reachable: message.is_store_reachable,
             held_up_us,
             delay,
-            number: beacon.number,
+            number: message.number,
             heard_at_us: now,
         };
-        self.peers.insert(beacon.ip, row);
+        self.peers.insert(message.ip, row);
         self.known.insert(
-            beacon.ip,
+            message.ip,
             KnownRow {
-                zone: Some(beacon.zone.clone()),
-                link_mbps: beacon.link_mbps,
+                zone: Some(message.zone.clone()),
+                link_mbps: message.link_mbps,
                 since_us: now,
             },
         );
@@ -215,8 +215,8 @@
         }
     }
 
-    fn told(&mut self, beacon: &Beacon, member: &MemberNews, now: TimeUs) {
-        let Some(zone) = beacon.zones.get(usize::from(member.zone)) else {
+    fn told(&mut self, message: &GossipMessage, member: &MemberUpdate, now: TimeUs) {
+        let Some(zone) = message.zones.get(usize::from(member.zone)) else {
             return;
         };
         let row = ToldRow {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -1,7 +1,6 @@
 //! Decisions without input or output: events and a time go in, a choice or commands come out.
 
 pub(crate) mod backlog;
-pub(crate) mod beacon;
 pub(crate) mod cold_limit;
 pub(crate) mod cold_shares;
 pub(crate) mod crash_evidence;
@@ -11,12 +10,12 @@
 pub(crate) mod endpoint_row;
 pub(crate) mod endpoint_table;
 pub(crate) mod evacuated_zones;
-mod fresh_news;
+pub(crate) mod gossip_message;
+pub(crate) mod gossip_pace;
 pub(crate) mod hubs;
 pub(crate) mod link_paces;
 pub(crate) mod members;
 pub(crate) mod message_delay;
-pub(crate) mod news_pace;
 pub(crate) mod offer;
 pub(crate) mod outlier;
 pub(crate) mod overload;
@@ -26,6 +25,7 @@
 pub(crate) mod parts;
 pub(crate) mod placement;
 pub(crate) mod placement_request;
+mod recent_updates;
 pub(crate) mod rollout;
 pub(crate) mod rollout_pace;
 pub(crate) mod staleness;
--- a/crates/wisteriahitch-relay/src/decide/part_stores.rs
+++ b/crates/wisteriahitch-relay/src/decide/part_stores.rs
@@ -13,8 +13,8 @@
     AvailabilityZone, ByteCount, DurationUs, ModelName, TimeUs, WeightNumber,
 };
 
-use super::beacon::{KeptNews, StoreNews};
 use super::endpoint_table::short_name;
+use super::gossip_message::{KeptPartUpdate, StoreUpdate};
 use super::part_store_row::{Kept, NEWS_LIFE_US, StoreRow};
 use super::parts::{PartKey, PartNamer};
 use crate::border::{KeptPart, PartChanges, PartListing};
@@ -49,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct PartStores {
     /// Parts to tell other daemons of.
-    news: Vec<KeptNews>,
+    news: Vec<KeptPartUpdate>,
     rows: BTreeMap<SocketAddr, StoreRow>,
     /// Since when no engine has weights below these, by model.
     lowest_weights: BTreeMap<ModelName, (WeightNumber, TimeUs)>,
@@ -135,7 +135,7 @@
                 true => {
                     let tokens = part.tokens.get();
                     if row.keep(key, part.into()) {
-                        self.news.push(kept_news(store, key, tokens));
+                        self.news.push(kept_updates(store, key, tokens));
                     }
                 }
                 false => row.forget(key),
@@ -157,7 +157,7 @@
     /// tells and nothing is known here.
     ///
     /// Nobody's news is fresher than that of the one who asked the store: the age adds up on its way.
-    pub fn told(&mut self, news: &[StoreNews], now: TimeUs) -> Vec<SocketAddr> {
+    pub fn told(&mut self, news: &[StoreUpdate], now: TimeUs) -> Vec<SocketAddr> {
         let mut unknown = Vec::new();
         for row in self.rows.values_mut() {
             let name = short_name(&row.spec.address.to_string());
@@ -178,7 +178,7 @@
     }
 
     /// Clears what is known of stores that a daemon which told of them no longer tells of.
-    pub fn forget_unreported(&mut self, news: &[StoreNews]) {
+    pub fn forget_unreported(&mut self, news: &[StoreUpdate]) {
         for row in self.rows.values_mut() {
             let name = short_name(&row.spec.address.to_string());
             if !news.iter().any(|told| told.store == name) {
@@ -188,7 +188,7 @@
     }
 
     /// Notes parts that another daemon tells of.
-    pub fn apply_kept_parts(&mut self, news: &[KeptNews]) {
+    pub fn apply_kept_parts(&mut self, news: &[KeptPartUpdate]) {
         for told in news {
             let is_it = |row: &&mut StoreRow| {
                 short_name(&row.spec.address.to_string()) == told.store && row.news_at_us.is_some()
@@ -207,11 +207,11 @@
     }
 
     /// Returns how fresh the news of each store is, for other daemons.
-    pub fn store_news(&self, now: TimeUs) -> Vec<StoreNews> {
+    pub fn store_updates(&self, now: TimeUs) -> Vec<StoreUpdate> {
         let readable = self.rows.values().filter(|row| row.is_readable(now));
         let news = readable.filter_map(|row| {
             let age_us = now.since(row.news_at_us?);
-            Some(StoreNews {
+            Some(StoreUpdate {
                 store: short_name(&row.spec.address.to_string()),
                 epoch: row.epoch,
                 age_ms: u32::try_from(age_us.as_ms()).unwrap_or(u32::MAX),
@@ -224,7 +224,7 @@
     }
 
     /// Takes at most `most` parts to tell other daemons of; the rest goes with the next message.
-    pub fn take_news(&mut self, most: usize) -> Vec<KeptNews> {
+    pub fn take_updates(&mut self, most: usize) -> Vec<KeptPartUpdate> {
         let count = self.news.len().min(most);
         let overflow = self.news.len().saturating_sub(MAX_WAITING_NEWS);
         self.news.drain(..overflow);
@@ -404,8 +404,8 @@
     }
 }
 
-fn kept_news(store: SocketAddr, key: PartKey, tokens: u64) -> KeptNews {
-    KeptNews {
+fn kept_updates(store: SocketAddr, key: PartKey, tokens: u64) -> KeptPartUpdate {
+    KeptPartUpdate {
         store: short_name(&store.to_string()),
         part: key.0,
         tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
--- a/crates/wisteriahitch-relay/src/decide/fresh_news.rs
+++ b/crates/wisteriahitch-relay/src/decide/recent_updates.rs
@@ -12,11 +12,11 @@
 
 /// What a daemon tells on until a time.
 #[derive(Debug)]
-pub(super) struct FreshNews<T> {
+pub(super) struct RecentUpdates<T> {
     news: VecDeque<(TimeUs, T)>,
 }
 
-impl<T> Default for FreshNews<T> {
+impl<T> Default for RecentUpdates<T> {
     fn default() -> Self {
         Self {
             news: VecDeque::new(),
@@ -24,7 +24,7 @@
     }
 }
 
-impl<T: Copy + PartialEq> FreshNews<T> {
+impl<T: Copy + PartialEq> RecentUpdates<T> {
     /// Adds news, which wait anew if they were there.
     pub(super) fn add(&mut self, news: T, now: TimeUs) {
         self.news.retain(|(_, known)| *known != news);
--- a/crates/wisteriahitch-relay/src/decide/suspects.rs
+++ b/crates/wisteriahitch-relay/src/decide/suspects.rs
@@ -18,8 +18,8 @@
 use lru::LruCache;
 use wisteriahitch_types::{DurationUs, TimeUs};
 
-use super::beacon::{BlockedNews, CrashNews, RequestNews};
-use super::fresh_news::{FreshNews, TOLD_FOR_US};
+use super::gossip_message::{BlockedUpdate, CrashUpdate, RequestUpdate};
+use super::recent_updates::{RecentUpdates, TOLD_FOR_US};
 use crate::site::RequestFingerprint;
 
 /// Crashes after which a request is blocked. The users allow three, and fewer would blame more innocents: one that
@@ -87,7 +87,7 @@
 
 /// Returns how much a crash matters to the others: as many as its request has seen. Those of a blocked one are told
 /// with the block.
-fn weight(suspects: &HashMap<RequestFingerprint, Suspect>, news: &CrashNews) -> usize {
+fn weight(suspects: &HashMap<RequestFingerprint, Suspect>, news: &CrashUpdate) -> usize {
     let suspect = suspects.get(&news.request);
     suspect.map_or(0, |suspect| suspect.crashes.len())
 }
@@ -123,9 +123,9 @@
     lifted: HashMap<RequestFingerprint, TimeUs>,
     /// Crashes that a blocked request was on board of, the oldest first.
     explained: VecDeque<u32>,
-    fresh_crashes: FreshNews<CrashNews>,
-    fresh_cleared: FreshNews<RequestFingerprint>,
-    fresh_lifted: FreshNews<RequestFingerprint>,
+    fresh_crashes: RecentUpdates<CrashUpdate>,
+    fresh_cleared: RecentUpdates<RequestFingerprint>,
+    fresh_lifted: RecentUpdates<RequestFingerprint>,
 }
 
 impl Default for SuspectTable {
@@ -136,9 +136,9 @@
             answered: LruCache::new(MAX_ANSWERED),
             lifted: HashMap::new(),
             explained: VecDeque::new(),
-            fresh_crashes: FreshNews::default(),
-            fresh_cleared: FreshNews::default(),
-            fresh_lifted: FreshNews::default(),
+            fresh_crashes: RecentUpdates::default(),
+            fresh_cleared: RecentUpdates::default(),
+            fresh_lifted: RecentUpdates::default(),
         }
     }
 }
@@ -171,7 +171,7 @@
             return CrashVerdict::Nothing;
         }
         let (crashes, is_own) = (suspect.crashes.len(), suspect.is_own);
-        let news = CrashNews {
+        let news = CrashUpdate {
             request,
             endpoint: life,
         };
@@ -259,8 +259,8 @@
     }
 
     /// Returns what to tell the others in the message with this number.
-    pub fn news(&mut self, number: u64, now: TimeUs) -> RequestNews {
-        RequestNews {
+    pub fn news(&mut self, number: u64, now: TimeUs) -> RequestUpdate {
+        RequestUpdate {
             crashes: self.crashes_to_tell(now),
             blocked: self.blocked_to_tell(number, now),
             cleared: self.fresh_cleared.told_at(now).collect(),
@@ -268,14 +268,14 @@
         }
     }
 
-    fn crashes_to_tell(&mut self, now: TimeUs) -> Vec<CrashNews> {
-        let mut crashes: Vec<CrashNews> = self.fresh_crashes.told_at(now).collect();
+    fn crashes_to_tell(&mut self, now: TimeUs) -> Vec<CrashUpdate> {
+        let mut crashes: Vec<CrashUpdate> = self.fresh_crashes.told_at(now).collect();
         crashes.sort_by_key(|news| std::cmp::Reverse(weight(&self.suspects, news)));
         crashes.truncate(MAX_CRASHES_TOLD);
         crashes
     }
 
-    fn blocked_to_tell(&self, number: u64, now: TimeUs) -> Vec<BlockedNews> {
+    fn blocked_to_tell(&self, number: u64, now: TimeUs) -> Vec<BlockedUpdate> {
         let is_reminder = number.is_multiple_of(REMIND_EVERY);
         let is_told =
             |blocked: &Blocked| is_reminder || now.since(blocked.learnt_at_us) < TOLD_FOR_US;
@@ -288,7 +288,7 @@
             .into_iter()
             .skip(page * MAX_BLOCKED_TOLD)
             .take(MAX_BLOCKED_TOLD);
-        let news = |(request, blocked): (&RequestFingerprint, &Blocked)| BlockedNews {
+        let news = |(request, blocked): (&RequestFingerprint, &Blocked)| BlockedUpdate {
             request: *request,
             absent_ms: now.since(blocked.last_came_at_us).as_ms(),
         };
@@ -296,7 +296,7 @@
     }
 
     /// Takes over what another daemon tells.
-    pub fn told(&mut self, news: &RequestNews, now: TimeUs) -> RequestChanges {
+    pub fn told(&mut self, news: &RequestUpdate, now: TimeUs) -> RequestChanges {
         let mut changes = RequestChanges::default();
         for request in &news.cleared {
             if self.told_cleared(*request, now) {
@@ -329,7 +329,7 @@
         is_known && self.answered(request, now)
     }
 
-    fn told_blocked(&mut self, news: BlockedNews, now: TimeUs) -> bool {
+    fn told_blocked(&mut self, news: BlockedUpdate, now: TimeUs) -> bool {
         let came_at_us = now
             .get()
             .saturating_sub(DurationUs::from_ms(news.absent_ms).get());
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -19,10 +19,6 @@
 };
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
-pub use decide::beacon::{
-    Beacon, BlockedNews, CrashNews, EndpointNews, KeptNews, KindNews, MemberNews, MemberPhase,
-    PartNews, RequestNews, StoreNews,
-};
 pub use decide::cold_limit::{ColdBound, ColdLimit, ColdState};
 pub use decide::cold_shares::{ColdShares, Sighting};
 pub use decide::crash_evidence::{BreakMeaning, ConnectFailure, CrashEvidence};
@@ -30,11 +26,15 @@
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
+pub use decide::gossip_message::{
+    BlockedUpdate, CrashUpdate, EndpointUpdate, GossipMessage, KeptPartUpdate, KindUpdate,
+    MemberPhase, MemberUpdate, PartUpdate, RequestUpdate, StoreUpdate,
+};
+pub use decide::gossip_pace::GossipPace;
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
 pub use decide::message_delay::MessageDelay;
-pub use decide::news_pace::NewsPace;
 pub use decide::offer::MainFetch;
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -14,10 +14,10 @@
 use super::attempt::Call;
 use super::blocked_requests::{BlockSource, UnblockReason, note_blocked, note_unblocked};
 use super::shared::Shared;
-use crate::decide::beacon::RequestNews;
 use crate::decide::crash_evidence::{BreakMeaning, ConnectFailure};
 use crate::decide::endpoint_row::EndpointLife;
 use crate::decide::endpoint_table::life_name;
+use crate::decide::gossip_message::RequestUpdate;
 use crate::decide::placement::Placement;
 use crate::decide::suspects::CrashVerdict;
 use crate::observe::Event;
@@ -163,7 +163,7 @@
 /// Takes over what another daemon tells of requests under which endpoints crash.
 ///
 /// That an endpoint has crashed says the same of this daemon's calls that broke there.
-pub(super) fn take_request_news(shared: &Shared, news: &RequestNews) {
+pub(super) fn apply_request_update(shared: &Shared, news: &RequestUpdate) {
     for crash in &news.crashes {
         let endpoint = format!("{:08x}", crash.endpoint);
         note_crash_of(shared, crash.endpoint, &endpoint, Proof::Told);
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -22,13 +22,14 @@
 use super::budgets::Budgets;
 use super::drain::Drain;
 use super::durations::Durations;
-use super::engine_news::{run_engine_news, take_over};
+use super::engine_memory_watch::{run_engine_memory_watch, take_over};
 use super::entries::EntrySide;
 use super::lease::lease_table;
 use super::orders::{run_orders, wanted_snapshot};
-use super::part_news::run_freeing;
+use super::part_store_watch::run_freeing;
+use super::peer_server::PeerSide;
 use super::peer_state::PeerState;
-use super::peers::{PeerSide, run_beacons};
+use super::peers::run_gossip;
 use super::pipeline::CallerSide;
 use super::registration::run_registration;
 use super::server::{bind, serve};
@@ -37,9 +38,9 @@
 use super::watch::run_watch;
 use super::watch_state::{WATCHED, WatchStates};
 use crate::clock::BootClock;
-use crate::decide::beacon::MemberPhase;
 use crate::decide::cold_shares::ColdShares;
 use crate::decide::endpoint_table::EndpointTable;
+use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
 use crate::decide::rollout::Rollout;
 use crate::decide::rollout_pace::PaceOptions;
@@ -150,7 +151,7 @@
         tokio::spawn(run_blocked_requests(Arc::clone(&shared)));
         tokio::spawn(run_orders(Arc::clone(&shared)));
         tokio::spawn(run_freeing(Arc::clone(&shared)));
-        tokio::spawn(run_engine_news(Arc::clone(&shared)));
+        tokio::spawn(run_engine_memory_watch(Arc::clone(&shared)));
         tokio::spawn(take_over(Arc::clone(&shared)));
         tokio::spawn(run_housekeeping(Arc::clone(&shared)));
         tokio::spawn(run_reloads(Arc::clone(&shared), self.settings_path));
@@ -171,7 +172,7 @@
     let peer_address = SocketAddr::from((shared.settings.ip, listen.peer_port));
     let socket = UdpSocket::bind(peer_address).await;
     let socket = socket.with_context(|| format!("peers can't be heard on {peer_address}"))?;
-    tokio::spawn(run_beacons(Arc::clone(shared), socket));
+    tokio::spawn(run_gossip(Arc::clone(shared), socket));
     let callers = Arc::new(CallerSide {
         shared: Arc::clone(shared),
     });
--- a/crates/wisteriahitch-relay/src/shell/engine_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/engine_memory_watch.rs
@@ -14,7 +14,7 @@
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{DurationUs, EndpointInstance, Incarnation};
 
-use super::peers::ask_takeover;
+use super::peer_client::ask_takeover;
 use super::shared::Shared;
 use crate::decide::endpoint_row::EndpointLife;
 use crate::observe::Event;
@@ -48,7 +48,7 @@
 const KNOWS_AFTER_MS: u64 = 4_000;
 
 /// Follows the engines that are this daemon's, for as long as the process lives.
-pub(crate) async fn run_engine_news(shared: Arc<Shared>) {
+pub(crate) async fn run_engine_memory_watch(shared: Arc<Shared>) {
     wait_for_others(&shared).await;
     loop {
         let mine = mine(&shared);
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -14,7 +14,7 @@
 use super::answer_body::AnswerBody;
 use super::server::{Answers, ConnectionLimits};
 use super::shared::Shared;
-use crate::decide::beacon::MemberPhase;
+use crate::decide::gossip_message::MemberPhase;
 use crate::decide::members::Entry;
 use crate::site::RegionMap;
 
--- a/crates/wisteriahitch-relay/src/shell/beacons.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -6,16 +6,17 @@
 
 use super::shared::Shared;
 use crate::decide::backlog::Load;
-use crate::decide::beacon::{
-    Beacon, EndpointNews, KeptNews, MemberNews, MemberPhase, PartNews, RequestNews, StoreNews,
-};
 use crate::decide::endpoint_row::EndpointRow;
+use crate::decide::gossip_message::{
+    EndpointUpdate, GossipMessage, KeptPartUpdate, MemberPhase, MemberUpdate, PartUpdate,
+    RequestUpdate, StoreUpdate,
+};
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::Entry;
 
 /// Largest message: the load of some hundred endpoints and the news of a tenth of a second. A network
 /// breaks it into a few packets, and one lost packet loses one message.
-pub(super) const MAX_BEACON_BYTES: usize = 8 * 1024;
+pub(super) const MAX_GOSSIP_BYTES: usize = 8 * 1024;
 
 /// Most parts in a message; of more, the newest go first.
 const MAX_PARTS: usize = 60;
@@ -28,11 +29,11 @@
 
 /// What goes to several targets of one round.
 pub(super) struct Relayed {
-    near_parts: Vec<PartNews>,
-    far_parts: Vec<PartNews>,
-    kept: Vec<KeptNews>,
+    near_parts: Vec<PartUpdate>,
+    far_parts: Vec<PartUpdate>,
+    kept: Vec<KeptPartUpdate>,
     reserved: Vec<EndpointInstance>,
-    requests: RequestNews,
+    requests: RequestUpdate,
 }
 
 impl Relayed {
@@ -40,13 +41,13 @@
     pub(super) fn new(
         shared: &Shared,
         plan: &HubPlan,
-        near_parts: Vec<PartNews>,
-        far_parts: Vec<PartNews>,
+        near_parts: Vec<PartUpdate>,
+        far_parts: Vec<PartUpdate>,
         now: TimeUs,
     ) -> Self {
         let number = shared.peers.round();
         // In a small fleet everybody asks the stores.
-        let news = shared.part_stores.lock().take_news(MAX_KEPT);
+        let news = shared.part_stores.lock().take_updates(MAX_KEPT);
         let kept = if plan.is_small { Vec::new() } else { news };
         Self {
             near_parts,
@@ -66,33 +67,33 @@
     own: Option<Ipv4Addr>,
     now: TimeUs,
 ) -> Vec<u8> {
-    let mut beacon = base(shared, plan, relayed, now);
-    beacon.endpoints = endpoint_news(shared, plan, relayed, own, now);
-    beacon.followed = followed(shared, own, now);
-    beacon.unreachable = unreachable(shared, plan, own, now);
-    beacon.parts = relayed.near_parts.clone();
+    let mut message = base(shared, plan, relayed, now);
+    message.endpoints = endpoint_updates(shared, plan, relayed, own, now);
+    message.followed = followed(shared, own, now);
+    message.unreachable = unreachable(shared, plan, own, now);
+    message.parts = relayed.near_parts.clone();
     if own.is_some() {
-        beacon.parts.extend(&relayed.far_parts);
+        message.parts.extend(&relayed.far_parts);
     }
-    let surplus = beacon.parts.len().saturating_sub(MAX_PARTS);
-    beacon.parts.drain(..surplus);
-    if !plan.is_small && beacon.is_hub {
-        beacon.stores = store_news(shared, now);
+    let surplus = message.parts.len().saturating_sub(MAX_PARTS);
+    message.parts.drain(..surplus);
+    if !plan.is_small && message.is_hub {
+        message.stores = store_updates(shared, now);
         // Hubs that only hear of the stores tell their own daemons alone.
         if own.is_some() || shared.peers.follows_stores() {
-            beacon.kept.clone_from(&relayed.kept);
+            message.kept.clone_from(&relayed.kept);
         }
-        add_members(shared, &mut beacon, own, now);
+        add_members(shared, &mut message, own, now);
     }
-    beacon.encoded(MAX_BEACON_BYTES)
+    message.encoded(MAX_GOSSIP_BYTES)
 }
 
-fn base(shared: &Shared, plan: &HubPlan, relayed: &Relayed, now: TimeUs) -> Beacon {
+fn base(shared: &Shared, plan: &HubPlan, relayed: &Relayed, now: TimeUs) -> GossipMessage {
     let is_store_reachable = match shared.peers.follows_stores() {
         true => shared.watches.is_store_reachable(),
         false => shared.peers.hears_of_store(shared.settings.ip, now),
     };
-    Beacon {
+    GossipMessage {
         incarnation: shared.incarnation,
         number: shared.peers.next_number(),
         ip: shared.settings.ip,
@@ -121,13 +122,13 @@
 ///
 /// One of this hub's daemons hears of everybody's but its own; other hubs hear of this daemon's and
 /// of its daemons'; in a small fleet, and from one that is no hub, everybody hears of its own.
-fn endpoint_news(
+fn endpoint_updates(
     shared: &Shared,
     plan: &HubPlan,
     relayed: &Relayed,
     own: Option<Ipv4Addr>,
     now: TimeUs,
-) -> Vec<EndpointNews> {
+) -> Vec<EndpointUpdate> {
     let is_hub = !plan.is_small && plan.is_hub(shared.settings.ip);
     let peers: Vec<(bool, wisteriahitch_types::Incarnation, bool)> = {
         let table = shared.peers.table();
@@ -149,13 +150,13 @@
             load.add(told.get(&row.short_name).copied().unwrap_or_default());
         }
         let is_told = own.is_some() && row.reserved_until_us > now;
-        EndpointNews {
+        EndpointUpdate {
             endpoint: row.short_name,
             load,
             is_reserved: is_told || row.is_displaced || relayed.reserved.contains(row.instance()),
         }
     };
-    let says_something = |news: &EndpointNews| news.is_reserved || news.load != Load::default();
+    let says_something = |news: &EndpointUpdate| news.is_reserved || news.load != Load::default();
     endpoints.iter().map(news).filter(says_something).collect()
 }
 
@@ -184,12 +185,12 @@
     told.map(|row| row.short_name).collect()
 }
 
-fn store_news(shared: &Shared, now: TimeUs) -> Vec<StoreNews> {
-    shared.part_stores.lock().store_news(now)
+fn store_updates(shared: &Shared, now: TimeUs) -> Vec<StoreUpdate> {
+    shared.part_stores.lock().store_updates(now)
 }
 
 /// Adds the daemons that are heard: for other hubs those of this hub, for its own all.
-fn add_members(shared: &Shared, beacon: &mut Beacon, own: Option<Ipv4Addr>, now: TimeUs) {
+fn add_members(shared: &Shared, message: &mut GossipMessage, own: Option<Ipv4Addr>, now: TimeUs) {
     let table = shared.peers.table();
     let mut rows: Vec<(Entry, MemberPhase)> = table
         .alive(now)
@@ -205,12 +206,12 @@
     let page = usize::try_from(now.get() / 200_000).unwrap_or(0) % pages;
     let rows = rows.into_iter().skip(page * MAX_MEMBERS).take(MAX_MEMBERS);
     for (entry, phase) in rows {
-        let known = beacon.zones.iter().position(|known| *known == entry.zone);
+        let known = message.zones.iter().position(|known| *known == entry.zone);
         let zone = known.unwrap_or_else(|| {
-            beacon.zones.push(entry.zone);
-            beacon.zones.len() - 1
+            message.zones.push(entry.zone);
+            message.zones.len() - 1
         });
-        beacon.members.push(MemberNews {
+        message.members.push(MemberUpdate {
             ip: entry.ip,
             zone: u8::try_from(zone).unwrap_or(u8::MAX),
             phase,
--- a/crates/wisteriahitch-relay/src/shell/in_flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/in_flight.rs
@@ -8,8 +8,8 @@
 
 use super::shared::Shared;
 use crate::decide::backlog::Load;
-use crate::decide::beacon::PartNews;
 use crate::decide::endpoint_table::EndpointTable;
+use crate::decide::gossip_message::PartUpdate;
 use crate::decide::parts::part_keys;
 use crate::decide::placement::Placement;
 use crate::observe::Event;
@@ -94,7 +94,7 @@
             if !row.parts.used(key, tokens, now) || index == last {
                 continue;
             }
-            news.push(PartNews {
+            news.push(PartUpdate {
                 endpoint: row.short_name,
                 part: key.0,
                 tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -13,7 +13,7 @@
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
-use super::store_news::note_unreadable;
+use super::store_updates::note_unreadable;
 use crate::observe::Event;
 use crate::settings::RelaySettings;
 
--- a/crates/wisteriahitch-relay/src/shell/part_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/part_store_watch.rs
@@ -27,7 +27,7 @@
 const FREE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Follows one store until the configuration no longer names it.
-pub(crate) async fn run_part_news(shared: Arc<Shared>, store: SocketAddr) {
+pub(crate) async fn run_part_store_watch(shared: Arc<Shared>, store: SocketAddr) {
     let mut since = None;
     let mut was_reachable = true;
     while shared.part_stores.lock().is_configured(store) {
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -0,0 +1,107 @@
+//! Answers to other daemons, to operators, and to whoever reads metrics.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::Serialize;
+use wisteriahitch_types::DurationUs;
+use wisteriahitch_wire::object_store::Revision;
+
+use super::answer_body::AnswerBody;
+use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
+use super::peer_client::{ENGINES_PATH, OBJECTS_PATH, PARTS_PATH, Takeover};
+use super::server::{Answers, ConnectionLimits};
+use super::shared::Shared;
+use super::watch_state::{WATCHED, kind_name};
+
+/// Answers other daemons and whoever reads metrics.
+pub(crate) struct PeerSide {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Answers for PeerSide {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let path = request.uri().path();
+        let body = match *request.method() {
+            Method::DELETE => lift(&self.shared, path),
+            _ => self.body(path, request.uri().query()),
+        };
+        let status = match &body {
+            Some(_) => StatusCode::OK,
+            None => StatusCode::NOT_FOUND,
+        };
+        let mut response = Response::new(AnswerBody::whole(body.unwrap_or_default()));
+        *response.status_mut() = status;
+        response
+    }
+
+    fn limits(&self) -> ConnectionLimits {
+        ConnectionLimits {
+            header_bytes: 8_192,
+            idle_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
+impl PeerSide {
+    fn body(&self, path: &str, query: Option<&str>) -> Option<Bytes> {
+        let shared = &self.shared;
+        if let Some(kind) = path.strip_prefix(OBJECTS_PATH) {
+            return objects(shared, kind, query);
+        }
+        if let Some(store) = path.strip_prefix(PARTS_PATH) {
+            let store: SocketAddr = store.parse().ok()?;
+            return json(&shared.part_stores.lock().kept_at(store));
+        }
+        match path {
+            ENGINES_PATH => json(&takeover(shared)),
+            "/metrics" => Some(metrics(shared).into()),
+            BLOCKED_PATH => json(&blocked_list(shared)),
+            "/v1/dump" => Some(super::daemon::dump(shared).into()),
+            _ => None,
+        }
+    }
+}
+
+fn takeover(shared: &Shared) -> Takeover {
+    let now = shared.now();
+    Takeover {
+        up_ms: now.since(shared.started_at_us).as_ms(),
+        engines: shared.endpoints.lock().engine_memory(now),
+    }
+}
+
+fn json<T: Serialize>(value: &T) -> Option<Bytes> {
+    serde_json::to_vec(value).ok().map(Bytes::from)
+}
+
+fn objects(shared: &Shared, kind: &str, query: Option<&str>) -> Option<Bytes> {
+    let role = WATCHED.iter().find(|role| kind_name(**role) == kind)?;
+    let since = query.and_then(|query| query.strip_prefix("since="));
+    let since = since.and_then(|since| since.parse().ok()).unwrap_or(0);
+    json(&shared.watches.delta(*role, Revision(since)))
+}
+
+fn metrics(shared: &Shared) -> String {
+    for role in WATCHED {
+        let Some(age_ms) = shared.watches.age_ms(role, shared.now()) else {
+            continue;
+        };
+        let ages = &shared.metrics.store_age_s;
+        let gauge = ages.with_label_values(&[kind_name(role)]);
+        gauge.set(DurationUs::from_ms(age_ms).as_secs_f64());
+    }
+    let endpoints = shared.endpoints.lock();
+    for (life, count) in endpoints.count_by_life() {
+        let gauge = shared.metrics.endpoints.with_label_values(&[life]);
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
+    let cold = i64::try_from(endpoints.cold_count(shared.now()));
+    shared.metrics.cold_endpoints.set(cold.unwrap_or(i64::MAX));
+    drop(endpoints);
+    shared.metrics.text()
+}
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -12,10 +12,10 @@
 
 use super::watch_state::kind_name;
 
-use crate::decide::beacon::PartNews;
+use crate::decide::gossip_message::PartUpdate;
+use crate::decide::gossip_pace::GossipPace;
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::{PeerRow, PeerTable};
-use crate::decide::news_pace::NewsPace;
 
 /// Longest wait after the start for the list of the other daemons; the store answers within a second.
 const LISTED_WITHIN: Duration = Duration::from_millis(3_000);
@@ -43,9 +43,9 @@
     /// Cancelled once the registered daemons are known.
     pub(super) others_listed: CancellationToken,
     /// Parts that were read for this daemon, or told by daemons whose hub it is.
-    pub(super) near_parts: Mutex<Vec<PartNews>>,
+    pub(super) near_parts: Mutex<Vec<PartUpdate>>,
     /// Parts that other hubs have told.
-    pub(super) far_parts: Mutex<Vec<PartNews>>,
+    pub(super) far_parts: Mutex<Vec<PartUpdate>>,
     /// Part stores whose contents are being asked for.
     pub(super) asked_stores: Mutex<Vec<SocketAddr>>,
     number: AtomicU64,
@@ -53,7 +53,7 @@
     lag_ms: Mutex<f64>,
     /// Sends a message at once.
     pub(crate) hurry: Notify,
-    pub(super) pace: Mutex<NewsPace>,
+    pub(super) pace: Mutex<GossipPace>,
 }
 
 impl PeerState {
@@ -109,7 +109,7 @@
     }
 
     /// Tells parts that were read with the next messages.
-    pub(crate) fn tell_parts(&self, news: Vec<PartNews>) {
+    pub(crate) fn tell_parts(&self, news: Vec<PartUpdate>) {
         add_parts(&self.near_parts, news);
     }
 
@@ -138,7 +138,7 @@
     }
 }
 
-pub(super) fn add_parts(waiting: &Mutex<Vec<PartNews>>, news: Vec<PartNews>) {
+pub(super) fn add_parts(waiting: &Mutex<Vec<PartUpdate>>, news: Vec<PartUpdate>) {
     let mut waiting = waiting.lock();
     waiting.extend(news);
     let overflow = waiting.len().saturating_sub(MAX_WAITING_PARTS);
--- a/crates/wisteriahitch-relay/src/shell/store_news.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -8,7 +8,7 @@
     Change, Listing, ObjectRole, Revision, Skipped, StoredObject, UnreadableKind,
 };
 
-use super::part_news::run_part_news;
+use super::part_store_watch::run_part_store_watch;
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
 use crate::decide::cold_limit::ColdLimit;
@@ -94,7 +94,7 @@
     for change in changes {
         let absence = {
             let mut state = shared.watches.of(role).lock();
-            if !is_news(&state, &change, known_up_to) {
+            if !is_newer(&state, &change, known_up_to) {
                 if let Change::Deleted(name, deleted_at) = change {
                     state.changed = state.changed.max(deleted_at);
                     state.note_deleted(name, deleted_at);
@@ -169,7 +169,7 @@
 ///
 /// Up to `known_up_to` everything is known: an object of an earlier revision that isn't has been removed since, and
 /// a late answer that tells of it would bring it back for good.
-fn is_news(state: &WatchState, change: &Change, known_up_to: Revision) -> bool {
+fn is_newer(state: &WatchState, change: &Change, known_up_to: Revision) -> bool {
     match change {
         Change::Put(object) => match state.objects.get(&object.name) {
             Some(known) => object.revision > known.revision,
@@ -299,7 +299,7 @@
     }
     let new_stores = shared.part_stores.lock().configured(stores.into_iter());
     for store in new_stores {
-        tokio::spawn(run_part_news(Arc::clone(shared), store));
+        tokio::spawn(run_part_store_watch(Arc::clone(shared), store));
     }
     let gauge = i64::try_from(version.get()).unwrap_or(i64::MAX);
     shared.metrics.config_version.set(gauge);
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -8,7 +8,7 @@
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
-use super::store_news::{STORE, apply_changes, apply_listing, note_skipped};
+use super::store_updates::{STORE, apply_changes, apply_listing, note_skipped};
 use super::watch_state::kind_name;
 use crate::decide::hubs::SMALL_FLEET;
 use crate::decide::staleness::answered_as_of;
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -8,7 +8,7 @@
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
 
-use crate::decide::beacon::KindNews;
+use crate::decide::gossip_message::KindUpdate;
 use crate::decide::staleness::StalenessLimits;
 use crate::settings::Bounds;
 
@@ -99,11 +99,11 @@
     }
 
     /// Returns what is known of each kind, for the other daemons.
-    pub(crate) fn news(&self, now: TimeUs) -> Vec<KindNews> {
+    pub(crate) fn news(&self, now: TimeUs) -> Vec<KindUpdate> {
         let news = |state: &Mutex<WatchState>| {
             let state = state.lock();
             let age_ms = state.as_of_us.map(|as_of| now.since(as_of).as_ms());
-            KindNews {
+            KindUpdate {
                 revision: state.changed.0,
                 age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
             }
@@ -115,7 +115,7 @@
     pub(crate) fn peer_knows(
         &self,
         ip: Ipv4Addr,
-        kinds: &[KindNews],
+        kinds: &[KindUpdate],
         held_up_us: DurationUs,
         now: TimeUs,
     ) -> bool {
@@ -201,7 +201,7 @@
         self.as_of_us = self.as_of_us.max(Some(as_of));
     }
 
-    fn confirm_by_peer(&mut self, news: &KindNews, held_up_us: DurationUs, now: TimeUs) {
+    fn confirm_by_peer(&mut self, news: &KindUpdate, held_up_us: DurationUs, now: TimeUs) {
         let Some(age_ms) = news.age_ms else { return };
         let age_us = DurationUs::from_ms(u64::from(age_ms)) + held_up_us;
         self.confirm(TimeUs::new(now.get().saturating_sub(age_us.get())));
--- a/crates/wisteriahitch-relay/tests/all/engine_memory.rs
+++ b/crates/wisteriahitch-relay/tests/all/engine_memory.rs
@@ -1,6 +1,8 @@
 //! What engines keep: as they tell it, and as daemons that start hear of it.
 
-use wisteriahitch_relay::{EndpointTable, KeptPart, Load, PartEvent, PartKey, PartNamer, PartNews};
+use wisteriahitch_relay::{
+    EndpointTable, KeptPart, Load, PartEvent, PartKey, PartNamer, PartUpdate,
+};
 use wisteriahitch_types::{DurationUs, TimeUs, TokenCount};
 
 use crate::fixture::{MEMORY_TOKENS, at_ms, engine, id, model};
@@ -66,7 +68,7 @@
     let events = [event(false, 1, 0), event(true, 2, 300), event(false, 3, 0)];
     let news = table.part_events(&id("a"), &events, at_ms(6_000), at_ms(5_000));
     let endpoint = table.get(&id("a")).unwrap().short_name;
-    let told = |part, tokens| PartNews {
+    let told = |part, tokens| PartUpdate {
         endpoint,
         part: key(part).0,
         tokens,
--- a/crates/wisteriahitch-relay/tests/all/beacon.rs
+++ b/crates/wisteriahitch-relay/tests/all/gossip_message.rs
@@ -3,22 +3,22 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use wisteriahitch_relay::{
-    Beacon, EndpointNews, KeptNews, Load, MemberPhase, PartNews, RequestNews,
+    EndpointUpdate, GossipMessage, KeptPartUpdate, Load, MemberPhase, PartUpdate, RequestUpdate,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
-fn beacon(parts: u32, kept: u32, endpoints: u32) -> Beacon {
-    let part = |endpoint| PartNews {
+fn gossip_message(parts: u32, kept: u32, endpoints: u32) -> GossipMessage {
+    let part = |endpoint| PartUpdate {
         endpoint,
         part: u64::MAX,
         tokens: 8_000,
     };
-    let keep = |store| KeptNews {
+    let keep = |store| KeptPartUpdate {
         store,
         part: u64::MAX,
         tokens: 8_000,
     };
-    let work = |endpoint| EndpointNews {
+    let work = |endpoint| EndpointUpdate {
         endpoint,
         load: Load {
             running: 9,
@@ -27,7 +27,7 @@
         },
         is_reserved: false,
     };
-    Beacon {
+    GossipMessage {
         incarnation: Incarnation::new(1),
         number: 1,
         ip: [127, 0, 0, 1].into(),
@@ -46,7 +46,7 @@
         parts: (0..parts).map(part).collect(),
         stores: vec![],
         kept: (0..kept).map(keep).collect(),
-        requests: RequestNews::default(),
+        requests: RequestUpdate::default(),
         zones: vec![],
         members: vec![],
     }
@@ -59,7 +59,7 @@
 fn what_stores_have_got_is_left_out_late_and_by_halves() {
     struct Case {
         what: &'static str,
-        message: Beacon,
+        message: GossipMessage,
         max_bytes: usize,
         /// Parts, parts at stores, endpoints.
         left: [usize; 3],
@@ -67,25 +67,25 @@
     let cases = [
         Case {
             what: "all has room",
-            message: beacon(10, 10, 10),
+            message: gossip_message(10, 10, 10),
             max_bytes: 4_000,
             left: [10, 10, 10],
         },
         Case {
             what: "parts at engines go first",
-            message: beacon(100, 40, 10),
+            message: gossip_message(100, 40, 10),
             max_bytes: 1_200,
             left: [25, 40, 10],
         },
         Case {
             what: "parts at stores by halves",
-            message: beacon(10, 80, 100),
+            message: gossip_message(10, 80, 100),
             max_bytes: 1_700,
             left: [0, 40, 100],
         },
         Case {
             what: "the load last",
-            message: beacon(10, 80, 100),
+            message: gossip_message(10, 80, 100),
             max_bytes: 604,
             left: [0, 0, 72],
         },
@@ -93,7 +93,7 @@
     for case in cases {
         let bytes = case.message.encoded(case.max_bytes);
         assert!(bytes.len() <= case.max_bytes, "{}", case.what);
-        let read: Beacon = postcard::from_bytes(&bytes).unwrap();
+        let read: GossipMessage = postcard::from_bytes(&bytes).unwrap();
         let left = [read.parts.len(), read.kept.len(), read.endpoints.len()];
         assert_eq!(left, case.left, "{}", case.what);
     }
@@ -114,7 +114,7 @@
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let good = postcard::to_stdvec(&beacon(3, 2, 4)).unwrap();
+    let good = postcard::to_stdvec(&gossip_message(3, 2, 4)).unwrap();
     let changes = prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..4);
     let strategy = (prop::collection::vec(any::<u8>(), 0..200), changes);
     let test = |(bytes, changes): (Vec<u8>, Vec<(prop::sample::Index, u8)>)| {
@@ -124,11 +124,11 @@
             changed[place] = byte;
         }
         for message in [bytes, changed] {
-            if let Ok(beacon) = postcard::from_bytes::<Beacon>(&message) {
+            if let Ok(decoded) = postcard::from_bytes::<GossipMessage>(&message) {
                 // Nothing in it is longer than the message.
-                prop_assert!(beacon.endpoints.len() <= message.len());
-                prop_assert!(beacon.parts.len() <= message.len());
-                prop_assert!(beacon.zone.len() <= message.len());
+                prop_assert!(decoded.endpoints.len() <= message.len());
+                prop_assert!(decoded.parts.len() <= message.len());
+                prop_assert!(decoded.zone.len() <= message.len());
             }
         }
         Ok(())
--- a/crates/wisteriahitch-relay/tests/all/news_pace.rs
+++ b/crates/wisteriahitch-relay/tests/all/gossip_pace.rs
@@ -1,6 +1,6 @@
 //! When daemons tell each other of what they have sent.
 
-use wisteriahitch_relay::NewsPace;
+use wisteriahitch_relay::GossipPace;
 use wisteriahitch_types::{DurationUs, TimeUs};
 
 use crate::fixture::at_ms;
@@ -40,7 +40,7 @@
         },
     ];
     for case in cases {
-        let mut pace = NewsPace::default();
+        let mut pace = GossipPace::default();
         pace.told(at_ms(500));
         let hurries: Vec<bool> = case.sent_tokens.iter().map(|t| pace.sent(*t)).collect();
         assert_eq!(pace.due_at(INTERVAL_US), case.expected_due, "{}", case.what);
@@ -54,7 +54,7 @@
 /// prompts, each of which can't wait. Cause: nothing bounded how soon one message follows another.
 #[test]
 fn a_burst_of_long_prompts_is_told_in_few_messages() {
-    let mut pace = NewsPace::default();
+    let mut pace = GossipPace::default();
     let mut messages = 0;
     for now_ms in 1_000..2_000 {
         let now = at_ms(now_ms);
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -2,7 +2,6 @@
 
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
-mod beacon;
 mod cold_limit;
 mod cold_shares;
 mod crash_evidence;
@@ -13,10 +12,11 @@
 mod evacuated_zones;
 mod event_log;
 mod fixture;
+mod gossip_message;
+mod gossip_pace;
 mod link_paces;
 mod members;
 mod metrics;
-mod news_pace;
 mod outlier;
 mod overload;
 mod part_sources;
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -3,14 +3,20 @@
 use std::net::Ipv4Addr;
 
 use wisteriahitch_relay::{
-    Beacon, Heard, HubCandidate, HubPlan, MemberNews, MemberPhase, PeerTable, RequestNews,
+    GossipMessage, Heard, HubCandidate, HubPlan, MemberPhase, MemberUpdate, PeerTable,
+    RequestUpdate,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
 use crate::fixture::at_ms;
 
-pub(crate) fn beacon(last: u8, incarnation: u64, number: u64, phase: MemberPhase) -> Beacon {
-    Beacon {
+pub(crate) fn message(
+    last: u8,
+    incarnation: u64,
+    number: u64,
+    phase: MemberPhase,
+) -> GossipMessage {
+    GossipMessage {
         incarnation: Incarnation::new(incarnation),
         number,
         ip: Ipv4Addr::new(10, 0, 0, last),
@@ -29,7 +35,7 @@
         parts: vec![],
         stores: vec![],
         kept: vec![],
-        requests: RequestNews::default(),
+        requests: RequestUpdate::default(),
         zones: vec![],
         members: vec![],
     }
@@ -38,9 +44,9 @@
 #[test]
 fn callers_are_sent_to_those_that_serve_and_are_heard() {
     let mut table = PeerTable::default();
-    table.heard(&beacon(1, 11, 1, MemberPhase::Ready), at_ms(0));
-    table.heard(&beacon(2, 12, 1, MemberPhase::Draining), at_ms(0));
-    table.heard(&beacon(3, 13, 1, MemberPhase::Starting), at_ms(0));
+    table.heard(&message(1, 11, 1, MemberPhase::Ready), at_ms(0));
+    table.heard(&message(2, 12, 1, MemberPhase::Draining), at_ms(0));
+    table.heard(&message(3, 13, 1, MemberPhase::Starting), at_ms(0));
     let ready = |table: &PeerTable, ms| table.ready(at_ms(ms)).count();
     assert_eq!(ready(&table, 100), 1);
     assert_eq!(table.alive(at_ms(100)).count(), 3);
@@ -52,12 +58,12 @@
 #[test]
 fn a_late_message_changes_nothing() {
     let mut table = PeerTable::default();
-    table.heard(&beacon(1, 11, 2, MemberPhase::Draining), at_ms(0));
-    let heard = table.heard(&beacon(1, 11, 1, MemberPhase::Ready), at_ms(1));
+    table.heard(&message(1, 11, 2, MemberPhase::Draining), at_ms(0));
+    let heard = table.heard(&message(1, 11, 1, MemberPhase::Ready), at_ms(1));
     assert_eq!(heard, Heard::Old);
     assert_eq!(table.ready(at_ms(2)).count(), 0);
     // A new life begins to count anew.
-    let heard = table.heard(&beacon(1, 21, 1, MemberPhase::Ready), at_ms(3));
+    let heard = table.heard(&message(1, 21, 1, MemberPhase::Ready), at_ms(3));
     assert_eq!(heard, Heard::Joined);
     assert_eq!(table.ready(at_ms(4)).count(), 1);
 }
@@ -65,7 +71,7 @@
 #[test]
 fn a_silent_daemon_is_told_once() {
     let mut table = PeerTable::default();
-    table.heard(&beacon(1, 11, 1, MemberPhase::Ready), at_ms(0));
+    table.heard(&message(1, 11, 1, MemberPhase::Ready), at_ms(0));
     let fell_silent = table.tick(at_ms(0), at_ms(1_000));
     assert_eq!(fell_silent, [Incarnation::new(11)]);
     assert!(table.tick(at_ms(1_000), at_ms(1_100)).is_empty());
@@ -137,9 +143,9 @@
 #[test]
 fn a_hub_tells_of_daemons_that_aren_t_heard() {
     let mut table = PeerTable::default();
-    let mut news = beacon(1, 11, 1, MemberPhase::Ready);
+    let mut news = message(1, 11, 1, MemberPhase::Ready);
     news.zones = vec!["b".to_owned()];
-    let told = |number, phase| MemberNews {
+    let told = |number, phase| MemberUpdate {
         ip: Ipv4Addr::new(10, 0, 2, number),
         zone: 0,
         phase,
@@ -187,17 +193,17 @@
 }
 
 /// A hub's message that tells of daemon 9.
-fn telling(number: u64, phase: MemberPhase) -> Beacon {
-    Beacon {
+fn telling(number: u64, phase: MemberPhase) -> GossipMessage {
+    GossipMessage {
         zones: vec!["b".to_owned()],
-        members: vec![MemberNews {
+        members: vec![MemberUpdate {
             ip: Ipv4Addr::new(10, 0, 0, 9),
             zone: 0,
             phase,
             capacity: 250,
             link_mbps: 100,
         }],
-        ..beacon(1, 11, number, MemberPhase::Ready)
+        ..message(1, 11, number, MemberPhase::Ready)
     }
 }
 
@@ -253,7 +259,7 @@
     let ip = Ipv4Addr::new(10, 0, 0, 9);
     for case in cases {
         let mut table = PeerTable::default();
-        table.heard(&beacon(9, 19, 1, case.said), at_ms(0));
+        table.heard(&message(9, 19, 1, case.said), at_ms(0));
         for ms in (200..=case.told_until_ms).step_by(200) {
             table.heard(&telling(ms, case.told), at_ms(ms));
             table.tick(at_ms(ms - 200), at_ms(ms));
--- a/crates/wisteriahitch-relay/tests/all/staleness.rs
+++ b/crates/wisteriahitch-relay/tests/all/staleness.rs
@@ -3,13 +3,14 @@
 use std::net::Ipv4Addr;
 
 use wisteriahitch_relay::{
-    Beacon, BoundSettings, MemberPhase, MessageDelay, PeerTable, StalenessLimits, answered_as_of,
+    BoundSettings, GossipMessage, MemberPhase, MessageDelay, PeerTable, StalenessLimits,
+    answered_as_of,
 };
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::ObjectRole;
 
 use crate::fixture::{at_ms, ms};
-use crate::members::beacon;
+use crate::members::message;
 
 const LIMITS: StalenessLimits = StalenessLimits {
     confirm_us: ms(1_000),
@@ -223,10 +224,10 @@
 /// Whoever the store turns away, leaves or isn't heard confirms nothing, and holds up nobody's turn.
 #[test]
 fn those_that_can_t_ask_the_store_have_no_turn() {
-    let change = |change: fn(&mut Beacon)| {
+    let change = |change: fn(&mut GossipMessage)| {
         let mut table = PeerTable::default();
         for last in 1..=8 {
-            let mut message = beacon(last, u64::from(last), 1, MemberPhase::Ready);
+            let mut message = message(last, u64::from(last), 1, MemberPhase::Ready);
             change(&mut message);
             table.heard(&message, at_ms(0));
         }
--- a/crates/wisteriahitch-relay/tests/all/suspects.rs
+++ b/crates/wisteriahitch-relay/tests/all/suspects.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    CRASHES_TO_BLOCK, CrashVerdict, RequestFingerprint, RequestNews, SuspectTable,
+    CRASHES_TO_BLOCK, CrashVerdict, RequestFingerprint, RequestUpdate, SuspectTable,
 };
 use wisteriahitch_types::TimeUs;
 
@@ -307,7 +307,7 @@
 }
 
 fn tell(fleet: &mut [SuspectTable], from: usize, to: usize, now: TimeUs) {
-    let news: RequestNews = fleet[from].news(0, now);
+    let news: RequestUpdate = fleet[from].news(0, now);
     fleet[to].told(&news, now);
 }
 
