--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -31,5 +31,6 @@
 pub(crate) mod staleness;
 pub(crate) mod store_retry;
 pub(crate) mod stream_events;
+mod suspect_gossip;
 pub(crate) mod suspects;
 pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/decide/suspects.rs
+++ b/crates/wisteriahitch-relay/src/decide/suspects.rs
@@ -18,8 +18,9 @@
 use lru::LruCache;
 use wisteriahitch_types::{DurationUs, TimeUs};
 
-use super::gossip_message::{BlockedUpdate, CrashUpdate, RequestUpdate};
-use super::recent_updates::{RecentUpdates, TOLD_FOR_US};
+use super::gossip_message::CrashUpdate;
+use super::recent_updates::RecentUpdates;
+use super::suspect_gossip::weight;
 use crate::site::RequestFingerprint;
 
 /// Crashes after which a request is blocked. The users allow three, and fewer would blame more innocents: one that
@@ -39,10 +40,6 @@
 /// endpoint again, three are lost in an hour.
 const REMEMBERED_FOR_US: DurationUs = DurationUs::from_ms(3_600_000);
 
-/// Messages of which one names the blocked requests again. A daemon that starts, or was cut off, hears of them within a
-/// second from each hub on the way; in every message 32 of them would cost a fleet of twelve 50 KB a second.
-const REMIND_EVERY: u64 = 5;
-
 /// Time for which a lifted block isn't taken over again from daemons that haven't heard of it.
 const LIFTED_FOR_US: DurationUs = DurationUs::from_ms(10_000);
 
@@ -62,17 +59,11 @@
 /// Crashes that are remembered as explained.
 const MAX_EXPLAINED: usize = 1_024;
 
-/// Most crashes in a message; the most suspect requests go first.
-const MAX_CRASHES_TOLD: usize = 48;
-
-/// Most blocked requests in a message; messages take turns with more.
-const MAX_BLOCKED_TOLD: usize = 32;
-
 /// What is held against one request.
 #[derive(Debug, Default)]
-struct Suspect {
+pub(super) struct Suspect {
     /// Short names of the lives that ended while it was under way there.
-    crashes: BTreeSet<u32>,
+    pub(super) crashes: BTreeSet<u32>,
     /// Whether a call of this daemon was one of them.
     is_own: bool,
     last_at_us: TimeUs,
@@ -80,16 +71,9 @@
 
 /// A request that no endpoint gets.
 #[derive(Clone, Copy, Debug)]
-struct Blocked {
-    learnt_at_us: TimeUs,
-    last_came_at_us: TimeUs,
-}
-
-/// Returns how much a crash matters to the others: as many as its request has seen. Those of a blocked one are told
-/// with the block.
-fn weight(suspects: &HashMap<RequestFingerprint, Suspect>, news: &CrashUpdate) -> usize {
-    let suspect = suspects.get(&news.request);
-    suspect.map_or(0, |suspect| suspect.crashes.len())
+pub(super) struct Blocked {
+    pub(super) learnt_at_us: TimeUs,
+    pub(super) last_came_at_us: TimeUs,
 }
 
 /// What follows from a crash.
@@ -117,15 +101,15 @@
 /// All suspects and blocked requests.
 #[derive(Debug)]
 pub struct SuspectTable {
-    suspects: HashMap<RequestFingerprint, Suspect>,
-    blocked: HashMap<RequestFingerprint, Blocked>,
+    pub(super) suspects: HashMap<RequestFingerprint, Suspect>,
+    pub(super) blocked: HashMap<RequestFingerprint, Blocked>,
     answered: LruCache<RequestFingerprint, TimeUs>,
-    lifted: HashMap<RequestFingerprint, TimeUs>,
+    pub(super) lifted: HashMap<RequestFingerprint, TimeUs>,
     /// Crashes that a blocked request was on board of, the oldest first.
     explained: VecDeque<u32>,
-    fresh_crashes: RecentUpdates<CrashUpdate>,
-    fresh_cleared: RecentUpdates<RequestFingerprint>,
-    fresh_lifted: RecentUpdates<RequestFingerprint>,
+    pub(super) fresh_crashes: RecentUpdates<CrashUpdate>,
+    pub(super) fresh_cleared: RecentUpdates<RequestFingerprint>,
+    pub(super) fresh_lifted: RecentUpdates<RequestFingerprint>,
 }
 
 impl Default for SuspectTable {
@@ -258,100 +242,8 @@
         over
     }
 
-    /// Returns what to tell the others in the message with this number.
-    pub fn news(&mut self, number: u64, now: TimeUs) -> RequestUpdate {
-        RequestUpdate {
-            crashes: self.crashes_to_tell(now),
-            blocked: self.blocked_to_tell(number, now),
-            cleared: self.fresh_cleared.told_at(now).collect(),
-            lifted: self.fresh_lifted.told_at(now).collect(),
-        }
-    }
-
-    fn crashes_to_tell(&mut self, now: TimeUs) -> Vec<CrashUpdate> {
-        let mut crashes: Vec<CrashUpdate> = self.fresh_crashes.told_at(now).collect();
-        crashes.sort_by_key(|news| std::cmp::Reverse(weight(&self.suspects, news)));
-        crashes.truncate(MAX_CRASHES_TOLD);
-        crashes
-    }
-
-    fn blocked_to_tell(&self, number: u64, now: TimeUs) -> Vec<BlockedUpdate> {
-        let is_reminder = number.is_multiple_of(REMIND_EVERY);
-        let is_told =
-            |blocked: &Blocked| is_reminder || now.since(blocked.learnt_at_us) < TOLD_FOR_US;
-        let told = self.blocked.iter().filter(|(_, b)| is_told(b));
-        let mut blocked: Vec<_> = told.collect();
-        let pages = blocked.len().div_ceil(MAX_BLOCKED_TOLD).max(1);
-        let page = usize::try_from(number / REMIND_EVERY).unwrap_or(0) % pages;
-        blocked.sort_by_key(|(request, _)| **request);
-        let told = blocked
-            .into_iter()
-            .skip(page * MAX_BLOCKED_TOLD)
-            .take(MAX_BLOCKED_TOLD);
-        let news = |(request, blocked): (&RequestFingerprint, &Blocked)| BlockedUpdate {
-            request: *request,
-            absent_ms: now.since(blocked.last_came_at_us).as_ms(),
-        };
-        told.map(news).collect()
-    }
-
-    /// Takes over what another daemon tells.
-    pub fn told(&mut self, news: &RequestUpdate, now: TimeUs) -> RequestChanges {
-        let mut changes = RequestChanges::default();
-        for request in &news.cleared {
-            if self.told_cleared(*request, now) {
-                changes.unblocked.push(*request);
-            }
-        }
-        for request in &news.lifted {
-            let is_known = self.lifted.contains_key(request);
-            if !is_known && self.lift(*request, now) {
-                changes.unblocked.push(*request);
-            }
-        }
-        for crash in &news.crashes {
-            let verdict = self.crashed(crash.request, crash.endpoint, false, now);
-            if let CrashVerdict::Blocked { is_own } = verdict {
-                changes.blocked.push((crash.request, is_own));
-            }
-        }
-        for blocked in &news.blocked {
-            if self.told_blocked(*blocked, now) {
-                changes.blocked.push((blocked.request, false));
-            }
-        }
-        changes
-    }
-
-    /// Takes over that a request was answered, and returns whether that ends a block.
-    fn told_cleared(&mut self, request: RequestFingerprint, now: TimeUs) -> bool {
-        let is_known = self.suspects.contains_key(&request) || self.is_blocked(request);
-        is_known && self.answered(request, now)
-    }
-
-    fn told_blocked(&mut self, news: BlockedUpdate, now: TimeUs) -> bool {
-        let came_at_us = now
-            .get()
-            .saturating_sub(DurationUs::from_ms(news.absent_ms).get());
-        let came_at_us = TimeUs::new(came_at_us);
-        if let Some(known) = self.blocked.get_mut(&news.request) {
-            known.last_came_at_us = known.last_came_at_us.max(came_at_us);
-            return false;
-        }
-        if self.is_cleared(news.request, now) {
-            self.fresh_cleared.add(news.request, now);
-            return false;
-        }
-        if self.lifted.contains_key(&news.request) {
-            self.fresh_lifted.add(news.request, now);
-            return false;
-        }
-        self.block(news.request, came_at_us, now);
-        true
-    }
-
     /// Blocks a request, and holds what it is blocked for against no other.
-    fn block(&mut self, request: RequestFingerprint, came_at_us: TimeUs, now: TimeUs) {
+    pub(super) fn block(&mut self, request: RequestFingerprint, came_at_us: TimeUs, now: TimeUs) {
         let crashes = self.suspects.remove(&request).unwrap_or_default().crashes;
         for suspect in self.suspects.values_mut() {
             suspect.crashes.retain(|life| !crashes.contains(life));
@@ -374,7 +266,7 @@
         self.blocked.insert(request, blocked);
     }
 
-    fn is_cleared(&self, request: RequestFingerprint, now: TimeUs) -> bool {
+    pub(super) fn is_cleared(&self, request: RequestFingerprint, now: TimeUs) -> bool {
         let answered_at = self.answered.peek(&request);
         answered_at.is_some_and(|at| now.since(*at) <= CLEARED_FOR_US)
     }
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_body;
 mod attempt;
+mod attempt_answer;
 mod blocked_requests;
 mod budgets;
 mod crashes;
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -5,17 +5,16 @@
 
 use bytes::Bytes;
 use http::Response;
-use http_body_util::BodyExt;
 use hyper::body::Body;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 use wisteriahitch_types::{
     Code, DurationUs, EndpointInstance, ModelName, ServiceName, WeightNumber,
 };
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, Opened, open};
-use super::crashes::{note_answer_end, note_broken};
-use super::in_flight::AttemptOutcome;
+use super::attempt_answer::WHOLE_ANSWER_BYTES;
+use super::crashes::note_broken;
 use super::next_step::NextStep;
 use super::request_body::HeldBody;
 use super::shared::Shared;
@@ -27,10 +26,6 @@
 use crate::observe::Event;
 use crate::site::{CallKind, Route, Workspace};
 
-/// Largest answer that is taken in whole before it is passed on. What is not yet passed on can
-/// still be asked for again where it breaks.
-const WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
-
 /// Endpoints that one call tries to connect to; an attempt that sends nothing costs an endpoint
 /// nothing, but the caller waits.
 const MAX_CONNECTS: u32 = 4;
@@ -275,92 +270,6 @@
             && shared.budgets.left(&self.service) >= 1.0
     }
 
-    async fn whole_answer(
-        &self,
-        shared: &Arc<Shared>,
-        placement: &Placement,
-        opened: Opened,
-        until: Instant,
-    ) -> Result<Attempted, Failure> {
-        let Opened {
-            parts,
-            body,
-            connection,
-            flight,
-            ..
-        } = opened;
-        let limit = wisteriahitch_types::ByteCount::new(WHOLE_ANSWER_BYTES);
-        let whole = wisteriahitch_wire::http_client::read_body(body, limit);
-        let bytes = match timeout_at(until, whole).await {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(error)) => {
-                flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::of_exchange(&error));
-            }
-            Err(_) => {
-                flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(FailureKind::Timeout, "the answer isn't whole"));
-            }
-        };
-        if parts.status.is_success() {
-            note_answer_end(shared, &self.call, placement, &parts.headers);
-        }
-        flight.finish(match parts.status.is_server_error() {
-            true => AttemptOutcome::Failed,
-            false => AttemptOutcome::Good,
-        });
-        shared
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
-        keep_connection(shared, placement, &parts, connection);
-        let status = parts.status.as_u16();
-        let mut response = Response::new(AnswerBody::whole(bytes));
-        *response.status_mut() = parts.status;
-        *response.headers_mut() = shared.borders.calls.passed_back(&parts.headers);
-        Ok(Attempted::Whole(response, status))
-    }
-
-    /// Waits for the first bytes of a stream before its head is passed on: until then a failure
-    /// can still be told by a status of its own, and where it may be, the call sent elsewhere.
-    async fn first_event(
-        &self,
-        shared: &Arc<Shared>,
-        placement: &Placement,
-        mut opened: Opened,
-        until: Instant,
-    ) -> Result<Attempted, Failure> {
-        let frame = match timeout_at(until, opened.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
-                opened.flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(FailureKind::Lost, error.to_string()));
-            }
-            Ok(None) => {
-                opened.flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(
-                    FailureKind::Lost,
-                    "the stream ended before an event",
-                ));
-            }
-            Err(_) => {
-                opened.flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(FailureKind::Timeout, "no first event"));
-            }
-        };
-        opened
-            .flight
-            .has_read(placement, self.call.head.prompt.as_ref());
-        shared
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
-        let first = frame.into_data().ok();
-        Ok(Attempted::Stream(first, Box::new(opened)))
-    }
-
     /// Notes a connection that broke, which may tell of a crash.
     pub(crate) fn note_broken(
         &self,
@@ -464,20 +373,3 @@
         _ => new,
     }
 }
-
-/// Keeps a connection whose answer was read to its end, unless the endpoint closes it.
-pub(crate) fn keep_connection(
-    shared: &Shared,
-    placement: &Placement,
-    parts: &http::response::Parts,
-    mut connection: wisteriahitch_wire::connection_pool::Connection,
-) {
-    let answer = shared.borders.calls.answer(parts);
-    if answer.is_closing {
-        return;
-    }
-    if let Some(keep) = answer.keep {
-        connection.set_keep(keep);
-    }
-    shared.pool.put(&placement.endpoint, connection);
-}
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -11,10 +11,11 @@
 
 use super::answer_body::{AnswerBody, BrokenOff};
 use super::attempt::{Failure, FailureKind, Opened, open};
+use super::attempt_answer::keep_connection;
 use super::crashes::note_answer_end;
 use super::in_flight::AttemptOutcome;
 use super::next_step::NextStep;
-use super::routed::{Routed, keep_connection};
+use super::routed::Routed;
 use super::shared::Shared;
 use super::trace::CallTrace;
 use crate::decide::placement::Placement;
