fix(relay): plain endpoints are not asked for their start

Found in the last reading: a plain service that states a limit for cold endpoints and tells starts, but answers no report, would have counted as unreachable at each new connection, and got no call at all. Reports are known of engines; so those alone are asked.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -83,8 +83,10 @@
     ///
     /// One that has started again under its id is cold, and its registration may take seconds or, without the store,
     /// minutes to be read. Where no start is told, an id names one process; where no limit is stated, it doesn't matter.
+    /// Engines alone are asked: who has no weights may have no report, and would get no call at all.
     pub fn needs_start(&self, instance: &EndpointInstance) -> bool {
         let row = self.get(instance).filter(|_| instance.start.is_some());
+        let row = row.filter(|row| !row.endpoint.weights.is_empty());
         row.is_some_and(|row| self.cold_limits.contains_key(&row.endpoint.service))
     }
 
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -1,6 +1,6 @@
 //! What a cold endpoint may get, and when.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 
 use rand::SeedableRng;
@@ -387,6 +387,21 @@
     }
 }
 
+/// Guards against a plain service that gets no call at all, since its endpoints have no report to tell their start in.
+#[test]
+fn endpoints_without_weights_are_not_asked_for_their_start() {
+    let mut daemon = Daemon::alone(at_ms(5_000));
+    let start = Some(EndpointStart::from_unix_ms(1));
+    let instance = EndpointInstance { start, ..id("a") };
+    let endpoint = Endpoint {
+        instance: instance.clone(),
+        weights: BTreeMap::new(),
+        ..engine("a")
+    };
+    daemon.table.registered(endpoint, at_ms(5_000));
+    assert!(!daemon.table.needs_start(&instance));
+}
+
 /// Guards against a herd at an endpoint that turns cold under its usual load, which no permit has counted.
 #[test]
 fn an_endpoint_that_turns_cold_gets_nothing_for_a_window() {
