refactor(relay): an endpoint's permits are worked out once, and turning cold has one place

Found by reading the whole change again; behaviour stays.

- At each look, five to ten times a second, the newest view of the members was ranked twice for each cold endpoint, for the permits of now and of later.
ColdShares::share ranks each view once and returns both as a PermitShare, which says how many may be used at a time; ColdState kept the two apart with a copy of the time for each.
- When the next permit is free was raised to the time of the newest view twice, in ColdState and in its only caller; the latter does it.
- That an endpoint turns cold under calls without permits, which then count, stood in EndpointRow::told_cold and in EndpointTable::saw_start; both call ColdState::turn. saw_start looked its endpoint up twice.
- EndpointTable::renewed asked twice whether a registration is newer.
- The zones of all daemons were parsed twice for a caller in a region where some are.

--- a/crates/wisteriahitch-relay/src/decide/cold_limit.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_limit.rs
@@ -7,6 +7,8 @@
 
 use wisteriahitch_types::{DurationUs, EndpointStart, TimeUs};
 
+use super::cold_shares::PermitShare;
+
 /// What a deployment allows beyond the rate that a service states.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdBound {
@@ -77,9 +79,7 @@
     /// Start of the process that answered last, where it isn't the registered one or tells none.
     other_start: Option<Option<EndpointStart>>,
     /// How many of its permits this daemon may use.
-    pub share: u32,
-    /// How many it may use from a time on, and that time.
-    pub later_share: Option<(TimeUs, u32)>,
+    pub share: PermitShare,
     /// When each permit that this daemon holds was last used.
     used_at_us: Vec<Option<TimeUs>>,
 }
@@ -123,32 +123,19 @@
 
     /// Returns the first permit that may be used now.
     pub fn free_permit(&self, limit: &ColdLimit, now: TimeUs) -> Option<usize> {
-        (0..self.share_at(now)).find(|permit| self.free_at(*permit, limit) <= now)
+        (0..self.share.at(now)).find(|permit| self.free_at(*permit, limit) <= now)
     }
 
-    /// Returns when the next permit may be used; none where this daemon holds none.
+    /// Returns when the next permit is free that this daemon may use now or later; none where there is none.
     pub fn next_free_at(&self, limit: &ColdLimit) -> Option<TimeUs> {
-        let now_held = (0..self.share as usize).map(|permit| self.free_at(permit, limit));
-        let later = self.later_share.iter().flat_map(|(usable_at, share)| {
-            (0..*share as usize).map(|permit| self.free_at(permit, limit).max(*usable_at))
-        });
-        now_held.chain(later).min()
-    }
-
-    fn share_at(&self, now: TimeUs) -> usize {
-        let later = self.later_share.filter(|(usable_at, _)| *usable_at <= now);
-        later.map_or(self.share, |(_, share)| share) as usize
-    }
-
-    /// Gives up all permits: whoever holds them when it turns cold again is found out anew.
-    pub(super) fn give_up_permits(&mut self) {
-        self.share = 0;
-        self.later_share = None;
+        (0..self.share.most())
+            .map(|permit| self.free_at(permit, limit))
+            .min()
     }
 
     /// Uses a permit, or renews its use when the call's bytes leave. Returns whether this daemon still holds it.
     pub fn use_permit(&mut self, permit: usize, now: TimeUs) -> bool {
-        if permit >= self.share_at(now) {
+        if permit >= self.share.at(now) {
             return false;
         }
         if self.used_at_us.len() <= permit {
@@ -158,9 +145,19 @@
         true
     }
 
-    /// Notes that it turned cold while calls were sent to it without permits: all count as just used.
-    pub fn use_all(&mut self, limit: &ColdLimit, now: TimeUs) {
-        self.used_at_us = vec![Some(now); limit.permits as usize];
+    /// Makes a change that may turn it cold. Where it does, calls were sent to it without permits, and all permits count
+    /// as just used.
+    pub(super) fn turn(
+        &mut self,
+        limit: Option<&ColdLimit>,
+        now: TimeUs,
+        change: impl FnOnce(&mut Self),
+    ) {
+        let was_cold = self.is_cold(now);
+        change(self);
+        if let Some(limit) = limit.filter(|_| !was_cold && self.is_cold(now)) {
+            self.used_at_us = vec![Some(now); limit.permits as usize];
+        }
     }
 
     fn free_at(&self, permit: usize, limit: &ColdLimit) -> TimeUs {
--- a/crates/wisteriahitch-relay/src/decide/cold_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/cold_shares.rs
@@ -50,6 +50,29 @@
     pub is_complete: bool,
 }
 
+/// How many of an endpoint's permits a daemon may use.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PermitShare {
+    /// How many now.
+    pub now: u32,
+    /// From when on how many, unless the daemon's view of the members changes before; none without a view.
+    pub later: Option<(TimeUs, u32)>,
+}
+
+impl PermitShare {
+    /// Returns how many it may use at a time.
+    pub(super) fn at(&self, now: TimeUs) -> usize {
+        let later = self.later.filter(|(usable_at, _)| *usable_at <= now);
+        later.map_or(self.now, |(_, share)| share) as usize
+    }
+
+    /// Returns how many it may use at one time or another.
+    pub(super) fn most(&self) -> usize {
+        let later = self.later.map_or(0, |(_, share)| share);
+        self.now.max(later) as usize
+    }
+}
+
 /// The views of one daemon.
 #[derive(Debug)]
 pub struct ColdShares {
@@ -98,26 +121,21 @@
         }
     }
 
-    /// Returns how many of an endpoint's permits this daemon may use now.
-    pub fn share(&self, endpoint: &EndpointId, permits: u32, now: TimeUs) -> u32 {
-        if now.since(self.looked_at_us) > LONGEST_GAP_US {
-            return 0;
-        }
+    /// Returns how many of an endpoint's permits this daemon may use.
+    pub fn share(&self, endpoint: &EndpointId, permits: u32, now: TimeUs) -> PermitShare {
         let rank = Rendezvous::new("cold", endpoint.as_str());
-        let shares = self
-            .views
-            .iter()
-            .map(|view| self.share_in(view, &rank, permits));
-        shares.min().unwrap_or(0)
-    }
-
-    /// Returns how many of an endpoint's permits this daemon may use from [`Self::usable_at`] on, unless its view of the
-    /// members changes before.
-    pub fn later_share(&self, endpoint: &EndpointId, permits: u32) -> u32 {
-        let rank = Rendezvous::new("cold", endpoint.as_str());
-        self.views
-            .back()
-            .map_or(0, |view| self.share_in(view, &rank, permits))
+        let mut views = self.views.iter().rev();
+        let newest = views
+            .next()
+            .map_or(0, |view| self.share_in(view, &rank, permits));
+        let in_all = views
+            .map(|view| self.share_in(view, &rank, permits))
+            .fold(newest, u32::min);
+        let is_suspended = now.since(self.looked_at_us) > LONGEST_GAP_US;
+        PermitShare {
+            now: if is_suspended { 0 } else { in_all },
+            later: self.usable_at().map(|usable_at| (usable_at, newest)),
+        }
     }
 
     /// Returns when the permits of the newest view may be used; none where it gives none.
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -7,7 +7,7 @@
 };
 
 use super::cold_limit::ColdLimit;
-use super::cold_shares::{ColdShares, HOLD_US, LONGEST_GAP_US};
+use super::cold_shares::{ColdShares, HOLD_US, LONGEST_GAP_US, PermitShare};
 use super::endpoint_row::EndpointRow;
 use super::endpoint_table::EndpointTable;
 use super::evacuated_zones::ZoneChange;
@@ -98,24 +98,20 @@
         seen: Option<EndpointStart>,
         now: TimeUs,
     ) -> bool {
-        let Some(row) = self.get(instance) else {
-            return false;
-        };
-        let Some(cold) = self.cold_limits.get(&row.endpoint.service).copied() else {
+        let row = self.rows.get_mut(&instance.id);
+        let Some(row) = row.filter(|row| row.instance() == instance) else {
             return false;
         };
-        let Some(row) = self.get_mut(instance) else {
+        let Some(cold) = self.cold_limits.get(&row.endpoint.service) else {
             return false;
         };
-        if !row.cold.saw_start(instance.start, seen) {
-            return false;
-        }
-        let was_cold = row.cold.is_cold(now);
-        row.cold.assume_until(now + cold.start_us);
-        if !was_cold {
-            row.cold.use_all(&cold.limit, now);
+        let is_new = row.cold.saw_start(instance.start, seen);
+        if is_new {
+            let until_us = now + cold.start_us;
+            row.cold
+                .turn(Some(&cold.limit), now, |state| state.assume_until(until_us));
         }
-        true
+        is_new
     }
 
     /// Takes over what cold endpoints of each service bear.
@@ -131,16 +127,13 @@
         });
         for row in self.rows.values_mut() {
             if !row.cold.is_cold(now) {
-                row.cold.give_up_permits();
+                // Whoever holds permits when it turns cold again is found out anew.
+                row.cold.share = PermitShare::default();
                 continue;
             }
             if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
                 let id = &row.endpoint.instance.id;
-                let permits = cold.limit.permits;
-                row.cold.share = shares.share(id, permits, now);
-                row.cold.later_share = shares
-                    .usable_at()
-                    .map(|usable_at| (usable_at, shares.later_share(id, permits)));
+                row.cold.share = shares.share(id, cold.limit.permits, now);
             }
         }
     }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -3,7 +3,7 @@
 use wisteriahitch_types::{DurationUs, EndpointInstance, ModelName, TimeUs, WeightNumber};
 
 use super::backlog::{Load, LoadReport};
-use super::cold_limit::{ColdLimit, ColdState};
+use super::cold_limit::ColdState;
 use super::outlier::Outlier;
 use super::parts::{MAX_KEPT_US, PartCache, kept_for};
 use crate::site::Endpoint;
@@ -80,20 +80,6 @@
         matches!(self.life, EndpointLife::Ready | EndpointLife::Lapsed(_))
     }
 
-    /// Takes over how long it says to stay cold, and under which limit.
-    pub(super) fn told_cold(
-        &mut self,
-        left_us: DurationUs,
-        limit: Option<&ColdLimit>,
-        now: TimeUs,
-    ) {
-        let was_cold = self.cold.is_cold(now);
-        self.cold.told_until(now + left_us);
-        if let Some(limit) = limit.filter(|_| !was_cold && self.cold.is_cold(now)) {
-            self.cold.use_all(limit, now);
-        }
-    }
-
     /// Returns all work that is known to be sent to it.
     pub fn load(&self) -> Load {
         let mut load = self.own;
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -193,7 +193,11 @@
             return Vec::new();
         };
         if endpoint.revision > row.endpoint.revision {
-            row.told_cold(endpoint.cold_left_us, limit.map(|cold| &cold.limit), now);
+            let until_us = now + endpoint.cold_left_us;
+            row.cold.turn(limit.map(|cold| &cold.limit), now, |cold| {
+                cold.told_until(until_us);
+            });
+            row.is_displaced = false;
         }
         let was = row.life;
         let life = life_of(&endpoint);
@@ -202,9 +206,6 @@
         if was != EndpointLife::Draining {
             row.life = life;
         }
-        if endpoint.revision > row.endpoint.revision {
-            row.is_displaced = false;
-        }
         let has_moved = endpoint.address != row.endpoint.address;
         let told = endpoint.weights.clone();
         let known = std::mem::take(&mut row.endpoint.weights);
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -20,7 +20,7 @@
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::cold_limit::{ColdBound, ColdLimit, ColdState};
-pub use decide::cold_shares::{ColdShares, Sighting};
+pub use decide::cold_shares::{ColdShares, PermitShare, Sighting};
 pub use decide::crash_evidence::{BreakMeaning, ConnectFailure, CrashEvidence};
 pub use decide::endpoint_admission::{Admission, ServiceColdness};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -285,7 +285,7 @@
             "is_ejected": row.outlier.is_ejected(now),
             "failure_rate": row.outlier.failure_rate(),
             "cold_for_ms": row.cold.until_us.since(now).as_ms(),
-            "cold_permits": row.cold.share,
+            "cold_permits": row.cold.share.now,
         })
     });
     let rows: Vec<_> = rows.collect();
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -111,12 +111,13 @@
         return entries;
     };
     let is_near = |entry: &Entry| {
-        let zone = entry.zone.parse().ok();
-        zone.and_then(|zone| map.region(&zone).cloned()).as_ref() == Some(region)
+        let zone = entry.zone.parse();
+        zone.is_ok_and(|zone| map.region(&zone) == Some(region))
     };
-    match entries.iter().any(is_near) {
-        true => entries.into_iter().filter(is_near).collect(),
-        false => entries,
+    let (near, others): (Vec<Entry>, Vec<Entry>) = entries.into_iter().partition(is_near);
+    match near.is_empty() {
+        true => others,
+        false => near,
     }
 }
 
--- a/crates/wisteriahitch-relay/tests/all/cold_shares.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_shares.rs
@@ -191,7 +191,7 @@
     const WINDOW: DurationUs = DurationUs::from_ms(1_020);
     let now = at_ms(now_ms);
     for number in 0..endpoints {
-        let share = member.shares.share(&endpoint(number), PERMITS, now);
+        let share = member.shares.share(&endpoint(number), PERMITS, now).now;
         for permit in 0..share as usize {
             let used_at = member.used_at.get(&(number, permit));
             if used_at.is_some_and(|used_at| now.since(*used_at) < WINDOW) {
@@ -363,10 +363,10 @@
             is_complete: case.is_complete,
         };
         for now_ms in (0..3_600).step_by(100) {
-            assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(now_ms)), 0);
+            assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(now_ms)).now, 0);
             shares.look(&sighting, at_ms(now_ms));
         }
-        let share = shares.share(&endpoint(0), PERMITS, at_ms(3_600));
+        let share = shares.share(&endpoint(0), PERMITS, at_ms(3_600)).now;
         assert_eq!(share, case.expected, "{}", case.name);
     }
 }
@@ -387,5 +387,8 @@
     for now_ms in (5_000..9_000).step_by(100) {
         shares.look(&of(1, &[1, 2, 3]), at_ms(now_ms));
     }
-    assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(8_900)), PERMITS);
+    assert_eq!(
+        shares.share(&endpoint(0), PERMITS, at_ms(8_900)).now,
+        PERMITS
+    );
 }
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -4,8 +4,8 @@
 
 use wisteriahitch_relay::{
     Absence, Endpoint, EndpointChange, EndpointLife, EndpointRow, EndpointTable, EngineReport,
-    Load, LoadReport, OrderOutcome, PaceOptions, PartKey, Registration, Rollout, RolloutRow,
-    RolloutStep,
+    Load, LoadReport, OrderOutcome, PaceOptions, PartKey, PermitShare, Registration, Rollout,
+    RolloutRow, RolloutStep,
 };
 use wisteriahitch_types::{EndpointInstance, EndpointStart, Incarnation, TimeUs, WeightNumber};
 use wisteriahitch_wire::object_store::Revision;
@@ -113,7 +113,7 @@
     assert!(told.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
-    assert!(!cold.is_cold(at_ms(0)) && cold.share == 0);
+    assert!(!cold.is_cold(at_ms(0)) && cold.share == PermitShare::default());
     assert!(
         times.iter().all(|until| *until == TimeUs::ZERO),
         "{times:?}"
