feat(relay): log the limits that endpoints name in their answers

Nothing in the logs, metrics or the dump could tell whether a daemon had heard of a limit, so that 'nobody reads it' and 'each daemon keeps it by itself' looked the same.

Read in platform/, in both spellings of the header; kept beside the endpoint's row with when it was heard; told by endpoint_limit_changed, relay_limited_endpoints and the dump. What can't be read changes nothing, is counted, and logged once for each life of an endpoint. Nothing is decided by it yet: placement is untouched.

Tests: endpoint_limits::the_log_tells_of_a_limit_that_an_answer_names, a_limit_that_can_t_be_read_changes_nothing_and_is_told_once (red without the reading: they wait for lines that no daemon writes), call_rates_are_decimal_numbers_that_are_not_negative.

--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -5,9 +5,11 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Response, request, response};
-use wisteriahitch_types::{DurationUs, EndpointId, Region, RequestId, WeightNumber, WorkspaceId};
+use wisteriahitch_types::{
+    CallRate, DurationUs, EndpointId, Region, RequestId, WeightNumber, WorkspaceId,
+};
 
-use super::Refusal;
+use super::{Refusal, Statement};
 use crate::decide::backlog::LoadReport;
 use crate::site::PromptShape;
 
@@ -54,7 +56,7 @@
 }
 
 /// What an endpoint says in the head of its answer.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Request that the answer is for.
     pub request_id: Option<RequestId>,
@@ -64,6 +66,8 @@
     pub endpoint: Option<EndpointId>,
     /// Load that it tells.
     pub load: Option<LoadReport>,
+    /// Calls that it takes from all daemons together, for as long as it says so.
+    pub limit: Statement<CallRate>,
     /// Weights that it answered with.
     pub weights: Option<WeightNumber>,
     /// How long it keeps the connection when it is idle.
--- a/crates/wisteriahitch-relay/src/border/mod.rs
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -5,9 +5,11 @@
 mod part_store_control;
 mod refusal;
 mod site_codec;
+mod statement;
 
 pub use call_codec::{AnswerHead, CallCodec, CallHead, OutgoingCall};
 pub use engine_control::{EngineControl, EngineReport, OrderOutcome, WeightOrder};
 pub use part_store_control::{KeptPart, PartChanges, PartEvent, PartListing, PartStoreControl};
 pub use refusal::Refusal;
 pub use site_codec::{DecodeError, SiteCodec};
+pub use statement::Statement;
--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -4,6 +4,7 @@
 
 use super::backlog::{Load, LoadReport};
 use super::cold_limit::ColdState;
+use super::endpoint_statements::EndpointStatements;
 use super::outlier::Outlier;
 use super::parts::{MAX_KEPT_US, PartCache, kept_for};
 use crate::site::Endpoint;
@@ -59,6 +60,8 @@
     pub reserved_until_us: TimeUs,
     /// Until when it bears few calls, and this daemon's part of them.
     pub cold: ColdState,
+    /// What it says of itself in its answers.
+    pub statements: EndpointStatements,
     /// Short name under which daemons tell each other of this life.
     pub short_name: u32,
 }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -14,6 +14,7 @@
 use super::endpoint_admission::{ServiceColdness, SharesAsOf};
 use super::endpoint_gossip::PeerLoad;
 use super::endpoint_row::{EndpointLife, EndpointRow};
+use super::endpoint_statements::EndpointStatements;
 use super::evacuated_zones::EvacuatedZones;
 use super::link_paces::LinkPaces;
 use super::outlier::{Outlier, OutlierOptions};
@@ -433,6 +434,7 @@
             weighed_until_us: TimeUs::ZERO,
             suspected_until_us: TimeUs::ZERO,
             reserved_until_us: TimeUs::ZERO,
+            statements: EndpointStatements::default(),
             short_name,
         };
         self.rows.insert(id, row);
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -15,7 +15,7 @@
 pub use border::{
     AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, KeptPart,
     OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl, Refusal,
-    SiteCodec, WeightOrder,
+    SiteCodec, Statement, WeightOrder,
 };
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
@@ -24,6 +24,7 @@
 pub use decide::crash_evidence::{BreakMeaning, ConnectFailure, CrashEvidence};
 pub use decide::endpoint_admission::{Admission, ServiceColdness};
 pub use decide::endpoint_row::{EndpointLife, EndpointRow};
+pub use decide::endpoint_statements::EndpointStatements;
 pub use decide::endpoint_table::{Absence, EndpointChange, EndpointTable, Registration};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
 pub use decide::gossip_message::{
@@ -35,6 +36,7 @@
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
 pub use decide::message_delay::MessageDelay;
+pub use decide::named_limit::{LimitNotice, NamedLimit};
 pub use decide::offer::MainFetch;
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -65,6 +65,18 @@
         endpoint: String,
         start_unix_ms: Option<u64>,
     },
+    /// An endpoint names another limit than before, or none any more.
+    EndpointLimitChanged {
+        endpoint: String,
+        calls_per_s: Option<f64>,
+        source: &'static str,
+        age_ms: u64,
+    },
+    /// An answer says something of its endpoint that can't be read, for the first time in this life of the endpoint.
+    EndpointStatementMalformed {
+        endpoint: String,
+        statement: &'static str,
+    },
     /// A request is sent to no endpoint any more, since endpoints crash under it.
     RequestBlocked {
         fingerprint: String,
@@ -213,6 +225,8 @@
             Event::EndpointChanged { .. } => "endpoint_changed",
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
+            Event::EndpointLimitChanged { .. } => "endpoint_limit_changed",
+            Event::EndpointStatementMalformed { .. } => "endpoint_statement_malformed",
             Event::RequestBlocked { .. } => "request_blocked",
             Event::RequestUnblocked { .. } => "request_unblocked",
             Event::EndpointEjected { .. } => "endpoint_ejected",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -64,6 +64,10 @@
     pub(crate) evacuated_zones: IntGauge,
     /// Endpoints that bear few calls yet.
     pub(crate) cold_endpoints: IntGauge,
+    /// Endpoints that name a limit.
+    pub(crate) limited_endpoints: IntGauge,
+    /// Statements of endpoints about themselves that can't be read, by what they are about.
+    pub(crate) malformed_statements: IntCounterVec,
     /// Orders by outcome.
     pub(crate) orders: IntCounterVec,
     /// Time by which a rollout is expected to miss its bound, in seconds; 0 while it isn't.
@@ -139,13 +143,11 @@
                 "Objects that couldn't be read.",
                 &["kind", "reason"],
             )?,
-            endpoint_crashes: counters(
-                "relay_endpoint_crashes_total",
-                "Crashes of endpoints with calls on board.",
-                &["proof"],
-            )?,
+            endpoint_crashes: endpoint_crashes(&registry)?,
             blocked_requests: gauge("relay_blocked_requests", "Blocked requests.")?,
             cold_endpoints: gauge("relay_cold_endpoints", "Cold endpoints.")?,
+            limited_endpoints: limited_endpoints(&registry)?,
+            malformed_statements: malformed_statements(&registry)?,
             evacuated_zones: gauge("relay_evacuated_zones", "Evacuated zones.")?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
@@ -199,6 +201,22 @@
     Ok(vec)
 }
 
+fn endpoint_crashes(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Crashes of endpoints with calls on board.";
+    counters(registry, "relay_endpoint_crashes_total", help, &["proof"])
+}
+
+fn malformed_statements(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Statements of endpoints about themselves that can't be read.";
+    let name = "relay_malformed_statements_total";
+    counters(registry, name, help, &["statement"])
+}
+
+fn limited_endpoints(registry: &Registry) -> prometheus::Result<IntGauge> {
+    let help = "Endpoints that name a limit.";
+    gauge(registry, "relay_limited_endpoints", help)
+}
+
 fn first_event_s(registry: &Registry) -> prometheus::Result<HistogramVec> {
     let options = HistogramOpts::new(
         "relay_first_event_seconds",
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::in_flight::{AttemptOutcome, InFlightAttempt};
 use super::shared::Shared;
+use super::statements::note_statements;
 use super::transfers::Transfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
 use crate::decide::placement::Placement;
@@ -184,6 +185,7 @@
     };
     let answer = shared.borders.calls.answer(&parts);
     note_answer(shared, call, placement, &answer);
+    note_statements(shared, &placement.endpoint, &answer);
     match check_answer(call, &parts, &answer, is_last) {
         Ok(()) => Ok(Opened {
             parts,
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -28,6 +28,7 @@
 mod server;
 mod shared;
 mod site_state;
+mod statements;
 mod store_updates;
 mod stream_body;
 mod trace;
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -50,26 +50,11 @@
     }};
 }
 
-/// Symptom: a prompt is sent to an engine for parts that it doesn't keep, or an engine that is well
-/// gets nothing. Sequence: it is used, fails, leaves and starts again under its id. Cause: something
-/// that was learnt of the life before was taken for true of the next one.
-#[test]
-fn a_restart_leaves_nothing_of_the_life_before() {
-    let mut table = site();
-    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
-    let before = life("a", 1_000);
-    let short_name_before = table.get(&before).unwrap().short_name;
-    let peer = Incarnation::new(7);
-    let load = Load {
-        running: 3,
-        unread_tokens: 10,
-        memory_tokens: 20,
-    };
-    let loads = HashMap::from([(short_name_before, load)]);
-    table.peer_load(peer, loads.clone(), at_ms(0));
+/// Lets everything become known of a life that can be.
+fn wear(table: &mut EndpointTable, instance: &EndpointInstance, load: Load) {
     let options = table.outlier_options;
     {
-        let row = table.get_mut(&before).unwrap();
+        let row = table.get_mut(instance).unwrap();
         row.own.add(load);
         row.is_displaced = true;
         row.told = Some((
@@ -88,7 +73,29 @@
         row.suspected_until_us = at_ms(60_000);
         row.reserved_until_us = at_ms(60_000);
     }
-    table.saw_weights(&before, &model(), WeightNumber::new(9));
+    table.saw_weights(instance, &model(), WeightNumber::new(9));
+    table.heard_limit(instance, "2.1".parse().ok(), at_ms(0));
+    table.heard_malformed(instance);
+}
+
+/// Symptom: a prompt is sent to an engine for parts that it doesn't keep, or an engine that is well
+/// gets nothing. Sequence: it is used, fails, leaves and starts again under its id. Cause: something
+/// that was learnt of the life before was taken for true of the next one.
+#[test]
+fn a_restart_leaves_nothing_of_the_life_before() {
+    let mut table = site();
+    table.registered(born("a", 1_000, 10), TimeUs::ZERO);
+    let before = life("a", 1_000);
+    let short_name_before = table.get(&before).unwrap().short_name;
+    let peer = Incarnation::new(7);
+    let load = Load {
+        running: 3,
+        unread_tokens: 10,
+        memory_tokens: 20,
+    };
+    let loads = HashMap::from([(short_name_before, load)]);
+    table.peer_load(peer, loads.clone(), at_ms(0));
+    wear(&mut table, &before, load);
     table.get_mut(&before).unwrap().life = EndpointLife::Draining;
 
     let changes = table.registered(born("a", 2_000, 11), TimeUs::ZERO);
@@ -101,11 +108,25 @@
     assert!(table.get(&before).is_none() && table.has_ended(&before));
     let row = table.get(&after).unwrap();
     let (parts, names) = fields!(row;
-        endpoint, life, is_displaced, own, peers, told, outlier, parts, cold;
+        endpoint, life, is_displaced, own, peers, told, outlier, parts, cold,
+        statements;
         times: followed_until_us, unreachable_until_us, weighed_until_us, suspected_until_us,
         reserved_until_us; short_name
     );
-    let (endpoint, life, is_displaced, own, peers, told, outlier, kept, cold, times, name) = parts;
+    let (
+        endpoint,
+        life,
+        is_displaced,
+        own,
+        peers,
+        told,
+        outlier,
+        kept,
+        cold,
+        statements,
+        times,
+        name,
+    ) = parts;
     assert_eq!(*endpoint, born("a", 2_000, 11), "its weights among them");
     assert_eq!(*life, EndpointLife::Ready);
     assert!(!is_displaced);
@@ -114,6 +135,7 @@
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
     assert!(!cold.is_cold(at_ms(0)) && cold.share == PermitShare::default());
+    assert!(statements.limit.notice().is_none() && !statements.has_malformed);
     assert!(
         times.iter().all(|until| *until == TimeUs::ZERO),
         "{times:?}"
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -4,6 +4,7 @@
 //! one and a number never loses its unit. The words are explained in `docs/GLOSSARY.md`.
 
 mod block_state;
+mod call_rate;
 mod code;
 mod endpoint_instance;
 mod id;
@@ -14,6 +15,7 @@
 mod unit;
 
 pub use block_state::BlockState;
+pub use call_rate::CallRate;
 pub use code::Code;
 pub use endpoint_instance::{EndpointInstance, EndpointStart};
 pub use id::{
--- a/crates/wisteriahitch-types/tests/all/unit.rs
+++ b/crates/wisteriahitch-types/tests/all/unit.rs
@@ -1,6 +1,8 @@
 //! Sizes, rates, times and shares.
 
-use wisteriahitch_types::{ByteCount, ByteRate, DurationUs, Share, TimeUs, TokenCount, TokenRate};
+use wisteriahitch_types::{
+    ByteCount, ByteRate, CallRate, DurationUs, Share, TimeUs, TokenCount, TokenRate,
+};
 
 struct SpanCase {
     rate_per_s: u64,
@@ -63,3 +65,26 @@
     assert!(Share::try_from(f64::NAN).is_err());
     assert_eq!("0.25".parse::<Share>().unwrap().get(), 0.25);
 }
+
+#[test]
+fn call_rates_are_decimal_numbers_that_are_not_negative() {
+    struct Case {
+        text: &'static str,
+        per_s: Option<f64>,
+    }
+    let good = [("2.1", 2.1), ("0", 0.0), ("0.3", 0.3), ("1e9", 1e9)];
+    let bad = ["", "-1", "NaN", "inf", "2,1", "two", "2.1 a second"];
+    let good = good.map(|(text, per_s)| Case {
+        text,
+        per_s: Some(per_s),
+    });
+    let bad = bad.map(|text| Case { text, per_s: None });
+    for case in good.into_iter().chain(bad) {
+        let rate = case.text.parse::<CallRate>().ok();
+        assert_eq!(rate.map(CallRate::per_s), case.per_s, "{}", case.text);
+    }
+    assert_eq!(
+        "2.5".parse::<CallRate>().unwrap().to_string(),
+        "2.5 calls/s"
+    );
+}
