refactor(relay): permits of cold endpoints serve any bound on an endpoint's calls

- RateLimit and RateBound (were ColdLimit and ColdBound) count in a span that the bound names; cold endpoints' is the second of before.
- HeldPermits (out of ColdState) holds and uses one endpoint's permits on one daemon.
- PermitShares (was ColdShares) says who holds which.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -6,17 +6,17 @@
     AvailabilityZone, DurationUs, EndpointInstance, EndpointStart, ServiceName, TimeUs,
 };
 
-use super::cold_limit::ColdLimit;
-use super::cold_shares::{ColdShares, HOLD_US, LONGEST_GAP_US, PermitShare};
 use super::endpoint_row::EndpointRow;
 use super::endpoint_table::EndpointTable;
 use super::evacuated_zones::ZoneChange;
+use super::permit_shares::{HOLD_US, LONGEST_GAP_US, PermitShare, PermitShares};
+use super::rate_limit::RateLimit;
 
 /// What cold endpoints of a service bear.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ServiceColdness {
     /// Permits of each.
-    pub limit: ColdLimit,
+    pub limit: RateLimit,
     /// How long one is cold after its start.
     pub start_us: DurationUs,
 }
@@ -120,7 +120,7 @@
     }
 
     /// Takes over how many permits of each cold endpoint this daemon holds. To be called several times a second.
-    pub fn set_shares(&mut self, shares: &ColdShares, now: TimeUs) {
+    pub fn set_shares(&mut self, shares: &PermitShares, now: TimeUs) {
         self.shares = Some(SharesAsOf {
             known_at_us: now,
             usable_at_us: shares.usable_at(),
@@ -128,12 +128,12 @@
         for row in self.rows.values_mut() {
             if !row.cold.is_cold(now) {
                 // Whoever holds permits when it turns cold again is found out anew.
-                row.cold.share = PermitShare::default();
+                row.cold.permits.share = PermitShare::default();
                 continue;
             }
             if let Some(cold) = self.cold_limits.get(&row.endpoint.service) {
                 let id = &row.endpoint.instance.id;
-                row.cold.share = shares.share(id, cold.limit.permits, now);
+                row.cold.permits.share = shares.share(id, cold.limit.permits, now);
             }
         }
     }
@@ -145,7 +145,7 @@
     }
 
     /// Returns the limit that an endpoint is under; none where it isn't cold or the deployment has no bound.
-    fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&ColdLimit> {
+    fn cold_limit(&self, row: &EndpointRow, now: TimeUs) -> Option<&RateLimit> {
         if !row.cold.is_cold(now) {
             return None;
         }
@@ -162,7 +162,7 @@
             return Admission::Open;
         };
         let shares = self.fresh_shares(now);
-        if let Some(permit) = shares.and_then(|_| row.cold.free_permit(limit, now)) {
+        if let Some(permit) = shares.and_then(|_| row.cold.permits.free(limit, now)) {
             return Admission::Permit(permit);
         }
         let usable_at = shares.and_then(|shares| shares.usable_at_us);
@@ -170,6 +170,7 @@
         let usable_at = usable_at.unwrap_or(now + HOLD_US);
         let free_at = row
             .cold
+            .permits
             .next_free_at(limit)
             .unwrap_or(now + limit.window_us);
         Admission::Cold(free_at.max(usable_at).min(row.cold.until_us))
@@ -184,7 +185,7 @@
     /// Uses the permit under which a call was placed, so that no other call is placed under it.
     pub fn use_permit(&mut self, instance: &EndpointInstance, permit: usize, now: TimeUs) {
         if let Some(row) = self.get_mut(instance) {
-            row.cold.use_permit(permit, now);
+            row.cold.permits.use_up(permit, now);
         }
     }
 
@@ -219,6 +220,10 @@
             _ => return false,
         };
         let row = self.get_mut(instance);
-        row.is_some_and(|row| row.cold.use_permit(permit, now))
+        let Some(row) = row.filter(|row| row.cold.permits.holds(permit, now)) else {
+            return false;
+        };
+        row.cold.permits.use_up(permit, now);
+        true
     }
 }
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -9,10 +9,10 @@
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{DurationUs, Incarnation, TimeUs};
 
-use super::cold_shares::Sighting;
 use super::gossip_message::{GossipMessage, MemberPhase, MemberUpdate};
 use super::hubs::{HubCandidate, HubPlan};
 use super::message_delay::MessageDelay;
+use super::permit_shares::Sighting;
 
 /// Silence after which a member is no longer named to callers. Members send at least four times a
 /// second, so that a few lost datagrams don't count.
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -2,7 +2,6 @@
 
 pub(crate) mod backlog;
 pub(crate) mod cold_limit;
-pub(crate) mod cold_shares;
 pub(crate) mod crash_evidence;
 pub(crate) mod endpoint_admission;
 mod endpoint_gossip;
@@ -25,8 +24,10 @@
 mod part_store_row;
 pub(crate) mod part_stores;
 pub(crate) mod parts;
+pub(crate) mod permit_shares;
 pub(crate) mod placement;
 pub(crate) mod placement_request;
+pub(crate) mod rate_limit;
 mod recent_updates;
 pub(crate) mod rollout;
 pub(crate) mod rollout_pace;
--- a/crates/wisteriahitch-relay/src/decide/cold_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -75,14 +75,14 @@
 
 /// The views of one daemon.
 #[derive(Debug)]
-pub struct ColdShares {
+pub struct PermitShares {
     me: Ipv4Addr,
     views: VecDeque<View>,
     last_seen_us: BTreeMap<Ipv4Addr, TimeUs>,
     looked_at_us: TimeUs,
 }
 
-impl ColdShares {
+impl PermitShares {
     /// Starts without having seen anybody.
     pub fn new(me: Ipv4Addr, now: TimeUs) -> Self {
         Self {
--- a/crates/wisteriahitch-relay/src/settings/mod.rs
+++ b/crates/wisteriahitch-relay/src/settings/mod.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use wisteriahitch_types::{AvailabilityZone, DaemonId, Region};
+use wisteriahitch_types::{AvailabilityZone, DaemonId, DurationUs, Region};
 
-use crate::decide::cold_limit::ColdBound;
+use crate::decide::rate_limit::RateBound;
 
 pub use bounds::{BoundSettings, Bounds};
 
@@ -136,6 +136,9 @@
     pub address: SocketAddr,
 }
 
+/// Span in which the platform's rule counts what a cold endpoint gets.
+const COLD_SPAN_US: DurationUs = DurationUs::from_ms(1_000);
+
 /// What all daemons together may send to an endpoint right after its start. Without both values there is no bound.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
@@ -148,10 +151,11 @@
 
 impl ColdSettings {
     /// Returns the bound, if the deployment has one.
-    pub fn bound(&self) -> Option<ColdBound> {
-        Some(ColdBound {
+    pub fn bound(&self) -> Option<RateBound> {
+        Some(RateBound {
             rate_ratio: self.rate_ratio?,
             burst_calls: self.burst_calls?,
+            span_us: COLD_SPAN_US,
         })
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -38,10 +38,10 @@
 use super::watch::run_watch;
 use super::watch_state::{WATCHED, WatchStates};
 use crate::clock::BootClock;
-use crate::decide::cold_shares::ColdShares;
 use crate::decide::endpoint_table::EndpointTable;
 use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
+use crate::decide::permit_shares::PermitShares;
 use crate::decide::rollout::Rollout;
 use crate::decide::rollout_pace::PaceOptions;
 use crate::decide::wanted_weights::OldWeightsLimits;
@@ -101,7 +101,7 @@
             }),
             endpoints: Mutex::new(endpoints),
             part_stores: Mutex::new(PartStores::default()),
-            cold_shares: Mutex::new(ColdShares::new(settings.ip, BootClock.now())),
+            permit_shares: Mutex::new(PermitShares::new(settings.ip, BootClock.now())),
             crash_evidence: Mutex::default(),
             suspects: Mutex::default(),
             blocked_requests: BlockedRequests::default(),
@@ -285,7 +285,7 @@
             "is_ejected": row.outlier.is_ejected(now),
             "failure_rate": row.outlier.failure_rate(),
             "cold_for_ms": row.cold.until_us.since(now).as_ms(),
-            "cold_permits": row.cold.share.now,
+            "cold_permits": row.cold.permits.share.now,
             "limit_per_s": row.statements.limit.rate().map(|rate| rate.per_s()),
             "limit_heard_ms_ago": row.statements.limit.heard_ms_ago(now),
         })
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -129,7 +129,7 @@
     if shared.phase() == MemberPhase::Draining {
         sighting.alive.remove(&me);
     }
-    let mut shares = shared.cold_shares.lock();
+    let mut shares = shared.permit_shares.lock();
     shares.look(&sighting, now);
     shared.endpoints.lock().set_shares(&shares, now);
 }
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -21,11 +21,11 @@
 use super::watch_state::WatchStates;
 use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
-use crate::decide::cold_shares::ColdShares;
 use crate::decide::crash_evidence::CrashEvidence;
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
 use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
+use crate::decide::permit_shares::PermitShares;
 use crate::decide::rollout::Rollout;
 use crate::decide::suspects::SuspectTable;
 use crate::observe::{Event, EventLog, Metrics};
@@ -61,7 +61,7 @@
     pub(crate) endpoints: Mutex<EndpointTable>,
     pub(crate) part_stores: Mutex<PartStores>,
     /// This daemon's part of what cold endpoints bear.
-    pub(crate) cold_shares: Mutex<ColdShares>,
+    pub(crate) permit_shares: Mutex<PermitShares>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) suspects: Mutex<SuspectTable>,
     pub(crate) blocked_requests: BlockedRequests,
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -11,10 +11,10 @@
 use super::part_store_watch::run_part_store_watch;
 use super::shared::Shared;
 use super::watch_state::{Delta, WatchState, kind_name};
-use crate::decide::cold_limit::ColdLimit;
 use crate::decide::endpoint_admission::ServiceColdness;
 use crate::decide::endpoint_table::{Absence, REGISTER_AGAIN_US, Registration};
 use crate::decide::evacuated_zones::ZoneChange;
+use crate::decide::rate_limit::RateLimit;
 use crate::observe::Event;
 use crate::site::SiteConfig;
 
@@ -319,7 +319,7 @@
     let limits = config.services.values().filter_map(|service| {
         let cold = service.cold?;
         let coldness = ServiceColdness {
-            limit: ColdLimit::new(cold.calls_per_s, bound),
+            limit: RateLimit::new(cold.calls_per_s, bound),
             start_us: cold.start_us,
         };
         Some((service.name.clone(), coldness))
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -6,8 +6,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Admission, ColdBound, ColdLimit, ColdShares, Endpoint, EndpointTable, PartStores,
-    PlacementRequest, ServiceColdness, Sighting, place,
+    Admission, Endpoint, EndpointTable, PartStores, PermitShares, PlacementRequest, RateBound,
+    RateLimit, ServiceColdness, Sighting, place,
 };
 use wisteriahitch_types::{Code, DurationUs, EndpointInstance, EndpointStart, TimeUs};
 use wisteriahitch_wire::object_store::Revision;
@@ -15,9 +15,10 @@
 use crate::fixture::{CallSetting, at_ms, engine, id, ms, prompt, service};
 
 const ME: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
-const BOUND: ColdBound = ColdBound {
+const BOUND: RateBound = RateBound {
     rate_ratio: 1.5,
     burst_calls: 5.0,
+    span_us: DurationUs::from_ms(1_000),
 };
 
 /// Guards against permits that go beyond the bound where two views of the members are in force.
@@ -25,13 +26,14 @@
 fn permits_of_two_views_stay_within_the_bound() {
     struct Case {
         calls_per_s: f64,
-        bound: ColdBound,
+        bound: RateBound,
         permits: u32,
         window: DurationUs,
     }
-    let no_slack = ColdBound {
+    let no_slack = RateBound {
         rate_ratio: 1.0,
         burst_calls: 0.0,
+        span_us: DurationUs::from_ms(1_000),
     };
     let cases = [
         Case {
@@ -66,7 +68,7 @@
         },
     ];
     for case in cases {
-        let limit = ColdLimit::new(case.calls_per_s, case.bound);
+        let limit = RateLimit::new(case.calls_per_s, case.bound);
         let most_per_s = case.calls_per_s * case.bound.rate_ratio + case.bound.burst_calls;
         assert_eq!(
             (limit.permits, limit.window_us),
@@ -78,7 +80,7 @@
 
 struct Daemon {
     table: EndpointTable,
-    shares: ColdShares,
+    shares: PermitShares,
     alive: BTreeSet<Ipv4Addr>,
 }
 
@@ -87,11 +89,11 @@
     fn alone(now: TimeUs) -> Self {
         let mut daemon = Self {
             table: EndpointTable::default(),
-            shares: ColdShares::new(ME, at_ms(0)),
+            shares: PermitShares::new(ME, at_ms(0)),
             alive: BTreeSet::from([ME]),
         };
         let coldness = ServiceColdness {
-            limit: ColdLimit::new(8.8, BOUND),
+            limit: RateLimit::new(8.8, BOUND),
             start_us: ms(3_000),
         };
         let limits = HashMap::from([(service(), coldness)]);
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -134,7 +134,7 @@
     assert!(told.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(kept.is_empty());
-    assert!(!cold.is_cold(at_ms(0)) && cold.share == PermitShare::default());
+    assert!(!cold.is_cold(at_ms(0)) && cold.permits.share == PermitShare::default());
     assert!(statements.limit.notice().is_none() && !statements.has_malformed);
     assert!(
         times.iter().all(|until| *until == TimeUs::ZERO),
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -3,7 +3,6 @@
 #![allow(clippy::unwrap_used, reason = "a test that panics has failed")]
 
 mod cold_limit;
-mod cold_shares;
 mod crash_evidence;
 mod docs;
 mod endpoint_lives;
@@ -22,6 +21,7 @@
 mod part_sources;
 mod part_stores;
 mod parts;
+mod permit_shares;
 mod placement;
 mod regions;
 mod rollout;
--- a/crates/wisteriahitch-relay/tests/all/cold_shares.rs
+++ b/crates/wisteriahitch-relay/tests/all/permit_shares.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use wisteriahitch_relay::{ColdShares, Sighting};
+use wisteriahitch_relay::{PermitShares, Sighting};
 use wisteriahitch_types::{DurationUs, EndpointId, TimeUs};
 
 use crate::fixture::{at_ms, ms};
@@ -31,7 +31,7 @@
 
 /// One daemon that uses each permit as often as it may.
 struct Member {
-    shares: ColdShares,
+    shares: PermitShares,
     looked_at: TimeUs,
     /// When each permit of each endpoint was last used.
     used_at: BTreeMap<(usize, usize), TimeUs>,
@@ -40,7 +40,7 @@
 impl Member {
     fn new(number: usize, now: TimeUs) -> Self {
         Self {
-            shares: ColdShares::new(ip(number), now),
+            shares: PermitShares::new(ip(number), now),
             looked_at: now,
             used_at: BTreeMap::new(),
         }
@@ -355,7 +355,7 @@
         },
     ];
     for case in cases {
-        let mut shares = ColdShares::new(ip(0), at_ms(0));
+        let mut shares = PermitShares::new(ip(0), at_ms(0));
         let sighting = Sighting {
             alive: BTreeSet::from([ip(0)]),
             registered: (0..case.registered).map(ip).collect(),
@@ -374,7 +374,7 @@
 /// Guards against members that left in order and keep the rest from using their permits.
 #[test]
 fn who_has_said_that_it_leaves_no_longer_counts() {
-    let mut shares = ColdShares::new(ip(0), at_ms(0));
+    let mut shares = PermitShares::new(ip(0), at_ms(0));
     let of = |alive: usize, leaving: &[usize]| Sighting {
         alive: (0..alive).map(ip).collect(),
         registered: BTreeSet::new(),
--- a/specs/cold_permits.pml
+++ b/specs/cold_permits.pml
@@ -11,9 +11,9 @@
  *
  * Assumes: who is registered is known (three daemons); ticks are the same for all; one daemon
  * changes no more often than news of it passes (DWELL).  Where one does, two daemons may hold
- * the permit at once, for which half of the bound is left unused (ColdLimit).
+ * the permit at once, for which half of the bound is left unused (RateLimit).
  *
- * Stands for: ColdShares (view, majority, hold, gap) and ColdState (window).
+ * Stands for: PermitShares (view, majority, hold, gap) and HeldPermits (window).
  *
  * Bounds: EVENTS changes.  The safety property is asserted at each use: no other daemon
  * has used the permit within the window.
