feat(relay): log what endpoints say of leaving and of rest

What callers saw: calls reached an engine that had said that it leaves (DRAIN), and were turned away again and again by engines that had asked for rest (BUDGET). Nothing told whether a daemon had heard of either.

Kept beside the endpoint's row; told by endpoint_leaving, endpoint_resting, two gauges and the dump. Nothing is decided by it yet.

--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -68,6 +68,10 @@
     pub load: Option<LoadReport>,
     /// Calls that it takes from all daemons together, for as long as it says so.
     pub limit: Statement<CallRate>,
+    /// Whether it leaves.
+    pub is_leaving: Statement<bool>,
+    /// How long it wants nothing from this daemon, where it turned the request away.
+    pub rest_us: Statement<DurationUs>,
     /// Weights that it answered with.
     pub weights: Option<WeightNumber>,
     /// How long it keeps the connection when it is idle.
--- a/crates/wisteriahitch-relay/src/border/statement.rs
+++ b/crates/wisteriahitch-relay/src/border/statement.rs
@@ -12,8 +12,9 @@
     Malformed,
 }
 
-impl<T, E> From<Result<T, E>> for Statement<T> {
-    fn from(parsed: Result<T, E>) -> Self {
-        parsed.map_or(Statement::Malformed, Statement::Value)
+impl<T> From<Option<T>> for Statement<T> {
+    /// Takes what was read, or nothing where it couldn't be read.
+    fn from(read: Option<T>) -> Self {
+        read.map_or(Statement::Malformed, Statement::Value)
     }
 }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -1,6 +1,6 @@
 //! What endpoints say of themselves in their answers.
 
-use wisteriahitch_types::{CallRate, EndpointInstance, TimeUs};
+use wisteriahitch_types::{CallRate, DurationUs, EndpointInstance, TimeUs};
 
 use super::endpoint_table::EndpointTable;
 use super::gossip_message::LimitUpdate;
@@ -11,6 +11,10 @@
 pub struct EndpointStatements {
     /// The calls a second that it takes.
     pub limit: NamedLimit,
+    /// Whether it has said that it leaves.
+    pub is_leaving: bool,
+    /// Until when it wants nothing from this daemon.
+    pub rest_until_us: TimeUs,
     /// Whether it has ever made a statement that can't be read.
     pub has_malformed: bool,
 }
@@ -67,6 +71,31 @@
         limit.is_some()
     }
 
+    /// Takes over that an answer says that its endpoint leaves, and returns whether that is new.
+    pub fn heard_leaving(&mut self, instance: &EndpointInstance) -> bool {
+        let row = self.get_mut(instance);
+        row.is_some_and(|row| !std::mem::replace(&mut row.statements.is_leaving, true))
+    }
+
+    /// Takes over for how long an endpoint that turned a call away wants nothing from this daemon, and returns whether
+    /// that is later than before.
+    pub fn heard_rest(
+        &mut self,
+        instance: &EndpointInstance,
+        rest: DurationUs,
+        now: TimeUs,
+    ) -> bool {
+        let Some(row) = self.get_mut(instance) else {
+            return false;
+        };
+        let until_us = now + rest;
+        let is_later = until_us > row.statements.rest_until_us.max(now);
+        if is_later {
+            row.statements.rest_until_us = until_us;
+        }
+        is_later
+    }
+
     /// Notes that an answer made a statement that can't be read, and returns whether it is the first one of this life
     /// of the endpoint.
     pub fn heard_malformed(&mut self, instance: &EndpointInstance) -> bool {
@@ -74,6 +103,19 @@
         row.is_some_and(|row| !std::mem::replace(&mut row.statements.has_malformed, true))
     }
 
+    /// Returns how many endpoints want nothing from this daemon now, for the metrics.
+    pub fn resting_count(&self, now: TimeUs) -> usize {
+        let statements = self.rows.values().map(|row| &row.statements);
+        let resting = statements.filter(|said| said.rest_until_us > now);
+        resting.count()
+    }
+
+    /// Returns how many endpoints have said in an answer that they leave, for the metrics.
+    pub fn leaving_count(&self) -> usize {
+        let statements = self.rows.values().map(|row| &row.statements);
+        statements.filter(|said| said.is_leaving).count()
+    }
+
     /// Returns how many endpoints name a limit, for the metrics.
     pub fn limited_count(&self, now: TimeUs) -> usize {
         let limits = self.rows.values().map(|row| &row.statements.limit);
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -72,6 +72,13 @@
         source: &'static str,
         age_ms: u64,
     },
+    /// An endpoint has said in an answer that it leaves.
+    EndpointLeaving {
+        endpoint: String,
+        source: &'static str,
+    },
+    /// An endpoint turned a call away and wants nothing more from this daemon for a while.
+    EndpointResting { endpoint: String, rest_ms: u64 },
     /// An answer says something of its endpoint that can't be read, for the first time in this life of the endpoint.
     EndpointStatementMalformed {
         endpoint: String,
@@ -226,6 +233,8 @@
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
             Event::EndpointLimitChanged { .. } => "endpoint_limit_changed",
+            Event::EndpointLeaving { .. } => "endpoint_leaving",
+            Event::EndpointResting { .. } => "endpoint_resting",
             Event::EndpointStatementMalformed { .. } => "endpoint_statement_malformed",
             Event::RequestBlocked { .. } => "request_blocked",
             Event::RequestUnblocked { .. } => "request_unblocked",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -66,6 +66,10 @@
     pub(crate) cold_endpoints: IntGauge,
     /// Endpoints that name a limit.
     pub(crate) limited_endpoints: IntGauge,
+    /// Endpoints that have said in an answer that they leave.
+    pub(crate) leaving_endpoints: IntGauge,
+    /// Endpoints that want nothing from this daemon for a while.
+    pub(crate) resting_endpoints: IntGauge,
     /// Statements of endpoints about themselves that can't be read, by what they are about.
     pub(crate) malformed_statements: IntCounterVec,
     /// Orders by outcome.
@@ -147,6 +151,8 @@
             blocked_requests: gauge("relay_blocked_requests", "Blocked requests.")?,
             cold_endpoints: gauge("relay_cold_endpoints", "Cold endpoints.")?,
             limited_endpoints: limited_endpoints(&registry)?,
+            leaving_endpoints: leaving_endpoints(&registry)?,
+            resting_endpoints: resting_endpoints(&registry)?,
             malformed_statements: malformed_statements(&registry)?,
             evacuated_zones: gauge("relay_evacuated_zones", "Evacuated zones.")?,
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
@@ -212,6 +218,16 @@
     counters(registry, name, help, &["statement"])
 }
 
+fn leaving_endpoints(registry: &Registry) -> prometheus::Result<IntGauge> {
+    let help = "Endpoints that have said in an answer that they leave.";
+    gauge(registry, "relay_leaving_endpoints", help)
+}
+
+fn resting_endpoints(registry: &Registry) -> prometheus::Result<IntGauge> {
+    let help = "Endpoints that want nothing from this daemon for a while.";
+    gauge(registry, "relay_resting_endpoints", help)
+}
+
 fn limited_endpoints(registry: &Registry) -> prometheus::Result<IntGauge> {
     let help = "Endpoints that name a limit.";
     gauge(registry, "relay_limited_endpoints", help)
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -100,11 +100,16 @@
         let gauge = shared.metrics.endpoints.with_label_values(&[life]);
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
-    let cold = i64::try_from(endpoints.cold_count(shared.now()));
-    shared.metrics.cold_endpoints.set(cold.unwrap_or(i64::MAX));
-    let limited = i64::try_from(endpoints.limited_count(shared.now()));
-    let gauge = &shared.metrics.limited_endpoints;
-    gauge.set(limited.unwrap_or(i64::MAX));
+    let (now, metrics) = (shared.now(), &shared.metrics);
+    let counts = [
+        (&metrics.cold_endpoints, endpoints.cold_count(now)),
+        (&metrics.limited_endpoints, endpoints.limited_count(now)),
+        (&metrics.leaving_endpoints, endpoints.leaving_count()),
+        (&metrics.resting_endpoints, endpoints.resting_count(now)),
+    ];
+    for (gauge, count) in counts {
+        gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    }
     drop(endpoints);
     shared.metrics.text()
 }
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -11,6 +11,38 @@
 /// Takes over the statements of one answer.
 pub(super) fn note_statements(shared: &Shared, endpoint: &EndpointInstance, answer: &AnswerHead) {
     note_limit(shared, endpoint, answer);
+    note_leaving(shared, endpoint, answer);
+    note_rest(shared, endpoint, answer);
+}
+
+fn note_leaving(shared: &Shared, endpoint: &EndpointInstance, answer: &AnswerHead) {
+    match answer.is_leaving {
+        Statement::Value(true) => {}
+        Statement::Value(false) | Statement::Absent => return,
+        Statement::Malformed => return note_malformed(shared, endpoint, "leaving"),
+    }
+    if shared.endpoints.lock().heard_leaving(endpoint) {
+        shared.log.write(&Event::EndpointLeaving {
+            endpoint: endpoint.to_string(),
+            source: "answer",
+        });
+    }
+}
+
+fn note_rest(shared: &Shared, endpoint: &EndpointInstance, answer: &AnswerHead) {
+    let rest = match answer.rest_us {
+        Statement::Value(rest) => rest,
+        Statement::Absent => return,
+        Statement::Malformed => return note_malformed(shared, endpoint, "rest"),
+    };
+    let now = shared.now();
+    let is_later = shared.endpoints.lock().heard_rest(endpoint, rest, now);
+    if is_later {
+        shared.log.write(&Event::EndpointResting {
+            endpoint: endpoint.to_string(),
+            rest_ms: rest.as_ms(),
+        });
+    }
 }
 
 fn note_limit(shared: &Shared, endpoint: &EndpointInstance, answer: &AnswerHead) {
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -7,7 +7,9 @@
     Load, LoadReport, OrderOutcome, PaceOptions, PartKey, PermitShare, Registration, Rollout,
     RolloutRow, RolloutStep,
 };
-use wisteriahitch_types::{EndpointInstance, EndpointStart, Incarnation, TimeUs, WeightNumber};
+use wisteriahitch_types::{
+    DurationUs, EndpointInstance, EndpointStart, Incarnation, TimeUs, WeightNumber,
+};
 use wisteriahitch_wire::object_store::Revision;
 
 use crate::fixture::{at_ms, draining, engine, engine_address, id, model, ms, service};
@@ -76,6 +78,8 @@
     table.saw_weights(instance, &model(), WeightNumber::new(9));
     table.heard_limit(instance, "2.1".parse().ok(), at_ms(0));
     table.heard_malformed(instance);
+    table.heard_leaving(instance);
+    table.heard_rest(instance, DurationUs::from_ms(60_000), at_ms(0));
 }
 
 /// Symptom: a prompt is sent to an engine for parts that it doesn't keep, or an engine that is well
@@ -136,6 +140,7 @@
     assert!(kept.is_empty());
     assert!(!cold.is_cold(at_ms(0)) && cold.permits.share == PermitShare::default());
     assert!(statements.limit.notice().is_none() && !statements.has_malformed);
+    assert!(!statements.is_leaving && statements.rest_until_us == TimeUs::ZERO);
     assert!(
         times.iter().all(|until| *until == TimeUs::ZERO),
         "{times:?}"
