fix(relay): a minority of the daemons uses its part of a named limit's permits

Found by reading: permits are used only by a part of the fleet that sees more than half of all members of the last minute. Of a cold endpoint that costs seconds. An endpoint that names a limit may do so for long: with more than half of the daemons gone for good, and every endpoint of a service at a limit, the rest would refuse every call for a minute.

Such a part now uses as large a part of the permits as it is of the fleet, so that all parts together use at most half as much again, and the unused half of the bound covers it. Cold endpoints stay as they were.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -10,7 +10,7 @@
 use super::endpoint_row::EndpointRow;
 use super::endpoint_table::EndpointTable;
 use super::evacuated_zones::ZoneChange;
-use super::permit_shares::{HOLD_US, LONGEST_GAP_US, PermitShare, PermitShares};
+use super::permit_shares::{HOLD_US, LONGEST_GAP_US, MinorityShare, PermitShare, PermitShares};
 use super::rate_limit::{HeldPermits, RateLimit};
 
 /// What cold endpoints of a service bear.
@@ -192,14 +192,18 @@
         });
         for row in self.rows.values_mut() {
             let id = &row.endpoint.instance.id;
-            let share = |limit: &RateLimit| shares.share(id, limit.permits, now);
+            let share = |limit: &RateLimit, rule| shares.share(id, limit.permits, rule, now);
             let cold = self.cold_limits.get(&row.endpoint.service);
             let cold = cold.filter(|_| row.cold.is_cold(now));
             // Whoever holds permits when the bound begins again is found out anew.
-            row.cold.permits.share = cold.map_or(PermitShare::default(), |cold| share(&cold.limit));
+            row.cold.permits.share = cold.map_or(PermitShare::default(), |cold| {
+                share(&cold.limit, MinorityShare::Nothing)
+            });
             let named = &mut row.statements.limit;
             let limit = named.limit(self.limit_life_us, now);
-            named.permits.share = limit.map_or(PermitShare::default(), share);
+            named.permits.share = limit.map_or(PermitShare::default(), |limit| {
+                share(limit, MinorityShare::Proportional)
+            });
         }
     }
 
--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -1,4 +1,4 @@
-//! Which daemon holds which permits of a cold endpoint, without a message about it.
+//! Which daemon holds which permits of an endpoint whose calls are bounded, without a message about it.
 //!
 //! The members' addresses and the endpoint's id rank the daemons; the first ones hold a permit each, and in a fleet
 //! smaller than the number of permits they go round. So every permit has one holder among all that see the same members,
@@ -6,11 +6,13 @@
 //!
 //! - **Members come and go.** A daemon uses a permit only if it has held it in every view of the last [`HOLD_US`],
 //!   and gives one up at once. That time is longer than all others take to learn of the same change.
-//! - **A fleet in parts.** Only the part that sees more than half of all members of the last [`MEMORY_US`] uses permits.
+//! - **A fleet in parts.** Only the part that sees more than half of all members of the last [`MEMORY_US`] uses all
+//!   permits. A smaller one uses none of a cold endpoint's, and of an endpoint that names a limit as large a part as it
+//!   is of the fleet: all parts together then use half as much again at most, which the unused half of the bound covers.
 //! - **A daemon that was suspended** counts as having seen nothing, until it has looked around for [`HOLD_US`] again;
 //!   so does one that has just started, and one that hasn't yet read who is registered.
 //!
-//! Where nobody may use a permit the endpoint gets nothing until it is warm, which is seconds.
+//! Where nobody may use a permit a cold endpoint gets nothing until it is warm, which is seconds.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
@@ -35,6 +37,33 @@
     since_us: TimeUs,
     /// Sorted; empty where permits may not be used.
     members: Vec<Ipv4Addr>,
+    /// Which part of the fleet they are, where that is half of it or less.
+    minority: Option<FleetPart>,
+}
+
+/// A part of the fleet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct FleetPart {
+    seen: usize,
+    /// All members of the last [`MEMORY_US`].
+    known: usize,
+}
+
+impl FleetPart {
+    /// Returns its part of some permits, rounded down: all parts together have no more than all permits.
+    fn of(self, permits: u32) -> u32 {
+        let part = f64::from(permits) * self.seen as f64 / self.known.max(1) as f64;
+        part as u32
+    }
+}
+
+/// Says what a part of the fleet may use that doesn't see more than half of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum MinorityShare {
+    /// Nothing: what is bounded breaks if it gets too much, and the bound ends by itself in seconds.
+    Nothing,
+    /// As large a part of the permits as it is of the fleet: nobody knows when the bound ends.
+    Proportional,
 }
 
 /// What a daemon sees of the members at one time.
@@ -90,6 +119,7 @@
             views: VecDeque::from([View {
                 since_us: now,
                 members: Vec::new(),
+                minority: None,
             }]),
             last_seen_us: BTreeMap::new(),
             looked_at_us: now,
@@ -99,17 +129,18 @@
     /// Takes over what is seen of the members now. To be called several times a second.
     pub fn look(&mut self, sighting: &Sighting, now: TimeUs) {
         if now.since(self.looked_at_us) > LONGEST_GAP_US {
-            self.begin_view(Vec::new(), now);
+            self.begin_view(Vec::new(), None, now);
         }
         self.looked_at_us = now;
         self.remember(sighting, now);
-        let members = match sighting.is_complete && self.is_majority(&sighting.alive) {
+        let members: Vec<Ipv4Addr> = match sighting.is_complete {
             true => sighting.alive.iter().copied().collect(),
             false => Vec::new(),
         };
-        let is_changed = self.views.back().is_none_or(|view| view.members != members);
-        if is_changed {
-            self.begin_view(members, now);
+        let minority = self.minority(&sighting.alive);
+        let is_same = |view: &View| view.members == members && view.minority == minority;
+        if !self.views.back().is_some_and(is_same) {
+            self.begin_view(members, minority, now);
         }
         // The first one that is kept may have begun before, and was in force within the time.
         while self
@@ -122,15 +153,25 @@
     }
 
     /// Returns how many of an endpoint's permits this daemon may use.
-    pub fn share(&self, endpoint: &EndpointId, permits: u32, now: TimeUs) -> PermitShare {
+    pub fn share(
+        &self,
+        endpoint: &EndpointId,
+        permits: u32,
+        rule: MinorityShare,
+        now: TimeUs,
+    ) -> PermitShare {
         let rank = Rendezvous::new("cold", endpoint.as_str());
+        let share_in = |view: &View| {
+            let permits = match (view.minority, rule) {
+                (None, _) => permits,
+                (Some(_), MinorityShare::Nothing) => 0,
+                (Some(part), MinorityShare::Proportional) => part.of(permits),
+            };
+            self.share_in(view, &rank, permits)
+        };
         let mut views = self.views.iter().rev();
-        let newest = views
-            .next()
-            .map_or(0, |view| self.share_in(view, &rank, permits));
-        let in_all = views
-            .map(|view| self.share_in(view, &rank, permits))
-            .fold(newest, u32::min);
+        let newest = views.next().map_or(0, share_in);
+        let in_all = views.map(share_in).fold(newest, u32::min);
         let is_suspended = now.since(self.looked_at_us) > LONGEST_GAP_US;
         PermitShare {
             now: if is_suspended { 0 } else { in_all },
@@ -138,10 +179,11 @@
         }
     }
 
-    /// Returns when the permits of the newest view may be used; none where it gives none.
+    /// Returns when the permits of the newest view may be used; none where it gives none, or only a part of them.
     pub fn usable_at(&self) -> Option<TimeUs> {
         let newest = self.views.back()?;
-        (!newest.members.is_empty()).then(|| newest.since_us + HOLD_US)
+        let is_whole = !newest.members.is_empty() && newest.minority.is_none();
+        is_whole.then(|| newest.since_us + HOLD_US)
     }
 
     fn share_in(&self, view: &View, rank: &Rendezvous, permits: u32) -> u32 {
@@ -156,10 +198,11 @@
         permits.saturating_sub(before).div_ceil(members)
     }
 
-    fn begin_view(&mut self, members: Vec<Ipv4Addr>, now: TimeUs) {
+    fn begin_view(&mut self, members: Vec<Ipv4Addr>, minority: Option<FleetPart>, now: TimeUs) {
         self.views.push_back(View {
             since_us: now,
             members,
+            minority,
         });
     }
 
@@ -173,8 +216,10 @@
         });
     }
 
-    fn is_majority(&self, alive: &BTreeSet<Ipv4Addr>) -> bool {
+    /// Returns which part of the fleet is alive, unless it is more than half of it.
+    fn minority(&self, alive: &BTreeSet<Ipv4Addr>) -> Option<FleetPart> {
         let seen = alive.iter().filter(|ip| self.last_seen_us.contains_key(ip));
-        seen.count() * 2 > self.last_seen_us.len()
+        let (seen, known) = (seen.count(), self.last_seen_us.len());
+        (seen * 2 <= known).then_some(FleetPart { seen, known })
     }
 }
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -41,7 +41,7 @@
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
 pub use decide::part_stores::{Fetch, FreeOrder, PartStores};
 pub use decide::parts::{EngineMemory, HeldPart, PartCache, PartKey, PartNamer};
-pub use decide::permit_shares::{PermitShare, PermitShares, Sighting};
+pub use decide::permit_shares::{MinorityShare, PermitShare, PermitShares, Sighting};
 pub use decide::placement::{Placement, place};
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rate_limit::{HeldPermits, RateBound, RateLimit};
--- a/crates/wisteriahitch-relay/tests/all/permit_shares.rs
+++ b/crates/wisteriahitch-relay/tests/all/permit_shares.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use wisteriahitch_relay::{PermitShares, RateBound, RateLimit, Sighting};
+use wisteriahitch_relay::{MinorityShare, PermitShares, RateBound, RateLimit, Sighting};
 use wisteriahitch_types::{DurationUs, EndpointId, TimeUs};
 
 use crate::fixture::{at_ms, ms};
@@ -63,6 +63,7 @@
 
 struct Fleet {
     limit: RateLimit,
+    rule: MinorityShare,
     members: BTreeMap<usize, Member>,
     /// Part of the fleet that each one is in.
     part: BTreeMap<usize, usize>,
@@ -76,9 +77,10 @@
 }
 
 impl Fleet {
-    fn new(endpoints: usize, limit: RateLimit) -> Self {
+    fn new(endpoints: usize, limit: RateLimit, rule: MinorityShare) -> Self {
         Self {
             limit,
+            rule,
             members: BTreeMap::new(),
             part: BTreeMap::new(),
             hears: BTreeMap::new(),
@@ -150,7 +152,8 @@
             let registered = self.registered.iter().map(|number| ip(*number)).collect();
             let member = self.members.get_mut(&me).unwrap();
             // Calls go on between two looks, and go first after a freeze.
-            use_permits(member, &self.limit, self.endpoints, now_ms, &mut self.sent);
+            let bound = (&self.limit, self.rule);
+            use_permits(member, bound, self.endpoints, now_ms, &mut self.sent);
             let is_due = at_ms(now_ms).since(member.looked_at) >= ms(LOOK_MS);
             if is_due || now_ms % LOOK_MS == (me as u64 * 50) % LOOK_MS {
                 member.looked_at = at_ms(now_ms);
@@ -182,16 +185,16 @@
 
 fn use_permits(
     member: &mut Member,
-    limit: &RateLimit,
+    (limit, rule): (&RateLimit, MinorityShare),
     endpoints: usize,
     now_ms: u64,
     sent: &mut BTreeMap<usize, Vec<u64>>,
 ) {
     let now = at_ms(now_ms);
     for number in 0..endpoints {
-        let share = member
-            .shares
-            .share(&endpoint(number), limit.permits, now)
+        let shares = &member.shares;
+        let share = shares
+            .share(&endpoint(number), limit.permits, rule, now)
             .now;
         for permit in 0..share as usize {
             let used_at = member.used_at.get(&(number, permit));
@@ -305,6 +308,7 @@
 
 /// A rate that an endpoint bears, and what the deployment's rule makes of it.
 struct Bounded {
+    rule: MinorityShare,
     calls_per_s: f64,
     span: DurationUs,
     /// Calls in any span that the rule allows.
@@ -313,21 +317,25 @@
 
 const BOUNDED: [Bounded; 4] = [
     Bounded {
+        rule: MinorityShare::Nothing,
         calls_per_s: 8.8,
         span: DurationUs::from_ms(1_000),
         most_in_span: 18,
     },
     Bounded {
+        rule: MinorityShare::Proportional,
         calls_per_s: 2.1,
         span: DurationUs::from_ms(4_000),
         most_in_span: 17,
     },
     Bounded {
+        rule: MinorityShare::Proportional,
         calls_per_s: 0.3,
         span: DurationUs::from_ms(4_000),
         most_in_span: 6,
     },
     Bounded {
+        rule: MinorityShare::Proportional,
         calls_per_s: 10.0,
         span: DurationUs::from_ms(4_000),
         most_in_span: 65,
@@ -355,7 +363,7 @@
         span_us: bounded.span,
     };
     let limit = RateLimit::new(bounded.calls_per_s, bound);
-    let mut fleet = Fleet::new(2, limit);
+    let mut fleet = Fleet::new(2, limit, bounded.rule);
     // Every permit comes up once more after everything has settled.
     let end_ms = SETTLED_MS + limit.window_us.as_ms() + LOOK_MS;
     for now_ms in (0..end_ms).step_by(50) {
@@ -416,10 +424,17 @@
             is_complete: case.is_complete,
         };
         for now_ms in (0..3_600).step_by(100) {
-            assert_eq!(shares.share(&endpoint(0), PERMITS, at_ms(now_ms)).now, 0);
+            assert_eq!(
+                shares
+                    .share(&endpoint(0), PERMITS, MinorityShare::Nothing, at_ms(now_ms))
+                    .now,
+                0
+            );
             shares.look(&sighting, at_ms(now_ms));
         }
-        let share = shares.share(&endpoint(0), PERMITS, at_ms(3_600)).now;
+        let share = shares
+            .share(&endpoint(0), PERMITS, MinorityShare::Nothing, at_ms(3_600))
+            .now;
         assert_eq!(share, case.expected, "{}", case.name);
     }
 }
@@ -441,7 +456,73 @@
         shares.look(&of(1, &[1, 2, 3]), at_ms(now_ms));
     }
     assert_eq!(
-        shares.share(&endpoint(0), PERMITS, at_ms(8_900)).now,
+        shares
+            .share(&endpoint(0), PERMITS, MinorityShare::Nothing, at_ms(8_900))
+            .now,
         PERMITS
     );
 }
+
+/// Guards against a service whose endpoints all name limits and which is away for a minute, since most daemons are gone for
+/// good; and against parts of a fleet that together use more than all permits.
+#[test]
+fn a_minority_uses_its_part_of_the_permits() {
+    struct Case {
+        known: usize,
+        alive: usize,
+        rule: MinorityShare,
+        /// Permits of all that are alive together.
+        together: u32,
+    }
+    let cases = [
+        Case {
+            known: 6,
+            alive: 4,
+            rule: MinorityShare::Proportional,
+            together: 8,
+        },
+        Case {
+            known: 6,
+            alive: 3,
+            rule: MinorityShare::Proportional,
+            together: 4,
+        },
+        Case {
+            known: 6,
+            alive: 1,
+            rule: MinorityShare::Proportional,
+            together: 1,
+        },
+        Case {
+            known: 30,
+            alive: 3,
+            rule: MinorityShare::Proportional,
+            together: 0,
+        },
+        Case {
+            known: 6,
+            alive: 3,
+            rule: MinorityShare::Nothing,
+            together: 0,
+        },
+    ];
+    for case in cases {
+        let sighting = Sighting {
+            alive: (0..case.alive).map(ip).collect(),
+            registered: (0..case.known).map(ip).collect(),
+            leaving: BTreeSet::new(),
+            is_complete: true,
+        };
+        let share = |number: usize| {
+            let mut shares = PermitShares::new(ip(number), at_ms(0));
+            for now_ms in (0..4_000).step_by(100) {
+                shares.look(&sighting, at_ms(now_ms));
+            }
+            shares
+                .share(&endpoint(0), PERMITS, case.rule, at_ms(3_900))
+                .now
+        };
+        let together: u32 = (0..case.alive).map(share).sum();
+        assert_eq!(together, case.together, "{} of {}", case.alive, case.known);
+    }
+}
