fix(relay): the log tells the rate that an endpoint still names

Found by a test that waited for the end of a limit: a change within a second of the last line about the endpoint was left out for good, so that the log went on saying that it is limited. What was logged last is kept; a rate that differs is logged with the next answer once the second is over.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -5,7 +5,7 @@
 use super::endpoint_row::{EndpointLife, EndpointRow};
 use super::endpoint_table::{EndpointChange, EndpointTable};
 use super::gossip_message::LimitUpdate;
-use super::named_limit::{LimitNotice, NamedLimit};
+use super::named_limit::{LimitNotice, LimitOutcome, NamedLimit};
 
 /// Longest rest that an endpoint gets without being asked again. One that wants nothing for longer than an hour has left.
 const MAX_REST_US: DurationUs = DurationUs::from_ms(3_600_000);
@@ -22,19 +22,25 @@
 }
 
 impl EndpointTable {
-    /// Takes over the limit that an answer names, and returns whether it is another one than before.
+    /// Takes over the limit that an answer names; none where it names none.
     pub fn heard_limit(
         &mut self,
         instance: &EndpointInstance,
         rate: Option<CallRate>,
         now: TimeUs,
-    ) -> bool {
+    ) -> LimitOutcome {
         let row = self.get_mut(instance);
-        row.is_some_and(|row| row.statements.limit.heard(rate, now))
+        row.map_or(LimitOutcome::default(), |row| {
+            row.statements.limit.heard(rate, now)
+        })
     }
 
-    /// Takes over what a peer tells of an endpoint's limit, and returns the endpoint where that changes it.
-    pub fn told_limit(&mut self, update: &LimitUpdate, now: TimeUs) -> Option<EndpointInstance> {
+    /// Takes over what a peer tells of an endpoint's limit, and returns the endpoint where it is known.
+    pub fn told_limit(
+        &mut self,
+        update: &LimitUpdate,
+        now: TimeUs,
+    ) -> Option<(EndpointInstance, LimitOutcome)> {
         let row = self.row_by_short_name(update.endpoint)?;
         let heard_at_us = now
             .get()
@@ -43,8 +49,8 @@
             rate: update.rate,
             heard_at_us: TimeUs::new(heard_at_us),
         };
-        let is_changed = row.statements.limit.told_by_peer(notice);
-        is_changed.then(|| row.instance().clone())
+        let outcome = row.statements.limit.told_by_peer(notice, now);
+        Some((row.instance().clone(), outcome))
     }
 
     /// Lists what other daemons are to be told of endpoints' limits.
@@ -60,12 +66,6 @@
         updates.collect()
     }
 
-    /// Returns whether a change of an endpoint's limit may be logged now.
-    pub fn may_log_limit(&mut self, instance: &EndpointInstance, now: TimeUs) -> bool {
-        let row = self.get_mut(instance);
-        row.is_some_and(|row| row.statements.limit.may_log(now))
-    }
-
     /// Returns whether an endpoint wants few calls now, or none: it names a limit, or has asked this daemon for rest.
     pub fn is_in_need(&self, instance: &EndpointInstance, now: TimeUs) -> bool {
         let statements = self.get(instance).map(|row| &row.statements);
--- a/crates/wisteriahitch-relay/src/decide/named_limit.rs
+++ b/crates/wisteriahitch-relay/src/decide/named_limit.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// What a word of an endpoint's limit calls for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct LimitOutcome {
+    /// Whether the rate is another one than before.
+    pub is_changed: bool,
+    /// Whether the rate is to be logged.
+    pub is_logged: bool,
+}
+
 /// What one daemon knows and uses of the limit of one endpoint.
 #[derive(Clone, Debug, Default)]
 pub struct NamedLimit {
@@ -68,7 +77,8 @@
     limit: Option<RateLimit>,
     /// Permits that this daemon holds.
     pub permits: HeldPermits,
-    logged_at_us: Option<TimeUs>,
+    /// The rate that was logged last, and when.
+    logged: Option<(Option<CallRate>, TimeUs)>,
 }
 
 impl NamedLimit {
@@ -105,41 +115,51 @@
         (now.since(notice.heard_at_us) < told_for_us).then_some(notice)
     }
 
-    /// Takes over what an answer to this daemon says, and returns whether the rate has changed.
-    pub(super) fn heard(&mut self, rate: Option<CallRate>, now: TimeUs) -> bool {
+    /// Takes over what an answer to this daemon says.
+    pub(super) fn heard(&mut self, rate: Option<CallRate>, now: TimeUs) -> LimitOutcome {
         if rate.is_none() && self.notice.is_none() {
-            return false;
+            return LimitOutcome::default();
         }
-        self.take(LimitNotice {
+        let notice = LimitNotice {
             rate,
             heard_at_us: now,
-        })
+        };
+        self.take(notice, now)
     }
 
-    /// Takes over what a peer tells, where it is newer, and returns whether the rate has changed.
-    pub(super) fn told_by_peer(&mut self, notice: LimitNotice) -> bool {
+    /// Takes over what a peer tells, where it is newer.
+    pub(super) fn told_by_peer(&mut self, notice: LimitNotice, now: TimeUs) -> LimitOutcome {
         let is_news = match &self.notice {
             Some(known) => notice.supersedes(known),
             None => notice.rate.is_some(),
         };
-        is_news && self.take(notice)
-    }
-
-    /// Returns whether a change may be logged now.
-    pub(super) fn may_log(&mut self, now: TimeUs) -> bool {
-        let is_due = |logged_at: TimeUs| now.since(logged_at) >= LOG_GAP_US;
-        let may_log = self.logged_at_us.is_none_or(is_due);
-        if may_log {
-            self.logged_at_us = Some(now);
+        match is_news {
+            true => self.take(notice, now),
+            false => LimitOutcome::default(),
         }
-        may_log
     }
 
-    fn take(&mut self, notice: LimitNotice) -> bool {
-        let before = self.rate();
+    fn take(&mut self, notice: LimitNotice, now: TimeUs) -> LimitOutcome {
+        let is_changed = self.rate() != notice.rate;
         self.notice = Some(notice);
         self.limit = notice.rate.and_then(rate_limit);
-        before != notice.rate
+        LimitOutcome {
+            is_changed,
+            is_logged: self.note_logged(now),
+        }
+    }
+
+    /// Returns whether the rate is to be logged now: it isn't the one that was logged last, and that was a while ago.
+    fn note_logged(&mut self, now: TimeUs) -> bool {
+        let rate = self.rate();
+        let is_due = match self.logged {
+            Some((logged, at)) => logged != rate && now.since(at) >= LOG_GAP_US,
+            None => true,
+        };
+        if is_due {
+            self.logged = Some((rate, now));
+        }
+        is_due
     }
 }
 
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -35,7 +35,7 @@
 pub use decide::link_paces::LinkPaces;
 pub use decide::members::{Entry, Heard, PeerRow, PeerTable};
 pub use decide::message_delay::MessageDelay;
-pub use decide::named_limit::{LimitNotice, NamedLimit};
+pub use decide::named_limit::{LimitNotice, LimitOutcome, NamedLimit};
 pub use decide::offer::MainFetch;
 pub use decide::outlier::{Outlier, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -92,9 +92,12 @@
         Statement::Malformed => return note_malformed(shared, endpoint, "limit"),
     };
     let now = shared.now();
-    if shared.endpoints.lock().heard_limit(endpoint, rate, now) {
-        share_permits(shared, now);
+    let outcome = shared.endpoints.lock().heard_limit(endpoint, rate, now);
+    if outcome.is_logged {
         log_limit(shared, endpoint, rate, "answer", 0);
+    }
+    if outcome.is_changed {
+        share_permits(shared, now);
         // Until the others know, they send as if there were no limit, or don't use what it leaves.
         shared.peers.hurry.notify_one();
     }
@@ -102,15 +105,18 @@
 
 /// Takes over what a peer tells of endpoints' limits.
 pub(super) fn take_limits(shared: &Shared, updates: &[LimitUpdate], now: TimeUs) {
-    let mut is_any = false;
+    let mut is_changed = false;
     for update in updates {
-        let changed = shared.endpoints.lock().told_limit(update, now);
-        if let Some(endpoint) = changed {
-            is_any = true;
+        let told = shared.endpoints.lock().told_limit(update, now);
+        let Some((endpoint, outcome)) = told else {
+            continue;
+        };
+        is_changed |= outcome.is_changed;
+        if outcome.is_logged {
             log_limit(shared, &endpoint, update.rate, "peer", update.age_ms);
         }
     }
-    if is_any {
+    if is_changed {
         share_permits(shared, now);
         // A hub tells it on at once.
         shared.peers.hurry.notify_one();
@@ -124,18 +130,12 @@
     source: &'static str,
     age_ms: u64,
 ) {
-    let may_log = {
-        let mut endpoints = shared.endpoints.lock();
-        endpoints.may_log_limit(endpoint, shared.now())
-    };
-    if may_log {
-        shared.log.write(&Event::EndpointLimitChanged {
-            endpoint: endpoint.to_string(),
-            calls_per_s: rate.map(CallRate::per_s),
-            source,
-            age_ms,
-        });
-    }
+    shared.log.write(&Event::EndpointLimitChanged {
+        endpoint: endpoint.to_string(),
+        calls_per_s: rate.map(CallRate::per_s),
+        source,
+        age_ms,
+    });
 }
 
 /// Counts a statement that can't be read, and logs the first one of each life of an endpoint.
