fix(relay): an answer that is none to the call ends no limit

Found by reading: an answer without a limit ends one. A late answer to another request, one that can't be an answer, and one that says that another endpoint is meant were counted too; each would have let all daemons send their usual load until the next answer.

Only an endpoint's own answer to the call ends a limit now; a limit, leaving and rest are taken from all, as before.

Test: endpoint_limits::an_answer_that_is_none_to_the_call_ends_no_limit, seen red with the condition taken out (the limit was over after a 421).

--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -185,8 +185,15 @@
     };
     let answer = shared.borders.calls.answer(&parts);
     note_answer(shared, call, placement, &answer);
-    note_statements(shared, &placement.endpoint, &answer);
-    match check_answer(call, &parts, &answer, is_last) {
+    let checked = check_answer(call, &parts, &answer, is_last);
+    let is_to_the_call = !checked.as_ref().is_err_and(|failure| {
+        matches!(
+            failure.kind,
+            FailureKind::Misdirected | FailureKind::Nonsense
+        )
+    });
+    note_statements(shared, &placement.endpoint, &answer, is_to_the_call);
+    match checked {
         Ok(()) => Ok(Opened {
             parts,
             body,
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -9,12 +9,18 @@
 use crate::decide::gossip_message::LimitUpdate;
 use crate::observe::Event;
 
-/// Takes over the statements of one answer to a call that was placed at an endpoint.
-pub(super) fn note_statements(shared: &Shared, placed: &EndpointInstance, answer: &AnswerHead) {
+/// Takes over the statements of one answer to a call that was placed at an endpoint. `is_to_the_call` says that it is that
+/// endpoint's own answer to it.
+pub(super) fn note_statements(
+    shared: &Shared,
+    placed: &EndpointInstance,
+    answer: &AnswerHead,
+    is_to_the_call: bool,
+) {
     let Some(endpoint) = &speaker(shared, placed, answer) else {
         return;
     };
-    note_limit(shared, endpoint, answer);
+    note_limit(shared, endpoint, answer, is_to_the_call);
     note_leaving(shared, endpoint, answer);
     note_rest(shared, endpoint, answer);
 }
@@ -85,10 +91,18 @@
     }
 }
 
-fn note_limit(shared: &Shared, endpoint: &EndpointInstance, answer: &AnswerHead) {
+/// Takes over the limit that an answer names. One that names none ends a limit only if it is the endpoint's own answer to
+/// the call.
+fn note_limit(
+    shared: &Shared,
+    endpoint: &EndpointInstance,
+    answer: &AnswerHead,
+    is_to_the_call: bool,
+) {
     let rate = match answer.limit {
         Statement::Value(rate) => Some(rate),
-        Statement::Absent => None,
+        Statement::Absent if is_to_the_call => None,
+        Statement::Absent => return,
         Statement::Malformed => return note_malformed(shared, endpoint, "limit"),
     };
     let now = shared.now();
