--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -122,7 +122,7 @@
         self
     }
 
-    /// Takes over how long a limit that an endpoint names holds, if nobody hears of it again.
+    /// Takes over how long a limit that an endpoint names holds, if nobody hears of it again; until then none does.
     #[must_use]
     pub fn with_limit_life(mut self, limit_life_us: DurationUs) -> Self {
         self.limit_life_us = limit_life_us;
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -56,6 +56,7 @@
 /// Takes over which endpoints have said that they leave, as a peer tells.
 pub(super) fn take_leaving(shared: &Shared, lives: &[u32]) {
     let is_news = |life: &&u32| note_life_leaves(shared, **life, "peer");
+    // Each is noted, also after the first that is news.
     if lives.iter().filter(is_news).count() > 0 {
         // A hub tells it on at once.
         shared.peers.hurry.notify_one();
