--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -22,7 +22,8 @@
 
 /// Time for which a daemon must have held a permit before it uses it: the most by which daemons differ in learning that
 /// a member is gone (0.9 s after its last message, or 2.7 s through a hub) and that one is there (0.6 s), and the
-/// window of a permit.
+/// window of a cold endpoint's permit. The window of a named limit is longer: what a permit's holder before has used within
+/// it is covered by the unused half of the bound.
 pub(crate) const HOLD_US: DurationUs = DurationUs::from_ms(3_500);
 
 /// Time for which a member that has fallen silent still counts as one of all.
