perf(relay): what all targets of a round are told of endpoints is gathered once

Found by reading the whole change again; behaviour stays.

- A hub tells each of its daemons a message of its own, ten times a second.
Limits and leaving endpoints are the same in all of them, and were listed, sorted and cut to a page anew for each; they stand with what else a round shares, in Relayed.
- Each look at the members, five to ten times a second and now on every deployment, asked for the cold limit of each endpoint's service before it asked whether the endpoint is cold.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -193,8 +193,10 @@
         for row in self.rows.values_mut() {
             let id = &row.endpoint.instance.id;
             let share = |limit: &RateLimit, rule| shares.share(id, limit.permits, rule, now);
-            let cold = self.cold_limits.get(&row.endpoint.service);
-            let cold = cold.filter(|_| row.cold.is_cold(now));
+            let cold = match row.cold.is_cold(now) {
+                true => self.cold_limits.get(&row.endpoint.service),
+                false => None,
+            };
             // Whoever holds permits when the bound begins again is found out anew.
             row.cold.permits.share = cold.map_or(PermitShare::default(), |cold| {
                 share(&cold.limit, MinorityShare::Nothing)
--- a/crates/wisteriahitch-relay/src/decide/gossip_message.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_message.rs
@@ -188,8 +188,8 @@
     ///
     /// First go parts that engines have read, which are a hint; then crashes, those of the least suspect
     /// requests first; then parts that stores have got, which endpoints can't be reached, which engines are
-    /// followed, then the load, then the limits of endpoints, and last which of them leave. What stores have got is told once only, and whoever misses it has the
-    /// part read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead of
+    /// followed, then the load, then the limits of endpoints, and last which of them leave. What stores have
+    /// got is told once only, and whoever misses it has the part read again. Left out whole whenever a message was too large, it cost 80 daemons 22.8 instead of
     /// 20.2 million tokens of shared parts that were read again (a day of 34 s, one run each).
     pub fn encoded(mut self, max_bytes: usize) -> Vec<u8> {
         loop {
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -43,6 +43,8 @@
     kept: Vec<KeptPartUpdate>,
     reserved: Vec<EndpointInstance>,
     requests: RequestUpdate,
+    limits: Vec<LimitUpdate>,
+    leaving: Vec<u32>,
 }
 
 impl Relayed {
@@ -64,6 +66,8 @@
             kept,
             reserved: shared.rollout.lock().reserved().cloned().collect(),
             requests: shared.suspects.lock().news(number, now),
+            limits: limit_updates(shared, now),
+            leaving: leaving(shared, now),
         }
     }
 }
@@ -78,8 +82,6 @@
 ) -> Vec<u8> {
     let mut message = base(shared, plan, relayed, now);
     message.endpoints = endpoint_updates(shared, plan, relayed, own, now);
-    message.limits = limit_updates(shared, now);
-    message.leaving = leaving(shared, now);
     message.followed = followed(shared, own, now);
     message.unreachable = unreachable(shared, plan, own, now);
     message.parts = relayed.near_parts.clone();
@@ -118,8 +120,8 @@
         sent_at_us: now,
         kinds: shared.watches.news(now),
         endpoints: Vec::new(),
-        limits: Vec::new(),
-        leaving: Vec::new(),
+        limits: relayed.limits.clone(),
+        leaving: relayed.leaving.clone(),
         followed: Vec::new(),
         unreachable: Vec::new(),
         parts: Vec::new(),
