perf(wire): hold stored objects as JSON text instead of trees of values

Cause: each daemon keeps each registration twice, as a decoded row and, to serve it to its peers, as a tree of serde_json values; a listing copied the trees once more. Why it holds: text takes the bytes that were received; clones share it. Parsing is as before: a value is read as a tree first, so of fields with the same name the last one still counts.

--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -132,7 +132,7 @@
 /// as the object exists.
 fn decode_lease(shared: &Shared, group: &LeaseGroup, object: StoredObject) -> (LeaseObject, u64) {
     let order_timeout_us = handover_delay(&shared.settings);
-    let lease = match serde_json::from_value::<LeaseObject>(object.content) {
+    let lease = match object.content.parse::<LeaseObject>() {
         Ok(lease) => LeaseObject {
             term_us: lease.term_us.min(MAX_STORED_DURATION_US),
             order_timeout_us: lease.order_timeout_us.min(MAX_STORED_DURATION_US),
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
 use wisteriahitch_types::{DurationUs, Incarnation};
-use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject, UnreadableKind};
+use wisteriahitch_wire::object_store::{
+    ObjectContent, ObjectRole, Revision, StoredObject, UnreadableKind,
+};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
@@ -83,8 +84,9 @@
     }
 }
 
-fn decode(content: Value) -> Result<DaemonRegistration, (UnreadableKind, String)> {
-    let registration: DaemonRegistration = serde_json::from_value(content)
+fn decode(content: &ObjectContent) -> Result<DaemonRegistration, (UnreadableKind, String)> {
+    let registration: DaemonRegistration = content
+        .parse()
         .map_err(|error| (UnreadableKind::Field, error.to_string()))?;
     let ip = registration.ip;
     // Gossip would be sent to this address several times per second.
@@ -137,7 +139,7 @@
         logged.clear();
     }
     for object in objects {
-        let registration = match decode(object.content) {
+        let registration = match decode(&object.content) {
             Ok(registration) => registration,
             Err((kind, detail)) => {
                 if logged.insert((object.name.clone(), object.revision)) {
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -1,6 +1,6 @@
 //! Applies listings and changes of the store's objects, received from the store or from a peer.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use wisteriahitch_types::{AvailabilityZone, DurationUs, ServiceName, TimeUs};
@@ -50,8 +50,7 @@
             return;
         }
         let by_name = |object: &StoredObject| (object.name.clone(), object.clone());
-        let objects: BTreeMap<String, StoredObject> = listing.objects.iter().map(by_name).collect();
-        state.objects = objects;
+        state.objects = listing.objects.iter().map(by_name).collect();
         // A listing doesn't contain earlier deletions.
         state.deletions_lost_up_to = state.deletions_lost_up_to.max(listing.revision);
         // This must be set even if the listing equals the known objects. Otherwise its sender would
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -4,11 +4,14 @@
 //! registrations. The trait defines the guarantees that the daemons rely on; its implementation
 //! defines the wire format.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use serde::{Deserialize, Serialize};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
+use serde_json::value::RawValue;
 
 use crate::platform::PlatformError;
 
@@ -41,14 +44,78 @@
 pub struct Revision(pub u64);
 
 /// An object in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StoredObject {
     /// Name, unique within its kind.
     pub name: String,
     /// Revision of its last change.
     pub revision: Revision,
     /// Content.
-    pub content: Value,
+    pub content: ObjectContent,
+}
+
+/// Content of an object, held as its JSON text and parsed when it is needed.
+///
+/// Daemons hold the contents of all objects to serve them to their peers. Trees of values would
+/// take many times the memory of the text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ObjectContent(Arc<str>);
+
+impl ObjectContent {
+    /// Returns the content with this JSON text, or `None` if the text isn't valid JSON.
+    ///
+    /// ```
+    /// use wisteriahitch_wire::object_store::ObjectContent;
+    ///
+    /// assert!(ObjectContent::from_json(br#"{"slots":8}"#).is_some());
+    /// assert!(ObjectContent::from_json(b"{").is_none());
+    /// ```
+    pub fn from_json(text: &[u8]) -> Option<Self> {
+        serde_json::from_slice::<Value>(text).ok()?;
+        str::from_utf8(text).ok().map(|text| Self(text.into()))
+    }
+
+    /// Returns whether the content is `null`, as that of an unreadable object is.
+    pub fn is_null(&self) -> bool {
+        &*self.0 == "null"
+    }
+
+    /// Parses the content. Of fields with the same name the last one counts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a required field is missing or a field has the wrong type.
+    pub fn parse<T: DeserializeOwned>(&self) -> serde_json::Result<T> {
+        T::deserialize(serde_json::from_str::<Value>(&self.0)?)
+    }
+}
+
+impl Default for ObjectContent {
+    fn default() -> Self {
+        Self("null".into())
+    }
+}
+
+impl From<&Value> for ObjectContent {
+    fn from(value: &Value) -> Self {
+        Self(value.to_string().into())
+    }
+}
+
+impl Serialize for ObjectContent {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let text = serde_json::from_str::<&RawValue>(&self.0);
+        text.map_err(serde::ser::Error::custom)?
+            .serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for ObjectContent {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = Box::<RawValue>::deserialize(deserializer)?;
+        Self::from_json(text.get().as_bytes())
+            .ok_or_else(|| serde::de::Error::custom("the content isn't valid JSON"))
+    }
 }
 
 /// Reason why an object in the store is unusable. Not only daemons write to the store.
