perf(relay): shrink the row of an endpoint and find endpoints by address

Cause: rows of 648 bytes lay in nodes of a map that are half empty; each row had a map of its weights (a node of 11 places for one model) and an empty list of parts (two heap nodes); and each registration that was added was compared with all rows to find others at its address, so that a start took the square of the endpoints: 50 million comparisons at 10,000. Why it holds: boxes make what the map wastes a pointer's size; an index by address makes a registration cost what is at its address. Existing tests of displaced endpoints cover the index.

--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -1,7 +1,7 @@
 //! The event loop of the simulation.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashSet};
+use std::collections::{BinaryHeap, HashSet};
 use std::net::SocketAddr;
 
 use rand::{RngExt, SeedableRng};
@@ -630,7 +630,9 @@
             slots: self.plan.engines.slots,
             is_draining: false,
             remaining_cold_us: DurationUs::ZERO,
-            weights: BTreeMap::from([(self.config.model.clone(), WeightNumber::new(1))]),
+            weights: [(self.config.model.clone(), WeightNumber::new(1))]
+                .into_iter()
+                .collect(),
         };
         for daemon in &mut self.daemons {
             daemon.register_engine(endpoint.clone());
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -221,7 +221,7 @@
     /// Returns how many endpoints are cold and bounded, for the metrics.
     pub fn cold_count(&self, now: TimeUs) -> usize {
         let is_cold = |row: &&EndpointRow| self.cold_limit(row, now).is_some();
-        self.rows.values().filter(is_cold).count()
+        self.iter().filter(is_cold).count()
     }
 
     /// Returns the limit of a cold endpoint; `None` if the endpoint isn't cold or the deployment
--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -79,7 +79,7 @@
 
     /// Returns the version of the weights that the endpoint has for a model.
     pub fn weights(&self, model: &ModelName) -> Option<WeightNumber> {
-        self.endpoint.weights.get(model).copied()
+        self.endpoint.weights.get(model)
     }
 
     /// Returns whether the endpoint may get requests at all. One that has announced its leaving, or
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -1,6 +1,7 @@
 //! The endpoints of a site, and the state of each.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddr;
 
 use wisteriahitch_types::{
     DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
@@ -88,8 +89,11 @@
 /// All endpoints of a site.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    pub(super) rows: BTreeMap<EndpointId, EndpointRow>,
+    /// Boxed, because the nodes of the map are up to half empty.
+    pub(super) rows: BTreeMap<EndpointId, Box<EndpointRow>>,
     pub(super) by_short_name: HashMap<u32, EndpointId>,
+    /// Endpoints that are registered at each address; after a crash there may be several.
+    by_address: HashMap<SocketAddr, Vec<EndpointId>>,
     pub(super) peer_reports: HashMap<Incarnation, PeerReport>,
     /// Memory of the engines of each service in tokens, from the configuration.
     pub(super) memory_tokens: HashMap<ServiceName, u64>,
@@ -223,16 +227,19 @@
         if previous_state != EndpointState::Draining {
             row.state = state;
         }
-        let has_moved = endpoint.address != row.endpoint.address;
+        let previous_address = row.endpoint.address;
+        let has_moved = endpoint.address != previous_address;
         let reported_weights = endpoint.weights.clone();
         let known = std::mem::take(&mut row.endpoint.weights);
         row.endpoint = endpoint;
         row.endpoint.weights = known;
-        for (model, version) in reported_weights {
-            self.record_weights(&instance, &model, version);
+        for (model, version) in reported_weights.iter() {
+            self.record_weights(&instance, model, version);
         }
         let mut changes = Vec::new();
         if has_moved {
+            self.forget_address(previous_address, &instance.id);
+            self.record_address(&instance);
             changes.extend(self.claim_address(&instance));
         }
         if state == EndpointState::Draining && previous_state != EndpointState::Draining {
@@ -261,6 +268,7 @@
         let instance = endpoint.instance.clone();
         let state = self.state_of(&endpoint);
         self.insert(endpoint, state, now);
+        self.record_address(&instance);
         let mut changes = vec![EndpointChange::Added(instance.clone())];
         changes.extend(self.claim_address(&instance));
         changes
@@ -374,9 +382,7 @@
         let Some(row) = self.get_mut(instance) else {
             return;
         };
-        let known = row.endpoint.weights.entry(model.clone()).or_default();
-        if version > *known {
-            *known = version;
+        if row.endpoint.weights.raise(model, version) {
             row.parts.clear();
         }
     }
@@ -396,12 +402,12 @@
 
     /// Returns the row of an endpoint, whichever instance it is.
     pub fn by_id(&self, id: &EndpointId) -> Option<&EndpointRow> {
-        self.rows.get(id)
+        self.rows.get(id).map(Box::as_ref)
     }
 
     /// Lists all endpoints in the order of their ids.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointRow> {
-        self.rows.values()
+        self.rows.values().map(Box::as_ref)
     }
 
     /// Counts the endpoints by state, for the metrics.
@@ -462,17 +468,43 @@
             statements: EndpointStatements::default(),
             short_name,
         };
-        self.rows.insert(id, row);
+        self.rows.insert(id, Box::new(row));
     }
 
-    fn remove(&mut self, id: &EndpointId) -> Option<EndpointRow> {
+    fn remove(&mut self, id: &EndpointId) -> Option<Box<EndpointRow>> {
         let instance = self.rows.get(id)?.instance().clone();
         self.release_address(&instance);
         let row = self.rows.remove(id)?;
         self.by_short_name.remove(&row.short_name);
+        self.forget_address(row.endpoint.address, id);
         Some(row)
     }
 
+    fn record_address(&mut self, instance: &EndpointInstance) {
+        if let Some(row) = self.rows.get(&instance.id) {
+            let ids = self.by_address.entry(row.endpoint.address).or_default();
+            ids.reserve_exact(1);
+            ids.push(instance.id.clone());
+        }
+    }
+
+    fn forget_address(&mut self, address: SocketAddr, id: &EndpointId) {
+        if let Some(ids) = self.by_address.get_mut(&address) {
+            ids.retain(|known| known != id);
+            if ids.is_empty() {
+                self.by_address.remove(&address);
+            }
+        }
+    }
+
+    /// Returns the ids of the other endpoints that are registered at an endpoint's address.
+    fn others_at_address(&self, instance: &EndpointInstance) -> Vec<EndpointId> {
+        let address = self.by_id(&instance.id).map(|row| row.endpoint.address);
+        let ids = address.and_then(|address| self.by_address.get(&address));
+        let others = ids.into_iter().flatten().filter(|id| **id != instance.id);
+        others.cloned().collect()
+    }
+
     /// Marks the other endpoints at the address of `instance` as displaced if they registered
     /// before it, or `instance` itself if one of them registered later.
     ///
@@ -486,13 +518,13 @@
         if !self.has_known_service(row) || !row.accepts_requests() {
             return Vec::new();
         }
-        let (address, revision) = (row.endpoint.address, row.endpoint.revision);
-        let others = self.rows.values_mut().filter(|row| {
-            row.endpoint.address == address && row.instance() != instance && !row.is_displaced
-        });
+        let revision = row.endpoint.revision;
         let mut changes = Vec::new();
         let mut is_superseded = false;
-        for row in others {
+        for id in self.others_at_address(instance) {
+            let Some(row) = self.rows.get_mut(&id).filter(|row| !row.is_displaced) else {
+                continue;
+            };
             if row.accepts_requests() && row.endpoint.revision > revision {
                 is_superseded = true;
                 continue;
@@ -510,13 +542,10 @@
     /// Marks the other endpoints at the address of an endpoint that is no longer used as not
     /// displaced.
     fn release_address(&mut self, instance: &EndpointInstance) {
-        let Some(address) = self.by_id(&instance.id).map(|row| row.endpoint.address) else {
-            return;
-        };
-        let is_at_address =
-            |row: &&mut EndpointRow| row.endpoint.address == address && row.instance() != instance;
-        for row in self.rows.values_mut().filter(is_at_address) {
-            row.is_displaced = false;
+        for id in self.others_at_address(instance) {
+            if let Some(row) = self.rows.get_mut(&id) {
+                row.is_displaced = false;
+            }
         }
     }
 
@@ -534,7 +563,7 @@
 
     pub(super) fn row_by_short_name(&mut self, short_name: u32) -> Option<&mut EndpointRow> {
         let id = self.by_short_name.get(&short_name)?;
-        self.rows.get_mut(id)
+        self.rows.get_mut(id).map(Box::as_mut)
     }
 }
 
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -132,7 +132,9 @@
 /// It is a hint: a wrong estimate costs reading a prompt again, never a wrong answer.
 #[derive(Debug)]
 pub struct PartCache {
-    parts: LruCache<PartKey, CacheEntry>,
+    /// `None` while no part is known: most endpoints of a large fleet are idle, and even an empty
+    /// list takes some hundred bytes.
+    parts: Option<Box<LruCache<PartKey, CacheEntry>>>,
     cached_tokens: u64,
     capacity_tokens: u64,
 }
@@ -141,7 +143,7 @@
     /// Creates an empty estimate for an engine with a memory of `memory_tokens`.
     pub fn new(memory_tokens: u64) -> Self {
         Self {
-            parts: LruCache::unbounded(),
+            parts: None,
             cached_tokens: 0,
             capacity_tokens: memory_tokens,
         }
@@ -156,9 +158,11 @@
 
     /// Returns whether a part was used since `since`.
     pub fn used_since(&self, key: PartKey, since: TimeUs) -> bool {
-        self.parts
-            .peek(&key)
-            .is_some_and(|part| part.used_at_us >= since)
+        self.entry(key).is_some_and(|part| part.used_at_us >= since)
+    }
+
+    fn entry(&self, key: PartKey) -> Option<&CacheEntry> {
+        self.parts.as_ref()?.peek(&key)
     }
 
     /// Records the use of a part and evicts the least recently used ones beyond the capacity.
@@ -168,12 +172,14 @@
             tokens,
             used_at_us: now,
         };
-        let previous = self.parts.put(key, part);
+        let unbounded = || Box::new(LruCache::unbounded());
+        let parts = self.parts.get_or_insert_with(unbounded);
+        let previous = parts.put(key, part);
         if previous.is_none() {
             self.cached_tokens += tokens;
         }
         while self.cached_tokens > self.capacity_tokens {
-            let Some((_, evicted_part)) = self.parts.pop_lru() else {
+            let Some((_, evicted_part)) = parts.pop_lru() else {
                 break;
             };
             self.cached_tokens = self.cached_tokens.saturating_sub(evicted_part.tokens);
@@ -183,7 +189,8 @@
 
     /// Records that the engine reported a part as cached. Returns whether that is new.
     pub fn record_reported(&mut self, key: PartKey, tokens: u64, now: TimeUs) -> bool {
-        match self.parts.peek_mut(&key) {
+        let parts = self.parts.as_mut();
+        match parts.and_then(|parts| parts.peek_mut(&key)) {
             Some(part) => {
                 part.tokens = tokens;
                 false
@@ -194,7 +201,8 @@
 
     /// Records that the engine reported a part as evicted. Returns whether it was known.
     pub fn record_eviction(&mut self, key: PartKey) -> bool {
-        let Some(part) = self.parts.pop(&key) else {
+        let parts = self.parts.as_mut();
+        let Some(part) = parts.and_then(|parts| parts.pop(&key)) else {
             return false;
         };
         self.cached_tokens = self.cached_tokens.saturating_sub(part.tokens);
@@ -203,7 +211,8 @@
 
     /// Returns the most recently used parts, newest first.
     pub fn most_recent(&self, now: TimeUs) -> Vec<CachedPart> {
-        let parts = self.parts.iter().take(MAX_SNAPSHOT_PARTS);
+        let parts = self.parts.iter().flat_map(|parts| parts.iter());
+        let parts = parts.take(MAX_SNAPSHOT_PARTS);
         let cached = parts.map(|(key, part)| CachedPart {
             part: key.0,
             tokens: part.tokens,
@@ -217,24 +226,24 @@
         let age_us = DurationUs::from_ms(cached.age_ms);
         let used_at_us = TimeUs::new(now.get().saturating_sub(age_us.get()));
         let key = PartKey(cached.part);
-        if self.parts.peek(&key).is_none() {
+        if self.entry(key).is_none() {
             self.record_use(key, cached.tokens, used_at_us);
         }
     }
 
     /// Removes all parts, as the endpoint does when its weights change.
     pub fn clear(&mut self) {
-        self.parts.clear();
+        self.parts = None;
         self.cached_tokens = 0;
     }
 
     /// Returns the number of parts that are probably cached.
     pub fn len(&self) -> usize {
-        self.parts.len()
+        self.parts.as_ref().map_or(0, |parts| parts.len())
     }
 
     /// Returns whether no part is probably cached.
     pub fn is_empty(&self) -> bool {
-        self.parts.is_empty()
+        self.len() == 0
     }
 }
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -56,7 +56,7 @@
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
 pub use shell::daemon::{Borders, Daemon};
 pub use site::{
-    AllowedZones, CallKind, CallerLimits, ColdStartSpec, Endpoint, EngineSpec, PartStore,
-    PromptPart, PromptShape, RegionMap, RequestFingerprint, Route, RouteTable, Service, SiteConfig,
-    WantedWeights, Workspace,
+    AllowedZones, CallKind, CallerLimits, ColdStartSpec, Endpoint, EngineSpec, ModelWeights,
+    PartStore, PromptPart, PromptShape, RegionMap, RequestFingerprint, Route, RouteTable, Service,
+    SiteConfig, WantedWeights, Workspace,
 };
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -70,19 +70,19 @@
     };
     let mut outdated = Vec::new();
     for row in endpoints.iter().filter(is_eligible) {
-        for (model, has) in &row.endpoint.weights {
+        for (model, has) in row.endpoint.weights.iter() {
             let Some(versions) = wanted.get(model) else {
                 continue;
             };
             let (Some(newest), Some(replaced_at_us)) =
-                (versions.newest(), versions.replaced_at(*has))
+                (versions.newest(), versions.replaced_at(has))
             else {
                 continue;
             };
             outdated.push(RolloutRow {
                 endpoint: row.instance().clone(),
                 model: model.clone(),
-                current: *has,
+                current: has,
                 wanted: newest,
                 replaced_at_us,
                 running: row.load().running,
--- a/crates/wisteriahitch-relay/src/shell/part_store_watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/part_store_watch.rs
@@ -131,9 +131,9 @@
     let mut lowest = BTreeMap::new();
     let endpoints = shared.endpoints.lock();
     for row in endpoints.iter() {
-        for (model, weights) in &row.endpoint.weights {
-            let known = lowest.entry(model.clone()).or_insert(*weights);
-            *known = (*known).min(*weights);
+        for (model, weights) in row.endpoint.weights.iter() {
+            let known = lowest.entry(model.clone()).or_insert(weights);
+            *known = (*known).min(weights);
         }
     }
     lowest
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -1,6 +1,5 @@
 //! A registered instance of an endpoint.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use wisteriahitch_types::{
@@ -32,5 +31,58 @@
     /// Time for which it stays cold after its registration, as it reported.
     pub remaining_cold_us: DurationUs,
     /// Versions of the weights that it reported, by model.
-    pub weights: BTreeMap<ModelName, WeightNumber>,
+    pub weights: ModelWeights,
+}
+
+/// Versions of the weights that an endpoint has, by model.
+///
+/// An endpoint has few models, and a daemon holds thousands of endpoints. A list takes a tenth of
+/// the memory of a map.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct ModelWeights(Vec<(ModelName, WeightNumber)>);
+
+impl ModelWeights {
+    /// Returns the version of a model.
+    pub fn get(&self, model: &ModelName) -> Option<WeightNumber> {
+        let mut weights = self.0.iter();
+        let found = weights.find(|(known, _)| known == model);
+        found.map(|(_, version)| *version)
+    }
+
+    /// Replaces the version of a model if the new one is higher, and returns whether it was.
+    pub fn raise(&mut self, model: &ModelName, version: WeightNumber) -> bool {
+        let mut weights = self.0.iter_mut();
+        match weights.find(|(known, _)| known == model) {
+            Some((_, known)) if *known >= version => false,
+            Some((_, known)) => {
+                *known = version;
+                true
+            }
+            None => {
+                self.0.reserve_exact(1);
+                self.0.push((model.clone(), version));
+                version > WeightNumber::default()
+            }
+        }
+    }
+
+    /// Returns whether the endpoint has no models.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Lists the models with their versions.
+    pub fn iter(&self) -> impl Iterator<Item = (&ModelName, WeightNumber)> {
+        self.0.iter().map(|(model, version)| (model, *version))
+    }
+}
+
+impl FromIterator<(ModelName, WeightNumber)> for ModelWeights {
+    fn from_iter<I: IntoIterator<Item = (ModelName, WeightNumber)>>(weights: I) -> Self {
+        let mut list = Self::default();
+        for (model, version) in weights {
+            list.raise(&model, version);
+        }
+        list
+    }
 }
--- a/crates/wisteriahitch-relay/src/site/mod.rs
+++ b/crates/wisteriahitch-relay/src/site/mod.rs
@@ -11,7 +11,7 @@
     CallerLimits, ColdStartSpec, EngineSpec, PartStore, Service, SiteConfig, WantedWeights,
     Workspace,
 };
-pub use endpoint::Endpoint;
+pub use endpoint::{Endpoint, ModelWeights};
 pub use fingerprint::RequestFingerprint;
 pub use prompt::{PromptPart, PromptShape};
 pub use region::{AllowedZones, RegionMap};
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -1,13 +1,13 @@
 //! Calls that a cold endpoint gets, and when.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::Ipv4Addr;
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    Admission, CallPermits, Endpoint, EndpointTable, LimitCause, PartStores, PermitShares,
-    PlacementRequest, RateBound, RateLimit, ServiceColdLimit, ViewObservation, place,
+    Admission, CallPermits, Endpoint, EndpointTable, LimitCause, ModelWeights, PartStores,
+    PermitShares, PlacementRequest, RateBound, RateLimit, ServiceColdLimit, ViewObservation, place,
 };
 use wisteriahitch_types::{Code, DurationUs, EndpointInstance, EndpointStart, TimeUs};
 use wisteriahitch_wire::object_store::Revision;
@@ -409,7 +409,7 @@
     let instance = EndpointInstance { start, ..id("a") };
     let endpoint = Endpoint {
         instance: instance.clone(),
-        weights: BTreeMap::new(),
+        weights: ModelWeights::default(),
         ..engine("a")
     };
     daemon.table.apply_registration(endpoint, at_ms(5_000));
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -1,6 +1,5 @@
 //! Endpoints, prompts and times shared by the tests.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use wisteriahitch_relay::{
@@ -57,7 +56,7 @@
         slots: 64,
         is_draining: false,
         remaining_cold_us: DurationUs::ZERO,
-        weights: BTreeMap::from([(model(), WeightNumber::new(1))]),
+        weights: [(model(), WeightNumber::new(1))].into_iter().collect(),
     }
 }
 
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -375,7 +375,7 @@
     );
     site.required = None;
     let mut newer = engine("b");
-    newer.weights.insert(model(), WeightNumber::new(2));
+    newer.weights.raise(&model(), WeightNumber::new(2));
     site.table.apply_registration(newer, NOW);
     site.load("b", 20_000);
     assert_eq!(
