perf(relay): take a long list of endpoints from the hub at the start

Callers saw: a fleet of a thousand daemons can't be ready within 24 s of its start. Cause: each daemon lists all endpoints from the store: 984 x 50 answers, 3.4 GB over a link of 1,000 Mbit/s, 27 s, and 49,000 calls. Evidence: of three daemons that are added to thirteen, with pages of two, all three read all pages of the store (6 after the first ones); now at most those that watch the store do. Ruled out: all objects in one response (3.4 MB: 1.4 s over a narrow link, twice its size in memory); waiting for peers before any list (a fleet whose list fits one answer would start later). Change: the first answer shows whether the list is long. If it is and the fleet is large, daemons that don't watch the store wait for their hub's objects, which come in pages of 500. If none comes in 4 to 8 s, the daemon lists on. An older daemon sends everything in one response, which is taken too. Why it holds at twice the size: two daemons of a zone list, whatever their number; a hub serves its spokes, whose number grows with the square root. Not measured: a start of the whole fleet.

--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use wisteriahitch_types::ByteCount;
 use wisteriahitch_wire::connection_pool::Connection;
-use wisteriahitch_wire::object_store::ObjectRole;
+use wisteriahitch_wire::object_store::{ObjectRole, Revision};
 
 use super::shared::Shared;
 use super::store_updates::apply_delta;
@@ -28,6 +28,15 @@
 /// Prefix of the paths under which peers serve the objects of a role.
 pub(super) const PEER_OBJECTS_PATH: &str = "/v1/objects/";
 
+/// Query parameter with the maximum number of objects in a page.
+pub(super) const PAGE_LEN_PARAMETER: &str = "max";
+
+/// Query parameter with the name after which a page starts.
+pub(super) const PAGE_START_PARAMETER: &str = "after";
+
+/// Number of objects in a page: a tenth of a second over a link of 20 Mbit/s.
+const PAGE_LEN: usize = 500;
+
 /// Prefix of the paths under which peers serve the contents of part stores.
 pub(super) const PEER_PARTS_PATH: &str = "/v1/parts/";
 
@@ -69,8 +78,14 @@
 
 async fn fetch_changes(shared: &Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) {
     let since = shared.watches.changed_revision(role);
-    let path = format!("{PEER_OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
-    match get_json::<ObjectDelta>(shared, ip, &path).await {
+    let fetched = match since == Revision::default() {
+        true => fetch_all(shared, role, ip).await,
+        false => {
+            let path = format!("{PEER_OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
+            get_json(shared, ip, &path).await
+        }
+    };
+    match fetched {
         Ok(delta) => {
             let revision = delta.revision.0;
             apply_delta(shared, role, delta);
@@ -89,6 +104,28 @@
     }
 }
 
+/// Fetches all objects of a role page by page, so that neither side holds all of them as one text
+/// and no response takes long over a narrow link.
+async fn fetch_all(shared: &Shared, role: ObjectRole, ip: Ipv4Addr) -> Result<ObjectDelta, String> {
+    let path = format!(
+        "{PEER_OBJECTS_PATH}{}?since=0&{PAGE_LEN_PARAMETER}={PAGE_LEN}",
+        kind_name(role)
+    );
+    let mut all: ObjectDelta = get_json(shared, ip, &path).await?;
+    while all.has_more {
+        let last = all.objects.last().map(|object| object.name.as_str());
+        let last = last.ok_or("a page without objects that isn't the last")?;
+        if last.contains(['&', ' ', '#']) {
+            return Err(format!("the name {last:?} can't start a page"));
+        }
+        let path = format!("{path}&{PAGE_START_PARAMETER}={last}");
+        let page: ObjectDelta = get_json(shared, ip, &path).await?;
+        all.has_more = page.has_more;
+        all.objects.extend(page.objects);
+    }
+    Ok(all)
+}
+
 /// What a daemon sends to a newly started one about the engines' caches.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct EngineMemorySnapshot {
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -14,7 +14,8 @@
 use super::answer_body::AnswerBody;
 use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
 use super::peer_client::{
-    ENGINE_MEMORY_PATH, EngineMemorySnapshot, PEER_OBJECTS_PATH, PEER_PARTS_PATH,
+    ENGINE_MEMORY_PATH, EngineMemorySnapshot, PAGE_LEN_PARAMETER, PAGE_START_PARAMETER,
+    PEER_OBJECTS_PATH, PEER_PARTS_PATH,
 };
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
@@ -86,9 +87,16 @@
     let role = WATCHED_ROLES
         .iter()
         .find(|role| kind_name(**role) == kind)?;
-    let since = query.and_then(|query| query.strip_prefix("since="));
-    let since = since.and_then(|since| since.parse().ok()).unwrap_or(0);
-    json(&shared.watches.delta(*role, Revision(since)))
+    let parameter = |name: &str| {
+        let mut parameters = query.unwrap_or_default().split('&');
+        parameters.find_map(|parameter| parameter.strip_prefix(name)?.strip_prefix('='))
+    };
+    if let Some(max) = parameter(PAGE_LEN_PARAMETER).and_then(|max| max.parse().ok()) {
+        let after = parameter(PAGE_START_PARAMETER);
+        return json(&shared.watches.page(*role, after, max));
+    }
+    let since = parameter("since").and_then(|since| since.parse().ok());
+    json(&shared.watches.delta(*role, Revision(since.unwrap_or(0))))
 }
 
 fn metrics_text(shared: &Shared) -> String {
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -143,6 +143,7 @@
             revision: delta.revision,
             objects: delta.objects,
             skipped: Vec::new(),
+            next_after: None,
         };
         apply_listing(shared, role, listing, PEER);
         return;
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::time::Instant;
 use wisteriahitch_types::TimeUs;
-use wisteriahitch_wire::object_store::{ObjectRole, Revision, WatchOutcome};
+use wisteriahitch_wire::object_store::{Listing, ObjectRole, Revision, WatchOutcome};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
@@ -26,6 +27,13 @@
 /// learns of a change long before its own pause ends.
 const ENDPOINT_CHANGES_DEBOUNCE: Duration = Duration::from_millis(250);
 
+/// Minimum time for which a daemon of a large fleet waits for a peer to provide a long list: the
+/// daemons that list it need a second, and each of two hops another one.
+const PEER_LISTING_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Time between two checks of whether a peer has provided a list.
+const PEER_LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time between two checks of whether this daemon must ask the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -40,6 +48,7 @@
             continue;
         }
         let step = match needs_listing {
+            true if is_first => list_at_start(&shared, role).await,
             true => list_objects(&shared, role).await,
             false => watch_once(&shared, role).await,
         };
@@ -98,17 +107,51 @@
     store_retry_backoff(failures, is_updated_by_peers, shared.peers.daemon_count()).into()
 }
 
+/// Lists all objects of a role for the first time, or lets a peer provide them.
+///
+/// Load pattern: a thousand daemons start together, and the endpoints fill fifty answers of the
+/// store. If each daemon listed them, the store's link would be full for half a minute. Where the
+/// list is long and the fleet is large, a few daemons list it, and the others fetch it from their
+/// hub. A daemon that gets it from no peer in time lists it itself.
+async fn list_at_start(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
+    let asked_at = shared.now();
+    let first_page = shared.borders.store.list_first_page(role).await;
+    count_store_call(shared, role, first_page.is_ok());
+    let listing = first_page?;
+    if listing.next_after.is_none() {
+        apply_store_listing(shared, role, listing, asked_at);
+        return Ok(false);
+    }
+    record_answer(shared, role);
+    wait_for_role(shared).await;
+    let patience = PEER_LISTING_TIMEOUT.mul_f64(rand::random_range(1.0..2.0));
+    let give_up_at = Instant::now() + patience;
+    while !shared.peers.follows_stores() && Instant::now() < give_up_at {
+        if shared.watches.state_of(role).lock().is_listed {
+            return Ok(false);
+        }
+        tokio::time::sleep(PEER_LISTING_CHECK_INTERVAL).await;
+    }
+    let listing = shared.borders.store.list_remaining(role, listing).await;
+    count_store_call(shared, role, listing.is_ok());
+    apply_store_listing(shared, role, listing?, asked_at);
+    Ok(false)
+}
+
 /// Lists all objects of a role. Returns `false`: the history covers the listing's revision.
 async fn list_objects(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let asked_at = shared.now();
     let listing = shared.borders.store.list(role, false).await;
     count_store_call(shared, role, listing.is_ok());
-    let listing = listing?;
+    apply_store_listing(shared, role, listing?, asked_at);
+    Ok(false)
+}
+
+fn apply_store_listing(shared: &Arc<Shared>, role: ObjectRole, listing: Listing, asked_at: TimeUs) {
     record_answer(shared, role);
     log_skipped_objects(shared, role, &listing.skipped);
     apply_listing(shared, role, listing, STORE);
     shared.watches.confirm_complete(role, asked_at);
-    Ok(false)
 }
 
 /// Waits for changes once, and returns whether the store's history no longer covers the revision.
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
+use std::ops::Bound;
 
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
@@ -177,6 +178,26 @@
         self.state_of(role).lock().last_change
     }
 
+    /// Returns a page of all objects of a role, for a peer: at most `max` of those whose names
+    /// follow `after`.
+    ///
+    /// The revision of a listing is that of its first page, so the changes made between two pages
+    /// follow as changes.
+    pub(crate) fn page(&self, role: ObjectRole, after: Option<&str>, max: usize) -> ObjectDelta {
+        let state = self.state_of(role).lock();
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = state.objects.range::<str, _>((start, Bound::Unbounded));
+        let objects: Vec<StoredObject> = rest.by_ref().take(max).map(|(_, o)| o.clone()).collect();
+        ObjectDelta {
+            revision: state.last_change,
+            is_full: true,
+            has_more: rest.next().is_some(),
+            objects,
+            deleted: Vec::new(),
+            names: None,
+        }
+    }
+
     /// Returns the changes of a role since a revision, for a peer. At revision 0, returns all
     /// objects. If some deletions since the revision are unknown, includes the names of all
     /// existing objects.
@@ -193,6 +214,7 @@
         ObjectDelta {
             revision: state.last_change,
             is_full,
+            has_more: false,
             names: misses_deletions.then(names),
             objects: state.objects.values().filter(is_new).cloned().collect(),
             deleted: deletions
@@ -209,6 +231,9 @@
     pub(crate) revision: Revision,
     /// Whether `objects` contains all objects instead of the changes.
     pub(super) is_full: bool,
+    /// Whether more objects follow on the next page.
+    #[serde(default)]
+    pub(super) has_more: bool,
     pub(super) objects: Vec<StoredObject>,
     /// Names of deleted objects, with the revisions of their deletion.
     pub(super) deleted: Vec<(String, Revision)>,
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -167,6 +167,9 @@
     pub objects: Vec<StoredObject>,
     /// Objects whose name could not be read.
     pub skipped: Vec<SkippedObject>,
+    /// Name after which the next page starts, as its bytes on the wire; `None` if the listing is
+    /// complete.
+    pub next_after: Option<Vec<u8>>,
 }
 
 /// One change of an object.
@@ -205,6 +208,16 @@
         is_stale_allowed: bool,
     ) -> Result<Listing, PlatformError>;
 
+    /// Lists the objects of a kind that the store returns in its first answer.
+    async fn list_first_page(&self, role: ObjectRole) -> Result<Listing, PlatformError>;
+
+    /// Completes a listing of which some pages were read.
+    async fn list_remaining(
+        &self,
+        role: ObjectRole,
+        listing: Listing,
+    ) -> Result<Listing, PlatformError>;
+
     /// Waits at most `wait` for changes to objects of a kind after the revision `after`.
     async fn watch(
         &self,
