perf(relay): list registrations at a rate that doesn't grow with the fleet

Cause: each daemon lists all daemons every 5 s, in pages of 200: at 984 daemons 984 calls and 20 MB a second, to repair what gossip has missed. Change: hubs, which hear the daemons whose registrations are to be removed, list every 5 s as before; the others share two lists a second, whatever their number. A daemon that hears nobody lists every 5 s. A list counts until the next one but one is due, and replaces the one before. Why it holds at twice the size: 50 hubs x 5 pages every 5 s and 2 x 5 pages a second are 60 calls a second at 984 daemons; hubs grow with the square root (worked out). Test: members::registrations_are_listed_…, members::registered_daemons_count_…

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -35,8 +35,6 @@
 const DIRECT_PRECEDENCE_US: DurationUs = DurationUs::from_ms(4_000);
 /// Maximum age of a hub's report of a member that is forwarded. Each hop adds its own delay.
 const FORWARD_MAX_AGE_US: DurationUs = DurationUs::from_ms(1_200);
-/// How long a registration counts after it was last listed: two listings.
-const REGISTRATION_TTL_US: DurationUs = DurationUs::from_ms(10_000);
 /// Silence after which a member is removed.
 const MEMBER_RETENTION_US: DurationUs = DurationUs::from_ms(30_000);
 /// How long an address counts as a daemon's if no daemon there ever sent a message or was
@@ -152,8 +150,10 @@
     indirect: BTreeMap<Ipv4Addr, IndirectPeerRow>,
     /// All addresses that may be a daemon's.
     known: BTreeMap<Ipv4Addr, KnownAddress>,
-    /// When each address was last listed as registered in the store.
-    registered: BTreeMap<Ipv4Addr, TimeUs>,
+    /// Addresses that were registered in the store by the last list.
+    registered: BTreeSet<Ipv4Addr>,
+    /// Until when that list counts.
+    registered_until_us: TimeUs,
     /// Time in which this daemon's hub names each member once, by its last message.
     rotation_us: DurationUs,
 }
@@ -184,9 +184,10 @@
         }
     }
 
-    /// Records that an address is registered in the store.
-    pub fn record_registration(&mut self, ip: Ipv4Addr, now: TimeUs) {
-        self.registered.insert(ip, now);
+    /// Replaces the addresses that are registered in the store. They count until `until`.
+    pub fn record_registrations(&mut self, registered: BTreeSet<Ipv4Addr>, until: TimeUs) {
+        self.registered = registered;
+        self.registered_until_us = until;
     }
 
     /// Returns how many other addresses were registered lately.
@@ -201,7 +202,7 @@
         let indirect = self.indirect_members(now).map(|(ip, row)| (*ip, row.phase));
         let mut observation = ViewObservation {
             alive: BTreeSet::from([me]),
-            registered: self.registered.keys().copied().collect(),
+            registered: self.registered.clone(),
             leaving: BTreeSet::new(),
             is_complete,
         };
@@ -315,8 +316,9 @@
                 .expires_at_us
                 .max(row.fresh_until_us + DEPARTURE_REPEAT_US)
         });
-        self.registered
-            .retain(|_, seen_at| now.since(*seen_at) < REGISTRATION_TTL_US);
+        if now >= self.registered_until_us {
+            self.registered.clear();
+        }
         let (peers, indirect, rotation_us) = (&self.peers, &self.indirect, self.rotation_us);
         self.known.retain(|ip, known| {
             let ttl_us = match peers.contains_key(ip) || indirect.contains_key(ip) {
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -1,6 +1,6 @@
 //! Discovery of other daemons: each daemon registers itself in the platform's store at its start.
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,14 +14,17 @@
 
 use super::shared::Shared;
 use super::store_updates::{log_skipped_objects, log_unreadable_object};
+use crate::decide::registration_interval::RegistrationLister;
 use crate::observe::Event;
 
 /// Base wait after a failed store call.
 const RETRY_BACKOFF: Duration = Duration::from_millis(500);
 
-/// Time between two reads of the registrations. Daemons discover each other by gossip; the list
-/// only repairs what gossip missed.
-const LIST_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two checks of whether the registrations are to be listed again.
+const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of intervals for which a list of the registrations counts.
+const LIST_TTL_INTERVALS: u64 = 2;
 
 /// Time since the last message of a registered daemon after which another one removes its
 /// registration.
@@ -64,7 +67,7 @@
                 log_skipped_objects(&shared, ObjectRole::Members, &listing.skipped);
                 apply_registrations(&shared, listing.objects, &mut logged).await;
                 shared.peers.peers_listed.cancel();
-                tokio::time::sleep(LIST_INTERVAL).await;
+                wait_until_due(&shared).await;
             }
             Err(error) => {
                 shared.log.write(&Event::Failure {
@@ -73,17 +76,37 @@
                 });
                 // Once the other daemons were listed, gossip finds new ones. The list only repairs
                 // what gossip missed.
-                let backoff = if is_first {
-                    RETRY_BACKOFF * 2
-                } else {
-                    LIST_INTERVAL
-                };
-                tokio::time::sleep(backoff).await;
+                match is_first {
+                    true => tokio::time::sleep(RETRY_BACKOFF * 2).await,
+                    false => wait_until_due(&shared).await,
+                }
             }
         }
     }
 }
 
+/// Waits until the registrations are to be listed again. What that depends on may change meanwhile,
+/// for example when this daemon becomes a hub.
+async fn wait_until_due(shared: &Shared) {
+    let listed_at = shared.now();
+    let jitter = rand::random_range(0.8..1.2);
+    let due_after = |jitter| Duration::from(list_interval(shared)).mul_f64(jitter);
+    let is_due = || Duration::from(shared.now().since(listed_at)) >= due_after(jitter);
+    while !is_due() {
+        tokio::time::sleep(DUE_CHECK_INTERVAL).await;
+    }
+}
+
+/// Returns the time between two lists of the registrations.
+fn list_interval(shared: &Shared) -> DurationUs {
+    let plan = shared.peers.current_hub_plan.lock();
+    let lister = RegistrationLister {
+        is_hub: plan.is_small || plan.is_hub(shared.settings.ip),
+        daemons: shared.peers.daemon_count(),
+    };
+    lister.interval()
+}
+
 fn decode(content: &ObjectContent) -> Result<DaemonRegistration, (UnreadableKind, String)> {
     let registration: DaemonRegistration = content
         .parse()
@@ -135,6 +158,7 @@
     logged: &mut HashSet<(String, Revision)>,
 ) {
     let now = shared.now();
+    let mut registered = BTreeSet::new();
     if logged.len() > MAX_LOGGED_REGISTRATIONS {
         logged.clear();
     }
@@ -166,8 +190,12 @@
             let zone_and_link = Some((registration.zone, registration.link_mbps));
             let mut peers = shared.peers.table();
             peers.record_address(registration.ip, zone_and_link, now);
-            peers.record_registration(registration.ip, now);
+            registered.insert(registration.ip);
         }
     }
+    let ttl_us = DurationUs::new(list_interval(shared).get() * LIST_TTL_INTERVALS);
+    let mut peers = shared.peers.table();
+    peers.record_registrations(registered, now + ttl_us);
+    drop(peers);
     shared.peers.wake_sender.notify_one();
 }
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -4,7 +4,7 @@
 
 use wisteriahitch_relay::{
     GossipMessage, HubCandidate, HubPlan, MemberPhase, MemberUpdate, MembershipUpdate, PeerTable,
-    ReceiveOutcome, RequestUpdate,
+    ReceiveOutcome, RegistrationLister, RequestUpdate,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
@@ -300,3 +300,72 @@
         }
     }
 }
+
+/// Guards against calls to the platform that grow with the square of the fleet: each daemon of a
+/// large one would list all daemons every few seconds.
+#[test]
+fn registrations_are_listed_at_a_rate_that_does_not_grow_with_the_fleet() {
+    struct Case {
+        what: &'static str,
+        is_hub: bool,
+        daemons: usize,
+        /// Time between two lists of one daemon.
+        interval_ms: u64,
+    }
+    let cases = [
+        Case {
+            what: "a daemon that hears no other one",
+            is_hub: false,
+            daemons: 1,
+            interval_ms: 5_000,
+        },
+        Case {
+            what: "a hub, which removes registrations of silent daemons",
+            is_hub: true,
+            daemons: 2_000,
+            interval_ms: 5_000,
+        },
+        Case {
+            what: "a fleet that is just large",
+            is_hub: false,
+            daemons: 13,
+            interval_ms: 6_500,
+        },
+        Case {
+            what: "a thousand daemons: two lists a second of all together",
+            is_hub: false,
+            daemons: 1_000,
+            interval_ms: 500_000,
+        },
+        Case {
+            what: "two thousand daemons",
+            is_hub: false,
+            daemons: 2_000,
+            interval_ms: 1_000_000,
+        },
+    ];
+    for case in cases {
+        let lister = RegistrationLister {
+            is_hub: case.is_hub,
+            daemons: case.daemons,
+        };
+        assert_eq!(lister.interval().as_ms(), case.interval_ms, "{}", case.what);
+    }
+}
+
+/// Guards against permits that are used as if a daemon weren't there: a list counts until the next
+/// one is due, however long that takes in a large fleet, and no longer than the time given.
+#[test]
+fn registered_daemons_count_until_the_next_list() {
+    let mut table = PeerTable::default();
+    let me = Ipv4Addr::new(10, 0, 0, 50);
+    let listed = |last: u8| std::collections::BTreeSet::from([Ipv4Addr::new(10, 0, 0, last)]);
+    table.record_registrations(listed(1), at_ms(1_000_000));
+    table.tick(at_ms(0), at_ms(900_000));
+    let registered = |table: &PeerTable, ms| table.observe_members(me, true, at_ms(ms)).registered;
+    assert_eq!(registered(&table, 900_000), listed(1));
+    table.record_registrations(listed(2), at_ms(2_000_000));
+    assert_eq!(registered(&table, 900_000), listed(2));
+    table.tick(at_ms(900_000), at_ms(2_000_000));
+    assert!(registered(&table, 2_000_000).is_empty());
+}
