fix(core): count retries in whole units

Callers saw: the endpoint's 500 of a call that may be repeated, though its requests had earned a retry. Why the mend holds: sums of integers are exact.

--- a/crates/wisteriahitch-core/tests/all/route_retry.rs
+++ b/crates/wisteriahitch-core/tests/all/route_retry.rs
@@ -56,3 +56,20 @@
     let granted = (0..1_000).filter(|_| budget.try_acquire()).count();
     assert_eq!(granted, 20);
 }
+
+/// Guards against a retry that is refused although requests have earned it, because their fractions
+/// add up to a little less than one.
+#[test]
+fn fractions_of_retries_add_up_exactly() {
+    let mut budget = RetryBudget::new(0.2).with_max_saved(6.6);
+    let mut granted = 0;
+    for _ in 0..7 {
+        budget.record_request();
+    }
+    granted += u32::from(budget.try_acquire());
+    for _ in 0..3 {
+        budget.record_request();
+    }
+    granted += u32::from(budget.try_acquire());
+    assert_eq!(granted, 2, "{} left", budget.available());
+}
--- a/crates/wisteriahitch-relay/src/shell/budgets.rs
+++ b/crates/wisteriahitch-relay/src/shell/budgets.rs
@@ -49,7 +49,12 @@
         self.with_budget(service, RetryBudget::try_acquire)
     }
 
-    /// Returns how many retries the budget has left.
+    /// Returns whether the budget has a retry left.
+    pub(crate) fn has_retry(&self, service: &ServiceName) -> bool {
+        self.with_budget(service, |budget| budget.has_retry())
+    }
+
+    /// Returns how many retries the budget has left, for logs.
     pub(crate) fn remaining(&self, service: &ServiceName) -> f64 {
         self.with_budget(service, |budget| budget.available())
     }
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -300,7 +300,7 @@
     fn may_retry(&self, shared: &Shared) -> bool {
         self.call.may_repeat
             && self.sent_attempts + 1 < self.route.max_attempts
-            && shared.budgets.remaining(&self.service) >= 1.0
+            && shared.budgets.has_retry(&self.service)
     }
 
     /// Records a broken connection, which may be the sign of a crash.
