fix(relay): give each daemon whole retries, and a new one its part at the start

Cause: a budget starts empty, and its maximum is a fraction. Starting full wasn't allowed because a daemon that is killed and starts again would have its part twice. Change: parts are whole, rounded up or down by the hash of the address so that they add up to nine tenths of the slack; a daemon whose registration was new starts with its part. One that was registered starts with nothing, and so does one whose own write got no answer. Why it holds: what all may save adds up to less than the slack at 1 to 2,000 daemons; a registration outlives its daemon by 20 s, the window is 10 s. Tests: retry_share; parts of less than one red with the slack divided.

--- a/crates/wisteriahitch-core/src/route/retry.rs
+++ b/crates/wisteriahitch-core/src/route/retry.rs
@@ -54,6 +54,11 @@
         self.saved_units = self.saved_units.min(self.max_saved_units);
     }
 
+    /// Fills the budget up to its maximum.
+    pub fn fill(&mut self) {
+        self.saved_units = self.max_saved_units;
+    }
+
     /// Returns the number of retries available, for logs.
     pub fn available(&self) -> f64 {
         self.saved_units as f64 / UNITS_PER_RETRY as f64
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -33,6 +33,7 @@
 pub(crate) mod rate_limit;
 mod recent_updates;
 pub(crate) mod registration_interval;
+pub(crate) mod retry_share;
 pub(crate) mod rollout;
 pub(crate) mod rollout_concurrency;
 pub(crate) mod staleness;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -49,6 +49,7 @@
 pub use decide::placement_request::PlacementRequest;
 pub use decide::rate_limit::{RateBound, RateLimit, ReservedPermits};
 pub use decide::registration_interval::RegistrationLister;
+pub use decide::retry_share::saved_retries;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
 pub use decide::rollout_concurrency::{ConcurrencyOptions, Overrun, Remaining, RolloutConcurrency};
 pub use decide::staleness::{StalenessLimits, answered_as_of};
--- a/crates/wisteriahitch-relay/src/shell/budgets.rs
+++ b/crates/wisteriahitch-relay/src/shell/budgets.rs
@@ -1,41 +1,59 @@
 //! Retry budgets of all services.
 
 use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use parking_lot::Mutex;
 use wisteriahitch_core::route::RetryBudget;
 use wisteriahitch_types::ServiceName;
 
+use crate::decide::retry_share::saved_retries;
 use crate::settings::RetrySettings;
 
 /// This daemon's part of the retries that all daemons together may make at each service.
 ///
 /// Each daemon earns retries from its own requests and may save up its part of the common slack.
 /// Without a common bound, every daemon's retries would multiply the load of an outage of all
-/// endpoints.
+/// endpoints. A new daemon starts with its part saved. One that was restarted starts with nothing,
+/// since it may have used its part just before.
 pub(crate) struct RetryBudgets {
     settings: RetrySettings,
     by_service: Mutex<HashMap<ServiceName, RetryBudget>>,
+    me: Ipv4Addr,
     /// Maximum number of retries that one service's budget may save up.
-    max_saved: Mutex<f64>,
+    max_saved: Mutex<u32>,
+    /// Whether budgets start full.
+    starts_full: AtomicBool,
 }
 
 impl RetryBudgets {
     /// Creates empty budgets.
-    pub(crate) fn new(settings: RetrySettings) -> Self {
+    pub(crate) fn new(settings: RetrySettings, me: Ipv4Addr) -> Self {
         Self {
             settings,
             by_service: Mutex::new(HashMap::new()),
-            max_saved: Mutex::new(0.0),
+            me,
+            max_saved: Mutex::new(0),
+            starts_full: AtomicBool::new(false),
         }
     }
 
     /// Divides the common slack among the given number of daemons.
     pub(crate) fn set_daemon_count(&self, daemons: usize) {
-        let max_saved = self.settings.slack / daemons.max(1) as f64;
+        let max_saved = saved_retries(self.settings.slack, daemons, self.me);
         *self.max_saved.lock() = max_saved;
         for budget in self.by_service.lock().values_mut() {
-            budget.set_max_saved(max_saved);
+            budget.set_max_saved(f64::from(max_saved));
+        }
+    }
+
+    /// Fills all budgets, and lets those of further services start full. Only for a daemon that
+    /// hasn't run before, once the number of daemons is known.
+    pub(crate) fn fill(&self) {
+        self.starts_full.store(true, Ordering::Relaxed);
+        for budget in self.by_service.lock().values_mut() {
+            budget.fill();
         }
     }
 
@@ -69,7 +87,11 @@
         if let Some(budget) = budgets.get_mut(service) {
             return change(budget);
         }
-        let budget = RetryBudget::new(self.settings.ratio).with_max_saved(max_saved);
+        let budget = RetryBudget::new(self.settings.ratio);
+        let mut budget = budget.with_max_saved(f64::from(max_saved));
+        if self.starts_full.load(Ordering::Relaxed) {
+            budget.fill();
+        }
         change(budgets.entry(service.clone()).or_insert(budget))
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -117,7 +117,7 @@
             pool: ConnectionPool::default(),
             instance_ended: Notify::new(),
             followed_engines: Mutex::default(),
-            budgets: RetryBudgets::new(settings.retry.clone()),
+            budgets: RetryBudgets::new(settings.retry.clone(), settings.ip),
             durations: CallDurations::default(),
             watches: WatchStates::default(),
             leases: Mutex::new(lease_table(&settings, incarnation)),
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -99,10 +99,11 @@
 /// Detects silent peers, recomputes the hubs and starts due catch-ups.
 fn update_membership(shared: &Arc<Shared>, last: TimeUs, now: TimeUs) {
     let me = own_candidate(shared);
-    let (silent, plan, count) = {
+    let (silent, plan, count, registered) = {
         let mut table = shared.peers.table();
         let silent = table.tick(last, now);
-        (silent, table.hub_plan(&me, now), table.count(now))
+        let plan = table.hub_plan(&me, now);
+        (silent, plan, table.count(now), table.registered_count())
     };
     for incarnation in silent {
         shared.log.write(&Event::MemberChanged {
@@ -121,7 +122,7 @@
         .peers
         .daemon_count
         .store(count + 1, Ordering::Relaxed);
-    shared.budgets.set_daemon_count(count + 1);
+    shared.budgets.set_daemon_count(count.max(registered) + 1);
     // A daemon that watches the store itself soon receives the same objects from it.
     let delay_us = if follows {
         shared.bounds.catch_up_delay()
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -44,12 +44,18 @@
 
 /// Registers this daemon and discovers the others, for as long as the process runs.
 pub(crate) async fn run_registration(shared: Arc<Shared>) {
-    while let Err(error) = register(&shared).await {
-        shared.log.write(&Event::Failure {
-            what: "registering this daemon",
-            detail: error.to_string(),
-        });
+    let is_new = loop {
+        match register(&shared).await {
+            Ok(is_new) => break is_new,
+            Err(error) => shared.log.write(&Event::Failure {
+                what: "registering this daemon",
+                detail: error.to_string(),
+            }),
+        }
         tokio::time::sleep(RETRY_BACKOFF).await;
+    };
+    if is_new {
+        tokio::spawn(fill_budgets(Arc::clone(&shared)));
     }
     // Two daemons that start at the same time both write before they list, so at least one sees the
     // other.
@@ -122,7 +128,17 @@
     }
 }
 
-async fn register(shared: &Shared) -> Result<(), PlatformError> {
+/// Fills the retry budgets of a new daemon once it knows how many others there are.
+async fn fill_budgets(shared: Arc<Shared>) {
+    if shared.peers.wait_for_peer_list().await {
+        shared.peers.wait_for_gossip().await;
+        shared.budgets.fill();
+    }
+}
+
+/// Registers this daemon, and returns whether it wasn't registered. If the answer to its own write
+/// was lost it counts as registered, since nothing tells this from a restart.
+async fn register(shared: &Shared) -> Result<bool, PlatformError> {
     let store = &shared.borders.store;
     let name = shared.settings.id.as_str();
     let registration = DaemonRegistration {
@@ -137,15 +153,15 @@
         .await;
     match created {
         Err(error) if error.kind() == PlatformErrorKind::AlreadyExists => {}
-        created => return created.map(|_| ()),
+        created => return created.map(|_| true),
     }
     let Some(old) = store.get(ObjectRole::Members, name).await? else {
-        return Ok(());
+        return Ok(false);
     };
     let replaced = store
         .replace(ObjectRole::Members, name, content, old.revision)
         .await;
-    replaced.map(|_| ())
+    replaced.map(|_| false)
 }
 
 /// Adds the registered daemons to the known peers, and removes registrations of silent ones.
--- a/crates/wisteriahitch-relay/tests/all/fleet_model.rs
+++ b/crates/wisteriahitch-relay/tests/all/fleet_model.rs
@@ -233,7 +233,7 @@
     }
 }
 
-fn seed() -> u64 {
+pub(crate) fn seed() -> u64 {
     let seed = std::env::var("WISTERIAHITCH_FLEET_SEED").ok();
     seed.map_or(DEFAULT_SEED, |seed| seed.parse().unwrap())
 }
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod placement;
 mod regions;
 mod rest;
+mod retry_share;
 mod rollout;
 mod routes;
 mod settings;
