--- a/crates/wisteriahitch-relay/tests/all/gossip_message.rs
+++ b/crates/wisteriahitch-relay/tests/all/gossip_message.rs
@@ -133,10 +133,11 @@
             changed[place] = byte;
         }
         for message in [bytes, changed] {
-            if let Ok(decoded) = postcard::from_bytes::<GossipMessage>(&message) {
+            if let Ok(decoded) = GossipMessage::decode(&message) {
                 // No decoded list or text is longer than the message.
                 prop_assert!(decoded.endpoints.len() <= message.len());
                 prop_assert!(decoded.parts.len() <= message.len());
+                prop_assert!(decoded.membership.departed.len() <= message.len());
                 prop_assert!(decoded.zone.len() <= message.len());
             }
         }
@@ -144,3 +145,33 @@
     };
     runner.run(&strategy, test).unwrap();
 }
+
+/// Guards against a fleet that falls apart during an update of the daemons: messages of older and
+/// newer ones must be read, without what the other side doesn't know.
+#[test]
+fn messages_of_older_and_newer_daemons_are_read() {
+    let membership = MembershipUpdate {
+        rotation_ms: 3_400,
+        departed: vec![[127, 0, 0, 9].into()],
+    };
+    let new = GossipMessage {
+        membership: membership.clone(),
+        ..gossip_message(1, 1, 1)
+    };
+    let new_bytes = new.clone().encoded(8_192);
+    assert_eq!(GossipMessage::decode(&new_bytes).unwrap(), new);
+    // An older daemon reads the message without its end.
+    let read_by_older: GossipMessage = postcard::from_bytes(&new_bytes).unwrap();
+    assert_eq!(read_by_older, gossip_message(1, 1, 1));
+    // It sends none.
+    let old_bytes = postcard::to_stdvec(&gossip_message(1, 1, 1)).unwrap();
+    let read = GossipMessage::decode(&old_bytes).unwrap();
+    assert_eq!(read, gossip_message(1, 1, 1));
+    // A newer one may add more.
+    let newer_bytes = [&new_bytes[..], &[1, 2, 3]].concat();
+    let read = GossipMessage::decode(&newer_bytes).unwrap();
+    assert_eq!(read.membership, membership);
+    // One that is cut short is rejected as a whole.
+    let cut = &new_bytes[..new_bytes.len() - 1];
+    assert!(GossipMessage::decode(cut).is_err());
+}
