fix(relay): replace a silent hub although another one named it a while ago

A daemon whose hub dies kept it in its plan for as long as another hub's report of it counts, up to 20 s at a thousand daemons, and heard nobody meanwhile. Change: such a report keeps a silent daemon in the plan for the time that it did before, 2.5 s. Test: members::a_silent_hub_is_replaced_…, red before.

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -431,7 +431,10 @@
                 .peers
                 .get(ip)
                 .is_some_and(|peer| is_silent(peer, now) || peer.phase == MemberPhase::Draining);
-            if *ip == me.ip || (is_departed && !self.indirect.contains_key(ip)) {
+            let reported = self.indirect.get(ip);
+            let is_reported =
+                reported.is_some_and(|row| now.since(row.received_at_us) < INDIRECT_TTL_US);
+            if *ip == me.ip || (is_departed && !is_reported) {
                 continue;
             }
             members.push(HubCandidate {
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -369,3 +369,22 @@
     table.tick(at_ms(900_000), at_ms(2_000_000));
     assert!(registered(&table, 2_000_000).is_empty());
 }
+
+/// Guards against a daemon that goes on sending to its dead hub and hears nobody, because another
+/// hub named it some seconds ago and names each member of a large fleet seconds apart.
+#[test]
+fn a_silent_hub_is_replaced_although_it_was_named_a_while_ago() {
+    let me = candidate(50, "a");
+    let hub = Ipv4Addr::new(10, 0, 0, 9);
+    let mut table = PeerTable::default();
+    let mut report = report_of_member(1, MemberPhase::Ready);
+    report.membership.rotation_ms = 3_400;
+    table.receive(&report, at_ms(0));
+    for ms in (100..=2_000).step_by(100) {
+        table.receive(&message(9, 19, ms, MemberPhase::Ready), at_ms(ms));
+    }
+    table.tick(at_ms(0), at_ms(2_500));
+    assert!(table.hub_plan(&me, at_ms(2_500)).is_hub(hub));
+    table.tick(at_ms(2_500), at_ms(3_000));
+    assert!(!table.hub_plan(&me, at_ms(3_000)).is_hub(hub));
+}
