fix(relay): bound the time that a message may give members to lapse

Found by reading: a damaged message could say that a whole list takes weeks, and the members that it names would stay in entry lists for as long. Test: members::an_implausible_rotation_…, red before.

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -21,6 +21,8 @@
 /// Where the list is spread over several messages, the time for some whole lists is added, so that
 /// a few lost messages in a row don't matter.
 const INDIRECT_TTL_US: DurationUs = DurationUs::from_ms(2_500);
+/// Maximum plausible time in which a hub names each member once: that of 18,000 daemons.
+const MAX_ROTATION_US: DurationUs = DurationUs::from_ms(60_000);
 /// Number of whole lists in whose time a member must be named again.
 const ROTATIONS_TO_LAPSE: u64 = 5;
 /// Time since a member was last named after which a hub's report of its departure counts. Reports
@@ -235,7 +237,7 @@
         }
         self.receive_departures(message, now);
         if !message.members.is_empty() {
-            self.rotation_us = DurationUs::from_ms(u64::from(message.membership.rotation_ms));
+            self.rotation_us = rotation_of(message);
         }
         let row = PeerRow {
             incarnation: message.incarnation,
@@ -277,8 +279,7 @@
         let Some(zone) = message.zones.get(usize::from(member.zone)) else {
             return;
         };
-        let rotation_us = DurationUs::from_ms(u64::from(message.membership.rotation_ms));
-        let rotations_us = DurationUs::new(rotation_us.get() * ROTATIONS_TO_LAPSE);
+        let rotations_us = DurationUs::new(rotation_of(message).get() * ROTATIONS_TO_LAPSE);
         let old = self.indirect.get(&member.ip);
         let unchanged = old.filter(|old| old.phase == member.phase && now < old.expires_at_us);
         let row = IndirectPeerRow {
@@ -512,6 +513,11 @@
     }
 }
 
+/// Returns the time in which the sender of a message names each member once.
+fn rotation_of(message: &GossipMessage) -> DurationUs {
+    DurationUs::from_ms(u64::from(message.membership.rotation_ms)).min(MAX_ROTATION_US)
+}
+
 fn is_silent(peer: &PeerRow, now: TimeUs) -> bool {
     now.since(peer.received_at_us) > DIRECT_TIMEOUT_US
 }
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -388,3 +388,21 @@
     table.tick(at_ms(2_500), at_ms(3_000));
     assert!(!table.hub_plan(&me, at_ms(3_000)).is_hub(hub));
 }
+
+/// Guards against dead daemons that callers are sent to for weeks, because a damaged message says
+/// that its sender names each member once in that time.
+#[test]
+fn an_implausible_rotation_does_not_keep_members() {
+    let mut table = PeerTable::default();
+    let mut report = report_of_member(1, MemberPhase::Ready);
+    report.membership.rotation_ms = u32::MAX;
+    table.receive(&report, at_ms(0));
+    let ip = Ipv4Addr::new(10, 0, 0, 9);
+    let is_named = |table: &PeerTable, ms| {
+        let entries = table.entries(at_ms(ms));
+        entries.iter().any(|entry| entry.ip == ip)
+    };
+    assert!(is_named(&table, 10_000));
+    table.tick(at_ms(0), at_ms(600_000));
+    assert!(!is_named(&table, 600_000));
+}
