refactor(relay): split membership, and use the terms of the field

No behaviour changes.

- members.rs had four jobs; rows, departures and the choice of targets are files of their own now, and so are the addresses of endpoints, which were in the endpoint table.
- Pairs of an incarnation and a flag are RoundPeer, a struct with one method is the function registration_listing_interval, saved_retries is max_saved_retries.
- A page's time is one gossip interval over a narrow link, not two as the comment said.
- Daemons send, receive and report; they don't hear, tell or say.

--- a/crates/wisteriahitch-bench/src/flags.rs
+++ b/crates/wisteriahitch-bench/src/flags.rs
@@ -83,6 +83,18 @@
             repeated --without name: String
         }
 
+        /// Models the membership of a large fleet, without sockets, and prints a table.
+        cmd membership {
+            /// Number of daemons; must be given once or more, for a table each.
+            repeated --daemons count: usize
+            /// Number of availability zones; 5 by default.
+            optional --zones count: usize
+            /// Fraction of the messages that are lost, from 0 to 1; 0 by default.
+            optional --loss fraction: f64
+            /// Seed of the losses; 1 by default.
+            optional --seed seed: u64
+        }
+
         /// Prints the figures of two reports and the ratio of the second to the first.
         cmd compare {
             /// First report.
--- a/crates/wisteriahitch-bench/src/lib.rs
+++ b/crates/wisteriahitch-bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod load;
+pub mod membership;
 pub mod report;
 pub mod run;
 pub mod site;
--- a/crates/wisteriahitch-bench/src/main.rs
+++ b/crates/wisteriahitch-bench/src/main.rs
@@ -5,9 +5,10 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, bail, ensure};
-use flags::{Layout, Run, Simulate, WisteriahitchBench, WisteriahitchBenchCmd};
+use flags::{Layout, Membership, Run, Simulate, WisteriahitchBench, WisteriahitchBenchCmd};
 use wisteriahitch_bench::fleet::{Plan, Policy, simulate};
 use wisteriahitch_bench::load::Capacity;
+use wisteriahitch_bench::membership::{ModelOptions, assess};
 use wisteriahitch_bench::report::{Report, compare, plot_run, print_table, sweep, write_records};
 use wisteriahitch_bench::run::{FaultName, RunOptions};
 use wisteriahitch_bench::site::{LayoutOptions, SiteAddresses, write_layout};
@@ -15,6 +16,7 @@
 
 const DEFAULT_FIRST_PORT: u16 = 28_000;
 const DEFAULT_SEED: u64 = 1;
+const DEFAULT_ZONES: usize = 5;
 const DEFAULT_DURATION_S: u64 = 60;
 const DEFAULT_WARM_UP_S: u64 = 15;
 const DEFAULT_LOAD_SHARE: f64 = 0.7;
@@ -34,6 +36,7 @@
         WisteriahitchBenchCmd::Layout(flags) => write_layout(&layout_options(flags)),
         WisteriahitchBenchCmd::Run(flags) => run_and_report(flags).await,
         WisteriahitchBenchCmd::Simulate(flags) => simulate_and_print(&flags),
+        WisteriahitchBenchCmd::Membership(flags) => model_membership(&flags),
         WisteriahitchBenchCmd::Compare(flags) => compare(&flags.first, &flags.second),
         WisteriahitchBenchCmd::Sweep(flags) => sweep(&flags.report, flags.plot.as_deref()),
     };
@@ -133,3 +136,23 @@
     }
     Ok(())
 }
+
+/// Prints a table for each size.
+fn model_membership(flags: &Membership) -> anyhow::Result<()> {
+    let loss = flags.loss.unwrap_or(0.0);
+    ensure!(!flags.daemons.is_empty(), "--daemons is absent");
+    ensure!(
+        (0.0..=1.0).contains(&loss),
+        "--loss is {loss}, expected 0 to 1"
+    );
+    for daemons in &flags.daemons {
+        let assessment = assess(ModelOptions {
+            daemons: *daemons,
+            zones: flags.zones.unwrap_or(DEFAULT_ZONES),
+            loss,
+            seed: flags.seed.unwrap_or(DEFAULT_SEED),
+        })?;
+        println!("{assessment}\n");
+    }
+    Ok(())
+}
--- a/crates/wisteriahitch-bench/tests/all/main.rs
+++ b/crates/wisteriahitch-bench/tests/all/main.rs
@@ -4,4 +4,5 @@
 
 mod fleet;
 mod layout;
+mod membership;
 mod schedule;
--- a/crates/wisteriahitch-core/src/route/retry.rs
+++ b/crates/wisteriahitch-core/src/route/retry.rs
@@ -2,7 +2,7 @@
 
 use serde::Serialize;
 
-/// Units in which a retry is counted. Sums of fractions aren't exact: five fifths may be less than
+/// Integer units per retry. Floating-point sums of fractions are inexact: five fifths may be less than
 /// one.
 const UNITS_PER_RETRY: u64 = 1_000_000;
 /// Retries available at the start, before requests have earned any.
--- a/crates/wisteriahitch-relay/src/decide/endpoint_round.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_round.rs
@@ -1,20 +1,21 @@
-//! What one gossip round says about endpoints, collected once for all targets.
+//! Endpoint updates of one gossip round, collected once for all targets.
 //!
 //! Load pattern: a hub of a fleet of thousands of endpoints sends to dozens of daemons ten times a
-//! second, and hardly any endpoint has a request in flight. Summing the reports of all peers for
-//! each endpoint and target would take the hub's whole processor. Sums are therefore made once a
-//! round, over the endpoints that any report names, and a target's own report is subtracted.
+//! second, and few endpoints have a request in flight. Looking up each endpoint in the reports of
+//! all peers for each target would exceed the hub's processor time. Therefore loads are summed once
+//! per round, over the endpoints that occur in a report, and a target's own report is subtracted.
 
 use std::collections::HashMap;
 
 use wisteriahitch_types::{EndpointInstance, Incarnation, TimeUs};
 
 use super::backlog::Load;
+use super::endpoint_row::EndpointRow;
 use super::endpoint_table::EndpointTable;
 use super::gossip_message::EndpointUpdate;
 
-/// Maximum number of followed engines in a message. Beyond it idle engines are left out: an idle
-/// engine's parts are assumed to be kept for the longest time whether it is followed or not.
+/// Number of followed engines in a message above which idle ones are omitted. The parts of an idle
+/// engine are assumed to be retained for the maximum time, whether it is followed or not.
 const MAX_FOLLOWED_UPDATES: usize = 400;
 
 /// How this daemon takes part in a gossip round.
@@ -22,22 +23,31 @@
 pub struct RoundScope<'a> {
     /// Whether this daemon is a hub of a large fleet and forwards what others report.
     pub is_hub: bool,
-    /// Daemons that this one hears, and whether each is a hub.
-    pub peers: &'a [(Incarnation, bool)],
+    /// Daemons from which this one receives messages.
+    pub peers: &'a [RoundPeer],
     /// Engines that this daemon has reserved for an order.
     pub reserved: &'a [EndpointInstance],
 }
 
-/// Daemon that a message goes to.
+/// A daemon whose reports a round includes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RoundPeer {
+    /// Start of the daemon's process.
+    pub incarnation: Incarnation,
+    /// Whether the daemon is a hub.
+    pub is_hub: bool,
+}
+
+/// Receiver of a message.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RoundTarget {
-    /// A daemon that this hub serves, by its incarnation if it was heard.
+    /// A daemon that this hub serves. The incarnation is `None` if no message from it has arrived.
     Spoke(Option<Incarnation>),
     /// Any other daemon.
     Other,
 }
 
-/// What one gossip round says about endpoints, by short name.
+/// Endpoint updates of one gossip round, by the endpoints' short names.
 #[derive(Debug, Default)]
 pub struct EndpointRound {
     /// Load of this daemon and, if it is a hub, of its spokes.
@@ -78,16 +88,15 @@
             true => &self.all_loads,
             false => &self.local_loads,
         };
-        let told = match target {
+        let reported_by_target = match target {
             RoundTarget::Spoke(Some(spoke)) => table.peer_load_of(spoke),
             _ => None,
         };
         let mut updates: HashMap<u32, EndpointUpdate> = HashMap::with_capacity(loads.len());
         for (endpoint, load) in loads {
             let mut load = *load;
-            if let Some(told) = told.and_then(|told| told.get(endpoint)) {
-                load.sub(*told);
-            }
+            let known = reported_by_target.and_then(|reported| reported.get(endpoint));
+            load.sub(known.copied().unwrap_or_default());
             if load != Load::default() {
                 updates.insert(*endpoint, EndpointUpdate::unreserved(*endpoint, load));
             }
@@ -122,7 +131,7 @@
 }
 
 impl EndpointTable {
-    /// Collects what a gossip round says about endpoints, in one pass over them. `follows` returns
+    /// Collects the updates of a gossip round in one pass over the endpoints. `follows` returns
     /// whether this daemon follows an engine's memory itself.
     pub fn collect_round(
         &self,
@@ -134,65 +143,86 @@
             is_hub: scope.is_hub,
             ..EndpointRound::default()
         };
-        let mut idle_followed = Vec::new();
-        let mut idle_tracked = Vec::new();
+        let mut followed = TrackedEngines::default();
+        let mut tracked = TrackedEngines::default();
         for row in self.iter() {
-            let name = row.short_name;
-            if row.own_load != Load::default() {
-                round.local_loads.insert(name, row.own_load);
-            }
-            if row.is_displaced || scope.reserved.contains(row.instance()) {
-                round.withheld.push(name);
-            }
-            if row.reserved_until_us > now {
-                round.reserved.push(name);
-            }
+            round.add_row(row, scope.reserved, now);
             if row.parts_tracked_until_us > now {
-                let is_busy = row.load() != Load::default();
                 if follows(row.instance()) {
-                    let followed = if is_busy {
-                        &mut round.followed
-                    } else {
-                        &mut idle_followed
-                    };
-                    followed.push(name);
+                    followed.add(row);
                 }
-                let tracked = if is_busy {
-                    &mut round.tracked
-                } else {
-                    &mut idle_tracked
-                };
-                tracked.push(name);
-            }
-            if row.unreachable_until_us > now {
-                round.unreachable.push(name);
-            }
-            if row.corroborated_until_us > now {
-                round.corroborated.push(name);
-            }
-            if row.suspected_until_us > now {
-                round.suspected.push(name);
+                tracked.add(row);
             }
         }
-        extend_up_to(&mut round.followed, idle_followed, MAX_FOLLOWED_UPDATES);
-        extend_up_to(&mut round.tracked, idle_tracked, MAX_FOLLOWED_UPDATES);
+        round.followed = followed.into_updates();
+        round.tracked = tracked.into_updates();
         if scope.is_hub {
-            round.all_loads.clone_from(&round.local_loads);
-            for (peer, is_hub) in scope.peers {
-                for (endpoint, load) in self.peer_load_of(*peer).into_iter().flatten() {
-                    round.all_loads.entry(*endpoint).or_default().add(*load);
-                    if !is_hub {
-                        round.local_loads.entry(*endpoint).or_default().add(*load);
-                    }
+            round.add_peer_loads(self, scope.peers);
+        }
+        round
+    }
+}
+
+impl EndpointRound {
+    fn add_row(&mut self, row: &EndpointRow, reserved: &[EndpointInstance], now: TimeUs) {
+        let name = row.short_name;
+        if row.own_load != Load::default() {
+            self.local_loads.insert(name, row.own_load);
+        }
+        let lists = [
+            (
+                &mut self.withheld,
+                row.is_displaced || reserved.contains(row.instance()),
+            ),
+            (&mut self.reserved, row.reserved_until_us > now),
+            (&mut self.unreachable, row.unreachable_until_us > now),
+            (&mut self.corroborated, row.corroborated_until_us > now),
+            (&mut self.suspected, row.suspected_until_us > now),
+        ];
+        for (list, is_included) in lists {
+            if is_included {
+                list.push(name);
+            }
+        }
+    }
+
+    /// Adds the loads that peers report. The local loads include those of spokes alone.
+    fn add_peer_loads(&mut self, table: &EndpointTable, peers: &[RoundPeer]) {
+        self.all_loads.clone_from(&self.local_loads);
+        for peer in peers {
+            let loads = table.peer_load_of(peer.incarnation);
+            for (endpoint, load) in loads.into_iter().flatten() {
+                self.all_loads.entry(*endpoint).or_default().add(*load);
+                if !peer.is_hub {
+                    self.local_loads.entry(*endpoint).or_default().add(*load);
                 }
             }
         }
-        round
     }
 }
 
-/// Appends elements up to a length.
-fn extend_up_to(list: &mut Vec<u32>, more: Vec<u32>, max_len: usize) {
-    let room = max_len.saturating_sub(list.len());
-    list.extend(more.into_iter().take(room));
+/// Engines whose memory is followed, by short name.
+#[derive(Default)]
+struct TrackedEngines {
+    busy: Vec<u32>,
+    idle: Vec<u32>,
+}
+
+impl TrackedEngines {
+    fn add(&mut self, row: &EndpointRow) {
+        let is_idle = row.load() == Load::default();
+        let list = if is_idle {
+            &mut self.idle
+        } else {
+            &mut self.busy
+        };
+        list.push(row.short_name);
+    }
+
+    /// Returns all busy engines, and as many idle ones as there is room for.
+    fn into_updates(self) -> Vec<u32> {
+        let room = MAX_FOLLOWED_UPDATES.saturating_sub(self.busy.len());
+        let idle = self.idle.into_iter().take(room);
+        self.busy.into_iter().chain(idle).collect()
+    }
 }
--- a/crates/wisteriahitch-relay/src/decide/gossip_message.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_message.rs
@@ -200,7 +200,8 @@
     pub zones: Vec<String>,
     /// Daemons from which the sender receives messages.
     pub members: Vec<MemberUpdate>,
-    /// How the list of members is spread over messages. Older daemons neither send nor read it.
+    /// How the list of members is spread over messages. Encoded after the other fields, because
+    /// older daemons neither send nor read it.
     #[serde(skip)]
     pub membership: MembershipUpdate,
 }
@@ -208,10 +209,10 @@
 /// How a sender spreads its list of members over messages, and what has changed in it.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct MembershipUpdate {
-    /// Time in which the messages name each member once, in milliseconds; zero if each message
-    /// names all.
+    /// Time in which the messages report each member once, in milliseconds; zero if each message
+    /// reports all.
     pub rotation_ms: u32,
-    /// Daemons that the sender has recently stopped to name.
+    /// Daemons that the sender has recently stopped to report.
     pub departed: Vec<Ipv4Addr>,
 }
 
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -0,0 +1,83 @@
+//! To whom a daemon sends its gossip, and which daemon asks the store first.
+
+use std::net::Ipv4Addr;
+
+use wisteriahitch_core::fleet::Rendezvous;
+use wisteriahitch_types::TimeUs;
+
+use super::gossip_message::MemberPhase;
+use super::hubs::{HubCandidate, HubPlan};
+use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
+
+impl PeerTable {
+    /// Chooses the hubs of the fleet, including `me`.
+    pub fn hub_plan(&self, me: &HubCandidate, now: TimeUs) -> HubPlan {
+        let mut members = vec![me.clone()];
+        for (ip, known) in &self.known {
+            let is_departed = self
+                .peers
+                .get(ip)
+                .is_some_and(|peer| is_silent(peer, now) || peer.phase == MemberPhase::Draining);
+            let report = self.indirect.get(ip);
+            let is_reported =
+                report.is_some_and(|row| now.since(row.received_at_us) < INDIRECT_TTL_US);
+            if *ip == me.ip || (is_departed && !is_reported) {
+                continue;
+            }
+            members.push(HubCandidate {
+                ip: *ip,
+                zone: known.zone.clone().unwrap_or_default(),
+                link_mbps: known.link_mbps,
+            });
+        }
+        HubPlan::for_members(&members)
+    }
+
+    /// Returns the addresses to which a daemon sends its gossip.
+    pub fn targets(&self, me: &HubCandidate, plan: &HubPlan, now: TimeUs) -> Vec<Ipv4Addr> {
+        let others = self.known.keys().copied().filter(|ip| *ip != me.ip);
+        if plan.is_small {
+            return others.collect();
+        }
+        if !plan.is_hub(me.ip) {
+            return plan.hub_of(me).into_iter().collect();
+        }
+        let mut targets: Vec<Ipv4Addr> = plan.hubs.iter().map(|hub| hub.ip).collect();
+        for ip in others {
+            let zone = self.known.get(&ip).and_then(|known| known.zone.clone());
+            let member = HubCandidate {
+                ip,
+                zone: zone.unwrap_or_default(),
+                link_mbps: 0,
+            };
+            let is_assigned = plan.hub_of(&member) == Some(me.ip);
+            let sends_to_me = self.alive(now).any(|peer| peer.ip == ip && !peer.is_hub);
+            if (is_assigned || sends_to_me) && !targets.contains(&ip) {
+                targets.push(ip);
+            }
+        }
+        targets.retain(|ip| *ip != me.ip);
+        targets
+    }
+
+    /// Returns how many daemons ask the store about the objects named by `kind` before this one
+    /// does. The answer to each of them confirms for the whole fleet what is known.
+    ///
+    /// A daemon that doesn't watch the store asks after those that do. Its rank among the others is
+    /// a hash modulo the size of the fleet, since most of those daemons don't receive each other's
+    /// messages.
+    pub fn confirmation_rank(&self, kind: &str, me: Ipv4Addr, follows: bool, now: TimeUs) -> usize {
+        let rank = Rendezvous::new("confirms", kind);
+        let mine = rank.score(&me.octets());
+        let followers = self.alive(now).filter(|peer| {
+            let is_asking = peer.follows_stores && peer.is_store_reachable;
+            is_asking && peer.phase != MemberPhase::Draining
+        });
+        if follows {
+            let before = followers.filter(|peer| rank.score(&peer.ip.octets()) > mine);
+            return before.count();
+        }
+        let daemons = self.count(now) + 1;
+        1 + followers.count() + usize::try_from(mine).unwrap_or(0) % daemons
+    }
+}
--- a/crates/wisteriahitch-relay/src/decide/member_updates.rs
+++ b/crates/wisteriahitch-relay/src/decide/member_updates.rs
@@ -1,8 +1,9 @@
-//! What a hub's messages say about the members of a large fleet.
+//! How a hub reports the members of a large fleet in its messages.
 //!
-//! Load pattern: a thousand daemons don't fit one message, so the messages name them page by page,
-//! and a whole list takes seconds. What has changed can't wait for its page: new members, changed
-//! phases and departures are repeated in each message for a while.
+//! Load pattern: a thousand daemons don't fit into one message. Therefore the members are divided
+//! into pages, each message reports one page, and one rotation through all pages takes seconds.
+//! Changes can't wait for their page: new members, changed phases and departures are repeated in
+//! each message for a while. Receivers derive from the rotation how long a report is valid.
 
 use std::net::Ipv4Addr;
 
@@ -10,26 +11,29 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::gossip_message::{GossipMessage, MemberUpdate};
-use super::members::{MemberReport, PeerRow, PeerTable};
+use super::member_rows::{MemberReport, PeerRow};
+use super::members::PeerTable;
 
 /// Mean number of daemons in a page.
 const MEMBERS_PER_PAGE: usize = 60;
 
-/// Maximum number of changed daemons beside the page whose turn it is.
+/// Maximum number of changed members in a message in addition to the current page. Further ones are
+/// reported with their page.
 const MAX_CHANGED_MEMBERS: usize = 60;
 
-/// Mean number of departed daemons in a message. If a third of a fleet of thousands dies at once,
-/// each is still named in several messages.
+/// Mean number of departures in a message. More are divided into pages as well, and each is still
+/// repeated in several messages if a third of some thousand daemons fails at the same time.
 const DEPARTED_PER_PAGE: usize = 300;
 
-/// How long a hub names a new or changed daemon in each message, beside the page whose turn it is.
+/// How long a new or changed member is reported in each message, in addition to the current page.
 const CHANGE_REPEAT_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Time for which messages send the same page: two messages over a narrow link.
+/// Time for which a page is the current one: one gossip interval over a narrow link, two over a wide
+/// one.
 const PAGE_ROTATION_US: DurationUs = DurationUs::from_ms(200);
 
-/// Adds the live daemons to a hub's message: those that this hub serves for other hubs, all known
-/// ones for a spoke. A spoke is also told which have departed.
+/// Adds the live members to a hub's message. Another hub gets those that this one serves, a spoke
+/// gets all members and the recent departures.
 pub fn add_member_updates(
     table: &PeerTable,
     message: &mut GossipMessage,
@@ -50,17 +54,17 @@
     }
     let pages = rows.len().div_ceil(MEMBERS_PER_PAGE).max(1);
     message.membership.rotation_ms = rotation_ms(pages);
-    let mut named: Vec<MemberReport> = Vec::new();
+    let mut reports: Vec<MemberReport> = Vec::new();
     let mut changed = 0;
     for row in rows {
         let is_changed = now.since(row.changed_at_us) < CHANGE_REPEAT_US;
         let is_on_page = page_of(row.entry.ip, pages) == current_page(pages, now);
         if is_on_page || (is_changed && changed < MAX_CHANGED_MEMBERS) {
             changed += usize::from(!is_on_page);
-            named.push(row);
+            reports.push(row);
         }
     }
-    for MemberReport { entry, phase, .. } in named {
+    for MemberReport { entry, phase, .. } in reports {
         let known = message.zones.iter().position(|known| *known == entry.zone);
         let zone = known.unwrap_or_else(|| {
             message.zones.push(entry.zone);
@@ -76,20 +80,19 @@
     }
 }
 
-/// Returns the page on which a daemon is named. It depends on the daemon's address alone: if others
-/// that come and go moved it to a page whose turn has just passed, it would miss a rotation.
+/// Returns the page of a member. It depends on the member's address alone. If other members that
+/// come and go moved it to a page that has just been sent, it would miss a whole rotation.
 fn page_of(ip: Ipv4Addr, pages: usize) -> usize {
     let hash = xxh3_64(&ip.octets());
     usize::try_from(hash % u64::try_from(pages).unwrap_or(1)).unwrap_or(0)
 }
 
-/// Returns the page whose turn it is.
+/// Returns the number of the current page.
 pub(crate) fn current_page(pages: usize, now: TimeUs) -> usize {
     usize::try_from(now.get() / PAGE_ROTATION_US.get()).unwrap_or(0) % pages
 }
 
-/// Returns the time in which `pages` name each daemon once, in milliseconds; zero if there is only
-/// one.
+/// Returns the time of one rotation through `pages`, in milliseconds; zero if there is only one.
 fn rotation_ms(pages: usize) -> u32 {
     let rotation_ms = match u64::try_from(pages).unwrap_or(u64::MAX) {
         0 | 1 => 0,
--- a/crates/wisteriahitch-relay/src/decide/parts.rs
+++ b/crates/wisteriahitch-relay/src/decide/parts.rs
@@ -132,8 +132,8 @@
 /// It is a hint: a wrong estimate costs reading a prompt again, never a wrong answer.
 #[derive(Debug)]
 pub struct PartCache {
-    /// `None` while no part is known: most endpoints of a large fleet are idle, and even an empty
-    /// list takes some hundred bytes.
+    /// `None` while no part is known. Most endpoints of a large fleet are idle, and even an empty
+    /// cache takes some hundred bytes.
     parts: Option<Box<LruCache<PartKey, CacheEntry>>>,
     cached_tokens: u64,
     capacity_tokens: u64,
--- a/crates/wisteriahitch-relay/src/decide/retry_share.rs
+++ b/crates/wisteriahitch-relay/src/decide/retry_share.rs
@@ -1,30 +1,30 @@
-//! A daemon's part of the retries that all daemons together may save up.
+//! A daemon's share of the retries that all daemons together may save up.
 //!
-//! Load pattern: a thousand daemons send a call every three seconds each, some calls fail, and the
-//! common slack is about one retry a daemon. A part that is a fraction of a retry can't be used, and
-//! a daemon that starts with nothing saved refuses its first retries although the fleet has made
-//! none. So the parts are whole, and a new daemon starts with its part.
+//! Load pattern: a thousand daemons receive a call every few seconds each, and some calls fail. The
+//! slack amounts to about one retry per daemon, and a fraction of a retry can't be used. Therefore
+//! shares are whole numbers.
 
 use std::net::Ipv4Addr;
 
 use wisteriahitch_core::fleet::Rendezvous;
 
-/// Fraction of the slack that the parts take together. The rest covers the spread of whole parts,
-/// and a number of daemons that isn't known exactly.
-const DIVIDED_FRACTION: f64 = 0.9;
+/// Fraction of the slack that is divided into shares. The rest covers the deviation of rounded shares
+/// from their expected sum, and an inexact count of daemons.
+const SHARED_FRACTION: f64 = 0.9;
 
-/// Returns how many retries a daemon may save up: its equal part of `slack`, rounded up for as many
-/// daemons, chosen by the hash of their addresses, as the fraction says, and down for the others.
+/// Returns how many retries a daemon may save up: its equal share of `slack` as a whole number.
+///
+/// The share is rounded up on some daemons, chosen by a hash of their addresses, and down on the
+/// others, so that the expected sum of all shares is the divided slack.
 ///
 /// ```
-/// use wisteriahitch_relay::saved_retries;
+/// use wisteriahitch_relay::max_saved_retries;
 ///
 /// let ip = "10.0.0.1".parse().expect("an address");
-/// assert!((6..=7).contains(&saved_retries(56.0, 8, ip)));
+/// assert!((6..=7).contains(&max_saved_retries(56.0, 8, ip)));
 /// ```
-pub fn saved_retries(slack: f64, daemons: usize, me: Ipv4Addr) -> u32 {
-    let part = slack.max(0.0) * DIVIDED_FRACTION / daemons.max(1) as f64;
+pub fn max_saved_retries(slack: f64, daemons: usize, me: Ipv4Addr) -> u32 {
+    let share = slack.max(0.0) * SHARED_FRACTION / daemons.max(1) as f64;
     let position = Rendezvous::new("retries", "").score(&me.octets()) as f64 / u64::MAX as f64;
-    let is_rounded_up = position < part.fract();
-    part as u32 + u32::from(is_rounded_up)
+    share as u32 + u32::from(position < share.fract())
 }
--- a/crates/wisteriahitch-relay/src/shell/budgets.rs
+++ b/crates/wisteriahitch-relay/src/shell/budgets.rs
@@ -8,15 +8,15 @@
 use wisteriahitch_core::route::RetryBudget;
 use wisteriahitch_types::ServiceName;
 
-use crate::decide::retry_share::saved_retries;
+use crate::decide::retry_share::max_saved_retries;
 use crate::settings::RetrySettings;
 
 /// This daemon's part of the retries that all daemons together may make at each service.
 ///
 /// Each daemon earns retries from its own requests and may save up its part of the common slack.
 /// Without a common bound, every daemon's retries would multiply the load of an outage of all
-/// endpoints. A new daemon starts with its part saved. One that was restarted starts with nothing,
-/// since it may have used its part just before.
+/// endpoints. A new daemon starts with its share saved up. A restarted one starts with nothing,
+/// since it may have used its share right before.
 pub(crate) struct RetryBudgets {
     settings: RetrySettings,
     by_service: Mutex<HashMap<ServiceName, RetryBudget>>,
@@ -41,15 +41,15 @@
 
     /// Divides the common slack among the given number of daemons.
     pub(crate) fn set_daemon_count(&self, daemons: usize) {
-        let max_saved = saved_retries(self.settings.slack, daemons, self.me);
+        let max_saved = max_saved_retries(self.settings.slack, daemons, self.me);
         *self.max_saved.lock() = max_saved;
         for budget in self.by_service.lock().values_mut() {
             budget.set_max_saved(f64::from(max_saved));
         }
     }
 
-    /// Fills all budgets, and lets those of further services start full. Only for a daemon that
-    /// hasn't run before, once the number of daemons is known.
+    /// Fills all budgets, also those of services that are added later. Must be called only on a
+    /// daemon that hasn't run before, once the number of daemons is known.
     pub(crate) fn fill(&self) {
         self.starts_full.store(true, Ordering::Relaxed);
         for budget in self.by_service.lock().values_mut() {
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -15,7 +15,7 @@
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
 use crate::decide::gossip_message::MemberPhase;
-use crate::decide::members::EntryPoint;
+use crate::decide::member_rows::EntryPoint;
 use crate::site::RegionMap;
 
 /// Maximum number of daemons that are all listed in an answer.
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -5,15 +5,16 @@
 
 use std::net::Ipv4Addr;
 
-use wisteriahitch_types::{EndpointInstance, Incarnation, TimeUs};
+use wisteriahitch_types::{EndpointInstance, TimeUs};
 
 use super::shared::Shared;
-use crate::decide::endpoint_round::{EndpointRound, RoundScope, RoundTarget};
+use crate::decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 use crate::decide::gossip_message::{
     GossipMessage, LimitUpdate, MembershipUpdate, PartUpdate, RequestUpdate, StoreUpdate,
     StoredPartUpdate,
 };
 use crate::decide::hubs::HubPlan;
+use crate::decide::member_rows::PeerRow;
 use crate::decide::member_updates::{add_member_updates, current_page};
 
 /// Maximum size of a message: the load of a few hundred endpoints and the updates of a tenth of a
@@ -92,8 +93,8 @@
     let target = match spoke {
         Some(ip) => {
             let table = shared.peers.table();
-            let heard = table.alive(now).find(|peer| peer.ip == ip);
-            RoundTarget::Spoke(heard.map(|peer| peer.incarnation))
+            let peer = table.alive(now).find(|peer| peer.ip == ip);
+            RoundTarget::Spoke(peer.map(|peer| peer.incarnation))
         }
         None => RoundTarget::Other,
     };
@@ -160,13 +161,16 @@
     }
 }
 
-/// Collects what the round says about endpoints.
+/// Collects the endpoint updates of the round.
 fn collect_endpoints(shared: &Shared, plan: &HubPlan, now: TimeUs) -> EndpointRound {
     let reserved: Vec<EndpointInstance> = shared.rollout.lock().reserved().cloned().collect();
-    let peers: Vec<(Incarnation, bool)> = {
+    let peers: Vec<RoundPeer> = {
         let table = shared.peers.table();
-        let alive = table.alive(now);
-        alive.map(|peer| (peer.incarnation, peer.is_hub)).collect()
+        let round_peer = |peer: &PeerRow| RoundPeer {
+            incarnation: peer.incarnation,
+            is_hub: peer.is_hub,
+        };
+        table.alive(now).map(round_peer).collect()
     };
     let scope = RoundScope {
         is_hub: !plan.is_small && plan.is_hub(shared.settings.ip),
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -34,7 +34,7 @@
 /// Query parameter with the name after which a page starts.
 pub(super) const PAGE_START_PARAMETER: &str = "after";
 
-/// Number of objects in a page: a tenth of a second over a link of 20 Mbit/s.
+/// Number of objects in a page, which takes about a tenth of a second over a link of 20 Mbit/s.
 const PAGE_LEN: usize = 500;
 
 /// Prefix of the paths under which peers serve the contents of part stores.
@@ -104,8 +104,8 @@
     }
 }
 
-/// Fetches all objects of a role page by page, so that neither side holds all of them as one text
-/// and no response takes long over a narrow link.
+/// Fetches all objects of a role page by page. A single response would need several megabytes on
+/// both sides, and time out over a narrow link.
 async fn fetch_all(shared: &Shared, role: ObjectRole, ip: Ipv4Addr) -> Result<ObjectDelta, String> {
     let path = format!(
         "{PEER_OBJECTS_PATH}{}?since=0&{PAGE_LEN_PARAMETER}={PAGE_LEN}",
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -15,7 +15,8 @@
 use crate::decide::gossip_message::PartUpdate;
 use crate::decide::gossip_schedule::GossipSchedule;
 use crate::decide::hubs::HubPlan;
-use crate::decide::members::{PeerRow, PeerTable};
+use crate::decide::member_rows::PeerRow;
+use crate::decide::members::PeerTable;
 
 /// Maximum wait after the start for the list of the other daemons. The store answers within a
 /// second.
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -14,17 +14,17 @@
 
 use super::shared::Shared;
 use super::store_updates::{log_skipped_objects, log_unreadable_object};
-use crate::decide::registration_interval::RegistrationLister;
+use crate::decide::registration_listing::registration_listing_interval;
 use crate::observe::Event;
 
 /// Base wait after a failed store call.
 const RETRY_BACKOFF: Duration = Duration::from_millis(500);
 
-/// Time between two checks of whether the registrations are to be listed again.
+/// Time between two checks of whether the next listing is due.
 const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of intervals for which a list of the registrations counts.
-const LIST_TTL_INTERVALS: u64 = 2;
+/// Number of intervals for which a listing is valid, so that one failed listing doesn't matter.
+const LISTING_TTL_INTERVALS: u64 = 2;
 
 /// Time since the last message of a registered daemon after which another one removes its
 /// registration.
@@ -91,26 +91,22 @@
     }
 }
 
-/// Waits until the registrations are to be listed again. What that depends on may change meanwhile,
-/// for example when this daemon becomes a hub.
+/// Waits until the next listing is due. The interval may change meanwhile, for example if this daemon
+/// becomes a hub.
 async fn wait_until_due(shared: &Shared) {
     let listed_at = shared.now();
     let jitter = rand::random_range(0.8..1.2);
-    let due_after = |jitter| Duration::from(list_interval(shared)).mul_f64(jitter);
+    let due_after = |jitter| Duration::from(listing_interval(shared)).mul_f64(jitter);
     let is_due = || Duration::from(shared.now().since(listed_at)) >= due_after(jitter);
     while !is_due() {
         tokio::time::sleep(DUE_CHECK_INTERVAL).await;
     }
 }
 
-/// Returns the time between two lists of the registrations.
-fn list_interval(shared: &Shared) -> DurationUs {
+fn listing_interval(shared: &Shared) -> DurationUs {
     let plan = shared.peers.current_hub_plan.lock();
-    let lister = RegistrationLister {
-        is_hub: plan.is_small || plan.is_hub(shared.settings.ip),
-        daemons: shared.peers.daemon_count(),
-    };
-    lister.interval()
+    let is_hub = plan.is_small || plan.is_hub(shared.settings.ip);
+    registration_listing_interval(is_hub, shared.peers.daemon_count())
 }
 
 fn decode(content: &ObjectContent) -> Result<DaemonRegistration, (UnreadableKind, String)> {
@@ -128,7 +124,7 @@
     }
 }
 
-/// Fills the retry budgets of a new daemon once it knows how many others there are.
+/// Fills the retry budgets of a new daemon once it knows the size of the fleet.
 async fn fill_budgets(shared: Arc<Shared>) {
     if shared.peers.wait_for_peer_list().await {
         shared.peers.wait_for_gossip().await;
@@ -136,8 +132,8 @@
     }
 }
 
-/// Registers this daemon, and returns whether it wasn't registered. If the answer to its own write
-/// was lost it counts as registered, since nothing tells this from a restart.
+/// Registers this daemon, and returns whether it is new, that is, wasn't registered before. If the
+/// answer to its first write is lost, it doesn't count as new, because a restart looks the same.
 async fn register(shared: &Shared) -> Result<bool, PlatformError> {
     let store = &shared.borders.store;
     let name = shared.settings.id.as_str();
@@ -209,7 +205,7 @@
             registered.insert(registration.ip);
         }
     }
-    let ttl_us = DurationUs::new(list_interval(shared).get() * LIST_TTL_INTERVALS);
+    let ttl_us = DurationUs::new(listing_interval(shared).get() * LISTING_TTL_INTERVALS);
     let mut peers = shared.peers.table();
     peers.record_registrations(registered, now + ttl_us);
     drop(peers);
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -27,11 +27,11 @@
 /// learns of a change long before its own pause ends.
 const ENDPOINT_CHANGES_DEBOUNCE: Duration = Duration::from_millis(250);
 
-/// Minimum time for which a daemon of a large fleet waits for a peer to provide a long list: the
-/// daemons that list it need a second, and each of two hops another one.
+/// Minimum time for which a daemon of a large fleet waits for its hub's objects at the start: about a
+/// second for the listing by a few daemons, and another one for each of two hops.
 const PEER_LISTING_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Time between two checks of whether a peer has provided a list.
+/// Time between two checks of whether a peer's objects have arrived.
 const PEER_LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between two checks of whether this daemon must ask the store itself.
@@ -107,12 +107,12 @@
     store_retry_backoff(failures, is_updated_by_peers, shared.peers.daemon_count()).into()
 }
 
-/// Lists all objects of a role for the first time, or lets a peer provide them.
+/// Obtains all objects of a role at the start, from the store or from a peer.
 ///
-/// Load pattern: a thousand daemons start together, and the endpoints fill fifty answers of the
-/// store. If each daemon listed them, the store's link would be full for half a minute. Where the
-/// list is long and the fleet is large, a few daemons list it, and the others fetch it from their
-/// hub. A daemon that gets it from no peer in time lists it itself.
+/// Load pattern: a thousand daemons start at the same time, and a listing of the endpoints has fifty
+/// pages. If each daemon listed them, the store's link would be saturated for half a minute. If a
+/// listing has more than one page and the fleet is large, only the daemons that watch the store read
+/// all of it; the others fetch the objects from their hub, and read on only if none arrive in time.
 async fn list_at_start(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let asked_at = shared.now();
     let first_page = shared.borders.store.list_first_page(role).await;
@@ -124,13 +124,8 @@
     }
     record_answer(shared, role);
     wait_for_role(shared).await;
-    let patience = PEER_LISTING_TIMEOUT.mul_f64(rand::random_range(1.0..2.0));
-    let give_up_at = Instant::now() + patience;
-    while !shared.peers.follows_stores() && Instant::now() < give_up_at {
-        if shared.watches.state_of(role).lock().is_listed {
-            return Ok(false);
-        }
-        tokio::time::sleep(PEER_LISTING_CHECK_INTERVAL).await;
+    if wait_for_peer_objects(shared, role).await {
+        return Ok(false);
     }
     let listing = shared.borders.store.list_remaining(role, listing).await;
     count_store_call(shared, role, listing.is_ok());
@@ -147,6 +142,21 @@
     Ok(false)
 }
 
+/// Waits until a peer's objects were applied. Returns `false` if this daemon has to list them itself,
+/// because it watches the store or none have arrived in time.
+async fn wait_for_peer_objects(shared: &Shared, role: ObjectRole) -> bool {
+    // The random factor spreads the daemons that read on.
+    let timeout = PEER_LISTING_TIMEOUT.mul_f64(rand::random_range(1.0..2.0));
+    let give_up_at = Instant::now() + timeout;
+    while !shared.peers.follows_stores() && Instant::now() < give_up_at {
+        if shared.watches.state_of(role).lock().is_listed {
+            return true;
+        }
+        tokio::time::sleep(PEER_LISTING_CHECK_INTERVAL).await;
+    }
+    false
+}
+
 fn apply_store_listing(shared: &Arc<Shared>, role: ObjectRole, listing: Listing, asked_at: TimeUs) {
     record_answer(shared, role);
     log_skipped_objects(shared, role, &listing.skipped);
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -178,11 +178,11 @@
         self.state_of(role).lock().last_change
     }
 
-    /// Returns a page of all objects of a role, for a peer: at most `max` of those whose names
-    /// follow `after`.
+    /// Returns a page of all objects of a role for a peer: the first `max` objects whose names come
+    /// after `after`.
     ///
-    /// The revision of a listing is that of its first page, so the changes made between two pages
-    /// follow as changes.
+    /// The peer uses the revision of the first page, so it receives the changes made between two
+    /// pages afterwards.
     pub(crate) fn page(&self, role: ObjectRole, after: Option<&str>, max: usize) -> ObjectDelta {
         let state = self.state_of(role).lock();
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -36,8 +36,8 @@
 
 /// Versions of the weights that an endpoint has, by model.
 ///
-/// An endpoint has few models, and a daemon holds thousands of endpoints. A list takes a tenth of
-/// the memory of a map.
+/// An endpoint has few models, and a daemon holds thousands of endpoints, for which a list needs much
+/// less memory than a map.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ModelWeights(Vec<(ModelName, WeightNumber)>);
 
--- a/crates/wisteriahitch-relay/tests/all/endpoint_round.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_round.rs
@@ -1,8 +1,10 @@
-//! What a gossip round says about endpoints.
+//! Endpoint updates of a gossip round.
 
 use std::collections::{BTreeMap, HashMap};
 
-use wisteriahitch_relay::{EndpointTable, EndpointUpdate, Load, RoundScope, RoundTarget};
+use wisteriahitch_relay::{
+    EndpointTable, EndpointUpdate, Load, RoundPeer, RoundScope, RoundTarget,
+};
 use wisteriahitch_types::Incarnation;
 
 use crate::fixture::{at_ms, engine, id};
@@ -15,6 +17,13 @@
     }
 }
 
+fn round_peer(incarnation: Incarnation, is_hub: bool) -> RoundPeer {
+    RoundPeer {
+        incarnation,
+        is_hub,
+    }
+}
+
 fn table_of(names: &[&str]) -> EndpointTable {
     let mut table = EndpointTable::default();
     for name in names {
@@ -27,10 +36,10 @@
     table.get(&id(name)).unwrap().short_name
 }
 
-/// Guards against a daemon that counts its own load twice or misses that of others: a hub must not
-/// tell a spoke what the spoke has told it, nor another hub what that one knows already.
+/// Guards against load that is counted twice or not at all: a hub must not send a spoke's own report
+/// back to it, nor another hub's report to that hub.
 #[test]
-fn each_target_learns_the_load_that_it_does_not_know() {
+fn each_target_receives_the_load_that_it_does_not_know() {
     struct Case {
         what: &'static str,
         is_hub: bool,
@@ -51,7 +60,7 @@
             running: [1 + 20 + 300, 0, 300],
         },
         Case {
-            what: "a hub to a spoke that it hasn't heard",
+            what: "a hub to a spoke that has sent no message",
             is_hub: true,
             target: RoundTarget::Spoke(None),
             running: [1 + 20 + 300, 4, 300],
@@ -79,7 +88,11 @@
     for case in cases {
         let scope = RoundScope {
             is_hub: case.is_hub,
-            peers: &[(spoke, false), (other_spoke, false), (hub, true)],
+            peers: &[
+                round_peer(spoke, false),
+                round_peer(other_spoke, false),
+                round_peer(hub, true),
+            ],
             reserved: &[],
         };
         let round = table.collect_round(&scope, |_| false, at_ms(1));
@@ -93,9 +106,9 @@
     }
 }
 
-/// Guards against calls to an engine that an order has reserved. It is told even if it is idle.
+/// Guards against calls to an engine that an order has reserved, which may be idle.
 #[test]
-fn reserved_engines_are_told() {
+fn reserved_engines_are_reported() {
     let mut table = table_of(&["a", "b"]);
     let [a, b] = ["a", "b"].map(|name| short_name(&table, name));
     table.reserve(b, at_ms(600), at_ms(0));
@@ -105,7 +118,7 @@
         reserved: &[id("a")],
     };
     let round = table.collect_round(&scope, |_| false, at_ms(1));
-    let told = |target| {
+    let reported = |target| {
         let updates: Vec<EndpointUpdate> = round.endpoint_updates(&table, target);
         let mut names: Vec<u32> = updates.iter().map(|update| update.endpoint).collect();
         assert!(updates.iter().all(|update| update.is_reserved));
@@ -114,14 +127,14 @@
     };
     let mut both = vec![a, b];
     both.sort_unstable();
-    assert_eq!(told(RoundTarget::Other), [a]);
-    assert_eq!(told(RoundTarget::Spoke(None)), both);
+    assert_eq!(reported(RoundTarget::Other), [a]);
+    assert_eq!(reported(RoundTarget::Spoke(None)), both);
 }
 
-/// Guards against busy engines that never count as followed in a fleet of thousands, because a
-/// message has room for some hundred and always named the same ones.
+/// Guards against busy engines that never count as followed. With thousands of engines, a message has
+/// room for a few hundred, and it always contained the same ones.
 #[test]
-fn busy_engines_are_named_as_followed_however_many_there_are() {
+fn busy_engines_are_reported_as_followed_among_thousands() {
     let names: Vec<String> = (0..3_000).map(|number| format!("i-{number}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let mut table = table_of(&names);
--- a/crates/wisteriahitch-relay/tests/all/gossip_message.rs
+++ b/crates/wisteriahitch-relay/tests/all/gossip_message.rs
@@ -160,18 +160,18 @@
     };
     let new_bytes = new.clone().encoded(8_192);
     assert_eq!(GossipMessage::decode(&new_bytes).unwrap(), new);
-    // An older daemon reads the message without its end.
+    // An older daemon ignores the bytes after the fields that it knows.
     let read_by_older: GossipMessage = postcard::from_bytes(&new_bytes).unwrap();
     assert_eq!(read_by_older, gossip_message(1, 1, 1));
-    // It sends none.
+    // Its own messages end there.
     let old_bytes = postcard::to_stdvec(&gossip_message(1, 1, 1)).unwrap();
     let read = GossipMessage::decode(&old_bytes).unwrap();
     assert_eq!(read, gossip_message(1, 1, 1));
-    // A newer one may add more.
+    // A newer daemon may append more.
     let newer_bytes = [&new_bytes[..], &[1, 2, 3]].concat();
     let read = GossipMessage::decode(&newer_bytes).unwrap();
     assert_eq!(read.membership, membership);
-    // One that is cut short is rejected as a whole.
+    // A truncated message is rejected.
     let cut = &new_bytes[..new_bytes.len() - 1];
     assert!(GossipMessage::decode(cut).is_err());
 }
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -12,7 +12,6 @@
 mod evacuated_zones;
 mod event_log;
 mod fixture;
-mod fleet_model;
 mod gossip_message;
 mod gossip_schedule;
 mod leaving_instances;
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -4,7 +4,7 @@
 
 use wisteriahitch_relay::{
     GossipMessage, HubCandidate, HubPlan, MemberPhase, MemberUpdate, MembershipUpdate, PeerTable,
-    ReceiveOutcome, RegistrationLister, RequestUpdate,
+    ReceiveOutcome, RequestUpdate, registration_listing_interval,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
@@ -309,12 +309,12 @@
         what: &'static str,
         is_hub: bool,
         daemons: usize,
-        /// Time between two lists of one daemon.
+        /// Time between two listings of one daemon.
         interval_ms: u64,
     }
     let cases = [
         Case {
-            what: "a daemon that hears no other one",
+            what: "a daemon that knows no other one",
             is_hub: false,
             daemons: 1,
             interval_ms: 5_000,
@@ -332,7 +332,7 @@
             interval_ms: 6_500,
         },
         Case {
-            what: "a thousand daemons: two lists a second of all together",
+            what: "a thousand daemons, with two listings a second of all together",
             is_hub: false,
             daemons: 1_000,
             interval_ms: 500_000,
@@ -345,18 +345,15 @@
         },
     ];
     for case in cases {
-        let lister = RegistrationLister {
-            is_hub: case.is_hub,
-            daemons: case.daemons,
-        };
-        assert_eq!(lister.interval().as_ms(), case.interval_ms, "{}", case.what);
+        let interval_us = registration_listing_interval(case.is_hub, case.daemons);
+        assert_eq!(interval_us.as_ms(), case.interval_ms, "{}", case.what);
     }
 }
 
-/// Guards against permits that are used as if a daemon weren't there: a list counts until the next
-/// one is due, however long that takes in a large fleet, and no longer than the time given.
+/// Guards against permits that are used as if registered daemons weren't there, because the listing
+/// expires before the next one, which is minutes later in a large fleet.
 #[test]
-fn registered_daemons_count_until_the_next_list() {
+fn registered_daemons_count_until_the_listing_expires() {
     let mut table = PeerTable::default();
     let me = Ipv4Addr::new(10, 0, 0, 50);
     let listed = |last: u8| std::collections::BTreeSet::from([Ipv4Addr::new(10, 0, 0, last)]);
@@ -370,10 +367,10 @@
     assert!(registered(&table, 2_000_000).is_empty());
 }
 
-/// Guards against a daemon that goes on sending to its dead hub and hears nobody, because another
-/// hub named it some seconds ago and names each member of a large fleet seconds apart.
+/// Guards against a daemon that receives no messages because it goes on sending to a failed hub.
+/// Another hub reported that hub some seconds ago, and reports are valid for long in a large fleet.
 #[test]
-fn a_silent_hub_is_replaced_although_it_was_named_a_while_ago() {
+fn a_silent_hub_is_replaced_although_it_was_reported_a_while_ago() {
     let me = candidate(50, "a");
     let hub = Ipv4Addr::new(10, 0, 0, 9);
     let mut table = PeerTable::default();
@@ -389,8 +386,8 @@
     assert!(!table.hub_plan(&me, at_ms(3_000)).is_hub(hub));
 }
 
-/// Guards against dead daemons that callers are sent to for weeks, because a damaged message says
-/// that its sender names each member once in that time.
+/// Guards against failed daemons that callers are sent to for weeks, because a damaged message
+/// states such a rotation.
 #[test]
 fn an_implausible_rotation_does_not_keep_members() {
     let mut table = PeerTable::default();
