test: what the membership and the retries of a fleet are asked for, red where they aren't there

Found by reading: the replay of retries had a minimum of 0 for the fleet that the issue names, a check that can't fail, and cut a fleet only where nothing could have been saved up, so that claims too much of a cut.

--- a/crates/wisteriahitch-bench/tests/all/membership.rs
+++ b/crates/wisteriahitch-bench/tests/all/membership.rs
@@ -15,6 +15,9 @@
 /// another hub's report is valid, and two rounds.
 const MAX_REMOVAL_MS: u64 = 900 + 2_500 + 2 * 200;
 
+/// Time by which half of the lists must have dropped a failed daemon.
+const MAX_MEDIAN_REMOVAL_MS: u64 = 2_000;
+
 /// Fleets of the size in service and of twice that size, and a small one.
 static ASSESSMENTS: LazyLock<Vec<Assessment>> =
     LazyLock::new(|| [100, 1_000, 2_000].map(assess_fleet).into());
@@ -51,3 +54,12 @@
         );
     }
 }
+
+/// Guards against callers that most daemons send to failed ones for seconds.
+#[test]
+fn half_of_the_lists_drop_a_failed_daemon_in_time() {
+    for assessment in ASSESSMENTS.iter() {
+        let median_ms = assessment.removal.median_ms;
+        assert!(median_ms <= MAX_MEDIAN_REMOVAL_MS, "{assessment}");
+    }
+}
--- a/crates/wisteriahitch-relay/tests/all/retry_share.rs
+++ b/crates/wisteriahitch-relay/tests/all/retry_share.rs
@@ -26,6 +26,8 @@
     None,
     /// All processes are killed and start again; their registrations stay.
     AllKilled,
+    /// Each half of the daemons counts the other half as gone.
+    Cut,
 }
 
 #[derive(Clone, Copy)]
@@ -35,6 +37,8 @@
     slack: f64,
     /// Calls per second of one daemon.
     calls_per_s: f64,
+    /// Number of calls that arrive together.
+    burst: u32,
     /// Fraction of the calls that fail in each half.
     failing: [f64; 2],
     disruption: Disruption,
@@ -44,7 +48,8 @@
     what: "a small fleet",
     daemons: 8,
     slack: 56.0,
-    calls_per_s: 8.0,
+    calls_per_s: 20.0,
+    burst: 4,
     failing: [0.14, 0.14],
     disruption: Disruption::None,
 };
@@ -55,11 +60,13 @@
     daemons: 1_000,
     slack: 1_040.0,
     calls_per_s: 0.3,
+    burst: 1,
     ..SMALL
 };
 
 struct Replay {
     budgets: Vec<RetryBudget>,
+    failed: u32,
     retried: u32,
     /// Calls and retries of the last steps.
     window: VecDeque<(u32, u32)>,
@@ -77,6 +84,7 @@
         };
         let mut replay = Self {
             budgets: (0..case.daemons).map(budget).collect(),
+            failed: 0,
             retried: 0,
             window: VecDeque::new(),
             max_excess: f64::MIN,
@@ -86,20 +94,31 @@
         match case.disruption {
             Disruption::None => {}
             Disruption::AllKilled => replay.budgets = (0..case.daemons).map(budget).collect(),
+            Disruption::Cut => {
+                for (index, budget) in replay.budgets.iter_mut().enumerate() {
+                    let max_saved = max_saved_retries(case.slack, case.daemons / 2, ip(index));
+                    budget.set_max_saved(f64::from(max_saved));
+                }
+                // Calls that succeed earn retries for a while before calls begin to fail.
+                replay.play_half(case, 0.0, &mut rng);
+            }
         }
         replay.play_half(case, case.failing[1], &mut rng);
         replay
     }
 
     fn play_half(&mut self, case: &Case, failing: f64, rng: &mut ChaCha8Rng) {
-        let call_probability = case.calls_per_s / STEPS_PER_S as f64;
+        let bursts_per_s = case.calls_per_s / f64::from(case.burst);
+        let burst_probability = bursts_per_s / STEPS_PER_S as f64;
         for _ in 0..HALF_STEPS {
             let (mut calls, retried_before) = (0, self.retried);
             for budget in &mut self.budgets {
-                if rng.random_bool(call_probability) {
+                let arriving = u32::from(rng.random_bool(burst_probability)) * case.burst;
+                for _ in 0..arriving {
                     calls += 1;
                     budget.record_request();
                     if rng.random_bool(failing) {
+                        self.failed += 1;
                         self.retried += u32::from(budget.try_acquire());
                     }
                 }
@@ -153,6 +172,38 @@
     }
 }
 
+/// Guards against retries beyond the bound while each half of a fleet counts the other as gone and
+/// divides the whole slack among its own daemons.
+#[test]
+fn a_fleet_that_is_cut_in_two_retries_within_its_bound() {
+    let case = Case {
+        what: "all endpoints begin to fail during a cut",
+        failing: [0.0, 1.0],
+        disruption: Disruption::Cut,
+        ..SMALL
+    };
+    let excess = Replay::of(&case).max_excess;
+    assert!(excess <= 0.0, "{}: {excess} beyond the bound", case.what);
+}
+
+/// Guards against retries that a small fleet refuses although it has hardly made any.
+#[test]
+fn a_small_fleet_retries_nearly_all_failed_calls() {
+    let replay = Replay::of(&SMALL);
+    let share = f64::from(replay.retried) / f64::from(replay.failed);
+    assert!(share >= 0.99, "{share}");
+}
+
+/// Guards against retries that are refused although the fleet as a whole has made fewer than the
+/// bound allows, because the retries that other daemons have saved up can't be used.
+#[test]
+fn a_fleet_retries_all_failed_calls_that_the_bound_allows() {
+    for case in [LARGE, SMALL] {
+        let replay = Replay::of(&case);
+        assert_eq!(replay.retried, replay.failed, "{}", case.what);
+    }
+}
+
 /// Guards against a daemon that may never retry because its share of the slack is less than one.
 #[test]
 fn shares_are_whole_and_take_no_more_than_the_slack() {
