feat(relay): log when known objects are no longer confirmed, and by whom they are again

Three hypotheses of the incident (a daemon asks the store too late, is told that it needn't ask, or is alone) give the same lines: the first failure of a row of calls, and calls by an old configuration. The new line objects_confirmed is written when the objects of a kind pass the age up to which others may be reported as unknown, and when they are confirmed again. It tells them apart by the number of hubs that are heard, whether this daemon watches the store, and the time until its next call; its source says who confirmed them.

--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -137,6 +137,17 @@
         silent_ms: Option<u64>,
         detail: String,
     },
+    /// The known objects of a kind are too old to report others as unknown, or were confirmed
+    /// again.
+    ObjectsConfirmed {
+        kind: &'static str,
+        is_confirmed: bool,
+        age_ms: Option<u64>,
+        source: &'static str,
+        hubs: usize,
+        is_watching: bool,
+        next_call_ms: Option<u64>,
+    },
     /// Objects were fetched from another daemon because the store didn't send them.
     CaughtUp {
         kind: &'static str,
@@ -246,6 +257,7 @@
             Event::WeightsWanted { .. } => "weights_wanted",
             Event::MemberChanged { .. } => "member_changed",
             Event::StoreReachable { .. } => "store_reachable",
+            Event::ObjectsConfirmed { .. } => "objects_confirmed",
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
             Event::OrderGiven { .. } => "order_given",
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -107,6 +107,15 @@
             .any(|peer| is_trusted(peer) && peer.is_store_reachable)
     }
 
+    /// Returns how many hubs send messages to this daemon.
+    pub(super) fn hub_count(&self, now: TimeUs) -> usize {
+        self.table
+            .lock()
+            .alive(now)
+            .filter(|peer| peer.is_hub)
+            .count()
+    }
+
     /// Returns how many daemons ask the store for objects of a role before this one does.
     pub(super) fn store_query_rank(&self, role: ObjectRole, me: Ipv4Addr, now: TimeUs) -> usize {
         let table = self.table.lock();
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -16,6 +16,7 @@
 use super::peer_state::enqueue_parts;
 use super::shared::Shared;
 use super::statements::{apply_leaving_updates, apply_limit_updates};
+use super::watch::log_confirmations;
 use crate::decide::gossip_message::{GossipMessage, MemberPhase};
 use crate::decide::hubs::HubCandidate;
 use crate::decide::members::ReceiveOutcome;
@@ -123,6 +124,7 @@
         .daemon_count
         .store(count + 1, Ordering::Relaxed);
     shared.budgets.set_daemon_count(count.max(registered) + 1);
+    log_confirmations(shared, now);
     // A daemon that watches the store itself soon receives the same objects from it.
     let delay_us = if follows {
         shared.bounds.catch_up_delay()
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -10,7 +10,7 @@
 
 use super::part_store_watch::run_part_store_watch;
 use super::shared::Shared;
-use super::watch_state::{ObjectDelta, WatchState, kind_name};
+use super::watch_state::{ObjectDelta, PEER, WatchState, kind_name};
 use crate::decide::endpoint_admission::ServiceColdLimit;
 use crate::decide::endpoint_table::{AbsenceCause, REREGISTRATION_TIMEOUT_US, Registration};
 use crate::decide::evacuated_zones::ZoneChange;
@@ -18,10 +18,6 @@
 use crate::observe::Event;
 use crate::site::SiteConfig;
 
-/// Source of an update, as it appears in the log.
-pub(super) const STORE: &str = "store";
-const PEER: &str = "peer";
-
 /// Maximum length of foreign text in a log line. Without it, anyone who can write an object could
 /// fill the log.
 const MAX_LOGGED_CHARS: usize = 200;
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wisteriahitch_types::TimeUs;
+use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{Listing, ObjectRole, Revision, WatchOutcome};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
-use super::store_updates::{STORE, apply_changes, apply_listing, log_skipped_objects};
-use super::watch_state::kind_name;
+use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
+use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
 use crate::decide::staleness::answered_as_of;
 use crate::decide::store_retry::store_retry_backoff;
@@ -64,7 +64,11 @@
                 let backoff = failure_backoff(&shared, role, failures);
                 failures += 1;
                 record_failure(&shared, role, &error);
-                tokio::time::sleep(backoff.mul_f64(rand::random_range(0.8..1.2))).await;
+                let backoff = backoff.mul_f64(rand::random_range(0.8..1.2));
+                let next_call_at = shared.now() + backoff.into();
+                shared.watches.state_of(role).lock().next_call_at_us = Some(next_call_at);
+                tokio::time::sleep(backoff).await;
+                shared.watches.state_of(role).lock().next_call_at_us = None;
             }
         }
     }
@@ -230,6 +234,36 @@
     PlatformError::new(PlatformErrorKind::AnswerLost, detail)
 }
 
+/// Logs for each kind of object when its age passes the limit up to which others may be reported as
+/// unknown, and when it is confirmed again.
+pub(super) fn log_confirmations(shared: &Shared, now: TimeUs) {
+    let watched = WATCHED_ROLES
+        .iter()
+        .filter(|role| shared.bounds.is_watched(**role));
+    for role in watched {
+        let limits = shared.bounds.staleness_limits(*role);
+        let mut state = shared.watches.state_of(*role).lock();
+        let is_confirmed = limits.is_final(state.complete_as_of_us, now);
+        if is_confirmed == state.is_logged_as_confirmed {
+            continue;
+        }
+        state.is_logged_as_confirmed = is_confirmed;
+        let age_us = state.complete_as_of_us.map(|as_of| now.since(as_of));
+        let next_call_us = state.next_call_at_us.map(|at| at.since(now));
+        let source = state.confirmed_by;
+        drop(state);
+        shared.log.write(&Event::ObjectsConfirmed {
+            kind: kind_name(*role),
+            is_confirmed,
+            age_ms: age_us.map(DurationUs::as_ms),
+            source,
+            hubs: shared.peers.hub_count(now),
+            is_watching: shared.peers.follows_stores(),
+            next_call_ms: next_call_us.map(DurationUs::as_ms),
+        });
+    }
+}
+
 fn count_store_call(shared: &Shared, role: ObjectRole, is_ok: bool) {
     let result = if is_ok { "ok" } else { "failed" };
     let labels = [kind_name(role), result];
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -25,6 +25,10 @@
 /// objects.
 const MAX_RECENT_DELETIONS: usize = 1_000;
 
+/// Source of an update, as it appears in the log.
+pub(super) const STORE: &str = "store";
+pub(super) const PEER: &str = "peer";
+
 /// Known objects of one role.
 #[derive(Debug, Default)]
 pub(crate) struct WatchState {
@@ -42,6 +46,12 @@
     pub(super) answered_at_us: Option<TimeUs>,
     /// Time as of which all objects are known, confirmed by the store to this daemon or to a peer.
     pub(super) complete_as_of_us: Option<TimeUs>,
+    /// Who confirmed them last, as it appears in the log.
+    pub(super) confirmed_by: &'static str,
+    /// Whether the log says that they are confirmed.
+    pub(super) is_logged_as_confirmed: bool,
+    /// When the store is called again after a failure.
+    pub(super) next_call_at_us: Option<TimeUs>,
     /// Known objects by name.
     pub(super) objects: BTreeMap<String, StoredObject>,
     /// Recently deleted objects, newest last.
@@ -90,7 +100,7 @@
     /// Records that all objects of a role as of `as_of` are known. Must be called after applying
     /// them.
     pub(super) fn confirm_complete(&self, role: ObjectRole, as_of: TimeUs) {
-        self.state_of(role).lock().confirm(as_of);
+        self.state_of(role).lock().confirm(as_of, STORE);
     }
 
     /// Returns the time as of which all objects of a role are known.
@@ -244,14 +254,18 @@
 }
 
 impl WatchState {
-    fn confirm(&mut self, as_of: TimeUs) {
-        self.complete_as_of_us = self.complete_as_of_us.max(Some(as_of));
+    fn confirm(&mut self, as_of: TimeUs, source: &'static str) {
+        if self.complete_as_of_us < Some(as_of) {
+            self.complete_as_of_us = Some(as_of);
+            self.confirmed_by = source;
+        }
     }
 
     fn confirm_by_peer(&mut self, update: &KindUpdate, held_up_us: DurationUs, now: TimeUs) {
         let Some(age_ms) = update.age_ms else { return };
         let age_us = DurationUs::from_ms(u64::from(age_ms)) + held_up_us;
-        self.confirm(TimeUs::new(now.get().saturating_sub(age_us.get())));
+        let as_of = TimeUs::new(now.get().saturating_sub(age_us.get()));
+        self.confirm(as_of, PEER);
     }
 
     /// Returns the time since the store last answered, in milliseconds.
