fix(relay): let a daemon that hears no hub call the store soon after a failure

What callers saw: calls run with a dropped route or key, by a configuration that had been replaced seconds before, after an outage of the store.

Cause: after a failed call, a daemon that doesn't watch the store waited 50 ms for each daemon of the fleet (2.8 to 4.2 s at 70 daemons, 8 to 12 s from 200 on), because a hub tells it of changes. Whether one does wasn't asked, neither at the failure nor during the wait; members reported by a hub count for up to 20 s after it has fallen silent.

Why this works: the long wait stands for a hub that passes on what any daemon learns. It now holds only while such a hub is heard, and is looked at again every 250 ms. A daemon without one waits 0.1 to 0.8 s like those that watch the store. The fleet's rate in an outage stays bounded where hubs are heard.

--- a/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -7,6 +7,7 @@
 
 use super::gossip_message::MemberPhase;
 use super::hubs::{HubCandidate, HubPlan};
+use super::member_rows::PeerRow;
 use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
 
 impl PeerTable {
@@ -60,6 +61,16 @@
         targets
     }
 
+    /// Lists the hubs whose messages tell this daemon of the store's changes. `is_hub` says whether
+    /// this daemon is a hub.
+    ///
+    /// A hub only relies on hubs that watch the store themselves. Two hubs that relied on each other
+    /// would report the store as reachable forever after it has failed.
+    pub fn informing_hubs(&self, is_hub: bool, now: TimeUs) -> impl Iterator<Item = &PeerRow> {
+        self.alive(now)
+            .filter(move |peer| peer.is_hub && (!is_hub || peer.follows_stores))
+    }
+
     /// Returns how many daemons ask the store about the objects named by `kind` before this one
     /// does. The answer to each of them confirms for the whole fleet what is known.
     ///
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -15,7 +15,6 @@
 use crate::decide::gossip_message::PartUpdate;
 use crate::decide::gossip_schedule::GossipSchedule;
 use crate::decide::hubs::HubPlan;
-use crate::decide::member_rows::PeerRow;
 use crate::decide::members::PeerTable;
 
 /// Maximum wait after the start for the list of the other daemons. The store answers within a
@@ -99,21 +98,15 @@
     pub(crate) fn hub_reaches_store(&self, me: Ipv4Addr, now: TimeUs) -> bool {
         let table = self.table.lock();
         let is_hub = self.current_hub_plan.lock().is_hub(me);
-        // A hub only trusts hubs that watch the store themselves. Two hubs that trusted each other
-        // would report the store as reachable forever after it has failed.
-        let is_trusted = |peer: &PeerRow| peer.is_hub && (!is_hub || peer.follows_stores);
-        table
-            .alive(now)
-            .any(|peer| is_trusted(peer) && peer.is_store_reachable)
+        let mut hubs = table.informing_hubs(is_hub, now);
+        hubs.any(|hub| hub.is_store_reachable)
     }
 
-    /// Returns how many hubs send messages to this daemon.
-    pub(super) fn hub_count(&self, now: TimeUs) -> usize {
-        self.table
-            .lock()
-            .alive(now)
-            .filter(|peer| peer.is_hub)
-            .count()
+    /// Returns how many hubs tell this daemon of the store's changes.
+    pub(super) fn informing_hub_count(&self, me: Ipv4Addr, now: TimeUs) -> usize {
+        let table = self.table.lock();
+        let is_hub = self.current_hub_plan.lock().is_hub(me);
+        table.informing_hubs(is_hub, now).count()
     }
 
     /// Returns how many daemons ask the store for objects of a role before this one does.
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -61,14 +61,9 @@
                 }
             }
             Err(error) => {
-                let backoff = failure_backoff(&shared, role, failures);
-                failures += 1;
                 record_failure(&shared, role, &error);
-                let backoff = backoff.mul_f64(rand::random_range(0.8..1.2));
-                let next_call_at = shared.now() + backoff.into();
-                shared.watches.state_of(role).lock().next_call_at_us = Some(next_call_at);
-                tokio::time::sleep(backoff).await;
-                shared.watches.state_of(role).lock().next_call_at_us = None;
+                wait_after_failure(&shared, role, failures).await;
+                failures += 1;
             }
         }
     }
@@ -104,11 +99,33 @@
     is_confirmed || shared.peers.hub_reaches_store(me, now)
 }
 
+/// Waits until the store may be asked again after a failure. The wait ends early if the hubs fall
+/// silent on which its length depends.
+async fn wait_after_failure(shared: &Shared, role: ObjectRole, failures: usize) {
+    let failed_at = shared.now();
+    let jitter = rand::random_range(0.8..1.2);
+    loop {
+        let now = shared.now();
+        let backoff = Duration::from(failure_backoff(shared, role, failures, now)).mul_f64(jitter);
+        let next_call_at = failed_at + backoff.into();
+        let left = Duration::from(next_call_at.since(now));
+        let is_due = left.is_zero();
+        shared.watches.state_of(role).lock().next_call_at_us = (!is_due).then_some(next_call_at);
+        if is_due {
+            return;
+        }
+        tokio::time::sleep(left.min(ROLE_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Returns how long to wait after a failure before the store is asked again.
-fn failure_backoff(shared: &Shared, role: ObjectRole, failures: usize) -> Duration {
+fn failure_backoff(shared: &Shared, role: ObjectRole, failures: usize, now: TimeUs) -> DurationUs {
     let is_listed = shared.watches.state_of(role).lock().is_listed;
-    let is_updated_by_peers = is_listed && !shared.peers.follows_stores();
-    store_retry_backoff(failures, is_updated_by_peers, shared.peers.daemon_count()).into()
+    let me = shared.settings.ip;
+    let receives_updates = is_listed
+        && !shared.peers.follows_stores()
+        && shared.peers.informing_hub_count(me, now) > 0;
+    store_retry_backoff(failures, receives_updates, shared.peers.daemon_count())
 }
 
 /// Obtains all objects of a role at the start, from the store or from a peer.
@@ -257,7 +274,7 @@
             is_confirmed,
             age_ms: age_us.map(DurationUs::as_ms),
             source,
-            hubs: shared.peers.hub_count(now),
+            hubs: shared.peers.informing_hub_count(shared.settings.ip, now),
             is_watching: shared.peers.follows_stores(),
             next_call_ms: next_call_us.map(DurationUs::as_ms),
         });
--- a/crates/wisteriahitch-relay/tests/all/store_retry.rs
+++ b/crates/wisteriahitch-relay/tests/all/store_retry.rs
@@ -1,9 +1,56 @@
 //! Retries of calls to an unavailable store.
 
-use wisteriahitch_relay::store_retry_backoff;
+use std::net::Ipv4Addr;
+
+use wisteriahitch_relay::{MemberPhase, MemberUpdate, PeerTable, store_retry_backoff};
 use wisteriahitch_types::DurationUs;
 
-use crate::fixture::ms;
+use crate::fixture::{at_ms, ms};
+use crate::members::message;
+
+/// Guards against a daemon that calls the store as rarely as the others although no hub tells it
+/// anything. Hubs have reported two hundred members, which count for seconds after the hubs have
+/// fallen silent.
+#[test]
+fn a_daemon_that_hears_no_hub_retries_soon() {
+    let mut table = PeerTable::default();
+    let mut report = message(1, 11, 1, MemberPhase::Ready);
+    report.zones = vec!["a".to_owned()];
+    report.members = (1..=200).map(member).collect();
+    report.membership.rotation_ms = 3_400;
+    table.receive(&report, at_ms(0));
+    let backoff = |now_ms| {
+        let now = at_ms(now_ms);
+        let receives_updates = table.informing_hubs(false, now).count() > 0;
+        store_retry_backoff(0, receives_updates, table.count(now) + 1)
+    };
+    assert_eq!(backoff(100), ms(10_000));
+    assert_eq!(table.count(at_ms(2_000)), 200);
+    assert_eq!(backoff(2_000), ms(100));
+}
+
+fn member(last: u8) -> MemberUpdate {
+    MemberUpdate {
+        ip: Ipv4Addr::new(10, 0, 1, last),
+        zone: 0,
+        phase: MemberPhase::Ready,
+        capacity: 100,
+        link_mbps: 10,
+    }
+}
+
+/// Hubs learn of changes from the daemons that watch the store, not from each other.
+#[test]
+fn a_hub_is_informed_by_daemons_that_watch_the_store() {
+    let mut table = PeerTable::default();
+    let mut relaying = message(1, 11, 1, MemberPhase::Ready);
+    relaying.follows_stores = false;
+    table.receive(&relaying, at_ms(0));
+    assert_eq!(table.informing_hubs(false, at_ms(100)).count(), 1);
+    assert_eq!(table.informing_hubs(true, at_ms(100)).count(), 0);
+    table.receive(&message(2, 12, 1, MemberPhase::Ready), at_ms(0));
+    assert_eq!(table.informing_hubs(true, at_ms(100)).count(), 1);
+}
 
 /// Store calls dominated the cost of a day with an outage, and the store was slow when it came
 /// back, since all daemons of a large fleet retried every 0.8 s. The fault was that daemons which
