fix(relay): ask the store as soon as nobody confirms what is known, hub or not

What callers saw: calls run with a dropped route or key, by a configuration that had been replaced longer ago than the bound allows, by a daemon that reaches the store.

Cause: in a large fleet a daemon made no call to the store as long as a hub said that it reaches it. That says nothing of what arrives here: the hub may not be confirmed itself, or its objects can't be fetched. Without such a hub it began to ask at nine tenths of the bound, the age up to which its answers may be final, plus up to 250 ms; and its watch was given up at a place in the order of the whole fleet, 0.2 s each, so up to 14 s late at 70 daemons.

Why this works: one derivation for all daemons says at which age one asks (StalenessLimits::query_at): first the daemon that confirms for all, the others spread over the time up to 0.8 of the bound, however many there are. A daemon relies on confirmations alone, and asks at once after a fetch from a peer failed. Its query is short, so that the answer confirms what is known. What a peer sends of its objects now has their age; without it, a daemon that follows one change after the other would never be confirmed and ask for nothing. The same function serves endpoints, weights and evacuations.

Looked for elsewhere: the order in which watches are given up (staleness::a_daemon_that_nobody_confirms_ asks_in_time_for_an_answer covers all sizes up to 2,000 daemons).

Changed in tests: ranks carry the number of places; the test of the order has one more case, its figures stay.

--- a/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -9,6 +9,7 @@
 use super::hubs::{HubCandidate, HubPlan};
 use super::member_rows::PeerRow;
 use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
+use super::staleness::QueryRank;
 
 impl PeerTable {
     /// Chooses the hubs of the fleet, including `me`.
@@ -71,24 +72,32 @@
             .filter(move |peer| peer.is_hub && (!is_hub || peer.follows_stores))
     }
 
-    /// Returns how many daemons ask the store about the objects named by `kind` before this one
-    /// does. The answer to each of them confirms for the whole fleet what is known.
+    /// Returns this daemon's place in the order in which daemons ask the store about the objects
+    /// named by `kind`. The answer to each of them confirms for the whole fleet what is known.
     ///
-    /// A daemon that doesn't watch the store asks after those that do. Its rank among the others is
+    /// A daemon that doesn't watch the store asks after those that do. Its place among the others is
     /// a hash modulo the size of the fleet, since most of those daemons don't receive each other's
     /// messages.
-    pub fn confirmation_rank(&self, kind: &str, me: Ipv4Addr, follows: bool, now: TimeUs) -> usize {
+    pub fn query_rank(&self, kind: &str, me: Ipv4Addr, follows: bool, now: TimeUs) -> QueryRank {
         let rank = Rendezvous::new("confirms", kind);
         let mine = rank.score(&me.octets());
         let followers = self.alive(now).filter(|peer| {
             let is_asking = peer.follows_stores && peer.is_store_reachable;
             is_asking && peer.phase != MemberPhase::Draining
         });
+        let scores: Vec<u64> = followers
+            .map(|peer| rank.score(&peer.ip.octets()))
+            .collect();
         if follows {
-            let before = followers.filter(|peer| rank.score(&peer.ip.octets()) > mine);
-            return before.count();
+            return QueryRank {
+                place: scores.iter().filter(|score| **score > mine).count(),
+                places: scores.len() + 1,
+            };
         }
         let daemons = self.count(now) + 1;
-        1 + followers.count() + usize::try_from(mine).unwrap_or(0) % daemons
+        QueryRank {
+            place: 1 + scores.len() + usize::try_from(mine).unwrap_or(0) % daemons,
+            places: 1 + scores.len() + daemons,
+        }
     }
 }
--- a/crates/wisteriahitch-relay/src/decide/staleness.rs
+++ b/crates/wisteriahitch-relay/src/decide/staleness.rs
@@ -11,7 +11,9 @@
 //! reach the store, has its watches answered after a short wait and sends the others the time as of
 //! which everything is known; their watches wait long. If nobody confirms this any more, the
 //! daemons give up their watches one after the other, in the order of the hash, and ask again: the
-//! first answer serves all. `docs/design/platform.md` has the figures.
+//! first answer serves all. The daemons that don't watch the store ask in the same way, because
+//! neither a hub's messages nor its word that it reaches the store make up for a confirmation.
+//! `docs/design/platform.md` has the figures.
 
 use wisteriahitch_types::{DurationUs, TimeUs};
 
@@ -19,9 +21,9 @@
 /// answers within 330 ms.
 const ANSWER_SLACK_US: DurationUs = DurationUs::from_ms(700);
 
-/// Time between two daemons' giving up their watches: enough for the first one's answer and its
-/// message to the others.
-const GIVE_UP_STAGGER_US: DurationUs = DurationUs::from_ms(200);
+/// Maximum time between two daemons' giving up their watches: enough for the first one's answer and
+/// its message to the others.
+const MAX_STAGGER_US: DurationUs = DurationUs::from_ms(200);
 
 /// Minimum wait of a watch. While changes follow each other, the time as of which everything is
 /// known is that of the previous watch's request. Without this minimum, the next watch would have
@@ -35,16 +37,34 @@
     pub confirm_us: DurationUs,
     /// Maximum wait of the watches of all other daemons.
     pub wait_us: DurationUs,
+    /// Age at which the last daemon asks the store itself if nobody has confirmed the state.
+    pub last_query_us: DurationUs,
     /// Maximum age of what is known at which an object may be reported as unknown. For a caller
     /// such an answer is final.
     pub final_us: DurationUs,
 }
 
+/// A daemon's place in the order in which daemons ask the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueryRank {
+    /// Number of daemons that ask before this one.
+    pub place: usize,
+    /// Number of places.
+    pub places: usize,
+}
+
+impl QueryRank {
+    /// Rank of a daemon that asks before all others, or alone.
+    pub const FIRST: Self = Self {
+        place: 0,
+        places: 1,
+    };
+}
+
 impl StalenessLimits {
-    /// Returns how long the store may keep a watch waiting. `place` is this daemon's place in the
-    /// order in which daemons ask; everything is known as of `as_of`.
-    pub fn wait(&self, place: usize, as_of: Option<TimeUs>, now: TimeUs) -> DurationUs {
-        if place > 0 {
+    /// Returns how long the store may keep a watch waiting; everything is known as of `as_of`.
+    pub fn wait(&self, rank: QueryRank, as_of: Option<TimeUs>, now: TimeUs) -> DurationUs {
+        if rank.place > 0 {
             return self.wait_us;
         }
         let age_us = as_of.map_or(DurationUs::ZERO, |as_of| now.since(as_of));
@@ -54,13 +74,25 @@
             .min(self.wait_us)
     }
 
+    /// Returns when a daemon asks the store itself unless a confirmation arrives before.
+    ///
+    /// However many daemons there are, the last one asks early enough to be answered within the
+    /// bound. It can't know whether those before it reach the store, nor whether it would hear of
+    /// their answers.
+    pub fn query_at(&self, rank: QueryRank, as_of: TimeUs) -> TimeUs {
+        let first_us = self.confirm_us + ANSWER_SLACK_US;
+        let window_us = self.last_query_us.get().saturating_sub(first_us.get());
+        let place = u64::try_from(rank.place).unwrap_or(u64::MAX);
+        let places = u64::try_from(rank.places).unwrap_or(u64::MAX).max(1);
+        let evenly_us = window_us.saturating_mul(place) / places;
+        let stagger_us = MAX_STAGGER_US.get().saturating_mul(place).min(evenly_us);
+        as_of + first_us + DurationUs::new(stagger_us)
+    }
+
     /// Returns when a watch requested at `asked_at` is given up unless a confirmation arrives
     /// before.
-    pub fn give_up_at(&self, place: usize, as_of: Option<TimeUs>, asked_at: TimeUs) -> TimeUs {
-        let place = u64::try_from(place).unwrap_or(u64::MAX);
-        let stagger_us = DurationUs::new(GIVE_UP_STAGGER_US.get().saturating_mul(place));
-        let confirmed_by_us = self.confirm_us + ANSWER_SLACK_US;
-        let due_at = as_of.unwrap_or(asked_at) + confirmed_by_us + stagger_us;
+    pub fn give_up_at(&self, rank: QueryRank, as_of: Option<TimeUs>, asked_at: TimeUs) -> TimeUs {
+        let due_at = self.query_at(rank, as_of.unwrap_or(asked_at));
         // A watch that was requested a moment ago may still be answered.
         due_at.max(asked_at + ANSWER_SLACK_US)
     }
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -53,7 +53,7 @@
 pub use decide::retry_share::max_saved_retries;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
 pub use decide::rollout_concurrency::{ConcurrencyOptions, Overrun, Remaining, RolloutConcurrency};
-pub use decide::staleness::{StalenessLimits, answered_as_of};
+pub use decide::staleness::{QueryRank, StalenessLimits, answered_as_of};
 pub use decide::store_retry::store_retry_backoff;
 pub use decide::stream_events::{EventFramer, FramedEvents, FramingError};
 pub use decide::suspects::{CRASHES_TO_BLOCK, CrashVerdict, RequestChanges, SuspectTable};
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -59,6 +59,10 @@
 /// store calls than everything else.
 const MIN_CONFIRM_INTERVAL_US: DurationUs = DurationUs::from_ms(300);
 
+/// Share of the propagation time after which the last daemon asks the store if nobody confirms what
+/// it knows. The rest is for the answer.
+const LAST_QUERY_SHARE: f64 = 0.8;
+
 /// Share of the propagation time up to which known objects count as the newest, so that callers may
 /// be told that anything else doesn't exist. The rest is for the call itself.
 const MAX_FINAL_AGE_SHARE: f64 = 0.9;
@@ -236,6 +240,7 @@
         StalenessLimits {
             confirm_us: confirm_us.max(MIN_CONFIRM_INTERVAL_US).min(wait_us),
             wait_us,
+            last_query_us: ms(propagation_ms * LAST_QUERY_SHARE),
             final_us: ms(propagation_ms * MAX_FINAL_AGE_SHARE),
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
+++ b/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
@@ -171,7 +171,7 @@
     for request in expired {
         // All daemons expire the block at about the same time; only one of them removes it from the
         // store.
-        let is_first = shared.peers.store_query_rank(ROLE, shared.settings.ip, now) == 0;
+        let is_first = shared.peers.query_rank(ROLE, shared.settings.ip, now).place == 0;
         let reason = match is_first {
             true => UnblockReason::Absent,
             false => UnblockReason::Peer,
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -72,11 +72,13 @@
 
 /// Fetches from a peer the objects of a role that are newer than the known ones.
 pub(super) async fn catch_up(shared: Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) {
-    fetch_changes(&shared, role, ip).await;
-    shared.watches.finish_catch_up(role);
+    let is_ok = fetch_changes(&shared, role, ip).await;
+    shared.watches.finish_catch_up(role, is_ok);
 }
 
-async fn fetch_changes(shared: &Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) {
+/// Fetches and applies changes, and returns whether the peer answered.
+async fn fetch_changes(shared: &Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) -> bool {
+    let asked_at = shared.now();
     let since = shared.watches.changed_revision(role);
     let fetched = match since == Revision::default() {
         true => fetch_all(shared, role, ip).await,
@@ -88,7 +90,7 @@
     match fetched {
         Ok(delta) => {
             let revision = delta.revision.0;
-            apply_delta(shared, role, delta);
+            apply_delta(shared, role, delta, asked_at);
             if shared.peers.follows_stores() {
                 shared.log.write(&Event::CaughtUp {
                     kind: kind_name(role),
@@ -96,11 +98,15 @@
                     revision,
                 });
             }
+            true
+        }
+        Err(detail) => {
+            shared.log.write(&Event::Failure {
+                what: "fetching objects from a peer",
+                detail: format!("{ip}: {detail}"),
+            });
+            false
         }
-        Err(detail) => shared.log.write(&Event::Failure {
-            what: "fetching objects from a peer",
-            detail: format!("{ip}: {detail}"),
-        }),
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -91,12 +91,14 @@
         let mut parameters = query.unwrap_or_default().split('&');
         parameters.find_map(|parameter| parameter.strip_prefix(name)?.strip_prefix('='))
     };
+    let now = shared.now();
     if let Some(max) = parameter(PAGE_LEN_PARAMETER).and_then(|max| max.parse().ok()) {
         let after = parameter(PAGE_START_PARAMETER);
-        return json(&shared.watches.page(*role, after, max));
+        return json(&shared.watches.page(*role, after, max, now));
     }
     let since = parameter("since").and_then(|since| since.parse().ok());
-    json(&shared.watches.delta(*role, Revision(since.unwrap_or(0))))
+    let since = Revision(since.unwrap_or(0));
+    json(&shared.watches.delta(*role, since, now))
 }
 
 fn metrics_text(shared: &Shared) -> String {
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -16,6 +16,7 @@
 use crate::decide::gossip_schedule::GossipSchedule;
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::PeerTable;
+use crate::decide::staleness::QueryRank;
 
 /// Maximum wait after the start for the list of the other daemons. The store answers within a
 /// second.
@@ -93,8 +94,7 @@
         self.daemon_count.load(Ordering::Relaxed).max(1)
     }
 
-    /// Returns whether gossip shows a hub that reaches the store, so that this daemon needn't ask
-    /// it.
+    /// Returns whether gossip shows a hub that reaches the store.
     pub(crate) fn hub_reaches_store(&self, me: Ipv4Addr, now: TimeUs) -> bool {
         let table = self.table.lock();
         let is_hub = self.current_hub_plan.lock().is_hub(me);
@@ -109,10 +109,11 @@
         table.informing_hubs(is_hub, now).count()
     }
 
-    /// Returns how many daemons ask the store for objects of a role before this one does.
-    pub(super) fn store_query_rank(&self, role: ObjectRole, me: Ipv4Addr, now: TimeUs) -> usize {
+    /// Returns this daemon's place in the order in which daemons ask the store for objects of a
+    /// role.
+    pub(super) fn query_rank(&self, role: ObjectRole, me: Ipv4Addr, now: TimeUs) -> QueryRank {
         let table = self.table.lock();
-        table.confirmation_rank(kind_name(role), me, self.follows_stores(), now)
+        table.query_rank(kind_name(role), me, self.follows_stores(), now)
     }
 
     /// Records a call that was sent, and wakes the sender if the others must learn of it at once.
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -53,7 +53,8 @@
         // seem to have newer objects forever.
         state.last_change = listing.revision;
         state.watch_revision = state.watch_revision.max(listing.revision);
-        let was_listed = std::mem::replace(&mut state.is_listed, true);
+        let was_listed = state.is_listed();
+        state.listed_at_us.get_or_insert(now);
         state.newer_at_peer = None;
         let age_us = if was_listed {
             DurationUs::ZERO
@@ -132,8 +133,23 @@
     }
 }
 
-/// Applies changes that were fetched from a peer.
-pub(super) fn apply_delta(shared: &Arc<Shared>, role: ObjectRole, delta: ObjectDelta) {
+/// Applies changes that were requested from a peer at `asked_at`, and their confirmation.
+pub(super) fn apply_delta(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    delta: ObjectDelta,
+    asked_at: TimeUs,
+) {
+    let age_ms = delta.age_ms;
+    apply_peer_objects(shared, role, delta);
+    if let Some(age_ms) = age_ms {
+        let age_us = DurationUs::from_ms(age_ms);
+        let mut state = shared.watches.state_of(role).lock();
+        state.confirm_age(age_us, asked_at);
+    }
+}
+
+fn apply_peer_objects(shared: &Arc<Shared>, role: ObjectRole, delta: ObjectDelta) {
     if delta.is_full {
         let listing = Listing {
             revision: delta.revision,
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -12,7 +12,7 @@
 use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
-use crate::decide::staleness::answered_as_of;
+use crate::decide::staleness::{QueryRank, answered_as_of};
 use crate::decide::store_retry::store_retry_backoff;
 use crate::observe::Event;
 
@@ -43,8 +43,9 @@
     let mut needs_listing = true;
     let mut is_first = true;
     loop {
-        if relies_on_gossip(&shared, role) {
-            tokio::time::sleep(ROLE_CHECK_INTERVAL).await;
+        let idle_time = time_to_query(&shared, role);
+        if !idle_time.is_zero() {
+            tokio::time::sleep(idle_time.min(ROLE_CHECK_INTERVAL)).await;
             continue;
         }
         let step = match needs_listing {
@@ -80,23 +81,27 @@
     }
 }
 
-/// Returns whether gossip keeps the objects of a role up to date, so that this daemon needn't ask
-/// the store.
+/// Returns how long the objects of a role needn't be asked for at the store, because gossip confirms
+/// them; zero if this daemon watches the store or has to ask now.
 ///
-/// In a large fleet only a few daemons ask. Otherwise each change would cost a call by every
-/// daemon, and the store's rate limits grow more slowly than fleets do.
-fn relies_on_gossip(shared: &Shared, role: ObjectRole) -> bool {
-    let is_listed = shared.watches.state_of(role).lock().is_listed;
-    let me = shared.settings.ip;
-    if !is_listed || shared.peers.follows_stores() {
-        return false;
+/// In a large fleet only a few daemons watch the store. Otherwise each change would cost a call by
+/// every daemon, and the store's rate limits grow more slowly than fleets do.
+fn time_to_query(shared: &Shared, role: ObjectRole) -> Duration {
+    if shared.peers.follows_stores() {
+        return Duration::ZERO;
     }
     let now = shared.now();
+    let rank = shared.peers.query_rank(role, shared.settings.ip, now);
     let limits = shared.bounds.staleness_limits(role);
-    // A daemon that watches the store may be asking again right now. Its confirmation will arrive
-    // in time.
-    let is_confirmed = limits.is_final(shared.watches.complete_as_of(role), now);
-    is_confirmed || shared.peers.hub_reaches_store(me, now)
+    let state = shared.watches.state_of(role).lock();
+    // A peer's listing is confirmed by its next message.
+    let as_of = state.complete_as_of_us.or(state.listed_at_us);
+    match as_of {
+        Some(as_of) if state.is_listed() && !state.is_catch_up_failing => {
+            limits.query_at(rank, as_of).since(now).into()
+        }
+        _ => Duration::ZERO,
+    }
 }
 
 /// Waits until the store may be asked again after a failure. The wait ends early if the hubs fall
@@ -120,7 +125,7 @@
 
 /// Returns how long to wait after a failure before the store is asked again.
 fn failure_backoff(shared: &Shared, role: ObjectRole, failures: usize, now: TimeUs) -> DurationUs {
-    let is_listed = shared.watches.state_of(role).lock().is_listed;
+    let is_listed = shared.watches.state_of(role).lock().is_listed();
     let me = shared.settings.ip;
     let receives_updates = is_listed
         && !shared.peers.follows_stores()
@@ -170,7 +175,7 @@
     let timeout = PEER_LISTING_TIMEOUT.mul_f64(rand::random_range(1.0..2.0));
     let give_up_at = Instant::now() + timeout;
     while !shared.peers.follows_stores() && Instant::now() < give_up_at {
-        if shared.watches.state_of(role).lock().is_listed {
+        if shared.watches.state_of(role).lock().is_listed() {
             return true;
         }
         tokio::time::sleep(PEER_LISTING_CHECK_INTERVAL).await;
@@ -218,7 +223,11 @@
 
 /// Returns the revision to watch from, and how long the store may keep the watch open.
 fn next_watch(shared: &Shared, role: ObjectRole, now: TimeUs) -> (Revision, Duration) {
-    let rank = shared.peers.store_query_rank(role, shared.settings.ip, now);
+    // A daemon that doesn't watch the store asks only if nobody else does for it.
+    let rank = match shared.peers.follows_stores() {
+        true => shared.peers.query_rank(role, shared.settings.ip, now),
+        false => QueryRank::FIRST,
+    };
     let state = shared.watches.state_of(role).lock();
     // Only an answer shows that the store is back, and a watch without changes is answered only at
     // its end.
@@ -237,7 +246,7 @@
     let limits = shared.bounds.staleness_limits(role);
     loop {
         let now = shared.now();
-        let rank = shared.peers.store_query_rank(role, shared.settings.ip, now);
+        let rank = shared.peers.query_rank(role, shared.settings.ip, now);
         let give_up_at = limits.give_up_at(rank, shared.watches.complete_as_of(role), asked_at);
         if give_up_at <= now {
             return;
@@ -293,6 +302,7 @@
     let mut state = shared.watches.state_of(role).lock();
     let silent_ms = state.silent_ms(now);
     state.answered_at_us = Some(now);
+    state.is_catch_up_failing = false;
     if state.failing_since_us.take().is_none() {
         return;
     }
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -36,8 +36,8 @@
     pub(super) watch_revision: Revision,
     /// Revision of the last known change.
     pub(super) last_change: Revision,
-    /// Whether a complete listing was applied, from the store or from a peer.
-    pub(super) is_listed: bool,
+    /// When a complete listing was first applied, from the store or from a peer.
+    pub(super) listed_at_us: Option<TimeUs>,
     /// When the store stopped answering this daemon; `None` while it answers.
     pub(super) failing_since_us: Option<TimeUs>,
     /// When the store last answered again after a failure.
@@ -64,6 +64,8 @@
     /// Whether objects are being fetched from a peer. A slow peer would otherwise get another
     /// request for each of its messages.
     pub(super) is_catching_up: bool,
+    /// Whether the last fetch from a peer failed, and the store hasn't answered since.
+    pub(super) is_catch_up_failing: bool,
 }
 
 /// Known objects of all watched roles, in the order of [`WATCHED_ROLES`].
@@ -82,7 +84,7 @@
         let mut watched = WATCHED_ROLES
             .iter()
             .filter(|role| bounds.is_watched(**role));
-        watched.all(|role| self.state_of(*role).lock().is_listed)
+        watched.all(|role| self.state_of(*role).lock().is_listed())
     }
 
     /// Returns whether a route or key that the configuration lacks may be reported as unknown to
@@ -110,8 +112,7 @@
 
     /// Returns the age of the known objects of a role, in milliseconds.
     pub(crate) fn age_ms(&self, role: ObjectRole, now: TimeUs) -> Option<u64> {
-        let as_of = self.complete_as_of(role);
-        as_of.map(|as_of| now.since(as_of).as_ms())
+        self.state_of(role).lock().age_ms(now)
     }
 
     /// Returns whether no watch is failing.
@@ -125,12 +126,11 @@
     pub(crate) fn kind_updates(&self, now: TimeUs) -> Vec<KindUpdate> {
         let update_of = |state: &Mutex<WatchState>| {
             let state = state.lock();
-            let age_ms = state
-                .complete_as_of_us
-                .map(|as_of| now.since(as_of).as_ms());
             KindUpdate {
                 revision: state.last_change.0,
-                age_ms: age_ms.and_then(|age_ms| u32::try_from(age_ms).ok()),
+                age_ms: state
+                    .age_ms(now)
+                    .and_then(|age_ms| u32::try_from(age_ms).ok()),
             }
         };
         self.0.iter().map(update_of).collect()
@@ -178,9 +178,11 @@
         due
     }
 
-    /// Marks a catch-up as finished, whether or not the peer answered.
-    pub(crate) fn finish_catch_up(&self, role: ObjectRole) {
-        self.state_of(role).lock().is_catching_up = false;
+    /// Marks a catch-up as finished.
+    pub(crate) fn finish_catch_up(&self, role: ObjectRole, is_ok: bool) {
+        let mut state = self.state_of(role).lock();
+        state.is_catching_up = false;
+        state.is_catch_up_failing = !is_ok;
     }
 
     /// Returns the revision of the last known change of a role.
@@ -193,13 +195,20 @@
     ///
     /// The peer uses the revision of the first page, so it receives the changes made between two
     /// pages afterwards.
-    pub(crate) fn page(&self, role: ObjectRole, after: Option<&str>, max: usize) -> ObjectDelta {
+    pub(crate) fn page(
+        &self,
+        role: ObjectRole,
+        after: Option<&str>,
+        max: usize,
+        now: TimeUs,
+    ) -> ObjectDelta {
         let state = self.state_of(role).lock();
         let start = after.map_or(Bound::Unbounded, Bound::Excluded);
         let mut rest = state.objects.range::<str, _>((start, Bound::Unbounded));
         let objects: Vec<StoredObject> = rest.by_ref().take(max).map(|(_, o)| o.clone()).collect();
         ObjectDelta {
             revision: state.last_change,
+            age_ms: state.age_ms(now),
             is_full: true,
             has_more: rest.next().is_some(),
             objects,
@@ -211,7 +220,7 @@
     /// Returns the changes of a role since a revision, for a peer. At revision 0, returns all
     /// objects. If some deletions since the revision are unknown, includes the names of all
     /// existing objects.
-    pub(crate) fn delta(&self, role: ObjectRole, since: Revision) -> ObjectDelta {
+    pub(crate) fn delta(&self, role: ObjectRole, since: Revision, now: TimeUs) -> ObjectDelta {
         let state = self.state_of(role).lock();
         let is_full = since == Revision::default();
         let misses_deletions = !is_full && since < state.deletions_lost_up_to;
@@ -223,6 +232,7 @@
         let names = || state.objects.keys().cloned().collect();
         ObjectDelta {
             revision: state.last_change,
+            age_ms: state.age_ms(now),
             is_full,
             has_more: false,
             names: misses_deletions.then(names),
@@ -239,6 +249,10 @@
 pub(crate) struct ObjectDelta {
     /// Revision up to which the changes are complete.
     pub(crate) revision: Revision,
+    /// Time since the sender's objects were confirmed to be complete, in milliseconds; `None` if they
+    /// never were.
+    #[serde(default)]
+    pub(super) age_ms: Option<u64>,
     /// Whether `objects` contains all objects instead of the changes.
     pub(super) is_full: bool,
     /// Whether more objects follow on the next page.
@@ -264,10 +278,25 @@
     fn confirm_by_peer(&mut self, update: &KindUpdate, held_up_us: DurationUs, now: TimeUs) {
         let Some(age_ms) = update.age_ms else { return };
         let age_us = DurationUs::from_ms(u64::from(age_ms)) + held_up_us;
-        let as_of = TimeUs::new(now.get().saturating_sub(age_us.get()));
+        self.confirm_age(age_us, now);
+    }
+
+    /// Records that a peer confirmed the known objects `age_us` before `at`.
+    pub(super) fn confirm_age(&mut self, age_us: DurationUs, at: TimeUs) {
+        let as_of = TimeUs::new(at.get().saturating_sub(age_us.get()));
         self.confirm(as_of, PEER);
     }
 
+    /// Returns whether all objects were listed at least once.
+    pub(super) fn is_listed(&self) -> bool {
+        self.listed_at_us.is_some()
+    }
+
+    /// Returns the age of the known objects, in milliseconds.
+    fn age_ms(&self, now: TimeUs) -> Option<u64> {
+        self.complete_as_of_us.map(|as_of| now.since(as_of).as_ms())
+    }
+
     /// Returns the time since the store last answered, in milliseconds.
     pub(super) fn silent_ms(&self, now: TimeUs) -> Option<u64> {
         self.answered_at_us.map(|at| now.since(at).as_ms())
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -128,7 +128,7 @@
         catch_up_delay: DurationUs,
         watch_wait: Duration,
         /// Confirmation age and maximum final age of the configuration.
-        staleness: (DurationUs, DurationUs),
+        staleness: (DurationUs, DurationUs, DurationUs),
     }
     let cases = [
         Case {
@@ -139,7 +139,7 @@
             drain_fallback: ms(250),
             catch_up_delay: DurationUs::new(62_500),
             watch_wait: Duration::from_millis(1_500),
-            staleness: (ms(300), ms(450)),
+            staleness: (ms(300), ms(400), ms(450)),
         },
         Case {
             factor: 0.5,
@@ -149,7 +149,7 @@
             drain_fallback: ms(500),
             catch_up_delay: ms(125),
             watch_wait: Duration::from_millis(3_000),
-            staleness: (ms(500), ms(900)),
+            staleness: (ms(500), ms(800), ms(900)),
         },
         Case {
             factor: 1.0,
@@ -159,7 +159,7 @@
             drain_fallback: ms(1_000),
             catch_up_delay: ms(250),
             watch_wait: Duration::from_millis(6_000),
-            staleness: (ms(1_000), ms(1_800)),
+            staleness: (ms(1_000), ms(1_600), ms(1_800)),
         },
         Case {
             factor: 2.0,
@@ -169,7 +169,7 @@
             drain_fallback: ms(2_000),
             catch_up_delay: ms(500),
             watch_wait: Duration::from_millis(6_000),
-            staleness: (ms(2_000), ms(3_600)),
+            staleness: (ms(2_000), ms(3_200), ms(3_600)),
         },
     ];
     for case in cases {
@@ -190,7 +190,7 @@
         assert_eq!(bounds.catch_up_delay(), case.catch_up_delay, "{factor}");
         assert_eq!(bounds.watch_wait(), case.watch_wait, "{factor}");
         let limits = bounds.staleness_limits(ObjectRole::Configuration);
-        let staleness = (limits.confirm_us, limits.final_us);
+        let staleness = (limits.confirm_us, limits.last_query_us, limits.final_us);
         assert_eq!(staleness, case.staleness, "{factor}");
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/staleness.rs
+++ b/crates/wisteriahitch-relay/tests/all/staleness.rs
@@ -3,8 +3,8 @@
 use std::net::Ipv4Addr;
 
 use wisteriahitch_relay::{
-    BoundSettings, GossipMessage, MemberPhase, MessageDelay, PeerTable, StalenessLimits,
-    answered_as_of,
+    BoundSettings, Bounds, GossipMessage, MemberPhase, MessageDelay, PeerTable, QueryRank,
+    StalenessLimits, answered_as_of,
 };
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::ObjectRole;
@@ -15,9 +15,15 @@
 const LIMITS: StalenessLimits = StalenessLimits {
     confirm_us: ms(1_000),
     wait_us: ms(6_000),
+    last_query_us: ms(3_700),
     final_us: ms(1_800),
 };
 
+/// Rank among ten daemons that watch the store.
+const fn rank(place: usize) -> QueryRank {
+    QueryRank { place, places: 10 }
+}
+
 /// The first daemon of the fleet has its watch answered often enough to confirm for all in time
 /// what they know; the watches of the others may wait.
 #[test]
@@ -61,7 +67,7 @@
         },
     ];
     for case in cases {
-        let wait = LIMITS.wait(case.place, case.as_of, at_ms(10_000));
+        let wait = LIMITS.wait(rank(case.place), case.as_of, at_ms(10_000));
         assert_eq!(wait, case.wait, "{}", case.what);
     }
 }
@@ -92,6 +98,13 @@
             asked_at: at_ms(7_000),
             give_up_at: at_ms(12_100),
         },
+        Case {
+            what: "the last",
+            place: 9,
+            as_of: Some(at_ms(10_000)),
+            asked_at: at_ms(7_000),
+            give_up_at: at_ms(13_500),
+        },
         Case {
             what: "one whose watch has just begun",
             place: 0,
@@ -108,7 +121,7 @@
         },
     ];
     for case in cases {
-        let give_up_at = LIMITS.give_up_at(case.place, case.as_of, case.asked_at);
+        let give_up_at = LIMITS.give_up_at(rank(case.place), case.as_of, case.asked_at);
         assert_eq!(give_up_at, case.give_up_at, "{}", case.what);
     }
 }
@@ -155,6 +168,60 @@
     }
 }
 
+/// Guards against a daemon that asks the store so late that the answer comes after the bound, because
+/// its place in the order of a large fleet is far behind or it waits until what it knows is as old
+/// as the bound allows. The answer takes 330 ms while the store is slow; a bound of two seconds only
+/// leaves time for a prompt one.
+#[test]
+fn a_daemon_that_nobody_confirms_asks_in_time_for_an_answer() {
+    struct Case {
+        bound: DurationUs,
+        answer: DurationUs,
+    }
+    let cases = [
+        Case {
+            bound: ms(2_000),
+            answer: ms(100),
+        },
+        Case {
+            bound: ms(3_000),
+            answer: ms(330),
+        },
+        Case {
+            bound: ms(5_000),
+            answer: ms(330),
+        },
+    ];
+    for Case { bound, answer } in cases {
+        let limits = bounds(bound, bound + ms(1_000)).staleness_limits(ObjectRole::Configuration);
+        for places in [1, 6, 70, 195, 984, 2_000] {
+            for place in 0..places {
+                let rank = QueryRank { place, places };
+                let query_at = limits.query_at(rank, at_ms(0));
+                assert!(query_at + answer <= at_ms(0) + bound, "{bound}: {rank:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a fleet whose daemons all ask at the same moment after the last confirmation. The
+/// store of the largest fleet answers 16,000 calls per second, so 400 in 100 ms for each of four
+/// kinds of objects.
+#[test]
+fn a_fleet_that_nobody_confirms_spreads_its_queries() {
+    let limits = bounds(ms(5_000), ms(6_000)).staleness_limits(ObjectRole::Configuration);
+    for places in [984, 2_000] {
+        let query_at = |place| limits.query_at(QueryRank { place, places }, at_ms(0));
+        let times: Vec<TimeUs> = (0..places).map(query_at).collect();
+        for start in &times {
+            let end = *start + ms(100);
+            let queries = times.iter().filter(|at| **at >= *start && **at < end);
+            let queries = queries.count();
+            assert!(queries <= 400, "{queries} of {places} from {start} on");
+        }
+    }
+}
+
 #[test]
 fn unknown_is_final_only_after_a_recent_confirmation() {
     assert!(!LIMITS.is_final(None, at_ms(10_000)));
@@ -235,7 +302,9 @@
         table
     };
     let place = |table: &PeerTable, follows, now_ms| {
-        table.confirmation_rank("endpoints", ME, follows, at_ms(now_ms))
+        let rank = table.query_rank("endpoints", ME, follows, at_ms(now_ms));
+        assert!(rank.place < rank.places, "{rank:?}");
+        rank.place
     };
     let all = change(|_| ());
     assert!(place(&all, true, 100) <= 8);
@@ -286,7 +355,14 @@
         let daemons = (0..size).map(|place| Follower {
             as_of: TimeUs::ZERO,
             asked_at: TimeUs::ZERO,
-            wait: limits.wait(place, Some(TimeUs::ZERO), TimeUs::ZERO),
+            wait: limits.wait(
+                QueryRank {
+                    place,
+                    places: size,
+                },
+                Some(TimeUs::ZERO),
+                TimeUs::ZERO,
+            ),
             is_silent: false,
             is_dead: false,
         });
@@ -301,7 +377,11 @@
 
     /// Runs the daemons up to `now`, in the order of their ranks.
     fn step(&mut self, now: TimeUs) {
-        let mut place = 0;
+        let alive = self.daemons.iter().filter(|daemon| !daemon.is_dead);
+        let mut rank = QueryRank {
+            place: 0,
+            places: alive.count(),
+        };
         for daemon in &mut self.daemons {
             if daemon.is_dead {
                 continue;
@@ -311,19 +391,19 @@
                 daemon.as_of = daemon.as_of.max(end_at);
                 self.in_transit.push((now + self.gossip_delay, end_at));
                 daemon.asked_at = now;
-                daemon.wait = self.limits.wait(place, Some(daemon.as_of), now);
+                daemon.wait = self.limits.wait(rank, Some(daemon.as_of), now);
                 self.calls += 1;
             } else if now
                 >= self
                     .limits
-                    .give_up_at(place, Some(daemon.as_of), daemon.asked_at)
+                    .give_up_at(rank, Some(daemon.as_of), daemon.asked_at)
             {
                 daemon.asked_at = now;
                 daemon.wait = SHORT_WAIT;
                 daemon.is_silent = false;
                 self.calls += 1;
             }
-            place += 1;
+            rank.place += 1;
         }
         let there = self
             .in_transit
@@ -391,19 +471,23 @@
     },
 ];
 
+fn bounds(known_within: DurationUs, contact: DurationUs) -> Bounds {
+    let known_within_ms = known_within.as_ms() as f64;
+    let bounds = BoundSettings {
+        old_weights_ms: Some(8_000.0),
+        all_weights_ms: Some(11_000.0),
+        endpoint_drain_ms: Some(known_within_ms),
+        configuration_ms: Some(known_within_ms),
+        contact_ms: Some(contact.as_ms() as f64),
+        store_history_s: Some(20.0),
+        evacuation_ms: None,
+    };
+    bounds.checked().unwrap()
+}
+
 impl Deployment {
     fn fleet(&self) -> Fleet {
-        let known_within_ms = self.known_within.as_ms() as f64;
-        let bounds = BoundSettings {
-            old_weights_ms: Some(8_000.0),
-            all_weights_ms: Some(11_000.0),
-            endpoint_drain_ms: Some(known_within_ms),
-            configuration_ms: Some(known_within_ms),
-            contact_ms: Some(self.contact.as_ms() as f64),
-            store_history_s: Some(20.0),
-            evacuation_ms: None,
-        };
-        let bounds = bounds.checked().unwrap();
+        let bounds = bounds(self.known_within, self.contact);
         let limits = bounds.staleness_limits(ObjectRole::Configuration);
         Fleet::new(limits, self.gossip_delay, self.followers)
     }
