fix(relay): contact lost hubs, so that the parts of a fleet find each other without the store

Cause: after a cut, each side counts the other as silent, sends it nothing and forgets it after 30 s, or as soon as no hub reports it. Only a listing of the registrations brought them together; a call of it lasts up to 10.5 s while the store is silent. Besides, a hub didn't answer a daemon that counts itself a hub because it knows nobody else.

Evidence: rejoining::* replays a fleet of 36 daemons with the product's tables and messages.

Why this works: members that were lost are remembered for five minutes. Hubs, and daemons without a hub, send to the hubs that the fleet would have with them. A hub of the whole fleet is one of each part too, so one that is alive can tell of all others, and it now answers. Both are bounded, at 16 at a time.

Looked for elsewhere: wisteriahitch-core's membership already tries addresses without a present member.

The messages of hubs that the membership model measures are unchanged.

--- a/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -11,19 +11,25 @@
 use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
 use super::staleness::QueryRank;
 
+/// Maximum number of daemons with another view of the fleet that a hub answers in one round. When
+/// all daemons start at once, a hub would otherwise encode a message for each of them.
+const MAX_ANSWERED_STRANGERS: usize = 16;
+
 impl PeerTable {
     /// Chooses the hubs of the fleet, including `me`.
     pub fn hub_plan(&self, me: &HubCandidate, now: TimeUs) -> HubPlan {
+        HubPlan::for_members(&self.hub_candidates(me, now))
+    }
+
+    /// Lists the daemons that may be hubs, including `me`.
+    pub(super) fn hub_candidates(&self, me: &HubCandidate, now: TimeUs) -> Vec<HubCandidate> {
         let mut members = vec![me.clone()];
         for (ip, known) in &self.known {
             let is_departed = self
                 .peers
                 .get(ip)
                 .is_some_and(|peer| is_silent(peer, now) || peer.phase == MemberPhase::Draining);
-            let report = self.indirect.get(ip);
-            let is_reported =
-                report.is_some_and(|row| now.since(row.received_at_us) < INDIRECT_TTL_US);
-            if *ip == me.ip || (is_departed && !is_reported) {
+            if *ip == me.ip || (is_departed && !self.is_reported(*ip, now)) {
                 continue;
             }
             members.push(HubCandidate {
@@ -32,7 +38,13 @@
                 link_mbps: known.link_mbps,
             });
         }
-        HubPlan::for_members(&members)
+        members
+    }
+
+    /// Returns whether a hub has reported a member lately.
+    pub(super) fn is_reported(&self, ip: Ipv4Addr, now: TimeUs) -> bool {
+        let report = self.indirect.get(&ip);
+        report.is_some_and(|row| now.since(row.received_at_us) < INDIRECT_TTL_US)
     }
 
     /// Returns the addresses to which a daemon sends its gossip.
@@ -45,6 +57,7 @@
             return plan.hub_of(me).into_iter().collect();
         }
         let mut targets: Vec<Ipv4Addr> = plan.hubs.iter().map(|hub| hub.ip).collect();
+        let mut strangers = 0;
         for ip in others {
             let zone = self.known.get(&ip).and_then(|known| known.zone.clone());
             let member = HubCandidate {
@@ -53,8 +66,14 @@
                 link_mbps: 0,
             };
             let is_assigned = plan.hub_of(&member) == Some(me.ip);
-            let sends_to_me = self.alive(now).any(|peer| peer.ip == ip && !peer.is_hub);
-            if (is_assigned || sends_to_me) && !targets.contains(&ip) {
+            let peer = self.get(ip).filter(|peer| !is_silent(peer, now));
+            let sends_to_me = peer.is_some_and(|peer| !peer.is_hub);
+            // A daemon that considers itself a hub and isn't one knows too few others. The answer
+            // tells it of all.
+            let is_stranger = !is_assigned && peer.is_some_and(|peer| peer.is_hub);
+            let is_answered = is_stranger && strangers < MAX_ANSWERED_STRANGERS;
+            if (is_assigned || sends_to_me || is_answered) && !targets.contains(&ip) {
+                strangers += usize::from(is_answered);
                 targets.push(ip);
             }
         }
--- a/crates/wisteriahitch-relay/src/decide/member_rows.rs
+++ b/crates/wisteriahitch-relay/src/decide/member_rows.rs
@@ -128,4 +128,7 @@
     pub(super) link_mbps: u16,
     /// When the address was first recorded, or the daemon's last message arrived.
     pub(super) since_us: TimeUs,
+    /// Whether a daemon there has sent a message or was reported by a hub, and didn't announce its
+    /// departure.
+    pub(super) is_confirmed: bool,
 }
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -10,6 +10,8 @@
 
 use super::departures::DEPARTURE_REPEAT_US;
 use super::gossip_message::{GossipMessage, MemberPhase, MemberUpdate};
+use super::hubs::HubCandidate;
+use super::lost_members::LostMembers;
 use super::member_rows::{EntryPoint, IndirectPeerRow, KnownAddress, MemberReport, PeerRow};
 use super::message_delay::MessageDelay;
 use super::permit_shares::ViewObservation;
@@ -51,6 +53,8 @@
     registered_until_us: TimeUs,
     /// Time in which this daemon's hub reports each member once, by its last message.
     rotation_us: DurationUs,
+    /// Members that are no longer known otherwise.
+    pub(super) lost: LostMembers,
 }
 
 /// Effect of a received message.
@@ -72,6 +76,7 @@
             zone: None,
             link_mbps: 0,
             since_us: now,
+            is_confirmed: false,
         });
         if let Some((zone, link_mbps)) = place {
             row.zone = Some(zone);
@@ -155,8 +160,10 @@
                 zone: Some(message.zone.clone()),
                 link_mbps: message.link_mbps,
                 since_us: now,
+                is_confirmed: message.phase != MemberPhase::Draining,
             },
         );
+        self.lost.remove(message.ip);
         match was_known {
             true => ReceiveOutcome::Known,
             false => ReceiveOutcome::Joined,
@@ -187,6 +194,10 @@
         };
         self.indirect.insert(member.ip, row);
         self.record_address(member.ip, Some((zone.clone(), member.link_mbps)), now);
+        if let Some(known) = self.known.get_mut(&member.ip) {
+            known.is_confirmed = member.phase != MemberPhase::Draining;
+        }
+        self.lost.remove(member.ip);
     }
 
     /// Removes expired members, and returns those that fell silent since `last`.
@@ -202,13 +213,22 @@
             self.registered.clear();
         }
         let (peers, indirect, rotation_us) = (&self.peers, &self.indirect, self.rotation_us);
-        self.known.retain(|ip, known| {
+        let expired = self.known.extract_if(.., |ip, known| {
             let ttl_us = match peers.contains_key(ip) || indirect.contains_key(ip) {
                 true => MEMBER_RETENTION_US,
                 false => UNCONFIRMED_ADDRESS_TTL_US + rotation_us,
             };
-            now.since(known.since_us) < ttl_us || indirect.contains_key(ip)
+            now.since(known.since_us) >= ttl_us && !indirect.contains_key(ip)
         });
+        for (ip, known) in expired.filter(|(_, known)| known.is_confirmed) {
+            let member = HubCandidate {
+                ip,
+                zone: known.zone.unwrap_or_default(),
+                link_mbps: known.link_mbps,
+            };
+            self.lost.insert(member, now);
+        }
+        self.lost.expire(now);
         let fell_silent = |peer: &&PeerRow| is_silent(peer, now) && !is_silent(peer, last);
         let silent = self.peers.values().filter(fell_silent);
         silent.map(|peer| peer.incarnation).collect()
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod hubs;
 mod leaving_instances;
 pub(crate) mod link_slowdowns;
+pub(crate) mod lost_members;
 pub(crate) mod member_rows;
 pub(crate) mod member_updates;
 pub(crate) mod members;
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -153,7 +153,16 @@
 fn send_round(shared: &Shared, socket: &UdpSocket, now: TimeUs) {
     let me = own_candidate(shared);
     let plan = shared.peers.current_hub_plan.lock().clone();
-    let targets = shared.peers.table().targets(&me, &plan, now);
+    let targets = {
+        let mut table = shared.peers.table();
+        let mut targets = table.targets(&me, &plan, now);
+        for ip in table.lost_hubs_to_contact(&me, &plan, now) {
+            if !targets.contains(&ip) {
+                targets.push(ip);
+            }
+        }
+        targets
+    };
     let local = std::mem::take(&mut *shared.peers.local_parts.lock());
     let remote = std::mem::take(&mut *shared.peers.remote_parts.lock());
     let round = RoundUpdates::new(shared, &plan, local, remote, now);
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod permit_shares;
 mod placement;
 mod regions;
+mod rejoining;
 mod rest;
 mod retry_share;
 mod rollout;
