perf(relay): compute the rank of a query only once it may be due

A daemon without a watch computed its place among all members four times a second for each kind of object, although gossip confirms the objects nearly always: at 984 daemons some 16,000 look-ups a second by reckoning, not measured. The time of the first place says whether the rank is needed at all. What is decided is the same (unconfirmed_hubs::*, staleness::*).

--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -90,18 +90,24 @@
     if shared.peers.follows_stores() {
         return Duration::ZERO;
     }
+    let as_of = {
+        let state = shared.watches.state_of(role).lock();
+        // A peer's listing is confirmed by its next message.
+        let as_of = state.complete_as_of_us.or(state.listed_at_us);
+        as_of.filter(|_| state.is_listed() && !state.is_catch_up_failing)
+    };
+    let Some(as_of) = as_of else {
+        return Duration::ZERO;
+    };
     let now = shared.now();
-    let rank = shared.peers.query_rank(role, shared.settings.ip, now);
     let limits = shared.bounds.staleness_limits(role);
-    let state = shared.watches.state_of(role).lock();
-    // A peer's listing is confirmed by its next message.
-    let as_of = state.complete_as_of_us.or(state.listed_at_us);
-    match as_of {
-        Some(as_of) if state.is_listed() && !state.is_catch_up_failing => {
-            limits.query_at(rank, as_of).since(now).into()
-        }
-        _ => Duration::ZERO,
+    let earliest = limits.query_at(QueryRank::FIRST, as_of);
+    if earliest > now {
+        // The rank depends on all members, and isn't needed as long as gossip confirms the objects.
+        return earliest.since(now).into();
     }
+    let rank = shared.peers.query_rank(role, shared.settings.ip, now);
+    limits.query_at(rank, as_of).since(now).into()
 }
 
 /// Waits until the store may be asked again after a failure. The wait ends early if the hubs fall
