--- a/crates/wisteriahitch-relay/tests/all/rejoining.rs
+++ b/crates/wisteriahitch-relay/tests/all/rejoining.rs
@@ -34,7 +34,7 @@
 /// Daemons that send each other gossip in rounds, with links that can be cut.
 struct Fleet {
     daemons: Vec<Daemon>,
-    /// Indices of the daemons that are cut off from all others, or only reach each other.
+    /// Indices of the daemons that only reach each other.
     cut_off: Vec<usize>,
     now_ms: u64,
 }
