fix(relay): don't let two hubs report a failed member to each other

Why this works: a daemon with another view gets the members that the sender hears itself, hubs among them, and none that were only reported. What one hears ends 0.9 s after the member has failed. A daemon without a hub learns of all hubs from it and gets the whole list from its own. The same rule holds for members that fell silent, to which a hub of their zone sent a message for spokes before.

--- a/crates/wisteriahitch-bench/src/membership/model.rs
+++ b/crates/wisteriahitch-bench/src/membership/model.rs
@@ -6,8 +6,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    GossipMessage, HubCandidate, HubPlan, MemberPhase, MembershipUpdate, PeerTable, RequestUpdate,
-    add_member_updates,
+    GossipMessage, HubCandidate, HubPlan, MemberPhase, MembershipUpdate, PeerTable, ReportReceiver,
+    RequestUpdate, add_member_updates,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
@@ -250,7 +250,11 @@
     fn hub_message(&mut self, index: usize, is_for_spoke: bool, now: TimeUs) -> GossipMessage {
         let mut message = self.message_from(index);
         if let Some(table) = self.table_index(self.members[index].ip) {
-            add_member_updates(&self.tables[table].1, &mut message, is_for_spoke, now);
+            let receiver = match is_for_spoke {
+                true => ReportReceiver::Spoke,
+                false => ReportReceiver::Hub,
+            };
+            add_member_updates(&self.tables[table].1, &mut message, receiver, now);
         }
         let bytes = message.clone().encoded(usize::MAX);
         self.max_message_bytes = self.max_message_bytes.max(bytes.len());
--- a/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -8,6 +8,7 @@
 use super::gossip_message::MemberPhase;
 use super::hubs::{HubCandidate, HubPlan};
 use super::member_rows::PeerRow;
+use super::member_updates::ReportReceiver;
 use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
 use super::staleness::QueryRank;
 
@@ -81,6 +82,18 @@
         targets
     }
 
+    /// Returns which members a message of this daemon, as a hub, reports to another one.
+    pub fn report_receiver(&self, plan: &HubPlan, ip: Ipv4Addr, now: TimeUs) -> ReportReceiver {
+        if plan.is_hub(ip) {
+            return ReportReceiver::Hub;
+        }
+        let has_other_view = |peer: &PeerRow| peer.is_hub || is_silent(peer, now);
+        match self.get(ip).is_some_and(has_other_view) {
+            true => ReportReceiver::Stranger,
+            false => ReportReceiver::Spoke,
+        }
+    }
+
     /// Lists the hubs whose messages tell this daemon of the store's changes. `is_hub` says whether
     /// this daemon is a hub.
     ///
--- a/crates/wisteriahitch-relay/src/decide/member_updates.rs
+++ b/crates/wisteriahitch-relay/src/decide/member_updates.rs
@@ -32,20 +32,32 @@
 /// one.
 const PAGE_ROTATION_US: DurationUs = DurationUs::from_ms(200);
 
-/// Adds the live members to a hub's message. Another hub gets those that this one serves, a spoke
-/// gets all members and the recent departures.
+/// Receiver of a hub's message, on which it depends which members are reported.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ReportReceiver {
+    /// A daemon that the hub serves: it gets all members and the recent departures.
+    Spoke,
+    /// A hub of the same fleet: it gets the daemons that the sender serves.
+    Hub,
+    /// A daemon with another view of the fleet, which may be a hub of the other part: it gets the
+    /// hubs and the daemons that the sender serves. Members that other hubs have reported are left
+    /// out. Two hubs would otherwise report a failed member to each other forever.
+    Stranger,
+}
+
+/// Adds the live members that a receiver needs to a hub's message.
 pub fn add_member_updates(
     table: &PeerTable,
     message: &mut GossipMessage,
-    is_for_spoke: bool,
+    receiver: ReportReceiver,
     now: TimeUs,
 ) {
     let mut rows: Vec<MemberReport> = table
         .alive(now)
-        .filter(|peer| is_for_spoke || !peer.is_hub)
+        .filter(|peer| receiver != ReportReceiver::Hub || !peer.is_hub)
         .map(PeerRow::report)
         .collect();
-    if is_for_spoke {
+    if receiver == ReportReceiver::Spoke {
         rows.extend(table.recent_indirect_members(now));
         let departed = table.recent_departures(now);
         let pages = departed.len().div_ceil(DEPARTED_PER_PAGE).max(1);
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -36,7 +36,7 @@
 pub use decide::hubs::{HubCandidate, HubPlan};
 pub use decide::link_slowdowns::LinkSlowdowns;
 pub use decide::member_rows::{EntryPoint, MemberReport, PeerRow};
-pub use decide::member_updates::add_member_updates;
+pub use decide::member_updates::{ReportReceiver, add_member_updates};
 pub use decide::members::{PeerTable, ReceiveOutcome};
 pub use decide::message_delay::MessageDelay;
 pub use decide::named_limit::{LimitNotice, LimitOutcome, NamedLimit};
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -15,7 +15,7 @@
 };
 use crate::decide::hubs::HubPlan;
 use crate::decide::member_rows::PeerRow;
-use crate::decide::member_updates::{add_member_updates, current_page};
+use crate::decide::member_updates::{ReportReceiver, add_member_updates, current_page};
 
 /// Maximum size of a message: the load of a few hundred endpoints and the updates of a tenth of a
 /// second. The network splits it into a few packets, and losing one packet loses one message.
@@ -80,18 +80,18 @@
     }
 }
 
-/// Encodes the message for `spoke`, a daemon that this hub serves, or for all other targets if
-/// `None`.
+/// Encodes the message for `spoke`, a daemon that isn't a hub for this one, or for all other targets
+/// if `None`.
 pub(super) fn encode_message(
     shared: &Shared,
     plan: &HubPlan,
     round: &RoundUpdates,
-    spoke: Option<Ipv4Addr>,
+    spoke: Option<(Ipv4Addr, ReportReceiver)>,
     now: TimeUs,
 ) -> Vec<u8> {
     let mut message = base_message(shared, plan, round, now);
     let target = match spoke {
-        Some(ip) => {
+        Some((ip, _)) => {
             let table = shared.peers.table();
             let peer = table.alive(now).find(|peer| peer.ip == ip);
             RoundTarget::Spoke(peer.map(|peer| peer.incarnation))
@@ -117,7 +117,8 @@
         if spoke.is_some() || shared.peers.follows_stores() {
             message.stored_parts.clone_from(&round.stored_parts);
         }
-        add_member_updates(&shared.peers.table(), &mut message, spoke.is_some(), now);
+        let receiver = spoke.map_or(ReportReceiver::Hub, |(_, receiver)| receiver);
+        add_member_updates(&shared.peers.table(), &mut message, receiver, now);
     }
     message.encoded(MAX_GOSSIP_BYTES)
 }
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -1,7 +1,7 @@
 //! Gossip among daemons: UDP messages sent several times per second.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use super::watch::log_confirmations;
 use crate::decide::gossip_message::{GossipMessage, MemberPhase};
 use crate::decide::hubs::HubCandidate;
+use crate::decide::member_updates::ReportReceiver;
 use crate::decide::members::ReceiveOutcome;
 use crate::decide::parts::PartKey;
 use crate::observe::Event;
@@ -153,27 +154,27 @@
 fn send_round(shared: &Shared, socket: &UdpSocket, now: TimeUs) {
     let me = own_candidate(shared);
     let plan = shared.peers.current_hub_plan.lock().clone();
-    let targets = {
+    let targets: Vec<(Ipv4Addr, ReportReceiver)> = {
         let mut table = shared.peers.table();
+        let lost = table.lost_hubs_to_contact(&me, &plan, now);
         let mut targets = table.targets(&me, &plan, now);
-        for ip in table.lost_hubs_to_contact(&me, &plan, now) {
-            if !targets.contains(&ip) {
-                targets.push(ip);
-            }
-        }
-        targets
+        targets.retain(|ip| !lost.contains(ip));
+        let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::Stranger));
+        let targets = targets.into_iter();
+        let targets = targets.map(|ip| (ip, table.report_receiver(&plan, ip, now)));
+        targets.chain(lost).collect()
     };
     let local = std::mem::take(&mut *shared.peers.local_parts.lock());
     let remote = std::mem::take(&mut *shared.peers.remote_parts.lock());
     let round = RoundUpdates::new(shared, &plan, local, remote, now);
     let mut shared_message: Option<Vec<u8>> = None;
-    for ip in targets {
+    for (ip, receiver) in targets {
         let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
         // A hub encodes one message per spoke, the daemons that it serves. All other targets get
         // the same message.
         let is_spoke = !plan.is_small && plan.is_hub(me.ip) && !plan.is_hub(ip);
         let message = match is_spoke {
-            true => encode_message(shared, &plan, &round, Some(ip), now),
+            true => encode_message(shared, &plan, &round, Some((ip, receiver)), now),
             false => shared_message
                 .get_or_insert_with(|| encode_message(shared, &plan, &round, None, now))
                 .clone(),
--- a/crates/wisteriahitch-relay/tests/all/rejoining.rs
+++ b/crates/wisteriahitch-relay/tests/all/rejoining.rs
@@ -3,7 +3,8 @@
 use std::net::Ipv4Addr;
 
 use wisteriahitch_relay::{
-    GossipMessage, HubCandidate, MemberPhase, PeerTable, add_member_updates,
+    GossipMessage, HubCandidate, HubPlan, MemberPhase, MemberUpdate, PeerTable, ReportReceiver,
+    add_member_updates,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
@@ -150,16 +151,21 @@
     base.link_mbps = me.link_mbps;
     base.is_hub = plan.is_hub(me.ip);
     base.follows_stores = plan.follows_stores(me);
+    let lost = table.lost_hubs_to_contact(me, &plan, now);
     let mut targets = table.targets(me, &plan, now);
-    targets.extend(table.lost_hubs_to_contact(me, &plan, now));
-    let message_to = |ip: Ipv4Addr| {
+    targets.retain(|ip| !lost.contains(ip));
+    let targets = targets
+        .into_iter()
+        .map(|ip| (ip, table.report_receiver(&plan, ip, now)));
+    let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::Stranger));
+    let message_to = |(ip, receiver): (Ipv4Addr, ReportReceiver)| {
         let mut message = base.clone();
         if !plan.is_small && message.is_hub {
-            add_member_updates(table, &mut message, !plan.is_hub(ip), now);
+            add_member_updates(table, &mut message, receiver, now);
         }
         (index, usize::from(ip.octets()[3]), message)
     };
-    targets.into_iter().map(message_to).collect()
+    targets.chain(lost).map(message_to).collect()
 }
 
 /// Guards against a daemon that stays alone after a cut has healed: it and the others count each
@@ -256,3 +262,46 @@
     }
     assert!(violations.is_empty(), "{violations:#?}");
 }
+
+/// Guards against a failed daemon that entry lists name for as long as two hubs with different views
+/// of the fleet report it to each other. Each takes the other one's report for news.
+#[test]
+fn hubs_with_different_views_do_not_report_a_failed_member_to_each_other_forever() {
+    const FAILED: Ipv4Addr = Ipv4Addr::new(10, 0, 9, 9);
+    let mut tables = [PeerTable::default(), PeerTable::default()];
+    let others = [candidate(1), candidate(0)];
+    let mut report = message(200, 201, 1, MemberPhase::Ready);
+    report.zones = vec!["a".to_owned()];
+    report.members = vec![MemberUpdate {
+        ip: FAILED,
+        zone: 0,
+        phase: MemberPhase::Ready,
+        capacity: 100,
+        link_mbps: 10,
+    }];
+    tables[0].receive(&report, at_ms(0));
+    let mut last_named_ms = 0;
+    for now_ms in (ROUND_MS..5 * CONTACT_BOUND_MS).step_by(200) {
+        let now = at_ms(now_ms);
+        let messages = [0, 1].map(|from: usize| {
+            let number = u8::try_from(from).unwrap();
+            let mut sent = message(number, u64::from(number) + 1, now_ms, MemberPhase::Ready);
+            // The other one isn't a hub in its view.
+            let plan = HubPlan {
+                hubs: vec![candidate(number)],
+                is_small: false,
+            };
+            let receiver = tables[from].report_receiver(&plan, others[from].ip, now);
+            add_member_updates(&tables[from], &mut sent, receiver, now);
+            sent
+        });
+        let [from_first, from_second] = messages;
+        tables[1].receive(&from_first, now);
+        tables[0].receive(&from_second, now);
+        let is_named = |table: &PeerTable| table.entries(now).iter().any(|e| e.ip == FAILED);
+        if tables.iter().any(is_named) {
+            last_named_ms = now_ms;
+        }
+    }
+    assert!(last_named_ms <= 2 * CONTACT_BOUND_MS, "{last_named_ms} ms");
+}
