--- a/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_targets.rs
@@ -12,9 +12,9 @@
 use super::members::{INDIRECT_TTL_US, PeerTable, is_silent};
 use super::staleness::QueryRank;
 
-/// Maximum number of daemons with another view of the fleet that a hub answers in one round. When
+/// Maximum number of daemons with another view of the fleet that a hub replies to in one round. When
 /// all daemons start at once, a hub would otherwise encode a message for each of them.
-const MAX_ANSWERED_STRANGERS: usize = 16;
+const MAX_OTHER_VIEW_REPLIES: usize = 16;
 
 impl PeerTable {
     /// Chooses the hubs of the fleet, including `me`.
@@ -58,7 +58,7 @@
             return plan.hub_of(me).into_iter().collect();
         }
         let mut targets: Vec<Ipv4Addr> = plan.hubs.iter().map(|hub| hub.ip).collect();
-        let mut strangers = 0;
+        let mut other_view_replies = 0;
         for ip in others {
             let zone = self.known.get(&ip).and_then(|known| known.zone.clone());
             let member = HubCandidate {
@@ -69,12 +69,12 @@
             let is_assigned = plan.hub_of(&member) == Some(me.ip);
             let peer = self.get(ip).filter(|peer| !is_silent(peer, now));
             let sends_to_me = peer.is_some_and(|peer| !peer.is_hub);
-            // A daemon that considers itself a hub and isn't one knows too few others. The answer
-            // tells it of all.
-            let is_stranger = !is_assigned && peer.is_some_and(|peer| peer.is_hub);
-            let is_answered = is_stranger && strangers < MAX_ANSWERED_STRANGERS;
+            // A daemon that considers itself a hub and isn't one has an incomplete view of the fleet.
+            // The reply completes it.
+            let has_other_view = !is_assigned && peer.is_some_and(|peer| peer.is_hub);
+            let is_answered = has_other_view && other_view_replies < MAX_OTHER_VIEW_REPLIES;
             if (is_assigned || sends_to_me || is_answered) && !targets.contains(&ip) {
-                strangers += usize::from(is_answered);
+                other_view_replies += usize::from(is_answered);
                 targets.push(ip);
             }
         }
@@ -89,17 +89,17 @@
         }
         let has_other_view = |peer: &PeerRow| peer.is_hub || is_silent(peer, now);
         match self.get(ip).is_some_and(has_other_view) {
-            true => ReportReceiver::Stranger,
+            true => ReportReceiver::OtherView,
             false => ReportReceiver::Spoke,
         }
     }
 
-    /// Lists the hubs whose messages tell this daemon of the store's changes. `is_hub` says whether
-    /// this daemon is a hub.
+    /// Lists the hubs from which this daemon receives updates about the store. `is_hub` is whether this
+    /// daemon is a hub itself.
     ///
     /// A hub only relies on hubs that watch the store themselves. Two hubs that relied on each other
     /// would report the store as reachable forever after it has failed.
-    pub fn informing_hubs(&self, is_hub: bool, now: TimeUs) -> impl Iterator<Item = &PeerRow> {
+    pub fn upstream_hubs(&self, is_hub: bool, now: TimeUs) -> impl Iterator<Item = &PeerRow> {
         self.alive(now)
             .filter(move |peer| peer.is_hub && (!is_hub || peer.follows_stores))
     }
--- a/crates/wisteriahitch-relay/src/decide/lost_members.rs
+++ b/crates/wisteriahitch-relay/src/decide/lost_members.rs
@@ -1,4 +1,4 @@
-//! Members that fell silent are still contacted now and then.
+//! Lost members are probed, so that the parts of a partitioned fleet find each other again.
 //!
 //! Load pattern: links between daemons are cut for seconds and heal. Both sides count each other as
 //! failed and stop sending, and only a listing of the registrations would bring them together again.
@@ -16,11 +16,11 @@
 use super::hubs::{HubCandidate, HubPlan};
 use super::members::{PeerTable, is_silent};
 
-/// Time between two attempts to reach lost hubs.
-const CONTACT_INTERVAL_US: DurationUs = DurationUs::from_ms(1_000);
+/// Time between two rounds of probes.
+const PROBE_INTERVAL_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Maximum number of lost hubs that are contacted at a time. The others follow in rotation.
-const MAX_CONTACTS: usize = 16;
+/// Maximum number of lost hubs probed in one round. The others follow in rotation.
+const MAX_PROBES: usize = 16;
 
 /// Time for which a lost member is remembered. Daemons find each other by the registrations after
 /// that.
@@ -30,9 +30,9 @@
 #[derive(Debug, Default)]
 pub(super) struct LostMembers {
     members: BTreeMap<Ipv4Addr, LostMember>,
-    last_contact_us: TimeUs,
-    /// Number of contacts so far, for the rotation.
-    contacts: usize,
+    last_probe_us: TimeUs,
+    /// Number of probes so far, for the rotation.
+    probes: usize,
 }
 
 #[derive(Debug)]
@@ -79,18 +79,18 @@
     /// They are hubs of the fleet with all lost members, so each one that is alive is also a hub of
     /// the part that it belongs to, and answers. A daemon that hears from its hub leaves this to the
     /// hub.
-    pub fn lost_hubs_to_contact(
+    pub fn lost_hubs_to_probe(
         &mut self,
         me: &HubCandidate,
         plan: &HubPlan,
         now: TimeUs,
     ) -> Vec<Ipv4Addr> {
         let is_hub = plan.is_hub(me.ip);
-        let is_due = now.since(self.lost.last_contact_us) >= CONTACT_INTERVAL_US;
-        if !is_due || (!is_hub && self.informing_hubs(false, now).next().is_some()) {
+        let is_due = now.since(self.lost.last_probe_us) >= PROBE_INTERVAL_US;
+        if !is_due || (!is_hub && self.upstream_hubs(false, now).next().is_some()) {
             return Vec::new();
         }
-        self.lost.last_contact_us = now;
+        self.lost.last_probe_us = now;
         let mut members = self.hub_candidates(me, now);
         members.extend(self.silent_members(now));
         members.extend(self.lost.candidates());
@@ -99,11 +99,11 @@
         let is_lost = |hub: &HubCandidate| hub.ip != me.ip && !is_heard(hub.ip);
         let mut lost: Vec<Ipv4Addr> = hubs.into_iter().filter(is_lost).map(|hub| hub.ip).collect();
         if !lost.is_empty() {
-            let offset = self.lost.contacts % lost.len();
+            let offset = self.lost.probes % lost.len();
             lost.rotate_left(offset);
         }
-        lost.truncate(MAX_CONTACTS);
-        self.lost.contacts = self.lost.contacts.wrapping_add(lost.len());
+        lost.truncate(MAX_PROBES);
+        self.lost.probes = self.lost.probes.wrapping_add(lost.len());
         lost
     }
 
--- a/crates/wisteriahitch-relay/src/decide/member_updates.rs
+++ b/crates/wisteriahitch-relay/src/decide/member_updates.rs
@@ -42,7 +42,7 @@
     /// A daemon with another view of the fleet, which may be a hub of the other part: it gets the
     /// hubs and the daemons that the sender serves. Members that other hubs have reported are left
     /// out. Two hubs would otherwise report a failed member to each other forever.
-    Stranger,
+    OtherView,
 }
 
 /// Adds the live members that a receiver needs to a hub's message.
--- a/crates/wisteriahitch-relay/src/decide/staleness.rs
+++ b/crates/wisteriahitch-relay/src/decide/staleness.rs
@@ -12,7 +12,7 @@
 //! which everything is known; their watches wait long. If nobody confirms this any more, the
 //! daemons give up their watches one after the other, in the order of the hash, and ask again: the
 //! first answer serves all. The daemons that don't watch the store ask in the same way, because
-//! neither a hub's messages nor its word that it reaches the store make up for a confirmation.
+//! a hub that reaches the store has not necessarily confirmed the objects that they know.
 //! `docs/design/platform.md` has the figures.
 
 use wisteriahitch_types::{DurationUs, TimeUs};
@@ -37,24 +37,24 @@
     pub confirm_us: DurationUs,
     /// Maximum wait of the watches of all other daemons.
     pub wait_us: DurationUs,
-    /// Age at which the last daemon asks the store itself if nobody has confirmed the state.
+    /// Maximum age of an unconfirmed state before the last daemon in the order queries the store.
     pub last_query_us: DurationUs,
     /// Maximum age of what is known at which an object may be reported as unknown. For a caller
     /// such an answer is final.
     pub final_us: DurationUs,
 }
 
-/// A daemon's place in the order in which daemons ask the store.
+/// A daemon's place in the order in which daemons query the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueryRank {
-    /// Number of daemons that ask before this one.
+    /// Number of daemons that query the store before this one.
     pub place: usize,
     /// Number of places.
     pub places: usize,
 }
 
 impl QueryRank {
-    /// Rank of a daemon that asks before all others, or alone.
+    /// Rank of a daemon that doesn't wait for any other one.
     pub const FIRST: Self = Self {
         place: 0,
         places: 1,
@@ -74,11 +74,11 @@
             .min(self.wait_us)
     }
 
-    /// Returns when a daemon asks the store itself unless a confirmation arrives before.
+    /// Returns when a daemon queries the store unless a confirmation arrives before.
     ///
-    /// However many daemons there are, the last one asks early enough to be answered within the
-    /// bound. It can't know whether those before it reach the store, nor whether it would hear of
-    /// their answers.
+    /// Whatever the size of the fleet, the last daemon queries the store early enough to be answered within the
+    /// bound. It doesn't know whether the daemons before it can reach the store, or whether it
+    /// would receive their updates.
     pub fn query_at(&self, rank: QueryRank, as_of: TimeUs) -> TimeUs {
         let first_us = self.confirm_us + ANSWER_SLACK_US;
         let window_us = self.last_query_us.get().saturating_sub(first_us.get());
--- a/crates/wisteriahitch-relay/src/decide/store_retry.rs
+++ b/crates/wisteriahitch-relay/src/decide/store_retry.rs
@@ -27,9 +27,9 @@
 
 /// Returns the backoff after the `failures`-th consecutive failure, counted from 0.
 ///
-/// `receives_updates` says whether the daemon hears from a hub that tells it of the store's changes,
-/// and has everything that it needs to serve; `daemons` is the size of the fleet. A daemon that
-/// hears from no hub learns of a change by its own calls alone, so these must not be rare.
+/// `receives_updates` is whether the daemon currently receives updates about the store from a hub and
+/// has everything that it needs to serve; `daemons` is the size of the fleet. Without such a hub,
+/// the daemon's own calls are its only source of changes, so they must be frequent.
 pub fn store_retry_backoff(failures: usize, receives_updates: bool, daemons: usize) -> DurationUs {
     let direct_backoff_us = BACKOFFS_US[failures.min(BACKOFFS_US.len() - 1)];
     if !receives_updates {
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -59,8 +59,8 @@
 /// store calls than everything else.
 const MIN_CONFIRM_INTERVAL_US: DurationUs = DurationUs::from_ms(300);
 
-/// Share of the propagation time after which the last daemon asks the store if nobody confirms what
-/// it knows. The rest is for the answer.
+/// Share of the propagation time after which even the last daemon queries the store for an unconfirmed
+/// state. The rest is for the answer.
 const LAST_QUERY_SHARE: f64 = 0.8;
 
 /// Share of the propagation time up to which known objects count as the newest, so that callers may
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -98,15 +98,15 @@
     pub(crate) fn hub_reaches_store(&self, me: Ipv4Addr, now: TimeUs) -> bool {
         let table = self.table.lock();
         let is_hub = self.current_hub_plan.lock().is_hub(me);
-        let mut hubs = table.informing_hubs(is_hub, now);
+        let mut hubs = table.upstream_hubs(is_hub, now);
         hubs.any(|hub| hub.is_store_reachable)
     }
 
-    /// Returns how many hubs tell this daemon of the store's changes.
-    pub(super) fn informing_hub_count(&self, me: Ipv4Addr, now: TimeUs) -> usize {
+    /// Returns the number of hubs from which this daemon receives updates about the store.
+    pub(super) fn upstream_hub_count(&self, me: Ipv4Addr, now: TimeUs) -> usize {
         let table = self.table.lock();
         let is_hub = self.current_hub_plan.lock().is_hub(me);
-        table.informing_hubs(is_hub, now).count()
+        table.upstream_hubs(is_hub, now).count()
     }
 
     /// Returns this daemon's place in the order in which daemons ask the store for objects of a
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -156,10 +156,10 @@
     let plan = shared.peers.current_hub_plan.lock().clone();
     let targets: Vec<(Ipv4Addr, ReportReceiver)> = {
         let mut table = shared.peers.table();
-        let lost = table.lost_hubs_to_contact(&me, &plan, now);
+        let lost = table.lost_hubs_to_probe(&me, &plan, now);
         let mut targets = table.targets(&me, &plan, now);
         targets.retain(|ip| !lost.contains(ip));
-        let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::Stranger));
+        let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::OtherView));
         let targets = targets.into_iter();
         let targets = targets.map(|ip| (ip, table.report_receiver(&plan, ip, now)));
         targets.chain(lost).collect()
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -81,8 +81,8 @@
     }
 }
 
-/// Returns how long the objects of a role needn't be asked for at the store, because gossip confirms
-/// them; zero if this daemon watches the store or has to ask now.
+/// Returns how long gossip may be relied on before this daemon queries the store for the objects of a
+/// role; zero if it watches the store or the query is due.
 ///
 /// In a large fleet only a few daemons watch the store. Otherwise each change would cost a call by
 /// every daemon, and the store's rate limits grow more slowly than fleets do.
@@ -110,8 +110,8 @@
     limits.query_at(rank, as_of).since(now).into()
 }
 
-/// Waits until the store may be asked again after a failure. The wait ends early if the hubs fall
-/// silent on which its length depends.
+/// Waits until the store may be called again after a failure. The backoff becomes shorter while
+/// waiting if this daemon no longer receives updates from a hub.
 async fn wait_after_failure(shared: &Shared, role: ObjectRole, failures: usize) {
     let failed_at = shared.now();
     let jitter = rand::random_range(0.8..1.2);
@@ -133,9 +133,8 @@
 fn failure_backoff(shared: &Shared, role: ObjectRole, failures: usize, now: TimeUs) -> DurationUs {
     let is_listed = shared.watches.state_of(role).lock().is_listed();
     let me = shared.settings.ip;
-    let receives_updates = is_listed
-        && !shared.peers.follows_stores()
-        && shared.peers.informing_hub_count(me, now) > 0;
+    let receives_updates =
+        is_listed && !shared.peers.follows_stores() && shared.peers.upstream_hub_count(me, now) > 0;
     store_retry_backoff(failures, receives_updates, shared.peers.daemon_count())
 }
 
@@ -229,7 +228,8 @@
 
 /// Returns the revision to watch from, and how long the store may keep the watch open.
 fn next_watch(shared: &Shared, role: ObjectRole, now: TimeUs) -> (Revision, Duration) {
-    // A daemon that doesn't watch the store asks only if nobody else does for it.
+    // A daemon that doesn't watch the store gets here only if its objects are unconfirmed, so its
+    // answer must arrive soon.
     let rank = match shared.peers.follows_stores() {
         true => shared.peers.query_rank(role, shared.settings.ip, now),
         false => QueryRank::FIRST,
@@ -289,7 +289,7 @@
             is_confirmed,
             age_ms: age_us.map(DurationUs::as_ms),
             source,
-            hubs: shared.peers.informing_hub_count(shared.settings.ip, now),
+            hubs: shared.peers.upstream_hub_count(shared.settings.ip, now),
             is_watching: shared.peers.follows_stores(),
             next_call_ms: next_call_us.map(DurationUs::as_ms),
         });
--- a/crates/wisteriahitch-relay/tests/all/rejoining.rs
+++ b/crates/wisteriahitch-relay/tests/all/rejoining.rs
@@ -103,11 +103,11 @@
         usize::from(hub.octets()[3])
     }
 
-    /// Returns whether a daemon and a hub outside the cut hear each other.
+    /// Returns whether a daemon and a hub outside the cut receive each other's messages.
     fn is_joined(&self, index: usize) -> bool {
         let now = self.now();
         let Daemon { me, table, .. } = &self.daemons[index];
-        let mut hubs = table.informing_hubs(false, now);
+        let mut hubs = table.upstream_hubs(false, now);
         hubs.any(|hub| {
             let hub_index = usize::from(hub.ip.octets()[3]);
             let mut heard = self.daemons[hub_index].table.alive(now);
@@ -151,13 +151,13 @@
     base.link_mbps = me.link_mbps;
     base.is_hub = plan.is_hub(me.ip);
     base.follows_stores = plan.follows_stores(me);
-    let lost = table.lost_hubs_to_contact(me, &plan, now);
+    let lost = table.lost_hubs_to_probe(me, &plan, now);
     let mut targets = table.targets(me, &plan, now);
     targets.retain(|ip| !lost.contains(ip));
     let targets = targets
         .into_iter()
         .map(|ip| (ip, table.report_receiver(&plan, ip, now)));
-    let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::Stranger));
+    let lost = lost.into_iter().map(|ip| (ip, ReportReceiver::OtherView));
     let message_to = |(ip, receiver): (Ipv4Addr, ReportReceiver)| {
         let mut message = base.clone();
         if !plan.is_small && message.is_hub {
@@ -263,8 +263,8 @@
     assert!(violations.is_empty(), "{violations:#?}");
 }
 
-/// Guards against a failed daemon that entry lists name for as long as two hubs with different views
-/// of the fleet report it to each other. Each takes the other one's report for news.
+/// Guards against a failed daemon that stays in entry lists because two hubs with different views of
+/// the fleet report it to each other, and each treats the other's report as a new observation.
 #[test]
 fn hubs_with_different_views_do_not_report_a_failed_member_to_each_other_forever() {
     const FAILED: Ipv4Addr = Ipv4Addr::new(10, 0, 9, 9);
--- a/crates/wisteriahitch-relay/tests/all/store_retry.rs
+++ b/crates/wisteriahitch-relay/tests/all/store_retry.rs
@@ -8,9 +8,8 @@
 use crate::fixture::{at_ms, ms};
 use crate::members::message;
 
-/// Guards against a daemon that calls the store as rarely as the others although no hub tells it
-/// anything. Hubs have reported two hundred members, which count for seconds after the hubs have
-/// fallen silent.
+/// Guards against a daemon that keeps the long backoff of a large fleet although it no longer receives
+/// updates from any hub. The two hundred members that its hub reported still count for seconds.
 #[test]
 fn a_daemon_that_hears_no_hub_retries_soon() {
     let mut table = PeerTable::default();
@@ -21,7 +20,7 @@
     table.receive(&report, at_ms(0));
     let backoff = |now_ms| {
         let now = at_ms(now_ms);
-        let receives_updates = table.informing_hubs(false, now).count() > 0;
+        let receives_updates = table.upstream_hubs(false, now).count() > 0;
         store_retry_backoff(0, receives_updates, table.count(now) + 1)
     };
     assert_eq!(backoff(100), ms(10_000));
@@ -46,10 +45,10 @@
     let mut relaying = message(1, 11, 1, MemberPhase::Ready);
     relaying.follows_stores = false;
     table.receive(&relaying, at_ms(0));
-    assert_eq!(table.informing_hubs(false, at_ms(100)).count(), 1);
-    assert_eq!(table.informing_hubs(true, at_ms(100)).count(), 0);
+    assert_eq!(table.upstream_hubs(false, at_ms(100)).count(), 1);
+    assert_eq!(table.upstream_hubs(true, at_ms(100)).count(), 0);
     table.receive(&message(2, 12, 1, MemberPhase::Ready), at_ms(0));
-    assert_eq!(table.informing_hubs(true, at_ms(100)).count(), 1);
+    assert_eq!(table.upstream_hubs(true, at_ms(100)).count(), 1);
 }
 
 /// Store calls dominated the cost of a day with an outage, and the store was slow when it came
