feat(relay): log what a refusal for a long queue is based on

The log of a refusal for its queue (2004) names the estimate and its bound, not whose calls it counts nor how many endpoints were left out, so that two hypotheses of the incident (calls that were never sent count as load; endpoints suspected at all daemons) look the same. It now has the calls that this daemon and others count at the best endpoint, the endpoints compared, and those that are suspected. No decision changes.

--- a/crates/wisteriahitch-relay/src/border/mod.rs
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -10,6 +10,6 @@
 pub use call_codec::{AnswerHead, CallCodec, CallHead, OutgoingCall};
 pub use engine_control::{EngineControl, EngineReport, OrderOutcome, WeightOrder};
 pub use part_store_control::{PartChanges, PartEvent, PartListing, PartStoreControl, StoredPart};
-pub use refusal::Refusal;
+pub use refusal::{ExcessQueue, Refusal};
 pub use site_codec::{DecodeError, SiteCodec};
 pub use statement::Statement;
--- a/crates/wisteriahitch-relay/src/border/refusal.rs
+++ b/crates/wisteriahitch-relay/src/border/refusal.rs
@@ -11,8 +11,25 @@
     pub code: Code,
     /// Time after which the caller may retry.
     pub retry_after_us: Option<DurationUs>,
-    /// Estimated queue that was too long, and the bound that it exceeds; for the log.
-    pub queue_and_bound_us: Option<(DurationUs, DurationUs)>,
+    /// The estimate that the call can't be served in time, if that is the reason; for the log.
+    pub excess_queue: Option<ExcessQueue>,
+}
+
+/// Queue at the best endpoint that is too long for a call, and what the estimate is based on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ExcessQueue {
+    /// Estimated wait for other calls.
+    pub queue_us: DurationUs,
+    /// Maximum wait for the call.
+    pub bound_us: DurationUs,
+    /// Unfinished calls at the endpoint that this daemon counts.
+    pub own_running: u32,
+    /// Unfinished calls at the endpoint that other daemons report.
+    pub peers_running: u32,
+    /// Endpoints that were compared.
+    pub candidates: usize,
+    /// Endpoints of the service that are suspected of being unreachable for all daemons.
+    pub suspected: usize,
 }
 
 impl Refusal {
@@ -21,13 +38,13 @@
         Self {
             code,
             retry_after_us: None,
-            queue_and_bound_us: None,
+            excess_queue: None,
         }
     }
 
-    /// Sets the estimated queue that was too long, and the bound that it exceeds.
-    pub const fn with_queue(mut self, queue_us: DurationUs, bound_us: DurationUs) -> Self {
-        self.queue_and_bound_us = Some((queue_us, bound_us));
+    /// Sets the estimate of the queue that is too long.
+    pub const fn with_excess_queue(mut self, excess_queue: ExcessQueue) -> Self {
+        self.excess_queue = Some(excess_queue);
         self
     }
 
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -19,7 +19,7 @@
 use super::part_stores::PartStores;
 use super::placement_candidate::{MainFetch, PlacementCandidate, PreferredEngines, evaluate};
 use super::placement_request::{EngineCall, PlacementRequest};
-use crate::border::Refusal;
+use crate::border::{ExcessQueue, Refusal};
 
 /// Cost difference, in milliseconds, below which candidates count as about equal in a small fleet;
 /// one of them is sampled.
@@ -108,7 +108,17 @@
     let excess_us = late_us.max(queue_us - request.max_queue_us);
     if excess_us > DurationUs::ZERO {
         let refusal = Refusal::new(Code::DeadlineUnreachable);
-        let refusal = refusal.with_queue(queue_us, request.max_queue_us);
+        let is_suspected = |row: &&EndpointRow| row.suspected_until_us > now;
+        let refusal = refusal.with_excess_queue(ExcessQueue {
+            queue_us,
+            bound_us: request.max_queue_us,
+            own_running: chosen.row.own_load.running,
+            peers_running: chosen.row.peers_load.running,
+            candidates: evaluated.len(),
+            suspected: endpoints_taking_requests(table, request)
+                .filter(is_suspected)
+                .count(),
+        });
         return Err(refusal.retry_after(retry_after(excess_us, rng)));
     }
     let prompt_tokens = request
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -13,9 +13,9 @@
 mod site;
 
 pub use border::{
-    AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, OrderOutcome,
-    OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl, Refusal, SiteCodec,
-    Statement, StoredPart, WeightOrder,
+    AnswerHead, CallCodec, CallHead, DecodeError, EngineControl, EngineReport, ExcessQueue,
+    OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl, Refusal,
+    SiteCodec, Statement, StoredPart, WeightOrder,
 };
 pub use clock::BootClock;
 pub use decide::backlog::{Load, LoadReport};
--- a/crates/wisteriahitch-relay/src/shell/trace.rs
+++ b/crates/wisteriahitch-relay/src/shell/trace.rs
@@ -83,9 +83,13 @@
         self.entry.code = Some(refusal.code.number());
         self.entry.status = refusal.code.http_status();
         self.entry.retry_after_ms = refusal.retry_after_us.map(DurationUs::as_ms);
-        if let Some((queue_us, bound_us)) = refusal.queue_and_bound_us {
-            self.entry.queue_ms = Some(queue_us.as_ms());
-            self.entry.longest_queue_ms = Some(bound_us.as_ms());
+        if let Some(excess) = refusal.excess_queue {
+            self.entry.queue_ms = Some(excess.queue_us.as_ms());
+            self.entry.longest_queue_ms = Some(excess.bound_us.as_ms());
+            self.entry.own_running = Some(excess.own_running);
+            self.entry.peers_running = Some(excess.peers_running);
+            self.entry.suspected = Some(excess.suspected);
+            self.entry.candidates = excess.candidates;
         }
         let label = refusal.code.to_string();
         self.shared
