fix(relay): open connections through another daemon if endpoints can't be reached

Cause: a daemon had one way to an endpoint, a connection of its own. In a partition each call tried up to four endpoints for 0.4 s each, or was refused by each of them, and then got 503, though the other daemons reached the endpoints and it reached the other daemons.

Now two endpoints of a service to which connections fail, with none opened in between, count as a partition; a control connection after the first failure finds out at once. Another daemon then opens connections and copies their bytes, one step at most, for members and to known endpoints alone, at most 512. The call, its permits and its attempts stay where they are, so whether it has run is decided as before. Open connections are used while one of them has carried an answer since.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_gossip.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_gossip.rs
@@ -108,6 +108,16 @@
         }
     }
 
+    /// Withdraws this daemon's failure to connect to an endpoint, because another daemon connects to
+    /// it, and ends its ejection.
+    pub fn withdraw_connect_failure(&mut self, instance: &EndpointInstance, now: TimeUs) {
+        let options = self.outlier_options;
+        if let Some(row) = self.get_mut(instance) {
+            row.unreachable_until_us = row.unreachable_until_us.min(now);
+            row.outlier.record_success(&options);
+        }
+    }
+
     /// Replaces the set of endpoints that a peer failed to connect to lately. `is_corroborated`
     /// means that the peer names only endpoints that several daemons failed to connect to.
     pub fn apply_peer_connect_failures(
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -291,6 +291,18 @@
         self.peers.get(&ip)
     }
 
+    /// Returns the phase of a member, whether it sends to this daemon or is reported by a hub; `None`
+    /// if the address isn't a member's.
+    pub fn member_phase(&self, ip: Ipv4Addr, now: TimeUs) -> Option<MemberPhase> {
+        let direct = self.peers.get(&ip).filter(|peer| !is_silent(peer, now));
+        let indirect = || {
+            let row = self.indirect.get(&ip);
+            row.filter(|row| now < row.expires_at_us)
+        };
+        let direct = direct.map(|peer| peer.phase);
+        direct.or_else(|| indirect().map(|row| row.phase))
+    }
+
     /// Returns the time since the last message from an address; `None` if there was none.
     pub fn silence(&self, ip: Ipv4Addr, now: TimeUs) -> Option<DurationUs> {
         self.peers
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -22,11 +22,13 @@
 pub use decide::cold_limit::ColdState;
 pub use decide::crash_evidence::{BrokenCallVerdict, ConnectFailure, CrashEvidence};
 pub use decide::endpoint_admission::{Admission, CallPermits, LimitCause, ServiceColdLimit};
+pub use decide::endpoint_links::{ConnectionPath, EndpointLinks, LinkChange};
 pub use decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 pub use decide::endpoint_row::{EndpointRow, EndpointState};
 pub use decide::endpoint_statements::EndpointStatements;
 pub use decide::endpoint_table::{AbsenceCause, EndpointChange, EndpointTable, Registration};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
+pub use decide::forwarders::{Forwarders, RefusalReason};
 pub use decide::gossip_message::{
     BlockedUpdate, CrashUpdate, EndpointUpdate, GossipMessage, KindUpdate, LimitUpdate,
     MemberPhase, MemberUpdate, MembershipUpdate, PartUpdate, RequestUpdate, StoreUpdate,
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -1,5 +1,7 @@
 //! Events of the log.
 
+use std::net::IpAddr;
+
 use serde::Serialize;
 
 /// An event; `docs/LOGS.md` explains each.
@@ -27,7 +29,7 @@
     /// The daemon became ready to serve, or is no longer ready.
     ReadyChanged { is_ready: bool, endpoints: usize },
     /// A call has ended, with any outcome.
-    CallEnded(CallEnded),
+    CallEnded(Box<CallEnded>),
     /// An attempt at a call failed; `next` is what was decided about the next one.
     AttemptFailed {
         request: String,
@@ -101,6 +103,12 @@
         is_ejected: bool,
         failure_rate: f64,
     },
+    /// Connections from this daemon to the endpoints of a service no longer open, so that other
+    /// daemons open them; or they open again.
+    EndpointsPartitioned {
+        service: String,
+        is_partitioned: bool,
+    },
     /// A configuration was adopted.
     ConfigAdopted {
         version: u64,
@@ -209,6 +217,8 @@
     pub retry_after_ms: Option<u64>,
     pub attempts: u32,
     pub endpoint: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub forwarder: Option<IpAddr>,
     pub weights: u64,
     pub candidates: usize,
     pub cached_tokens: u64,
@@ -218,7 +228,7 @@
     pub longest_queue_ms: Option<u64>,
     pub own_running: Option<u32>,
     pub peers_running: Option<u32>,
-    pub suspected: Option<usize>,
+    pub suspected: Option<u32>,
     pub expected_ms: u64,
     pub first_event_ms: Option<u64>,
     pub total_ms: u64,
@@ -254,6 +264,7 @@
             Event::RequestBlocked { .. } => "request_blocked",
             Event::RequestUnblocked { .. } => "request_unblocked",
             Event::EndpointEjected { .. } => "endpoint_ejected",
+            Event::EndpointsPartitioned { .. } => "endpoints_partitioned",
             Event::ConfigAdopted { .. } => "config_adopted",
             Event::EvacuationChanged { .. } => "evacuation_changed",
             Event::ObjectUnreadable { .. } => "object_unreadable",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -50,6 +50,10 @@
     pub(crate) retries: IntCounterVec,
     /// Connections to endpoints, by whether they were opened, reused or failed.
     pub(crate) connections: IntCounterVec,
+    /// Requests of other daemons to forward a connection, by outcome.
+    pub(crate) forward_requests: IntCounterVec,
+    /// Connections that this daemon forwards for others.
+    pub(crate) forwarded_connections: IntGauge,
     /// Endpoints by state.
     pub(crate) endpoints: IntGaugeVec,
     /// Calls in flight.
@@ -97,7 +101,6 @@
         let gauge = |name: &str, help: &str| gauge(&registry, name, help);
         let histogram =
             |name: &str, help: &str, buckets: &[f64]| histogram(&registry, name, help, buckets);
-        let seconds = |name: &str, help: &str| seconds_gauge(&registry, name, help);
         let dropped_lines = IntCounter::new(
             "relay_log_dropped_lines_total",
             "Log lines that were left out.",
@@ -138,6 +141,8 @@
             attempts: counters("relay_attempts_total", "Attempts.", &["outcome"])?,
             retries: counters("relay_retries_total", "Retries asked for.", &["granted"])?,
             connections: counters("relay_connections_total", "Connections.", &["how"])?,
+            forward_requests: forward_requests(&registry)?,
+            forwarded_connections: forwarded_connections(&registry)?,
             in_flight: gauge("relay_calls_in_flight", "Calls under way.")?,
             store_calls: counters(
                 "relay_store_calls_total",
@@ -163,10 +168,7 @@
             first_event_s: first_event_s(&registry)?,
             endpoints: endpoints(&registry)?,
             store_age_s: store_age_s(&registry)?,
-            rollout_late_s: seconds(
-                "relay_rollout_late_seconds",
-                "Time by which a rollout is expected to miss its bound.",
-            )?,
+            rollout_late_s: rollout_late_s(&registry)?,
             dropped_lines,
             registry,
         })
@@ -214,6 +216,17 @@
     counters(registry, "relay_endpoint_crashes_total", help, &["proof"])
 }
 
+fn forward_requests(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Requests of other daemons to forward a connection.";
+    let name = "relay_forward_requests_total";
+    counters(registry, name, help, &["outcome"])
+}
+
+fn forwarded_connections(registry: &Registry) -> prometheus::Result<IntGauge> {
+    let help = "Connections forwarded for other daemons.";
+    gauge(registry, "relay_forwarded_connections", help)
+}
+
 fn malformed_statements(registry: &Registry) -> prometheus::Result<IntCounterVec> {
     let help = "Statements of endpoints about themselves that can't be read.";
     let name = "relay_malformed_statements_total";
@@ -253,6 +266,11 @@
     Ok(gauges)
 }
 
+fn rollout_late_s(registry: &Registry) -> prometheus::Result<Gauge> {
+    let help = "Time by which a rollout is expected to miss its bound.";
+    seconds_gauge(registry, "relay_rollout_late_seconds", help)
+}
+
 fn store_age_s(registry: &Registry) -> prometheus::Result<GaugeVec> {
     let help = "Time since the store was known to hold nothing newer.";
     let options = Opts::new("relay_store_age_seconds", help);
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -11,6 +11,7 @@
 use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
+use super::endpoint_connections::{connect_timeout, open_connection};
 use super::in_flight::{AttemptOutcome, InFlightAttempt};
 use super::shared::Shared;
 use super::statements::record_statements;
@@ -20,10 +21,6 @@
 use crate::observe::Event;
 use crate::site::{AllowedZones, EngineSpec, RequestFingerprint};
 
-/// Maximum time to connect to an endpoint. A connection normally takes a few milliseconds. A lost
-/// SYN packet is sent again only after a second; another endpoint can be reached sooner.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Maximum idle time of a pooled connection that a non-repeatable call is sent on. If the endpoint
 /// closes the connection at that moment, it is unknown whether the call has run.
 const MAX_IDLE_NON_REPEATABLE: Duration = Duration::from_millis(2_500);
@@ -188,6 +185,7 @@
         }
     };
     let answer = shared.borders.calls.decode_answer(&parts);
+    shared.record_answer_on(&placement.endpoint, &connection);
     record_answer(shared, call, placement, &answer);
     let checked = check_answer(call, &parts, &answer, is_last);
     let is_for_this_call = !checked.as_ref().is_err_and(|failure| {
@@ -222,7 +220,7 @@
 }
 
 async fn exchange(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     call: &Call,
     placement: &Placement,
     resume_after: Option<u64>,
@@ -233,13 +231,19 @@
         false => MAX_IDLE_NON_REPEATABLE,
     };
     // If a pooled connection turns out to be closed, nothing was sent, and a new one is opened.
-    let mut pooled = shared.pool.checkout(&placement.endpoint, max_idle).await;
+    let mut pooled = shared
+        .checkout_connection(&placement.endpoint, max_idle)
+        .await;
     loop {
         let (mut connection, is_pooled) = match pooled.take() {
             Some(connection) => (connection, true),
             None => (connect(shared, placement, deadline).await?, false),
         };
-        let how = if is_pooled { "reused" } else { "opened" };
+        let how = match (is_pooled, connection.forwarder()) {
+            (true, _) => "reused",
+            (false, None) => "opened",
+            (false, Some(_)) => "forwarded",
+        };
         shared.metrics.connections.with_label_values(&[how]).inc();
         if !is_admitted(shared, placement) {
             let detail = "the endpoint no longer accepts calls";
@@ -264,7 +268,7 @@
 }
 
 async fn connect(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     placement: &Placement,
     deadline: Instant,
 ) -> Result<Connection, Failure> {
@@ -274,7 +278,7 @@
         .must_verify_start(&placement.endpoint);
     let opened = match must_verify_start {
         true => connect_and_query_start(shared, placement, deadline).await,
-        false => Connection::open(placement.address, connect_timeout(deadline)).await,
+        false => open_connection(shared, &placement.endpoint, deadline).await,
     };
     opened.map_err(|error| {
         let label = ["failed"];
@@ -284,23 +288,18 @@
     })
 }
 
-fn connect_timeout(deadline: Instant) -> Duration {
-    let left = deadline.saturating_duration_since(Instant::now());
-    left.min(CONNECT_TIMEOUT)
-}
-
 /// Opens a connection and asks on it for the start of the process at the other end.
 ///
 /// A process that has restarted without its registration having been read is then known to be cold
 /// before a call reaches it.
 async fn connect_and_query_start(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     placement: &Placement,
     deadline: Instant,
 ) -> Result<Connection, HttpError> {
     let engines = &shared.borders.engines;
     for _ in 0..MAX_START_QUERIES {
-        let mut connection = Connection::open(placement.address, connect_timeout(deadline)).await?;
+        let mut connection = open_connection(shared, &placement.endpoint, deadline).await?;
         let (id, timeout) = (&placement.endpoint.id, connect_timeout(deadline));
         let start = engines.fetch_start(id, &mut connection, timeout).await?;
         let now = shared.now();
@@ -482,6 +481,6 @@
 ) {
     use hyper::body::Body as _;
     if kind == FailureKind::NotRun && !answer.is_closing && body.is_end_stream() {
-        shared.pool.check_in(&placement.endpoint, connection);
+        shared.return_connection(&placement.endpoint, connection);
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
@@ -128,5 +128,5 @@
     if let Some(keep_alive) = answer.keep_alive {
         connection.set_idle_timeout(keep_alive);
     }
-    shared.pool.check_in(&placement.endpoint, connection);
+    shared.return_connection(&placement.endpoint, connection);
 }
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -115,6 +115,8 @@
             blocked_requests: BlockedRequests::default(),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
+            links: Mutex::default(),
+            forwarders: Mutex::default(),
             instance_ended: Notify::new(),
             followed_engines: Mutex::default(),
             budgets: RetryBudgets::new(settings.retry.clone(), settings.ip),
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -0,0 +1,292 @@
+//! Opens connections to endpoints, directly or through another daemon.
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header::{CONNECTION, HOST, UPGRADE};
+use rand::seq::IteratorRandom;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use wisteriahitch_types::{EndpointInstance, ServiceName, TimeUs};
+use wisteriahitch_wire::connection_pool::{Connection, ForwardError, open_stream};
+use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
+
+use super::forwarding::{FORWARD_PATH, FORWARD_PROTOCOL, UNKNOWN_MEMBER, UNREACHABLE};
+use super::shared::Shared;
+use crate::decide::endpoint_links::{ConnectionPath, LinkChange};
+use crate::decide::endpoint_row::EndpointRow;
+use crate::decide::endpoint_table::EndpointTable;
+use crate::decide::forwarders::RefusalReason;
+use crate::observe::Event;
+
+/// Maximum time to connect to an endpoint. A connection normally takes a few milliseconds. A lost
+/// SYN packet is sent again only after a second; another endpoint can be reached sooner.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Maximum time for a forwarder to connect to the endpoint.
+const FORWARD_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Returns the time for a direct connection attempt.
+pub(super) fn connect_timeout(deadline: Instant) -> Duration {
+    let left = deadline.saturating_duration_since(Instant::now());
+    left.min(CONNECT_TIMEOUT)
+}
+
+/// An endpoint that a connection is opened to.
+#[derive(Clone, Debug)]
+pub(super) struct ConnectTarget {
+    pub(super) instance: EndpointInstance,
+    pub(super) service: ServiceName,
+    pub(super) address: SocketAddr,
+    short_name: u32,
+    /// Number of endpoints of the service that accept requests.
+    service_size: usize,
+}
+
+impl ConnectTarget {
+    /// Returns the target for a known endpoint.
+    pub(super) fn of(endpoints: &EndpointTable, instance: &EndpointInstance) -> Option<Self> {
+        let row = endpoints.get(instance)?;
+        let service = &row.endpoint.service;
+        let is_of_service =
+            |row: &&EndpointRow| row.endpoint.service == *service && row.accepts_requests();
+        Some(Self {
+            instance: instance.clone(),
+            service: service.clone(),
+            address: row.endpoint.address,
+            short_name: row.short_name,
+            service_size: endpoints.iter().filter(is_of_service).count(),
+        })
+    }
+}
+
+/// A direct connection that couldn't be opened.
+#[derive(Debug)]
+pub(super) struct ConnectFailed {
+    /// When the attempt began.
+    pub(super) started_at_us: TimeUs,
+    error: HttpError,
+}
+
+/// Opens a connection to an endpoint: directly, or through another daemon if this one can't connect
+/// to the endpoint although it runs.
+///
+/// # Errors
+///
+/// Every failure is [`HttpErrorKind::NotSent`].
+pub(super) async fn open_connection(
+    shared: &Arc<Shared>,
+    endpoint: &EndpointInstance,
+    deadline: Instant,
+) -> Result<Connection, HttpError> {
+    let target = ConnectTarget::of(&shared.endpoints.lock(), endpoint);
+    let Some(target) = target else {
+        let detail = "the endpoint is gone";
+        return Err(HttpError::new(HttpErrorKind::NotSent, detail));
+    };
+    let path = {
+        let mut links = shared.links.lock();
+        links.path(&target.service, target.short_name, shared.now())
+    };
+    if path == ConnectionPath::Direct {
+        match connect_directly(shared, &target, connect_timeout(deadline)).await {
+            Ok(stream) => return Connection::over_stream(stream, target.address).await,
+            Err(failure) => {
+                let is_partitioned = shared.links.lock().is_partitioned(&target.service);
+                if !is_partitioned {
+                    let since = failure.started_at_us;
+                    tokio::spawn(examine_failure(Arc::clone(shared), target, since));
+                    return Err(failure.error);
+                }
+            }
+        }
+    }
+    probe_if_due(shared, &target);
+    let forwarded = connect_through_peer(shared, &target, deadline).await;
+    forwarded.map_err(|failure| {
+        let detail = match failure {
+            PeerFailure::Unreachable(peer) => {
+                format!("{peer} can't connect to the endpoint either")
+            }
+            PeerFailure::NoForwarder => "no other daemon opens the connection".to_owned(),
+        };
+        HttpError::new(HttpErrorKind::NotSent, detail)
+    })
+}
+
+/// Opens a TCP connection to an endpoint and records the outcome.
+pub(super) async fn connect_directly(
+    shared: &Arc<Shared>,
+    target: &ConnectTarget,
+    wait: Duration,
+) -> Result<TcpStream, ConnectFailed> {
+    let started_at_us = shared.now();
+    let opened = open_stream(target.address, None, wait).await;
+    let now = shared.now();
+    let change = {
+        let mut links = shared.links.lock();
+        let (service, endpoint) = (&target.service, target.short_name);
+        match opened.is_ok() {
+            true => links.record_open(service, endpoint, now),
+            false => links.record_failure(service, endpoint, target.service_size, now),
+        }
+    };
+    if let Some(change) = change {
+        log_change(shared, &target.service, change);
+    }
+    opened.map_err(|error| ConnectFailed {
+        started_at_us,
+        error,
+    })
+}
+
+fn log_change(shared: &Shared, service: &ServiceName, change: LinkChange) {
+    shared.log.write(&Event::EndpointsPartitioned {
+        service: service.to_string(),
+        is_partitioned: change == LinkChange::Partitioned,
+    });
+}
+
+/// Tries a direct connection in the background if the last attempt is long enough ago.
+fn probe_if_due(shared: &Arc<Shared>, target: &ConnectTarget) {
+    let is_due = {
+        let mut links = shared.links.lock();
+        links.take_probe(&target.service, target.short_name, shared.now())
+    };
+    if is_due {
+        let (shared, target) = (Arc::clone(shared), target.clone());
+        tokio::spawn(async move { probe(&shared, &target).await });
+    }
+}
+
+/// Tries a direct connection, and keeps it for a later call. Returns whether it was opened.
+async fn probe(shared: &Arc<Shared>, target: &ConnectTarget) -> bool {
+    let Ok(stream) = connect_directly(shared, target, CONNECT_TIMEOUT).await else {
+        return false;
+    };
+    if let Ok(connection) = Connection::over_stream(stream, target.address).await {
+        shared.return_connection(&target.instance, connection);
+    }
+    true
+}
+
+/// Returns whether connections from this daemon to other endpoints of the service open, after one
+/// that began at `since` failed.
+///
+/// A failure alone may be the fault of this daemon's own link.
+pub(super) async fn has_working_link(
+    shared: &Arc<Shared>,
+    failed: &ConnectTarget,
+    since: TimeUs,
+) -> bool {
+    if shared.links.lock().has_opened_since(&failed.service, since) {
+        return true;
+    }
+    let other = {
+        let endpoints = shared.endpoints.lock();
+        let now = shared.now();
+        let others = endpoints.iter().filter(|row| {
+            row.endpoint.service == failed.service
+                && *row.instance() != failed.instance
+                && row.accepts_requests()
+                && !row.outlier.is_ejected(now)
+                && row.suspected_until_us <= now
+        });
+        let other = others.choose(&mut rand::rng());
+        other.and_then(|row| ConnectTarget::of(&endpoints, row.instance()))
+    };
+    let Some(other) = other else {
+        return false;
+    };
+    probe(shared, &other).await
+}
+
+/// Finds out why a direct connection failed: because of the endpoint, or of the link to it alone.
+async fn examine_failure(shared: Arc<Shared>, target: ConnectTarget, since: TimeUs) {
+    let is_due = {
+        let mut links = shared.links.lock();
+        links.take_examination(target.short_name, shared.now())
+    };
+    if !is_due || !has_working_link(&shared, &target, since).await {
+        return;
+    }
+    let deadline = Instant::now() + FORWARD_TIMEOUT;
+    if let Ok(connection) = connect_through_peer(&shared, &target, deadline).await {
+        shared.return_connection(&target.instance, connection);
+        shared
+            .endpoints
+            .lock()
+            .withdraw_connect_failure(&target.instance, shared.now());
+    }
+}
+
+/// Why no other daemon has opened a connection.
+#[derive(Debug)]
+pub(super) enum PeerFailure {
+    /// A daemon that reaches other endpoints can't reach this one.
+    Unreachable(Ipv4Addr),
+    /// No daemon was able to try.
+    NoForwarder,
+}
+
+/// Opens a connection to an endpoint through another daemon.
+pub(super) async fn connect_through_peer(
+    shared: &Arc<Shared>,
+    target: &ConnectTarget,
+    deadline: Instant,
+) -> Result<Connection, PeerFailure> {
+    let settings = &shared.settings;
+    let members = shared.peers.table().entries(shared.now());
+    let candidates = {
+        let mut forwarders = shared.forwarders.lock();
+        forwarders.candidates(settings.ip, settings.zone.as_str(), &members, shared.now())
+    };
+    for ip in candidates {
+        let forwarder = SocketAddr::from((ip, settings.listen.peer_port));
+        let left = deadline.saturating_duration_since(Instant::now());
+        let opened = Connection::open_through(
+            forwarder,
+            IpAddr::V4(settings.ip),
+            forward_request(target, forwarder),
+            target.address,
+            left.min(FORWARD_TIMEOUT),
+        );
+        let now = shared.now();
+        match opened.await {
+            Ok(connection) => {
+                shared.forwarders.lock().record_opened(ip);
+                let mut links = shared.links.lock();
+                links.record_forwarded(&target.service, target.short_name, now);
+                return Ok(connection);
+            }
+            Err(ForwardError::Refused(UNREACHABLE)) => return Err(PeerFailure::Unreachable(ip)),
+            Err(failure) => {
+                let reason = match failure {
+                    ForwardError::Refused(UNKNOWN_MEMBER) => RefusalReason::Unknown,
+                    _ => RefusalReason::Unable,
+                };
+                let mut forwarders = shared.forwarders.lock();
+                forwarders.record_refused(ip, reason, shared.now());
+            }
+        }
+    }
+    Err(PeerFailure::NoForwarder)
+}
+
+fn forward_request(target: &ConnectTarget, forwarder: SocketAddr) -> Request<Bytes> {
+    let mut request = Request::new(Bytes::new());
+    let path = format!("{FORWARD_PATH}{}", target.instance);
+    if let Ok(uri) = path.parse() {
+        *request.uri_mut() = uri;
+    }
+    let headers = request.headers_mut();
+    if let Ok(host) = forwarder.to_string().parse() {
+        headers.insert(HOST, host);
+    }
+    headers.insert(CONNECTION, http::HeaderValue::from_static("upgrade"));
+    headers.insert(UPGRADE, http::HeaderValue::from_static(FORWARD_PROTOCOL));
+    request
+}
--- a/crates/wisteriahitch-relay/src/shell/entries.rs
+++ b/crates/wisteriahitch-relay/src/shell/entries.rs
@@ -31,7 +31,11 @@
 }
 
 impl RequestHandler for EntryHttpHandler {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _from: SocketAddr,
+    ) -> Response<AnswerBody> {
         let shared = &self.shared;
         let calls = &shared.borders.calls;
         let path = request.uri().path();
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/forwarding.rs
@@ -0,0 +1,255 @@
+//! Forwards connections to endpoints for daemons that can't open them themselves.
+//!
+//! The daemon that asks keeps its call: it sends the request, waits for the answer and decides about
+//! retries, as on a connection of its own. The forwarder only opens the connection and copies bytes
+//! until either side closes. So a call crosses at most one more daemon, and whether it may have run
+//! is decided in one place.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::header::{CONNECTION, UPGRADE};
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::upgrade::{OnUpgrade, Upgraded};
+use hyper_util::rt::TokioIo;
+use prometheus::IntGauge;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::net::TcpStream;
+use wisteriahitch_types::EndpointInstance;
+use wisteriahitch_wire::connection_pool::set_options;
+
+use super::answer_body::AnswerBody;
+use super::endpoint_connections::{ConnectTarget, connect_directly, has_working_link};
+use super::shared::Shared;
+use crate::decide::endpoint_admission::Admission;
+use crate::decide::endpoint_table::EndpointTable;
+use crate::observe::Event;
+
+/// Prefix of the path under which a daemon forwards connections; the endpoint's instance follows.
+pub(super) const FORWARD_PATH: &str = "/v1/endpoint-connections/";
+
+/// Protocol to which the connection is switched.
+pub(super) const FORWARD_PROTOCOL: &str = "wisteriahitch-endpoint";
+
+/// Maximum number of connections that a daemon forwards at a time. Each takes two descriptors and
+/// some 40 KB.
+const MAX_FORWARDED: i64 = 512;
+
+/// Size of the copy buffer of one direction.
+const COPY_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Maximum time to connect to the endpoint.
+const FORWARD_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why a connection isn't forwarded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ForwardRefusal {
+    /// The sender isn't known as a member of the fleet.
+    UnknownMember,
+    /// This daemon doesn't know the endpoint, or it gets no calls.
+    NotAdmitted,
+    /// This daemon can't forward now: it is shutting down, forwards too many connections, or can't
+    /// connect to endpoints itself.
+    Unable,
+    /// The endpoint can't be reached, and this daemon reaches others.
+    Unreachable,
+}
+
+impl ForwardRefusal {
+    const fn status(self) -> StatusCode {
+        match self {
+            ForwardRefusal::UnknownMember => UNKNOWN_MEMBER,
+            ForwardRefusal::NotAdmitted => StatusCode::NOT_FOUND,
+            ForwardRefusal::Unable => StatusCode::SERVICE_UNAVAILABLE,
+            ForwardRefusal::Unreachable => UNREACHABLE,
+        }
+    }
+
+    const fn label(self) -> &'static str {
+        match self {
+            ForwardRefusal::UnknownMember => "unknown_member",
+            ForwardRefusal::NotAdmitted => "not_admitted",
+            ForwardRefusal::Unable => "unable",
+            ForwardRefusal::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// Status of the answer to a daemon that isn't known as a member.
+pub(super) const UNKNOWN_MEMBER: StatusCode = StatusCode::FORBIDDEN;
+
+/// Status of the answer if the endpoint can't be reached from a daemon that reaches others.
+pub(super) const UNREACHABLE: StatusCode = StatusCode::BAD_GATEWAY;
+
+/// Counts a forwarded connection until it is dropped.
+struct ForwardPermit(IntGauge);
+
+impl ForwardPermit {
+    fn try_new(gauge: &IntGauge) -> Option<Self> {
+        // Counted first, so that concurrent requests can't exceed the limit together.
+        gauge.inc();
+        let permit = Self(gauge.clone());
+        (gauge.get() <= MAX_FORWARDED).then_some(permit)
+    }
+}
+
+impl Drop for ForwardPermit {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Answers a request to forward a connection, and forwards it in the background.
+pub(super) async fn answer_forward_request(
+    shared: &Arc<Shared>,
+    mut request: Request<Incoming>,
+    from: IpAddr,
+) -> Response<AnswerBody> {
+    let upgrade = hyper::upgrade::on(&mut request);
+    let endpoint = request.uri().path().strip_prefix(FORWARD_PATH);
+    let endpoint = endpoint.and_then(|endpoint| endpoint.parse().ok());
+    let opened = open_for(shared, endpoint, from).await;
+    let outcome = opened
+        .as_ref()
+        .map_or_else(|refusal| refusal.label(), |_| "opened");
+    let count = shared
+        .metrics
+        .forward_requests
+        .with_label_values(&[outcome]);
+    count.inc();
+    let mut response = Response::new(AnswerBody::full(bytes::Bytes::new()));
+    match opened {
+        Ok((stream, permit)) => {
+            *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+            let headers = response.headers_mut();
+            headers.insert(CONNECTION, HeaderValue::from_static("upgrade"));
+            headers.insert(UPGRADE, HeaderValue::from_static(FORWARD_PROTOCOL));
+            tokio::spawn(forward(Arc::clone(shared), upgrade, stream, permit));
+        }
+        Err(refusal) => *response.status_mut() = refusal.status(),
+    }
+    response
+}
+
+/// Opens a connection to an endpoint for the daemon at `from`.
+async fn open_for(
+    shared: &Arc<Shared>,
+    endpoint: Option<EndpointInstance>,
+    from: IpAddr,
+) -> Result<(TcpStream, ForwardPermit), ForwardRefusal> {
+    let now = shared.now();
+    let phase = match from {
+        IpAddr::V4(ip) => shared.peers.table().member_phase(ip, now),
+        IpAddr::V6(_) => None,
+    };
+    if phase.is_none() {
+        return Err(ForwardRefusal::UnknownMember);
+    }
+    if shared.drain.is_draining() {
+        return Err(ForwardRefusal::Unable);
+    }
+    let permit = ForwardPermit::try_new(&shared.metrics.forwarded_connections);
+    let permit = permit.ok_or(ForwardRefusal::Unable)?;
+    let target = endpoint.and_then(|endpoint| {
+        let endpoints = shared.endpoints.lock();
+        let is_admitted = accepts_calls(&endpoints, &endpoint, shared);
+        is_admitted.then(|| ConnectTarget::of(&endpoints, &endpoint))?
+    });
+    let target = target.ok_or(ForwardRefusal::NotAdmitted)?;
+    if shared.links.lock().is_partitioned(&target.service) {
+        return Err(ForwardRefusal::Unable);
+    }
+    match connect_directly(shared, &target, FORWARD_CONNECT_TIMEOUT).await {
+        Ok(stream) => Ok((stream, permit)),
+        Err(failure) => match has_working_link(shared, &target, failure.started_at_us).await {
+            true => Err(ForwardRefusal::Unreachable),
+            false => Err(ForwardRefusal::Unable),
+        },
+    }
+}
+
+/// Returns whether an endpoint may get calls at all, whatever its limits.
+fn accepts_calls(endpoints: &EndpointTable, endpoint: &EndpointInstance, shared: &Shared) -> bool {
+    endpoints.get(endpoint).is_some_and(|row| {
+        let admission = endpoints.admission(row, shared.now());
+        row.accepts_requests() && admission != Admission::Evacuated
+    })
+}
+
+/// Forwards a connection until either side closes it, and then closes both.
+async fn forward(
+    shared: Arc<Shared>,
+    upgrade: OnUpgrade,
+    endpoint: TcpStream,
+    _permit: ForwardPermit,
+) {
+    let upgraded = match upgrade.await {
+        Ok(upgraded) => upgraded,
+        Err(error) => {
+            return shared.log.write(&Event::Failure {
+                what: "switching a connection to forwarding",
+                detail: error.to_string(),
+            });
+        }
+    };
+    let Some((daemon, received)) = into_stream(upgraded) else {
+        return shared.log.write(&Event::Failure {
+            what: "switching a connection to forwarding",
+            detail: "not a TCP connection".to_owned(),
+        });
+    };
+    if let Err(error) = set_options(&daemon) {
+        // Without the options, a silent connection is noticed later.
+        shared.log.write(&Event::Failure {
+            what: "setting the options of a forwarded connection",
+            detail: error.to_string(),
+        });
+    }
+    let (mut from_daemon, mut to_daemon) = daemon.into_split();
+    let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
+    let up = async {
+        to_endpoint.write_all(&received).await?;
+        copy(&mut from_daemon, &mut to_endpoint).await
+    };
+    let down = copy(&mut from_endpoint, &mut to_daemon);
+    let is_aborted = tokio::select! {
+        _ = up => false,
+        ended = down => ended.is_err(),
+    };
+    // An answer that ends with its connection must not look complete if the connection broke.
+    if is_aborted {
+        let daemon = to_daemon.reunite(from_daemon).ok();
+        if let Some(daemon) = daemon {
+            let socket = socket2::SockRef::from(&daemon);
+            // If the option can't be set, the daemon still notices an incomplete framed answer.
+            let _ = socket.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Returns the TCP connection below an upgraded one, and the bytes that were read ahead.
+fn into_stream(upgraded: Upgraded) -> Option<(TcpStream, bytes::Bytes)> {
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>().ok()?;
+    Some((parts.io.into_inner(), parts.read_buf))
+}
+
+/// Copies bytes until the end of the stream.
+///
+/// # Errors
+///
+/// Fails if reading fails, which means that the connection broke. A failed write ends the copy
+/// like the end of the stream.
+async fn copy(
+    from: &mut (impl AsyncRead + Unpin),
+    to: &mut (impl AsyncWrite + Unpin),
+) -> std::io::Result<()> {
+    let mut buffer = vec![0; COPY_BUFFER_BYTES];
+    loop {
+        let length = from.read(&mut buffer).await?;
+        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+            return Ok(());
+        }
+    }
+}
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -13,6 +13,7 @@
 
 use super::answer_body::AnswerBody;
 use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
+use super::forwarding::{FORWARD_PATH, answer_forward_request};
 use super::peer_client::{
     ENGINE_MEMORY_PATH, EngineMemorySnapshot, PAGE_LEN_PARAMETER, PAGE_START_PARAMETER,
     PEER_OBJECTS_PATH, PEER_PARTS_PATH,
@@ -27,7 +28,16 @@
 }
 
 impl RequestHandler for PeerHttpHandler {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    const SWITCHES_PROTOCOLS: bool = true;
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        from: SocketAddr,
+    ) -> Response<AnswerBody> {
+        if request.uri().path().starts_with(FORWARD_PATH) {
+            return answer_forward_request(&self.shared, request, from.ip()).await;
+        }
         let path = request.uri().path();
         let body = match *request.method() {
             Method::DELETE => lift(&self.shared, path),
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -1,5 +1,6 @@
 //! Handles a call up to its first attempt: finds its route and workspace, and reads its body.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,7 +33,11 @@
 }
 
 impl RequestHandler for CallerHandler {
-    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        _from: SocketAddr,
+    ) -> Response<AnswerBody> {
         let shared = &self.shared;
         let mut response = answer_call(shared, request).await;
         if shared.drain.is_draining() {
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -240,6 +240,8 @@
             trace.log_entry().attempts = self.sent_attempts;
         }
         let opened = opened?;
+        let forwarder = opened.connection.forwarder();
+        trace.log_entry().forwarder = forwarder.map(|forwarder| forwarder.ip());
         if self.route.kind == CallKind::Stream && opened.parts.status.is_success() {
             return self
                 .await_first_event(shared, placement, opened, deadline)
--- a/crates/wisteriahitch-relay/src/shell/server.rs
+++ b/crates/wisteriahitch-relay/src/shell/server.rs
@@ -41,10 +41,15 @@
 
 /// Handles requests; failures are returned as answers as well.
 pub(crate) trait RequestHandler: Send + Sync + 'static {
-    /// Handles one request.
+    /// Whether an answer may switch the connection to another protocol. Such connections are never
+    /// closed during the shutdown.
+    const SWITCHES_PROTOCOLS: bool = false;
+
+    /// Handles one request, which arrived from the address `from`.
     fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+        from: SocketAddr,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
 
     /// Returns the limits for new connections.
@@ -70,9 +75,9 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
+            Ok((stream, from)) => {
                 let handler = Arc::clone(&handler);
-                tokio::spawn(serve_connection(stream, handler, leaving.clone()));
+                tokio::spawn(serve_connection(stream, from, handler, leaving.clone()));
             }
             Err(_) => tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await,
         }
@@ -81,6 +86,7 @@
 
 async fn serve_connection<A: RequestHandler>(
     stream: TcpStream,
+    from: SocketAddr,
     handler: Arc<A>,
     leaving: CancellationToken,
 ) {
@@ -90,7 +96,7 @@
     let limits = handler.limits();
     let service = service_fn(move |request| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        async move { Ok::<_, Infallible>(handler.handle(request, from).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -98,12 +104,16 @@
         .max_buf_size(limits.header_bytes.max(MIN_HEADER_BYTES))
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), service);
+    // Errors of the connection are ignored: its calls write log lines of their own.
+    if A::SWITCHES_PROTOCOLS {
+        let _ = connection.with_upgrades().await;
+        return;
+    }
     tokio::pin!(connection);
     let idle_close = async {
         leaving.cancelled().await;
         tokio::time::sleep(IDLE_CLOSE_DELAY).await;
     };
-    // Errors of the connection are ignored: its calls write log lines of their own.
     tokio::select! {
         _ = connection.as_mut() => {}
         () = idle_close => {
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -1,14 +1,16 @@
 //! State that all tasks of a daemon share.
 
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use wisteriahitch_core::fleet::LeaseTable;
 use wisteriahitch_types::{EndpointInstance, Incarnation, TimeUs};
-use wisteriahitch_wire::connection_pool::ConnectionPool;
+use wisteriahitch_wire::connection_pool::{Connection, ConnectionPool};
 use wisteriahitch_wire::object_store::ObjectStore;
 
 use super::blocked_requests::BlockedRequests;
@@ -22,7 +24,9 @@
 use crate::border::{CallCodec, EngineControl, PartStoreControl, SiteCodec};
 use crate::clock::BootClock;
 use crate::decide::crash_evidence::CrashEvidence;
+use crate::decide::endpoint_links::{ConnectionPath, EndpointLinks};
 use crate::decide::endpoint_table::{EndpointChange, EndpointTable};
+use crate::decide::forwarders::Forwarders;
 use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
 use crate::decide::permit_shares::PermitShares;
@@ -46,6 +50,14 @@
     pub part_stores: Box<dyn PartStoreControl>,
 }
 
+/// What pooled connections are kept apart by.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct PoolKey {
+    endpoint: EndpointInstance,
+    /// Whether another daemon forwards the connection.
+    is_forwarded: bool,
+}
+
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
     /// Maps zones to regions.
@@ -68,7 +80,11 @@
     pub(crate) blocked_requests: BlockedRequests,
     pub(crate) peers: PeerState,
     /// Pooled connections to endpoints, each to one instance.
-    pub(crate) pool: ConnectionPool<EndpointInstance>,
+    pub(crate) pool: ConnectionPool<PoolKey>,
+    /// Which endpoints this daemon can connect to.
+    pub(crate) links: Mutex<EndpointLinks>,
+    /// Daemons that open connections for this one.
+    pub(crate) forwarders: Mutex<Forwarders>,
     /// Engines whose memory this daemon follows on behalf of all daemons.
     pub(crate) followed_engines: Mutex<HashSet<EndpointInstance>>,
     /// Notified when an instance of an endpoint has ended.
@@ -118,18 +134,18 @@
                 EndpointChange::Lapsed(instance) => (instance, "lapsed"),
                 EndpointChange::Unreadable(instance) => (instance, "unreadable"),
                 EndpointChange::Displaced(instance) => {
-                    self.pool.close_idle(&instance);
+                    self.close_connections(&instance);
                     on_crash(self, &instance, EvidenceKind::Replaced);
                     (instance, "displaced")
                 }
                 EndpointChange::Ended(instance) => {
-                    self.pool.close_idle(&instance);
+                    self.close_connections(&instance);
                     on_crash(self, &instance, EvidenceKind::Replaced);
                     self.instance_ended.notify_waiters();
                     (instance, "ended")
                 }
                 EndpointChange::Removed(instance) => {
-                    self.pool.close_idle(&instance);
+                    self.close_connections(&instance);
                     (instance, "gone")
                 }
             };
@@ -147,6 +163,77 @@
         }
     }
 
+    /// Returns a pooled connection to an endpoint that was idle for at most `max_idle`, if one may be
+    /// used.
+    pub(crate) async fn checkout_connection(
+        &self,
+        endpoint: &EndpointInstance,
+        max_idle: Duration,
+    ) -> Option<Connection> {
+        let key = |is_forwarded| PoolKey {
+            endpoint: endpoint.clone(),
+            is_forwarded,
+        };
+        let (uses_open, path) = {
+            let endpoints = self.endpoints.lock();
+            let row = endpoints.get(endpoint)?;
+            let (service, short_name) = (&row.endpoint.service, row.short_name);
+            let mut links = self.links.lock();
+            let path = links.path(service, short_name, self.now());
+            (links.may_use_open_connections(service), path)
+        };
+        if uses_open {
+            let direct = self.pool.checkout(&key(false), max_idle).await;
+            if direct.is_some() || path == ConnectionPath::Direct {
+                return direct;
+            }
+        }
+        loop {
+            let forwarded = self.pool.checkout(&key(true), max_idle).await?;
+            let is_ready = forwarded.forwarder().is_some_and(|forwarder| {
+                let IpAddr::V4(ip) = forwarder.ip() else {
+                    return false;
+                };
+                let phase = self.peers.table().member_phase(ip, self.now());
+                phase == Some(MemberPhase::Ready)
+            });
+            if is_ready {
+                return Some(forwarded);
+            }
+        }
+    }
+
+    /// Returns a connection to the pool. Its last answer must have been read to its end.
+    pub(crate) fn return_connection(&self, endpoint: &EndpointInstance, connection: Connection) {
+        let key = PoolKey {
+            endpoint: endpoint.clone(),
+            is_forwarded: connection.forwarder().is_some(),
+        };
+        self.pool.check_in(&key, connection);
+    }
+
+    /// Closes all idle connections to an endpoint.
+    fn close_connections(&self, endpoint: &EndpointInstance) {
+        for is_forwarded in [false, true] {
+            self.pool.close_idle(&PoolKey {
+                endpoint: endpoint.clone(),
+                is_forwarded,
+            });
+        }
+    }
+
+    /// Records that an endpoint has answered on a connection.
+    pub(crate) fn record_answer_on(&self, endpoint: &EndpointInstance, connection: &Connection) {
+        if connection.forwarder().is_some() {
+            return;
+        }
+        let endpoints = self.endpoints.lock();
+        if let Some(row) = endpoints.get(endpoint) {
+            let now = self.now();
+            self.links.lock().record_answer(&row.endpoint.service, now);
+        }
+    }
+
     /// Waits until the instance of an endpoint is known to have ended.
     ///
     /// A process that crashed behind a network partition closes no connection. A call there would
--- a/crates/wisteriahitch-relay/src/shell/trace.rs
+++ b/crates/wisteriahitch-relay/src/shell/trace.rs
@@ -88,7 +88,7 @@
             self.entry.longest_queue_ms = Some(excess.bound_us.as_ms());
             self.entry.own_running = Some(excess.own_running);
             self.entry.peers_running = Some(excess.peers_running);
-            self.entry.suspected = Some(excess.suspected);
+            self.entry.suspected = u32::try_from(excess.suspected).ok();
             self.entry.candidates = excess.candidates;
         }
         let label = refusal.code.to_string();
@@ -119,6 +119,6 @@
         self.shared.metrics.in_flight.dec();
         self.shared.drain.record_call_end();
         let ended = std::mem::take(&mut self.entry);
-        self.shared.log.write(&Event::CallEnded(ended));
+        self.shared.log.write(&Event::CallEnded(Box::new(ended)));
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/event_log.rs
+++ b/crates/wisteriahitch-relay/tests/all/event_log.rs
@@ -42,11 +42,11 @@
 }
 
 fn call_ended(outcome: &'static str) -> Event {
-    Event::CallEnded(CallEnded {
+    Event::CallEnded(Box::new(CallEnded {
         request: "r-1".to_owned(),
         outcome,
         ..CallEnded::default()
-    })
+    }))
 }
 
 fn written_lines(budget: LogBudget, events: &[Event]) -> Vec<serde_json::Value> {
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod cold_limit;
 mod crash_evidence;
 mod docs;
+mod endpoint_links;
 mod endpoint_lives;
 mod endpoint_round;
 mod endpoint_table;
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -6,18 +6,18 @@
 
 use std::collections::HashMap;
 use std::hash::Hash;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
 use socket2::SockRef;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -53,6 +53,7 @@
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     address: SocketAddr,
+    forwarder: Option<SocketAddr>,
     opened_at: Instant,
     idle_timeout: Duration,
 }
@@ -70,14 +71,68 @@
     ///
     /// Every failure is [`HttpErrorKind::NotSent`].
     pub async fn open(address: SocketAddr, wait: Duration) -> Result<Self, HttpError> {
-        let not_sent = |detail: String| HttpError::new(HttpErrorKind::NotSent, detail);
-        let stream = timeout(wait, TcpStream::connect(address))
+        let stream = open_stream(address, None, wait).await?;
+        Self::over_stream(stream, address).await
+    }
+
+    /// Opens a connection to `address` through a forwarder: a server that switches the connection
+    /// of `request` to another protocol and then forwards all bytes. `from` is the local address
+    /// of that connection.
+    ///
+    /// # Errors
+    ///
+    /// Every failure is [`HttpErrorKind::NotSent`]: nothing but `request` was sent.
+    pub async fn open_through(
+        forwarder: SocketAddr,
+        from: IpAddr,
+        request: Request<Bytes>,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> Result<Self, ForwardError> {
+        let started_at = Instant::now();
+        let stream = open_stream(forwarder, Some(from), wait).await?;
+        let (mut sender, driver) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
             .await
-            .map_err(|_| not_sent(format!("no connection to {address} within {wait:?}")))?
-            .map_err(|error| not_sent(format!("no connection to {address}: {error}")))?;
-        set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
+            .map_err(|error| not_sent(error.to_string()))?;
+        let driver = tokio::spawn(driver.with_upgrades());
+        let switch = async {
+            let request = request.map(Full::new);
+            let response = sender.send_request(request).await;
+            let response = response.map_err(|error| not_sent(error.to_string()))?;
+            if response.status() != StatusCode::SWITCHING_PROTOCOLS {
+                return Err(ForwardError::Refused(response.status()));
+            }
+            let upgraded = hyper::upgrade::on(response).await;
+            let upgraded = upgraded.map_err(|error| not_sent(error.to_string()))?;
+            let mut connection = Self::over(upgraded, address).await?;
+            connection.forwarder = Some(forwarder);
+            Ok(connection)
+        };
+        let left = wait.saturating_sub(started_at.elapsed());
+        let switched = timeout(left, switch).await;
+        driver.abort();
+        switched.unwrap_or_else(|_| {
+            let detail = format!("no connection through {forwarder} within {wait:?}");
+            Err(not_sent(detail).into())
+        })
+    }
+
+    /// Uses an open TCP connection to `address`.
+    ///
+    /// # Errors
+    ///
+    /// Every failure is [`HttpErrorKind::NotSent`].
+    pub async fn over_stream(stream: TcpStream, address: SocketAddr) -> Result<Self, HttpError> {
+        Self::over(TokioIo::new(stream), address).await
+    }
+
+    async fn over<T>(io: T, address: SocketAddr) -> Result<Self, HttpError>
+    where
+        T: hyper::rt::Read + hyper::rt::Write + Unpin + Send + 'static,
+    {
         let (sender, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(io)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
         let driver = tokio::spawn(async move {
@@ -89,11 +144,17 @@
             sender,
             driver: driver.abort_handle(),
             address,
+            forwarder: None,
             opened_at: Instant::now(),
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         })
     }
 
+    /// Returns the server that forwards the connection, if it wasn't opened directly.
+    pub fn forwarder(&self) -> Option<SocketAddr> {
+        self.forwarder
+    }
+
     /// Returns the address of the peer.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -171,6 +232,17 @@
     idle_since: Instant,
 }
 
+/// Why a connection can't be opened through a forwarder.
+#[derive(Debug, thiserror::Error)]
+pub enum ForwardError {
+    /// The forwarder refused with this status.
+    #[error("the forwarder answered {0}")]
+    Refused(StatusCode),
+    /// The forwarder couldn't be reached, or didn't answer in time.
+    #[error(transparent)]
+    Failed(#[from] HttpError),
+}
+
 /// Pool of idle connections, keyed by the peer that they were opened to.
 #[derive(Debug)]
 pub struct ConnectionPool<K> {
@@ -252,7 +324,43 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn not_sent(detail: String) -> HttpError {
+    HttpError::new(HttpErrorKind::NotSent, detail)
+}
+
+/// Opens a TCP connection with the options that all connections have, waiting at most `wait`. `from`
+/// is the local address; the system chooses one if it is `None`.
+///
+/// # Errors
+///
+/// Every failure is [`HttpErrorKind::NotSent`].
+pub async fn open_stream(
+    address: SocketAddr,
+    from: Option<IpAddr>,
+    wait: Duration,
+) -> Result<TcpStream, HttpError> {
+    let connect = async {
+        let Some(from) = from else {
+            return TcpStream::connect(address).await;
+        };
+        let socket = TcpSocket::new_v4()?;
+        socket.bind(SocketAddr::new(from, 0))?;
+        socket.connect(address).await
+    };
+    let stream = timeout(wait, connect)
+        .await
+        .map_err(|_| not_sent(format!("no connection to {address} within {wait:?}")))?
+        .map_err(|error| not_sent(format!("no connection to {address}: {error}")))?;
+    set_options(&stream).map_err(|error| not_sent(format!("socket options: {error}")))?;
+    Ok(stream)
+}
+
+/// Sets the options that all connections have.
+///
+/// # Errors
+///
+/// Fails if the system rejects an option.
+pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
