fix(relay): report an endpoint as unreachable only if connections to others open

Cause: each failed connection was reported to all daemons, and two reports make an endpoint suspected and passed over by all. Two daemons that are cut off from all endpoints make all of them suspected. It is the same fault as the one way to an endpoint: a daemon took its own link for the endpoint's fault.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_gossip.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_gossip.rs
@@ -99,7 +99,7 @@
         self.peer_reports.get(&peer).map(|report| &report.loads)
     }
 
-    /// Records that this daemon failed to connect to an endpoint.
+    /// Records that this daemon failed to connect to an endpoint, while connections to others open.
     pub fn record_connect_failure(&mut self, instance: &EndpointInstance, now: TimeUs) {
         if let Some(row) = self.get_mut(instance) {
             row.unreachable_until_us = now + CONNECT_FAILURE_TTL_US;
@@ -144,9 +144,9 @@
     /// Suspects an endpoint if [`MIN_REPORTERS`] daemons failed to connect to it.
     ///
     /// Without this, when engines stop answering, each daemon of a large fleet finds out about each
-    /// of them by a call that waits in vain. A single daemon may be cut off itself, and so may two.
-    /// In the latter case the others lose only the endpoints that those two can't reach, and if all
-    /// endpoints are suspected, the suspicion is ignored.
+    /// of them by a call that waits in vain. A daemon that is cut off from all endpoints reports
+    /// none. Two that are cut off from some may report these; then the others lose only these
+    /// endpoints, and if all endpoints are suspected, the suspicion is ignored.
     fn update_suspicion(&mut self, short_name: u32, now: TimeUs) {
         let peers = self.peer_reports.values();
         let peers = peers.filter(|report| report.unreachable.contains(&short_name));
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -313,6 +313,7 @@
             "parts": row.parts.len(),
             "is_ejected": row.outlier.is_ejected(now),
             "failure_rate": row.outlier.failure_rate(),
+            "suspected_for_ms": row.suspected_until_us.since(now).as_ms(),
             "cold_for_ms": row.cold.until_us.since(now).as_ms(),
             "cold_permits": row.cold.permits.share.now,
             "has_said_it_leaves": endpoints.has_announced_leaving(row),
--- a/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -213,6 +213,11 @@
     if !is_due || !has_working_link(&shared, &target, since).await {
         return;
     }
+    // Other daemons rely on this report, so it isn't sent if this daemon's own link may be at fault.
+    shared
+        .endpoints
+        .lock()
+        .record_connect_failure(&target.instance, shared.now());
     let deadline = Instant::now() + FORWARD_TIMEOUT;
     if let Ok(connection) = connect_through_peer(&shared, &target, deadline).await {
         shared.return_connection(&target.instance, connection);
--- a/crates/wisteriahitch-relay/src/shell/forwarding.rs
+++ b/crates/wisteriahitch-relay/src/shell/forwarding.rs
@@ -164,7 +164,11 @@
     match connect_directly(shared, &target, FORWARD_CONNECT_TIMEOUT).await {
         Ok(stream) => Ok((stream, permit)),
         Err(failure) => match has_working_link(shared, &target, failure.started_at_us).await {
-            true => Err(ForwardRefusal::Unreachable),
+            true => {
+                let mut endpoints = shared.endpoints.lock();
+                endpoints.record_connect_failure(&target.instance, shared.now());
+                Err(ForwardRefusal::Unreachable)
+            }
             false => Err(ForwardRefusal::Unable),
         },
     }
--- a/crates/wisteriahitch-relay/src/shell/in_flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/in_flight.rs
@@ -127,9 +127,6 @@
             }
         };
         let failure_rate = row.outlier.failure_rate();
-        if outcome == AttemptOutcome::Unreachable {
-            endpoints.record_connect_failure(&self.endpoint, now);
-        }
         drop(endpoints);
         if is_changed {
             self.shared.log.write(&Event::EndpointEjected {
