fix(relay): count a call as load of an endpoint for all daemons only once it is sent

Cause: an attempt counted as load of its endpoint from its placement on, and gossip told all daemons. At partitioned daemons attempts wait 0.4 s for connections that don't open, so that all daemons estimated queues of calls that never arrived.

Now the load of a call that waits for its connection is this daemon's own estimate, beside what it has sent.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_row.rs
@@ -42,6 +42,8 @@
     pub is_displaced: bool,
     /// Unfinished work that this daemon has sent.
     pub own_load: Load,
+    /// Work that this daemon is about to send, while it waits for connections.
+    pub unsent_load: Load,
     /// Unfinished work that the other daemons have sent, by their last reports.
     pub peers_load: Load,
     /// Load that the endpoint itself reported last, and when the report arrived.
@@ -88,9 +90,10 @@
         matches!(self.state, EndpointState::Ready | EndpointState::Lapsed(_))
     }
 
-    /// Returns the unfinished work that all daemons have sent.
+    /// Returns the unfinished work that all daemons have sent, and what this one is about to send.
     pub fn load(&self) -> Load {
         let mut load = self.own_load;
+        load.add(self.unsent_load);
         load.add(self.peers_load);
         load
     }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -456,6 +456,7 @@
             state,
             is_displaced: false,
             own_load: Load::default(),
+            unsent_load: Load::default(),
             peers_load,
             reported_load: None,
             outlier: OutlierDetector::default(),
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -175,8 +175,16 @@
     is_last: bool,
     deadline: Instant,
 ) -> Result<OpenedAnswer, Failure> {
-    let in_flight = InFlightAttempt::start(shared, placement, call.head.prompt.as_ref());
-    let result = exchange(shared, call, placement, resume_after, deadline).await;
+    let mut in_flight = InFlightAttempt::start(shared, placement, call.head.prompt.as_ref());
+    let result = exchange(
+        shared,
+        call,
+        &mut in_flight,
+        placement,
+        resume_after,
+        deadline,
+    )
+    .await;
     let (parts, body, connection) = match result {
         Ok(answer) => answer,
         Err(failure) => {
@@ -222,6 +230,7 @@
 async fn exchange(
     shared: &Arc<Shared>,
     call: &Call,
+    in_flight: &mut InFlightAttempt,
     placement: &Placement,
     resume_after: Option<u64>,
     deadline: Instant,
@@ -250,6 +259,7 @@
             return Err(Failure::new(FailureKind::NotAdmitted, detail));
         }
         let request = build_request(shared, call, placement, resume_after);
+        in_flight.record_sent();
         match timeout_at(deadline, connection.send(request)).await {
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -308,6 +308,7 @@
             "life": format!("{:?}", row.state),
             "is_displaced": row.is_displaced,
             "own_running": row.own_load.running,
+            "unsent": row.unsent_load.running,
             "peers_running": row.peers_load.running,
             "unread_tokens": row.load().unread_tokens,
             "parts": row.parts.len(),
--- a/crates/wisteriahitch-relay/src/shell/in_flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/in_flight.rs
@@ -21,6 +21,9 @@
     endpoint: EndpointInstance,
     /// Load of the attempt that isn't released yet.
     load: Load,
+    /// Whether the attempt has been sent. Until then its load is this daemon's own estimate, and
+    /// isn't reported to others.
+    is_sent: bool,
     started_at: Instant,
 }
 
@@ -51,19 +54,34 @@
         let now = shared.now();
         let mut endpoints = shared.endpoints.lock();
         if let Some(row) = endpoints.get_mut(&placement.endpoint) {
-            row.own_load.add(load);
+            row.unsent_load.add(load);
             row.outlier.record_sent(now);
         }
         drop(endpoints);
-        shared.peers.record_sent_call(placement.unread_tokens);
         Self {
             shared: Arc::clone(shared),
             endpoint: placement.endpoint.clone(),
             load,
+            is_sent: false,
             started_at: Instant::now(),
         }
     }
 
+    /// Records that the attempt is being sent, from which on it is load of the endpoint for all
+    /// daemons. It may be sent again on another connection if nothing was sent on the first one.
+    pub(crate) fn record_sent(&mut self) {
+        if std::mem::replace(&mut self.is_sent, true) {
+            return;
+        }
+        let mut endpoints = self.shared.endpoints.lock();
+        if let Some(row) = endpoints.get_mut(&self.endpoint) {
+            row.unsent_load.sub(self.load);
+            row.own_load.add(self.load);
+        }
+        drop(endpoints);
+        self.shared.peers.record_sent_call(self.load.unread_tokens);
+    }
+
     /// Records the first event: the engine has now read the prompt and caches its parts.
     pub(crate) fn record_prompt_read(
         &mut self,
@@ -165,7 +183,10 @@
     fn drop(&mut self) {
         let mut endpoints = self.shared.endpoints.lock();
         if let Some(row) = endpoints.get_mut(&self.endpoint) {
-            row.own_load.sub(self.load);
+            match self.is_sent {
+                true => row.own_load.sub(self.load),
+                false => row.unsent_load.sub(self.load),
+            }
         }
     }
 }
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -58,6 +58,7 @@
     {
         let row = table.get_mut(instance).unwrap();
         row.own_load.add(load);
+        row.unsent_load.add(load);
         row.is_displaced = true;
         row.reported_load = Some((
             LoadReport {
@@ -113,8 +114,8 @@
     assert!(table.get(&before).is_none() && table.has_ended(&before));
     let row = table.get(&after).unwrap();
     let (parts, names) = fields!(row;
-        endpoint, state, is_displaced, own_load, peers_load, reported_load, outlier, parts, cold,
-        statements;
+        endpoint, state, is_displaced, own_load, unsent_load, peers_load, reported_load, outlier, parts,
+        cold, statements;
         times: parts_tracked_until_us, unreachable_until_us, corroborated_until_us, suspected_until_us,
         reserved_until_us; short_name
     );
@@ -123,6 +124,7 @@
         state,
         is_displaced,
         own_load,
+        unsent_load,
         peers_load,
         reported_load,
         outlier,
@@ -136,6 +138,7 @@
     assert_eq!(*state, EndpointState::Ready);
     assert!(!is_displaced);
     assert_eq!((*own_load, *peers_load), (Load::default(), Load::default()));
+    assert_eq!(*unsent_load, Load::default());
     assert!(reported_load.is_none());
     assert!(!outlier.is_ejected(at_ms(1)) && outlier.failure_rate() == 0.0);
     assert!(cached_parts.is_empty());
