fix(relay): don't take a partition for crashes of the endpoints behind it

A partition that resets open connections and refuses new ones was recorded as a crash of each endpoint under the calls that ran there. A caller whose request meets three of them is refused everywhere.

Now a refused probe counts as a crash only if no other daemon connects to the endpoint within 150 ms. Weighed: a control connection to another endpoint.

Test: calls under way while the links of one of three daemons are refused three times; two to three endpoints counted as crashed, seen failing before the change. The tests of crashing requests pass.

--- a/crates/wisteriahitch-relay/src/shell/crashes.rs
+++ b/crates/wisteriahitch-relay/src/shell/crashes.rs
@@ -8,11 +8,12 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use wisteriahitch_types::EndpointInstance;
 
 use super::attempt::Call;
 use super::blocked_requests::{BlockSource, UnblockReason, record_blocked, record_unblocked};
+use super::endpoint_connections::{ConnectTarget, connect_through_peer};
 use super::shared::Shared;
 use crate::decide::crash_evidence::{BrokenCallVerdict, ConnectFailure};
 use crate::decide::endpoint_row::EndpointState;
@@ -27,6 +28,10 @@
 /// trip. A longer wait points to a broken link and is no evidence of a crash.
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time for another daemon to connect to an endpoint that refused a probe. A process that
+/// has crashed doesn't listen again within this time.
+const PROBE_FORWARD_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Time within which a process that is ending closes a connection that it has just accepted.
 /// Processes hold some thousand descriptors, which the system closes within milliseconds.
 const PROBE_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -120,6 +125,10 @@
                 }
             }
             Err(ConnectFailure::Refused) => {
+                if is_reached_by_peer(&shared, &probed).await {
+                    let mut evidence = shared.crash_evidence.lock();
+                    return evidence.record_alive(instance_name, probe_started_at_us);
+                }
                 return on_crash(&shared, &probed, EvidenceKind::Refused);
             }
             Err(ConnectFailure::Reset) => {}
@@ -129,6 +138,21 @@
     }
 }
 
+/// Returns whether another daemon connects to an endpoint that refuses connections from this one.
+///
+/// A partition may reset the open connections and refuse new ones, which looks like a crash of
+/// each endpoint behind it. The requests that run there would be blocked for all callers.
+async fn is_reached_by_peer(shared: &Arc<Shared>, endpoint: &EndpointInstance) -> bool {
+    let target = ConnectTarget::of(&shared.endpoints.lock(), endpoint);
+    let Some(target) = target else {
+        return false;
+    };
+    let deadline = Instant::now() + PROBE_FORWARD_TIMEOUT;
+    connect_through_peer(shared, &target, deadline)
+        .await
+        .is_ok()
+}
+
 /// Returns whether an endpoint closes a connection on which nothing was sent.
 async fn closes_soon(mut connection: TcpStream) -> bool {
     let mut byte = [0; 1];
