fix(relay): pass the lease for orders on if its holder can't connect to the engines

Calls would have begun on replaced weights for as long as a partition lasts, where the daemon that gives the orders was cut off from the engines.

Now reports and orders that can't be sent count as evidence of a partition; a daemon that can't connect to the engines gives the lease up and says so in its messages (last field, which older daemons ignore), and a candidate has to have connected to an engine in the last two seconds before it acquires the lease. A partition also ends without calls: a direct connection is tried twice a second.

--- a/crates/wisteriahitch-bench/src/membership/model.rs
+++ b/crates/wisteriahitch-bench/src/membership/model.rs
@@ -332,6 +332,7 @@
             zones: Vec::new(),
             members: Vec::new(),
             membership: MembershipUpdate::default(),
+            is_partitioned: false,
         }
     }
 }
--- a/crates/wisteriahitch-relay/src/decide/endpoint_links.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_links.rs
@@ -125,14 +125,23 @@
         links.is_some_and(|links| links.partitioned_since_us.is_some())
     }
 
-    /// Returns whether this daemon has opened a connection to an endpoint of the service since
-    /// `since`, which proves that its own link works.
-    pub fn has_opened_since(&self, service: &ServiceName, since: TimeUs) -> bool {
-        let opened_at_us = self
-            .services
-            .get(service)
-            .and_then(|links| links.opened_at_us);
-        opened_at_us.is_some_and(|at| at >= since)
+    /// Lists the services whose endpoints this daemon can't connect to.
+    pub fn partitioned_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let services = self.services.iter();
+        let partitioned = services.filter(|(_, links)| links.partitioned_since_us.is_some());
+        partitioned.map(|(service, _)| service)
+    }
+
+    /// Returns when this daemon last opened a connection to an endpoint of a service, which proves
+    /// that its own link worked.
+    pub fn opened_at(&self, service: &ServiceName) -> Option<TimeUs> {
+        self.services.get(service)?.opened_at_us
+    }
+
+    /// Forgets a service that has no endpoints any more.
+    pub fn forget_service(&mut self, service: &ServiceName) {
+        self.services.remove(service);
+        self.forwarded.retain(|_, row| row.service != *service);
     }
 
     /// Returns how a new connection to an endpoint is opened.
@@ -159,24 +168,18 @@
         row.used_at_us = now;
     }
 
-    /// Returns whether a direct connection to an endpoint is due to be tried again, and schedules
-    /// the next attempt: one at a time for a service that this daemon is partitioned from.
-    pub fn take_probe(&mut self, service: &ServiceName, endpoint: u32, now: TimeUs) -> bool {
-        let next_probe_us = match self.is_partitioned(service) {
-            true => {
-                let links = self.services.entry(service.clone()).or_default();
-                &mut links.next_probe_us
-            }
-            false => match self.forwarded.get_mut(&endpoint) {
-                Some(row) => &mut row.next_probe_us,
-                None => return false,
-            },
-        };
-        let is_due = *next_probe_us <= now;
-        if is_due {
-            *next_probe_us = now + PROBE_INTERVAL_US;
-        }
-        is_due
+    /// Returns whether a direct connection to some endpoint of a service is due to be tried, and
+    /// schedules the next attempt, so that there is one at a time.
+    pub fn take_service_probe(&mut self, service: &ServiceName, now: TimeUs) -> bool {
+        let links = self.services.entry(service.clone()).or_default();
+        take_due(&mut links.next_probe_us, now)
+    }
+
+    /// Returns whether a direct connection to an endpoint is due to be tried that only another
+    /// daemon could connect to, and schedules the next attempt.
+    pub fn take_endpoint_probe(&mut self, endpoint: u32, now: TimeUs) -> bool {
+        let row = self.forwarded.get_mut(&endpoint);
+        row.is_some_and(|row| take_due(&mut row.next_probe_us, now))
     }
 
     /// Returns whether the cause of a failed connection to an endpoint is due to be examined, and
@@ -210,3 +213,12 @@
         since.is_none_or(|since| links.answered_at_us > since)
     }
 }
+
+/// Returns whether a probe is due, and schedules the next one.
+fn take_due(next_probe_us: &mut TimeUs, now: TimeUs) -> bool {
+    let is_due = *next_probe_us <= now;
+    if is_due {
+        *next_probe_us = now + PROBE_INTERVAL_US;
+    }
+    is_due
+}
--- a/crates/wisteriahitch-relay/src/decide/gossip_message.rs
+++ b/crates/wisteriahitch-relay/src/decide/gossip_message.rs
@@ -204,6 +204,10 @@
     /// older daemons neither send nor read it.
     #[serde(skip)]
     pub membership: MembershipUpdate,
+    /// Whether the sender can't connect to the engines of a service. Encoded last, for the same
+    /// reason.
+    #[serde(skip)]
+    pub is_partitioned: bool,
 }
 
 /// How a sender spreads its list of members over messages, and what has changed in it.
@@ -228,17 +232,26 @@
     /// Fails if the bytes aren't a message.
     pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        let (membership, rest) = postcard::take_from_bytes(rest)?;
+        message.membership = membership;
         if !rest.is_empty() {
-            message.membership = postcard::from_bytes(rest)?;
+            message.is_partitioned = postcard::from_bytes(rest)?;
         }
         Ok(message)
     }
 
     fn to_bytes(&self) -> Vec<u8> {
         let message = postcard::to_stdvec(self).unwrap_or_default();
-        match self.membership == MembershipUpdate::default() {
-            true => message,
-            false => postcard::to_extend(&self.membership, message).unwrap_or_default(),
+        if self.membership == MembershipUpdate::default() && !self.is_partitioned {
+            return message;
+        }
+        let message = postcard::to_extend(&self.membership, message).unwrap_or_default();
+        match self.is_partitioned {
+            true => postcard::to_extend(&true, message).unwrap_or_default(),
+            false => message,
         }
     }
 
--- a/crates/wisteriahitch-relay/src/decide/member_rows.rs
+++ b/crates/wisteriahitch-relay/src/decide/member_rows.rs
@@ -29,6 +29,8 @@
     pub follows_stores: bool,
     /// Whether the daemon reaches the store, or receives messages from another one that does.
     pub is_store_reachable: bool,
+    /// Whether the daemon can't connect to the engines of a service.
+    pub is_partitioned: bool,
     /// How much longer its last message took than the fastest recent one.
     pub message_delay_us: DurationUs,
     pub(super) delay_tracker: MessageDelay,
--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -147,6 +147,7 @@
             is_hub: message.is_hub,
             follows_stores: message.follows_stores,
             is_store_reachable: message.is_store_reachable,
+            is_partitioned: message.is_partitioned,
             message_delay_us,
             delay_tracker,
             message_number: message.number,
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -22,6 +22,7 @@
 use super::budgets::RetryBudgets;
 use super::drain::Drain;
 use super::durations::CallDurations;
+use super::endpoint_connections::probe_partitioned_services;
 use super::engine_memory_watch::{fetch_engine_memories, run_engine_memory_watch};
 use super::entries::EntryHttpHandler;
 use super::lease::lease_table;
@@ -259,6 +260,7 @@
         shared.record_endpoint_changes(changes, 0);
         shared.pool.close_expired();
         expire_blocks(&shared);
+        probe_partitioned_services(&shared);
         let is_ready = shared.phase() == MemberPhase::Ready;
         if is_ready != was_ready {
             was_ready = is_ready;
--- a/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -10,7 +10,7 @@
 use rand::seq::IteratorRandom;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
-use wisteriahitch_types::{EndpointInstance, ServiceName, TimeUs};
+use wisteriahitch_types::{DurationUs, EndpointInstance, ServiceName, TimeUs};
 use wisteriahitch_wire::connection_pool::{Connection, ForwardError, open_stream};
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
@@ -29,6 +29,9 @@
 /// Maximum time for a forwarder to connect to the endpoint.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time for which an opened connection shows that this daemon reaches a service.
+const LINK_CHECK_TTL_US: DurationUs = DurationUs::from_ms(2_000);
+
 /// Returns the time for a direct connection attempt.
 pub(super) fn connect_timeout(deadline: Instant) -> Duration {
     let left = deadline.saturating_duration_since(Instant::now());
@@ -104,7 +107,7 @@
             }
         }
     }
-    probe_if_due(shared, &target);
+    probe_endpoint_if_due(shared, &target);
     let forwarded = connect_through_peer(shared, &target, deadline).await;
     forwarded.map_err(|failure| {
         let detail = match failure {
@@ -125,36 +128,19 @@
 ) -> Result<TcpStream, ConnectFailed> {
     let started_at_us = shared.now();
     let opened = open_stream(target.address, None, wait).await;
-    let now = shared.now();
-    let change = {
-        let mut links = shared.links.lock();
-        let (service, endpoint) = (&target.service, target.short_name);
-        match opened.is_ok() {
-            true => links.record_open(service, endpoint, now),
-            false => links.record_failure(service, endpoint, target.service_size, now),
-        }
-    };
-    if let Some(change) = change {
-        log_change(shared, &target.service, change);
-    }
+    record_outcome(shared, target, opened.is_ok());
     opened.map_err(|error| ConnectFailed {
         started_at_us,
         error,
     })
 }
 
-fn log_change(shared: &Shared, service: &ServiceName, change: LinkChange) {
-    shared.log.write(&Event::EndpointsPartitioned {
-        service: service.to_string(),
-        is_partitioned: change == LinkChange::Partitioned,
-    });
-}
-
-/// Tries a direct connection in the background if the last attempt is long enough ago.
-fn probe_if_due(shared: &Arc<Shared>, target: &ConnectTarget) {
+/// Tries a direct connection in the background to an endpoint that only another daemon could
+/// connect to, if the last attempt is long enough ago.
+fn probe_endpoint_if_due(shared: &Arc<Shared>, target: &ConnectTarget) {
     let is_due = {
         let mut links = shared.links.lock();
-        links.take_probe(&target.service, target.short_name, shared.now())
+        links.take_endpoint_probe(target.short_name, shared.now())
     };
     if is_due {
         let (shared, target) = (Arc::clone(shared), target.clone());
@@ -162,6 +148,94 @@
     }
 }
 
+/// Tries a direct connection in the background to an endpoint of each service that this daemon is
+/// partitioned from.
+pub(super) fn probe_partitioned_services(shared: &Arc<Shared>) {
+    let partitioned: Vec<ServiceName> = {
+        let links = shared.links.lock();
+        links.partitioned_services().cloned().collect()
+    };
+    for service in partitioned {
+        probe_service_if_due(shared, &service);
+    }
+}
+
+/// Returns whether this daemon has lately connected to an endpoint of a service itself. If not, it
+/// tries to in the background.
+pub(super) fn is_service_reached(shared: &Arc<Shared>, service: &ServiceName) -> bool {
+    let now = shared.now();
+    let is_reached = {
+        let links = shared.links.lock();
+        let opened_at_us = links.opened_at(service);
+        let is_recent = opened_at_us.is_some_and(|at| now.since(at) < LINK_CHECK_TTL_US);
+        is_recent && !links.is_partitioned(service)
+    };
+    if !is_reached {
+        probe_service_if_due(shared, service);
+    }
+    is_reached
+}
+
+fn probe_service_if_due(shared: &Arc<Shared>, service: &ServiceName) {
+    let is_due = {
+        let mut links = shared.links.lock();
+        links.take_service_probe(service, shared.now())
+    };
+    if !is_due {
+        return;
+    }
+    let target = {
+        let endpoints = shared.endpoints.lock();
+        let of_service = endpoints
+            .iter()
+            .filter(|row| row.endpoint.service == *service && row.accepts_requests());
+        let chosen = of_service.choose(&mut rand::rng());
+        chosen.and_then(|row| ConnectTarget::of(&endpoints, row.instance()))
+    };
+    let Some(target) = target else {
+        return shared.links.lock().forget_service(service);
+    };
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move { probe(&shared, &target).await });
+}
+
+/// Returns whether this daemon can't connect to the engines of a service.
+pub(super) fn is_partitioned_from_engines(shared: &Shared) -> bool {
+    let endpoints = shared.endpoints.lock();
+    let links = shared.links.lock();
+    let mut partitioned = links.partitioned_services();
+    partitioned.any(|service| {
+        let mut rows = endpoints.iter();
+        rows.any(|row| row.endpoint.service == *service && !row.endpoint.weights.is_empty())
+    })
+}
+
+/// Records whether a connection that this daemon tried to open to an endpoint itself was opened.
+pub(super) fn record_direct_outcome(shared: &Shared, endpoint: &EndpointInstance, is_open: bool) {
+    let target = ConnectTarget::of(&shared.endpoints.lock(), endpoint);
+    if let Some(target) = target {
+        record_outcome(shared, &target, is_open);
+    }
+}
+
+fn record_outcome(shared: &Shared, target: &ConnectTarget, is_open: bool) {
+    let now = shared.now();
+    let change = {
+        let mut links = shared.links.lock();
+        let (service, endpoint) = (&target.service, target.short_name);
+        match is_open {
+            true => links.record_open(service, endpoint, now),
+            false => links.record_failure(service, endpoint, target.service_size, now),
+        }
+    };
+    if let Some(change) = change {
+        shared.log.write(&Event::EndpointsPartitioned {
+            service: target.service.to_string(),
+            is_partitioned: change == LinkChange::Partitioned,
+        });
+    }
+}
+
 /// Tries a direct connection, and keeps it for a later call. Returns whether it was opened.
 async fn probe(shared: &Arc<Shared>, target: &ConnectTarget) -> bool {
     let Ok(stream) = connect_directly(shared, target, CONNECT_TIMEOUT).await else {
@@ -182,7 +256,8 @@
     failed: &ConnectTarget,
     since: TimeUs,
 ) -> bool {
-    if shared.links.lock().has_opened_since(&failed.service, since) {
+    let opened_at_us = shared.links.lock().opened_at(&failed.service);
+    if opened_at_us.is_some_and(|at| at >= since) {
         return true;
     }
     let other = {
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -7,6 +7,7 @@
 
 use wisteriahitch_types::{EndpointInstance, TimeUs};
 
+use super::endpoint_connections::is_partitioned_from_engines;
 use super::shared::Shared;
 use crate::decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 use crate::decide::gossip_message::{
@@ -159,6 +160,7 @@
         zones: Vec::new(),
         members: Vec::new(),
         membership: MembershipUpdate::default(),
+        is_partitioned: is_partitioned_from_engines(shared),
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -6,7 +6,11 @@
 
 use wisteriahitch_core::fleet::{LeaseEvent, LeaseGroup, Membership, Rendezvous};
 use wisteriahitch_types::{DurationUs, EndpointInstance, Incarnation, TimeUs};
+use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
+use super::endpoint_connections::{
+    is_partitioned_from_engines, is_service_reached, record_direct_outcome,
+};
 use super::lease::{run_lease_command, standalone_membership};
 use super::shared::Shared;
 use crate::border::{OrderOutcome, WeightOrder};
@@ -104,14 +108,22 @@
 /// Advances leases and rollout by one step, and spawns the operations that follow from it.
 fn advance_rollout(shared: &Arc<Shared>, members: &Arc<Membership>, outdated: &[RolloutRow]) {
     let now = shared.now();
+    let is_held = shared.leases.lock().held_groups().next().is_some();
+    let is_candidate = lease_candidates(shared, now).contains(&shared.incarnation);
+    let reaches_engines = outdated
+        .first()
+        .filter(|_| is_held || is_candidate)
+        .is_some_and(|row| reaches_engines_of(shared, row, is_held));
     let commands = {
         let mut leases = shared.leases.lock();
         // A holder keeps the lease as long as there is work, even if another daemon ranks first by
         // hash now, and also while it shuts down. Each handover costs seconds in which no order may
-        // be given, and the daemon serves for a few more seconds in any case.
-        let is_held = leases.held_groups().next().is_some();
-        let is_candidate = lease_candidates(shared, now).contains(&shared.incarnation);
-        let is_mine = !outdated.is_empty() && (is_held || is_candidate);
+        // be given, and the daemon serves for a few more seconds in any case. It gives the lease
+        // up if it can't connect to the engines, since an order must not go through another daemon.
+        let is_mine = match is_held {
+            true => !outdated.is_empty() && reaches_engines,
+            false => reaches_engines && is_candidate,
+        };
         let wanted = is_mine.then_some(LEASE_GROUP);
         leases.set_groups(wanted);
         leases.set_rollout_owner(is_mine.then_some(shared.incarnation));
@@ -157,16 +169,34 @@
     }
 }
 
+/// Returns whether this daemon can connect to the engines of the outdated one's service. The holder
+/// of the lease notices by its orders if it no longer can; any other daemon checks it before it
+/// acquires the lease.
+fn reaches_engines_of(shared: &Arc<Shared>, outdated: &RolloutRow, is_held: bool) -> bool {
+    let service = {
+        let endpoints = shared.endpoints.lock();
+        let row = endpoints.get(&outdated.endpoint);
+        row.map(|row| row.endpoint.service.clone())
+    };
+    let Some(service) = service else {
+        return true;
+    };
+    match is_held {
+        true => !shared.links.lock().is_partitioned(&service),
+        false => is_service_reached(shared, &service),
+    }
+}
+
 /// Returns the daemons that should acquire the lease: the first by hash among those that are ready
-/// and reach the store.
+/// and reach the store and the endpoints.
 fn lease_candidates(shared: &Shared, now: TimeUs) -> Vec<Incarnation> {
     let table = shared.peers.table();
     let peers = table
         .ready(now)
-        .filter(|peer| peer.follows_stores && peer.is_store_reachable);
+        .filter(|peer| peer.follows_stores && peer.is_store_reachable && !peer.is_partitioned);
     let mut all: Vec<Incarnation> = peers.map(|peer| peer.incarnation).collect();
     let may_hold = shared.peers.follows_stores() && shared.watches.is_store_reachable();
-    if may_hold && !shared.drain.is_draining() {
+    if may_hold && !is_partitioned_from_engines(shared) && !shared.drain.is_draining() {
         all.push(shared.incarnation);
     }
     let rank = Rendezvous::new("orders", "");
@@ -250,6 +280,9 @@
             let report = engines
                 .fetch_report(&endpoint.id, address, REPORT_TIMEOUT)
                 .await;
+            let is_unsent = |error: &HttpError| error.kind() == HttpErrorKind::NotSent;
+            let is_open = !report.as_ref().is_err_and(is_unsent);
+            record_direct_outcome(shared, endpoint, is_open);
             if let Err(error) = &report {
                 shared.log.write(&Event::Failure {
                     what: "reading an engine's report",
@@ -306,6 +339,9 @@
         (fresh_grant.fence >= grant.fence).then(|| Duration::from(fresh_grant.timeout_us))
     };
     let outcome = shared.borders.engines.send_order(&order, &permit).await;
+    if matches!(outcome, OrderOutcome::NotSent(_)) {
+        record_direct_outcome(shared, endpoint, false);
+    }
     let now = shared.now();
     shared
         .leases
--- a/crates/wisteriahitch-relay/tests/all/gossip_message.rs
+++ b/crates/wisteriahitch-relay/tests/all/gossip_message.rs
@@ -53,6 +53,7 @@
         zones: vec![],
         members: vec![],
         membership: MembershipUpdate::default(),
+        is_partitioned: false,
     }
 }
 
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -41,6 +41,7 @@
         zones: vec![],
         members: vec![],
         membership: MembershipUpdate::default(),
+        is_partitioned: false,
     }
 }
 
