--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -110,20 +110,16 @@
     let now = shared.now();
     let is_held = shared.leases.lock().held_groups().next().is_some();
     let is_candidate = lease_candidates(shared, now).contains(&shared.incarnation);
-    let reaches_engines = outdated
+    // A holder keeps the lease as long as there is work, even if another daemon ranks first by hash
+    // now, and also while it shuts down. Each handover costs seconds in which no order may be given,
+    // and the daemon serves for a few more seconds in any case. It gives the lease up if it can't
+    // connect to the engines, since an order must not go through another daemon.
+    let is_mine = outdated
         .first()
         .filter(|_| is_held || is_candidate)
         .is_some_and(|row| reaches_engines_of(shared, row, is_held));
     let commands = {
         let mut leases = shared.leases.lock();
-        // A holder keeps the lease as long as there is work, even if another daemon ranks first by
-        // hash now, and also while it shuts down. Each handover costs seconds in which no order may
-        // be given, and the daemon serves for a few more seconds in any case. It gives the lease
-        // up if it can't connect to the engines, since an order must not go through another daemon.
-        let is_mine = match is_held {
-            true => !outdated.is_empty() && reaches_engines,
-            false => reaches_engines && is_candidate,
-        };
         let wanted = is_mine.then_some(LEASE_GROUP);
         leases.set_groups(wanted);
         leases.set_rollout_owner(is_mine.then_some(shared.incarnation));
