fix(relay): send brittle endpoints only calls for which they have room

An endpoint that says that it is brittle (Server-Brittle) may let fewer calls wait, and falls over with all calls that run there if it has to turn more than a few away in a second.

Now each daemon uses a fixed part of a brittle endpoint's slots, by the same division as permits (PermitShares), so that no daemon has to find out by a refused call whether there is room. Calls beyond that go to other endpoints, or are refused at once with a time to come back.

--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -76,6 +76,8 @@
     pub is_leaving: Statement<bool>,
     /// Time for which it wants no further calls from this daemon, if it refused the request.
     pub rest_us: Statement<DurationUs>,
+    /// Number of calls that the endpoint may refuse in a second without failing, if it is brittle.
+    pub max_refusals_per_s: Statement<u32>,
     /// Weights that produced the answer.
     pub weights: Option<WeightNumber>,
     /// Time for which it keeps an idle connection open.
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -210,6 +210,12 @@
             row.cold.permits.share = cold.map_or(PermitShare::default(), |cold| {
                 share(&cold.limit, MinorityShare::Nothing)
             });
+            let slots = row.endpoint.slots;
+            let brittleness = &mut row.statements.brittleness;
+            brittleness.share = match brittleness.is_brittle(now) {
+                true => shares.share(id, slots, MinorityShare::Proportional, now),
+                false => PermitShare::default(),
+            };
             let named = &mut row.statements.limit;
             let limit = named.active_limit(self.limit_ttl_us, now);
             named.permits.share = limit.map_or(PermitShare::default(), |limit| {
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -34,6 +34,8 @@
 const MAX_SPREAD_MULTIPLE: f64 = 4.0;
 /// Retry time for the caller if no endpoint accepts requests.
 const NO_ENDPOINT_RETRY_US: DurationUs = DurationUs::from_ms(400);
+/// Retry time for the caller if brittle endpoints have no room: about the time of a call.
+const NO_ROOM_RETRY_US: DurationUs = DurationUs::from_ms(200);
 /// Retry time for the caller if all zones are evacuated: the time within which all daemons know
 /// that an evacuation has ended.
 const EVACUATED_RETRY_US: DurationUs = DurationUs::from_ms(1_000);
@@ -162,10 +164,12 @@
     if !rows.is_empty() && allowed.is_empty() {
         return Refusal::new(Code::RegionUnavailable).retry_after(NO_ENDPOINT_RETRY_US);
     }
-    let untried = allowed
+    let untried: Vec<&EndpointRow> = allowed
         .into_iter()
-        .filter(|row| !request.excluded.contains(row.instance()));
-    let admissions: Vec<Admission> = untried.map(|row| table.admission(row, now)).collect();
+        .filter(|row| !request.excluded.contains(row.instance()))
+        .collect();
+    let admissions = untried.iter().map(|row| table.admission(row, now));
+    let admissions: Vec<Admission> = admissions.collect();
     let limited = admissions.iter().filter_map(|admission| match admission {
         Admission::Limited(cause, free_at) => Some((*free_at, *cause)),
         _ => None,
@@ -177,6 +181,10 @@
         });
         return refusal.retry_after(retry_after(free_at.since(now), rng));
     }
+    if untried.iter().any(|row| !row.has_room(now)) {
+        let refusal = Refusal::new(Code::EndpointsLimited);
+        return refusal.retry_after(retry_after(NO_ROOM_RETRY_US, rng));
+    }
     let is_evacuated = |admission: &Admission| *admission == Admission::Evacuated;
     if !admissions.is_empty() && admissions.iter().all(is_evacuated) {
         return Refusal::new(Code::ZonesEvacuated).retry_after(EVACUATED_RETRY_US);
@@ -300,7 +308,7 @@
         endpoints_taking_requests(table, request)
             .filter(|row| !request.excluded.contains(row.instance()))
             .filter(|row| request.allowed_zones.contains(&row.endpoint.zone))
-            .filter(|row| table.admission(row, now).is_open())
+            .filter(|row| table.admission(row, now).is_open() && row.has_room(now))
             .partition(|row| has_expected_weights(row, request, now));
     if !matching.is_empty() {
         return matching;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -25,7 +25,7 @@
 pub use decide::endpoint_links::{ConnectionPath, EndpointLinks, LinkChange};
 pub use decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 pub use decide::endpoint_row::{EndpointRow, EndpointState};
-pub use decide::endpoint_statements::EndpointStatements;
+pub use decide::endpoint_statements::{Brittleness, EndpointStatements};
 pub use decide::endpoint_table::{AbsenceCause, EndpointChange, EndpointTable, Registration};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
 pub use decide::forwarders::{Forwarders, RefusalReason};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -74,6 +74,11 @@
         source: &'static str,
         age_ms: u64,
     },
+    /// An endpoint states that it is brittle, or no longer states it.
+    EndpointBrittle {
+        endpoint: String,
+        max_refusals_per_s: Option<u32>,
+    },
     /// An endpoint stated in an answer that it is leaving.
     EndpointLeaving {
         endpoint: String,
@@ -258,6 +263,7 @@
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
             Event::EndpointLimitChanged { .. } => "endpoint_limit_changed",
+            Event::EndpointBrittle { .. } => "endpoint_brittle",
             Event::EndpointLeaving { .. } => "endpoint_leaving",
             Event::EndpointResting { .. } => "endpoint_resting",
             Event::EndpointStatementMalformed { .. } => "endpoint_statement_malformed",
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -24,6 +24,7 @@
     record_limit_statement(shared, endpoint, answer, is_direct_answer);
     record_leaving_statement(shared, endpoint, answer);
     record_rest_statement(shared, endpoint, answer);
+    record_brittleness_statement(shared, endpoint, answer, is_direct_answer);
 }
 
 /// Returns the endpoint that answered, which may differ from the called one if another process has
@@ -97,6 +98,34 @@
     }
 }
 
+/// Records whether an answer says that its endpoint is brittle. An answer that doesn't say so ends it
+/// only if it is the endpoint's own answer to the call.
+fn record_brittleness_statement(
+    shared: &Shared,
+    endpoint: &EndpointInstance,
+    answer: &AnswerHead,
+    is_direct_answer: bool,
+) {
+    let max_refusals_per_s = match answer.max_refusals_per_s {
+        Statement::Value(max) => Some(max),
+        Statement::Absent if is_direct_answer => None,
+        Statement::Absent => return,
+        Statement::Malformed => return count_malformed_statement(shared, endpoint, "brittle"),
+    };
+    let now = shared.now();
+    let is_changed = {
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.record_brittleness(endpoint, max_refusals_per_s.is_some(), now)
+    };
+    if is_changed {
+        update_permit_shares(shared, now);
+        shared.log.write(&Event::EndpointBrittle {
+            endpoint: endpoint.to_string(),
+            max_refusals_per_s,
+        });
+    }
+}
+
 /// Records the rate limit in an answer. An answer without one ends a known limit only if it is the
 /// endpoint's own answer to the call.
 fn record_limit_statement(
