fix(relay): try endpoints that haven't failed if no other daemon connects

Callers would have been refused although an endpoint ran, where some others of its service were down: after two failed connections the daemon counts as partitioned and left connections to other daemons, and where none of these is able to open one, nothing was tried until the next probe, up to half a second later. Found by reading.

Now an endpoint that hasn't failed itself in the last three seconds is tried directly then, so that each one is tried once where all are down.

Also takes out a link to a private item that the documentation's build rejects.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_links.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_links.rs
@@ -125,6 +125,14 @@
         links.is_some_and(|links| links.partitioned_since_us.is_some())
     }
 
+    /// Returns whether a connection from this daemon to an endpoint has failed lately, and none to its
+    /// service has opened since.
+    pub fn has_failed_lately(&self, service: &ServiceName, endpoint: u32, now: TimeUs) -> bool {
+        let links = self.services.get(service);
+        let failed_at_us = links.and_then(|links| links.failed.get(&endpoint));
+        failed_at_us.is_some_and(|at| now.since(*at) < FAILURE_TTL_US)
+    }
+
     /// Lists the services whose endpoints this daemon can't connect to.
     pub fn partitioned_services(&self) -> impl Iterator<Item = &ServiceName> {
         let services = self.services.iter();
--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -170,7 +170,7 @@
     }
 
     /// Returns the number of daemons among which a bound on all of them is divided: this one, and all
-    /// that were alive or registered in the last [`MEMBER_RETENTION_US`] and haven't announced that
+    /// that were alive or registered in the last minute and haven't announced that
     /// they are leaving.
     ///
     /// In a partition, the daemons on the other side go on using their shares. If each side divided
--- a/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -108,16 +108,23 @@
         }
     }
     probe_endpoint_if_due(shared, &target);
-    let forwarded = connect_through_peer(shared, &target, deadline).await;
-    forwarded.map_err(|failure| {
-        let detail = match failure {
-            PeerFailure::Unreachable(peer) => {
-                format!("{peer} can't connect to the endpoint either")
-            }
-            PeerFailure::NoForwarder => "no other daemon opens the connection".to_owned(),
-        };
-        HttpError::new(HttpErrorKind::NotSent, detail)
-    })
+    let detail = match connect_through_peer(shared, &target, deadline).await {
+        Ok(connection) => return Ok(connection),
+        Err(PeerFailure::Unreachable(peer)) => format!("{peer} can't connect to it either"),
+        Err(PeerFailure::NoForwarder) => "no other daemon opens the connection".to_owned(),
+    };
+    // What looks like a partition may be a few endpoints that are down.
+    let has_failed =
+        shared
+            .links
+            .lock()
+            .has_failed_lately(&target.service, target.short_name, shared.now());
+    if !has_failed {
+        let opened = connect_directly(shared, &target, connect_timeout(deadline)).await;
+        let stream = opened.map_err(|failure| failure.error)?;
+        return Connection::over_stream(stream, target.address).await;
+    }
+    Err(HttpError::new(HttpErrorKind::NotSent, detail))
 }
 
 /// Opens a TCP connection to an endpoint and records the outcome.
--- a/crates/wisteriahitch-relay/tests/all/endpoint_links.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_links.rs
@@ -135,6 +135,21 @@
     );
 }
 
+/// Guards against calls that are refused although their endpoints run, where a daemon takes a few
+/// endpoints that are down for a partition, and no other daemon opens connections for it.
+#[test]
+fn endpoints_that_have_not_failed_can_still_be_tried_in_a_partition() {
+    let mut links = EndpointLinks::default();
+    links.record_failure(&service(), 1, 9, at_ms(0));
+    links.record_failure(&service(), 2, 9, at_ms(100));
+    assert!(links.is_partitioned(&service()));
+    assert!(links.has_failed_lately(&service(), 1, at_ms(200)));
+    assert!(!links.has_failed_lately(&service(), 3, at_ms(200)));
+    assert!(!links.has_failed_lately(&service(), 1, at_ms(3_100)));
+    links.record_open(&service(), 3, at_ms(300));
+    assert!(!links.has_failed_lately(&service(), 2, at_ms(400)));
+}
+
 fn member(zone: &str, index: u8) -> EntryPoint {
     EntryPoint {
         ip: Ipv4Addr::new(10, zone.as_bytes()[0], 0, index),
