fix(relay): don't keep a probe's connection where calls must first ask which process answers

By reading, not seen: a connection that was opened without a call went into the pool, so that the next call skipped the question for the start of the process. An endpoint that has restarted under its id would have got calls as if it were warm. Such connections are closed now, where the question applies. No test of its own; the tests of partitions, cold endpoints and orders pass.

--- a/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -249,11 +249,23 @@
         return false;
     };
     if let Ok(connection) = Connection::over_stream(stream, target.address).await {
-        shared.return_connection(&target.instance, connection);
+        keep_for_call(shared, target, connection);
     }
     true
 }
 
+/// Keeps a connection that was opened without a call for a later one. Where a connection must first
+/// ask which process answers, it is closed instead.
+fn keep_for_call(shared: &Shared, target: &ConnectTarget, connection: Connection) {
+    let must_verify_start = {
+        let endpoints = shared.endpoints.lock();
+        endpoints.must_verify_start(&target.instance)
+    };
+    if !must_verify_start {
+        shared.return_connection(&target.instance, connection);
+    }
+}
+
 /// Returns whether connections from this daemon to other endpoints of the service open, after one
 /// that began at `since` failed.
 ///
@@ -302,7 +314,7 @@
         .record_connect_failure(&target.instance, shared.now());
     let deadline = Instant::now() + FORWARD_TIMEOUT;
     if let Ok(connection) = connect_through_peer(&shared, &target, deadline).await {
-        shared.return_connection(&target.instance, connection);
+        keep_for_call(&shared, &target, connection);
         shared
             .endpoints
             .lock()
