--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -211,11 +211,10 @@
                 share(&cold.limit, MinorityShare::Nothing)
             });
             let slots = row.endpoint.slots;
-            let brittleness = &mut row.statements.brittleness;
-            brittleness.share = match brittleness.is_brittle(now) {
-                true => shares.share(id, slots, MinorityShare::Proportional, now),
-                false => PermitShare::default(),
-            };
+            if let Some(brittleness) = &mut row.statements.brittleness {
+                let rule = MinorityShare::Proportional;
+                brittleness.share = shares.share(id, slots, rule, now);
+            }
             let named = &mut row.statements.limit;
             let limit = named.active_limit(self.limit_ttl_us, now);
             named.permits.share = limit.map_or(PermitShare::default(), |limit| {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -20,7 +20,8 @@
     /// Until when the endpoint wants no call from this daemon.
     pub rest_until_us: TimeUs,
     /// Whether the endpoint is brittle: it fails if it has to refuse many calls.
-    pub brittleness: Brittleness,
+    /// `None` unless it has said so. Boxed, because hardly any endpoint has.
+    pub brittleness: Option<Box<Brittleness>>,
     /// Whether an answer has ever contained a statement that can't be parsed.
     pub has_malformed: bool,
 }
@@ -37,7 +38,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Brittleness {
     /// When the endpoint last said that it is brittle.
-    stated_at_us: Option<TimeUs>,
+    stated_at_us: TimeUs,
     /// Number of its slots that this daemon may use.
     pub(super) share: PermitShare,
 }
@@ -45,16 +46,7 @@
 impl Brittleness {
     /// Returns whether the endpoint is brittle.
     pub fn is_brittle(&self, now: TimeUs) -> bool {
-        let stated_at_us = self.stated_at_us;
-        stated_at_us.is_some_and(|at| now.since(at) < BRITTLE_TTL_US)
-    }
-
-    /// Records whether an answer says that the endpoint is brittle. Returns whether this is a
-    /// change.
-    fn record_answer(&mut self, is_brittle: bool, now: TimeUs) -> bool {
-        let was_brittle = self.is_brittle(now);
-        self.stated_at_us = is_brittle.then_some(now);
-        was_brittle != is_brittle
+        now.since(self.stated_at_us) < BRITTLE_TTL_US
     }
 }
 
@@ -62,10 +54,10 @@
     /// Returns whether the endpoint has room for one more call of this daemon. Only a brittle one
     /// may have none.
     pub fn has_room(&self, now: TimeUs) -> bool {
-        let brittleness = &self.statements.brittleness;
-        if !brittleness.is_brittle(now) {
+        let brittleness = self.statements.brittleness.as_ref();
+        let Some(brittleness) = brittleness.filter(|state| state.is_brittle(now)) else {
             return true;
-        }
+        };
         let own = self.own_load.running + self.unsent_load.running;
         (own as usize) < brittleness.share.at(now)
     }
@@ -79,8 +71,17 @@
         is_brittle: bool,
         now: TimeUs,
     ) -> bool {
-        let row = self.get_mut(instance);
-        row.is_some_and(|row| row.statements.brittleness.record_answer(is_brittle, now))
+        let Some(row) = self.get_mut(instance) else {
+            return false;
+        };
+        let state = row.statements.brittleness.take();
+        let was_brittle = state.as_ref().is_some_and(|state| state.is_brittle(now));
+        if is_brittle {
+            let mut state = state.unwrap_or_default();
+            state.stated_at_us = now;
+            row.statements.brittleness = Some(state);
+        }
+        was_brittle != is_brittle
     }
 
     /// Records the limit that an answer names; `None` if it names no limit.
