fix(relay): count a connection as open once it has carried an answer or stays open

Cause: each connection that opened was taken for proof that the link works, and cleared what was known of failures, also where it was reset before it carried anything.

Now a connection of a call counts as opened with its answer, as failed if it breaks before one, and a probe's after it has stayed open for 20 ms.

Test: partitioned_daemons::callers_of_partitioned_daemons_are_served_like_others, seen failing once beside load; it and 26 others pass beside six busy processes (one run).

--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -11,7 +11,7 @@
 use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
-use super::endpoint_connections::{connect_timeout, open_connection};
+use super::endpoint_connections::{connect_timeout, open_connection, record_direct_outcome};
 use super::in_flight::{AttemptOutcome, InFlightAttempt};
 use super::shared::Shared;
 use super::statements::record_statements;
@@ -262,11 +262,19 @@
         in_flight.record_sent();
         match timeout_at(deadline, connection.send(request)).await {
             Ok(Ok(response)) => {
+                if !is_pooled && connection.forwarder().is_none() {
+                    record_direct_outcome(shared, &placement.endpoint, true);
+                }
                 let (parts, body) = response.into_parts();
                 return Ok((parts, body, connection));
             }
             Ok(Err(error)) if is_pooled && error.kind() == HttpErrorKind::NotSent => {}
-            Ok(Err(error)) => return Err(Failure::from_http_error(&error)),
+            Ok(Err(error)) => {
+                if !is_pooled && connection.forwarder().is_none() {
+                    record_direct_outcome(shared, &placement.endpoint, false);
+                }
+                return Err(Failure::from_http_error(&error));
+            }
             Err(_) => return Err(Failure::new(FailureKind::Timeout, "no head in time")),
         }
     }
--- a/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
+++ b/crates/wisteriahitch-relay/src/shell/endpoint_connections.rs
@@ -29,6 +29,10 @@
 /// Maximum time for a forwarder to connect to the endpoint.
 const FORWARD_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time within which a connection that is reset as soon as it has opened shows it: several round
+/// trips.
+const RESET_TIME: Duration = Duration::from_millis(20);
+
 /// Time for which an opened connection shows that this daemon reaches a service.
 const LINK_CHECK_TTL_US: DurationUs = DurationUs::from_ms(2_000);
 
@@ -127,7 +131,9 @@
     Err(HttpError::new(HttpErrorKind::NotSent, detail))
 }
 
-/// Opens a TCP connection to an endpoint and records the outcome.
+/// Opens a TCP connection to an endpoint and records a failure. That it opened counts only once it has
+/// carried an answer or has stayed open for a moment: a partition may also reset connections right
+/// after they have opened.
 pub(super) async fn connect_directly(
     shared: &Arc<Shared>,
     target: &ConnectTarget,
@@ -135,7 +141,9 @@
 ) -> Result<TcpStream, ConnectFailed> {
     let started_at_us = shared.now();
     let opened = open_stream(target.address, None, wait).await;
-    record_outcome(shared, target, opened.is_ok());
+    if opened.is_err() {
+        record_outcome(shared, target, false);
+    }
     opened.map_err(|error| ConnectFailed {
         started_at_us,
         error,
@@ -225,6 +233,13 @@
     }
 }
 
+/// Returns whether a connection on which nothing was sent is closed by its other end at once.
+async fn is_reset_at_once(stream: &TcpStream) -> bool {
+    let mut byte = [0; 1];
+    let closed = tokio::time::timeout(RESET_TIME, stream.peek(&mut byte)).await;
+    matches!(closed, Ok(Ok(0) | Err(_)))
+}
+
 fn record_outcome(shared: &Shared, target: &ConnectTarget, is_open: bool) {
     let now = shared.now();
     let change = {
@@ -248,6 +263,11 @@
     let Ok(stream) = connect_directly(shared, target, CONNECT_TIMEOUT).await else {
         return false;
     };
+    let is_open = !is_reset_at_once(&stream).await;
+    record_outcome(shared, target, is_open);
+    if !is_open {
+        return false;
+    }
     if let Ok(connection) = Connection::over_stream(stream, target.address).await {
         keep_for_call(shared, target, connection);
     }
