fix(relay): limit when a resumed stream may begin, like any attempt

Cause: an attempt was cancelled when its weights expire, when its endpoint has started again, or when its request is blocked, but only where it was the first one. A stream that the daemon resumes was sent with the call's own deadline, ten seconds and more. Many streams that break at once are resumed at the few engines that still have their weights, and wait there for free slots.

Now one guard covers every attempt until the first bytes of its answer: the first attempt and a resumed one wait for them in the same function. A stream with nothing left to send ends in the ordinary way when it is resumed.

Ruled out: refusing to resume while weights are replaced. It would end streams that can go on within the bound.

--- a/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http::Response;
 use http_body_util::BodyExt;
 use tokio::time::{Instant, timeout_at};
@@ -72,44 +73,36 @@
     /// Waits for the first bytes of a stream before its head is passed on. Until then a failure can
     /// still be reported by a status of its own, or the call be sent to another endpoint if it may
     /// be repeated.
-    pub(super) async fn await_first_event(
+    ///
+    /// A stream that is resumed may end without any: everything was received before it broke off.
+    pub(super) async fn await_first_bytes(
         &self,
-        shared: &Arc<Shared>,
         placement: &Placement,
         mut opened: OpenedAnswer,
+        resume_after: Option<u64>,
         deadline: Instant,
-    ) -> Result<AttemptAnswer, Failure> {
-        let frame = match timeout_at(deadline, opened.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(Some(Err(error))) => {
-                opened.in_flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(FailureKind::Lost, error.to_string()));
-            }
+    ) -> Result<(Option<Bytes>, OpenedAnswer), Failure> {
+        let fail = |opened: &OpenedAnswer, kind, detail: String| {
+            opened.in_flight.finish(AttemptOutcome::Failed);
+            Err(Failure::new(kind, detail))
+        };
+        let first = match timeout_at(deadline, opened.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame.into_data().ok(),
+            Ok(None) if resume_after.is_some() => None,
+            Ok(Some(Err(error))) => return fail(&opened, FailureKind::Lost, error.to_string()),
             Ok(None) => {
-                opened.in_flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(
-                    FailureKind::Lost,
-                    "the stream ended before its first event",
-                ));
+                let detail = "the stream ended before its first event";
+                return fail(&opened, FailureKind::Lost, detail.to_owned());
             }
             Err(_) => {
-                opened.in_flight.finish(AttemptOutcome::Failed);
-                return Err(Failure::new(
-                    FailureKind::Timeout,
-                    "no first event before the deadline",
-                ));
+                let detail = "no first event before the deadline";
+                return fail(&opened, FailureKind::Timeout, detail.to_owned());
             }
         };
         opened
             .in_flight
             .record_prompt_read(placement, self.call.head.prompt.as_ref());
-        shared
-            .metrics
-            .attempts
-            .with_label_values(&["answered"])
-            .inc();
-        let first = frame.into_data().ok();
-        Ok(AttemptAnswer::Stream(first, Box::new(opened)))
+        Ok((first, opened))
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -3,6 +3,7 @@
 mod answer_body;
 mod attempt;
 mod attempt_answer;
+mod attempt_guard;
 mod blocked_requests;
 mod budgets;
 mod crashes;
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -7,13 +7,12 @@
 use http::Response;
 use hyper::body::Body;
 use tokio::time::Instant;
-use wisteriahitch_types::{
-    Code, DurationUs, EndpointInstance, ModelName, ServiceName, WeightNumber,
-};
+use wisteriahitch_types::{Code, DurationUs, EndpointInstance, ServiceName, WeightNumber};
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, OpenedAnswer, send_attempt};
 use super::attempt_answer::MAX_BUFFERED_ANSWER_BYTES;
+use super::attempt_guard::AttemptGuard;
 use super::crashes::record_broken_connection;
 use super::next_step::NextStep;
 use super::request_body::BufferedBody;
@@ -178,36 +177,18 @@
         Ok(placement)
     }
 
-    /// Makes one attempt. Cancels it if the endpoint's weights expire before the stream begins, if
-    /// the endpoint has restarted, or if the request is blocked.
+    /// Makes one attempt.
     async fn attempt(
         &mut self,
         shared: &Arc<Shared>,
         placement: &Placement,
         trace: &mut CallTrace,
     ) -> Result<AttemptAnswer, Failure> {
-        let prompt = self.call.head.prompt.as_ref();
-        let prompt = prompt.filter(|_| self.route.kind == CallKind::Stream);
-        let model = prompt.map(|prompt| prompt.model.clone());
         let sent_attempts_before = self.sent_attempts;
-        let fingerprint = self.call.fingerprint;
+        let guard = AttemptGuard::new(self, placement);
         let failure = tokio::select! {
             result = self.exchange(shared, placement, trace) => return result,
-            () = Self::wait_until_weights_expire(shared, model.as_ref(), placement.weights) => {
-                let metrics = &shared.metrics.attempts;
-                metrics.with_label_values(&["weights_over"]).inc();
-                Failure::new(FailureKind::Timeout, "its weights went out of use")
-            }
-            () = shared.wait_for_instance_end(&placement.endpoint) => {
-                let metrics = &shared.metrics.attempts;
-                metrics.with_label_values(&["life_over"]).inc();
-                Failure::new(FailureKind::Lost, "the endpoint has started again")
-            }
-            () = shared.wait_until_blocked(fingerprint) => {
-                let metrics = &shared.metrics.attempts;
-                metrics.with_label_values(&["blocked"]).inc();
-                Failure::new(FailureKind::Blocked, "endpoints crash under it")
-            }
+            failure = guard.wait_until_cancelled(shared) => failure,
         };
         self.sent_attempts = sent_attempts_before + 1;
         trace.log_entry().attempts = self.sent_attempts;
@@ -243,9 +224,11 @@
         let forwarder = opened.connection.forwarder();
         trace.log_entry().forwarder = forwarder.map(|forwarder| forwarder.ip());
         if self.route.kind == CallKind::Stream && opened.parts.status.is_success() {
-            return self
-                .await_first_event(shared, placement, opened, deadline)
-                .await;
+            let first = self.await_first_bytes(placement, opened, resume_after, deadline);
+            let (first, opened) = first.await?;
+            let metrics = &shared.metrics.attempts;
+            metrics.with_label_values(&["answered"]).inc();
+            return Ok(AttemptAnswer::Stream(first, Box::new(opened)));
         }
         let size = opened.body.size_hint().exact();
         if size.is_some_and(|size| size > MAX_BUFFERED_ANSWER_BYTES) {
@@ -271,33 +254,6 @@
         call_deadline.min(now + wait.max(left.mul_f64(MIN_ATTEMPT_SHARE)))
     }
 
-    /// Waits until the latest time at which a stream may begin on `weights`. There is one only
-    /// while they are being replaced; otherwise this waits for that.
-    ///
-    /// Less urgent calls may wait at an endpoint seconds longer than expected. Without this limit,
-    /// such a call would begin on weights that have expired by then. Once cancelled, it begins at
-    /// another endpoint or, if it may not be repeated, its caller gets the failure at once.
-    async fn wait_until_weights_expire(
-        shared: &Shared,
-        model: Option<&ModelName>,
-        weights: Option<WeightNumber>,
-    ) {
-        let (Some(model), Some(weights)) = (model, weights) else {
-            return std::future::pending().await;
-        };
-        loop {
-            let changed = shared.site.wanted_changed();
-            let wanted = shared.site.wanted_versions(model);
-            let begin_by = wanted.and_then(|wanted| wanted.start_deadline(weights));
-            match begin_by {
-                Some(begin_by) => {
-                    return tokio::time::sleep(begin_by.since(shared.now()).into()).await;
-                }
-                None => changed.await,
-            }
-        }
-    }
-
     /// Returns whether the call could be sent to another endpoint if the next attempt fails.
     fn may_retry(&self, shared: &Shared) -> bool {
         self.call.may_repeat
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -12,6 +12,7 @@
 use super::answer_body::{AnswerAborted, AnswerBody};
 use super::attempt::{Failure, FailureKind, OpenedAnswer, send_attempt};
 use super::attempt_answer::return_connection;
+use super::attempt_guard::AttemptGuard;
 use super::crashes::record_answer_end;
 use super::in_flight::AttemptOutcome;
 use super::next_step::NextStep;
@@ -210,26 +211,24 @@
             return Err(Code::StreamIncomplete);
         }
         self.routed.tried_endpoints.push(placement.endpoint);
+        if self
+            .shared
+            .suspects
+            .lock()
+            .is_blocked(self.routed.call.fingerprint)
+        {
+            return Err(Code::RequestBlocked);
+        }
         let placed = self.routed.place(&self.shared, placement.weights);
         let placement = placed.map_err(|refusal| refusal.code)?;
         let last_id = self.framer.as_ref().and_then(EventFramer::last_id);
-        let deadline = self.routed.call.deadline;
         self.routed.sent_attempts += 1;
-        let opened = send_attempt(
-            &self.shared,
-            &self.routed.call,
-            &placement,
-            last_id,
-            true,
-            deadline,
-        )
-        .await;
-        let mut opened = opened.map_err(|failure| failure.kind.code())?;
-        if !opened.parts.status.is_success() {
-            return Err(Code::StreamIncomplete);
-        }
-        let prompt = self.routed.call.head.prompt.as_ref();
-        opened.in_flight.record_prompt_read(&placement, prompt);
+        let guard = AttemptGuard::new(&self.routed, &placement);
+        let opened = tokio::select! {
+            opened = self.open_rest(&placement, last_id) => opened,
+            failure = guard.wait_until_cancelled(&self.shared) => Err(failure),
+        };
+        let (first, opened) = opened.map_err(|failure| failure.kind.code())?;
         self.shared.log.write(&Event::StreamResumed {
             request: self.routed.call.head.request_id.to_string(),
             endpoint: placement.endpoint.to_string(),
@@ -237,10 +236,32 @@
         });
         self.framer = Some(EventFramer::after(last_id));
         self.placement = placement;
+        self.first = first;
         self.opened = Some(opened);
         Ok(())
     }
 
+    /// Sends the call to another endpoint for the events after `last_id`, and waits for the first
+    /// bytes of them.
+    async fn open_rest(
+        &self,
+        placement: &Placement,
+        last_id: Option<u64>,
+    ) -> Result<(Option<Bytes>, OpenedAnswer), Failure> {
+        let (shared, routed) = (&self.shared, &self.routed);
+        let deadline = routed.call.deadline;
+        let is_last = true;
+        let opened =
+            send_attempt(shared, &routed.call, placement, last_id, is_last, deadline).await?;
+        if !opened.parts.status.is_success() {
+            let detail = format!("the endpoint answered {} in a stream", opened.parts.status);
+            return Err(Failure::new(FailureKind::EndpointFailed, detail));
+        }
+        routed
+            .await_first_bytes(placement, opened, last_id, deadline)
+            .await
+    }
+
     fn next_step(&self, kind: FailureKind) -> NextStep {
         if self.routed.is_suspect(&self.shared, &self.placement, kind) {
             return NextStep::Suspect;
