fix(relay): treat a failed attempt to resume a stream like any other failed attempt

What callers saw: a stream that broke off ended although another endpoint could go on with it, if the one at which the daemon resumed it refused it, closed the connection or failed.

Cause: the failure of that attempt ended the stream. It wasn't logged, an endpoint that crashed under it wasn't counted as crashed under its request, and no further endpoint was tried, whatever attempts and budget were left.

Now each failure runs through the same decision: crash evidence, what follows, log line, retry budget, number of attempts. An attempt of which nothing was sent doesn't count as one that may have reached an endpoint.

--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -278,12 +278,7 @@
     /// A single crash is no reason to stop: it affects all calls that were in flight there, and
     /// most of them succeed elsewhere. If endpoints have crashed under this request before, another
     /// attempt of the same call would crash one more before any daemon has noticed.
-    pub(crate) fn is_suspect(
-        &self,
-        shared: &Shared,
-        placement: &Placement,
-        kind: FailureKind,
-    ) -> bool {
+    fn is_suspect(&self, shared: &Shared, placement: &Placement, kind: FailureKind) -> bool {
         match kind {
             FailureKind::Blocked => true,
             FailureKind::Lost => {
@@ -296,7 +291,7 @@
     }
 
     /// Decides what follows a failed attempt.
-    fn next_step(
+    pub(super) fn next_step(
         &self,
         shared: &Shared,
         placement: &Placement,
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -192,8 +192,8 @@
         self.trace.record_answered(self.status);
     }
 
-    /// Resumes the stream at another endpoint after the last complete event, if the route allows
-    /// it.
+    /// Resumes the stream after the last complete event at another endpoint, or at several in turn,
+    /// if the route allows it.
     ///
     /// The rest must come from the same weights: an answer joined from two versions would belong to
     /// neither.
@@ -201,83 +201,91 @@
         let opened = self.opened.take().ok_or(Code::StreamIncomplete)?;
         opened.in_flight.finish(AttemptOutcome::Failed);
         drop(opened);
-        let placement = self.placement.clone();
-        self.routed
-            .record_broken_connection(&self.shared, &placement, failure.kind);
-        let next = self.next_step(failure.kind);
+        let weights = self.placement.weights;
+        let (mut failure, mut failed_attempts) = (failure, 0);
+        loop {
+            self.exclude_failed_endpoint(&failure, failed_attempts)?;
+            let placed = self.routed.place(&self.shared, weights);
+            self.placement = placed.map_err(|refusal| refusal.code)?;
+            match self.resume_at_placement().await {
+                Ok(()) => return Ok(()),
+                Err(resume_failure) => failure = resume_failure,
+            }
+            failed_attempts += 1;
+        }
+    }
+
+    /// Records that the last attempt failed, and decides whether the stream may be resumed at
+    /// another endpoint.
+    fn exclude_failed_endpoint(
+        &mut self,
+        failure: &Failure,
+        failed_attempts: u32,
+    ) -> Result<(), Code> {
+        let (shared, placement) = (&self.shared, &self.placement);
         self.routed
-            .log_failure(&self.shared, &placement, &failure, next);
+            .record_broken_connection(shared, placement, failure.kind);
+        let next = match self.routed.route.is_resumable && self.framer.is_some() {
+            true => self
+                .routed
+                .next_step(shared, placement, failure.kind, failed_attempts),
+            false => NextStep::MayHaveRun,
+        };
+        self.routed.log_failure(shared, placement, failure, next);
         if next != NextStep::Retry {
             return Err(Code::StreamIncomplete);
         }
-        self.routed.tried_endpoints.push(placement.endpoint);
-        if self
-            .shared
-            .suspects
-            .lock()
-            .is_blocked(self.routed.call.fingerprint)
-        {
+        let fingerprint = self.routed.call.fingerprint;
+        if self.shared.suspects.lock().is_blocked(fingerprint) {
             return Err(Code::RequestBlocked);
         }
-        let placed = self.routed.place(&self.shared, placement.weights);
-        let placement = placed.map_err(|refusal| refusal.code)?;
+        let endpoint = self.placement.endpoint.clone();
+        self.routed.tried_endpoints.push(endpoint);
+        Ok(())
+    }
+
+    /// Resumes the stream at the endpoint of the placement.
+    async fn resume_at_placement(&mut self) -> Result<(), Failure> {
         let last_id = self.framer.as_ref().and_then(EventFramer::last_id);
-        self.routed.sent_attempts += 1;
-        let guard = AttemptGuard::new(&self.routed, &placement);
+        let guard = AttemptGuard::new(&self.routed, &self.placement);
         let opened = tokio::select! {
-            opened = self.open_rest(&placement, last_id) => opened,
+            opened = self.open_rest(last_id) => opened,
             failure = guard.wait_until_cancelled(&self.shared) => Err(failure),
         };
-        let (first, opened) = opened.map_err(|failure| failure.kind.code())?;
+        let is_unsent = opened
+            .as_ref()
+            .is_err_and(|failure| failure.kind.is_unsent());
+        self.routed.sent_attempts += u32::from(!is_unsent);
+        let (first, opened) = opened?;
         self.shared.log.write(&Event::StreamResumed {
             request: self.routed.call.head.request_id.to_string(),
-            endpoint: placement.endpoint.to_string(),
+            endpoint: self.placement.endpoint.to_string(),
             after_event: last_id,
         });
         self.framer = Some(EventFramer::after(last_id));
-        self.placement = placement;
         self.first = first;
         self.opened = Some(opened);
         Ok(())
     }
 
-    /// Sends the call to another endpoint for the events after `last_id`, and waits for the first
-    /// bytes of them.
+    /// Sends the call to the endpoint of the placement for the events after `last_id`, and waits
+    /// for the first bytes of them.
     async fn open_rest(
         &self,
-        placement: &Placement,
         last_id: Option<u64>,
     ) -> Result<(Option<Bytes>, OpenedAnswer), Failure> {
-        let (shared, routed) = (&self.shared, &self.routed);
+        let (shared, routed, placement) = (&self.shared, &self.routed, &self.placement);
         let deadline = routed.call.deadline;
-        let is_last = true;
-        let opened =
-            send_attempt(shared, &routed.call, placement, last_id, is_last, deadline).await?;
+        let is_last = false;
+        let opened = send_attempt(shared, &routed.call, placement, last_id, is_last, deadline);
+        let opened = opened.await?;
         if !opened.parts.status.is_success() {
+            opened.in_flight.finish(AttemptOutcome::Failed);
             let detail = format!("the endpoint answered {} in a stream", opened.parts.status);
-            return Err(Failure::new(FailureKind::EndpointFailed, detail));
+            return Err(Failure::new(FailureKind::InvalidAnswer, detail));
         }
         routed
             .await_first_bytes(placement, opened, last_id, deadline)
             .await
     }
-
-    fn next_step(&self, kind: FailureKind) -> NextStep {
-        if self.routed.is_suspect(&self.shared, &self.placement, kind) {
-            return NextStep::Suspect;
-        }
-        if !self.routed.route.is_resumable || self.framer.is_none() {
-            return NextStep::MayHaveRun;
-        }
-        if kind == FailureKind::Timeout {
-            return NextStep::NoTimeLeft;
-        }
-        if self.routed.sent_attempts >= self.routed.route.max_attempts {
-            return NextStep::AttemptsUsedUp;
-        }
-        match self.shared.budgets.try_take(&self.routed.service) {
-            true => NextStep::Retry,
-            false => NextStep::BudgetUsedUp,
-        }
-    }
 }
