fix(wire): reset a connection whose request is unanswered when it is dropped

A call that was given up (caller gone, weights expired, timeout, blocked, endpoint restarted) could still arrive at its endpoint and begin: late, after its caller had left, or beside another attempt.

Cause: `Connection` closed its socket in the ordinary way. The system keeps sending what the peer hasn't acknowledged, for up to the TCP user timeout, with the end of the connection behind it. Behind a short partition, or at an endpoint that isn't reading its socket, the whole request arrives after it was cancelled.

A connection now knows whether its last answer has been read to its end: the body of an answer says so (`TrackedBody`). If it hasn't, dropping the connection sets a linger time of zero first, so that the socket ends with a reset and bytes that are unsent or unacknowledged are discarded; nothing blocks. Answered connections, idle ones in a pool among them, close as before. The task that drives HTTP may end on its own before the answer is read; it then leaves the socket to the connection.

What a reset can't take back: a request that the endpoint's system has acknowledged is still read there, as before. A reset is sent once; if it is lost, the endpoint notices when it answers.

Evidence: the test sends 128 KiB to a server with a receive buffer of 4 KiB that doesn't read, gives the request up in three ways, and then reads to the end. Before, the whole request arrived; now a part of it, and a reset. A second table has nine answers: only connections whose answer wasn't read are reset. It failed before at the first of these ("a body that isn't read": closed, not reset).

--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -5,10 +5,9 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, Uri, response};
-use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use wisteriahitch_types::{Code, DurationUs, EndpointStart, TimeUs, WorkspaceId};
-use wisteriahitch_wire::connection_pool::Connection;
+use wisteriahitch_wire::connection_pool::{Connection, TrackedBody};
 use wisteriahitch_wire::http_client::{HttpError, HttpErrorKind};
 
 use super::endpoint_connections::{connect_timeout, open_connection, record_direct_outcome};
@@ -63,7 +62,7 @@
 pub(crate) struct OpenedAnswer {
     pub(crate) parts: response::Parts,
     /// Rest of the answer, not yet read.
-    pub(crate) body: Incoming,
+    pub(crate) body: TrackedBody,
     /// Connection that the body is read from.
     pub(crate) connection: Connection,
     /// Counts the attempt as load of its endpoint until the answer has ended.
@@ -234,7 +233,7 @@
     placement: &Placement,
     resume_after: Option<u64>,
     deadline: Instant,
-) -> Result<(response::Parts, Incoming, Connection), Failure> {
+) -> Result<(response::Parts, TrackedBody, Connection), Failure> {
     let max_idle = match call.may_repeat {
         true => MAX_IDLE_REPEATABLE,
         false => MAX_IDLE_NON_REPEATABLE,
@@ -494,7 +493,7 @@
     placement: &Placement,
     answer: &AnswerHead,
     kind: FailureKind,
-    body: Incoming,
+    body: TrackedBody,
     connection: Connection,
 ) {
     use hyper::body::Body as _;
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -4,6 +4,11 @@
 //! pool's key therefore identifies the instance, so that a connection is never used for a request
 //! that was routed to a different instance (`docs/design/platform.md`).
 
+mod answer_state;
+mod shared_stream;
+
+pub use answer_state::TrackedBody;
+
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::net::{IpAddr, SocketAddr};
@@ -12,7 +17,6 @@
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -21,6 +25,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use self::answer_state::AnswerState;
+use self::shared_stream::{SharedStream, StreamHandle};
 use crate::http_client::{HttpError, HttpErrorKind};
 
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
@@ -47,11 +53,15 @@
 /// One connection to an endpoint, closed when it is dropped.
 ///
 /// Dropping it cancels a running request: endpoints stop working on a request when its connection
-/// closes.
+/// closes. If the answer has not been read to its end, the connection is reset. After an ordinary
+/// close the system would go on sending bytes that the peer has not acknowledged, and a request that
+/// was given up would still arrive and run.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    stream: StreamHandle,
+    answer_state: AnswerState,
     address: SocketAddr,
     forwarder: Option<SocketAddr>,
     opened_at: Instant,
@@ -60,6 +70,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        if self.answer_state.is_pending() {
+            self.stream.reset_on_close();
+        }
         self.driver.abort();
     }
 }
@@ -91,28 +104,22 @@
     ) -> Result<Self, ForwardError> {
         let started_at = Instant::now();
         let stream = open_stream(forwarder, Some(from), wait).await?;
-        let (mut sender, driver) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| not_sent(error.to_string()))?;
-        let driver = tokio::spawn(driver.with_upgrades());
+        let mut to_forwarder = Self::over_stream(stream, forwarder).await?;
+        let stream = to_forwarder.stream.clone();
         let switch = async {
-            let request = request.map(Full::new);
-            let response = sender.send_request(request).await;
+            let response = to_forwarder.send(request).await;
             let response = response.map_err(|error| not_sent(error.to_string()))?;
             if response.status() != StatusCode::SWITCHING_PROTOCOLS {
                 return Err(ForwardError::Refused(response.status()));
             }
             let upgraded = hyper::upgrade::on(response).await;
             let upgraded = upgraded.map_err(|error| not_sent(error.to_string()))?;
-            let mut connection = Self::over(upgraded, address).await?;
+            let mut connection = Self::over(upgraded, stream, address).await?;
             connection.forwarder = Some(forwarder);
             Ok(connection)
         };
         let left = wait.saturating_sub(started_at.elapsed());
-        let switched = timeout(left, switch).await;
-        driver.abort();
-        switched.unwrap_or_else(|_| {
+        timeout(left, switch).await.unwrap_or_else(|_| {
             let detail = format!("no connection through {forwarder} within {wait:?}");
             Err(not_sent(detail).into())
         })
@@ -124,10 +131,13 @@
     ///
     /// Every failure is [`HttpErrorKind::NotSent`].
     pub async fn over_stream(stream: TcpStream, address: SocketAddr) -> Result<Self, HttpError> {
-        Self::over(TokioIo::new(stream), address).await
+        let stream = SharedStream::new(stream);
+        let handle = stream.handle();
+        Self::over(TokioIo::new(stream), handle, address).await
     }
 
-    async fn over<T>(io: T, address: SocketAddr) -> Result<Self, HttpError>
+    /// Uses a connection to `address` that carries HTTP over `io`, with `stream` below.
+    async fn over<T>(io: T, stream: StreamHandle, address: SocketAddr) -> Result<Self, HttpError>
     where
         T: hyper::rt::Read + hyper::rt::Write + Unpin + Send + 'static,
     {
@@ -135,14 +145,26 @@
             .handshake(io)
             .await
             .map_err(|error| not_sent(error.to_string()))?;
-        let driver = tokio::spawn(async move {
-            // The error is ignored here: a request in flight gets it too, and without one it
-            // affects nobody.
-            let _ = driver.await;
-        });
+        let answer_state = AnswerState::default();
+        let drive = {
+            let (stream, answer_state) = (stream.upgrade(), answer_state.clone());
+            async move {
+                // The error is ignored here: a request in flight gets it too, and without one it
+                // affects nobody.
+                let _ = driver.with_upgrades().await;
+                if answer_state.is_pending() {
+                    // Only the connection knows whether the answer gets read to its end. It ends
+                    // this task when it is dropped.
+                    std::future::pending::<()>().await;
+                }
+                drop(stream);
+            }
+        };
         Ok(Self {
             sender,
-            driver: driver.abort_handle(),
+            driver: tokio::spawn(drive).abort_handle(),
+            stream,
+            answer_state,
             address,
             forwarder: None,
             opened_at: Instant::now(),
@@ -184,15 +206,22 @@
     /// # Errors
     ///
     /// [`HttpErrorKind::NotSent`] only if no byte of the request was sent.
-    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, HttpError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<Response<TrackedBody>, HttpError> {
         let request = request.map(Full::new);
+        let pending = self.answer_state.begin();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(response.map(|body| TrackedBody::new(body, pending))),
             Err(mut failure) => match failure.take_message() {
-                Some(_) => Err(HttpError::new(
-                    HttpErrorKind::NotSent,
-                    "the pooled connection was already closed",
-                )),
+                Some(_) => {
+                    self.answer_state.finish();
+                    Err(HttpError::new(
+                        HttpErrorKind::NotSent,
+                        "the pooled connection was already closed",
+                    ))
+                }
                 None => Err(HttpError::from_error_after_send(failure.error())),
             },
         }
--- /dev/null
+++ b/crates/wisteriahitch-wire/src/connection_pool/answer_state.rs
@@ -0,0 +1,82 @@
+//! Whether a connection still owes an answer.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+/// Whether the answer to the last request of a connection is still to be read.
+///
+/// Clones share the state.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AnswerState {
+    is_pending: Arc<AtomicBool>,
+}
+
+impl AnswerState {
+    /// Records that a request is about to be sent, and returns the state for its answer.
+    pub(crate) fn begin(&self) -> Self {
+        self.is_pending.store(true, Ordering::Release);
+        self.clone()
+    }
+
+    /// Records that the answer was read to its end, or that nothing was sent.
+    pub(crate) fn finish(&self) {
+        self.is_pending.store(false, Ordering::Release);
+    }
+
+    /// Returns whether a request was sent whose answer has not been read to its end.
+    pub(crate) fn is_pending(&self) -> bool {
+        self.is_pending.load(Ordering::Acquire)
+    }
+}
+
+/// Body of an answer, which tells its connection when it has been read to its end.
+#[derive(Debug)]
+pub struct TrackedBody {
+    body: Incoming,
+    state: AnswerState,
+}
+
+impl TrackedBody {
+    /// Wraps the body of the answer that `state` is pending for.
+    pub(crate) fn new(body: Incoming, state: AnswerState) -> Self {
+        let tracked = Self { body, state };
+        tracked.finish_if_ended();
+        tracked
+    }
+
+    fn finish_if_ended(&self) {
+        if self.body.is_end_stream() {
+            self.state.finish();
+        }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(context));
+        match frame {
+            Some(_) => self.finish_if_ended(),
+            None => self.state.finish(),
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/wisteriahitch-wire/src/http_client.rs
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -167,7 +167,10 @@
 /// # Errors
 ///
 /// [`HttpErrorKind::TooLarge`] if the body exceeds `limit_bytes`.
-pub async fn read_body(mut body: Incoming, limit_bytes: ByteCount) -> Result<Bytes, HttpError> {
+pub async fn read_body<B>(mut body: B, limit_bytes: ByteCount) -> Result<Bytes, HttpError>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let limit = usize::try_from(limit_bytes.get()).unwrap_or(usize::MAX);
     let mut whole = BytesMut::new();
     if body.size_hint().lower() > limit_bytes.get() {
--- a/crates/wisteriahitch-wire/tests/all/main.rs
+++ b/crates/wisteriahitch-wire/tests/all/main.rs
@@ -12,3 +12,4 @@
 mod service;
 mod sse;
 mod store;
+mod unanswered;
