fix(relay): order engines at once when their weights go out of use

Holding such an engine back from its order protects no capacity any more, but leaves it open to every call that arrives late.

Engines whose weights may no longer be sent calls are now ordered at once, beyond the limit, as soon as the calls that were sent last have had the time of an announcement to arrive. They count towards the limit, so that no other engines are taken from service meanwhile. An engine refuses from its order on what it has not started, so nothing begins late there, even if it doesn't notice that a connection was closed. Such engines aren't announced, since each daemon knows the deadline: what the holder of the lease gossips doesn't grow. Reports and orders in progress are limited to 256, orders first, because all engines of a large fleet may be due at once now and a small VM has 4,100 descriptors.

Test: rollout_fleet::engines_whose_weights_go_out_of_use_refuse_late_calls, a simulated fleet of 140 and 280 engines with a bound of 10 s.

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -3,6 +3,12 @@
 //! The daemon that holds the rollout lease runs it. An engine is first announced to the other
 //! daemons as reserved, so that they send it no calls; then it gets the order, finishes its running
 //! calls and loads the weights.
+//!
+//! Load pattern: newer weights are named while callers go on. Engines that still have the replaced
+//! ones when these go out of use get no more calls, so holding them back protects no capacity:
+//! they get their orders at once, beyond the limit on concurrent loads. An engine refuses from its
+//! order on whatever it has not started, so that nothing starts late there, not even a call that
+//! was delayed on its way.
 
 use std::collections::BTreeMap;
 
@@ -30,6 +36,10 @@
 /// after three to four seconds.
 const UNREACHABLE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Maximum number of reports and orders in progress at once. Each needs a connection of the
+/// daemon's VM, and a small VM has 4,100 descriptors for all its connections.
+const MAX_PENDING_STEPS: usize = 256;
+
 /// An engine whose weights are older than wanted.
 #[derive(Clone, Debug)]
 pub struct RolloutRow {
@@ -43,6 +53,8 @@
     pub wanted: WeightNumber,
     /// Time at which newer weights than its current ones were named.
     pub replaced_at_us: TimeUs,
+    /// Time from which no daemon sends calls to an engine with its current weights.
+    pub dispatch_deadline_us: TimeUs,
     /// Number of requests that it runs.
     pub running: u32,
 }
@@ -87,9 +99,28 @@
     started_at_us: TimeUs,
     /// Version in the last order that the engine accepted, and when.
     accepted: Option<(WeightNumber, TimeUs)>,
+    /// Whether the daemons must be told to send it no calls. They know by themselves that its
+    /// weights are out of use.
+    is_announced: bool,
 }
 
 impl ActiveEngine {
+    /// Starts the step that is due: the order if it may be given, and the report otherwise.
+    fn next_step(&mut self, endpoint: &EndpointInstance) -> RolloutStep {
+        let Phase::OrderAllowed(expected_orders) = self.phase else {
+            self.phase = Phase::ReportPending;
+            return RolloutStep::ReadReport(endpoint.clone());
+        };
+        self.phase = Phase::OrderPending;
+        self.ordered_version = self.wanted;
+        RolloutStep::GiveOrder {
+            endpoint: endpoint.clone(),
+            model: self.model.clone(),
+            version: self.wanted,
+            expected_orders,
+        }
+    }
+
     /// Returns the version that the engine has accepted and may still be loading.
     fn loading_version(&self, now: TimeUs) -> Option<WeightNumber> {
         let accepted = self.accepted;
@@ -120,9 +151,11 @@
         }
     }
 
-    /// Returns the engines that must get no calls because of the rollout.
+    /// Returns the engines that must get no calls because of the rollout, though calls may be sent
+    /// to engines with their weights.
     pub fn reserved(&self) -> impl Iterator<Item = &EndpointInstance> {
-        self.active.keys()
+        let announced = self.active.iter().filter(|(_, active)| active.is_announced);
+        announced.map(|(endpoint, _)| endpoint)
     }
 
     /// Returns why the rollout cannot end in time; `None` if it is expected to.
@@ -141,31 +174,28 @@
     }
 
     /// Updates the state with the engines that are behind, out of `engines` in total. Returns the
-    /// actions that are due.
+    /// actions that are due: orders first, then the reports that have been due for longest.
     pub fn tick(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) -> Vec<RolloutStep> {
-        self.drop_finished(behind);
+        self.update_active(behind, now);
         self.start_next(behind, engines, now);
-        let mut steps = Vec::new();
+        let is_pending = |active: &&ActiveEngine| {
+            matches!(active.phase, Phase::ReportPending | Phase::OrderPending)
+        };
+        let pending = self.active.values().filter(is_pending).count();
+        let mut due: Vec<(TimeUs, &EndpointInstance, &mut ActiveEngine)> = Vec::new();
         for (endpoint, active) in &mut self.active {
             match active.phase {
-                Phase::ReportDueAt(at) if at <= now => {
-                    active.phase = Phase::ReportPending;
-                    steps.push(RolloutStep::ReadReport(endpoint.clone()));
-                }
-                Phase::OrderAllowed(expected_orders) => {
-                    active.phase = Phase::OrderPending;
-                    active.ordered_version = active.wanted;
-                    steps.push(RolloutStep::GiveOrder {
-                        endpoint: endpoint.clone(),
-                        model: active.model.clone(),
-                        version: active.wanted,
-                        expected_orders,
-                    });
-                }
+                Phase::ReportDueAt(at) if at <= now => due.push((at, endpoint, active)),
+                Phase::OrderAllowed(_) => due.push((TimeUs::ZERO, endpoint, active)),
                 _ => {}
             }
         }
-        steps
+        due.sort_by_key(|(at, ..)| *at);
+        let due = due
+            .into_iter()
+            .take(MAX_PENDING_STEPS.saturating_sub(pending));
+        due.map(|(_, endpoint, active)| active.next_step(endpoint))
+            .collect()
     }
 
     /// Applies an engine's report; `None` if it could not be read.
@@ -259,44 +289,64 @@
             .insert(endpoint.clone(), now + UNREACHABLE_BACKOFF_US);
     }
 
-    fn drop_finished(&mut self, behind: &[RolloutRow]) {
+    /// Drops the engines that are no longer behind, and updates the others.
+    fn update_active(&mut self, behind: &[RolloutRow], now: TimeUs) {
+        let rows: BTreeMap<&EndpointInstance, &RolloutRow> =
+            behind.iter().map(|row| (&row.endpoint, row)).collect();
         self.active.retain(|endpoint, active| {
-            let row = behind.iter().find(|row| row.endpoint == *endpoint);
+            let row = rows.get(endpoint);
             if let Some(row) = row {
                 active.wanted = row.wanted;
+                active.is_announced |= now < row.dispatch_deadline_us;
             }
             row.is_some()
         });
     }
 
-    /// Reserves the next engines: those with the oldest weights first, and among them those with
-    /// the fewest running requests, since these finish soonest.
+    /// Reserves the next engines: all whose weights are out of use, and as many of the others as
+    /// the limit allows, those with the oldest weights first, and among them those with the fewest
+    /// running requests, since these finish soonest.
     fn start_next(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) {
         let max_parallel = self.concurrency.max_parallel(engines);
         self.backed_off.retain(|_, until| *until > now);
         let is_free = |row: &&RolloutRow| {
             !self.active.contains_key(&row.endpoint) && !self.backed_off.contains_key(&row.endpoint)
         };
-        let mut waiting: Vec<&RolloutRow> = behind.iter().filter(is_free).collect();
-        waiting.sort_by_key(|row| (row.current, row.running));
+        let (mut in_service, out_of_service): (Vec<&RolloutRow>, Vec<&RolloutRow>) = behind
+            .iter()
+            .filter(is_free)
+            .partition(|row| now < row.dispatch_deadline_us);
+        in_service.sort_by_key(|row| (row.current, row.running));
         let announce_delay_us = match engines > LARGE_FLEET_ENGINES {
             true => LARGE_FLEET_ANNOUNCE_DELAY_US,
             false => ANNOUNCE_DELAY_US,
         };
+        for row in out_of_service {
+            // The calls that were sent last are given the same time to arrive.
+            let order_at_us = row.dispatch_deadline_us + announce_delay_us;
+            self.start(row, order_at_us.max(now), now);
+        }
+        // Engines that are out of service already count, since the others do their work.
         let free = max_parallel.saturating_sub(self.active.len());
-        self.oldest_waiting = waiting.get(free).map(|row| row.current);
-        for row in waiting.into_iter().take(free) {
-            let active = ActiveEngine {
-                model: row.model.clone(),
-                wanted: row.wanted,
-                phase: Phase::ReportDueAt(now + announce_delay_us),
-                started_at_us: now,
-                ordered_version: row.wanted,
-                accepted: None,
-            };
-            self.active.insert(row.endpoint.clone(), active);
+        self.oldest_waiting = in_service.get(free).map(|row| row.current);
+        for row in in_service.into_iter().take(free) {
+            self.start(row, now + announce_delay_us, now);
         }
     }
+
+    /// Reserves an engine. Its report is read at `order_at_us`; the order follows.
+    fn start(&mut self, row: &RolloutRow, order_at_us: TimeUs, now: TimeUs) {
+        let active = ActiveEngine {
+            model: row.model.clone(),
+            wanted: row.wanted,
+            phase: Phase::ReportDueAt(order_at_us),
+            started_at_us: now,
+            ordered_version: row.wanted,
+            accepted: None,
+            is_announced: now < row.dispatch_deadline_us,
+        };
+        self.active.insert(row.endpoint.clone(), active);
+    }
 }
 
 fn remaining(behind: &[RolloutRow], engines: usize) -> Option<Remaining> {
--- a/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
@@ -62,10 +62,17 @@
         newer.map(|(_, at)| *at)
     }
 
+    /// Returns until when calls may be sent to an engine with `version`; `None` while that version
+    /// is wanted.
+    pub fn dispatch_deadline(&self, version: WeightNumber) -> Option<TimeUs> {
+        self.replaced_at(version)
+            .map(|at| at + self.limits.dispatch_timeout_us)
+    }
+
     /// Returns whether a call may still be sent to an engine with `version`.
     pub fn may_dispatch(&self, version: WeightNumber, now: TimeUs) -> bool {
-        let age_us = self.replaced_at(version).map(|at| now.since(at));
-        age_us.is_none_or(|age_us| age_us < self.limits.dispatch_timeout_us)
+        self.dispatch_deadline(version)
+            .is_none_or(|deadline| now < deadline)
     }
 
     /// Returns when a call at an engine with `version` must have started; `None` while that version
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -32,6 +32,7 @@
 mod rest;
 mod retry_share;
 mod rollout;
+mod rollout_fleet;
 mod routes;
 mod settings;
 mod staleness;
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -20,6 +20,7 @@
         current: WeightNumber::new(current),
         wanted: WeightNumber::new(wanted),
         replaced_at_us: at_ms(0),
+        dispatch_deadline_us: at_ms(8_000),
         running,
     }
 }
