fix(relay): count the age of replaced weights from their acknowledgement

Callers got answers from weights that were replaced longer ago than the deployment allows, at daemons that had learned late of the newer ones.

Cause: `apply_changes` took every change for one that was written just now, and `apply_listing` all but the first listing. The send and start deadlines of replaced weights then counted from learning. A daemon whose hub falls silent, whose watch is given up or whose process was suspended learns up to two or three seconds late, and kept using old weights for as long again.

A daemon now counts from the latest time of which it knows that nothing newer was named before: - a change on a watch that was waiting is new, unless the answer or the process was held up (`decide/prompt_answers.rs`); - any other change was written after the time as of which everything was known; - a peer states with its objects how old the replacements are at most, and the receiver adds the time since its question. Older daemons state none and ignore it; then the second case applies. Each is a bound that holds on its own, so the latest one counts: a known time moves later only, and a peer that was late itself does no harm. What a process assumes at its start isn't passed on. Bounds are kept per version that was replaced, as a listing may skip versions: a peer's exact time of version 3 says nothing about when version 1 was replaced by 2.

`weights_wanted` now says how old the daemon takes the change to be.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -37,6 +37,7 @@
 pub(crate) mod placement;
 pub(crate) mod placement_candidate;
 pub(crate) mod placement_request;
+pub(crate) mod prompt_answers;
 pub(crate) mod rate_limit;
 mod recent_updates;
 pub(crate) mod registration_listing;
--- a/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
@@ -1,17 +1,29 @@
 //! Which weights of a model are wanted, and since when older ones are not.
 
+use std::collections::BTreeMap;
+
 use wisteriahitch_types::{DurationUs, TimeUs, WeightNumber};
 
 use super::part_stores::FETCH_TIMEOUT_US;
 
-/// Maximum number of recorded versions. Each version counts from the time at which it was named,
+/// Maximum number of recorded replacements. Each version counts from the time at which it was named,
 /// even if the next one is named before it is on all engines.
-const MAX_VERSIONS: usize = 8;
+const MAX_REPLACEMENTS: usize = 8;
 
-/// The versions of one model's weights that were named, newest last.
+/// The newest named version of one model's weights, and when older ones were replaced.
+///
+/// The time at which a version was named is rarely known exactly. What is known is that everything
+/// newer than a version was named at some time or later, from different sources: this daemon's
+/// watch, a listing after a gap, in which versions may have been skipped, or a peer. Each is true on
+/// its own, so the latest time that applies to a version counts. A known time therefore only ever
+/// moves later.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WantedVersions {
-    versions: Vec<(WeightNumber, TimeUs)>,
+    newest: Option<WeightNumber>,
+    /// Everything newer than the version was named at this time or later.
+    named_after: BTreeMap<WeightNumber, TimeUs>,
+    /// When the first known version was named at the earliest, which may be an assumption.
+    first_named_at_us: Option<TimeUs>,
     limits: OldWeightsLimits,
 }
 
@@ -28,26 +40,44 @@
     /// Creates a record without versions.
     pub fn new(limits: OldWeightsLimits) -> Self {
         Self {
-            versions: Vec::new(),
+            newest: None,
+            named_after: BTreeMap::new(),
+            first_named_at_us: None,
             limits,
         }
     }
 
-    /// Records a named version. Returns whether it is newer than all others.
+    /// Records a named version. Everything newer than the previously known one was named at `at` or
+    /// later. Returns whether the version is newer than all others.
     pub fn record_version(&mut self, version: WeightNumber, at: TimeUs) -> bool {
-        if self.newest().is_some_and(|newest| version <= newest) {
+        if self.newest.is_some_and(|newest| version <= newest) {
             return false;
         }
-        self.versions.push((version, at));
-        if self.versions.len() > MAX_VERSIONS {
-            self.versions.remove(0);
+        match self.newest.replace(version) {
+            Some(previous) => self.record_named_after(previous, at),
+            None => self.first_named_at_us = Some(at),
         }
         true
     }
 
+    /// Records that everything newer than `version` was named at `at` or later.
+    pub fn record_named_after(&mut self, version: WeightNumber, at: TimeUs) {
+        let known_at = self.named_after.entry(version).or_insert(at);
+        *known_at = at.max(*known_at);
+        if self.named_after.len() > MAX_REPLACEMENTS {
+            self.named_after.pop_first();
+        }
+    }
+
+    /// Returns the versions of which it is known when newer ones were named at the earliest, with
+    /// that time.
+    pub fn named_after(&self) -> impl Iterator<Item = (WeightNumber, TimeUs)> {
+        self.named_after.iter().map(|(version, at)| (*version, *at))
+    }
+
     /// Returns the wanted version.
     pub fn newest(&self) -> Option<WeightNumber> {
-        self.versions.last().map(|(version, _)| *version)
+        self.newest
     }
 
     /// Returns since when `version` is no longer the wanted one; `None` while it is.
@@ -55,11 +85,12 @@
     /// That is the time at which the first newer version was named, not the newest: counted from
     /// the newest, a quick series of versions would keep the oldest one in use for ever.
     pub fn replaced_at(&self, version: WeightNumber) -> Option<TimeUs> {
-        let newer = self
-            .versions
-            .iter()
-            .find(|(recorded, _)| *recorded > version);
-        newer.map(|(_, at)| *at)
+        if version >= self.newest? {
+            return None;
+        }
+        let applicable = self.named_after.range(..=version).map(|(_, at)| *at);
+        // Otherwise it was replaced by the first known version, or too long ago to be recorded.
+        applicable.max().or(self.first_named_at_us)
     }
 
     /// Returns until when calls may be sent to an engine with `version`; `None` while that version
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -50,6 +50,7 @@
 pub use decide::placement::{Placement, place};
 pub use decide::placement_candidate::MainFetch;
 pub use decide::placement_request::PlacementRequest;
+pub use decide::prompt_answers::{ProcessActivity, WatchAnswer};
 pub use decide::rate_limit::{RateBound, RateLimit, ReservedPermits};
 pub use decide::registration_listing::registration_listing_interval;
 pub use decide::retry_share::max_saved_retries;
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -136,7 +136,12 @@
         detail: String,
     },
     /// New weights are wanted.
-    WeightsWanted { model: String, version: u64 },
+    WeightsWanted {
+        model: String,
+        version: u64,
+        /// Maximum time since the store acknowledged them, as far as this daemon knows on its own.
+        max_age_ms: u64,
+    },
     /// Another daemon joined or was lost.
     MemberChanged {
         member: String,
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -43,6 +43,7 @@
 use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
 use crate::decide::permit_shares::PermitShares;
+use crate::decide::prompt_answers::ProcessActivity;
 use crate::decide::rollout::Rollout;
 use crate::decide::rollout_concurrency::ConcurrencyOptions;
 use crate::decide::wanted_weights::OldWeightsLimits;
@@ -100,6 +101,7 @@
             .with_limit_ttl(limit_ttl());
         let shared = Shared {
             started_at_us: BootClock.now(),
+            activity: Mutex::new(ProcessActivity::new(BootClock.now())),
             clock: BootClock,
             incarnation,
             borders,
@@ -256,6 +258,7 @@
     let mut was_ready = false;
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        shared.activity.lock().record(shared.now());
         let changes = shared.endpoints.lock().tick(shared.now());
         shared.record_endpoint_changes(changes, 0);
         shared.pool.close_expired();
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use serde::Serialize;
 use wisteriahitch_types::DurationUs;
-use wisteriahitch_wire::object_store::Revision;
+use wisteriahitch_wire::object_store::{ObjectRole, Revision};
 
 use super::answer_body::AnswerBody;
 use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
@@ -102,13 +102,22 @@
         parameters.find_map(|parameter| parameter.strip_prefix(name)?.strip_prefix('='))
     };
     let now = shared.now();
-    if let Some(max) = parameter(PAGE_LEN_PARAMETER).and_then(|max| max.parse().ok()) {
-        let after = parameter(PAGE_START_PARAMETER);
-        return json(&shared.watches.page(*role, after, max, now));
+    let max = parameter(PAGE_LEN_PARAMETER).and_then(|max| max.parse().ok());
+    let mut delta = match max {
+        Some(max) => {
+            let after = parameter(PAGE_START_PARAMETER);
+            shared.watches.page(*role, after, max, now)
+        }
+        None => {
+            let since = parameter("since").and_then(|since| since.parse().ok());
+            let since = Revision(since.unwrap_or(0));
+            shared.watches.delta(*role, since, now)
+        }
+    };
+    if *role == ObjectRole::Weights {
+        delta.replacement_ages = shared.site.replacement_ages(now);
     }
-    let since = parameter("since").and_then(|since| since.parse().ok());
-    let since = Revision(since.unwrap_or(0));
-    json(&shared.watches.delta(*role, since, now))
+    json(&delta)
 }
 
 fn metrics_text(shared: &Shared) -> String {
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -30,6 +30,7 @@
 use crate::decide::gossip_message::MemberPhase;
 use crate::decide::part_stores::PartStores;
 use crate::decide::permit_shares::PermitShares;
+use crate::decide::prompt_answers::ProcessActivity;
 use crate::decide::rollout::Rollout;
 use crate::decide::suspects::SuspectTable;
 use crate::observe::{Event, EventLog, Metrics};
@@ -67,6 +68,8 @@
     pub(crate) clock: BootClock,
     pub(crate) incarnation: Incarnation,
     pub(crate) started_at_us: TimeUs,
+    /// When the process has run.
+    pub(crate) activity: Mutex<ProcessActivity>,
     pub(crate) borders: Borders,
     pub(crate) site: SiteState,
     /// Table of endpoints. Like all tables here, it is locked for one step at a time and never
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -7,11 +7,15 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use wisteriahitch_types::{DurationUs, ModelName, TimeUs};
+use wisteriahitch_types::{ModelName, TimeUs, WeightNumber};
 
 use crate::decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 use crate::site::{SiteConfig, WantedWeights};
 
+/// For each model, versions of its weights with the maximum time since anything newer was named, in
+/// milliseconds.
+pub(crate) type ReplacementAges = BTreeMap<ModelName, Vec<(WeightNumber, u64)>>;
+
 /// What operators have configured: the configuration in force and the wanted weight versions.
 pub(crate) struct SiteState {
     config: ArcSwapOption<SiteConfig>,
@@ -58,20 +62,13 @@
 
     /// Records the wanted weights of a model, and returns whether the version is new.
     ///
-    /// `age_us` is the maximum time since the version was announced; the real age is unknown at the
-    /// start.
-    pub(crate) fn record_wanted(
-        &self,
-        wanted: WantedWeights,
-        age_us: DurationUs,
-        now: TimeUs,
-    ) -> bool {
+    /// `named_after` is the earliest time at which the version can have been named.
+    pub(crate) fn record_wanted(&self, wanted: WantedWeights, named_after: TimeUs) -> bool {
         let mut all = self.wanted_by_model.lock();
         let versions = all
             .entry(wanted.model)
             .or_insert_with(|| WantedVersions::new(self.old_weights_limits));
-        let named_at_us = TimeUs::new(now.get().saturating_sub(age_us.get()));
-        let is_new = versions.record_version(wanted.version, named_at_us);
+        let is_new = versions.record_version(wanted.version, named_after);
         drop(all);
         if is_new {
             self.wanted_changed.notify_waiters();
@@ -79,6 +76,33 @@
         is_new
     }
 
+    /// Records when a peer says that everything newer than some versions was named at the earliest.
+    pub(crate) fn record_replacement_ages(&self, ages: ReplacementAges, asked_at: TimeUs) {
+        let mut all = self.wanted_by_model.lock();
+        for (model, ages) in ages {
+            let versions = all
+                .entry(model)
+                .or_insert_with(|| WantedVersions::new(self.old_weights_limits));
+            for (version, age_ms) in ages {
+                let named_after = asked_at.get().saturating_sub(age_ms.saturating_mul(1_000));
+                versions.record_named_after(version, TimeUs::new(named_after));
+            }
+        }
+    }
+
+    /// Returns for peers how long ago everything newer than some versions was named at most.
+    pub(crate) fn replacement_ages(&self, now: TimeUs) -> ReplacementAges {
+        let all = self.wanted_by_model.lock();
+        let age_ms = |at| now.since(at).as_ms() + 1;
+        let ages_of = |versions: &WantedVersions| {
+            let ages = versions.named_after();
+            ages.map(|(version, at)| (version, age_ms(at))).collect()
+        };
+        all.iter()
+            .map(|(model, versions)| (model.clone(), ages_of(versions)))
+            .collect()
+    }
+
     /// Returns a future that completes when other weights become wanted. Changes after this call
     /// aren't missed.
     pub(crate) fn wanted_changed(&self) -> Notified<'_> {
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -40,7 +40,7 @@
     source: &str,
 ) {
     let now = shared.now();
-    let (absence, age_us) = {
+    let (absence, written_after) = {
         let mut state = shared.watches.state_of(role).lock();
         if listing.revision < state.last_change {
             return;
@@ -56,12 +56,11 @@
         let was_listed = state.is_listed();
         state.listed_at_us.get_or_insert(now);
         state.newer_at_peer = None;
-        let age_us = if was_listed {
-            DurationUs::ZERO
-        } else {
-            shared.bounds.assumed_initial_age()
+        let written_after = match was_listed {
+            true => written_after(shared, &state, now),
+            false => assumed_initial_time(shared, now),
         };
-        (absence_cause(&state, now), age_us)
+        (absence_cause(&state, now), written_after)
     };
     match role {
         ObjectRole::Endpoints => {
@@ -77,12 +76,24 @@
         ObjectRole::Evacuations => apply_evacuations(shared, source),
         _ => {
             for object in &listing.objects {
-                apply_put(shared, role, object, source, age_us);
+                apply_put(shared, role, object, source, written_after);
             }
         }
     }
 }
 
+/// Returns the earliest time at which an object that isn't known yet can have been written.
+fn written_after(shared: &Shared, state: &WatchState, now: TimeUs) -> TimeUs {
+    let known_as_of = state.unknown_written_after();
+    known_as_of.unwrap_or_else(|| assumed_initial_time(shared, now))
+}
+
+/// Returns the time at which objects are assumed to have been written before anything was known.
+fn assumed_initial_time(shared: &Shared, now: TimeUs) -> TimeUs {
+    let age_us = shared.bounds.assumed_initial_age();
+    TimeUs::new(now.get().saturating_sub(age_us.get()))
+}
+
 /// Applies changes that complete the known objects up to `revision`, from the store or from a peer.
 pub(super) fn apply_changes(
     shared: &Arc<Shared>,
@@ -94,7 +105,7 @@
     let known_up_to = shared.watches.changed_revision(role);
     let has_changes = !changes.is_empty();
     for change in changes {
-        let absence = {
+        let (absence, written_after) = {
             let mut state = shared.watches.state_of(role).lock();
             if !is_new_change(&state, &change, known_up_to) {
                 if let Change::Deleted(name, deletion_revision) = change {
@@ -114,10 +125,12 @@
                     state.remember_deletion(name.clone(), *deletion_revision);
                 }
             }
-            absence_cause(&state, shared.now())
+            let now = shared.now();
+            let absence = absence_cause(&state, now);
+            (absence, written_after(shared, &state, now))
         };
         match change {
-            Change::Put(object) => apply_put(shared, role, &object, source, DurationUs::ZERO),
+            Change::Put(object) => apply_put(shared, role, &object, source, written_after),
             Change::Deleted(name, deletion_revision) => {
                 apply_deletion(shared, role, &name, absence, deletion_revision);
             }
@@ -137,10 +150,14 @@
 pub(super) fn apply_delta(
     shared: &Arc<Shared>,
     role: ObjectRole,
-    delta: ObjectDelta,
+    mut delta: ObjectDelta,
     asked_at: TimeUs,
 ) {
     let age_ms = delta.age_ms;
+    let replacement_ages = std::mem::take(&mut delta.replacement_ages);
+    shared
+        .site
+        .record_replacement_ages(replacement_ages, asked_at);
     apply_peer_objects(shared, role, delta);
     if let Some(age_ms) = age_ms {
         let age_us = DurationUs::from_ms(age_ms);
@@ -202,13 +219,13 @@
     }
 }
 
-/// Applies a new or changed object. `age_us` is the maximum time since it was written.
+/// Applies a new or changed object, which was written at `written_after` or later.
 fn apply_put(
     shared: &Arc<Shared>,
     role: ObjectRole,
     object: &StoredObject,
     source: &str,
-    age_us: DurationUs,
+    written_after: TimeUs,
 ) {
     let site = &shared.borders.site;
     let now = shared.now();
@@ -232,8 +249,12 @@
             let wanted = decoded_or_logged(shared, role, object, site.decode_weights(object));
             let Some(wanted) = wanted else { return };
             let (model, version) = (wanted.model.to_string(), wanted.version.get());
-            if shared.site.record_wanted(wanted, age_us, now) {
-                shared.log.write(&Event::WeightsWanted { model, version });
+            if shared.site.record_wanted(wanted, written_after) {
+                shared.log.write(&Event::WeightsWanted {
+                    model,
+                    version,
+                    max_age_ms: now.since(written_after).as_ms(),
+                });
             }
         }
         // Evacuations are applied all together; the other roles aren't watched.
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -12,6 +12,7 @@
 use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
+use crate::decide::prompt_answers::WatchAnswer;
 use crate::decide::staleness::{QueryRank, answered_as_of};
 use crate::decide::store_retry::store_retry_backoff;
 use crate::observe::Event;
@@ -215,6 +216,9 @@
             let has_changes = !changes.is_empty() || !skipped.is_empty();
             let as_of = answered_as_of(asked_at, wait.into(), has_changes, shared.now());
             log_skipped_objects(shared, role, &skipped);
+            if has_changes {
+                record_promptness(shared, role, asked_at, wait);
+            }
             apply_changes(shared, role, changes, revision, STORE);
             shared.watches.confirm_complete(role, as_of);
             if has_changes && role == ObjectRole::Endpoints {
@@ -226,6 +230,22 @@
     }
 }
 
+/// Records whether changes that a watch reports were just written. Must be called before applying
+/// them.
+fn record_promptness(shared: &Shared, role: ObjectRole, asked_at: TimeUs, wait: Duration) {
+    let now = shared.now();
+    let mut state = shared.watches.state_of(role).lock();
+    let answer = WatchAnswer {
+        asked_at,
+        wait_us: wait.into(),
+        newer_at_peer_since: state.newer_at_peer.map(|(since, _)| since),
+        activity: *shared.activity.lock(),
+    };
+    if answer.is_prompt(now) {
+        state.prompt_at_us = Some(now);
+    }
+}
+
 /// Returns the revision to watch from, and how long the store may keep the watch open.
 fn next_watch(shared: &Shared, role: ObjectRole, now: TimeUs) -> (Revision, Duration) {
     // A daemon that doesn't watch the store gets here only if its objects are unconfirmed, so its
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -9,6 +9,7 @@
 use wisteriahitch_types::{DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject};
 
+use super::site_state::ReplacementAges;
 use crate::decide::gossip_message::KindUpdate;
 use crate::decide::staleness::StalenessLimits;
 use crate::settings::Bounds;
@@ -46,6 +47,9 @@
     pub(super) answered_at_us: Option<TimeUs>,
     /// Time as of which all objects are known, confirmed by the store to this daemon or to a peer.
     pub(super) complete_as_of_us: Option<TimeUs>,
+    /// When the store last answered a watch promptly, so that all objects were known at that time
+    /// unless the delay of its answer remained unnoticed.
+    pub(super) prompt_at_us: Option<TimeUs>,
     /// Who confirmed them last, as it appears in the log.
     pub(super) confirmed_by: &'static str,
     /// Whether the log says that they are confirmed.
@@ -214,6 +218,7 @@
             objects,
             deleted: Vec::new(),
             names: None,
+            replacement_ages: ReplacementAges::new(),
         }
     }
 
@@ -240,6 +245,7 @@
             deleted: deletions
                 .map(|(revision, name)| (name.clone(), *revision))
                 .collect(),
+            replacement_ages: ReplacementAges::new(),
         }
     }
 }
@@ -265,6 +271,9 @@
     /// doesn't show which objects existed before it. With changes alone, a receiver that knows such
     /// a deleted object would keep it for good.
     pub(super) names: Option<BTreeSet<String>>,
+    /// With weights, how old the replacements are that the sender knows. Older daemons send none.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub(super) replacement_ages: ReplacementAges,
 }
 
 impl WatchState {
@@ -287,6 +296,11 @@
         self.confirm(as_of, PEER);
     }
 
+    /// Returns the earliest time at which an object that isn't known yet can have been written.
+    pub(super) fn unknown_written_after(&self) -> Option<TimeUs> {
+        self.complete_as_of_us.max(self.prompt_at_us)
+    }
+
     /// Returns whether all objects were listed at least once.
     pub(super) fn is_listed(&self) -> bool {
         self.listed_at_us.is_some()
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod permit_shares;
 mod placement;
+mod prompt_answers;
 mod regions;
 mod rejoining;
 mod rest;
--- a/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
@@ -79,3 +79,105 @@
         assert!(wanted.may_dispatch(new, now) && wanted.may_fetch_parts(new, now));
     }
 }
+
+/// Guards against replaced weights that are used beyond the bound, counted from the time at which a
+/// daemon learned of the newer ones, and against ones that go out of use early, counted from a time
+/// that was only a bound.
+#[test]
+fn the_latest_known_bound_on_the_time_of_a_replacement_counts() {
+    /// What a daemon learns: a version with the earliest time at which it can have been named, or
+    /// from a peer that everything newer than a version was named at some time or later.
+    enum Learned {
+        Version(u64, u64),
+        FromPeer(u64, u64),
+    }
+    use Learned::{FromPeer, Version};
+    struct Case {
+        what: &'static str,
+        learned: &'static [Learned],
+        /// Versions, and when each was replaced.
+        replaced_at_ms: &'static [(u64, Option<u64>)],
+    }
+    let cases = [
+        Case {
+            what: "learned late, and from nobody else",
+            learned: &[Version(1, 0), Version(2, 5_000)],
+            replaced_at_ms: &[(1, Some(5_000)), (2, None)],
+        },
+        Case {
+            what: "a peer knows better, before the version itself arrives",
+            learned: &[Version(1, 0), FromPeer(1, 6_500), Version(2, 5_000)],
+            replaced_at_ms: &[(1, Some(6_500)), (2, None)],
+        },
+        Case {
+            what: "a peer knows better, afterwards",
+            learned: &[Version(1, 0), Version(2, 5_000), FromPeer(1, 6_500)],
+            replaced_at_ms: &[(1, Some(6_500))],
+        },
+        Case {
+            what: "a peer was later itself",
+            learned: &[Version(1, 0), Version(2, 6_500), FromPeer(1, 5_000)],
+            replaced_at_ms: &[(1, Some(6_500))],
+        },
+        Case {
+            what: "a peer knows a version that isn't known here",
+            learned: &[Version(1, 0), FromPeer(1, 6_500)],
+            replaced_at_ms: &[(1, None)],
+        },
+        Case {
+            what: "a version was skipped here; the peer knows only when the next one was named",
+            learned: &[Version(1, 0), Version(3, 5_000), FromPeer(2, 9_000)],
+            replaced_at_ms: &[(1, Some(5_000)), (2, Some(9_000)), (3, None)],
+        },
+        Case {
+            what: "a version was skipped here, and the peer knows both",
+            learned: &[
+                Version(1, 0),
+                Version(3, 5_000),
+                FromPeer(1, 6_000),
+                FromPeer(2, 9_000),
+            ],
+            replaced_at_ms: &[(1, Some(6_000)), (2, Some(9_000))],
+        },
+        Case {
+            what: "the first known version, after a start",
+            learned: &[Version(2, 3_000)],
+            replaced_at_ms: &[(1, Some(3_000)), (2, None)],
+        },
+        Case {
+            what: "the first known version, and a peer knows better",
+            learned: &[FromPeer(1, 9_000), Version(2, 3_000)],
+            replaced_at_ms: &[(0, Some(3_000)), (1, Some(9_000)), (2, None)],
+        },
+    ];
+    for case in cases {
+        let mut wanted = wanted_versions();
+        for learned in case.learned {
+            match *learned {
+                Version(version, at) => {
+                    wanted.record_version(WeightNumber::new(version), at_ms(at));
+                }
+                FromPeer(version, at) => {
+                    wanted.record_named_after(WeightNumber::new(version), at_ms(at));
+                }
+            }
+        }
+        for (version, at) in case.replaced_at_ms {
+            let replaced_at = wanted.replaced_at(WeightNumber::new(*version));
+            assert_eq!(replaced_at, at.map(at_ms), "{}: {version}", case.what);
+        }
+    }
+}
+
+#[test]
+fn the_record_of_replacements_is_bounded() {
+    let mut wanted = wanted_versions();
+    for version in 1..=20 {
+        wanted.record_version(WeightNumber::new(version), at_ms(version * 100));
+    }
+    let versions: Vec<u64> = wanted.named_after().map(|(v, _)| v.get()).collect();
+    assert_eq!(versions, (12..=19).collect::<Vec<u64>>());
+    // What is no longer recorded counts as replaced for longer, never for less.
+    let replaced_at = wanted.replaced_at(WeightNumber::new(3));
+    assert_eq!(replaced_at, Some(at_ms(100)));
+}
