feat(relay): know the software versions of endpoints and which call a caller resumes

Cause: registrations name the version of the endpoint's software, and a caller that resumes a stream names in `Resumes` the call that brought its first event. Both were read past, so that nothing could keep a stream at the version that began it. Change: `Endpoint::software` is an opaque text without an order, up to 128 bytes; any text counts, since the platform restricts none. `SoftwareVersions` counts which versions each service's endpoints have and had within the last minute, whatever their state. `CallHead::resumes` is read with and without the platform's prefix, like other statements, and is forwarded as before. Tests: decoding::any_text_is_a_software_version, a case of decoding::a_malformed_entry_hides_no_other, decoding::a_call_names_the_one_whose_stream_it_resumes, endpoint_table::software_versions_are_known_while_and_after_endpoints_have_them and endpoints_share_the_text_of_their_software_version: new interfaces, without a state before.

--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -10,7 +10,8 @@
     PlacementRequest, PromptShape, Refusal, StoredPart, place,
 };
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
+    AvailabilityZone, DurationUs, EndpointInstance, Incarnation, ModelName, ServiceName,
+    SoftwareVersion, TimeUs,
 };
 
 /// Time between two gossip messages without an urgent update, as in a small fleet.
@@ -27,6 +28,7 @@
     pub(super) service: ServiceName,
     pub(super) model: ModelName,
     pub(super) zone: AvailabilityZone,
+    pub(super) software: SoftwareVersion,
     pub(super) engine: EngineSpec,
 }
 
--- a/crates/wisteriahitch-bench/src/fleet/world.rs
+++ b/crates/wisteriahitch-bench/src/fleet/world.rs
@@ -630,6 +630,7 @@
             slots: self.plan.engines.slots,
             is_draining: false,
             remaining_cold_us: DurationUs::ZERO,
+            software: self.config.software.clone(),
             weights: [(self.config.model.clone(), WeightNumber::new(1))]
                 .into_iter()
                 .collect(),
@@ -705,6 +706,7 @@
     Ok(FleetConfig {
         service: "engines".parse()?,
         zone: "zone".parse()?,
+        software: "software".parse()?,
         engine: EngineSpec {
             slots: engines.slots,
             memory_tokens: TokenCount::new(engines.memory_tokens),
--- a/crates/wisteriahitch-relay/src/border/call_codec.rs
+++ b/crates/wisteriahitch-relay/src/border/call_codec.rs
@@ -28,6 +28,8 @@
     pub prompt: Option<PromptShape>,
     /// Id of the last event that the caller received, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// Id of the call that brought the first event of the stream, if the caller resumes one.
+    pub resumes: Option<RequestId>,
 }
 
 /// What the daemon sends to an endpoint in addition to the caller's own request.
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use wisteriahitch_types::{
-    DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, TimeUs,
-    WeightNumber,
+    DurationUs, EndpointId, EndpointInstance, Incarnation, ModelName, ServiceName, SoftwareVersion,
+    TimeUs, WeightNumber,
 };
 use wisteriahitch_wire::object_store::Revision;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,6 +21,7 @@
 use super::link_slowdowns::LinkSlowdowns;
 use super::outlier::{OutlierDetector, OutlierOptions};
 use super::parts::PartCache;
+use super::software_versions::SoftwareVersions;
 use crate::site::Endpoint;
 
 /// How long after the store's return endpoints that are still running may take to register again.
@@ -33,6 +34,9 @@
 /// Memory, in tokens, assumed for an engine that reports none.
 const DEFAULT_MEMORY_TOKENS: u64 = 100_000;
 
+/// How long a software version is remembered after its last endpoint was removed.
+const SOFTWARE_RETENTION_US: DurationUs = DurationUs::from_ms(60_000);
+
 /// Why a registration may be missing from the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AbsenceCause {
@@ -116,6 +120,8 @@
     pub(super) leaving: LeavingInstances,
     /// How long a limit that an endpoint names stays in force without being repeated.
     pub(super) limit_ttl_us: DurationUs,
+    /// Software versions of the endpoints.
+    pub(super) software: SoftwareVersions,
 }
 
 impl EndpointTable {
@@ -208,6 +214,11 @@
     /// Applies a new registration of a known instance.
     fn renew(&mut self, endpoint: Endpoint, now: TimeUs) -> Vec<EndpointChange> {
         let instance = endpoint.instance.clone();
+        if let Some(row) = self.rows.get(&instance.id) {
+            let known = &row.endpoint;
+            self.software.add(&endpoint.service, &endpoint.software);
+            self.software.remove(&known.service, &known.software, now);
+        }
         let state = self.state_of(&endpoint);
         let limit = self.cold_limits.get(&endpoint.service);
         let Some(row) = self.rows.get_mut(&instance.id) else {
@@ -255,7 +266,7 @@
     /// its leaving.
     fn replace_restarted(&mut self, endpoint: Endpoint, now: TimeUs) -> Vec<EndpointChange> {
         let mut changes = Vec::new();
-        if let Some(before) = self.remove(&endpoint.instance.id) {
+        if let Some(before) = self.remove(&endpoint.instance.id, now) {
             self.links.remove(before.endpoint.address);
             changes.push(EndpointChange::Ended(before.endpoint.instance));
         }
@@ -311,7 +322,7 @@
             }
             EndpointState::Lapsed(_) => None,
             EndpointState::Draining | EndpointState::Unreadable => {
-                let row = self.remove(id)?;
+                let row = self.remove(id, now)?;
                 Some(EndpointChange::Removed(row.endpoint.instance))
             }
         }
@@ -361,10 +372,11 @@
             .collect();
         let removed: Vec<EndpointChange> = lapsed
             .iter()
-            .filter_map(|id| self.remove(id))
+            .filter_map(|id| self.remove(id, now))
             .map(|row| EndpointChange::Removed(row.endpoint.instance))
             .collect();
         self.prune_silent_peers(now);
+        self.software.prune(SOFTWARE_RETENTION_US, now);
         let by_short_name = &self.by_short_name;
         self.leaving
             .tick(|instance| by_short_name.contains_key(&instance), now);
@@ -429,6 +441,16 @@
         ]
     }
 
+    /// Lists the software versions that endpoints of a service have, or had at `since` or later,
+    /// whether they take calls or not. `since` may be up to a minute ago.
+    pub fn software_in_use(
+        &self,
+        service: &ServiceName,
+        since: TimeUs,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        self.software.in_use_since(service, since)
+    }
+
     /// Returns the number of endpoints.
     pub fn len(&self) -> usize {
         self.rows.len()
@@ -440,6 +462,7 @@
     }
 
     fn insert(&mut self, endpoint: Endpoint, state: EndpointState, now: TimeUs) {
+        self.software.add(&endpoint.service, &endpoint.software);
         let short_name = instance_short_name(&endpoint.instance);
         let memory = self.memory_tokens.get(&endpoint.service).copied();
         let mut peers_load = Load::default();
@@ -472,10 +495,12 @@
         self.rows.insert(id, Box::new(row));
     }
 
-    fn remove(&mut self, id: &EndpointId) -> Option<Box<EndpointRow>> {
+    fn remove(&mut self, id: &EndpointId, now: TimeUs) -> Option<Box<EndpointRow>> {
         let instance = self.rows.get(id)?.instance().clone();
         self.release_address(&instance);
         let row = self.rows.remove(id)?;
+        let (service, version) = (&row.endpoint.service, &row.endpoint.software);
+        self.software.remove(service, version, now);
         self.by_short_name.remove(&row.short_name);
         self.forget_address(row.endpoint.address, id);
         Some(row)
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointInstance, ModelName, ServiceName, WeightNumber,
+    AvailabilityZone, DurationUs, EndpointInstance, ModelName, ServiceName, SoftwareVersion,
+    WeightNumber,
 };
 use wisteriahitch_wire::object_store::Revision;
 
@@ -30,6 +31,8 @@
     pub is_draining: bool,
     /// Time for which it stays cold after its registration, as it reported.
     pub remaining_cold_us: DurationUs,
+    /// Version of its software.
+    pub software: SoftwareVersion,
     /// Versions of the weights that it reported, by model.
     pub weights: ModelWeights,
 }
--- a/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_table.rs
@@ -2,10 +2,12 @@
 
 use std::collections::HashMap;
 
-use wisteriahitch_relay::{AbsenceCause, EndpointChange, EndpointState, EndpointTable, Load};
-use wisteriahitch_types::{Incarnation, TimeUs, WeightNumber};
+use wisteriahitch_relay::{
+    AbsenceCause, Endpoint, EndpointChange, EndpointState, EndpointTable, Load,
+};
+use wisteriahitch_types::{Incarnation, SoftwareVersion, TimeUs, WeightNumber};
 
-use crate::fixture::{at_ms, draining, engine, id, model, ms};
+use crate::fixture::{at_ms, draining, engine, id, model, ms, service};
 
 /// Guards against two seconds of refused calls after an outage of the store, because lapsed
 /// registrations count as the end of endpoints. The store returns and lists none; then the
@@ -177,3 +179,103 @@
         assert_eq!(until, at_ms(case.free_at_ms), "{}", case.what);
     }
 }
+
+/// Guards against streams that go on at another software version because a version is forgotten
+/// while streams that began on it may still be resumed.
+#[test]
+fn software_versions_are_known_while_and_after_endpoints_have_them() {
+    struct Case {
+        what: &'static str,
+        change: fn(&mut EndpointTable),
+        since_ms: u64,
+        expected: &'static [&'static str],
+    }
+    let registered = |name: &str, software: &str| Endpoint {
+        software: software.parse().unwrap(),
+        ..engine(name)
+    };
+    let cases = [
+        Case {
+            what: "two versions side by side",
+            change: |_| {},
+            since_ms: 10_000,
+            expected: &["v1", "v2"],
+        },
+        Case {
+            what: "an endpoint that drains still has its version",
+            change: |table| {
+                table.apply_registration(draining("a"), at_ms(1_000));
+            },
+            since_ms: 10_000,
+            expected: &["v1", "v2"],
+        },
+        Case {
+            what: "a version that was removed within the time",
+            change: |table| {
+                table.apply_registration(draining("a"), at_ms(1_000));
+                table.apply_unregistration(&id("a").id, AbsenceCause::Left, at_ms(2_000));
+            },
+            since_ms: 2_000,
+            expected: &["v1", "v2"],
+        },
+        Case {
+            what: "a version that was removed earlier",
+            change: |table| {
+                table.apply_registration(draining("a"), at_ms(1_000));
+                table.apply_unregistration(&id("a").id, AbsenceCause::Left, at_ms(2_000));
+            },
+            since_ms: 2_001,
+            expected: &["v2"],
+        },
+        Case {
+            what: "a registration that lapsed and may come back",
+            change: |table| {
+                table.apply_unregistration(&id("a").id, AbsenceCause::MayHaveLapsed, at_ms(1_000));
+                table.tick(at_ms(2_000));
+            },
+            since_ms: 10_000,
+            expected: &["v1", "v2"],
+        },
+        Case {
+            what: "a registration of the same instance that names another version",
+            change: |table| {
+                let changed = Endpoint {
+                    software: "v2".parse().unwrap(),
+                    ..engine("a")
+                };
+                table.apply_registration(changed, at_ms(1_000));
+            },
+            since_ms: 1_001,
+            expected: &["v2"],
+        },
+    ];
+    for case in cases {
+        let mut table = EndpointTable::default();
+        for (name, software) in [("a", "v1"), ("b", "v2"), ("c", "v2")] {
+            table.apply_registration(registered(name, software), TimeUs::ZERO);
+        }
+        (case.change)(&mut table);
+        let mut known: Vec<&str> = table
+            .software_in_use(&service(), at_ms(case.since_ms))
+            .map(SoftwareVersion::as_str)
+            .collect();
+        known.sort_unstable();
+        assert_eq!(known, case.expected, "{}", case.what);
+    }
+}
+
+/// Guards against a daemon that needs more memory than it has, because each of thousands of
+/// endpoints has its own copy of the version's text.
+#[test]
+fn endpoints_share_the_text_of_their_software_version() {
+    let mut table = EndpointTable::default();
+    for name in ["a", "b", "a"] {
+        table.apply_registration(engine(name), TimeUs::ZERO);
+    }
+    let texts: Vec<_> = table
+        .iter()
+        .map(|row| row.endpoint.software.as_str().as_ptr())
+        .collect();
+    assert_eq!(texts.len(), 2);
+    assert_eq!(texts[0], texts[1]);
+}
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -56,6 +56,7 @@
         slots: 64,
         is_draining: false,
         remaining_cold_us: DurationUs::ZERO,
+        software: "v1".parse().unwrap(),
         weights: [(model(), WeightNumber::new(1))].into_iter().collect(),
     }
 }
--- a/crates/wisteriahitch-types/src/id.rs
+++ b/crates/wisteriahitch-types/src/id.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Maximum length of a name in bytes, which bounds the size of tables and messages.
-const MAX_NAME_LEN: usize = 128;
+pub(crate) const MAX_NAME_LEN: usize = 128;
 
 /// Error of parsing an identifier.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
--- a/crates/wisteriahitch-types/src/lib.rs
+++ b/crates/wisteriahitch-types/src/lib.rs
@@ -11,6 +11,7 @@
 mod key;
 mod meaning;
 mod share;
+mod software_version;
 mod tier;
 mod unit;
 
@@ -26,5 +27,6 @@
 pub use key::{BlockKey, KeyHash, ParseKeyError};
 pub use meaning::Meaning;
 pub use share::Share;
+pub use software_version::SoftwareVersion;
 pub use tier::Tier;
 pub use unit::{ByteCount, ByteRate, DurationUs, ParseUnitError, TimeUs, TokenCount, TokenRate};
