fix(relay): resume a stream within its answer only at the software version that began it

What callers saw: streams held events from two software versions of a back end. Versions may serve side by side, what two of them write doesn't fit together, and endpoints don't check it. Cause: a stream that breaks off is resumed by the daemon at any endpoint with the same weights; the software was not asked for. Change: `PlacementRequest::required_software` restricts a call to endpoints of one version, where the weights are known and where they are tried alike. The daemon's own resumption requires the version of the endpoint that it resumes from. Attempts before the first event stay free. If no endpoint has the version, the call is refused at once with the new code 2016, without a time to come back, since versions that are gone don't return; if those that have it are only limited or were tried, with one. The step right before sending checks the same again. Tests: placement::a_stream_goes_on_only_at_the_software_version_that_began_it, seen failing without the restriction ("the only endpoint of the version, although others are idle": c instead of a).

--- a/crates/wisteriahitch-bench/src/fleet/daemon.rs
+++ b/crates/wisteriahitch-bench/src/fleet/daemon.rs
@@ -115,6 +115,7 @@
             excluded: &[],
             needs_isolation: false,
             required_weights: None,
+            required_software: None,
             wanted_weights: None,
         };
         place(&self.table, &self.stores, &request, now, rng)
--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -363,12 +363,35 @@
         instance: &EndpointInstance,
         placed: CallPermits,
         now: TimeUs,
+    ) -> bool {
+        self.try_admit_if(instance, placed, now, |_, row| row.accepts_requests())
+    }
+
+    /// Like [`Self::try_admit`], for a stream that may be resumed at an endpoint which is about to
+    /// leave.
+    pub fn try_admit_resumed(
+        &mut self,
+        instance: &EndpointInstance,
+        placed: CallPermits,
+        now: TimeUs,
+    ) -> bool {
+        self.try_admit_if(instance, placed, now, |table, row| {
+            row.accepts_requests() || table.accepts_resumed(row, now)
+        })
+    }
+
+    fn try_admit_if(
+        &mut self,
+        instance: &EndpointInstance,
+        placed: CallPermits,
+        now: TimeUs,
+        accepts: impl Fn(&Self, &EndpointRow) -> bool,
     ) -> bool {
         let Some(row) = self.get(instance) else {
             return true;
         };
         let is_resting = row.statements.rest_until_us > now;
-        if self.is_evacuated(row) || !row.accepts_requests() || is_resting {
+        if self.is_evacuated(row) || !accepts(self, row) || is_resting {
             return false;
         }
         let Some(permits) = self.permits_to_send(row, placed, now) else {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -153,10 +153,15 @@
         }
         let row = self.row_by_short_name(short_name);
         let row = row.filter(|row| row.state != EndpointState::Draining);
+        let mut was_ready = false;
         let change = row.map(|row| {
+            was_ready = row.state == EndpointState::Ready;
             row.state = EndpointState::Draining;
             EndpointChange::Draining(row.instance().clone())
         });
+        if was_ready {
+            self.keep_for_resumed(short_name, now);
+        }
         (true, change)
     }
 
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -114,12 +114,15 @@
     pub outlier_options: OutlierOptions,
     /// How long an endpoint that left without announcing it still gets requests if its service has
     /// no other endpoint. It goes on serving for a while, and an outage of the store that went
-    /// unnoticed looks the same.
+    /// unnoticed looks the same. One that announced it still takes resumed streams for as long.
     pub(super) drain_fallback_us: DurationUs,
     /// Instances that have announced their leaving in an answer.
     pub(super) leaving: LeavingInstances,
     /// How long a limit that an endpoint names stays in force without being repeated.
     pub(super) limit_ttl_us: DurationUs,
+    /// Until when endpoints that have announced their leaving still take streams that no other
+    /// endpoint may resume, by short name.
+    resumable_until_us: HashMap<u32, TimeUs>,
     /// Software versions of the endpoints.
     pub(super) software: SoftwareVersions,
 }
@@ -253,6 +256,9 @@
             self.record_address(&instance);
             changes.extend(self.claim_address(&instance));
         }
+        if state == EndpointState::Draining && previous_state == EndpointState::Ready {
+            self.keep_for_resumed(instance_short_name(&instance), now);
+        }
         if state == EndpointState::Draining && previous_state != EndpointState::Draining {
             changes.push(EndpointChange::Draining(instance));
         }
@@ -376,6 +382,7 @@
             .map(|row| EndpointChange::Removed(row.endpoint.instance))
             .collect();
         self.prune_silent_peers(now);
+        self.resumable_until_us.retain(|_, until| *until > now);
         self.software.prune(SOFTWARE_RETENTION_US, now);
         let by_short_name = &self.by_short_name;
         self.leaving
@@ -412,6 +419,20 @@
         (*row.instance() == *instance).then_some(row)
     }
 
+    /// Lets an endpoint that was ready until it announced its leaving take resumed streams for a
+    /// while. If it was not, its announcement may be old.
+    pub(super) fn keep_for_resumed(&mut self, short_name: u32, now: TimeUs) {
+        let until_us = now + self.drain_fallback_us;
+        self.resumable_until_us.insert(short_name, until_us);
+    }
+
+    /// Returns whether an endpoint, which has announced its leaving, may still take a stream that no
+    /// other endpoint may resume.
+    pub fn accepts_resumed(&self, row: &EndpointRow, now: TimeUs) -> bool {
+        let until_us = self.resumable_until_us.get(&row.short_name);
+        row.state == EndpointState::Draining && until_us.is_some_and(|until_us| now < *until_us)
+    }
+
     /// Returns the row of an endpoint, whichever instance it is.
     pub fn by_id(&self, id: &EndpointId) -> Option<&EndpointRow> {
         self.rows.get(id).map(Box::as_ref)
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -9,7 +9,9 @@
 use std::net::SocketAddr;
 
 use rand::{Rng, RngExt};
-use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber};
+use wisteriahitch_types::{
+    Code, DurationUs, EndpointInstance, SoftwareVersion, TimeUs, WeightNumber,
+};
 
 use super::endpoint_admission::{Admission, CallPermits, LimitCause};
 use super::endpoint_row::{EndpointRow, EndpointState};
@@ -47,6 +49,11 @@
     pub endpoint: EndpointInstance,
     /// Address of the endpoint.
     pub address: SocketAddr,
+    /// Software version of the endpoint.
+    pub software: SoftwareVersion,
+    /// Whether the endpoint has announced its leaving, and takes the call only because it resumes a
+    /// stream that no other endpoint may go on with.
+    pub is_leaving: bool,
     /// Weights that the endpoint is expected to have; `None` if the service has no engines.
     pub weights: Option<WeightNumber>,
     /// Scope under which the endpoint caches parts.
@@ -133,6 +140,8 @@
     Ok(Placement {
         endpoint: chosen.row.instance().clone(),
         address: chosen.row.endpoint.address,
+        software: chosen.row.endpoint.software.clone(),
+        is_leaving: chosen.row.state == EndpointState::Draining,
         weights: chosen.parts.map(|parts| parts.weights),
         cache_scope: chosen.parts.map(|parts| parts.scope.clone()),
         cached_tokens: chosen.cached_tokens,
@@ -159,6 +168,9 @@
     rng: &mut impl Rng,
 ) -> Refusal {
     let rows: Vec<&EndpointRow> = endpoints_taking_requests(table, request).collect();
+    if rows.is_empty() && request.required_software.is_some() {
+        return Refusal::new(Code::SoftwareUnavailable);
+    }
     let is_allowed = |row: &&&EndpointRow| request.allowed_zones.contains(&row.endpoint.zone);
     let allowed: Vec<&EndpointRow> = rows.iter().filter(is_allowed).copied().collect();
     if !rows.is_empty() && allowed.is_empty() {
@@ -189,7 +201,11 @@
     if !admissions.is_empty() && admissions.iter().all(is_evacuated) {
         return Refusal::new(Code::ZonesEvacuated).retry_after(EVACUATED_RETRY_US);
     }
-    Refusal::new(Code::NoEndpoint).retry_after(NO_ENDPOINT_RETRY_US)
+    let code = match request.required_software {
+        Some(_) => Code::SoftwareUnavailable,
+        None => Code::NoEndpoint,
+    };
+    Refusal::new(code).retry_after(NO_ENDPOINT_RETRY_US)
 }
 
 /// Returns the width of the sampling spread, from 0 at its minimum to 1 at its maximum.
@@ -281,35 +297,65 @@
     }
 }
 
-/// Returns the endpoints of the call's service that accept requests at all.
+/// Returns the endpoints of the call's service that accept requests at all and have the software
+/// version that it requires.
 fn endpoints_taking_requests<'a>(
     table: &'a EndpointTable,
     request: &PlacementRequest<'_>,
+) -> impl Iterator<Item = &'a EndpointRow> {
+    endpoints_of_call(table, request).filter(|row| row.accepts_requests())
+}
+
+/// Returns the endpoints of the call's service that have the software version that it requires.
+fn endpoints_of_call<'a>(
+    table: &'a EndpointTable,
+    request: &PlacementRequest<'_>,
 ) -> impl Iterator<Item = &'a EndpointRow> {
     let service = request.service.clone();
-    table
-        .iter()
-        .filter(move |row| row.endpoint.service == service && row.accepts_requests())
+    let software = request.required_software.cloned();
+    table.iter().filter(move |row| {
+        let required = software.as_ref();
+        row.endpoint.service == service
+            && required.is_none_or(|required| *required == row.endpoint.software)
+    })
+}
+
+/// Returns the endpoints that have software and weights which the call may use.
+///
+/// A stream that is resumed may go to an endpoint that is about to leave if there is no other with
+/// its software version: in a release, the last endpoints of a version leave together.
+fn usable_endpoints<'a>(
+    table: &'a EndpointTable,
+    request: &PlacementRequest<'_>,
+    now: TimeUs,
+) -> Vec<&'a EndpointRow> {
+    let staying = endpoints_taking_requests(table, request);
+    let usable = usable_of(staying, table, request, now);
+    if !usable.is_empty() || request.required_software.is_none() {
+        return usable;
+    }
+    let leaving = endpoints_of_call(table, request).filter(|row| table.accepts_resumed(row, now));
+    usable_of(leaving, table, request, now)
 }
 
-/// Returns the endpoints that have weights which the call may use.
+/// Returns those of `rows` that have room and weights which the call may use.
 ///
 /// If none is known to, all endpoints that may have loaded the wanted weights since are tried.
 /// Their known weights may be outdated: another daemon had them load new weights, and the
 /// platform's store was unavailable before they could register again. If they were left out, they
 /// would never be called, nothing new would be learned, and every call would be refused for as long
 /// as the outage lasts. An endpoint that does have old weights refuses the call without running it.
-fn usable_endpoints<'a>(
-    table: &'a EndpointTable,
+fn usable_of<'a>(
+    rows: impl Iterator<Item = &'a EndpointRow>,
+    table: &EndpointTable,
     request: &PlacementRequest<'_>,
     now: TimeUs,
 ) -> Vec<&'a EndpointRow> {
-    let (matching, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) =
-        endpoints_taking_requests(table, request)
-            .filter(|row| !request.excluded.contains(row.instance()))
-            .filter(|row| request.allowed_zones.contains(&row.endpoint.zone))
-            .filter(|row| table.admission(row, now).is_open() && row.has_room(now))
-            .partition(|row| has_expected_weights(row, request, now));
+    let (matching, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = rows
+        .filter(|row| !request.excluded.contains(row.instance()))
+        .filter(|row| request.allowed_zones.contains(&row.endpoint.zone))
+        .filter(|row| table.admission(row, now).is_open() && row.has_room(now))
+        .partition(|row| has_expected_weights(row, request, now));
     if !matching.is_empty() {
         return matching;
     }
--- a/crates/wisteriahitch-relay/src/decide/placement_request.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement_request.rs
@@ -2,7 +2,8 @@
 
 use wisteriahitch_core::fleet::Rendezvous;
 use wisteriahitch_types::{
-    AvailabilityZone, DurationUs, EndpointInstance, ServiceName, TimeUs, WeightNumber, WorkspaceId,
+    AvailabilityZone, DurationUs, EndpointInstance, ServiceName, SoftwareVersion, TimeUs,
+    WeightNumber, WorkspaceId,
 };
 
 use super::endpoint_row::EndpointRow;
@@ -53,6 +54,9 @@
     pub needs_isolation: bool,
     /// Weights on which the call must run, as for a stream that is resumed.
     pub required_weights: Option<WeightNumber>,
+    /// Software version at which the call must run, as for a stream that is resumed. What two
+    /// versions write doesn't fit together, and endpoints don't check this.
+    pub required_software: Option<&'a SoftwareVersion>,
     /// Versions of the weights that the model is to run, if known.
     pub wanted_weights: Option<&'a WantedVersions>,
 }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -281,7 +281,11 @@
 
 fn is_admitted(shared: &Shared, placement: &Placement) -> bool {
     let mut endpoints = shared.endpoints.lock();
-    endpoints.try_admit(&placement.endpoint, placement.permits, shared.now())
+    let (endpoint, permits) = (&placement.endpoint, placement.permits);
+    match placement.is_leaving {
+        true => endpoints.try_admit_resumed(endpoint, permits, shared.now()),
+        false => endpoints.try_admit(endpoint, permits, shared.now()),
+    }
 }
 
 async fn connect(
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -7,7 +7,7 @@
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use wisteriahitch_types::{Code, DurationUs};
+use wisteriahitch_types::{Code, DurationUs, ServiceName};
 use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::answer_body::AnswerBody;
@@ -134,12 +134,7 @@
     let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
     trace.log_entry().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
     let priority = workspace_priority.unwrap_or(route.priority);
-    let longest_queue_us = match route.kind {
-        CallKind::Stream => config
-            .urgency
-            .max_queue(&service, priority, route.latency_slo_us),
-        _ => DurationUs::MAX,
-    };
+    let longest_queue_us = longest_queue(&config, &route, &service, priority);
     let mut routed = RoutedCall {
         call: Call {
             fingerprint,
@@ -163,6 +158,7 @@
         workspace,
         longest_queue_us,
         tried_endpoints: Vec::new(),
+        required_software: None,
         sent_attempts: 0,
         _body: body,
     };
@@ -177,6 +173,21 @@
     })
 }
 
+/// Returns the maximum estimated queue of an endpoint that a call is placed at.
+fn longest_queue(
+    config: &SiteConfig,
+    route: &Route,
+    service: &ServiceName,
+    priority: u8,
+) -> DurationUs {
+    match route.kind {
+        CallKind::Stream => config
+            .urgency
+            .max_queue(service, priority, route.latency_slo_us),
+        _ => DurationUs::MAX,
+    }
+}
+
 fn allowed_zones(shared: &Shared, route: &Route, workspace: Option<&Workspace>) -> AllowedZones {
     let workspace_regions = workspace.map_or(&[][..], |workspace| &workspace.permitted_regions);
     AllowedZones::of(&route.permitted_regions, workspace_regions, &shared.regions)
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -7,7 +7,9 @@
 use http::Response;
 use hyper::body::Body;
 use tokio::time::Instant;
-use wisteriahitch_types::{Code, DurationUs, EndpointInstance, ServiceName, WeightNumber};
+use wisteriahitch_types::{
+    Code, DurationUs, EndpointInstance, ServiceName, SoftwareVersion, WeightNumber,
+};
 
 use super::answer_body::AnswerBody;
 use super::attempt::{Call, Failure, FailureKind, OpenedAnswer, send_attempt};
@@ -58,6 +60,8 @@
     pub(super) longest_queue_us: DurationUs,
     /// Endpoints that were already tried; they are excluded from the next placement.
     pub(crate) tried_endpoints: Vec<EndpointInstance>,
+    /// Software version at which the call must run; `None` for a stream that hasn't begun.
+    pub(crate) required_software: Option<SoftwareVersion>,
     /// Number of attempts that may have reached an endpoint.
     pub(crate) sent_attempts: u32,
     /// The body that `call` sends. It stays counted as buffered for as long as it may be sent
@@ -168,6 +172,7 @@
                 .lock()
                 .needs_isolation(self.call.fingerprint),
             required_weights,
+            required_software: self.required_software.as_ref(),
             wanted_weights: wanted.as_ref(),
         };
         let mut endpoints = shared.endpoints.lock();
--- a/crates/wisteriahitch-relay/src/shell/stream_body.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_body.rs
@@ -195,13 +195,14 @@
     /// Resumes the stream after the last complete event at another endpoint, or at several in turn,
     /// if the route allows it.
     ///
-    /// The rest must come from the same weights: an answer joined from two versions would belong to
-    /// neither.
+    /// The rest must come from the same weights and the same software: an answer joined from two
+    /// versions would belong to neither.
     async fn resume(&mut self, failure: Failure) -> Result<(), Code> {
         let opened = self.opened.take().ok_or(Code::StreamIncomplete)?;
         opened.in_flight.finish(AttemptOutcome::Failed);
         drop(opened);
         let weights = self.placement.weights;
+        self.routed.required_software = Some(self.placement.software.clone());
         let (mut failure, mut failed_attempts) = (failure, 0);
         loop {
             self.exclude_failed_endpoint(&failure, failed_attempts)?;
--- a/crates/wisteriahitch-relay/tests/all/fixture.rs
+++ b/crates/wisteriahitch-relay/tests/all/fixture.rs
@@ -169,6 +169,7 @@
             excluded: &[],
             needs_isolation: false,
             required_weights: None,
+            required_software: None,
             wanted_weights: None,
         }
     }
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -3,13 +3,16 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use wisteriahitch_relay::{
-    EndpointTable, Load, PartKeyHasher, PartStores, Placement, PlacementRequest, PromptShape,
-    Refusal, WantedVersions, place,
+    AbsenceCause, Endpoint, EndpointTable, Load, PartKeyHasher, PartStores, Placement,
+    PlacementRequest, PromptShape, Refusal, WantedVersions, place,
 };
-use wisteriahitch_types::{Code, DurationUs, EndpointInstance, TimeUs, WeightNumber, WorkspaceId};
+use wisteriahitch_types::{
+    Code, DurationUs, EndpointInstance, SoftwareVersion, TimeUs, WeightNumber, WorkspaceId,
+};
+use wisteriahitch_wire::object_store::Revision;
 
 use crate::fixture::{
-    CallSetting, at_ms, draining, engine, id, model, ms, prompt, wanted_versions,
+    CallSetting, at_ms, draining, engine, engine_address, id, model, ms, prompt, wanted_versions,
 };
 
 const NOW: TimeUs = TimeUs::new(50_000_000);
@@ -20,6 +23,7 @@
     wanted: WantedVersions,
     excluded: Vec<EndpointInstance>,
     required: Option<WeightNumber>,
+    required_software: Option<SoftwareVersion>,
     isolated_workspace: Option<WorkspaceId>,
     max_queue: DurationUs,
     daemons: usize,
@@ -38,6 +42,7 @@
             wanted: wanted_versions(),
             excluded: vec![],
             required: None,
+            required_software: None,
             isolated_workspace: None,
             max_queue: DurationUs::MAX,
             daemons: 6,
@@ -54,6 +59,15 @@
         });
     }
 
+    fn register_leaving(&mut self, name: &str, ms: u64) {
+        self.table.apply_registration(draining(name), at_ms(ms));
+    }
+
+    fn unregister(&mut self, name: &str, absence: AbsenceCause, ms: u64) {
+        self.table
+            .apply_unregistration(&id(name).id, absence, at_ms(ms));
+    }
+
     fn cache_parts(&mut self, name: &str, prompt: &PromptShape, scope: &str) {
         let hasher = PartKeyHasher::new(&model(), scope);
         let row = self.table.get_mut(&id(name)).unwrap();
@@ -72,6 +86,7 @@
             excluded: &self.excluded,
             needs_isolation: self.needs_isolation,
             required_weights: self.required,
+            required_software: self.required_software.as_ref(),
             wanted_weights: Some(&self.wanted),
             ..setting.request(prompt)
         };
@@ -303,6 +318,198 @@
     }
 }
 
+/// A stream that is resumed while several software versions serve.
+struct ResumedCase {
+    what: &'static str,
+    /// Names of the endpoints and their versions.
+    endpoints: &'static [(&'static str, &'static str)],
+    required: Option<&'static str>,
+    change: fn(&mut Site),
+    /// Endpoint that gets the call, or the code of the refusal and whether the caller is told when
+    /// to come back.
+    expected: Result<&'static str, (Code, bool)>,
+}
+
+fn placed(
+    what: &'static str,
+    required: Option<&'static str>,
+    change: fn(&mut Site),
+    expected: &'static str,
+) -> ResumedCase {
+    ResumedCase {
+        what,
+        endpoints: &[("a", "v1"), ("b", "v1.1"), ("c", "v1.2")],
+        required,
+        change,
+        expected: Ok(expected),
+    }
+}
+
+fn refused(what: &'static str, change: fn(&mut Site), is_told_when: bool) -> ResumedCase {
+    ResumedCase {
+        what,
+        endpoints: &[("a", "v1"), ("b", "v1.1")],
+        required: Some("v1"),
+        change,
+        expected: Err((Code::SoftwareUnavailable, is_told_when)),
+    }
+}
+
+fn placed_resumptions() -> Vec<ResumedCase> {
+    vec![
+        placed(
+            "a new stream goes to any version",
+            None,
+            |site| {
+                site.load("a", 40_000);
+                site.load("b", 40_000);
+            },
+            "c",
+        ),
+        placed(
+            "the only endpoint of the version, although others are idle",
+            Some("v1"),
+            |site| site.load("a", 40_000),
+            "a",
+        ),
+        placed("neither the first nor the last", Some("v1.1"), |_| {}, "b"),
+        placed(
+            "one that failed, if there is no other of its version",
+            Some("v1.1"),
+            |site| {
+                let options = site.table.outlier_options;
+                let row = site.table.get_mut(&id("b")).unwrap();
+                row.outlier.eject(&options, NOW);
+            },
+            "b",
+        ),
+        placed(
+            "one that is reserved for an order, if there is no other of its version",
+            Some("v1.1"),
+            |site| site.table.get_mut(&id("b")).unwrap().reserved_until_us = at_ms(60_000),
+            "b",
+        ),
+        placed(
+            "one that has just registered its leaving, if there is no other of its version",
+            Some("v1"),
+            |site| site.register_leaving("a", 49_500),
+            "a",
+        ),
+        placed(
+            "one that has just announced its leaving in an answer",
+            Some("v1"),
+            |site| {
+                let short_name = site.table.get(&id("a")).unwrap().short_name;
+                site.table.record_leaving(short_name, at_ms(49_500));
+            },
+            "a",
+        ),
+        placed(
+            "one whose registration has lapsed while the store is away",
+            Some("v1"),
+            |site| site.unregister("a", AbsenceCause::MayHaveLapsed, 49_500),
+            "a",
+        ),
+        ResumedCase {
+            endpoints: &[("a", "v1"), ("b", "v1.1"), ("c", "v1")],
+            ..placed(
+                "not one that leaves while another has the version",
+                Some("v1"),
+                |site| {
+                    site.register_leaving("a", 49_500);
+                    site.load("c", 40_000);
+                },
+                "c",
+            )
+        },
+    ]
+}
+
+fn refused_resumptions() -> Vec<ResumedCase> {
+    vec![
+        refused(
+            "its only endpoint registered its leaving a while ago",
+            |site| site.register_leaving("a", 48_900),
+            false,
+        ),
+        refused(
+            "its only endpoint lapsed before it registered its leaving",
+            |site| {
+                site.unregister("a", AbsenceCause::MayHaveLapsed, 48_000);
+                site.register_leaving("a", 49_900);
+            },
+            false,
+        ),
+        refused(
+            "its only endpoint has left",
+            |site| {
+                site.register_leaving("a", 49_500);
+                site.unregister("a", AbsenceCause::Left, 49_900);
+            },
+            false,
+        ),
+        refused(
+            "an endpoint of another version has the address of its only one",
+            |site| {
+                site.unregister("a", AbsenceCause::Left, 48_000);
+                site.table.tick(at_ms(49_500));
+                let successor = Endpoint {
+                    address: engine_address("a"),
+                    revision: Revision(9),
+                    software: "v1.1".parse().unwrap(),
+                    ..engine("s")
+                };
+                site.table.apply_registration(successor, at_ms(49_600));
+            },
+            false,
+        ),
+        refused(
+            "its only endpoint was tried already",
+            |site| site.excluded = vec![id("a")],
+            true,
+        ),
+        ResumedCase {
+            expected: Err((Code::EndpointsLimited, true)),
+            ..refused(
+                "its only endpoint wants no calls for a while",
+                |site| {
+                    site.table.record_rest(&id("a"), ms(800), NOW);
+                },
+                true,
+            )
+        },
+    ]
+}
+
+/// Streams went on at another software version than the one that began them, and the caller's text
+/// was joined from both: the versions of a service's endpoints were not read, so that a resumed
+/// stream was placed like a new one.
+#[test]
+fn a_stream_goes_on_only_at_the_software_version_that_began_it() {
+    for case in placed_resumptions()
+        .into_iter()
+        .chain(refused_resumptions())
+    {
+        let mut site = Site::new(&[]);
+        site.table = EndpointTable::default().with_drain_fallback(ms(1_000));
+        for (name, software) in case.endpoints {
+            let endpoint = Endpoint {
+                software: software.parse().unwrap(),
+                ..engine(name)
+            };
+            site.table.apply_registration(endpoint, at_ms(1_000));
+        }
+        site.required_software = case.required.map(|version| version.parse().unwrap());
+        (case.change)(&mut site);
+        for seed in 0..5 {
+            let placed = site.place(&prompt(100, 100), seed);
+            let placed = placed.map(|placed| placed.endpoint.to_string());
+            let placed = placed.map_err(|refusal| (refusal.code, refusal.retry_after_us.is_some()));
+            assert_eq!(placed, case.expected.map(str::to_owned), "{}", case.what);
+        }
+    }
+}
+
 /// Load pattern: engines have more to read than they can within the target. A call that would wait
 /// longer than its limit is refused at once, with the time by which the queue has shrunk; any other
 /// call is accepted, however long its own prompt is.
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -109,6 +109,8 @@
     RegionUnavailable = 2014, NotRun, 503;
     /// All endpoints of the service have said that they take no more requests for now.
     EndpointsLimited = 2015, NotRun, 503;
+    /// No endpoint with the software version that began the stream takes it.
+    SoftwareUnavailable = 2016, NotRun, 503;
 
     /// The connection to the endpoint broke before an answer came.
     EndpointLost = 3001, OutcomeUnknown, 502;
