fix(relay): reset a forwarded connection towards the endpoint if the daemon gives up

A call through another daemon that was given up could still arrive at its endpoint and begin, as on a direct connection.

Cause: the forwarding daemon read the reset of the daemon that asked as an end of the stream and closed its connection to the endpoint in the ordinary way, with the call in its buffers. While the endpoint didn't read, it didn't even notice: it was waiting to write.

A connection that breaks on the daemon's side is now reset towards the endpoint, and the forwarder waits for that beside both copies. The reverse, and ordinary ends, are as before.

--- a/crates/wisteriahitch-relay/src/shell/forwarding.rs
+++ b/crates/wisteriahitch-relay/src/shell/forwarding.rs
@@ -5,6 +5,7 @@
 //! until either side closes. So a call crosses at most one more daemon, and whether it may have run
 //! is decided in one place.
 
+use std::io::ErrorKind;
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,8 +16,9 @@
 use hyper::upgrade::{OnUpgrade, Upgraded};
 use hyper_util::rt::TokioIo;
 use prometheus::IntGauge;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use wisteriahitch_types::EndpointInstance;
 use wisteriahitch_wire::connection_pool::set_options;
 
@@ -211,49 +213,88 @@
             detail: error.to_string(),
         });
     }
-    let (mut from_daemon, mut to_daemon) = daemon.into_split();
-    let (mut from_endpoint, mut to_endpoint) = endpoint.into_split();
+    let (from_daemon, mut to_daemon) = daemon.into_split();
+    let (from_endpoint, mut to_endpoint) = endpoint.into_split();
     let up = async {
-        to_endpoint.write_all(&received).await?;
-        copy(&mut from_daemon, &mut to_endpoint).await
+        match to_endpoint.write_all(&received).await {
+            Ok(()) => copy(&from_daemon, &mut to_endpoint).await,
+            Err(_) => CopyEnd::TargetBroke,
+        }
     };
-    let down = copy(&mut from_endpoint, &mut to_daemon);
-    let is_aborted = tokio::select! {
-        _ = up => false,
-        ended = down => ended.is_err(),
+    let down = copy(&from_endpoint, &mut to_daemon);
+    let broken = tokio::select! {
+        end = up => end.broken(Side::Daemon),
+        end = down => end.broken(Side::Endpoint),
+        // `up` doesn't notice it while it waits for an endpoint that doesn't read.
+        _ = from_daemon.ready(Interest::ERROR) => Some(Side::Daemon),
     };
-    // An answer that ends with its connection must not look complete if the connection broke.
-    if is_aborted {
-        let daemon = to_daemon.reunite(from_daemon).ok();
-        if let Some(daemon) = daemon {
-            let socket = socket2::SockRef::from(&daemon);
-            // If the option can't be set, the daemon still notices an incomplete framed answer.
-            let _ = socket.set_linger(Some(Duration::ZERO));
+    match broken {
+        // The daemon has given its call up: what the endpoint hasn't received of it is discarded,
+        // else it would still arrive and run.
+        Some(Side::Daemon) => reset_on_close(to_endpoint.reunite(from_endpoint).ok()),
+        // An answer that ends with its connection must not look complete if the connection broke.
+        Some(Side::Endpoint) => reset_on_close(to_daemon.reunite(from_daemon).ok()),
+        None => {}
+    }
+}
+
+/// One side of a forwarded connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Side {
+    Daemon,
+    Endpoint,
+}
+
+/// Why copying in one direction ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CopyEnd {
+    /// The source closed its connection.
+    SourceClosed,
+    SourceBroke,
+    TargetBroke,
+}
+
+impl CopyEnd {
+    /// Returns the side whose connection broke, for a copy from `source`.
+    fn broken(self, source: Side) -> Option<Side> {
+        match (self, source) {
+            (CopyEnd::SourceBroke, _) => Some(source),
+            (CopyEnd::TargetBroke, Side::Endpoint) => Some(Side::Daemon),
+            // What the endpoint sent before is still passed on.
+            (CopyEnd::TargetBroke, Side::Daemon) | (CopyEnd::SourceClosed, _) => None,
         }
     }
 }
 
+/// Makes a connection close with a reset, without sending what the peer hasn't received.
+fn reset_on_close(stream: Option<TcpStream>) {
+    if let Some(stream) = stream {
+        // If the option can't be set, the socket is disconnected already.
+        let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
 /// Returns the TCP connection below an upgraded one, and the bytes that were read ahead.
 fn into_stream(upgraded: Upgraded) -> Option<(TcpStream, bytes::Bytes)> {
     let parts = upgraded.downcast::<TokioIo<TcpStream>>().ok()?;
     Some((parts.io.into_inner(), parts.read_buf))
 }
 
-/// Copies bytes until the end of the stream.
-///
-/// # Errors
-///
-/// Fails if reading fails, which means that the connection broke. A failed write ends the copy
-/// like the end of the stream.
-async fn copy(
-    from: &mut (impl AsyncRead + Unpin),
-    to: &mut (impl AsyncWrite + Unpin),
-) -> std::io::Result<()> {
+/// Copies bytes until either connection ends.
+async fn copy(from: &OwnedReadHalf, to: &mut OwnedWriteHalf) -> CopyEnd {
     let mut buffer = vec![0; COPY_BUFFER_BYTES];
     loop {
-        let length = from.read(&mut buffer).await?;
-        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
-            return Ok(());
+        if from.readable().await.is_err() {
+            return CopyEnd::SourceBroke;
+        }
+        let length = match from.try_read(&mut buffer) {
+            Ok(0) => return CopyEnd::SourceClosed,
+            Ok(length) => length,
+            Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
+            Err(_) => return CopyEnd::SourceBroke,
+        };
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return CopyEnd::TargetBroke;
         }
     }
 }
