--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -38,7 +38,7 @@
 
 /// Maximum number of reports and orders in progress at once. Each needs a connection of the
 /// daemon's VM, and a small VM has 4,100 descriptors for all its connections.
-const MAX_PENDING_STEPS: usize = 256;
+const MAX_PENDING_STEPS: usize = 1_024;
 
 /// An engine whose weights are older than wanted.
 #[derive(Clone, Debug)]
