fix(relay): let the next engines of a large fleet finish their calls while others load

Each of 28 places is held from the announcement until the report shows the new weights, 2.1 s and more: finishing the calls, and then 0.4 s for the load and some 0.3 s until the report shows it, in which the next engine could already finish its calls.

An engine that has accepted its order and reports no requests now frees its place, for up to a tenth of the engines.

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -99,6 +99,8 @@
     started_at_us: TimeUs,
     /// Version in the last order that the engine accepted, and when.
     accepted: Option<(WeightNumber, TimeUs)>,
+    /// Whether it has accepted an order and has no requests left, so that it is loading.
+    is_loading: bool,
     /// Whether the daemons must be told to send it no calls. They know by themselves that its
     /// weights are out of use.
     is_announced: bool,
@@ -240,6 +242,7 @@
         let is_loading = active
             .loading_version(now)
             .is_some_and(|ordered| current < ordered);
+        active.is_loading = is_loading && report.running == 0 && report.waiting == 0;
         active.phase = match is_loading || report.is_busy {
             true => Phase::ReportDueAt(now + REPORT_INTERVAL_US),
             false => Phase::OrderAllowed(report.accepted_orders),
@@ -307,7 +310,6 @@
     /// the limit allows, those with the oldest weights first, and among them those with the fewest
     /// running requests, since these finish soonest.
     fn start_next(&mut self, behind: &[RolloutRow], engines: usize, now: TimeUs) {
-        let max_parallel = self.concurrency.max_parallel(engines);
         self.backed_off.retain(|_, until| *until > now);
         let is_free = |row: &&RolloutRow| {
             !self.active.contains_key(&row.endpoint) && !self.backed_off.contains_key(&row.endpoint)
@@ -327,7 +329,10 @@
             self.start(row, order_at_us.max(now), now);
         }
         // Engines that are out of service already count, since the others do their work.
-        let free = max_parallel.saturating_sub(self.active.len());
+        let loading = self.active.values().filter(|active| active.is_loading);
+        let free = self
+            .concurrency
+            .free_places(engines, self.active.len(), loading.count());
         self.oldest_waiting = in_service.get(free).map(|row| row.current);
         for row in in_service.into_iter().take(free) {
             self.start(row, now + announce_delay_us, now);
@@ -343,6 +348,7 @@
             started_at_us: now,
             ordered_version: row.wanted,
             accepted: None,
+            is_loading: false,
             is_announced: now < row.dispatch_deadline_us,
         };
         self.active.insert(row.endpoint.clone(), active);
--- a/crates/wisteriahitch-relay/src/decide/rollout_concurrency.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout_concurrency.rs
@@ -16,6 +16,9 @@
 /// load time depends on the weights and on how many engines load at once.
 const NEWEST_ENGINE_WEIGHT: f64 = 0.3;
 
+/// Share of the engines that may be reserved beyond the limit while as many load.
+const LOADING_SHARE: f64 = 0.1;
+
 /// Limits of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ConcurrencyOptions {
@@ -81,6 +84,18 @@
         self.options.parallel_min.max(1).max(share)
     }
 
+    /// Returns how many more of `engines` may be reserved while `reserved` are, `loading` of which
+    /// have no requests left.
+    ///
+    /// The next engines finish their calls while the ones before them load, so that the engines
+    /// that load are not waited for. There are no places for that in a small fleet, where each
+    /// engine that is missing is a large share of the fleet.
+    pub fn free_places(&self, engines: usize, reserved: usize, loading: usize) -> usize {
+        let places = self.max_parallel(engines);
+        let extra = (engines as f64 * LOADING_SHARE) as usize;
+        (places + extra.min(loading)).saturating_sub(reserved)
+    }
+
     /// Returns why the rollout cannot end in time; `None` if it is expected to.
     pub fn overrun(&self, remaining: Remaining, now: TimeUs) -> Option<Overrun> {
         let parallel = self.max_parallel(remaining.engines);
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -162,6 +162,78 @@
     assert_eq!(rollout.reserved().count(), 18);
 }
 
+/// A rollout took longer than its bound on a calm day, because each engine that loaded kept a place
+/// that the next one could have used to finish its calls.
+#[test]
+fn the_next_engines_finish_their_calls_while_others_load() {
+    struct Case {
+        what: &'static str,
+        engines: usize,
+        running: u32,
+        is_accepted: bool,
+        reserved: usize,
+    }
+    let cases = [
+        Case {
+            what: "a tenth of a large fleet while as many load",
+            engines: 140,
+            running: 0,
+            is_accepted: true,
+            reserved: 28 + 14,
+        },
+        Case {
+            what: "none while the engines still run calls",
+            engines: 140,
+            running: 1,
+            is_accepted: true,
+            reserved: 28,
+        },
+        Case {
+            what: "none while the engines have no order",
+            engines: 140,
+            running: 0,
+            is_accepted: false,
+            reserved: 28,
+        },
+        Case {
+            what: "none in a small fleet",
+            engines: 9,
+            running: 0,
+            is_accepted: true,
+            reserved: 3,
+        },
+    ];
+    for case in cases {
+        let mut rollout = rollout(3);
+        let names: Vec<String> = (0..case.engines)
+            .map(|number| format!("i-{number}"))
+            .collect();
+        let behind: Vec<RolloutRow> = names.iter().map(|name| row(name, 1, 2, 0)).collect();
+        rollout.tick(&behind, case.engines, at_ms(0));
+        let first: Vec<_> = rollout.reserved().cloned().collect();
+        let busy = EngineReport {
+            running: case.running,
+            ..report(1, 0)
+        };
+        rollout.tick(&behind, case.engines, at_ms(700));
+        for endpoint in &first {
+            rollout.apply_report(endpoint, Some(&busy), at_ms(710));
+        }
+        if case.is_accepted {
+            rollout.tick(&behind, case.engines, at_ms(720));
+            for endpoint in &first {
+                rollout.record_order_outcome(endpoint, &OrderOutcome::Accepted, at_ms(730));
+            }
+            rollout.tick(&behind, case.engines, at_ms(1_000));
+            for endpoint in &first {
+                rollout.apply_report(endpoint, Some(&busy), at_ms(1_010));
+            }
+        }
+        rollout.tick(&behind, case.engines, at_ms(1_050));
+        assert_eq!(rollout.reserved().count(), case.reserved, "{}", case.what);
+    }
+}
+
 #[test]
 fn the_oldest_weights_go_first() {
     let mut rollout = rollout(1);
