fix(relay): resume a caller's stream only at the software version that began it

What callers saw: in a release, 51 streams of one service held events from two software versions. Two daemons were killed, the callers resumed their streams at others, and these placed them like new ones. `Resumes` names the call that brought the first event, but nobody knew where it had begun. Cause: what the killed daemon knew was gone with it; nothing else kept it. Change: the daemon that begins a resumable stream records key, service and version, and sends the record to three ready daemons of different zones, by hash of the key, before it passes on the first event and without waiting. A daemon that gets a resumed call looks at its own records and else asks six daemons for 150 ms at most. The stream goes on at the recorded service and version. Without a record, a version is presumed only if nobody who answers knows of a second one within 30 s; otherwise the call is refused at once (2017, not run). The key includes the workspace, so that nobody's id decides about another workspace's stream. Ruled out: sending nothing while a service has had a single version for long. Then an absent record means either that or that it was lost, and the second would be taken for the first during a release. Records of all streams cost 234 bytes a second and daemon at the size to design for (computed). Each resumption is logged (`stream_origin`) and counted (`relay_stream_resumes_total`) with who knew the version, or why the call is refused. Tests: stream_versions::*, new interfaces. Seen failing: with a version presumed although daemons know of several; with keys without the workspace; with replicas chosen without regard to zones.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -48,6 +48,7 @@
 pub(crate) mod staleness;
 pub(crate) mod store_retry;
 pub(crate) mod stream_events;
+pub(crate) mod stream_versions;
 mod suspect_gossip;
 pub(crate) mod suspects;
 pub(crate) mod wanted_weights;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -59,6 +59,10 @@
 pub use decide::staleness::{QueryRank, StalenessLimits, answered_as_of};
 pub use decide::store_retry::store_retry_backoff;
 pub use decide::stream_events::{EventFramer, FramedEvents, FramingError};
+pub use decide::stream_versions::{
+    OriginAnswer, OriginSource, RecordError, StreamKey, StreamOrigin, StreamRecord, StreamVersions,
+    UnknownOrigin, find_origin,
+};
 pub use decide::suspects::{CRASHES_TO_BLOCK, CrashVerdict, RequestChanges, SuspectTable};
 pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 pub use observe::{BoundedLabel, CallEnded, Event, EventLog, LogBudget, ProcessUsage};
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -48,6 +48,18 @@
         endpoint: String,
         after_event: Option<u64>,
     },
+    /// A caller resumes a stream: which software version began it and who knew it, or why it is
+    /// refused.
+    StreamOrigin {
+        request: String,
+        resumes: Option<String>,
+        outcome: &'static str,
+        service: Option<String>,
+        software: Option<String>,
+        asked: usize,
+        answers: usize,
+        waited_ms: u64,
+    },
     /// The state of an endpoint has changed.
     EndpointChanged {
         endpoint: String,
@@ -264,6 +276,7 @@
             Event::CallEnded(_) => "call_ended",
             Event::AttemptFailed { .. } => "attempt_failed",
             Event::StreamResumed { .. } => "stream_resumed",
+            Event::StreamOrigin { .. } => "stream_origin",
             Event::EndpointChanged { .. } => "endpoint_changed",
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Retries by whether the retry budget allowed them.
     pub(crate) retries: IntCounterVec,
+    /// Streams that callers resume, by who knew where they had begun, or why they are refused.
+    pub(crate) stream_resumes: IntCounterVec,
     /// Connections to endpoints, by whether they were opened, reused or failed.
     pub(crate) connections: IntCounterVec,
     /// Requests of other daemons to forward a connection, by outcome.
@@ -140,6 +142,7 @@
             refusals: counters("relay_refusals_total", "Refusals.", &["code"])?,
             attempts: counters("relay_attempts_total", "Attempts.", &["outcome"])?,
             retries: counters("relay_retries_total", "Retries asked for.", &["granted"])?,
+            stream_resumes: stream_resumes(&registry)?,
             connections: counters("relay_connections_total", "Connections.", &["how"])?,
             forward_requests: forward_requests(&registry)?,
             forwarded_connections: forwarded_connections(&registry)?,
@@ -216,6 +219,11 @@
     counters(registry, "relay_endpoint_crashes_total", help, &["proof"])
 }
 
+fn stream_resumes(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Streams that callers resume.";
+    counters(registry, "relay_stream_resumes_total", help, &["outcome"])
+}
+
 fn forward_requests(registry: &Registry) -> prometheus::Result<IntCounterVec> {
     let help = "Requests of other daemons to forward a connection.";
     let name = "relay_forward_requests_total";
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -115,6 +115,7 @@
             permit_shares: Mutex::new(PermitShares::new(settings.ip, BootClock.now())),
             crash_evidence: Mutex::default(),
             suspects: Mutex::default(),
+            stream_versions: Mutex::default(),
             blocked_requests: BlockedRequests::default(),
             peers: PeerState::default(),
             pool: ConnectionPool::default(),
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -34,6 +34,7 @@
 mod statements;
 mod store_updates;
 mod stream_body;
+mod stream_origins;
 mod trace;
 mod transfers;
 mod watch;
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -17,6 +17,7 @@
 use super::store_updates::apply_delta;
 use super::watch_state::{ObjectDelta, kind_name};
 use crate::decide::parts::EngineMemory;
+use crate::decide::stream_versions::OriginAnswer;
 use crate::observe::Event;
 
 /// Timeout for connecting to a peer and for its response, each.
@@ -148,22 +149,41 @@
     get_json(shared, ip, ENGINE_MEMORY_PATH).await
 }
 
+/// Asks a peer for the origin of a stream. Returns `None` if it doesn't answer in time; the other
+/// peers that are asked at the same time make up for it, and the caller logs how many answered.
+pub(super) async fn fetch_origin(
+    shared: &Shared,
+    ip: Ipv4Addr,
+    path: &str,
+    timeout: Duration,
+) -> Option<OriginAnswer> {
+    get_json_within(shared, ip, path, timeout).await.ok()
+}
+
 /// Sends a GET request to a peer and decodes its JSON response.
 async fn get_json<T: DeserializeOwned>(
     shared: &Shared,
     ip: Ipv4Addr,
     path: &str,
+) -> Result<T, String> {
+    get_json_within(shared, ip, path, PEER_REQUEST_TIMEOUT).await
+}
+
+/// Like [`get_json`], with a timeout for connecting and for the response, each.
+async fn get_json_within<T: DeserializeOwned>(
+    shared: &Shared,
+    ip: Ipv4Addr,
+    path: &str,
+    timeout: Duration,
 ) -> Result<T, String> {
     let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
     let to_text = |error: wisteriahitch_wire::http_client::HttpError| error.to_string();
-    let mut connection = Connection::open(to, PEER_REQUEST_TIMEOUT)
-        .await
-        .map_err(to_text)?;
+    let mut connection = Connection::open(to, timeout).await.map_err(to_text)?;
     let request = Request::get(path)
         .header(http::header::HOST, to.to_string())
         .body(Bytes::new())
         .map_err(|error| error.to_string())?;
-    let pending_response = connection.fetch(request, PEER_REQUEST_TIMEOUT, MAX_PEER_RESPONSE_BYTES);
+    let pending_response = connection.fetch(request, timeout, MAX_PEER_RESPONSE_BYTES);
     let response = pending_response.await.map_err(to_text)?;
     if response.status() != StatusCode::OK {
         return Err(response.status().to_string());
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -20,6 +20,7 @@
 };
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
+use super::stream_origins::{ORIGIN_PATH, answer_question};
 use super::watch_state::{WATCHED_ROLES, kind_name};
 
 /// Serves requests of other daemons, operators and metrics scrapers.
@@ -71,6 +72,10 @@
             let store: SocketAddr = store.parse().ok()?;
             return json(&shared.part_stores.lock().stored_parts_at(store));
         }
+        if let Some(key) = path.strip_prefix(ORIGIN_PATH) {
+            let service = query.and_then(|query| query.strip_prefix("service="));
+            return json(&answer_question(shared, key, service)?);
+        }
         match path {
             ENGINE_MEMORY_PATH => json(&engine_memory_snapshot(shared)),
             "/metrics" => Some(metrics_text(shared).into()),
--- a/crates/wisteriahitch-relay/src/shell/peer_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_state.rs
@@ -2,9 +2,11 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::{Mutex, MutexGuard};
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use wisteriahitch_types::TimeUs;
@@ -17,6 +19,8 @@
 use crate::decide::hubs::HubPlan;
 use crate::decide::members::PeerTable;
 use crate::decide::staleness::QueryRank;
+use crate::decide::stream_versions::StreamRecord;
+use crate::settings::RelaySettings;
 
 /// Maximum wait after the start for the list of the other daemons. The store answers within a
 /// second.
@@ -60,6 +64,8 @@
     lag_ms: Mutex<f64>,
     /// Wakes the gossip sender to send a message without waiting for the interval.
     pub(crate) wake_sender: Notify,
+    /// Socket of the gossip, once it is bound.
+    pub(super) gossip_socket: OnceLock<Arc<UdpSocket>>,
     /// Decides when the next message is due.
     pub(super) gossip_schedule: Mutex<GossipSchedule>,
 }
@@ -116,6 +122,24 @@
         table.query_rank(kind_name(role), me, self.follows_stores(), now)
     }
 
+    /// Sends the record of a stream to other daemons.
+    pub(super) fn send_record(
+        &self,
+        record: &StreamRecord,
+        replicas: &[Ipv4Addr],
+        settings: &RelaySettings,
+    ) {
+        let Some(socket) = self.gossip_socket.get() else {
+            return;
+        };
+        let datagram = record.encode();
+        for ip in replicas {
+            let to = SocketAddr::from((*ip, settings.listen.peer_port));
+            // A record that can't be sent counts as lost. The other replicas keep it too.
+            let _ = socket.try_send_to(&datagram, to);
+        }
+    }
+
     /// Records a call that was sent, and wakes the sender if the others must learn of it at once.
     pub(crate) fn record_sent_call(&self, unread_tokens: u64) {
         if self.gossip_schedule.lock().record_dispatch(unread_tokens) {
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -16,6 +16,7 @@
 use super::peer_state::enqueue_parts;
 use super::shared::Shared;
 use super::statements::{apply_leaving_updates, apply_limit_updates};
+use super::stream_origins::receive_record;
 use super::watch::log_confirmations;
 use crate::decide::gossip_message::{GossipMessage, MemberPhase};
 use crate::decide::hubs::HubCandidate;
@@ -55,6 +56,8 @@
 /// Sends and receives gossip, for as long as the process runs.
 pub(crate) async fn run_gossip(shared: Arc<Shared>, socket: UdpSocket) {
     let socket = Arc::new(socket);
+    // Set once: a process binds its gossip socket a single time.
+    let _ = shared.peers.gossip_socket.set(Arc::clone(&socket));
     let receiver = receive_loop(Arc::clone(&shared), Arc::clone(&socket));
     tokio::join!(send_loop(shared, socket), receiver);
 }
@@ -204,6 +207,9 @@
 
 /// Decodes a received message and applies its updates.
 fn handle_message(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
+    if receive_record(shared, bytes, from) {
+        return;
+    }
     let now = shared.now();
     let Ok(message) = GossipMessage::decode(bytes) else {
         shared.log.write(&Event::Failure {
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -7,7 +7,7 @@
 use http::header::{CONNECTION, HeaderValue};
 use http::{Request, Response};
 use hyper::body::Incoming;
-use wisteriahitch_types::{Code, DurationUs, ServiceName};
+use wisteriahitch_types::{Code, DurationUs, ServiceName, SoftwareVersion, WorkspaceId};
 use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::answer_body::AnswerBody;
@@ -17,8 +17,9 @@
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
 use super::stream_body::{StreamStart, stream_answer};
+use super::stream_origins::{is_resumption, record_origin, resumed_origin};
 use super::trace::CallTrace;
-use crate::border::Refusal;
+use crate::border::{CallHead, Refusal};
 use crate::site::{AllowedZones, CallKind, RequestFingerprint, Route, SiteConfig, Workspace};
 
 /// Retry delay for callers of a daemon that hasn't loaded enough of its state yet.
@@ -128,11 +129,10 @@
     let id = workspace.as_ref().map(|workspace| workspace.id.clone());
     let fingerprint = RequestFingerprint::of(id.as_ref(), parts.uri.path(), &body.bytes);
     check_blocked(shared, fingerprint, trace)?;
-    let service = route.pick_service(rand::random()).cloned();
-    let service = service.ok_or(Refusal::new(Code::NoEndpoint))?;
+    trace.log_entry().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
+    let (service, required_software) = choose_service(shared, &route, &head, id.as_ref()).await?;
     shared.budgets.record_request(&service);
     let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
-    trace.log_entry().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
     let priority = workspace_priority.unwrap_or(route.priority);
     let longest_queue_us = longest_queue(&config, &route, &service, priority);
     let mut routed = RoutedCall {
@@ -158,19 +158,43 @@
         workspace,
         longest_queue_us,
         tried_endpoints: Vec::new(),
-        required_software: None,
+        required_software,
         sent_attempts: 0,
         _body: body,
     };
     let answered = routed.run_attempts(shared, trace).await?;
-    Ok(match answered {
+    Ok(call_answer(shared, routed, answered))
+}
+
+/// Returns the service of a call and, if it resumes a stream, the software version that it requires.
+async fn choose_service(
+    shared: &Arc<Shared>,
+    route: &Route,
+    head: &CallHead,
+    workspace: Option<&WorkspaceId>,
+) -> Result<(ServiceName, Option<SoftwareVersion>), Refusal> {
+    if is_resumption(route, head) {
+        let origin = resumed_origin(shared, route, head, workspace).await?;
+        return Ok((origin.service, Some(origin.software)));
+    }
+    let service = route.pick_service(rand::random()).cloned();
+    Ok((service.ok_or(Refusal::new(Code::NoEndpoint))?, None))
+}
+
+fn call_answer(shared: &Shared, routed: RoutedCall, answered: AttemptAnswer) -> CallAnswer {
+    match answered {
         AttemptAnswer::Whole(response, status) => CallAnswer::Whole(response, status),
-        AttemptAnswer::Stream(first, opened) => CallAnswer::Stream(Box::new(StreamStart {
-            routed,
-            opened: *opened,
-            first,
-        })),
-    })
+        AttemptAnswer::Stream(first, opened) => {
+            if opened.parts.status.is_success() {
+                record_origin(shared, &routed, &opened.placement);
+            }
+            CallAnswer::Stream(Box::new(StreamStart {
+                routed,
+                opened: *opened,
+                first,
+            }))
+        }
+    }
 }
 
 /// Returns the maximum estimated queue of an endpoint that a call is placed at.
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -32,6 +32,7 @@
 use crate::decide::permit_shares::PermitShares;
 use crate::decide::prompt_answers::ProcessActivity;
 use crate::decide::rollout::Rollout;
+use crate::decide::stream_versions::StreamVersions;
 use crate::decide::suspects::SuspectTable;
 use crate::observe::{Event, EventLog, Metrics};
 use crate::settings::{Bounds, RelaySettings};
@@ -80,6 +81,8 @@
     pub(crate) permit_shares: Mutex<PermitShares>,
     pub(crate) crash_evidence: Mutex<CrashEvidence>,
     pub(crate) suspects: Mutex<SuspectTable>,
+    /// Where streams began that may be resumed.
+    pub(crate) stream_versions: Mutex<StreamVersions>,
     pub(crate) blocked_requests: BlockedRequests,
     pub(crate) peers: PeerState,
     /// Pooled connections to endpoints, each to one instance.
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -103,6 +103,20 @@
         is_newest_known && is_confirmed && limits.is_final(state.complete_as_of_us, now)
     }
 
+    /// Returns whether this daemon has known the objects of a role since `since`, and still knows
+    /// them as of recently.
+    pub(super) fn is_followed_since(
+        &self,
+        role: ObjectRole,
+        since: TimeUs,
+        limits: &StalenessLimits,
+        now: TimeUs,
+    ) -> bool {
+        let state = self.state_of(role).lock();
+        let is_listed = state.listed_at_us.is_some_and(|at| at <= since);
+        is_listed && limits.is_final(state.complete_as_of_us, now)
+    }
+
     /// Records that all objects of a role as of `as_of` are known. Must be called after applying
     /// them.
     pub(super) fn confirm_complete(&self, role: ObjectRole, as_of: TimeUs) {
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -39,6 +39,7 @@
 mod staleness;
 mod store_retry;
 mod stream_events;
+mod stream_versions;
 mod suspects;
 mod suspicion;
 mod wanted_weights;
--- a/crates/wisteriahitch-types/src/code.rs
+++ b/crates/wisteriahitch-types/src/code.rs
@@ -111,6 +111,8 @@
     EndpointsLimited = 2015, NotRun, 503;
     /// No endpoint with the software version that began the stream takes it.
     SoftwareUnavailable = 2016, NotRun, 503;
+    /// It is not known for certain which software version began the stream.
+    StreamOriginUnknown = 2017, NotRun, 503;
 
     /// The connection to the endpoint broke before an answer came.
     EndpointLost = 3001, OutcomeUnknown, 502;
