fix(relay): ask an engine again soon whose weights are out of use

An engine that is silent when its order is due at the end of use, 8.6 s after the acknowledgement, was asked again only at 10.1 s, after the bound of 10 s.

Cause: an engine that can't be reached yields its place to others for a second. One whose weights are out of use takes no place, so that nobody gains from the wait.

Test: rollout::an_engine_with_weights_out_of_use_is_asked_again_soon, seen failing before (no step after 300 ms).

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -285,11 +285,15 @@
     ///
     /// Only few engines are reserved at once. If unreachable engines kept their slots, the others
     /// would stay on weights that go out of use. The symptom is calls that all engines refuse,
-    /// seconds after new weights were named.
+    /// seconds after new weights were named. An engine whose weights are out of use takes no slot
+    /// from others, and is tried again soon: it may only have been silent for a moment.
     fn back_off(&mut self, endpoint: &EndpointInstance, now: TimeUs) {
-        self.active.remove(endpoint);
-        self.backed_off
-            .insert(endpoint.clone(), now + UNREACHABLE_BACKOFF_US);
+        let active = self.active.remove(endpoint);
+        let backoff_us = match active.is_some_and(|active| active.is_announced) {
+            true => UNREACHABLE_BACKOFF_US,
+            false => RETRY_BACKOFF_US,
+        };
+        self.backed_off.insert(endpoint.clone(), now + backoff_us);
     }
 
     /// Drops the engines that are no longer behind, and updates the others.
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -147,6 +147,24 @@
 }
 
 /// Gives the order for `a`, with this outcome.
+/// Guards against an engine that keeps weights which are out of use beyond their bound: it is silent
+/// when its order is due, and isn't asked again for a second.
+#[test]
+fn an_engine_with_weights_out_of_use_is_asked_again_soon() {
+    let mut rollout = rollout(1);
+    let behind = [row("a", 1, 2, 0)];
+    let deadline = behind[0].dispatch_deadline_us;
+    rollout.tick(&behind, ENGINES, deadline);
+    let asked_at = deadline + ms(150);
+    let steps = rollout.tick(&behind, ENGINES, asked_at);
+    assert_eq!(steps, [RolloutStep::ReadReport(id("a"))]);
+    let unanswered_at = asked_at + ms(500);
+    rollout.apply_report(&id("a"), None, unanswered_at);
+    let retried_at = unanswered_at + ms(300);
+    let steps = rollout.tick(&behind, ENGINES, retried_at);
+    assert_eq!(steps, [RolloutStep::ReadReport(id("a"))]);
+}
+
 fn give_order(rollout: &mut Rollout, outcome: &OrderOutcome) {
     rollout.apply_report(&id("a"), Some(&report(1, 0)), at_ms(210));
     rollout.tick(&[row("a", 1, 2, 0), row("b", 1, 2, 5)], ENGINES, at_ms(220));
