fix(relay): look at the weights again before a call is sent

Found by reading, in review; not reproduced, no test of its own. A call is placed while its endpoint's weights may still be sent calls, and a connection may take a second to open, over another daemon or with a question for the start. It was then sent up to 1.2 s later than the send deadline, which the margin for the way to the engine doesn't cover.

Now the weights are looked at once more right before sending, where the endpoint's admission is. Nothing has been sent then, and the call is placed anew.

--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -257,6 +257,10 @@
             let detail = "the endpoint no longer accepts calls";
             return Err(Failure::new(FailureKind::NotAdmitted, detail));
         }
+        if !may_use_weights(shared, call, placement) {
+            let detail = "its weights went out of use";
+            return Err(Failure::new(FailureKind::NotAdmitted, detail));
+        }
         let request = build_request(shared, call, placement, resume_after);
         in_flight.record_sent();
         match timeout_at(deadline, connection.send(request)).await {
@@ -288,6 +292,16 @@
     }
 }
 
+/// Returns whether a call may still be sent to an endpoint with the weights that it was placed at. A
+/// connection may take a second to open.
+fn may_use_weights(shared: &Shared, call: &Call, placement: &Placement) -> bool {
+    let (Some(prompt), Some(weights)) = (&call.head.prompt, placement.weights) else {
+        return true;
+    };
+    let wanted = shared.site.wanted_versions(&prompt.model);
+    wanted.is_none_or(|wanted| wanted.may_dispatch(weights, shared.now()))
+}
+
 async fn connect(
     shared: &Arc<Shared>,
     placement: &Placement,
