fix(relay): notice corrected times of replaced weights in attempts that wait

Found by reading, in review; no test of its own. A peer's statement may correct when weights were replaced, but attempts that wait for an endpoint weren't woken by it, and an attempt whose limit had come didn't look whether it had moved. Now both look at the time that is known then.

--- a/crates/wisteriahitch-relay/src/shell/attempt_guard.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt_guard.rs
@@ -78,7 +78,7 @@
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep(left_us.into()) => return,
+                () = tokio::time::sleep(left_us.into()) => {}
                 () = changed => {}
             }
         }
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -88,6 +88,8 @@
                 versions.record_named_after(version, TimeUs::new(named_after));
             }
         }
+        drop(all);
+        self.wanted_changed.notify_waiters();
     }
 
     /// Returns for peers how long ago everything newer than some versions was named at most.
