perf(relay): hold the names of a listing once

A listing's objects were copied to become the known ones, so each name was held twice at the peak; they are moved now, and decoded before that. Names of services, zones and models are shared by the endpoints that have them instead of held once for each.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -21,6 +21,7 @@
 use super::link_slowdowns::LinkSlowdowns;
 use super::outlier::{OutlierDetector, OutlierOptions};
 use super::parts::PartCache;
+use super::shared_names::SharedNames;
 use super::software_versions::SoftwareVersions;
 use crate::site::Endpoint;
 
@@ -125,6 +126,7 @@
     resumable_until_us: HashMap<u32, TimeUs>,
     /// Software versions of the endpoints.
     pub(super) software: SoftwareVersions,
+    names: SharedNames,
 }
 
 impl EndpointTable {
@@ -191,10 +193,11 @@
         registration: impl Into<Registration>,
         now: TimeUs,
     ) -> Vec<EndpointChange> {
-        let endpoint = match registration.into() {
+        let mut endpoint = match registration.into() {
             Registration::Valid(endpoint) => endpoint,
             Registration::Unreadable(id, revision) => return self.mark_unreadable(&id, revision),
         };
+        self.names.share(&mut endpoint);
         let id = endpoint.instance.id.clone();
         let Some(row) = self.rows.get(&id) else {
             return self.add(endpoint, now);
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -44,6 +44,7 @@
 pub(crate) mod retry_share;
 pub(crate) mod rollout;
 pub(crate) mod rollout_concurrency;
+pub(crate) mod shared_names;
 mod software_versions;
 pub(crate) mod staleness;
 pub(crate) mod store_retry;
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -15,6 +15,7 @@
 use crate::decide::endpoint_table::{AbsenceCause, REREGISTRATION_TIMEOUT_US, Registration};
 use crate::decide::evacuated_zones::ZoneChange;
 use crate::decide::rate_limit::RateLimit;
+use crate::decide::shared_names::SharedNames;
 use crate::observe::Event;
 use crate::site::SiteConfig;
 
@@ -33,6 +34,9 @@
 }
 
 /// Applies a complete listing, from the store or from a peer with newer objects.
+///
+/// A listing of all endpoints is the largest thing that a daemon holds. Its objects are moved, and
+/// decoded before that, so that no name is held twice at the peak.
 pub(super) fn apply_listing(
     shared: &Arc<Shared>,
     role: ObjectRole,
@@ -40,48 +44,83 @@
     source: &str,
 ) {
     let now = shared.now();
-    let (absence, written_after) = {
-        let mut state = shared.watches.state_of(role).lock();
-        if listing.revision < state.last_change {
-            return;
-        }
-        let by_name = |object: &StoredObject| (object.name.clone(), object.clone());
-        state.objects = listing.objects.iter().map(by_name).collect();
-        // A listing doesn't contain earlier deletions.
-        state.deletions_lost_up_to = state.deletions_lost_up_to.max(listing.revision);
-        // This must be set even if the listing equals the known objects. Otherwise its sender would
-        // seem to have newer objects forever.
-        state.last_change = listing.revision;
-        state.watch_revision = state.watch_revision.max(listing.revision);
-        let was_listed = state.is_listed();
-        state.listed_at_us.get_or_insert(now);
-        state.newer_at_peer = None;
-        let written_after = match was_listed {
-            true => written_after(shared, &state, now),
-            false => assumed_initial_time(shared, now),
-        };
-        (absence_cause(&state, now), written_after)
-    };
+    let Listing {
+        revision, objects, ..
+    } = listing;
+    if revision < shared.watches.changed_revision(role) {
+        return;
+    }
     match role {
         ObjectRole::Endpoints => {
-            let objects = listing.objects.iter();
-            let registrations = objects.filter_map(|object| decode_registration(shared, object));
-            let registrations = registrations.collect();
+            let registrations = decode_registrations(shared, &objects);
+            let Some((absence, _)) = keep_listed(shared, role, revision, objects, now) else {
+                return;
+            };
             let changes = shared
                 .endpoints
                 .lock()
                 .apply_listing(registrations, absence, now);
-            shared.record_endpoint_changes(changes, listing.revision.0);
+            shared.record_endpoint_changes(changes, revision.0);
         }
-        ObjectRole::Evacuations => apply_evacuations(shared, source),
         _ => {
-            for object in &listing.objects {
+            let listed = objects.clone();
+            let Some((_, written_after)) = keep_listed(shared, role, revision, objects, now) else {
+                return;
+            };
+            if role == ObjectRole::Evacuations {
+                return apply_evacuations(shared, source);
+            }
+            for object in &listed {
                 apply_put(shared, role, object, source, written_after);
             }
         }
     }
 }
 
+/// Keeps the objects of a listing as the known ones. Returns why an object is absent from it and the
+/// earliest time at which an unknown one can have been written, or `None` if newer objects are known
+/// meanwhile.
+fn keep_listed(
+    shared: &Shared,
+    role: ObjectRole,
+    revision: Revision,
+    objects: Vec<StoredObject>,
+    now: TimeUs,
+) -> Option<(AbsenceCause, TimeUs)> {
+    let mut state = shared.watches.state_of(role).lock();
+    if revision < state.last_change {
+        return None;
+    }
+    let by_name = |object: StoredObject| (object.name.clone(), object);
+    state.objects = objects.into_iter().map(by_name).collect();
+    // A listing doesn't contain earlier deletions.
+    state.deletions_lost_up_to = state.deletions_lost_up_to.max(revision);
+    // This must be set even if the listing equals the known objects. Otherwise its sender would
+    // seem to have newer objects forever.
+    state.last_change = revision;
+    state.watch_revision = state.watch_revision.max(revision);
+    let was_listed = state.is_listed();
+    state.listed_at_us.get_or_insert(now);
+    state.newer_at_peer = None;
+    let written_after = match was_listed {
+        true => written_after(shared, &state, now),
+        false => assumed_initial_time(shared, now),
+    };
+    Some((absence_cause(&state, now), written_after))
+}
+
+fn decode_registrations(shared: &Shared, objects: &[StoredObject]) -> Vec<Registration> {
+    let mut names = SharedNames::default();
+    let registrations = objects.iter().filter_map(|object| {
+        let mut registration = decode_registration(shared, object)?;
+        if let Registration::Valid(endpoint) = &mut registration {
+            names.share(endpoint);
+        }
+        Some(registration)
+    });
+    registrations.collect()
+}
+
 /// Returns the earliest time at which an object that isn't known yet can have been written.
 fn written_after(shared: &Shared, state: &WatchState, now: TimeUs) -> TimeUs {
     let known_as_of = state.unknown_written_after();
--- a/crates/wisteriahitch-relay/src/site/endpoint.rs
+++ b/crates/wisteriahitch-relay/src/site/endpoint.rs
@@ -74,6 +74,11 @@
         self.0.is_empty()
     }
 
+    /// Lists the names of the models, to replace them by equal ones.
+    pub(crate) fn models_mut(&mut self) -> impl Iterator<Item = &mut ModelName> {
+        self.0.iter_mut().map(|(model, _)| model)
+    }
+
     /// Lists the models with their versions.
     pub fn iter(&self) -> impl Iterator<Item = (&ModelName, WeightNumber)> {
         self.0.iter().map(|(model, version)| (model, *version))
