fix(relay): leave time for an engine that is silent while calls are cancelled

Calls could begin on weights that were replaced longer ago than the deployment allows. An engine that falls silent for a second or so and goes on is sound: it takes a request from its socket, or notices that the connection has closed, when it goes on. A call that was withdrawn 0.8 s before the bound began 0.4 s after it.

The margins are derived from named parts: 0.4 s by which a daemon may take an update for newer than it is, 0.2 s for the request, 1.2 s of silence at the engine, and for calls that are still sent, one second of queue there. That is 1.8 s in place of 0.8 s before a call must have started, and 2.8 s in place of 2.0 s before no more are sent. The 0.6 s for the update go: ages of updates are known now.

With the former 2.0 s a call would have had 0.2 s to wait at its engine; one that may not be repeated fails when it is withdrawn. Calls that aren't streams are never withdrawn, so for them the time to wait is part of the promise.

Not done: a shorter deadline in the request. It would bound the start, but also the end of streams that began in time.

--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -12,17 +12,26 @@
 use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::SettingsError;
+use crate::decide::prompt_answers::MAX_UNNOTICED_DELAY_US;
 use crate::decide::staleness::StalenessLimits;
 
-/// Margin kept from the bound on replaced weights when calls are sent to engines with old weights.
-/// An update about newer weights takes up to 0.6 s to reach every daemon, a call waits up to 1 s at
-/// its engine before it starts, and estimates of that wait are off by as much again under full
-/// load.
-const OLD_WEIGHTS_SEND_MARGIN_MS: f64 = 2_000.0;
+/// Time that a request, or the close of its connection, takes to an engine.
+const REQUEST_TRANSIT_MS: f64 = 200.0;
+
+/// Longest time for which a sound engine is silent and goes on. It then takes a request from its
+/// socket, or notices that the connection was closed.
+const ENGINE_SILENCE_MS: f64 = 1_200.0;
+
+/// Time for which a call waits at its engine before it starts.
+const ENGINE_QUEUE_MS: f64 = 1_000.0;
 
 /// Margin kept from the bound on replaced weights when a call that still waits at its engine is
-/// withdrawn: 0.6 s for the update about newer weights, and 0.2 s for the request to the engine.
-const OLD_WEIGHTS_START_MARGIN_MS: f64 = 800.0;
+/// withdrawn. The age of an update about newer weights is known but for an unnoticed delay.
+const OLD_WEIGHTS_START_MARGIN_MS: f64 =
+    MAX_UNNOTICED_DELAY_US.get() as f64 / 1_000.0 + REQUEST_TRANSIT_MS + ENGINE_SILENCE_MS;
+
+/// Margin kept from the bound on replaced weights when calls are sent to engines with old weights.
+const OLD_WEIGHTS_SEND_MARGIN_MS: f64 = OLD_WEIGHTS_START_MARGIN_MS + ENGINE_QUEUE_MS;
 
 /// Maximum share of the bound that [`OLD_WEIGHTS_START_MARGIN_MS`] takes. It is smaller than
 /// [`MAX_SEND_MARGIN_SHARE`], so that a call that was sent in time has a chance to start.
--- a/crates/wisteriahitch-relay/tests/all/settings.rs
+++ b/crates/wisteriahitch-relay/tests/all/settings.rs
@@ -121,7 +121,8 @@
     struct Case {
         /// Factor by which the bounds of [`bounds`] are scaled.
         factor: f64,
-        old_weights_send_deadline: DurationUs,
+        /// Deadlines for sending calls to replaced weights and for their start there.
+        old_weights: (DurationUs, DurationUs),
         rollout_deadline: DurationUs,
         assumed_initial_age: DurationUs,
         drain_fallback: DurationUs,
@@ -133,7 +134,7 @@
     let cases = [
         Case {
             factor: 0.25,
-            old_weights_send_deadline: ms(1_000),
+            old_weights: (ms(1_000), ms(1_200)),
             rollout_deadline: ms(2_750),
             assumed_initial_age: ms(250),
             drain_fallback: ms(250),
@@ -143,7 +144,7 @@
         },
         Case {
             factor: 0.5,
-            old_weights_send_deadline: ms(2_000),
+            old_weights: (ms(2_000), ms(2_400)),
             rollout_deadline: ms(5_500),
             assumed_initial_age: ms(500),
             drain_fallback: ms(500),
@@ -153,9 +154,9 @@
         },
         Case {
             factor: 1.0,
-            old_weights_send_deadline: ms(6_000),
+            old_weights: (ms(5_200), ms(6_200)),
             rollout_deadline: ms(11_000),
-            assumed_initial_age: ms(3_000),
+            assumed_initial_age: ms(2_200),
             drain_fallback: ms(1_000),
             catch_up_delay: ms(250),
             watch_wait: Duration::from_millis(6_000),
@@ -163,9 +164,9 @@
         },
         Case {
             factor: 2.0,
-            old_weights_send_deadline: ms(14_000),
+            old_weights: (ms(13_200), ms(14_200)),
             rollout_deadline: ms(22_000),
-            assumed_initial_age: ms(8_000),
+            assumed_initial_age: ms(7_200),
             drain_fallback: ms(2_000),
             catch_up_delay: ms(500),
             watch_wait: Duration::from_millis(6_000),
@@ -175,11 +176,11 @@
     for case in cases {
         let bounds = bounds(case.factor);
         let factor = case.factor;
-        assert_eq!(
+        let old_weights = (
             bounds.old_weights_send_deadline(),
-            case.old_weights_send_deadline,
-            "{factor}"
+            bounds.old_weights_start_deadline(),
         );
+        assert_eq!(old_weights, case.old_weights, "{factor}");
         assert_eq!(bounds.rollout_deadline(), case.rollout_deadline, "{factor}");
         assert_eq!(
             bounds.assumed_initial_age(),
