fix(wire): reset the HTTP client's connections whose request is unanswered

The HTTP client has the fault that the pooled connections of the relay had: a request that timed out, or whose caller left, could still arrive and run, since the library closes the connection in the ordinary way and the system goes on sending what the peer hasn't acknowledged.

The client's connector now wraps its streams. A stream's answer is pending from the first byte of a request to the end of the answer's body (`TrackedBody`); one that is dropped meanwhile is reset. Idle connections close as before. If the library ends a connection after an answer with `connection: close` before its reader has taken the last frame, it is reset as well; the answer has arrived whole by then.

Evidence: the new test gives a request of 128 KiB up at a server that doesn't read, by its timeout and by cancelling it. A second test sees three requests on one connection, which then closes in the ordinary way.

--- a/crates/wisteriahitch-bench/src/caller/client.rs
+++ b/crates/wisteriahitch-bench/src/caller/client.rs
@@ -6,13 +6,14 @@
 use bytes::Bytes;
 use http::{Method, Request, Response};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use serde_json::{Value, json};
 use wisteriahitch::types::{
     AdapterName, ByteCount, Code, DurationUs, Meaning, ModelName, TokenCount, WeightVersion,
 };
 use wisteriahitch::wire::engine::SseParser;
-use wisteriahitch::wire::http_client::{HttpClient, HttpClientOptions, HttpError, HttpErrorKind};
+use wisteriahitch::wire::http_client::{
+    HttpClient, HttpClientOptions, HttpError, HttpErrorKind, TrackedBody,
+};
 use wisteriahitch_standin::engine::AnswerSource;
 
 use super::{CallError, CompletionAnswer, PlainAnswer};
@@ -208,7 +209,7 @@
 }
 
 async fn read_stream(
-    response: Response<Incoming>,
+    response: Response<TrackedBody>,
     sent_at: Instant,
 ) -> Result<CompletionAnswer, CallError> {
     let version = response.headers().get("x-weight-version");
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -4,10 +4,9 @@
 //! pool's key therefore identifies the instance, so that a connection is never used for a request
 //! that was routed to a different instance (`docs/design/platform.md`).
 
-mod answer_state;
 mod shared_stream;
 
-pub use answer_state::TrackedBody;
+pub use crate::answer_state::TrackedBody;
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -25,8 +24,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-use self::answer_state::AnswerState;
 use self::shared_stream::{SharedStream, StreamHandle};
+use crate::answer_state::AnswerState;
 use crate::http_client::{HttpError, HttpErrorKind};
 
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
--- a/crates/wisteriahitch-wire/src/engine/http_engine.rs
+++ b/crates/wisteriahitch-wire/src/engine/http_engine.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use http::header::CONTENT_TYPE;
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use hyper::body::Incoming;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::timeout;
@@ -22,7 +21,7 @@
     CacheEvents, CacheListing, CompletionHead, CompletionRequest, Engine, EngineError,
     EngineErrorKind, ExportRequest, ExportResult, ImportRequest, LoadReport, Order, TokenStream,
 };
-use crate::http_client::{HttpClient, HttpError, HttpErrorKind, read_body};
+use crate::http_client::{HttpClient, HttpError, HttpErrorKind, TrackedBody, read_body};
 
 /// Timeout of a call that transfers no block.
 const CONTROL_TIMEOUT: DurationUs = DurationUs::from_ms(2_000);
@@ -118,7 +117,7 @@
         address: SocketAddr,
         request: CompletionRequest,
         head_timeout_us: DurationUs,
-    ) -> Result<Response<Incoming>, EngineError> {
+    ) -> Result<Response<TrackedBody>, EngineError> {
         let body = to_json(&CompletionBody::from(request))?;
         let request = build_request(Method::POST, "/v1/completions", body)?;
         let response = self.client.send(address, request, head_timeout_us).await?;
@@ -246,7 +245,7 @@
 /// Reads the body of a refused completion and classifies the refusal.
 ///
 /// Without its body a refusal proves nothing, because only the body has the field `not_run`.
-async fn read_completion_refusal(response: Response<Incoming>) -> EngineError {
+async fn read_completion_refusal(response: Response<TrackedBody>) -> EngineError {
     let status = response.status();
     let body = read_body(response.into_body(), MAX_REFUSAL_BYTES);
     match timeout(CONTROL_TIMEOUT.into(), body).await {
--- a/crates/wisteriahitch-wire/src/engine/token_stream.rs
+++ b/crates/wisteriahitch-wire/src/engine/token_stream.rs
@@ -5,11 +5,11 @@
 use futures_util::StreamExt;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use tokio::time::timeout;
 
 use super::body::DONE;
 use super::{EngineError, EngineErrorKind, SseParser, Token, TokenStream};
+use crate::http_client::TrackedBody;
 
 /// Maximum wait for each event or the end of the body after the last token.
 const BODY_END_TIMEOUT: Duration = Duration::from_secs(1);
@@ -18,7 +18,7 @@
 ///
 /// Dropping the stream drops the body and closes the connection, which cancels the request at the
 /// engine.
-pub(super) fn read_tokens(body: Incoming) -> TokenStream {
+pub(super) fn read_tokens(body: TrackedBody) -> TokenStream {
     let reader = TokenReader {
         body,
         parser: SseParser::default(),
@@ -43,7 +43,7 @@
 }
 
 struct TokenReader {
-    body: Incoming,
+    body: TrackedBody,
     parser: SseParser,
     state: ReadState,
 }
--- a/crates/wisteriahitch-wire/src/http_client.rs
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -4,8 +4,10 @@
 //! sent. Whether a caller may be told that its request was not run depends on that
 //! (`docs/design/outside-protocols.md`).
 
+mod connector;
 mod error;
 
+pub use crate::answer_state::TrackedBody;
 pub use error::{HttpError, HttpErrorKind};
 
 use std::net::SocketAddr;
@@ -16,13 +18,16 @@
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use tokio::time::{Instant, timeout_at};
 use wisteriahitch_types::{ByteCount, DurationUs};
 
+use self::connector::Connector;
+use crate::answer_state::AnswerState;
+
 /// Limits on the connections of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpClientOptions {
@@ -46,7 +51,9 @@
 
 /// Sends HTTP/1.1 requests over pooled connections, each request at most once.
 ///
-/// Clones share the connection pool.
+/// Clones share the connection pool. If a request is given up, or its answer not read to its end, its
+/// connection is reset: the system would otherwise go on sending a request that the peer has not
+/// acknowledged.
 ///
 /// # Examples
 ///
@@ -70,7 +77,7 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<Connector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -87,7 +94,7 @@
             // about retries, and a duplicate booking would be the only symptom. By default the
             // library retries a request whose pooled connection closed before it was written.
             .retry_canceled_requests(false)
-            .build(connector);
+            .build(Connector::new(connector));
         Self { client }
     }
 
@@ -102,7 +109,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         timeout_us: DurationUs,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<TrackedBody>, HttpError> {
         self.send_until(address, request, deadline_in(timeout_us))
             .await
     }
@@ -141,14 +148,18 @@
         address: SocketAddr,
         request: Request<Bytes>,
         deadline: Instant,
-    ) -> Result<Response<Incoming>, HttpError> {
+    ) -> Result<Response<TrackedBody>, HttpError> {
         let mut request = request.map(Full::new);
         *request.uri_mut() = absolute_uri(address, request.uri())?;
         // The library captures the connection right before it hands the request to it. If the call
         // times out and no connection was captured, no byte of the request was sent.
         let captured = capture_connection(&mut request);
         match timeout_at(deadline, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(mut response)) => {
+                // The connector adds the state to each of its connections.
+                let state = response.extensions_mut().remove::<AnswerState>();
+                Ok(response.map(|body| TrackedBody::new(body, state.unwrap_or_default())))
+            }
             Ok(Err(error)) => Err(HttpError::from_request_error(&error)),
             Err(_) if captured.connection_metadata().is_none() => Err(HttpError::new(
                 HttpErrorKind::NotSent,
@@ -198,7 +209,7 @@
 ///
 /// If the sender crashes midway, such a body looks complete, and a caller would accept a truncated
 /// answer without noticing.
-fn check_is_delimited(method: &Method, response: &Response<Incoming>) -> Result<(), HttpError> {
+fn check_is_delimited(method: &Method, response: &Response<TrackedBody>) -> Result<(), HttpError> {
     let headers = response.headers();
     let is_delimited = headers.contains_key(CONTENT_LENGTH)
         || headers.contains_key(TRANSFER_ENCODING)
--- a/crates/wisteriahitch-wire/tests/all/unanswered.rs
+++ b/crates/wisteriahitch-wire/tests/all/unanswered.rs
@@ -10,9 +10,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::timeout;
-use wisteriahitch_types::ByteCount;
+use wisteriahitch_types::{ByteCount, DurationUs};
 use wisteriahitch_wire::connection_pool::{Connection, ConnectionPool};
-use wisteriahitch_wire::http_client::{HttpErrorKind, read_body};
+use wisteriahitch_wire::http_client::{HttpClient, HttpClientOptions, HttpErrorKind, read_body};
 
 /// Receive buffer of a server that doesn't read, far smaller than a request.
 const RECEIVE_BUFFER_BYTES: u32 = 4 * 1024;
@@ -27,6 +27,9 @@
 /// Far longer than anything waited for takes even on a busy machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time for the client to return a connection to its pool.
+const POOL_RETURN_DELAY: Duration = Duration::from_millis(20);
+
 const LIMIT_BYTES: ByteCount = ByteCount::new(1_000_000);
 
 /// How a connection ended at the server.
@@ -235,3 +238,56 @@
         assert_eq!(server.await.unwrap(), case.end, "{}", case.what);
     }
 }
+
+/// Guards against the same late arrivals where the HTTP client gives a request up: it leaves the
+/// connection to the library, which closes it in the ordinary way.
+#[tokio::test]
+async fn a_request_that_the_http_client_gave_up_does_not_arrive() {
+    for is_cancelled in [false, true] {
+        let (listener, address) = listen(Some(RECEIVE_BUFFER_BYTES));
+        let client = HttpClient::new(HttpClientOptions::default());
+        let timeout_us = match is_cancelled {
+            true => DurationUs::from(WAIT_TIMEOUT),
+            false => DurationUs::from(SEND_TIME),
+        };
+        let call = client.fetch(address, request(BODY_BYTES), timeout_us, LIMIT_BYTES);
+        let (accepted, called) = tokio::join!(listener.accept(), timeout(SEND_TIME * 2, call));
+        assert_eq!(called.is_err(), is_cancelled);
+        let (mut accepted, _) = accepted.unwrap();
+        let (arrived, end) = read_to_end(&mut accepted).await;
+        assert!(arrived_body_bytes(&arrived) < BODY_BYTES, "{is_cancelled}");
+        assert_eq!(end, ConnectionEnd::Reset, "{is_cancelled}");
+    }
+}
+
+/// Guards against resets of the HTTP client's connections whose answer has been read, also after
+/// several requests.
+#[tokio::test]
+async fn the_http_client_closes_idle_connections_in_the_ordinary_way() {
+    const REQUESTS: usize = 3;
+    let (listener, address) = listen(None);
+    let server = tokio::spawn(async move {
+        let (mut accepted, _) = listener.accept().await.unwrap();
+        for _ in 0..REQUESTS {
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                head.push(accepted.read_u8().await.unwrap());
+            }
+            let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            accepted.write_all(answer).await.unwrap();
+        }
+        read_to_end(&mut accepted).await.1
+    });
+    let client = HttpClient::new(HttpClientOptions::default());
+    for _ in 0..REQUESTS {
+        let timeout_us = DurationUs::from(WAIT_TIMEOUT);
+        let answer = client
+            .fetch(address, request(0), timeout_us, LIMIT_BYTES)
+            .await;
+        assert_eq!(answer.unwrap().body(), "ok");
+        // The connection returns to the pool in the background.
+        tokio::time::sleep(POOL_RETURN_DELAY).await;
+    }
+    drop(client);
+    assert_eq!(server.await.unwrap(), ConnectionEnd::Closed);
+}
--- a/crates/wisteriahitch/tests/all/stream.rs
+++ b/crates/wisteriahitch/tests/all/stream.rs
@@ -179,7 +179,7 @@
 struct EventStream {
     status: u16,
     request_id: String,
-    body: hyper::body::Incoming,
+    body: wisteriahitch::wire::http_client::TrackedBody,
     parser: wisteriahitch::wire::engine::SseParser,
 }
 
