fix(relay): limit orders while the end of replaced weights is only assumed

Found in review: a daemon that has just started assumes how old the weights of its first listing are. As the holder of the lease it took all engines for out of use, 5.0 s after the weights were replaced where the other daemons send until 8.0 s, and ordered 140 of 140 without announcing any.

Cause: the end of use was taken from the assumed time.

Tests: rollout::engines_are_limited_while_the_end_of_their_weights_is_assumed and wanted_weights::an_assumed_time_of_replacement_is_no_known_end_of_use.

--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -53,12 +53,20 @@
     pub wanted: WeightNumber,
     /// Time at which newer weights than its current ones were named.
     pub replaced_at_us: TimeUs,
-    /// Time from which no daemon sends calls to an engine with its current weights.
-    pub dispatch_deadline_us: TimeUs,
+    /// Time from which no daemon sends calls to an engine with its current weights, if known.
+    pub dispatch_deadline_us: Option<TimeUs>,
     /// Number of requests that it runs.
     pub running: u32,
 }
 
+impl RolloutRow {
+    /// Returns whether daemons may still send calls to the engine on its current weights.
+    fn is_in_service(&self, now: TimeUs) -> bool {
+        self.dispatch_deadline_us
+            .is_none_or(|deadline_us| now < deadline_us)
+    }
+}
+
 /// An action for the shell to carry out.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RolloutStep {
@@ -304,7 +312,7 @@
             let row = rows.get(endpoint);
             if let Some(row) = row {
                 active.wanted = row.wanted;
-                active.is_announced |= now < row.dispatch_deadline_us;
+                active.is_announced |= row.is_in_service(now);
             }
             row.is_some()
         });
@@ -321,7 +329,7 @@
         let (mut in_service, out_of_service): (Vec<&RolloutRow>, Vec<&RolloutRow>) = behind
             .iter()
             .filter(is_free)
-            .partition(|row| now < row.dispatch_deadline_us);
+            .partition(|row| row.is_in_service(now));
         in_service.sort_by_key(|row| (row.current, row.running));
         let announce_delay_us = match engines > LARGE_FLEET_ENGINES {
             true => LARGE_FLEET_ANNOUNCE_DELAY_US,
@@ -329,7 +337,8 @@
         };
         for row in out_of_service {
             // The calls that were sent last are given the same time to arrive.
-            let order_at_us = row.dispatch_deadline_us + announce_delay_us;
+            let deadline_us = row.dispatch_deadline_us.unwrap_or(now);
+            let order_at_us = deadline_us + announce_delay_us;
             self.start(row, order_at_us.max(now), now);
         }
         // Engines that are out of service already count, since the others do their work.
@@ -353,7 +362,7 @@
             ordered_version: row.wanted,
             accepted: None,
             is_loading: false,
-            is_announced: now < row.dispatch_deadline_us,
+            is_announced: row.is_in_service(now),
         };
         self.active.insert(row.endpoint.clone(), active);
     }
--- a/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
@@ -88,22 +88,30 @@
         if version >= self.newest? {
             return None;
         }
-        let applicable = self.named_after.range(..=version).map(|(_, at)| *at);
         // Otherwise it was replaced by the first known version, or too long ago to be recorded.
-        applicable.max().or(self.first_named_at_us)
+        self.known_replaced_at(version).or(self.first_named_at_us)
     }
 
-    /// Returns until when calls may be sent to an engine with `version`; `None` while that version
-    /// is wanted.
+    /// Returns since when `version` is known to be no longer the wanted one; `None` while it is, or
+    /// if that is only assumed.
+    fn known_replaced_at(&self, version: WeightNumber) -> Option<TimeUs> {
+        let applicable = self.named_after.range(..=version).map(|(_, at)| *at);
+        applicable.max()
+    }
+
+    /// Returns from when on no daemon sends calls to an engine with `version`; `None` while that
+    /// version is wanted, or if this daemon only assumes when it was replaced. What a daemon assumes
+    /// after its start may be seconds earlier than what the others know.
     pub fn dispatch_deadline(&self, version: WeightNumber) -> Option<TimeUs> {
-        self.replaced_at(version)
+        self.known_replaced_at(version)
+            .filter(|_| Some(version) < self.newest)
             .map(|at| at + self.limits.dispatch_timeout_us)
     }
 
     /// Returns whether a call may still be sent to an engine with `version`.
     pub fn may_dispatch(&self, version: WeightNumber, now: TimeUs) -> bool {
-        self.dispatch_deadline(version)
-            .is_none_or(|deadline| now < deadline)
+        let replaced_at = self.replaced_at(version);
+        replaced_at.is_none_or(|at| now < at + self.limits.dispatch_timeout_us)
     }
 
     /// Returns when a call at an engine with `version` must have started; `None` while that version
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -78,11 +78,9 @@
             let Some(versions) = wanted.get(model) else {
                 continue;
             };
-            let (Some(newest), Some(replaced_at_us), Some(dispatch_deadline_us)) = (
-                versions.newest(),
-                versions.replaced_at(has),
-                versions.dispatch_deadline(has),
-            ) else {
+            let (Some(newest), Some(replaced_at_us)) =
+                (versions.newest(), versions.replaced_at(has))
+            else {
                 continue;
             };
             outdated.push(RolloutRow {
@@ -91,7 +89,7 @@
                 current: has,
                 wanted: newest,
                 replaced_at_us,
-                dispatch_deadline_us,
+                dispatch_deadline_us: versions.dispatch_deadline(has),
                 running: row.load().running,
             });
         }
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -449,7 +449,7 @@
         current: WeightNumber::new(1),
         wanted: WeightNumber::new(2),
         replaced_at_us: at_ms(0),
-        dispatch_deadline_us: at_ms(8_000),
+        dispatch_deadline_us: Some(at_ms(8_000)),
         running: 0,
     };
     let report = EngineReport {
--- a/crates/wisteriahitch-relay/tests/all/rollout.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout.rs
@@ -20,7 +20,7 @@
         current: WeightNumber::new(current),
         wanted: WeightNumber::new(wanted),
         replaced_at_us: at_ms(0),
-        dispatch_deadline_us: at_ms(8_000),
+        dispatch_deadline_us: Some(at_ms(8_000)),
         running,
     }
 }
@@ -147,13 +147,26 @@
 }
 
 /// Gives the order for `a`, with this outcome.
+/// Guards against a daemon that takes all engines from service at once. It has just started, assumes
+/// when the weights were replaced, and orders engines that the others still send calls to.
+#[test]
+fn engines_are_limited_while_the_end_of_their_weights_is_assumed() {
+    let mut rollout = rollout(1);
+    let behind = ["a", "b", "c"].map(|name| RolloutRow {
+        dispatch_deadline_us: None,
+        ..row(name, 1, 2, 0)
+    });
+    rollout.tick(&behind, ENGINES, at_ms(9_000));
+    assert_eq!(rollout.reserved().count(), 1);
+}
+
 /// Guards against an engine that keeps weights which are out of use beyond their bound: it is silent
 /// when its order is due, and isn't asked again for a second.
 #[test]
 fn an_engine_with_weights_out_of_use_is_asked_again_soon() {
     let mut rollout = rollout(1);
     let behind = [row("a", 1, 2, 0)];
-    let deadline = behind[0].dispatch_deadline_us;
+    let deadline = at_ms(8_000);
     rollout.tick(&behind, ENGINES, deadline);
     let asked_at = deadline + ms(150);
     let steps = rollout.tick(&behind, ENGINES, asked_at);
--- a/crates/wisteriahitch-relay/tests/all/rollout_fleet.rs
+++ b/crates/wisteriahitch-relay/tests/all/rollout_fleet.rs
@@ -122,7 +122,7 @@
                 current,
                 wanted: NEW,
                 replaced_at_us: TimeUs::ZERO,
-                dispatch_deadline_us: SEND_DEADLINE,
+                dispatch_deadline_us: Some(SEND_DEADLINE),
                 running: 1,
             })
         };
@@ -251,7 +251,7 @@
         current: OLD,
         wanted: NEW,
         replaced_at_us: TimeUs::ZERO,
-        dispatch_deadline_us: SEND_DEADLINE,
+        dispatch_deadline_us: Some(SEND_DEADLINE),
         running: 0,
     };
     let behind: Vec<RolloutRow> = (0..9_525).map(row).collect();
--- a/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/tests/all/wanted_weights.rs
@@ -32,6 +32,21 @@
     }
 }
 
+/// Guards against a daemon that orders all engines at once because it only assumes, after its start,
+/// when their weights were replaced.
+#[test]
+fn an_assumed_time_of_replacement_is_no_known_end_of_use() {
+    let version = WeightNumber::new;
+    let mut wanted = wanted_versions();
+    wanted.record_version(version(2), at_ms(5_000));
+    assert_eq!(wanted.replaced_at(version(1)), Some(at_ms(5_000)));
+    assert_eq!(wanted.dispatch_deadline(version(1)), None);
+    wanted.record_named_after(version(1), at_ms(500));
+    assert_eq!(wanted.replaced_at(version(1)), Some(at_ms(500)));
+    assert!(wanted.dispatch_deadline(version(1)).is_some());
+    assert_eq!(wanted.dispatch_deadline(version(2)), None, "it is wanted");
+}
+
 /// An engine must not fetch a part that is being freed: newer weights are named, calls still go to
 /// engines with the old ones and fetch parts, and those parts are freed. The fault was that parts
 /// were freed while a call that was sent to old weights could still be fetching them.
