--- a/crates/wisteriahitch-relay/src/decide/prompt_answers.rs
+++ b/crates/wisteriahitch-relay/src/decide/prompt_answers.rs
@@ -37,7 +37,7 @@
     }
 
     /// Records that the process runs. Must be called more often than every
-    /// [`MAX_UNNOTICED_DELAY_US`].
+    /// `MAX_UNNOTICED_DELAY_US`.
     pub fn record(&mut self, now: TimeUs) {
         if now.since(self.seen_at_us) > MAX_UNNOTICED_DELAY_US {
             self.resumed_at_us = Some(now);
--- a/crates/wisteriahitch-relay/src/decide/stream_versions.rs
+++ b/crates/wisteriahitch-relay/src/decide/stream_versions.rs
@@ -172,7 +172,7 @@
 
 impl OriginAnswer {
     /// Returns the answer about a stream that isn't recorded. `versions` are those that the
-    /// service's endpoints have had within [`ORIGIN_RETENTION_US`]; `is_complete` says whether the
+    /// service's endpoints have had within `ORIGIN_RETENTION_US`; `is_complete` says whether the
     /// daemon has followed the endpoints for as long and still does.
     pub fn unrecorded<'a>(
         mut versions: impl Iterator<Item = &'a SoftwareVersion>,
