fix(relay): name the expected weights of calls to services without engine properties

A call for a model could run on weights that are out of use. `place` took the expected weights from the sources of the prompt's parts, which are looked up only where the configuration states the properties of the service's engines. Without them the request named no version, so that an endpoint whose weights were assumed to be the wanted ones, but weren't, ran it instead of refusing it.

The weights now come from the chosen endpoint, as in its choice.

Test: ten cases of what is known of endpoint, weights and call. Before, the two without engine properties named nothing; the other eight were right. An endpoint that lists no weights for the model gets no calls for it.

--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -54,7 +54,7 @@
     /// Whether the endpoint has announced its leaving, and takes the call only because it resumes a
     /// stream that no other endpoint may go on with.
     pub is_leaving: bool,
-    /// Weights that the endpoint is expected to have; `None` if the service has no engines.
+    /// Weights that the endpoint is expected to have; `None` if the call is for no model.
     pub weights: Option<WeightNumber>,
     /// Scope under which the endpoint caches parts.
     pub cache_scope: Option<String>,
@@ -142,7 +142,7 @@
         address: chosen.row.endpoint.address,
         software: chosen.row.endpoint.software.clone(),
         is_leaving: chosen.row.state == EndpointState::Draining,
-        weights: chosen.parts.map(|parts| parts.weights),
+        weights: request.expected_weights(chosen.row, now),
         cache_scope: chosen.parts.map(|parts| parts.scope.clone()),
         cached_tokens: chosen.cached_tokens,
         fetched_tokens: chosen.fetched_tokens,
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -684,3 +684,116 @@
         "b has reported more requests than a has"
     );
 }
+
+/// An endpoint, a call to it, and the weights that the call names.
+struct NamedWeightsCase {
+    what: &'static str,
+    has_engine: bool,
+    is_for_model: bool,
+    /// Weights that the endpoint is known to have.
+    known: &'static [(&'static str, u64)],
+    /// Wanted versions, and when they were named.
+    wanted_ms: &'static [(u64, u64)],
+    /// Weights that the call names; `None` if it isn't sent.
+    expected: Option<Option<u64>>,
+}
+
+impl NamedWeightsCase {
+    fn named_weights(&self) -> Option<Option<u64>> {
+        let mut endpoint = engine("a");
+        let known = self.known.iter();
+        endpoint.weights = known
+            .map(|(model, version)| (model.parse().unwrap(), WeightNumber::new(*version)))
+            .collect();
+        let mut table = EndpointTable::default();
+        table.apply_registration(endpoint, NOW);
+        let mut wanted = wanted_versions();
+        for (version, at) in self.wanted_ms {
+            wanted.record_version(WeightNumber::new(*version), at_ms(*at));
+        }
+        let setting = CallSetting::in_zone("a");
+        let prompt = prompt(800, 660);
+        let request = setting.request(&prompt);
+        let request = PlacementRequest {
+            wanted_weights: Some(&wanted),
+            engine: request.engine.filter(|_| self.has_engine),
+            prompt: request.prompt.filter(|_| self.is_for_model),
+            ..request
+        };
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let placed = place(&table, &PartStores::default(), &request, NOW, &mut rng).ok()?;
+        Some(placed.weights.map(WeightNumber::get))
+    }
+}
+
+/// Guards against a call that runs on replaced weights because it doesn't name the weights that it
+/// expects: the endpoint that gets it can't tell that it must refuse it.
+#[test]
+fn every_call_for_a_model_names_the_weights_that_it_expects() {
+    let usual = || NamedWeightsCase {
+        what: "the known weights are wanted",
+        has_engine: true,
+        is_for_model: true,
+        known: &[("m", 1)],
+        wanted_ms: &[(1, 0)],
+        expected: Some(Some(1)),
+    };
+    let cases = [
+        usual(),
+        NamedWeightsCase {
+            what: "no wanted weights are known",
+            wanted_ms: &[],
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the known weights were replaced and are still in use",
+            wanted_ms: &[(1, 0), (2, 49_000)],
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the known weights are out of use, and the endpoint may have the wanted ones",
+            wanted_ms: &[(1, 0), (2, 43_000)],
+            expected: Some(Some(2)),
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the endpoint has newer weights than are known to be wanted",
+            known: &[("m", 2)],
+            expected: Some(Some(2)),
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the endpoint lists no weights",
+            known: &[],
+            expected: None,
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the endpoint lists the weights of another model only",
+            known: &[("other", 1)],
+            expected: None,
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the configuration states no properties of the service's engines",
+            has_engine: false,
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the same, and the known weights are out of use",
+            has_engine: false,
+            wanted_ms: &[(1, 0), (2, 43_000)],
+            expected: Some(Some(2)),
+            ..usual()
+        },
+        NamedWeightsCase {
+            what: "the call is for no model",
+            is_for_model: false,
+            expected: Some(None),
+            ..usual()
+        },
+    ];
+    for case in cases {
+        assert_eq!(case.named_weights(), case.expected, "{}", case.what);
+    }
+}
