--- a/crates/wisteriahitch-relay/src/decide/rollout.rs
+++ b/crates/wisteriahitch-relay/src/decide/rollout.rs
@@ -109,8 +109,8 @@
     accepted: Option<(WeightNumber, TimeUs)>,
     /// Whether it has accepted an order and has no requests left, so that it is loading.
     is_loading: bool,
-    /// Whether the daemons must be told to send it no calls. They know by themselves that its
-    /// weights are out of use.
+    /// Whether it is announced as reserved. No daemon sends calls to an engine whose weights are out
+    /// of use, so such an engine needs no announcement.
     is_announced: bool,
 }
 
--- a/crates/wisteriahitch-relay/src/decide/stream_versions.rs
+++ b/crates/wisteriahitch-relay/src/decide/stream_versions.rs
@@ -109,7 +109,7 @@
     pub software: SoftwareVersion,
 }
 
-/// Datagram that tells another daemon where a stream began.
+/// Datagram with the origin of a stream, for another daemon.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StreamRecord {
     /// Key of the stream.
@@ -193,7 +193,7 @@
     Own,
     /// Another daemon had recorded it.
     Peer,
-    /// Nobody had recorded it, but the service's endpoints all have one version.
+    /// No daemon had recorded it, but the service's endpoints all have one version.
     Presumed,
 }
 
@@ -215,7 +215,7 @@
     Conflicting,
     /// Nothing is recorded, and several versions are or were in service.
     SeveralVersions,
-    /// Nothing is recorded, and nobody has known the endpoints long enough.
+    /// Nothing is recorded, and no daemon has known the endpoints long enough.
     NotRecorded,
     /// Nothing is recorded here, and no other daemon answered.
     Unanswered,
@@ -239,7 +239,7 @@
 /// Decides from this daemon's own answer and those of `asked` others where a stream began.
 /// `sole_service` is the service of its route if there is a single one.
 ///
-/// A record counts, whoever has it. Without one, a version is presumed only if no daemon knows of
+/// A record counts, whichever daemon has it. Without one, a version is presumed only if none knows of
 /// another and at least one has known the endpoints for as long as the stream may have lasted.
 /// Records are lost with the daemons that keep them, so an absent record says nothing about the
 /// version while several are in service.
--- a/crates/wisteriahitch-relay/src/shell/stream_origins.rs
+++ b/crates/wisteriahitch-relay/src/shell/stream_origins.rs
@@ -84,8 +84,8 @@
 ///
 /// # Errors
 ///
-/// Refuses the call if that isn't known for certain: a stream that goes on at another version can't
-/// be told from a right one by anybody.
+/// Refuses the call if that isn't known for certain: neither endpoints nor callers notice that a
+/// stream goes on at another version.
 pub(super) async fn resumed_origin(
     shared: &Arc<Shared>,
     route: &Route,
--- a/crates/wisteriahitch-wire/src/answer_state.rs
+++ b/crates/wisteriahitch-wire/src/answer_state.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Body of an answer, which tells its connection when it has been read to its end.
+/// Body of an answer. Its connection learns from it that the answer was read to its end.
 #[derive(Debug)]
 pub struct TrackedBody {
     body: Incoming,
