--- a/crates/wisteriahitch-relay/src/decide/prompt_answers.rs
+++ b/crates/wisteriahitch-relay/src/decide/timely_answers.rs
@@ -1,4 +1,4 @@
-//! Whether a watch was answered promptly, so that the changes in its answer were just written.
+//! Whether a watch was answered without delay, so that the changes in its answer were just written.
 //!
 //! A bound that an operator's change sets off counts from the store's acknowledgement of the change.
 //! A daemon learns of most changes at once, from a watch that was already waiting. It learns late
@@ -69,7 +69,7 @@
 
 impl WatchAnswer {
     /// Returns whether the changes in the answer, received at `now`, were just written.
-    pub fn is_prompt(&self, now: TimeUs) -> bool {
+    pub fn is_timely(&self, now: TimeUs) -> bool {
         let waited_us = now.since(self.asked_at);
         let is_reported_before = |since: TimeUs| now.since(since) > MAX_UNNOTICED_DELAY_US;
         waited_us > MAX_UNNOTICED_DELAY_US
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -50,7 +50,6 @@
 pub use decide::placement::{Placement, place};
 pub use decide::placement_candidate::MainFetch;
 pub use decide::placement_request::PlacementRequest;
-pub use decide::prompt_answers::{ProcessActivity, WatchAnswer};
 pub use decide::rate_limit::{RateBound, RateLimit, ReservedPermits};
 pub use decide::registration_listing::registration_listing_interval;
 pub use decide::retry_share::max_saved_retries;
@@ -64,6 +63,7 @@
     UnknownOrigin, find_origin,
 };
 pub use decide::suspects::{CRASHES_TO_BLOCK, CrashVerdict, RequestChanges, SuspectTable};
+pub use decide::timely_answers::{ProcessActivity, WatchAnswer};
 pub use decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 pub use observe::{BoundedLabel, CallEnded, Event, EventLog, LogBudget, ProcessUsage};
 pub use settings::{BoundSettings, Bounds, RelaySettings, SettingsError};
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -12,8 +12,8 @@
 use wisteriahitch_wire::object_store::ObjectRole;
 
 use super::SettingsError;
-use crate::decide::prompt_answers::MAX_UNNOTICED_DELAY_US;
 use crate::decide::staleness::StalenessLimits;
+use crate::decide::timely_answers::MAX_UNNOTICED_DELAY_US;
 
 /// Time that a request, or the close of its connection, takes to an engine.
 const REQUEST_TRANSIT_MS: f64 = 200.0;
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -12,9 +12,9 @@
 use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
-use crate::decide::prompt_answers::WatchAnswer;
 use crate::decide::staleness::{QueryRank, answered_as_of};
 use crate::decide::store_retry::store_retry_backoff;
+use crate::decide::timely_answers::WatchAnswer;
 use crate::observe::Event;
 
 /// Wait of the first watch after a failure. With the usual wait, a daemon would count as
@@ -217,7 +217,7 @@
             let as_of = answered_as_of(asked_at, wait.into(), has_changes, shared.now());
             log_skipped_objects(shared, role, &skipped);
             if has_changes {
-                record_promptness(shared, role, asked_at, wait);
+                record_timeliness(shared, role, asked_at, wait);
             }
             apply_changes(shared, role, changes, revision, STORE);
             shared.watches.confirm_complete(role, as_of);
@@ -232,7 +232,7 @@
 
 /// Records whether changes that a watch reports were just written. Must be called before applying
 /// them.
-fn record_promptness(shared: &Shared, role: ObjectRole, asked_at: TimeUs, wait: Duration) {
+fn record_timeliness(shared: &Shared, role: ObjectRole, asked_at: TimeUs, wait: Duration) {
     let now = shared.now();
     let mut state = shared.watches.state_of(role).lock();
     let answer = WatchAnswer {
@@ -241,8 +241,8 @@
         newer_at_peer_since: state.newer_at_peer.map(|(since, _)| since),
         activity: *shared.activity.lock(),
     };
-    if answer.is_prompt(now) {
-        state.prompt_at_us = Some(now);
+    if answer.is_timely(now) {
+        state.timely_at_us = Some(now);
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -47,9 +47,9 @@
     pub(super) answered_at_us: Option<TimeUs>,
     /// Time as of which all objects are known, confirmed by the store to this daemon or to a peer.
     pub(super) complete_as_of_us: Option<TimeUs>,
-    /// When the store last answered a watch promptly, so that all objects were known at that time
+    /// When the store last answered a watch without delay, so that all objects were known at that time
     /// unless the delay of its answer remained unnoticed.
-    pub(super) prompt_at_us: Option<TimeUs>,
+    pub(super) timely_at_us: Option<TimeUs>,
     /// Who confirmed them last, as it appears in the log.
     pub(super) confirmed_by: &'static str,
     /// Whether the log says that they are confirmed.
@@ -312,7 +312,7 @@
 
     /// Returns the earliest time at which an object that isn't known yet can have been written.
     pub(super) fn unknown_written_after(&self) -> Option<TimeUs> {
-        self.complete_as_of_us.max(self.prompt_at_us)
+        self.complete_as_of_us.max(self.timely_at_us)
     }
 
     /// Returns whether all objects were listed at least once.
--- a/crates/wisteriahitch-relay/tests/all/prompt_answers.rs
+++ b/crates/wisteriahitch-relay/tests/all/timely_answers.rs
@@ -29,7 +29,7 @@
         wait_ms: u64,
         newer_at_peer_ms: Option<u64>,
         suspended_ms: std::ops::Range<u64>,
-        is_prompt: bool,
+        is_timely: bool,
     }
     let usual = || Case {
         what: "a watch that waited",
@@ -37,20 +37,20 @@
         wait_ms: 6_000,
         newer_at_peer_ms: None,
         suspended_ms: 0..0,
-        is_prompt: true,
+        is_timely: true,
     };
     let cases = [
         usual(),
         Case {
             what: "answered at once: the change may precede the request",
             asked_ms: 19_650,
-            is_prompt: false,
+            is_timely: false,
             ..usual()
         },
         Case {
             what: "answered after the watch should have ended",
             wait_ms: 4_500,
-            is_prompt: false,
+            is_timely: false,
             ..usual()
         },
         Case {
@@ -66,19 +66,19 @@
         Case {
             what: "a peer has known the change for long",
             newer_at_peer_ms: Some(19_000),
-            is_prompt: false,
+            is_timely: false,
             ..usual()
         },
         Case {
             what: "the process was suspended, and its timers have not fired yet",
             suspended_ms: 17_000..20_001,
-            is_prompt: false,
+            is_timely: false,
             ..usual()
         },
         Case {
             what: "the process was suspended, and its timers have just fired",
             suspended_ms: 17_000..19_700,
-            is_prompt: false,
+            is_timely: false,
             ..usual()
         },
         Case {
@@ -94,6 +94,6 @@
             newer_at_peer_since: case.newer_at_peer_ms.map(at_ms),
             activity: activity(case.suspended_ms),
         };
-        assert_eq!(answer.is_prompt(NOW), case.is_prompt, "{}", case.what);
+        assert_eq!(answer.is_timely(NOW), case.is_timely, "{}", case.what);
     }
 }
