--- a/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
+++ b/crates/wisteriahitch-relay/src/decide/wanted_weights.rs
@@ -16,7 +16,8 @@
 /// newer than a version was named at some time or later, from different sources: this daemon's
 /// watch, a listing after a gap, in which versions may have been skipped, or a peer. Each is true on
 /// its own, so the latest time that applies to a version counts. A known time therefore only ever
-/// moves later.
+/// moves later. The time that is assumed after a start is no bound, and a known one replaces it even
+/// if it is earlier.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WantedVersions {
     newest: Option<WeightNumber>,
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -325,8 +325,7 @@
     endpoints: &'static [(&'static str, &'static str)],
     required: Option<&'static str>,
     change: fn(&mut Site),
-    /// Endpoint that gets the call, or the code of the refusal and whether the caller is told when
-    /// to come back.
+    /// Endpoint that gets the call, or the code of the refusal and whether it has a retry time.
     expected: Result<&'static str, (Code, bool)>,
 }
 
@@ -727,7 +726,7 @@
 }
 
 /// Guards against a call that runs on replaced weights because it doesn't name the weights that it
-/// expects: the endpoint that gets it can't tell that it must refuse it.
+/// expects: an endpoint refuses only what names other weights than its own.
 #[test]
 fn every_call_for_a_model_names_the_weights_that_it_expects() {
     let usual = || NamedWeightsCase {
--- a/crates/wisteriahitch-relay/tests/all/stream_versions.rs
+++ b/crates/wisteriahitch-relay/tests/all/stream_versions.rs
@@ -671,9 +671,8 @@
     outcome
 }
 
-/// In a release, 51 streams of one service went on at another software version than the one that
-/// began them: the daemons that had begun them were killed, the callers resumed them at others, and
-/// nobody knew where they had begun.
+/// Guards against streams that go on at another software version than the one that began them: in a
+/// release, the daemons that began them are killed, and their callers resume them at other daemons.
 #[test]
 fn resumed_streams_go_on_at_their_version_after_daemons_were_killed() {
     let release = Replay {
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -149,7 +149,7 @@
             let (stream, answer_state) = (stream.upgrade(), answer_state.clone());
             async move {
                 // The error is ignored here: a request in flight gets it too, and without one it
-                // affects nobody.
+                // has no effect.
                 let _ = driver.with_upgrades().await;
                 if answer_state.is_pending() {
                     // Only the connection knows whether the answer gets read to its end. It ends
