feat(wire): say how much of an answer had arrived when it was given up

The log of a configuration that never took effect had 826 lines "no whole answer in time". Whether the sender was silent, or its answer was arriving and too large for the time limit, couldn't be told apart. The detail now has the bytes that had arrived, and config_adopted the size of the configuration. No limit is changed.

--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -140,6 +140,7 @@
         revision: u64,
         source: String,
         routes: usize,
+        bytes: usize,
     },
     /// The evacuation of an availability zone has started or ended.
     EvacuationChanged {
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -281,7 +281,7 @@
         ObjectRole::Configuration => {
             let config = decoded_or_logged(shared, role, object, site.decode_configuration(object));
             if let Some(config) = config {
-                adopt_config(shared, config, object.revision, source);
+                adopt_config(shared, config, object, source);
             }
         }
         ObjectRole::Weights => {
@@ -362,7 +362,7 @@
 }
 
 /// Puts a configuration in force if it is newer, and starts watches of its new part stores.
-fn adopt_config(shared: &Arc<Shared>, config: SiteConfig, revision: Revision, source: &str) {
+fn adopt_config(shared: &Arc<Shared>, config: SiteConfig, object: &StoredObject, source: &str) {
     let version = config.version;
     let routes = config.routes.iter().count();
     let engines = config.services.values().filter_map(|service| {
@@ -393,9 +393,10 @@
     shared.metrics.config_version.set(gauge);
     shared.log.write(&Event::ConfigAdopted {
         version: version.get(),
-        revision: revision.0,
+        revision: object.revision.0,
         source: source.to_owned(),
         routes,
+        bytes: object.content.len(),
     });
 }
 
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -13,7 +13,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -27,6 +27,7 @@
 use self::shared_stream::{SharedStream, StreamHandle};
 use crate::answer_state::AnswerState;
 use crate::http_client::{HttpError, HttpErrorKind};
+use crate::transfer::{TransferProgress, receive_body};
 
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 ///
@@ -238,18 +239,17 @@
         wait: Duration,
         limit_bytes: wisteriahitch_types::ByteCount,
     ) -> Result<Response<Bytes>, HttpError> {
+        let progress = TransferProgress::default();
         let whole = async {
             let (head, body) = self.send(request).await?.into_parts();
-            let body = crate::http_client::read_body(body, limit_bytes).await?;
-            Ok(Response::from_parts(head, body))
+            let mut whole = BytesMut::new();
+            receive_body(body, limit_bytes, &progress, &mut whole).await?;
+            Ok(Response::from_parts(head, whole.freeze()))
         };
-        match timeout(wait, whole).await {
-            Ok(result) => result,
-            Err(_) => Err(HttpError::new(
-                HttpErrorKind::Timeout,
-                "no whole answer in time",
-            )),
-        }
+        timeout(wait, whole).await.unwrap_or_else(|_| {
+            let detail = format!("no whole answer in time, {}", progress.summary());
+            Err(HttpError::new(HttpErrorKind::Timeout, detail))
+        })
     }
 }
 
--- a/crates/wisteriahitch-wire/src/http_client.rs
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -17,7 +17,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::uri::{Authority, PathAndQuery, Scheme};
 use http::{Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Body;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
@@ -27,6 +27,7 @@
 
 use self::connector::Connector;
 use crate::answer_state::AnswerState;
+use crate::transfer::{TransferProgress, receive_body};
 
 /// Limits on the connections of a client.
 #[derive(Clone, Copy, Debug)]
@@ -178,33 +179,15 @@
 /// # Errors
 ///
 /// [`HttpErrorKind::TooLarge`] if the body exceeds `limit_bytes`.
-pub async fn read_body<B>(mut body: B, limit_bytes: ByteCount) -> Result<Bytes, HttpError>
+pub async fn read_body<B>(body: B, limit_bytes: ByteCount) -> Result<Bytes, HttpError>
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let limit = usize::try_from(limit_bytes.get()).unwrap_or(usize::MAX);
     let mut whole = BytesMut::new();
-    if body.size_hint().lower() > limit_bytes.get() {
-        return Err(too_large(limit_bytes));
-    }
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| HttpError::from_error_after_send(&error))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + data.len() > limit {
-            return Err(too_large(limit_bytes));
-        }
-        whole.extend_from_slice(&data);
-    }
+    receive_body(body, limit_bytes, &TransferProgress::default(), &mut whole).await?;
     Ok(whole.freeze())
 }
 
-fn too_large(limit_bytes: ByteCount) -> HttpError {
-    let detail = format!("the answer is larger than {limit_bytes}");
-    HttpError::new(HttpErrorKind::TooLarge, detail)
-}
-
 /// Rejects an answer whose body ends only when the connection closes.
 ///
 /// If the sender crashes midway, such a body looks complete, and a caller would accept a truncated
--- a/crates/wisteriahitch-wire/src/lib.rs
+++ b/crates/wisteriahitch-wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod platform;
 pub mod service;
 pub mod store;
+pub mod transfer;
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -75,6 +75,12 @@
         str::from_utf8(text).ok().map(|text| Self(text.into()))
     }
 
+    /// Returns the length of the text, in bytes.
+    #[expect(clippy::len_without_is_empty, reason = "a JSON text is never empty")]
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Returns whether the content is `null`, as that of an unreadable object is.
     pub fn is_null(&self) -> bool {
         &*self.0 == "null"
