feat(relay): compress large answers between daemons, and continue transfers that broke off

A daemon asks its hub for it so, the hub compresses it once for all that ask, and a transfer that breaks off is continued, at this hub or at another one with the same answer (ETag, If-Range, Range). Daemons of earlier releases ask without, and get what they got. objects_received in the log tells from whom a large answer came, how large it was and how long it took.

--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -187,6 +187,14 @@
         is_watching: bool,
         next_call_ms: Option<u64>,
     },
+    /// A large answer with objects has arrived, from the store or from another daemon.
+    ObjectsReceived {
+        kind: &'static str,
+        from: String,
+        bytes: usize,
+        resumed_at: usize,
+        elapsed_ms: u64,
+    },
     /// Objects were fetched from another daemon because the store didn't send them.
     CaughtUp {
         kind: &'static str,
@@ -307,6 +315,7 @@
             Event::MemberChanged { .. } => "member_changed",
             Event::StoreReachable { .. } => "store_reachable",
             Event::ObjectsConfirmed { .. } => "objects_confirmed",
+            Event::ObjectsReceived { .. } => "objects_received",
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
             Event::OrderGiven { .. } => "order_given",
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -27,6 +27,7 @@
 use super::engine_memory_watch::{fetch_engine_memories, run_engine_memory_watch};
 use super::entries::EntryHttpHandler;
 use super::lease::lease_table;
+use super::object_answers::ObjectAnswers;
 use super::orders::{run_weight_orders, wanted_weights_snapshot};
 use super::part_store_watch::run_part_freeing;
 use super::peer_server::PeerHttpHandler;
@@ -128,6 +129,7 @@
             durations: CallDurations::default(),
             recent_durations: Mutex::default(),
             watches: WatchStates::default(),
+            object_answers: ObjectAnswers::default(),
             leases: Mutex::new(lease_table(&settings, incarnation)),
             rollout: Mutex::new(Rollout::new(rollout_options(&settings, &bounds))),
             drain: Drain::default(),
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -5,15 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Request, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use wisteriahitch_types::ByteCount;
-use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::object_store::{ObjectRole, Revision};
-use wisteriahitch_wire::transfer::{TransferLimits, TransferProgress};
 
+use super::compression::MIN_COMPRESSED_LEN;
+use super::peer_answer::PeerAnswer;
 use super::shared::Shared;
 use super::store_updates::apply_delta;
 use super::watch_state::{ObjectDelta, kind_name};
@@ -24,9 +21,6 @@
 /// Timeout for connecting to a peer and until its response begins, each.
 const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Maximum size of a peer's response.
-const MAX_PEER_RESPONSE_BYTES: ByteCount = ByteCount::new(8 * 1024 * 1024);
-
 /// Prefix of the paths under which peers serve the objects of a role.
 pub(super) const PEER_OBJECTS_PATH: &str = "/v1/objects/";
 
@@ -39,6 +33,9 @@
 /// Number of objects in a page, which takes about a tenth of a second over a link of 20 Mbit/s.
 const PAGE_LEN: usize = 500;
 
+/// Header of a compressed answer with the age of its objects, in milliseconds.
+pub(super) const OBJECTS_AGE_HEADER: &str = "wisteriahitch-objects-age-ms";
+
 /// Prefix of the paths under which peers serve the contents of part stores.
 pub(super) const PEER_PARTS_PATH: &str = "/v1/parts/";
 
@@ -97,7 +94,7 @@
         true => fetch_all(shared, role, ip).await,
         false => {
             let path = format!("{PEER_OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
-            get_json(shared, ip, &path).await
+            get_objects(shared, role, ip, &path).await
         }
     };
     match fetched {
@@ -130,7 +127,7 @@
         "{PEER_OBJECTS_PATH}{}?since=0&{PAGE_LEN_PARAMETER}={PAGE_LEN}",
         kind_name(role)
     );
-    let mut all: ObjectDelta = get_json(shared, ip, &path).await?;
+    let mut all = get_objects(shared, role, ip, &path).await?;
     while all.has_more {
         let last = all.objects.last().map(|object| object.name.as_str());
         let last = last.ok_or("a page without objects that isn't the last")?;
@@ -138,7 +135,7 @@
             return Err(format!("the name {last:?} can't start a page"));
         }
         let path = format!("{path}&{PAGE_START_PARAMETER}={last}");
-        let page: ObjectDelta = get_json(shared, ip, &path).await?;
+        let page = get_objects(shared, role, ip, &path).await?;
         all.has_more = page.has_more;
         all.objects.extend(page.objects);
     }
@@ -172,6 +169,43 @@
     get_json_within(shared, ip, path, timeout).await.ok()
 }
 
+/// Fetches objects of a role from a peer. If the transfer of a compressed answer breaks off, the next
+/// one continues it, from this peer or another one.
+async fn get_objects(
+    shared: &Shared,
+    role: ObjectRole,
+    ip: Ipv4Addr,
+    path: &str,
+) -> Result<ObjectDelta, String> {
+    let started_at = shared.now();
+    let mut answer = shared.watches.take_partial_answer(role, path);
+    let resumed_at = answer.len();
+    let received = answer.receive(shared, ip, PEER_REQUEST_TIMEOUT).await;
+    let headers = match received {
+        Ok(headers) => headers,
+        Err(detail) => {
+            let detail = format!("{detail}; {} bytes are kept", answer.len());
+            shared.watches.keep_partial_answer(role, answer);
+            return Err(detail);
+        }
+    };
+    if answer.len() >= MIN_COMPRESSED_LEN {
+        shared.log.write(&Event::ObjectsReceived {
+            kind: kind_name(role),
+            from: ip.to_string(),
+            bytes: answer.len(),
+            resumed_at,
+            elapsed_ms: shared.now().since(started_at).as_ms(),
+        });
+    }
+    let mut delta: ObjectDelta = answer.decode()?;
+    let age_ms = headers.get(OBJECTS_AGE_HEADER);
+    if let Some(age_ms) = age_ms.and_then(|age_ms| age_ms.to_str().ok()) {
+        delta.age_ms = age_ms.parse().ok();
+    }
+    Ok(delta)
+}
+
 /// Sends a GET request to a peer and decodes its JSON response.
 async fn get_json<T: DeserializeOwned>(
     shared: &Shared,
@@ -188,19 +222,7 @@
     path: &str,
     timeout: Duration,
 ) -> Result<T, String> {
-    let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
-    let to_text = |error: wisteriahitch_wire::http_client::HttpError| error.to_string();
-    let mut connection = Connection::open(to, timeout).await.map_err(to_text)?;
-    let request = Request::get(path)
-        .header(http::header::HOST, to.to_string())
-        .body(Bytes::new())
-        .map_err(|error| error.to_string())?;
-    let limits = TransferLimits::for_body(timeout, MAX_PEER_RESPONSE_BYTES);
-    let progress = TransferProgress::default();
-    let pending_response = connection.receive(request, &limits, &progress);
-    let response = pending_response.await.map_err(to_text)?;
-    if response.status() != StatusCode::OK {
-        return Err(response.status().to_string());
-    }
-    serde_json::from_slice(response.body()).map_err(|error| error.to_string())
+    let mut answer = PeerAnswer::new(path);
+    answer.receive(shared, ip, timeout).await?;
+    answer.decode()
 }
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -5,18 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Method, Request, Response, StatusCode};
+use http::header::CONTENT_ENCODING;
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
 use wisteriahitch_types::DurationUs;
-use wisteriahitch_wire::object_store::{ObjectRole, Revision};
 
 use super::answer_body::AnswerBody;
 use super::blocked_requests::{BLOCKED_PATH, blocked_list, lift};
+use super::compression::{GZIP, MIN_COMPRESSED_LEN, accepts_gzip, compress};
 use super::forwarding::{FORWARD_PATH, answer_forward_request};
+use super::object_answers::answer_objects_request;
 use super::peer_client::{
-    ENGINE_MEMORY_PATH, EngineMemorySnapshot, PAGE_LEN_PARAMETER, PAGE_START_PARAMETER,
-    PEER_OBJECTS_PATH, PEER_PARTS_PATH,
+    ENGINE_MEMORY_PATH, EngineMemorySnapshot, PEER_OBJECTS_PATH, PEER_PARTS_PATH,
 };
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
@@ -40,17 +41,17 @@
             return answer_forward_request(&self.shared, request, from.ip()).await;
         }
         let path = request.uri().path();
+        let query = request.uri().query();
+        if let Some(kind) = path.strip_prefix(PEER_OBJECTS_PATH) {
+            let query = query.unwrap_or_default();
+            let answer = answer_objects_request(&self.shared, kind, query, request.headers());
+            return answer.unwrap_or_else(|| response_of(None, false));
+        }
         let body = match *request.method() {
             Method::DELETE => lift(&self.shared, path),
-            _ => self.response_body(path, request.uri().query()),
-        };
-        let status = match &body {
-            Some(_) => StatusCode::OK,
-            None => StatusCode::NOT_FOUND,
+            _ => self.response_body(path, query),
         };
-        let mut response = Response::new(AnswerBody::full(body.unwrap_or_default()));
-        *response.status_mut() = status;
-        response
+        response_of(body, accepts_gzip(request.headers()))
     }
 
     fn limits(&self) -> ConnectionLimits {
@@ -65,9 +66,6 @@
     /// Returns the body for a path, or `None` if the path is unknown.
     fn response_body(&self, path: &str, query: Option<&str>) -> Option<Bytes> {
         let shared = &self.shared;
-        if let Some(kind) = path.strip_prefix(PEER_OBJECTS_PATH) {
-            return object_changes(shared, kind, query);
-        }
         if let Some(store) = path.strip_prefix(PEER_PARTS_PATH) {
             let store: SocketAddr = store.parse().ok()?;
             return json(&shared.part_stores.lock().stored_parts_at(store));
@@ -86,6 +84,26 @@
     }
 }
 
+/// Returns the response with a body, compressed if it is large and that is accepted, or 404 without one.
+fn response_of(body: Option<Bytes>, accepts_gzip: bool) -> Response<AnswerBody> {
+    let Some(body) = body else {
+        let mut response = Response::new(AnswerBody::full(Bytes::new()));
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    };
+    let is_compressible = accepts_gzip && body.len() >= MIN_COMPRESSED_LEN;
+    // What can't be compressed is sent as it is.
+    match is_compressible.then(|| compress(&body).ok()).flatten() {
+        Some(compressed) => {
+            let mut response = Response::new(AnswerBody::full(compressed));
+            let encoding = HeaderValue::from_static(GZIP);
+            response.headers_mut().insert(CONTENT_ENCODING, encoding);
+            response
+        }
+        None => Response::new(AnswerBody::full(body)),
+    }
+}
+
 fn engine_memory_snapshot(shared: &Shared) -> EngineMemorySnapshot {
     let now = shared.now();
     EngineMemorySnapshot {
@@ -98,33 +116,6 @@
     serde_json::to_vec(value).ok().map(Bytes::from)
 }
 
-fn object_changes(shared: &Shared, kind: &str, query: Option<&str>) -> Option<Bytes> {
-    let role = WATCHED_ROLES
-        .iter()
-        .find(|role| kind_name(**role) == kind)?;
-    let parameter = |name: &str| {
-        let mut parameters = query.unwrap_or_default().split('&');
-        parameters.find_map(|parameter| parameter.strip_prefix(name)?.strip_prefix('='))
-    };
-    let now = shared.now();
-    let max = parameter(PAGE_LEN_PARAMETER).and_then(|max| max.parse().ok());
-    let mut delta = match max {
-        Some(max) => {
-            let after = parameter(PAGE_START_PARAMETER);
-            shared.watches.page(*role, after, max, now)
-        }
-        None => {
-            let since = parameter("since").and_then(|since| since.parse().ok());
-            let since = Revision(since.unwrap_or(0));
-            shared.watches.delta(*role, since, now)
-        }
-    };
-    if *role == ObjectRole::Weights {
-        delta.replacement_ages = shared.site.replacement_ages(now);
-    }
-    json(&delta)
-}
-
 fn metrics_text(shared: &Shared) -> String {
     for role in WATCHED_ROLES {
         let Some(age_ms) = shared.watches.age_ms(role, shared.now()) else {
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -18,6 +18,7 @@
 use super::crashes::{EvidenceKind, on_crash};
 use super::drain::Drain;
 use super::durations::CallDurations;
+use super::object_answers::ObjectAnswers;
 use super::peer_state::PeerState;
 use super::site_state::SiteState;
 use super::watch_state::WatchStates;
@@ -101,6 +102,8 @@
     /// How long the recent calls of each route took.
     pub(crate) recent_durations: Mutex<RecentDurations>,
     pub(crate) watches: WatchStates,
+    /// Compressed answers to peers that fetch objects.
+    pub(super) object_answers: ObjectAnswers,
     pub(crate) leases: Mutex<LeaseTable>,
     pub(crate) rollout: Mutex<Rollout>,
     pub(crate) drain: Drain,
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -9,6 +9,7 @@
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 use wisteriahitch_wire::transfer::TransferProgress;
 
+use super::compression::MIN_COMPRESSED_LEN;
 use super::shared::Shared;
 use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
@@ -208,6 +209,17 @@
         }
     };
     count_store_call(shared, role, call_result(&answer));
+    let bytes = usize::try_from(progress.received_bytes()).unwrap_or(usize::MAX);
+    if answer.is_ok() && bytes >= MIN_COMPRESSED_LEN {
+        let elapsed = DurationUs::from(progress.elapsed());
+        shared.log.write(&Event::ObjectsReceived {
+            kind: kind_name(role),
+            from: STORE.to_owned(),
+            bytes,
+            resumed_at: 0,
+            elapsed_ms: elapsed.as_ms(),
+        });
+    }
     answer.map(Some)
 }
 
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -11,6 +11,7 @@
 use wisteriahitch_wire::object_store::{ObjectRole, Reception, Revision, StoredObject};
 use wisteriahitch_wire::transfer::TransferProgress;
 
+use super::peer_answer::PeerAnswer;
 use super::site_state::ReplacementAges;
 use crate::decide::gossip_message::KindUpdate;
 use crate::decide::object_sources::{ObjectSources, StoreAnswer};
@@ -82,6 +83,8 @@
     pub(super) sources: ObjectSources,
     /// Whether objects are being fetched from a peer.
     pub(super) catching_up: watch::Sender<bool>,
+    /// What has arrived of a peer's answer whose transfer broke off.
+    pub(super) partial_answer: PeerAnswer,
     /// Progress of the store's current answer.
     pub(super) store_answer: TransferProgress,
     /// Whether the last fetch from a peer failed, and the store hasn't answered since.
@@ -232,6 +235,21 @@
         state.sources.best(me, now)
     }
 
+    /// Takes what has arrived of a peer's answer to a question; nothing if it answers another one.
+    pub(super) fn take_partial_answer(&self, role: ObjectRole, path: &str) -> PeerAnswer {
+        let mut state = self.state_of(role).lock();
+        let partial = std::mem::take(&mut state.partial_answer);
+        match partial.path() == path {
+            true => partial,
+            false => PeerAnswer::new(path),
+        }
+    }
+
+    /// Keeps what has arrived of a peer's answer for the next attempt.
+    pub(super) fn keep_partial_answer(&self, role: ObjectRole, partial: PeerAnswer) {
+        self.state_of(role).lock().partial_answer = partial;
+    }
+
     /// Marks a catch-up as finished.
     pub(crate) fn finish_catch_up(&self, role: ObjectRole, is_ok: bool) {
         let mut state = self.state_of(role).lock();
