perf(wire): read objects without a tree of values

A configuration was parsed into a tree of values twice, to check it and to decode it; of a megabyte that takes several megabytes and, on a tenth of a core, most of a second. It is now checked without being kept, and decoded directly; the tree remains for texts that repeat a field, of which the last one counts.

--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -4,11 +4,12 @@
 //! registrations. The trait defines the guarantees that the daemons rely on; its implementation
 //! defines the wire format.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, MapAccess, SeqAccess, Visitor};
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 use serde_json::Value;
 use serde_json::value::RawValue;
@@ -77,7 +78,7 @@
     /// assert!(ObjectContent::from_json(b"{").is_none());
     /// ```
     pub fn from_json(text: &[u8]) -> Option<Self> {
-        serde_json::from_slice::<Value>(text).ok()?;
+        serde_json::from_slice::<WellFormed>(text).ok()?;
         str::from_utf8(text).ok().map(|text| Self(text.into()))
     }
 
@@ -98,7 +99,65 @@
     ///
     /// Fails if a required field is missing or a field has the wrong type.
     pub fn parse<T: DeserializeOwned>(&self) -> serde_json::Result<T> {
-        T::deserialize(serde_json::from_str::<Value>(&self.0)?)
+        // Only repeated fields need the tree of values, which takes many times the text's memory.
+        serde_json::from_str(&self.0).or_else(|_| {
+            let tree = serde_json::from_str::<Value>(&self.0)?;
+            T::deserialize(tree)
+        })
+    }
+}
+
+/// Any JSON value, read to its end and not kept. Unlike [`IgnoredAny`](serde::de::IgnoredAny), it is
+/// nested no deeper than what can be parsed.
+struct WellFormed;
+
+impl<'de> Deserialize<'de> for WellFormed {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(WellFormedVisitor)
+    }
+}
+
+struct WellFormedVisitor;
+
+impl<'de> Visitor<'de> for WellFormedVisitor {
+    type Value = WellFormed;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("any JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_str<E>(self, _: &str) -> Result<WellFormed, E> {
+        Ok(WellFormed)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut elements: A) -> Result<WellFormed, A::Error> {
+        while elements.next_element::<WellFormed>()?.is_some() {}
+        Ok(WellFormed)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut fields: A) -> Result<WellFormed, A::Error> {
+        while fields.next_entry::<WellFormed, WellFormed>()?.is_some() {}
+        Ok(WellFormed)
     }
 }
 
