fix(relay): let a starting fleet take a large configuration from its hubs

A first page above 256 KiB is now left to the daemons that watch the store for others; the rest asks its hub, which sends it compressed. A store's answer is left for a peer's only once that arrives, and not for a peer that has failed within 10 s, so that neither is given up by turns.

--- a/crates/wisteriahitch-relay/src/decide/object_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/object_sources.rs
@@ -20,6 +20,10 @@
 /// Time for which a peer isn't asked again after a fetch from it failed.
 const FAILED_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Time for which a peer that failed doesn't replace the store's answer while that arrives. Otherwise
+/// the two could be left for each other by turns, and neither would ever arrive.
+const UNRELIABLE_SOURCE_TIME_US: DurationUs = DurationUs::from_ms(10_000);
+
 /// Minimum time that the rest of the store's answer must take for a peer to be asked instead. A peer
 /// sends less, but its answer takes a round trip more.
 const MIN_GAIN_US: DurationUs = DurationUs::from_ms(300);
@@ -77,7 +81,7 @@
     /// Records that a fetch from a peer failed.
     pub fn record_failure(&mut self, ip: Ipv4Addr, now: TimeUs) {
         self.failed_at_us
-            .retain(|_, at| now.since(*at) < FAILED_SOURCE_BACKOFF_US);
+            .retain(|_, at| now.since(*at) < UNRELIABLE_SOURCE_TIME_US);
         self.failed_at_us.insert(ip, now);
     }
 
@@ -90,10 +94,19 @@
     /// Returns the peer to fetch from: one of those with the newest objects, the more likely the wider
     /// its link, and another one for each daemon.
     pub fn best(&self, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
+        self.best_after(FAILED_SOURCE_BACKOFF_US, me, now)
+    }
+
+    /// Returns the peer to fetch from in place of an answer of the store that arrives slowly.
+    pub fn best_in_place_of_store(&self, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
+        self.best_after(UNRELIABLE_SOURCE_TIME_US, me, now)
+    }
+
+    /// Returns the best of the peers that haven't failed for `backoff_us`.
+    fn best_after(&self, backoff_us: DurationUs, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
         let is_usable = |ip: &Ipv4Addr, offer: &Offer| {
             let failed_at = self.failed_at_us.get(ip);
-            offer.is_fresh(now)
-                && failed_at.is_none_or(|at| now.since(*at) >= FAILED_SOURCE_BACKOFF_US)
+            offer.is_fresh(now) && failed_at.is_none_or(|at| now.since(*at) >= backoff_us)
         };
         let usable = || {
             let offers = self.offers.iter();
--- a/crates/wisteriahitch-relay/src/shell/peer_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_answer.rs
@@ -58,8 +58,9 @@
         shared: &Shared,
         ip: Ipv4Addr,
         timeout: Duration,
+        progress: &TransferProgress,
     ) -> Result<HeaderMap, String> {
-        let received = self.receive_rest(shared, ip, timeout).await;
+        let received = self.receive_rest(shared, ip, timeout, progress).await;
         if received.is_err() && self.tag.is_none() {
             self.body.clear();
         }
@@ -71,6 +72,7 @@
         shared: &Shared,
         ip: Ipv4Addr,
         timeout: Duration,
+        progress: &TransferProgress,
     ) -> Result<HeaderMap, String> {
         let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
         let to_text = |error: HttpError| error.to_string();
@@ -91,8 +93,7 @@
             status => return Err(status.to_string()),
         }
         let limits = TransferLimits::for_body(timeout, MAX_ANSWER_BYTES);
-        let progress = TransferProgress::default();
-        receive_body(body, requested_at, &limits, &progress, &mut self.body)
+        receive_body(body, requested_at, &limits, progress, &mut self.body)
             .await
             .map_err(to_text)?;
         Ok(head.headers)
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -8,6 +8,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use wisteriahitch_wire::object_store::{ObjectRole, Revision};
+use wisteriahitch_wire::transfer::TransferProgress;
 
 use super::compression::MIN_COMPRESSED_LEN;
 use super::peer_answer::PeerAnswer;
@@ -180,8 +181,9 @@
     let started_at = shared.now();
     let mut answer = shared.watches.take_partial_answer(role, path);
     let resumed_at = answer.len();
-    let received = answer.receive(shared, ip, PEER_REQUEST_TIMEOUT).await;
-    let headers = match received {
+    let progress = shared.watches.state_of(role).lock().peer_answer.clone();
+    let received = answer.receive(shared, ip, PEER_REQUEST_TIMEOUT, &progress);
+    let headers = match received.await {
         Ok(headers) => headers,
         Err(detail) => {
             let detail = format!("{detail}; {} bytes are kept", answer.len());
@@ -223,6 +225,7 @@
     timeout: Duration,
 ) -> Result<T, String> {
     let mut answer = PeerAnswer::new(path);
-    answer.receive(shared, ip, timeout).await?;
+    let progress = TransferProgress::default();
+    answer.receive(shared, ip, timeout, &progress).await?;
     answer.decode()
 }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wisteriahitch_types::{DurationUs, TimeUs};
+use wisteriahitch_types::{ByteCount, DurationUs, TimeUs};
 use wisteriahitch_wire::object_store::{Listing, ObjectRole, Reception, Revision, WatchOutcome};
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 use wisteriahitch_wire::transfer::TransferProgress;
@@ -34,14 +34,17 @@
 /// second for the listing by a few daemons, and another one for each of two hops.
 const PEER_LISTING_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum size of a first page that every daemon reads at the start: a page of a few hundred endpoints.
+const MAX_START_PAGE_BYTES: ByteCount = ByteCount::new(256 * 1024);
+
 /// Time between two checks of whether a peer's objects have arrived.
 const PEER_LISTING_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time between two checks of whether this daemon must ask the store itself.
 const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time between two checks of whether the store's answer still arrives fast.
-const SLOW_ANSWER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two checks of which of two answers should be waited for.
+const SUPERSEDED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Watches the objects of one role, for as long as the process runs.
 pub(crate) async fn run_watch(shared: Arc<Shared>, role: ObjectRole) {
@@ -151,14 +154,27 @@
 /// Obtains all objects of a role at the start, from the store or from a peer.
 ///
 /// Load pattern: a thousand daemons start at the same time, and a listing of the endpoints has fifty
-/// pages. If each daemon listed them, the store's link would be saturated for half a minute. If a
-/// listing has more than one page and the fleet is large, only the daemons that watch the store read
-/// all of it; the others fetch the objects from their hub, and read on only if none arrive in time.
+/// pages; a configuration may have a megabyte. If each daemon listed them, the store's link would be
+/// saturated for half a minute. If a listing is larger than a page of endpoints and the fleet is
+/// large, only the daemons that watch the store read all of it; the others fetch the objects from
+/// their hub, and read on only if none arrive in time.
 async fn list_at_start(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let asked_at = shared.now();
-    let reception = Reception::default();
+    let reception = Reception {
+        max_bytes: MAX_START_PAGE_BYTES,
+        progress: shared.watches.begin_reception(role).progress,
+    };
     let first_page = shared.borders.store.list_first_page(role, &reception).await;
     count_store_call(shared, role, call_result(&first_page));
+    let is_too_large = |error: &PlatformError| error.kind() == PlatformErrorKind::AnswerTooLarge;
+    if first_page.as_ref().is_err_and(is_too_large) {
+        record_answer(shared, role);
+        wait_for_role(shared).await;
+        return match wait_for_peer_objects(shared, role).await {
+            true => Ok(false),
+            false => list_objects(shared, role).await,
+        };
+    }
     let listing = first_page?;
     if listing.next_after.is_none() {
         apply_store_listing(shared, role, listing, asked_at);
@@ -223,15 +239,15 @@
     answer.map(Some)
 }
 
-/// Waits until objects are being fetched from a peer while the store's answer arrives, and slowly.
+/// Waits until a peer's answer arrives while the store's arrives slowly.
 async fn superseded(shared: &Shared, role: ObjectRole, progress: &TransferProgress) {
     progress.begun().await;
     loop {
         shared.watches.wait_for_catch_up(role, true).await;
-        if shared.watches.state_of(role).lock().is_store_answer_slow() {
+        if shared.watches.state_of(role).lock().is_store_superseded() {
             return;
         }
-        tokio::time::sleep(SLOW_ANSWER_CHECK_INTERVAL).await;
+        tokio::time::sleep(SUPERSEDED_CHECK_INTERVAL).await;
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -83,6 +83,8 @@
     pub(super) sources: ObjectSources,
     /// Whether objects are being fetched from a peer.
     pub(super) catching_up: watch::Sender<bool>,
+    /// Progress of the current peer's answer.
+    pub(super) peer_answer: TransferProgress,
     /// What has arrived of a peer's answer whose transfer broke off.
     pub(super) partial_answer: PeerAnswer,
     /// Progress of the store's current answer.
@@ -208,13 +210,18 @@
     ) -> Vec<(ObjectRole, Ipv4Addr)> {
         let mut due = Vec::new();
         for (role, state) in WATCHED_ROLES.iter().zip(&self.0) {
-            let state = state.lock();
+            let mut state = state.lock();
             let newer_since = state.sources.newer_since(now);
             let is_due = newer_since.is_some_and(|since| now.since(since) >= delay_us);
             if !is_due || state.is_catching_up() || state.waits_for_store() {
                 continue;
             }
-            if let Some(ip) = state.sources.best(me, now) {
+            let best = match state.store_answer.is_receiving() {
+                true => state.sources.best_in_place_of_store(me, now),
+                false => state.sources.best(me, now),
+            };
+            if let Some(ip) = best {
+                state.peer_answer = TransferProgress::default();
                 state.catching_up.send_replace(true);
                 due.push((*role, ip));
             }
@@ -232,6 +239,7 @@
     ) -> Option<Ipv4Addr> {
         let mut state = self.state_of(role).lock();
         state.sources.record_failure(failed, now);
+        state.peer_answer = TransferProgress::default();
         state.sources.best(me, now)
     }
 
@@ -378,16 +386,20 @@
         self.store_answer.is_receiving() && !self.is_store_answer_slow()
     }
 
+    /// Returns whether a peer's answer is arriving that replaces the store's.
+    pub(super) fn is_store_superseded(&self) -> bool {
+        self.peer_answer.is_receiving() && self.is_store_answer_slow()
+    }
+
     /// Returns whether the store's answer is arriving so slowly that a peer should be asked instead.
-    pub(super) fn is_store_answer_slow(&self) -> bool {
+    fn is_store_answer_slow(&self) -> bool {
         let progress = &self.store_answer;
         let answer = StoreAnswer {
             received_bytes: progress.received_bytes(),
             missing_bytes: progress.missing_bytes(),
             elapsed_us: progress.elapsed().into(),
         };
-        // After a failed fetch from the peers only the store is left.
-        progress.is_receiving() && !self.is_catch_up_failing && answer.is_slow()
+        progress.is_receiving() && answer.is_slow()
     }
 
     fn confirm(&mut self, as_of: TimeUs, source: &'static str) {
