feat(relay): name a peer that has the objects while the own link is taken

A hub behind a narrow link sent a large configuration to all of its daemons at once, so that all had it only at the end. It now sends to as many as a quarter of its link carries in 0.4 s, and refers others to a daemon that has it, or asks them to come again. The time grows with the logarithm of their number.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! Decision logic without I/O: takes events and the current time, returns choices or commands.
 
 pub(crate) mod answer_progress;
+pub(crate) mod answer_schedule;
 pub(crate) mod backlog;
 pub(crate) mod blocked_attributes;
 mod call_histories;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -19,6 +19,7 @@
 };
 pub use clock::BootClock;
 pub use decide::answer_progress::{AnswerProgress, WritingTime};
+pub use decide::answer_schedule::{AnswerSchedule, Serving};
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::blocked_attributes::{CallAdmission, TrialUpdate};
 pub use decide::cold_limit::ColdState;
--- a/crates/wisteriahitch-relay/src/shell/object_answers.rs
+++ b/crates/wisteriahitch-relay/src/shell/object_answers.rs
@@ -1,7 +1,8 @@
 //! Answers to peers that fetch objects.
 //!
 //! Load pattern: a hub learns of a configuration of a megabyte, and all daemons that it serves ask for
-//! it within a tenth of a second. The answer is the same for all of them, so it is compressed once.
+//! it within a tenth of a second. The answer is the same for all of them, so it is compressed once,
+//! and who has got it serves others where this daemon's link is taken.
 //! Some of their transfers break off; each is continued, at this daemon or at another one with the
 //! same answer (`docs/design/large-objects.md`).
 
@@ -11,14 +12,17 @@
 use http::header::{CONTENT_ENCODING, ETAG, IF_RANGE, RANGE};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use parking_lot::Mutex;
+use wisteriahitch_types::ByteCount;
 use wisteriahitch_wire::object_store::{ObjectRole, Revision};
 use xxhash_rust::xxh3::xxh3_128;
 
 use super::answer_body::AnswerBody;
 use super::compression::{GZIP, MIN_COMPRESSED_LEN, accepts_gzip, compress};
+use super::peer_answer::HOLDER_HEADER;
 use super::peer_client::{OBJECTS_AGE_HEADER, PAGE_LEN_PARAMETER, PAGE_START_PARAMETER};
 use super::shared::Shared;
 use super::watch_state::{ObjectDelta, WATCHED_ROLES, kind_name};
+use crate::decide::answer_schedule::{AnswerSchedule, Serving};
 use crate::observe::Event;
 
 /// Number of answers that are kept: the newest ones to the few questions that daemons ask at the same
@@ -37,18 +41,22 @@
     body: Bytes,
 }
 
-/// The last compressed answers, newest last.
+/// The last compressed answers, and when they are sent.
 #[derive(Debug, Default)]
-pub(crate) struct ObjectAnswers(Mutex<VecDeque<ObjectAnswer>>);
+pub(crate) struct ObjectAnswers {
+    /// Newest last.
+    kept: Mutex<VecDeque<ObjectAnswer>>,
+    schedule: Mutex<AnswerSchedule>,
+}
 
 impl ObjectAnswers {
     fn find(&self, is_wanted: impl Fn(&ObjectAnswer) -> bool) -> Option<ObjectAnswer> {
-        let answers = self.0.lock();
+        let answers = self.kept.lock();
         answers.iter().find(|answer| is_wanted(answer)).cloned()
     }
 
     fn keep(&self, answer: ObjectAnswer) {
-        let mut answers = self.0.lock();
+        let mut answers = self.kept.lock();
         if answers.len() >= MAX_KEPT_ANSWERS {
             answers.pop_front();
         }
@@ -67,7 +75,7 @@
         .iter()
         .find(|role| kind_name(**role) == kind)?;
     if let Some((answer, start)) = requested_rest(shared, headers) {
-        return Some(compressed_response(shared, *role, &answer, start));
+        return Some(serve(shared, *role, &answer, start));
     }
     let is_compressible = accepts_gzip(headers) && *role != ObjectRole::Weights;
     let question = format!("{kind}?{query}");
@@ -76,7 +84,7 @@
         let is_wanted =
             |answer: &ObjectAnswer| answer.question == question && answer.revision == revision;
         if let Some(answer) = shared.object_answers.find(is_wanted) {
-            return Some(compressed_response(shared, *role, &answer, 0));
+            return Some(serve(shared, *role, &answer, 0));
         }
     }
     let mut delta = objects_for(shared, *role, query);
@@ -98,7 +106,7 @@
         body,
     };
     shared.object_answers.keep(answer.clone());
-    Some(compressed_response(shared, *role, &answer, 0))
+    Some(serve(shared, *role, &answer, 0))
 }
 
 /// Returns the answer that a request wants to continue, and where.
@@ -111,6 +119,35 @@
     (start <= answer.body.len()).then_some((answer, start))
 }
 
+/// Sends an answer from `start` on, or says who else has it if this daemon's link is taken.
+fn serve(
+    shared: &Shared,
+    role: ObjectRole,
+    answer: &ObjectAnswer,
+    start: usize,
+) -> Response<AnswerBody> {
+    let now = shared.now();
+    let missing = answer.body.len() - start;
+    let missing = ByteCount::new(u64::try_from(missing).unwrap_or(u64::MAX));
+    let holders = shared.watches.holders(role, now);
+    let mut schedule = shared.object_answers.schedule.lock();
+    let serving = schedule.serve(missing, shared.link_mbps(), &holders, now);
+    drop(schedule);
+    let mut response = Response::new(AnswerBody::full(Bytes::new()));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    match serving {
+        Serving::Send => return compressed_response(shared, role, answer, start),
+        Serving::Refer(holder) => {
+            // An address is always a valid value.
+            if let Ok(holder) = HeaderValue::try_from(holder.to_string()) {
+                response.headers_mut().insert(HOLDER_HEADER, holder);
+            }
+        }
+        Serving::Postpone => {}
+    }
+    response
+}
+
 fn compressed_response(
     shared: &Shared,
     role: ObjectRole,
--- a/crates/wisteriahitch-relay/src/shell/peer_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_answer.rs
@@ -19,6 +19,23 @@
 /// Maximum size of an answer, before and after decompression.
 const MAX_ANSWER_BYTES: ByteCount = ByteCount::new(8 * 1024 * 1024);
 
+/// Header of a refused request with the address of a peer that has the same objects.
+pub(super) const HOLDER_HEADER: &str = "wisteriahitch-holder";
+
+/// Why an answer has not arrived.
+#[derive(Clone, Debug, thiserror::Error)]
+pub(super) enum PeerError {
+    /// The peer sends to others at the moment.
+    #[error("the peer is busy")]
+    Busy,
+    /// The peer sends to others at the moment, and this one has the same objects.
+    #[error("the peer refers to {0}")]
+    Referred(Ipv4Addr),
+    /// The transfer failed, or the answer is malformed.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// What has arrived of the answer to a question.
 #[derive(Debug, Default)]
 pub(super) struct PeerAnswer {
@@ -52,14 +69,14 @@
     ///
     /// # Errors
     ///
-    /// Returns a description for the log. What can be continued later is kept.
+    /// What can be continued later is kept.
     pub(super) async fn receive(
         &mut self,
         shared: &Shared,
         ip: Ipv4Addr,
         timeout: Duration,
         progress: &TransferProgress,
-    ) -> Result<HeaderMap, String> {
+    ) -> Result<HeaderMap, PeerError> {
         let received = self.receive_rest(shared, ip, timeout, progress).await;
         if received.is_err() && self.tag.is_none() {
             self.body.clear();
@@ -73,11 +90,12 @@
         ip: Ipv4Addr,
         timeout: Duration,
         progress: &TransferProgress,
-    ) -> Result<HeaderMap, String> {
+    ) -> Result<HeaderMap, PeerError> {
         let to = SocketAddr::from((ip, shared.settings.listen.peer_port));
-        let to_text = |error: HttpError| error.to_string();
+        let to_text = |error: HttpError| PeerError::Failed(error.to_string());
         let mut connection = Connection::open(to, timeout).await.map_err(to_text)?;
-        let request = self.request(to).map_err(|error| error.to_string())?;
+        let request = self.request(to);
+        let request = request.map_err(|error| PeerError::Failed(error.to_string()))?;
         let requested_at = Instant::now();
         let response = connection.send_within(request, timeout).await;
         let (head, body) = response.map_err(to_text)?.into_parts();
@@ -90,7 +108,12 @@
                     encoding.is_some_and(|name| name.as_bytes() == GZIP.as_bytes());
                 self.tag = head.headers.get(ETAG).cloned();
             }
-            status => return Err(status.to_string()),
+            StatusCode::SERVICE_UNAVAILABLE => {
+                let holder = head.headers.get(HOLDER_HEADER);
+                let holder = holder.and_then(|ip| ip.to_str().ok()?.parse().ok());
+                return Err(holder.map_or(PeerError::Busy, PeerError::Referred));
+            }
+            status => return Err(PeerError::Failed(status.to_string())),
         }
         let limits = TransferLimits::for_body(timeout, MAX_ANSWER_BYTES);
         receive_body(body, requested_at, &limits, progress, &mut self.body)
@@ -115,15 +138,16 @@
     ///
     /// # Errors
     ///
-    /// Returns a description for the log.
-    pub(super) fn decode<T: DeserializeOwned>(&self) -> Result<T, String> {
+    /// [`PeerError::Failed`] if the answer is malformed.
+    pub(super) fn decode<T: DeserializeOwned>(&self) -> Result<T, PeerError> {
         let decoded = match self.is_compressed {
             true => {
                 let text = decompress(&self.body, MAX_ANSWER_BYTES);
-                serde_json::from_slice(&text.map_err(|error| error.to_string())?)
+                let text = text.map_err(|error| PeerError::Failed(error.to_string()))?;
+                serde_json::from_slice(&text)
             }
             false => serde_json::from_slice(&self.body),
         };
-        decoded.map_err(|error| error.to_string())
+        decoded.map_err(|error| PeerError::Failed(error.to_string()))
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -11,7 +11,7 @@
 use wisteriahitch_wire::transfer::TransferProgress;
 
 use super::compression::MIN_COMPRESSED_LEN;
-use super::peer_answer::PeerAnswer;
+use super::peer_answer::{PeerAnswer, PeerError};
 use super::shared::Shared;
 use super::store_updates::apply_delta;
 use super::watch_state::{ObjectDelta, kind_name};
@@ -22,6 +22,12 @@
 /// Timeout for connecting to a peer and until its response begins, each.
 const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// Time after which a busy peer is asked again: a transfer to another daemon over a narrow link.
+const BUSY_PEER_RETRY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Number of refusals after which the objects are sought elsewhere, about two seconds.
+const MAX_REFUSALS: usize = 12;
+
 /// Prefix of the paths under which peers serve the objects of a role.
 pub(super) const PEER_OBJECTS_PATH: &str = "/v1/objects/";
 
@@ -70,60 +76,83 @@
         .retain(|asked| *asked != store);
 }
 
-/// Fetches the objects of a role that are newer than the known ones, from `ip` or, if that fails, from
-/// other peers that have them.
+/// Fetches the objects of a role that are newer than the known ones, from `ip` or, if that is busy or
+/// fails, from other peers that have them.
 pub(super) async fn catch_up(shared: Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) {
+    let own_ip = shared.settings.ip;
     let mut source = Some(ip);
+    let (mut refusals, mut is_referred) = (0, false);
     let mut is_ok = false;
     while let Some(ip) = source {
-        is_ok = fetch_changes(&shared, role, ip).await;
-        if is_ok {
-            break;
-        }
-        let now = shared.now();
-        let own_ip = shared.settings.ip;
-        source = shared.watches.next_source(role, ip, own_ip, now);
+        let failure = match fetch_changes(&shared, role, ip).await {
+            Ok(()) => {
+                is_ok = true;
+                break;
+            }
+            Err(error) => error,
+        };
+        let is_refused = matches!(failure, PeerError::Busy | PeerError::Referred(_));
+        refusals += usize::from(is_refused);
+        source = match failure {
+            PeerError::Referred(holder) if !is_referred => Some(holder),
+            PeerError::Busy | PeerError::Referred(_) if refusals <= MAX_REFUSALS => {
+                tokio::time::sleep(BUSY_PEER_RETRY_INTERVAL).await;
+                let best = shared.watches.best_source(role, own_ip, shared.now());
+                best.or(Some(ip))
+            }
+            _ => {
+                log_failed_fetch(&shared, ip, &failure);
+                shared.watches.next_source(role, ip, own_ip, shared.now())
+            }
+        };
+        // A peer that was referred to and refers further is as busy as the first one.
+        is_referred = matches!(failure, PeerError::Referred(_)) && !is_referred;
     }
     shared.watches.finish_catch_up(role, is_ok);
 }
 
-/// Fetches and applies changes, and returns whether the peer answered.
-async fn fetch_changes(shared: &Arc<Shared>, role: ObjectRole, ip: Ipv4Addr) -> bool {
+fn log_failed_fetch(shared: &Shared, ip: Ipv4Addr, error: &PeerError) {
+    shared.log.write(&Event::Failure {
+        what: "fetching objects from a peer",
+        detail: format!("{ip}: {error}"),
+    });
+}
+
+/// Fetches changes from a peer and applies them.
+async fn fetch_changes(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    ip: Ipv4Addr,
+) -> Result<(), PeerError> {
     let asked_at = shared.now();
     let since = shared.watches.changed_revision(role);
-    let fetched = match since == Revision::default() {
-        true => fetch_all(shared, role, ip).await,
+    let delta = match since == Revision::default() {
+        true => fetch_all(shared, role, ip).await?,
         false => {
             let path = format!("{PEER_OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
-            get_objects(shared, role, ip, &path).await
+            get_objects(shared, role, ip, &path).await?
         }
     };
-    match fetched {
-        Ok(delta) => {
-            let revision = delta.revision.0;
-            apply_delta(shared, role, delta, asked_at);
-            if shared.peers.follows_stores() {
-                shared.log.write(&Event::CaughtUp {
-                    kind: kind_name(role),
-                    from: ip.to_string(),
-                    revision,
-                });
-            }
-            true
-        }
-        Err(detail) => {
-            shared.log.write(&Event::Failure {
-                what: "fetching objects from a peer",
-                detail: format!("{ip}: {detail}"),
-            });
-            false
-        }
+    let revision = delta.revision.0;
+    apply_delta(shared, role, delta, asked_at);
+    if shared.peers.follows_stores() {
+        shared.log.write(&Event::CaughtUp {
+            kind: kind_name(role),
+            from: ip.to_string(),
+            revision,
+        });
     }
+    Ok(())
 }
 
 /// Fetches all objects of a role page by page. A single response would need several megabytes on
 /// both sides, and time out over a narrow link.
-async fn fetch_all(shared: &Shared, role: ObjectRole, ip: Ipv4Addr) -> Result<ObjectDelta, String> {
+async fn fetch_all(
+    shared: &Shared,
+    role: ObjectRole,
+    ip: Ipv4Addr,
+) -> Result<ObjectDelta, PeerError> {
+    let failed = |detail: String| PeerError::Failed(detail);
     let path = format!(
         "{PEER_OBJECTS_PATH}{}?since=0&{PAGE_LEN_PARAMETER}={PAGE_LEN}",
         kind_name(role)
@@ -131,9 +160,10 @@
     let mut all = get_objects(shared, role, ip, &path).await?;
     while all.has_more {
         let last = all.objects.last().map(|object| object.name.as_str());
-        let last = last.ok_or("a page without objects that isn't the last")?;
+        let missing = || failed("a page without objects that isn't the last".to_owned());
+        let last = last.ok_or_else(missing)?;
         if last.contains(['&', ' ', '#']) {
-            return Err(format!("the name {last:?} can't start a page"));
+            return Err(failed(format!("the name {last:?} can't start a page")));
         }
         let path = format!("{path}&{PAGE_START_PARAMETER}={last}");
         let page = get_objects(shared, role, ip, &path).await?;
@@ -155,7 +185,7 @@
 pub(super) async fn fetch_engine_memory_snapshot(
     shared: &Shared,
     ip: Ipv4Addr,
-) -> Result<EngineMemorySnapshot, String> {
+) -> Result<EngineMemorySnapshot, PeerError> {
     get_json(shared, ip, ENGINE_MEMORY_PATH).await
 }
 
@@ -177,7 +207,7 @@
     role: ObjectRole,
     ip: Ipv4Addr,
     path: &str,
-) -> Result<ObjectDelta, String> {
+) -> Result<ObjectDelta, PeerError> {
     let started_at = shared.now();
     let mut answer = shared.watches.take_partial_answer(role, path);
     let resumed_at = answer.len();
@@ -185,10 +215,9 @@
     let received = answer.receive(shared, ip, PEER_REQUEST_TIMEOUT, &progress);
     let headers = match received.await {
         Ok(headers) => headers,
-        Err(detail) => {
-            let detail = format!("{detail}; {} bytes are kept", answer.len());
+        Err(error) => {
             shared.watches.keep_partial_answer(role, answer);
-            return Err(detail);
+            return Err(error);
         }
     };
     if answer.len() >= MIN_COMPRESSED_LEN {
@@ -213,7 +242,7 @@
     shared: &Shared,
     ip: Ipv4Addr,
     path: &str,
-) -> Result<T, String> {
+) -> Result<T, PeerError> {
     get_json_within(shared, ip, path, PEER_REQUEST_TIMEOUT).await
 }
 
@@ -223,7 +252,7 @@
     ip: Ipv4Addr,
     path: &str,
     timeout: Duration,
-) -> Result<T, String> {
+) -> Result<T, PeerError> {
     let mut answer = PeerAnswer::new(path);
     let progress = TransferProgress::default();
     answer.receive(shared, ip, timeout, &progress).await?;
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -33,6 +33,9 @@
 /// Size of all objects of a role from which on it matters whether they are read once or several times.
 const LARGE_LISTING_BYTES: ByteCount = ByteCount::new(64 * 1024);
 
+/// Time for which a peer counts as having the same objects unless it says so again.
+const HOLDER_TTL_US: DurationUs = DurationUs::from_ms(600);
+
 /// Source of an update, as it appears in the log.
 pub(super) const STORE: &str = "store";
 pub(super) const PEER: &str = "peer";
@@ -81,6 +84,8 @@
     pub(super) deletions_lost_up_to: Revision,
     /// Peers that have newer objects.
     pub(super) sources: ObjectSources,
+    /// Peers that have the same objects, and when they last said so.
+    holders: BTreeMap<Ipv4Addr, TimeUs>,
     /// Whether objects are being fetched from a peer.
     pub(super) catching_up: watch::Sender<bool>,
     /// Progress of the current peer's answer.
@@ -189,6 +194,10 @@
             let mut state = state.lock();
             if update.revision <= state.last_change.0 {
                 state.confirm_by_peer(update, held_up_us, now);
+                match update.revision == state.last_change.0 {
+                    true => state.holders.insert(peer.ip, now),
+                    false => state.holders.remove(&peer.ip),
+                };
                 continue;
             }
             let revision = Revision(update.revision);
@@ -229,6 +238,15 @@
         due
     }
 
+    /// Returns the peers that have the same objects of a role as this daemon.
+    pub(super) fn holders(&self, role: ObjectRole, now: TimeUs) -> Vec<Ipv4Addr> {
+        let mut state = self.state_of(role).lock();
+        state
+            .holders
+            .retain(|_, said_at| now.since(*said_at) < HOLDER_TTL_US);
+        state.holders.keys().copied().collect()
+    }
+
     /// Records that a fetch from a peer failed, and returns the next one to ask.
     pub(crate) fn next_source(
         &self,
@@ -258,6 +276,16 @@
         self.state_of(role).lock().partial_answer = partial;
     }
 
+    /// Returns the peer that this daemon, `me`, should fetch objects of a role from.
+    pub(super) fn best_source(
+        &self,
+        role: ObjectRole,
+        me: Ipv4Addr,
+        now: TimeUs,
+    ) -> Option<Ipv4Addr> {
+        self.state_of(role).lock().sources.best(me, now)
+    }
+
     /// Marks a catch-up as finished.
     pub(crate) fn finish_catch_up(&self, role: ObjectRole, is_ok: bool) {
         let mut state = self.state_of(role).lock();
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod fixture;
 mod gossip_message;
 mod gossip_schedule;
+mod large_objects;
 mod leaving_instances;
 mod link_slowdowns;
 mod members;
--- a/crates/wisteriahitch-wire/src/platform/error.rs
+++ b/crates/wisteriahitch-wire/src/platform/error.rs
@@ -43,8 +43,7 @@
         let kind = match error.kind() {
             HttpErrorKind::NotSent => PlatformErrorKind::Unavailable,
             HttpErrorKind::Timeout | HttpErrorKind::Lost => PlatformErrorKind::AnswerLost,
-            HttpErrorKind::Malformed => PlatformErrorKind::Malformed,
-            HttpErrorKind::TooLarge => PlatformErrorKind::AnswerTooLarge,
+            HttpErrorKind::Malformed | HttpErrorKind::TooLarge => PlatformErrorKind::Malformed,
         };
         Self::new(kind, error.to_string())
     }
