--- a/crates/wisteriahitch-node/src/config/submit.rs
+++ b/crates/wisteriahitch-node/src/config/submit.rs
@@ -212,12 +212,13 @@
             | PlatformErrorKind::Conflict
             | PlatformErrorKind::NotFound => SubmissionEvent::Conflict,
             PlatformErrorKind::TooLarge => SubmissionEvent::TooLarge,
-            PlatformErrorKind::AnswerLost
-            | PlatformErrorKind::Malformed
-            | PlatformErrorKind::AnswerTooLarge => SubmissionEvent::UpdateLost,
+            PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => {
+                SubmissionEvent::UpdateLost
+            }
             PlatformErrorKind::RateLimited | PlatformErrorKind::Unavailable => {
                 SubmissionEvent::UpdateUnavailable
             }
+            PlatformErrorKind::AnswerTooLarge => SubmissionEvent::UpdateLost,
         }
     }
 
--- a/crates/wisteriahitch-relay/src/shell/object_answers.rs
+++ b/crates/wisteriahitch-relay/src/shell/object_answers.rs
@@ -18,7 +18,7 @@
 
 use super::answer_body::AnswerBody;
 use super::compression::{GZIP, MIN_COMPRESSED_LEN, accepts_gzip, compress};
-use super::peer_answer::HOLDER_HEADER;
+use super::peer_answer::REFERRAL_HEADER;
 use super::peer_client::{OBJECTS_AGE_HEADER, PAGE_LEN_PARAMETER, PAGE_START_PARAMETER};
 use super::shared::Shared;
 use super::watch_state::{ObjectDelta, WATCHED_ROLES, kind_name};
@@ -140,7 +140,7 @@
         Serving::Refer(holder) => {
             // An address is always a valid value.
             if let Ok(holder) = HeaderValue::try_from(holder.to_string()) {
-                response.headers_mut().insert(HOLDER_HEADER, holder);
+                response.headers_mut().insert(REFERRAL_HEADER, holder);
             }
         }
         Serving::Postpone => {}
--- a/crates/wisteriahitch-relay/src/shell/peer_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_answer.rs
@@ -20,7 +20,7 @@
 const MAX_ANSWER_BYTES: ByteCount = ByteCount::new(8 * 1024 * 1024);
 
 /// Header of a refused request with the address of a peer that has the same objects.
-pub(super) const HOLDER_HEADER: &str = "wisteriahitch-holder";
+pub(super) const REFERRAL_HEADER: &str = "wisteriahitch-referred-to";
 
 /// Why an answer has not arrived.
 #[derive(Clone, Debug, thiserror::Error)]
@@ -109,7 +109,7 @@
                 self.tag = head.headers.get(ETAG).cloned();
             }
             StatusCode::SERVICE_UNAVAILABLE => {
-                let holder = head.headers.get(HOLDER_HEADER);
+                let holder = head.headers.get(REFERRAL_HEADER);
                 let holder = holder.and_then(|ip| ip.to_str().ok()?.parse().ok());
                 return Err(holder.map_or(PeerError::Busy, PeerError::Referred));
             }
