fix(relay): count an answer as begun with the first byte of its body, and bound referrals

Found by reading. A server may send the head of a watch's answer at once and its body when something changes; 0.7 s later it would have been given up, and nobody's confirmation would have been asked for. The time for the head now holds until the first byte of the body. A daemon that is referred to others again and again asks the store after 12 refusals, and pages and rests of an answer that was begun are always sent.

It now waits until a part of the answer has been sent.

--- a/crates/wisteriahitch-relay/src/shell/object_answers.rs
+++ b/crates/wisteriahitch-relay/src/shell/object_answers.rs
@@ -120,6 +120,8 @@
 }
 
 /// Sends an answer from `start` on, or says who else has it if this daemon's link is taken.
+///
+/// What was begun is always continued: its receiver would lose what it has.
 fn serve(
     shared: &Shared,
     role: ObjectRole,
@@ -133,9 +135,11 @@
     let mut schedule = shared.object_answers.schedule.lock();
     let serving = schedule.serve(missing, shared.link_mbps(), &holders, now);
     drop(schedule);
+    let is_continuation = start > 0 || answer.question.contains(PAGE_START_PARAMETER);
     let mut response = Response::new(AnswerBody::full(Bytes::new()));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     match serving {
+        _ if is_continuation => return compressed_response(shared, role, answer, start),
         Serving::Send => return compressed_response(shared, role, answer, start),
         Serving::Refer(holder) => {
             // An address is always a valid value.
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -94,7 +94,7 @@
         let is_refused = matches!(failure, PeerError::Busy | PeerError::Referred(_));
         refusals += usize::from(is_refused);
         source = match failure {
-            PeerError::Referred(holder) if !is_referred => Some(holder),
+            PeerError::Referred(holder) if !is_referred && refusals <= MAX_REFUSALS => Some(holder),
             PeerError::Busy | PeerError::Referred(_) if refusals <= MAX_REFUSALS => {
                 tokio::time::sleep(BUSY_PEER_RETRY_INTERVAL).await;
                 let best = shared.watches.best_source(role, own_ip, shared.now());
--- a/crates/wisteriahitch-wire/src/transfer.rs
+++ b/crates/wisteriahitch-wire/src/transfer.rs
@@ -31,6 +31,8 @@
 /// Limits on receiving an answer.
 #[derive(Clone, Copy, Debug)]
 pub struct TransferLimits {
+    /// Maximum time until the first byte of the body. A server may send the head of an answer long
+    /// before it has anything to answer.
     head: Duration,
     size: ByteCount,
     /// Maximum silence in the middle of the body; `None` if the whole answer must arrive within
@@ -70,13 +72,14 @@
         self.head
     }
 
-    /// Returns when an answer to a request of `requested_at`, whose head arrived at `begun_at`, is
-    /// given up unless more of it arrives before.
-    fn give_up_at(&self, requested_at: Instant, begun_at: Instant, received_bytes: u64) -> Instant {
-        let Some(silence) = self.silence else {
+    /// Returns when an answer to a request of `requested_at` is given up unless more of it arrives
+    /// before.
+    fn give_up_at(&self, requested_at: Instant, progress: &TransferProgress) -> Instant {
+        let (Some(silence), Some(begun_at)) = (self.silence, progress.begun_at()) else {
             return requested_at + self.head;
         };
-        let allowed = Duration::from_secs_f64(received_bytes as f64 / MIN_BYTES_PER_S);
+        let received_bytes = progress.received_bytes() as f64;
+        let allowed = Duration::from_secs_f64(received_bytes / MIN_BYTES_PER_S);
         (begun_at + silence + allowed).min(Instant::now() + silence)
     }
 }
@@ -89,22 +92,26 @@
 
 #[derive(Debug, Default)]
 struct ProgressState {
-    has_begun: AtomicBool,
     is_receiving: AtomicBool,
     received_bytes: AtomicU64,
     /// Size of the whole body; 0 if the head doesn't state it.
     expected_bytes: AtomicU64,
+    /// When the first byte of the body arrived.
     begun_at: Mutex<Option<Instant>>,
     begun: Notify,
 }
 
 impl TransferProgress {
-    /// Returns whether the head of the answer has arrived.
+    /// Returns whether the first byte of the body has arrived, which shows that the connection works.
     pub fn has_begun(&self) -> bool {
-        self.state.has_begun.load(Ordering::Relaxed)
+        self.begun_at().is_some()
     }
 
-    /// Waits until the head of the answer has arrived.
+    fn begun_at(&self) -> Option<Instant> {
+        *self.state.begun_at.lock()
+    }
+
+    /// Waits until the first byte of the body has arrived.
     pub async fn begun(&self) {
         let notified = self.state.begun.notified();
         tokio::pin!(notified);
@@ -114,15 +121,14 @@
         }
     }
 
-    /// Returns the time since the head of the answer arrived.
+    /// Returns the time since the first byte of the body arrived.
     pub fn elapsed(&self) -> Duration {
-        let begun_at = *self.state.begun_at.lock();
-        begun_at.map_or(Duration::ZERO, |at| at.elapsed())
+        self.begun_at().map_or(Duration::ZERO, |at| at.elapsed())
     }
 
-    /// Returns whether the body is being received.
+    /// Returns whether the body has begun and not ended.
     pub fn is_receiving(&self) -> bool {
-        self.state.is_receiving.load(Ordering::Relaxed)
+        self.has_begun() && self.state.is_receiving.load(Ordering::Relaxed)
     }
 
     /// Returns the number of bytes of the body that have arrived.
@@ -154,18 +160,17 @@
         let expected = expected.unwrap_or(0);
         state.expected_bytes.store(expected, Ordering::Relaxed);
         state.received_bytes.store(0, Ordering::Relaxed);
-        *state.begun_at.lock() = Some(Instant::now());
+        *state.begun_at.lock() = None;
         state.is_receiving.store(true, Ordering::Relaxed);
-        state.has_begun.store(true, Ordering::Relaxed);
-        state.begun.notify_waiters();
         ReceivingGuard(self)
     }
 
     fn add(&self, bytes: usize) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
-        self.state
-            .received_bytes
-            .fetch_add(bytes, Ordering::Relaxed);
+        let state = &self.state;
+        state.received_bytes.fetch_add(bytes, Ordering::Relaxed);
+        state.begun_at.lock().get_or_insert_with(Instant::now);
+        state.begun.notify_waiters();
     }
 }
 
@@ -196,9 +201,8 @@
 where
     B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
-    let begun_at = Instant::now();
     append_body(body, limits.size, progress, whole, || {
-        Some(limits.give_up_at(requested_at, begun_at, progress.received_bytes()))
+        Some(limits.give_up_at(requested_at, progress))
     })
     .await
 }
