--- a/crates/wisteriahitch-relay/src/decide/answer_schedule.rs
+++ b/crates/wisteriahitch-relay/src/decide/answer_schedule.rs
@@ -23,7 +23,8 @@
     Send,
     /// Name this peer, which has it as well.
     Refer(Ipv4Addr),
-    /// Let the peer ask again: the link is taken, and nobody else is known to have the objects.
+    /// Refuse the request, which the peer repeats: the link is busy, and no other peer is known to have
+    /// the objects.
     Postpone,
 }
 
--- a/crates/wisteriahitch-relay/src/decide/object_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/object_sources.rs
@@ -3,9 +3,9 @@
 //! Load pattern: a configuration of a megabyte changes while callers take most of a daemon's link, and
 //! several hubs, and the store, have it. Two transfers of the same object over one link delay each
 //! other, and a transfer that is given up has filled the link for nothing. So a daemon fetches
-//! from one source at a time and stays with it for as long as the transfer makes progress; then it
-//! asks whoever has the newest objects, so that changes which follow each other never keep it from
-//! completing a transfer (`docs/design/large-objects.md`).
+//! from one source at a time and keeps the transfer for as long as it makes progress. After that it
+//! fetches the newest objects. Frequent changes therefore never prevent a transfer from completing
+//! (`docs/design/large-objects.md`).
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -20,8 +20,8 @@
 /// Time for which a peer isn't asked again after a fetch from it failed.
 const FAILED_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Time for which a peer that failed doesn't replace the store's answer while that arrives. Otherwise
-/// the two could be left for each other by turns, and neither would ever arrive.
+/// Time for which a peer that failed doesn't replace an answer that is arriving from the store.
+/// Otherwise a daemon could alternate between the two without completing either transfer.
 const UNRELIABLE_SOURCE_TIME_US: DurationUs = DurationUs::from_ms(10_000);
 
 /// Minimum time that the rest of the store's answer must take for a peer to be asked instead. A peer
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -180,8 +180,8 @@
         self.0.iter().map(update_of).collect()
     }
 
-    /// Applies the revisions and ages that `peer` reports, and returns whether it has newer objects of a
-    /// role of which nobody was known to have any. `held_up_us` is how long its message was delayed.
+    /// Applies the revisions and ages that `peer` reports. Returns whether it is the first peer with newer
+    /// objects of some role. `held_up_us` is how long its message was delayed.
     pub(crate) fn apply_peer_kinds(
         &self,
         peer: &ObjectPeer,
@@ -312,7 +312,7 @@
     /// Waits until objects of a role are being fetched from a peer (`expected` is true) or are not.
     pub(super) async fn wait_for_catch_up(&self, role: ObjectRole, expected: bool) {
         let mut catching_up = self.state_of(role).lock().catching_up.subscribe();
-        // This can't fail: the sender lives as long as the state.
+        // `wait_for` fails only after the sender was dropped, and the state owns the sender.
         let _ = catching_up.wait_for(|is_open| *is_open == expected).await;
     }
 
--- a/crates/wisteriahitch-relay/tests/all/large_objects.rs
+++ b/crates/wisteriahitch-relay/tests/all/large_objects.rs
@@ -371,10 +371,7 @@
     times?.into_iter().max()
 }
 
-/// Guards against large configurations that reach most of a fleet late or never: over narrow links of
-/// which callers take most, in quick succession, and while hubs fail in the middle.
-#[test]
-fn a_large_configuration_reaches_a_whole_fleet_in_time() {
+fn cases() -> Vec<Case> {
     let small = Case {
         name: "70 daemons, 1,400 routes",
         daemons: 70,
@@ -393,7 +390,7 @@
         bound_ms: 5_000,
         ..small
     };
-    let cases = [
+    vec![
         Case {
             name: "70 daemons, 4,000 routes",
             size: ROUTES_4000,
@@ -438,11 +435,31 @@
             has_wide_links: false,
             ..large
         },
+        Case {
+            name: "140 daemons, 4,000 routes, 8 versions",
+            daemons: 140,
+            size: ROUTES_4000,
+            versions: 8,
+            ..small
+        },
+        Case {
+            name: "1,968 daemons, 4,000 routes, 8 versions",
+            daemons: 1_968,
+            size: ROUTES_4000,
+            versions: 8,
+            ..large
+        },
         small,
         large,
-    ];
+    ]
+}
+
+/// Guards against large configurations that reach most of a fleet late or never: over narrow links of
+/// which callers take most, in quick succession, and while hubs fail in the middle.
+#[test]
+fn a_large_configuration_reaches_a_whole_fleet_in_time() {
     let mut violations = Vec::new();
-    for case in cases {
+    for case in cases() {
         let longest_ms = play(&case);
         println!("{}: in force after {longest_ms:?} ms", case.name);
         if longest_ms.is_none_or(|ms| ms > case.bound_ms) {
--- a/crates/wisteriahitch-relay/tests/all/object_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/object_sources.rs
@@ -18,7 +18,7 @@
 fn the_newest_objects_are_fetched_from_a_peer_that_is_heard_and_answers() {
     struct Case {
         name: &'static str,
-        /// Peer, revision, when it was last heard, and when a fetch from it failed.
+        /// Peer, revision, time of its last message, and time of a failed fetch from it.
         offers: &'static [(u8, u64, u64, Option<u64>)],
         expected: Option<u8>,
     }
@@ -68,7 +68,7 @@
 }
 
 /// Guards against a daemon that counts as behind for good, and answers 503 for unknown routes, after
-/// the objects that it was told of have arrived or the peer that told of them is gone.
+/// the reported objects have arrived, or after the peer that reported them has failed.
 #[test]
 fn a_daemon_is_behind_only_as_long_as_it_is_told_of_newer_objects() {
     let mut sources = ObjectSources::default();
--- a/crates/wisteriahitch-wire/src/transfer.rs
+++ b/crates/wisteriahitch-wire/src/transfer.rs
@@ -84,7 +84,8 @@
     }
 }
 
-/// Progress of one transfer, for whoever decides whether to wait for it. Clones share the state.
+/// Progress of one transfer, observed by the code that decides whether to wait for it. Clones share the
+/// state.
 #[derive(Clone, Debug, Default)]
 pub struct TransferProgress {
     state: Arc<ProgressState>,
