feat(relay): failed attempts are logged with what was known of a brittle endpoint

The three hypotheses of the incident differ in whether the daemon whose call is refused knew that the endpoint is brittle, and in how many of its own calls ran there. No log line said so: attempt_failed has known_brittle and own_running now. Nothing is decided by them.

--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -40,6 +40,8 @@
         reason: &'static str,
         detail: String,
         may_have_run: bool,
+        known_brittle: bool,
+        own_running: u32,
         next: &'static str,
         budget_left: f64,
     },
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -416,6 +416,15 @@
         let parts = attributes
             .iter()
             .filter(|attribute| matches!(attribute, CallAttribute::PromptPart(_)));
+        let (known_brittle, own_running) = {
+            let (endpoints, now) = (shared.endpoints.lock(), shared.now());
+            let row = endpoints.get(&placement.endpoint);
+            row.map_or((false, 0), |row| {
+                let brittleness = row.statements.brittleness.as_ref();
+                let is_brittle = brittleness.is_some_and(|state| state.is_brittle(now));
+                (is_brittle, row.own_load.running)
+            })
+        };
         shared.log.write(&Event::AttemptFailed {
             request: self.call.head.request_id.to_string(),
             fingerprint: attributes.request().to_string(),
@@ -425,6 +434,8 @@
             reason: failure.kind.label(),
             detail: failure.detail.clone(),
             may_have_run: !failure.kind.is_not_run(),
+            known_brittle,
+            own_running,
             next: next.label(),
             budget_left: shared.budgets.remaining(&self.service, shared.now()),
         });
