--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -51,6 +51,12 @@
 }
 
 impl EndpointRow {
+    /// Returns whether the endpoint is known to be brittle.
+    pub fn is_brittle(&self, now: TimeUs) -> bool {
+        let brittleness = self.statements.brittleness.as_ref();
+        brittleness.is_some_and(|state| state.is_brittle(now))
+    }
+
     /// Returns whether the endpoint has room for one more call of this daemon. Only a brittle one
     /// may have none.
     pub fn has_room(&self, now: TimeUs) -> bool {
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -82,6 +82,8 @@
     pub lesson: Option<PaceLesson>,
     /// Permits that the call uses if the endpoint's call rate is limited.
     pub permits: CallPermits,
+    /// Whether the endpoint was known to be brittle.
+    pub is_brittle: bool,
 }
 
 /// Chooses an endpoint for a call.
@@ -176,6 +178,7 @@
             Admission::Permit(permits) => permits,
             _ => CallPermits::default(),
         },
+        is_brittle: chosen.row.is_brittle(now),
     })
 }
 
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -416,14 +416,10 @@
         let parts = attributes
             .iter()
             .filter(|attribute| matches!(attribute, CallAttribute::PromptPart(_)));
-        let (known_brittle, own_running) = {
-            let (endpoints, now) = (shared.endpoints.lock(), shared.now());
+        let own_running = {
+            let endpoints = shared.endpoints.lock();
             let row = endpoints.get(&placement.endpoint);
-            row.map_or((false, 0), |row| {
-                let brittleness = row.statements.brittleness.as_ref();
-                let is_brittle = brittleness.is_some_and(|state| state.is_brittle(now));
-                (is_brittle, row.own_load.running)
-            })
+            row.map_or(0, |row| row.own_load.running)
         };
         shared.log.write(&Event::AttemptFailed {
             request: self.call.head.request_id.to_string(),
@@ -434,7 +430,7 @@
             reason: failure.kind.label(),
             detail: failure.detail.clone(),
             may_have_run: !failure.kind.is_not_run(),
-            known_brittle,
+            known_brittle: placement.is_brittle,
             own_running,
             next: next.label(),
             budget_left: shared.budgets.remaining(&self.service, shared.now()),
