fix(relay): brittle endpoints are known of by all, and get calls only with room that was lent

What callers saw: endpoints that had stated that they fail if they must refuse many calls were sent more than they had room for, and failed with all calls that ran there, again after each restart; beside that, daemons that had no fixed part of a small service's slots refused every call of it.

Cause: a statement counted for the daemon that had received the answer, for one process, and for ten seconds. A daemon that had no answer yet, none for a while, or none of the present process sent what its estimate of the load allowed. And a fixed part of the slots for each daemon is no part at all where there are more daemons than slots.

Change: a statement counts for the service, is gossiped with its age, and ends only with an answer without it. One daemon for each endpoint, the first by hash of those alive, lends room for each call; refusals are reported back and lower what it lends.

Why it works: nobody has to find out by a refused call, neither that the endpoint is brittle nor whether it has room; and where the count is wrong, N/2 refusals stop it.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -210,11 +210,6 @@
             row.cold.permits.share = cold.map_or(PermitShare::default(), |cold| {
                 share(&cold.limit, MinorityShare::Nothing)
             });
-            let slots = row.endpoint.slots;
-            if let Some(brittleness) = &mut row.statements.brittleness {
-                let rule = MinorityShare::Proportional;
-                brittleness.share = shares.share(id, slots, rule, now);
-            }
             if let Some(named) = row.statements.limit.stated_mut() {
                 let limit = named.active_limit(self.limit_ttl_us, now);
                 named.permits.share = limit.map_or(PermitShare::default(), |limit| {
--- a/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_statements.rs
@@ -6,7 +6,6 @@
 use super::endpoint_table::{EndpointChange, EndpointTable};
 use super::gossip_message::LimitUpdate;
 use super::named_limit::{LimitNotice, LimitOutcome, StatedLimit};
-use super::permit_shares::PermitShare;
 
 /// Maximum rest after which an endpoint gets calls again. One that wants no call for more than an
 /// hour has left.
@@ -19,77 +18,11 @@
     pub limit: StatedLimit,
     /// Until when the endpoint wants no call from this daemon.
     pub rest_until_us: TimeUs,
-    /// Whether the endpoint is brittle: it fails if it has to refuse many calls.
-    /// `None` unless it has said so. Boxed, because hardly any endpoint has.
-    pub brittleness: Option<Box<Brittleness>>,
     /// Whether an answer has ever contained a statement that can't be parsed.
     pub has_malformed: bool,
 }
 
-/// How long an endpoint counts as brittle without saying so again.
-const BRITTLE_TTL_US: DurationUs = DurationUs::from_ms(10_000);
-
-/// What is known of a brittle endpoint, which fails if it has to refuse more than a few calls in a
-/// second.
-///
-/// Each daemon then has a fixed part of the endpoint's slots. Loads that daemons report to each
-/// other are too old for this: all would fill the same free slot, and the endpoint may hardly let
-/// calls wait.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Brittleness {
-    /// When the endpoint last said that it is brittle.
-    stated_at_us: TimeUs,
-    /// Number of its slots that this daemon may use.
-    pub(super) share: PermitShare,
-}
-
-impl Brittleness {
-    /// Returns whether the endpoint is brittle.
-    pub fn is_brittle(&self, now: TimeUs) -> bool {
-        now.since(self.stated_at_us) < BRITTLE_TTL_US
-    }
-}
-
-impl EndpointRow {
-    /// Returns whether the endpoint is known to be brittle.
-    pub fn is_brittle(&self, now: TimeUs) -> bool {
-        let brittleness = self.statements.brittleness.as_ref();
-        brittleness.is_some_and(|state| state.is_brittle(now))
-    }
-
-    /// Returns whether the endpoint has room for one more call of this daemon. Only a brittle one
-    /// may have none.
-    pub fn has_room(&self, now: TimeUs) -> bool {
-        let brittleness = self.statements.brittleness.as_ref();
-        let Some(brittleness) = brittleness.filter(|state| state.is_brittle(now)) else {
-            return true;
-        };
-        let own = self.own_load.running + self.unsent_load.running;
-        (own as usize) < brittleness.share.at(now)
-    }
-}
-
 impl EndpointTable {
-    /// Records whether an answer says that an endpoint is brittle. Returns whether this is a change.
-    pub fn record_brittleness(
-        &mut self,
-        instance: &EndpointInstance,
-        is_brittle: bool,
-        now: TimeUs,
-    ) -> bool {
-        let Some(row) = self.get_mut(instance) else {
-            return false;
-        };
-        let state = row.statements.brittleness.take();
-        let was_brittle = state.as_ref().is_some_and(|state| state.is_brittle(now));
-        if is_brittle {
-            let mut state = state.unwrap_or_default();
-            state.stated_at_us = now;
-            row.statements.brittleness = Some(state);
-        }
-        was_brittle != is_brittle
-    }
-
     /// Records the limit that an answer names; `None` if it names no limit.
     pub fn record_limit(
         &mut self,
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::backlog::Load;
+use super::brittle_services::BrittleServices;
 use super::cold_limit::ColdState;
 use super::endpoint_admission::{ServiceColdLimit, ShareTimes};
 use super::endpoint_gossip::PeerReport;
@@ -24,6 +25,7 @@
 use super::outlier::{OutlierDetector, OutlierOptions};
 use super::parts::PartCache;
 use super::rates_section::RatesSection;
+use super::room_lending::EndpointRoom;
 use super::shared_names::SharedNames;
 use super::software_versions::SoftwareVersions;
 use crate::site::Endpoint;
@@ -127,6 +129,8 @@
     pub(super) drain_fallback_us: DurationUs,
     /// Instances that have announced their leaving in an answer.
     pub(super) leaving: LeavingInstances,
+    /// Services whose endpoints are brittle.
+    pub(super) brittle: BrittleServices,
     /// How long a limit that an endpoint names stays in force without being repeated.
     pub(super) limit_ttl_us: DurationUs,
     /// Until when endpoints that have announced their leaving still take streams that no other
@@ -194,6 +198,32 @@
         self.memory_tokens = memory_tokens;
     }
 
+    /// Returns what is known of services whose endpoints are brittle.
+    pub fn brittle_services(&self) -> &BrittleServices {
+        &self.brittle
+    }
+
+    /// Returns what an endpoint of a brittle service can take; `None` for any other endpoint.
+    pub fn brittle_room(&self, instance: &EndpointInstance) -> Option<EndpointRoom> {
+        let row = self.get(instance)?;
+        let service = &row.endpoint.service;
+        let max_refusals_per_s = self.brittle.max_refusals_per_s(service)?;
+        let mut reported = row.own_load;
+        reported.add(row.peers_load);
+        Some(EndpointRoom {
+            slots: row.endpoint.slots,
+            memory_tokens: self.memory_tokens.get(service).copied(),
+            max_refusals_per_s,
+            reported,
+        })
+    }
+
+    /// Returns the instance with a short name.
+    pub fn by_short_name(&self, short_name: u32) -> Option<&EndpointInstance> {
+        let id = self.by_short_name.get(&short_name)?;
+        self.rows.get(id).map(|row| row.instance())
+    }
+
     /// Sets whether load is managed.
     pub fn set_load_managed(&mut self, is_managed: bool) {
         self.manages_load = is_managed;
--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -122,6 +122,8 @@
     me: Ipv4Addr,
     /// Views in force within the last [`PERMIT_ACTIVATION_DELAY_US`], the oldest first.
     views: VecDeque<View>,
+    /// Daemons that were alive at the last observation, whether or not permits may be used.
+    alive: BTreeSet<Ipv4Addr>,
     /// When each member of the fleet was last alive or registered.
     last_seen_us: BTreeMap<Ipv4Addr, TimeUs>,
     observed_at_us: TimeUs,
@@ -137,6 +139,7 @@
                 members: Vec::new(),
                 minority: None,
             }]),
+            alive: BTreeSet::new(),
             last_seen_us: BTreeMap::new(),
             observed_at_us: now,
         }
@@ -149,6 +152,7 @@
         }
         self.observed_at_us = now;
         self.record_last_seen(observation, now);
+        self.alive.clone_from(&observation.alive);
         let members: Vec<Ipv4Addr> = match observation.is_complete {
             true => observation.alive.iter().copied().collect(),
             false => Vec::new(),
@@ -180,6 +184,11 @@
         self.last_seen_us.len() + usize::from(!is_counted)
     }
 
+    /// Returns the daemons that were alive at the last observation.
+    pub fn alive(&self) -> &BTreeSet<Ipv4Addr> {
+        &self.alive
+    }
+
     /// Returns how many of an endpoint's permits this daemon may use.
     pub fn share(
         &self,
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -169,19 +169,22 @@
         queue_us,
         expected_us,
         candidates: evaluated.len(),
-        memory_tokens: call.map_or_else(
-            || request.prompt.map_or(0, PromptShape::memory_tokens),
-            |call| call.memory_tokens,
-        ),
+        memory_tokens: memory_tokens(request, call),
         lesson: chosen.lesson.filter(|_| teaches(request)),
         permits: match table.admission(chosen.row, now) {
             Admission::Permit(permits) => permits,
             _ => CallPermits::default(),
         },
-        is_brittle: chosen.row.is_brittle(now),
+        is_brittle: table.is_brittle(chosen.row),
     })
 }
 
+/// Returns how many tokens the call is expected to occupy in an engine's memory.
+fn memory_tokens(request: &PlacementRequest<'_>, call: Option<&EngineCall<'_>>) -> u64 {
+    let of_prompt = || request.prompt.map_or(0, PromptShape::memory_tokens);
+    call.map_or_else(of_prompt, |call| call.memory_tokens)
+}
+
 /// Returns whether the answer to a call may say something of the service's rates. The first event of
 /// a stream that is resumed may have been written before, and after a failed attempt the load isn't
 /// as usual.
@@ -224,7 +227,8 @@
         });
         return refusal.retry_after(retry_after(free_at.since(now), rng));
     }
-    if untried.iter().any(|row| !row.has_room(now)) {
+    // Those that were tried for this call had no room a moment ago.
+    if rows.iter().any(|row| table.is_brittle(row)) {
         let refusal = Refusal::new(Code::EndpointsLimited);
         return refusal.retry_after(retry_after(NO_ROOM_RETRY_US, rng));
     }
@@ -385,7 +389,7 @@
     let (matching, others): (Vec<&EndpointRow>, Vec<&EndpointRow>) = rows
         .filter(|row| !request.excluded.contains(row.instance()))
         .filter(|row| request.allowed_zones.contains(&row.endpoint.zone))
-        .filter(|row| table.admission(row, now).is_open() && row.has_room(now))
+        .filter(|row| table.admission(row, now).is_open() && table.may_have_room(row, now))
         .partition(|row| has_expected_weights(row, request, now));
     if !matching.is_empty() {
         return matching;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub use decide::answer_schedule::{AnswerSchedule, Serving};
 pub use decide::backlog::{Load, LoadReport};
 pub use decide::blocked_attributes::{CallAdmission, TrialUpdate};
+pub use decide::brittle_services::{BrittleSection, BrittleServices, BrittleUpdate};
 pub use decide::call_work::{CallWork, WorkRates};
 pub use decide::caller_pause::CallerPauses;
 pub use decide::cold_limit::ColdState;
@@ -31,7 +32,7 @@
 pub use decide::endpoint_pace::{EndpointPace, WorkPercent, reported_factor};
 pub use decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 pub use decide::endpoint_row::{EndpointRow, EndpointState};
-pub use decide::endpoint_statements::{Brittleness, EndpointStatements};
+pub use decide::endpoint_statements::EndpointStatements;
 pub use decide::endpoint_table::{AbsenceCause, EndpointChange, EndpointTable, Registration};
 pub use decide::engine_rates::{EngineRates, PaceLesson, ServicePace};
 pub use decide::evacuated_zones::{EvacuatedZones, ZoneChange};
@@ -70,6 +71,9 @@
 pub use decide::retry_share::max_saved_retries;
 pub use decide::rollout::{Rollout, RolloutRow, RolloutStep};
 pub use decide::rollout_concurrency::{ConcurrencyOptions, Overrun, Remaining, RolloutConcurrency};
+pub use decide::room_lending::{
+    EndpointRoom, LoanEnd, LoanId, RoomLender, RoomRequest, room_lender,
+};
 pub use decide::service_capacity::service_capacity;
 pub use decide::staleness::{QueryRank, StalenessLimits, answered_as_of};
 pub use decide::store_retry::store_retry_backoff;
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -89,10 +89,11 @@
         source: &'static str,
         age_ms: u64,
     },
-    /// An endpoint states that it is brittle, or no longer states it.
-    EndpointBrittle {
-        endpoint: String,
+    /// The endpoints of a service state that they are brittle, or no longer state it.
+    ServiceBrittle {
+        service: String,
         max_refusals_per_s: Option<u32>,
+        source: &'static str,
     },
     /// An endpoint stated in an answer that it is leaving.
     EndpointLeaving {
@@ -306,7 +307,7 @@
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
             Event::EndpointLimitChanged { .. } => "endpoint_limit_changed",
-            Event::EndpointBrittle { .. } => "endpoint_brittle",
+            Event::ServiceBrittle { .. } => "service_brittle",
             Event::EndpointLeaving { .. } => "endpoint_leaving",
             Event::EndpointResting { .. } => "endpoint_resting",
             Event::EndpointStatementMalformed { .. } => "endpoint_statement_malformed",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -49,6 +49,8 @@
     pub(crate) attempts: IntCounterVec,
     /// Retries by whether the retry budget allowed them.
     pub(crate) retries: IntCounterVec,
+    /// Loans of room at brittle endpoints, by outcome.
+    pub(crate) room_lending: IntCounterVec,
     /// Retries that daemons lend to each other, by outcome.
     pub(crate) retry_lending: IntCounterVec,
     /// Streams that callers resume, by who knew where they had begun, or why they are refused.
@@ -73,6 +75,8 @@
     pub(crate) blocked_requests: IntGauge,
     /// Availability zones that are evacuated.
     pub(crate) evacuated_zones: IntGauge,
+    /// Services whose endpoints are brittle.
+    pub(crate) brittle_services: IntGauge,
     /// Endpoints that are still cold and get only few calls.
     pub(crate) cold_endpoints: IntGauge,
     /// Endpoints that state a rate limit.
@@ -151,6 +155,7 @@
             refusals: counters("relay_refusals_total", "Refusals.", &["code"])?,
             attempts: counters("relay_attempts_total", "Attempts.", &["outcome"])?,
             retries: counters("relay_retries_total", "Retries asked for.", &["granted"])?,
+            room_lending: room_lending(&registry)?,
             retry_lending: retry_lending(&registry)?,
             stream_resumes: stream_resumes(&registry)?,
             connections: counters("relay_connections_total", "Connections.", &["how"])?,
@@ -165,6 +170,7 @@
             unreadable_objects: unreadable_objects(&registry)?,
             endpoint_crashes: endpoint_crashes(&registry)?,
             blocked_requests: gauge("relay_blocked_requests", "Blocked requests and parts.")?,
+            brittle_services: gauge("relay_brittle_services", "Services with brittle endpoints.")?,
             cold_endpoints: gauge("relay_cold_endpoints", "Cold endpoints.")?,
             limited_endpoints: limited_endpoints(&registry)?,
             leaving_endpoints: leaving_endpoints(&registry)?,
@@ -228,6 +234,11 @@
     counters(registry, "relay_endpoint_crashes_total", help, &["proof"])
 }
 
+fn room_lending(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let help = "Loans of room at brittle endpoints.";
+    counters(registry, "relay_room_lending_total", help, &["outcome"])
+}
+
 fn retry_lending(registry: &Registry) -> prometheus::Result<IntCounterVec> {
     let help = "Retries that daemons lend to each other.";
     counters(registry, "relay_retry_lending_total", help, &["outcome"])
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -18,6 +18,7 @@
 use super::transfers::PartTransfers;
 use crate::border::{AnswerHead, CallHead, OutgoingCall};
 use crate::decide::placement::Placement;
+use crate::decide::room_lending::LoanEnd;
 use crate::observe::Event;
 use crate::site::{AllowedZones, CallAttribute, CallAttributes, EngineSpec};
 
@@ -272,6 +273,7 @@
             (false, Some(_)) => "forwarded",
         };
         shared.metrics.connections.with_label_values(&[how]).inc();
+        in_flight.borrow_room(placement, call.deadline).await?;
         if !is_admitted(shared, placement) {
             let detail = "the endpoint no longer accepts calls";
             return Err(Failure::new(FailureKind::NotAdmitted, detail));
@@ -488,12 +490,20 @@
         // Says nothing about the state of the endpoint.
         FailureKind::NotAdmitted => {}
         FailureKind::NotRun | FailureKind::Misdirected => {
+            in_flight.set_room_end(match kind {
+                FailureKind::NotRun => LoanEnd::Refused,
+                _ => LoanEnd::Finished,
+            });
             let reserved_until: TimeUs = shared.now() + REFUSAL_BACKOFF_US;
             let mut endpoints = shared.endpoints.lock();
             if let Some(row) = endpoints.get_mut(&placement.endpoint) {
                 row.reserved_until_us = row.reserved_until_us.max(reserved_until);
             }
         }
+        FailureKind::EndpointFailed => {
+            in_flight.set_room_end(LoanEnd::Finished);
+            in_flight.finish(AttemptOutcome::Failed);
+        }
         _ => in_flight.finish(AttemptOutcome::Failed),
     }
 }
--- a/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt_answer.rs
@@ -16,6 +16,7 @@
 use super::shared::Shared;
 use crate::decide::answer_progress::AnswerProgress;
 use crate::decide::placement::Placement;
+use crate::decide::room_lending::LoanEnd;
 
 /// Maximum size of an answer that is buffered completely before it is passed on. If the connection
 /// breaks before anything was passed on, the call can still be sent again.
@@ -57,6 +58,7 @@
             let progress = AnswerProgress::NONE;
             record_answer_end(shared, &self.call, placement, &parts.headers, progress);
         }
+        in_flight.set_room_end(LoanEnd::Finished);
         in_flight.finish(match parts.status.is_server_error() {
             true => AttemptOutcome::Failed,
             false => AttemptOutcome::Succeeded,
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -124,6 +124,8 @@
             pool: ConnectionPool::default(),
             links: Mutex::default(),
             forwarders: Mutex::default(),
+            room_lender: Mutex::default(),
+            lender_connections: ConnectionPool::default(),
             instance_ended: Notify::new(),
             followed_engines: Mutex::default(),
             budgets: RetryBudgets::new(settings.retry.clone(), settings.ip),
@@ -269,6 +271,7 @@
         let changes = shared.endpoints.lock().tick(shared.now());
         shared.record_endpoint_changes(changes, 0);
         shared.pool.close_expired();
+        shared.lender_connections.close_expired();
         block_due_suspects(&shared);
         expire_blocks(&shared);
         probe_partitioned_services(&shared);
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -183,20 +183,27 @@
         members: Vec::new(),
         membership: MembershipUpdate::default(),
         is_partitioned: is_partitioned_from_engines(shared),
-        sections: sections(shared),
+        sections: sections(shared, now),
     }
 }
 
 /// Returns the sections for all receivers.
-fn sections(shared: &Shared) -> MessageSections {
+fn sections(shared: &Shared, now: TimeUs) -> MessageSections {
     let mut sections = MessageSections::default();
-    if !shared.manages_load() {
-        return sections;
-    }
-    let rates = shared.endpoints.lock().rates.section();
-    if let Some(Err(error)) = rates.map(|rates| sections.push(&rates)) {
+    let manages_load = shared.manages_load();
+    let (brittle, rates) = {
+        let endpoints = shared.endpoints.lock();
+        let rates = manages_load.then(|| endpoints.rates.section());
+        (endpoints.brittle_services().section(now), rates.flatten())
+    };
+    // The most important section first.
+    let pushed = [
+        brittle.map(|brittle| sections.push(&brittle)),
+        rates.map(|rates| sections.push(&rates)),
+    ];
+    for error in pushed.into_iter().flatten().filter_map(Result::err) {
         shared.log.write(&Event::Failure {
-            what: "encoding rates",
+            what: "encoding a section",
             detail: error.to_string(),
         });
     }
--- a/crates/wisteriahitch-relay/src/shell/in_flight.rs
+++ b/crates/wisteriahitch-relay/src/shell/in_flight.rs
@@ -6,6 +6,8 @@
 use tokio::time::Instant;
 use wisteriahitch_types::{DurationUs, EndpointInstance, TimeUs};
 
+use super::attempt::Failure;
+use super::room_lending::{RoomLoan, borrow_room};
 use super::shared::Shared;
 use crate::decide::backlog::Load;
 use crate::decide::endpoint_table::EndpointTable;
@@ -13,6 +15,7 @@
 use crate::decide::gossip_message::PartUpdate;
 use crate::decide::parts::part_keys;
 use crate::decide::placement::Placement;
+use crate::decide::room_lending::LoanEnd;
 use crate::observe::Event;
 use crate::site::PromptShape;
 
@@ -30,6 +33,8 @@
     sent_at: Instant,
     /// What the time of the answer says of the service's rates.
     lesson: Option<PaceLesson>,
+    /// Room that was borrowed for the attempt, if its endpoint is brittle.
+    room: Option<RoomLoan>,
 }
 
 /// Outcome of an attempt for outlier detection of its endpoint.
@@ -66,6 +71,30 @@
             started_at: Instant::now(),
             sent_at: Instant::now(),
             lesson: placement.lesson,
+            room: None,
+        }
+    }
+
+    /// Borrows room for the attempt if its endpoint is brittle.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`borrow_room`].
+    pub(crate) async fn borrow_room(
+        &mut self,
+        placement: &Placement,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
+        if self.room.is_none() {
+            self.room = borrow_room(&self.shared, placement, deadline).await?;
+        }
+        Ok(())
+    }
+
+    /// Sets how the attempt ends for the room that was borrowed for it.
+    pub(crate) fn set_room_end(&self, end: LoanEnd) {
+        if let Some(room) = &self.room {
+            room.set_end(end);
         }
     }
 
@@ -73,6 +102,7 @@
     /// daemons. It may be sent again on another connection if nothing was sent on the first one.
     pub(crate) fn record_sent(&mut self) {
         self.sent_at = Instant::now();
+        self.set_room_end(LoanEnd::Abandoned);
         if std::mem::replace(&mut self.is_sent, true) {
             return;
         }
@@ -152,6 +182,9 @@
 
     /// Records the outcome of the attempt for outlier detection.
     pub(crate) fn finish(&self, outcome: AttemptOutcome) {
+        if outcome == AttemptOutcome::Succeeded {
+            self.set_room_end(LoanEnd::Finished);
+        }
         let now = self.shared.now();
         let mut endpoints = self.shared.endpoints.lock();
         let options = endpoints.outlier_options;
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -31,6 +31,7 @@
 mod registration;
 mod request_body;
 mod retry_lending;
+mod room_lending;
 mod routed;
 mod server;
 mod shared;
--- a/crates/wisteriahitch-relay/src/shell/peer_server.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_server.rs
@@ -20,6 +20,7 @@
     ENGINE_MEMORY_PATH, EngineMemorySnapshot, PEER_OBJECTS_PATH, PEER_PARTS_PATH,
 };
 use super::retry_lending::answer_borrower;
+use super::room_lending::{ROOM_PATH, answer_room_request};
 use super::server::{ConnectionLimits, RequestHandler};
 use super::shared::Shared;
 use super::stream_origins::{ORIGIN_PATH, answer_question};
@@ -49,6 +50,9 @@
             return answer.unwrap_or_else(|| response_of(None, false));
         }
         let body = match *request.method() {
+            _ if path.starts_with(ROOM_PATH) => {
+                answer_room_request(&self.shared, request.method(), path, query, from.ip())
+            }
             Method::DELETE => lift(&self.shared, path),
             Method::POST => answer_borrower(&self.shared, path, from.ip()),
             _ => self.response_body(path, query),
@@ -134,6 +138,10 @@
     }
     let (now, metrics) = (shared.now(), &shared.metrics);
     let counts = [
+        (
+            &metrics.brittle_services,
+            endpoints.brittle_services().count(),
+        ),
         (&metrics.cold_endpoints, endpoints.cold_count(now)),
         (&metrics.limited_endpoints, endpoints.limited_count(now)),
         (&metrics.leaving_endpoints, endpoints.leaving_count()),
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -15,7 +15,7 @@
 use super::peer_client::{catch_up, fetch_store_parts};
 use super::peer_state::enqueue_parts;
 use super::shared::Shared;
-use super::statements::{apply_leaving_updates, apply_limit_updates};
+use super::statements::{apply_brittle_services, apply_leaving_updates, apply_limit_updates};
 use super::stream_origins::receive_record;
 use super::watch::log_confirmations;
 use super::watch_state::ObjectPeer;
@@ -252,6 +252,7 @@
     apply_load(shared, &message, now);
     apply_leaving_updates(shared, &message.leaving);
     apply_limit_updates(shared, &message.limits, now);
+    apply_brittle_services(shared, &message, held_up_us, now);
     apply_suspect_update(shared, &message.suspects);
     receive_work_report(shared, &message, now);
     apply_store_updates(shared, &message, now);
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -1,7 +1,7 @@
 //! State that all tasks of a daemon share.
 
 use std::collections::HashSet;
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -34,6 +34,7 @@
 use crate::decide::permit_shares::PermitShares;
 use crate::decide::recent_durations::RecentDurations;
 use crate::decide::rollout::Rollout;
+use crate::decide::room_lending::RoomLender;
 use crate::decide::stream_versions::StreamVersions;
 use crate::decide::suspects::SuspectTable;
 use crate::decide::timely_answers::ProcessActivity;
@@ -98,6 +99,10 @@
     pub(crate) followed_engines: Mutex<HashSet<EndpointInstance>>,
     /// Notified when an instance of an endpoint has ended.
     pub(crate) instance_ended: Notify,
+    /// Loans of room at brittle endpoints for which this daemon counts the calls.
+    pub(super) room_lender: Mutex<RoomLender>,
+    /// Idle connections to daemons that lend room.
+    pub(super) lender_connections: ConnectionPool<Ipv4Addr>,
     pub(crate) budgets: RetryBudgets,
     pub(crate) durations: CallDurations,
     /// How long the recent calls of each route took.
--- a/crates/wisteriahitch-relay/src/shell/statements.rs
+++ b/crates/wisteriahitch-relay/src/shell/statements.rs
@@ -1,13 +1,14 @@
 //! Processes what endpoints report about themselves in the headers of their answers: rate limit,
 //! shutdown, rest and load.
 
-use wisteriahitch_types::{CallRate, EndpointInstance, TimeUs};
+use wisteriahitch_types::{CallRate, DurationUs, EndpointInstance, ServiceName, TimeUs};
 
 use super::peers::update_permit_shares;
 use super::shared::Shared;
 use crate::border::{AnswerHead, Statement};
+use crate::decide::brittle_services::BrittleSection;
 use crate::decide::endpoint_table::{EndpointChange, instance_short_name};
-use crate::decide::gossip_message::LimitUpdate;
+use crate::decide::gossip_message::{GossipMessage, LimitUpdate};
 use crate::observe::Event;
 
 /// Records the statements in an answer to a call that was sent to the endpoint `called`.
@@ -115,20 +116,61 @@
         Statement::Absent => return,
         Statement::Malformed => return count_malformed_statement(shared, endpoint, "brittle"),
     };
-    let now = shared.now();
-    let is_changed = {
+    let changed = {
         let mut endpoints = shared.endpoints.lock();
-        endpoints.record_brittleness(endpoint, max_refusals_per_s.is_some(), now)
+        endpoints.record_brittleness(endpoint, max_refusals_per_s, shared.now())
     };
-    if is_changed {
-        update_permit_shares(shared, now);
-        shared.log.write(&Event::EndpointBrittle {
-            endpoint: endpoint.to_string(),
-            max_refusals_per_s,
-        });
+    if let Some(service) = changed {
+        log_brittle_service(shared, &service, "answer");
+        // Until the other daemons know, they send calls to find out whether there is room.
+        shared.peers.wake_sender.notify_one();
     }
 }
 
+/// Applies what a peer knows of services whose endpoints are brittle.
+pub(super) fn apply_brittle_services(
+    shared: &Shared,
+    message: &GossipMessage,
+    held_up_us: DurationUs,
+    now: TimeUs,
+) {
+    let section = match message.sections.get::<BrittleSection>() {
+        Ok(None) => return,
+        Ok(Some(section)) => section,
+        Err(error) => {
+            let counter = &shared.metrics.invalid_peer_figures;
+            counter.with_label_values(&["brittle"]).inc();
+            return shared.log.write(&Event::Failure {
+                what: "brittle services of a peer",
+                detail: format!("{error}, from {}", message.ip),
+            });
+        }
+    };
+    let changes = {
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.apply_brittle_services(&section, held_up_us, now)
+    };
+    for service in &changes {
+        log_brittle_service(shared, service, "peer");
+    }
+    if !changes.is_empty() {
+        // A hub relays this at once.
+        shared.peers.wake_sender.notify_one();
+    }
+}
+
+fn log_brittle_service(shared: &Shared, service: &ServiceName, source: &'static str) {
+    let max_refusals_per_s = {
+        let endpoints = shared.endpoints.lock();
+        endpoints.brittle_services().max_refusals_per_s(service)
+    };
+    shared.log.write(&Event::ServiceBrittle {
+        service: service.to_string(),
+        max_refusals_per_s,
+        source,
+    });
+}
+
 /// Records the rate limit in an answer. An answer without one ends a known limit only if it is the
 /// endpoint's own answer to the call.
 fn record_limit_statement(
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a panic fails the test")]
 
+mod brittle_services;
 mod call_work;
 mod caller_pause;
 mod cold_limit;
@@ -41,6 +42,7 @@
 mod retry_share;
 mod rollout;
 mod rollout_fleet;
+mod room_lending;
 mod routes;
 mod service_capacity;
 mod settings;
