--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -40,6 +40,8 @@
         reason: &'static str,
         detail: String,
         may_have_run: bool,
+        known_brittle: bool,
+        own_running: u32,
         next: &'static str,
         budget_left: f64,
     },
@@ -87,10 +89,11 @@
         source: &'static str,
         age_ms: u64,
     },
-    /// An endpoint states that it is brittle, or no longer states it.
-    EndpointBrittle {
-        endpoint: String,
+    /// The endpoints of a service state that they are brittle, or no longer state it.
+    ServiceBrittle {
+        service: String,
         max_refusals_per_s: Option<u32>,
+        source: &'static str,
     },
     /// An endpoint stated in an answer that it is leaving.
     EndpointLeaving {
@@ -304,7 +307,7 @@
             Event::EndpointCrashed { .. } => "endpoint_crashed",
             Event::EndpointRestartSeen { .. } => "endpoint_restart_seen",
             Event::EndpointLimitChanged { .. } => "endpoint_limit_changed",
-            Event::EndpointBrittle { .. } => "endpoint_brittle",
+            Event::ServiceBrittle { .. } => "service_brittle",
             Event::EndpointLeaving { .. } => "endpoint_leaving",
             Event::EndpointResting { .. } => "endpoint_resting",
             Event::EndpointStatementMalformed { .. } => "endpoint_statement_malformed",
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -416,6 +416,11 @@
         let parts = attributes
             .iter()
             .filter(|attribute| matches!(attribute, CallAttribute::PromptPart(_)));
+        let own_running = {
+            let endpoints = shared.endpoints.lock();
+            let row = endpoints.get(&placement.endpoint);
+            row.map_or(0, |row| row.own_load.running)
+        };
         shared.log.write(&Event::AttemptFailed {
             request: self.call.head.request_id.to_string(),
             fingerprint: attributes.request().to_string(),
@@ -425,6 +430,8 @@
             reason: failure.kind.label(),
             detail: failure.detail.clone(),
             may_have_run: !failure.kind.is_not_run(),
+            known_brittle: placement.is_brittle,
+            own_running,
             next: next.label(),
             budget_left: shared.budgets.remaining(&self.service, shared.now()),
         });
