fix(relay): what reading the lending of room found

- A call without room was refused as if no endpoint were there (2001 by its last failure): its reason is no_room, and its code 2015, as docs/OPERATIONS.md says.
- A service in evacuated zones that is brittle too was refused with 2015 in place of the evacuation's code.
- An endpoint whose lender doesn't answer is asked again after 20 ms, and each question keeps a caller for 100 ms: 500 ms now.
- A daemon of a partition of at most half of the fleet lends by half of the refusals that an endpoint bears, since another partition may lend there too.
- Whoever reaches the peers' port could report refusals: members only.

--- a/crates/wisteriahitch-relay/src/decide/brittle_services.rs
+++ b/crates/wisteriahitch-relay/src/decide/brittle_services.rs
@@ -27,10 +27,14 @@
 /// How long the end of a statement is gossiped: several messages, some of which may be lost.
 const END_GOSSIP_US: DurationUs = DurationUs::from_ms(10_000);
 
-/// How long an endpoint that had no room for a call isn't asked again by the same daemon: a few
-/// times the way to another daemon and back.
+/// How long no room is asked for at an endpoint that had none: a few times the way to another daemon
+/// and back.
 const NO_ROOM_BACKOFF_US: DurationUs = DurationUs::from_ms(20);
 
+/// How long no room is asked for at an endpoint whose lender didn't answer. Each further question
+/// would keep a caller waiting.
+const NO_ANSWER_BACKOFF_US: DurationUs = DurationUs::from_ms(500);
+
 /// What a service's endpoints have last stated, by any daemon's knowledge.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Brittleness {
@@ -202,11 +206,16 @@
         until.is_none_or(|until| *until <= now) || !self.is_brittle(row)
     }
 
-    /// Records that an endpoint had no room for a call of this daemon.
-    pub fn record_no_room(&mut self, short_name: u32, now: TimeUs) {
+    /// Records that an endpoint had no room for a call of this daemon, or that its lender didn't
+    /// answer.
+    pub fn record_no_room(&mut self, short_name: u32, has_answered: bool, now: TimeUs) {
+        let backoff_us = match has_answered {
+            true => NO_ROOM_BACKOFF_US,
+            false => NO_ANSWER_BACKOFF_US,
+        };
         let no_room_until_us = &mut self.brittle.no_room_until_us;
         no_room_until_us.retain(|_, until| *until > now);
-        no_room_until_us.insert(short_name, now + NO_ROOM_BACKOFF_US);
+        no_room_until_us.insert(short_name, now + backoff_us);
     }
 }
 
--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -189,6 +189,13 @@
         &self.alive
     }
 
+    /// Returns whether at most half of the fleet was alive at the last observation, so that the rest may
+    /// be alive in another partition.
+    pub fn is_minority(&self) -> bool {
+        let newest = self.views.back();
+        newest.is_some_and(|view| view.minority.is_some())
+    }
+
     /// Returns how many of an endpoint's permits this daemon may use.
     pub fn share(
         &self,
--- a/crates/wisteriahitch-relay/src/decide/placement.rs
+++ b/crates/wisteriahitch-relay/src/decide/placement.rs
@@ -228,7 +228,8 @@
         return refusal.retry_after(retry_after(free_at.since(now), rng));
     }
     // Those that were tried for this call had no room a moment ago.
-    if rows.iter().any(|row| table.is_brittle(row)) {
+    let may_be_full = |row: &&EndpointRow| table.is_brittle(row) && !table.is_evacuated(row);
+    if rows.iter().any(may_be_full) {
         let refusal = Refusal::new(Code::EndpointsLimited);
         return refusal.retry_after(retry_after(NO_ROOM_RETRY_US, rng));
     }
--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -81,6 +81,8 @@
     /// The endpoint stopped accepting calls after the call was placed there; no byte of the call
     /// was sent.
     NotAdmitted,
+    /// The endpoint is brittle, and no room was lent for the call; no byte of it was sent.
+    NoRoom,
     /// The endpoint answered that it didn't run the call.
     NotRun,
     /// Another endpoint, or one with other weights, is at that address; it didn't run the call.
@@ -111,7 +113,10 @@
 
     /// Returns whether no byte of the call was sent.
     pub(crate) const fn is_unsent(self) -> bool {
-        matches!(self, FailureKind::NotSent | FailureKind::NotAdmitted)
+        matches!(
+            self,
+            FailureKind::NotSent | FailureKind::NotAdmitted | FailureKind::NoRoom
+        )
     }
 
     /// Returns whether the call certainly hasn't run.
@@ -123,6 +128,7 @@
     pub(crate) const fn code(self) -> Code {
         match self {
             FailureKind::NotSent | FailureKind::NotAdmitted => Code::NoEndpoint,
+            FailureKind::NoRoom => Code::EndpointsLimited,
             FailureKind::NotRun | FailureKind::Misdirected => Code::EndpointRefused,
             FailureKind::Lost | FailureKind::EndpointFailed => Code::EndpointLost,
             FailureKind::Timeout => Code::EndpointTimeout,
@@ -137,6 +143,7 @@
         match self {
             FailureKind::NotSent => "not_sent",
             FailureKind::NotAdmitted => "not_admitted",
+            FailureKind::NoRoom => "no_room",
             FailureKind::NotRun => "not_run",
             FailureKind::Misdirected => "misdirected",
             FailureKind::Lost => "lost",
@@ -488,7 +495,7 @@
     match kind {
         FailureKind::NotSent => in_flight.finish(AttemptOutcome::Unreachable),
         // Says nothing about the state of the endpoint.
-        FailureKind::NotAdmitted => {}
+        FailureKind::NotAdmitted | FailureKind::NoRoom => {}
         FailureKind::NotRun | FailureKind::Misdirected => {
             in_flight.set_room_end(match kind {
                 FailureKind::NotRun => LoanEnd::Refused,
--- a/crates/wisteriahitch-relay/src/shell/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/shell/room_lending.rs
@@ -85,7 +85,7 @@
 ///
 /// # Errors
 ///
-/// Fails with [`FailureKind::NotAdmitted`] if there is no room, or the lender doesn't answer.
+/// Fails with [`FailureKind::NoRoom`] if there is no room, or the lender doesn't answer.
 pub(super) async fn borrow_room(
     shared: &Arc<Shared>,
     placement: &Placement,
@@ -102,9 +102,10 @@
     let endpoint = instance_short_name(&placement.endpoint);
     let no_room = |outcome: &str, detail: &str| {
         count(shared, outcome);
-        let now = shared.now();
-        shared.endpoints.lock().record_no_room(endpoint, now);
-        Err(Failure::new(FailureKind::NotAdmitted, detail))
+        let (has_answered, now) = (outcome == "no_room", shared.now());
+        let mut endpoints = shared.endpoints.lock();
+        endpoints.record_no_room(endpoint, has_answered, now);
+        Err(Failure::new(FailureKind::NoRoom, detail))
     };
     let Some(lender) = lender_of(shared, &placement.endpoint) else {
         return no_room("no_lender", "no daemon lends room at the brittle endpoint");
@@ -169,6 +170,10 @@
             .find(|(found, _)| *found == name)
             .map(|(_, value)| value)
     };
+    if !is_member(shared, borrower) {
+        count(shared, "not_a_member");
+        return None;
+    }
     let loan = LoanId { borrower, number };
     if *method == Method::DELETE {
         let end = LoanEnd::from_label(parameter("end")?)?;
@@ -195,7 +200,7 @@
         (instance, room)
     };
     // A peer that has heard of a service's brittleness before this daemon asks again elsewhere.
-    let (Some(instance), Some(room)) = (instance, room) else {
+    let (Some(instance), Some(mut room)) = (instance, room) else {
         count(shared, "not_brittle");
         return false;
     };
@@ -203,13 +208,11 @@
         count(shared, "not_the_lender");
         return false;
     }
-    let own_ip = shared.settings.ip;
-    let is_member =
-        |ip: Ipv4Addr| ip == own_ip || shared.peers.table().member_phase(ip, now).is_some();
-    if !is_member(request.loan.borrower) {
-        count(shared, "not_a_member");
-        return false;
+    if shared.permit_shares.lock().is_minority() {
+        // Another partition may lend room at the same endpoint.
+        room.max_refusals_per_s /= 2;
     }
+    let is_member = |ip: Ipv4Addr| is_member(shared, ip);
     let is_lent = {
         let mut lender = shared.room_lender.lock();
         lender.lend(endpoint, request, &room, is_member, now)
@@ -218,6 +221,11 @@
     is_lent
 }
 
+fn is_member(shared: &Shared, ip: Ipv4Addr) -> bool {
+    let phase = shared.peers.table().member_phase(ip, shared.now());
+    ip == shared.settings.ip || phase.is_some()
+}
+
 /// Returns the daemon that lends room at an endpoint, in this daemon's view.
 fn lender_of(shared: &Shared, endpoint: &EndpointInstance) -> Option<Ipv4Addr> {
     let shares = shared.permit_shares.lock();
--- a/crates/wisteriahitch-relay/tests/all/room_lending.rs
+++ b/crates/wisteriahitch-relay/tests/all/room_lending.rs
@@ -386,3 +386,125 @@
     assert_eq!(ask(&mut lender, 0, 3_000), None, "the other one had none");
     assert!(ask(&mut lender, 1, 10_000).is_some());
 }
+
+/// Guards against room that is lent although it isn't free, and against room that is never free again:
+/// memory that is used up, calls without a loan, calls that were given up, and daemons that have
+/// ended.
+#[test]
+fn room_follows_memory_foreign_work_and_the_ends_of_loans() {
+    struct Case {
+        name: &'static str,
+        slots: u32,
+        /// Calls that daemons report when each of two calls asks, and the tokens of each.
+        reported: [u32; 2],
+        tokens: [u64; 2],
+        /// How the first call ends, and when the second one asks, in milliseconds.
+        end: Option<LoanEnd>,
+        asks_again_ms: u64,
+        is_first_alive: bool,
+        is_lent: [bool; 2],
+    }
+    let plain = Case {
+        name: "two slots",
+        slots: 2,
+        reported: [0, 0],
+        tokens: [10, 10],
+        end: None,
+        asks_again_ms: 50,
+        is_first_alive: true,
+        is_lent: [true, true],
+    };
+    let cases = [
+        Case {
+            name: "memory is used up",
+            tokens: [60, 50],
+            is_lent: [true, false],
+            ..plain
+        },
+        Case {
+            name: "a call alone larger than the memory",
+            tokens: [200, 0],
+            is_lent: [true, false],
+            ..plain
+        },
+        Case {
+            name: "one runs without a loan",
+            reported: [1, 2],
+            is_lent: [true, false],
+            ..plain
+        },
+        Case {
+            name: "two run without a loan",
+            reported: [2, 2],
+            is_lent: [false, false],
+            ..plain
+        },
+        Case {
+            name: "one slot",
+            slots: 1,
+            is_lent: [true, false],
+            ..plain
+        },
+        Case {
+            name: "finished",
+            slots: 1,
+            end: Some(LoanEnd::Finished),
+            ..plain
+        },
+        Case {
+            name: "given up a moment ago",
+            slots: 1,
+            end: Some(LoanEnd::Abandoned),
+            is_lent: [true, false],
+            ..plain
+        },
+        Case {
+            name: "given up",
+            slots: 1,
+            end: Some(LoanEnd::Abandoned),
+            asks_again_ms: 1_100,
+            ..plain
+        },
+        Case {
+            name: "its end was lost",
+            slots: 1,
+            asks_again_ms: 1_600,
+            ..plain
+        },
+        Case {
+            name: "its daemon has ended",
+            slots: 1,
+            is_first_alive: false,
+            ..plain
+        },
+    ];
+    for case in cases {
+        let mut lender = RoomLender::default();
+        let room = |running| EndpointRoom {
+            slots: case.slots,
+            memory_tokens: Some(100),
+            max_refusals_per_s: MAX_REFUSALS_PER_S,
+            reported: Load {
+                running,
+                ..Load::default()
+            },
+        };
+        let request = |daemon: usize| RoomRequest {
+            loan: LoanId {
+                borrower: Fleet::ip(daemon),
+                number: 1,
+            },
+            memory_tokens: case.tokens[daemon],
+            time_us: DurationUs::from_ms(1_500),
+        };
+        let is_alive = |ip| case.is_first_alive || ip != Fleet::ip(0);
+        let from = TimeUs::new(60_000_000);
+        let first = lender.lend(1, &request(0), &room(case.reported[0]), |_| true, from);
+        if let Some(end) = case.end {
+            lender.end(1, request(0).loan, end, from);
+        }
+        let later = from + DurationUs::from_ms(case.asks_again_ms);
+        let second = lender.lend(1, &request(1), &room(case.reported[1]), is_alive, later);
+        assert_eq!([first, second], case.is_lent, "{}", case.name);
+    }
+}
