--- a/crates/wisteriahitch-relay/tests/all/room_lending.rs
+++ b/crates/wisteriahitch-relay/tests/all/room_lending.rs
@@ -387,124 +387,138 @@
     assert!(ask(&mut lender, 1, 10_000).is_some());
 }
 
-/// Guards against room that is lent although it isn't free, and against room that is never free again:
-/// memory that is used up, calls without a loan, calls that were given up, and daemons that have
-/// ended.
-#[test]
-fn room_follows_memory_foreign_work_and_the_ends_of_loans() {
-    struct Case {
-        name: &'static str,
-        slots: u32,
-        /// Calls that daemons report when each of two calls asks, and the tokens of each.
-        reported: [u32; 2],
-        tokens: [u64; 2],
-        /// How the first call ends, and when the second one asks, in milliseconds.
-        end: Option<LoanEnd>,
-        asks_again_ms: u64,
-        is_first_alive: bool,
-        is_lent: [bool; 2],
+struct LoanCase {
+    name: &'static str,
+    slots: u32,
+    /// Calls that daemons report when each of two calls asks, and the tokens of each.
+    reported: [u32; 2],
+    tokens: [u64; 2],
+    /// How the first call ends, and when the second one asks, in milliseconds.
+    end: Option<LoanEnd>,
+    asks_again_ms: u64,
+    is_first_alive: bool,
+    is_lent: [bool; 2],
+}
+
+impl LoanCase {
+    /// Two calls at two slots, which both get room.
+    const fn of(name: &'static str) -> Self {
+        Self {
+            name,
+            slots: 2,
+            reported: [0, 0],
+            tokens: [10, 10],
+            end: None,
+            asks_again_ms: 50,
+            is_first_alive: true,
+            is_lent: [true, true],
+        }
     }
-    let plain = Case {
-        name: "two slots",
-        slots: 2,
-        reported: [0, 0],
-        tokens: [10, 10],
-        end: None,
-        asks_again_ms: 50,
-        is_first_alive: true,
-        is_lent: [true, true],
-    };
-    let cases = [
-        Case {
-            name: "memory is used up",
+
+    fn room(&self, running: u32) -> EndpointRoom {
+        EndpointRoom {
+            slots: self.slots,
+            memory_tokens: Some(100),
+            max_refusals_per_s: MAX_REFUSALS_PER_S,
+            reported: Load {
+                running,
+                ..Load::default()
+            },
+        }
+    }
+
+    fn request(&self, daemon: usize) -> RoomRequest {
+        RoomRequest {
+            loan: LoanId {
+                borrower: Fleet::ip(daemon),
+                number: 1,
+            },
+            memory_tokens: self.tokens[daemon],
+            time_us: DurationUs::from_ms(1_500),
+        }
+    }
+}
+
+/// Guards against room that is lent although it isn't free: memory that is used up, and calls without a
+/// loan.
+#[test]
+fn room_follows_memory_and_foreign_work() {
+    check_loans(&[
+        LoanCase::of("two slots"),
+        LoanCase {
             tokens: [60, 50],
             is_lent: [true, false],
-            ..plain
+            ..LoanCase::of("memory is used up")
         },
-        Case {
-            name: "a call alone larger than the memory",
+        LoanCase {
             tokens: [200, 0],
             is_lent: [true, false],
-            ..plain
+            ..LoanCase::of("a call alone larger than the memory")
         },
-        Case {
-            name: "one runs without a loan",
+        LoanCase {
             reported: [1, 2],
             is_lent: [true, false],
-            ..plain
+            ..LoanCase::of("one call runs without a loan")
         },
-        Case {
-            name: "two run without a loan",
+        LoanCase {
             reported: [2, 2],
             is_lent: [false, false],
-            ..plain
+            ..LoanCase::of("two calls run without a loan")
         },
-        Case {
-            name: "one slot",
-            slots: 1,
+    ]);
+}
+
+/// Guards against room that is never free again, or too soon: calls that were given up, ends that were
+/// lost, and daemons that have ended.
+#[test]
+fn room_is_free_again_when_a_loan_ends() {
+    let one_slot = |name| LoanCase {
+        slots: 1,
+        ..LoanCase::of(name)
+    };
+    check_loans(&[
+        LoanCase {
             is_lent: [true, false],
-            ..plain
+            ..one_slot("it runs")
         },
-        Case {
-            name: "finished",
-            slots: 1,
+        LoanCase {
             end: Some(LoanEnd::Finished),
-            ..plain
+            ..one_slot("it has finished")
         },
-        Case {
-            name: "given up a moment ago",
-            slots: 1,
+        LoanCase {
             end: Some(LoanEnd::Abandoned),
             is_lent: [true, false],
-            ..plain
+            ..one_slot("it was given up a moment ago")
         },
-        Case {
-            name: "given up",
-            slots: 1,
+        LoanCase {
             end: Some(LoanEnd::Abandoned),
             asks_again_ms: 1_100,
-            ..plain
+            ..one_slot("it was given up")
         },
-        Case {
-            name: "its end was lost",
-            slots: 1,
+        LoanCase {
             asks_again_ms: 1_600,
-            ..plain
+            ..one_slot("its end was lost")
         },
-        Case {
-            name: "its daemon has ended",
-            slots: 1,
+        LoanCase {
             is_first_alive: false,
-            ..plain
+            ..one_slot("its daemon has ended")
         },
-    ];
+    ]);
+}
+
+fn check_loans(cases: &[LoanCase]) {
     for case in cases {
         let mut lender = RoomLender::default();
-        let room = |running| EndpointRoom {
-            slots: case.slots,
-            memory_tokens: Some(100),
-            max_refusals_per_s: MAX_REFUSALS_PER_S,
-            reported: Load {
-                running,
-                ..Load::default()
-            },
-        };
-        let request = |daemon: usize| RoomRequest {
-            loan: LoanId {
-                borrower: Fleet::ip(daemon),
-                number: 1,
-            },
-            memory_tokens: case.tokens[daemon],
-            time_us: DurationUs::from_ms(1_500),
-        };
-        let is_alive = |ip| case.is_first_alive || ip != Fleet::ip(0);
         let from = TimeUs::new(60_000_000);
-        let first = lender.lend(1, &request(0), &room(case.reported[0]), |_| true, from);
+        let (room, request) = (case.room(case.reported[0]), case.request(0));
+        let first = lender.lend(1, &request, &room, |_| true, from);
         if let Some(end) = case.end {
-            lender.end(1, request(0).loan, end, from);
+            lender.end(1, request.loan, end, from);
         }
         let later = from + DurationUs::from_ms(case.asks_again_ms);
-        let second = lender.lend(1, &request(1), &room(case.reported[1]), is_alive, later);
+        let is_alive = |ip| case.is_first_alive || ip != Fleet::ip(0);
+        let (room, request) = (case.room(case.reported[1]), case.request(1));
+        let second = lender.lend(1, &request, &room, is_alive, later);
         assert_eq!([first, second], case.is_lent, "{}", case.name);
     }
 }
