fix(relay): a daemon that is starting lends no room

It counted as alive, and so as the first by hash for its part of the endpoints, before it knew of endpoints and of their brittleness: calls there were refused until it did, in a rolling restart for each daemon in turn. Found by reading. Lenders are now chosen among the daemons that serve calls. Test: a_starting_daemon_is_observed_as_one, written with the change.

--- a/crates/wisteriahitch-relay/src/decide/members.rs
+++ b/crates/wisteriahitch-relay/src/decide/members.rs
@@ -106,11 +106,15 @@
         let indirect = self.indirect_members(now).map(|(ip, row)| (*ip, row.phase));
         let mut observation = ViewObservation {
             alive: BTreeSet::from([me]),
+            starting: BTreeSet::new(),
             registered: self.registered.clone(),
             leaving: BTreeSet::new(),
             is_complete,
         };
         for (ip, phase) in direct.chain(indirect) {
+            if phase == MemberPhase::Starting {
+                observation.starting.insert(ip);
+            }
             match is_staying(phase) {
                 true => observation.alive.insert(ip),
                 false => observation.leaving.insert(ip),
--- a/crates/wisteriahitch-relay/src/decide/permit_shares.rs
+++ b/crates/wisteriahitch-relay/src/decide/permit_shares.rs
@@ -84,6 +84,8 @@
 pub struct ViewObservation {
     /// Daemons that are heard or reported by a hub and aren't leaving, including this one.
     pub alive: BTreeSet<Ipv4Addr>,
+    /// Those of `alive` that don't serve calls yet.
+    pub starting: BTreeSet<Ipv4Addr>,
     /// Daemons that are registered, whether they are heard or not.
     pub registered: BTreeSet<Ipv4Addr>,
     /// Daemons that have announced their leaving.
@@ -122,8 +124,8 @@
     me: Ipv4Addr,
     /// Views in force within the last [`PERMIT_ACTIVATION_DELAY_US`], the oldest first.
     views: VecDeque<View>,
-    /// Daemons that were alive at the last observation, whether or not permits may be used.
-    alive: BTreeSet<Ipv4Addr>,
+    /// Daemons that served calls at the last observation, whether or not permits may be used.
+    ready: BTreeSet<Ipv4Addr>,
     /// When each member of the fleet was last alive or registered.
     last_seen_us: BTreeMap<Ipv4Addr, TimeUs>,
     observed_at_us: TimeUs,
@@ -139,7 +141,7 @@
                 members: Vec::new(),
                 minority: None,
             }]),
-            alive: BTreeSet::new(),
+            ready: BTreeSet::new(),
             last_seen_us: BTreeMap::new(),
             observed_at_us: now,
         }
@@ -152,7 +154,7 @@
         }
         self.observed_at_us = now;
         self.record_last_seen(observation, now);
-        self.alive.clone_from(&observation.alive);
+        self.ready = &observation.alive - &observation.starting;
         let members: Vec<Ipv4Addr> = match observation.is_complete {
             true => observation.alive.iter().copied().collect(),
             false => Vec::new(),
@@ -184,9 +186,9 @@
         self.last_seen_us.len() + usize::from(!is_counted)
     }
 
-    /// Returns the daemons that were alive at the last observation.
-    pub fn alive(&self) -> &BTreeSet<Ipv4Addr> {
-        &self.alive
+    /// Returns the daemons that served calls at the last observation.
+    pub fn ready(&self) -> &BTreeSet<Ipv4Addr> {
+        &self.ready
     }
 
     /// Returns whether at most half of the fleet was alive at the last observation, so that the rest may
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -151,8 +151,14 @@
     let is_complete = shared.peers.peers_listed.is_cancelled();
     let me = shared.settings.ip;
     let mut observation = shared.peers.table().observe_members(me, is_complete, now);
-    if shared.phase() == MemberPhase::Draining {
-        observation.alive.remove(&me);
+    match shared.phase() {
+        MemberPhase::Starting => {
+            observation.starting.insert(me);
+        }
+        MemberPhase::Ready => {}
+        MemberPhase::Draining => {
+            observation.alive.remove(&me);
+        }
     }
     let mut shares = shared.permit_shares.lock();
     shares.observe(&observation, now);
--- a/crates/wisteriahitch-relay/src/shell/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/shell/room_lending.rs
@@ -229,7 +229,7 @@
 /// Returns the daemon that lends room at an endpoint, in this daemon's view.
 fn lender_of(shared: &Shared, endpoint: &EndpointInstance) -> Option<Ipv4Addr> {
     let shares = shared.permit_shares.lock();
-    room_lender(&endpoint.id, shares.alive().iter().copied())
+    room_lender(&endpoint.id, shares.ready().iter().copied())
 }
 
 fn count(shared: &Shared, outcome: &str) {
--- a/crates/wisteriahitch-relay/tests/all/members.rs
+++ b/crates/wisteriahitch-relay/tests/all/members.rs
@@ -4,8 +4,8 @@
 
 use wisteriahitch_relay::{
     GossipMessage, HubCandidate, HubPlan, MemberPhase, MemberUpdate, MembershipUpdate,
-    MessageSections, PeerTable, ReceiveOutcome, ReportReceiver, SuspectUpdate, add_member_updates,
-    registration_listing_interval,
+    MessageSections, PeerTable, PermitShares, ReceiveOutcome, ReportReceiver, SuspectUpdate,
+    add_member_updates, registration_listing_interval,
 };
 use wisteriahitch_types::{Incarnation, TimeUs};
 
@@ -527,3 +527,19 @@
         assert!(!departed(&table, ReportReceiver::Spoke, 1_300).contains(&ip));
     }
 }
+
+/// Guards against a daemon that is asked to lend room at endpoints before it knows of any.
+#[test]
+fn a_starting_daemon_is_observed_as_one() {
+    let me = Ipv4Addr::new(10, 0, 0, 50);
+    for (phase, is_starting) in [(MemberPhase::Starting, true), (MemberPhase::Ready, false)] {
+        let mut table = PeerTable::default();
+        table.receive(&message(9, 19, 1, phase), at_ms(0));
+        let observed = table.observe_members(me, true, at_ms(100));
+        let mut shares = PermitShares::new(me, at_ms(0));
+        shares.observe(&observed, at_ms(100));
+        let ip = Ipv4Addr::new(10, 0, 0, 9);
+        assert_eq!(observed.starting.contains(&ip), is_starting);
+        assert_eq!(shares.ready().contains(&ip), !is_starting);
+    }
+}
--- a/crates/wisteriahitch-relay/tests/all/permit_shares.rs
+++ b/crates/wisteriahitch-relay/tests/all/permit_shares.rs
@@ -167,6 +167,7 @@
                 member.observed_at = at_ms(now_ms);
                 let observation = ViewObservation {
                     alive,
+                    starting: BTreeSet::new(),
                     registered,
                     leaving: BTreeSet::new(),
                     is_complete: true,
@@ -428,6 +429,7 @@
         let mut shares = PermitShares::new(ip(0), at_ms(0));
         let observation = ViewObservation {
             alive: BTreeSet::from([ip(0)]),
+            starting: BTreeSet::new(),
             registered: (0..case.registered).map(ip).collect(),
             leaving: BTreeSet::new(),
             is_complete: case.is_complete,
@@ -454,6 +456,7 @@
     let mut shares = PermitShares::new(ip(0), at_ms(0));
     let of = |alive: usize, leaving: &[usize]| ViewObservation {
         alive: (0..alive).map(ip).collect(),
+        starting: BTreeSet::new(),
         registered: BTreeSet::new(),
         leaving: leaving.iter().map(|number| ip(*number)).collect(),
         is_complete: true,
@@ -518,6 +521,7 @@
     for case in cases {
         let observation = ViewObservation {
             alive: (0..case.alive).map(ip).collect(),
+            starting: BTreeSet::new(),
             registered: (0..case.known).map(ip).collect(),
             leaving: BTreeSet::new(),
             is_complete: true,
