--- a/crates/wisteriahitch-relay/src/decide/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/decide/room_lending.rs
@@ -370,9 +370,4 @@
             }
         }
     }
-
-    /// Returns how many loans are under way, for the metrics.
-    pub fn loan_count(&self) -> usize {
-        self.endpoints.values().map(|loans| loans.loans.len()).sum()
-    }
 }
