--- a/crates/wisteriahitch-relay/src/decide/brittle_services.rs
+++ b/crates/wisteriahitch-relay/src/decide/brittle_services.rs
@@ -114,28 +114,28 @@
             let age_us = age_ms.saturating_mul(1_000).saturating_add(delay_us.get());
             TimeUs::new(now.get().saturating_sub(age_us))
         };
-        let told = Brittleness {
+        let reported = Brittleness {
             max_refusals_per_s: update.max_refusals_per_s,
             stated_at_us: at(update.stated_age_ms),
             unstated_at_us: update.unstated_age_ms.map(at),
         };
         let Some(state) = self.services.get_mut(&update.service) else {
-            self.services.insert(update.service, told);
-            return told.limit().is_some();
+            self.services.insert(update.service, reported);
+            return reported.limit().is_some();
         };
         let before = state.limit();
-        if told.stated_at_us > state.stated_at_us + MIN_ADVANCE_US {
-            state.stated_at_us = told.stated_at_us;
-            state.max_refusals_per_s = told.max_refusals_per_s;
+        if reported.stated_at_us > state.stated_at_us + MIN_ADVANCE_US {
+            state.stated_at_us = reported.stated_at_us;
+            state.max_refusals_per_s = reported.max_refusals_per_s;
         }
         let known = state.unstated_at_us.map(|at| at + MIN_ADVANCE_US);
-        if told.unstated_at_us > known {
-            state.unstated_at_us = told.unstated_at_us;
+        if reported.unstated_at_us > known {
+            state.unstated_at_us = reported.unstated_at_us;
         }
         state.limit() != before
     }
 
-    /// Returns the section for the other daemons; `None` if there is nothing to tell.
+    /// Returns the section for the other daemons; `None` if there is nothing to report.
     pub fn section(&self, now: TimeUs) -> Option<BrittleSection> {
         let age_ms = |at: TimeUs| now.since(at).as_ms();
         let is_recent = |state: &Brittleness| {
--- a/crates/wisteriahitch-relay/src/shell/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/shell/room_lending.rs
@@ -70,8 +70,8 @@
         let (shared, lender) = (Arc::clone(shared), self.lender);
         runtime.spawn(async move {
             let path = format!("{ROOM_PATH}{endpoint}/{}?end={}", id.number, end.label());
-            let told = ask(&shared, lender, Method::DELETE, path, END_TIMEOUT).await;
-            if let Err(error) = told {
+            let sent = ask(&shared, lender, Method::DELETE, path, END_TIMEOUT).await;
+            if let Err(error) = sent {
                 shared.log.write(&Event::Failure {
                     what: "reporting the end of a loan of room",
                     detail: format!("{lender}: {}", error.detail()),
@@ -199,7 +199,7 @@
         let room = room.and_then(|instance| endpoints.brittle_room(instance));
         (instance, room)
     };
-    // A peer that has heard of a service's brittleness before this daemon asks again elsewhere.
+    // A peer may know of the brittleness earlier than this daemon; its call tries other endpoints.
     let (Some(instance), Some(mut room)) = (instance, room) else {
         count(shared, "not_brittle");
         return false;
