--- a/crates/wisteriahitch-relay/src/decide/brittle_services.rs
+++ b/crates/wisteriahitch-relay/src/decide/brittle_services.rs
@@ -47,7 +47,7 @@
 }
 
 impl Brittleness {
-    /// Silence doesn't end a statement: nobody knows more then than before.
+    /// A statement has no expiry: without answers there is no evidence that it has ended.
     fn is_in_force(&self) -> bool {
         self.unstated_at_us
             .is_none_or(|at| at < self.stated_at_us + END_MARGIN_US)
--- a/crates/wisteriahitch-relay/src/decide/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/decide/room_lending.rs
@@ -1,8 +1,8 @@
 //! Room at brittle endpoints, which one daemon for each endpoint lends to calls.
 //!
 //! Load pattern: 76 daemons in front of three endpoints with six slots each. A fixed part of the
-//! slots for each daemon leaves most daemons with none, and the loads that daemons gossip are too old
-//! to tell whether a slot is free: all would fill the same one. So the daemon that ranks first for an
+//! slots for each daemon leaves most daemons with none, and gossiped loads are too old to show whether a
+//! slot is free: all would fill the same one. So the daemon that ranks first for an
 //! endpoint counts the calls that run there, and each call asks it.
 //!
 //! Among daemons that ask for more than there is, those that have had fewer loans lately come first.
@@ -24,23 +24,23 @@
 /// Time in which a brittle endpoint counts the calls that it refuses.
 const REFUSAL_WINDOW_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Part of the refusals that an endpoint bears which the calls of one lender may use: another
-/// daemon may lend at the same time.
-const REFUSAL_SHARE: u32 = 2;
+/// Divisor of the refusals that an endpoint bears: the calls of one lender may use up one part of that
+/// many, since another daemon may lend at the same time.
+const REFUSAL_DIVISOR: u32 = 2;
 
 /// Further time without refusals after which an endpoint that has refused a call gets one more call at a
 /// time than before.
 const RECOVERY_INTERVAL_US: DurationUs = DurationUs::from_ms(250);
 
-/// Time over which the least work beyond the loans is sought: a few messages of each daemon.
-const FOREIGN_WINDOW_US: DurationUs = DurationUs::from_ms(500);
+/// Time over which the minimum of the work without a loan is taken: a few messages of each daemon.
+const UNLENT_WINDOW_US: DurationUs = DurationUs::from_ms(500);
 
 /// How long a call that was given up counts as running. Most endpoints stop such a call once its
 /// connection closes.
-const ABANDONED_CALL_US: DurationUs = DurationUs::from_ms(1_000);
+const ABANDONED_LOAN_TTL_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Time over which the loans of each borrower are compared.
-const COMPARED_US: DurationUs = DurationUs::from_ms(1_000);
+/// Time constant with which past loans of a borrower lose weight.
+const LOAN_DECAY_US: DurationUs = DurationUs::from_ms(1_000);
 
 /// How many more loans than another one a borrower must have had to wait for it.
 const MIN_LOANS_AHEAD: f64 = 0.5;
@@ -50,7 +50,7 @@
 const PRECEDENCE_US: DurationUs = DurationUs::from_ms(20);
 
 /// Maximum duration of a loan whose end isn't reported.
-const MAX_LOAN_US: DurationUs = DurationUs::from_ms(30_000);
+const MAX_LOAN_TTL_US: DurationUs = DurationUs::from_ms(30_000);
 
 /// Maximum number of endpoints for which loans are kept; those without loans are dropped first.
 const MAX_ENDPOINTS: usize = 2_048;
@@ -153,23 +153,23 @@
     }
 }
 
-/// Work at an endpoint beyond the loans: the least that was reported of it in the last one or two
-/// [`FOREIGN_WINDOW_US`].
+/// Work at an endpoint that has no loan: the minimum, over the current and the previous
+/// [`UNLENT_WINDOW_US`], of the reported work minus the lent work.
 ///
-/// Reports of many daemons are of different moments. Their sum goes up and down around the loans,
-/// and only calls that run without one keep it above them.
+/// Daemons report their work at different times, so that the sum of their reports fluctuates around
+/// the lent work. Only calls without a loan keep it above that permanently.
 #[derive(Clone, Copy, Debug, Default)]
-struct ForeignWork {
+struct UnlentWork {
     window_since_us: TimeUs,
     in_window: Load,
     before: Load,
 }
 
-impl ForeignWork {
+impl UnlentWork {
     fn record(&mut self, excess: Load, now: TimeUs) {
         let elapsed_us = now.since(self.window_since_us);
-        if elapsed_us >= FOREIGN_WINDOW_US {
-            let is_next = elapsed_us < FOREIGN_WINDOW_US + FOREIGN_WINDOW_US;
+        if elapsed_us >= UNLENT_WINDOW_US {
+            let is_next = elapsed_us < UNLENT_WINDOW_US + UNLENT_WINDOW_US;
             self.before = if is_next { self.in_window } else { excess };
             self.in_window = excess;
             self.window_since_us = now;
@@ -203,7 +203,7 @@
 impl BorrowerUse {
     fn loans(&self, now: TimeUs) -> f64 {
         let age = now.since(self.asked_at_us).as_secs_f64();
-        self.loans * (-age / COMPARED_US.as_secs_f64()).exp()
+        self.loans * (-age / LOAN_DECAY_US.as_secs_f64()).exp()
     }
 
     fn is_waiting(&self, now: TimeUs) -> bool {
@@ -222,7 +222,7 @@
 #[derive(Clone, Debug, Default)]
 struct EndpointLoans {
     loans: BTreeMap<LoanId, Loan>,
-    foreign: ForeignWork,
+    unlent: UnlentWork,
     borrowers: HashMap<Ipv4Addr, BorrowerUse>,
     /// When calls were refused within the last [`REFUSAL_WINDOW_US`], in ascending order.
     refused_at_us: VecDeque<TimeUs>,
@@ -233,7 +233,7 @@
     fn expire(&mut self, now: TimeUs) {
         self.loans.retain(|_, loan| loan.expires_at_us > now);
         self.borrowers
-            .retain(|_, used| now.since(used.asked_at_us) < COMPARED_US + COMPARED_US);
+            .retain(|_, used| now.since(used.asked_at_us) < LOAN_DECAY_US + LOAN_DECAY_US);
         let is_old = |at: &TimeUs| now.since(*at) >= REFUSAL_WINDOW_US;
         while self.refused_at_us.front().is_some_and(is_old) {
             self.refused_at_us.pop_front();
@@ -251,8 +251,8 @@
 
     /// Returns how many borrowers wait for room that have had fewer loans than this one.
     ///
-    /// Otherwise a freed slot goes to whoever asks in that millisecond, which is mostly the daemon
-    /// whose call has just ended there.
+    /// Without this precedence a freed slot goes to the next request, which mostly comes from the daemon
+    /// whose call has just ended there, and other daemons starve.
     fn preceding(&self, borrower: Ipv4Addr, now: TimeUs) -> usize {
         let used = self.borrowers.get(&borrower);
         let own = used.map_or(0.0, |used| used.loans(now));
@@ -263,7 +263,7 @@
     }
 
     fn has_room(&self, request: &RoomRequest, room: &EndpointRoom, now: TimeUs) -> bool {
-        let max_refused = room.max_refusals_per_s.div_ceil(REFUSAL_SHARE).max(1) as usize;
+        let max_refused = room.max_refusals_per_s.div_ceil(REFUSAL_DIVISOR).max(1) as usize;
         if self.refused_at_us.len() >= max_refused {
             return false;
         }
@@ -272,7 +272,7 @@
             return false;
         }
         let mut work = self.lent();
-        work.add(self.foreign.load());
+        work.add(self.unlent.load());
         let free = room.slots.max(1).saturating_sub(work.running) as usize;
         if free <= self.preceding(request.loan.borrower, now) {
             return false;
@@ -324,7 +324,7 @@
         loans.expire(now);
         let mut excess = room.reported;
         excess.sub(loans.lent());
-        loans.foreign.record(excess, now);
+        loans.unlent.record(excess, now);
         if !loans.has_room(request, room, now) {
             loans.loans.retain(|loan, _| is_member(loan.borrower));
         }
@@ -341,7 +341,7 @@
         let loan = Loan {
             memory_tokens: request.memory_tokens,
             position: loans.loans.len() + 1,
-            expires_at_us: now + request.time_us.min(MAX_LOAN_US),
+            expires_at_us: now + request.time_us.min(MAX_LOAN_TTL_US),
         };
         loans.loans.insert(request.loan, loan);
         true
@@ -365,7 +365,7 @@
             }
             LoanEnd::Abandoned => {
                 if let Some(loan) = loans.loans.get_mut(&loan) {
-                    loan.expires_at_us = loan.expires_at_us.min(now + ABANDONED_CALL_US);
+                    loan.expires_at_us = loan.expires_at_us.min(now + ABANDONED_LOAN_TTL_US);
                 }
             }
         }
--- a/crates/wisteriahitch-relay/src/shell/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/shell/room_lending.rs
@@ -33,7 +33,7 @@
 const END_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Maximum idle time of a connection to a lender. It is well below the idle timeout of peers.
-const MAX_IDLE: Duration = Duration::from_secs(4);
+const MAX_LENDER_IDLE: Duration = Duration::from_secs(4);
 
 /// Room that was borrowed for one call. It is given back when this is dropped.
 pub(super) struct RoomLoan {
@@ -100,15 +100,19 @@
         return Ok(None);
     }
     let endpoint = instance_short_name(&placement.endpoint);
-    let no_room = |outcome: &str, detail: &str| {
+    let no_room = |outcome: &str, has_answered: bool, detail: &str| {
         count(shared, outcome);
-        let (has_answered, now) = (outcome == "no_room", shared.now());
+        let now = shared.now();
         let mut endpoints = shared.endpoints.lock();
         endpoints.record_no_room(endpoint, has_answered, now);
         Err(Failure::new(FailureKind::NoRoom, detail))
     };
     let Some(lender) = lender_of(shared, &placement.endpoint) else {
-        return no_room("no_lender", "no daemon lends room at the brittle endpoint");
+        return no_room(
+            "no_lender",
+            false,
+            "no daemon lends room at the brittle endpoint",
+        );
     };
     let request = RoomRequest {
         loan: LoanId {
@@ -119,7 +123,7 @@
         time_us: deadline.saturating_duration_since(Instant::now()).into(),
     };
     if lender == shared.settings.ip && !lend(shared, endpoint, &request) {
-        return no_room("no_room", "the brittle endpoint has no room");
+        return no_room("no_room", true, "the brittle endpoint has no room");
     }
     // From here on the loan is given back, also if this future is dropped or the answer is lost.
     let loan = RoomLoan {
@@ -140,9 +144,9 @@
             Ok(true) => {}
             Ok(false) => {
                 *loan.end.lock() = None;
-                return no_room("no_room", "the brittle endpoint has no room");
+                return no_room("no_room", true, "the brittle endpoint has no room");
             }
-            Err(_) => return no_room("no_answer", "the lender of room doesn't answer"),
+            Err(_) => return no_room("no_answer", false, "the lender of room doesn't answer"),
         }
     }
     count(shared, "borrowed");
@@ -255,7 +259,11 @@
     let Ok(request) = request else {
         return Ok(false);
     };
-    let mut connection = match shared.lender_connections.checkout(&lender, MAX_IDLE).await {
+    let mut connection = match shared
+        .lender_connections
+        .checkout(&lender, MAX_LENDER_IDLE)
+        .await
+    {
         Some(connection) => connection,
         None => {
             // The lender recognizes a member by its address.
--- a/crates/wisteriahitch-relay/tests/all/brittle_services.rs
+++ b/crates/wisteriahitch-relay/tests/all/brittle_services.rs
@@ -109,7 +109,7 @@
     }
 }
 
-/// Guards against daemons that haven't heard of it, and against a fleet that never hears of the end.
+/// Guards against daemons that don't receive a statement of another daemon, or never its end.
 #[test]
 fn peers_learn_of_the_beginning_and_of_the_end() {
     let (mut one, mut other) = (table(), table());
--- a/crates/wisteriahitch-relay/tests/all/room_lending.rs
+++ b/crates/wisteriahitch-relay/tests/all/room_lending.rs
@@ -354,8 +354,7 @@
     }
 }
 
-/// Guards against a daemon whose calls never find room, because a freed slot goes to whoever asks in
-/// that moment.
+/// Guards against starvation: a daemon gets no room, because others request each freed slot earlier.
 #[test]
 fn a_borrower_that_had_less_comes_first() {
     let mut lender = RoomLender::default();
@@ -442,7 +441,7 @@
 /// Guards against room that is lent although it isn't free: memory that is used up, and calls without a
 /// loan.
 #[test]
-fn room_follows_memory_and_foreign_work() {
+fn room_follows_memory_and_unlent_work() {
     check_loans(&[
         LoanCase::of("two slots"),
         LoanCase {
