--- a/crates/wisteriahitch-relay/src/shell/room_lending.rs
+++ b/crates/wisteriahitch-relay/src/shell/room_lending.rs
@@ -122,9 +122,6 @@
         memory_tokens: placement.memory_tokens,
         time_us: deadline.saturating_duration_since(Instant::now()).into(),
     };
-    if lender == shared.settings.ip && !lend(shared, endpoint, &request) {
-        return no_room("no_room", true, "the brittle endpoint has no room");
-    }
     // From here on the loan is given back, also if this future is dropped or the answer is lost.
     let loan = RoomLoan {
         shared: Arc::clone(shared),
@@ -133,26 +130,38 @@
         id: request.loan,
         end: Mutex::new(Some(LoanEnd::Finished)),
     };
-    if lender != shared.settings.ip {
-        let path = format!(
-            "{ROOM_PATH}{endpoint}/{}?memory={}&time_ms={}",
-            request.loan.number,
-            request.memory_tokens,
-            request.time_us.as_ms(),
-        );
-        match ask(shared, lender, Method::POST, path, ASK_TIMEOUT).await {
-            Ok(true) => {}
-            Ok(false) => {
-                *loan.end.lock() = None;
-                return no_room("no_room", true, "the brittle endpoint has no room");
-            }
-            Err(_) => return no_room("no_answer", false, "the lender of room doesn't answer"),
+    let is_lent = match lender == shared.settings.ip {
+        true => Ok(lend(shared, endpoint, &request)),
+        false => request_loan(shared, lender, endpoint, &request).await,
+    };
+    match is_lent {
+        Ok(true) => {}
+        Ok(false) => {
+            *loan.end.lock() = None;
+            return no_room("no_room", true, "the brittle endpoint has no room");
         }
+        Err(_) => return no_room("no_answer", false, "the lender of room doesn't answer"),
     }
     count(shared, "borrowed");
     Ok(Some(loan))
 }
 
+/// Asks another daemon for a loan, and returns whether it lends.
+async fn request_loan(
+    shared: &Shared,
+    lender: Ipv4Addr,
+    endpoint: u32,
+    request: &RoomRequest,
+) -> Result<bool, HttpError> {
+    let path = format!(
+        "{ROOM_PATH}{endpoint}/{}?memory={}&time_ms={}",
+        request.loan.number,
+        request.memory_tokens,
+        request.time_us.as_ms(),
+    );
+    ask(shared, lender, Method::POST, path, ASK_TIMEOUT).await
+}
+
 /// Answers a peer that asks for room or reports the end of a loan. Returns `None` if there is no room,
 /// or this daemon isn't the one to ask.
 pub(super) fn answer_room_request(
