--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -112,6 +112,7 @@
         self.record, self.revision, self.kinds, self.history = record, 0, {}, []
         self.changed = asyncio.Condition()
         self.on_write = None
+        self.watching = {}
 
     async def start(self, ip):
         server = await serve(ip, 0, self.handle)
@@ -141,15 +142,27 @@
             async with self.changed:
                 self.changed.notify_all()
 
-    async def handle(self, request, _reader, _writer):
+    def cut_watches(self, kind):
+        """Cuts off the watches that are waiting, with an ordinary close of their connections."""
+        writers = self.watching.pop(kind, set())
+        for writer in writers:
+            writer.close()
+        return len(writers)
+
+    async def handle(self, request, _reader, writer):
         await asyncio.sleep(0.004)
         words = [unquote(word) for word in request.path.split("/")[3:]]
         kind, name = words[0], (words[1] if len(words) > 1 else None)
         objects = self.kinds.setdefault(kind, {})
         if request.method == "GET" and name is None:
             if "watch" in request.query:
-                return await self.watch(kind, int(request.query["watch"]),
-                                        int(request.query.get("wait_ms", "0")))
+                waiting = self.watching.setdefault(kind, set())
+                waiting.add(writer)
+                try:
+                    return await self.watch(kind, int(request.query["watch"]),
+                                            int(request.query.get("wait_ms", "0")))
+                finally:
+                    waiting.discard(writer)
             items = [objects[key] for key in sorted(objects) if key > request.query.get("after", "")]
             return encode(200, {"items": items, "has_more": False, "store_revision": self.revision})
         if request.method == "GET":
@@ -202,8 +215,8 @@
         self.on_order = self.on_start = None
 
     async def start(self):
-        server = await serve(self.ip, 0, self.handle)
-        self.address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        self.server = await serve(self.ip, 0, self.handle)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         await self.register()
         self.heart = asyncio.create_task(self.beat())
 
