--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -168,6 +168,9 @@
         if request.method == "GET":
             return encode(200, objects[name]) if name in objects else encode(404, {})
         if request.method == "DELETE":
+            asked = request.query.get("revision")
+            if name in objects and asked not in (None, str(objects[name]["metadata"]["revision"])):
+                return encode(409, objects[name])
             await self.delete(kind, name)
             return encode(200, {})
         body = request.json()
