--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -213,6 +213,13 @@
         resumed_at: usize,
         elapsed_ms: u64,
     },
+    /// An answer is older than what was known before it, so nothing of it is used.
+    OutdatedAnswer {
+        kind: &'static str,
+        source: String,
+        revision: u64,
+        known_revision: u64,
+    },
     /// Objects were fetched from another daemon because the store didn't send them.
     CaughtUp {
         kind: &'static str,
@@ -370,6 +377,7 @@
             Event::StoreReachable { .. } => "store_reachable",
             Event::ObjectsConfirmed { .. } => "objects_confirmed",
             Event::ObjectsReceived { .. } => "objects_received",
+            Event::OutdatedAnswer { .. } => "outdated_answer",
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
             Event::OrderGiven { .. } => "order_given",
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -37,7 +37,14 @@
     let Listing {
         revision, objects, ..
     } = listing;
-    if revision < shared.watches.changed_revision(role) {
+    let known_revision = shared.watches.changed_revision(role);
+    if revision < known_revision {
+        shared.log.write(&Event::OutdatedAnswer {
+            kind: kind_name(role),
+            source: source.to_owned(),
+            revision: revision.0,
+            known_revision: known_revision.0,
+        });
         return;
     }
     match role {
