fix(relay): order what the store says by its epoch and revision

Callers were told that added routes don't exist, and removed ones were served, for as long as the store's revisions were lower than before; endpoints whose leaving the store had acknowledged got requests. Cause: a store that returns with an older copy gives out revisions again, and daemons ordered all they learn by the revision alone. A listing that was older than what they knew was dropped and counted as a confirmation all the same, so that each daemon was sure of an outdated configuration. Why it works: the store names its epoch in each answer. A revision is now the epoch and the store's number, ordered by the epoch first, so that every comparison, message between daemons and fencing number puts the copy after all that was known before. What is older than what was known when it was asked for confirms nothing, whatever the store names. Left in this commit: endpoints that the copy brings back, and leases; their tests stay listed.

--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -213,6 +213,8 @@
         resumed_at: usize,
         elapsed_ms: u64,
     },
+    /// The store has returned with an older copy of its objects, or named its epoch for the first time.
+    StoreEpochChanged { from: u64, to: u64, source: String },
     /// An answer is older than what was known before it, so nothing of it is used.
     OutdatedAnswer {
         kind: &'static str,
@@ -377,6 +379,7 @@
             Event::StoreReachable { .. } => "store_reachable",
             Event::ObjectsConfirmed { .. } => "objects_confirmed",
             Event::ObjectsReceived { .. } => "objects_received",
+            Event::StoreEpochChanged { .. } => "store_epoch_changed",
             Event::OutdatedAnswer { .. } => "outdated_answer",
             Event::CaughtUp { .. } => "caught_up",
             Event::LeaseChanged { .. } => "lease_changed",
--- a/crates/wisteriahitch-relay/src/observe/metrics.rs
+++ b/crates/wisteriahitch-relay/src/observe/metrics.rs
@@ -101,6 +101,7 @@
     pub(crate) prompt_tokens: IntCounterVec,
     /// Version of the configuration in force.
     pub(crate) config_version: IntGauge,
+    pub(crate) store_epoch: IntGauge,
     /// Time since the store was last known to have nothing newer of a kind, in seconds.
     pub(crate) store_age_s: GaugeVec,
     /// Log lines that were dropped because of the budget or a slow reader.
@@ -162,11 +163,7 @@
             forward_requests: forward_requests(&registry)?,
             forwarded_connections: forwarded_connections(&registry)?,
             in_flight: gauge("relay_calls_in_flight", "Calls under way.")?,
-            store_calls: counters(
-                "relay_store_calls_total",
-                "Store calls.",
-                &["kind", "result"],
-            )?,
+            store_calls: store_calls(&registry)?,
             unreadable_objects: unreadable_objects(&registry)?,
             endpoint_crashes: endpoint_crashes(&registry)?,
             blocked_requests: gauge("relay_blocked_requests", "Blocked requests and parts.")?,
@@ -183,6 +180,7 @@
             orders: counters("relay_orders_total", "Orders.", &["outcome"])?,
             prompt_tokens: counters("relay_prompt_tokens_total", "Prompt tokens.", &["how"])?,
             config_version: gauge("relay_config_version", "Configuration in force.")?,
+            store_epoch: gauge("relay_store_epoch", "Epoch of the platform's store.")?,
             first_event_s: first_event_s(&registry)?,
             endpoints: endpoints(&registry)?,
             store_age_s: store_age_s(&registry)?,
@@ -298,6 +296,11 @@
     gauge(registry, "relay_limited_endpoints", help)
 }
 
+fn store_calls(registry: &Registry) -> prometheus::Result<IntCounterVec> {
+    let labels = ["kind", "result"];
+    counters(registry, "relay_store_calls_total", "Store calls.", &labels)
+}
+
 fn first_event_s(registry: &Registry) -> prometheus::Result<HistogramVec> {
     let options = HistogramOpts::new(
         "relay_first_event_seconds",
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -151,7 +151,7 @@
             }
         }
     };
-    (lease, object.revision.0)
+    (lease, object.revision.get())
 }
 
 fn unreadable_holder() -> Option<LeaseHolder> {
@@ -179,7 +179,7 @@
     let written = match expected {
         0 => store.create(ObjectRole::Leases, &name, content).await,
         _ => {
-            let expected = Revision(expected);
+            let expected = Revision::from_u64(expected);
             store
                 .replace(ObjectRole::Leases, &name, content, expected)
                 .await
@@ -189,7 +189,7 @@
         Ok(object) => LeaseEvent::Written {
             group,
             write_number,
-            object_version: object.revision.0,
+            object_version: object.revision.get(),
         },
         Err(error) => {
             shared.log.write(&Event::Failure {
--- a/crates/wisteriahitch-relay/src/shell/mod.rs
+++ b/crates/wisteriahitch-relay/src/shell/mod.rs
@@ -40,6 +40,7 @@
 mod shared;
 mod site_state;
 mod statements;
+mod store_epoch;
 mod store_updates;
 mod stream_body;
 mod stream_origins;
--- a/crates/wisteriahitch-relay/src/shell/object_answers.rs
+++ b/crates/wisteriahitch-relay/src/shell/object_answers.rs
@@ -190,7 +190,7 @@
         }
         None => {
             let since = parameter("since").and_then(|since| since.parse().ok());
-            let since = Revision(since.unwrap_or(0));
+            let since = Revision::from_u64(since.unwrap_or(0));
             shared.watches.delta(role, since, now)
         }
     };
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -130,11 +130,15 @@
     let delta = match since == Revision::default() {
         true => fetch_all(shared, role, ip).await?,
         false => {
-            let path = format!("{PEER_OBJECTS_PATH}{}?since={}", kind_name(role), since.0);
+            let path = format!(
+                "{PEER_OBJECTS_PATH}{}?since={}",
+                kind_name(role),
+                since.get()
+            );
             get_objects(shared, role, ip, &path).await?
         }
     };
-    let revision = delta.revision.0;
+    let revision = delta.revision.number();
     apply_delta(shared, role, delta, asked_at);
     if shared.peers.follows_stores() {
         shared.log.write(&Event::CaughtUp {
--- /dev/null
+++ b/crates/wisteriahitch-relay/src/shell/store_epoch.rs
@@ -0,0 +1,24 @@
+//! What changes when the platform's store returns with an older copy of its objects.
+//!
+//! What was written since the copy was made is gone, and its revisions are given out again. Revisions
+//! carry the store's epoch, so objects of the copy replace the known ones
+//! (`docs/design/store-epochs.md`).
+
+use wisteriahitch_wire::object_store::StoreEpoch;
+
+use super::shared::Shared;
+use crate::observe::Event;
+
+/// Records the store's epoch, which `source` has named.
+pub(super) fn record_store_epoch(shared: &Shared, epoch: StoreEpoch, source: &str) {
+    let Some(previous) = shared.watches.raise_epoch(epoch) else {
+        return;
+    };
+    let gauge = i64::try_from(epoch.get()).unwrap_or(i64::MAX);
+    shared.metrics.store_epoch.set(gauge);
+    shared.log.write(&Event::StoreEpochChanged {
+        from: previous.get(),
+        to: epoch.get(),
+        source: source.to_owned(),
+    });
+}
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -10,6 +10,7 @@
 
 use super::part_store_watch::run_part_store_watch;
 use super::shared::Shared;
+use super::store_epoch::record_store_epoch;
 use super::watch_state::{ObjectDelta, PEER, WatchState, kind_name};
 use crate::decide::endpoint_admission::ServiceColdLimit;
 use crate::decide::endpoint_table::Registration;
@@ -42,8 +43,8 @@
         shared.log.write(&Event::OutdatedAnswer {
             kind: kind_name(role),
             source: source.to_owned(),
-            revision: revision.0,
-            known_revision: known_revision.0,
+            revision: revision.number(),
+            known_revision: known_revision.number(),
         });
         return;
     }
@@ -58,7 +59,7 @@
                 .endpoints
                 .lock()
                 .apply_listing(registrations, absence, now);
-            shared.record_endpoint_changes(changes, revision.0);
+            shared.record_endpoint_changes(changes, revision.number());
         }
         _ => {
             let listed = objects.clone();
@@ -189,6 +190,7 @@
     mut delta: ObjectDelta,
     asked_at: TimeUs,
 ) {
+    record_store_epoch(shared, delta.revision.epoch(), PEER);
     let age_ms = delta.age_ms;
     let replacement_ages = std::mem::take(&mut delta.replacement_ages);
     shared
@@ -275,7 +277,7 @@
                     .endpoints
                     .lock()
                     .apply_registration(registration, now);
-                shared.record_endpoint_changes(changes, object.revision.0);
+                shared.record_endpoint_changes(changes, object.revision.number());
             }
         }
         ObjectRole::Configuration => {
@@ -354,7 +356,7 @@
         .endpoints
         .lock()
         .apply_unregistration(&id, absence, now);
-    shared.record_endpoint_changes(change.into_iter().collect(), revision.0);
+    shared.record_endpoint_changes(change.into_iter().collect(), revision.number());
 }
 
 /// Puts a configuration in force if it is newer, and starts watches of its new part stores.
@@ -397,7 +399,7 @@
     shared.metrics.config_version.set(gauge);
     shared.log.write(&Event::ConfigAdopted {
         version: version.get(),
-        revision: object.revision.0,
+        revision: object.revision.number(),
         source: source.to_owned(),
         routes,
         bytes: object.content.len(),
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -11,6 +11,7 @@
 
 use super::compression::MIN_COMPRESSED_LEN;
 use super::shared::Shared;
+use super::store_epoch::record_store_epoch;
 use super::store_updates::{apply_changes, apply_listing, log_skipped_objects};
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
@@ -167,7 +168,7 @@
 /// large, only the daemons that watch the store read all of it; the others fetch the objects from
 /// their hub, and read on only if none arrive in time.
 async fn list_at_start(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
-    let asked_at = shared.now();
+    let request = ListRequest::now(shared, role);
     let reception = Reception {
         max_bytes: MAX_START_PAGE_BYTES,
         progress: shared.watches.begin_reception(role).progress,
@@ -185,7 +186,7 @@
     }
     let listing = first_page?;
     if listing.next_after.is_none() {
-        apply_store_listing(shared, role, listing, asked_at);
+        apply_store_listing(shared, role, listing, &request)?;
         return Ok(false);
     }
     record_answer(shared, role);
@@ -195,13 +196,13 @@
     }
     let listing = shared.borders.store.list_remaining(role, listing).await;
     count_store_call(shared, role, call_result(&listing));
-    apply_store_listing(shared, role, listing?, asked_at);
+    apply_store_listing(shared, role, listing?, &request)?;
     Ok(false)
 }
 
 /// Lists all objects of a role. Returns `false`: the history covers the listing's revision.
 async fn list_objects(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
-    let asked_at = shared.now();
+    let request = ListRequest::now(shared, role);
     let reception = Reception {
         progress: shared.watches.begin_reception(role).progress,
         ..Reception::default()
@@ -211,7 +212,7 @@
     let Some(listing) = listed? else {
         return Ok(shared.watches.state_of(role).lock().is_catch_up_failing);
     };
-    apply_store_listing(shared, role, listing, asked_at);
+    apply_store_listing(shared, role, listing, &request)?;
     Ok(false)
 }
 
@@ -274,16 +275,62 @@
     false
 }
 
-fn apply_store_listing(shared: &Arc<Shared>, role: ObjectRole, listing: Listing, asked_at: TimeUs) {
+/// Applies a listing that was requested as in `request`.
+///
+/// # Errors
+///
+/// Fails if the listing is older than what was known when it was requested. It doesn't confirm what is
+/// known then: the store has lost it, or the listing was held up since before a change of its epoch.
+fn apply_store_listing(
+    shared: &Arc<Shared>,
+    role: ObjectRole,
+    listing: Listing,
+    request: &ListRequest,
+) -> Result<(), PlatformError> {
+    record_store_epoch(shared, shared.borders.store.epoch(), STORE);
+    let revision = listing.revision;
+    let known_revision = request.known_revision;
+    if revision < known_revision || revision.epoch() < shared.watches.epoch() {
+        shared.log.write(&Event::OutdatedAnswer {
+            kind: kind_name(role),
+            source: STORE.to_owned(),
+            revision: revision.number(),
+            known_revision: known_revision.number(),
+        });
+        return Err(outdated_error(revision, known_revision));
+    }
     record_answer(shared, role);
     log_skipped_objects(shared, role, &listing.skipped);
     apply_listing(shared, role, listing, STORE);
-    shared.watches.confirm_complete(role, asked_at);
+    shared.watches.confirm_complete(role, request.asked_at);
+    Ok(())
+}
+
+/// When a listing was requested, and what was known then.
+struct ListRequest {
+    asked_at: TimeUs,
+    known_revision: Revision,
+}
+
+impl ListRequest {
+    fn now(shared: &Shared, role: ObjectRole) -> Self {
+        Self {
+            asked_at: shared.now(),
+            known_revision: shared.watches.changed_revision(role),
+        }
+    }
+}
+
+fn outdated_error(revision: Revision, known_revision: Revision) -> PlatformError {
+    let detail =
+        format!("the answer is of revision {revision}, but {known_revision} was known before");
+    PlatformError::new(PlatformErrorKind::Malformed, detail)
 }
 
 /// Waits for changes once, and returns whether the store's history no longer covers the revision.
 async fn watch_once(shared: &Arc<Shared>, role: ObjectRole) -> Result<bool, PlatformError> {
     let asked_at = shared.now();
+    let known_revision = shared.watches.changed_revision(role);
     let (after, wait) = next_watch(shared, role, asked_at);
     let reception = shared.watches.begin_reception(role);
     let progress = &reception.progress;
@@ -291,6 +338,7 @@
         tokio::select! {
             watched = shared.borders.store.watch(role, after, wait, &reception) => watched,
             () = confirmation_overdue(shared, role, asked_at, progress) => Err(unconfirmed_error()),
+            () = shared.watches.wait_for_epoch_after(after.epoch()) => Ok(WatchOutcome::HistoryExpired),
         }
     };
     let watched = receive_unless_superseded(shared, role, progress, watch).await;
@@ -304,6 +352,9 @@
             skipped,
             revision,
         } => {
+            if revision < known_revision {
+                return Err(outdated_error(revision, known_revision));
+            }
             let has_changes = !changes.is_empty() || !skipped.is_empty();
             let as_of = answered_as_of(asked_at, wait.into(), has_changes, shared.now());
             log_skipped_objects(shared, role, &skipped);
@@ -340,6 +391,7 @@
         return true;
     }
     let called_at = shared.now();
+    let known_revision = shared.watches.changed_revision(role);
     let after = shared.watches.state_of(role).lock().watch_revision;
     let reception = Reception::default();
     let store = &shared.borders.store;
@@ -352,13 +404,15 @@
             changes,
             skipped,
             revision,
-        }) => {
+        }) if revision >= known_revision => {
             log_skipped_objects(shared, role, &skipped);
             apply_changes(shared, role, changes, revision, STORE);
             shared.watches.confirm_complete(role, called_at);
             true
         }
-        Ok(WatchOutcome::HistoryExpired | WatchOutcome::TooLarge) => false,
+        Ok(
+            WatchOutcome::Changes { .. } | WatchOutcome::HistoryExpired | WatchOutcome::TooLarge,
+        ) => false,
         Ok(WatchOutcome::Malformed(error)) => {
             log_malformed_watch(shared, &error);
             false
@@ -488,6 +542,7 @@
 /// Records that the store answered, and logs its recovery after a failure.
 fn record_answer(shared: &Shared, role: ObjectRole) {
     let now = shared.now();
+    record_store_epoch(shared, shared.borders.store.epoch(), STORE);
     shared.watches.record_store_answer(now);
     let mut state = shared.watches.state_of(role).lock();
     let silent_ms = state.silent_ms(now);
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use wisteriahitch_types::{ByteCount, DurationUs, TimeUs};
-use wisteriahitch_wire::object_store::{ObjectRole, Reception, Revision, StoredObject};
+use wisteriahitch_wire::object_store::{ObjectRole, Reception, Revision, StoreEpoch, StoredObject};
 use wisteriahitch_wire::transfer::TransferProgress;
 
 use super::peer_answer::PeerAnswer;
@@ -105,6 +105,8 @@
 pub(crate) struct WatchStates {
     /// In the order of [`WATCHED_ROLES`].
     by_role: [Mutex<WatchState>; WATCHED_ROLES.len()],
+    /// Latest known epoch of the store.
+    epoch: watch::Sender<StoreEpoch>,
     /// Outages of the store in which registrations may have lapsed, by its answers of any role.
     outages: Mutex<StoreOutages>,
     /// Held during a call that asks the store to confirm the known objects, so that there is one at a time
@@ -117,11 +119,37 @@
     pub(crate) fn new(bounds: &Bounds) -> Self {
         Self {
             by_role: Default::default(),
+            epoch: watch::Sender::default(),
             outages: Mutex::new(StoreOutages::new(bounds.shortest_lapse())),
             confirmations: Default::default(),
         }
     }
 
+    /// Returns the latest known epoch of the store.
+    pub(super) fn epoch(&self) -> StoreEpoch {
+        *self.epoch.borrow()
+    }
+
+    /// Records an epoch of the store. Returns the previous one if this is a later one.
+    pub(super) fn raise_epoch(&self, epoch: StoreEpoch) -> Option<StoreEpoch> {
+        let mut previous = None;
+        self.epoch.send_if_modified(|known| {
+            let is_later = epoch > *known;
+            if is_later {
+                previous = Some(std::mem::replace(known, epoch));
+            }
+            is_later
+        });
+        previous
+    }
+
+    /// Waits until the store is known to be in a later epoch than `epoch`.
+    pub(super) async fn wait_for_epoch_after(&self, epoch: StoreEpoch) {
+        let mut epochs = self.epoch.subscribe();
+        // `wait_for` fails only after the sender was dropped, and this state owns the sender.
+        let _ = epochs.wait_for(|known| *known > epoch).await;
+    }
+
     /// Returns why a registration is absent of which this daemon learns now.
     pub(super) fn absence_cause(&self, now: TimeUs) -> AbsenceCause {
         self.outages.lock().absence_cause(now)
@@ -205,7 +233,7 @@
         let update_of = |state: &Mutex<WatchState>| {
             let state = state.lock();
             KindUpdate {
-                revision: state.last_change.0,
+                revision: state.last_change.get(),
                 age_ms: state
                     .age_ms(now)
                     .and_then(|age_ms| u32::try_from(age_ms).ok()),
@@ -233,15 +261,15 @@
         }
         for (state, update) in self.by_role.iter().zip(kinds) {
             let mut state = state.lock();
-            if update.revision <= state.last_change.0 {
+            let revision = Revision::from_u64(update.revision);
+            if revision <= state.last_change {
                 state.confirm_by_peer(update, held_up_us, now);
-                match update.revision == state.last_change.0 {
+                match revision == state.last_change {
                     true => state.holders.insert(peer.ip, now),
                     false => state.holders.remove(&peer.ip),
                 };
                 continue;
             }
-            let revision = Revision(update.revision);
             let is_first = state.sources.record(peer.ip, revision, peer.link_mbps, now);
             is_behind |= is_first && !state.is_catching_up();
         }
--- a/crates/wisteriahitch-relay/tests/all/cold_limit.rs
+++ b/crates/wisteriahitch-relay/tests/all/cold_limit.rs
@@ -119,7 +119,7 @@
     fn apply_registration(&mut self, cold_ms: u64, revision: u64, now: TimeUs) {
         let endpoint = Endpoint {
             remaining_cold_us: ms(cold_ms),
-            revision: Revision(revision),
+            revision: Revision::from_u64(revision),
             ..engine("a")
         };
         self.table.apply_registration(endpoint, now);
--- a/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
+++ b/crates/wisteriahitch-relay/tests/all/endpoint_lives.rs
@@ -22,7 +22,7 @@
 fn started(name: &str, start_ms: u64, revision: u64) -> Endpoint {
     Endpoint {
         instance: instance(name, start_ms),
-        revision: Revision(revision),
+        revision: Revision::from_u64(revision),
         ..engine(name)
     }
 }
@@ -35,7 +35,7 @@
 }
 
 fn unreadable(name: &str, revision: u64) -> Registration {
-    Registration::Unreadable(id(name).id, Revision(revision))
+    Registration::Unreadable(id(name).id, Revision::from_u64(revision))
 }
 
 fn site() -> EndpointTable {
@@ -330,7 +330,7 @@
     // A registration without a start, from an endpoint that has reported one, was written by
     // something else.
     let startless = Endpoint {
-        revision: Revision(15),
+        revision: Revision::from_u64(15),
         ..engine("a")
     };
     assert_eq!(
@@ -396,7 +396,7 @@
     let leaving = Endpoint {
         address: engine_address("a"),
         instance: instance("e", 1_000),
-        revision: Revision(15),
+        revision: Revision::from_u64(15),
         ..draining("e")
     };
     table.apply_registration(leaving, TimeUs::ZERO);
--- a/crates/wisteriahitch-relay/tests/all/large_objects.rs
+++ b/crates/wisteriahitch-relay/tests/all/large_objects.rs
@@ -149,7 +149,7 @@
                 let hears =
                     *ip != daemon.candidate.ip && (daemon.is_hub || daemon.own_hub == Some(*ip));
                 if hears && *version > daemon.version {
-                    let revision = Revision(u64::try_from(*version).unwrap());
+                    let revision = Revision::from_u64(u64::try_from(*version).unwrap());
                     daemon
                         .sources
                         .record(*ip, revision, *link_mbps, at_ms(now_ms));
@@ -314,7 +314,7 @@
     fn complete(&mut self, version: usize, now_ms: u64) {
         self.version = version;
         self.partial = None;
-        let known = Revision(u64::try_from(version).unwrap());
+        let known = Revision::from_u64(u64::try_from(version).unwrap());
         self.sources.discard_up_to(known);
         for in_force in &mut self.in_force_ms[..version] {
             in_force.get_or_insert(now_ms);
--- a/crates/wisteriahitch-relay/tests/all/leaving_instances.rs
+++ b/crates/wisteriahitch-relay/tests/all/leaving_instances.rs
@@ -31,7 +31,7 @@
 fn registration(start_ms: u64, revision: u64) -> Endpoint {
     Endpoint {
         instance: instance(start_ms),
-        revision: Revision(revision),
+        revision: Revision::from_u64(revision),
         ..engine("a")
     }
 }
@@ -64,7 +64,7 @@
             table.apply_registration(endpoint, *now);
         }
         Event::Unreadable(revision) => {
-            let entry = Registration::Unreadable(id("a").id, Revision(revision));
+            let entry = Registration::Unreadable(id("a").id, Revision::from_u64(revision));
             table.apply_registration(entry, *now);
         }
         Event::Missing(absence) => drop(table.apply_unregistration(&id("a").id, absence, *now)),
--- a/crates/wisteriahitch-relay/tests/all/object_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/object_sources.rs
@@ -57,7 +57,12 @@
     for case in cases {
         let mut sources = ObjectSources::default();
         for (last, revision, heard_ms, failed_ms) in case.offers {
-            sources.record(peer(*last), Revision(*revision), 100, at_ms(*heard_ms));
+            sources.record(
+                peer(*last),
+                Revision::from_u64(*revision),
+                100,
+                at_ms(*heard_ms),
+            );
             if let Some(failed_ms) = failed_ms {
                 sources.record_failure(peer(*last), at_ms(*failed_ms));
             }
@@ -72,14 +77,14 @@
 #[test]
 fn a_daemon_is_behind_only_as_long_as_it_is_told_of_newer_objects() {
     let mut sources = ObjectSources::default();
-    assert!(sources.record(peer(1), Revision(7), 100, at_ms(1_000)));
-    assert!(!sources.record(peer(2), Revision(9), 100, at_ms(1_200)));
+    assert!(sources.record(peer(1), Revision::from_u64(7), 100, at_ms(1_000)));
+    assert!(!sources.record(peer(2), Revision::from_u64(9), 100, at_ms(1_200)));
     assert_eq!(sources.newer_since(at_ms(1_300)), Some(at_ms(1_000)));
-    sources.discard_up_to(Revision(7));
+    sources.discard_up_to(Revision::from_u64(7));
     assert_eq!(sources.newer_since(at_ms(1_300)), Some(at_ms(1_200)));
     assert_eq!(sources.newer_since(at_ms(2_200)), None);
-    assert!(sources.record(peer(2), Revision(9), 100, at_ms(5_000)));
-    sources.discard_up_to(Revision(9));
+    assert!(sources.record(peer(2), Revision::from_u64(9), 100, at_ms(5_000)));
+    sources.discard_up_to(Revision::from_u64(9));
     assert_eq!(sources.newer_since(at_ms(5_000)), None);
 }
 
@@ -88,9 +93,9 @@
 fn daemons_divide_among_the_peers_by_their_links() {
     let mut sources = ObjectSources::default();
     for last in 1..=4 {
-        sources.record(peer(last), Revision(7), 200, at_ms(0));
+        sources.record(peer(last), Revision::from_u64(7), 200, at_ms(0));
     }
-    sources.record(peer(5), Revision(7), 1, at_ms(0));
+    sources.record(peer(5), Revision::from_u64(7), 1, at_ms(0));
     let mut counts = [0; 6];
     for last in 0..200 {
         let me = Ipv4Addr::new(10, 0, 2, last);
--- a/crates/wisteriahitch-relay/tests/all/placement.rs
+++ b/crates/wisteriahitch-relay/tests/all/placement.rs
@@ -455,7 +455,7 @@
                 site.table.tick(at_ms(49_500));
                 let successor = Endpoint {
                     address: engine_address("a"),
-                    revision: Revision(9),
+                    revision: Revision::from_u64(9),
                     software: "v1.1".parse().unwrap(),
                     ..engine("s")
                 };
--- a/crates/wisteriahitch-wire/src/object_store.rs
+++ b/crates/wisteriahitch-wire/src/object_store.rs
@@ -4,6 +4,8 @@
 //! registrations. The trait defines the guarantees that the daemons rely on; its implementation
 //! defines the wire format.
 
+mod revision;
+
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +21,8 @@
 use crate::platform::PlatformError;
 use crate::transfer::TransferProgress;
 
+pub use revision::{Revision, StoreEpoch};
+
 /// Maximum size of an answer: a few of the largest objects that the platform's store accepts.
 const MAX_ANSWER_BYTES: ByteCount = ByteCount::new(8 * 1024 * 1024);
 
@@ -43,13 +47,6 @@
     Evacuations,
 }
 
-/// Revision of the store: a number that grows with each change of any object.
-#[derive(
-    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
 /// An object in the store.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StoredObject {
@@ -294,6 +291,9 @@
 /// Client of an object store, with conditional writes.
 #[async_trait]
 pub trait ObjectStore: Send + Sync {
+    /// Returns the latest epoch that an answer named, of whichever call.
+    fn epoch(&self) -> StoreEpoch;
+
     /// Lists all objects of a kind. With `is_stale_allowed` the result may lag by seconds.
     async fn list(
         &self,
