fix(relay): hold back endpoints that have left when a restored copy lists them

Requests reached endpoints whose leaving every daemon knew of, and endpoints that registered shortly before the store went back could be taken for gone. Cause: the copy lists endpoints that have left since it was made. Their entries look like those of endpoints that are there, and nothing was remembered of an endpoint once its row was removed. Why it works: a departure is remembered with the revision of the endpoint's last registration. An entry of a later epoch whose number isn't greater is believed only once it changes, or if it hasn't lapsed after four heartbeats. Endpoints that the copy lacks are waited for like those that lapse in an outage.

--- /dev/null
+++ b/crates/wisteriahitch-relay/src/decide/departed_endpoints.rs
@@ -0,0 +1,128 @@
+//! Endpoints that have left, whose registrations a restored copy of the store may bring back.
+//!
+//! A store that returns with an older copy lists endpoints that have left since the copy was made. Their
+//! entries look like those of endpoints that are there. An endpoint that is there keeps its entry; the
+//! entry of one that is gone lapses (`docs/design/store-epochs.md`).
+
+use std::collections::BTreeMap;
+
+use wisteriahitch_types::{DurationUs, EndpointId, EndpointInstance, TimeUs};
+use wisteriahitch_wire::object_store::Revision;
+
+use crate::site::Endpoint;
+
+/// How long a departure is remembered, far longer than a copy is older than the store.
+const RETENTION_US: DurationUs = DurationUs::from_ms(600_000);
+
+/// Maximum number of remembered departures: three times the number of endpoints that the system is
+/// designed for (docs/DEVELOPERS.md).
+const MAX_DEPARTURES: usize = 3_600;
+
+/// An endpoint's last registration before it left.
+#[derive(Clone, Debug)]
+struct Departure {
+    instance: EndpointInstance,
+    revision: Revision,
+    at_us: TimeUs,
+}
+
+/// A registration that isn't believed yet.
+#[derive(Clone, Debug)]
+struct HeldBack {
+    endpoint: Endpoint,
+    until_us: TimeUs,
+}
+
+/// Departures, and registrations of endpoints that have left.
+#[derive(Debug, Default)]
+pub(super) struct DepartedEndpoints {
+    departures: BTreeMap<EndpointId, Departure>,
+    held_back: BTreeMap<EndpointId, HeldBack>,
+    /// Time within which the entry of an endpoint that is gone lapses after the store's return.
+    lapse_us: DurationUs,
+}
+
+impl DepartedEndpoints {
+    pub(super) fn set_lapse(&mut self, lapse_us: DurationUs) {
+        self.lapse_us = lapse_us;
+    }
+
+    /// Records that an endpoint has left, whose last registration had this revision.
+    pub(super) fn record(&mut self, instance: &EndpointInstance, revision: Revision, now: TimeUs) {
+        if self.departures.len() >= MAX_DEPARTURES {
+            self.forget_oldest();
+        }
+        let departure = Departure {
+            instance: instance.clone(),
+            revision,
+            at_us: now,
+        };
+        self.departures.insert(instance.id.clone(), departure);
+    }
+
+    /// Forgets a departure: the endpoint is registered.
+    pub(super) fn forget(&mut self, id: &EndpointId) {
+        self.departures.remove(id);
+        self.held_back.remove(id);
+    }
+
+    /// Holds back a registration that a restored copy may have brought back for an endpoint that has
+    /// left. Returns whether it does.
+    pub(super) fn hold_back(&mut self, endpoint: &Endpoint, now: TimeUs) -> bool {
+        let id = &endpoint.instance.id;
+        let departure = self.departures.get(id);
+        let is_outdated = departure.is_some_and(|departure| {
+            departure.instance == endpoint.instance
+                && endpoint.revision.may_restore(departure.revision)
+        });
+        if !is_outdated {
+            return false;
+        }
+        if let Some(held_back) = self.held_back.get(id) {
+            // A registration that was written since the store's return shows that its endpoint is there.
+            return endpoint.revision <= held_back.endpoint.revision;
+        }
+        let held_back = HeldBack {
+            endpoint: endpoint.clone(),
+            until_us: now + self.lapse_us,
+        };
+        self.held_back.insert(id.clone(), held_back);
+        true
+    }
+
+    /// Forgets registrations that have been removed: all that `is_registered` doesn't accept.
+    pub(super) fn retain_held_back(&mut self, is_registered: impl Fn(&EndpointId) -> bool) {
+        self.held_back.retain(|id, _| is_registered(id));
+    }
+
+    /// Takes the registrations that haven't lapsed in time, so that their endpoints are there, and
+    /// forgets old departures.
+    pub(super) fn take_confirmed(&mut self, now: TimeUs) -> Vec<Endpoint> {
+        self.departures
+            .retain(|_, departure| now.since(departure.at_us) < RETENTION_US);
+        let is_due = |held_back: &HeldBack| held_back.until_us <= now;
+        let due: Vec<EndpointId> = self
+            .held_back
+            .iter()
+            .filter(|(_, held_back)| is_due(held_back))
+            .map(|(id, _)| id.clone())
+            .collect();
+        due.iter()
+            .filter_map(|id| {
+                self.departures.remove(id);
+                self.held_back.remove(id)
+            })
+            .map(|held_back| held_back.endpoint)
+            .collect()
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest = self
+            .departures
+            .iter()
+            .min_by_key(|(_, departure)| departure.at_us);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+            self.departures.remove(&id);
+        }
+    }
+}
--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -13,6 +13,7 @@
 use super::backlog::Load;
 use super::brittle_services::BrittleServices;
 use super::cold_limit::ColdState;
+use super::departed_endpoints::DepartedEndpoints;
 use super::endpoint_admission::{ServiceColdLimit, ShareTimes};
 use super::endpoint_gossip::PeerReport;
 use super::endpoint_pace::EndpointPace;
@@ -112,6 +113,8 @@
     /// no other endpoint. It goes on serving for a while, and an outage of the store that went
     /// unnoticed looks the same. One that announced it still takes resumed streams for as long.
     pub(super) drain_fallback_us: DurationUs,
+    /// Endpoints that have left, and registrations that a restored copy of the store brought back.
+    departed: DepartedEndpoints,
     /// Instances that have announced their leaving in an answer.
     pub(super) leaving: LeavingInstances,
     /// Services whose endpoints are brittle.
@@ -165,6 +168,14 @@
         self
     }
 
+    /// Sets the time within which the entry of an endpoint that is gone lapses in a store that has
+    /// returned.
+    #[must_use]
+    pub fn with_registration_lapse(mut self, lapse_us: DurationUs) -> Self {
+        self.departed.set_lapse(lapse_us);
+        self
+    }
+
     /// Sets how long a limit that an endpoint names stays in force without being repeated. The
     /// default of zero ignores all limits.
     #[must_use]
@@ -239,6 +250,7 @@
         for registration in registrations {
             changes.extend(self.apply_registration(registration, now));
         }
+        self.departed.retain_held_back(|id| ids.contains(id));
         let is_missing = |id: &&EndpointId| !ids.contains(id);
         let missing: Vec<EndpointId> = self.rows.keys().filter(is_missing).cloned().collect();
         for id in missing {
@@ -263,13 +275,24 @@
         };
         self.names.share(&mut endpoint);
         let id = endpoint.instance.id.clone();
+        if self.departed.hold_back(&endpoint, now) {
+            return Vec::new();
+        }
         let Some(row) = self.rows.get(&id) else {
+            self.departed.forget(&id);
             return self.add(endpoint, now);
         };
         if endpoint.revision < row.endpoint.revision {
             return Vec::new();
         }
         let known = row.instance();
+        if endpoint.revision.may_restore(row.endpoint.revision)
+            && endpoint.instance.start < known.start
+        {
+            // A restored copy has the registration of the instance before this one.
+            return Vec::new();
+        }
+        self.departed.forget(&id);
         if known.start.is_some() && endpoint.instance.start.is_none() {
             // An endpoint that has reported its start always does, so this registration was written
             // by something else.
@@ -383,9 +406,15 @@
         absence: AbsenceCause,
         now: TimeUs,
     ) -> Option<EndpointChange> {
+        self.departed.retain_held_back(|held_back| held_back != id);
         let row = self.rows.get_mut(id)?;
         match row.state {
             EndpointState::Ready => {
+                if absence == AbsenceCause::Left {
+                    let endpoint = &row.endpoint;
+                    self.departed
+                        .record(&endpoint.instance, endpoint.revision, now);
+                }
                 let left_until_us = now + self.drain_fallback_us;
                 let until_us = match absence {
                     AbsenceCause::Left => left_until_us,
@@ -395,10 +424,7 @@
                 Some(EndpointChange::Lapsed(row.endpoint.instance.clone()))
             }
             EndpointState::Lapsed(_) => None,
-            EndpointState::Draining | EndpointState::Unreadable => {
-                let row = self.remove(id, now)?;
-                Some(EndpointChange::Removed(row.endpoint.instance))
-            }
+            EndpointState::Draining | EndpointState::Unreadable => self.remove_departed(id, now),
         }
     }
 
@@ -432,8 +458,8 @@
         row.is_some_and(|row| row.instance() != instance)
     }
 
-    /// Removes endpoints whose registration lapsed and didn't come back, and expired reports of
-    /// peers.
+    /// Removes endpoints whose registration lapsed and didn't come back, adds those whose registration
+    /// was held back and hasn't lapsed, and removes expired reports of peers.
     pub fn tick(&mut self, now: TimeUs) -> Vec<EndpointChange> {
         self.links.prune(now);
         let has_lapsed =
@@ -444,18 +470,20 @@
             .filter(|(_, row)| has_lapsed(row))
             .map(|(id, _)| id.clone())
             .collect();
-        let removed: Vec<EndpointChange> = lapsed
+        let mut changes: Vec<EndpointChange> = lapsed
             .iter()
-            .filter_map(|id| self.remove(id, now))
-            .map(|row| EndpointChange::Removed(row.endpoint.instance))
+            .filter_map(|id| self.remove_departed(id, now))
             .collect();
+        for endpoint in self.departed.take_confirmed(now) {
+            changes.extend(self.apply_registration(endpoint, now));
+        }
         self.prune_silent_peers(now);
         self.resumable_until_us.retain(|_, until| *until > now);
         self.software.prune(SOFTWARE_RETENTION_US, now);
         let by_short_name = &self.by_short_name;
         self.leaving
             .tick(|instance| by_short_name.contains_key(&instance), now);
-        removed
+        changes
     }
 
     /// Records the version of the weights that an endpoint has for a model. Versions never decrease
@@ -596,6 +624,14 @@
         Some(row)
     }
 
+    /// Removes an endpoint that has left.
+    fn remove_departed(&mut self, id: &EndpointId, now: TimeUs) -> Option<EndpointChange> {
+        let endpoint = self.remove(id, now)?.endpoint;
+        self.departed
+            .record(&endpoint.instance, endpoint.revision, now);
+        Some(EndpointChange::Removed(endpoint.instance))
+    }
+
     /// Returns the state of an endpoint, from its registration and from what it has announced in
     /// answers.
     fn state_of(&self, endpoint: &Endpoint) -> EndpointState {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod caller_pause;
 pub(crate) mod cold_limit;
 pub(crate) mod crash_evidence;
+mod departed_endpoints;
 mod departures;
 pub(crate) mod drain_admission;
 mod endpoint_addresses;
--- a/crates/wisteriahitch-relay/src/decide/store_outages.rs
+++ b/crates/wisteriahitch-relay/src/decide/store_outages.rs
@@ -82,6 +82,12 @@
         self.failed_at_us = self.failed_at_us.filter(|failed_at| *failed_at > at);
     }
 
+    /// Records that the store returned with an older copy at time `at`. The copy lacks the
+    /// registrations that were written since; their endpoints write them again.
+    pub fn record_restoration(&mut self, at: TimeUs) {
+        self.returned_at_us = Some(at);
+    }
+
     /// Returns why a registration is absent of which this daemon learns now.
     pub fn absence_cause(&self, now: TimeUs) -> AbsenceCause {
         let returned_at = match self.was_away_until(now) {
--- a/crates/wisteriahitch-relay/src/settings/bounds.rs
+++ b/crates/wisteriahitch-relay/src/settings/bounds.rs
@@ -247,6 +247,12 @@
         ms(self.endpoint_heartbeat_ms * (LAPSE_HEARTBEATS - 1.0))
     }
 
+    /// Returns the longest time after the store's return within which the registration of an endpoint
+    /// that is gone lapses: the store may count missing heartbeats anew.
+    pub fn longest_lapse(&self) -> DurationUs {
+        ms(self.endpoint_heartbeat_ms * (LAPSE_HEARTBEATS + 1.0))
+    }
+
     /// Returns how long a daemon waits for the store before it asks a peer that knows newer
     /// objects.
     pub fn catch_up_delay(&self) -> DurationUs {
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -101,6 +101,7 @@
         let bounds = settings.bounds()?;
         let endpoints = EndpointTable::default()
             .with_drain_fallback(bounds.drain_fallback())
+            .with_registration_lapse(bounds.longest_lapse())
             .with_limit_ttl(limit_ttl());
         let shared = Shared {
             started_at_us: BootClock.now(),
--- a/crates/wisteriahitch-relay/src/shell/store_epoch.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_epoch.rs
@@ -11,7 +11,8 @@
 
 /// Records the store's epoch, which `source` has named.
 pub(super) fn record_store_epoch(shared: &Shared, epoch: StoreEpoch, source: &str) {
-    let Some(previous) = shared.watches.raise_epoch(epoch) else {
+    let now = shared.now();
+    let Some(previous) = shared.watches.raise_epoch(epoch, now) else {
         return;
     };
     let gauge = i64::try_from(epoch.get()).unwrap_or(i64::MAX);
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -131,7 +131,7 @@
     }
 
     /// Records an epoch of the store. Returns the previous one if this is a later one.
-    pub(super) fn raise_epoch(&self, epoch: StoreEpoch) -> Option<StoreEpoch> {
+    pub(super) fn raise_epoch(&self, epoch: StoreEpoch, now: TimeUs) -> Option<StoreEpoch> {
         let mut previous = None;
         self.epoch.send_if_modified(|known| {
             let is_later = epoch > *known;
@@ -140,6 +140,10 @@
             }
             is_later
         });
+        // A daemon that has listed nothing misses no registration.
+        if previous.is_some() && self.state_of(ObjectRole::Endpoints).lock().is_listed() {
+            self.outages.lock().record_restoration(now);
+        }
         previous
     }
 
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -41,6 +41,7 @@
 mod regions;
 mod rejoining;
 mod rest;
+mod restored_endpoints;
 mod retry_share;
 mod rollout;
 mod rollout_fleet;
--- /dev/null
+++ b/crates/wisteriahitch-relay/tests/all/restored_endpoints.rs
@@ -0,0 +1,136 @@
+//! Endpoints whose registrations a restored copy of the store brings back.
+
+use wisteriahitch_relay::{AbsenceCause, Endpoint, EndpointState, EndpointTable};
+use wisteriahitch_types::{DurationUs, EndpointInstance, EndpointStart};
+use wisteriahitch_wire::object_store::{Revision, StoreEpoch};
+
+use crate::fixture::{at_ms, engine, id, lapsed_until};
+
+/// Time within which the entry of an endpoint that is gone lapses.
+const LAPSE_MS: u64 = 4_800;
+
+enum Event {
+    /// A registration is read: epoch, number, start, whether it is draining.
+    Read(u64, u64, u64, bool),
+    /// The registration is missing.
+    Missing(AbsenceCause),
+    /// Time passes until this time in ms.
+    Until(u64),
+}
+
+fn endpoint(epoch: u64, number: u64, start_ms: u64, is_draining: bool) -> Endpoint {
+    Endpoint {
+        instance: EndpointInstance {
+            start: Some(EndpointStart::from_unix_ms(start_ms)),
+            ..id("a")
+        },
+        revision: Revision::new(StoreEpoch::new(epoch).unwrap(), number).unwrap(),
+        is_draining,
+        ..engine("a")
+    }
+}
+
+/// Guards against calls to endpoints that have left, and against endpoints that stay without calls,
+/// after the store returned with an older copy of their registrations.
+#[test]
+fn a_copy_revives_only_endpoints_that_are_there() {
+    use AbsenceCause::Left;
+    use Event::*;
+    struct Case {
+        name: &'static str,
+        events: Vec<Event>,
+        /// State and start at the end; `None` if the endpoint isn't in the table.
+        end: Option<(EndpointState, u64)>,
+    }
+    let known = || Read(1, 50, 2, false);
+    let after_leaving = |events: Vec<Event>| {
+        let left = [known(), Missing(Left), Until(3_000)];
+        left.into_iter().chain(events).collect()
+    };
+    let cases = [
+        Case {
+            name: "it has left",
+            events: after_leaving(vec![Read(2, 50, 2, false), Until(7_700)]),
+            end: None,
+        },
+        Case {
+            name: "it seemed to have left, and its entry doesn't lapse",
+            events: after_leaving(vec![Read(2, 50, 2, false), Until(7_800)]),
+            end: Some((EndpointState::Ready, 2)),
+        },
+        Case {
+            name: "it has left, and its entry lapses",
+            events: after_leaving(vec![Read(2, 50, 2, false), Missing(Left), Until(9_000)]),
+            end: None,
+        },
+        Case {
+            name: "it is there, and its entry changes",
+            events: after_leaving(vec![Read(2, 40, 2, false), Read(2, 45, 2, false)]),
+            end: Some((EndpointState::Ready, 2)),
+        },
+        Case {
+            name: "it is registered again later than the copy",
+            events: after_leaving(vec![Read(2, 51, 2, false)]),
+            end: Some((EndpointState::Ready, 2)),
+        },
+        Case {
+            name: "its entry has just disappeared",
+            events: vec![known(), Missing(Left), Read(2, 50, 2, false)],
+            end: Some((EndpointState::Lapsed(at_ms(1_000)), 2)),
+        },
+        Case {
+            name: "it announced its leaving and has left",
+            events: vec![Read(1, 50, 2, true), Missing(Left), Read(2, 40, 2, false)],
+            end: None,
+        },
+        Case {
+            name: "it announced its leaving",
+            events: vec![Read(1, 50, 2, true), Read(2, 40, 2, false)],
+            end: Some((EndpointState::Draining, 2)),
+        },
+        Case {
+            name: "it announces its leaving with a number that was given before",
+            events: vec![known(), Read(2, 45, 2, true)],
+            end: Some((EndpointState::Draining, 2)),
+        },
+        Case {
+            name: "it lapsed in an outage",
+            events: vec![known(), Missing(lapsed_until(4_000)), Read(2, 50, 2, false)],
+            end: Some((EndpointState::Ready, 2)),
+        },
+        Case {
+            name: "the copy has the instance before it",
+            events: vec![known(), Read(2, 40, 1, false)],
+            end: Some((EndpointState::Ready, 2)),
+        },
+        Case {
+            name: "it restarts with a number that was given before",
+            events: vec![known(), Read(2, 45, 3, false)],
+            end: Some((EndpointState::Ready, 3)),
+        },
+    ];
+    for case in cases {
+        let mut table = EndpointTable::default()
+            .with_drain_fallback(DurationUs::from_ms(1_000))
+            .with_registration_lapse(DurationUs::from_ms(LAPSE_MS));
+        let mut now = at_ms(0);
+        for event in case.events {
+            match event {
+                Read(epoch, number, start_ms, is_draining) => {
+                    table.apply_registration(endpoint(epoch, number, start_ms, is_draining), now);
+                }
+                Missing(absence) => drop(table.apply_unregistration(&id("a").id, absence, now)),
+                Until(ms) => {
+                    now = at_ms(ms);
+                    table.tick(now);
+                }
+            }
+        }
+        let row = table.by_id(&id("a").id);
+        let end = row.map(|row| (row.state, row.instance().start.unwrap()));
+        let expected = case
+            .end
+            .map(|(state, start_ms)| (state, EndpointStart::from_unix_ms(start_ms)));
+        assert_eq!(end, expected, "{}", case.name);
+    }
+}
