fix(leases): give up leases when the store returns with an older copy

Two daemons ordered the same engines within a second of each other, one of them with a lower fencing number or with the same one. Cause: the copy has a lease as it was before its last holders, and daemons went by its object: one that lacked it or found it released took it and gave orders at once, while another daemon's orders under the lost lease were still in time. Evidence: restored_store::orders_keep_their_fences_and_distance. Why it works: whoever learns of a new epoch gives up its lease, forgets the object and the writes whose answers it awaits, and gives no order for one term and one order time-out; a daemon that starts does so too. A holder that doesn't know of the epoch stops when its term ends. Fencing numbers are revisions with their epoch.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease.rs
@@ -64,10 +64,13 @@
 }
 
 impl Lease {
-    pub(super) fn new(me: LeaseHolder, settings: LeaseSettings) -> Self {
+    /// Creates a lease of which nothing is known but that no order may be given before
+    /// `wait_until_us`.
+    pub(super) fn new(me: LeaseHolder, settings: LeaseSettings, wait_until_us: TimeUs) -> Self {
         let times = LeaseTimes {
             term_us: settings.term_us,
             margin_us: settings.margin_us,
+            wait_until_us,
             ..LeaseTimes::default()
         };
         Self {
@@ -203,6 +206,16 @@
         self.apply_write_effect(&pending, now);
     }
 
+    /// Gives up the lease and what is known of its object. A write whose answer is still awaited
+    /// expects a version of the lost history.
+    pub(super) fn handle_restored_store(&mut self, wait_until_us: TimeUs, now: TimeUs) {
+        self.pending_write = None;
+        self.observed = None;
+        self.last_read_at_us = None;
+        self.times.wait_until_us = self.times.wait_until_us.max(wait_until_us);
+        self.dispatch(PhaseEvent::ReadBack, now);
+    }
+
     /// Handles a failed write. A lost write stays pending until the object is read back.
     pub(super) fn handle_write_failure(&mut self, write_number: u64, failure: WriteFailure) {
         let is_pending = self.pending_write.as_ref().map(|p| p.write_number) == Some(write_number);
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_event.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_event.rs
@@ -39,6 +39,9 @@
     },
     /// An order has been answered, refused or abandoned.
     OrderDone(LeaseGroup),
+    /// The store has returned with an older copy of its objects. All leases may have had other
+    /// holders, of which the copy doesn't tell.
+    StoreRestored,
 }
 
 /// Reason of a failed write.
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -48,6 +48,8 @@
     /// Leases of the existing groups, and leases of other groups that are still held or whose last
     /// orders the next holder must wait for.
     leases: BTreeMap<LeaseGroup, Lease>,
+    /// Until when orders may still be given under leases that the store has lost.
+    lost_leases_until_us: TimeUs,
 }
 
 impl LeaseTable {
@@ -59,6 +61,7 @@
             groups: BTreeSet::new(),
             rollout_owner: None,
             leases: BTreeMap::new(),
+            lost_leases_until_us: TimeUs::ZERO,
         }
     }
 
@@ -66,9 +69,9 @@
     pub fn set_groups(&mut self, groups: impl IntoIterator<Item = LeaseGroup>) {
         self.groups = groups.into_iter().collect();
         for group in &self.groups {
-            self.leases
-                .entry(group.clone())
-                .or_insert_with(|| Lease::new(self.me.clone(), self.settings));
+            self.leases.entry(group.clone()).or_insert_with(|| {
+                Lease::new(self.me.clone(), self.settings, self.lost_leases_until_us)
+            });
         }
     }
 
@@ -108,6 +111,7 @@
                 failure,
             } => self.update_lease(&group, |l| l.handle_write_failure(write_number, failure)),
             LeaseEvent::OrderDone(group) => self.update_lease(&group, |l| l.order_done(now)),
+            LeaseEvent::StoreRestored => self.handle_restored_store(now),
         }
         Vec::new()
     }
@@ -160,6 +164,15 @@
         first.first().copied()
     }
 
+    /// Gives up all leases, and makes orders wait as if each lease had been acquired from a holder that
+    /// acquired it just now: nobody can tell who held it last.
+    fn handle_restored_store(&mut self, now: TimeUs) {
+        self.lost_leases_until_us = now + self.settings.term_us + self.settings.order_timeout_us;
+        for lease in self.leases.values_mut() {
+            lease.handle_restored_store(self.lost_leases_until_us, now);
+        }
+    }
+
     fn tick(&mut self, now: TimeUs, members: &Membership) -> Vec<LeaseCommand> {
         let mut commands = Vec::new();
         for (group, lease) in &mut self.leases {
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -13,7 +13,9 @@
 use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
 
 use super::shared::Shared;
+use super::store_epoch::record_store_epoch;
 use super::store_updates::log_unreadable_object;
+use super::watch_state::{STORE, kind_name};
 use crate::observe::Event;
 use crate::settings::RelaySettings;
 
@@ -100,6 +102,7 @@
             expected,
         } => write_lease(&shared, group, object, expected).await,
     };
+    record_store_epoch(&shared, shared.borders.store.epoch(), STORE);
     shared.leases.lock().handle(event, shared.now(), &members);
 }
 
@@ -110,6 +113,15 @@
         .get(ObjectRole::Leases, &group.to_string())
         .await;
     match read {
+        Ok(Some(object)) if object.revision.epoch() < shared.watches.epoch() => {
+            shared.log.write(&Event::OutdatedAnswer {
+                kind: kind_name(ObjectRole::Leases),
+                source: STORE.to_owned(),
+                revision: object.revision.number(),
+                known_revision: 0,
+            });
+            LeaseEvent::ReadFailed(group)
+        }
         Ok(object) => {
             let object = object.map(|object| decode_lease(shared, &group, object));
             LeaseEvent::Read { group, object }
@@ -128,7 +140,7 @@
 ///
 /// An unreadable lease is treated as held by an unknown daemon with the default durations, so it is
 /// acquired like the lease of a dead holder, and no sooner. Its fencing number is the object's
-/// revision, which is known anyway. Treating it as a failed read would stop all orders for as long
+/// revision with its epoch, which is known anyway. Treating it as a failed read would stop all orders for as long
 /// as the object exists.
 fn decode_lease(shared: &Shared, group: &LeaseGroup, object: StoredObject) -> (LeaseObject, u64) {
     let order_timeout_us = handover_delay(&shared.settings);
--- a/crates/wisteriahitch-relay/src/shell/store_epoch.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_epoch.rs
@@ -4,17 +4,24 @@
 //! carry the store's epoch, so objects of the copy replace the known ones
 //! (`docs/design/store-epochs.md`).
 
+use wisteriahitch_core::fleet::LeaseEvent;
 use wisteriahitch_wire::object_store::StoreEpoch;
 
+use super::lease::standalone_membership;
 use super::shared::Shared;
 use crate::observe::Event;
 
-/// Records the store's epoch, which `source` has named.
+/// Records the store's epoch, which `source` has named. If it is a later one, gives up all leases.
 pub(super) fn record_store_epoch(shared: &Shared, epoch: StoreEpoch, source: &str) {
     let now = shared.now();
     let Some(previous) = shared.watches.raise_epoch(epoch, now) else {
         return;
     };
+    let members = standalone_membership(shared);
+    shared
+        .leases
+        .lock()
+        .handle(LeaseEvent::StoreRestored, now, &members);
     let gauge = i64::try_from(epoch.get()).unwrap_or(i64::MAX);
     shared.metrics.store_epoch.set(gauge);
     shared.log.write(&Event::StoreEpochChanged {
