--- a/crates/wisteriahitch-relay/tests/all/restored_endpoints.rs
+++ b/crates/wisteriahitch-relay/tests/all/restored_endpoints.rs
@@ -9,6 +9,9 @@
 /// Time within which the entry of an endpoint that is gone lapses.
 const LAPSE_MS: u64 = 4_800;
 
+use AbsenceCause::Left;
+use Event::{Missing, Read, Until};
+
 enum Event {
     /// A registration is read: epoch, number, start, whether it is draining.
     Read(u64, u64, u64, bool),
@@ -30,24 +33,22 @@
     }
 }
 
-/// Guards against calls to endpoints that have left, and against endpoints that stay without calls,
-/// after the store returned with an older copy of their registrations.
-#[test]
-fn a_copy_revives_only_endpoints_that_are_there() {
-    use AbsenceCause::Left;
-    use Event::*;
-    struct Case {
-        name: &'static str,
-        events: Vec<Event>,
-        /// State and start at the end; `None` if the endpoint isn't in the table.
-        end: Option<(EndpointState, u64)>,
-    }
-    let known = || Read(1, 50, 2, false);
+struct Case {
+    name: &'static str,
+    events: Vec<Event>,
+    /// State and start at the end; `None` if the endpoint isn't in the table.
+    end: Option<(EndpointState, u64)>,
+}
+
+/// The endpoint's registration before the store's return.
+const KNOWN: Event = Read(1, 50, 2, false);
+
+fn cases_of_endpoints_that_left() -> Vec<Case> {
     let after_leaving = |events: Vec<Event>| {
-        let left = [known(), Missing(Left), Until(3_000)];
+        let left = [KNOWN, Missing(Left), Until(3_000)];
         left.into_iter().chain(events).collect()
     };
-    let cases = [
+    vec![
         Case {
             name: "it has left",
             events: after_leaving(vec![Read(2, 50, 2, false), Until(7_700)]),
@@ -73,9 +74,14 @@
             events: after_leaving(vec![Read(2, 51, 2, false)]),
             end: Some((EndpointState::Ready, 2)),
         },
+    ]
+}
+
+fn cases_of_known_endpoints() -> Vec<Case> {
+    vec![
         Case {
             name: "its entry has just disappeared",
-            events: vec![known(), Missing(Left), Read(2, 50, 2, false)],
+            events: vec![KNOWN, Missing(Left), Read(2, 50, 2, false)],
             end: Some((EndpointState::Lapsed(at_ms(1_000)), 2)),
         },
         Case {
@@ -90,25 +96,33 @@
         },
         Case {
             name: "it announces its leaving with a number that was given before",
-            events: vec![known(), Read(2, 45, 2, true)],
+            events: vec![KNOWN, Read(2, 45, 2, true)],
             end: Some((EndpointState::Draining, 2)),
         },
         Case {
             name: "it lapsed in an outage",
-            events: vec![known(), Missing(lapsed_until(4_000)), Read(2, 50, 2, false)],
+            events: vec![KNOWN, Missing(lapsed_until(4_000)), Read(2, 50, 2, false)],
             end: Some((EndpointState::Ready, 2)),
         },
         Case {
             name: "the copy has the instance before it",
-            events: vec![known(), Read(2, 40, 1, false)],
+            events: vec![KNOWN, Read(2, 40, 1, false)],
             end: Some((EndpointState::Ready, 2)),
         },
         Case {
             name: "it restarts with a number that was given before",
-            events: vec![known(), Read(2, 45, 3, false)],
+            events: vec![KNOWN, Read(2, 45, 3, false)],
             end: Some((EndpointState::Ready, 3)),
         },
-    ];
+    ]
+}
+
+/// Guards against calls to endpoints that have left, and against endpoints that stay without calls,
+/// after the store returned with an older copy of their registrations.
+#[test]
+fn a_copy_revives_only_endpoints_that_are_there() {
+    let mut cases = cases_of_endpoints_that_left();
+    cases.extend(cases_of_known_endpoints());
     for case in cases {
         let mut table = EndpointTable::default()
             .with_drain_fallback(DurationUs::from_ms(1_000))
