fix(relay): don't call routes unknown while a restored store lacks configurations

Callers of a route that operators had added could get a final 404 after the store's return. Cause: the configuration in force doesn't revert, so after the return a daemon has a newer one than the store. It counted the store's listing as a confirmation that there is nothing newer. Why it works: a version lower than the one in force in a later epoch shows that the store has lost configurations. Until it has that version or a newer one, unknown routes and keys are refused with 503 and a time to come back.

--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -318,7 +318,8 @@
 /// the route or key. Callers don't retry after "unknown", so in that case they are asked to retry.
 fn unknown_refusal(shared: &Shared, code: Code) -> Refusal {
     let limits = shared.bounds.staleness_limits(ObjectRole::Configuration);
-    match shared.watches.is_configuration_final(&limits, shared.now()) {
+    let is_final = shared.watches.is_configuration_final(&limits, shared.now());
+    match is_final && !shared.site.is_store_behind() {
         true => Refusal::new(code),
         false => Refusal::new(Code::NotReady).retry_after(NOT_READY_RETRY_US),
     }
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -8,6 +8,7 @@
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
 use wisteriahitch_types::{ModelName, TimeUs, WeightNumber};
+use wisteriahitch_wire::object_store::StoreEpoch;
 
 use crate::decide::wanted_weights::{OldWeightsLimits, WantedVersions};
 use crate::site::{SiteConfig, WantedWeights};
@@ -19,6 +20,9 @@
 /// What operators have configured: the configuration in force and the wanted weight versions.
 pub(crate) struct SiteState {
     config: ArcSwapOption<SiteConfig>,
+    /// Epoch of the store in which the configuration in force was read, and whether a later epoch has
+    /// an older one.
+    config_epoch: Mutex<(StoreEpoch, bool)>,
     /// How long replaced weights may be used.
     old_weights_limits: OldWeightsLimits,
     /// Recently wanted weight versions by model.
@@ -32,6 +36,7 @@
     pub(crate) fn new(old_weights_limits: OldWeightsLimits) -> Self {
         Self {
             config: ArcSwapOption::default(),
+            config_epoch: Mutex::default(),
             old_weights_limits,
             wanted_by_model: Mutex::default(),
             wanted_changed: Notify::new(),
@@ -48,18 +53,29 @@
     ///
     /// A stale listing or a lagging peer could otherwise bring back an older configuration, and
     /// callers would lose routes and keys that were just added.
-    pub(crate) fn adopt(&self, config: SiteConfig) -> bool {
-        let is_newer = self
-            .config
-            .load()
-            .as_ref()
-            .is_none_or(|old| config.version > old.version);
+    pub(crate) fn adopt(&self, config: SiteConfig, epoch: StoreEpoch) -> bool {
+        let mut config_epoch = self.config_epoch.lock();
+        let (read_in, is_behind) = &mut *config_epoch;
+        let in_force = self.config.load().as_ref().map(|old| old.version);
+        if epoch > *read_in {
+            *is_behind = in_force.is_some_and(|in_force| config.version < in_force);
+        }
+        let is_newer = in_force.is_none_or(|in_force| config.version > in_force);
+        if in_force <= Some(config.version) {
+            (*read_in, *is_behind) = (epoch, false);
+        }
         if is_newer {
             self.config.store(Some(Arc::new(config)));
         }
         is_newer
     }
 
+    /// Returns whether the store has returned with a configuration older than the one in force. It has
+    /// lost newer ones, and operators may have added routes and keys that this daemon doesn't know.
+    pub(crate) fn is_store_behind(&self) -> bool {
+        self.config_epoch.lock().1
+    }
+
     /// Records the wanted weights of a model, and returns whether the version is new.
     ///
     /// `named_after` is the earliest time at which the version can have been named, and `now` the
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -380,7 +380,7 @@
     {
         // A call that finds its route in the new configuration must find the change here.
         let mut route_services = shared.route_services.lock();
-        if !shared.site.adopt(config) {
+        if !shared.site.adopt(config, object.revision.epoch()) {
             return;
         }
         route_services.apply(table, shared.now());
