fix(relay): write again what a restored store lacks

A daemon that had registered shortly before the store's return was in nobody's listing any more, and a request that crashes endpoints was no longer blocked once all daemons had restarted. Cause: daemons write their registration and each block once. Evidence: restored_store::daemons_write_again_what_the_copy_lacks waited for 30 s in vain and passes now. Why it works: at a new epoch each daemon registers again, at a random time within 5 s, and the one that is first by hash writes all blocks that it knows.

--- a/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
+++ b/crates/wisteriahitch-relay/src/shell/blocked_requests.rs
@@ -210,6 +210,19 @@
     }
 }
 
+/// Queues the writes of all known blocks if this daemon is the one that does so, after the store has
+/// returned with an older copy. Blocks that the copy has are left as they are.
+pub(super) fn write_blocks_again(shared: &Shared) {
+    let now = shared.now();
+    if shared.peers.query_rank(ROLE, shared.settings.ip, now).place > 0 {
+        return;
+    }
+    let blocked = shared.suspects.lock().blocked(now);
+    for (attribute, _) in blocked {
+        shared.blocked_requests.add(StoreChange::Write(attribute));
+    }
+}
+
 /// Restores the stored blocks, then writes changes to the store until the process ends.
 pub(crate) async fn run_blocked_requests(shared: Arc<Shared>) {
     restore(&shared).await;
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -23,6 +23,9 @@
 /// Time between two checks of whether the next listing is due.
 const DUE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum delay of a daemon's new registration after the store has returned with an older copy.
+const MAX_RENEWAL_DELAY: Duration = Duration::from_secs(5);
+
 /// Number of intervals for which a listing is valid, so that one failed listing doesn't matter.
 const LISTING_TTL_INTERVALS: u64 = 2;
 
@@ -57,6 +60,7 @@
     if is_new {
         tokio::spawn(fill_budgets(Arc::clone(&shared)));
     }
+    tokio::spawn(run_renewed_registrations(Arc::clone(&shared)));
     // Two daemons that start at the same time both write before they list, so at least one sees the
     // other.
     let mut is_first = true;
@@ -103,6 +107,25 @@
     }
 }
 
+/// Registers this daemon again whenever the store has returned with an older copy, for as long as the
+/// process runs. The copy may lack its registration, or have that of the process before.
+async fn run_renewed_registrations(shared: Arc<Shared>) {
+    let mut registered_in = shared.borders.store.epoch();
+    loop {
+        shared.watches.wait_for_epoch_after(registered_in).await;
+        let epoch = shared.watches.epoch();
+        // All daemons learn of the return at about the same time.
+        tokio::time::sleep(MAX_RENEWAL_DELAY.mul_f64(rand::random())).await;
+        match register(&shared).await {
+            Ok(_) => registered_in = epoch,
+            Err(error) => shared.log.write(&Event::Failure {
+                what: "registering this daemon again",
+                detail: error.to_string(),
+            }),
+        }
+    }
+}
+
 fn listing_interval(shared: &Shared) -> DurationUs {
     let plan = shared.peers.current_hub_plan.lock();
     let is_hub = plan.is_small || plan.is_hub(shared.settings.ip);
--- a/crates/wisteriahitch-relay/src/shell/store_epoch.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_epoch.rs
@@ -1,17 +1,19 @@
 //! What changes when the platform's store returns with an older copy of its objects.
 //!
 //! What was written since the copy was made is gone, and its revisions are given out again. Revisions
-//! carry the store's epoch, so objects of the copy replace the known ones
+//! carry the store's epoch, so objects of the copy replace the known ones; this module does the rest
 //! (`docs/design/store-epochs.md`).
 
 use wisteriahitch_core::fleet::LeaseEvent;
 use wisteriahitch_wire::object_store::StoreEpoch;
 
+use super::blocked_requests::write_blocks_again;
 use super::lease::standalone_membership;
 use super::shared::Shared;
 use crate::observe::Event;
 
-/// Records the store's epoch, which `source` has named. If it is a later one, gives up all leases.
+/// Records the store's epoch, which `source` has named. If it is a later one, gives up all leases and
+/// has written again what the copy may lack.
 pub(super) fn record_store_epoch(shared: &Shared, epoch: StoreEpoch, source: &str) {
     let now = shared.now();
     let Some(previous) = shared.watches.raise_epoch(epoch, now) else {
@@ -29,4 +31,5 @@
         to: epoch.get(),
         source: source.to_owned(),
     });
+    write_blocks_again(shared);
 }
