fix(relay): a daemon that starts asks its peers whether the store lacks configurations

Callers of an added route got a final 404 from a daemon that started after the store's return. Cause: it reads the copy's configuration and knows of no other, so nothing shows it that the store is behind. Why it works: a daemon whose configuration in force is newer than the store's tells its version in a section of its messages, and one that has just started doesn't call anything unknown before its peers have had time to tell. Where the store names no epoch, nothing is sent and nothing waits.

--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod call_work;
 pub(crate) mod caller_pause;
 pub(crate) mod cold_limit;
+pub(crate) mod configuration_section;
 pub(crate) mod crash_evidence;
 mod departed_endpoints;
 mod departures;
--- a/crates/wisteriahitch-relay/src/shell/gossip.rs
+++ b/crates/wisteriahitch-relay/src/shell/gossip.rs
@@ -10,6 +10,7 @@
 use super::endpoint_connections::is_partitioned_from_engines;
 use super::shared::Shared;
 use super::work_shares::add_work_report;
+use crate::decide::configuration_section::ConfigurationSection;
 use crate::decide::endpoint_round::{EndpointRound, RoundPeer, RoundScope, RoundTarget};
 use crate::decide::gossip_message::{
     GossipMessage, LimitUpdate, MembershipUpdate, PartUpdate, StoreUpdate, StoredPartUpdate,
@@ -198,6 +199,10 @@
     };
     // The most important section first.
     let pushed = [
+        shared
+            .site
+            .lost_version()
+            .map(|version| sections.push(&ConfigurationSection { version })),
         brittle.map(|brittle| sections.push(&brittle)),
         rates.map(|rates| sections.push(&rates)),
     ];
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -20,6 +20,7 @@
 use super::watch::log_confirmations;
 use super::watch_state::ObjectPeer;
 use super::work_shares::receive_work_report;
+use crate::decide::configuration_section::ConfigurationSection;
 use crate::decide::gossip_message::{GossipMessage, MemberPhase};
 use crate::decide::hubs::HubCandidate;
 use crate::decide::member_updates::ReportReceiver;
@@ -263,9 +264,22 @@
     receive_work_report(shared, &message, now);
     apply_store_updates(shared, &message, now);
     apply_rates(shared, &message);
+    apply_lost_configuration(shared, &message);
     relay_parts(shared, message);
 }
 
+/// Records the version of a configuration that the sender has and the store has lost.
+fn apply_lost_configuration(shared: &Shared, message: &GossipMessage) {
+    match message.sections.get::<ConfigurationSection>() {
+        Ok(None) => {}
+        Ok(Some(section)) => shared.site.record_peer_version(section.version),
+        Err(error) => shared.log.write(&Event::Failure {
+            what: "configuration of a peer",
+            detail: format!("{error} from {}", message.ip),
+        }),
+    }
+}
+
 /// Applies the rates of a message.
 fn apply_rates(shared: &Shared, message: &GossipMessage) {
     if !shared.manages_load() {
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -61,6 +61,7 @@
         tokio::spawn(fill_budgets(Arc::clone(&shared)));
     }
     tokio::spawn(run_renewed_registrations(Arc::clone(&shared)));
+    tokio::spawn(hear_peers(Arc::clone(&shared)));
     // Two daemons that start at the same time both write before they list, so at least one sees the
     // other.
     let mut is_first = true;
@@ -155,6 +156,14 @@
     }
 }
 
+/// Records when the other daemons have had time to tell what they know.
+async fn hear_peers(shared: Arc<Shared>) {
+    if shared.peers.wait_for_peer_list().await {
+        shared.peers.wait_for_gossip().await;
+    }
+    shared.site.record_peers_heard();
+}
+
 /// Registers this daemon, and returns whether it is new, that is, wasn't registered before. If the
 /// answer to its first write is lost, it doesn't count as new, because a restart looks the same.
 async fn register(shared: &Shared) -> Result<bool, PlatformError> {
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -7,7 +7,7 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 use tokio::sync::futures::Notified;
-use wisteriahitch_types::{ModelName, TimeUs, WeightNumber};
+use wisteriahitch_types::{ConfigVersion, ModelName, TimeUs, WeightNumber};
 use wisteriahitch_wire::object_store::StoreEpoch;
 
 use crate::decide::wanted_weights::{OldWeightsLimits, WantedVersions};
@@ -17,12 +17,23 @@
 /// milliseconds.
 pub(crate) type ReplacementAges = BTreeMap<ModelName, Vec<(WeightNumber, u64)>>;
 
+/// Where the configuration in force comes from.
+#[derive(Debug, Default)]
+struct ConfigHistory {
+    /// Epoch of the store in which it was read.
+    read_in: StoreEpoch,
+    /// Whether a later epoch has an older one.
+    is_lost: bool,
+    /// Greatest version that a peer has in force and the store has lost.
+    peer_version: u64,
+    /// Whether peers have had time to tell such a version since the start of this process.
+    has_heard_peers: bool,
+}
+
 /// What operators have configured: the configuration in force and the wanted weight versions.
 pub(crate) struct SiteState {
     config: ArcSwapOption<SiteConfig>,
-    /// Epoch of the store in which the configuration in force was read, and whether a later epoch has
-    /// an older one.
-    config_epoch: Mutex<(StoreEpoch, bool)>,
+    config_history: Mutex<ConfigHistory>,
     /// How long replaced weights may be used.
     old_weights_limits: OldWeightsLimits,
     /// Recently wanted weight versions by model.
@@ -36,7 +47,7 @@
     pub(crate) fn new(old_weights_limits: OldWeightsLimits) -> Self {
         Self {
             config: ArcSwapOption::default(),
-            config_epoch: Mutex::default(),
+            config_history: Mutex::default(),
             old_weights_limits,
             wanted_by_model: Mutex::default(),
             wanted_changed: Notify::new(),
@@ -54,15 +65,15 @@
     /// A stale listing or a lagging peer could otherwise bring back an older configuration, and
     /// callers would lose routes and keys that were just added.
     pub(crate) fn adopt(&self, config: SiteConfig, epoch: StoreEpoch) -> bool {
-        let mut config_epoch = self.config_epoch.lock();
-        let (read_in, is_behind) = &mut *config_epoch;
-        let in_force = self.config.load().as_ref().map(|old| old.version);
-        if epoch > *read_in {
-            *is_behind = in_force.is_some_and(|in_force| config.version < in_force);
+        let mut history = self.config_history.lock();
+        let in_force = self.version();
+        if epoch > history.read_in {
+            history.is_lost = in_force.is_some_and(|in_force| config.version < in_force);
         }
         let is_newer = in_force.is_none_or(|in_force| config.version > in_force);
         if in_force <= Some(config.version) {
-            (*read_in, *is_behind) = (epoch, false);
+            history.read_in = epoch;
+            history.is_lost = false;
         }
         if is_newer {
             self.config.store(Some(Arc::new(config)));
@@ -70,10 +81,36 @@
         is_newer
     }
 
-    /// Returns whether the store has returned with a configuration older than the one in force. It has
-    /// lost newer ones, and operators may have added routes and keys that this daemon doesn't know.
+    fn version(&self) -> Option<ConfigVersion> {
+        self.config.load().as_ref().map(|config| config.version)
+    }
+
+    /// Returns the version of the configuration in force if the store has returned with an older one.
+    pub(crate) fn lost_version(&self) -> Option<u64> {
+        let version = self.version()?;
+        let is_lost = self.config_history.lock().is_lost;
+        is_lost.then(|| version.get())
+    }
+
+    /// Records that a peer has this version in force, which the store has lost.
+    pub(crate) fn record_peer_version(&self, version: u64) {
+        let mut history = self.config_history.lock();
+        history.peer_version = history.peer_version.max(version);
+    }
+
+    /// Records that peers have had time to tell what they have in force.
+    pub(crate) fn record_peers_heard(&self) {
+        self.config_history.lock().has_heard_peers = true;
+    }
+
+    /// Returns whether the store may have lost configurations: it returned with an older one than this
+    /// daemon or a peer has in force, or this daemon has just started and has heard no peer. Operators
+    /// may have added routes and keys that this daemon doesn't know.
     pub(crate) fn is_store_behind(&self) -> bool {
-        self.config_epoch.lock().1
+        let history = self.config_history.lock();
+        let version = self.version().map_or(0, ConfigVersion::get);
+        let may_lose = history.read_in > StoreEpoch::default();
+        history.is_lost || history.peer_version > version || (may_lose && !history.has_heard_peers)
     }
 
     /// Records the wanted weights of a model, and returns whether the version is new.
