fix(relay): keep evacuations that a restored store lacks for a while

Calls were sent to a zone that was being emptied, as soon as the store had returned with a copy from before its evacuation. Cause: an evacuation is an object's existence, and a listing without it ends it. Why it works: what the first listing of a new epoch lacks stays in force for 30 s, unless it is removed in the new epoch.

--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -39,6 +39,7 @@
 use super::server::{bind, serve};
 use super::shared::Shared;
 use super::site_state::SiteState;
+use super::store_updates::expire_lost_evacuations;
 use super::watch::run_watch;
 use super::watch_state::{WATCHED_ROLES, WatchStates};
 use super::work_shares::WorkState;
@@ -268,7 +269,8 @@
     Ok(())
 }
 
-/// Removes endpoints that have left, and adds those that turn out to be there.
+/// Removes endpoints that have left, adds those that turn out to be there, and ends evacuations that
+/// the store has lost.
 fn update_endpoints(shared: &Arc<Shared>) {
     let now = shared.now();
     let as_of = shared.watches.complete_as_of(ObjectRole::Endpoints);
@@ -279,6 +281,7 @@
         changes
     };
     shared.record_endpoint_changes(changes, 0);
+    expire_lost_evacuations(shared);
 }
 
 async fn run_housekeeping(shared: Arc<Shared>) {
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -11,7 +11,7 @@
 use super::part_store_watch::run_part_store_watch;
 use super::shared::Shared;
 use super::store_epoch::record_store_epoch;
-use super::watch_state::{ObjectDelta, PEER, WatchState, kind_name};
+use super::watch_state::{ObjectDelta, PEER, STORE, WatchState, kind_name};
 use crate::decide::endpoint_admission::ServiceColdLimit;
 use crate::decide::endpoint_table::Registration;
 use crate::decide::evacuated_zones::ZoneChange;
@@ -24,6 +24,10 @@
 /// fill the log.
 const MAX_LOGGED_CHARS: usize = 200;
 
+/// Time for which an evacuation stays in force that a restored store lacks. Operators write it again, and
+/// calls to a zone that is being emptied would be lost meanwhile.
+const LOST_EVACUATION_RETENTION_US: DurationUs = DurationUs::from_ms(30_000);
+
 /// Applies a complete listing, from the store or from a peer with newer objects.
 ///
 /// A listing of all endpoints is the largest thing that a daemon holds. Its objects are moved, and
@@ -90,7 +94,20 @@
         return None;
     }
     let by_name = |object: StoredObject| (object.name.clone(), object);
-    state.objects = objects.into_iter().map(by_name).collect();
+    let known = std::mem::replace(
+        &mut state.objects,
+        objects.into_iter().map(by_name).collect(),
+    );
+    if role == ObjectRole::Evacuations && revision.epoch() > state.last_change.epoch() {
+        let until = now + LOST_EVACUATION_RETENTION_US;
+        let names = known.into_keys();
+        let lost: Vec<String> = names
+            .filter(|name| !state.objects.contains_key(name))
+            .collect();
+        state
+            .lost
+            .extend(lost.into_iter().map(|name| (name, until)));
+    }
     // A listing doesn't contain earlier deletions.
     state.deletions_lost_up_to = state.deletions_lost_up_to.max(revision);
     // This must be set even if the listing equals the known objects. Otherwise its sender would
@@ -162,6 +179,7 @@
                 Change::Deleted(name, deletion_revision) => {
                     state.last_change = state.last_change.max(*deletion_revision);
                     state.objects.remove(name);
+                    state.lost.remove(name);
                     state.remember_deletion(name.clone(), *deletion_revision);
                 }
             }
@@ -312,9 +330,10 @@
 /// other. An entry whose name isn't a valid zone is ignored.
 fn apply_evacuations(shared: &Shared, source: &str) {
     let role = ObjectRole::Evacuations;
-    let names: Vec<String> = {
+    let names: BTreeSet<String> = {
         let state = shared.watches.state_of(role).lock();
-        state.objects.keys().cloned().collect()
+        let names = state.objects.keys().chain(state.lost.keys());
+        names.cloned().collect()
     };
     let mut zones = BTreeSet::new();
     for name in names {
@@ -346,6 +365,20 @@
     }
 }
 
+/// Ends evacuations that the store has lost and nobody has written again.
+pub(super) fn expire_lost_evacuations(shared: &Shared) {
+    let now = shared.now();
+    {
+        let mut state = shared.watches.state_of(ObjectRole::Evacuations).lock();
+        let known = state.lost.len();
+        state.lost.retain(|_, until| now < *until);
+        if state.lost.len() == known {
+            return;
+        }
+    }
+    apply_evacuations(shared, STORE);
+}
+
 /// Applies the deletion of an object. Only deleted endpoints have an effect.
 fn apply_deletion(shared: &Arc<Shared>, role: ObjectRole, name: &str, revision: Revision) {
     let ObjectRole::Endpoints = role else { return };
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -79,6 +79,8 @@
     pub(super) next_call_at_us: Option<TimeUs>,
     /// Known objects by name.
     pub(super) objects: BTreeMap<String, StoredObject>,
+    /// Names of objects that the store has lost, and until when they count as existing.
+    pub(super) lost: BTreeMap<String, TimeUs>,
     /// Recently deleted objects, newest last.
     pub(super) recent_deletions: VecDeque<(Revision, String)>,
     /// Deletions up to this revision may be missing, because they were pruned or preceded a
