fix(wire): a write whose answer is too large may have taken effect

What callers saw: nothing yet. A lease write that the store carried out counted as not written when its answer was larger than allowed, so the daemon gave the pending write up without reading the object back and sent the next one for a revision that had gone.

Cause: three functions (leases of the relay, leases and claims of the node) classified the errors of a write on their own, with a wildcard for "not written". `AnswerTooLarge` came later than they did, says "a write may have taken effect", and fell into the wildcard. The submission of configurations matches each kind and was right. Only the relay's store gives this error; the node's client calls a too large answer malformed.

Change: `PlatformError::failed_write` says for each kind, without a wildcard, what it implies about the effect; the three callers and `is_outcome_unknown` rest on it, and a new kind doesn't compile before it is classified. Of the other kinds that counted as not written, none comes after an effect: 429 and 503 are promises of the store, 413 and 400 refusals, and `Unavailable` is otherwise a request of which no byte was sent.

Tests: platform::each_error_of_a_write_says_whether_it_may_have_taken_effect. With the mapping as it was, moved into the function unchanged, it failed for AnswerTooLarge (NotWritten, expected Unknown).

--- a/crates/wisteriahitch-node/src/orders/lease.rs
+++ b/crates/wisteriahitch-node/src/orders/lease.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use wisteriahitch_core::fleet::{LeaseCommand, LeaseEvent, LeaseGroup, LeaseObject, WriteFailure};
-use wisteriahitch_wire::platform::{ObjectKind, ObjectVersion, PlatformError, PlatformErrorKind};
+use wisteriahitch_wire::platform::{FailedWrite, ObjectKind, ObjectVersion, PlatformError};
 
 use crate::shared::Shared;
 
@@ -108,11 +108,9 @@
 }
 
 fn write_failure(error: &PlatformError) -> WriteFailure {
-    match error.kind() {
-        PlatformErrorKind::AlreadyExists
-        | PlatformErrorKind::Conflict
-        | PlatformErrorKind::NotFound => WriteFailure::Conflict,
-        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteFailure::Lost,
-        _ => WriteFailure::Unavailable,
+    match error.failed_write() {
+        FailedWrite::Conflict => WriteFailure::Conflict,
+        FailedWrite::NotWritten => WriteFailure::Unavailable,
+        FailedWrite::Unknown => WriteFailure::Lost,
     }
 }
--- a/crates/wisteriahitch-node/src/state/claims.rs
+++ b/crates/wisteriahitch-node/src/state/claims.rs
@@ -8,9 +8,7 @@
     ClaimCommand, ClaimNonce, ClaimObject, ClaimShard, ClaimState, ClaimTime, ClaimVersion,
     Fingerprint, IdempotencyKey, ReadResult, WriteResult,
 };
-use wisteriahitch_wire::platform::{
-    Object, ObjectKind, ObjectVersion, PlatformError, PlatformErrorKind,
-};
+use wisteriahitch_wire::platform::{FailedWrite, Object, ObjectKind, ObjectVersion, PlatformError};
 
 use crate::shared::Shared;
 
@@ -188,12 +186,10 @@
 }
 
 fn write_failure(error: &PlatformError) -> WriteResult {
-    match error.kind() {
-        PlatformErrorKind::AlreadyExists
-        | PlatformErrorKind::Conflict
-        | PlatformErrorKind::NotFound => WriteResult::Conflict,
-        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteResult::AnswerLost,
-        _ => {
+    match error.failed_write() {
+        FailedWrite::Conflict => WriteResult::Conflict,
+        FailedWrite::Unknown => WriteResult::AnswerLost,
+        FailedWrite::NotWritten => {
             log::warn!("claim object can't be written: {error}");
             WriteResult::Unavailable
         }
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -10,7 +10,7 @@
 };
 use wisteriahitch_types::{ConfigVersion, DurationUs, Incarnation, TimeUs};
 use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject, UnreadableKind};
-use wisteriahitch_wire::platform::{PlatformError, PlatformErrorKind};
+use wisteriahitch_wire::platform::{FailedWrite, PlatformError};
 
 use super::shared::Shared;
 use super::store_updates::log_unreadable_object;
@@ -207,11 +207,9 @@
 
 /// Returns what an error of the store says about the effect of the failed write.
 fn write_failure(error: &PlatformError) -> WriteFailure {
-    match error.kind() {
-        PlatformErrorKind::AlreadyExists
-        | PlatformErrorKind::Conflict
-        | PlatformErrorKind::NotFound => WriteFailure::Conflict,
-        PlatformErrorKind::AnswerLost | PlatformErrorKind::Malformed => WriteFailure::Lost,
-        _ => WriteFailure::Unavailable,
+    match error.failed_write() {
+        FailedWrite::Conflict => WriteFailure::Conflict,
+        FailedWrite::NotWritten => WriteFailure::Unavailable,
+        FailedWrite::Unknown => WriteFailure::Lost,
     }
 }
--- a/crates/wisteriahitch-wire/src/platform/error.rs
+++ b/crates/wisteriahitch-wire/src/platform/error.rs
@@ -29,6 +29,17 @@
     AnswerTooLarge,
 }
 
+/// What the error of a write implies about its effect.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailedWrite {
+    /// Nothing was written, because the object isn't as the write expects it.
+    Conflict,
+    /// Nothing was written.
+    NotWritten,
+    /// It may have taken effect.
+    Unknown,
+}
+
 /// Error of a failed platform call.
 #[derive(Clone, Debug, thiserror::Error)]
 pub struct PlatformError {
@@ -83,12 +94,22 @@
 
     /// Returns whether a write that failed with this error may still have taken effect.
     pub fn is_outcome_unknown(&self) -> bool {
-        matches!(
-            self.kind,
+        self.failed_write() == FailedWrite::Unknown
+    }
+
+    /// Returns what this error implies about the effect of a write.
+    pub fn failed_write(&self) -> FailedWrite {
+        match self.kind {
+            PlatformErrorKind::AlreadyExists
+            | PlatformErrorKind::Conflict
+            | PlatformErrorKind::NotFound => FailedWrite::Conflict,
+            PlatformErrorKind::TooLarge
+            | PlatformErrorKind::RateLimited
+            | PlatformErrorKind::Unavailable => FailedWrite::NotWritten,
             PlatformErrorKind::AnswerLost
-                | PlatformErrorKind::Malformed
-                | PlatformErrorKind::AnswerTooLarge
-        )
+            | PlatformErrorKind::Malformed
+            | PlatformErrorKind::AnswerTooLarge => FailedWrite::Unknown,
+        }
     }
 
     /// Returns the result code.
--- a/crates/wisteriahitch-wire/src/platform/mod.rs
+++ b/crates/wisteriahitch-wire/src/platform/mod.rs
@@ -11,7 +11,7 @@
 mod token_bucket;
 
 pub use call_counts::CallCounts;
-pub use error::{PlatformError, PlatformErrorKind};
+pub use error::{FailedWrite, PlatformError, PlatformErrorKind};
 pub use http_platform::{HttpPlatform, HttpPlatformOptions};
 pub use object::{Object, ObjectKind, ObjectList, ObjectVersion, VirtualMachine, VmPhase};
 pub use token_bucket::{CallRate, ParseCallRateError, TokenBucket};
--- a/crates/wisteriahitch-wire/tests/all/platform.rs
+++ b/crates/wisteriahitch-wire/tests/all/platform.rs
@@ -2,8 +2,8 @@
 use serde_json::json;
 use wisteriahitch_types::{ByteCount, DurationUs};
 use wisteriahitch_wire::platform::{
-    CallCounts, CallRate, HttpPlatform, HttpPlatformOptions, Object, ObjectKind, ObjectVersion,
-    Platform, PlatformError, PlatformErrorKind,
+    CallCounts, CallRate, FailedWrite, HttpPlatform, HttpPlatformOptions, Object, ObjectKind,
+    ObjectVersion, Platform, PlatformError, PlatformErrorKind,
 };
 
 use crate::canned::{CannedServer, Reply, refusing_address};
@@ -105,6 +105,27 @@
     assert_eq!(spare.requests().len(), 1);
 }
 
+/// Guards against a write that is sent again, or whose lease is given up, although it took effect: its
+/// answer was larger than allowed, which counted as nothing written.
+#[test]
+fn each_error_of_a_write_says_whether_it_may_have_taken_effect() {
+    let cases = [
+        (PlatformErrorKind::AlreadyExists, FailedWrite::Conflict),
+        (PlatformErrorKind::Conflict, FailedWrite::Conflict),
+        (PlatformErrorKind::NotFound, FailedWrite::Conflict),
+        (PlatformErrorKind::TooLarge, FailedWrite::NotWritten),
+        (PlatformErrorKind::RateLimited, FailedWrite::NotWritten),
+        (PlatformErrorKind::Unavailable, FailedWrite::NotWritten),
+        (PlatformErrorKind::AnswerLost, FailedWrite::Unknown),
+        (PlatformErrorKind::Malformed, FailedWrite::Unknown),
+        (PlatformErrorKind::AnswerTooLarge, FailedWrite::Unknown),
+    ];
+    for (kind, expected) in cases {
+        let failed_write = PlatformError::new(kind, "").failed_write();
+        assert_eq!(failed_write, expected, "{kind:?}");
+    }
+}
+
 fn refusal(status: &str, reason: &str) -> Reply {
     Reply::complete(status, "", &json!({"reason": reason}).to_string())
 }
