fix(relay): send an order with the fence number of the grant it is sent under

What callers saw: a rollout's order could bear a lower fence number than the lease had when it was sent. An order to the same engine by a later holder may lie between the two numbers.

Cause: the request was built with the fence number of a grant from before the connection was opened, and the grant that is asked for once it is open only had to have no lower number. The lease may be renewed, or lost and acquired again, in between; the process may be suspended there. Within one daemon an engine gets one order at a time, so a lower number after a higher one needs another holder in the time in which the connection opens (0.4 s, or a suspension): read, not seen with processes.

Change: the permit bears the fence number and when it expires (of the boot clock, which the daemon's leases count by), the request is built from it, and an order has no fence number of its own before.

--- a/crates/wisteriahitch-relay/src/border/engine_control.rs
+++ b/crates/wisteriahitch-relay/src/border/engine_control.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use wisteriahitch_types::{
-    EndpointId, EndpointInstance, EndpointStart, FenceNumber, ModelName, WeightNumber,
+    EndpointId, EndpointInstance, EndpointStart, FenceNumber, ModelName, TimeUs, WeightNumber,
 };
 use wisteriahitch_wire::connection_pool::Connection;
 use wisteriahitch_wire::http_client::HttpError;
@@ -49,13 +49,22 @@
     pub version: WeightNumber,
     /// Daemon that holds the lease for giving orders.
     pub holder: String,
-    /// Fence number of the lease. An endpoint refuses orders with a lower number than it has seen.
-    pub fence: FenceNumber,
     /// Number of orders that the endpoint must have accepted so far; otherwise it doesn't accept
     /// this one.
     pub expected_orders: u64,
 }
 
+/// Permission to send one order now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderPermit {
+    /// Fence number of the lease, to be sent with the order. An endpoint refuses orders with a lower
+    /// number than it has seen.
+    pub fence: FenceNumber,
+    /// Time of the [`BootClock`](crate::BootClock) at which the permission ends, and the wait for the
+    /// answer with it.
+    pub expires_at_us: TimeUs,
+}
+
 /// Outcome of an order.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum OrderOutcome {
@@ -105,15 +114,16 @@
 /// Sends orders to engines and fetches their reports.
 #[async_trait]
 pub trait EngineControl: Send + Sync {
-    /// Sends an order if `permit` still allows it right before the first byte is sent, and waits
-    /// for the answer for as long as the permit says.
+    /// Sends an order if `permit` allows it once the connection is open, and waits for the answer
+    /// until the permit expires.
     ///
-    /// The process may be suspended while the connection opens. With an earlier check, the order
-    /// could reach the engine after another daemon has acquired the lease.
+    /// The process may be suspended while the connection opens. With an earlier permit, the order
+    /// could reach the engine after another daemon has acquired the lease, or with the fence number
+    /// of a lease that this daemon had before.
     async fn send_order(
         &self,
         order: &WeightOrder,
-        permit: &(dyn Fn() -> Option<Duration> + Send + Sync),
+        permit: &(dyn Fn() -> Option<OrderPermit> + Send + Sync),
     ) -> OrderOutcome;
 
     /// Fetches an engine's report.
--- a/crates/wisteriahitch-relay/src/border/mod.rs
+++ b/crates/wisteriahitch-relay/src/border/mod.rs
@@ -9,7 +9,7 @@
 
 pub use call_codec::{AnswerHead, CallCodec, CallHead, OutgoingCall};
 pub use engine_control::{
-    EndpointIdentity, EngineControl, EngineReport, OrderOutcome, WeightOrder,
+    EndpointIdentity, EngineControl, EngineReport, OrderOutcome, OrderPermit, WeightOrder,
 };
 pub use part_store_control::{PartChanges, PartEvent, PartListing, PartStoreControl, StoredPart};
 pub use refusal::{ExcessQueue, Refusal};
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -14,8 +14,8 @@
 
 pub use border::{
     AnswerHead, CallCodec, CallHead, DecodeError, EndpointIdentity, EngineControl, EngineReport,
-    ExcessQueue, OrderOutcome, OutgoingCall, PartChanges, PartEvent, PartListing, PartStoreControl,
-    Refusal, SiteCodec, Statement, StoredPart, WeightOrder,
+    ExcessQueue, OrderOutcome, OrderPermit, OutgoingCall, PartChanges, PartEvent, PartListing,
+    PartStoreControl, Refusal, SiteCodec, Statement, StoredPart, WeightOrder,
 };
 pub use clock::BootClock;
 pub use decide::answer_progress::{AnswerProgress, WritingTime};
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use wisteriahitch_core::fleet::{LeaseEvent, LeaseGroup, Membership, Rendezvous};
@@ -13,7 +14,7 @@
 };
 use super::lease::{run_lease_command, standalone_membership};
 use super::shared::Shared;
-use crate::border::{OrderOutcome, WeightOrder};
+use crate::border::{OrderOutcome, OrderPermit, WeightOrder};
 use crate::decide::endpoint_row::EndpointRow;
 use crate::decide::rollout::{RolloutRow, RolloutStep};
 use crate::observe::Event;
@@ -258,13 +259,12 @@
             version,
             expected_orders,
         } => {
-            let order = |address, fence| WeightOrder {
+            let order = |address| WeightOrder {
                 endpoint: endpoint.id.clone(),
                 address,
                 model,
                 version,
                 holder: shared.settings.id.to_string(),
-                fence,
                 expected_orders,
             };
             send_order(&shared, &members, &endpoint, order).await;
@@ -321,11 +321,11 @@
     shared: &Shared,
     members: &Membership,
     endpoint: &EndpointInstance,
-    order: impl FnOnce(std::net::SocketAddr, wisteriahitch_types::FenceNumber) -> WeightOrder,
+    order: impl FnOnce(std::net::SocketAddr) -> WeightOrder,
 ) {
     let address = address_of(shared, endpoint);
-    // The fence of this grant goes into the order. The grant that counts is requested again once
-    // the connection is open.
+    // The grant that counts is requested once the connection is open. This one spares a connection,
+    // and keeps the lease from being released meanwhile.
     let grant = shared
         .leases
         .lock()
@@ -337,12 +337,18 @@
             .record_withheld_order(endpoint, shared.now());
         return;
     };
-    let order = order(address, grant.fence);
+    let order = order(address);
+    let fence = AtomicU64::new(grant.fence.get());
     let permit = || {
         let mut leases = shared.leases.lock();
-        let fresh_grant = leases.try_grant_order(&LEASE_GROUP, shared.now()).ok()?;
-        leases.handle(LeaseEvent::OrderDone(LEASE_GROUP), shared.now(), members);
-        (fresh_grant.fence >= grant.fence).then(|| Duration::from(fresh_grant.timeout_us))
+        let now = shared.now();
+        let grant = leases.try_grant_order(&LEASE_GROUP, now).ok()?;
+        leases.handle(LeaseEvent::OrderDone(LEASE_GROUP), now, members);
+        fence.store(grant.fence.get(), Ordering::Relaxed);
+        Some(OrderPermit {
+            fence: grant.fence,
+            expires_at_us: now + grant.timeout_us,
+        })
     };
     let outcome = shared.borders.engines.send_order(&order, &permit).await;
     if matches!(outcome, OrderOutcome::NotSent(_)) {
@@ -364,7 +370,7 @@
         model: order.model.to_string(),
         version: order.version.get(),
         expected_orders: order.expected_orders,
-        fence: order.fence.get(),
+        fence: fence.into_inner(),
         outcome: format!("{outcome:?}"),
     });
 }
