fix(wire): write an order only while its permit holds

What callers saw: an order could be sent after the daemon's lease had ended, and arrive beside those of the next holder.

Cause: the last look at the clock was that of the permit, once the connection was open. Between it and the write lie another task (the one that drives the connection) and the HTTP library. A process that is suspended there, or gets no processor, sent the order as soon as it ran again, since the task that writes may run before the one whose timer gives the order up.

Change: a connection can have a condition under which it writes. It is checked in the stream that makes the system call, so that what is left lies between a look at the clock and the call itself. An order of which nothing was written counts as not sent.

Ruled out: a timer that aborts the connection; it isn't polled while the runtime stands still, and may be polled after the write.

--- a/crates/wisteriahitch-relay/src/border/engine_control.rs
+++ b/crates/wisteriahitch-relay/src/border/engine_control.rs
@@ -60,8 +60,8 @@
     /// Fence number of the lease, to be sent with the order. An endpoint refuses orders with a lower
     /// number than it has seen.
     pub fence: FenceNumber,
-    /// Time of the [`BootClock`](crate::BootClock) at which the permission ends, and the wait for the
-    /// answer with it.
+    /// Time of the [`BootClock`](crate::BootClock) from which no byte of the order may be sent, and at
+    /// which the wait for the answer ends.
     pub expires_at_us: TimeUs,
 }
 
@@ -115,7 +115,7 @@
 #[async_trait]
 pub trait EngineControl: Send + Sync {
     /// Sends an order if `permit` allows it once the connection is open, and waits for the answer
-    /// until the permit expires.
+    /// until the permit expires. Each write to the connection checks that it hasn't expired.
     ///
     /// The process may be suspended while the connection opens. With an earlier permit, the order
     /// could reach the engine after another daemon has acquired the lease, or with the fence number
--- a/crates/wisteriahitch-wire/src/answer_state.rs
+++ b/crates/wisteriahitch-wire/src/answer_state.rs
@@ -1,8 +1,10 @@
 //! Whether a connection still owes an answer.
 
+use std::fmt;
+use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -18,16 +20,34 @@
     state: Arc<PendingAnswer>,
 }
 
-#[derive(Debug, Default)]
+/// Condition under which a connection may write.
+type WriteCondition = Box<dyn Fn() -> bool + Send + Sync>;
+
+/// Error of a write whose condition no longer holds.
+#[derive(Debug, thiserror::Error)]
+#[error("the request may no longer be sent")]
+struct WriteRefused;
+
+#[derive(Default)]
 struct PendingAnswer {
     is_pending: AtomicBool,
     /// Number of the newest answer whose head is complete.
     newest_answer: AtomicU64,
     /// Bytes of the request that the system has taken.
     written_bytes: AtomicU64,
+    write_condition: OnceLock<WriteCondition>,
     meter: AnswerMeter,
 }
 
+impl fmt::Debug for PendingAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PendingAnswer")
+            .field("is_pending", &self.is_pending)
+            .field("written_bytes", &self.written_bytes)
+            .finish_non_exhaustive()
+    }
+}
+
 impl AnswerState {
     /// Records that a request is about to be sent, and returns the state for its answer.
     pub(crate) fn begin(&self) -> Self {
@@ -38,6 +58,24 @@
         self.clone()
     }
 
+    /// Sets the condition under which the connection may write, if none was set before.
+    pub(crate) fn write_only_while(&self, condition: WriteCondition) {
+        let _ = self.state.write_condition.set(condition);
+    }
+
+    /// Checks the condition under which the connection may write.
+    ///
+    /// # Errors
+    ///
+    /// [`io::ErrorKind::TimedOut`] if it no longer holds.
+    pub(crate) fn check_write(&self) -> io::Result<()> {
+        let condition = self.state.write_condition.get();
+        match condition.is_none_or(|is_allowed| is_allowed()) {
+            true => Ok(()),
+            false => Err(io::Error::new(io::ErrorKind::TimedOut, WriteRefused)),
+        }
+    }
+
     /// Records that the system has taken bytes to be sent.
     pub(crate) fn record_written(&self, bytes: usize) {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -28,7 +28,7 @@
 use self::shared_stream::{SharedStream, StreamHandle};
 use crate::answer_meter::MAX_BUFFER_BYTES;
 use crate::answer_state::AnswerState;
-use crate::http_client::{HttpError, HttpErrorKind, is_broken_socket};
+use crate::http_client::{HttpError, HttpErrorKind, is_broken_socket, with_causes};
 use crate::metered_stream::MeteredStream;
 use crate::transfer::{TransferLimits, TransferProgress, receive_body};
 
@@ -207,6 +207,15 @@
         self.idle_timeout = idle_timeout.mul_f64(IDLE_TIMEOUT_SHARE);
     }
 
+    /// Makes the connection write only while `condition` holds, which must never hold again once it
+    /// didn't. It must be set at most once.
+    ///
+    /// Between the last check of a caller and the write lies another task, and the process may be
+    /// suspended there.
+    pub fn write_only_while(&mut self, condition: impl Fn() -> bool + Send + Sync + 'static) {
+        self.answer_state.write_only_while(Box::new(condition));
+    }
+
     /// Waits at most `READY_TIMEOUT` until the next request can be sent; returns whether it can.
     ///
     /// The previous answer must have been read to its end.
@@ -249,9 +258,10 @@
                 }
                 None if !self.answer_state.is_written() && is_broken_socket(failure.error()) => {
                     self.answer_state.finish();
-                    Err(not_sent(
-                        "the connection was reset before the request".to_owned(),
-                    ))
+                    let cause = with_causes(failure.error());
+                    Err(not_sent(format!(
+                        "nothing of the request was sent: {cause}"
+                    )))
                 }
                 None => Err(HttpError::from_error_after_send(failure.error())),
             },
--- a/crates/wisteriahitch-wire/src/http_client.rs
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -8,8 +8,8 @@
 mod error;
 
 pub use crate::answer_state::TrackedBody;
-pub(crate) use error::is_broken_socket;
 pub use error::{HttpError, HttpErrorKind};
+pub(crate) use error::{is_broken_socket, with_causes};
 
 use std::net::SocketAddr;
 use std::time::Duration;
--- a/crates/wisteriahitch-wire/src/http_client/error.rs
+++ b/crates/wisteriahitch-wire/src/http_client/error.rs
@@ -117,12 +117,16 @@
     false
 }
 
-/// Returns whether an error says that a socket is broken, so that the system takes no more bytes.
+/// Returns whether an error says that nothing more is written to a socket: it is broken, or the
+/// request may no longer be sent.
 pub(crate) fn is_broken_socket(error: &(dyn StdError + 'static)) -> bool {
     let mut next = Some(error);
     while let Some(error) = next {
         let kind = error.downcast_ref().map(io::Error::kind);
-        if let Some(io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe) = kind {
+        if let Some(
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe | io::ErrorKind::TimedOut,
+        ) = kind
+        {
             return true;
         }
         next = error.source();
@@ -130,7 +134,7 @@
     false
 }
 
-fn with_causes(error: &(dyn StdError + 'static)) -> String {
+pub(crate) fn with_causes(error: &(dyn StdError + 'static)) -> String {
     let mut text = error.to_string();
     let mut next = error.source();
     while let Some(cause) = next {
--- a/crates/wisteriahitch-wire/src/metered_stream.rs
+++ b/crates/wisteriahitch-wire/src/metered_stream.rs
@@ -1,4 +1,5 @@
-//! A stream that is read only as far as the bounds on an answer allow.
+//! A stream that is read only as far as the bounds on an answer allow, and written only while the
+//! request may be sent.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -8,7 +9,8 @@
 
 use crate::answer_state::AnswerState;
 
-/// Stream whose bytes count towards the answer that its connection is receiving.
+/// Stream whose bytes count towards the answer that its connection is receiving, and which writes only
+/// while its connection allows it.
 #[derive(Debug)]
 pub(crate) struct MeteredStream<T> {
     stream: T,
@@ -46,6 +48,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.state.check_write()?;
         let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
         self.state.record_written(written);
         Poll::Ready(Ok(written))
@@ -56,6 +59,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.state.check_write()?;
         let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, slices))?;
         self.state.record_written(written);
         Poll::Ready(Ok(written))
