fix(core): release a lease a full order time-out after the last order's end

What callers saw: an order of the next holder could come less than `rollout.lease_ms` after one that an engine took late.

Cause: whether a lease is settled counted from when the last order was granted. An engine that stands still takes the order as late as at its end (up to 0.85 s after the grant), and 0.4 s of margin is less than that. A holder that then gives no order for 3.4 s and releases the lease tells the next one that there is nothing to wait for. Leases that expire are not concerned: their order time-out begins after the term.

Change: the end of an order counts like its grant.

Tests: fleet_leases::a_lease_is_not_released_while_an_order_is_under_way looked for the release within two seconds of the order's end; it now wants the lease to be held for 2.9 s and released at 3.9 s. On the unfixed code it fails: released already. Each order of the site is now kept an order time-out from the end, not the beginning, of orders of other daemons (table of handovers and 300 generated runs). Not shown with processes: the order would have to be taken within a tenth of a second.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_calls.rs
@@ -34,9 +34,8 @@
     /// wait for. A lease is renewed until the wait for the previous holder is over; a daemon that
     /// acquired it in the meantime would have to wait for the full time again.
     ///
-    /// An order that was abandoned after a shorter timeout may still arrive. It counts as ended one
-    /// full order timeout after it was granted, the same time that the next holder of an expired
-    /// lease waits.
+    /// An order that was abandoned after a shorter timeout may still arrive. A full order timeout must
+    /// lie behind its end, the same time that the next holder of an expired lease waits.
     pub(super) fn release_if_settled(&mut self, now: TimeUs) -> Option<LeaseCall> {
         if !self.is_settled(now) {
             return match self.phase() {
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
@@ -62,6 +62,7 @@
     pub(super) wait_until_us: TimeUs,
     /// Number of granted orders that have not ended.
     pub(super) open_orders: u32,
+    /// Time at which the last order was granted or ended.
     pub(super) last_order_at_us: Option<TimeUs>,
     /// Whether the last [`PhaseEvent::Order`] was granted.
     #[serde(skip)]
@@ -132,6 +133,8 @@
     fn known(context: &mut LeaseTimes, event: &PhaseEvent) -> Outcome<State> {
         if *event == PhaseEvent::OrderDone {
             context.open_orders = context.open_orders.saturating_sub(1);
+            // An endpoint that stands still may take an order as late as at its end.
+            context.last_order_at_us = Some(context.now);
         }
         Handled
     }
--- a/crates/wisteriahitch-core/tests/all/fleet_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_leases.rs
@@ -47,8 +47,10 @@
 struct SentOrder {
     daemon: usize,
     from: u64,
+    /// Latest time at which the endpoint may take it.
     until: u64,
     fence: FenceNumber,
+    is_done: bool,
 }
 
 struct Node {
@@ -208,16 +210,13 @@
             from: self.now_us,
             until: self.now_us + grant.timeout_us.get(),
             fence: grant.fence,
+            is_done: false,
         };
         for earlier in &self.orders {
             let is_other = earlier.daemon != index;
-            assert!(
-                !is_other || earlier.until <= order.from,
-                "{earlier:?} overlaps {order:?}"
-            );
             let min_distance_us = self.settings.order_timeout_us.get();
             assert!(
-                !is_other || earlier.from + min_distance_us <= order.from,
+                !is_other || earlier.until + min_distance_us <= order.from,
                 "{earlier:?} is too close to {order:?}"
             );
             assert!(earlier.fence <= order.fence, "{earlier:?} {order:?}");
@@ -227,6 +226,17 @@
         Ok(grant)
     }
 
+    /// Ends the oldest open order of a daemon.
+    fn finish_order(&mut self, index: usize) {
+        let is_open = |order: &&mut SentOrder| order.daemon == index && !order.is_done;
+        if let Some(order) = self.orders.iter_mut().find(is_open) {
+            order.is_done = true;
+            order.until = order.until.min(self.now_us);
+        }
+        let done = LeaseEvent::OrderDone(self.group.clone());
+        self.handle_event(index, done);
+    }
+
     /// Sets whether a daemon has work for which it needs the lease.
     fn want(&mut self, index: usize, is_wanted: bool) {
         let groups = is_wanted.then(|| self.group.clone());
@@ -362,10 +372,7 @@
             Step::Order(index) => {
                 let _ = site.order(index);
             }
-            Step::Done(index) => {
-                let done = LeaseEvent::OrderDone(site.group.clone());
-                site.handle_event(index, done);
-            }
+            Step::Done(index) => site.finish_order(index),
             Step::Pause(index, on) => site.nodes[index].is_paused = on,
             Step::Suspect(index, subject) if index != subject => site.suspect(index, subject),
             Step::ResetMembership(index) => site.reset_membership(index),
@@ -597,7 +604,8 @@
 
 /// Failure: an order of the previous holder arrives after an order of the new one. A holder is no
 /// longer responsible while its order is in progress; it releases the lease, and a released lease
-/// is acquired without a wait.
+/// is acquired without a wait. An endpoint that stands still may take the order as late as at its end,
+/// so the lease isn't released right after that either.
 #[test]
 fn a_lease_is_not_released_while_an_order_is_under_way() {
     let (mut site, holder) = Site::with_holder();
@@ -612,7 +620,9 @@
     assert_eq!(object_holder(&site), Some(me));
     let done = LeaseEvent::OrderDone(site.group.clone());
     site.handle_event(holder, done);
-    site.run(2_000);
+    site.run(2_900);
+    assert_eq!(object_holder(&site), Some(me));
+    site.run(1_000);
     assert_eq!(object_holder(&site), None);
 }
 
@@ -818,8 +828,7 @@
     while site.order(0).is_err() {
         site.run(100);
     }
-    let done = LeaseEvent::OrderDone(site.group.clone());
-    site.handle_event(0, done);
+    site.finish_order(0);
     site.nodes[0].is_paused = true;
     site.want(1, true);
     // The others learn who holds the lease.
@@ -841,8 +850,7 @@
         site.run(100);
         for index in 0..DAEMONS {
             if !site.nodes[index].is_paused && site.order(index).is_ok() {
-                let done = LeaseEvent::OrderDone(site.group.clone());
-                site.handle_event(index, done);
+                site.finish_order(index);
             }
         }
     }
