fix(core): number writes of a lease that was forgotten on

What callers saw: two daemons could give orders at once, or less than an order time-out apart.

Cause: a daemon without work forgets a lease that it doesn't hold, and later creates it anew, with writes numbered from 1. An answer is matched with its write by that number, and an object that is read back by its whole content, in which nothing else differs. So (1) a release is under way while its daemon has work again; its acquisition conflicts with the release, the next one has the release's number, and the answer to the release, which comes late, counts as its success: the daemon gives orders under a vacant object, beside whoever acquires that one without a wait. (2) An acquisition that is lost leaves an object of the same daemon and number from before, and reading it back takes that one for its effect: the term begins anew although other daemons have seen this version expire.

Change: numbers rise over all leases that the table ever had.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -41,6 +41,10 @@
 pub struct LeaseTable {
     me: LeaseHolder,
     settings: LeaseSettings,
+    /// Greatest number of a write so far. A lease that was forgotten is not numbered anew: an answer
+    /// to one of its writes would count for a later one, and the object that an earlier write left
+    /// for the effect of a later one that was lost.
+    last_write_number: u64,
     /// Groups that exist.
     groups: BTreeSet<LeaseGroup>,
     /// Daemon that should hold the rollout slots, if set.
@@ -56,6 +60,7 @@
         Self {
             me,
             settings,
+            last_write_number: 0,
             groups: BTreeSet::new(),
             rollout_owner: None,
             leases: BTreeMap::new(),
@@ -70,6 +75,9 @@
                 .entry(group.clone())
                 .or_insert_with(|| Lease::new(self.me.clone(), self.settings));
         }
+        for lease in self.leases.values_mut() {
+            lease.write_number = lease.write_number.max(self.last_write_number);
+        }
     }
 
     /// Sets the daemon that should hold the rollout slots: the one that may give orders to the
@@ -173,6 +181,7 @@
                 continue;
             };
             let group = group.clone();
+            self.last_write_number = self.last_write_number.max(lease.write_number);
             commands.push(match call {
                 LeaseCall::Read => LeaseCommand::Read(group),
                 LeaseCall::Write { object, expected } => LeaseCommand::Write {
--- a/crates/wisteriahitch-core/tests/all/fleet_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_leases.rs
@@ -817,13 +817,7 @@
 
 /// Plays one case. [`Site::order`] checks the distance of each order to those of other holders.
 fn hand_over(case: &HandoverCase) {
-    let mut site = Site::with_settings(SHORT_TERM);
-    site.group = LeaseGroup::RolloutSlot(0);
-    for node in &mut site.nodes {
-        let me = node.members.me().incarnation;
-        node.leases.set_groups([]);
-        node.leases.set_rollout_owner(Some(me));
-    }
+    let mut site = rollout_site();
     site.want(0, true);
     while site.order(0).is_err() {
         site.run(100);
@@ -856,3 +850,170 @@
     }
     site
 }
+
+struct LateWriteCase {
+    name: &'static str,
+    /// Whether the late write is a release; otherwise it is a renewal.
+    is_release: bool,
+    /// Daemon that has orders to give once the write was given up.
+    next: usize,
+}
+
+const LATE_WRITE_CASES: &[LateWriteCase] = &[
+    LateWriteCase {
+        name: "a release, and the same daemon acquires the lease again",
+        is_release: true,
+        next: 0,
+    },
+    LateWriteCase {
+        name: "a release, and another daemon has orders to give",
+        is_release: true,
+        next: 1,
+    },
+    LateWriteCase {
+        name: "a renewal, and the same daemon goes on",
+        is_release: false,
+        next: 0,
+    },
+    LateWriteCase {
+        name: "a renewal, and another daemon has orders to give",
+        is_release: false,
+        next: 1,
+    },
+];
+
+/// Number of steps of 100 ms in which a late write takes effect: until the next holder has waited.
+const LATE_STEPS: usize = 60;
+
+/// Failure: two daemons give orders at once, or with falling fencing numbers. A release or a renewal
+/// is given up, the object is read as unchanged, and the write takes effect seconds later.
+#[test]
+fn a_release_or_renewal_that_takes_effect_late_breaks_nothing() {
+    for case in LATE_WRITE_CASES {
+        for late_by_steps in 0..LATE_STEPS {
+            for is_answered in [false, true] {
+                let play = || play_late_write(case, late_by_steps, is_answered);
+                let is_kept = std::panic::catch_unwind(play).is_ok();
+                assert!(
+                    is_kept,
+                    "{}, {late_by_steps} steps late, answered: {is_answered}",
+                    case.name
+                );
+            }
+        }
+    }
+}
+
+/// Plays one case. [`Site::order`] checks each order against those of other holders.
+fn play_late_write(case: &LateWriteCase, late_by_steps: usize, is_answered: bool) {
+    let mut site = rollout_site();
+    site.want(0, true);
+    while site.order(0).is_err() {
+        site.run(100);
+    }
+    site.finish_order(0);
+    // Settled, and renewed until then.
+    site.run(3_500);
+    if case.is_release {
+        site.want(0, false);
+    }
+    while site.in_flight.is_empty() {
+        site.now_us += 100_000;
+        site.tick(0);
+    }
+    site.report_answer_lost(0);
+    let late = site.in_flight.remove(0);
+    let InFlight::Write(_, object, _) = &late else {
+        panic!("expected a write");
+    };
+    assert_eq!(object.holder.is_none(), case.is_release, "{}", case.name);
+    // The loss is reported; the object is read as unchanged until the write takes effect.
+    site.deliver(0, false);
+    site.want(0, case.next == 0);
+    site.want(case.next, true);
+    site = run_with_orders(site, 100 * late_by_steps as u64);
+    site.in_flight.push(late);
+    site.deliver(site.in_flight.len() - 1, !is_answered);
+    let orders = site.orders.len();
+    site = run_with_orders(site, 20_000);
+    assert!(site.orders.len() > orders, "{}: no more orders", case.name);
+}
+
+/// Returns a site whose daemons each want to be the owner of the rollout while they have work.
+fn rollout_site() -> Site {
+    let mut site = Site::with_settings(SHORT_TERM);
+    site.group = LeaseGroup::RolloutSlot(0);
+    for node in &mut site.nodes {
+        let me = node.members.me().incarnation;
+        node.leases.set_groups([]);
+        node.leases.set_rollout_owner(Some(me));
+    }
+    site
+}
+
+/// Returns a site whose daemon 0 has acquired the lease with its first write and given no order.
+fn site_of_first_write() -> Site {
+    let mut site = rollout_site();
+    site.want(0, true);
+    while site.holder().is_none() {
+        site.run(100);
+    }
+    site
+}
+
+/// Lets a daemon make its next call, which the platform carries out at once.
+fn tick_and_deliver(site: &mut Site, index: usize) {
+    site.tick(index);
+    site.deliver(site.in_flight.len() - 1, false);
+}
+
+/// Failure: two daemons give orders at once. A daemon that has no work for a moment forgets the lease
+/// while its release is under way, acquires the lease again with writes that are numbered anew, and
+/// takes the answer to the release for that of an acquisition.
+#[test]
+fn an_answer_to_a_write_of_a_forgotten_lease_counts_for_nothing() {
+    let mut site = site_of_first_write();
+    site.want(0, false);
+    site.tick(0);
+    site.want(0, true);
+    tick_and_deliver(&mut site, 0);
+    site.deliver(0, false);
+    let release_answer = site.in_flight.remove(0);
+    // Conflicts with the release.
+    tick_and_deliver(&mut site, 0);
+    site.deliver(0, false);
+    tick_and_deliver(&mut site, 0);
+    site.tick(0);
+    let InFlight::Write(..) = site.in_flight.remove(0) else {
+        panic!("expected an acquisition");
+    };
+    site.in_flight.push(release_answer);
+    site.deliver(0, false);
+    site.want(1, true);
+    run_with_orders(site, 20_000);
+}
+
+/// Failure: orders of two daemons are too close to each other. A daemon forgets a lease that has
+/// expired, and acquires it again with a write that is numbered and looks like the one that acquired it
+/// before. That write is lost, and the object that is read back is taken for its effect.
+#[test]
+fn a_lost_write_is_not_taken_for_one_of_a_forgotten_lease() {
+    let mut site = site_of_first_write();
+    site.want(1, true);
+    site.run(100);
+    site.nodes[1].is_paused = true;
+    site.now_us += 1_200_000;
+    site.want(0, false);
+    site.tick(0);
+    site.want(0, true);
+    tick_and_deliver(&mut site, 0);
+    site.tick(0);
+    site.report_answer_lost(0);
+    let InFlight::Write(..) = site.in_flight.remove(0) else {
+        panic!("expected an acquisition");
+    };
+    site.deliver(0, false);
+    tick_and_deliver(&mut site, 0);
+    site.nodes[1].is_paused = false;
+    run_with_orders(site, 20_000);
+}
