fix(core): keep a lease that waits for an answer of the platform

What callers saw: a daemon could give an order with a lower fencing number than its order before.

Cause: a daemon that has no work for a moment forgets a lease that it doesn't hold, also while it reads it. It creates the lease anew, acquires it and gives orders; then the first read's answer arrives, with the object that this daemon had written before, and its version becomes the fencing number again until the next renewal. A read is slow where the store is.

Change: a lease is kept until its call has been answered, so that no other one of it runs meanwhile.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease.rs
@@ -110,6 +110,13 @@
         matches!(self.phase(), LeasePhase::Held | LeasePhase::Waiting)
     }
 
+    /// Returns whether the lease waits for an answer of the platform. Until then it must not be
+    /// forgotten: a later one would take the answer for that of its own call, and an object that was
+    /// read earlier for the present one.
+    pub(super) fn has_open_call(&self) -> bool {
+        self.is_reading || self.pending_write.is_some()
+    }
+
     /// Returns whether the next holder need not wait for any order, of this daemon or of the
     /// previous holder. Until then the lease must be neither released nor forgotten: a daemon that
     /// acquired it again would know of no orders to wait for.
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -49,8 +49,8 @@
     groups: BTreeSet<LeaseGroup>,
     /// Daemon that should hold the rollout slots, if set.
     rollout_owner: Option<Incarnation>,
-    /// Leases of the existing groups, and leases of other groups that are still held or whose last
-    /// orders the next holder must wait for.
+    /// Leases of the existing groups, and leases of other groups that are still held, whose last
+    /// orders the next holder must wait for, or that wait for an answer of the platform.
     leases: BTreeMap<LeaseGroup, Lease>,
 }
 
@@ -193,7 +193,10 @@
         }
         let groups = &self.groups;
         self.leases.retain(|group, lease| {
-            groups.contains(group) || lease.is_owned() || !lease.is_settled(now)
+            groups.contains(group)
+                || lease.is_owned()
+                || lease.has_open_call()
+                || !lease.is_settled(now)
         });
         commands
     }
