--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -41,12 +41,16 @@
 pub struct LeaseTable {
     me: LeaseHolder,
     settings: LeaseSettings,
+    /// Greatest number of a write so far. A lease that was forgotten is not numbered anew: an answer
+    /// to one of its writes would count for a later one, and the object that an earlier write left
+    /// for the effect of a later one that was lost.
+    last_write_number: u64,
     /// Groups that exist.
     groups: BTreeSet<LeaseGroup>,
     /// Daemon that should hold the rollout slots, if set.
     rollout_owner: Option<Incarnation>,
-    /// Leases of the existing groups, and leases of other groups that are still held or whose last
-    /// orders the next holder must wait for.
+    /// Leases of the existing groups, and leases of other groups that are still held, whose last
+    /// orders the next holder must wait for, or that wait for an answer of the platform.
     leases: BTreeMap<LeaseGroup, Lease>,
     /// Until when orders may still be given under leases that the store has lost.
     lost_leases_until_us: TimeUs,
@@ -58,6 +62,7 @@
         Self {
             me,
             settings,
+            last_write_number: 0,
             groups: BTreeSet::new(),
             rollout_owner: None,
             leases: BTreeMap::new(),
@@ -73,6 +78,9 @@
                 Lease::new(self.me.clone(), self.settings, self.lost_leases_until_us)
             });
         }
+        for lease in self.leases.values_mut() {
+            lease.write_number = lease.write_number.max(self.last_write_number);
+        }
     }
 
     /// Sets the daemon that should hold the rollout slots: the one that may give orders to the
@@ -186,6 +194,7 @@
                 continue;
             };
             let group = group.clone();
+            self.last_write_number = self.last_write_number.max(lease.write_number);
             commands.push(match call {
                 LeaseCall::Read => LeaseCommand::Read(group),
                 LeaseCall::Write { object, expected } => LeaseCommand::Write {
@@ -197,7 +206,10 @@
         }
         let groups = &self.groups;
         self.leases.retain(|group, lease| {
-            groups.contains(group) || lease.is_owned() || !lease.is_settled(now)
+            groups.contains(group)
+                || lease.is_owned()
+                || lease.has_open_call()
+                || !lease.is_settled(now)
         });
         commands
     }
