fix(relay): answer calls that a planned exit ends

Callers saw connections that a daemon which had got SIGTERM closed without a byte when it exited, for calls whose answers hadn't begun: idempotent ones, ones that may run once, streams before their first event, and calls whose bodies were still arriving.

Cause: the exit aborted only answers that had begun. Everything else was dropped with the process.

The signal that aborts streams, 100 ms before the process ends, now ends every call in flight. An attempt that has been sent fails with 504 as one that may have run; a call that hasn't been sent is refused as not run, with a retry delay. No attempt is sent and no retry borrowed after the signal. The steps that precede the sending of a call (body, stream's origin, connection, lent room) are polled before the signal is looked at, so that whether the call was sent is known, not guessed.

--- a/crates/wisteriahitch-relay/src/shell/attempt.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt.rs
@@ -92,6 +92,8 @@
     NotAdmitted,
     /// The endpoint is brittle, and no room was lent for the call; no byte of it was sent.
     NoRoom,
+    /// This process is about to exit; no byte of the call was sent.
+    Draining,
     /// The endpoint answered that it didn't run the call.
     NotRun,
     /// Another endpoint, or one with other weights, is at that address; it didn't run the call.
@@ -100,6 +102,8 @@
     Lost,
     /// No answer arrived in time; the call may have run.
     Timeout,
+    /// This process is about to exit; the call may have run.
+    Exiting,
     /// The answer doesn't belong to the call or isn't valid; the call may have run.
     InvalidAnswer,
     /// The endpoint failed; the call has run.
@@ -124,7 +128,10 @@
     pub(crate) const fn is_unsent(self) -> bool {
         matches!(
             self,
-            FailureKind::NotSent | FailureKind::NotAdmitted | FailureKind::NoRoom
+            FailureKind::NotSent
+                | FailureKind::NotAdmitted
+                | FailureKind::NoRoom
+                | FailureKind::Draining
         )
     }
 
@@ -138,9 +145,10 @@
         match self {
             FailureKind::NotSent | FailureKind::NotAdmitted => Code::NoEndpoint,
             FailureKind::NoRoom => Code::EndpointsLimited,
+            FailureKind::Draining => Code::Draining,
             FailureKind::NotRun | FailureKind::Misdirected => Code::EndpointRefused,
             FailureKind::Lost | FailureKind::EndpointFailed => Code::EndpointLost,
-            FailureKind::Timeout => Code::EndpointTimeout,
+            FailureKind::Timeout | FailureKind::Exiting => Code::EndpointTimeout,
             FailureKind::InvalidAnswer => Code::EndpointNonsense,
             FailureKind::RequestBlocked => Code::RequestBlocked,
             FailureKind::PartBlocked => Code::PromptPartBlocked,
@@ -153,10 +161,12 @@
             FailureKind::NotSent => "not_sent",
             FailureKind::NotAdmitted => "not_admitted",
             FailureKind::NoRoom => "no_room",
+            FailureKind::Draining => "draining",
             FailureKind::NotRun => "not_run",
             FailureKind::Misdirected => "misdirected",
             FailureKind::Lost => "lost",
             FailureKind::Timeout => "timeout",
+            FailureKind::Exiting => "exiting",
             FailureKind::InvalidAnswer => "nonsense",
             FailureKind::EndpointFailed => "endpoint_failed",
             FailureKind::RequestBlocked => "blocked",
@@ -279,17 +289,24 @@
         .checkout_connection(&placement.endpoint, max_idle)
         .await;
     loop {
-        let (mut connection, is_pooled) = match pooled.take() {
-            Some(connection) => (connection, true),
-            None => (connect(shared, placement, deadline).await?, false),
+        let ready = async {
+            let (connection, is_pooled) = match pooled.take() {
+                Some(connection) => (connection, true),
+                None => (connect(shared, placement, deadline).await?, false),
+            };
+            in_flight.borrow_room(placement, call.deadline).await?;
+            Ok((connection, is_pooled))
         };
+        let ready = shared.drain.until_exit(ready).await;
+        let ready = ready.filter(|_| !shared.drain.is_exiting());
+        let exiting = || Failure::new(FailureKind::Draining, "the process is about to exit");
+        let (mut connection, is_pooled) = ready.ok_or_else(exiting)??;
         let how = match (is_pooled, connection.forwarder()) {
             (true, _) => "reused",
             (false, None) => "opened",
             (false, Some(_)) => "forwarded",
         };
         shared.metrics.connections.with_label_values(&[how]).inc();
-        in_flight.borrow_room(placement, call.deadline).await?;
         if !is_admitted(shared, placement) {
             let detail = "the endpoint no longer accepts calls";
             return Err(Failure::new(FailureKind::NotAdmitted, detail));
@@ -515,7 +532,7 @@
     match kind {
         FailureKind::NotSent => in_flight.finish(AttemptOutcome::Unreachable),
         // Says nothing about the state of the endpoint.
-        FailureKind::NotAdmitted | FailureKind::NoRoom => {}
+        FailureKind::NotAdmitted | FailureKind::NoRoom | FailureKind::Draining => {}
         FailureKind::NotRun | FailureKind::Misdirected => {
             in_flight.set_room_end(match kind {
                 FailureKind::NotRun => LoanEnd::Refused,
--- a/crates/wisteriahitch-relay/src/shell/attempt_guard.rs
+++ b/crates/wisteriahitch-relay/src/shell/attempt_guard.rs
@@ -36,7 +36,7 @@
     }
 
     /// Waits until the attempt must be cancelled, and returns why: the endpoint's weights expire,
-    /// the endpoint has restarted, or the call is blocked.
+    /// the endpoint has restarted, the call is blocked, or this process is about to exit.
     pub(super) async fn wait_until_cancelled(&self, shared: &Arc<Shared>) -> Failure {
         let (label, failure) = tokio::select! {
             () = self.wait_until_weights_expire(shared) => (
@@ -47,6 +47,10 @@
                 "life_over",
                 Failure::new(FailureKind::Lost, "the endpoint has started again"),
             ),
+            () = shared.drain.abort_signal.cancelled() => (
+                "exiting",
+                Failure::new(FailureKind::Exiting, "the process is about to exit"),
+            ),
             blocked = self.wait_until_blocked(shared) => (
                 "blocked",
                 Failure::new(
--- a/crates/wisteriahitch-relay/src/shell/drain.rs
+++ b/crates/wisteriahitch-relay/src/shell/drain.rs
@@ -14,8 +14,9 @@
 /// Time before the end of the grace period at which the process exits even if calls are in flight.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time between the abort of the streams in flight and the exit, in which their connections are reset.
-const RESET_ALLOWANCE: Duration = Duration::from_millis(100);
+/// Time between the end of the calls in flight and the exit, in which they are answered, or their
+/// connections reset if their answers have begun.
+const ABORT_ALLOWANCE: Duration = Duration::from_millis(100);
 
 /// Maximum time for which callers use a list of entries, in multiples of its TTL.
 const ENTRY_LIST_TTLS: u32 = 3;
@@ -32,7 +33,7 @@
     idle: Notify,
     /// Cancelled when the drain starts.
     pub(crate) start_signal: CancellationToken,
-    /// Cancelled when the streams in flight are aborted, right before the exit.
+    /// Cancelled when the calls in flight are ended, right before the exit.
     pub(super) abort_signal: CancellationToken,
 }
 
@@ -58,6 +59,20 @@
         admission.accepts(started_at.elapsed().into(), duration())
     }
 
+    /// Runs a step of a call. Returns `None` if the exit comes first.
+    pub(super) async fn until_exit<T>(&self, step: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            result = step => Some(result),
+            () = self.abort_signal.cancelled() => None,
+        }
+    }
+
+    /// Returns whether the calls in flight are being ended, right before the exit.
+    pub(super) fn is_exiting(&self) -> bool {
+        self.abort_signal.is_cancelled()
+    }
+
     pub(crate) fn record_call_start(&self) {
         self.in_flight.fetch_add(1, Ordering::Relaxed);
     }
@@ -85,6 +100,7 @@
     /// Callers keep using an entry list that they already have. If the process exited with its last
     /// request, they would find a closed port for seconds. A process that ends closes its connections
     /// in order, so that a stream of HTTP/1.0 would look whole; streams are therefore aborted before.
+    /// A call whose answer hasn't begun is answered, since a closed connection says nothing of it.
     pub(crate) async fn wait_until_finished(&self, settings: &RelaySettings) -> usize {
         let started_at = *self.started_at.get_or_init(Instant::now);
         let latest_exit = started_at + latest_exit(settings);
@@ -96,7 +112,7 @@
             if tokio::time::timeout_at(latest_exit, idle).await.is_err() {
                 let aborted = self.in_flight();
                 self.abort_signal.cancel();
-                tokio::time::sleep(RESET_ALLOWANCE).await;
+                tokio::time::sleep(ABORT_ALLOWANCE).await;
                 return aborted;
             }
         }
--- a/crates/wisteriahitch-relay/src/shell/next_step.rs
+++ b/crates/wisteriahitch-relay/src/shell/next_step.rs
@@ -5,6 +5,8 @@
 pub(crate) enum NextStep {
     /// Another attempt follows.
     Retry,
+    /// The process is about to exit.
+    Exiting,
     /// The call's deadline has passed.
     NoTimeLeft,
     /// The maximum number of endpoints that a call tries to connect to is reached.
@@ -24,6 +26,7 @@
     pub(crate) const fn label(self) -> &'static str {
         match self {
             NextStep::Retry => "again",
+            NextStep::Exiting => "exiting",
             NextStep::NoTimeLeft => "no_time_left",
             NextStep::TooManyConnects => "too_many_connects",
             NextStep::MayHaveRun => "may_have_run",
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -114,7 +114,8 @@
     let deadline_us = time_limit(&head, &route);
     trace.log_entry().deadline_ms = deadline_us.as_ms();
     let deadline = trace.started_at() + Duration::from(deadline_us);
-    let body = read_body(shared, body, config.limits.body_bytes, deadline).await?;
+    let body = read_body(shared, body, config.limits.body_bytes, deadline);
+    let body = until_exit(shared, body).await?;
     let id = workspace.as_ref().map(|workspace| workspace.id.clone());
     let request = RequestFingerprint::of(id.as_ref(), parts.uri.path(), &body.bytes);
     let isolated = workspace.as_ref().filter(|workspace| workspace.is_isolated);
@@ -122,7 +123,8 @@
     let attributes = CallAttributes::new(request, head.prompt.as_ref(), isolated);
     let is_trial = check_blocked(shared, &attributes, trace)?;
     trace.log_entry().workspace = id.as_ref().map_or(String::new(), ToString::to_string);
-    let (service, required_software) = choose_service(shared, &route, &head, id.as_ref()).await?;
+    let chosen = choose_service(shared, &route, &head, id.as_ref());
+    let (service, required_software) = until_exit(shared, chosen).await?;
     shared.budgets.record_request(&service, shared.now());
     let workspace_priority = workspace.as_ref().and_then(|workspace| workspace.priority);
     let priority = workspace_priority.unwrap_or(route.priority);
@@ -220,10 +222,23 @@
     };
     match shared.drain.accepts(&shared.settings, duration) {
         true => Ok(()),
-        false => Err(Refusal::new(Code::Draining).retry_after(DRAINING_RETRY_US)),
+        false => Err(draining_refusal()),
     }
 }
 
+/// Runs a step of a call that hasn't been sent, and refuses the call if the exit comes first.
+async fn until_exit<T>(
+    shared: &Shared,
+    step: impl Future<Output = Result<T, Refusal>>,
+) -> Result<T, Refusal> {
+    let ended = shared.drain.until_exit(step).await;
+    ended.unwrap_or_else(|| Err(draining_refusal()))
+}
+
+fn draining_refusal() -> Refusal {
+    Refusal::new(Code::Draining).retry_after(DRAINING_RETRY_US)
+}
+
 /// Returns the time within which a call is answered in any case.
 fn time_limit(head: &CallHead, route: &Route) -> DurationUs {
     let timeout_us = route.timeout_us;
--- a/crates/wisteriahitch-relay/src/shell/routed.rs
+++ b/crates/wisteriahitch-relay/src/shell/routed.rs
@@ -214,6 +214,8 @@
         let sent_attempts_before = self.sent_attempts;
         let guard = AttemptGuard::new(self, placement);
         let failure = tokio::select! {
+            // It knows whether the call has been sent.
+            biased;
             result = self.exchange(shared, placement, trace) => return result,
             failure = guard.wait_until_cancelled(shared) => failure,
         };
@@ -349,8 +351,11 @@
         if next != NextStep::BudgetUsedUp {
             return next;
         }
-        let is_borrowed = self.has_untried_endpoint(shared, placement)
-            && borrow_retry(shared, &self.service, self.call.deadline).await;
+        let borrowed = async {
+            self.has_untried_endpoint(shared, placement)
+                && borrow_retry(shared, &self.service, self.call.deadline).await
+        };
+        let is_borrowed = shared.drain.until_exit(borrowed).await.unwrap_or(false);
         let (granted, next) = match is_borrowed {
             true => ("borrowed", NextStep::Retry),
             false => ("no", NextStep::BudgetUsedUp),
@@ -379,6 +384,9 @@
         kind: FailureKind,
         failed_attempts: u32,
     ) -> NextStep {
+        if shared.drain.is_exiting() {
+            return NextStep::Exiting;
+        }
         if self.call.deadline <= Instant::now() {
             return NextStep::NoTimeLeft;
         }
