fix(wire): refuse answers whose status no final answer has

Callers got answers of endpoints in trouble with status 600 and 999 as they were, and a 101 that nobody had asked for, with nothing behind it. An order that was answered so counted as refused, although it may be carried out.

Cause: the HTTP library takes every status from 100 to 999, and 101 as the final answer to any request; the check of answers classified known statuses and passed on all others. Connections and the client now refuse a status outside 200 to 599 as bytes that are no answer, in one place for all that reads answers; only the opening of a forwarded connection, which asks for another protocol, accepts 101.

--- a/crates/wisteriahitch-wire/src/connection_pool.rs
+++ b/crates/wisteriahitch-wire/src/connection_pool.rs
@@ -28,7 +28,7 @@
 use self::shared_stream::{SharedStream, StreamHandle};
 use crate::answer_meter::MAX_BUFFER_BYTES;
 use crate::answer_state::AnswerState;
-use crate::http_client::{HttpError, HttpErrorKind, is_broken_socket};
+use crate::http_client::{HttpError, HttpErrorKind, check_is_final, is_broken_socket};
 use crate::metered_stream::MeteredStream;
 use crate::transfer::{TransferLimits, TransferProgress, receive_body};
 
@@ -112,7 +112,7 @@
         let mut to_forwarder = Self::over_stream(stream, forwarder).await?;
         let stream = to_forwarder.stream.clone();
         let switch = async {
-            let response = to_forwarder.send(request).await;
+            let response = to_forwarder.exchange(request).await;
             let response = response.map_err(|error| not_sent(error.to_string()))?;
             if response.status() != StatusCode::SWITCHING_PROTOCOLS {
                 return Err(ForwardError::Refused(response.status()));
@@ -219,10 +219,25 @@
     ///
     /// # Errors
     ///
-    /// [`HttpErrorKind::NotSent`] only if no byte of the request was sent.
+    /// [`HttpErrorKind::NotSent`] only if no byte of the request was sent, and
+    /// [`HttpErrorKind::Malformed`] if the answer isn't HTTP or has a status that no final answer has.
     pub async fn send(
         &mut self,
         request: Request<Bytes>,
+    ) -> Result<Response<TrackedBody>, HttpError> {
+        let response = self.exchange(request).await?;
+        if let Err(error) = check_is_final(response.status()) {
+            // Nothing that follows on the connection is an answer either.
+            self.answer_state.begin();
+            return Err(error);
+        }
+        Ok(response)
+    }
+
+    /// Sends a request, which may ask for another protocol, and waits for the head of the answer.
+    async fn exchange(
+        &mut self,
+        request: Request<Bytes>,
     ) -> Result<Response<TrackedBody>, HttpError> {
         let request = request.map(Full::new);
         let pending = self.answer_state.begin();
--- a/crates/wisteriahitch-wire/src/http_client.rs
+++ b/crates/wisteriahitch-wire/src/http_client.rs
@@ -12,11 +12,12 @@
 pub use error::{HttpError, HttpErrorKind};
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::uri::{Authority, PathAndQuery, Scheme};
-use http::{Method, Request, Response, Uri};
+use http::{Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper_util::client::legacy::Client;
@@ -31,6 +32,9 @@
 use crate::answer_state::AnswerState;
 use crate::transfer::{TransferProgress, append_body};
 
+/// Statuses of final answers.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Limits on the connections of a client.
 #[derive(Clone, Copy, Debug)]
 pub struct HttpClientOptions {
@@ -160,6 +164,7 @@
         let captured = capture_connection(&mut request);
         match timeout_at(deadline, self.client.request(request)).await {
             Ok(Ok(mut response)) => {
+                check_is_final(response.status())?;
                 // The connector adds the state to each of its connections.
                 let state = response.extensions_mut().remove::<AnswerState>();
                 Ok(response.map(|body| TrackedBody::new(body, state.unwrap_or_default())))
@@ -205,6 +210,16 @@
     Err(HttpError::new(HttpErrorKind::Malformed, detail))
 }
 
+/// Rejects a status that no final answer has to a request that asks for no other protocol (RFC 9110,
+/// section 15). Whether the request was run is unknown.
+pub(crate) fn check_is_final(status: StatusCode) -> Result<(), HttpError> {
+    if FINAL_STATUSES.contains(&status.as_u16()) {
+        return Ok(());
+    }
+    let detail = format!("{} is the status of no final answer", status.as_u16());
+    Err(HttpError::new(HttpErrorKind::Malformed, detail))
+}
+
 fn deadline_in(timeout_us: DurationUs) -> Instant {
     /// Longer timeouts are shortened to this one, because adding them to an `Instant` may overflow.
     const MAX_TIMEOUT: Duration = Duration::from_secs(365 * 24 * 60 * 60);
--- a/crates/wisteriahitch-wire/src/service/http_service.rs
+++ b/crates/wisteriahitch-wire/src/service/http_service.rs
@@ -130,11 +130,6 @@
             "the x-request-id in the answer is another request's",
         ));
     }
-    if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(malformed(
-            "the service switched protocols without being asked to",
-        ));
-    }
     let says_not_run = response.headers().get(NOT_RUN).is_some_and(|v| v == "1");
     if response.status() == StatusCode::SERVICE_UNAVAILABLE && says_not_run {
         let detail = "the service stated that it did not run the request";
