fix(relay): no call to an endpoint that is gone from the table

A call that waited for a connection or for lent room was sent although its endpoint had left meanwhile, if its row was gone by then: a `draining` endpoint got no call, a removed one got all of them.

Cause: the check before each send took a row that is gone for one without limits. It was written for limits, and later took on the rule on leaving.

Evidence: the new test's 6 cases (leaving announced in the registration or in an answer, left without announcing it, lapsed, unreadable, started again) all failed before, for calls and for resumed streams. By the constants a call may wait 2.7 s between its placement and the check, more than the 2 s of the bound. No test of processes shows such an arrival.

Why the fix works: an endpoint that isn't in the table gets nothing, and all sends pass this check: first attempts, retries, resumed streams, on pooled, new and forwarded connections. Nothing was sent, so another endpoint is tried.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_admission.rs
@@ -352,8 +352,8 @@
     /// Returns whether a call that was placed at an endpoint may be sent there now, and if so marks
     /// its permits as used now.
     ///
-    /// Opening a connection between placement and sending may have taken a while. A call to an
-    /// endpoint that is no longer in the table is admitted: no bound is known for it.
+    /// Opening a connection between placement and sending may have taken a while. An endpoint that is
+    /// no longer in the table has left or restarted meanwhile, and gets no call.
     pub fn try_admit(
         &mut self,
         instance: &EndpointInstance,
@@ -384,7 +384,7 @@
         accepts: impl Fn(&Self, &EndpointRow) -> bool,
     ) -> bool {
         let Some(row) = self.get(instance) else {
-            return true;
+            return false;
         };
         let is_resting = row.statements.rest_until_us > now;
         if self.is_evacuated(row) || !accepts(self, row) || is_resting {
--- a/crates/wisteriahitch-relay/tests/all/leaving_instances.rs
+++ b/crates/wisteriahitch-relay/tests/all/leaving_instances.rs
@@ -174,6 +174,61 @@
     assert_eq!(placed.unwrap_err().code, Code::NoEndpoint);
 }
 
+/// Guards against calls that wait for a connection while their endpoint leaves, and are sent after it
+/// is gone from the table. A leaving endpoint got none, and one that had been removed got all of them.
+#[test]
+fn no_call_is_sent_to_an_endpoint_that_was_removed_after_its_placement() {
+    use Event::*;
+    struct Case {
+        name: &'static str,
+        events: Vec<Event>,
+    }
+    let cases = [
+        Case {
+            name: "it announced its leaving in its registration",
+            events: vec![Draining(2), Missing(AbsenceCause::Left)],
+        },
+        Case {
+            name: "it announced its leaving in an answer",
+            events: vec![Announced, Missing(AbsenceCause::Left)],
+        },
+        Case {
+            name: "it left without announcing it",
+            events: vec![Missing(AbsenceCause::Left), Until(1)],
+        },
+        Case {
+            name: "its registration lapsed and didn't come back",
+            events: vec![Missing(lapsed_until(4_000)), Until(4_000)],
+        },
+        Case {
+            name: "it became unreadable",
+            events: vec![Unreadable(2), Missing(AbsenceCause::Left)],
+        },
+        Case {
+            name: "it started again",
+            events: vec![Ready(2, 2)],
+        },
+    ];
+    let mut violations = Vec::new();
+    for case in cases {
+        let (mut table, mut now) = (EndpointTable::default(), at_ms(0));
+        apply(&mut table, &Ready(1, 1), &mut now);
+        let (placed_at, none) = (instance(1), CallPermits::default());
+        assert!(table.try_admit(&placed_at, none, now), "{}", case.name);
+        for event in case.events {
+            apply(&mut table, &event, &mut now);
+        }
+        assert!(table.get(&placed_at).is_none(), "{}", case.name);
+        if table.try_admit(&placed_at, none, now) {
+            violations.push(case.name);
+        }
+        if table.try_admit_resumed(&placed_at, none, now) {
+            violations.push(case.name);
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
+
 /// Guards against daemons that keep a removed instance forever because they gossip it to each
 /// other.
 #[test]
