fix(leases): drop a read that a write overtook

A holder's fencing number could go back: an engine that checks them refuses the order, and one that doesn't gets a lower number after a higher one. Cause: a renewal's answer takes so long that the lease is read meanwhile, and the read's answer, with the object before the renewal, arrives last. Its version became the fencing number. Why it works: versions only rise within an epoch, so an older one than a known one can't be the present object.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease.rs
@@ -178,6 +178,11 @@
             Some((object, version)) => (Some(object), version),
             None => (None, 0),
         };
+        let known_version = self.observed.as_ref().map_or(0, |seen| seen.version);
+        if object.is_some() && version < known_version {
+            // A write overtook the read, whose answer says nothing of the present object.
+            return;
+        }
         self.record_object(object, version, now);
         self.resolve_pending_write(now);
         let is_mine = self.holder() == Some(self.me.incarnation);
--- a/crates/wisteriahitch-core/tests/all/fleet_restored_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_restored_leases.rs
@@ -166,3 +166,53 @@
         );
     }
 }
+
+/// Guards against a fencing number that goes back: an answer to a read arrives after the answer to the
+/// write that overtook it.
+#[test]
+fn an_overtaken_read_lowers_no_fencing_number() {
+    let me = member(0, 0);
+    let holder = LeaseHolder {
+        daemon: me.daemon,
+        incarnation: me.incarnation,
+    };
+    let mut leases = LeaseTable::new(holder, SETTINGS);
+    leases.set_rollout_owner(Some(me.incarnation));
+    let mut daemon = Daemon {
+        leases,
+        members: full_membership(0, &[0]),
+        object: None,
+        now: TimeUs::ZERO + DurationUs::from_ms(10_000),
+    };
+    assert!(daemon.run(DurationUs::from_ms(200), &mut 0).is_some());
+    // The renewal's answer takes so long that the lease is read meanwhile.
+    let (mut written, mut read) = (None, None);
+    while read.is_none() {
+        daemon.now = daemon.now + TICK;
+        for command in daemon.handle(LeaseEvent::Tick) {
+            match command {
+                LeaseCommand::Read(_) => read = daemon.object.clone(),
+                LeaseCommand::Write {
+                    object, expected, ..
+                } => written = Some((object.write_number, expected + 1)),
+            }
+        }
+    }
+    let (write_number, object_version) = written.unwrap();
+    daemon.handle(LeaseEvent::Written {
+        group: GROUP,
+        write_number,
+        object_version,
+    });
+    let fence = |daemon: &mut Daemon| {
+        let granted = daemon.leases.try_grant_order(&GROUP, daemon.now);
+        granted.unwrap().fence
+    };
+    let before = fence(&mut daemon);
+    daemon.handle(LeaseEvent::Read {
+        group: GROUP,
+        object: read,
+    });
+    let after = fence(&mut daemon);
+    assert!(after >= before, "{after:?} after {before:?}");
+}
--- a/crates/wisteriahitch-core/tests/all/main.rs
+++ b/crates/wisteriahitch-core/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod fleet_leases;
 mod fleet_membership;
 mod fleet_orders;
+mod fleet_restored_lease_plays;
 mod fleet_restored_leases;
 mod fleet_submission;
 mod generated;
