fix(relay): take an epoch that another call names for no answer

A watch that ends because another call has learned of a later epoch counted as an answer of the store, and an epoch that only calls of unwatched kinds had named stayed unknown to the watches and leases. Cause: the wait for a later epoch was one of the watch's outcomes, and the epoch was looked at after calls of some kinds only. Evidence: found by a review, by reading; no test shows it. Why it works: such a watch ends without an outcome, and housekeeping takes over what any call has learned.

--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -39,9 +39,10 @@
 use super::server::{bind, serve};
 use super::shared::Shared;
 use super::site_state::SiteState;
+use super::store_epoch::record_store_epoch;
 use super::store_updates::expire_lost_evacuations;
 use super::watch::run_watch;
-use super::watch_state::{WATCHED_ROLES, WatchStates};
+use super::watch_state::{STORE, WATCHED_ROLES, WatchStates};
 use super::work_shares::WorkState;
 use crate::clock::BootClock;
 use crate::decide::endpoint_table::EndpointTable;
@@ -289,6 +290,8 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
         shared.activity.lock().record(shared.now());
+        // Calls of any kind may have learned of a later epoch.
+        record_store_epoch(&shared, shared.borders.store.epoch(), STORE);
         update_endpoints(&shared);
         shared.pool.close_expired();
         shared.lender_connections.close_expired();
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -15,7 +15,7 @@
 use super::shared::Shared;
 use super::store_epoch::record_store_epoch;
 use super::store_updates::log_unreadable_object;
-use super::watch_state::{STORE, kind_name};
+use super::watch_state::STORE;
 use crate::observe::Event;
 use crate::settings::RelaySettings;
 
@@ -114,11 +114,9 @@
         .await;
     match read {
         Ok(Some(object)) if object.revision.epoch() < shared.watches.epoch() => {
-            shared.log.write(&Event::OutdatedAnswer {
-                kind: kind_name(ObjectRole::Leases),
-                source: STORE.to_owned(),
-                revision: object.revision.number(),
-                known_revision: 0,
+            shared.log.write(&Event::Failure {
+                what: "reading the lease",
+                detail: format!("the answer is of an earlier epoch: {}", object.revision),
             });
             LeaseEvent::ReadFailed(group)
         }
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -338,11 +338,13 @@
         tokio::select! {
             watched = shared.borders.store.watch(role, after, wait, &reception) => watched,
             () = confirmation_overdue(shared, role, asked_at, progress) => Err(unconfirmed_error()),
-            () = shared.watches.wait_for_epoch_after(after.epoch()) => Ok(WatchOutcome::HistoryExpired),
         }
     };
-    let watched = receive_unless_superseded(shared, role, progress, watch).await;
-    let Some(watched) = watched? else {
+    let watched = tokio::select! {
+        watched = receive_unless_superseded(shared, role, progress, watch) => watched?,
+        () = shared.watches.wait_for_epoch_after(after.epoch()) => return Ok(true),
+    };
+    let Some(watched) = watched else {
         return Ok(false);
     };
     record_answer(shared, role);
