fix(relay): a restored registration changes nothing that was known, and is logged

A crashed endpoint whose address another one has taken got calls again until it was refused as misdirected, and an endpoint counted as cold once more, when the store returned with an older copy. Cause: each registration of a later epoch counted as a new statement of its endpoint. Evidence: found by a review, by reading; no test shows it. Why it works: what the copy may have had before is no statement. The log now tells registrations that are held back, and when the store lacks the configuration in force.

--- a/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
+++ b/crates/wisteriahitch-relay/src/decide/endpoint_table.rs
@@ -78,6 +78,9 @@
     Lapsed(EndpointInstance),
     /// The registration can't be parsed.
     Unreadable(EndpointInstance),
+    /// A restored copy of the store has the registration of the instance, which has left; it isn't
+    /// believed yet.
+    HeldBack(EndpointInstance),
     /// Another endpoint has its address.
     Displaced(EndpointInstance),
 }
@@ -276,7 +279,7 @@
         self.names.share(&mut endpoint);
         let id = endpoint.instance.id.clone();
         if self.departed.hold_back(&endpoint, now) {
-            return Vec::new();
+            return vec![EndpointChange::HeldBack(endpoint.instance)];
         }
         let Some(row) = self.rows.get(&id) else {
             self.departed.forget(&id);
@@ -317,7 +320,9 @@
         let Some(row) = self.rows.get_mut(&instance.id) else {
             return Vec::new();
         };
-        if endpoint.revision > row.endpoint.revision {
+        let is_newer = endpoint.revision > row.endpoint.revision;
+        // What a restored copy brings back was known before.
+        if is_newer && !endpoint.revision.may_restore(row.endpoint.revision) {
             let until_us = now + endpoint.remaining_cold_us;
             row.cold
                 .apply_change(limit.map(|cold| &cold.limit), now, |cold| {
--- a/crates/wisteriahitch-relay/src/observe/event.rs
+++ b/crates/wisteriahitch-relay/src/observe/event.rs
@@ -160,6 +160,13 @@
         routes: usize,
         bytes: usize,
     },
+    /// The store has returned with an older configuration than the one in force, or has it again. Until
+    /// then nothing is reported as unknown.
+    ConfigLost {
+        is_lost: bool,
+        version: u64,
+        store_version: u64,
+    },
     /// The evacuation of an availability zone has started or ended.
     EvacuationChanged {
         zone: String,
@@ -372,6 +379,7 @@
             Event::EndpointEjected { .. } => "endpoint_ejected",
             Event::EndpointsPartitioned { .. } => "endpoints_partitioned",
             Event::ConfigAdopted { .. } => "config_adopted",
+            Event::ConfigLost { .. } => "config_lost",
             Event::EvacuationChanged { .. } => "evacuation_changed",
             Event::ObjectUnreadable { .. } => "object_unreadable",
             Event::WeightsWanted { .. } => "weights_wanted",
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -175,6 +175,7 @@
                 EndpointChange::Draining(instance) => (instance, "draining"),
                 EndpointChange::Lapsed(instance) => (instance, "lapsed"),
                 EndpointChange::Unreadable(instance) => (instance, "unreadable"),
+                EndpointChange::HeldBack(instance) => (instance, "held_back"),
                 EndpointChange::Displaced(instance) => {
                     self.close_connections(&instance);
                     on_crash(self, &instance, EvidenceKind::Replaced);
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -413,7 +413,10 @@
     {
         // A call that finds its route in the new configuration must find the change here.
         let mut route_services = shared.route_services.lock();
-        if !shared.site.adopt(config, object.revision.epoch()) {
+        let lost_version = shared.site.lost_version();
+        let is_adopted = shared.site.adopt(config, object.revision.epoch());
+        log_lost_config(shared, lost_version, version.get());
+        if !is_adopted {
             return;
         }
         route_services.apply(table, shared.now());
@@ -439,6 +442,20 @@
     });
 }
 
+/// Logs that the store has lost the configuration in force, or has it again; `before` is the version that
+/// it had lost before its configuration was read.
+fn log_lost_config(shared: &Shared, before: Option<u64>, store_version: u64) {
+    let lost = shared.site.lost_version();
+    if lost.is_some() == before.is_some() {
+        return;
+    }
+    shared.log.write(&Event::ConfigLost {
+        is_lost: lost.is_some(),
+        version: lost.or(before).unwrap_or_default(),
+        store_version,
+    });
+}
+
 /// Returns the limits for cold endpoints of each service. Both the service and the deployment must
 /// define one.
 fn cold_limits(shared: &Shared, config: &SiteConfig) -> HashMap<ServiceName, ServiceColdLimit> {
