--- a/crates/wisteriahitch-wire/src/object_store/revision.rs
+++ b/crates/wisteriahitch-wire/src/object_store/revision.rs
@@ -9,15 +9,15 @@
 /// A store that is restored from an older copy loses what was written since and gives out the lost
 /// revisions again. Each time, its epoch rises by one. A store that names no epoch is in epoch 0.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct StoreEpoch(u16);
+pub struct StoreEpoch(u32);
 
 impl StoreEpoch {
     /// Greatest epoch of which revisions can be represented.
-    pub const MAX: u64 = 8_191;
+    pub const MAX: u64 = (1 << 24) - 1;
 
     /// Returns the epoch with this number, or `None` if it is greater than [`Self::MAX`].
     pub fn new(number: u64) -> Option<Self> {
-        let number = u16::try_from(number).ok()?;
+        let number = u32::try_from(number).ok()?;
         (u64::from(number) <= Self::MAX).then_some(Self(number))
     }
 
@@ -56,7 +56,8 @@
 
 impl Revision {
     /// Number of bits for the store's own number. At a thousand changes per second they last for 34
-    /// years, and with those of the epoch a revision is still an exact number in JSON.
+    /// years. Up to epoch 8191 a revision is also an exact number for readers of JSON that know only
+    /// floating-point numbers.
     const NUMBER_BITS: u32 = 40;
 
     /// Greatest number that a store may give a revision.
@@ -89,10 +90,10 @@
         self.0 & Self::MAX_NUMBER
     }
 
-    /// Returns its epoch; the greatest one if it came from another daemon with a greater one.
+    /// Returns its epoch.
     pub fn epoch(self) -> StoreEpoch {
-        let number = (self.0 >> Self::NUMBER_BITS).min(StoreEpoch::MAX);
-        StoreEpoch(u16::try_from(number).unwrap_or(u16::MAX))
+        // Every number of 24 bits is a valid epoch.
+        StoreEpoch::new(self.0 >> Self::NUMBER_BITS).unwrap_or_default()
     }
 
     /// Returns the revision before this one in its epoch; itself if it is the first.
