fix(relay): no order to an engine that may have one of the previous holder unread

What callers saw: an engine that stood still got orders of two daemons right after each other.

Cause: the wait of a new holder counts from the end of the previous holder's term. It protects engines that run. One that stands still reads an order when it goes on, however long ago it was sent: bytes in its kernel's buffers are read even after the sender has reset the connection or ended. The next holder asked it for a report again and again, and its order followed the first answer.

Change: at the beginning of its wait, a holder asks all engines for a report. Each one gets an order once it has answered, which shows that it runs, and a whole wait has passed since. The questions are asked during the wait, so that engines that run get their orders as soon as before. Engines that registered later have no such orders. The wait that a lease tells is no longer moved by writes that wait for nothing.

Ruled out: a longer wait, since there is no bound on a standstill; `expected`, which keeps the engine from carrying out both orders but not from getting both.

Left: a lease that was released tells the next holder to wait for nothing, also if an order of the releasing one was given up and is unread.

Also: an order to an endpoint that is gone took a grant that it never gave back, so that the lease was never settled.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_machine.rs
@@ -172,7 +172,9 @@
 
     /// Makes orders wait for at least `wait_us` from now. A wait that has begun never gets shorter.
     pub(super) fn extend_wait(&mut self, wait_us: DurationUs) {
-        self.wait_until_us = self.wait_until_us.max(self.now + wait_us);
+        if wait_us > DurationUs::ZERO {
+            self.wait_until_us = self.wait_until_us.max(self.now + wait_us);
+        }
     }
 
     /// Returns the remaining term, less a margin for the transfer to the endpoint.
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -146,6 +146,13 @@
         self.leases.get(group).is_some_and(Lease::is_owned)
     }
 
+    /// Returns until when orders wait, or waited, for those of the previous holder of a group's lease;
+    /// [`TimeUs::ZERO`] if there was nothing to wait for.
+    pub fn wait_until(&self, group: &LeaseGroup) -> TimeUs {
+        let lease = self.leases.get(group);
+        lease.map_or(TimeUs::ZERO, |lease| lease.times.wait_until_us)
+    }
+
     /// Returns the status of every lease, for operators and the state dump.
     pub fn status(&self) -> Vec<LeaseStatus> {
         let to_status = |(group, lease): (&LeaseGroup, &Lease)| LeaseStatus {
--- a/crates/wisteriahitch-relay/src/decide/mod.rs
+++ b/crates/wisteriahitch-relay/src/decide/mod.rs
@@ -77,6 +77,7 @@
 mod suspect_wire;
 pub(crate) mod suspects;
 pub(crate) mod timely_answers;
+pub(crate) mod unread_orders;
 pub(crate) mod wanted_weights;
 pub(crate) mod water_level;
 mod work_rate;
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -90,6 +90,7 @@
 };
 pub use decide::suspects::{BlockChanges, CRASHES_TO_BLOCK, Crash, NewBlock, SuspectTable};
 pub use decide::timely_answers::{ProcessActivity, WatchAnswer};
+pub use decide::unread_orders::UnreadOrders;
 pub use decide::wanted_weights::{OldWeightsLimits, WantedFreshness, WantedVersions};
 pub use decide::water_level::{RankDemand, WorkspaceDemand};
 pub use decide::work_report::{RankWork, WorkReport};
--- a/crates/wisteriahitch-relay/src/shell/daemon.rs
+++ b/crates/wisteriahitch-relay/src/shell/daemon.rs
@@ -26,7 +26,7 @@
 use super::endpoint_connections::probe_partitioned_services;
 use super::engine_memory_watch::{fetch_engine_memories, run_engine_memory_watch};
 use super::entries::EntryHttpHandler;
-use super::lease::lease_table;
+use super::lease::{handover_delay, lease_table};
 use super::object_answers::ObjectAnswers;
 use super::orders::{run_weight_orders, wanted_weights_snapshot};
 use super::part_store_watch::run_part_freeing;
@@ -49,6 +49,7 @@
 use crate::decide::rollout::Rollout;
 use crate::decide::rollout_concurrency::ConcurrencyOptions;
 use crate::decide::timely_answers::ProcessActivity;
+use crate::decide::unread_orders::UnreadOrders;
 use crate::decide::wanted_weights::OldWeightsLimits;
 use crate::observe::{Event, EventLog, LogBudget, Metrics};
 use crate::settings::{Bounds, RelaySettings};
@@ -139,6 +140,7 @@
             object_answers: ObjectAnswers::default(),
             leases: Mutex::new(lease_table(&settings, incarnation)),
             rollout: Mutex::new(Rollout::new(rollout_options(&settings, &bounds))),
+            unread_orders: Mutex::new(UnreadOrders::new(handover_delay(&settings))),
             drain: Drain::default(),
             reserved_body_bytes: AtomicUsize::new(0),
             log,
--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -162,7 +162,7 @@
 }
 
 /// Returns the minimum time between orders of two lease holders.
-fn handover_delay(settings: &RelaySettings) -> DurationUs {
+pub(super) fn handover_delay(settings: &RelaySettings) -> DurationUs {
     DurationUs::from_ms(settings.rollout.lease_ms + HANDOVER_MARGIN_MS)
 }
 
--- a/crates/wisteriahitch-relay/src/shell/orders.rs
+++ b/crates/wisteriahitch-relay/src/shell/orders.rs
@@ -14,7 +14,7 @@
 };
 use super::lease::{run_lease_command, standalone_membership};
 use super::shared::Shared;
-use crate::border::{OrderOutcome, OrderPermit, WeightOrder};
+use crate::border::{EngineReport, OrderOutcome, OrderPermit, WeightOrder};
 use crate::decide::endpoint_row::EndpointRow;
 use crate::decide::rollout::{RolloutRow, RolloutStep};
 use crate::observe::Event;
@@ -144,6 +144,9 @@
             command,
         ));
     }
+    if is_lease_holder(shared) {
+        ask_for_signs_of_life(shared, now);
+    }
     if !may_give_orders(shared) {
         shared.rollout.lock().clear();
         return;
@@ -161,6 +164,34 @@
     }
 }
 
+/// Asks engines at which an order of the previous holder may be unread, until they answer.
+fn ask_for_signs_of_life(shared: &Arc<Shared>, now: TimeUs) {
+    let wait_until = shared.leases.lock().wait_until(&LEASE_GROUP);
+    if shared.unread_orders.lock().is_new_wait(wait_until) {
+        let engines: Vec<EndpointInstance> = {
+            let endpoints = shared.endpoints.lock();
+            let rows = endpoints.iter();
+            rows.filter(|row| !row.endpoint.weights.is_empty())
+                .map(|row| row.instance().clone())
+                .collect()
+        };
+        shared.unread_orders.lock().record_wait(wait_until, engines);
+    }
+    let due = shared.unread_orders.lock().due_questions(now);
+    for endpoint in due {
+        let shared = Arc::clone(shared);
+        tokio::spawn(async move {
+            match address_of(&shared, &endpoint) {
+                Some(address) => {
+                    // The answer and its absence are recorded where it is requested.
+                    let _ = request_report(&shared, &endpoint, address).await;
+                }
+                None => shared.unread_orders.lock().remove(&endpoint),
+            }
+        });
+    }
+}
+
 /// Excludes the engines that this daemon has reserved from its own calls.
 ///
 /// The other daemons learn of them by gossip, which a daemon doesn't send to itself. Without this,
@@ -282,19 +313,10 @@
     let address = address_of(shared, endpoint);
     let report = match address {
         Some(address) => {
-            let engines = &shared.borders.engines;
-            let report = engines
-                .fetch_report(&endpoint.id, address, REPORT_TIMEOUT)
-                .await;
+            let report = request_report(shared, endpoint, address).await;
             let is_unsent = |error: &HttpError| error.kind() == HttpErrorKind::NotSent;
             let is_open = !report.as_ref().is_err_and(is_unsent);
             record_direct_outcome(shared, endpoint, is_open);
-            if let Err(error) = &report {
-                shared.log.write(&Event::Failure {
-                    what: "reading an engine's report",
-                    detail: format!("{endpoint}: {error}"),
-                });
-            }
             // The report of another instance counts that instance's own orders. With its numbers,
             // an order meant for this instance could be executed there, or never.
             report
@@ -316,6 +338,30 @@
         .apply_report(endpoint, report.as_ref(), now);
 }
 
+/// Requests an engine's report, and records that the engine runs if there is one.
+async fn request_report(
+    shared: &Shared,
+    endpoint: &EndpointInstance,
+    address: std::net::SocketAddr,
+) -> Result<EngineReport, HttpError> {
+    let asked_at = shared.now();
+    let engines = &shared.borders.engines;
+    let report = engines
+        .fetch_report(&endpoint.id, address, REPORT_TIMEOUT)
+        .await;
+    match &report {
+        Ok(_) => {
+            let mut unread = shared.unread_orders.lock();
+            unread.record_answer(endpoint, asked_at, shared.now());
+        }
+        Err(error) => shared.log.write(&Event::Failure {
+            what: "reading an engine's report",
+            detail: format!("{endpoint}: {error}"),
+        }),
+    }
+    report
+}
+
 /// Sends an order to an engine if the lease permits it, and records the outcome.
 async fn send_order(
     shared: &Shared,
@@ -323,14 +369,19 @@
     endpoint: &EndpointInstance,
     order: impl FnOnce(std::net::SocketAddr) -> WeightOrder,
 ) {
-    let address = address_of(shared, endpoint);
+    let may_be_unread = shared
+        .unread_orders
+        .lock()
+        .may_exist_at(endpoint, shared.now());
+    let address = address_of(shared, endpoint).filter(|_| !may_be_unread);
     // The grant that counts is requested once the connection is open. This one spares a connection,
     // and keeps the lease from being released meanwhile.
-    let grant = shared
-        .leases
-        .lock()
-        .try_grant_order(&LEASE_GROUP, shared.now());
-    let (Some(address), Ok(grant)) = (address, grant) else {
+    let granted = address.and_then(|address| {
+        let mut leases = shared.leases.lock();
+        let grant = leases.try_grant_order(&LEASE_GROUP, shared.now()).ok()?;
+        Some((address, grant))
+    });
+    let Some((address, grant)) = granted else {
         shared
             .rollout
             .lock()
--- a/crates/wisteriahitch-relay/src/shell/shared.rs
+++ b/crates/wisteriahitch-relay/src/shell/shared.rs
@@ -39,6 +39,7 @@
 use crate::decide::stream_versions::StreamVersions;
 use crate::decide::suspects::SuspectTable;
 use crate::decide::timely_answers::ProcessActivity;
+use crate::decide::unread_orders::UnreadOrders;
 use crate::decide::wanted_weights::WantedFreshness;
 use crate::observe::{Event, EventLog, Metrics};
 use crate::settings::{Bounds, RelaySettings};
@@ -120,6 +121,7 @@
     pub(super) object_answers: ObjectAnswers,
     pub(crate) leases: Mutex<LeaseTable>,
     pub(crate) rollout: Mutex<Rollout>,
+    pub(crate) unread_orders: Mutex<UnreadOrders>,
     pub(crate) drain: Drain,
     /// Bytes of all request bodies that are buffered now.
     pub(crate) reserved_body_bytes: AtomicUsize,
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -59,6 +59,7 @@
 mod suspects;
 mod suspicion;
 mod timely_answers;
+mod unread_orders;
 mod wanted_weights;
 mod work_report;
 mod work_shares;
