fix(relay): ask a peer again that failed and has been heard since

Cause: a peer isn't asked for 1 s after a fetch from it failed, whether or not it has been heard since. With both failed once, nobody was asked.

Why the fix works: if all peers with newer objects have failed, a new fetch begins at one that was heard after it failed. Within a fetch none is asked twice, so it ends, and a daemon without a watch then asks the store even while the next fetch is under way.

The decision is held by object_sources::a_peer_that_failed_is_asked_again_once_it_is_heard.

--- a/crates/wisteriahitch-relay/src/decide/object_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/object_sources.rs
@@ -20,6 +20,10 @@
 /// Time for which a peer isn't asked again after a fetch from it failed.
 const FAILED_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
+/// Time for which a peer that failed isn't asked again although it has been heard since and no other
+/// peer has newer objects: two messages over a narrow link. A fetch may fail at once.
+const HEARD_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(400);
+
 /// Time for which a peer that failed doesn't replace an answer that is arriving from the store.
 /// Otherwise a daemon could alternate between the two without completing either transfer.
 const UNRELIABLE_SOURCE_TIME_US: DurationUs = DurationUs::from_ms(10_000);
@@ -102,11 +106,33 @@
         self.best_after(UNRELIABLE_SOURCE_TIME_US, me, now)
     }
 
+    /// Returns the peer that a new fetch begins with. If all have failed, it is one that has been heard
+    /// since: a daemon that the store refuses learns from peers alone, and each of them may have been
+    /// suspended for a moment.
+    pub fn best_to_begin(&self, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
+        let is_heard_again = |offer: &Offer, failed_at: TimeUs| {
+            offer.heard_at_us > failed_at && now.since(failed_at) >= HEARD_SOURCE_BACKOFF_US
+        };
+        let best = self.best(me, now);
+        best.or_else(|| self.best_if(is_heard_again, me, now))
+    }
+
     /// Returns the best of the peers that haven't failed for `backoff_us`.
     fn best_after(&self, backoff_us: DurationUs, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
+        self.best_if(|_, at| now.since(at) >= backoff_us, me, now)
+    }
+
+    /// Returns the best of the peers that haven't failed, or that `may_ask_again` accepts with the time
+    /// at which they failed.
+    fn best_if(
+        &self,
+        may_ask_again: impl Fn(&Offer, TimeUs) -> bool,
+        me: Ipv4Addr,
+        now: TimeUs,
+    ) -> Option<Ipv4Addr> {
         let is_usable = |ip: &Ipv4Addr, offer: &Offer| {
             let failed_at = self.failed_at_us.get(ip);
-            offer.is_fresh(now) && failed_at.is_none_or(|at| now.since(*at) >= backoff_us)
+            offer.is_fresh(now) && failed_at.is_none_or(|at| may_ask_again(offer, *at))
         };
         let usable = || {
             let offers = self.offers.iter();
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -110,8 +110,9 @@
     }
     let as_of = {
         let state = shared.watches.state_of(role).lock();
-        // One source at a time: a second transfer over the same link would delay the first one.
-        if state.is_listed() && state.is_catching_up() {
+        // One source at a time: a second transfer over the same link would delay the first one. After
+        // a fetch has failed, the next one may fail too.
+        if state.is_listed() && state.is_catching_up() && !state.is_catch_up_failing {
             return ROLE_CHECK_INTERVAL;
         }
         // A peer's listing is confirmed by its next message.
--- a/crates/wisteriahitch-relay/src/shell/watch_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch_state.rs
@@ -296,7 +296,7 @@
             }
             let best = match state.store_answer.is_receiving() {
                 true => state.sources.best_in_place_of_store(me, now),
-                false => state.sources.best(me, now),
+                false => state.sources.best_to_begin(me, now),
             };
             if let Some(ip) = best {
                 state.peer_answer = TransferProgress::default();
--- a/crates/wisteriahitch-relay/tests/all/object_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/object_sources.rs
@@ -72,6 +72,71 @@
     }
 }
 
+/// Guards against a daemon that is refused by the store and asks none of its peers for a second,
+/// although one of them is there again: each had been suspended while it was asked.
+#[test]
+fn a_peer_that_failed_is_asked_again_once_it_is_heard() {
+    struct Case {
+        name: &'static str,
+        /// Time of the last message of peer 1, which has failed at 9 s.
+        heard_ms: u64,
+        /// When peer 2 has failed, whose last message has just arrived.
+        other_failed_ms: Option<u64>,
+        now_ms: u64,
+        expected: Option<u8>,
+    }
+    let cases = [
+        Case {
+            name: "heard since",
+            heard_ms: 9_600,
+            other_failed_ms: Some(9_700),
+            now_ms: 9_700,
+            expected: Some(1),
+        },
+        Case {
+            name: "not heard since",
+            heard_ms: 8_900,
+            other_failed_ms: Some(9_700),
+            now_ms: 9_700,
+            expected: None,
+        },
+        Case {
+            name: "a moment ago",
+            heard_ms: 9_200,
+            other_failed_ms: Some(9_300),
+            now_ms: 9_399,
+            expected: None,
+        },
+        Case {
+            name: "another peer hasn't failed",
+            heard_ms: 9_600,
+            other_failed_ms: None,
+            now_ms: 9_700,
+            expected: Some(2),
+        },
+    ];
+    for case in cases {
+        let mut sources = ObjectSources::default();
+        let revision = Revision::from_u64(9);
+        sources.record(peer(1), revision, 100, at_ms(case.heard_ms));
+        sources.record_failure(peer(1), at_ms(9_000));
+        sources.record(peer(2), revision, 100, at_ms(case.now_ms));
+        if let Some(failed_ms) = case.other_failed_ms {
+            sources.record_failure(peer(2), at_ms(failed_ms));
+        }
+        let best = sources.best_to_begin(ME, at_ms(case.now_ms));
+        assert_eq!(best, case.expected.map(peer), "{}", case.name);
+        // The fetch in progress asks nobody twice.
+        let next = sources.best(ME, at_ms(case.now_ms));
+        assert_eq!(
+            next,
+            case.expected.map(peer).filter(|ip| *ip == peer(2)),
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against a daemon that counts as behind for good, and answers 503 for unknown routes, after
 /// the reported objects have arrived, or after the peer that reported them has failed.
 #[test]
