test(relay): sum of all waits for a change, from the constants

A table in docs/design/platform.md: the time from the store's acknowledgement until the last of 2, 3, 6 or 9 daemons acts on a leaving endpoint or a configuration, where a call fails, where the store refuses a daemon, with a failure in each step, and with silent watches. propagation::* computes it from the constants, which are public for it, and fails if a sum passes the bound or the table differs.

--- a/crates/wisteriahitch-relay/src/decide/object_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/object_sources.rs
@@ -21,8 +21,8 @@
 const FAILED_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
 /// Time for which a peer that failed isn't asked again although it has been heard since and no other
-/// peer has newer objects: two messages over a narrow link. A fetch may fail at once.
-const HEARD_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(400);
+/// peer has newer objects: a message over a narrow link. A fetch may fail at once.
+pub const HEARD_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(200);
 
 /// Time for which a peer that failed doesn't replace an answer that is arriving from the store.
 /// Otherwise a daemon could alternate between the two without completing either transfer.
--- a/crates/wisteriahitch-relay/src/decide/store_retry.rs
+++ b/crates/wisteriahitch-relay/src/decide/store_retry.rs
@@ -7,6 +7,8 @@
 //! too, since the store may reject just the daemons that follow it, but so rarely that their total
 //! rate is bounded.
 
+use std::ops::Range;
+
 use wisteriahitch_types::DurationUs;
 
 /// Backoff by number of consecutive failures; the last one applies to all further failures.
@@ -17,6 +19,9 @@
     DurationUs::from_ms(800),
 ];
 
+/// Random factor of a backoff, so that daemons that failed together don't call together.
+pub const BACKOFF_JITTER: Range<f64> = 0.8..1.2;
+
 /// Interval between two calls of all daemons together that only receive updates about the store,
 /// for each kind of object: 20 calls per second, about as many as a dozen following daemons make.
 const INDIRECT_CALL_INTERVAL_US: DurationUs = DurationUs::from_ms(50);
--- a/crates/wisteriahitch-relay/src/lib.rs
+++ b/crates/wisteriahitch-relay/src/lib.rs
@@ -56,7 +56,7 @@
 pub use decide::message_delay::MessageDelay;
 pub use decide::message_sections::{MessageSections, SectionContent, SectionError};
 pub use decide::named_limit::{LimitNotice, LimitOutcome, NamedLimit, StatedLimit};
-pub use decide::object_sources::{ObjectSources, StoreAnswer};
+pub use decide::object_sources::{HEARD_SOURCE_BACKOFF_US, ObjectSources, StoreAnswer};
 pub use decide::outlier::{OutlierDetector, OutlierOptions};
 pub use decide::overload::{UrgencyLevel, UrgencyLevels};
 pub use decide::part_stores::{FreeOrder, PartStores, StoreFetch};
@@ -81,7 +81,7 @@
 pub use decide::service_capacity::service_capacity;
 pub use decide::staleness::{QueryRank, StalenessLimits, answered_as_of};
 pub use decide::store_outages::{AbsenceCause, StoreOutages};
-pub use decide::store_retry::store_retry_backoff;
+pub use decide::store_retry::{BACKOFF_JITTER, store_retry_backoff};
 pub use decide::stream_events::{EventFramer, FramedEvents, FramingError};
 pub use decide::stream_size::{StreamSize, StreamTooLarge};
 pub use decide::stream_versions::{
@@ -99,6 +99,9 @@
     BoundSettings, Bounds, LoadManagement, LoadManagementError, RelaySettings, SettingsError,
 };
 pub use shell::daemon::{Borders, Daemon};
+pub use shell::peer_client::PEER_REQUEST_TIMEOUT;
+pub use shell::peers::GOSSIP_INTERVAL;
+pub use shell::watch::ENDPOINT_CHANGES_DEBOUNCE;
 pub use site::{
     AllowedZones, CallAttribute, CallAttributes, CallKind, CallerLimits, ColdStartSpec, Endpoint,
     EngineSpec, ModelWeights, PartStore, PromptPart, PromptShape, RegionMap, RequestFingerprint,
--- a/crates/wisteriahitch-relay/src/shell/peer_client.rs
+++ b/crates/wisteriahitch-relay/src/shell/peer_client.rs
@@ -21,7 +21,7 @@
 use crate::observe::Event;
 
 /// Timeout for connecting to a peer and until its response begins, each.
-const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
+pub const PEER_REQUEST_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time after which a busy peer is asked again: a transfer to another daemon over a narrow link.
 const BUSY_PEER_RETRY_INTERVAL: Duration = Duration::from_millis(150);
--- a/crates/wisteriahitch-relay/src/shell/peers.rs
+++ b/crates/wisteriahitch-relay/src/shell/peers.rs
@@ -30,7 +30,7 @@
 
 /// Time between two messages. Placement depends on the load that other daemons have sent meanwhile.
 /// Each message costs a system call per target.
-const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between two messages in a large fleet if the daemon's link is narrower than
 /// [`WIDE_LINK_MBPS`].
--- a/crates/wisteriahitch-relay/src/shell/watch.rs
+++ b/crates/wisteriahitch-relay/src/shell/watch.rs
@@ -16,7 +16,7 @@
 use super::watch_state::{STORE, WATCHED_ROLES, kind_name};
 use crate::decide::hubs::SMALL_FLEET_MAX_SIZE;
 use crate::decide::staleness::{QueryRank, answered_as_of};
-use crate::decide::store_retry::store_retry_backoff;
+use crate::decide::store_retry::{BACKOFF_JITTER, store_retry_backoff};
 use crate::decide::timely_answers::WatchAnswer;
 use crate::observe::Event;
 
@@ -29,7 +29,7 @@
 /// new weights they change one after the other, and each change would otherwise end the watch of
 /// every daemon that watches endpoints. The daemons don't ask at the same time, so some daemon
 /// learns of a change long before its own pause ends.
-const ENDPOINT_CHANGES_DEBOUNCE: Duration = Duration::from_millis(250);
+pub const ENDPOINT_CHANGES_DEBOUNCE: Duration = Duration::from_millis(250);
 
 /// Minimum time for which a daemon of a large fleet waits for its hub's objects at the start: about a
 /// second for the listing by a few daemons, and another one for each of two hops.
@@ -137,7 +137,7 @@
 /// waiting if this daemon no longer receives updates from a hub.
 async fn wait_after_failure(shared: &Shared, role: ObjectRole, failures: usize) {
     let failed_at = shared.now();
-    let jitter = rand::random_range(0.8..1.2);
+    let jitter = rand::random_range(BACKOFF_JITTER);
     loop {
         let now = shared.now();
         let backoff = Duration::from(failure_backoff(shared, role, failures, now)).mul_f64(jitter);
--- a/crates/wisteriahitch-relay/tests/all/main.rs
+++ b/crates/wisteriahitch-relay/tests/all/main.rs
@@ -37,6 +37,7 @@
 mod permit_shares;
 mod placement;
 mod promised_room;
+mod propagation;
 mod recent_durations;
 mod regions;
 mod rejoining;
