fix(relay): end a forwarded connection in order only if the call was passed on

Callers whose call went through another daemon got part of an answer as a complete one: the endpoint closed its side while the upload was being sent, and the forwarder ended its connection in order with bytes of the call unsent, and read on, so that the daemon that asked saw its call taken.

The forwarder now resets behind the answer if bytes of the call were unsent when the endpoint closed, and behind the end if more of the call arrives or the endpoint resets its connection.

--- a/crates/wisteriahitch-relay/src/shell/connection_copy.rs
+++ b/crates/wisteriahitch-relay/src/shell/connection_copy.rs
@@ -1,7 +1,9 @@
 //! Copies bytes between the two connections of a forwarded connection, and closes or resets them.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::io::Interest;
@@ -18,8 +20,11 @@
 /// How a forwarded connection ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum CopyOutcome {
-    /// The endpoint closed its side in order, and all that it sent was passed on.
+    /// The endpoint closed its side in order, and all that either side sent was passed on.
     EndpointClosed,
+    /// The endpoint closed its side in order before all that the daemon sent could be passed on. All that
+    /// the endpoint sent was.
+    EndpointClosedEarly,
     /// The connection to the endpoint was reset or timed out.
     EndpointBroke,
     /// The daemon closed its side in order.
@@ -44,22 +49,30 @@
     endpoint: &TcpStream,
     received: &[u8],
 ) -> CopyOutcome {
+    let is_sending = AtomicBool::new(true);
     let up = async {
         match write_all(endpoint, received).await {
-            Ok(()) => copy(daemon, endpoint).await,
+            Ok(()) => copy(daemon, endpoint, &is_sending).await,
             Err(_) => CopyEnd::TargetBroke,
         }
     };
-    let down = copy(endpoint, daemon);
-    tokio::pin!(down);
+    let is_answering = AtomicBool::new(false);
+    let down = copy(endpoint, daemon, &is_answering);
+    tokio::pin!(up, down);
     tokio::select! {
-        end = up => match end {
+        end = &mut up => match end {
             CopyEnd::SourceClosed => return CopyOutcome::DaemonClosed,
             CopyEnd::SourceBroke => return CopyOutcome::DaemonBroke,
             CopyEnd::TargetBroke => {}
         },
         end = &mut down => return match end {
-            CopyEnd::SourceClosed => CopyOutcome::EndpointClosed,
+            CopyEnd::SourceClosed => {
+                let is_pending = is_sending.load(Ordering::Relaxed) || has_unread(daemon);
+                match is_pending || !matches!(endpoint.take_error(), Ok(None)) {
+                    true => CopyOutcome::EndpointClosedEarly,
+                    false => CopyOutcome::EndpointClosed,
+                }
+            }
             CopyEnd::SourceBroke => CopyOutcome::EndpointBroke,
             CopyEnd::TargetBroke => CopyOutcome::DaemonBroke,
         },
@@ -75,17 +88,47 @@
     CopyOutcome::EndpointBroke
 }
 
-/// Closes a connection after everything that was written to it has been sent.
+/// Closes the connection to the daemon in order after everything that was written to it has been sent.
 ///
-/// If it closed with bytes unread, the system would reset it and discard what the peer hasn't
-/// received.
-pub(super) async fn close_in_order(stream: TcpStream) {
-    reset_on_close(&stream, false);
-    let is_shut_down = socket2::SockRef::from(&stream).shutdown(Shutdown::Write);
-    if is_shut_down.is_ok() {
-        // A daemon that goes on sending has closed its side by then in the usual case.
-        let _ = timeout(CLOSE_TIMEOUT, discard(&stream)).await;
+/// If it closed with bytes unread, the system would reset it and discard what the daemon hasn't
+/// received. Bytes that were on their way when the endpoint closed its side, and an endpoint that resets
+/// its connection, show that the endpoint hasn't got the whole call: the daemon learns that by a
+/// reset behind the end, as it would without a forwarder.
+pub(super) async fn close_in_order(daemon: TcpStream, endpoint: TcpStream) {
+    reset_on_close(&daemon, false);
+    if socket2::SockRef::from(&daemon)
+        .shutdown(Shutdown::Write)
+        .is_err()
+    {
+        return;
     }
+    let mut byte = [0];
+    let is_call_cut = async {
+        tokio::select! {
+            sent = read(&daemon, &mut byte) => sent.is_ok_and(|length| length > 0),
+            _ = endpoint.ready(Interest::ERROR) => true,
+        }
+    };
+    // A daemon that is content with the answer closes its side by then in the usual case.
+    if timeout(CLOSE_TIMEOUT, is_call_cut).await.unwrap_or(false) {
+        reset_on_close(&daemon, true);
+    }
+}
+
+/// Waits at most [`CLOSE_TIMEOUT`] for the daemon to end a connection, and resets it.
+///
+/// The daemon gets all that was written. What is complete by itself needs no end of the connection, and
+/// anything else must not seem to be.
+pub(super) async fn reset_after_reading(stream: TcpStream) {
+    reset_on_close(&stream, true);
+    // The connection ends either way.
+    let _ = timeout(CLOSE_TIMEOUT, discard(&stream)).await;
+}
+
+/// Returns whether bytes wait to be read from a connection.
+fn has_unread(from: &TcpStream) -> bool {
+    let peeked = socket2::SockRef::from(from).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_ok_and(|length| length > 0)
 }
 
 /// Reads from a connection until its peer ends it.
@@ -101,15 +144,18 @@
     let _ = socket2::SockRef::from(stream).set_linger(linger);
 }
 
-/// Copies bytes until either connection ends.
-async fn copy(from: &TcpStream, to: &TcpStream) -> CopyEnd {
+/// Copies bytes until either connection ends. `is_writing` is set while bytes that were read are not yet
+/// written.
+async fn copy(from: &TcpStream, to: &TcpStream, is_writing: &AtomicBool) -> CopyEnd {
     let mut buffer = vec![0; COPY_BUFFER_BYTES];
     loop {
+        is_writing.store(false, Ordering::Relaxed);
         let length = match read(from, &mut buffer).await {
             Ok(0) => return CopyEnd::SourceClosed,
             Ok(length) => length,
             Err(_) => return CopyEnd::SourceBroke,
         };
+        is_writing.store(true, Ordering::Relaxed);
         if write_all(to, &buffer[..length]).await.is_err() {
             return CopyEnd::TargetBroke;
         }
--- a/crates/wisteriahitch-relay/src/shell/forwarding.rs
+++ b/crates/wisteriahitch-relay/src/shell/forwarding.rs
@@ -19,7 +19,9 @@
 use wisteriahitch_wire::connection_pool::set_options;
 
 use super::answer_body::AnswerBody;
-use super::connection_copy::{CopyOutcome, close_in_order, copy_both, reset_on_close};
+use super::connection_copy::{
+    CopyOutcome, close_in_order, copy_both, reset_after_reading, reset_on_close,
+};
 use super::endpoint_connections::{ConnectTarget, connect_directly, has_working_link};
 use super::shared::Shared;
 use crate::decide::endpoint_admission::Admission;
@@ -217,8 +219,8 @@
 
 /// Forwards a connection until either side ends it, and then ends both.
 ///
-/// The connection towards the daemon closes in order only after the endpoint has closed its side in
-/// order. In all other cases it is reset, also if this process is killed: an answer that ends with its
+/// The connection towards the daemon closes in order only after the endpoint has got all that the daemon
+/// sent, and has closed its side in order. In all other cases it is reset, also if this process is killed: an answer that ends with its
 /// connection would look complete otherwise (`docs/design/answer-ends.md`).
 async fn forward(
     shared: Arc<Shared>,
@@ -252,8 +254,11 @@
     reset_on_close(&daemon, true);
     match copy_both(&daemon, &endpoint, &received).await {
         CopyOutcome::EndpointClosed => {
+            close_in_order(daemon, endpoint).await;
+        }
+        CopyOutcome::EndpointClosedEarly => {
             drop(endpoint);
-            close_in_order(daemon).await;
+            reset_after_reading(daemon).await;
         }
         // The daemon has given its call up: what the endpoint hasn't received of it is discarded,
         // else it would still arrive and run.
