fix(relay): exit once the last answers have been written

A caller that took its answer slowly got 2809856 of over 3000000 bytes from a daemon that exited as planned, seconds before the end of its grace period, and the connection ended in order.

Cause: a call counted as ended when its answer was handed to the connection. Once the entry lists had expired the process ended with its last call, and what the socket hadn't taken yet was lost.

The drain now also waits, up to the same limit, until the connections on which calls have arrived are closed. Connections that carry no call aren't waited for.

--- a/crates/wisteriahitch-relay/src/shell/drain.rs
+++ b/crates/wisteriahitch-relay/src/shell/drain.rs
@@ -30,6 +30,8 @@
     /// Start of the drain, if it has started.
     started_at: OnceLock<Instant>,
     in_flight: AtomicUsize,
+    /// Open connections on which calls have arrived. The last answer may not have been written yet.
+    used_connections: AtomicUsize,
     idle: Notify,
     /// Cancelled when the drain starts.
     pub(crate) start_signal: CancellationToken,
@@ -83,6 +85,22 @@
         }
     }
 
+    pub(crate) fn record_connection_use(&self) {
+        self.used_connections.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn record_connection_end(&self) {
+        if self.used_connections.fetch_sub(1, Ordering::Relaxed) == 1 {
+            self.idle.notify_waiters();
+        }
+    }
+
+    /// Returns whether no call is in flight and all answers have been written: connections are closed
+    /// after the first answer in the drain, or once they are idle.
+    fn is_idle(&self) -> bool {
+        self.in_flight() == 0 && self.used_connections.load(Ordering::Relaxed) == 0
+    }
+
     /// Returns the number of calls in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.in_flight.load(Ordering::Relaxed)
@@ -107,8 +125,11 @@
         let lists_expired_at =
             started_at + settings.entry_ttl() * ENTRY_LIST_TTLS + LATE_REQUEST_ALLOWANCE;
         tokio::time::sleep_until(lists_expired_at.min(latest_exit)).await;
-        while self.in_flight() > 0 {
+        loop {
             let idle = self.idle.notified();
+            if self.is_idle() {
+                return 0;
+            }
             if tokio::time::timeout_at(latest_exit, idle).await.is_err() {
                 let aborted = self.in_flight();
                 self.abort_signal.cancel();
@@ -116,7 +137,6 @@
                 return aborted;
             }
         }
-        0
     }
 }
 
--- a/crates/wisteriahitch-relay/src/shell/pipeline.rs
+++ b/crates/wisteriahitch-relay/src/shell/pipeline.rs
@@ -15,7 +15,7 @@
 use super::blocked_requests::logged_names;
 use super::request_body::read_body;
 use super::routed::{AttemptAnswer, RoutedCall};
-use super::server::{ConnectionLimits, RequestHandler};
+use super::server::{ConnectionLimits, ConnectionPermit, RequestHandler};
 use super::shared::Shared;
 use super::stream_body::{StreamStart, stream_answer};
 use super::stream_origins::{is_resumption, record_origin, resumed_origin};
@@ -54,6 +54,10 @@
         response
     }
 
+    fn connection_permit(&self) -> Option<ConnectionPermit> {
+        Some(ConnectionPermit::new(&self.shared))
+    }
+
     fn limits(&self) -> ConnectionLimits {
         /// Limits that apply until a configuration has been loaded.
         const UNCONFIGURED_LIMITS: ConnectionLimits = ConnectionLimits {
--- a/crates/wisteriahitch-relay/src/shell/server.rs
+++ b/crates/wisteriahitch-relay/src/shell/server.rs
@@ -4,7 +4,7 @@
 use std::error::Error as _;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -19,6 +19,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::answer_body::AnswerBody;
+use super::shared::Shared;
 
 /// Length of the accept queue. The kernel's usual 128 overflow when many callers reconnect at once;
 /// the SYN packets of the others are then lost and sent again after a second.
@@ -60,10 +61,32 @@
         from: SocketAddr,
     ) -> impl Future<Output = Response<AnswerBody>> + Send;
 
+    /// Called when the first request arrives on a connection. The result is dropped when the connection
+    /// ends.
+    fn connection_permit(&self) -> Option<ConnectionPermit> {
+        None
+    }
+
     /// Returns the limits for new connections.
     fn limits(&self) -> ConnectionLimits;
 }
 
+/// Counts a connection on which calls have arrived until it is dropped.
+pub(crate) struct ConnectionPermit(Arc<Shared>);
+
+impl ConnectionPermit {
+    pub(super) fn new(shared: &Arc<Shared>) -> Self {
+        shared.drain.record_connection_use();
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.0.drain.record_connection_end();
+    }
+}
+
 /// Listens on an address; `side` names the server in error messages.
 pub(crate) fn bind(address: SocketAddr, side: &str) -> anyhow::Result<TcpListener> {
     let listen = || {
@@ -102,8 +125,10 @@
     // failure here only costs latency.
     let _ = stream.set_nodelay(true);
     let limits = handler.limits();
-    let service = service_fn(move |request| {
+    let permit = OnceLock::new();
+    let service = service_fn(|request| {
         let handler = Arc::clone(&handler);
+        permit.get_or_init(|| handler.connection_permit());
         async move { Ok::<_, Infallible>(handler.handle(request, from).await) }
     });
     let mut http = http1::Builder::new();
