fix(relay): a lease object for each epoch of the store

A daemon that had given a write of its lease up before the store's return became the holder beside the one that had taken the lease after the wait: the late write matched a number that had been given out again, and it took the object that named it for its own, without a wait. Cause: one object stood for the lease in all epochs, and conditional writes know only its number. Why it works: the object's name ends with the epoch, so a write of an epoch changes nothing in another. What is learned from a call that was made in an earlier epoch counts as lost.

--- a/crates/wisteriahitch-relay/src/shell/lease.rs
+++ b/crates/wisteriahitch-relay/src/shell/lease.rs
@@ -9,7 +9,9 @@
     Member, MemberAddresses, MemberState, Membership, MembershipSettings, WriteFailure,
 };
 use wisteriahitch_types::{ConfigVersion, DurationUs, Incarnation, TimeUs};
-use wisteriahitch_wire::object_store::{ObjectRole, Revision, StoredObject, UnreadableKind};
+use wisteriahitch_wire::object_store::{
+    ObjectRole, Revision, StoreEpoch, StoredObject, UnreadableKind,
+};
 use wisteriahitch_wire::platform::{FailedWrite, PlatformError};
 
 use super::shared::Shared;
@@ -94,32 +96,55 @@
     members: Arc<Membership>,
     command: LeaseCommand,
 ) {
+    let epoch = shared.watches.epoch();
     let event = match command {
-        LeaseCommand::Read(group) => read_lease(&shared, group).await,
+        LeaseCommand::Read(group) => read_lease(&shared, group, epoch).await,
         LeaseCommand::Write {
             group,
             object,
             expected,
-        } => write_lease(&shared, group, object, expected).await,
+        } => write_lease(&shared, group, object, expected, epoch).await,
     };
     record_store_epoch(&shared, shared.borders.store.epoch(), STORE);
+    let event = match shared.watches.epoch() == epoch {
+        true => event,
+        false => outdated_event(event),
+    };
     shared.leases.lock().handle(event, shared.now(), &members);
 }
 
-async fn read_lease(shared: &Shared, group: LeaseGroup) -> LeaseEvent {
-    let read = shared
-        .borders
-        .store
-        .get(ObjectRole::Leases, &group.to_string())
-        .await;
+/// Returns the name of a lease's object in an epoch of the store.
+///
+/// A write that was given up may still be done after the store's return, if the revision that it
+/// expects is given out again. With an object for each epoch it replaces no lease of the new one.
+fn object_name(group: &LeaseGroup, epoch: StoreEpoch) -> String {
+    match epoch == StoreEpoch::default() {
+        true => group.to_string(),
+        false => format!("{group}.{epoch}"),
+    }
+}
+
+/// Returns what is known after a call for the object of an earlier epoch.
+fn outdated_event(event: LeaseEvent) -> LeaseEvent {
+    match event {
+        LeaseEvent::Read { group, .. } => LeaseEvent::ReadFailed(group),
+        LeaseEvent::Written {
+            group,
+            write_number,
+            ..
+        } => LeaseEvent::WriteFailed {
+            group,
+            write_number,
+            failure: WriteFailure::Lost,
+        },
+        event => event,
+    }
+}
+
+async fn read_lease(shared: &Shared, group: LeaseGroup, epoch: StoreEpoch) -> LeaseEvent {
+    let name = object_name(&group, epoch);
+    let read = shared.borders.store.get(ObjectRole::Leases, &name).await;
     match read {
-        Ok(Some(object)) if object.revision.epoch() < shared.watches.epoch() => {
-            shared.log.write(&Event::Failure {
-                what: "reading the lease",
-                detail: format!("the answer is of an earlier epoch: {}", object.revision),
-            });
-            LeaseEvent::ReadFailed(group)
-        }
         Ok(object) => {
             let object = object.map(|object| decode_lease(shared, &group, object));
             LeaseEvent::Read { group, object }
@@ -181,9 +206,10 @@
     group: LeaseGroup,
     object: LeaseObject,
     expected: u64,
+    epoch: StoreEpoch,
 ) -> LeaseEvent {
     let write_number = object.write_number;
-    let name = group.to_string();
+    let name = object_name(&group, epoch);
     let content = serde_json::to_value(&object).unwrap_or_default();
     let store = &shared.borders.store;
     let written = match expected {
