fix(relay): keep lost evacuations also at daemons that learn of the return from a peer

Calls went on to a zone that was being emptied at a daemon that the store refuses. Cause: what is absent from a peer's answer is told by the names of all that there is, and evacuations that weren't among them ended at once; only listings kept them. Evidence: restored_store::lost_evacuations_stay_in_force with such a daemon had 66 and 69 calls to the zone in two plays, and has none. Why it works: both ways ask whether what is absent may have been lost.

--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -98,15 +98,12 @@
         &mut state.objects,
         objects.into_iter().map(by_name).collect(),
     );
-    if role == ObjectRole::Evacuations && revision.epoch() > state.last_change.epoch() {
-        let until = now + LOST_EVACUATION_RETENTION_US;
+    if may_have_lost(&state, role, revision) {
         let names = known.into_keys();
         let lost: Vec<String> = names
             .filter(|name| !state.objects.contains_key(name))
             .collect();
-        state
-            .lost
-            .extend(lost.into_iter().map(|name| (name, until)));
+        keep_lost(&mut state, lost, now);
     }
     // A listing doesn't contain earlier deletions.
     state.deletions_lost_up_to = state.deletions_lost_up_to.max(revision);
@@ -124,6 +121,20 @@
     })
 }
 
+/// Returns whether what is known and absent as of `revision` may have been lost by a restored store, and
+/// counts as existing for a while.
+fn may_have_lost(state: &WatchState, role: ObjectRole, revision: Revision) -> bool {
+    role == ObjectRole::Evacuations && revision.epoch() > state.last_change.epoch()
+}
+
+fn keep_lost(state: &mut WatchState, names: Vec<String>, now: TimeUs) {
+    let until = now + LOST_EVACUATION_RETENTION_US;
+    for name in names {
+        state.objects.remove(&name);
+        state.lost.insert(name, until);
+    }
+}
+
 fn decode_registrations(shared: &Shared, objects: &[StoredObject]) -> Vec<Registration> {
     let mut names = SharedNames::default();
     let registrations = objects.iter().filter_map(|object| {
@@ -240,7 +251,14 @@
             state.followed_since_us = Some(shared.now());
             state.deletions_lost_up_to = state.deletions_lost_up_to.max(delta.revision);
         }
-        names.map_or(Vec::new(), |names| state.objects_missing_from(names))
+        let missing = names.map_or(Vec::new(), |names| state.objects_missing_from(names));
+        match may_have_lost(&state, role, delta.revision) {
+            true => {
+                keep_lost(&mut state, missing, shared.now());
+                Vec::new()
+            }
+            false => missing,
+        }
     };
     let missing = missing.into_iter().map(|name| (name, delta.revision));
     let deletions = delta.deleted.into_iter().chain(missing);
