refactor: terms and names in what follows the store's epochs

Comments and names in the usual terms; the settings of the two tests of restored leases stand once. Tests of core's fleet_restored and all of wisteriahitch-relay pass.

--- a/crates/wisteriahitch-core/src/fleet/leases/lease_event.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_event.rs
@@ -40,7 +40,7 @@
     /// An order has been answered, refused or abandoned.
     OrderDone(LeaseGroup),
     /// The store has returned with an older copy of its objects. All leases may have had other
-    /// holders, of which the copy doesn't tell.
+    /// holders, which the copy doesn't show.
     StoreRestored,
 }
 
--- a/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
+++ b/crates/wisteriahitch-core/src/fleet/leases/lease_table.rs
@@ -180,7 +180,7 @@
     }
 
     /// Gives up all leases, and makes orders wait as if each lease had been acquired from a holder that
-    /// acquired it just now: nobody can tell who held it last.
+    /// acquired it just now: the last holder is unknown.
     fn handle_restored_store(&mut self, now: TimeUs) {
         self.lost_leases_until_us = now + self.settings.term_us + self.settings.order_timeout_us;
         for lease in self.leases.values_mut() {
--- a/crates/wisteriahitch-core/tests/all/fleet_restored_lease_plays.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_restored_lease_plays.rs
@@ -3,21 +3,13 @@
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{Rng, SeedableRng};
 use wisteriahitch_core::fleet::{
-    LeaseCommand, LeaseEvent, LeaseGroup, LeaseHolder, LeaseObject, LeaseSettings, LeaseTable,
-    Membership, WriteFailure,
+    LeaseCommand, LeaseEvent, LeaseHolder, LeaseObject, LeaseTable, Membership, WriteFailure,
 };
 use wisteriahitch_types::{DurationUs, TimeUs};
 
 use crate::fleet::{full_membership, member};
+use crate::fleet_restored_leases::{GROUP, SETTINGS};
 
-const SETTINGS: LeaseSettings = LeaseSettings {
-    term_us: DurationUs::from_ms(1_100),
-    renew_before_us: DurationUs::from_ms(700),
-    order_timeout_us: DurationUs::from_ms(3_400),
-    margin_us: DurationUs::from_ms(250),
-    read_interval_us: DurationUs::from_ms(300),
-};
-const GROUP: LeaseGroup = LeaseGroup::RolloutSlot(0);
 const STEP_MS: u64 = 10;
 const NUMBER_BITS: u32 = 40;
 const DAEMONS: u16 = 3;
@@ -235,7 +227,7 @@
                     continue;
                 }
                 if self.below(300) == 0 {
-                    // Another daemon tells what it knows.
+                    // A message of another daemon carries its epoch.
                     let other = self.below(u64::from(DAEMONS)) as usize;
                     let epoch = self.daemons[other].epoch;
                     self.learn(index, epoch);
--- a/crates/wisteriahitch-core/tests/all/fleet_restored_leases.rs
+++ b/crates/wisteriahitch-core/tests/all/fleet_restored_leases.rs
@@ -8,7 +8,7 @@
 
 use crate::fleet::{full_membership, member};
 
-const SETTINGS: LeaseSettings = LeaseSettings {
+pub(crate) const SETTINGS: LeaseSettings = LeaseSettings {
     term_us: DurationUs::from_ms(1_100),
     renew_before_us: DurationUs::from_ms(700),
     order_timeout_us: DurationUs::from_ms(3_400),
@@ -16,7 +16,7 @@
     read_interval_us: DurationUs::from_ms(300),
 };
 
-const GROUP: LeaseGroup = LeaseGroup::RolloutSlot(0);
+pub(crate) const GROUP: LeaseGroup = LeaseGroup::RolloutSlot(0);
 
 /// Time between two ticks.
 const TICK: DurationUs = DurationUs::from_ms(50);
--- a/crates/wisteriahitch-relay/src/decide/object_sources.rs
+++ b/crates/wisteriahitch-relay/src/decide/object_sources.rs
@@ -20,7 +20,7 @@
 /// Time for which a peer isn't asked again after a fetch from it failed.
 const FAILED_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(1_000);
 
-/// Time for which a peer that failed isn't asked again although it has been heard since and no other
+/// Time for which a peer that failed isn't asked again although its messages have arrived since and no other
 /// peer has newer objects: a message over a narrow link. A fetch may fail at once.
 pub const HEARD_SOURCE_BACKOFF_US: DurationUs = DurationUs::from_ms(200);
 
@@ -106,7 +106,7 @@
         self.best_after(UNRELIABLE_SOURCE_TIME_US, me, now)
     }
 
-    /// Returns the peer that a new fetch begins with. If all have failed, it is one that has been heard
+    /// Returns the peer that a new fetch begins with. If all have failed, it is one whose messages arrived
     /// since: a daemon that the store refuses learns from peers alone, and each of them may have been
     /// suspended for a moment.
     pub fn best_to_begin(&self, me: Ipv4Addr, now: TimeUs) -> Option<Ipv4Addr> {
--- a/crates/wisteriahitch-relay/src/shell/registration.rs
+++ b/crates/wisteriahitch-relay/src/shell/registration.rs
@@ -65,7 +65,7 @@
         tokio::spawn(fill_budgets(Arc::clone(&shared)));
     }
     tokio::spawn(run_renewed_registrations(Arc::clone(&shared)));
-    tokio::spawn(hear_peers(Arc::clone(&shared)));
+    tokio::spawn(await_peer_messages(Arc::clone(&shared)));
     // Two daemons that start at the same time both write before they list, so at least one sees the
     // other.
     let mut is_first = true;
@@ -173,12 +173,12 @@
     register(shared).await.map(drop)
 }
 
-/// Records when the other daemons have had time to tell what they know.
-async fn hear_peers(shared: Arc<Shared>) {
+/// Records when messages of all other daemons should have arrived.
+async fn await_peer_messages(shared: Arc<Shared>) {
     if shared.peers.wait_for_peer_list().await {
         shared.peers.wait_for_gossip().await;
     }
-    shared.site.record_peers_heard();
+    shared.site.record_peer_messages();
 }
 
 /// Registers this daemon, and returns whether it is new, that is, wasn't registered before. If the
--- a/crates/wisteriahitch-relay/src/shell/site_state.rs
+++ b/crates/wisteriahitch-relay/src/shell/site_state.rs
@@ -26,8 +26,8 @@
     is_lost: bool,
     /// Greatest version that a peer has in force and the store has lost.
     peer_version: u64,
-    /// Whether peers have had time to tell such a version since the start of this process.
-    has_heard_peers: bool,
+    /// Whether messages of the peers should have arrived since the start of this process.
+    has_peer_messages: bool,
 }
 
 /// What operators have configured: the configuration in force and the wanted weight versions.
@@ -98,19 +98,21 @@
         history.peer_version = history.peer_version.max(version);
     }
 
-    /// Records that peers have had time to tell what they have in force.
-    pub(crate) fn record_peers_heard(&self) {
-        self.config_history.lock().has_heard_peers = true;
+    /// Records that messages of the peers should have arrived.
+    pub(crate) fn record_peer_messages(&self) {
+        self.config_history.lock().has_peer_messages = true;
     }
 
     /// Returns whether the store may have lost configurations: it returned with an older one than this
-    /// daemon or a peer has in force, or this daemon has just started and has heard no peer. Operators
+    /// daemon or a peer has in force, or this daemon has just started and has no message of a peer. Operators
     /// may have added routes and keys that this daemon doesn't know.
     pub(crate) fn is_store_behind(&self) -> bool {
         let history = self.config_history.lock();
         let version = self.version().map_or(0, ConfigVersion::get);
         let may_lose = history.read_in > StoreEpoch::default();
-        history.is_lost || history.peer_version > version || (may_lose && !history.has_heard_peers)
+        history.is_lost
+            || history.peer_version > version
+            || (may_lose && !history.has_peer_messages)
     }
 
     /// Records the wanted weights of a model, and returns whether the version is new.
--- a/crates/wisteriahitch-relay/src/shell/store_updates.rs
+++ b/crates/wisteriahitch-relay/src/shell/store_updates.rs
@@ -383,7 +383,7 @@
     }
 }
 
-/// Ends evacuations that the store has lost and nobody has written again.
+/// Ends evacuations that the store has lost and that were not written again in time.
 pub(super) fn expire_lost_evacuations(shared: &Shared) {
     let now = shared.now();
     {
--- a/crates/wisteriahitch-relay/tests/all/object_sources.rs
+++ b/crates/wisteriahitch-relay/tests/all/object_sources.rs
@@ -126,7 +126,7 @@
         }
         let best = sources.best_to_begin(ME, at_ms(case.now_ms));
         assert_eq!(best, case.expected.map(peer), "{}", case.name);
-        // The fetch in progress asks nobody twice.
+        // The fetch in progress asks each peer once.
         let next = sources.best(ME, at_ms(case.now_ms));
         assert_eq!(
             next,
