--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -18,7 +18,8 @@
 from standins import Reader, answer, store_put
 
 BODY_BYTES = 800
-EVENTS = 8
+COLD_S, COLD_PER_S, COLD_OVER, COLD_SLACK = 3.0, 14.0, 1.5, 5
+COLD_BOUND = COLD_PER_S * COLD_OVER + COLD_SLACK
 
 
 def log(path, **fields):
@@ -29,19 +30,26 @@
 
 
 class Worker:
-    def __init__(self, listener, store, name, service, zone, log_path, policy):
+    def __init__(self, listener, store, name, service, zone, log_path, policy, is_first):
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.log_path, self.policy = log_path, policy
         self.born, self.sequence = int(time.time() * 1000), 0
+        self.cold_until = time.monotonic() + (COLD_S if policy == "cold" and not is_first else 0)
+        self.lock, self.recent = threading.Lock(), []
         self.address = listener.getsockname()
         standins.serve_on(listener, self.connection)
 
+    def cold_left_ms(self):
+        """A start during traffic is cold for COLD_S; the first one is warm."""
+        left = self.cold_until - time.monotonic()
+        return max(0, int(left * 1000))
+
     def heartbeats(self):
         while True:
             self.sequence += 1
             spec = {
                 "service": self.service, "addr": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
-                "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": 0,
+                "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": self.cold_left_ms(),
                 "sequence": self.sequence, "born": self.born,
             }
             try:
@@ -58,23 +66,26 @@
                 answer(sock, 421, b"", [f"Wisteriahitch-Instance-Id: {self.name}", "Wisteriahitch-Not-Run: 1"])
             elif target == "/healthz":
                 said = json.dumps({"born": self.born}).encode()
-                answer(sock, 200, said, [f"Wisteriahitch-Instance-Id: {self.name}", "Content-Type: application/json"])
+                own = [f"Wisteriahitch-Instance-Id: {self.name}", "Content-Type: application/json"]
+                answer(sock, 200, said, [*own, f"Wisteriahitch-Cold-Ms: {self.cold_left_ms()}"])
             elif target == "/api/report":
                 said = {"stage": "plain", "models": [], "busy": False, "sequence": 0, "waiting": 0, "running": 0,
                         "kv_used": 0, "kv_total": 0, "handles": 0, "born": self.born}
                 answer(sock, 200, json.dumps(said).encode(), ["Content-Type: application/json"])
+            elif "wisteriahitch-request-id" not in headers:
+                answer(sock, 404)
             elif not self.respond(sock, target, headers):
                 return
 
     def respond(self, sock, target, headers):
         """Runs a request. Returns whether the connection is kept."""
         request = headers["wisteriahitch-request-id"]
-        log(self.log_path, what="runs", request=request, pid=os.getpid(), born=self.born)
-        body = (request + "." ).encode() * (BODY_BYTES // len(request) + 1)
+        log(self.log_path, what="runs", request=request, pid=os.getpid(), born=self.born, cold_ms=self.cold_left_ms())
+        if self.policy == "cold":
+            self.bear(request)
+        body = (request + ".").encode() * (BODY_BYTES // len(request) + 1)
         body = body[:BODY_BYTES]
         own = [f"Wisteriahitch-Request-Id: {request}", "Wisteriahitch-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1"]
-        if "/stream/" in target:
-            return self.stream(sock, request, headers, own)
         if self.policy != "unframed" or "/whole/" in target:
             answer(sock, 200, body, own)
             return True
@@ -88,21 +99,16 @@
         return False
 
 
-    def stream(self, sock, request, headers, own):
-        """Sends eight events, or those after Last-Event-Id, in an answer with a length."""
-        first = int(headers.get("last-event-id", 0)) + 1
-        text = "word " * (3 if self.policy == "short" else 9)
-        events = [f"id: {n}\ndata: {text}{n}\n\n".encode() for n in range(first, EVENTS + 1)]
-        length = sum(map(len, events))
-        head = ["HTTP/1.1 200 OK", *own, "Content-Type: text/event-stream"]
-        head.append(f"Content-Length: {length}")
-        sock.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
-        for number, event in enumerate(events, first):
-            sock.sendall(event)
-            log(self.log_path, what="event", request=request, number=number, pid=os.getpid())
-            time.sleep(0.15)
-        log(self.log_path, what="whole", request=request, pid=os.getpid(), born=self.born)
-        return True
+    def bear(self, request):
+        """A cold runner crashes at a rate well above the one that its service states: here at twice
+        the bound of the rules."""
+        now = time.monotonic()
+        with self.lock:
+            self.recent = [at for at in self.recent if now - at < 1] + [now]
+            if self.cold_left_ms() > 0 and len(self.recent) > 2 * COLD_BOUND:
+                log(self.log_path, what="crashes", request=request, pid=os.getpid(), in_a_second=len(self.recent))
+                os._exit(1)
+        time.sleep(0.05)
 
 
 def supervise(arguments):
@@ -111,13 +117,15 @@
     address = held.getsockname()
     if kind == "own":
         held.close()
+    is_first = True
     while True:
         pid = os.fork()
         if pid == 0:
             listener = held if kind == "held" else standins.listen(address)
-            worker = Worker(listener, (store_host, int(store_port)), name, service, zone, log_path, policy)
+            worker = Worker(listener, (store_host, int(store_port)), name, service, zone, log_path, policy, is_first)
             log(log_path, what="started", pid=os.getpid(), born=worker.born)
             worker.heartbeats()
+        is_first = False
         os.waitpid(pid, 0)
         log(log_path, what="ended", pid=pid)
         time.sleep(int(restart_ms) / 1000)
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -117,6 +117,7 @@
     def __init__(self, ip):
         self.changed = threading.Condition()
         self.revision, self.kinds, self.history = 1, {}, []
+        self.is_down = False
         self.address = serve((ip, 0), self.connection)
 
     def put(self, kind, name, spec):
@@ -126,7 +127,7 @@
     def write(self, kind, name, content, part):
         objects = self.kinds.setdefault(kind, {})
         old = objects.get(name, {"metadata": {"created_rev": self.revision + 1}})
-        if old.get(part) == content:
+        if without_sequence(old.get(part)) == without_sequence(content) and content is not None:
             return old
         self.revision += 1
         metadata = {"finalizers": [], **old["metadata"], "name": name, "revision": self.revision}
@@ -151,6 +152,9 @@
         reader = Reader(sock)
         while True:
             method, target, _, body = reader.request()
+            if self.is_down:
+                answer(sock, 503, b"{}")
+                continue
             status, content = self.call(method, target, json.loads(body) if body else {})
             answer(sock, status, json.dumps(content).encode(), ["Content-Type: application/json"])
 
@@ -199,6 +203,11 @@
                 self.changed.wait(left)
 
 
+def without_sequence(spec):
+    """The entry of a runner changes when more than `sequence` changes."""
+    return {k: v for k, v in spec.items() if k != "sequence"} if isinstance(spec, dict) else spec
+
+
 def store_put(store, kind, name, spec):
     """Writes an object as another process of the platform does: create it, else replace it."""
     link = http.client.HTTPConnection(*store, timeout=2)
@@ -274,6 +283,7 @@
 BOUNDS = {
     "drain_ms": 3000, "contact_ms": 4000, "config_deadline_ms": 3000, "grace_s": 8, "lease_ms": 3000,
     "version_ms": 15000, "version_all_ms": 21000, "budget_ratio": 0.2, "retry_slack": 194, "ttl_max_s": 5,
+    "cold_over": 1.5, "cold_slack": 5,
 }
 
 
