--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -5,7 +5,7 @@
 import json
 import os
 import re
-import signal
+import shutil
 import socket
 import subprocess
 import sys
@@ -97,7 +97,10 @@
 
     def accept():
         while True:
-            sock, _ = listener.accept()
+            try:
+                sock, _ = listener.accept()
+            except OSError:
+                return
             threading.Thread(target=one, args=(sock,), daemon=True).start()
 
     threading.Thread(target=accept, daemon=True).start()
@@ -120,6 +123,14 @@
         self.is_down = False
         self.address = serve((ip, 0), self.connection)
 
+    def view(self, ip, replaced):
+        """Serves the same objects at a further address, to one machine whose links to some addresses
+        are proxies: `replaced` maps an address to that of its link."""
+        def connection(sock):
+            self.connection(sock, replaced)
+
+        return serve((ip, 0), connection)
+
     def put(self, kind, name, spec):
         with self.changed:
             return self.write(kind, name, spec, "spec")
@@ -148,7 +159,7 @@
             self.changed.notify_all()
             return gone
 
-    def connection(self, sock):
+    def connection(self, sock, replaced=None):
         reader = Reader(sock)
         while True:
             method, target, _, body = reader.request()
@@ -156,7 +167,10 @@
                 answer(sock, 503, b"{}")
                 continue
             status, content = self.call(method, target, json.loads(body) if body else {})
-            answer(sock, status, json.dumps(content).encode(), ["Content-Type: application/json"])
+            text = json.dumps(content)
+            for address, link in (replaced or {}).items():
+                text = text.replace(f'"{address}"', f'"{link}"')
+            answer(sock, status, text.encode(), ["Content-Type: application/json"])
 
     def call(self, method, target, body):
         url = urllib.parse.urlsplit(target)
@@ -290,12 +304,12 @@
 class Daemon:
     """One process of the role `entry`, started with the command of the deploy file."""
 
-    def __init__(self, ip, store, zone="taipei-a", seeds=(), bounds=None):
+    def __init__(self, ip, store, zone="taipei-a", seeds=(), bounds=None, zones=None):
         self.ip = ip
         port = {"front": 8005, "ready": 8002, "control": 8000, "directory": 8009, "inner": 7700}
         self.front, self.ready = (ip, port["front"]), (ip, port["ready"])
         values = {
-            "node": f"front-{ip.replace('.', '-')}", "ip": ip, "zone": zone, "zones": {zone: "tw-north"},
+            "node": f"front-{ip.replace('.', '-')}", "ip": ip, "zone": zone, "zones": zones or {zone: "tw-north"},
             "seeds": [f"{seed}:{port['control']}" for seed in seeds], "inner_ports": [port["inner"], port["inner"] + 15],
             "listen": {
                 "front": f"{ip}:{port['front']}", "ready_addr": f"{ip}:{port['ready']}",
@@ -351,6 +365,7 @@
             self.process.kill()
         if self.process:
             self.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def free_ip(last=1):
@@ -368,6 +383,64 @@
     raise CannotRun("no free loopback address")
 
 
+# --- links --------------------------------------------------------------------------------------
+
+class Link:
+    """The path from one machine to one runner, as a proxy. `cut` refuses new connections and resets open
+    ones. It notes the id of each request that passes, with the size of its body."""
+
+    def __init__(self, ip, target):
+        self.target, self.passed, self.open = target, [], set()
+        self.listener = listen((ip, 0))
+        self.address = self.listener.getsockname()
+        self.is_cut = False
+        serve_on(self.listener, self.connection)
+
+    def cut(self):
+        self.is_cut = True
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for sock in list(self.open):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            try:
+                sock.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+            sock.close()
+
+    def connection(self, sock):
+        far = socket.create_connection(self.target, timeout=5)
+        far.settimeout(None)
+        self.open.update((sock, far))
+        back = threading.Thread(target=self.copy, args=(far, sock), daemon=True)
+        back.start()
+        reader = Reader(sock)
+        try:
+            while True:
+                method, target, headers, body = reader.request()
+                if "wisteriahitch-request-id" in headers:
+                    self.passed.append((time.monotonic(), headers["wisteriahitch-request-id"], len(body)))
+                head = [f"{method} {target} HTTP/1.1", *(f"{n}: {v}" for n, v in headers.items())]
+                far.sendall("\r\n".join(head).encode("latin-1") + b"\r\n\r\n" + body)
+        except (EOFError, OSError, ValueError):
+            pass
+        finally:
+            for each in (sock, far):
+                try:
+                    each.shutdown(socket.SHUT_RDWR)
+                except OSError:
+                    pass
+                self.open.discard(each)
+
+    def copy(self, source, target):
+        try:
+            while data := source.recv(65536):
+                target.sendall(data)
+            target.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+
 # --- clients ------------------------------------------------------------------------------------
 
 class Answer:
