--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -17,7 +17,7 @@
 import standins
 from standins import Reader, answer, store_put
 
-BODY_BYTES = 800
+BODY_BYTES, EVENT_S = 800, 0.25
 COLD_S, COLD_PER_S, COLD_OVER, COLD_SLACK = 3.0, 14.0, 1.5, 5
 COLD_BOUND = COLD_PER_S * COLD_OVER + COLD_SLACK
 
@@ -34,7 +34,7 @@
         self.store, self.name, self.service, self.zone = store, name, service, zone
         self.log_path, self.policy = log_path, policy
         self.born, self.sequence = int(time.time() * 1000), 0
-        self.cold_until = time.monotonic() + (COLD_S if policy == "cold" and not is_first else 0)
+        self.cold_until = time.monotonic() + (COLD_S if policy in ("cold", "model") and not is_first else 0)
         self.lock, self.recent = threading.Lock(), []
         self.address = listener.getsockname()
         standins.serve_on(listener, self.connection)
@@ -44,13 +44,19 @@
         left = self.cold_until - time.monotonic()
         return max(0, int(left * 1000))
 
+    def models(self):
+        """What a model runner says besides."""
+        if self.policy != "model":
+            return {}
+        return {"stage": "colocated", "models": [{"name": "m0", "version": 1, "adapters": []}]}
+
     def heartbeats(self):
         while True:
             self.sequence += 1
             spec = {
                 "service": self.service, "addr": f"{self.address[0]}:{self.address[1]}", "zone": self.zone,
                 "version": "v1", "slots": 6, "state": "ready", "cold_left_ms": self.cold_left_ms(),
-                "sequence": self.sequence, "born": self.born,
+                "sequence": self.sequence, "born": self.born, **self.models(),
             }
             try:
                 store_put(self.store, "servers", self.name, spec)
@@ -70,7 +76,7 @@
                 answer(sock, 200, said, [*own, f"Wisteriahitch-Cold-Ms: {self.cold_left_ms()}"])
             elif target == "/api/report":
                 said = {"stage": "plain", "models": [], "busy": False, "sequence": 0, "waiting": 0, "running": 0,
-                        "kv_used": 0, "kv_total": 0, "handles": 0, "born": self.born}
+                        "kv_used": 0, "kv_total": 0, "handles": 0, "born": self.born, **self.models()}
                 answer(sock, 200, json.dumps(said).encode(), ["Content-Type: application/json"])
             elif "wisteriahitch-request-id" not in headers:
                 answer(sock, 404)
@@ -86,6 +92,8 @@
         body = (request + ".").encode() * (BODY_BYTES // len(request) + 1)
         body = body[:BODY_BYTES]
         own = [f"Wisteriahitch-Request-Id: {request}", "Wisteriahitch-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1"]
+        if self.policy == "model":
+            return self.stream(sock, request, own)
         if self.policy != "unframed" or "/whole/" in target:
             answer(sock, 200, body, own)
             return True
@@ -99,6 +107,18 @@
         return False
 
 
+    def stream(self, sock, request, own):
+        """Sends eight events in chunks, one each EVENT_S."""
+        head = ["HTTP/1.1 200 OK", *own, "Content-Type: text/event-stream", "Wisteriahitch-Weight-Versions: 1"]
+        sock.sendall("\r\n".join([*head, "Transfer-Encoding: chunked"]).encode() + b"\r\n\r\n")
+        for number in range(1, 9):
+            time.sleep(EVENT_S)
+            event = f"id: {number}\ndata: word {number}\n\n".encode()
+            sock.sendall(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        sock.sendall(b"0\r\n\r\n")
+        log(self.log_path, what="whole", request=request, pid=os.getpid(), born=self.born)
+        return True
+
     def bear(self, request):
         """A cold runner crashes at a rate well above the one that its service states: here at twice
         the bound of the rules."""
--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -308,6 +308,7 @@
         self.ip = ip
         port = {"front": 8005, "ready": 8002, "control": 8000, "directory": 8009, "inner": 7700}
         self.front, self.ready = (ip, port["front"]), (ip, port["ready"])
+        self.directory = (ip, port["directory"])
         values = {
             "node": f"front-{ip.replace('.', '-')}", "ip": ip, "zone": zone, "zones": zones or {zone: "tw-north"},
             "seeds": [f"{seed}:{port['control']}" for seed in seeds], "inner_ports": [port["inner"], port["inner"] + 15],
